--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Builds the library, the daemons, the stand-ins and the tests.
+CC ?= gcc
+BUILD ?= build
+SAN ?=
+LIBS := ck msgpack inih libmicrohttpd libcurl jansson libxxhash libsodium libedit
+CFLAGS += -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+          -D_GNU_SOURCE -DCK_USE_CC_BUILTINS=1 -pthread $(SAN) \
+          $(shell pkg-config --cflags $(LIBS))
+LDLIBS := $(shell pkg-config --libs $(LIBS)) -lpthread -lm
+CHECK_LIBS := $(shell pkg-config --libs check)
+
+KERNEL := $(patsubst %.c,$(BUILD)/%.o,$(wildcard kernel/*.c plugins/*.c))
+FAKES := $(patsubst %.c,$(BUILD)/%.o,$(filter-out fakes/fake-%.c,$(wildcard fakes/*.c)))
+DAEMONS := $(patsubst daemons/%.c,$(BUILD)/%,$(wildcard daemons/*.c))
+STANDINS := $(patsubst fakes/%.c,$(BUILD)/%,$(wildcard fakes/fake-*.c))
+TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
+SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch])
+
+.PHONY: all check unit procs demo bench experiment format format-check lint clean
+all: $(DAEMONS) $(STANDINS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(dir $@)
+	@$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+# Plug-ins register themselves in constructors, so the objects are linked
+# whole rather than picked from an archive by need.
+$(BUILD)/libceleryspool.o: $(KERNEL)
+	@$(LD) -r -o $@ $^
+
+$(DAEMONS): $(BUILD)/%: $(BUILD)/daemons/%.o $(BUILD)/libceleryspool.o
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(STANDINS): $(BUILD)/%: $(BUILD)/fakes/%.o $(FAKES) $(BUILD)/libceleryspool.o
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(TESTS): $(BUILD)/tests/%: $(BUILD)/tests/%.o $(FAKES) $(BUILD)/libceleryspool.o
+	@mkdir -p $(dir $@)
+	@$(CC) $(CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
+
+clean:
+	rm -rf build build-asan build-tsan out
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+
+demo: all
+	bash bench/demo.sh
--- /dev/null
+++ b/fakes/engine-cache.c
@@ -0,0 +1,181 @@
+#include "fakes.h"
+
+#include <stdlib.h>
+
+#define BUCKETS 16384
+#define EVENTS_KEPT 32768
+#define EVENTS_PAGE 4096
+
+typedef struct block {
+    CK_LIST_ENTRY(block) bucket;
+    struct block *newer;
+    struct block *older;
+    uint64_t key;
+} block_t;
+
+typedef CK_LIST_HEAD(block_list, block) block_list_t;
+
+typedef struct {
+    uint64_t key;
+    bool stored;
+} cache_event_t;
+
+struct engine_cache {
+    block_list_t buckets[BUCKETS];
+    block_t *newest;
+    block_t *oldest;
+    size_t size;
+    size_t max;
+    uint64_t sequence; /* of the newest event */
+    cache_event_t events[EVENTS_KEPT];
+};
+
+/* A cache for so many blocks. */
+engine_cache_t *
+engine_cache_new(size_t blocks_max)
+{
+    engine_cache_t *cache = mem_zalloc(sizeof(*cache));
+    cache->max = blocks_max;
+    return cache;
+}
+
+static void
+cache_unlink(engine_cache_t *cache, block_t *block)
+{
+    if (block->newer != NULL) {
+        block->newer->older = block->older;
+    }
+    else {
+        cache->newest = block->older;
+    }
+    if (block->older != NULL) {
+        block->older->newer = block->newer;
+    }
+    else {
+        cache->oldest = block->newer;
+    }
+}
+
+static void
+cache_link_newest(engine_cache_t *cache, block_t *block)
+{
+    block->newer = NULL;
+    block->older = cache->newest;
+    if (cache->newest != NULL) {
+        cache->newest->newer = block;
+    }
+    cache->newest = block;
+    if (cache->oldest == NULL) {
+        cache->oldest = block;
+    }
+}
+
+static void
+cache_publish(engine_cache_t *cache, uint64_t key, bool stored)
+{
+    cache->sequence++;
+    cache->events[cache->sequence % EVENTS_KEPT] =
+        (cache_event_t){.key = key, .stored = stored};
+}
+
+static void
+cache_evict_oldest(engine_cache_t *cache)
+{
+    block_t *block = cache->oldest;
+    cache_unlink(cache, block);
+    CK_LIST_REMOVE(block, bucket);
+    cache_publish(cache, block->key, false);
+    cache->size--;
+    free(block);
+}
+
+/* Drop everything without an event, as a crash does; numbers start anew. */
+void
+engine_cache_clear(engine_cache_t *cache)
+{
+    while (cache->oldest != NULL) {
+        cache_evict_oldest(cache);
+    }
+    cache->sequence = 0;
+}
+
+void
+engine_cache_free(engine_cache_t *cache)
+{
+    engine_cache_clear(cache);
+    free(cache);
+}
+
+static block_t *
+cache_find(engine_cache_t *cache, uint64_t key)
+{
+    block_t *block;
+    CK_LIST_FOREACH(block, &cache->buckets[key % BUCKETS], bucket)
+    {
+        if (block->key == key) {
+            return block;
+        }
+    }
+    return NULL;
+}
+
+/* Whether a block is held; a look counts as its use. */
+bool
+engine_cache_has(engine_cache_t *cache, uint64_t key)
+{
+    block_t *block = cache_find(cache, key);
+    if (block == NULL) {
+        return false;
+    }
+    cache_unlink(cache, block);
+    cache_link_newest(cache, block);
+    return true;
+}
+
+/* Hold a block, evicting the one unused for longest where it is full. */
+void
+engine_cache_store(engine_cache_t *cache, uint64_t key)
+{
+    if (engine_cache_has(cache, key)) {
+        return;
+    }
+    if (cache->size >= cache->max) {
+        cache_evict_oldest(cache);
+    }
+    block_t *block = mem_zalloc(sizeof(*block));
+    block->key = key;
+    CK_LIST_INSERT_HEAD(&cache->buckets[key % BUCKETS], block, bucket);
+    cache_link_newest(cache, block);
+    cache->size++;
+    cache_publish(cache, key, true);
+}
+
+size_t
+engine_cache_size(const engine_cache_t *cache)
+{
+    return cache->size;
+}
+
+/* Events behind a number, oldest first, some lost on the way as asked. */
+json_t *
+engine_cache_events(engine_cache_t *cache, uint64_t after,
+                    unsigned drop_percent, rng_t *rng)
+{
+    json_t *events = json_array();
+    uint64_t first = after + 1;
+    if (cache->sequence >= EVENTS_KEPT &&
+        first <= cache->sequence - EVENTS_KEPT) {
+        first = cache->sequence - EVENTS_KEPT + 1;
+    }
+    for (uint64_t n = first;
+         n <= cache->sequence && json_array_size(events) < EVENTS_PAGE; n++) {
+        const cache_event_t *event = &cache->events[n % EVENTS_KEPT];
+        if (drop_percent > 0 && rng_below(rng, 100) < drop_percent) {
+            continue;
+        }
+        (void)json_array_append_new(
+            events, json_pack("[I,b,I]", (json_int_t)n, event->stored,
+                              (json_int_t)event->key));
+    }
+    return events;
+}
--- /dev/null
+++ b/kernel/base.h
@@ -0,0 +1,128 @@
+#ifndef CELERYSPOOL_BASE_H
+#define CELERYSPOOL_BASE_H
+
+/* What every part stands on: errors, logs, events, buffers, time. */
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#define CS_VERSION "0.1.0"
+#define CS_NAME_MAX 64
+#define CS_ADDR_MAX 64
+#define CS_ID_LEN 32
+
+/* Exit statuses that all programs share. */
+#define EXIT_SETTINGS 3
+#define EXIT_UNREACHABLE 4
+
+/* The layer that an error belongs to; each turns those from below. */
+typedef enum {
+    ERR_NONE,
+    ERR_SETTINGS,
+    ERR_HTTP,
+    ERR_STORE,
+    ERR_CONFIG,
+    ERR_CLAIM,
+    ERR_PEER,
+    ERR_CALL,
+    ERR_COMMAND
+} err_layer_t;
+
+/* An error that is passed down and filled by the callee that fails. */
+typedef struct {
+    err_layer_t layer;
+    int code;
+    char text[320];
+} err_t;
+
+int err_set(err_t *err, err_layer_t layer, int code, const char *fmt, ...)
+    __attribute__((format(printf, 4, 5)));
+int err_wrap(err_t *err, err_layer_t layer, int code, const char *what);
+const char *err_layer_name(err_layer_t layer);
+
+typedef enum { LOG_ERROR, LOG_WARN, LOG_INFO, LOG_DEBUG } log_level_t;
+
+void log_setup(const char *process, log_level_t level);
+int log_level_parse(const char *word);
+void log_msg(log_level_t level, const char *part, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+#define log_error(part, ...) log_msg(LOG_ERROR, part, __VA_ARGS__)
+#define log_warn(part, ...) log_msg(LOG_WARN, part, __VA_ARGS__)
+#define log_info(part, ...) log_msg(LOG_INFO, part, __VA_ARGS__)
+#define log_debug(part, ...) log_msg(LOG_DEBUG, part, __VA_ARGS__)
+
+/* One line of the event log; empty strings are left out. */
+typedef struct {
+    const char *kind;
+    const char *request;
+    const char *workspace;
+    const char *backend;
+    const char *sent;     /* id of a message that leaves here */
+    const char *received; /* id of a message that arrives here */
+    const char *detail;
+} event_t;
+
+int event_setup(const char *process, const char *path);
+void event_emit(const event_t *event);
+json_t *event_recent(const char *request, const char *backend, size_t max);
+void event_close(void);
+
+/* A growable byte buffer that always keeps a NUL behind its content. */
+typedef struct {
+    char *data;
+    size_t len;
+    size_t cap;
+} buf_t;
+
+void buf_add(buf_t *buf, const void *data, size_t len);
+void buf_str(buf_t *buf, const char *text);
+void buf_fmt(buf_t *buf, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+void buf_drop(buf_t *buf, size_t len);
+void buf_free(buf_t *buf);
+const char *buf_text(const buf_t *buf);
+
+int64_t time_mono_ms(void);
+int64_t time_mono_us(void);
+int64_t time_wall_ms(void);
+void time_sleep_ms(int ms);
+
+/* A seeded generator, so that tests and loads repeat (splitmix64). */
+typedef struct {
+    uint64_t state;
+} rng_t;
+
+uint64_t rng_next(rng_t *rng);
+double rng_unit(rng_t *rng);
+uint64_t rng_below(rng_t *rng, uint64_t bound);
+
+void id_random(char out[CS_ID_LEN + 1]);
+void str_copy(char *dst, size_t size, const char *src);
+uint64_t str_hash(const char *text, uint64_t seed);
+bool str_is_name(const char *text);
+bool addr_is_valid(const char *addr);
+bool utf8_is_valid(const char *data, size_t len);
+void *mem_zalloc(size_t size);
+
+/* Clean-up attributes: the owner's scope frees what it names. */
+void cleanup_json(json_t **value);
+void cleanup_text(char **text);
+void cleanup_lock(pthread_mutex_t **lock);
+#define CLEAN_JSON __attribute__((cleanup(cleanup_json)))
+#define CLEAN_TEXT __attribute__((cleanup(cleanup_text)))
+#define CLEAN_BUF __attribute__((cleanup(buf_free)))
+/* Holds a mutex to the end of the enclosing block. */
+#define LOCK_SCOPE(mutex)                                                  \
+    pthread_mutex_t *scope_lock __attribute__((cleanup(cleanup_lock))) =   \
+        (pthread_mutex_lock(mutex), (mutex));                              \
+    (void)scope_lock
+
+const char *json_text(const json_t *object, const char *key);
+int64_t json_int(const json_t *object, const char *key, int64_t fallback);
+bool json_flag(const json_t *object, const char *key);
+
+#endif
--- /dev/null
+++ b/kernel/cache-map.c
@@ -0,0 +1,272 @@
+#include "tables.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Learnt places of prompt levels.  An entry names a few holders; which
+ * incarnation of a holder was meant is kept as an epoch, so that forgetting
+ * a crashed server is one increment.  Entries unused for longest go first. */
+
+#define HOLDERS_MAX 8
+#define BUCKET_FACTOR 2
+
+typedef struct {
+    uint16_t backend;
+    uint16_t epoch;
+} holder_t;
+
+typedef struct cache_entry {
+    CK_LIST_ENTRY(cache_entry) bucket;
+    struct cache_entry *newer;
+    struct cache_entry *older;
+    uint64_t key;
+    uint32_t tokens;
+    uint32_t uses;
+    uint8_t count;
+    holder_t holders[HOLDERS_MAX];
+} cache_entry_t;
+
+typedef CK_LIST_HEAD(entry_list, cache_entry) entry_list_t;
+
+struct cache_map {
+    pthread_mutex_t lock;
+    size_t max;
+    size_t size;
+    size_t bucket_count;
+    entry_list_t *buckets;
+    cache_entry_t *newest;
+    cache_entry_t *oldest;
+    uint16_t epochs[BACKENDS_MAX];
+};
+
+/* A map for so many entries. */
+cache_map_t *
+cache_map_new(size_t entries_max)
+{
+    cache_map_t *map = mem_zalloc(sizeof(*map));
+    (void)pthread_mutex_init(&map->lock, NULL);
+    map->max = entries_max;
+    map->bucket_count = entries_max * BUCKET_FACTOR + 1;
+    map->buckets = mem_zalloc(map->bucket_count * sizeof(entry_list_t));
+    return map;
+}
+
+static void
+entry_unlink(cache_map_t *map, cache_entry_t *entry)
+{
+    if (entry->newer != NULL) {
+        entry->newer->older = entry->older;
+    }
+    else {
+        map->newest = entry->older;
+    }
+    if (entry->older != NULL) {
+        entry->older->newer = entry->newer;
+    }
+    else {
+        map->oldest = entry->newer;
+    }
+}
+
+static void
+entry_link_newest(cache_map_t *map, cache_entry_t *entry)
+{
+    entry->newer = NULL;
+    entry->older = map->newest;
+    if (map->newest != NULL) {
+        map->newest->newer = entry;
+    }
+    map->newest = entry;
+    if (map->oldest == NULL) {
+        map->oldest = entry;
+    }
+}
+
+static void
+entry_free(cache_map_t *map, cache_entry_t *entry)
+{
+    entry_unlink(map, entry);
+    CK_LIST_REMOVE(entry, bucket);
+    map->size--;
+    free(entry);
+}
+
+/* Free the map and all entries. */
+void
+cache_map_free(cache_map_t *map)
+{
+    while (map->oldest != NULL) {
+        entry_free(map, map->oldest);
+    }
+    free(map->buckets);
+    (void)pthread_mutex_destroy(&map->lock);
+    free(map);
+}
+
+static cache_entry_t *
+entry_find(cache_map_t *map, uint64_t key)
+{
+    cache_entry_t *entry;
+    CK_LIST_FOREACH(entry, &map->buckets[key % map->bucket_count], bucket)
+    {
+        if (entry->key == key) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+static cache_entry_t *
+entry_make(cache_map_t *map, uint64_t key, uint32_t tokens)
+{
+    if (map->size >= map->max) {
+        entry_free(map, map->oldest);
+    }
+    cache_entry_t *entry = mem_zalloc(sizeof(*entry));
+    entry->key = key;
+    entry->tokens = tokens;
+    CK_LIST_INSERT_HEAD(&map->buckets[key % map->bucket_count], entry, bucket);
+    entry_link_newest(map, entry);
+    map->size++;
+    return entry;
+}
+
+static bool
+holder_valid(const cache_map_t *map, const holder_t *holder)
+{
+    return map->epochs[holder->backend] == holder->epoch;
+}
+
+static int
+holder_find(const cache_map_t *map, const cache_entry_t *entry,
+            uint16_t backend)
+{
+    for (int i = 0; i < entry->count; i++) {
+        if (entry->holders[i].backend == backend &&
+            holder_valid(map, &entry->holders[i])) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static void
+holder_add(cache_map_t *map, cache_entry_t *entry, uint16_t backend)
+{
+    int slot = 0;
+    while (slot < entry->count && holder_valid(map, &entry->holders[slot]) &&
+           entry->holders[slot].backend != backend) {
+        slot++;
+    }
+    if (slot == HOLDERS_MAX) {
+        memmove(entry->holders, entry->holders + 1,
+                (HOLDERS_MAX - 1) * sizeof(holder_t));
+        slot = HOLDERS_MAX - 1;
+    }
+    entry->holders[slot] = (holder_t){backend, map->epochs[backend]};
+    if (slot >= entry->count) {
+        entry->count = (uint8_t)(slot + 1);
+    }
+}
+
+/* Remember that a backend server holds a level; true if that is news. */
+bool
+cache_map_note(cache_map_t *map, uint16_t backend, uint64_t key,
+               uint32_t tokens)
+{
+    LOCK_SCOPE(&map->lock);
+    cache_entry_t *entry = entry_find(map, key);
+    if (entry == NULL) {
+        entry = entry_make(map, key, tokens);
+    }
+    entry->uses++;
+    entry_unlink(map, entry);
+    entry_link_newest(map, entry);
+    if (holder_find(map, entry, backend) >= 0) {
+        return false;
+    }
+    holder_add(map, entry, backend);
+    return true;
+}
+
+/* Forget one holder of a level; true if it had been believed. */
+bool
+cache_map_drop(cache_map_t *map, uint16_t backend, uint64_t key)
+{
+    LOCK_SCOPE(&map->lock);
+    cache_entry_t *entry = entry_find(map, key);
+    int at = entry == NULL ? -1 : holder_find(map, entry, backend);
+    if (at < 0) {
+        return false;
+    }
+    entry->holders[at] = entry->holders[entry->count - 1];
+    entry->count--;
+    return true;
+}
+
+/* Forget all that a backend server held: it came back empty, or with other
+ * weights. */
+void
+cache_map_forget(cache_map_t *map, uint16_t backend)
+{
+    LOCK_SCOPE(&map->lock);
+    map->epochs[backend]++;
+}
+
+/* How many tokens of a prompt a backend server is believed to hold: those
+ * of the deepest level that it is known for. */
+uint32_t
+cache_map_cached(cache_map_t *map, const prefix_t *prefix, uint16_t backend)
+{
+    LOCK_SCOPE(&map->lock);
+    for (unsigned i = prefix->count; i > 0; i--) {
+        const prefix_level_t *level = &prefix->levels[i - 1];
+        cache_entry_t *entry = entry_find(map, level->key);
+        if (entry != NULL && holder_find(map, entry, backend) >= 0) {
+            return level->tokens;
+        }
+    }
+    return 0;
+}
+
+/* Whether a key is a level that some prompt here had. */
+bool
+cache_map_knows(cache_map_t *map, uint64_t key)
+{
+    LOCK_SCOPE(&map->lock);
+    return entry_find(map, key) != NULL;
+}
+
+size_t
+cache_map_size(cache_map_t *map)
+{
+    LOCK_SCOPE(&map->lock);
+    return map->size;
+}
+
+/* The most recently used facts, for the snapshot that warms a peer. */
+size_t
+cache_map_hottest(cache_map_t *map, cache_fact_t *facts, size_t max)
+{
+    size_t count = 0;
+    LOCK_SCOPE(&map->lock);
+    for (cache_entry_t *entry = map->newest; entry != NULL;
+         entry = entry->older) {
+        for (int i = 0; i < entry->count && count < max; i++) {
+            if (holder_valid(map, &entry->holders[i])) {
+                facts[count++] = (cache_fact_t){
+                    entry->key, entry->tokens, entry->holders[i].backend};
+            }
+        }
+    }
+    return count;
+}
+
+/* Bytes that the map takes at its present size. */
+size_t
+cache_map_memory(cache_map_t *map)
+{
+    LOCK_SCOPE(&map->lock);
+    return sizeof(*map) + map->bucket_count * sizeof(entry_list_t) +
+           map->size * sizeof(cache_entry_t);
+}
--- /dev/null
+++ b/kernel/call.c
@@ -0,0 +1,233 @@
+#include "daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The life of a call, from the request to its one final answer. */
+
+#define DEADLINE_DEFAULT_MS 30000
+#define DEADLINE_MAX_MS 600000
+#define OUTCOME_HEADER "X-Celeryspool-Outcome"
+#define REQUEST_HEADER "X-Request-Id"
+
+/* The word for an outcome in headers, events and final stream events. */
+const char *
+outcome_word(outcome_t outcome)
+{
+    static const char *const words[] = {"done", "not_run", "unknown"};
+    return words[outcome];
+}
+
+static int64_t
+deadline_of(http_req_t *req)
+{
+    const char *header = http_req_header(req, "X-Deadline-Ms");
+    long span = header == NULL ? DEADLINE_DEFAULT_MS : strtol(header, NULL, 10);
+    if (span <= 0 || span > DEADLINE_MAX_MS) {
+        span = DEADLINE_DEFAULT_MS;
+    }
+    return time_mono_ms() + span;
+}
+
+/* A call for a request, listed as running.  The creator holds one share and
+ * the list none; the call leaves the list when it ends. */
+call_t *
+call_new(celeryspoold_t *daemon, http_req_t *req, call_kind_t kind,
+         const workspace_t *workspace, const char *target)
+{
+    call_t *call = mem_zalloc(sizeof(*call));
+    (void)pthread_mutex_init(&call->lock, NULL);
+    call->refs = 1;
+    call->daemon = daemon;
+    call->req = req;
+    call->kind = kind;
+    call->priority = workspace->priority;
+    call->began_us = time_mono_us();
+    call->last_us = call->began_us;
+    call->deadline_ms = deadline_of(req);
+    id_random(call->id);
+    str_copy(call->workspace, sizeof(call->workspace), workspace->name);
+    str_copy(call->target, sizeof(call->target), target);
+    call->series = metrics_series(daemon->metrics, workspace->name, target);
+    str_copy(call->item.workspace, sizeof(call->item.workspace),
+             workspace->name);
+    call->item.share = workspace->share;
+    call->item.deadline_ms = call->deadline_ms;
+    call->item.owner = call;
+    http_req_hold(req);
+    http_req_reply_header(req, REQUEST_HEADER, call->id);
+    LOCK_SCOPE(&daemon->calls_lock);
+    call->refs++;
+    CK_LIST_INSERT_HEAD(&daemon->calls, call, entry);
+    daemon->call_count++;
+    return call;
+}
+
+void
+call_hold(call_t *call)
+{
+    (void)__atomic_add_fetch(&call->refs, 1, __ATOMIC_RELAXED);
+}
+
+static void
+call_free(call_t *call)
+{
+    switch (call->kind) {
+        case CALL_CHAT:
+            json_decref(call->u.chat.body);
+            buf_free(&call->u.chat.text);
+            buf_free(&call->u.chat.sse);
+            break;
+        case CALL_SERVICE:
+            free(call->u.service.method);
+            free(call->u.service.path);
+            buf_free(&call->u.service.body);
+            buf_free(&call->u.service.reply);
+            break;
+    }
+    http_req_release(call->req);
+    (void)pthread_mutex_destroy(&call->lock);
+    free(call);
+}
+
+/* Give a share back; the last holder frees the call. */
+void
+call_release(call_t *call)
+{
+    if (__atomic_sub_fetch(&call->refs, 1, __ATOMIC_ACQ_REL) == 0) {
+        call_free(call);
+    }
+}
+
+/* Write an event of this call. */
+void
+call_event(call_t *call, const char *kind, const char *detail)
+{
+    event_emit(&(event_t){.kind = kind,
+                          .request = call->id,
+                          .workspace = call->workspace,
+                          .backend = call->backend,
+                          .detail = detail});
+}
+
+/* Take the current leg out of the view. */
+void
+call_uncount(call_t *call)
+{
+    if (call->counted) {
+        call->counted = false;
+        view_ended(call->daemon->view, call->backend_id, call->started,
+                   call->uncached);
+    }
+}
+
+/* The call has its answer: count it and take it off the list.  The call's
+ * lock is held; a second end is ignored, so each request is answered once. */
+void
+call_ended(call_t *call, outcome_t outcome)
+{
+    static const metric_counter_t counters[] = {METRIC_DONE, METRIC_NOT_RUN,
+                                                METRIC_UNKNOWN};
+    celeryspoold_t *daemon = call->daemon;
+    if (call->phase == CALL_ENDED) {
+        return;
+    }
+    call_uncount(call);
+    call->phase = CALL_ENDED;
+    call->leg++;
+    series_count(call->series, counters[outcome], 1);
+    call_event(call, "ended", outcome_word(outcome));
+    (void)pthread_mutex_lock(&daemon->calls_lock);
+    CK_LIST_REMOVE(call, entry);
+    daemon->call_count--;
+    (void)pthread_mutex_unlock(&daemon->calls_lock);
+    call_release(call);
+}
+
+static json_t *
+error_body(const call_t *call, const char *code, outcome_t outcome,
+           const char *text)
+{
+    return json_pack("{s:{s:s,s:s},s:s,s:s}", "error", "code", code, "message",
+                     text, "outcome", outcome_word(outcome), "request",
+                     call->id);
+}
+
+/* An error within a stream: an event that names it, then a broken
+ * connection, so that the caller cannot take what it has for the whole. */
+static void
+fail_stream(call_t *call, const json_t *body)
+{
+    CLEAN_TEXT char *text = json_dumps(body, JSON_COMPACT);
+    CLEAN_BUF buf_t event = {0};
+    buf_fmt(&event, "event: error\ndata: %s\n\n", text);
+    http_req_write(call->req, buf_text(&event), event.len);
+    http_req_end(call->req, false);
+}
+
+/* End a call with an error.  The call's lock is held. */
+void
+call_fail(call_t *call, int status, const char *code, outcome_t outcome,
+          const char *text)
+{
+    if (call->phase == CALL_ENDED) {
+        return;
+    }
+    CLEAN_JSON json_t *body = error_body(call, code, outcome, text);
+    call_event(call, "failed", text);
+    http_req_reply_header(call->req, OUTCOME_HEADER, outcome_word(outcome));
+    if (call->kind == CALL_CHAT && call->u.chat.stream &&
+        call->u.chat.emitted > 0) {
+        fail_stream(call, body);
+    }
+    else {
+        http_req_reply_json(call->req, status, body);
+    }
+    call_ended(call, outcome);
+}
+
+/* End a call that did not run, at once, saying when to come back. */
+void
+call_refuse(call_t *call, int status, const char *code, int retry_after_s,
+            const char *text)
+{
+    char seconds[16];
+    (void)snprintf(seconds, sizeof(seconds), "%d", retry_after_s);
+    http_req_reply_header(call->req, "Retry-After", seconds);
+    if (call->kind == CALL_SERVICE) {
+        service_record(call, CLAIM_OP_NOT_RUN, 0);
+    }
+    series_count(call->series, METRIC_REFUSED, 1);
+    call_fail(call, status, code, OUTCOME_NOT_RUN, text);
+}
+
+static const char *
+phase_word(call_phase_t phase)
+{
+    static const char *const words[] = {"queued", "sent", "streaming", "ended"};
+    return words[phase];
+}
+
+/* One row a running call, for the query language. */
+json_t *
+calls_rows(celeryspoold_t *daemon)
+{
+    int64_t now = time_mono_us();
+    json_t *rows = json_array();
+    LOCK_SCOPE(&daemon->calls_lock);
+    call_t *call;
+    CK_LIST_FOREACH(call, &daemon->calls, entry)
+    {
+        (void)json_array_append_new(
+            rows,
+            json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:I}", "request", call->id,
+                      "workspace", call->workspace, "target", call->target,
+                      "phase", phase_word(call->phase), "backend",
+                      call->backend, "age_ms",
+                      (json_int_t)((now - call->began_us) / 1000), "tokens",
+                      (json_int_t)(call->kind == CALL_CHAT
+                                       ? call->u.chat.emitted
+                                       : 0)));
+    }
+    return rows;
+}
--- /dev/null
+++ b/kernel/command-query.c
@@ -0,0 +1,212 @@
+#include "command.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The part that all queries share: where FIELD=VALUE … sort [-]FIELD limit
+ * N.  A comparison is =, !=, < or >; numbers compare as numbers. */
+
+typedef enum { TEST_EQUAL, TEST_OTHER, TEST_LESS, TEST_MORE } test_kind_t;
+
+typedef struct {
+    char field[CS_NAME_MAX];
+    test_kind_t kind;
+    const char *value;
+} test_t;
+
+static int
+compare_values(const json_t *a, const json_t *b)
+{
+    if (json_is_number(a) && json_is_number(b)) {
+        double x = json_number_value(a);
+        double y = json_number_value(b);
+        return (x > y) - (x < y);
+    }
+    const char *x = json_string_value(a);
+    const char *y = json_string_value(b);
+    return strcmp(x == NULL ? "" : x, y == NULL ? "" : y);
+}
+
+static int
+compare_text(const json_t *value, const char *text)
+{
+    if (json_is_boolean(value)) {
+        return strcmp(json_is_true(value) ? "true" : "false", text);
+    }
+    if (json_is_number(value)) {
+        double x = json_number_value(value);
+        double y = strtod(text, NULL);
+        return (x > y) - (x < y);
+    }
+    const char *have = json_string_value(value);
+    return strcmp(have == NULL ? "" : have, text);
+}
+
+static bool
+test_holds(const test_t *test, const json_t *row)
+{
+    const json_t *value = json_object_get(row, test->field);
+    int order = compare_text(value, test->value);
+    switch (test->kind) {
+        case TEST_EQUAL:
+            return order == 0;
+        case TEST_OTHER:
+            return order != 0;
+        case TEST_LESS:
+            return order < 0;
+        case TEST_MORE:
+            return order > 0;
+    }
+    return false;
+}
+
+static int
+parse_test(command_ask_t *ask, size_t word, test_t *test)
+{
+    const char *text = ask->words[word];
+    size_t len = strcspn(text, "=<>!");
+    if (len == 0 || len >= sizeof(test->field) || text[len] == '\0') {
+        return command_error(ask, word,
+                             "%.60s is not a comparison; allowed: FIELD=V, "
+                             "FIELD!=V, FIELD<V, FIELD>V",
+                             text);
+    }
+    memcpy(test->field, text, len);
+    test->field[len] = '\0';
+    bool other = text[len] == '!';
+    if (other && text[len + 1] != '=') {
+        return command_error(ask, word, "! needs = behind it");
+    }
+    test->kind = other               ? TEST_OTHER
+                 : text[len] == '='  ? TEST_EQUAL
+                 : text[len] == '<'  ? TEST_LESS
+                                     : TEST_MORE;
+    test->value = text + len + (other ? 2 : 1);
+    return 0;
+}
+
+static int
+check_field(command_ask_t *ask, size_t word, const char *field,
+            const json_t *rows)
+{
+    const json_t *first = json_array_get(rows, 0);
+    if (first == NULL || json_object_get(first, field) != NULL) {
+        return 0;
+    }
+    CLEAN_BUF buf_t list = {0};
+    const char *key;
+    json_t *value;
+    json_object_foreach((json_t *)first, key, value)
+    {
+        buf_fmt(&list, "%s%s", list.len > 0 ? ", " : "", key);
+    }
+    return command_error(ask, word, "no field %.40s here; allowed: %.160s",
+                         field, buf_text(&list));
+}
+
+static int
+filter(command_ask_t *ask, size_t word, json_t *rows)
+{
+    test_t test;
+    if (parse_test(ask, word, &test) != 0 ||
+        check_field(ask, word, test.field, rows) != 0) {
+        return -1;
+    }
+    for (size_t i = json_array_size(rows); i > 0; i--) {
+        if (!test_holds(&test, json_array_get(rows, i - 1))) {
+            (void)json_array_remove(rows, i - 1);
+        }
+    }
+    return 0;
+}
+
+/* A stable insertion sort: lists are short and the order of equals stays. */
+static void
+sort_rows(json_t *rows, const char *field, bool down)
+{
+    for (size_t i = 1; i < json_array_size(rows); i++) {
+        json_t *row = json_incref(json_array_get(rows, i));
+        const json_t *value = json_object_get(row, field);
+        size_t at = i;
+        while (at > 0) {
+            const json_t *before =
+                json_object_get(json_array_get(rows, at - 1), field);
+            int order = compare_values(before, value);
+            if (down ? order >= 0 : order <= 0) {
+                break;
+            }
+            at--;
+        }
+        (void)json_array_remove(rows, i);
+        (void)json_array_insert_new(rows, at, row);
+    }
+}
+
+static int
+apply_sort(command_ask_t *ask, size_t word, json_t *rows)
+{
+    if (word >= ask->count) {
+        return command_error(ask, word - 1, "sort needs a field");
+    }
+    const char *field = ask->words[word];
+    bool down = field[0] == '-';
+    if (check_field(ask, word, field + down, rows) != 0) {
+        return -1;
+    }
+    sort_rows(rows, field + down, down);
+    return 0;
+}
+
+static int
+apply_limit(command_ask_t *ask, size_t word, json_t *rows)
+{
+    char *end;
+    if (word >= ask->count) {
+        return command_error(ask, word - 1, "limit needs a number");
+    }
+    unsigned long max = strtoul(ask->words[word], &end, 10);
+    if (*end != '\0' || end == ask->words[word]) {
+        return command_error(ask, word, "%.40s is not a number",
+                             ask->words[word]);
+    }
+    while (json_array_size(rows) > max) {
+        (void)json_array_remove(rows, json_array_size(rows) - 1);
+    }
+    return 0;
+}
+
+/* Apply the clauses from a word on to rows and make them the result. */
+int
+query_apply(command_ask_t *ask, size_t from, json_t **rows)
+{
+    bool where = false;
+    for (size_t i = from; i < ask->count; i++) {
+        const char *word = ask->words[i];
+        int failed;
+        if (strcmp(word, "where") == 0) {
+            where = true;
+            continue;
+        }
+        if (strcmp(word, "sort") == 0) {
+            failed = apply_sort(ask, ++i, *rows);
+        }
+        else if (strcmp(word, "limit") == 0) {
+            failed = apply_limit(ask, ++i, *rows);
+        }
+        else if (where) {
+            failed = filter(ask, i, *rows);
+        }
+        else {
+            failed = command_error(ask, i,
+                                   "%.40s is not understood; allowed: where, "
+                                   "sort, limit",
+                                   word);
+        }
+        if (failed != 0) {
+            json_decref(*rows);
+            return -1;
+        }
+    }
+    ask->result = json_pack("{s:o}", "rows", *rows);
+    return 0;
+}
--- /dev/null
+++ b/kernel/daemon.c
@@ -0,0 +1,249 @@
+#include "daemon.h"
+#include "snapshot.h"
+
+#include <curl/curl.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Start, run and stop of the daemon. */
+
+#define TICK_MS 5
+#define WATCH_EVERY 10 /* ticks */
+#define CACHE_ENTRIES 65536
+#define CLAIM_SHARDS 16
+#define POOL_THREADS 4
+#define SNAPSHOT_EVERY_MS 5000
+#define CONFIG_WAIT_MS 3000
+#define PEER_PULL_MS 1000
+
+static void
+init_tables(celeryspoold_t *daemon)
+{
+    const settings_t *settings = &daemon->settings;
+    member_t self = {.incarnation = daemon->incarnation,
+                     .health = MEMBER_ALIVE};
+    CLEAN_JSON json_t *doc = config_empty();
+    err_t err = {0};
+    str_copy(self.name, sizeof(self.name), settings->name);
+    str_copy(self.dc, sizeof(self.dc), settings->dc);
+    str_copy(self.peer, sizeof(self.peer), settings->peer);
+    str_copy(self.http, sizeof(self.http), settings->http);
+    (void)pthread_mutex_init(&daemon->config_lock, NULL);
+    (void)pthread_mutex_init(&daemon->lanes_lock, NULL);
+    (void)pthread_mutex_init(&daemon->calls_lock, NULL);
+    daemon->config = config_parse(doc, &err);
+    daemon->config_heard_ms = time_mono_ms();
+    daemon->view = view_new();
+    daemon->cache = cache_map_new(CACHE_ENTRIES);
+    daemon->members = members_new(&self, str_hash(self.name,
+                                                  daemon->incarnation));
+    daemon->metrics = metrics_new();
+    for (unsigned i = 0; i < settings->seed_count; i++) {
+        members_seed(daemon->members, settings->seeds[i]);
+    }
+}
+
+static void
+init_edges(celeryspoold_t *daemon)
+{
+    const settings_t *settings = &daemon->settings;
+    daemon->client = http_client_new((unsigned)settings->relay_threads);
+    daemon->store = store_new(daemon->client, settings->store,
+                              settings->store_timeout_ms);
+    daemon->claims = claim_log_new(daemon->store, CLAIM_SHARDS);
+    daemon->pool = pool_new(POOL_THREADS);
+}
+
+/* Calls that are with a server are looked at; they are held meanwhile, so
+ * that no call's lock is taken under the list's. */
+static void
+watch_calls(celeryspoold_t *daemon)
+{
+    int64_t now = time_mono_us();
+    (void)pthread_mutex_lock(&daemon->calls_lock);
+    size_t count = 0;
+    call_t **calls = mem_zalloc((daemon->call_count + 1) * sizeof(call_t *));
+    call_t *call;
+    CK_LIST_FOREACH(call, &daemon->calls, entry)
+    {
+        if (call->kind == CALL_CHAT) {
+            call_hold(call);
+            calls[count++] = call;
+        }
+    }
+    (void)pthread_mutex_unlock(&daemon->calls_lock);
+    for (size_t i = 0; i < count; i++) {
+        chat_watch(calls[i], now);
+        call_release(calls[i]);
+    }
+    free(calls);
+}
+
+/* A peer that has a newer configuration is asked for it, so that a change
+ * spreads also while the store is down. */
+static void
+pull_config(void *arg)
+{
+    celeryspoold_t *daemon = arg;
+    char peer[CS_ADDR_MAX];
+    err_t err = {0};
+    config_t *config = daemon_config(daemon);
+    int64_t mine = config->generation;
+    config_release(config);
+    int64_t theirs = members_generation(daemon->members, peer);
+    if (theirs >= 0) {
+        (void)pthread_mutex_lock(&daemon->config_lock);
+        daemon->config_heard_ms = time_mono_ms();
+        (void)pthread_mutex_unlock(&daemon->config_lock);
+    }
+    if (theirs <= mine) {
+        return;
+    }
+    CLEAN_JSON json_t *doc = peer_ask(peer, "config", PEER_PULL_MS, &err);
+    if (doc != NULL) {
+        (void)config_sync_adopt(daemon, doc, 0, peer);
+    }
+}
+
+static void
+keep_snapshot(void *arg)
+{
+    celeryspoold_t *daemon = arg;
+    if (members_duty(daemon->members, "snapshot")) {
+        snapshot_keep(daemon);
+    }
+}
+
+static void
+ready_when_warm(celeryspoold_t *daemon)
+{
+    config_t *config = daemon_config(daemon);
+    bool known = config->generation > 0;
+    config_release(config);
+    int64_t age = time_mono_ms() - daemon->started_ms;
+    if (daemon->state == STATE_WARMING && (known || age > CONFIG_WAIT_MS)) {
+        daemon->state = STATE_READY;
+        log_info("daemon", "Ready after %lld ms.", (long long)age);
+        event_emit(&(event_t){.kind = "daemon-ready"});
+    }
+}
+
+static void *
+ticker_run(void *arg)
+{
+    celeryspoold_t *daemon = arg;
+    unsigned tick = 0;
+    int64_t snapshot_at = time_mono_ms() + SNAPSHOT_EVERY_MS;
+    while (!__atomic_load_n(&daemon->stopping, __ATOMIC_ACQUIRE)) {
+        tick++;
+        dispatch_tick(daemon);
+        claim_log_tick(daemon->claims);
+        peer_tick(daemon->peer);
+        if (tick % WATCH_EVERY == 0) {
+            watch_calls(daemon);
+            pool_submit(daemon->pool, pull_config, daemon);
+            ready_when_warm(daemon);
+        }
+        if (time_mono_ms() >= snapshot_at) {
+            snapshot_at = time_mono_ms() + SNAPSHOT_EVERY_MS;
+            pool_submit(daemon->pool, keep_snapshot, daemon);
+        }
+        time_sleep_ms(TICK_MS);
+    }
+    return NULL;
+}
+
+static int
+start_edges(celeryspoold_t *daemon, err_t *err)
+{
+    const settings_t *settings = &daemon->settings;
+    daemon->peer = peer_start(daemon, err);
+    if (daemon->peer == NULL) {
+        return -1;
+    }
+    snapshot_warm(daemon);
+    (void)pthread_create(&daemon->ticker, NULL, ticker_run, daemon);
+    (void)pthread_create(&daemon->feeder, NULL, feed_run, daemon);
+    (void)pthread_create(&daemon->watcher, NULL, config_sync_run, daemon);
+    (void)pthread_create(&daemon->orderer, NULL, order_run, daemon);
+    http_server_opts_t opts = {
+        .addr = settings->http,
+        .threads = (unsigned)settings->http_threads,
+        .body_max = (size_t)settings->body_kib * 1024,
+        .connections_max = (unsigned)settings->connections,
+        .idle_seconds = (unsigned)settings->idle_seconds,
+        .handler = route_handle,
+        .arg = daemon};
+    daemon->server = http_server_start(&opts, err);
+    return daemon->server == NULL ? -1 : 0;
+}
+
+/* Start a daemon; NULL with an error where an address cannot be had. */
+celeryspoold_t *
+daemon_start(const settings_t *settings, err_t *err)
+{
+    celeryspoold_t *daemon = mem_zalloc(sizeof(*daemon));
+    (void)curl_global_init(CURL_GLOBAL_ALL);
+    daemon->settings = *settings;
+    daemon->incarnation = (uint64_t)time_wall_ms();
+    daemon->started_ms = time_mono_ms();
+    init_tables(daemon);
+    init_edges(daemon);
+    if (start_edges(daemon, err) != 0) {
+        return NULL;
+    }
+    log_info("daemon", "Listening on %s, peers on %s.", settings->http,
+             settings->peer);
+    return daemon;
+}
+
+/* Begin to leave: readiness goes first, so that the balancer sends nothing
+ * new, while whatever still arrives is served. */
+void
+daemon_leave(celeryspoold_t *daemon)
+{
+    if (daemon->state == STATE_LEAVING) {
+        log_warn("daemon", "%zu requests would be cut by a stop now.",
+                 daemon->call_count);
+        return;
+    }
+    daemon->state = STATE_LEAVING;
+    log_info("daemon", "Leaving; %zu requests are running.",
+             daemon->call_count);
+    event_emit(&(event_t){.kind = "daemon-leaving"});
+}
+
+/* Whether no request is left. */
+bool
+daemon_left(celeryspoold_t *daemon)
+{
+    LOCK_SCOPE(&daemon->calls_lock);
+    return daemon->call_count == 0;
+}
+
+/* Stop and free everything; the callers have been served before. */
+void
+daemon_stop(celeryspoold_t *daemon)
+{
+    http_server_quiesce(daemon->server);
+    __atomic_store_n(&daemon->stopping, true, __ATOMIC_RELEASE);
+    (void)pthread_join(daemon->ticker, NULL);
+    (void)pthread_join(daemon->feeder, NULL);
+    (void)pthread_join(daemon->watcher, NULL);
+    (void)pthread_join(daemon->orderer, NULL);
+    pool_free(daemon->pool);
+    http_client_free(daemon->client);
+    http_server_stop(daemon->server);
+    peer_stop(daemon->peer);
+    claim_log_free(daemon->claims);
+    store_free(daemon->store);
+    dispatch_free(daemon);
+    config_release(daemon->config);
+    view_free(daemon->view);
+    cache_map_free(daemon->cache);
+    members_free(daemon->members);
+    metrics_free(daemon->metrics);
+    free(daemon);
+    curl_global_cleanup();
+}
--- /dev/null
+++ b/kernel/err.c
@@ -0,0 +1,60 @@
+#include "base.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+/* Fill the error, if there is one to fill, and return -1 for the caller. */
+int
+err_set(err_t *err, err_layer_t layer, int code, const char *fmt, ...)
+{
+    if (err == NULL) {
+        return -1;
+    }
+    err->layer = layer;
+    err->code = code;
+    va_list args;
+    va_start(args, fmt);
+    (void)vsnprintf(err->text, sizeof(err->text), fmt, args);
+    va_end(args);
+    return -1;
+}
+
+/* Turn an error from the layer below into one of this layer, keeping the
+ * text of the lower one behind what was tried here. */
+int
+err_wrap(err_t *err, err_layer_t layer, int code, const char *what)
+{
+    if (err == NULL) {
+        return -1;
+    }
+    char below[sizeof(err->text)];
+    memcpy(below, err->text, sizeof(below));
+    return err_set(err, layer, code, "%.100s: %.200s", what, below);
+}
+
+/* The word under which a layer stands in answers and logs. */
+const char *
+err_layer_name(err_layer_t layer)
+{
+    switch (layer) {
+        case ERR_SETTINGS:
+            return "settings";
+        case ERR_HTTP:
+            return "http";
+        case ERR_STORE:
+            return "store";
+        case ERR_CONFIG:
+            return "config";
+        case ERR_CLAIM:
+            return "claim";
+        case ERR_PEER:
+            return "peer";
+        case ERR_CALL:
+            return "call";
+        case ERR_COMMAND:
+            return "command";
+        case ERR_NONE:
+            break;
+    }
+    return "none";
+}
--- /dev/null
+++ b/kernel/metrics.h
@@ -0,0 +1,54 @@
+#ifndef CELERYSPOOL_METRICS_H
+#define CELERYSPOOL_METRICS_H
+
+/* Counters and histograms of our own, in the usual text form. */
+
+#include "base.h"
+
+#define HISTOGRAM_BUCKETS 28
+
+/* Bucket i counts values up to 2^i / 16 ms. */
+typedef struct {
+    uint64_t buckets[HISTOGRAM_BUCKETS];
+    uint64_t count;
+    uint64_t sum_us;
+} histogram_t;
+
+void histogram_add(histogram_t *histogram, int64_t us);
+double histogram_quantile(const histogram_t *histogram, double quantile);
+
+typedef enum {
+    METRIC_TTFT,
+    METRIC_GAP,
+    METRIC_OVERHEAD,
+    METRIC_HISTOGRAMS
+} metric_histogram_t;
+
+typedef enum {
+    METRIC_DONE,
+    METRIC_NOT_RUN,
+    METRIC_UNKNOWN,
+    METRIC_REFUSED,
+    METRIC_PROMPT_TOKENS,
+    METRIC_CACHED_TOKENS,
+    METRIC_OUTPUT_TOKENS,
+    METRIC_RESUMED,
+    METRIC_MOVED,
+    METRIC_HEDGED,
+    METRIC_COUNTERS
+} metric_counter_t;
+
+typedef struct metrics metrics_t;
+typedef struct series series_t;
+
+metrics_t *metrics_new(void);
+void metrics_free(metrics_t *metrics);
+series_t *metrics_series(metrics_t *metrics, const char *workspace,
+                         const char *target);
+void series_observe(series_t *series, metric_histogram_t which, int64_t us);
+void series_count(series_t *series, metric_counter_t which, uint64_t by);
+void metrics_text(metrics_t *metrics, buf_t *out);
+void metrics_gauge(buf_t *out, const char *name, double value);
+json_t *metrics_rows(metrics_t *metrics);
+
+#endif
--- /dev/null
+++ b/kernel/peer-codec.c
@@ -0,0 +1,226 @@
+#include "peer-codec.h"
+
+#include <msgpack.h>
+#include <sodium.h>
+#include <string.h>
+
+#define MEMBER_FIELDS 8
+#define LOAD_FIELDS 7
+#define CACHE_FIELDS 4
+
+static void
+pack_text(msgpack_packer *packer, const char *text)
+{
+    size_t len = strlen(text);
+    (void)msgpack_pack_str(packer, len);
+    (void)msgpack_pack_str_body(packer, text, len);
+}
+
+static void
+pack_member(msgpack_packer *packer, const member_t *member)
+{
+    (void)msgpack_pack_array(packer, MEMBER_FIELDS);
+    pack_text(packer, member->name);
+    pack_text(packer, member->dc);
+    pack_text(packer, member->peer);
+    pack_text(packer, member->http);
+    (void)msgpack_pack_uint64(packer, member->incarnation);
+    (void)msgpack_pack_uint64(packer, member->beat);
+    (void)msgpack_pack_int(packer, (int)member->intent);
+    (void)msgpack_pack_int64(packer, member->generation);
+}
+
+static void
+pack_fact(msgpack_packer *packer, const peer_fact_t *fact)
+{
+    (void)msgpack_pack_array(packer,
+                             fact->is_load ? LOAD_FIELDS : CACHE_FIELDS);
+    pack_text(packer, fact->backend);
+    if (!fact->is_load) {
+        (void)msgpack_pack_uint64(packer, fact->key);
+        (void)msgpack_pack_uint64(packer, fact->tokens);
+        (void)msgpack_pack_int(packer, fact->held ? 1 : 0);
+        return;
+    }
+    pack_text(packer, fact->load.incarnation);
+    pack_text(packer, fact->load.version);
+    (void)msgpack_pack_int(packer, fact->load.running);
+    (void)msgpack_pack_int(packer, fact->load.slots);
+    (void)msgpack_pack_int(packer, fact->load.waiting_tokens);
+    (void)msgpack_pack_int(packer, fact->load.prefill_rate);
+}
+
+/* Encode a datagram; its length, or 0 where it would not fit. */
+size_t
+peer_encode(const peer_datagram_t *datagram, const unsigned char *secret,
+            unsigned char out[PEER_DATAGRAM_MAX])
+{
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    bool members = datagram->kind == PEER_MEMBERS;
+    size_t count = members ? datagram->members.count : datagram->fact_count;
+    (void)msgpack_pack_array(&packer, 2);
+    (void)msgpack_pack_int(&packer, (int)datagram->kind);
+    (void)msgpack_pack_array(&packer, count);
+    for (size_t i = 0; i < count; i++) {
+        if (members) {
+            pack_member(&packer, &datagram->members.records[i]);
+        }
+        else {
+            pack_fact(&packer, &datagram->facts[i]);
+        }
+    }
+    size_t len = 0;
+    if (buffer.size + PEER_MAC_BYTES <= PEER_DATAGRAM_MAX) {
+        len = buffer.size + PEER_MAC_BYTES;
+        memcpy(out + PEER_MAC_BYTES, buffer.data, buffer.size);
+        (void)crypto_generichash(out, PEER_MAC_BYTES, out + PEER_MAC_BYTES,
+                                 buffer.size, secret, 32);
+    }
+    msgpack_sbuffer_destroy(&buffer);
+    return len;
+}
+
+static bool
+take_text(const msgpack_object *object, char *out, size_t size)
+{
+    if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size) {
+        return false;
+    }
+    memcpy(out, object->via.str.ptr, object->via.str.size);
+    out[object->via.str.size] = '\0';
+    return true;
+}
+
+static bool
+take_unsigned(const msgpack_object *object, uint64_t *out)
+{
+    *out = object->via.u64;
+    return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+}
+
+static bool
+take_int(const msgpack_object *object, int *out)
+{
+    *out = (int)object->via.i64;
+    return object->type == MSGPACK_OBJECT_POSITIVE_INTEGER ||
+           object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER;
+}
+
+static bool
+take_member(const msgpack_object *object, member_t *member)
+{
+    const msgpack_object *at = object->via.array.ptr;
+    int intent;
+    uint64_t generation;
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        object->via.array.size != MEMBER_FIELDS ||
+        !take_text(&at[0], member->name, sizeof(member->name)) ||
+        !take_text(&at[1], member->dc, sizeof(member->dc)) ||
+        !take_text(&at[2], member->peer, sizeof(member->peer)) ||
+        !take_text(&at[3], member->http, sizeof(member->http)) ||
+        !take_unsigned(&at[4], &member->incarnation) ||
+        !take_unsigned(&at[5], &member->beat) || !take_int(&at[6], &intent) ||
+        !take_unsigned(&at[7], &generation)) {
+        return false;
+    }
+    member->intent = intent == MEMBER_LEAVING ? MEMBER_LEAVING : MEMBER_LIVE;
+    member->generation = (int64_t)generation;
+    return true;
+}
+
+static bool
+take_fact(const msgpack_object *object, peer_fact_t *fact)
+{
+    const msgpack_object *at = object->via.array.ptr;
+    if (object->type != MSGPACK_OBJECT_ARRAY ||
+        (object->via.array.size != LOAD_FIELDS &&
+         object->via.array.size != CACHE_FIELDS) ||
+        !take_text(&at[0], fact->backend, sizeof(fact->backend))) {
+        return false;
+    }
+    fact->is_load = object->via.array.size == LOAD_FIELDS;
+    if (!fact->is_load) {
+        uint64_t tokens;
+        int held;
+        bool good = take_unsigned(&at[1], &fact->key) &&
+                    take_unsigned(&at[2], &tokens) && take_int(&at[3], &held);
+        fact->tokens = good ? (uint32_t)tokens : 0;
+        fact->held = good && held != 0;
+        return good;
+    }
+    load_report_t *load = &fact->load;
+    return take_text(&at[1], load->incarnation, sizeof(load->incarnation)) &&
+           take_text(&at[2], load->version, sizeof(load->version)) &&
+           take_int(&at[3], &load->running) &&
+           take_int(&at[4], &load->slots) &&
+           take_int(&at[5], &load->waiting_tokens) &&
+           take_int(&at[6], &load->prefill_rate);
+}
+
+static int
+take_list(peer_datagram_t *datagram, const msgpack_object *list)
+{
+    size_t count = list->via.array.size;
+    for (size_t i = 0; i < count; i++) {
+        const msgpack_object *at = &list->via.array.ptr[i];
+        if (datagram->kind == PEER_MEMBERS) {
+            if (i == MEMBER_PACKET_RECORDS ||
+                !take_member(at, &datagram->members.records[i])) {
+                return -1;
+            }
+            datagram->members.count = i + 1;
+        }
+        else if (i == PEER_FACTS_MAX || !take_fact(at, &datagram->facts[i])) {
+            return -1;
+        }
+        else {
+            datagram->fact_count = i + 1;
+        }
+    }
+    return 0;
+}
+
+static int
+take_root(peer_datagram_t *datagram, const msgpack_object *root)
+{
+    int kind;
+    if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size != 2 ||
+        !take_int(&root->via.array.ptr[0], &kind) ||
+        root->via.array.ptr[1].type != MSGPACK_OBJECT_ARRAY ||
+        (kind != PEER_MEMBERS && kind != PEER_FACTS)) {
+        return -1;
+    }
+    datagram->kind = (peer_kind_t)kind;
+    return take_list(datagram, &root->via.array.ptr[1]);
+}
+
+/* Decode a datagram; -1 for one that another key made or that is malformed,
+ * of which nothing is used. */
+int
+peer_decode(peer_datagram_t *datagram, const unsigned char *secret,
+            const unsigned char *data, size_t len)
+{
+    unsigned char want[PEER_MAC_BYTES];
+    msgpack_unpacked result;
+    memset(datagram, 0, sizeof(*datagram));
+    if (len <= PEER_MAC_BYTES) {
+        return -1;
+    }
+    (void)crypto_generichash(want, sizeof(want), data + PEER_MAC_BYTES,
+                             len - PEER_MAC_BYTES, secret, 32);
+    if (sodium_memcmp(want, data, PEER_MAC_BYTES) != 0) {
+        return -1;
+    }
+    msgpack_unpacked_init(&result);
+    int status = -1;
+    if (msgpack_unpack_next(&result, (const char *)data + PEER_MAC_BYTES,
+                            len - PEER_MAC_BYTES,
+                            NULL) == MSGPACK_UNPACK_SUCCESS) {
+        status = take_root(datagram, &result.data);
+    }
+    msgpack_unpacked_destroy(&result);
+    return status;
+}
--- /dev/null
+++ b/kernel/peer-codec.h
@@ -0,0 +1,37 @@
+#ifndef CELERYSPOOL_PEER_CODEC_H
+#define CELERYSPOOL_PEER_CODEC_H
+
+/* The datagrams between daemons, in msgpack, each behind a keyed checksum. */
+
+#include "tables.h"
+
+#define PEER_DATAGRAM_MAX 8192
+#define PEER_FACTS_MAX 64
+#define PEER_MAC_BYTES 16
+
+typedef enum { PEER_MEMBERS = 1, PEER_FACTS = 2 } peer_kind_t;
+
+/* A load report or a change of a cache entry, by the server's name. */
+typedef struct {
+    bool is_load;
+    char backend[CS_NAME_MAX];
+    load_report_t load;
+    uint64_t key;
+    uint32_t tokens;
+    bool held;
+} peer_fact_t;
+
+typedef struct {
+    peer_kind_t kind;
+    member_packet_t members;
+    peer_fact_t facts[PEER_FACTS_MAX];
+    size_t fact_count;
+} peer_datagram_t;
+
+size_t peer_encode(const peer_datagram_t *datagram,
+                   const unsigned char *secret,
+                   unsigned char out[PEER_DATAGRAM_MAX]);
+int peer_decode(peer_datagram_t *datagram, const unsigned char *secret,
+                const unsigned char *data, size_t len);
+
+#endif
--- /dev/null
+++ b/kernel/prefix.h
@@ -0,0 +1,33 @@
+#ifndef CELERYSPOOL_PREFIX_H
+#define CELERYSPOOL_PREFIX_H
+
+/* Prompt prefixes: how a chat becomes blocks and level keys. */
+
+#include "base.h"
+
+#define PREFIX_TOKEN_BYTES 4
+#define PREFIX_BLOCK_TOKENS 16
+#define PREFIX_BLOCK_BYTES (PREFIX_TOKEN_BYTES * PREFIX_BLOCK_TOKENS)
+#define PREFIX_LEVELS_MAX 8
+
+/* The key of the last whole block of a level, and how many tokens of the
+ * prompt it covers. */
+typedef struct {
+    uint64_t key;
+    uint32_t tokens;
+} prefix_level_t;
+
+typedef struct {
+    prefix_level_t levels[PREFIX_LEVELS_MAX];
+    unsigned count;
+    uint32_t tokens; /* of the whole prompt */
+} prefix_t;
+
+uint64_t prefix_root(const char *salt, const char *version);
+uint64_t prefix_chain(uint64_t parent, const char *block);
+void prefix_render(const json_t *messages, buf_t *text);
+void prefix_compute(prefix_t *prefix, const json_t *messages, const char *salt,
+                    const char *version);
+uint32_t prefix_shared(const prefix_t *a, const prefix_t *b);
+
+#endif
--- /dev/null
+++ b/kernel/resume.c
@@ -0,0 +1,113 @@
+#include "tables.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The state of a stream lives with its caller: each event's id is a sealed
+ * token and an offset, by which any daemon can go on after another's death. */
+
+#define MAC_BYTES 16
+#define RAW_MAX 400
+#define VARIANT sodium_base64_VARIANT_URLSAFE_NO_PADDING
+
+static void
+mac(unsigned char out[MAC_BYTES], const unsigned char *secret,
+    const char *purpose, const void *data, size_t len)
+{
+    crypto_generichash_state state;
+    (void)crypto_generichash_init(&state, secret, 32, MAC_BYTES);
+    (void)crypto_generichash_update(&state, (const unsigned char *)purpose,
+                                    strlen(purpose) + 1);
+    (void)crypto_generichash_update(&state, data, len);
+    (void)crypto_generichash_final(&state, out, MAC_BYTES);
+}
+
+/* The salt that separates the engines' caches by workspace and model.  It is
+ * derived from the deployment's secret, so that no caller can guess it. */
+void
+cache_salt(const unsigned char *secret, const char *workspace,
+           const char *model, char out[CS_ID_LEN + 1])
+{
+    unsigned char raw[MAC_BYTES];
+    char text[CS_NAME_MAX * 2 + 2];
+    int len = snprintf(text, sizeof(text), "%s/%s", workspace, model);
+    mac(raw, secret, "salt", text, (size_t)len);
+    (void)sodium_bin2hex(out, CS_ID_LEN + 1, raw, sizeof(raw));
+}
+
+/* Seal what a stream is into text; ".OFFSET" is put behind it. */
+void
+resume_seal(const resume_t *resume, const unsigned char *secret,
+            char out[RESUME_TEXT_MAX])
+{
+    unsigned char raw[RAW_MAX + MAC_BYTES];
+    int len = snprintf((char *)raw + MAC_BYTES, RAW_MAX,
+                       "%s\n%s\n%s\n%s\n%s\n%016llx", resume->workspace,
+                       resume->backend, resume->incarnation, resume->stream,
+                       resume->version, (unsigned long long)resume->ask);
+    mac(raw, secret, "resume", raw + MAC_BYTES, (size_t)len);
+    (void)sodium_bin2base64(out, RESUME_TEXT_MAX, raw,
+                            (size_t)len + MAC_BYTES, VARIANT);
+}
+
+static bool
+take_line(char **rest, char *out, size_t size)
+{
+    char *line = strsep(rest, "\n");
+    if (line == NULL || strlen(line) >= size) {
+        return false;
+    }
+    str_copy(out, size, line);
+    return true;
+}
+
+static bool
+parse_raw(resume_t *resume, char *text)
+{
+    char ask[17];
+    char *rest = text;
+    if (!take_line(&rest, resume->workspace, sizeof(resume->workspace)) ||
+        !take_line(&rest, resume->backend, sizeof(resume->backend)) ||
+        !take_line(&rest, resume->incarnation, sizeof(resume->incarnation)) ||
+        !take_line(&rest, resume->stream, sizeof(resume->stream)) ||
+        !take_line(&rest, resume->version, sizeof(resume->version)) ||
+        !take_line(&rest, ask, sizeof(ask))) {
+        return false;
+    }
+    resume->ask = strtoull(ask, NULL, 16);
+    return true;
+}
+
+/* Open "TOKEN.OFFSET"; a token that another key sealed, or that was changed
+ * on the way, is an error. */
+int
+resume_open(resume_t *resume, const unsigned char *secret, const char *text,
+            uint32_t *offset, err_t *err)
+{
+    unsigned char raw[RAW_MAX + MAC_BYTES + 1];
+    unsigned char want[MAC_BYTES];
+    size_t len = 0;
+    const char *dot = strrchr(text, '.');
+    char *end;
+    if (dot == NULL) {
+        return err_set(err, ERR_CALL, 400, "Last-Event-ID has no offset");
+    }
+    unsigned long at = strtoul(dot + 1, &end, 10);
+    if (*end != '\0' || end == dot + 1 || at > UINT32_MAX) {
+        return err_set(err, ERR_CALL, 400, "Last-Event-ID has a bad offset");
+    }
+    *offset = (uint32_t)at;
+    if (sodium_base642bin(raw, sizeof(raw) - 1, text, (size_t)(dot - text),
+                          NULL, &len, NULL, VARIANT) != 0 ||
+        len <= MAC_BYTES) {
+        return err_set(err, ERR_CALL, 400, "Last-Event-ID is malformed");
+    }
+    mac(want, secret, "resume", raw + MAC_BYTES, len - MAC_BYTES);
+    raw[len] = '\0';
+    if (sodium_memcmp(want, raw, MAC_BYTES) != 0 ||
+        !parse_raw(resume, (char *)raw + MAC_BYTES)) {
+        return err_set(err, ERR_CALL, 400, "Last-Event-ID is not ours");
+    }
+    return 0;
+}
--- /dev/null
+++ b/kernel/sched.c
@@ -0,0 +1,265 @@
+#include "tables.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A bounded queue that is fair among workspaces: start-time fair queueing
+ * (Goyal, Vin, Cheng), the cost of a request being its tokens.  Past the
+ * bound the newest request of the workspace that waits with the most, by its
+ * share, is given up on. */
+
+#define RETRY_AFTER_MAX_S 30
+
+typedef struct flow {
+    CK_LIST_ENTRY(flow) entry;
+    CK_STAILQ_HEAD(items, sched_item) items;
+    char workspace[CS_NAME_MAX];
+    int share;
+    double finish; /* virtual time of its last item */
+    size_t count;
+    double cost;
+} flow_t;
+
+struct sched {
+    pthread_mutex_t lock;
+    sched_opts_t opts;
+    CK_LIST_HEAD(flows, flow) flows;
+    double now; /* virtual time */
+    size_t count;
+    double cost;
+};
+
+/* An empty queue. */
+sched_t *
+sched_new(const sched_opts_t *opts)
+{
+    sched_t *sched = mem_zalloc(sizeof(*sched));
+    (void)pthread_mutex_init(&sched->lock, NULL);
+    sched->opts = *opts;
+    return sched;
+}
+
+/* Free the queue; its items belong to their owners. */
+void
+sched_free(sched_t *sched)
+{
+    flow_t *flow;
+    while ((flow = CK_LIST_FIRST(&sched->flows)) != NULL) {
+        CK_LIST_REMOVE(flow, entry);
+        free(flow);
+    }
+    (void)pthread_mutex_destroy(&sched->lock);
+    free(sched);
+}
+
+static flow_t *
+flow_of(sched_t *sched, const sched_item_t *item)
+{
+    flow_t *flow;
+    CK_LIST_FOREACH(flow, &sched->flows, entry)
+    {
+        if (strcmp(flow->workspace, item->workspace) == 0) {
+            return flow;
+        }
+    }
+    flow = mem_zalloc(sizeof(*flow));
+    str_copy(flow->workspace, sizeof(flow->workspace), item->workspace);
+    CK_STAILQ_INIT(&flow->items);
+    CK_LIST_INSERT_HEAD(&sched->flows, flow, entry);
+    return flow;
+}
+
+static void
+flow_remove(sched_t *sched, flow_t *flow, sched_item_t *item)
+{
+    CK_STAILQ_REMOVE(&flow->items, item, sched_item, entry);
+    flow->count--;
+    flow->cost -= item->cost;
+    sched->count--;
+    sched->cost -= item->cost;
+}
+
+/* The flow that waits with the most cost for its share. */
+static flow_t *
+flow_greediest(sched_t *sched)
+{
+    flow_t *worst = NULL;
+    flow_t *flow;
+    CK_LIST_FOREACH(flow, &sched->flows, entry)
+    {
+        if (flow->count > 0 &&
+            (worst == NULL ||
+             flow->cost / flow->share > worst->cost / worst->share)) {
+            worst = flow;
+        }
+    }
+    return worst;
+}
+
+static sched_item_t *
+flow_newest(flow_t *flow)
+{
+    sched_item_t *last = NULL;
+    sched_item_t *item;
+    CK_STAILQ_FOREACH(item, &flow->items, entry)
+    {
+        last = item;
+    }
+    return last;
+}
+
+/* Add an item.  False: it is given up on itself.  True with *evicted set:
+ * another one is given up on in its place. */
+bool
+sched_push(sched_t *sched, sched_item_t *item, sched_item_t **evicted)
+{
+    LOCK_SCOPE(&sched->lock);
+    flow_t *flow = flow_of(sched, item);
+    *evicted = NULL;
+    flow->share = item->share > 0 ? item->share : 1;
+    if (sched->count >= sched->opts.total_max) {
+        flow_t *worst = flow_greediest(sched);
+        double after = (flow->cost + item->cost) / flow->share;
+        if (worst == NULL || worst == flow ||
+            worst->cost / worst->share <= after) {
+            return false;
+        }
+        *evicted = flow_newest(worst);
+        flow_remove(sched, worst, *evicted);
+    }
+    if (flow->count == 0 && flow->finish < sched->now) {
+        flow->finish = sched->now;
+    }
+    CK_STAILQ_INSERT_TAIL(&flow->items, item, entry);
+    flow->count++;
+    flow->cost += item->cost;
+    sched->count++;
+    sched->cost += item->cost;
+    return true;
+}
+
+/* Take the next item in fair order, or NULL. */
+sched_item_t *
+sched_pop(sched_t *sched)
+{
+    LOCK_SCOPE(&sched->lock);
+    flow_t *best = NULL;
+    flow_t *flow;
+    CK_LIST_FOREACH(flow, &sched->flows, entry)
+    {
+        if (flow->count > 0 && (best == NULL || flow->finish < best->finish)) {
+            best = flow;
+        }
+    }
+    if (best == NULL) {
+        return NULL;
+    }
+    sched_item_t *item = CK_STAILQ_FIRST(&best->items);
+    sched->now = best->finish;
+    best->finish += item->cost / best->share;
+    flow_remove(sched, best, item);
+    return item;
+}
+
+/* Put an item back that could not be served after all, as if it had not
+ * been taken. */
+void
+sched_unpop(sched_t *sched, sched_item_t *item)
+{
+    LOCK_SCOPE(&sched->lock);
+    flow_t *flow = flow_of(sched, item);
+    flow->share = item->share > 0 ? item->share : 1;
+    flow->finish -= item->cost / flow->share;
+    CK_STAILQ_INSERT_HEAD(&flow->items, item, entry);
+    flow->count++;
+    flow->cost += item->cost;
+    sched->count++;
+    sched->cost += item->cost;
+}
+
+/* Take out one item whose deadline has passed, or NULL. */
+sched_item_t *
+sched_expired(sched_t *sched, int64_t now_ms)
+{
+    LOCK_SCOPE(&sched->lock);
+    flow_t *flow;
+    CK_LIST_FOREACH(flow, &sched->flows, entry)
+    {
+        sched_item_t *item;
+        CK_STAILQ_FOREACH(item, &flow->items, entry)
+        {
+            if (item->deadline_ms <= now_ms) {
+                flow_remove(sched, flow, item);
+                return item;
+            }
+        }
+    }
+    return NULL;
+}
+
+/* Take a certain item out; false if it is not waiting any more. */
+bool
+sched_remove(sched_t *sched, sched_item_t *item)
+{
+    LOCK_SCOPE(&sched->lock);
+    flow_t *flow = flow_of(sched, item);
+    sched_item_t *other;
+    CK_STAILQ_FOREACH(other, &flow->items, entry)
+    {
+        if (other == item) {
+            flow_remove(sched, flow, item);
+            return true;
+        }
+    }
+    return false;
+}
+
+size_t
+sched_waiting(sched_t *sched)
+{
+    LOCK_SCOPE(&sched->lock);
+    return sched->count;
+}
+
+double
+sched_waiting_cost(sched_t *sched)
+{
+    LOCK_SCOPE(&sched->lock);
+    return sched->cost;
+}
+
+/* When a refused caller should come back, in whole seconds: the time that
+ * what waits now will take. */
+int
+sched_retry_after_s(sched_t *sched, double tokens_per_s)
+{
+    double cost = sched_waiting_cost(sched);
+    int seconds = tokens_per_s > 0 ? (int)(cost / tokens_per_s) + 1
+                                   : RETRY_AFTER_MAX_S;
+    return seconds > RETRY_AFTER_MAX_S ? RETRY_AFTER_MAX_S : seconds;
+}
+
+#define BUDGET_MAX 20.0
+#define BUDGET_PER_REQUEST 0.1
+
+/* Each first try earns a tenth of a retry, so that retries cannot multiply a
+ * load that is failing already. */
+void
+retry_budget_earn(retry_budget_t *budget)
+{
+    budget->tokens += BUDGET_PER_REQUEST;
+    if (budget->tokens > BUDGET_MAX) {
+        budget->tokens = BUDGET_MAX;
+    }
+}
+
+/* Whether a retry may be made; it is paid for if so. */
+bool
+retry_budget_spend(retry_budget_t *budget)
+{
+    if (budget->tokens < 1.0) {
+        return false;
+    }
+    budget->tokens -= 1.0;
+    return true;
+}
--- /dev/null
+++ b/kernel/settings.h
@@ -0,0 +1,39 @@
+#ifndef CELERYSPOOL_SETTINGS_H
+#define CELERYSPOOL_SETTINGS_H
+
+/* What only one host needs to know, read from an INI file. */
+
+#include "base.h"
+
+#define SETTINGS_PEERS_MAX 16
+#define SECRET_BYTES 32
+
+typedef struct {
+    char name[CS_NAME_MAX];
+    char dc[CS_NAME_MAX];
+    int log_level;
+    char event_log[256];
+    char http[CS_ADDR_MAX];
+    char peer[CS_ADDR_MAX];
+    char store[CS_ADDR_MAX];
+    char seeds[SETTINGS_PEERS_MAX][CS_ADDR_MAX];
+    unsigned seed_count;
+    unsigned char secret[SECRET_BYTES];
+    char operator_key[CS_NAME_MAX * 2];
+    int http_threads;
+    int relay_threads;
+    int connections;
+    int body_kib;
+    int idle_seconds;
+    int grace_ms;
+    int silence_ms;
+    int store_timeout_ms;
+} settings_t;
+
+/* All that is wrong with a file, a line each: "file:line: what". */
+int settings_read(settings_t *settings, const char *path, buf_t *problems);
+int settings_read_text(settings_t *settings, const char *name,
+                       const char *text, buf_t *problems);
+void settings_describe(FILE *out);
+
+#endif
--- /dev/null
+++ b/kernel/snapshot.h
@@ -0,0 +1,19 @@
+#ifndef CELERYSPOOL_SNAPSHOT_H
+#define CELERYSPOOL_SNAPSHOT_H
+
+/* What warms a daemon that starts: the configuration, the hottest levels and
+ * the loads, from a peer, or a small one from the platform's store. */
+
+#include "daemon.h"
+
+#define SNAPSHOT_OBJECT "snapshots/main"
+#define SNAPSHOT_PEER_FACTS 4096
+#define SNAPSHOT_STORE_FACTS 512
+
+json_t *snapshot_make(celeryspoold_t *daemon, size_t facts_max);
+void snapshot_take(celeryspoold_t *daemon, json_t *snapshot,
+                   const char *source);
+void snapshot_keep(celeryspoold_t *daemon);
+void snapshot_warm(celeryspoold_t *daemon);
+
+#endif
--- /dev/null
+++ b/kernel/store.h
@@ -0,0 +1,44 @@
+#ifndef CELERYSPOOL_STORE_H
+#define CELERYSPOOL_STORE_H
+
+/* The platform's object API: versions, conditional update, watch. */
+
+#include "http.h"
+
+typedef enum {
+    STORE_OK,
+    STORE_ABSENT,   /* no such object, or a watch that ran out */
+    STORE_CONFLICT, /* the version is not the one that was named */
+    STORE_REFUSED,  /* surely no effect: unreachable, or over the rate */
+    STORE_LOST      /* the effect is not known: cut, timeout, server error */
+} store_result_t;
+
+typedef struct {
+    store_result_t result;
+    int64_t version;
+    json_t *value; /* of a read; the receiver borrows it */
+} store_reply_t;
+
+typedef void (*store_done_t)(void *arg, const store_reply_t *reply);
+
+typedef struct store store_t;
+
+store_t *store_new(http_client_t *client, const char *addr, int timeout_ms);
+void store_free(store_t *store);
+void store_get(store_t *store, const char *name, store_done_t done, void *arg);
+void store_put(store_t *store, const char *name, int64_t version,
+               const json_t *value, store_done_t done, void *arg);
+/* These block the calling thread. */
+store_result_t store_get_wait(store_t *store, const char *name,
+                              int64_t *version, json_t **value);
+store_result_t store_watch_wait(store_t *store, const char *name,
+                                int64_t after, int wait_ms, int64_t *version,
+                                json_t **value);
+store_result_t store_put_wait(store_t *store, const char *name,
+                              int64_t expected, const json_t *value,
+                              int64_t *version);
+json_t *store_hosts_wait(store_t *store);
+const char *store_result_word(store_result_t result);
+uint64_t store_calls(const store_t *store);
+
+#endif
--- /dev/null
+++ b/kernel/tables.h
@@ -0,0 +1,240 @@
+#ifndef CELERYSPOOL_TABLES_H
+#define CELERYSPOOL_TABLES_H
+
+/* The shared tables and the decisions over them.  Nothing here does I/O or
+ * reads a clock: events and a time go in, answers come out.
+ *
+ * Lock order over the whole program: a call's lock, then one of the tables'
+ * locks (view, cache map, scheduler, members, configuration), then the leaf
+ * locks of the HTTP edges, logs, events and metrics.  No two tables' locks are
+ * held at once, but for the view's over the cache map's in placement. */
+
+#include "config.h"
+#include "prefix.h"
+
+#include <ck_queue.h>
+
+#define BACKENDS_MAX 1024
+
+/* ---- cache map: which backend server holds which level of a prompt ---- */
+
+typedef struct cache_map cache_map_t;
+
+typedef struct {
+    uint64_t key;
+    uint32_t tokens;
+    uint16_t backend;
+} cache_fact_t;
+
+cache_map_t *cache_map_new(size_t entries_max);
+void cache_map_free(cache_map_t *map);
+bool cache_map_note(cache_map_t *map, uint16_t backend, uint64_t key,
+                    uint32_t tokens);
+bool cache_map_drop(cache_map_t *map, uint16_t backend, uint64_t key);
+void cache_map_forget(cache_map_t *map, uint16_t backend);
+uint32_t cache_map_cached(cache_map_t *map, const prefix_t *prefix,
+                          uint16_t backend);
+bool cache_map_knows(cache_map_t *map, uint64_t key);
+size_t cache_map_size(cache_map_t *map);
+size_t cache_map_hottest(cache_map_t *map, cache_fact_t *facts, size_t max);
+size_t cache_map_memory(cache_map_t *map);
+
+/* ---- view: what is known of each backend server now ---- */
+
+typedef struct {
+    char incarnation[CS_ID_LEN + 1];
+    char version[CS_NAME_MAX];
+    int running;
+    int slots;
+    int waiting_tokens;
+    int prefill_rate; /* tokens a second */
+} load_report_t;
+
+typedef struct {
+    char name[CS_NAME_MAX];
+    load_report_t load;
+    bool reported;
+    bool host_leaving;     /* by the platform's host list */
+    int64_t report_ms;
+    double sent_since;     /* own uncached tokens sent since the report */
+    double own_waiting;    /* own uncached tokens without a first token */
+    int own_running;
+    unsigned failures;     /* in a row */
+    int64_t broken_until;  /* the circuit is open until then */
+    double slowness;       /* observed over expected time, smoothed */
+    uint64_t events_after; /* number of the last cache event read */
+    char events_incarnation[CS_ID_LEN + 1];
+} backend_state_t;
+
+typedef struct view view_t;
+
+view_t *view_new(void);
+void view_free(view_t *view);
+uint16_t view_id(view_t *view, const char *name);
+bool view_get(view_t *view, uint16_t id, backend_state_t *out);
+bool view_report(view_t *view, uint16_t id, const load_report_t *report,
+                 int64_t now_ms);
+void view_sent(view_t *view, uint16_t id, double tokens);
+void view_first_token(view_t *view, uint16_t id, double tokens,
+                      double expected_ms, double observed_ms);
+void view_ended(view_t *view, uint16_t id, bool started, double tokens);
+void view_failed(view_t *view, uint16_t id, int64_t now_ms);
+void view_succeeded(view_t *view, uint16_t id);
+void view_host_leaving(view_t *view, uint16_t id, bool leaving);
+void view_events_at(view_t *view, uint16_t id, const char *incarnation,
+                    uint64_t after);
+double view_wait_ms(const backend_state_t *state);
+double view_rate(const backend_state_t *state);
+size_t view_count(view_t *view);
+
+/* ---- placement ---- */
+
+typedef struct {
+    const backend_t *backend;
+    uint16_t id;
+    char incarnation[CS_ID_LEN + 1];
+    char version[CS_NAME_MAX];
+    double wait_ms;
+    double rate; /* tokens a second */
+    int running;
+    uint32_t cached; /* tokens of the prompt that are believed held */
+    uint64_t rank;   /* rendezvous weight; the highest is the home */
+    bool same_dc;
+} candidate_t;
+
+typedef struct {
+    const prefix_t *prefix;
+    objective_t objective;
+    uint64_t turn; /* counts the placements of this daemon */
+} place_ask_t;
+
+typedef struct policy {
+    const char *name;
+    const char *about;
+    /* The index of the chosen candidate; there is at least one. */
+    size_t (*choose)(const candidate_t *all, size_t count,
+                     const place_ask_t *ask);
+    CK_SLIST_ENTRY(policy) entry;
+} policy_t;
+
+void policy_register(policy_t *policy);
+const policy_t *policy_find(const char *name);
+const policy_t *policy_next(const policy_t *policy);
+
+typedef struct {
+    const config_t *config;
+    view_t *view;
+    cache_map_t *cache;
+    const char *dc;
+    int64_t now_ms;      /* monotonic */
+    int64_t wall_ms;     /* for windows */
+    const char *avoid[4]; /* backend servers that were tried already */
+} place_scene_t;
+
+size_t place_candidates(const place_scene_t *scene, const char *serves,
+                        const prefix_t *prefix, const char *version,
+                        candidate_t *out, size_t max);
+double place_recompute_ms(const candidate_t *candidate,
+                          const prefix_t *prefix);
+uint64_t place_weight(uint64_t key, const char *name);
+
+/* ---- fair queue before the backend servers ---- */
+
+typedef struct sched_item {
+    CK_STAILQ_ENTRY(sched_item) entry;
+    char workspace[CS_NAME_MAX];
+    int share;
+    double cost;         /* tokens */
+    int64_t deadline_ms; /* monotonic */
+    void *owner;
+} sched_item_t;
+
+typedef struct sched sched_t;
+
+typedef struct {
+    size_t total_max; /* waiting items over all workspaces */
+} sched_opts_t;
+
+sched_t *sched_new(const sched_opts_t *opts);
+void sched_free(sched_t *sched);
+bool sched_push(sched_t *sched, sched_item_t *item, sched_item_t **evicted);
+sched_item_t *sched_pop(sched_t *sched);
+void sched_unpop(sched_t *sched, sched_item_t *item);
+sched_item_t *sched_expired(sched_t *sched, int64_t now_ms);
+bool sched_remove(sched_t *sched, sched_item_t *item);
+size_t sched_waiting(sched_t *sched);
+double sched_waiting_cost(sched_t *sched);
+int sched_retry_after_s(sched_t *sched, double tokens_per_s);
+
+/* ---- retry budget ---- */
+
+typedef struct {
+    double tokens;
+} retry_budget_t;
+
+void retry_budget_earn(retry_budget_t *budget);
+bool retry_budget_spend(retry_budget_t *budget);
+
+/* ---- resume tokens ---- */
+
+typedef struct {
+    char workspace[CS_NAME_MAX];
+    char backend[CS_NAME_MAX];
+    char incarnation[CS_ID_LEN + 1];
+    char stream[CS_ID_LEN + 1];
+    char version[CS_NAME_MAX];
+    uint64_t ask; /* hash of the prompt that the stream answers */
+} resume_t;
+
+#define RESUME_TEXT_MAX 600
+
+void resume_seal(const resume_t *resume, const unsigned char *secret,
+                 char out[RESUME_TEXT_MAX]);
+int resume_open(resume_t *resume, const unsigned char *secret,
+                const char *text, uint32_t *offset, err_t *err);
+void cache_salt(const unsigned char *secret, const char *workspace,
+                const char *model, char out[CS_ID_LEN + 1]);
+
+/* ---- membership ---- */
+
+typedef enum { MEMBER_LIVE, MEMBER_LEAVING } member_intent_t;
+typedef enum { MEMBER_ALIVE, MEMBER_SUSPECT, MEMBER_DEAD } member_health_t;
+
+typedef struct {
+    char name[CS_NAME_MAX];
+    char dc[CS_NAME_MAX];
+    char peer[CS_ADDR_MAX];
+    char http[CS_ADDR_MAX];
+    uint64_t incarnation; /* of the process; grows with each start */
+    uint64_t beat;        /* its own counter */
+    member_intent_t intent;
+    int64_t generation;   /* of its configuration */
+    member_health_t health;
+    int64_t advanced_ms;  /* when its counter last grew here */
+} member_t;
+
+#define MEMBER_PACKET_RECORDS 20
+#define MEMBER_TARGETS_MAX 4
+
+typedef struct {
+    member_t records[MEMBER_PACKET_RECORDS];
+    size_t count;
+} member_packet_t;
+
+typedef struct members members_t;
+
+members_t *members_new(const member_t *self, uint64_t seed);
+void members_free(members_t *members);
+void members_seed(members_t *members, const char *peer);
+size_t members_tick(members_t *members, int64_t now_ms, int64_t generation,
+                    member_intent_t intent, member_packet_t *packet,
+                    char targets[MEMBER_TARGETS_MAX][CS_ADDR_MAX]);
+void members_receive(members_t *members, const member_packet_t *packet,
+                     int64_t now_ms);
+size_t members_list(members_t *members, member_t *out, size_t max);
+bool members_duty(members_t *members, const char *duty);
+size_t members_live(members_t *members);
+int64_t members_generation(members_t *members, char peer[CS_ADDR_MAX]);
+int members_interval_ms(void);
+
+#endif
--- /dev/null
+++ b/plugins/policy-first-level.c
@@ -0,0 +1,28 @@
+#include "../kernel/tables.h"
+
+/* Baseline: the rendezvous home of the first level, whatever its load. */
+static size_t
+choose(const candidate_t *all, size_t count, const place_ask_t *ask)
+{
+    uint64_t key = ask->prefix->count > 0 ? ask->prefix->levels[0].key : 0;
+    size_t best = 0;
+    uint64_t best_weight = 0;
+    for (size_t i = 0; i < count; i++) {
+        uint64_t weight = place_weight(key, all[i].backend->name);
+        if (i == 0 || weight > best_weight) {
+            best = i;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+static policy_t policy = {.name = "first-level",
+                          .about = "rendezvous home of the first level",
+                          .choose = choose};
+
+__attribute__((constructor)) static void
+policy_first_level_register(void)
+{
+    policy_register(&policy);
+}
