--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
 SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch])
 
-.PHONY: all check unit procs demo bench experiment format format-check lint clean
+.PHONY: all unit-programs threads check unit procs demo bench experiment format format-check lint clean
 all: $(DAEMONS) $(STANDINS)
 
 $(BUILD)/%.o: %.c
@@ -40,7 +40,34 @@
 
 clean:
 	rm -rf build build-asan build-tsan out
--include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
 demo: all
 	bash bench/demo.sh
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+# One clang-tidy a file, all cores at work.
+TIDY := $(patsubst %.c,$(BUILD)/tidy/%.ok,$(filter %.c,$(SOURCES)))
+lint: $(TIDY)
+$(BUILD)/tidy/%.ok: %.c .clang-tidy $(wildcard */*.h)
+	@mkdir -p $(dir $@)
+	@clang-tidy --quiet $< -- $(CFLAGS) 2>$@.err || (cat $@.err; exit 1)
+	@touch $@
+
+unit-programs: $(TESTS)
+unit: $(TESTS)
+	@set -e; for t in $(TESTS); do $$t; done
+threads: $(BUILD)/tests/test-threads
+	$(BUILD)/tests/test-threads
+
+# The tests with real processes, one after the other.
+procs: all
+	@bash tests/procs.sh
+
+check: unit procs
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -22,7 +22,7 @@
 say "moderation traffic: rules, guidance, thread, comment, streamed"
 "$BUILD/fake-load" -o "targets=$(targets 4)" -o rate=60 -o seconds=4 -w "$OUT/load.json" || fail "load"
 sed -n '2,14p' "$OUT/load.json"
-[ "$(field "$OUT/load.json" wrong)" = 0 ] || fail "a wrong answer"
+[ "$(get "$OUT/load.json" total.wrong)" = 0 ] || fail "a wrong answer"
 ctl show traffic sort -done limit 5
 
 say "a takedown with its key, twice, at two daemons"
@@ -46,6 +46,6 @@
 stop router-4 || fail "router-4 did not end 0"
 wait $load
 sed -n '2,14p' "$OUT/stop.json"
-[ "$(field "$OUT/stop.json" wrong)" = 0 ] || fail "a wrong answer"
-[ "$(field "$OUT/stop.json" unknown)" = 0 ] || fail "a request was cut"
+[ "$(get "$OUT/stop.json" total.wrong)" = 0 ] || fail "a wrong answer"
+[ "$(get "$OUT/stop.json" total.unknown)" = 0 ] || fail "a request was cut"
 echo "demo: good"
--- a/bench/lib.sh
+++ b/bench/lib.sh
@@ -143,5 +143,7 @@
     echo "${list#,}"
 }
 
-# json FILE EXPRESSION: a value of a report, by the JSON tool of the fakes
-field() { sed -n "s/.*\"$2\": *\([-0-9.]*\).*/\1/p" "$1" | head -1; }
+# get FILE a.b.c: a value of a JSON file
+get() { "$BUILD/fake-check" get "$1" "$2"; }
+truth() { curl -s "http://$1/truth"; }
+load() { "$BUILD/fake-load" "$@"; }
--- a/daemons/celeryspoolctl.c
+++ b/daemons/celeryspoolctl.c
@@ -96,8 +96,7 @@
                         .total_ms = TIMEOUT_MS};
     call.headers[0] = buf_text(&header);
     call.headers[1] = "Content-Type: application/json";
-    if (text == NULL ||
-        http_fetch(&call, status, &reply) != HTTP_END_WHOLE) {
+    if (text == NULL || http_fetch(&call, status, &reply) != HTTP_END_WHOLE) {
         return NULL;
     }
     return json_loadb(buf_text(&reply), reply.len, 0, NULL);
@@ -143,12 +142,10 @@
 {
     size_t i;
     const json_t *row;
-    json_array_foreach(rows, i, row)
-    {
+    json_array_foreach (rows, i, row) {
         const char *key;
         json_t *value;
-        json_object_foreach((json_t *)row, key, value)
-        {
+        json_object_foreach ((json_t *)row, key, value) {
             columns_add(columns, key);
         }
         for (size_t c = 0; c < columns->count; c++) {
@@ -174,8 +171,7 @@
         (void)printf("%-*s  ", (int)columns.widths[c], columns.keys[c]);
     }
     (void)printf("\n");
-    json_array_foreach(rows, i, row)
-    {
+    json_array_foreach (rows, i, row) {
         for (size_t c = 0; c < columns.count; c++) {
             char text[COLUMN_MAX * 4] = "";
             const json_t *value = json_object_get(row, columns.keys[c]);
@@ -195,8 +191,7 @@
 {
     const char *key;
     json_t *value;
-    json_object_foreach((json_t *)reply, key, value)
-    {
+    json_object_foreach ((json_t *)reply, key, value) {
         if (strcmp(key, "rows") == 0) {
             continue;
         }
@@ -232,8 +227,8 @@
     const char *message = json_text(error, "message");
     int word = (int)json_int(error, "word", -1);
     if (word >= 0) {
-        (void)fprintf(stderr, "%s\n%*s^\n", line,
-                      (int)word_column(line, word), "");
+        (void)fprintf(stderr, "%s\n%*s^\n", line, (int)word_column(line, word),
+                      "");
     }
     (void)fprintf(stderr, "celeryspoolctl: %s\n",
                   message == NULL ? "refused" : message);
@@ -343,11 +338,12 @@
                        .if_generation = -1};
     (void)argp_parse(&arguments, argc, argv, ARGP_IN_ORDER, NULL, &args);
     if (args.key == NULL) {
-        (void)fprintf(stderr, "celeryspoolctl: --key or $CELERYSPOOL_KEY is "
-                              "needed\n");
+        (void)fprintf(stderr,
+                      "celeryspoolctl: --key or $CELERYSPOOL_KEY is "
+                      "needed\n");
         return EXIT_FAILURE;
     }
-    int status = args.line.len > 0       ? run_line(&args, buf_text(&args.line))
+    int status = args.line.len > 0      ? run_line(&args, buf_text(&args.line))
                  : isatty(STDIN_FILENO) ? run_interactive(&args)
                                         : run_script(&args);
     buf_free(&args.line);
--- a/fakes/engine-batch.c
+++ b/fakes/engine-batch.c
@@ -105,7 +105,8 @@
     if (!json_flag(body, "continue_final_message") || count == 0) {
         return 0;
     }
-    const char *text = json_text(json_array_get(messages, count - 1), "content");
+    const char *text =
+        json_text(json_array_get(messages, count - 1), "content");
     uint32_t done = answer_count(text == NULL ? "" : text);
     (void)json_array_remove(messages, count - 1);
     return done;
@@ -154,8 +155,7 @@
 engine_find(engine_t *engine, const char *id)
 {
     seq_t *seq;
-    CK_LIST_FOREACH(seq, &engine->seqs, entry)
-    {
+    CK_LIST_FOREACH (seq, &engine->seqs, entry) {
         if (strcmp(seq->id, id) == 0) {
             return seq;
         }
@@ -241,8 +241,7 @@
 {
     seq_t *best = NULL;
     seq_t *seq;
-    CK_LIST_FOREACH(seq, &engine->seqs, entry)
-    {
+    CK_LIST_FOREACH (seq, &engine->seqs, entry) {
         if (seq->done || (seq->started && seq->prefill_left <= 0)) {
             continue;
         }
@@ -259,8 +258,7 @@
 {
     unsigned count = 0;
     seq_t *seq;
-    CK_LIST_FOREACH(seq, &engine->seqs, entry)
-    {
+    CK_LIST_FOREACH (seq, &engine->seqs, entry) {
         count += seq->started && !seq->done;
     }
     return count;
@@ -312,8 +310,7 @@
     int64_t now = time_mono_ms();
     seq_t *seq;
     seq_t *next;
-    CK_LIST_FOREACH_SAFE(seq, &engine->seqs, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (seq, &engine->seqs, entry, next) {
         if (seq->req != NULL && !seq->muted && http_req_gone(seq->req)) {
             http_req_release(seq->req);
             seq->req = NULL;
@@ -328,6 +325,19 @@
     }
 }
 
+/* Put loaded weights in force; what runs goes on with those it began with. */
+static void
+finish_loading(engine_t *engine)
+{
+    if (engine->loading[0] == '\0' || time_mono_ms() < engine->loaded_ms) {
+        return;
+    }
+    str_copy(engine->version, sizeof(engine->version), engine->loading);
+    engine->loading[0] = '\0';
+    engine_cache_clear(engine->cache);
+    (void)json_array_append_new(engine->orders, json_string(engine->version));
+}
+
 /* One step of the batch; the lock is held. */
 void
 engine_step(engine_t *engine, double seconds)
@@ -337,9 +347,9 @@
     if (engine->knobs.frozen) {
         return;
     }
+    finish_loading(engine);
     fill_prompts(engine, engine->knobs.prefill_rate * seconds);
-    CK_LIST_FOREACH_SAFE(seq, &engine->seqs, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (seq, &engine->seqs, entry, next) {
         if (seq->started && !seq->done && seq->prefill_left <= 0) {
             decode_one(engine, seq);
         }
@@ -353,18 +363,18 @@
     double waiting = 0;
     unsigned running = 0;
     seq_t *seq;
-    CK_LIST_FOREACH(seq, &engine->seqs, entry)
-    {
+    CK_LIST_FOREACH (seq, &engine->seqs, entry) {
         if (seq->done) {
             continue;
         }
         running++;
         waiting += seq->started ? seq->prefill_left : seq->prompt_tokens;
     }
-    return json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:i}", "incarnation",
-                     engine->incarnation, "version", engine->version, "running",
-                     (int)running, "waiting_tokens", (int)waiting,
-                     "prefill_rate", (int)engine->knobs.prefill_rate, "slots",
+    return json_pack("{s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i}", "incarnation",
+                     engine->incarnation, "version", engine->version,
+                     "loading", engine->loading, "running", (int)running,
+                     "waiting_tokens", (int)waiting, "prefill_rate",
+                     (int)engine->knobs.prefill_rate, "slots",
                      (int)engine->knobs.slots, "blocks",
                      (int)engine_cache_size(engine->cache));
 }
--- a/fakes/engine-cache.c
+++ b/fakes/engine-cache.c
@@ -110,8 +110,7 @@
 cache_find(engine_cache_t *cache, uint64_t key)
 {
     block_t *block;
-    CK_LIST_FOREACH(block, &cache->buckets[key % BUCKETS], bucket)
-    {
+    CK_LIST_FOREACH (block, &cache->buckets[key % BUCKETS], bucket) {
         if (block->key == key) {
             return block;
         }
--- a/fakes/engine-http.c
+++ b/fakes/engine-http.c
@@ -18,7 +18,14 @@
     CLEAN_JSON json_t *body = json_loads(http_req_body(req, NULL), 0, NULL);
     const char *want = body == NULL ? NULL : json_text(body, "version");
     err_t err = {0};
+    if (engine->loading[0] != '\0') {
+        add_identity(engine, req);
+        http_req_reply_error(req, 503, "loading", "%s is being loaded",
+                             engine->loading);
+        return;
+    }
     if (want != NULL && strcmp(want, engine->version) != 0) {
+        add_identity(engine, req);
         http_req_reply_error(req, 409, "other_version", "%s is loaded",
                              engine->version);
         return;
@@ -41,7 +48,8 @@
 static void
 handle_stream(engine_t *engine, http_req_t *req)
 {
-    seq_t *seq = engine_find(engine, http_req_path(req) + strlen(STREAMS_PATH));
+    seq_t *seq =
+        engine_find(engine, http_req_path(req) + strlen(STREAMS_PATH));
     const char *offset = http_req_query(req, "offset");
     uint32_t from = offset == NULL ? 0 : (uint32_t)strtoul(offset, NULL, 10);
     if (seq == NULL || from > seq->emitted) {
@@ -50,9 +58,8 @@
     }
     add_identity(engine, req);
     if (http_req_query(req, "status") != NULL) {
-        CLEAN_JSON json_t *body =
-            json_pack("{s:i,s:b}", "emitted", (int)seq->emitted, "done",
-                      seq->done);
+        CLEAN_JSON json_t *body = json_pack(
+            "{s:i,s:b}", "emitted", (int)seq->emitted, "done", seq->done);
         http_req_reply_json(req, 200, body);
         return;
     }
@@ -75,7 +82,8 @@
 static void
 handle_cancel(engine_t *engine, http_req_t *req)
 {
-    seq_t *seq = engine_find(engine, http_req_path(req) + strlen(STREAMS_PATH));
+    seq_t *seq =
+        engine_find(engine, http_req_path(req) + strlen(STREAMS_PATH));
     if (seq != NULL && !seq->done) {
         seq->done = true;
         seq->ended_ms = time_mono_ms();
@@ -118,10 +126,10 @@
         return;
     }
     engine->fence = fence;
-    if (strcmp(engine->version, version) != 0) {
-        str_copy(engine->version, sizeof(engine->version), version);
-        engine_cache_clear(engine->cache);
-        (void)json_array_append_new(engine->orders, json_string(version));
+    if (strcmp(engine->version, version) != 0 &&
+        strcmp(engine->loading, version) != 0) {
+        str_copy(engine->loading, sizeof(engine->loading), version);
+        engine->loaded_ms = time_mono_ms() + engine->knobs.version_load_ms;
     }
     http_req_reply(req, 200, "application/json", "{}", 2);
 }
@@ -136,8 +144,7 @@
 mute_streams(engine_t *engine)
 {
     seq_t *seq;
-    CK_LIST_FOREACH(seq, &engine->seqs, entry)
-    {
+    CK_LIST_FOREACH (seq, &engine->seqs, entry) {
         seq->muted = seq->req != NULL;
     }
 }
@@ -153,6 +160,7 @@
     set_knob(body, "slots", &knobs->slots);
     set_knob(body, "load_lag_ms", &knobs->load_lag_ms);
     set_knob(body, "slow_factor", &knobs->slow_factor);
+    set_knob(body, "version_load_ms", &knobs->version_load_ms);
     set_knob(body, "event_drop_percent", &knobs->event_drop_percent);
     if (json_object_get(body, "frozen") != NULL) {
         knobs->frozen = json_flag(body, "frozen");
@@ -173,14 +181,14 @@
 static void
 handle_truth(engine_t *engine, http_req_t *req)
 {
-    CLEAN_JSON json_t *body = json_pack(
-        "{s:s,s:s,s:I,s:I,s:I,s:I,s:O,s:O}", "incarnation",
-        engine->incarnation, "version", engine->version, "tokens_prefilled",
-        (json_int_t)engine->tokens_prefilled, "tokens_cached",
-        (json_int_t)engine->tokens_cached, "tokens_emitted",
-        (json_int_t)engine->tokens_emitted, "requests",
-        (json_int_t)engine->requests, "executed", engine->executed, "orders",
-        engine->orders);
+    CLEAN_JSON json_t *body =
+        json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:O,s:O}", "incarnation",
+                  engine->incarnation, "version", engine->version,
+                  "tokens_prefilled", (json_int_t)engine->tokens_prefilled,
+                  "tokens_cached", (json_int_t)engine->tokens_cached,
+                  "tokens_emitted", (json_int_t)engine->tokens_emitted,
+                  "requests", (json_int_t)engine->requests, "executed",
+                  engine->executed, "orders", engine->orders);
     http_req_reply_json(req, 200, body);
 }
 
--- a/fakes/fake-engine.c
+++ b/fakes/fake-engine.c
@@ -59,9 +59,9 @@
     }
 }
 
-static const struct argp arguments = {options, parse_option, NULL,
-                                      "A stand-in for a model engine.",
-                                      NULL,    NULL,         NULL};
+static const struct argp arguments = {
+    options, parse_option, NULL, "A stand-in for a model engine.",
+    NULL,    NULL,         NULL};
 
 static void
 on_signal(int number)
@@ -75,7 +75,8 @@
 {
     int64_t last = time_mono_us();
     while (!fake_engine_stop) {
-        time_sleep_ms((int)(engine->knobs.step_ms * engine->knobs.slow_factor));
+        time_sleep_ms(
+            (int)(engine->knobs.step_ms * engine->knobs.slow_factor));
         int64_t now = time_mono_us();
         double seconds = (double)(now - last) / 1e6;
         LOCK_SCOPE(&engine->lock);
--- a/fakes/fake-service.c
+++ b/fakes/fake-service.c
@@ -76,7 +76,8 @@
 handle_control(service_t *service, http_req_t *req)
 {
     CLEAN_JSON json_t *body = json_loads(http_req_body(req, NULL), 0, NULL);
-    service->delay_ms = (unsigned)json_int(body, "delay_ms", service->delay_ms);
+    service->delay_ms =
+        (unsigned)json_int(body, "delay_ms", service->delay_ms);
     service->cut_before =
         (unsigned)json_int(body, "cut_before", service->cut_before);
     service->cut_after =
@@ -114,8 +115,7 @@
     int64_t now = time_mono_ms();
     pending_t *pending;
     pending_t *next;
-    CK_LIST_FOREACH_SAFE(pending, &service->pendings, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (pending, &service->pendings, entry, next) {
         if (now < pending->due_ms && !fake_service_stop) {
             continue;
         }
--- a/fakes/fake-store.c
+++ b/fakes/fake-store.c
@@ -101,8 +101,7 @@
 {
     waiter_t *waiter;
     waiter_t *next;
-    CK_LIST_FOREACH_SAFE(waiter, &store->waiters, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (waiter, &store->waiters, entry, next) {
         if (strcmp(waiter->name, name) != 0) {
             continue;
         }
@@ -117,7 +116,8 @@
 watch_add(store_t *store, http_req_t *req, const char *name, int64_t version)
 {
     const char *wait = http_req_query(req, "timeout_ms");
-    int64_t span = wait == NULL ? WATCH_SECONDS * 1000 : strtoll(wait, NULL, 10);
+    int64_t span =
+        wait == NULL ? WATCH_SECONDS * 1000 : strtoll(wait, NULL, 10);
     waiter_t *waiter = mem_zalloc(sizeof(*waiter));
     http_req_hold(req);
     waiter->req = req;
@@ -275,8 +275,7 @@
     int64_t now = time_mono_ms();
     waiter_t *waiter;
     waiter_t *next;
-    CK_LIST_FOREACH_SAFE(waiter, &store->waiters, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (waiter, &store->waiters, entry, next) {
         if (now < waiter->due_ms && !fake_store_stop) {
             continue;
         }
@@ -287,8 +286,7 @@
     }
     delayed_t *delay;
     delayed_t *after;
-    CK_LIST_FOREACH_SAFE(delay, &store->delays, entry, after)
-    {
+    CK_LIST_FOREACH_SAFE (delay, &store->delays, entry, after) {
         if (now < delay->due_ms && !fake_store_stop) {
             continue;
         }
--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -68,7 +68,8 @@
     char name[CS_NAME_MAX];
     char incarnation[CS_ID_LEN + 1];
     char version[CS_NAME_MAX];
-    int64_t version_ready_ms; /* orders in progress end then */
+    char loading[CS_NAME_MAX]; /* weights that are being loaded */
+    int64_t loaded_ms;         /* when they will be */
     int64_t fence;
     engine_knobs_t knobs;
     engine_cache_t *cache;
--- a/fakes/load-client.c
+++ b/fakes/load-client.c
@@ -178,8 +178,7 @@
     client->running--;
     if (run->key[0] != '\0') {
         json_t *list = json_object_get(client->keyed, run->key);
-        (void)json_array_append_new(list,
-                                    json_string(outcome_name(outcome)));
+        (void)json_array_append_new(list, json_string(outcome_name(outcome)));
     }
     (void)pthread_mutex_unlock(&client->lock);
     run_free(run);
@@ -268,8 +267,8 @@
 {
     char *dot = strrchr(run->last_id, '.');
     if (dot != NULL) {
-        (void)snprintf(dot, sizeof(run->last_id) -
-                                (size_t)(dot - run->last_id),
+        (void)snprintf(dot,
+                       sizeof(run->last_id) - (size_t)(dot - run->last_id),
                        ".%u", run->tokens);
     }
     run->resumes++;
@@ -341,8 +340,8 @@
     if (run->key[0] != '\0') {
         (void)snprintf(url, sizeof(url), "http://%s/v1/services/%s/takedown",
                        target, opts->service);
-        (void)snprintf(idempotency, sizeof(idempotency),
-                       "Idempotency-Key: %s", run->key);
+        (void)snprintf(idempotency, sizeof(idempotency), "Idempotency-Key: %s",
+                       run->key);
         call.headers[at++] = idempotency;
     }
     else {
@@ -390,10 +389,9 @@
         run->seeds[i] =
             answer_seed(buf_text(&prompt), prompt.len, opts->versions[i]);
     }
-    CLEAN_JSON json_t *body =
-        json_pack("{s:s,s:o,s:b,s:i}", "model", opts->model, "messages",
-                  messages, "stream", !opts->whole, "max_tokens",
-                  (int)opts->max_tokens);
+    CLEAN_JSON json_t *body = json_pack(
+        "{s:s,s:o,s:b,s:i}", "model", opts->model, "messages", messages,
+        "stream", !opts->whole, "max_tokens", (int)opts->max_tokens);
     if (opts->direct) {
         char salt[16];
         (void)snprintf(salt, sizeof(salt), "ws-%u", ask->workspace);
--- a/fakes/load-opts.c
+++ b/fakes/load-opts.c
@@ -118,13 +118,13 @@
 load_opts_set(load_opts_t *opts, const char *key, const char *value)
 {
     if (strcmp(key, "targets") == 0) {
-        opts->target_count = split_list(value, opts->targets[0], CS_ADDR_MAX,
-                                        LOAD_TARGETS_MAX);
+        opts->target_count =
+            split_list(value, opts->targets[0], CS_ADDR_MAX, LOAD_TARGETS_MAX);
         return opts->target_count > 0 ? 0 : -1;
     }
     if (strcmp(key, "versions") == 0) {
-        opts->version_count = split_list(value, opts->versions[0],
-                                         CS_NAME_MAX, LOAD_VERSIONS_MAX);
+        opts->version_count = split_list(value, opts->versions[0], CS_NAME_MAX,
+                                         LOAD_VERSIONS_MAX);
         return opts->version_count > 0 ? 0 : -1;
     }
     for (size_t i = 0; i < sizeof(options) / sizeof(options[0]); i++) {
--- a/fakes/load-plan.c
+++ b/fakes/load-plan.c
@@ -76,16 +76,13 @@
 load_plan_next(load_plan_t *plan, load_ask_t *ask)
 {
     const load_opts_t *opts = &plan->opts;
-    plan->at_s +=
-        -log(1.0 - rng_unit(&plan->rng)) / rate_at(opts, plan->at_s);
+    plan->at_s += -log(1.0 - rng_unit(&plan->rng)) / rate_at(opts, plan->at_s);
     if (plan->at_s >= opts->seconds) {
         return false;
     }
     ask->at_s = plan->at_s;
-    ask->workspace =
-        draw(&plan->rng, plan->workspace_sums, opts->workspaces);
-    ask->publisher =
-        draw(&plan->rng, plan->publisher_sums, opts->publishers);
+    ask->workspace = draw(&plan->rng, plan->workspace_sums, opts->workspaces);
+    ask->publisher = draw(&plan->rng, plan->publisher_sums, opts->publishers);
     double dice = rng_unit(&plan->rng);
     if (opts->hot_at_s > 0 && plan->at_s >= opts->hot_at_s &&
         dice < opts->hot_share) {
@@ -135,8 +132,8 @@
     json_t *messages = json_array();
     (void)json_array_append_new(messages,
                                 message("system", rules, opts->tokens[0]));
-    (void)json_array_append_new(
-        messages, message("system", guidance, opts->tokens[1]));
+    (void)json_array_append_new(messages,
+                                message("system", guidance, opts->tokens[1]));
     (void)json_array_append_new(messages,
                                 message("user", thread, opts->tokens[2]));
     (void)json_array_append_new(
--- a/fakes/load-report.c
+++ b/fakes/load-report.c
@@ -76,16 +76,15 @@
         }
     }
     qsort(times, count, sizeof(double), compare_doubles);
-    json_t *row = json_pack(
-        "{s:f,s:I,s:I,s:I,s:I,s:I,s:f,s:f,s:f}", "from_s", from_s, "done",
-        (json_int_t)outcomes[LOAD_DONE], "refused",
-        (json_int_t)outcomes[LOAD_REFUSED], "not_run",
-        (json_int_t)outcomes[LOAD_NOT_RUN], "unknown",
-        (json_int_t)outcomes[LOAD_UNKNOWN], "wrong",
-        (json_int_t)outcomes[LOAD_WRONG], "ttft_p50_ms",
-        quantile(times, count, 0.5), "ttft_p95_ms",
-        quantile(times, count, 0.95), "ttft_p99_ms",
-        quantile(times, count, 0.99));
+    json_t *row = json_pack("{s:f,s:I,s:I,s:I,s:I,s:I,s:f,s:f,s:f}", "from_s",
+                            from_s, "done", (json_int_t)outcomes[LOAD_DONE],
+                            "refused", (json_int_t)outcomes[LOAD_REFUSED],
+                            "not_run", (json_int_t)outcomes[LOAD_NOT_RUN],
+                            "unknown", (json_int_t)outcomes[LOAD_UNKNOWN],
+                            "wrong", (json_int_t)outcomes[LOAD_WRONG],
+                            "ttft_p50_ms", quantile(times, count, 0.5),
+                            "ttft_p95_ms", quantile(times, count, 0.95),
+                            "ttft_p99_ms", quantile(times, count, 0.99));
     free(times);
     return row;
 }
@@ -125,7 +124,8 @@
         (void)json_array_append_new(workspaces,
                                     times_json(report, 0, 1e9, (int)w));
     }
-    return json_pack("{s:o,s:o,s:I,s:o,s:o}", "total",
+    return json_pack("{s:I,s:o,s:o,s:I,s:o,s:o}", "answered",
+                     (json_int_t)report->count, "total",
                      times_json(report, 0, 1e9, -1), "refusals",
                      refusals_json(report), "resumes", (json_int_t)resumes,
                      "by_second", seconds, "by_workspace", workspaces);
--- a/fakes/load.h
+++ b/fakes/load.h
@@ -33,11 +33,11 @@
     double burst_at_s;
     double burst_s;
     double burst_factor;
-    double flood_factor; /* workspace 0 sends so many times its share */
-    double keyed_rate;   /* service calls with a key, a second */
+    double flood_factor;  /* workspace 0 sends so many times its share */
+    double keyed_rate;    /* service calls with a key, a second */
     unsigned key_repeats; /* attempts for each key, at other targets */
-    bool direct;         /* straight to engines, without router */
-    bool whole;          /* not streamed */
+    bool direct;          /* straight to engines, without router */
+    bool whole;           /* not streamed */
     unsigned deadline_ms;
     unsigned resumes_max;
     char history[256];
@@ -65,10 +65,10 @@
 
 typedef enum {
     LOAD_DONE,
-    LOAD_REFUSED,  /* not run, with Retry-After */
-    LOAD_NOT_RUN,  /* not run, for another reason */
+    LOAD_REFUSED, /* not run, with Retry-After */
+    LOAD_NOT_RUN, /* not run, for another reason */
     LOAD_UNKNOWN,
-    LOAD_WRONG,    /* an answer that looked whole and was not right */
+    LOAD_WRONG, /* an answer that looked whole and was not right */
     LOAD_OUTCOMES
 } load_outcome_t;
 
--- a/kernel/admin.c
+++ b/kernel/admin.c
@@ -16,7 +16,8 @@
     int64_t if_generation;
 } job_t;
 
-/* Who an operator's key stands for; operators' keys are apart from callers'. */
+/* Who an operator's key stands for; operators' keys are apart from callers'.
+ */
 static bool
 authenticate(celeryspoold_t *daemon, http_req_t *req, char who[CS_NAME_MAX])
 {
@@ -99,9 +100,8 @@
 static void
 handle_events(http_req_t *req)
 {
-    CLEAN_JSON json_t *events =
-        event_recent(http_req_query(req, "request"),
-                     http_req_query(req, "backend"), 500);
+    CLEAN_JSON json_t *events = event_recent(
+        http_req_query(req, "request"), http_req_query(req, "backend"), 500);
     http_req_reply_json(req, 200, events);
 }
 
--- a/kernel/base.h
+++ b/kernel/base.h
@@ -116,9 +116,9 @@
 #define CLEAN_TEXT __attribute__((cleanup(cleanup_text)))
 #define CLEAN_BUF __attribute__((cleanup(buf_free)))
 /* Holds a mutex to the end of the enclosing block. */
-#define LOCK_SCOPE(mutex)                                                  \
-    pthread_mutex_t *scope_lock __attribute__((cleanup(cleanup_lock))) =   \
-        (pthread_mutex_lock(mutex), (mutex));                              \
+#define LOCK_SCOPE(mutex)                                                \
+    pthread_mutex_t *scope_lock __attribute__((cleanup(cleanup_lock))) = \
+        (pthread_mutex_lock(mutex), (mutex));                            \
     (void)scope_lock
 
 const char *json_text(const json_t *object, const char *key);
--- a/kernel/cache-map.c
+++ b/kernel/cache-map.c
@@ -107,8 +107,7 @@
 entry_find(cache_map_t *map, uint64_t key)
 {
     cache_entry_t *entry;
-    CK_LIST_FOREACH(entry, &map->buckets[key % map->bucket_count], bucket)
-    {
+    CK_LIST_FOREACH (entry, &map->buckets[key % map->bucket_count], bucket) {
         if (entry->key == key) {
             return entry;
         }
@@ -244,7 +243,8 @@
     return map->size;
 }
 
-/* The most recently used facts, for the snapshot that warms a peer. */
+/* The most recently used facts, for the snapshot that warms a peer.  A level
+ * that was used once is most often a request's own and not worth its room. */
 size_t
 cache_map_hottest(cache_map_t *map, cache_fact_t *facts, size_t max)
 {
@@ -253,9 +253,9 @@
     for (cache_entry_t *entry = map->newest; entry != NULL;
          entry = entry->older) {
         for (int i = 0; i < entry->count && count < max; i++) {
-            if (holder_valid(map, &entry->holders[i])) {
-                facts[count++] = (cache_fact_t){
-                    entry->key, entry->tokens, entry->holders[i].backend};
+            if (entry->uses > 1 && holder_valid(map, &entry->holders[i])) {
+                facts[count++] = (cache_fact_t){entry->key, entry->tokens,
+                                                entry->holders[i].backend};
             }
         }
     }
--- a/kernel/call-chat.c
+++ b/kernel/call-chat.c
@@ -41,8 +41,7 @@
         return err_set(err, ERR_CALL, 400, "messages has over %d members",
                        MESSAGES_MAX);
     }
-    json_array_foreach(messages, i, message)
-    {
+    json_array_foreach (messages, i, message) {
         if (check_message(message, i, err) != 0) {
             return -1;
         }
@@ -69,12 +68,10 @@
 }
 
 /* Parse and check a body; NULL with an error that names the field. */
-static json_t *
-read_body(http_req_t *req, err_t *err)
+json_t *
+chat_body_read(const char *text, size_t len, err_t *err)
 {
-    size_t len;
     json_error_t where;
-    const char *text = http_req_body(req, &len);
     if (!utf8_is_valid(text, len)) {
         (void)err_set(err, ERR_CALL, 400, "the body is not valid UTF-8");
         return NULL;
@@ -179,7 +176,9 @@
             const workspace_t *workspace, const config_t *config)
 {
     err_t err = {0};
-    json_t *body = read_body(req, &err);
+    size_t len;
+    const char *text = http_req_body(req, &len);
+    json_t *body = chat_body_read(text, len, &err);
     if (body == NULL) {
         http_req_reply_header(req, OUTCOME_HEADER,
                               outcome_word(OUTCOME_NOT_RUN));
--- a/kernel/call-dispatch.c
+++ b/kernel/call-dispatch.c
@@ -23,8 +23,7 @@
 {
     LOCK_SCOPE(&daemon->lanes_lock);
     lane_t *lane;
-    CK_LIST_FOREACH(lane, &daemon->lanes, entry)
-    {
+    CK_LIST_FOREACH (lane, &daemon->lanes, entry) {
         if (strcmp(lane->target, target) == 0) {
             return lane;
         }
@@ -72,6 +71,19 @@
     call_release(call);
 }
 
+/* Whether the queue before this call will take longer than its caller waits;
+ * then it is refused now rather than held until its deadline. */
+static bool
+comes_too_late(celeryspoold_t *daemon, lane_t *lane, const call_t *call)
+{
+    double waiting = sched_waiting_cost(lane->sched);
+    if (waiting <= 0 || call->kind != CALL_CHAT) {
+        return false;
+    }
+    double wait_ms = waiting * 1000.0 / target_rate(daemon, lane->target);
+    return wait_ms > (double)(call->deadline_ms - time_mono_ms());
+}
+
 /* Queue a call and move its lane.  The queue holds one share of the call. */
 void
 dispatch_push(call_t *call)
@@ -81,6 +93,11 @@
     sched_item_t *evicted = NULL;
     call_hold(call);
     call->queued = true;
+    if (comes_too_late(daemon, lane, call)) {
+        give_up_on(daemon, lane, &call->item, "overloaded",
+                   "the queue is longer than the request's deadline");
+        return;
+    }
     if (!sched_push(lane->sched, &call->item, &evicted)) {
         give_up_on(daemon, lane, &call->item, "overloaded",
                    "the queue of this workspace is full");
@@ -173,9 +190,9 @@
                            .dc = daemon->settings.dc,
                            .now_ms = time_mono_ms(),
                            .wall_ms = time_wall_ms()};
-    place_ask_t ask = {.objective = config->objective,
-                       .turn = __atomic_fetch_add(&daemon->turn, 1,
-                                                  __ATOMIC_RELAXED)};
+    place_ask_t ask = {
+        .objective = config->objective,
+        .turn = __atomic_fetch_add(&daemon->turn, 1, __ATOMIC_RELAXED)};
     static const prefix_t none = {0};
     for (unsigned i = 0; i < call->tried && i < TRIED_MAX; i++) {
         scene.avoid[i] = call->tried_names[i];
@@ -190,8 +207,7 @@
         result = busy ? PLACE_BUSY : PLACE_FOUND;
         *out = all[chosen];
         if (!busy) {
-            str_copy(call->backend, sizeof(call->backend),
-                     out->backend->name);
+            str_copy(call->backend, sizeof(call->backend), out->backend->name);
             str_copy(call->addr, sizeof(call->addr), out->backend->addr);
             str_copy(call->version, sizeof(call->version), version);
             note_choice(call, policy, out, count);
@@ -296,8 +312,7 @@
     size_t waiting = 0;
     LOCK_SCOPE(&daemon->lanes_lock);
     lane_t *lane;
-    CK_LIST_FOREACH(lane, &daemon->lanes, entry)
-    {
+    CK_LIST_FOREACH (lane, &daemon->lanes, entry) {
         waiting += sched_waiting(lane->sched);
     }
     return waiting;
--- a/kernel/call-recover.c
+++ b/kernel/call-recover.c
@@ -10,6 +10,7 @@
 #define PROBE_FAILURES_MAX 2
 #define RECOVER_MS 5000
 #define RETRY_STEP_MS 100
+#define REDIRECTS_MAX 4
 
 static bool
 was_tried(const call_t *call, const char *name)
@@ -35,6 +36,13 @@
     }
 }
 
+/* Of a request that is given up on before its first token. */
+static outcome_t
+outcome_so_far(const call_t *call)
+{
+    return call->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+}
+
 /* No other server has the weights: a stream that has begun cannot change
  * them, so it ends with an error; one that has not begun did not answer. */
 static void
@@ -47,7 +55,7 @@
         return;
     }
     http_req_reply_header(call->req, "Retry-After", "1");
-    call_fail(call, 503, "no_backend", OUTCOME_UNKNOWN,
+    call_fail(call, 503, "no_backend", outcome_so_far(call),
               "the backend server failed and no other takes the request");
 }
 
@@ -100,7 +108,7 @@
     if (chat->emitted == 0 && !chat->resumed &&
         !retry_budget_spend(&call->daemon->retries)) {
         http_req_reply_header(call->req, "Retry-After", "2");
-        call_fail(call, 503, "retries_spent", OUTCOME_UNKNOWN,
+        call_fail(call, 503, "retries_spent", outcome_so_far(call),
                   "the backend server failed and too many retries are under "
                   "way");
         return;
@@ -108,6 +116,16 @@
     chat_move(call);
 }
 
+/* A server refused the request before it began: place it anew. */
+void
+chat_redirect(call_t *call, bool same_server_too)
+{
+    if (!same_server_too || call->attempts > REDIRECTS_MAX) {
+        note_tried(call);
+    }
+    chat_move(call);
+}
+
 /* Asking after a silent stream goes by a connection of its own, because the
  * one that is silent may be dead to both ends. */
 typedef struct {
@@ -158,6 +176,7 @@
     if (unknown_there || call->probe_failures >= PROBE_FAILURES_MAX) {
         call_event(call, "server-silent", NULL);
         view_failed(call->daemon->view, call->backend_id, time_mono_ms());
+        call->may_have_run = true;
         abandon_leg(call);
         chat_recover(call, false);
     }
--- a/kernel/call-service.c
+++ b/kernel/call-service.c
@@ -71,8 +71,7 @@
 note_tried(call_t *call)
 {
     if (call->tried < TRIED_MAX) {
-        str_copy(call->tried_names[call->tried++], CS_NAME_MAX,
-                 call->backend);
+        str_copy(call->tried_names[call->tried++], CS_NAME_MAX, call->backend);
     }
 }
 
@@ -83,8 +82,7 @@
 {
     candidate_t candidate;
     note_tried(call);
-    if (call->attempts < TRIED_MAX &&
-        time_mono_ms() < call->deadline_ms &&
+    if (call->attempts < TRIED_MAX && time_mono_ms() < call->deadline_ms &&
         dispatch_place(call, false, &candidate) == PLACE_FOUND &&
         (!sent || retry_budget_spend(&call->daemon->retries))) {
         service_leg_start(call, &candidate);
@@ -175,7 +173,7 @@
     /* The last step before the call leaves: a host that was frozen since the
      * claim may find that its caller's time is over. */
     if (time_mono_ms() >= call->deadline_ms) {
-            call_refuse(call, 504, "deadline", 1,
+        call_refuse(call, 504, "deadline", 1,
                     "the deadline passed before the call was sent");
         return;
     }
@@ -290,12 +288,12 @@
     if (service == NULL || (key != NULL && strlen(key) > KEY_MAX)) {
         http_req_reply_header(req, OUTCOME_HEADER,
                               outcome_word(OUTCOME_NOT_RUN));
-        http_req_reply_error(req, service == NULL ? 404 : 400,
-                             service == NULL ? "unknown_service" : "bad_key",
-                             service == NULL
-                                 ? "service %.64s is not declared"
-                                 : "Idempotency-Key of %.64s is over 255 bytes",
-                             name);
+        http_req_reply_error(
+            req, service == NULL ? 404 : 400,
+            service == NULL ? "unknown_service" : "bad_key",
+            service == NULL ? "service %.64s is not declared"
+                            : "Idempotency-Key of %.64s is over 255 bytes",
+            name);
         return;
     }
     call_t *call = call_new(daemon, req, CALL_SERVICE, workspace, name);
--- a/kernel/call-stream.c
+++ b/kernel/call-stream.c
@@ -65,8 +65,8 @@
 check_identity(call_t *call, leg_t *leg)
 {
     leg->checked = true;
-    bool other_version = leg->version[0] != '\0' &&
-                         strcmp(leg->version, call->version) != 0;
+    bool other_version =
+        leg->version[0] != '\0' && strcmp(leg->version, call->version) != 0;
     bool other_life =
         leg->resume && strcmp(leg->incarnation, call->incarnation) != 0;
     leg->wrong = other_version || other_life;
@@ -98,7 +98,8 @@
     int64_t now = time_mono_us();
     if (call->counted && !call->started) {
         view_first_token(call->daemon->view, call->backend_id, call->uncached,
-                         call->expected_ms, (double)(now - call->sent_us) / 1e3);
+                         call->expected_ms,
+                         (double)(now - call->sent_us) / 1e3);
         view_succeeded(call->daemon->view, call->backend_id);
     }
     call->started = true;
@@ -118,8 +119,8 @@
 {
     char id[RESUME_TEXT_MAX + 24];
     chat_t *chat = &call->u.chat;
-    int id_len = snprintf(id, sizeof(id), "id: %s.%u\n", chat->token,
-                          chat->emitted);
+    int id_len =
+        snprintf(id, sizeof(id), "id: %s.%u\n", chat->token, chat->emitted);
     http_req_write(call->req, id, (size_t)id_len);
     http_req_write(call->req, data, len);
     http_req_write(call->req, "\n\n", 2);
@@ -236,8 +237,12 @@
     celeryspoold_t *daemon = call->daemon;
     for (unsigned i = 0; i < chat->prefix.count; i++) {
         const prefix_level_t *level = &chat->prefix.levels[i];
+        /* The last level is this request's own; peers learn of it only if
+         * others follow it, as a further level of theirs. */
+        bool shared = i + 1 < chat->prefix.count;
         if (cache_map_note(daemon->cache, call->backend_id, level->key,
-                           level->tokens)) {
+                           level->tokens) &&
+            shared) {
             peer_tell_cached(daemon->peer, call->backend, level->key,
                              level->tokens, true);
         }
@@ -251,6 +256,30 @@
            status != 409 && status != 429;
 }
 
+/* The engine answered that it has not begun the request: it has other
+ * weights than were believed, is loading some, or is full. */
+static bool
+is_refusal(int status)
+{
+    return status == 409 || status == 429 || status == 503;
+}
+
+/* A refusal costs nothing from the retry budget, for nothing ran.  A server
+ * that only has other weights may be asked again, by what it has. */
+static void
+leg_refused(call_t *call, const leg_t *leg, int status)
+{
+    celeryspoold_t *daemon = call->daemon;
+    call_event(call, "leg-refused", buf_text(&leg->error));
+    call_uncount(call);
+    bool other_weights = status == 409 && leg->version[0] != '\0';
+    if (other_weights) {
+        view_version(daemon->view, call->backend_id, leg->version);
+        cache_map_forget(daemon->cache, call->backend_id);
+    }
+    chat_redirect(call, other_weights);
+}
+
 /* A leg ended without the end of the answer. */
 static void
 leg_broke(call_t *call, leg_t *leg, http_end_t end, int status)
@@ -261,16 +290,21 @@
                   buf_text(&leg->error));
         return;
     }
+    if (answered && is_refusal(status) && !leg->resume) {
+        leg_refused(call, leg, status);
+        return;
+    }
     if (!answered) {
         view_failed(call->daemon->view, call->backend_id, time_mono_ms());
     }
+    call->may_have_run = call->may_have_run || end != HTTP_END_UNSENT;
     call_event(call, "leg-broke",
                end == HTTP_END_UNSENT ? "unreachable"
                : answered             ? "refused"
                                       : "cut");
     call_uncount(call);
-    bool resumable = !leg->resume && !leg->wrong && end == HTTP_END_CUT &&
-                     call->started;
+    bool resumable =
+        !leg->resume && !leg->wrong && end == HTTP_END_CUT && call->started;
     chat_recover(call, resumable);
 }
 
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -22,7 +22,8 @@
 deadline_of(http_req_t *req)
 {
     const char *header = http_req_header(req, "X-Deadline-Ms");
-    long span = header == NULL ? DEADLINE_DEFAULT_MS : strtol(header, NULL, 10);
+    long span =
+        header == NULL ? DEADLINE_DEFAULT_MS : strtol(header, NULL, 10);
     if (span <= 0 || span > DEADLINE_MAX_MS) {
         span = DEADLINE_DEFAULT_MS;
     }
@@ -204,7 +205,8 @@
 static const char *
 phase_word(call_phase_t phase)
 {
-    static const char *const words[] = {"queued", "sent", "streaming", "ended"};
+    static const char *const words[] = {"queued", "sent", "streaming",
+                                        "ended"};
     return words[phase];
 }
 
@@ -216,18 +218,16 @@
     json_t *rows = json_array();
     LOCK_SCOPE(&daemon->calls_lock);
     call_t *call;
-    CK_LIST_FOREACH(call, &daemon->calls, entry)
-    {
+    CK_LIST_FOREACH (call, &daemon->calls, entry) {
         (void)json_array_append_new(
             rows,
-            json_pack("{s:s,s:s,s:s,s:s,s:s,s:I,s:I}", "request", call->id,
-                      "workspace", call->workspace, "target", call->target,
-                      "phase", phase_word(call->phase), "backend",
-                      call->backend, "age_ms",
-                      (json_int_t)((now - call->began_us) / 1000), "tokens",
-                      (json_int_t)(call->kind == CALL_CHAT
-                                       ? call->u.chat.emitted
-                                       : 0)));
+            json_pack(
+                "{s:s,s:s,s:s,s:s,s:s,s:I,s:I}", "request", call->id,
+                "workspace", call->workspace, "target", call->target, "phase",
+                phase_word(call->phase), "backend", call->backend, "age_ms",
+                (json_int_t)((now - call->began_us) / 1000), "tokens",
+                (json_int_t)(call->kind == CALL_CHAT ? call->u.chat.emitted
+                                                     : 0)));
     }
     return rows;
 }
--- a/kernel/claim-shard.c
+++ b/kernel/claim-shard.c
@@ -12,7 +12,13 @@
  * still come, and the next write over the same version fences it.  Once an
  * outcome-less claim is seen, nobody else sends: it is unknown. */
 
-typedef enum { PHASE_IDLE, PHASE_HEAD, PHASE_SEALED, PHASE_SEAL, PHASE_PUT } phase_t;
+typedef enum {
+    PHASE_IDLE,
+    PHASE_HEAD,
+    PHASE_SEALED,
+    PHASE_SEAL,
+    PHASE_PUT
+} phase_t;
 
 struct claim_shard {
     unsigned index;
@@ -167,8 +173,7 @@
 {
     size_t i;
     const json_t *entry;
-    json_array_foreach(entries, i, entry)
-    {
+    json_array_foreach (entries, i, entry) {
         fold_entry(fold, entry);
     }
 }
@@ -182,8 +187,7 @@
     const json_t *chunk;
     json_decref(shard->fold);
     shard->fold = json_object();
-    json_array_foreach(json_object_get(shard->head, "sealed"), i, chunk)
-    {
+    json_array_foreach (json_object_get(shard->head, "sealed"), i, chunk) {
         const char *name = json_text(chunk, "n");
         fold_entries(shard->fold, json_object_get(shard->chunks, name));
     }
@@ -196,8 +200,7 @@
 {
     size_t i;
     const json_t *chunk;
-    json_array_foreach(json_object_get(shard->head, "sealed"), i, chunk)
-    {
+    json_array_foreach (json_object_get(shard->head, "sealed"), i, chunk) {
         const char *name = json_text(chunk, "n");
         if (json_object_get(shard->chunks, name) == NULL) {
             return name;
@@ -280,8 +283,7 @@
 {
     claim_op_t *op;
     claim_op_t *next;
-    CK_STAILQ_FOREACH_SAFE(op, &shard->ops, entry, next)
-    {
+    CK_STAILQ_FOREACH_SAFE (op, &shard->ops, entry, next) {
         claim_state_t state = judge(shard, op, stale);
         if (state != CLAIM_PENDING) {
             op_end(shard, op, state);
@@ -312,8 +314,7 @@
     json_t *entries = json_object_get(head, "entries");
     size_t from = json_array_size(entries);
     claim_op_t *op;
-    CK_STAILQ_FOREACH(op, &shard->ops, entry)
-    {
+    CK_STAILQ_FOREACH (op, &shard->ops, entry) {
         if (!appended(entries, from, op->key)) {
             (void)json_array_append_new(entries, entry_of(op, wall_ms));
         }
@@ -351,9 +352,8 @@
     chunk_name(shard, name, sizeof(name));
     (void)json_object_set(shard->chunks, name, entries);
     drop_old_chunks(sealed, wall_ms);
-    (void)json_array_append_new(sealed,
-                                json_pack("{s:s,s:I}", "n", name, "at",
-                                          (json_int_t)wall_ms));
+    (void)json_array_append_new(
+        sealed, json_pack("{s:s,s:I}", "n", name, "at", (json_int_t)wall_ms));
     (void)json_object_set_new(
         shard->head, "chunk",
         json_integer(json_int(shard->head, "chunk", 0) + 1));
@@ -393,8 +393,7 @@
 mark_maybe(claim_shard_t *shard)
 {
     claim_op_t *op;
-    CK_STAILQ_FOREACH(op, &shard->ops, entry)
-    {
+    CK_STAILQ_FOREACH (op, &shard->ops, entry) {
         op->maybe = true;
     }
 }
@@ -422,8 +421,7 @@
 {
     claim_op_t *op;
     claim_op_t *next;
-    CK_STAILQ_FOREACH_SAFE(op, &shard->ops, entry, next)
-    {
+    CK_STAILQ_FOREACH_SAFE (op, &shard->ops, entry, next) {
         if (op->deadline_ms > now_ms) {
             continue;
         }
@@ -442,8 +440,7 @@
 any_due(const claim_shard_t *shard, int64_t now_ms)
 {
     claim_op_t *op;
-    CK_STAILQ_FOREACH(op, &shard->ops, entry)
-    {
+    CK_STAILQ_FOREACH (op, &shard->ops, entry) {
         if (op->ready_ms <= now_ms) {
             return true;
         }
@@ -492,8 +489,7 @@
 give_up(claim_shard_t *shard, int64_t now_ms)
 {
     claim_op_t *op;
-    CK_STAILQ_FOREACH(op, &shard->ops, entry)
-    {
+    CK_STAILQ_FOREACH (op, &shard->ops, entry) {
         if (op->kind == CLAIM_OP_CLAIM) {
             op->deadline_ms = now_ms;
         }
@@ -544,8 +540,7 @@
 mark_written(claim_shard_t *shard)
 {
     claim_op_t *op;
-    CK_STAILQ_FOREACH(op, &shard->ops, entry)
-    {
+    CK_STAILQ_FOREACH (op, &shard->ops, entry) {
         if (op->kind != CLAIM_OP_CLAIM) {
             op->maybe = false;
         }
@@ -591,8 +586,8 @@
             return;
         case PHASE_SEAL:
             /* A conflict means that the same copy is there already. */
-            shard->sealed_now = reply->result == STORE_OK ||
-                                reply->result == STORE_CONFLICT;
+            shard->sealed_now =
+                reply->result == STORE_OK || reply->result == STORE_CONFLICT;
             if (!shard->sealed_now) {
                 give_up(shard, now_ms);
             }
--- a/kernel/claim.h
+++ b/kernel/claim.h
@@ -33,12 +33,12 @@
     claim_kind_t kind;
     char key[CLAIM_KEY_LEN + 1];
     char token[CS_ID_LEN + 1];
-    int status;   /* of CLAIM_OP_DONE, or out */
-    char *body;   /* likewise; owned */
+    int status; /* of CLAIM_OP_DONE, or out */
+    char *body; /* likewise; owned */
     int64_t deadline_ms;
-    int64_t ready_ms; /* not written before, so that writes gather */
+    int64_t ready_ms;  /* not written before, so that writes gather */
     uint64_t asked_at; /* the shard's read count when it was submitted */
-    bool maybe;       /* a write that held it may have taken effect */
+    bool maybe;        /* a write that held it may have taken effect */
     claim_state_t state;
     void (*done)(struct claim_op *op, void *arg);
     void *arg;
@@ -46,11 +46,7 @@
 
 typedef CK_STAILQ_HEAD(claim_ops, claim_op) claim_ops_t;
 
-typedef enum {
-    CLAIM_ACT_NONE,
-    CLAIM_ACT_GET,
-    CLAIM_ACT_PUT
-} claim_act_kind_t;
+typedef enum { CLAIM_ACT_NONE, CLAIM_ACT_GET, CLAIM_ACT_PUT } claim_act_kind_t;
 
 typedef struct {
     claim_act_kind_t kind;
--- a/kernel/command-query.c
+++ b/kernel/command-query.c
@@ -77,10 +77,10 @@
     if (other && text[len + 1] != '=') {
         return command_error(ask, word, "! needs = behind it");
     }
-    test->kind = other               ? TEST_OTHER
-                 : text[len] == '='  ? TEST_EQUAL
-                 : text[len] == '<'  ? TEST_LESS
-                                     : TEST_MORE;
+    test->kind = other              ? TEST_OTHER
+                 : text[len] == '=' ? TEST_EQUAL
+                 : text[len] == '<' ? TEST_LESS
+                                    : TEST_MORE;
     test->value = text + len + (other ? 2 : 1);
     return 0;
 }
@@ -96,8 +96,7 @@
     CLEAN_BUF buf_t list = {0};
     const char *key;
     json_t *value;
-    json_object_foreach((json_t *)first, key, value)
-    {
+    json_object_foreach ((json_t *)first, key, value) {
         buf_fmt(&list, "%s%s", list.len > 0 ? ", " : "", key);
     }
     return command_error(ask, word, "no field %.40s here; allowed: %.160s",
@@ -107,7 +106,7 @@
 static int
 filter(command_ask_t *ask, size_t word, json_t *rows)
 {
-    test_t test;
+    test_t test = {.value = ""};
     if (parse_test(ask, word, &test) != 0 ||
         check_field(ask, word, test.field, rows) != 0) {
         return -1;
--- a/kernel/command.c
+++ b/kernel/command.c
@@ -5,8 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-static CK_SLIST_HEAD(commands, command) commands =
-    CK_SLIST_HEAD_INITIALIZER(commands);
+static CK_SLIST_HEAD(commands,
+                     command) commands = CK_SLIST_HEAD_INITIALIZER(commands);
 
 /* Called by each command's constructor before main; the table is kept in
  * the order of names. */
@@ -163,9 +163,9 @@
     bool word_value = strcmp(key, "version") == 0 ||
                       strcmp(key, "target") == 0 ||
                       strcmp(key, "serves") == 0 || strcmp(key, "dc") == 0;
-    return json_object_set_new(fields, key,
-                               word_value ? json_string(equals + 1)
-                                          : value_of(equals + 1));
+    return json_object_set_new(
+        fields, key,
+        word_value ? json_string(equals + 1) : value_of(equals + 1));
 }
 
 /* The words from one on as FIELD=VALUE; NULL with an error. */
--- a/kernel/config-change.c
+++ b/kernel/config-change.c
@@ -83,10 +83,10 @@
     json_t *changes = json_object_get(doc, "changes");
     (void)json_object_set_new(doc, "generation", json_integer(from + 1));
     (void)json_array_append_new(
-        changes, json_pack("{s:s,s:s,s:s,s:I,s:I,s:I}", "id", id, "who", who,
-                           "what", what, "from", (json_int_t)from, "to",
-                           (json_int_t)(from + 1), "at_ms",
-                           (json_int_t)time_wall_ms()));
+        changes,
+        json_pack("{s:s,s:s,s:s,s:I,s:I,s:I}", "id", id, "who", who, "what",
+                  what, "from", (json_int_t)from, "to", (json_int_t)(from + 1),
+                  "at_ms", (json_int_t)time_wall_ms()));
     while (json_array_size(changes) > CONFIG_CHANGES_KEPT) {
         (void)json_array_remove(changes, 0);
     }
@@ -99,8 +99,7 @@
 {
     size_t i;
     const json_t *change;
-    json_array_foreach(json_object_get(doc, "changes"), i, change)
-    {
+    json_array_foreach (json_object_get(doc, "changes"), i, change) {
         const char *have = json_text(change, "id");
         if (have != NULL && strcmp(have, id) == 0) {
             *generation = json_int(change, "to", 0);
--- a/kernel/config-sync.c
+++ b/kernel/config-sync.c
@@ -77,8 +77,8 @@
     (void)pthread_mutex_lock(&daemon->config_lock);
     int64_t after = daemon->config_version;
     (void)pthread_mutex_unlock(&daemon->config_lock);
-    store_result_t result = store_watch_wait(
-        daemon->store, CONFIG_OBJECT, after, WATCH_MS, &version, &doc);
+    store_result_t result = store_watch_wait(daemon->store, CONFIG_OBJECT,
+                                             after, WATCH_MS, &version, &doc);
     switch (result) {
         case STORE_OK:
             (void)config_sync_adopt(daemon, doc, version, "the store");
@@ -144,8 +144,7 @@
     json_t *changes = json_array();
     size_t i;
     json_t *change;
-    json_array_foreach(json_object_get(commit->doc, "changes"), i, change)
-    {
+    json_array_foreach (json_object_get(commit->doc, "changes"), i, change) {
         if (json_int(change, "to", 0) > commit->if_generation) {
             (void)json_array_append(changes, change);
         }
@@ -203,8 +202,8 @@
     if (commit->if_generation >= 0 && commit->if_generation != have) {
         *result = conflict_result(commit);
         (void)err_set(err, ERR_CONFIG, 409,
-                      "generation %lld is in force, not %lld",
-                      (long long)have, (long long)commit->if_generation);
+                      "generation %lld is in force, not %lld", (long long)have,
+                      (long long)commit->if_generation);
         return COMMIT_FAILED;
     }
     return write_change(commit, err);
--- a/kernel/config.c
+++ b/kernel/config.c
@@ -108,8 +108,7 @@
 {
     const char *key;
     json_t *value;
-    json_object_foreach((json_t *)item->fields, key, value)
-    {
+    json_object_foreach ((json_t *)item->fields, key, value) {
         const char *const *word = allowed;
         while (*word != NULL && strcmp(*word, key) != 0) {
             word++;
@@ -212,8 +211,8 @@
 {
     backend_t *backend = out;
     static const char *const keys[] = {
-        "addr", "dc",     "kind", "serves", "honours_fencing", "checks_issuer",
-        "drain", NULL};
+        "addr",          "dc",    "kind", "serves", "honours_fencing",
+        "checks_issuer", "drain", NULL};
     str_copy(backend->name, sizeof(backend->name), item->name);
     if (item_known(item, keys) != 0 ||
         item_text(item, "addr", true, backend->addr, sizeof(backend->addr)) !=
@@ -275,8 +274,7 @@
     }
     *items = mem_zalloc((json_object_size(object) + 1) * size);
     *count = 0;
-    json_object_foreach(object, name, fields)
-    {
+    json_object_foreach (object, name, fields) {
         item_t item = {section, name, fields, err};
         if (!str_is_name(name)) {
             return err_set(err, ERR_CONFIG, 400,
@@ -337,7 +335,7 @@
     return 0;
 }
 
-#define READ(section, field, count, type, reader)                          \
+#define READ(section, field, count, type, reader)                             \
     read_section(doc, section, sizeof(type), reader, (void **)&config->field, \
                  &config->count, err)
 
@@ -516,10 +514,10 @@
 {
     for (size_t i = 0; i < config->window_count; i++) {
         const window_t *window = &config->windows[i];
-        bool mine = (window->kind == WINDOW_HOST &&
-                     strcmp(window->target, host) == 0) ||
-                    (window->kind == WINDOW_DC &&
-                     strcmp(window->target, dc) == 0);
+        bool mine =
+            (window->kind == WINDOW_HOST &&
+             strcmp(window->target, host) == 0) ||
+            (window->kind == WINDOW_DC && strcmp(window->target, dc) == 0);
         if (mine && now_ms >= window->begin_ms - lead_ms &&
             now_ms < window->end_ms) {
             return false;
--- a/kernel/config.h
+++ b/kernel/config.h
@@ -22,8 +22,8 @@
 typedef struct {
     char name[CS_NAME_MAX];
     char version[CS_NAME_MAX];
-    int longest_s;  /* the longest stream that is allowed */
-    int loads_max;  /* replicas that load new weights at once */
+    int longest_s; /* the longest stream that is allowed */
+    int loads_max; /* replicas that load new weights at once */
 } model_t;
 
 typedef struct {
@@ -104,8 +104,8 @@
 const backend_t *config_backend(const config_t *config, const char *name);
 open_t config_backend_open(const config_t *config, const backend_t *backend,
                            int64_t now_ms);
-bool config_host_open(const config_t *config, const char *host,
-                      const char *dc, int64_t now_ms, int64_t lead_ms);
+bool config_host_open(const config_t *config, const char *host, const char *dc,
+                      int64_t now_ms, int64_t lead_ms);
 const char *open_word(open_t open);
 int config_lead_ms(const config_t *config, const backend_t *backend);
 
--- a/kernel/daemon.c
+++ b/kernel/daemon.c
@@ -36,8 +36,8 @@
     daemon->config_heard_ms = time_mono_ms();
     daemon->view = view_new();
     daemon->cache = cache_map_new(CACHE_ENTRIES);
-    daemon->members = members_new(&self, str_hash(self.name,
-                                                  daemon->incarnation));
+    daemon->members =
+        members_new(&self, str_hash(self.name, daemon->incarnation));
     daemon->metrics = metrics_new();
     for (unsigned i = 0; i < settings->seed_count; i++) {
         members_seed(daemon->members, settings->seeds[i]);
@@ -49,8 +49,8 @@
 {
     const settings_t *settings = &daemon->settings;
     daemon->client = http_client_new((unsigned)settings->relay_threads);
-    daemon->store = store_new(daemon->client, settings->store,
-                              settings->store_timeout_ms);
+    daemon->store =
+        store_new(daemon->client, settings->store, settings->store_timeout_ms);
     daemon->claims = claim_log_new(daemon->store, CLAIM_SHARDS);
     daemon->pool = pool_new(POOL_THREADS);
 }
@@ -65,8 +65,7 @@
     size_t count = 0;
     call_t **calls = mem_zalloc((daemon->call_count + 1) * sizeof(call_t *));
     call_t *call;
-    CK_LIST_FOREACH(call, &daemon->calls, entry)
-    {
+    CK_LIST_FOREACH (call, &daemon->calls, entry) {
         if (call->kind == CALL_CHAT) {
             call_hold(call);
             calls[count++] = call;
@@ -188,6 +187,7 @@
     daemon->settings = *settings;
     daemon->incarnation = (uint64_t)time_wall_ms();
     daemon->started_ms = time_mono_ms();
+    event_emit(&(event_t){.kind = "daemon-started"});
     init_tables(daemon);
     init_edges(daemon);
     if (start_edges(daemon, err) != 0) {
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -36,7 +36,7 @@
 
     pthread_mutex_t config_lock;
     config_t *config;
-    int64_t config_version; /* of the store's object, 0 if never read */
+    int64_t config_version;  /* of the store's object, 0 if never read */
     int64_t config_heard_ms; /* when store or a peer last confirmed it */
 
     view_t *view;
@@ -90,12 +90,12 @@
     char salt[CS_ID_LEN + 1];
     uint64_t ask;
     bool stream;
-    bool resumed;      /* the caller came back with Last-Event-ID */
-    uint32_t emitted;  /* tokens that the caller has */
-    buf_t text;        /* of those that this daemon has seen */
-    buf_t sse;         /* bytes of an unfinished upstream event */
+    bool resumed;     /* the caller came back with Last-Event-ID */
+    uint32_t emitted; /* tokens that the caller has */
+    buf_t text;       /* of those that this daemon has seen */
+    buf_t sse;        /* bytes of an unfinished upstream event */
     char token[RESUME_TEXT_MAX];
-    bool finished;     /* upstream said that the answer is whole */
+    bool finished; /* upstream said that the answer is whole */
     uint32_t prompt_tokens;
     uint32_t cached_tokens;
 } chat_t;
@@ -142,6 +142,7 @@
     uint64_t xfer;
     bool started;      /* this leg has brought something */
     bool counted;      /* this leg stands in the view */
+    bool may_have_run; /* some leg broke after it had been sent */
     uint16_t backend_id;
     char backend[CS_NAME_MAX];
     char addr[CS_ADDR_MAX];
@@ -174,6 +175,7 @@
 void call_uncount(call_t *call);
 json_t *calls_rows(celeryspoold_t *daemon);
 
+json_t *chat_body_read(const char *text, size_t len, err_t *err);
 void chat_handle(celeryspoold_t *daemon, http_req_t *req,
                  const workspace_t *workspace, const config_t *config);
 void chat_leg_start(call_t *call, const candidate_t *candidate);
@@ -181,6 +183,7 @@
 void chat_finish(call_t *call);
 void chat_take(call_t *call, const char *data, size_t len);
 void chat_recover(call_t *call, bool same_server);
+void chat_redirect(call_t *call, bool same_server_too);
 void chat_move(call_t *call);
 void chat_watch(call_t *call, int64_t now_us);
 
@@ -205,8 +208,8 @@
 bool config_sync_adopt(celeryspoold_t *daemon, json_t *doc, int64_t version,
                        const char *source);
 int config_sync_commit(celeryspoold_t *daemon, const change_t *change,
-                       const char *who, const char *what, int64_t if_generation,
-                       json_t **result, err_t *err);
+                       const char *who, const char *what,
+                       int64_t if_generation, json_t **result, err_t *err);
 void *config_sync_run(void *arg);
 void *feed_run(void *arg);
 void feed_take_load(celeryspoold_t *daemon, const char *backend,
--- a/kernel/feed.c
+++ b/kernel/feed.c
@@ -52,6 +52,8 @@
         .prefill_rate = (int)json_int(body, "prefill_rate", 0)};
     const char *incarnation = json_text(body, "incarnation");
     const char *version = json_text(body, "version");
+    str_copy(report.loading, sizeof(report.loading),
+             json_text(body, "loading"));
     if (incarnation == NULL || version == NULL) {
         return;
     }
@@ -66,8 +68,7 @@
                  const json_t *event)
 {
     bool stored = json_is_true(json_array_get(event, 1));
-    uint64_t key =
-        (uint64_t)json_integer_value(json_array_get(event, 2));
+    uint64_t key = (uint64_t)json_integer_value(json_array_get(event, 2));
     bool news = false;
     if (!cache_map_knows(daemon->cache, key)) {
         return;
@@ -98,8 +99,7 @@
         view_events_at(daemon->view, id, incarnation, 0);
         return;
     }
-    json_array_foreach(json_object_get(body, "events"), i, event)
-    {
+    json_array_foreach (json_object_get(body, "events"), i, event) {
         take_cache_event(daemon, backend, id, event);
         after = (uint64_t)json_integer_value(json_array_get(event, 0));
     }
@@ -170,8 +170,7 @@
     CLEAN_JSON json_t *hosts = store_hosts_wait(daemon->store);
     size_t i;
     const json_t *host;
-    json_array_foreach(hosts, i, host)
-    {
+    json_array_foreach (hosts, i, host) {
         const char *name = json_text(host, "name");
         const char *state = json_text(host, "state");
         if (name != NULL && state != NULL) {
--- a/kernel/http-client.c
+++ b/kernel/http-client.c
@@ -196,8 +196,7 @@
 worker_cancel_one(worker_t *worker, uint64_t id)
 {
     http_xfer_t *xfer;
-    CK_LIST_FOREACH(xfer, &worker->live[id % SLOTS], live)
-    {
+    CK_LIST_FOREACH (xfer, &worker->live[id % SLOTS], live) {
         if (xfer->id == id) {
             xfer->cancelled = true;
             xfer_finish(worker, xfer, HTTP_END_CANCELLED);
--- a/kernel/http-server.c
+++ b/kernel/http-server.c
@@ -252,10 +252,8 @@
     at.sin_port = htons((uint16_t)strtol(colon + 1, NULL, 10));
     (void)inet_pton(AF_INET, host, &at.sin_addr);
     server->mhd = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
-            MHD_USE_ITC,
-        0, NULL,
-        NULL, server_access, server, MHD_OPTION_SOCK_ADDR, &at,
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
+        0, NULL, NULL, server_access, server, MHD_OPTION_SOCK_ADDR, &at,
         MHD_OPTION_THREAD_POOL_SIZE, opts->threads > 1 ? opts->threads : 0,
         MHD_OPTION_CONNECTION_LIMIT, opts->connections_max,
         MHD_OPTION_CONNECTION_TIMEOUT, opts->idle_seconds,
--- a/kernel/metrics.c
+++ b/kernel/metrics.c
@@ -13,11 +13,11 @@
 #define BUCKET_UNIT_US 62.5
 
 static const char *const counter_names[METRIC_COUNTERS] = {
-    "requests_done_total",   "requests_not_run_total",
+    "requests_done_total",    "requests_not_run_total",
     "requests_unknown_total", "requests_refused_total",
-    "prompt_tokens_total",   "cached_tokens_total",
-    "output_tokens_total",   "streams_resumed_total",
-    "streams_moved_total",   "requests_hedged_total"};
+    "prompt_tokens_total",    "cached_tokens_total",
+    "output_tokens_total",    "streams_resumed_total",
+    "streams_moved_total",    "requests_hedged_total"};
 static const char *const histogram_names[METRIC_HISTOGRAMS] = {
     "ttft_seconds", "token_gap_seconds", "overhead_seconds"};
 
@@ -66,8 +66,7 @@
         workspace = "others";
         target = "others";
     }
-    CK_LIST_FOREACH(series, &metrics->series, entry)
-    {
+    CK_LIST_FOREACH (series, &metrics->series, entry) {
         if (strcmp(series->workspace, workspace) == 0 &&
             strcmp(series->target, target) == 0) {
             return series;
@@ -157,8 +156,7 @@
     const series_t *series;
     for (int i = 0; i < METRIC_COUNTERS; i++) {
         buf_fmt(out, "# TYPE celeryspool_%s counter\n", counter_names[i]);
-        CK_LIST_FOREACH(series, &metrics->series, entry)
-        {
+        CK_LIST_FOREACH (series, &metrics->series, entry) {
             buf_fmt(out,
                     "celeryspool_%s{workspace=\"%s\",target=\"%s\"} %llu\n",
                     counter_names[i], series->workspace, series->target,
@@ -167,8 +165,7 @@
     }
     for (int i = 0; i < METRIC_HISTOGRAMS; i++) {
         buf_fmt(out, "# TYPE celeryspool_%s histogram\n", histogram_names[i]);
-        CK_LIST_FOREACH(series, &metrics->series, entry)
-        {
+        CK_LIST_FOREACH (series, &metrics->series, entry) {
             text_histogram(out, series, (metric_histogram_t)i);
         }
     }
@@ -189,8 +186,7 @@
     LOCK_SCOPE(&metrics->lock);
     json_t *rows = json_array();
     const series_t *series;
-    CK_LIST_FOREACH(series, &metrics->series, entry)
-    {
+    CK_LIST_FOREACH (series, &metrics->series, entry) {
         const uint64_t *counters = series->counters;
         uint64_t prompt = counters[METRIC_PROMPT_TOKENS];
         double hits = prompt == 0 ? 0
@@ -198,18 +194,17 @@
                                         (double)prompt;
         (void)json_array_append_new(
             rows,
-            json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:f,s:f,s:f}", "workspace",
-                      series->workspace, "target", series->target, "done",
-                      (json_int_t)counters[METRIC_DONE], "not_run",
-                      (json_int_t)counters[METRIC_NOT_RUN], "unknown",
-                      (json_int_t)counters[METRIC_UNKNOWN], "refused",
-                      (json_int_t)counters[METRIC_REFUSED], "hit_rate", hits,
-                      "ttft_p50_ms",
-                      histogram_quantile(&series->histograms[METRIC_TTFT],
-                                         0.5),
-                      "ttft_p99_ms",
-                      histogram_quantile(&series->histograms[METRIC_TTFT],
-                                         0.99)));
+            json_pack(
+                "{s:s,s:s,s:I,s:I,s:I,s:I,s:f,s:f,s:f}", "workspace",
+                series->workspace, "target", series->target, "done",
+                (json_int_t)counters[METRIC_DONE], "not_run",
+                (json_int_t)counters[METRIC_NOT_RUN], "unknown",
+                (json_int_t)counters[METRIC_UNKNOWN], "refused",
+                (json_int_t)counters[METRIC_REFUSED], "hit_rate", hits,
+                "ttft_p50_ms",
+                histogram_quantile(&series->histograms[METRIC_TTFT], 0.5),
+                "ttft_p99_ms",
+                histogram_quantile(&series->histograms[METRIC_TTFT], 0.99)));
     }
     return rows;
 }
--- a/kernel/order.c
+++ b/kernel/order.c
@@ -44,9 +44,9 @@
     }
     const char *holder = json_text(value, "holder");
     int64_t until = json_int(value, "until_ms", 0) + ORDER_TIMEOUT_MS;
-    bool mine = holder != NULL && strcmp(holder, daemon->settings.name) == 0 &&
-                json_int(value, "incarnation", 0) ==
-                    (int64_t)daemon->incarnation;
+    bool mine =
+        holder != NULL && strcmp(holder, daemon->settings.name) == 0 &&
+        json_int(value, "incarnation", 0) == (int64_t)daemon->incarnation;
     return mine || time_wall_ms() > until ? 0 : -1;
 }
 
@@ -62,10 +62,10 @@
     if (lease_read(daemon, object, &have) != 0) {
         return 0;
     }
-    CLEAN_JSON json_t *lease = json_pack(
-        "{s:s,s:I,s:I,s:s}", "holder", daemon->settings.name, "incarnation",
-        (json_int_t)daemon->incarnation, "until_ms",
-        (json_int_t)(before + LEASE_MS), "intent", version);
+    CLEAN_JSON json_t *lease =
+        json_pack("{s:s,s:I,s:I,s:s}", "holder", daemon->settings.name,
+                  "incarnation", (json_int_t)daemon->incarnation, "until_ms",
+                  (json_int_t)(before + LEASE_MS), "intent", version);
     int64_t now = 0;
     store_result_t result =
         store_put_wait(daemon->store, object, have, lease, &now);
@@ -95,10 +95,10 @@
     if (!may_issue(daemon, backend, model->version)) {
         return;
     }
-    CLEAN_JSON json_t *order = json_pack(
-        "{s:s,s:s,s:I,s:s}", "order", "load", "version", model->version,
-        "fence", (json_int_t)config->generation, "issuer",
-        daemon->settings.name);
+    CLEAN_JSON json_t *order =
+        json_pack("{s:s,s:s,s:I,s:s}", "order", "load", "version",
+                  model->version, "fence", (json_int_t)config->generation,
+                  "issuer", daemon->settings.name);
     CLEAN_TEXT char *text = json_dumps(order, JSON_COMPACT);
     (void)snprintf(url, sizeof(url), "http://%s/orders", backend->addr);
     http_call_t call = {.method = "POST",
@@ -109,9 +109,8 @@
                         .total_ms = ORDER_TIMEOUT_MS,
                         .fresh = true};
     http_end_t end = http_fetch(&call, &status, &reply);
-    event_emit(&(event_t){.kind = "order",
-                          .backend = backend->name,
-                          .detail = model->version});
+    event_emit(&(event_t){
+        .kind = "order", .backend = backend->name, .detail = model->version});
     log_info("order", "%s was told to load %s: %s %d.", backend->name,
              model->version, end == HTTP_END_WHOLE ? "answered" : "no answer",
              status);
--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -4,8 +4,8 @@
 #include <sodium.h>
 #include <string.h>
 
-#define MEMBER_FIELDS 8
-#define LOAD_FIELDS 7
+#define MEMBER_FIELDS 9
+#define LOAD_FIELDS 8
 #define CACHE_FIELDS 4
 
 static void
@@ -25,9 +25,10 @@
     pack_text(packer, member->peer);
     pack_text(packer, member->http);
     (void)msgpack_pack_uint64(packer, member->incarnation);
-    (void)msgpack_pack_uint64(packer, member->beat);
+    (void)msgpack_pack_uint64(packer, member->version);
     (void)msgpack_pack_int(packer, (int)member->intent);
     (void)msgpack_pack_int64(packer, member->generation);
+    (void)msgpack_pack_int(packer, (int)member->health);
 }
 
 static void
@@ -44,6 +45,7 @@
     }
     pack_text(packer, fact->load.incarnation);
     pack_text(packer, fact->load.version);
+    pack_text(packer, fact->load.loading);
     (void)msgpack_pack_int(packer, fact->load.running);
     (void)msgpack_pack_int(packer, fact->load.slots);
     (void)msgpack_pack_int(packer, fact->load.waiting_tokens);
@@ -61,7 +63,7 @@
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
     bool members = datagram->kind == PEER_MEMBERS;
     size_t count = members ? datagram->members.count : datagram->fact_count;
-    (void)msgpack_pack_array(&packer, 2);
+    (void)msgpack_pack_array(&packer, members ? 5 : 2);
     (void)msgpack_pack_int(&packer, (int)datagram->kind);
     (void)msgpack_pack_array(&packer, count);
     for (size_t i = 0; i < count; i++) {
@@ -72,6 +74,11 @@
             pack_fact(&packer, &datagram->facts[i]);
         }
     }
+    if (members) {
+        (void)msgpack_pack_int(&packer, (int)datagram->members.kind);
+        (void)msgpack_pack_uint64(&packer, datagram->members.sequence);
+        pack_text(&packer, datagram->members.target);
+    }
     size_t len = 0;
     if (buffer.size + PEER_MAC_BYTES <= PEER_DATAGRAM_MAX) {
         len = buffer.size + PEER_MAC_BYTES;
@@ -114,6 +121,7 @@
 {
     const msgpack_object *at = object->via.array.ptr;
     int intent;
+    int health;
     uint64_t generation;
     if (object->type != MSGPACK_OBJECT_ARRAY ||
         object->via.array.size != MEMBER_FIELDS ||
@@ -122,10 +130,13 @@
         !take_text(&at[2], member->peer, sizeof(member->peer)) ||
         !take_text(&at[3], member->http, sizeof(member->http)) ||
         !take_unsigned(&at[4], &member->incarnation) ||
-        !take_unsigned(&at[5], &member->beat) || !take_int(&at[6], &intent) ||
-        !take_unsigned(&at[7], &generation)) {
+        !take_unsigned(&at[5], &member->version) ||
+        !take_int(&at[6], &intent) || !take_unsigned(&at[7], &generation) ||
+        !take_int(&at[8], &health) || health < MEMBER_ALIVE ||
+        health > MEMBER_DEAD) {
         return false;
     }
+    member->health = (member_health_t)health;
     member->intent = intent == MEMBER_LEAVING ? MEMBER_LEAVING : MEMBER_LIVE;
     member->generation = (int64_t)generation;
     return true;
@@ -154,10 +165,11 @@
     load_report_t *load = &fact->load;
     return take_text(&at[1], load->incarnation, sizeof(load->incarnation)) &&
            take_text(&at[2], load->version, sizeof(load->version)) &&
-           take_int(&at[3], &load->running) &&
-           take_int(&at[4], &load->slots) &&
-           take_int(&at[5], &load->waiting_tokens) &&
-           take_int(&at[6], &load->prefill_rate);
+           take_text(&at[3], load->loading, sizeof(load->loading)) &&
+           take_int(&at[4], &load->running) &&
+           take_int(&at[5], &load->slots) &&
+           take_int(&at[6], &load->waiting_tokens) &&
+           take_int(&at[7], &load->prefill_rate);
 }
 
 static int
@@ -167,7 +179,7 @@
     for (size_t i = 0; i < count; i++) {
         const msgpack_object *at = &list->via.array.ptr[i];
         if (datagram->kind == PEER_MEMBERS) {
-            if (i == MEMBER_PACKET_RECORDS ||
+            if (i == MEMBER_RECORDS_MAX ||
                 !take_member(at, &datagram->members.records[i])) {
                 return -1;
             }
@@ -183,18 +195,33 @@
     return 0;
 }
 
+static bool
+take_member_head(peer_datagram_t *datagram, const msgpack_object *at)
+{
+    int kind;
+    member_message_t *message = &datagram->members;
+    bool good = take_int(&at[2], &kind) && kind >= MEMBER_PING &&
+                kind <= MEMBER_SYNC &&
+                take_unsigned(&at[3], &message->sequence) &&
+                take_text(&at[4], message->target, sizeof(message->target));
+    message->kind = good ? (member_message_kind_t)kind : MEMBER_SYNC;
+    return good;
+}
+
 static int
 take_root(peer_datagram_t *datagram, const msgpack_object *root)
 {
     int kind;
-    if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size != 2 ||
-        !take_int(&root->via.array.ptr[0], &kind) ||
-        root->via.array.ptr[1].type != MSGPACK_OBJECT_ARRAY ||
-        (kind != PEER_MEMBERS && kind != PEER_FACTS)) {
+    const msgpack_object *at = root->via.array.ptr;
+    if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size < 2 ||
+        !take_int(&at[0], &kind) || at[1].type != MSGPACK_OBJECT_ARRAY) {
         return -1;
     }
     datagram->kind = (peer_kind_t)kind;
-    return take_list(datagram, &root->via.array.ptr[1]);
+    bool members = kind == PEER_MEMBERS && root->via.array.size == 5 &&
+                   take_member_head(datagram, at);
+    bool facts = kind == PEER_FACTS && root->via.array.size == 2;
+    return members || facts ? take_list(datagram, &at[1]) : -1;
 }
 
 /* Decode a datagram; -1 for one that another key made or that is malformed,
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -23,7 +23,7 @@
 
 typedef struct {
     peer_kind_t kind;
-    member_packet_t members;
+    member_message_t members;
     peer_fact_t facts[PEER_FACTS_MAX];
     size_t fact_count;
 } peer_datagram_t;
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -102,12 +102,31 @@
 }
 
 static void
-take_datagram(celeryspoold_t *daemon, const peer_datagram_t *datagram)
+send_members(peer_t *peer, const member_out_t *out)
 {
+    unsigned char data[PEER_DATAGRAM_MAX];
+    peer_datagram_t *datagram = mem_zalloc(sizeof(*datagram));
+    datagram->kind = PEER_MEMBERS;
+    for (size_t i = 0; i < out->count; i++) {
+        datagram->members = out->messages[i];
+        size_t len =
+            peer_encode(datagram, peer->daemon->settings.secret, data);
+        if (len > 0) {
+            send_to(peer, out->addrs[i], data, len);
+        }
+    }
+    free(datagram);
+}
+
+static void
+take_datagram(peer_t *peer, const peer_datagram_t *datagram, member_out_t *out)
+{
+    celeryspoold_t *daemon = peer->daemon;
     switch (datagram->kind) {
         case PEER_MEMBERS:
             members_receive(daemon->members, &datagram->members,
-                            time_mono_ms());
+                            time_mono_ms(), out);
+            send_members(peer, out);
             return;
         case PEER_FACTS:
             for (size_t i = 0; i < datagram->fact_count; i++) {
@@ -124,6 +143,7 @@
     peer_t *peer = arg;
     unsigned char data[PEER_DATAGRAM_MAX];
     peer_datagram_t *datagram = mem_zalloc(sizeof(*datagram));
+    member_out_t *out = mem_zalloc(sizeof(*out));
     while (!__atomic_load_n(&peer->stop, __ATOMIC_ACQUIRE)) {
         ssize_t len = recv(peer->udp, data, sizeof(data), 0);
         if (len <= 0) {
@@ -132,9 +152,10 @@
         peer->bytes_received += (uint64_t)len;
         if (peer_decode(datagram, peer->daemon->settings.secret, data,
                         (size_t)len) == 0) {
-            take_datagram(peer->daemon, datagram);
+            take_datagram(peer, datagram, out);
         }
     }
+    free(out);
     free(datagram);
     return NULL;
 }
@@ -324,10 +345,10 @@
     static __thread unsigned char data[PEER_DATAGRAM_MAX];
     member_t list[DIRECT_PEERS_MAX + 1];
     (void)pthread_mutex_lock(&peer->lock);
-    size_t len = peer->pending.fact_count == 0
-                     ? 0
-                     : peer_encode(&peer->pending,
-                                   peer->daemon->settings.secret, data);
+    size_t len =
+        peer->pending.fact_count == 0
+            ? 0
+            : peer_encode(&peer->pending, peer->daemon->settings.secret, data);
     peer->pending.fact_count = 0;
     (void)pthread_mutex_unlock(&peer->lock);
     if (len == 0) {
@@ -383,21 +404,14 @@
 beat(peer_t *peer)
 {
     celeryspoold_t *daemon = peer->daemon;
-    unsigned char data[PEER_DATAGRAM_MAX];
-    char targets[MEMBER_TARGETS_MAX][CS_ADDR_MAX];
-    peer_datagram_t *datagram = mem_zalloc(sizeof(*datagram));
+    member_out_t *out = mem_zalloc(sizeof(*out));
     config_t *config = daemon_config(daemon);
-    datagram->kind = PEER_MEMBERS;
-    size_t count = members_tick(
-        daemon->members, time_mono_ms(), config->generation,
-        daemon->state == STATE_LEAVING ? MEMBER_LEAVING : MEMBER_LIVE,
-        &datagram->members, targets);
+    members_tick(daemon->members, time_mono_ms(), config->generation,
+                 daemon->state == STATE_LEAVING ? MEMBER_LEAVING : MEMBER_LIVE,
+                 out);
     config_release(config);
-    size_t len = peer_encode(datagram, daemon->settings.secret, data);
-    for (size_t i = 0; i < count && len > 0; i++) {
-        send_to(peer, targets[i], data, len);
-    }
-    free(datagram);
+    send_members(peer, out);
+    free(out);
 }
 
 /* Send what waits; called every few milliseconds by the ticker. */
--- a/kernel/place.c
+++ b/kernel/place.c
@@ -8,8 +8,8 @@
 
 #define HOME_LEVEL 1
 
-static CK_SLIST_HEAD(policies, policy) policies =
-    CK_SLIST_HEAD_INITIALIZER(policies);
+static CK_SLIST_HEAD(policies,
+                     policy) policies = CK_SLIST_HEAD_INITIALIZER(policies);
 
 /* Called by each policy's constructor before main. */
 void
@@ -76,7 +76,8 @@
 {
     if (config_backend_open(scene->config, backend, scene->wall_ms) !=
             OPEN_YES ||
-        state->host_leaving || scene->now_ms < state->broken_until ||
+        state->host_leaving || state->load.loading[0] != '\0' ||
+        scene->now_ms < state->broken_until ||
         is_avoided(scene, backend->name)) {
         return false;
     }
@@ -89,8 +90,8 @@
  * and on the wanted weights where a version is asked for. */
 size_t
 place_candidates(const place_scene_t *scene, const char *serves,
-                 const prefix_t *prefix, const char *version,
-                 candidate_t *out, size_t max)
+                 const prefix_t *prefix, const char *version, candidate_t *out,
+                 size_t max)
 {
     size_t count = 0;
     uint64_t home = home_key(prefix);
--- a/kernel/prefix.c
+++ b/kernel/prefix.c
@@ -40,8 +40,7 @@
 {
     size_t i;
     const json_t *message;
-    json_array_foreach(messages, i, message)
-    {
+    json_array_foreach (messages, i, message) {
         render_message(message, text);
     }
 }
@@ -83,8 +82,7 @@
     size_t i;
     const json_t *message;
     memset(prefix, 0, sizeof(*prefix));
-    json_array_foreach(messages, i, message)
-    {
+    json_array_foreach (messages, i, message) {
         render_message(message, &text);
         key = chain_to(&text, key, &done);
         add_level(prefix, key, done);
--- a/kernel/resume.c
+++ b/kernel/resume.c
@@ -47,8 +47,8 @@
                        resume->backend, resume->incarnation, resume->stream,
                        resume->version, (unsigned long long)resume->ask);
     mac(raw, secret, "resume", raw + MAC_BYTES, (size_t)len);
-    (void)sodium_bin2base64(out, RESUME_TEXT_MAX, raw,
-                            (size_t)len + MAC_BYTES, VARIANT);
+    (void)sodium_bin2base64(out, RESUME_TEXT_MAX, raw, (size_t)len + MAC_BYTES,
+                            VARIANT);
 }
 
 static bool
--- a/kernel/sched.c
+++ b/kernel/sched.c
@@ -56,8 +56,7 @@
 flow_of(sched_t *sched, const sched_item_t *item)
 {
     flow_t *flow;
-    CK_LIST_FOREACH(flow, &sched->flows, entry)
-    {
+    CK_LIST_FOREACH (flow, &sched->flows, entry) {
         if (strcmp(flow->workspace, item->workspace) == 0) {
             return flow;
         }
@@ -85,8 +84,7 @@
 {
     flow_t *worst = NULL;
     flow_t *flow;
-    CK_LIST_FOREACH(flow, &sched->flows, entry)
-    {
+    CK_LIST_FOREACH (flow, &sched->flows, entry) {
         if (flow->count > 0 &&
             (worst == NULL ||
              flow->cost / flow->share > worst->cost / worst->share)) {
@@ -101,8 +99,7 @@
 {
     sched_item_t *last = NULL;
     sched_item_t *item;
-    CK_STAILQ_FOREACH(item, &flow->items, entry)
-    {
+    CK_STAILQ_FOREACH (item, &flow->items, entry) {
         last = item;
     }
     return last;
@@ -145,8 +142,7 @@
     LOCK_SCOPE(&sched->lock);
     flow_t *best = NULL;
     flow_t *flow;
-    CK_LIST_FOREACH(flow, &sched->flows, entry)
-    {
+    CK_LIST_FOREACH (flow, &sched->flows, entry) {
         if (flow->count > 0 && (best == NULL || flow->finish < best->finish)) {
             best = flow;
         }
@@ -183,11 +179,9 @@
 {
     LOCK_SCOPE(&sched->lock);
     flow_t *flow;
-    CK_LIST_FOREACH(flow, &sched->flows, entry)
-    {
+    CK_LIST_FOREACH (flow, &sched->flows, entry) {
         sched_item_t *item;
-        CK_STAILQ_FOREACH(item, &flow->items, entry)
-        {
+        CK_STAILQ_FOREACH (item, &flow->items, entry) {
             if (item->deadline_ms <= now_ms) {
                 flow_remove(sched, flow, item);
                 return item;
@@ -204,8 +198,7 @@
     LOCK_SCOPE(&sched->lock);
     flow_t *flow = flow_of(sched, item);
     sched_item_t *other;
-    CK_STAILQ_FOREACH(other, &flow->items, entry)
-    {
+    CK_STAILQ_FOREACH (other, &flow->items, entry) {
         if (other == item) {
             flow_remove(sched, flow, item);
             return true;
@@ -234,8 +227,8 @@
 sched_retry_after_s(sched_t *sched, double tokens_per_s)
 {
     double cost = sched_waiting_cost(sched);
-    int seconds = tokens_per_s > 0 ? (int)(cost / tokens_per_s) + 1
-                                   : RETRY_AFTER_MAX_S;
+    int seconds =
+        tokens_per_s > 0 ? (int)(cost / tokens_per_s) + 1 : RETRY_AFTER_MAX_S;
     return seconds > RETRY_AFTER_MAX_S ? RETRY_AFTER_MAX_S : seconds;
 }
 
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -279,8 +279,8 @@
     reader->line++;
     reader->at += step;
     if (len + 2 > (size_t)room) {
-        problem(reader, reader->line, "the line is too long; allowed: %d bytes",
-                room - 2);
+        problem(reader, reader->line,
+                "the line is too long; allowed: %d bytes", room - 2);
         len = 0;
     }
     memcpy(out, from, len);
@@ -298,9 +298,8 @@
             continue;
         }
         if (entry->required) {
-            problem(reader, reader->line,
-                    "%s is missing from [%s]; it is: %s", entry->key,
-                    entry->section, entry->about);
+            problem(reader, reader->line, "%s is missing from [%s]; it is: %s",
+                    entry->key, entry->section, entry->about);
             continue;
         }
         (void)setting_take(entry, reader->settings, entry->fallback);
@@ -391,7 +390,8 @@
     for (size_t i = 0; i < SETTINGS_COUNT; i++) {
         const setting_t *entry = &settings_table[i];
         (void)fprintf(out, "[%s] %s: %s%s%s\n", entry->section, entry->key,
-                      entry->about, entry->required ? " (required)" : "; default ",
+                      entry->about,
+                      entry->required ? " (required)" : "; default ",
                       entry->required ? "" : entry->fallback);
     }
 }
--- a/kernel/snapshot.c
+++ b/kernel/snapshot.c
@@ -16,9 +16,9 @@
         backend_state_t state;
         if (view_get(daemon->view, facts[i].backend, &state)) {
             (void)json_array_append_new(
-                list, json_pack("[s,I,i]", state.name,
-                                (json_int_t)facts[i].key,
-                                (int)facts[i].tokens));
+                list,
+                json_pack("[s,I,i]", state.name, (json_int_t)facts[i].key,
+                          (int)facts[i].tokens));
         }
     }
     free(facts);
@@ -50,8 +50,9 @@
 {
     config_t *config = daemon_config(daemon);
     json_t *snapshot =
-        json_pack("{s:O,s:o,s:o}", "config", config->doc, "loads",
-                  loads_json(daemon), "facts", facts_json(daemon, facts_max));
+        json_pack("{s:b,s:O,s:o,s:o}", "warm", daemon->state != STATE_WARMING,
+                  "config", config->doc, "loads", loads_json(daemon), "facts",
+                  facts_json(daemon, facts_max));
     config_release(config);
     return snapshot;
 }
@@ -101,8 +102,7 @@
     if (doc != NULL) {
         (void)config_sync_adopt(daemon, doc, 0, source);
     }
-    json_array_foreach(json_object_get(snapshot, "loads"), i, item)
-    {
+    json_array_foreach (json_object_get(snapshot, "loads"), i, item) {
         take_load(daemon, item);
     }
     json_t *facts = json_object_get(snapshot, "facts");
@@ -138,16 +138,19 @@
         }
         CLEAN_JSON json_t *snapshot =
             peer_ask(settings->seeds[i], "snapshot", ASK_TIMEOUT_MS, &err);
-        if (snapshot != NULL) {
-            snapshot_take(daemon, snapshot, settings->seeds[i]);
+        if (snapshot == NULL) {
+            continue;
+        }
+        snapshot_take(daemon, snapshot, settings->seeds[i]);
+        if (json_flag(snapshot, "warm")) {
             return true;
         }
     }
     return false;
 }
 
-/* Warm up: from a peer if one answers, else from the store, after a random
- * pause, so that a herd does not ask it all at once. */
+/* Warm up: from a peer that is warm itself, else from the store, after a
+ * random pause, so that a herd does not ask it all at once. */
 void
 snapshot_warm(celeryspoold_t *daemon)
 {
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -44,6 +44,7 @@
 typedef struct {
     char incarnation[CS_ID_LEN + 1];
     char version[CS_NAME_MAX];
+    char loading[CS_NAME_MAX]; /* weights on their way; empty for none */
     int running;
     int slots;
     int waiting_tokens;
@@ -54,10 +55,10 @@
     char name[CS_NAME_MAX];
     load_report_t load;
     bool reported;
-    bool host_leaving;     /* by the platform's host list */
+    bool host_leaving; /* by the platform's host list */
     int64_t report_ms;
-    double sent_since;     /* own uncached tokens sent since the report */
-    double own_waiting;    /* own uncached tokens without a first token */
+    double sent_since;  /* own uncached tokens sent since the report */
+    double own_waiting; /* own uncached tokens without a first token */
     int own_running;
     unsigned failures;     /* in a row */
     int64_t broken_until;  /* the circuit is open until then */
@@ -74,6 +75,7 @@
 bool view_get(view_t *view, uint16_t id, backend_state_t *out);
 bool view_report(view_t *view, uint16_t id, const load_report_t *report,
                  int64_t now_ms);
+void view_version(view_t *view, uint16_t id, const char *version);
 void view_sent(view_t *view, uint16_t id, double tokens);
 void view_first_token(view_t *view, uint16_t id, double tokens,
                       double expected_ms, double observed_ms);
@@ -126,8 +128,8 @@
     view_t *view;
     cache_map_t *cache;
     const char *dc;
-    int64_t now_ms;      /* monotonic */
-    int64_t wall_ms;     /* for windows */
+    int64_t now_ms;       /* monotonic */
+    int64_t wall_ms;      /* for windows */
     const char *avoid[4]; /* backend servers that were tried already */
 } place_scene_t;
 
@@ -206,31 +208,49 @@
     char peer[CS_ADDR_MAX];
     char http[CS_ADDR_MAX];
     uint64_t incarnation; /* of the process; grows with each start */
-    uint64_t beat;        /* its own counter */
+    uint64_t version;     /* of the record; only its subject raises it */
     member_intent_t intent;
-    int64_t generation;   /* of its configuration */
     member_health_t health;
-    int64_t advanced_ms;  /* when its counter last grew here */
+    int64_t generation; /* of its configuration, when last heard */
+    int64_t changed_ms; /* when its health last changed here */
 } member_t;
 
-#define MEMBER_PACKET_RECORDS 20
-#define MEMBER_TARGETS_MAX 4
+#define MEMBER_RECORDS_MAX 12
+#define MEMBER_OUT_MAX 48
 
+/* PING asks for an ACK; ASK asks a third member to ping a target and pass
+ * its ACK back; SYNC only carries records. */
+typedef enum {
+    MEMBER_PING = 1,
+    MEMBER_ACK,
+    MEMBER_ASK,
+    MEMBER_SYNC
+} member_message_kind_t;
+
+typedef struct {
+    member_message_kind_t kind;
+    uint64_t sequence;
+    char target[CS_NAME_MAX];             /* of ASK */
+    member_t records[MEMBER_RECORDS_MAX]; /* the sender's own first */
+    size_t count;
+} member_message_t;
+
+/* Messages to be sent, each to an address. */
 typedef struct {
-    member_t records[MEMBER_PACKET_RECORDS];
+    member_message_t messages[MEMBER_OUT_MAX];
+    char addrs[MEMBER_OUT_MAX][CS_ADDR_MAX];
     size_t count;
-} member_packet_t;
+} member_out_t;
 
 typedef struct members members_t;
 
 members_t *members_new(const member_t *self, uint64_t seed);
 void members_free(members_t *members);
 void members_seed(members_t *members, const char *peer);
-size_t members_tick(members_t *members, int64_t now_ms, int64_t generation,
-                    member_intent_t intent, member_packet_t *packet,
-                    char targets[MEMBER_TARGETS_MAX][CS_ADDR_MAX]);
-void members_receive(members_t *members, const member_packet_t *packet,
-                     int64_t now_ms);
+void members_tick(members_t *members, int64_t now_ms, int64_t generation,
+                  member_intent_t intent, member_out_t *out);
+void members_receive(members_t *members, const member_message_t *message,
+                     int64_t now_ms, member_out_t *out);
 size_t members_list(members_t *members, member_t *out, size_t max);
 bool members_duty(members_t *members, const char *duty);
 size_t members_live(members_t *members);
--- a/kernel/util.c
+++ b/kernel/util.c
@@ -83,11 +83,11 @@
 void
 str_copy(char *dst, size_t size, const char *src)
 {
-    size_t len = src == NULL ? 0 : strlen(src);
-    if (len >= size) {
-        len = size - 1;
+    if (size == 0) {
+        return;
     }
-    if (len > 0) {
+    size_t len = src == NULL ? 0 : strnlen(src, size - 1);
+    if (src != NULL) {
         memcpy(dst, src, len);
     }
     dst[len] = '\0';
@@ -110,7 +110,8 @@
         return false;
     }
     for (size_t i = 0; i < len; i++) {
-        if (!isalnum((unsigned char)text[i]) && strchr("-._", text[i]) == NULL) {
+        if (!isalnum((unsigned char)text[i]) &&
+            strchr("-._", text[i]) == NULL) {
             return false;
         }
     }
@@ -131,8 +132,9 @@
     struct in_addr ip;
     char *end;
     long port = strtol(colon + 1, &end, 10);
-    return inet_pton(AF_INET, host, &ip) == 1 && isdigit((unsigned char)colon[1]) &&
-           *end == '\0' && port > 0 && port < 65536;
+    return inet_pton(AF_INET, host, &ip) == 1 &&
+           isdigit((unsigned char)colon[1]) && *end == '\0' && port > 0 &&
+           port < 65536;
 }
 
 /* The length of one UTF-8 sequence at the start of data, 0 if it is bad. */
@@ -140,8 +142,12 @@
 utf8_sequence(const unsigned char *data, size_t len)
 {
     unsigned char lead = data[0];
-    size_t want = lead < 0x80 ? 1 : lead < 0xc2 ? 0 : lead < 0xe0 ? 2
-                : lead < 0xf0 ? 3 : lead < 0xf5 ? 4 : 0;
+    size_t want = lead < 0x80   ? 1
+                  : lead < 0xc2 ? 0
+                  : lead < 0xe0 ? 2
+                  : lead < 0xf0 ? 3
+                  : lead < 0xf5 ? 4
+                                : 0;
     if (want == 0 || want > len) {
         return 0;
     }
@@ -150,10 +156,10 @@
             return 0;
         }
     }
-    bool overlong = (lead == 0xe0 && data[1] < 0xa0) ||
-                    (lead == 0xf0 && data[1] < 0x90);
-    bool beyond = (lead == 0xed && data[1] > 0x9f) ||
-                  (lead == 0xf4 && data[1] > 0x8f);
+    bool overlong =
+        (lead == 0xe0 && data[1] < 0xa0) || (lead == 0xf0 && data[1] < 0x90);
+    bool beyond =
+        (lead == 0xed && data[1] > 0x9f) || (lead == 0xf4 && data[1] > 0x8f);
     return overlong || beyond ? 0 : want;
 }
 
@@ -163,7 +169,8 @@
 {
     size_t at = 0;
     while (at < len) {
-        size_t step = utf8_sequence((const unsigned char *)data + at, len - at);
+        size_t step =
+            utf8_sequence((const unsigned char *)data + at, len - at);
         if (step == 0) {
             return false;
         }
--- a/kernel/view.c
+++ b/kernel/view.c
@@ -94,6 +94,14 @@
     return changed;
 }
 
+/* Note the weights that a server itself has just told of. */
+void
+view_version(view_t *view, uint16_t id, const char *version)
+{
+    LOCK_SCOPE(&view->lock);
+    str_copy(view->states[id].load.version, CS_NAME_MAX, version);
+}
+
 /* Count a request that goes out, by its uncached tokens. */
 void
 view_sent(view_t *view, uint16_t id, double tokens)
@@ -190,8 +198,8 @@
 double
 view_rate(const backend_state_t *state)
 {
-    double rate = state->load.prefill_rate > 0 ? state->load.prefill_rate
-                                               : RATE_UNKNOWN;
+    double rate =
+        state->load.prefill_rate > 0 ? state->load.prefill_rate : RATE_UNKNOWN;
     return rate / state->slowness;
 }
 
--- a/plugins/cmd-explain.c
+++ b/plugins/cmd-explain.c
@@ -45,8 +45,8 @@
         "{s:s,s:s,s:b,s:i,s:i,s:i,s:o}", "name", backend->name, "open",
         open_word(config_backend_open(config, backend, time_wall_ms())),
         "host_leaving", state.host_leaving, "running_there",
-        state.load.running, "running_from_here", state.own_running,
-        "failures", (int)state.failures, "rows", running);
+        state.load.running, "running_from_here", state.own_running, "failures",
+        (int)state.failures, "rows", running);
     config_release(config);
     return 0;
 }
--- a/plugins/cmd-rollout.c
+++ b/plugins/cmd-rollout.c
@@ -14,11 +14,12 @@
     return command_commit(ask, &order);
 }
 
-static command_t command = {.name = "rollout",
-                            .usage = "rollout MODEL VERSION",
-                            .about = "brings all servers of a model to weights",
-                            .changes = true,
-                            .run = run};
+static command_t command = {
+    .name = "rollout",
+    .usage = "rollout MODEL VERSION",
+    .about = "brings all servers of a model to weights",
+    .changes = true,
+    .run = run};
 
 __attribute__((constructor)) static void
 cmd_rollout_register(void)
--- a/plugins/cmd-show.c
+++ b/plugins/cmd-show.c
@@ -17,22 +17,20 @@
                        &state);
         const char *open =
             open_word(config_backend_open(config, backend, time_wall_ms()));
-        const char *health = state.host_leaving            ? "leaving"
-                             : now < state.broken_until    ? "broken"
-                             : state.failures > 0          ? "failing"
-                             : backend->kind != BACKEND_ENGINE ||
-                                     state.reported
-                                 ? "good"
-                                 : "unheard";
+        const char *health =
+            state.host_leaving                                  ? "leaving"
+            : now < state.broken_until                          ? "broken"
+            : state.failures > 0                                ? "failing"
+            : backend->kind != BACKEND_ENGINE || state.reported ? "good"
+                                                                : "unheard";
         (void)json_array_append_new(
-            rows,
-            json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:f,s:f,s:s}", "name",
-                      backend->name, "serves", backend->serves, "dc",
-                      backend->dc, "open", open, "health", health, "version",
-                      state.load.version, "running", state.load.running,
-                      "ours", state.own_running, "wait_ms",
-                      view_wait_ms(&state), "slowness", state.slowness, "addr",
-                      backend->addr));
+            rows, json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:f,s:f,s:s}",
+                            "name", backend->name, "serves", backend->serves,
+                            "dc", backend->dc, "open", open, "health", health,
+                            "version", state.load.version, "running",
+                            state.load.running, "ours", state.own_running,
+                            "wait_ms", view_wait_ms(&state), "slowness",
+                            state.slowness, "addr", backend->addr));
     }
     config_release(config);
     return rows;
@@ -45,8 +43,7 @@
     const char *name;
     json_t *fields;
     config_t *config = daemon_config(daemon);
-    json_object_foreach(json_object_get(config->doc, section), name, fields)
-    {
+    json_object_foreach (json_object_get(config->doc, section), name, fields) {
         json_t *row = json_pack("{s:s}", "name", name);
         (void)json_object_update(row, fields);
         (void)json_array_append_new(rows, row);
@@ -103,13 +100,12 @@
     size_t count = members_list(daemon->members, list, 512);
     for (size_t i = 0; i < count; i++) {
         (void)json_array_append_new(
-            rows, json_pack("{s:s,s:s,s:s,s:s,s:I,s:s}", "name", list[i].name,
-                            "dc", list[i].dc, "health",
-                            health[list[i].health], "intent",
-                            list[i].intent == MEMBER_LEAVING ? "leaving"
-                                                             : "live",
-                            "generation", (json_int_t)list[i].generation,
-                            "http", list[i].http));
+            rows,
+            json_pack("{s:s,s:s,s:s,s:s,s:I,s:s}", "name", list[i].name, "dc",
+                      list[i].dc, "health", health[list[i].health], "intent",
+                      list[i].intent == MEMBER_LEAVING ? "leaving" : "live",
+                      "generation", (json_int_t)list[i].generation, "http",
+                      list[i].http));
     }
     return rows;
 }
@@ -148,10 +144,9 @@
     json_t *rows = json_array();
     for (const policy_t *policy = policy_next(NULL); policy != NULL;
          policy = policy_next(policy)) {
-        (void)json_array_append_new(rows,
-                                    json_pack("{s:s,s:s}", "name",
-                                              policy->name, "about",
-                                              policy->about));
+        (void)json_array_append_new(
+            rows, json_pack("{s:s,s:s}", "name", policy->name, "about",
+                            policy->about));
     }
     return rows;
 }
@@ -162,12 +157,12 @@
 } topic_t;
 
 static const topic_t topics[] = {
-    {"backends", show_backends},   {"cached", show_cached},
-    {"changes", show_changes},     {"members", show_members},
-    {"models", show_models},       {"operators", show_operators},
-    {"policies", show_policies},   {"requests", calls_rows},
-    {"services", show_services},   {"traffic", show_traffic},
-    {"windows", show_windows},     {"workspaces", show_workspaces},
+    {"backends", show_backends}, {"cached", show_cached},
+    {"changes", show_changes},   {"members", show_members},
+    {"models", show_models},     {"operators", show_operators},
+    {"policies", show_policies}, {"requests", calls_rows},
+    {"services", show_services}, {"traffic", show_traffic},
+    {"windows", show_windows},   {"workspaces", show_workspaces},
 };
 
 static int
--- /dev/null
+++ b/tests/proc-stop.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# A planned stop cuts a verdict. A daemon is stopped while long streams run,
+# then a data centre's window begins with a replica in it, declared with too
+# short a notice for the longest stream. Nothing may be cut by the stop, and
+# the operator must be told beforehand what the short notice means.
+. "$(dirname "$0")/proc-lib.sh"
+GRACE_MS=500
+deployment 6 4 || exit 1
+load -o "targets=$(targets 4)" -o rate=50 -o seconds=6 -o max_tokens=200 -o resumes_max=0 -w "$OUT/load.json" &
+LOAD=$!
+sleep 1.5
+stop router-4
+expect "a stopped daemon ends with 0" [ $? = 0 ]
+wait $LOAD
+whole_and_right "$OUT/load.json"
+expect "no request was cut" [ "$(get "$OUT/load.json" total.unknown)" = 0 ]
+
+begin=$(($(now_ms) + 4000))
+ctl set model moderation longest_s=2 >/dev/null
+load -o "targets=$(targets 3)" -o rate=50 -o seconds=7 -o max_tokens=150 -o resumes_max=0 -w "$OUT/window.json" &
+LOAD=$!
+ctl declare window landlord kind=dc target=dc-b begin_ms="$begin" end_ms=$((begin + 60000)) >"$OUT/window.log"
+expect "a window with enough notice is not flagged" grep -q 'warnings: \[\]' "$OUT/window.log"
+sleep 2
+while [ "$(now_ms)" -lt "$begin" ]; do sleep 0.05; done
+for i in 2 5; do truth "$(engine_addr "$i")" >"$OUT/engine-$i.json"; done
+running=$(curl -s "http://$(engine_addr 2)/load" >"$OUT/l1.json"; get "$OUT/l1.json" running)
+expect "nothing runs in the data centre when its window begins ($running)" [ "$running" = 0 ]
+stop engine-2 KILL
+stop engine-5 KILL
+wait $LOAD
+whole_and_right "$OUT/window.json"
+expect "the window cut nothing" [ "$(get "$OUT/window.json" total.unknown)" = 0 ]
+ctl declare window rush kind=backend target=engine-1 begin_ms=$(($(now_ms) + 500)) end_ms=$(($(now_ms) + 9000)) >"$OUT/rush.log"
+expect "a window with short notice is flagged" grep -q 'notice is' "$OUT/rush.log"
+finish
--- /dev/null
+++ b/tests/test-command.c
@@ -0,0 +1,173 @@
+#include "../kernel/command.h"
+#include "test.h"
+
+#include <string.h>
+
+static command_ask_t
+ask_of(char *line)
+{
+    command_ask_t ask = {.line = line, .if_generation = -1};
+    ask.count = command_split(line, ask.words, COMMAND_WORDS_MAX, &ask.err);
+    return ask;
+}
+
+static json_t *
+rows(void)
+{
+    return json_pack("[{s:s,s:i},{s:s,s:i},{s:s,s:i}]", "name", "b", "n", 10,
+                     "name", "a", "n", 9, "name", "c", "n", 10);
+}
+
+/* The names that a query leaves, in order; or the message. */
+static const char *
+query(const char *text)
+{
+    static char out[512];
+    char line[128];
+    size_t i;
+    const json_t *row;
+    str_copy(line, sizeof(line), text);
+    command_ask_t ask = ask_of(line);
+    json_t *list = rows();
+    if (query_apply(&ask, 0, &list) != 0) {
+        (void)snprintf(out, sizeof(out), "%zu: %s", ask.bad_word,
+                       ask.err.text);
+        return out;
+    }
+    out[0] = '\0';
+    json_array_foreach (json_object_get(ask.result, "rows"), i, row) {
+        size_t len = strlen(out);
+        (void)snprintf(out + len, sizeof(out) - len, "%s",
+                       json_text(row, "name"));
+    }
+    json_decref(ask.result);
+    return out;
+}
+
+START_TEST(queries_filter_sort_and_limit)
+{
+    ck_assert_str_eq(query(""), "bac");
+    ck_assert_str_eq(query("where n=10"), "bc");
+    ck_assert_str_eq(query("where n<10"), "a");
+    ck_assert_str_eq(query("where name!=a n>9"), "bc");
+    ck_assert_str_eq(query("sort name"), "abc");
+    ck_assert_str_eq(query("sort -n"), "bca");
+    ck_assert_str_eq(query("sort n limit 2"), "ab");
+}
+END_TEST
+
+START_TEST(errors_point_at_the_word)
+{
+    ck_assert_ptr_nonnull(strstr(query("where x=1"), "1: no field x here"));
+    ck_assert_ptr_nonnull(strstr(query("limit many"), "1: many is not"));
+    ck_assert_ptr_nonnull(strstr(query("n=1"), "0: n=1 is not understood"));
+    ck_assert_ptr_nonnull(strstr(query("where n10"), "1: n10 is not a"));
+    ck_assert_ptr_nonnull(strstr(query("sort"), "0: sort needs a field"));
+}
+END_TEST
+
+START_TEST(quotes_keep_blanks)
+{
+    char line[] = "set  model 'a b' x=\"1 2\"";
+    command_ask_t ask = ask_of(line);
+    ck_assert_uint_eq(ask.count, 4);
+    ck_assert_str_eq(ask.words[2], "a b");
+    ck_assert_str_eq(ask.words[3], "x=1 2");
+    char open[] = "say 'a b";
+    command_ask_t bad = ask_of(open);
+    ck_assert_int_eq(bad.err.layer, ERR_COMMAND);
+}
+END_TEST
+
+START_TEST(fields_are_typed_and_keys_are_hashed)
+{
+    char line[] = "a=1 b=true c=x version=2 key=geheim";
+    command_ask_t ask = ask_of(line);
+    CLEAN_JSON json_t *fields = command_fields(&ask, 0);
+    ck_assert(json_is_integer(json_object_get(fields, "a")));
+    ck_assert(json_is_true(json_object_get(fields, "b")));
+    ck_assert_str_eq(json_text(fields, "c"), "x");
+    ck_assert_str_eq(json_text(fields, "version"), "2");
+    ck_assert_ptr_null(json_object_get(fields, "key"));
+    ck_assert_uint_eq(strlen(json_text(fields, "key_hash")), KEY_HASH_LEN);
+    char twice[] = "a=1 a=2";
+    command_ask_t bad = ask_of(twice);
+    ck_assert_ptr_null(command_fields(&bad, 0));
+    ck_assert_uint_eq(bad.bad_word, 1);
+}
+END_TEST
+
+START_TEST(all_commands_are_registered_in_order)
+{
+    const char *last = "";
+    size_t count = 0;
+    for (const command_t *at = command_next(NULL); at != NULL;
+         at = command_next(at)) {
+        ck_assert_int_gt(strcmp(at->name, last), 0);
+        last = at->name;
+        count++;
+    }
+    ck_assert_uint_ge(count, 11);
+    ck_assert_ptr_nonnull(command_find("explain"));
+    ck_assert_ptr_null(command_find("nonsense"));
+}
+END_TEST
+
+static const char *
+body_error(const char *text)
+{
+    static char out[400];
+    err_t err = {0};
+    json_t *body = chat_body_read(text, strlen(text), &err);
+    str_copy(out, sizeof(out), body == NULL ? err.text : "good");
+    json_decref(body);
+    return out;
+}
+
+START_TEST(bad_bodies_name_the_field)
+{
+    ck_assert_str_eq(
+        body_error("{\"messages\":[{\"role\":\"u\",\"content\":\"c\"}]}"),
+        "good");
+    ck_assert_ptr_nonnull(strstr(body_error("{}"), "messages"));
+    ck_assert_ptr_nonnull(strstr(body_error("[]"), "not a JSON object"));
+    ck_assert_ptr_nonnull(strstr(body_error("{\"a\":"), "at byte"));
+    ck_assert_ptr_nonnull(strstr(body_error("{\"messages\":[{\"role\":1}]}"),
+                                 "messages[0].role"));
+    ck_assert_ptr_nonnull(
+        strstr(body_error("{\"messages\":[{\"role\":\"u\",\"content\":\"c\"}],"
+                          "\"max_tokens\":0}"),
+               "max_tokens"));
+    ck_assert_ptr_nonnull(strstr(body_error("\xff{}"), "UTF-8"));
+    ck_assert_ptr_nonnull(strstr(body_error("\xed\xa0\x80"), "UTF-8"));
+}
+END_TEST
+
+/* Bodies that are damaged at random, with a fixed seed, end with a verdict. */
+START_TEST(damaged_bodies_get_a_verdict)
+{
+    static const char good[] =
+        "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":"
+        "\"h\\u00e9 "
+        "\"},{\"role\":\"user\",\"content\":\"x\"}],\"stream\":true}";
+    rng_t rng = {11};
+    for (int i = 0; i < 20000; i++) {
+        char text[sizeof(good)];
+        err_t err = {0};
+        memcpy(text, good, sizeof(good));
+        for (uint64_t n = 1 + rng_below(&rng, 4); n > 0; n--) {
+            text[rng_below(&rng, sizeof(good) - 1)] =
+                (char)rng_below(&rng, 256);
+        }
+        json_t *body =
+            chat_body_read(text, rng_below(&rng, sizeof(good)), &err);
+        ck_assert(body != NULL || err.text[0] != '\0');
+        json_decref(body);
+    }
+}
+END_TEST
+
+TEST_MAIN("command", queries_filter_sort_and_limit, errors_point_at_the_word,
+          quotes_keep_blanks, fields_are_typed_and_keys_are_hashed,
+          all_commands_are_registered_in_order, bad_bodies_name_the_field,
+          damaged_bodies_get_a_verdict)
--- /dev/null
+++ b/tests/test-config.c
@@ -0,0 +1,143 @@
+#include "../kernel/config.h"
+#include "test.h"
+
+#include <string.h>
+
+static json_t *
+apply(json_t *doc, change_kind_t kind, const char *section, const char *name,
+      json_t *fields, err_t *err)
+{
+    change_t change = {kind, section, name, fields};
+    json_t *next = config_change_apply(doc, &change, err);
+    json_decref(fields);
+    json_decref(doc);
+    return next;
+}
+
+/* A document with a model, a workspace and two servers. */
+static json_t *
+sample(void)
+{
+    err_t err = {0};
+    json_t *doc = config_empty();
+    doc =
+        apply(doc, CHANGE_DECLARE, "models", "m",
+              json_pack("{s:s,s:i}", "version", "v1", "longest_s", 10), &err);
+    doc = apply(doc, CHANGE_DECLARE, "workspaces", "w",
+                json_pack("{s:s}", "key_hash", "abc"), &err);
+    for (int i = 1; i <= 2; i++) {
+        char name[16];
+        (void)snprintf(name, sizeof(name), "b%d", i);
+        doc = apply(doc, CHANGE_DECLARE, "backends", name,
+                    json_pack("{s:s,s:s,s:s,s:s}", "addr", "127.0.0.1:9001",
+                              "dc", i == 1 ? "dc-a" : "dc-b", "kind", "engine",
+                              "serves", "m"),
+                    &err);
+    }
+    ck_assert_ptr_nonnull(doc);
+    return doc;
+}
+
+START_TEST(errors_name_section_object_and_field)
+{
+    err_t err = {0};
+    json_t *doc = apply(sample(), CHANGE_SET, "backends", "b1",
+                        json_pack("{s:s}", "addr", "nowhere"), &err);
+    ck_assert_ptr_null(doc);
+    ck_assert_ptr_nonnull(strstr(err.text, "backends b1: field addr"));
+    (void)apply(sample(), CHANGE_SET, "models", "m",
+                json_pack("{s:i}", "colour", 3), &err);
+    ck_assert_ptr_nonnull(strstr(err.text, "unknown field colour"));
+    (void)apply(sample(), CHANGE_REMOVE, "models", "m", json_object(), &err);
+    ck_assert_ptr_nonnull(strstr(err.text, "serves m, which is not declared"));
+    (void)apply(sample(), CHANGE_DECLARE, "models", "m",
+                json_pack("{s:s}", "version", "v2"), &err);
+    ck_assert_ptr_nonnull(strstr(err.text, "declared already"));
+    (void)apply(sample(), CHANGE_SET, "models", "x", json_object(), &err);
+    ck_assert_ptr_nonnull(strstr(err.text, "not declared"));
+}
+END_TEST
+
+START_TEST(a_sealed_change_has_a_generation_and_is_found_again)
+{
+    int64_t generation = 0;
+    json_t *doc = config_change_seal(sample(), "id-1", "ann", "set model m");
+    ck_assert_int_eq(json_int(doc, "generation", 0), 1);
+    ck_assert(config_has_change(doc, "id-1", &generation));
+    ck_assert_int_eq(generation, 1);
+    ck_assert(!config_has_change(doc, "id-2", &generation));
+    json_decref(doc);
+}
+END_TEST
+
+/* A user would see an answer cut by the landlord's date.  The server is
+ * given work until the date, and the longest stream outlasts it.  Admission
+ * therefore ends one longest stream before the window begins. */
+START_TEST(a_window_closes_a_server_one_longest_stream_before)
+{
+    err_t err = {0};
+    json_t *doc =
+        apply(sample(), CHANGE_DECLARE, "windows", "x",
+              json_pack("{s:s,s:s,s:i,s:i}", "kind", "dc", "target", "dc-a",
+                        "begin_ms", 100000, "end_ms", 200000),
+              &err);
+    config_t *config = config_parse(doc, &err);
+    const backend_t *in = config_backend(config, "b1");
+    const backend_t *out = config_backend(config, "b2");
+    ck_assert_int_eq(config_backend_open(config, in, 89999), OPEN_YES);
+    ck_assert_int_eq(config_backend_open(config, in, 90000), OPEN_WINDOW_NEAR);
+    ck_assert_int_eq(config_backend_open(config, in, 100000), OPEN_WINDOW_NOW);
+    ck_assert_int_eq(config_backend_open(config, in, 200000), OPEN_YES);
+    ck_assert_int_eq(config_backend_open(config, out, 150000), OPEN_YES);
+    ck_assert(!config_host_open(config, "h", "dc-a", 150000, 0));
+    ck_assert(config_host_open(config, "h", "dc-b", 150000, 0));
+    config_release(config);
+    json_decref(doc);
+}
+END_TEST
+
+/* An operator learns on the landlord's date that streams were cut.  The
+ * window was declared with less notice than the longest stream, or over all
+ * replicas.  Both are said when it is declared. */
+START_TEST(a_window_that_would_lose_work_is_flagged_beforehand)
+{
+    err_t err = {0};
+    json_t *doc =
+        apply(sample(), CHANGE_DECLARE, "windows", "short",
+              json_pack("{s:s,s:s,s:i,s:i}", "kind", "backend", "target", "b1",
+                        "begin_ms", 5000, "end_ms", 9000),
+              &err);
+    doc = apply(doc, CHANGE_DECLARE, "windows", "rest",
+                json_pack("{s:s,s:s,s:i,s:i}", "kind", "backend", "target",
+                          "b2", "begin_ms", 4000, "end_ms", 9000),
+                &err);
+    config_t *config = config_parse(doc, &err);
+    CLEAN_JSON json_t *warnings = json_array();
+    config_warnings(config, 1000, warnings);
+    CLEAN_TEXT char *text = json_dumps(warnings, 0);
+    ck_assert_ptr_nonnull(strstr(text, "window short: notice is 6000 ms"));
+    ck_assert_ptr_nonnull(strstr(text, "no server of m is left open"));
+    config_release(config);
+    json_decref(doc);
+}
+END_TEST
+
+START_TEST(a_drained_server_is_closed)
+{
+    err_t err = {0};
+    json_t *doc = apply(sample(), CHANGE_SET, "backends", "b1",
+                        json_pack("{s:b}", "drain", true), &err);
+    config_t *config = config_parse(doc, &err);
+    ck_assert_int_eq(
+        config_backend_open(config, config_backend(config, "b1"), 0),
+        OPEN_DRAINED);
+    config_release(config);
+    json_decref(doc);
+}
+END_TEST
+
+TEST_MAIN("config", errors_name_section_object_and_field,
+          a_sealed_change_has_a_generation_and_is_found_again,
+          a_window_closes_a_server_one_longest_stream_before,
+          a_window_that_would_lose_work_is_flagged_beforehand,
+          a_drained_server_is_closed)
--- /dev/null
+++ b/tests/test-sched.c
@@ -0,0 +1,144 @@
+#include "../kernel/tables.h"
+#include "test.h"
+
+#include <string.h>
+
+#define ITEMS 400
+
+static sched_item_t *
+item_new(const char *workspace, int share, double cost)
+{
+    sched_item_t *item = mem_zalloc(sizeof(*item));
+    str_copy(item->workspace, sizeof(item->workspace), workspace);
+    item->share = share;
+    item->cost = cost;
+    item->deadline_ms = 1000000;
+    return item;
+}
+
+static void
+drain(sched_t *sched)
+{
+    sched_item_t *item;
+    while ((item = sched_pop(sched)) != NULL) {
+        free(item);
+    }
+    sched_free(sched);
+}
+
+/* A small newspaper's verdicts stop while a big one floods.  The flood came
+ * first and fills the queue; the small one's few requests come behind it.
+ * Fair queueing lets the small one through at its share. */
+START_TEST(a_flooding_workspace_does_not_hold_back_a_small_one)
+{
+    sched_t *sched = sched_new(&(sched_opts_t){.total_max = ITEMS});
+    sched_item_t *evicted;
+    for (int i = 0; i < ITEMS - 20; i++) {
+        ck_assert(sched_push(sched, item_new("big", 1, 100), &evicted));
+    }
+    for (int i = 0; i < 10; i++) {
+        ck_assert(sched_push(sched, item_new("small", 1, 100), &evicted));
+    }
+    int small = 0;
+    for (int i = 0; i < 21; i++) {
+        sched_item_t *item = sched_pop(sched);
+        small += strcmp(item->workspace, "small") == 0;
+        free(item);
+    }
+    ck_assert_int_eq(small, 10);
+    drain(sched);
+}
+END_TEST
+
+START_TEST(shares_weigh_the_order)
+{
+    sched_t *sched = sched_new(&(sched_opts_t){.total_max = ITEMS});
+    sched_item_t *evicted;
+    for (int i = 0; i < 90; i++) {
+        ck_assert(sched_push(sched, item_new("three", 3, 10), &evicted));
+        ck_assert(sched_push(sched, item_new("one", 1, 10), &evicted));
+    }
+    int three = 0;
+    for (int i = 0; i < 80; i++) {
+        sched_item_t *item = sched_pop(sched);
+        three += strcmp(item->workspace, "three") == 0;
+        free(item);
+    }
+    ck_assert_int_ge(three, 58);
+    ck_assert_int_le(three, 62);
+    drain(sched);
+}
+END_TEST
+
+/* A quiet workspace is refused because others have filled the queue.  Past
+ * the bound the newest request of the greediest one must go instead. */
+START_TEST(past_the_bound_the_greediest_gives_up_its_newest)
+{
+    sched_t *sched = sched_new(&(sched_opts_t){.total_max = 10});
+    sched_item_t *evicted;
+    sched_item_t *last = NULL;
+    for (int i = 0; i < 10; i++) {
+        last = item_new("big", 1, 100);
+        ck_assert(sched_push(sched, last, &evicted));
+    }
+    sched_item_t *more = item_new("big", 1, 100);
+    ck_assert(!sched_push(sched, more, &evicted));
+    free(more);
+    ck_assert(sched_push(sched, item_new("small", 1, 100), &evicted));
+    ck_assert_ptr_eq(evicted, last);
+    free(evicted);
+    ck_assert_uint_eq(sched_waiting(sched), 10);
+    drain(sched);
+}
+END_TEST
+
+START_TEST(what_was_put_back_comes_first_again)
+{
+    sched_t *sched = sched_new(&(sched_opts_t){.total_max = 10});
+    sched_item_t *evicted;
+    sched_item_t *first = item_new("w", 1, 10);
+    ck_assert(sched_push(sched, first, &evicted));
+    ck_assert(sched_push(sched, item_new("w", 1, 10), &evicted));
+    ck_assert_ptr_eq(sched_pop(sched), first);
+    sched_unpop(sched, first);
+    ck_assert_ptr_eq(sched_pop(sched), first);
+    free(first);
+    drain(sched);
+}
+END_TEST
+
+START_TEST(expired_items_are_found_wherever_they_wait)
+{
+    sched_t *sched = sched_new(&(sched_opts_t){.total_max = 10});
+    sched_item_t *evicted;
+    sched_item_t *late = item_new("w", 1, 10);
+    ck_assert(sched_push(sched, item_new("w", 1, 10), &evicted));
+    late->deadline_ms = 5;
+    ck_assert(sched_push(sched, late, &evicted));
+    ck_assert_ptr_null(sched_expired(sched, 4));
+    ck_assert_ptr_eq(sched_expired(sched, 5), late);
+    free(late);
+    ck_assert(sched_retry_after_s(sched, 10) >= 1);
+    drain(sched);
+}
+END_TEST
+
+START_TEST(retries_are_a_tenth_of_first_tries)
+{
+    retry_budget_t budget = {0};
+    int granted = 0;
+    for (int i = 0; i < 1000; i++) {
+        retry_budget_earn(&budget);
+        granted += retry_budget_spend(&budget);
+    }
+    ck_assert_int_ge(granted, 95);
+    ck_assert_int_le(granted, 100);
+}
+END_TEST
+
+TEST_MAIN("sched", a_flooding_workspace_does_not_hold_back_a_small_one,
+          shares_weigh_the_order,
+          past_the_bound_the_greediest_gives_up_its_newest,
+          what_was_put_back_comes_first_again,
+          expired_items_are_found_wherever_they_wait,
+          retries_are_a_tenth_of_first_tries)
--- /dev/null
+++ b/tests/test-settings.c
@@ -0,0 +1,135 @@
+#include "../kernel/settings.h"
+#include "test.h"
+
+#include <string.h>
+
+static const char good[] =
+    "[daemon]\nname = router-1\ndc = dc-a\n"
+    "[listen]\nhttp = 127.0.0.1:8101\npeer = 127.0.0.1:8201\n"
+    "[platform]\nstore = 127.0.0.1:9001\n"
+    "[keys]\noperator = op\nsecret = "
+    "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f\n";
+
+/* The problems that a text has, one line each. */
+static const char *
+problems_of(const char *text)
+{
+    static char out[4096];
+    settings_t settings;
+    CLEAN_BUF buf_t problems = {0};
+    (void)settings_read_text(&settings, "f.ini", text, &problems);
+    str_copy(out, sizeof(out), buf_text(&problems));
+    return out;
+}
+
+static const char *
+with(const char *extra)
+{
+    static char text[4096];
+    (void)snprintf(text, sizeof(text), "%s%s", good, extra);
+    return problems_of(text);
+}
+
+START_TEST(a_good_file_is_taken_with_its_defaults)
+{
+    settings_t settings;
+    CLEAN_BUF buf_t problems = {0};
+    int status = settings_read_text(&settings, "f.ini", good, &problems);
+    ck_assert_str_eq(buf_text(&problems), "");
+    ck_assert_int_eq(status, 0);
+    ck_assert_str_eq(settings.name, "router-1");
+    ck_assert_int_eq(settings.http_threads, 2);
+    ck_assert_int_eq(settings.secret[31], 0x1f);
+}
+END_TEST
+
+START_TEST(each_fault_names_file_line_and_what_is_allowed)
+{
+    ck_assert_ptr_nonnull(strstr(with("[keys]\nfoo = 1\n"),
+                                 "f.ini:13: unknown key foo in [keys]; "
+                                 "allowed: secret, operator"));
+    ck_assert_ptr_nonnull(
+        strstr(with("[nope]\na = 1\n"), "f.ini:13: unknown section [nope]"));
+    ck_assert_ptr_nonnull(strstr(with("[daemon]\nname = again\n"),
+                                 "f.ini:13: name is set twice, first in "
+                                 "line 2"));
+    ck_assert_ptr_nonnull(strstr(with("[listen]\nbody_kib = 12x\n"),
+                                 "f.ini:13: body_kib = 12x is not allowed; "
+                                 "allowed: a whole number from 1 to 65536"));
+    ck_assert_ptr_nonnull(strstr(with("[peers]\nseeds = 1.2.3.4\n"),
+                                 "f.ini:13: seeds = 1.2.3.4"));
+    ck_assert_ptr_nonnull(strstr(with("[daemon]\nlog_level = loud\n"),
+                                 "error, warn, info or debug"));
+    ck_assert_ptr_nonnull(
+        strstr(with("what is this\n"), "f.ini:12: neither a section nor"));
+}
+END_TEST
+
+START_TEST(all_faults_are_told_in_one_run)
+{
+    const char *told = problems_of("[listen]\nhttp = x\nthreads = 3\n");
+    ck_assert_ptr_nonnull(strstr(told, "http = x"));
+    ck_assert_ptr_nonnull(strstr(told, "unknown key threads"));
+    ck_assert_ptr_nonnull(strstr(told, "name is missing"));
+    ck_assert_ptr_nonnull(strstr(told, "secret is missing"));
+}
+END_TEST
+
+START_TEST(contradictions_are_faults)
+{
+    char text[1024];
+    str_copy(text, sizeof(text), good);
+    memcpy(strstr(text, "8201"), "8101", 4);
+    ck_assert_ptr_nonnull(
+        strstr(problems_of(text), "f.ini:6: peer is the address of http"));
+    ck_assert_ptr_nonnull(strstr(with("[peers]\nseeds = 127.0.0.1:8101\n"),
+                                 "is an http address"));
+}
+END_TEST
+
+START_TEST(a_secret_is_never_repeated)
+{
+    char text[1024];
+    str_copy(text, sizeof(text), good);
+    char *at = strstr(text, "secret = ");
+    at[9] = 'z';
+    ck_assert_ptr_null(strstr(problems_of(text), "z00102"));
+    ck_assert_ptr_nonnull(strstr(problems_of(text), "(hidden)"));
+}
+END_TEST
+
+START_TEST(the_example_file_is_good)
+{
+    settings_t settings;
+    CLEAN_BUF buf_t problems = {0};
+    (void)settings_read(&settings, "examples/router-1.ini", &problems);
+    ck_assert_str_eq(buf_text(&problems), "");
+}
+END_TEST
+
+/* Bytes of a good file are changed, dropped and doubled at random, with a
+ * fixed seed: the reader must end with a verdict, under the sanitizers. */
+START_TEST(damaged_files_get_a_verdict)
+{
+    rng_t rng = {7};
+    for (int i = 0; i < 3000; i++) {
+        char text[1024];
+        settings_t settings;
+        CLEAN_BUF buf_t problems = {0};
+        size_t len = strlen(good);
+        memcpy(text, good, len + 1);
+        for (uint64_t n = rng_below(&rng, 8); n > 0; n--) {
+            text[rng_below(&rng, len)] = (char)(1 + rng_below(&rng, 255));
+        }
+        text[rng_below(&rng, len) + 1] = '\0';
+        int status = settings_read_text(&settings, "f", text, &problems);
+        ck_assert_int_eq(status == 0, problems.len == 0);
+    }
+}
+END_TEST
+
+TEST_MAIN("settings", a_good_file_is_taken_with_its_defaults,
+          each_fault_names_file_line_and_what_is_allowed,
+          all_faults_are_told_in_one_run, contradictions_are_faults,
+          a_secret_is_never_repeated, the_example_file_is_good,
+          damaged_files_get_a_verdict)
