--- a/Makefile
+++ b/Makefile
@@ -70,4 +70,12 @@
 
 check: unit procs
 
+
+bench: all
+	bash bench/overhead.sh
+
+experiment: all
+	bash bench/experiment.sh bench/blue-mahoe.ini
+	bash bench/experiment.sh bench/tupelo.ini
+
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/kernel/call-chat.c
+++ b/kernel/call-chat.c
@@ -153,7 +153,11 @@
     str_copy(call->version, sizeof(call->version), resume.version);
     str_copy(chat->token, sizeof(chat->token), last_id);
     *strrchr(chat->token, '.') = '\0';
-    call_event(call, "resume-asked", NULL);
+    event_emit(&(event_t){.kind = "resume-asked",
+                          .request = call->id,
+                          .workspace = call->workspace,
+                          .backend = call->backend,
+                          .received = call->stream_id});
     chat_resume_leg(call);
 }
 
--- a/kernel/call-stream.c
+++ b/kernel/call-stream.c
@@ -114,16 +114,18 @@
     }
 }
 
+/* Pass one event on, under an id by which its caller can come back.  It goes
+ * in one piece, since each write may wake the caller's connection. */
 static void
 emit(call_t *call, const char *data, size_t len)
 {
-    char id[RESUME_TEXT_MAX + 24];
     chat_t *chat = &call->u.chat;
-    int id_len =
-        snprintf(id, sizeof(id), "id: %s.%u\n", chat->token, chat->emitted);
-    http_req_write(call->req, id, (size_t)id_len);
-    http_req_write(call->req, data, len);
-    http_req_write(call->req, "\n\n", 2);
+    buf_t *out = &chat->out;
+    out->len = 0;
+    buf_fmt(out, "id: %s.%u\n", chat->token, chat->emitted);
+    buf_add(out, data, len);
+    buf_add(out, "\n\n", 2);
+    http_req_write(call->req, buf_text(out), out->len);
 }
 
 static void
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -78,6 +78,7 @@
             json_decref(call->u.chat.body);
             buf_free(&call->u.chat.text);
             buf_free(&call->u.chat.sse);
+            buf_free(&call->u.chat.out);
             break;
         case CALL_SERVICE:
             free(call->u.service.method);
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -93,6 +93,7 @@
     uint32_t emitted; /* tokens that the caller has */
     buf_t text;       /* of those that this daemon has seen */
     buf_t sse;        /* bytes of an unfinished upstream event */
+    buf_t out;        /* one event for the caller, its room used again */
     char token[RESUME_TEXT_MAX];
     bool finished; /* upstream said that the answer is whole */
     uint32_t prompt_tokens;
--- a/kernel/http-client.c
+++ b/kernel/http-client.c
@@ -5,8 +5,12 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #define POLL_MS 1000
+#define EVENTS_MAX 128
 #define SLOTS 1024
 #define CONNECTIONS_KEPT 256
 
@@ -32,11 +36,16 @@
     size_t len;
 } cancel_list_t;
 
-/* A worker owns one multi handle.  Its lock is a leaf. */
+/* A worker owns one multi handle, and an epoll set with its sockets: with
+ * curl_multi_poll every wake would look at every exchange.  Its lock is a
+ * leaf. */
 typedef struct {
     pthread_t thread;
     pthread_mutex_t lock;
     CURLM *multi;
+    int epoll;
+    int wake;       /* an eventfd, in the epoll set too */
+    int64_t due_ms; /* when libcurl wants to be called; -1 for never */
     xfer_inbox_t inbox;
     cancel_list_t cancels;
     xfer_list_t live[SLOTS];
@@ -247,31 +256,138 @@
     }
 }
 
+/* libcurl tells which sockets it waits for. */
+static int
+on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *known)
+{
+    (void)easy;
+    worker_t *worker = arg;
+    struct epoll_event event = {.data.fd = fd};
+    if (what == CURL_POLL_REMOVE) {
+        (void)epoll_ctl(worker->epoll, EPOLL_CTL_DEL, fd, NULL);
+        return 0;
+    }
+    event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) |
+                   ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+    if (known == NULL) {
+        (void)epoll_ctl(worker->epoll, EPOLL_CTL_ADD, fd, &event);
+        (void)curl_multi_assign(worker->multi, fd, worker);
+    }
+    else {
+        (void)epoll_ctl(worker->epoll, EPOLL_CTL_MOD, fd, &event);
+    }
+    return 0;
+}
+
+/* libcurl tells when it wants to be called. */
+static int
+on_timer(CURLM *multi, long ms, void *arg)
+{
+    (void)multi;
+    worker_t *worker = arg;
+    worker->due_ms = ms < 0 ? -1 : time_mono_ms() + ms;
+    return 0;
+}
+
+static void
+worker_wake(worker_t *worker)
+{
+    uint64_t one = 1;
+    ssize_t put = write(worker->wake, &one, sizeof(one));
+    (void)put; /* a full counter wakes as well */
+}
+
+static int
+wait_ms(const worker_t *worker)
+{
+    if (worker->due_ms < 0) {
+        return POLL_MS;
+    }
+    int64_t left = worker->due_ms - time_mono_ms();
+    return left < 0 ? 0 : left > POLL_MS ? POLL_MS : (int)left;
+}
+
+static void
+take_socket(worker_t *worker, const struct epoll_event *event)
+{
+    int running;
+    int what =
+        ((event->events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
+        ((event->events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
+        ((event->events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+    uint64_t count;
+    if (event->data.fd == worker->wake) {
+        ssize_t got = read(worker->wake, &count, sizeof(count));
+        (void)got;
+        return;
+    }
+    (void)curl_multi_socket_action(worker->multi, event->data.fd, what,
+                                   &running);
+}
+
+static void
+worker_wait(worker_t *worker)
+{
+    struct epoll_event events[EVENTS_MAX];
+    int running;
+    int count = epoll_wait(worker->epoll, events, EVENTS_MAX, wait_ms(worker));
+    for (int i = 0; i < count; i++) {
+        take_socket(worker, &events[i]);
+    }
+    if (worker->due_ms >= 0 && time_mono_ms() >= worker->due_ms) {
+        worker->due_ms = -1;
+        (void)curl_multi_socket_action(worker->multi, CURL_SOCKET_TIMEOUT, 0,
+                                       &running);
+    }
+}
+
 static void *
 worker_run(void *arg)
 {
     worker_t *worker = arg;
-    for (;;) {
-        int running;
+    while (!__atomic_load_n(&worker->stop, __ATOMIC_ACQUIRE)) {
         worker_take_inbox(worker);
         worker_take_cancels(worker);
-        (void)curl_multi_perform(worker->multi, &running);
+        worker_wait(worker);
         worker_take_ended(worker);
-        (void)pthread_mutex_lock(&worker->lock);
-        bool stop = worker->stop;
-        bool waiting = CK_STAILQ_EMPTY(&worker->inbox);
-        (void)pthread_mutex_unlock(&worker->lock);
-        if (stop) {
-            break;
-        }
-        if (waiting) {
-            (void)curl_multi_poll(worker->multi, NULL, 0, POLL_MS, NULL);
-        }
     }
     worker_end_all(worker);
     return NULL;
 }
 
+static void
+worker_start(worker_t *worker)
+{
+    struct epoll_event event = {.events = EPOLLIN};
+    (void)pthread_mutex_init(&worker->lock, NULL);
+    worker->due_ms = -1;
+    worker->epoll = epoll_create1(EPOLL_CLOEXEC);
+    worker->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    event.data.fd = worker->wake;
+    (void)epoll_ctl(worker->epoll, EPOLL_CTL_ADD, worker->wake, &event);
+    worker->multi = curl_multi_init();
+    (void)curl_multi_setopt(worker->multi, CURLMOPT_MAXCONNECTS,
+                            (long)CONNECTIONS_KEPT);
+    (void)curl_multi_setopt(worker->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    (void)curl_multi_setopt(worker->multi, CURLMOPT_SOCKETDATA, worker);
+    (void)curl_multi_setopt(worker->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+    (void)curl_multi_setopt(worker->multi, CURLMOPT_TIMERDATA, worker);
+    CK_STAILQ_INIT(&worker->inbox);
+    (void)pthread_create(&worker->thread, NULL, worker_run, worker);
+}
+
+static void
+worker_stop(worker_t *worker)
+{
+    __atomic_store_n(&worker->stop, true, __ATOMIC_RELEASE);
+    worker_wake(worker);
+    (void)pthread_join(worker->thread, NULL);
+    (void)curl_multi_cleanup(worker->multi);
+    (void)close(worker->epoll);
+    (void)close(worker->wake);
+    (void)pthread_mutex_destroy(&worker->lock);
+}
+
 /* Start a client with its own worker threads. */
 http_client_t *
 http_client_new(unsigned threads)
@@ -281,13 +397,7 @@
     client->threads = threads;
     client->workers = mem_zalloc(threads * sizeof(worker_t));
     for (unsigned i = 0; i < threads; i++) {
-        worker_t *worker = &client->workers[i];
-        (void)pthread_mutex_init(&worker->lock, NULL);
-        worker->multi = curl_multi_init();
-        (void)curl_multi_setopt(worker->multi, CURLMOPT_MAXCONNECTS,
-                                (long)CONNECTIONS_KEPT);
-        CK_STAILQ_INIT(&worker->inbox);
-        (void)pthread_create(&worker->thread, NULL, worker_run, worker);
+        worker_start(&client->workers[i]);
     }
     return client;
 }
@@ -297,14 +407,7 @@
 http_client_free(http_client_t *client)
 {
     for (unsigned i = 0; i < client->threads; i++) {
-        worker_t *worker = &client->workers[i];
-        (void)pthread_mutex_lock(&worker->lock);
-        worker->stop = true;
-        (void)pthread_mutex_unlock(&worker->lock);
-        (void)curl_multi_wakeup(worker->multi);
-        (void)pthread_join(worker->thread, NULL);
-        (void)curl_multi_cleanup(worker->multi);
-        (void)pthread_mutex_destroy(&worker->lock);
+        worker_stop(&client->workers[i]);
     }
     (void)pthread_mutex_destroy(&client->lock);
     free(client->workers);
@@ -324,7 +427,7 @@
     (void)pthread_mutex_lock(&worker->lock);
     CK_STAILQ_INSERT_TAIL(&worker->inbox, xfer, inbox);
     (void)pthread_mutex_unlock(&worker->lock);
-    (void)curl_multi_wakeup(worker->multi);
+    worker_wake(worker);
     return id;
 }
 
@@ -340,7 +443,7 @@
             worker->cancels.ids[worker->cancels.len++] = id;
         }
         (void)pthread_mutex_unlock(&worker->lock);
-        (void)curl_multi_wakeup(worker->multi);
+        worker_wake(worker);
         if (room) {
             return;
         }
