--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,9 @@
 DAEMONS := $(patsubst daemons/%.c,$(BUILD)/%,$(wildcard daemons/*.c))
 STANDINS := $(patsubst fakes/%.c,$(BUILD)/%,$(wildcard fakes/fake-*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
-SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch])
+SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch])
 
-.PHONY: all unit-programs threads check unit procs demo bench experiment format format-check lint clean
+.PHONY: all capacity models unit-programs threads check unit procs demo bench experiment format format-check lint clean
 all: $(DAEMONS) $(STANDINS)
 
 $(BUILD)/%.o: %.c
@@ -58,6 +58,13 @@
 	@clang-tidy --quiet $< -- $(CFLAGS) 2>$@.err || (cat $@.err; exit 1)
 	@touch $@
 
+$(BUILD)/capacity: $(BUILD)/bench/capacity.o $(FAKES) $(BUILD)/libceleryspool.o
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+capacity: $(BUILD)/capacity $(BUILD)/tests/test-members
+	$(BUILD)/capacity
+	$(BUILD)/tests/test-members
+
 unit-programs: $(TESTS)
 unit: $(TESTS)
 	@set -e; for t in $(TESTS); do $$t; done
@@ -68,7 +75,11 @@
 procs: all
 	@bash tests/procs.sh
 
-check: unit procs
+# The protocols as models, searched whole.
+models:
+	@bash models/check.sh
+
+check: unit models procs
 
 
 bench: all
--- a/daemons/celeryspoold.c
+++ b/daemons/celeryspoold.c
@@ -14,6 +14,8 @@
     bool describe;
 } daemon_args_t;
 
+#define SERVE_STEP_MS 50
+
 static volatile sig_atomic_t stop_signals;
 
 static const struct argp_option options[] = {
@@ -70,14 +72,14 @@
 serve(celeryspoold_t *daemon)
 {
     while (stop_signals == 0) {
-        time_sleep_ms(20);
+        time_sleep_ms(SERVE_STEP_MS);
     }
     int seen = 1;
     daemon_leave(daemon);
     int64_t door = time_mono_ms() + daemon->settings.grace_ms;
     bool closed = false;
     while (!closed || !daemon_left(daemon)) {
-        time_sleep_ms(20);
+        time_sleep_ms(SERVE_STEP_MS);
         if (stop_signals > seen) {
             seen = stop_signals;
             daemon_leave(daemon);
@@ -90,7 +92,7 @@
     int64_t last = time_mono_ms() + daemon->settings.grace_ms;
     while (http_server_connections(daemon->server) > 0 &&
            time_mono_ms() < last) {
-        time_sleep_ms(20);
+        time_sleep_ms(SERVE_STEP_MS);
     }
 }
 
--- a/kernel/daemon.c
+++ b/kernel/daemon.c
@@ -8,8 +8,9 @@
 
 /* Start, run and stop of the daemon. */
 
-#define TICK_MS 5
-#define WATCH_EVERY 10 /* ticks */
+#define TICK_MS 10
+#define WATCH_EVERY 5 /* ticks */
+#define PULL_EVERY 25
 #define CACHE_ENTRIES 65536
 #define CLAIM_SHARDS 16
 #define POOL_THREADS 4
@@ -141,9 +142,11 @@
         peer_tick(daemon->peer);
         if (tick % WATCH_EVERY == 0) {
             watch_calls(daemon);
-            pool_submit(daemon->pool, pull_config, daemon);
             ready_when_warm(daemon);
         }
+        if (tick % PULL_EVERY == 0) {
+            pool_submit(daemon->pool, pull_config, daemon);
+        }
         if (time_mono_ms() >= snapshot_at) {
             snapshot_at = time_mono_ms() + SNAPSHOT_EVERY_MS;
             pool_submit(daemon->pool, keep_snapshot, daemon);
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -12,7 +12,7 @@
 #include "store.h"
 #include "tables.h"
 
-#define CANDIDATES_MAX 64
+#define CANDIDATES_MAX 256
 #define TRIED_MAX 4
 
 typedef enum { STATE_WARMING, STATE_READY, STATE_LEAVING } daemon_state_t;
@@ -217,6 +217,7 @@
 
 peer_t *peer_start(celeryspoold_t *daemon, err_t *err);
 void peer_stop(peer_t *peer);
+void peer_bytes(const peer_t *peer, uint64_t *sent, uint64_t *received);
 void peer_tick(peer_t *peer);
 void peer_tell_load(peer_t *peer, const char *backend,
                     const load_report_t *report);
--- a/kernel/feed.c
+++ b/kernel/feed.c
@@ -9,7 +9,11 @@
  * twice or by nobody for a moment costs accuracy only. */
 
 #define FEED_MS 100
+#define EVENTS_EVERY 2 /* rounds */
 #define TIMEOUT_MS 1000
+#define WAITING_STEP 100 /* tokens */
+#define RUNNING_STEP 3
+#define TELL_ANYWAY_MS 1000
 
 /* One exchange; freed at its end. */
 typedef struct {
@@ -42,6 +46,36 @@
     }
 }
 
+/* Peers are told of a load only where it would change a choice, and once in
+ * a while all the same, since datagrams get lost. */
+static bool
+worth_telling(const backend_state_t *before, const load_report_t *now,
+              int64_t now_ms)
+{
+    const load_report_t *told = &before->told;
+    int waiting = now->waiting_tokens - told->waiting_tokens;
+    int running = now->running - told->running;
+    return strcmp(told->incarnation, now->incarnation) != 0 ||
+           strcmp(told->version, now->version) != 0 ||
+           strcmp(told->loading, now->loading) != 0 ||
+           abs(waiting) > WAITING_STEP || abs(running) > RUNNING_STEP ||
+           now_ms - before->told_ms > TELL_ANYWAY_MS;
+}
+
+static void
+tell_load(celeryspoold_t *daemon, const char *backend,
+          const load_report_t *report)
+{
+    backend_state_t state;
+    uint16_t id = view_id(daemon->view, backend);
+    int64_t now = time_mono_ms();
+    if (view_get(daemon->view, id, &state) &&
+        worth_telling(&state, report, now)) {
+        view_told(daemon->view, id, report, now);
+        peer_tell_load(daemon->peer, backend, report);
+    }
+}
+
 static void
 take_load(celeryspoold_t *daemon, const char *backend, const json_t *body)
 {
@@ -60,7 +94,7 @@
     str_copy(report.incarnation, sizeof(report.incarnation), incarnation);
     str_copy(report.version, sizeof(report.version), version);
     feed_take_load(daemon, backend, &report);
-    peer_tell_load(daemon->peer, backend, &report);
+    tell_load(daemon, backend, &report);
 }
 
 static void
@@ -146,7 +180,7 @@
 }
 
 static void
-ask_backend(celeryspoold_t *daemon, const backend_t *backend)
+ask_backend(celeryspoold_t *daemon, const backend_t *backend, bool events)
 {
     char path[64];
     char duty[CS_NAME_MAX + 8];
@@ -161,7 +195,9 @@
     (void)snprintf(path, sizeof(path), "/kv_events?after=%llu",
                    (unsigned long long)state.events_after);
     ask(daemon, backend, "/load", false);
-    ask(daemon, backend, path, true);
+    if (events) {
+        ask(daemon, backend, path, true);
+    }
 }
 
 static void
@@ -190,7 +226,8 @@
     while (!__atomic_load_n(&daemon->stopping, __ATOMIC_ACQUIRE)) {
         config_t *config = daemon_config(daemon);
         for (size_t i = 0; i < config->backend_count; i++) {
-            ask_backend(daemon, &config->backends[i]);
+            ask_backend(daemon, &config->backends[i],
+                        round % EVENTS_EVERY == 0);
         }
         config_release(config);
         if (round++ % 10 == 0) {
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -80,7 +80,7 @@
     if (parse_addr(addr, &at) == 0) {
         (void)sendto(peer->udp, data, len, 0, (struct sockaddr *)&at,
                      sizeof(at));
-        peer->bytes_sent += len;
+        (void)__atomic_add_fetch(&peer->bytes_sent, len, __ATOMIC_RELAXED);
     }
 }
 
@@ -149,7 +149,8 @@
         if (len <= 0) {
             continue;
         }
-        peer->bytes_received += (uint64_t)len;
+        (void)__atomic_add_fetch(&peer->bytes_received, (uint64_t)len,
+                                 __ATOMIC_RELAXED);
         if (peer_decode(datagram, peer->daemon->settings.secret, data,
                         (size_t)len) == 0) {
             take_datagram(peer, datagram, out);
@@ -446,6 +447,14 @@
     return peer;
 }
 
+/* Bytes of datagrams so far. */
+void
+peer_bytes(const peer_t *peer, uint64_t *sent, uint64_t *received)
+{
+    *sent = __atomic_load_n(&peer->bytes_sent, __ATOMIC_RELAXED);
+    *received = __atomic_load_n(&peer->bytes_received, __ATOMIC_RELAXED);
+}
+
 /* Stop the threads and close the sockets. */
 void
 peer_stop(peer_t *peer)
--- a/kernel/route.c
+++ b/kernel/route.c
@@ -89,6 +89,8 @@
 handle_metrics(celeryspoold_t *daemon, http_req_t *req)
 {
     CLEAN_BUF buf_t text = {0};
+    uint64_t sent;
+    uint64_t received;
     config_t *config = daemon_config(daemon);
     metrics_text(daemon->metrics, &text);
     metrics_gauge(&text, "config_generation", (double)config->generation);
@@ -99,6 +101,9 @@
     metrics_gauge(&text, "cache_map_entries",
                   (double)cache_map_size(daemon->cache));
     metrics_gauge(&text, "store_calls", (double)store_calls(daemon->store));
+    peer_bytes(daemon->peer, &sent, &received);
+    metrics_gauge(&text, "peer_bytes_sent", (double)sent);
+    metrics_gauge(&text, "peer_bytes_received", (double)received);
     metrics_gauge(&text, "claim_writes",
                   (double)claim_log_writes(daemon->claims));
     config_release(config);
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -55,6 +55,8 @@
     char name[CS_NAME_MAX];
     load_report_t load;
     bool reported;
+    load_report_t told; /* what peers were last told of it */
+    int64_t told_ms;
     bool host_leaving; /* by the platform's host list */
     int64_t report_ms;
     double sent_since;  /* own uncached tokens sent since the report */
@@ -75,6 +77,8 @@
 bool view_get(view_t *view, uint16_t id, backend_state_t *out);
 bool view_report(view_t *view, uint16_t id, const load_report_t *report,
                  int64_t now_ms);
+void view_told(view_t *view, uint16_t id, const load_report_t *report,
+               int64_t now_ms);
 void view_version(view_t *view, uint16_t id, const char *version);
 void view_sent(view_t *view, uint16_t id, double tokens);
 void view_first_token(view_t *view, uint16_t id, double tokens,
--- a/kernel/view.c
+++ b/kernel/view.c
@@ -13,11 +13,13 @@
 #define SLOWNESS_MAX 20.0
 #define RATE_UNKNOWN 20000.0
 #define SLOTS_UNKNOWN 64
+#define INDEX_SIZE (BACKENDS_MAX * 4)
 
 struct view {
     pthread_mutex_t lock;
     size_t count;
     backend_state_t states[BACKENDS_MAX];
+    uint16_t index[INDEX_SIZE]; /* number + 1 by hash of the name, 0 empty */
 };
 
 /* An empty view. */
@@ -36,24 +38,36 @@
     free(view);
 }
 
+/* Where a name stands in the index, or would stand. */
+static size_t
+index_of(const view_t *view, const char *name)
+{
+    size_t at = str_hash(name, 0) % INDEX_SIZE;
+    while (view->index[at] != 0 &&
+           strcmp(view->states[view->index[at] - 1].name, name) != 0) {
+        at = (at + 1) % INDEX_SIZE;
+    }
+    return at;
+}
+
 /* The number under which a backend server stands in the tables of this
  * process, for its life.  Past BACKENDS_MAX names all share the last. */
 uint16_t
 view_id(view_t *view, const char *name)
 {
     LOCK_SCOPE(&view->lock);
-    for (size_t i = 0; i < view->count; i++) {
-        if (strcmp(view->states[i].name, name) == 0) {
-            return (uint16_t)i;
-        }
+    size_t at = index_of(view, name);
+    if (view->index[at] != 0) {
+        return view->index[at] - 1;
     }
     if (view->count == BACKENDS_MAX) {
         return BACKENDS_MAX - 1;
     }
-    backend_state_t *state = &view->states[view->count];
+    backend_state_t *state = &view->states[view->count++];
     str_copy(state->name, sizeof(state->name), name);
     state->slowness = 1;
-    return (uint16_t)view->count++;
+    view->index[at] = (uint16_t)view->count;
+    return (uint16_t)(view->count - 1);
 }
 
 size_t
@@ -94,6 +108,16 @@
     return changed;
 }
 
+/* Note what peers have been told of a server's load. */
+void
+view_told(view_t *view, uint16_t id, const load_report_t *report,
+          int64_t now_ms)
+{
+    LOCK_SCOPE(&view->lock);
+    view->states[id].told = *report;
+    view->states[id].told_ms = now_ms;
+}
+
 /* Note the weights that a server itself has just told of. */
 void
 view_version(view_t *view, uint16_t id, const char *version)
--- a/plugins/policy-cost.c
+++ b/plugins/policy-cost.c
@@ -17,7 +17,7 @@
 #define OTHER_DC_MS 1.0
 #define SERVICE_LEAST_MS 10.0
 #define FACTOR_MAX 12.0
-#define CANDIDATES_SORTED 64
+#define CANDIDATES_SORTED 256
 
 static size_t
 home_of(const candidate_t *all, size_t count)
