--- a/fakes/engine-batch.c
+++ b/fakes/engine-batch.c
@@ -39,6 +39,17 @@
     free(seq);
 }
 
+/* Free what an engine holds; no reader is attached any more. */
+void
+engine_free(engine_t *engine)
+{
+    engine_cache_free(engine->cache);
+    json_decref(engine->executed);
+    json_decref(engine->orders);
+    json_decref(engine->load_report);
+    (void)pthread_mutex_destroy(&engine->lock);
+}
+
 /* Crash and come back empty: streams break, the cache is gone, a new
  * incarnation answers. */
 void
--- a/fakes/fake-service.c
+++ b/fakes/fake-service.c
@@ -174,5 +174,6 @@
     }
     tick(&service);
     http_server_stop(server);
+    json_decref(service.effects);
     return EXIT_SUCCESS;
 }
--- a/fakes/fake-store.c
+++ b/fakes/fake-store.c
@@ -364,5 +364,7 @@
     }
     tick(&store);
     http_server_stop(server);
+    json_decref(store.objects);
+    json_decref(store.hosts);
     return EXIT_SUCCESS;
 }
--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -88,6 +88,7 @@
 } engine_t;
 
 void engine_init(engine_t *engine, const char *name, size_t blocks_max);
+void engine_free(engine_t *engine);
 void engine_restart_empty(engine_t *engine);
 seq_t *engine_admit(engine_t *engine, const json_t *body, http_req_t *req,
                     err_t *err);
--- a/kernel/call-recover.c
+++ b/kernel/call-recover.c
@@ -167,15 +167,20 @@
         return;
     }
     if (told) {
+        view_succeeded(call->daemon->view, call->backend_id);
         call->probe_failures = 0;
         call->last_us = time_mono_us();
         return;
     }
     call->probe_failures++;
     bool unknown_there = end == HTTP_END_WHOLE;
+    /* Each probe without an answer counts, so that a few streams on a frozen
+     * server open its circuit before more requests are sent there. */
+    if (!unknown_there) {
+        view_failed(call->daemon->view, call->backend_id, time_mono_ms());
+    }
     if (unknown_there || call->probe_failures >= PROBE_FAILURES_MAX) {
         call_event(call, "server-silent", NULL);
-        view_failed(call->daemon->view, call->backend_id, time_mono_ms());
         call->may_have_run = true;
         abandon_leg(call);
         chat_recover(call, false);
--- a/kernel/claim-shard.c
+++ b/kernel/claim-shard.c
@@ -410,7 +410,7 @@
     (void)snprintf(act.object, sizeof(act.object), "claims/%u", shard->index);
     json_decref(shard->writing);
     shard->writing = head_next(shard, wall_ms);
-    act.value = json_incref(shard->writing);
+    act.value = json_deep_copy(shard->writing); /* leaves the lock */
     return act;
 }
 
--- a/kernel/daemon.c
+++ b/kernel/daemon.c
@@ -18,6 +18,12 @@
 #define CONFIG_WAIT_MS 3000
 #define PEER_PULL_MS 1000
 
+static void
+daemon_set_state(celeryspoold_t *daemon, daemon_state_t state)
+{
+    __atomic_store_n(&daemon->state, state, __ATOMIC_RELEASE);
+}
+
 static void
 init_tables(celeryspoold_t *daemon)
 {
@@ -35,6 +41,7 @@
     (void)pthread_mutex_init(&daemon->calls_lock, NULL);
     daemon->config = config_parse(doc, &err);
     daemon->config_heard_ms = time_mono_ms();
+    retry_budget_init(&daemon->retries);
     daemon->view = view_new();
     daemon->cache = cache_map_new(CACHE_ENTRIES);
     daemon->members =
@@ -122,8 +129,9 @@
     bool known = config->generation > 0;
     config_release(config);
     int64_t age = time_mono_ms() - daemon->started_ms;
-    if (daemon->state == STATE_WARMING && (known || age > CONFIG_WAIT_MS)) {
-        daemon->state = STATE_READY;
+    if (daemon_state(daemon) == STATE_WARMING &&
+        (known || age > CONFIG_WAIT_MS)) {
+        daemon_set_state(daemon, STATE_READY);
         log_info("daemon", "Ready after %lld ms.", (long long)age);
         event_emit(&(event_t){.kind = "daemon-ready"});
     }
@@ -201,19 +209,34 @@
     return daemon;
 }
 
+/* How far this daemon is between its start and its end. */
+daemon_state_t
+daemon_state(const celeryspoold_t *daemon)
+{
+    return __atomic_load_n(&daemon->state, __ATOMIC_ACQUIRE);
+}
+
+/* Requests that have no final answer yet. */
+size_t
+daemon_running(celeryspoold_t *daemon)
+{
+    LOCK_SCOPE(&daemon->calls_lock);
+    return daemon->call_count;
+}
+
 /* Begin to leave: readiness goes first, so that the balancer sends nothing
  * new, while whatever still arrives is served. */
 void
 daemon_leave(celeryspoold_t *daemon)
 {
-    if (daemon->state == STATE_LEAVING) {
+    if (daemon_state(daemon) == STATE_LEAVING) {
         log_warn("daemon", "%zu requests would be cut by a stop now.",
-                 daemon->call_count);
+                 daemon_running(daemon));
         return;
     }
-    daemon->state = STATE_LEAVING;
+    daemon_set_state(daemon, STATE_LEAVING);
     log_info("daemon", "Leaving; %zu requests are running.",
-             daemon->call_count);
+             daemon_running(daemon));
     event_emit(&(event_t){.kind = "daemon-leaving"});
 }
 
@@ -221,8 +244,7 @@
 bool
 daemon_left(celeryspoold_t *daemon)
 {
-    LOCK_SCOPE(&daemon->calls_lock);
-    return daemon->call_count == 0;
+    return daemon_running(daemon) == 0;
 }
 
 /* Stop and free everything; the callers have been served before. */
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -69,6 +69,8 @@
 bool daemon_left(celeryspoold_t *daemon);
 void daemon_stop(celeryspoold_t *daemon);
 config_t *daemon_config(celeryspoold_t *daemon);
+daemon_state_t daemon_state(const celeryspoold_t *daemon);
+size_t daemon_running(celeryspoold_t *daemon);
 const char *outcome_word(outcome_t outcome);
 
 /* ---- calls ---- */
--- a/kernel/http-server.c
+++ b/kernel/http-server.c
@@ -121,7 +121,9 @@
     return (ssize_t)take;
 }
 
-/* Hand the response to libmicrohttpd; the lock is held. */
+/* Hand the response to libmicrohttpd.  Not under the request's lock, since
+ * libmicrohttpd calls req_read under a lock of the response's own; once the
+ * request is ready, what is read here does not change. */
 static enum MHD_Result
 req_queue(http_req_t *req)
 {
@@ -207,12 +209,13 @@
         req->handed = true;
         req_hand_over(req);
     }
-    LOCK_SCOPE(&req->lock);
-    if (!req->ready) {
+    (void)pthread_mutex_lock(&req->lock);
+    bool ready = req->ready;
+    if (!ready) {
         req_suspend(req);
-        return MHD_YES;
     }
-    return req->queued ? MHD_YES : req_queue(req);
+    (void)pthread_mutex_unlock(&req->lock);
+    return !ready || req->queued ? MHD_YES : req_queue(req);
 }
 
 static void
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -407,9 +407,10 @@
     celeryspoold_t *daemon = peer->daemon;
     member_out_t *out = mem_zalloc(sizeof(*out));
     config_t *config = daemon_config(daemon);
-    members_tick(daemon->members, time_mono_ms(), config->generation,
-                 daemon->state == STATE_LEAVING ? MEMBER_LEAVING : MEMBER_LIVE,
-                 out);
+    members_tick(
+        daemon->members, time_mono_ms(), config->generation,
+        daemon_state(daemon) == STATE_LEAVING ? MEMBER_LEAVING : MEMBER_LIVE,
+        out);
     config_release(config);
     send_members(peer, out);
     free(out);
--- a/kernel/route.c
+++ b/kernel/route.c
@@ -62,7 +62,7 @@
 {
     LOCK_SCOPE(&daemon->config_lock);
     int64_t unheard = time_mono_ms() - daemon->config_heard_ms;
-    switch (daemon->state) {
+    switch (daemon_state(daemon)) {
         case STATE_WARMING:
             return "warming";
         case STATE_LEAVING:
@@ -94,7 +94,7 @@
     config_t *config = daemon_config(daemon);
     metrics_text(daemon->metrics, &text);
     metrics_gauge(&text, "config_generation", (double)config->generation);
-    metrics_gauge(&text, "calls_running", (double)daemon->call_count);
+    metrics_gauge(&text, "calls_running", (double)daemon_running(daemon));
     metrics_gauge(&text, "calls_waiting", (double)dispatch_waiting(daemon));
     metrics_gauge(&text, "members_live",
                   (double)members_live(daemon->members));
--- a/kernel/sched.c
+++ b/kernel/sched.c
@@ -1,5 +1,6 @@
 #include "tables.h"
 
+#include <ck_pr.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -232,27 +233,42 @@
     return seconds > RETRY_AFTER_MAX_S ? RETRY_AFTER_MAX_S : seconds;
 }
 
-#define BUDGET_MAX 20.0
-#define BUDGET_PER_REQUEST 0.1
+#define BUDGET_MAX 50000 /* thousandths of a retry */
+#define BUDGET_PER_REQUEST 200
+#define BUDGET_RETRY 1000
 
-/* Each first try earns a tenth of a retry, so that retries cannot multiply a
+/* A budget begins full: one lost server out of nine takes a ninth of all
+ * requests with it at once, and they may all be tried elsewhere. */
+void
+retry_budget_init(retry_budget_t *budget)
+{
+    __atomic_store_n(&budget->thousandths, BUDGET_MAX, __ATOMIC_RELAXED);
+}
+
+/* Each first try earns a fifth of a retry, so that retries cannot multiply a
  * load that is failing already. */
 void
 retry_budget_earn(retry_budget_t *budget)
 {
-    budget->tokens += BUDGET_PER_REQUEST;
-    if (budget->tokens > BUDGET_MAX) {
-        budget->tokens = BUDGET_MAX;
-    }
+    uint64_t have;
+    uint64_t next;
+    do {
+        have = __atomic_load_n(&budget->thousandths, __ATOMIC_RELAXED);
+        next = have + BUDGET_PER_REQUEST;
+        next = next > BUDGET_MAX ? BUDGET_MAX : next;
+    } while (!ck_pr_cas_64(&budget->thousandths, have, next));
 }
 
 /* Whether a retry may be made; it is paid for if so. */
 bool
 retry_budget_spend(retry_budget_t *budget)
 {
-    if (budget->tokens < 1.0) {
-        return false;
-    }
-    budget->tokens -= 1.0;
+    uint64_t have;
+    do {
+        have = __atomic_load_n(&budget->thousandths, __ATOMIC_RELAXED);
+        if (have < BUDGET_RETRY) {
+            return false;
+        }
+    } while (!ck_pr_cas_64(&budget->thousandths, have, have - BUDGET_RETRY));
     return true;
 }
--- a/kernel/snapshot.c
+++ b/kernel/snapshot.c
@@ -49,10 +49,10 @@
 snapshot_make(celeryspoold_t *daemon, size_t facts_max)
 {
     config_t *config = daemon_config(daemon);
-    json_t *snapshot =
-        json_pack("{s:b,s:O,s:o,s:o}", "warm", daemon->state != STATE_WARMING,
-                  "config", config->doc, "loads", loads_json(daemon), "facts",
-                  facts_json(daemon, facts_max));
+    json_t *snapshot = json_pack(
+        "{s:b,s:O,s:o,s:o}", "warm", daemon_state(daemon) != STATE_WARMING,
+        "config", config->doc, "loads", loads_json(daemon), "facts",
+        facts_json(daemon, facts_max));
     config_release(config);
     return snapshot;
 }
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -175,9 +175,10 @@
 /* ---- retry budget ---- */
 
 typedef struct {
-    double tokens;
+    uint64_t thousandths; /* of a retry; changed without a lock */
 } retry_budget_t;
 
+void retry_budget_init(retry_budget_t *budget);
 void retry_budget_earn(retry_budget_t *budget);
 bool retry_budget_spend(retry_budget_t *budget);
 
