Leave the balancer for a window of the own host or data centre; reading

Cause: windows of hosts were declared but nothing followed; a daemon in a data centre under maintenance went on taking work. Reading found fields, functions and a counter that nothing used, and the list of tried servers kept twice. Change: a daemon leaves one longest request before such a window and comes back behind it, unless a stop was ordered; the unused is gone.

--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -35,7 +35,6 @@
     unsigned event_drop_percent;
     unsigned version_load_ms;
     bool honours_fencing;
-    bool silent; /* accepted streams send nothing more, new ones work */
     bool frozen; /* nothing moves */
 } engine_knobs_t;
 
--- a/kernel/call-dispatch.c
+++ b/kernel/call-dispatch.c
@@ -1,6 +1,5 @@
 #include "daemon.h"
 
-#include <ck_pr.h>
 #include <stdlib.h>
 #include <string.h>
 
--- a/kernel/call-recover.c
+++ b/kernel/call-recover.c
@@ -12,30 +12,6 @@
 #define RETRY_STEP_MS 100
 #define REDIRECTS_MAX 4
 
-static bool
-was_tried(const call_t *call, const char *name)
-{
-    for (unsigned i = 0; i < call->tried && i < TRIED_MAX; i++) {
-        if (strcmp(call->tried_names[i], name) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-static void
-note_tried(call_t *call)
-{
-    if (call->backend[0] == '\0' || was_tried(call, call->backend)) {
-        return;
-    }
-    str_copy(call->tried_names[call->tried % TRIED_MAX], CS_NAME_MAX,
-             call->backend);
-    if (call->tried < TRIED_MAX) {
-        call->tried++;
-    }
-}
-
 /* Of a request that is given up on before its first token. */
 static outcome_t
 outcome_so_far(const call_t *call)
@@ -104,7 +80,7 @@
         chat_resume_leg(call);
         return;
     }
-    note_tried(call);
+    call_note_tried(call);
     if (chat->emitted == 0 && !chat->resumed &&
         !retry_budget_spend(&call->daemon->retries)) {
         http_req_reply_header(call->req, "Retry-After", "2");
@@ -121,7 +97,7 @@
 chat_redirect(call_t *call, bool same_server_too)
 {
     if (!same_server_too || call->attempts > REDIRECTS_MAX) {
-        note_tried(call);
+        call_note_tried(call);
     }
     chat_move(call);
 }
--- a/kernel/call-service.c
+++ b/kernel/call-service.c
@@ -67,21 +67,13 @@
     call_ended(call, OUTCOME_DONE);
 }
 
-static void
-note_tried(call_t *call)
-{
-    if (call->tried < TRIED_MAX) {
-        str_copy(call->tried_names[call->tried++], CS_NAME_MAX, call->backend);
-    }
-}
-
 /* Try another server, which is allowed where no byte was sent or where the
  * service may be asked again. */
 static void
 try_elsewhere(call_t *call, bool sent)
 {
     candidate_t candidate;
-    note_tried(call);
+    call_note_tried(call);
     if (call->attempts < TRIED_MAX && time_mono_ms() < call->deadline_ms &&
         dispatch_place(call, &candidate) &&
         (!sent || retry_budget_spend(&call->daemon->retries))) {
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -123,6 +123,31 @@
     }
 }
 
+static bool
+was_tried(const call_t *call, const char *name)
+{
+    for (unsigned i = 0; i < call->tried && i < TRIED_MAX; i++) {
+        if (strcmp(call->tried_names[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Remember the present server as tried, so that it is avoided next. */
+void
+call_note_tried(call_t *call)
+{
+    if (call->backend[0] == '\0' || was_tried(call, call->backend)) {
+        return;
+    }
+    str_copy(call->tried_names[call->tried % TRIED_MAX], CS_NAME_MAX,
+             call->backend);
+    if (call->tried < TRIED_MAX) {
+        call->tried++;
+    }
+}
+
 /* The call has its answer: count it and take it off the list.  The call's
  * lock is held; a second end is ignored, so each request is answered once. */
 void
--- a/kernel/config.c
+++ b/kernel/config.c
@@ -404,13 +404,6 @@
     return NULL;
 }
 
-const workspace_t *
-config_workspace(const config_t *config, const char *name)
-{
-    return find_named(config->workspaces, config->workspace_count,
-                      sizeof(workspace_t), name);
-}
-
 const model_t *
 config_model(const config_t *config, const char *name)
 {
@@ -507,6 +500,22 @@
     return OPEN_YES;
 }
 
+/* The longest that any model or service allows a request to run. */
+int
+config_longest_ms(const config_t *config)
+{
+    int longest = 0;
+    for (size_t i = 0; i < config->model_count; i++) {
+        int mine = config->models[i].longest_s * 1000;
+        longest = mine > longest ? mine : longest;
+    }
+    for (size_t i = 0; i < config->service_count; i++) {
+        int mine = config->services[i].longest_s * 1000;
+        longest = mine > longest ? mine : longest;
+    }
+    return longest;
+}
+
 /* Whether a host of ours is clear of windows at a wall time. */
 bool
 config_host_open(const config_t *config, const char *host, const char *dc,
--- a/kernel/config.h
+++ b/kernel/config.h
@@ -94,7 +94,6 @@
 config_t *config_parse(json_t *doc, err_t *err);
 config_t *config_hold(config_t *config);
 void config_release(config_t *config);
-const workspace_t *config_workspace(const config_t *config, const char *name);
 const workspace_t *config_workspace_by_key(const config_t *config,
                                            const char *hash);
 const operator_t *config_operator_by_key(const config_t *config,
@@ -106,6 +105,7 @@
                            int64_t now_ms);
 bool config_host_open(const config_t *config, const char *host, const char *dc,
                       int64_t now_ms, int64_t lead_ms);
+int config_longest_ms(const config_t *config);
 const char *open_word(open_t open);
 int config_lead_ms(const config_t *config, const backend_t *backend);
 
--- a/kernel/daemon.c
+++ b/kernel/daemon.c
@@ -137,6 +137,49 @@
     }
 }
 
+/* Readiness goes first, so that the balancer sends nothing new, while
+ * whatever still arrives is served. */
+static void
+begin_leaving(celeryspoold_t *daemon)
+{
+    daemon_set_state(daemon, STATE_LEAVING);
+    log_info("daemon", "Leaving; %zu requests are running.",
+             daemon_running(daemon));
+    event_emit(&(event_t){.kind = "daemon-leaving"});
+}
+
+static bool
+stop_is_ordered(celeryspoold_t *daemon)
+{
+    return __atomic_load_n(&daemon->stop_ordered, __ATOMIC_ACQUIRE);
+}
+
+/* A window of this host or its data centre: leave the balancer one longest
+ * request before it, so that nothing runs here when it begins, and come back
+ * behind it if the process is still there.  An ordered stop is not undone,
+ * also when the order comes between the look and the change. */
+static void
+leave_for_window(celeryspoold_t *daemon)
+{
+    config_t *config = daemon_config(daemon);
+    bool clear =
+        config_host_open(config, daemon->settings.name, daemon->settings.dc,
+                         time_wall_ms(), config_longest_ms(config));
+    config_release(config);
+    if (!clear && daemon_state(daemon) == STATE_READY) {
+        daemon->left_for_window = true;
+        begin_leaving(daemon);
+    }
+    else if (clear && daemon->left_for_window && !stop_is_ordered(daemon)) {
+        daemon->left_for_window = false;
+        daemon_set_state(daemon, STATE_READY);
+        log_info("daemon", "The window is over; ready again.");
+        if (stop_is_ordered(daemon)) {
+            daemon_set_state(daemon, STATE_LEAVING);
+        }
+    }
+}
+
 static void *
 ticker_run(void *arg)
 {
@@ -151,6 +194,7 @@
         if (tick % WATCH_EVERY == 0) {
             watch_calls(daemon);
             ready_when_warm(daemon);
+            leave_for_window(daemon);
         }
         if (tick % PULL_EVERY == 0) {
             pool_submit(daemon->pool, pull_config, daemon);
@@ -170,7 +214,7 @@
     const settings_t *settings = &daemon->settings;
     daemon->peer = peer_start(daemon, err);
     if (daemon->peer == NULL) {
-        return -1;
+        return err_wrap(err, ERR_SETTINGS, 0, "peers cannot be served");
     }
     snapshot_warm(daemon);
     (void)pthread_create(&daemon->ticker, NULL, ticker_run, daemon);
@@ -186,7 +230,9 @@
         .handler = route_handle,
         .arg = daemon};
     daemon->server = http_server_start(&opts, err);
-    return daemon->server == NULL ? -1 : 0;
+    return daemon->server == NULL
+               ? err_wrap(err, ERR_SETTINGS, 0, "callers cannot be served")
+               : 0;
 }
 
 /* Start a daemon; NULL with an error where an address cannot be had. */
@@ -224,20 +270,16 @@
     return daemon->call_count;
 }
 
-/* Begin to leave: readiness goes first, so that the balancer sends nothing
- * new, while whatever still arrives is served. */
+/* A stop was ordered.  Said again, it only tells what a stop now would cut. */
 void
 daemon_leave(celeryspoold_t *daemon)
 {
-    if (daemon_state(daemon) == STATE_LEAVING) {
+    if (__atomic_exchange_n(&daemon->stop_ordered, true, __ATOMIC_ACQ_REL)) {
         log_warn("daemon", "%zu requests would be cut by a stop now.",
                  daemon_running(daemon));
         return;
     }
-    daemon_set_state(daemon, STATE_LEAVING);
-    log_info("daemon", "Leaving; %zu requests are running.",
-             daemon_running(daemon));
-    event_emit(&(event_t){.kind = "daemon-leaving"});
+    begin_leaving(daemon);
 }
 
 /* Whether no request is left. */
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -31,6 +31,8 @@
     uint64_t incarnation;
     daemon_state_t state;
     bool stopping;
+    bool stop_ordered;
+    bool left_for_window; /* the ticker's own */
     int64_t started_ms;
 
     pthread_mutex_t config_lock;
@@ -157,8 +159,6 @@
     char tried_names[TRIED_MAX][CS_NAME_MAX];
     bool probing;
     unsigned probe_failures;
-    bool hedged;
-    uint64_t probe_serial;
     int64_t retry_at_ms; /* a move that found no place is tried again then */
     int64_t recover_until_ms;
 };
@@ -174,6 +174,7 @@
 void call_ended(call_t *call, outcome_t outcome);
 void call_event(call_t *call, const char *kind, const char *detail);
 void call_uncount(call_t *call);
+void call_note_tried(call_t *call);
 json_t *calls_rows(celeryspoold_t *daemon);
 
 json_t *chat_body_read(const char *text, size_t len, err_t *err);
--- a/kernel/metrics.c
+++ b/kernel/metrics.c
@@ -17,7 +17,7 @@
     "requests_unknown_total", "requests_refused_total",
     "prompt_tokens_total",    "cached_tokens_total",
     "output_tokens_total",    "streams_resumed_total",
-    "streams_moved_total",    "requests_hedged_total"};
+    "streams_moved_total"};
 static const char *const histogram_names[METRIC_HISTOGRAMS] = {
     "ttft_seconds", "token_gap_seconds", "overhead_seconds"};
 
--- a/kernel/metrics.h
+++ b/kernel/metrics.h
@@ -34,7 +34,6 @@
     METRIC_OUTPUT_TOKENS,
     METRIC_RESUMED,
     METRIC_MOVED,
-    METRIC_HEDGED,
     METRIC_COUNTERS
 } metric_counter_t;
 
--- a/kernel/sched.c
+++ b/kernel/sched.c
@@ -214,22 +214,6 @@
     return NULL;
 }
 
-/* Take a certain item out; false if it is not waiting any more. */
-bool
-sched_remove(sched_t *sched, sched_item_t *item)
-{
-    LOCK_SCOPE(&sched->lock);
-    flow_t *flow = flow_of(sched, item);
-    sched_item_t *other;
-    CK_STAILQ_FOREACH (other, &flow->items, entry) {
-        if (other == item) {
-            flow_remove(sched, flow, item);
-            return true;
-        }
-    }
-    return false;
-}
-
 size_t
 sched_waiting(sched_t *sched)
 {
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -170,7 +170,6 @@
 sched_item_t *sched_take_stale(sched_t *sched, int64_t before_ms);
 void sched_put_back(sched_t *sched, sched_item_t *item);
 sched_item_t *sched_expired(sched_t *sched, int64_t now_ms);
-bool sched_remove(sched_t *sched, sched_item_t *item);
 size_t sched_waiting(sched_t *sched);
 double sched_waiting_cost(sched_t *sched);
 int sched_retry_after_s(sched_t *sched, double tokens_per_s);
--- a/tests/proc-stop.sh
+++ b/tests/proc-stop.sh
@@ -22,6 +22,8 @@
 ctl declare window landlord kind=dc target=dc-b begin_ms="$begin" end_ms=$((begin + 60000)) >"$OUT/window.log"
 expect "a window with enough notice is not flagged" grep -q 'warnings: \[\]' "$OUT/window.log"
 sleep 2
+expect "the data centre's daemon has left the balancer" [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(daemon_addr 2)/readyz")" = 503 ]
+expect "the others have not" [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(daemon_addr 1)/readyz")" = 200 ]
 while [ "$(now_ms)" -lt "$begin" ]; do sleep 0.05; done
 for i in 2 5; do truth "$(engine_addr "$i")" >"$OUT/engine-$i.json"; done
 running=$(curl -s "http://$(engine_addr 2)/load" >"$OUT/l1.json"; get "$OUT/l1.json" running)
