Resumes that hung get their answer

Cause, by a new test of resumes at another daemon (failed first, each): - a resumed stream was never watched, so at a frozen replica it hung (12 s, until the caller gave up); - an error before its first token was written as a stream event to an answer that had not begun, and never went out; - a caller that had all tokens and missed the end got nothing (3 s). Ruled out: the probe (it answered as it should when asked). Change: the resume counts as sent; errors go into a stream only once it runs; the end begins the stream if need be. Tokens ahead of the caller's offset now end as stream_lost, never as the end. A configuration over the platform's megabyte is refused with its size.

--- a/kernel/call-chat.c
+++ b/kernel/call-chat.c
@@ -218,6 +218,8 @@
 finish_stream(call_t *call)
 {
     CLEAN_BUF buf_t text = {0};
+    /* Not begun yet where the caller had all tokens and missed the end. */
+    http_req_stream(call->req, 200, "text/event-stream");
     buf_fmt(&text,
             "event: outcome\ndata: {\"outcome\":\"done\",\"request\":\"%s\","
             "\"tokens\":%u}\n\ndata: [DONE]\n\n",
--- a/kernel/call-recover.c
+++ b/kernel/call-recover.c
@@ -45,7 +45,7 @@
     int64_t now = time_mono_ms();
     /* A resumed stream whose server is gone: the text before the offset is
      * with the caller only, unless its body brought it along. */
-    if (chat->emitted > 0 && chat->text.len == 0) {
+    if (chat->gap || (chat->emitted > 0 && chat->text.len == 0)) {
         give_up(call);
         return;
     }
--- a/kernel/call-stream.c
+++ b/kernel/call-stream.c
@@ -151,7 +151,7 @@
     const char *data = line + sizeof(mark) - 1;
     size_t data_len = len - (sizeof(mark) - 1);
     if (data_len == 6 && memcmp(data, "[DONE]", 6) == 0) {
-        chat->finished = true;
+        chat->finished = !chat->gap;
         return;
     }
     CLEAN_JSON json_t *event = json_loadb(data, data_len, 0, NULL);
@@ -164,6 +164,9 @@
         return;
     }
     int64_t index = json_int(event, "token_index", chat->emitted);
+    /* Tokens that the caller has already are passed over; one that is ahead
+     * means that some are missing, and the answer must not look whole. */
+    chat->gap = chat->gap || index > (int64_t)chat->emitted;
     if (index != (int64_t)chat->emitted) {
         return;
     }
@@ -424,6 +427,8 @@
 {
     char url[CS_ADDR_MAX + 128];
     leg_t *leg = leg_new(call, true);
+    /* From now on the stream is watched, also if its server is frozen. */
+    call->phase = call->phase == CALL_QUEUED ? CALL_SENT : call->phase;
     series_count(call->series, METRIC_RESUMED, 1);
     call_event(call, "resumed", NULL);
     (void)snprintf(url, sizeof(url), "http://%s/v1/streams/%s?offset=%u",
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -204,7 +204,7 @@
     call_event(call, "failed", text);
     http_req_reply_header(call->req, OUTCOME_HEADER, outcome_word(outcome));
     if (call->kind == CALL_CHAT && call->u.chat.stream &&
-        call->u.chat.emitted > 0) {
+        call->phase == CALL_STREAMING) {
         fail_stream(call, body);
     }
     else {
--- a/kernel/config-sync.c
+++ b/kernel/config-sync.c
@@ -163,6 +163,15 @@
     }
     int64_t version = 0;
     next = config_change_seal(next, commit->id, commit->who, commit->what);
+    size_t size = json_dumpb(next, NULL, 0, JSON_COMPACT);
+    if (size > STORE_VALUE_MAX) {
+        json_decref(next);
+        (void)err_set(err, ERR_CONFIG, 413,
+                      "the configuration would have %zu bytes; the platform "
+                      "holds %d",
+                      size, STORE_VALUE_MAX);
+        return COMMIT_FAILED;
+    }
     store_result_t result = store_put_wait(
         commit->daemon->store, CONFIG_OBJECT, commit->version, next, &version);
     if (result == STORE_OK) {
--- a/kernel/store.h
+++ b/kernel/store.h
@@ -3,6 +3,8 @@
 
 /* The platform's object API: versions, conditional update, watch. */
 
+#define STORE_VALUE_MAX (1 << 20) /* bytes of one object */
+
 #include "http.h"
 
 typedef enum {
