A service call that may have run is never told not run

Change: a call remembers that some leg may have run, and every refusal looks at that; the target is passed on escaped with its query; types are passed on; an answer that is too long ends as done with an error, not as a short one.

--- a/fakes/fake-service.c
+++ b/fakes/fake-service.c
@@ -100,11 +100,20 @@
     else if (strcmp(path, "/load") == 0) {
         http_req_reply(req, 200, "application/json", "{}", 2);
     }
+    else if (strcmp(path, "/echo") == 0) {
+        size_t len;
+        const char *body = http_req_body(req, &len);
+        http_req_reply(req, 200, "text/plain", body, len);
+    }
     else if (strcmp(http_req_method(req), "POST") == 0) {
         handle_call(service, req);
     }
     else {
-        http_req_reply(req, 200, "application/json", "{\"held\":[]}", 11);
+        const char *query = http_req_query(req, "q");
+        CLEAN_JSON json_t *body =
+            json_pack("{s:[],s:s,s:s}", "held", "path", path, "q",
+                      query == NULL ? "" : query);
+        http_req_reply_json(req, 200, body);
     }
 }
 
--- a/kernel/call-service.c
+++ b/kernel/call-service.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 /* Calls to plain services.  One that may not be repeated is sent at most
  * once: with a key, by a claim in the log that no other host can win too;
@@ -14,6 +15,7 @@
 #define OUTCOME_HEADER "X-Celeryspool-Outcome"
 #define SERVICES "/v1/services/"
 #define KEY_MAX 255
+#define JSON_TYPE "application/json"
 
 /* One exchange with a service. */
 typedef struct {
@@ -29,9 +31,26 @@
     call_t *call = exchange->call;
     LOCK_SCOPE(&call->lock);
     service_call_t *service = &call->u.service;
+    if (exchange->number != call->leg) {
+        return;
+    }
+    if (service->reply.len + len > REPLY_MAX) {
+        service->overflow = true;
+        return;
+    }
+    buf_add(&service->reply, data, len);
+}
+
+static void
+on_header(void *arg, const char *name, const char *value)
+{
+    exchange_t *exchange = arg;
+    call_t *call = exchange->call;
+    LOCK_SCOPE(&call->lock);
     if (exchange->number == call->leg &&
-        service->reply.len + len <= REPLY_MAX) {
-        buf_add(&service->reply, data, len);
+        strcasecmp(name, "Content-Type") == 0) {
+        str_copy(call->u.service.reply_type,
+                 sizeof(call->u.service.reply_type), value);
     }
 }
 
@@ -49,7 +68,8 @@
     op->status = status;
     op->deadline_ms = time_mono_ms() + RECORD_WAIT_MS;
     op->ready_ms = time_mono_ms() + CLAIM_RECORD_DELAY_MS;
-    if (kind == CLAIM_OP_DONE && service->reply.len <= CLAIM_BODY_KEPT &&
+    if (kind == CLAIM_OP_DONE && !service->overflow &&
+        service->reply.len <= CLAIM_BODY_KEPT &&
         utf8_is_valid(buf_text(&service->reply), service->reply.len)) {
         op->body = strdup(buf_text(&service->reply));
     }
@@ -62,11 +82,21 @@
     const service_call_t *service = &call->u.service;
     http_req_reply_header(call->req, OUTCOME_HEADER,
                           outcome_word(OUTCOME_DONE));
-    http_req_reply(call->req, status, "application/json",
-                   buf_text(&service->reply), service->reply.len);
+    http_req_reply(
+        call->req, status,
+        service->reply_type[0] == '\0' ? JSON_TYPE : service->reply_type,
+        buf_text(&service->reply), service->reply.len);
     call_ended(call, OUTCOME_DONE);
 }
 
+/* The service has run, but its answer cannot be passed on whole. */
+static void
+answer_too_long(call_t *call)
+{
+    call_fail(call, 502, "answer_too_long", OUTCOME_DONE,
+              "the call ran; its answer is longer than the router passes on");
+}
+
 /* Try another server, which is allowed where no byte was sent or where the
  * service may be asked again. */
 static void
@@ -80,7 +110,7 @@
         service_leg_start(call, &candidate);
         return;
     }
-    if (sent) {
+    if (call->may_have_run) {
         call_fail(call, 502, "service_failed", OUTCOME_UNKNOWN,
                   "the service broke the connection; it may have run");
         return;
@@ -97,16 +127,17 @@
     if (end == HTTP_END_WHOLE) {
         view_succeeded(call->daemon->view, call->backend_id);
         service_record(call, CLAIM_OP_DONE, status);
+        if (service->overflow) {
+            answer_too_long(call);
+            return;
+        }
         answer(call, status);
         return;
     }
     view_failed(call->daemon->view, call->backend_id, time_mono_ms());
-    if (end == HTTP_END_UNSENT) {
-        try_elsewhere(call, false);
-        return;
-    }
-    if (service->idempotent) {
-        try_elsewhere(call, true);
+    call->may_have_run = call->may_have_run || end != HTTP_END_UNSENT;
+    if (end == HTTP_END_UNSENT || service->idempotent) {
+        try_elsewhere(call, end != HTTP_END_UNSENT);
         return;
     }
     /* It may have run.  The claim stays without outcome, so that every other
@@ -134,19 +165,23 @@
 static void
 launch(call_t *call)
 {
-    char url[1024];
+    CLEAN_BUF buf_t url = {0};
+    char type[sizeof(call->u.service.type) + 16];
     service_call_t *service = &call->u.service;
     exchange_t *exchange = mem_zalloc(sizeof(*exchange));
     call_hold(call);
     exchange->call = call;
     exchange->number = ++call->leg;
     int64_t left = call->deadline_ms - time_mono_ms();
-    (void)snprintf(url, sizeof(url), "http://%s%s", call->addr, service->path);
+    buf_fmt(&url, "http://%s%s", call->addr, buf_text(&service->target));
+    (void)snprintf(type, sizeof(type), "Content-Type: %s",
+                   service->type[0] == '\0' ? JSON_TYPE : service->type);
     http_call_t ask = {.method = service->method,
-                       .url = url,
+                       .url = buf_text(&url),
                        .connect_ms = CONNECT_MS,
                        .total_ms = (int)(left < 1 ? 1 : left),
                        .fresh = !service->idempotent,
+                       .on_header = on_header,
                        .on_data = on_data,
                        .on_end = on_end,
                        .arg = exchange};
@@ -154,7 +189,7 @@
         ask.body = buf_text(&service->body);
         ask.body_len = service->body.len;
     }
-    ask.headers[0] = "Content-Type: application/json";
+    ask.headers[0] = type;
     call->xfer = http_client_start(call->daemon->client, &ask);
 }
 
@@ -291,7 +326,10 @@
     call_t *call = call_new(daemon, req, CALL_SERVICE, workspace, name);
     service_call_t *mine = &call->u.service;
     mine->method = strdup(http_req_method(req));
-    mine->path = strdup(from[len] == '\0' ? "/" : from + len);
+    buf_str(&mine->target, from[len] == '\0' ? "/" : "");
+    http_req_target(req, strlen(SERVICES) + len, &mine->target);
+    str_copy(mine->type, sizeof(mine->type),
+             http_req_header(req, "Content-Type"));
     buf_add(&mine->body, body, body_len);
     mine->idempotent = may_repeat(service, mine->method);
     call->item.cost = 1;
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -82,7 +82,7 @@
             break;
         case CALL_SERVICE:
             free(call->u.service.method);
-            free(call->u.service.path);
+            buf_free(&call->u.service.target);
             buf_free(&call->u.service.body);
             buf_free(&call->u.service.reply);
             break;
@@ -213,7 +213,8 @@
     call_ended(call, outcome);
 }
 
-/* End a call that did not run, at once, saying when to come back. */
+/* Refuse a call at once, saying when to come back.  It did not run, unless an
+ * earlier leg of it may have. */
 void
 call_refuse(call_t *call, int status, const char *code, int retry_after_s,
             const char *text)
@@ -221,11 +222,12 @@
     char seconds[16];
     (void)snprintf(seconds, sizeof(seconds), "%d", retry_after_s);
     http_req_reply_header(call->req, "Retry-After", seconds);
-    if (call->kind == CALL_SERVICE) {
+    if (call->kind == CALL_SERVICE && !call->may_have_run) {
         service_record(call, CLAIM_OP_NOT_RUN, 0);
     }
     series_count(call->series, METRIC_REFUSED, 1);
-    call_fail(call, status, code, OUTCOME_NOT_RUN, text);
+    call_fail(call, status, code,
+              call->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, text);
 }
 
 static const char *
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -108,7 +108,10 @@
 /* What only a service call has. */
 typedef struct {
     char *method;
-    char *path;
+    buf_t target; /* path and query at the service */
+    char type[128];
+    char reply_type[128];
+    bool overflow; /* the answer is longer than is passed on */
     buf_t body;
     buf_t reply;
     bool idempotent;
--- a/kernel/http-server.c
+++ b/kernel/http-server.c
@@ -1,6 +1,7 @@
 #include "http.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <microhttpd.h>
 #include <stdarg.h>
 #include <stdlib.h>
@@ -332,6 +333,47 @@
     return MHD_lookup_connection_value(req->conn, MHD_HEADER_KIND, name);
 }
 
+static void
+add_escaped(buf_t *out, const char *text, const char *keep)
+{
+    for (; *text != '\0'; text++) {
+        unsigned char byte = (unsigned char)*text;
+        if (isalnum(byte) || strchr(keep, byte) != NULL) {
+            buf_add(out, text, 1);
+        }
+        else {
+            buf_fmt(out, "%%%02X", byte);
+        }
+    }
+}
+
+static enum MHD_Result
+add_argument(void *arg, enum MHD_ValueKind kind, const char *key,
+             const char *value)
+{
+    (void)kind;
+    buf_t *query = arg;
+    buf_str(query, query->len == 0 ? "?" : "&");
+    add_escaped(query, key, "-._~");
+    if (value != NULL) {
+        buf_str(query, "=");
+        add_escaped(query, value, "-._~");
+    }
+    return MHD_YES;
+}
+
+/* Append the path from an offset on, and the query, escaped anew as a URL
+ * needs them (RFC 3986); only within the handler. */
+void
+http_req_target(http_req_t *req, size_t from, buf_t *out)
+{
+    CLEAN_BUF buf_t query = {0};
+    add_escaped(out, req->path + from, "-._~/:@!$&'()*+,;=");
+    (void)MHD_get_connection_values(req->conn, MHD_GET_ARGUMENT_KIND,
+                                    add_argument, &query);
+    buf_add(out, buf_text(&query), query.len);
+}
+
 /* The whole body, NUL-ended. */
 const char *
 http_req_body(const http_req_t *req, size_t *len)
--- a/kernel/http.h
+++ b/kernel/http.h
@@ -31,6 +31,7 @@
 const char *http_req_path(const http_req_t *req);
 const char *http_req_query(http_req_t *req, const char *key);
 const char *http_req_header(http_req_t *req, const char *name);
+void http_req_target(http_req_t *req, size_t from, buf_t *out);
 const char *http_req_body(const http_req_t *req, size_t *len);
 
 /* How it is answered.  A handler keeps the request beyond its own return by
