Send at once where nobody waits; cancels without a bound

Change: a call goes at once where its lane is empty and its server free; the reason of a choice is written when the call is sent; the list grows.

--- a/kernel/call-dispatch.c
+++ b/kernel/call-dispatch.c
@@ -97,22 +97,18 @@
     return policy != NULL ? policy : policy_find("cost");
 }
 
+/* Keep the reason of a choice for the event of the sending: a call that waits
+ * is placed many times. */
 static void
 note_choice(call_t *call, const policy_t *policy, const candidate_t *chosen,
             size_t count)
 {
-    char detail[200];
-    (void)snprintf(detail, sizeof(detail),
+    (void)snprintf(call->why, sizeof(call->why),
                    "policy %s chose of %zu: wait %.1f ms, cached %u of %u "
                    "tokens, version %s",
                    policy->name, count, chosen->wait_ms, chosen->cached,
                    call->kind == CALL_CHAT ? call->u.chat.prefix.tokens : 0,
                    chosen->version);
-    event_emit(&(event_t){.kind = "placed",
-                          .request = call->id,
-                          .workspace = call->workspace,
-                          .backend = chosen->backend->name,
-                          .detail = detail});
 }
 
 /* Whether engines still load what is wanted: only they count then, so that a
@@ -258,6 +254,21 @@
     (void)pthread_mutex_unlock(&lane->running);
 }
 
+/* Send a call whose server is free and for which nobody waits; true if it was
+ * sent. */
+static bool
+goes_at_once(celeryspoold_t *daemon, lane_t *lane, call_t *call,
+             const candidate_t *candidate)
+{
+    if (sched_waiting(lane->sched) > 0 || is_busy(daemon, lane->backend)) {
+        return false;
+    }
+    LOCK_SCOPE(&call->lock);
+    call->item.first = true;
+    send_call(call, candidate);
+    return true;
+}
+
 /* Place a call, and send it or queue it in the lane of its server.  The queue
  * holds one share of the call.  No call's lock is held by the caller. */
 void
@@ -285,6 +296,10 @@
             : 0;
     call->item.cost = uncached > COST_LEAST ? uncached : COST_LEAST;
     call->item.placed_ms = time_mono_ms();
+    if (goes_at_once(daemon, lane, call, &candidate)) {
+        call_release(call);
+        return;
+    }
     if (comes_too_late(call, &candidate)) {
         give_up_on(lane, &call->item, "overloaded",
                    "the queue is longer than the request's deadline");
--- a/kernel/call-service.c
+++ b/kernel/call-service.c
@@ -213,6 +213,7 @@
     call->started = false;
     buf_free(&call->u.service.reply);
     view_sent(call->daemon->view, call->backend_id, 0);
+    call_event(call, "placed", call->why);
     event_emit(&(event_t){.kind = "sent",
                           .request = call->id,
                           .workspace = call->workspace,
--- a/kernel/call-stream.c
+++ b/kernel/call-stream.c
@@ -409,6 +409,7 @@
      * come right behind should go there too. */
     learn(call);
     id_random(call->stream_id);
+    call_event(call, "placed", call->why);
     event_emit(&(event_t){.kind = "sent",
                           .request = call->id,
                           .workspace = call->workspace,
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -149,6 +149,7 @@
     uint64_t xfer;
     bool started;      /* this leg has brought something */
     bool counted;      /* this leg stands in the view */
+    char why[200];     /* it was placed where it was */
     bool may_have_run; /* some leg broke after it had been sent */
     uint16_t backend_id;
     char backend[CS_NAME_MAX];
--- a/kernel/http-client.c
+++ b/kernel/http-client.c
@@ -31,11 +31,6 @@
 typedef CK_STAILQ_HEAD(xfer_inbox, http_xfer) xfer_inbox_t;
 typedef CK_LIST_HEAD(xfer_list, http_xfer) xfer_list_t;
 
-typedef struct {
-    uint64_t ids[SLOTS];
-    size_t len;
-} cancel_list_t;
-
 /* A worker owns one multi handle, and an epoll set with its sockets: with
  * curl_multi_poll every wake would look at every exchange.  Its lock is a
  * leaf. */
@@ -47,7 +42,7 @@
     int wake;       /* an eventfd, in the epoll set too */
     int64_t due_ms; /* when libcurl wants to be called; -1 for never */
     xfer_inbox_t inbox;
-    cancel_list_t cancels;
+    buf_t cancels; /* ids, one behind the other */
     xfer_list_t live[SLOTS];
     bool stop;
 } worker_t;
@@ -217,13 +212,14 @@
 static void
 worker_take_cancels(worker_t *worker)
 {
-    cancel_list_t cancels;
     (void)pthread_mutex_lock(&worker->lock);
-    cancels = worker->cancels;
-    worker->cancels.len = 0;
+    CLEAN_BUF buf_t cancels = worker->cancels;
+    worker->cancels = (buf_t){0};
     (void)pthread_mutex_unlock(&worker->lock);
-    for (size_t i = 0; i < cancels.len; i++) {
-        worker_cancel_one(worker, cancels.ids[i]);
+    for (size_t at = 0; at < cancels.len; at += sizeof(uint64_t)) {
+        uint64_t id;
+        memcpy(&id, cancels.data + at, sizeof(id));
+        worker_cancel_one(worker, id);
     }
 }
 
@@ -385,6 +381,7 @@
     (void)curl_multi_cleanup(worker->multi);
     (void)close(worker->epoll);
     (void)close(worker->wake);
+    buf_free(&worker->cancels);
     (void)pthread_mutex_destroy(&worker->lock);
 }
 
@@ -436,19 +433,10 @@
 http_client_cancel(http_client_t *client, uint64_t id)
 {
     worker_t *worker = &client->workers[id % client->threads];
-    for (;;) {
-        (void)pthread_mutex_lock(&worker->lock);
-        bool room = worker->cancels.len < SLOTS;
-        if (room) {
-            worker->cancels.ids[worker->cancels.len++] = id;
-        }
-        (void)pthread_mutex_unlock(&worker->lock);
-        worker_wake(worker);
-        if (room) {
-            return;
-        }
-        time_sleep_ms(1);
-    }
+    (void)pthread_mutex_lock(&worker->lock);
+    buf_add(&worker->cancels, &id, sizeof(id));
+    (void)pthread_mutex_unlock(&worker->lock);
+    worker_wake(worker);
 }
 
 static void
