--- a/fakes/history.c
+++ b/fakes/history.c
@@ -45,13 +45,6 @@
     return broken;
 }
 
-static bool
-kind_is(const json_t *event, const char *kind)
-{
-    const char *have = json_text(event, "kind");
-    return have != NULL && strcmp(have, kind) == 0;
-}
-
 /* Requests that ended as not run: none of what was sent for them may be
  * among what the backend servers executed. */
 size_t
@@ -68,7 +61,7 @@
     }
     json_array_foreach (events, i, event) {
         const char *detail = json_text(event, "detail");
-        if (kind_is(event, "ended") && detail != NULL &&
+        if (json_text_is(event, "kind", "ended") && detail != NULL &&
             strcmp(detail, "not_run") == 0) {
             (void)json_object_set_new(refused, json_text(event, "request"),
                                       json_true());
@@ -77,8 +70,8 @@
     json_array_foreach (events, i, event) {
         const char *request = json_text(event, "request");
         const char *sent = json_text(event, "sent");
-        if (kind_is(event, "sent") && request != NULL && sent != NULL &&
-            json_object_get(refused, request) != NULL &&
+        if (json_text_is(event, "kind", "sent") && request != NULL &&
+            sent != NULL && json_object_get(refused, request) != NULL &&
             json_object_get(ran, sent) != NULL) {
             buf_fmt(problems, "%s was told not run and ran as %s; ", request,
                     sent);
@@ -99,10 +92,10 @@
     json_array_foreach (events, i, event) {
         const char *process = json_text(event, "p");
         const char *detail = json_text(event, "detail");
-        if (kind_is(event, "daemon-started")) {
+        if (json_text_is(event, "kind", "daemon-started")) {
             (void)json_object_del(last, process);
         }
-        if (!kind_is(event, "config-adopted") || detail == NULL) {
+        if (!json_text_is(event, "kind", "config-adopted") || detail == NULL) {
             continue;
         }
         int64_t now =
@@ -127,8 +120,8 @@
     const json_t *event;
     json_array_foreach (events, i, event) {
         const char *at = json_text(event, "backend");
-        if (kind_is(event, "sent") && at != NULL && strcmp(at, backend) == 0 &&
-            json_int(event, "t", 0) > last) {
+        if (json_text_is(event, "kind", "sent") && at != NULL &&
+            strcmp(at, backend) == 0 && json_int(event, "t", 0) > last) {
             last = json_int(event, "t", 0);
         }
     }
--- a/kernel/base.h
+++ b/kernel/base.h
@@ -122,6 +122,7 @@
     (void)scope_lock
 
 const char *json_text(const json_t *object, const char *key);
+bool json_text_is(const json_t *object, const char *key, const char *want);
 int64_t json_int(const json_t *object, const char *key, int64_t fallback);
 bool json_flag(const json_t *object, const char *key);
 
--- a/kernel/claim-shard.c
+++ b/kernel/claim-shard.c
@@ -1,6 +1,5 @@
 #include "claim.h"
 
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -36,38 +35,6 @@
     claim_ops_t ended;
 };
 
-/* A new operation; its owner sets deadline, done and arg. */
-claim_op_t *
-claim_op_new(claim_kind_t kind, const char *key, const char *token)
-{
-    claim_op_t *op = mem_zalloc(sizeof(*op));
-    op->kind = kind;
-    str_copy(op->key, sizeof(op->key), key);
-    str_copy(op->token, sizeof(op->token), token);
-    return op;
-}
-
-void
-claim_op_free(claim_op_t *op)
-{
-    free(op->body);
-    free(op);
-}
-
-/* The key under which a caller's idempotency key stands in the log. */
-void
-claim_key(const char *workspace, const char *service, const char *key,
-          char out[CLAIM_KEY_LEN + 1])
-{
-    unsigned char raw[CLAIM_KEY_LEN / 2];
-    CLEAN_BUF buf_t text = {0};
-    buf_fmt(&text, "%s\n%s\n%s", workspace, service, key);
-    (void)crypto_generichash(raw, sizeof(raw),
-                             (const unsigned char *)buf_text(&text), text.len,
-                             NULL, 0);
-    (void)sodium_bin2hex(out, CLAIM_KEY_LEN + 1, raw, sizeof(raw));
-}
-
 static json_t *
 head_empty(void)
 {
@@ -139,45 +106,6 @@
     CK_STAILQ_INSERT_TAIL(&shard->ended, op, entry);
 }
 
-static bool
-word_is(const json_t *object, const char *key, const char *want)
-{
-    const char *have = json_text(object, key);
-    return have != NULL && strcmp(have, want) == 0;
-}
-
-/* Fold one entry in: the first claim of a key stands; its own token may add
- * an outcome; a key whose claim did not run may be claimed again. */
-static void
-fold_entry(json_t *fold, const json_t *entry)
-{
-    const char *key = json_text(entry, "k");
-    const char *token = json_text(entry, "t");
-    if (key == NULL || token == NULL) {
-        return;
-    }
-    json_t *have = json_object_get(fold, key);
-    if (word_is(entry, "s", "claim")) {
-        if (have == NULL || word_is(have, "s", "not_run")) {
-            (void)json_object_set_new(fold, key, json_deep_copy(entry));
-        }
-    }
-    else if (have != NULL && word_is(have, "t", token) &&
-             word_is(have, "s", "claim")) {
-        (void)json_object_set_new(fold, key, json_deep_copy(entry));
-    }
-}
-
-static void
-fold_entries(json_t *fold, const json_t *entries)
-{
-    size_t i;
-    const json_t *entry;
-    json_array_foreach (entries, i, entry) {
-        fold_entry(fold, entry);
-    }
-}
-
 /* Chunks are folded in the order in which the head names them, then the
  * head's own entries. */
 static void
@@ -189,9 +117,9 @@
     shard->fold = json_object();
     json_array_foreach (json_object_get(shard->head, "sealed"), i, chunk) {
         const char *name = json_text(chunk, "n");
-        fold_entries(shard->fold, json_object_get(shard->chunks, name));
+        claim_fold_entries(shard->fold, json_object_get(shard->chunks, name));
     }
-    fold_entries(shard->fold, json_object_get(shard->head, "entries"));
+    claim_fold_entries(shard->fold, json_object_get(shard->head, "entries"));
 }
 
 /* The first sealed chunk that has not been read, or NULL. */
@@ -224,13 +152,13 @@
 judge_claim(const claim_shard_t *shard, claim_op_t *op, bool *stale)
 {
     const json_t *have = json_object_get(shard->fold, op->key);
-    if (have == NULL || word_is(have, "s", "not_run")) {
+    if (have == NULL || json_text_is(have, "s", "not_run")) {
         return CLAIM_PENDING;
     }
-    if (word_is(have, "t", op->token)) {
+    if (json_text_is(have, "t", op->token)) {
         return CLAIM_WON;
     }
-    if (word_is(have, "s", "done")) {
+    if (json_text_is(have, "s", "done")) {
         op_take_outcome(op, have);
         return CLAIM_DONE;
     }
@@ -248,8 +176,8 @@
         return judge_claim(shard, op, stale);
     }
     const json_t *have = json_object_get(shard->fold, op->key);
-    bool mine = have != NULL && word_is(have, "t", op->token);
-    if (mine && !word_is(have, "s", "claim")) {
+    bool mine = have != NULL && json_text_is(have, "t", op->token);
+    if (mine && !json_text_is(have, "s", "claim")) {
         return CLAIM_RECORDED;
     }
     /* A claim that is not there: the note that it did not run is still
@@ -298,7 +226,7 @@
 appended(const json_t *entries, size_t from, const char *key)
 {
     for (size_t i = from; i < json_array_size(entries); i++) {
-        if (word_is(json_array_get(entries, i), "k", key)) {
+        if (json_text_is(json_array_get(entries, i), "k", key)) {
             return true;
         }
     }
--- a/kernel/claim.h
+++ b/kernel/claim.h
@@ -68,6 +68,7 @@
 claim_op_t *claim_op_new(claim_kind_t kind, const char *key,
                          const char *token);
 void claim_op_free(claim_op_t *op);
+void claim_fold_entries(json_t *fold, const json_t *entries);
 void claim_key(const char *workspace, const char *service, const char *key,
                char out[CLAIM_KEY_LEN + 1]);
 
--- a/kernel/util.c
+++ b/kernel/util.c
@@ -215,6 +215,14 @@
     return json_string_value(json_object_get(object, key));
 }
 
+/* Whether a member is there and is this text. */
+bool
+json_text_is(const json_t *object, const char *key, const char *want)
+{
+    const char *have = json_text(object, key);
+    return have != NULL && strcmp(have, want) == 0;
+}
+
 /* A member's whole number, or the fallback. */
 int64_t
 json_int(const json_t *object, const char *key, int64_t fallback)
