A bad X-Deadline-Ms is told, not replaced

Cause: a deadline that was no number or out of range became the default without a word (200 in the new check, which failed first). Change: 400 that names the header and what it may be. After: the check passes.

--- a/kernel/call.c
+++ b/kernel/call.c
@@ -6,7 +6,6 @@
 /* The life of a call, from the request to its one final answer. */
 
 #define DEADLINE_DEFAULT_MS 30000
-#define DEADLINE_MAX_MS 600000
 #define OUTCOME_HEADER "X-Celeryspool-Outcome"
 #define REQUEST_HEADER "X-Request-Id"
 
@@ -18,16 +17,19 @@
     return words[outcome];
 }
 
-static int64_t
-deadline_of(http_req_t *req)
+/* How long a caller waits, in ms; -1 for a header that is not allowed. */
+long
+call_deadline_span(http_req_t *req)
 {
     const char *header = http_req_header(req, "X-Deadline-Ms");
-    long span =
-        header == NULL ? DEADLINE_DEFAULT_MS : strtol(header, NULL, 10);
-    if (span <= 0 || span > DEADLINE_MAX_MS) {
-        span = DEADLINE_DEFAULT_MS;
+    char *end;
+    if (header == NULL) {
+        return DEADLINE_DEFAULT_MS;
     }
-    return time_mono_ms() + span;
+    long span = strtol(header, &end, 10);
+    bool good = end != header && *end == '\0' && span >= 1 &&
+                span <= CALL_DEADLINE_MAX_MS;
+    return good ? span : -1;
 }
 
 /* A call for a request, listed as running.  The creator holds one share and
@@ -45,7 +47,7 @@
     call->priority = workspace->priority;
     call->began_us = time_mono_us();
     call->last_us = call->began_us;
-    call->deadline_ms = deadline_of(req);
+    call->deadline_ms = time_mono_ms() + call_deadline_span(req);
     id_random(call->id);
     str_copy(call->workspace, sizeof(call->workspace), workspace->name);
     str_copy(call->target, sizeof(call->target), target);
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -14,6 +14,7 @@
 
 #define CANDIDATES_MAX 256
 #define TRIED_MAX 4
+#define CALL_DEADLINE_MAX_MS 600000
 
 typedef enum { STATE_WARMING, STATE_READY, STATE_LEAVING } daemon_state_t;
 
@@ -170,6 +171,7 @@
 
 call_t *call_new(celeryspoold_t *daemon, http_req_t *req, call_kind_t kind,
                  const workspace_t *workspace, const char *target);
+long call_deadline_span(http_req_t *req);
 void call_hold(call_t *call);
 void call_release(call_t *call);
 void call_refuse(call_t *call, int status, const char *code, int retry_after_s,
--- a/kernel/route.c
+++ b/kernel/route.c
@@ -31,6 +31,14 @@
         http_req_reply_error(req, 401, "no_workspace",
                              "a workspace's bearer key is needed");
     }
+    else if (call_deadline_span(req) < 0) {
+        http_req_reply_header(req, OUTCOME_HEADER,
+                              outcome_word(OUTCOME_NOT_RUN));
+        http_req_reply_error(req, 400, "bad_request",
+                             "X-Deadline-Ms is not a whole number from 1 to "
+                             "%d",
+                             CALL_DEADLINE_MAX_MS);
+    }
     else {
         handler(daemon, req, workspace, config);
     }
--- a/tests/proc-bad-input.sh
+++ b/tests/proc-bad-input.sh
@@ -23,6 +23,7 @@
 answers "bad UTF-8" 400 'UTF-8' --data-binary "@$OUT/utf8"
 answers "an unknown model" 404 'unknown_model' -d '{"model":"x","messages":[{"role":"user","content":"c"}]}'
 answers "another workspace's resume" 400 'Last-Event-ID' -H 'Last-Event-ID: abc.1' -d '{"model":"moderation","stream":true,"messages":[{"role":"user","content":"c"}]}'
+answers "a deadline that is no number" 400 'X-Deadline-Ms' -H 'X-Deadline-Ms: soon' -d '{"model":"moderation","messages":[{"role":"user","content":"c"}]}'
 head -c 2000000 /dev/zero | tr '\0' 'a' >"$OUT/big"
 answers "a body of 2 MB" 413 'body_too_large' --data-binary "@$OUT/big"
 got=$(curl -s -o "$OUT/body" -w '%{http_code}' -X POST -d '{}' "http://$AT/v1/chat/completions")
