Two daemons cannot share an address unnoticed

Cause: a demo run beside another deployment on the same ports passed each other's requests around: the listening sockets allowed sharing. A second daemon with the same http address started and took half the callers (new check: 124, that is still running, before; 4 after). Change: no shared listening; the UDP socket is exclusive too.

--- a/kernel/http-server.c
+++ b/kernel/http-server.c
@@ -262,8 +262,7 @@
         MHD_OPTION_CONNECTION_LIMIT, opts->connections_max,
         MHD_OPTION_CONNECTION_TIMEOUT, opts->idle_seconds,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED,
-        server_completed, NULL, MHD_OPTION_END);
+        MHD_OPTION_NOTIFY_COMPLETED, server_completed, NULL, MHD_OPTION_END);
     if (server->mhd == NULL) {
         free(server);
         (void)err_set(err, ERR_HTTP, 0, "cannot listen on %s", opts->addr);
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -63,7 +63,11 @@
     if (fd < 0) {
         return -1;
     }
-    (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    /* For TCP this is for restarts; for UDP it would let two daemons share an
+     * address unnoticed. */
+    if (type == SOCK_STREAM) {
+        (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    }
     if (parse_addr(addr, &at) != 0 ||
         bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0) {
         (void)close(fd);
--- a/tests/proc-bad-input.sh
+++ b/tests/proc-bad-input.sh
@@ -48,6 +48,9 @@
 expect "it serves on: $(get "$OUT/load.json" total.done) done" [ "$(get "$OUT/load.json" total.done)" -gt 30 ]
 grown=$(($(rss) - before))
 expect "memory grew by $grown KiB" [ "$grown" -lt 40000 ]
+sed "s/^peer = .*/peer = $(peer_addr 9)/" "$OUT/router-1.ini" >"$OUT/same.ini"
+timeout 5 "$BUILD/celeryspoold" -s "$OUT/same.ini" >"$OUT/same.log" 2>&1
+expect "a second daemon on the same address ends with 4" [ $? = 4 ]
 "$BUILD/celeryspoold" -s README.md 2>"$OUT/settings.log"
 expect "bad settings end with 3" [ $? = 3 ]
 finish
