One place tells what a call given up on came to

Cause, by reading the whole change: whether a refused call may have run was derived twice (call.c, call-recover.c), and the refusal for want of a server stood twice in call-dispatch.c. Change: call_outcome_so_far and refuse_unplaced serve both. Behaviour as before. After: proc-services (5 checks), proc-resume (11) and proc-refusals pass, one run each; format and lint clean.

--- a/kernel/call-dispatch.c
+++ b/kernel/call-dispatch.c
@@ -220,6 +220,14 @@
     return own_ms >= share_ms || view_wait_ms(&state) > GATE_MS * GATE_SLACK;
 }
 
+/* No server takes the call now.  The call's lock is held. */
+static void
+refuse_unplaced(call_t *call)
+{
+    call_refuse(call, 503, "no_backend", 1,
+                "no backend server takes this work now");
+}
+
 /* Send a call whose turn has come; its server may have changed since it was
  * queued, and another one may have become the better choice. */
 static void
@@ -232,8 +240,7 @@
         send_call(call, &candidate);
     }
     else {
-        call_refuse(call, 503, "no_backend", 1,
-                    "no backend server takes this work now");
+        refuse_unplaced(call);
     }
     (void)pthread_mutex_unlock(&call->lock);
     call_release(call);
@@ -283,8 +290,7 @@
     call_hold(call);
     if (!found) {
         (void)pthread_mutex_lock(&call->lock);
-        call_refuse(call, 503, "no_backend", 1,
-                    "no backend server takes this work now");
+        refuse_unplaced(call);
         (void)pthread_mutex_unlock(&call->lock);
         call_release(call);
         return;
--- a/kernel/call-recover.c
+++ b/kernel/call-recover.c
@@ -12,13 +12,6 @@
 #define RETRY_STEP_MS 100
 #define REDIRECTS_MAX 4
 
-/* Of a request that is given up on before its first token. */
-static outcome_t
-outcome_so_far(const call_t *call)
-{
-    return call->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
-}
-
 /* No other server has the weights: a stream that has begun cannot change
  * them, so it ends with an error; one that has not begun did not answer. */
 static void
@@ -31,7 +24,7 @@
         return;
     }
     http_req_reply_header(call->req, "Retry-After", "1");
-    call_fail(call, 503, "no_backend", outcome_so_far(call),
+    call_fail(call, 503, "no_backend", call_outcome_so_far(call),
               "the backend server failed and no other takes the request");
 }
 
@@ -84,7 +77,7 @@
     if (chat->emitted == 0 && !chat->resumed &&
         !retry_budget_spend(&call->daemon->retries)) {
         http_req_reply_header(call->req, "Retry-After", "2");
-        call_fail(call, 503, "retries_spent", outcome_so_far(call),
+        call_fail(call, 503, "retries_spent", call_outcome_so_far(call),
                   "the backend server failed and too many retries are under "
                   "way");
         return;
--- a/kernel/call.c
+++ b/kernel/call.c
@@ -215,6 +215,13 @@
     call_ended(call, outcome);
 }
 
+/* What a call that is given up on before any answer came to. */
+outcome_t
+call_outcome_so_far(const call_t *call)
+{
+    return call->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+}
+
 /* Refuse a call at once, saying when to come back.  It did not run, unless an
  * earlier leg of it may have. */
 void
@@ -228,8 +235,7 @@
         service_record(call, CLAIM_OP_NOT_RUN, 0);
     }
     series_count(call->series, METRIC_REFUSED, 1);
-    call_fail(call, status, code,
-              call->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, text);
+    call_fail(call, status, code, call_outcome_so_far(call), text);
 }
 
 static const char *
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -178,6 +178,7 @@
                  const char *text);
 void call_fail(call_t *call, int status, const char *code, outcome_t outcome,
                const char *text);
+outcome_t call_outcome_so_far(const call_t *call);
 void call_ended(call_t *call, outcome_t outcome);
 void call_event(call_t *call, const char *kind, const char *detail);
 void call_uncount(call_t *call);
