--- a/Makefile
+++ b/Makefile
@@ -3,21 +3,21 @@
 BUILD ?= build
 OUT ?= out
 SAN ?=
-LIBS := ck msgpack inih libmicrohttpd libcurl jansson libxxhash libsodium libedit
+LIBS := ck msgpack inih libmicrohttpd libcurl jansson libevent libxxhash libsodium libedit
 CFLAGS += -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
           -D_GNU_SOURCE -DCK_USE_CC_BUILTINS=1 -pthread $(SAN) \
           $(shell pkg-config --cflags $(LIBS))
-LDLIBS := $(shell pkg-config --libs $(LIBS)) -lpthread -lm
+LDLIBS := $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lpthread -lm
 CHECK_LIBS := $(shell pkg-config --libs check)
 
-KERNEL := $(patsubst %.c,$(BUILD)/%.o,$(wildcard kernel/*.c plugins/*.c))
+KERNEL := $(patsubst %.c,$(BUILD)/%.o,$(wildcard kernel/*.c plugins/*.c relay/*.c platform/*.c))
 FAKES := $(patsubst %.c,$(BUILD)/%.o,$(filter-out fakes/fake-%.c,$(wildcard fakes/*.c)))
 DAEMONS := $(patsubst daemons/%.c,$(BUILD)/%,$(wildcard daemons/*.c))
 STANDINS := $(patsubst fakes/%.c,$(BUILD)/%,$(wildcard fakes/fake-*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
-SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch])
+SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] relay/*.[ch] platform/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch])
 
-.PHONY: all capacity models unit-programs threads check unit procs demo bench experiment format format-check lint clean
+.PHONY: all deploy capacity models unit-programs threads check unit procs demo bench experiment format format-check lint clean
 all: $(DAEMONS) $(STANDINS)
 
 $(BUILD)/%.o: %.c
@@ -42,6 +42,10 @@
 clean:
 	rm -rf build build-asan build-tsan out
 
+# What deploy/system.toml runs: the daemon alone, under target/.
+deploy:
+	@$(MAKE) BUILD=target target/celeryspoold
+
 demo: all
 	bash bench/demo.sh
 
--- a/daemons/celeryspoold.c
+++ b/daemons/celeryspoold.c
@@ -1,4 +1,5 @@
 #include "../kernel/daemon.h"
+#include "../relay/relay.h"
 
 #include <argp.h>
 #include <signal.h>
@@ -15,6 +16,8 @@
 } daemon_args_t;
 
 #define SERVE_STEP_MS 50
+/* Where no file is named, the platform's variable names it. */
+#define SETTINGS_VARIABLE "CELERYSPOOL_CONFIG"
 
 static volatile sig_atomic_t stop_signals;
 
@@ -40,6 +43,9 @@
             args->describe = true;
             return 0;
         case ARGP_KEY_END:
+            if (args->settings == NULL) {
+                args->settings = getenv(SETTINGS_VARIABLE);
+            }
             if (args->settings == NULL && !args->describe) {
                 argp_error(state, "--settings is needed");
             }
@@ -96,6 +102,20 @@
     }
 }
 
+/* The router on the users' platform: records go to standard output. */
+static int
+run_relay(const settings_t *settings, const char *path)
+{
+    err_t err = {0};
+    log_setup_records();
+    if (relay_run(settings, path, &err) != 0) {
+        log_error("daemon", "%s.", err.text);
+        log_flush();
+        return EXIT_UNREACHABLE;
+    }
+    return EXIT_SUCCESS;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -123,6 +143,9 @@
     (void)signal(SIGTERM, on_signal);
     (void)signal(SIGINT, on_signal);
     log_setup(settings.name, (log_level_t)settings.log_level);
+    if (settings.mode == MODE_RELAY) {
+        return run_relay(&settings, args.settings);
+    }
     if (event_setup(settings.name, settings.event_log) != 0) {
         log_error("daemon", "The event log %s cannot be opened.",
                   settings.event_log);
--- a/kernel/base.h
+++ b/kernel/base.h
@@ -47,7 +47,11 @@
 typedef enum { LOG_ERROR, LOG_WARN, LOG_INFO, LOG_DEBUG } log_level_t;
 
 void log_setup(const char *process, log_level_t level);
+void log_setup_records(void);
 int log_level_parse(const char *word);
+void log_record(log_level_t level, const char *part, const char *event,
+                const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+void log_flush(void);
 void log_msg(log_level_t level, const char *part, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 #define log_error(part, ...) log_msg(LOG_ERROR, part, __VA_ARGS__)
@@ -88,6 +92,7 @@
 
 int64_t time_mono_ms(void);
 int64_t time_mono_us(void);
+int64_t time_boot_ms(void);
 int64_t time_wall_ms(void);
 void time_sleep_ms(int ms);
 
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -12,6 +12,9 @@
     TYPE_ADDRS,
     TYPE_SECRET,
     TYPE_LEVEL,
+    TYPE_MODE,
+    TYPE_OBJECTIVE,
+    TYPE_PERCENT, /* written as a fraction */
     TYPE_INT
 } setting_type_t;
 
@@ -23,6 +26,7 @@
     size_t size; /* of a text */
     int min;
     int max;
+    unsigned modes; /* that it belongs to */
     bool required;
     const char *fallback;
     const char *about;
@@ -32,42 +36,64 @@
 #define ROOM(field) sizeof(((settings_t *)NULL)->field)
 
 static const setting_t settings_table[] = {
-    {"daemon", "name", TYPE_NAME, AT(name), ROOM(name), 0, 0, true, NULL,
-     "name of this daemon, unique in the deployment"},
-    {"daemon", "dc", TYPE_NAME, AT(dc), ROOM(dc), 0, 0, true, NULL,
+    {"daemon", "name", TYPE_NAME, AT(name), ROOM(name), 0, 0, MODE_BOTH, true,
+     NULL, "name of this daemon, unique in the deployment"},
+    {"daemon", "dc", TYPE_NAME, AT(dc), ROOM(dc), 0, 0, MODE_BOTH, true, NULL,
      "data centre of this host"},
-    {"daemon", "log_level", TYPE_LEVEL, AT(log_level), 0, 0, 0, false, "info",
-     "error, warn, info or debug"},
+    {"daemon", "log_level", TYPE_LEVEL, AT(log_level), 0, 0, 0, MODE_BOTH,
+     false, "info", "error, warn, info or debug"},
     {"daemon", "event_log", TYPE_TEXT, AT(event_log), ROOM(event_log), 0, 0,
-     false, "", "file for events; empty keeps them in memory only"},
-    {"daemon", "grace_ms", TYPE_INT, AT(grace_ms), 0, 0, 600000, false, "2000",
+     MODE_CHAT, false, "", "file for events; empty keeps them in memory only"},
+    {"daemon", "grace_ms", TYPE_INT, AT(grace_ms), 0, 0, 600000, MODE_CHAT,
+     false, "2000",
      "how long a stop still takes requests while the balancer leaves"},
-    {"listen", "http", TYPE_ADDR, AT(http), ROOM(http), 0, 0, true, NULL,
-     "callers and operators"},
-    {"listen", "peer", TYPE_ADDR, AT(peer), ROOM(peer), 0, 0, true, NULL,
-     "other daemons, TCP and UDP"},
-    {"listen", "http_threads", TYPE_INT, AT(http_threads), 0, 1, 64, false,
-     "2", "threads that serve callers"},
-    {"listen", "connections", TYPE_INT, AT(connections), 0, 16, 100000, false,
-     "8000", "callers' connections at once"},
-    {"listen", "body_kib", TYPE_INT, AT(body_kib), 0, 1, 65536, false, "1024",
-     "longest request body"},
-    {"listen", "idle_seconds", TYPE_INT, AT(idle_seconds), 0, 1, 3600, false,
-     "30", "a caller that is silent for longer is cut"},
-    {"relay", "threads", TYPE_INT, AT(relay_threads), 0, 1, 64, false, "2",
-     "threads that talk to backend servers"},
-    {"relay", "silence_ms", TYPE_INT, AT(silence_ms), 0, 50, 60000, false,
-     "500", "a stream that is silent for longer is asked after"},
-    {"platform", "store", TYPE_ADDR, AT(store), ROOM(store), 0, 0, true, NULL,
-     "the platform's object API"},
+    {"listen", "http", TYPE_ADDR, AT(http), ROOM(http), 0, 0, MODE_BOTH, true,
+     NULL, "callers and operators"},
+    {"listen", "peer", TYPE_ADDR, AT(peer), ROOM(peer), 0, 0, MODE_CHAT, true,
+     NULL, "other daemons, TCP and UDP"},
+    {"listen", "http_threads", TYPE_INT, AT(http_threads), 0, 1, 64, MODE_CHAT,
+     false, "2", "threads that serve callers"},
+    {"listen", "connections", TYPE_INT, AT(connections), 0, 16, 100000,
+     MODE_CHAT, false, "8000", "callers' connections at once"},
+    {"listen", "body_kib", TYPE_INT, AT(body_kib), 0, 1, 65536, MODE_CHAT,
+     false, "1024", "longest request body"},
+    {"listen", "idle_seconds", TYPE_INT, AT(idle_seconds), 0, 1, 3600,
+     MODE_CHAT, false, "30", "a caller that is silent for longer is cut"},
+    {"relay", "threads", TYPE_INT, AT(relay_threads), 0, 1, 64, MODE_CHAT,
+     false, "2", "threads that talk to backend servers"},
+    {"relay", "silence_ms", TYPE_INT, AT(silence_ms), 0, 50, 60000, MODE_CHAT,
+     false, "500", "a stream that is silent for longer is asked after"},
+    {"platform", "store", TYPE_ADDR, AT(store), ROOM(store), 0, 0, MODE_BOTH,
+     true, NULL, "the platform's object API"},
     {"platform", "timeout_ms", TYPE_INT, AT(store_timeout_ms), 0, 10, 60000,
-     false, "500", "longest wait for one call to the platform"},
-    {"peers", "seeds", TYPE_ADDRS, AT(seeds), 0, 0, 0, false, "",
+     MODE_CHAT, false, "500", "longest wait for one call to the platform"},
+    {"peers", "seeds", TYPE_ADDRS, AT(seeds), 0, 0, 0, MODE_CHAT, false, "",
      "peer addresses to begin with, separated by commas"},
-    {"keys", "secret", TYPE_SECRET, AT(secret), 0, 0, 0, true, NULL,
+    {"keys", "secret", TYPE_SECRET, AT(secret), 0, 0, 0, MODE_CHAT, true, NULL,
      "64 hexadecimal digits, equal in the whole deployment"},
     {"keys", "operator", TYPE_TEXT, AT(operator_key), ROOM(operator_key), 0, 0,
-     true, NULL, "bearer key of the first operator"},
+     MODE_CHAT, true, NULL, "bearer key of the first operator"},
+    {"daemon", "mode", TYPE_MODE, AT(mode), 0, 0, 0, MODE_BOTH, false, "chat",
+     "chat: the own interface; relay: the router on the users' platform"},
+    {"listen", "ready", TYPE_ADDR, AT(ready), ROOM(ready), 0, 0, MODE_RELAY,
+     true, NULL, "the balancer's question whether this daemon is ready"},
+    {"relay", "objective", TYPE_OBJECTIVE, AT(objective), 0, 0, 0, MODE_RELAY,
+     false, "tail", "what placement weighs most: tail (time) or hits"},
+    {"relay", "stop_s", TYPE_INT, AT(stop_s), 0, 1, 3600, MODE_RELAY, true,
+     NULL, "seconds from a stop's signal until the process is killed"},
+    {"relay", "hosts", TYPE_INT, AT(hosts), 0, 1, 10000, MODE_RELAY, false,
+     "6", "daemons that share the retries at most"},
+    {"relay", "retry_ratio", TYPE_PERCENT, AT(again_percent), 0, 0, 100,
+     MODE_RELAY, true, NULL, "retries for each request, as a fraction"},
+    {"relay", "retry_slack", TYPE_INT, AT(again_slack), 0, 0, 1000000,
+     MODE_RELAY, true, NULL, "retries of all daemons besides, in a window"},
+    {"relay", "retry_window_s", TYPE_INT, AT(again_window_s), 0, 1, 3600,
+     MODE_RELAY, true, NULL, "seconds that retries are counted over"},
+    {"relay", "lease_ms", TYPE_INT, AT(lease_ms), 0, 100, 600000, MODE_RELAY,
+     true, NULL, "how long the lease on orders holds"},
+    {"relay", "weights_ms", TYPE_INT, AT(weights_ms), 0, 100, 3600000,
+     MODE_RELAY, true, NULL,
+     "older weights may begin an answer for so long after newer are named"},
 };
 #define SETTINGS_COUNT (sizeof(settings_table) / sizeof(settings_table[0]))
 
@@ -181,6 +207,27 @@
            len == SECRET_BYTES;
 }
 
+static int
+mode_parse(const char *word)
+{
+    if (strcmp(word, "chat") == 0) {
+        return MODE_CHAT;
+    }
+    return strcmp(word, "relay") == 0 ? MODE_RELAY : 0;
+}
+
+static bool
+take_percent(const char *value, int *out)
+{
+    char *end;
+    double number = strtod(value, &end);
+    if (end == value || *end != '\0' || !(number >= 0 && number <= 1)) {
+        return false;
+    }
+    *out = (int)(number * 100 + 0.5);
+    return true;
+}
+
 /* Put a value where it belongs; on failure say what would be allowed. */
 static const char *
 setting_take(const setting_t *entry, settings_t *settings, const char *value)
@@ -218,6 +265,17 @@
             settings->log_level = log_level_parse(value);
             return settings->log_level < 0 ? "error, warn, info or debug"
                                            : NULL;
+        case TYPE_MODE:
+            settings->mode = mode_parse(value);
+            return settings->mode == 0 ? "chat or relay" : NULL;
+        case TYPE_OBJECTIVE:
+            settings->objective = strcmp(value, "hits") == 0;
+            return settings->objective || strcmp(value, "tail") == 0
+                       ? NULL
+                       : "tail or hits";
+        case TYPE_PERCENT:
+            return take_percent(value, (int *)at) ? NULL
+                                                  : "a fraction from 0 to 1";
         case TYPE_INT:
             return take_int(entry, value, (int *)at) ? NULL : "a whole number";
     }
@@ -289,14 +347,23 @@
     return out;
 }
 
+/* What is not set gets its fallback.  The mode comes first: it tells which
+ * settings are needed. */
 static void
 take_fallbacks(reader_t *reader)
 {
+    if (reader->settings->mode == 0) {
+        reader->settings->mode = MODE_CHAT;
+    }
     for (size_t i = 0; i < SETTINGS_COUNT; i++) {
         const setting_t *entry = &settings_table[i];
         if (reader->lines[i] != 0) {
             continue;
         }
+        if (entry->required &&
+            (entry->modes & (unsigned)reader->settings->mode) == 0) {
+            continue;
+        }
         if (entry->required) {
             problem(reader, reader->line, "%s is missing from [%s]; it is: %s",
                     entry->key, entry->section, entry->about);
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -8,9 +8,24 @@
 #define SETTINGS_PEERS_MAX 16
 #define SECRET_BYTES 32
 
+/* What a daemon is: the product's own interface, or the router on the users'
+ * platform.  Some settings belong to one of them. */
+typedef enum { MODE_CHAT = 1, MODE_RELAY = 2 } daemon_mode_t;
+#define MODE_BOTH (MODE_CHAT | MODE_RELAY)
+
 typedef struct {
     char name[CS_NAME_MAX];
     char dc[CS_NAME_MAX];
+    int mode;
+    int objective;
+    char ready[CS_ADDR_MAX];
+    int stop_s;
+    int lease_ms;
+    int weights_ms;
+    int again_percent;
+    int again_slack;
+    int again_window_s;
+    int hosts;
     int log_level;
     char event_log[256];
     char http[CS_ADDR_MAX];
--- a/kernel/util.c
+++ b/kernel/util.c
@@ -30,6 +30,14 @@
     return time_read_us(CLOCK_MONOTONIC);
 }
 
+/* A clock that also counts while the host is suspended, for what others
+ * count on meanwhile. */
+int64_t
+time_boot_ms(void)
+{
+    return time_read_us(CLOCK_BOOTTIME) / 1000;
+}
+
 /* Milliseconds since 1970, for logs and dates that operators give. */
 int64_t
 time_wall_ms(void)
--- /dev/null
+++ b/relay/facts.c
@@ -0,0 +1,348 @@
+#include "relay.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* What this host believes of the platform's configuration, servers and named
+ * weights, and how it learns it. */
+
+/* An entry that lapsed while the store was away is written again within two
+ * seconds of its return if its server lives; one that is still missing behind
+ * that and a margin is gone, ms. */
+#define RETURN_MS 2300
+/* A server is asked for its report once in this time at most, ms. */
+#define REPORT_EVERY_MS 300
+#define REPORT_MS 500
+#define CONNECT_MS 250
+
+/* ---- configuration ---- */
+
+/* A daemon only ever goes up in revisions: lists and watches may tell an
+ * older state behind a newer one. */
+static void
+on_config(void *arg, const store_object_t *object)
+{
+    relay_t *relay = arg;
+    err_t err = {0};
+    if (strcmp(object->name, "main") != 0 || object->removed ||
+        (relay->config != NULL &&
+         object->revision <= relay->config->revision)) {
+        return;
+    }
+    relay_config_t *config = platform_config_read(object, &err);
+    if (config == NULL) {
+        log_error("config", "Revision %lld cannot be read: %s.",
+                  (long long)object->revision, err.text);
+        return;
+    }
+    if (relay->config != NULL && config->version < relay->config->version) {
+        log_warn("config", "Version %lld came behind %lld; it is not taken.",
+                 (long long)config->version,
+                 (long long)relay->config->version);
+        relay_config_release(config);
+        return;
+    }
+    log_record(LOG_INFO, "config", "adopted", "version=%lld revision=%lld",
+               (long long)config->version, (long long)config->revision);
+    relay_config_release(relay->config);
+    relay->config = config;
+}
+
+static void
+on_nothing(void *arg)
+{
+    (void)arg;
+}
+
+/* ---- servers ---- */
+
+static void
+server_gone(relay_t *relay, server_t *server, const char *why)
+{
+    log_record(LOG_INFO, "servers", "gone", "server=%s service=%s why=%s",
+               server->said.id, server->said.service, why);
+    server->gone = true;
+    cache_map_forget(relay->cache, server->number);
+    exchanges_drop(relay->exchanges, server->said.addr);
+}
+
+/* Whether entries may be missing only because the store was away. */
+static bool
+store_just_back(const relay_t *relay, int64_t now)
+{
+    int64_t back = watch_back_ms(relay->servers_watch);
+    return back != 0 && now - back < RETURN_MS;
+}
+
+static void
+server_missing(relay_t *relay, server_t *server)
+{
+    int64_t now = time_mono_ms();
+    if (!store_just_back(relay, now)) {
+        server_gone(relay, server, "removed");
+        return;
+    }
+    if (server->missing_ms == 0) {
+        log_record(LOG_INFO, "servers", "missing", "server=%s",
+                   server->said.id);
+        server->missing_ms = now;
+    }
+}
+
+static void
+on_server_list(void *arg)
+{
+    relay_t *relay = arg;
+    relay->servers->lists++;
+}
+
+static void
+log_server(const server_t *server)
+{
+    log_record(LOG_INFO, "servers", server->said.draining ? "draining" : "ready",
+               "server=%s service=%s addr=%s dc=%s weights=%lld",
+               server->said.id, server->said.service, server->said.addr,
+               server->said.dc, (long long)server->said.weights);
+}
+
+/* What was kept at a server is lost with a start or with other weights. */
+static void
+forget_if_renewed(relay_t *relay, const server_t *server,
+                  const server_entry_t *entry)
+{
+    if (server->said.born_ms != entry->born_ms ||
+        server->said.weights != entry->weights) {
+        cache_map_forget(relay->cache, server->number);
+    }
+}
+
+static void
+on_server(void *arg, const store_object_t *object)
+{
+    relay_t *relay = arg;
+    server_entry_t entry;
+    err_t err = {0};
+    server_t *server = servers_find(relay->servers, object->name);
+    if (server != NULL && object->revision < server->revision) {
+        return;
+    }
+    if (object->removed) {
+        if (server != NULL) {
+            server_missing(relay, server);
+        }
+        return;
+    }
+    if (platform_server_read(&entry, object, &err) != 0) {
+        log_record(LOG_WARN, "servers", "unreadable", "why=\"%s\"", err.text);
+        return;
+    }
+    if (server != NULL) {
+        forget_if_renewed(relay, server, &entry);
+    }
+    server = servers_put(relay->servers, &entry);
+    if (server == NULL) {
+        log_error("servers", "There is no room for %s.", entry.id);
+        return;
+    }
+    server->revision = object->revision;
+    log_server(server);
+}
+
+static void
+on_servers_listed(void *arg)
+{
+    relay_t *relay = arg;
+    server_t *server;
+    relay->servers_listed = true;
+    CK_LIST_FOREACH(server, &relay->servers->list, entry)
+    {
+        if (!server->gone && server->seen != relay->servers->lists) {
+            server_missing(relay, server);
+        }
+    }
+}
+
+/* ---- named weights ---- */
+
+const weights_t *
+relay_weights(const relay_t *relay, const char *model)
+{
+    for (size_t i = 0; i < relay->weights_count; i++) {
+        if (strcmp(relay->weights[i].model, model) == 0) {
+            return &relay->weights[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+on_weights(void *arg, const store_object_t *object)
+{
+    relay_t *relay = arg;
+    weights_name_t name;
+    err_t err = {0};
+    if (object->removed) {
+        return;
+    }
+    if (platform_weights_read(&name, object, &err) != 0) {
+        log_record(LOG_WARN, "weights", "unreadable", "why=\"%s\"", err.text);
+        return;
+    }
+    weights_t *weights = (weights_t *)relay_weights(relay, name.model);
+    if (weights == NULL) {
+        if (relay->weights_count == WEIGHTS_MODELS_MAX) {
+            log_error("weights", "There is no room for model %s.",
+                      name.model);
+            return;
+        }
+        weights = &relay->weights[relay->weights_count++];
+        memset(weights, 0, sizeof(*weights));
+        str_copy(weights->model, sizeof(weights->model), name.model);
+    }
+    if (name.version <= weights->version) {
+        return;
+    }
+    weights->version = name.version;
+    weights->named_ms = time_mono_ms();
+    log_record(LOG_INFO, "weights", "named", "model=%s version=%lld",
+               name.model, (long long)name.version);
+}
+
+static void
+on_weights_listed(void *arg)
+{
+    relay_t *relay = arg;
+    relay->weights_listed = true;
+}
+
+/* ---- reports ---- */
+
+typedef struct {
+    relay_t *relay;
+    char id[CS_NAME_MAX];
+    int status;
+    buf_t answer;
+} report_ask_t;
+
+static head_verdict_t
+on_report_head(void *arg, const http_head_t *head)
+{
+    report_ask_t *ask = arg;
+    ask->status = head->status;
+    return HEAD_TAKE;
+}
+
+static void
+on_report_body(void *arg, const char *data, size_t len)
+{
+    report_ask_t *ask = arg;
+    buf_add(&ask->answer, data, len);
+}
+
+static void
+take_report(const report_ask_t *ask)
+{
+    relay_t *relay = ask->relay;
+    server_report_t report;
+    err_t err = {0};
+    server_t *server = servers_find(relay->servers, ask->id);
+    if (server == NULL) {
+        return;
+    }
+    if (platform_report_read(&report, buf_text(&ask->answer), ask->answer.len,
+                             &err) != 0) {
+        log_warn("servers", "The report of %s cannot be read: %s.", ask->id,
+                 err.text);
+        return;
+    }
+    if (report.weights != server->said.weights) {
+        log_record(LOG_INFO, "servers", "reported",
+                   "server=%s weights=%lld orders=%lld busy=%d",
+                   server->said.id, (long long)report.weights,
+                   (long long)report.orders, report.busy);
+        cache_map_forget(relay->cache, server->number);
+        server->said.weights = report.weights;
+    }
+}
+
+static void
+on_report_end(void *arg, exchange_end_t end)
+{
+    report_ask_t *ask = arg;
+    if (end == EXCHANGE_WHOLE && ask->status == 200) {
+        take_report(ask);
+    }
+    else {
+        log_record(LOG_INFO, "servers", "no-report", "server=%s status=%d",
+                   ask->id, ask->status);
+    }
+    buf_free(&ask->answer);
+    free(ask);
+}
+
+/* Ask a server what it is on: the list may be behind, or out of reach. */
+void
+facts_ask_report(relay_t *relay, server_t *server)
+{
+    int64_t now = time_mono_ms();
+    CLEAN_BUF buf_t head = {0};
+    if (server->asked_ms != 0 && now - server->asked_ms < REPORT_EVERY_MS) {
+        return;
+    }
+    server->asked_ms = now;
+    report_ask_t *ask = mem_zalloc(sizeof(*ask));
+    ask->relay = relay;
+    str_copy(ask->id, sizeof(ask->id), server->said.id);
+    platform_report_call(&head, server->said.addr);
+    exchange_ask_t call = {.addr = server->said.addr,
+                           .head = head.data,
+                           .head_len = head.len,
+                           .connect_ms = CONNECT_MS,
+                           .total_ms = REPORT_MS};
+    exchange_hooks_t hooks = {on_report_head, on_report_body, on_report_end,
+                              ask};
+    (void)exchange_start(relay->exchanges, &call, &hooks);
+}
+
+/* ---- all of it ---- */
+
+void
+facts_start(relay_t *relay)
+{
+    const char *store = relay->settings.store;
+    watch_hooks_t config = {on_nothing, on_config, on_nothing, relay};
+    watch_hooks_t servers = {on_server_list, on_server, on_servers_listed,
+                             relay};
+    watch_hooks_t weights = {on_nothing, on_weights, on_weights_listed, relay};
+    relay->config_watch = watch_start(relay->base, relay->exchanges, store,
+                                      KIND_CONFIG, &config);
+    relay->servers_watch = watch_start(relay->base, relay->exchanges, store,
+                                       KIND_SERVERS, &servers);
+    relay->weights_watch = watch_start(relay->base, relay->exchanges, store,
+                                       KIND_WEIGHTS, &weights);
+}
+
+void
+facts_stop(relay_t *relay)
+{
+    watch_stop(relay->config_watch);
+    watch_stop(relay->servers_watch);
+    watch_stop(relay->weights_watch);
+}
+
+/* Entries that were missing when the store came back and have not come back
+ * themselves are gone. */
+void
+facts_tick(relay_t *relay)
+{
+    int64_t now = time_mono_ms();
+    server_t *server;
+    CK_LIST_FOREACH(server, &relay->servers->list, entry)
+    {
+        if (!server->gone && server->missing_ms != 0 &&
+            !store_just_back(relay, now)) {
+            server_gone(relay, server, "not-back");
+        }
+    }
+    servers_sweep(relay->servers);
+}
--- /dev/null
+++ b/relay/http-reader.c
@@ -0,0 +1,301 @@
+#include "http-reader.h"
+
+#include <string.h>
+#include <strings.h>
+
+static http_reader_t *
+reader_of(http_parser *parser)
+{
+    return parser->data;
+}
+
+static span_t
+span_of(const http_head_t *head, const char *at, size_t len)
+{
+    return (span_t){(uint32_t)(at - head->text.data), (uint32_t)len};
+}
+
+static int
+refuse(http_reader_t *reader, int status, const char *why)
+{
+    reader->state = READER_BAD;
+    reader->status = status;
+    reader->why = why;
+    return -1;
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t len)
+{
+    http_head_t *head = &reader_of(parser)->head;
+    head->target = span_of(head, at, len);
+    return 0;
+}
+
+/* http-parser takes a blank inside a name; a proxy behind could read such a
+ * line as another header, so it is refused. */
+static int
+on_field(http_parser *parser, const char *at, size_t len)
+{
+    http_reader_t *reader = reader_of(parser);
+    http_head_t *head = &reader->head;
+    if (head->count == HTTP_HEADERS_KEPT) {
+        return refuse(reader, 431, "too many headers");
+    }
+    if (len == 0 || memchr(at, ' ', len) != NULL) {
+        return refuse(reader, 400, "a blank in a header's name");
+    }
+    head->headers[head->count].name = span_of(head, at, len);
+    head->headers[head->count].value = span_of(head, at + len, 0);
+    head->count++;
+    reader->value_last = false;
+    return 0;
+}
+
+/* The head is parsed in one go, so a value comes in one piece unless the
+ * header is folded over lines, which is refused. */
+static int
+on_value(http_parser *parser, const char *at, size_t len)
+{
+    http_reader_t *reader = reader_of(parser);
+    http_head_t *head = &reader->head;
+    if (reader->value_last) {
+        return refuse(reader, 400, "a folded header");
+    }
+    while (len > 0 && (at[len - 1] == ' ' || at[len - 1] == '\t')) {
+        len--;
+    }
+    head->headers[head->count - 1].value = span_of(head, at, len);
+    reader->value_last = true;
+    return 0;
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+    http_reader_t *reader = reader_of(parser);
+    http_head_t *head = &reader->head;
+    head->method = parser->method;
+    head->status = parser->status_code;
+    head->keep_alive = http_should_keep_alive(parser) != 0;
+    reader->state = READER_BODY;
+    return reader->bodiless ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t len)
+{
+    http_reader_t *reader = reader_of(parser);
+    reader->on_body(reader->arg, at, len);
+    return reader->state == READER_BAD ? -1 : 0;
+}
+
+/* Stop behind the message, so that what follows stays in the buffer. */
+static int
+on_message_complete(http_parser *parser)
+{
+    reader_of(parser)->state = READER_WHOLE;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings hooks = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+/* A reader for one side of a connection. */
+void
+http_reader_init(http_reader_t *reader, bool response, size_t head_max,
+                 reader_body_t on_body_piece, void *arg)
+{
+    memset(reader, 0, sizeof(*reader));
+    reader->response = response;
+    reader->head_max = head_max;
+    reader->on_body = on_body_piece;
+    reader->arg = arg;
+    http_reader_next(reader);
+}
+
+/* Get ready for the next message; what was read of the last one is gone. */
+void
+http_reader_next(http_reader_t *reader)
+{
+    http_parser_init(&reader->parser,
+                     reader->response ? HTTP_RESPONSE : HTTP_REQUEST);
+    reader->parser.data = reader;
+    reader->state = READER_HEAD;
+    reader->status = 0;
+    reader->why = NULL;
+    reader->value_last = false;
+    reader->head.text.len = 0;
+    reader->head.count = 0;
+    reader->head.status = 0;
+    reader->head.until_close = false;
+    reader->head.target = (span_t){0};
+}
+
+void
+http_reader_free(http_reader_t *reader)
+{
+    buf_free(&reader->head.text);
+}
+
+static void
+check_parser(http_reader_t *reader)
+{
+    enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+    if (error != HPE_OK && error != HPE_PAUSED &&
+        reader->state != READER_BAD) {
+        (void)refuse(reader, 400, http_errno_description(error));
+    }
+}
+
+/* Two Host headers, or none, let two readers take a request for different
+ * sites. */
+static void
+check_request(http_reader_t *reader)
+{
+    const http_head_t *head = &reader->head;
+    unsigned hosts = 0;
+    for (unsigned i = 0; i < head->count; i++) {
+        hosts += http_head_is(head, head->headers[i].name, "Host") ? 1 : 0;
+    }
+    if (hosts != 1) {
+        (void)refuse(reader, 400, "not exactly one Host header");
+        return;
+    }
+    if (reader->parser.upgrade != 0) {
+        (void)refuse(reader, 400, "an upgrade is not served");
+    }
+}
+
+/* Some senders end a body with an empty line that belongs to nothing. */
+static void
+skip_empty_lines(struct evbuffer *in)
+{
+    char two[2];
+    while (evbuffer_copyout(in, two, 2) == 2 && memcmp(two, "\r\n", 2) == 0) {
+        (void)evbuffer_drain(in, 2);
+    }
+}
+
+static bool
+read_head(http_reader_t *reader, struct evbuffer *in)
+{
+    if (!reader->response) {
+        skip_empty_lines(in);
+    }
+    struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+    size_t have = evbuffer_get_length(in);
+    if (end.pos < 0) {
+        if (have > reader->head_max) {
+            (void)refuse(reader, 431, "the head is too long");
+        }
+        return false;
+    }
+    size_t len = (size_t)end.pos + 4;
+    if (len > reader->head_max) {
+        (void)refuse(reader, 431, "the head is too long");
+        return false;
+    }
+    const char *raw = (const char *)evbuffer_pullup(in, (ev_ssize_t)len);
+    buf_add(&reader->head.text, raw, len);
+    (void)evbuffer_drain(in, len);
+    (void)http_parser_execute(&reader->parser, &hooks, reader->head.text.data,
+                              len);
+    check_parser(reader);
+    if (reader->state == READER_HEAD) {
+        /* Empty lines before a message, or a head that did not end here. */
+        (void)refuse(reader, 400, "the head is not one message");
+    }
+    if (reader->state != READER_BAD && !reader->response) {
+        check_request(reader);
+    }
+    reader->head.until_close = reader->response &&
+                               reader->state == READER_BODY &&
+                               http_body_is_final(&reader->parser) == 0 &&
+                               reader->parser.content_length == UINT64_MAX &&
+                               (reader->parser.flags & F_CHUNKED) == 0;
+    return reader->state != READER_BAD;
+}
+
+/* Take what has come.  Stops behind the head (the state is then BODY, or
+ * WHOLE if there is no body) so that the owner can look at it; called again,
+ * it goes on with the body. */
+reader_state_t
+http_reader_feed(http_reader_t *reader, struct evbuffer *in)
+{
+    if (reader->state == READER_HEAD) {
+        (void)read_head(reader, in);
+        return reader->state;
+    }
+    while (reader->state == READER_BODY) {
+        struct evbuffer_iovec piece;
+        if (evbuffer_peek(in, -1, NULL, &piece, 1) < 1 || piece.iov_len == 0) {
+            break;
+        }
+        size_t used = http_parser_execute(&reader->parser, &hooks,
+                                          piece.iov_base, piece.iov_len);
+        check_parser(reader);
+        (void)evbuffer_drain(in, used);
+        if (used == 0) {
+            break;
+        }
+    }
+    return reader->state;
+}
+
+/* The connection has ended: an answer that has no length is whole then. */
+reader_state_t
+http_reader_eof(http_reader_t *reader)
+{
+    if (reader->state == READER_BODY) {
+        (void)http_parser_execute(&reader->parser, &hooks, NULL, 0);
+        check_parser(reader);
+    }
+    return reader->state;
+}
+
+const char *
+http_head_method(const http_head_t *head)
+{
+    return http_method_str((enum http_method)head->method);
+}
+
+const char *
+http_head_at(const http_head_t *head, span_t span)
+{
+    return head->text.data + span.at;
+}
+
+/* Whether a span is this text, in any case. */
+bool
+http_head_is(const http_head_t *head, span_t span, const char *text)
+{
+    return strlen(text) == span.len &&
+           strncasecmp(http_head_at(head, span), text, span.len) == 0;
+}
+
+const header_t *
+http_head_find(const http_head_t *head, const char *name)
+{
+    for (unsigned i = 0; i < head->count; i++) {
+        if (http_head_is(head, head->headers[i].name, name)) {
+            return &head->headers[i];
+        }
+    }
+    return NULL;
+}
+
+void
+http_head_copy(const http_head_t *head, span_t span, char *out, size_t size)
+{
+    size_t len = span.len < size - 1 ? span.len : size - 1;
+    memcpy(out, http_head_at(head, span), len);
+    out[len] = '\0';
+}
--- /dev/null
+++ b/relay/http-reader.h
@@ -0,0 +1,78 @@
+#ifndef CELERYSPOOL_HTTP_READER_H
+#define CELERYSPOOL_HTTP_READER_H
+
+/* Reads HTTP/1.1 messages off an event buffer, over the http-parser library.
+ * It keeps the head as it was on the wire, so that a relay can pass names,
+ * order and repeats of headers on unchanged, and refuses what two parsers
+ * could take in two ways. */
+
+#include "../kernel/base.h"
+
+#include <event2/buffer.h>
+#include <http_parser.h>
+
+#define HTTP_HEADERS_KEPT 128
+
+/* A span of the head's text. */
+typedef struct {
+    uint32_t at;
+    uint32_t len;
+} span_t;
+
+typedef struct {
+    span_t name;
+    span_t value;
+} header_t;
+
+typedef struct {
+    buf_t text; /* the head as it was read */
+    header_t headers[HTTP_HEADERS_KEPT];
+    unsigned count;
+    span_t target; /* of a request: path and query */
+    unsigned method;
+    int status;
+    bool keep_alive;
+    bool until_close; /* an answer without a length ends with its connection */
+} http_head_t;
+
+typedef enum {
+    READER_HEAD,
+    READER_BODY,
+    READER_WHOLE,
+    READER_BAD /* status tells the answer that a request gets */
+} reader_state_t;
+
+typedef struct http_reader http_reader_t;
+
+/* Called for each piece of a body. */
+typedef void (*reader_body_t)(void *arg, const char *data, size_t len);
+
+struct http_reader {
+    http_parser parser;
+    reader_state_t state;
+    bool response;
+    bool bodiless; /* the answer to a HEAD */
+    bool value_last;
+    size_t head_max;
+    int status;      /* of READER_BAD: 400 or 431 */
+    const char *why; /* of READER_BAD */
+    http_head_t head;
+    reader_body_t on_body;
+    void *arg;
+};
+
+void http_reader_init(http_reader_t *reader, bool response, size_t head_max,
+                      reader_body_t on_body, void *arg);
+void http_reader_next(http_reader_t *reader);
+void http_reader_free(http_reader_t *reader);
+reader_state_t http_reader_feed(http_reader_t *reader, struct evbuffer *in);
+reader_state_t http_reader_eof(http_reader_t *reader);
+
+const char *http_head_method(const http_head_t *head);
+const char *http_head_at(const http_head_t *head, span_t span);
+bool http_head_is(const http_head_t *head, span_t span, const char *text);
+const header_t *http_head_find(const http_head_t *head, const char *name);
+void http_head_copy(const http_head_t *head, span_t span, char *out,
+                    size_t size);
+
+#endif
--- /dev/null
+++ b/relay/lease.c
@@ -0,0 +1,126 @@
+#include "lease.h"
+
+#include <string.h>
+
+/* The holder renews this many times in a span, so that one lost answer does
+ * not cost the lease. */
+#define RENEWS 3
+/* The holder acts only in this part of the span after a renewal was sent, and
+ * a successor waits for the whole span and a margin: between the last act of
+ * one and the first of the next there is time for whatever is on its way. */
+#define ACT_PART 2
+#define MARGIN_MS 300
+/* Others look at the object this often, ms, by cheap reads. */
+#define LOOK_MS 800
+
+/* A lease that this process may hold under a name of its own. */
+void
+lease_init(lease_t *lease, const char *self, int64_t span_ms)
+{
+    memset(lease, 0, sizeof(*lease));
+    str_copy(lease->self, sizeof(lease->self), self);
+    lease->span_ms = span_ms;
+}
+
+static bool
+is_mine(const lease_t *lease)
+{
+    return lease->known && strcmp(lease->holder, lease->self) == 0;
+}
+
+/* What to ask the store now.  A holder whose process was suspended finds its
+ * span over by the clock, and takes the lease anew under a higher number if
+ * nobody else has. */
+lease_step_t
+lease_next(const lease_t *lease, int64_t now_ms)
+{
+    bool look = lease->read_ms == 0 || now_ms - lease->read_ms >= LOOK_MS;
+    if (lease->pending || !lease->known) {
+        if (lease->absent && !lease->pending) {
+            return LEASE_CREATE;
+        }
+        return look ? LEASE_READ : LEASE_IDLE;
+    }
+    if (is_mine(lease)) {
+        return now_ms - lease->wrote_ms >= lease->span_ms / RENEWS
+                   ? LEASE_WRITE
+                   : LEASE_IDLE;
+    }
+    if (now_ms - lease->seen_ms >= lease->span_ms + MARGIN_MS) {
+        return LEASE_WRITE;
+    }
+    return look ? LEASE_READ : LEASE_IDLE;
+}
+
+/* The fencing number that a write now sets: a holder that renews in time
+ * keeps its own, everybody else takes the next. */
+int64_t
+lease_wanted_fence(const lease_t *lease)
+{
+    return lease->wanted_fence;
+}
+
+/* A step is about to be sent. */
+void
+lease_asked(lease_t *lease, lease_step_t step, int64_t now_ms)
+{
+    if (step == LEASE_READ) {
+        lease->read_ms = now_ms;
+        return;
+    }
+    bool in_time = is_mine(lease) && lease->wrote_ms != 0 &&
+                   now_ms - lease->wrote_ms < lease->span_ms;
+    lease->asked_ms = now_ms;
+    lease->wanted_fence = in_time ? lease->fence : lease->fence + 1;
+}
+
+/* The object as the store holds it, by whatever answer.  If it is what this
+ * process last tried to write, that write has taken effect. */
+void
+lease_seen(lease_t *lease, int64_t revision, const char *holder, int64_t fence,
+           int64_t now_ms)
+{
+    lease->absent = false;
+    if (lease->known && revision < lease->revision) {
+        return; /* a read that is behind */
+    }
+    bool changed = !lease->known || revision != lease->revision;
+    bool written = changed && lease->asked_ms != 0 &&
+                   strcmp(holder, lease->self) == 0 &&
+                   fence == lease->wanted_fence;
+    lease->known = true;
+    lease->pending = false;
+    lease->revision = revision;
+    lease->fence = fence;
+    str_copy(lease->holder, sizeof(lease->holder), holder);
+    if (changed) {
+        lease->seen_ms = now_ms;
+    }
+    if (written) {
+        lease->wrote_ms = lease->asked_ms;
+    }
+}
+
+void
+lease_seen_absent(lease_t *lease)
+{
+    lease->absent = true;
+    lease->pending = false;
+}
+
+/* A write got no answer: it may have been done, or may be done later.  The
+ * object tells. */
+void
+lease_unanswered(lease_t *lease)
+{
+    lease->pending = true;
+    lease->read_ms = 0;
+}
+
+/* Whether this process may act on the lease now. */
+bool
+lease_held(const lease_t *lease, int64_t now_ms)
+{
+    return is_mine(lease) && lease->wrote_ms != 0 &&
+           now_ms - lease->wrote_ms < lease->span_ms / ACT_PART;
+}
--- /dev/null
+++ b/relay/lease.h
@@ -0,0 +1,48 @@
+#ifndef CELERYSPOOL_LEASE_H
+#define CELERYSPOOL_LEASE_H
+
+/* A lease that is one object of the platform's store, with a fencing number.
+ * No I/O: what the store answered goes in, what to ask it comes out.  Times
+ * are of a clock that also counts while the host is suspended. */
+
+#include "../kernel/base.h"
+
+#define LEASE_HOLDER_MAX 160
+
+typedef enum {
+    LEASE_IDLE,   /* nothing to ask now */
+    LEASE_READ,   /* see who holds it */
+    LEASE_CREATE, /* there is no object yet */
+    LEASE_WRITE   /* take or renew, if the revision still is the one known */
+} lease_step_t;
+
+typedef struct {
+    char self[LEASE_HOLDER_MAX];
+    int64_t span_ms;
+
+    /* The object as it was last seen. */
+    bool known;
+    bool absent;
+    int64_t revision;
+    int64_t fence;
+    char holder[LEASE_HOLDER_MAX];
+    int64_t seen_ms; /* since when it has been seen unchanged */
+
+    int64_t read_ms;  /* when it was last asked for */
+    int64_t wrote_ms; /* when the last good write was sent; 0 for none */
+    int64_t asked_ms; /* when the write under way was sent */
+    int64_t wanted_fence;
+    bool pending; /* a write whose answer did not come */
+} lease_t;
+
+void lease_init(lease_t *lease, const char *self, int64_t span_ms);
+lease_step_t lease_next(const lease_t *lease, int64_t now_ms);
+int64_t lease_wanted_fence(const lease_t *lease);
+void lease_asked(lease_t *lease, lease_step_t step, int64_t now_ms);
+void lease_seen(lease_t *lease, int64_t revision, const char *holder,
+                int64_t fence, int64_t now_ms);
+void lease_seen_absent(lease_t *lease);
+void lease_unanswered(lease_t *lease);
+bool lease_held(const lease_t *lease, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/relay/prompt.h
@@ -0,0 +1,25 @@
+#ifndef CELERYSPOOL_PROMPT_H
+#define CELERYSPOOL_PROMPT_H
+
+/* What a request says of its prompt: parts that it shares with others, in
+ * order, the last one its own.  No I/O. */
+
+#include "../kernel/prefix.h"
+
+typedef struct {
+    char model[CS_NAME_MAX];
+    uint64_t parts[PREFIX_LEVELS_MAX];  /* hashes of the parts' ids */
+    uint32_t tokens[PREFIX_LEVELS_MAX]; /* of each part */
+    unsigned count;
+    uint32_t prompt_tokens;
+    uint32_t output_tokens; /* at most */
+} prompt_t;
+
+void prompt_read_parts(prompt_t *prompt, const char *text, size_t len);
+void prompt_read_tokens(prompt_t *prompt, const char *text, size_t len);
+void prompt_salt(const char *model, int64_t weights, const char *workspace,
+                 char out[CS_ID_LEN + 1]);
+uint64_t prompt_home(const prompt_t *prompt);
+void prompt_levels(const prompt_t *prompt, const char *salt, prefix_t *out);
+
+#endif
--- /dev/null
+++ b/relay/relay-config.c
@@ -0,0 +1,176 @@
+#include "relay-config.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+relay_config_t *
+relay_config_new(void)
+{
+    relay_config_t *config = mem_zalloc(sizeof(*config));
+    config->refs = 1;
+    return config;
+}
+
+relay_config_t *
+relay_config_hold(relay_config_t *config)
+{
+    config->refs++;
+    return config;
+}
+
+static void
+config_free(relay_config_t *config)
+{
+    for (size_t i = 0; i < CONFIG_BUCKETS; i++) {
+        route_t *route;
+        access_key_t *key;
+        while ((route = CK_SLIST_FIRST(&config->routes[i])) != NULL) {
+            CK_SLIST_REMOVE_HEAD(&config->routes[i], entry);
+            free(route);
+        }
+        while ((key = CK_SLIST_FIRST(&config->keys[i])) != NULL) {
+            CK_SLIST_REMOVE_HEAD(&config->keys[i], entry);
+            free(key);
+        }
+    }
+    relay_service_t *service;
+    while ((service = CK_SLIST_FIRST(&config->services)) != NULL) {
+        CK_SLIST_REMOVE_HEAD(&config->services, entry);
+        free(service);
+    }
+    free(config->workspaces);
+    free(config);
+}
+
+/* Requests hold the configuration that they came under, so the last of them
+ * frees it. */
+void
+relay_config_release(relay_config_t *config)
+{
+    if (config != NULL && --config->refs == 0) {
+        config_free(config);
+    }
+}
+
+/* Hosts are compared in any case, so they are hashed in lower case. */
+static size_t
+host_bucket(const char *host, size_t len)
+{
+    char lower[ROUTE_HOST_MAX];
+    size_t room = len < sizeof(lower) ? len : sizeof(lower);
+    for (size_t i = 0; i < room; i++) {
+        char c = host[i];
+        lower[i] = c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
+    }
+    return (size_t)(XXH3_64bits(lower, room) % CONFIG_BUCKETS);
+}
+
+static size_t
+key_bucket(const char *key)
+{
+    return (size_t)(XXH3_64bits(key, strlen(key)) % CONFIG_BUCKETS);
+}
+
+/* Take a route over, the longest path prefix of a host first. */
+void
+relay_config_add_route(relay_config_t *config, route_t *route)
+{
+    route_list_t *list =
+        &config->routes[host_bucket(route->host, strlen(route->host))];
+    route_t *before = NULL;
+    route_t *other;
+    CK_SLIST_FOREACH(other, list, entry)
+    {
+        if (strlen(other->prefix) < strlen(route->prefix)) {
+            break;
+        }
+        before = other;
+    }
+    if (before == NULL) {
+        CK_SLIST_INSERT_HEAD(list, route, entry);
+    }
+    else {
+        CK_SLIST_INSERT_AFTER(before, route, entry);
+    }
+}
+
+void
+relay_config_add_key(relay_config_t *config, const char *key,
+                     const workspace_entry_t *workspace)
+{
+    access_key_t *entry = mem_zalloc(sizeof(*entry));
+    str_copy(entry->key, sizeof(entry->key), key);
+    entry->workspace = workspace;
+    CK_SLIST_INSERT_HEAD(&config->keys[key_bucket(key)], entry, entry);
+}
+
+/* The route of the host whose prefix is the longest that begins the path. */
+const route_t *
+relay_config_route(const relay_config_t *config, const char *host,
+                   size_t host_len, const char *path, size_t path_len)
+{
+    const route_t *route;
+    CK_SLIST_FOREACH(route, &config->routes[host_bucket(host, host_len)],
+                     entry)
+    {
+        size_t prefix_len = strlen(route->prefix);
+        if (strlen(route->host) == host_len &&
+            strncasecmp(route->host, host, host_len) == 0 &&
+            prefix_len <= path_len &&
+            memcmp(route->prefix, path, prefix_len) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+/* The workspace that holds a key, or NULL. */
+const workspace_entry_t *
+relay_config_workspace(const relay_config_t *config, const char *key)
+{
+    const access_key_t *entry;
+    CK_SLIST_FOREACH(entry, &config->keys[key_bucket(key)], entry)
+    {
+        if (strcmp(entry->key, key) == 0) {
+            return entry->workspace;
+        }
+    }
+    return NULL;
+}
+
+const relay_service_t *
+relay_config_service(const relay_config_t *config, const char *name)
+{
+    const relay_service_t *service;
+    CK_SLIST_FOREACH(service, &config->services, entry)
+    {
+        if (strcmp(service->name, name) == 0) {
+            return service;
+        }
+    }
+    return NULL;
+}
+
+/* The service that a request goes to, by the weights of the route's split.
+ * The same draw gives the same service as long as the split stays. */
+const char *
+route_service(const route_t *route, uint64_t draw)
+{
+    uint64_t total = 0;
+    for (unsigned i = 0; i < route->split_count; i++) {
+        total += (uint64_t)route->split[i].weight;
+    }
+    if (total == 0) {
+        return route->split_count > 0 ? route->split[0].service : "";
+    }
+    uint64_t at = draw % total;
+    for (unsigned i = 0; i < route->split_count; i++) {
+        if (at < (uint64_t)route->split[i].weight) {
+            return route->split[i].service;
+        }
+        at -= (uint64_t)route->split[i].weight;
+    }
+    return route->split[0].service;
+}
--- /dev/null
+++ b/relay/relay.c
@@ -0,0 +1,161 @@
+#include "relay.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Wiring: the loop, its signals, its tick, the order of a stop. */
+
+/* Steps of what no event brings about: waiting requests, leases, sweeps. */
+#define TICK_MS 100
+#define SWEEP_TICKS 5
+/* Levels that the cache map holds: 9 servers hold about 20 prompts of three
+ * levels each, 112 of them 6,700 levels; 104 B each. */
+#define CACHE_LEVELS 16384
+/* After a stop's signal the door stays open until the balancer has left: it
+ * asks every second and believes two misses, ms. */
+#define DOOR_MS 2600
+/* The process ends this long before it would be killed, ms. */
+#define END_MARGIN_MS 700
+
+/* Whether the balancer may send callers here. */
+bool
+relay_ready(const relay_t *relay)
+{
+    return relay->stopping_ms == 0 && relay->config != NULL &&
+           relay->servers_listed && relay->weights_listed;
+}
+
+static void
+stop_step(relay_t *relay)
+{
+    int64_t since = time_mono_ms() - relay->stopping_ms;
+    int64_t last = (int64_t)relay->settings.stop_s * 1000 - END_MARGIN_MS;
+    if (since >= DOOR_MS || since >= last) {
+        door_shut(relay);
+    }
+    if ((since >= DOOR_MS && relay->caller_count == 0) || since >= last) {
+        log_record(LOG_INFO, "daemon", "stopped",
+                   "after_ms=%lld requests_left=%zu callers_left=%zu",
+                   (long long)since, relay->request_count,
+                   relay->caller_count);
+        (void)event_base_loopbreak(relay->base);
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+    relay_t *relay = arg;
+    (void)fd;
+    (void)what;
+    if (relay->turn_ticks++ % SWEEP_TICKS == 0) {
+        exchanges_sweep(relay->exchanges);
+    }
+    facts_tick(relay);
+    requests_tick(relay);
+    rollout_tick(relay->rollout);
+    if (relay->stopping_ms != 0) {
+        stop_step(relay);
+    }
+    log_flush();
+}
+
+static void
+on_stop(evutil_socket_t number, short what, void *arg)
+{
+    relay_t *relay = arg;
+    (void)what;
+    if (relay->stopping_ms != 0) {
+        return;
+    }
+    relay->stopping_ms = time_mono_ms();
+    log_record(LOG_INFO, "daemon", "stopping",
+               "signal=%d requests=%zu callers=%zu", (int)number,
+               relay->request_count, relay->caller_count);
+}
+
+/* The settings may have changed.  What may change while a process runs is
+ * taken; an unreadable file changes nothing. */
+static void
+on_reload(evutil_socket_t number, short what, void *arg)
+{
+    relay_t *relay = arg;
+    settings_t fresh;
+    CLEAN_BUF buf_t problems = {0};
+    (void)number;
+    (void)what;
+    if (settings_read(&fresh, relay->path, &problems) != 0) {
+        log_record(LOG_ERROR, "daemon", "reload-refused", "why=\"%.400s\"",
+                   buf_text(&problems));
+        return;
+    }
+    relay->settings.objective = fresh.objective;
+    relay->settings.stop_s = fresh.stop_s;
+    relay->settings.weights_ms = fresh.weights_ms;
+    log_setup(relay->settings.name, (log_level_t)fresh.log_level);
+    log_record(LOG_INFO, "daemon", "reloaded", "file=%s", relay->path);
+}
+
+static int
+relay_open(relay_t *relay, err_t *err)
+{
+    static const struct timeval step = {0, TICK_MS * 1000};
+    struct event_config *config = event_config_new();
+    (void)event_config_set_flag(config, EVENT_BASE_FLAG_NOLOCK);
+    relay->base = event_base_new_with_config(config);
+    event_config_free(config);
+    if (relay->base == NULL) {
+        return err_set(err, ERR_HTTP, 1, "no event loop can be had");
+    }
+    relay->exchanges = exchanges_new(relay->base);
+    if (door_open(relay, err) != 0) {
+        return -1;
+    }
+    relay->tick = event_new(relay->base, -1, EV_PERSIST, on_tick, relay);
+    (void)event_add(relay->tick, &step);
+    relay->signals[0] = evsignal_new(relay->base, SIGTERM, on_stop, relay);
+    relay->signals[1] = evsignal_new(relay->base, SIGINT, on_stop, relay);
+    relay->signals[2] = evsignal_new(relay->base, SIGHUP, on_reload, relay);
+    for (size_t i = 0; i < 3; i++) {
+        (void)event_add(relay->signals[i], NULL);
+    }
+    return 0;
+}
+
+static void
+relay_init(relay_t *relay, const settings_t *settings, const char *path)
+{
+    relay->settings = *settings;
+    relay->path = path;
+    relay->rng.state = (uint64_t)time_mono_us() ^
+                       str_hash(settings->name, (uint64_t)time_wall_ms());
+    CK_LIST_INIT(&relay->callers);
+    CK_LIST_INIT(&relay->requests);
+    relay->servers = servers_new();
+    relay->cache = cache_map_new(CACHE_LEVELS);
+    retry_shares_init(&relay->retries, settings->again_percent / 100.0,
+                      (double)settings->again_slack / settings->hosts,
+                      (int64_t)settings->again_window_s * 1000);
+}
+
+/* Run until a signal ends it. */
+int
+relay_run(const settings_t *settings, const char *path, err_t *err)
+{
+    relay_t *relay = mem_zalloc(sizeof(*relay));
+    relay_init(relay, settings, path);
+    if (relay_open(relay, err) != 0) {
+        free(relay);
+        return -1;
+    }
+    log_record(LOG_INFO, "daemon", "started",
+               "version=%s dc=%s http=%s ready=%s store=%s", CS_VERSION,
+               settings->dc, settings->http, settings->ready, settings->store);
+    facts_start(relay);
+    relay->rollout = rollout_new(relay);
+    (void)event_base_dispatch(relay->base);
+    log_flush();
+    /* What is left belongs to the process, which ends now. */
+    return 0;
+}
--- /dev/null
+++ b/relay/relay.h
@@ -0,0 +1,123 @@
+#ifndef CELERYSPOOL_RELAY_H
+#define CELERYSPOOL_RELAY_H
+
+/* The router on the users' platform: callers on one side, backend servers on
+ * the other, the platform's store behind.  One thread and one event loop: a
+ * host has a quarter to three quarters of one core, so a second thread would
+ * add switches and locks and no work done. */
+
+#include "../kernel/settings.h"
+#include "../kernel/tables.h"
+#include "exchange.h"
+#include "relay-config.h"
+#include "retry-share.h"
+#include "servers.h"
+#include "stream.h"
+#include "watch.h"
+#include "wire.h"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+typedef struct relay relay_t;
+typedef struct caller caller_t;
+typedef struct request request_t;
+
+typedef struct rollout rollout_t;
+
+/* ---- the newest weights that were named ---- */
+
+#define WEIGHTS_MODELS_MAX 64
+
+typedef struct {
+    char model[SERVER_MODEL_MAX];
+    int64_t version;
+    int64_t named_ms; /* when this host heard of it, monotonic */
+} weights_t;
+
+typedef CK_LIST_HEAD(caller_list, caller) caller_list_t;
+typedef CK_LIST_HEAD(request_list, request) request_list_t;
+
+typedef struct {
+    uint64_t requests;
+    uint64_t answered;
+    uint64_t refused;
+    uint64_t failed;
+    uint64_t gone; /* the caller left */
+    uint64_t sends;
+    uint64_t retries;
+    uint64_t resumed;
+} relay_counts_t;
+
+struct relay {
+    settings_t settings;
+    struct event_base *base;
+    struct event *tick;
+    struct event *signals[3];
+    exchanges_t *exchanges;
+    struct evconnlistener *door;
+    struct evconnlistener *ready_door;
+    caller_list_t callers;
+    request_list_t requests;
+    size_t caller_count;
+    size_t request_count;
+    size_t body_bytes; /* of all requests that are held */
+
+    relay_config_t *config; /* NULL until one was read */
+    servers_t *servers;
+    cache_map_t *cache;
+    weights_t weights[WEIGHTS_MODELS_MAX];
+    size_t weights_count;
+    bool servers_listed;
+    bool weights_listed;
+    watch_t *config_watch;
+    watch_t *servers_watch;
+    watch_t *weights_watch;
+    rollout_t *rollout;
+    retry_shares_t retries;
+
+    rng_t rng;
+    uint64_t turn;
+    unsigned turn_ticks;
+    const char *path; /* of the settings file */
+    int64_t stopping_ms; /* when the stop was asked for, 0 if it was not */
+    relay_counts_t counts;
+};
+
+int relay_run(const settings_t *settings, const char *path, err_t *err);
+bool relay_ready(const relay_t *relay);
+const weights_t *relay_weights(const relay_t *relay, const char *model);
+
+/* ---- callers ---- */
+
+int door_open(relay_t *relay, err_t *err);
+void door_shut(relay_t *relay);
+void door_tick(relay_t *relay);
+void caller_answer(caller_t *caller, int status, const buf_t *headers,
+                   const char *body, size_t len);
+void caller_stream_begin(caller_t *caller, int status, const buf_t *headers);
+void caller_stream_data(caller_t *caller, const char *data, size_t len);
+void caller_stream_end(caller_t *caller);
+void caller_break(caller_t *caller);
+void caller_serves(caller_t *caller, request_t *request);
+
+/* ---- requests ---- */
+
+void request_begin(relay_t *relay, caller_t *caller, const http_head_t *head,
+                   buf_t *body);
+void request_caller_left(request_t *request);
+void requests_tick(relay_t *relay);
+
+/* ---- what the platform holds ---- */
+
+void facts_start(relay_t *relay);
+void facts_stop(relay_t *relay);
+void facts_tick(relay_t *relay);
+void facts_ask_report(relay_t *relay, server_t *server);
+
+/* ---- orders ---- */
+
+rollout_t *rollout_new(relay_t *relay);
+void rollout_tick(rollout_t *rollout);
+
+#endif
--- /dev/null
+++ b/relay/request-place.c
@@ -0,0 +1,181 @@
+#include "request.h"
+
+#include <string.h>
+
+/* Which server a request goes to.  Engines are weighed by the time until they
+ * would have read the prompt: what waits there, and what of the prompt they
+ * do not hold.  Plain services are weighed by what runs there. */
+
+/* Prompt tokens that an engine reads in a millisecond where nothing is known
+ * better; measured at 57 on the engines of both users. */
+#define READ_TOKENS_PER_MS 55.0
+/* What one request of other hosts at an engine still has to be read on
+ * average, tokens: about half of a mean prompt is held, and most of those
+ * that run are read already. */
+#define OTHERS_UNREAD_TOKENS 400.0
+/* A request that waits at a server is not read at all yet. */
+#define WAITING_UNREAD_TOKENS 2000.0
+/* A server's own word on its load is taken for so long, ms. */
+#define LOAD_FRESH_MS 1000
+/* Time that one more request at a plain server costs, ms: while there is a
+ * free slot it only matters as a tie-break, behind that it waits for one. */
+#define SLOT_FREE_MS 1.0
+#define SLOT_TAKEN_MS 20.0
+/* An error costs the caller a retry, so a server that fails half of its
+ * answers is worth this many ms less. */
+#define ERROR_MS 400.0
+/* An answer on older weights is worth a fifth less to its caller; they are
+ * used when the newer ones would take this much longer, ms. */
+#define OLD_WEIGHTS_MS 150.0
+/* Older weights are not used any more in this last part of the time that they
+ * may be, so that a request that waits at the server still begins in time. */
+#define OLD_WEIGHTS_PART 0.8
+/* A server that has just refused is full: it costs so much more, ms, until its
+ * next answers show otherwise. */
+#define FULL_MS 300.0
+#define CHOOSE_MAX 512
+
+static bool
+is_tried(const request_t *request, const server_t *server)
+{
+    for (unsigned i = 0; i < request->tried_count; i++) {
+        if (request->tried[i] == server->number) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether an engine's weights may still begin an answer. */
+static bool
+weights_allowed(const request_t *request, const server_t *server, int64_t now)
+{
+    const weights_t *newest =
+        relay_weights(request->relay, request->prompt.model);
+    if (newest == NULL || server->said.weights >= newest->version) {
+        return true;
+    }
+    return now - newest->named_ms <
+           (int64_t)(OLD_WEIGHTS_PART * request->relay->settings.weights_ms);
+}
+
+static bool
+may_serve(const request_t *request, const server_t *server, int64_t now)
+{
+    if (strcmp(server->said.service, request->service) != 0 ||
+        !server_usable(server, now) || is_tried(request, server)) {
+        return false;
+    }
+    if (!request->engine) {
+        return true;
+    }
+    return server->said.engine &&
+           strcmp(server->said.model, request->prompt.model) == 0 &&
+           weights_allowed(request, server, now);
+}
+
+static double
+engine_wait_ms(const server_t *server, int64_t now)
+{
+    double tokens = server->own_unread;
+    if (server->load_ms != 0 && now - server->load_ms < LOAD_FRESH_MS) {
+        int others = server->load_running - server->own_running;
+        tokens += (others > 0 ? others : 0) * OTHERS_UNREAD_TOKENS +
+                  server->load_waiting * WAITING_UNREAD_TOKENS;
+    }
+    return tokens / READ_TOKENS_PER_MS;
+}
+
+static double
+plain_wait_ms(const server_t *server, int64_t now)
+{
+    int running = server->own_running;
+    if (server->load_ms != 0 && now - server->load_ms < LOAD_FRESH_MS) {
+        int said = server->load_running + server->load_waiting;
+        running = said > running ? said : running;
+    }
+    int over = running - server->said.slots + 1;
+    return running * SLOT_FREE_MS + (over > 0 ? over * SLOT_TAKEN_MS : 0);
+}
+
+static void
+fill_candidate(const request_t *request, const server_t *server, int64_t now,
+               candidate_t *out)
+{
+    relay_t *relay = request->relay;
+    memset(out, 0, sizeof(*out));
+    out->id = server->number;
+    out->rate = READ_TOKENS_PER_MS * 1000;
+    out->running = server->own_running;
+    out->same_dc = strcmp(server->said.dc, relay->settings.dc) == 0;
+    out->wait_ms = request->engine ? engine_wait_ms(server, now)
+                                   : plain_wait_ms(server, now);
+    out->wait_ms += server->error_share * ERROR_MS;
+    out->wait_ms += now < server->full_ms ? FULL_MS : 0;
+    if (!request->engine) {
+        out->rank = place_weight(0, server->said.id);
+        return;
+    }
+    char salt[CS_ID_LEN + 1];
+    prefix_t prefix;
+    bool isolated =
+        request->workspace != NULL && request->workspace->isolated;
+    prompt_salt(request->prompt.model, server->said.weights,
+                isolated ? request->workspace->name : "", salt);
+    prompt_levels(&request->prompt, salt, &prefix);
+    out->cached = cache_map_cached(relay->cache, &prefix, server->number);
+    out->rank = place_weight(prompt_home(&request->prompt), server->said.id);
+    const weights_t *newest = relay_weights(relay, request->prompt.model);
+    if (newest != NULL && server->said.weights < newest->version) {
+        out->wait_ms += OLD_WEIGHTS_MS;
+    }
+}
+
+/* The server for a request, or NULL if none can take it now. */
+server_t *
+request_choose(request_t *request)
+{
+    relay_t *relay = request->relay;
+    int64_t now = time_mono_ms();
+    candidate_t all[CHOOSE_MAX];
+    server_t *servers[CHOOSE_MAX];
+    size_t count = 0;
+    server_t *server;
+    CK_LIST_FOREACH(server, &relay->servers->list, entry)
+    {
+        if (count < CHOOSE_MAX && may_serve(request, server, now)) {
+            fill_candidate(request, server, now, &all[count]);
+            servers[count++] = server;
+        }
+    }
+    if (count == 0) {
+        return NULL;
+    }
+    prefix_t prefix = {.tokens = request->prompt.prompt_tokens};
+    place_ask_t ask = {.prefix = &prefix,
+                       .objective = relay->settings.objective != 0
+                                        ? OBJECTIVE_HITS
+                                        : OBJECTIVE_TAIL,
+                       .turn = relay->turn++};
+    size_t best = policy_find("cost")->choose(all, count, &ask);
+    log_record(LOG_INFO, "place", "chosen",
+               "id=%s server=%s among=%zu wait_ms=%.0f held=%u of=%u "
+               "weights=%lld config=%lld",
+               request->id, servers[best]->said.id, count, all[best].wait_ms,
+               all[best].cached, prefix.tokens,
+               (long long)servers[best]->said.weights,
+               (long long)request->config->version);
+    return servers[best];
+}
+
+/* Send a request that has no server yet; false if none can take it now. */
+bool
+request_place(request_t *request)
+{
+    server_t *server = request_choose(request);
+    if (server == NULL) {
+        return false;
+    }
+    request_send(request, server);
+    return true;
+}
--- /dev/null
+++ b/relay/request.h
@@ -0,0 +1,82 @@
+#ifndef CELERYSPOOL_REQUEST_H
+#define CELERYSPOOL_REQUEST_H
+
+/* The life of one request, from its last byte read to its answer. */
+
+#include "prompt.h"
+#include "relay.h"
+#include "retry-rule.h"
+
+#define REQUEST_ID_MAX 96
+#define REQUEST_TRIED_MAX 5
+
+typedef enum {
+    REQUEST_WAITING, /* no server can take it now */
+    REQUEST_SENT,
+    REQUEST_STREAMING /* the caller has a part of the answer */
+} request_phase_t;
+
+/* What is done with the answer that is being read. */
+typedef enum {
+    ANSWER_NONE,    /* no head yet */
+    ANSWER_BUFFER,  /* the caller gets it when it is whole */
+    ANSWER_STREAM,  /* the caller gets each event */
+    ANSWER_FAILED,  /* whole and signed, but a failure of the server */
+    ANSWER_REFUSED, /* the server has not run the request */
+    ANSWER_BAD      /* nothing that may be passed on */
+} answer_t;
+
+struct request {
+    CK_LIST_ENTRY(request) entry;
+    relay_t *relay;
+    caller_t *caller;
+    const http_head_t *head; /* the caller's, as long as it waits */
+    const buf_t *body;
+    relay_config_t *config;
+    const route_t *route;
+    const workspace_entry_t *workspace; /* NULL on an open route */
+    char id[REQUEST_ID_MAX];
+    char service[CS_NAME_MAX];
+    bool engine;
+    prompt_t prompt;
+
+    int64_t came_ms;
+    int64_t until_ms; /* the caller's deadline or the route's timeout */
+    int64_t waits_until_ms; /* for a server to be there at all */
+    struct event *timer;
+    request_phase_t phase;
+
+    /* The send that is under way. */
+    exchange_t *exchange;
+    server_t *server;
+    int64_t weights; /* that it is to be made with, of an engine */
+    int64_t sent_ms;
+    prefix_t prefix;
+    double unread; /* tokens of its prompt that the server must read */
+    uint32_t cached;
+    answer_t answer;
+    int status;
+    buf_t headers; /* of the answer, as the caller gets them */
+    buf_t answer_body;
+    stream_t stream;
+    bool moved; /* the server says that another is at its address */
+
+    int ran;
+    int sends;
+    uint16_t tried[REQUEST_TRIED_MAX];
+    unsigned tried_count;
+    int64_t first_ms; /* when the first event or the answer was there */
+};
+
+/* Tries to send a waiting request; false if it must go on waiting. */
+bool request_place(request_t *request);
+void request_send(request_t *request, server_t *server);
+void request_sent_over(request_t *request);
+void request_failed(request_t *request, send_fate_t fate);
+void request_end(request_t *request, const char *outcome);
+void request_refuse(request_t *request, const char *why, int64_t after_ms);
+void request_fail(request_t *request, int status, const char *why);
+server_t *request_choose(request_t *request);
+void request_first_answer(request_t *request);
+
+#endif
--- /dev/null
+++ b/relay/rollout.c
@@ -0,0 +1,420 @@
+#include "lease.h"
+#include "relay.h"
+#include "rollout-plan.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Brings engines to the newest weights.  One daemon gives the orders, under a
+ * lease in the platform's store; every order carries the lease's fencing
+ * number, the server's identity and the count of orders that the server had
+ * accepted, so that one that arrives late or twice does nothing. */
+
+#define LEASE_NAME "orders"
+#define STORE_CONNECT_MS 300
+#define STORE_CALL_MS 1000
+#define ORDER_CONNECT_MS 300
+#define ORDER_CALL_MS 800
+/* A report is a few hundred ms behind, so what an order did shows in it only
+ * after this, ms. */
+#define REPORT_LAG_MS 400
+/* While a server loads it is asked this often, ms. */
+#define LOADING_ASK_MS 250
+/* A server that could not be ordered is left for this long, ms. */
+#define AGAIN_MS 500
+/* An order that has shown no effect for so long is given anew, ms: a load
+ * takes under a second, behind it runs finish within a few. */
+#define ORDER_SPAN_MS 6000
+
+typedef enum {
+    JOB_REPORT, /* how many orders has it accepted, and is it there already */
+    JOB_ORDER,
+    JOB_LOADING
+} job_state_t;
+
+typedef struct job {
+    CK_LIST_ENTRY(job) entry;
+    rollout_t *rollout;
+    char server[CS_NAME_MAX];
+    char model[SERVER_MODEL_MAX];
+    int64_t version;
+    job_state_t state;
+    int64_t began_ms;
+    int64_t next_ms; /* when to ask again */
+    exchange_t *exchange;
+    int status;
+    buf_t answer;
+} job_t;
+
+struct rollout {
+    relay_t *relay;
+    lease_t lease;
+    exchange_t *lease_call;
+    lease_step_t lease_step;
+    int status;
+    buf_t answer;
+    bool was_held;
+    CK_LIST_HEAD(jobs, job) jobs;
+};
+
+/* ---- the lease ---- */
+
+static head_verdict_t
+on_lease_head(void *arg, const http_head_t *head)
+{
+    rollout_t *rollout = arg;
+    rollout->status = head->status;
+    return HEAD_TAKE;
+}
+
+static void
+on_lease_body(void *arg, const char *data, size_t len)
+{
+    rollout_t *rollout = arg;
+    buf_add(&rollout->answer, data, len);
+}
+
+static void
+take_lease(rollout_t *rollout)
+{
+    store_page_t page;
+    err_t err = {0};
+    char holder[LEASE_HOLDER_MAX];
+    int64_t fence;
+    if (platform_object_read(&page, buf_text(&rollout->answer),
+                             rollout->answer.len, &err) != 0) {
+        log_warn("orders", "The lease cannot be read: %s.", err.text);
+        lease_unanswered(&rollout->lease);
+        return;
+    }
+    if (platform_lease_read(&page.objects[0], holder, sizeof(holder), &fence,
+                            &err) != 0) {
+        log_warn("orders", "The lease cannot be read: %s.", err.text);
+        holder[0] = '\0';
+        fence = 0;
+    }
+    lease_seen(&rollout->lease, page.objects[0].revision, holder, fence,
+               time_boot_ms());
+    platform_page_free(&page);
+}
+
+static void
+on_lease_end(void *arg, exchange_end_t end)
+{
+    rollout_t *rollout = arg;
+    bool wrote = rollout->lease_step != LEASE_READ;
+    rollout->lease_call = NULL;
+    if (end != EXCHANGE_WHOLE) {
+        if (wrote && end != EXCHANGE_UNSENT) {
+            lease_unanswered(&rollout->lease);
+        }
+        return;
+    }
+    switch (rollout->status) {
+        case 200:
+        case 201:
+        case 409: /* with the object as it is */
+            take_lease(rollout);
+            return;
+        case 404:
+            lease_seen_absent(&rollout->lease);
+            return;
+        default:
+            return; /* nothing was done; the next tick asks again */
+    }
+}
+
+static void
+lease_call(rollout_t *rollout, lease_step_t step)
+{
+    relay_t *relay = rollout->relay;
+    const char *addr = relay->settings.store;
+    lease_t *lease = &rollout->lease;
+    CLEAN_BUF buf_t head = {0};
+    exchange_hooks_t hooks = {on_lease_head, on_lease_body, on_lease_end,
+                              rollout};
+    lease_asked(lease, step, time_boot_ms());
+    CLEAN_JSON json_t *spec =
+        platform_lease_spec(lease->self, lease_wanted_fence(lease));
+    switch (step) {
+        case LEASE_CREATE:
+            platform_create_call(&head, addr, KIND_LEASES, LEASE_NAME, spec);
+            break;
+        case LEASE_WRITE:
+            platform_replace_call(&head, addr, KIND_LEASES, LEASE_NAME,
+                                  lease->revision, spec);
+            break;
+        case LEASE_READ:
+        case LEASE_IDLE:
+            platform_get_call(&head, addr, KIND_LEASES, LEASE_NAME);
+            break;
+    }
+    exchange_ask_t ask = {.addr = addr,
+                          .head = head.data,
+                          .head_len = head.len,
+                          .connect_ms = STORE_CONNECT_MS,
+                          .total_ms = STORE_CALL_MS};
+    rollout->lease_step = step;
+    rollout->status = 0;
+    rollout->answer.len = 0;
+    rollout->lease_call = exchange_start(relay->exchanges, &ask, &hooks);
+}
+
+static void
+lease_tick(rollout_t *rollout)
+{
+    int64_t now = time_boot_ms();
+    bool held = lease_held(&rollout->lease, now);
+    if (held != rollout->was_held) {
+        rollout->was_held = held;
+        log_record(LOG_INFO, "orders", held ? "lease-held" : "lease-lost",
+                   "fence=%lld revision=%lld holder=%s",
+                   (long long)rollout->lease.fence,
+                   (long long)rollout->lease.revision, rollout->lease.holder);
+    }
+    if (rollout->lease_call != NULL || rollout->relay->stopping_ms != 0) {
+        return;
+    }
+    lease_step_t step = lease_next(&rollout->lease, now);
+    if (step != LEASE_IDLE) {
+        lease_call(rollout, step);
+    }
+}
+
+/* ---- jobs: one server each ---- */
+
+static void
+job_free(job_t *job, int64_t again_ms)
+{
+    server_t *server =
+        servers_find(job->rollout->relay->servers, job->server);
+    if (server != NULL) {
+        server->ordered = false;
+        server->order_after_ms = time_mono_ms() + again_ms;
+    }
+    if (job->exchange != NULL) {
+        exchange_cancel(job->exchange);
+    }
+    CK_LIST_REMOVE(job, entry);
+    buf_free(&job->answer);
+    free(job);
+}
+
+static head_verdict_t
+on_job_head(void *arg, const http_head_t *head)
+{
+    job_t *job = arg;
+    job->status = head->status;
+    return HEAD_TAKE;
+}
+
+static void
+on_job_body(void *arg, const char *data, size_t len)
+{
+    job_t *job = arg;
+    buf_add(&job->answer, data, len);
+}
+
+static void on_job_end(void *arg, exchange_end_t end);
+
+static void
+job_call(job_t *job, const server_t *server, const buf_t *head)
+{
+    exchange_hooks_t hooks = {on_job_head, on_job_body, on_job_end, job};
+    exchange_ask_t ask = {.addr = server->said.addr,
+                          .head = head->data,
+                          .head_len = head->len,
+                          .connect_ms = ORDER_CONNECT_MS,
+                          .total_ms = ORDER_CALL_MS};
+    job->status = 0;
+    job->answer.len = 0;
+    job->exchange =
+        exchange_start(job->rollout->relay->exchanges, &ask, &hooks);
+}
+
+static void
+job_ask_report(job_t *job, const server_t *server)
+{
+    CLEAN_BUF buf_t head = {0};
+    platform_report_call(&head, server->said.addr);
+    job_call(job, server, &head);
+}
+
+/* Give the order.  The lease is looked at last, right before it leaves. */
+static void
+job_order(job_t *job, const server_t *server, int64_t expected)
+{
+    rollout_t *rollout = job->rollout;
+    CLEAN_BUF buf_t head = {0};
+    weights_order_t order = {.server = server->said.id,
+                             .model = job->model,
+                             .version = job->version,
+                             .runs = RUNS_FINISH,
+                             .holder = rollout->lease.self,
+                             .fence = rollout->lease.fence,
+                             .expected_orders = expected};
+    platform_order_call(&head, server->said.addr, &order);
+    if (!lease_held(&rollout->lease, time_boot_ms())) {
+        job_free(job, AGAIN_MS);
+        return;
+    }
+    log_record(LOG_INFO, "orders", "load",
+               "server=%s model=%s version=%lld from=%lld fence=%lld "
+               "expected=%lld",
+               server->said.id, job->model, (long long)job->version,
+               (long long)server->said.weights,
+               (long long)rollout->lease.fence, (long long)expected);
+    job->state = JOB_ORDER;
+    job_call(job, server, &head);
+}
+
+static void
+take_job_report(job_t *job, server_t *server)
+{
+    server_report_t report;
+    err_t err = {0};
+    if (job->status != 200 ||
+        platform_report_read(&report, buf_text(&job->answer), job->answer.len,
+                             &err) != 0) {
+        job_free(job, AGAIN_MS);
+        return;
+    }
+    if (report.weights != server->said.weights) {
+        cache_map_forget(job->rollout->relay->cache, server->number);
+        server->said.weights = report.weights;
+    }
+    if (report.weights >= job->version) {
+        log_record(LOG_INFO, "orders", "loaded",
+                   "server=%s version=%lld after_ms=%lld", server->said.id,
+                   (long long)report.weights,
+                   (long long)(time_mono_ms() - job->began_ms));
+        job_free(job, 0);
+        return;
+    }
+    if (report.busy || job->state == JOB_LOADING) {
+        job->state = JOB_LOADING;
+        job->next_ms = time_mono_ms() + LOADING_ASK_MS;
+        return;
+    }
+    job_order(job, server, report.orders);
+}
+
+static void
+take_job_answer(job_t *job, const server_t *server)
+{
+    switch (job->status) {
+        case 202:
+            job->state = JOB_LOADING;
+            job->next_ms = time_mono_ms() + REPORT_LAG_MS;
+            return;
+        case 200:
+            job->state = JOB_REPORT;
+            job->next_ms = time_mono_ms() + REPORT_LAG_MS;
+            return;
+        default:
+            log_record(LOG_WARN, "orders", "refused",
+                       "server=%s status=%d fence=%lld", server->said.id,
+                       job->status, (long long)job->rollout->lease.fence);
+            job_free(job, AGAIN_MS);
+            return;
+    }
+}
+
+static void
+on_job_end(void *arg, exchange_end_t end)
+{
+    job_t *job = arg;
+    server_t *server =
+        servers_find(job->rollout->relay->servers, job->server);
+    job->exchange = NULL;
+    if (server == NULL || server->said.weights >= job->version) {
+        job_free(job, 0);
+        return;
+    }
+    if (end != EXCHANGE_WHOLE) {
+        log_record(LOG_WARN, "orders", "no-answer", "server=%s state=%d",
+                   job->server, (int)job->state);
+        job_free(job, AGAIN_MS);
+        return;
+    }
+    if (job->state == JOB_ORDER) {
+        take_job_answer(job, server);
+        return;
+    }
+    take_job_report(job, server);
+}
+
+static void
+jobs_tick(rollout_t *rollout, int64_t now)
+{
+    job_t *job;
+    job_t *next;
+    CK_LIST_FOREACH_SAFE(job, &rollout->jobs, entry, next)
+    {
+        server_t *server =
+            servers_find(rollout->relay->servers, job->server);
+        if (server == NULL || server->said.weights >= job->version ||
+            now - job->began_ms > ORDER_SPAN_MS) {
+            job_free(job, 0);
+            continue;
+        }
+        if (job->exchange == NULL && now >= job->next_ms) {
+            job_ask_report(job, server);
+        }
+    }
+}
+
+static void
+jobs_begin(rollout_t *rollout, const weights_t *weights, int64_t now)
+{
+    servers_t *servers = rollout->relay->servers;
+    size_t loading;
+    size_t count = rollout_count(servers, weights->model, &loading);
+    server_t *server;
+    while (loading < rollout_limit(count) &&
+           (server = rollout_pick(servers, weights->model, weights->version,
+                                  now)) != NULL) {
+        job_t *job = mem_zalloc(sizeof(*job));
+        job->rollout = rollout;
+        job->began_ms = now;
+        job->version = weights->version;
+        str_copy(job->server, sizeof(job->server), server->said.id);
+        str_copy(job->model, sizeof(job->model), weights->model);
+        CK_LIST_INSERT_HEAD(&rollout->jobs, job, entry);
+        server->ordered = true;
+        loading++;
+        job_ask_report(job, server);
+    }
+}
+
+/* One step: look after the lease, and while it is held, after the orders. */
+void
+rollout_tick(rollout_t *rollout)
+{
+    relay_t *relay = rollout->relay;
+    int64_t now = time_mono_ms();
+    lease_tick(rollout);
+    jobs_tick(rollout, now);
+    if (!relay->servers_listed || !relay->weights_listed ||
+        relay->stopping_ms != 0 ||
+        !lease_held(&rollout->lease, time_boot_ms())) {
+        return;
+    }
+    for (size_t i = 0; i < relay->weights_count; i++) {
+        jobs_begin(rollout, &relay->weights[i], now);
+    }
+}
+
+rollout_t *
+rollout_new(relay_t *relay)
+{
+    rollout_t *rollout = mem_zalloc(sizeof(*rollout));
+    char self[LEASE_HOLDER_MAX];
+    (void)snprintf(self, sizeof(self), "%s/%s/%08llx", relay->settings.name,
+                   relay->settings.http,
+                   (unsigned long long)(rng_next(&relay->rng) & 0xffffffffu));
+    rollout->relay = relay;
+    CK_LIST_INIT(&rollout->jobs);
+    lease_init(&rollout->lease, self, relay->settings.lease_ms);
+    return rollout;
+}
--- /dev/null
+++ b/relay/servers.c
@@ -0,0 +1,198 @@
+#include "servers.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A server whose connections fail is left alone for a second, then for twice
+ * as long each time, ms.  The bound keeps a server that came back from being
+ * unused for long. */
+#define CIRCUIT_FIRST_MS 500
+#define CIRCUIT_LAST_MS 4000
+/* Faults in a row that open the circuit.  A connection that cannot be made is
+ * proof enough by itself; a single broken answer is not. */
+#define CIRCUIT_FAULTS 2
+/* Weight of the newest answer in the share of errors: about the last ten. */
+#define ERROR_WEIGHT 0.1
+
+servers_t *
+servers_new(void)
+{
+    servers_t *servers = mem_zalloc(sizeof(*servers));
+    CK_LIST_INIT(&servers->list);
+    return servers;
+}
+
+void
+servers_free(servers_t *servers)
+{
+    server_t *server;
+    while ((server = CK_LIST_FIRST(&servers->list)) != NULL) {
+        servers_remove(servers, server);
+    }
+    free(servers);
+}
+
+server_t *
+servers_find(servers_t *servers, const char *id)
+{
+    server_t *server;
+    CK_LIST_FOREACH(server, &servers->list, entry)
+    {
+        if (!server->gone && strcmp(server->said.id, id) == 0) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
+static int
+number_take(servers_t *servers)
+{
+    for (int i = 0; i < SERVERS_MAX; i++) {
+        if (!servers->taken[i]) {
+            servers->taken[i] = true;
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* Forget what was seen of an earlier start of a server. */
+static void
+server_renew(server_t *server)
+{
+    server->faults = 0;
+    server->closed_ms = 0;
+    server->full_ms = 0;
+    server->load_ms = 0;
+    server->error_share = 0;
+    server->slowness = 1;
+    server->misplaced = false;
+}
+
+/* Take an entry in; NULL if there is no number left for a new one. */
+server_t *
+servers_put(servers_t *servers, const server_entry_t *entry)
+{
+    server_t *server = servers_find(servers, entry->id);
+    if (server == NULL) {
+        int number = number_take(servers);
+        if (number < 0) {
+            return NULL;
+        }
+        server = mem_zalloc(sizeof(*server));
+        server->number = (uint16_t)number;
+        server->slowness = 1;
+        CK_LIST_INSERT_HEAD(&servers->list, server, entry);
+        servers->count++;
+    }
+    bool renewed = server->said.born_ms != entry->born_ms ||
+                   strcmp(server->said.addr, entry->addr) != 0;
+    server->said = *entry;
+    if (renewed) {
+        server_renew(server);
+    }
+    server->missing_ms = 0;
+    server->seen = servers->lists;
+    return server;
+}
+
+void
+servers_remove(servers_t *servers, server_t *server)
+{
+    servers->taken[server->number] = false;
+    servers->count--;
+    CK_LIST_REMOVE(server, entry);
+    free(server);
+}
+
+/* Free what is gone and no longer used by a request. */
+void
+servers_sweep(servers_t *servers)
+{
+    server_t *server;
+    server_t *next;
+    CK_LIST_FOREACH_SAFE(server, &servers->list, entry, next)
+    {
+        if (server->gone && server->own_running == 0) {
+            servers_remove(servers, server);
+        }
+    }
+}
+
+/* A request goes to it that makes it read so many tokens. */
+void
+server_sent(server_t *server, double unread_tokens)
+{
+    server->own_running++;
+    server->own_unread += unread_tokens;
+}
+
+/* So many tokens of a request's prompt are read, or will not be. */
+void
+server_read(server_t *server, double tokens)
+{
+    server->own_unread -= tokens;
+    if (server->own_unread < 0) {
+        server->own_unread = 0;
+    }
+}
+
+void
+server_done(server_t *server)
+{
+    server->own_running--;
+}
+
+void
+server_load(server_t *server, int running, int waiting, int slots,
+            int64_t now_ms)
+{
+    server->load_running = running;
+    server->load_waiting = waiting;
+    server->load_slots = slots;
+    server->load_ms = now_ms;
+}
+
+/* Count a fault; enough of them leave the server alone for a while. */
+void
+server_fault(server_t *server, server_fault_t fault, int64_t now_ms)
+{
+    server->faults++;
+    switch (fault) {
+        case SERVER_FAULT_ERROR:
+            /* Its answers are good or bad one by one: only the share of bad
+             * ones counts, see choose.c. */
+            server->error_share += ERROR_WEIGHT * (1 - server->error_share);
+            server->faults--;
+            return;
+        case SERVER_FAULT_BROKEN:
+            server->error_share += ERROR_WEIGHT * (1 - server->error_share);
+            if (server->faults < CIRCUIT_FAULTS) {
+                return;
+            }
+            break;
+        case SERVER_FAULT_CONNECT:
+        case SERVER_FAULT_SILENT:
+            break;
+    }
+    unsigned doublings = server->faults - 1 < 3 ? server->faults - 1 : 3;
+    int64_t pause = (int64_t)CIRCUIT_FIRST_MS << doublings;
+    server->closed_ms =
+        now_ms + (pause < CIRCUIT_LAST_MS ? pause : CIRCUIT_LAST_MS);
+}
+
+void
+server_good(server_t *server)
+{
+    server->faults = 0;
+    server->error_share -= ERROR_WEIGHT * server->error_share;
+}
+
+/* Whether new work may go to it at all. */
+bool
+server_usable(const server_t *server, int64_t now_ms)
+{
+    return !server->gone && !server->said.draining && !server->misplaced &&
+           now_ms >= server->closed_ms;
+}
--- /dev/null
+++ b/relay/servers.h
@@ -0,0 +1,86 @@
+#ifndef CELERYSPOOL_SERVERS_H
+#define CELERYSPOOL_SERVERS_H
+
+/* The backend servers that the platform lists, and what this host has seen of
+ * them.  No I/O and no clock: times go in. */
+
+#include "../kernel/base.h"
+
+#include <ck_queue.h>
+
+#define SERVERS_MAX 1024 /* numbers that the cache map can tell apart */
+#define SERVER_MODEL_MAX 64
+
+/* What the platform says of a server, decoded by platform/server-read.c. */
+typedef struct {
+    char id[CS_NAME_MAX];
+    char service[CS_NAME_MAX];
+    char addr[CS_ADDR_MAX];
+    char dc[CS_NAME_MAX];
+    int slots;
+    int cold_ms; /* how much longer it is slow after its start */
+    bool draining;
+    bool engine;                  /* it serves a model */
+    char model[SERVER_MODEL_MAX]; /* of an engine */
+    int64_t weights;              /* version of its model's weights */
+    int64_t born_ms;              /* wall clock, of its start; 0 unknown */
+} server_entry_t;
+
+/* Why a send came to nothing, for the circuit. */
+typedef enum {
+    SERVER_FAULT_CONNECT, /* no connection in time */
+    SERVER_FAULT_BROKEN,  /* reset, cut or garbled */
+    SERVER_FAULT_ERROR,   /* an error answer of its own */
+    SERVER_FAULT_SILENT   /* no answer in the time that it had */
+} server_fault_t;
+
+typedef struct server {
+    CK_LIST_ENTRY(server) entry;
+    server_entry_t said;
+    int64_t revision;    /* of its entry */
+    bool ordered;        /* this host is bringing it to other weights */
+    int64_t order_after_ms; /* not ordered again before */
+    uint16_t number;     /* in the cache map; used again when it is gone */
+    int64_t missing_ms;  /* since when its entry is gone, 0 if it is there */
+    bool gone;           /* off the list for good; kept while it is used */
+    bool misplaced;      /* another server answers at its address */
+    unsigned seen;       /* count of the list that it was last on */
+    int own_running;     /* requests of this host at it */
+    double own_unread;   /* their prompt tokens that are not read yet */
+    int load_running;    /* by its own word */
+    int load_waiting;
+    int load_slots;
+    int64_t load_ms;     /* when it said so, 0 for never */
+    unsigned faults;     /* in a row */
+    int64_t closed_ms;   /* the circuit is open until then */
+    int64_t full_ms;     /* it refused a request: not before then */
+    double error_share;  /* of its answers lately that were errors */
+    double slowness;     /* observed over expected time, smoothed */
+    int64_t asked_ms;    /* when its report was last asked for */
+} server_t;
+
+typedef CK_LIST_HEAD(server_list, server) server_list_t;
+
+typedef struct {
+    server_list_t list;
+    size_t count;
+    unsigned lists; /* how many whole lists were read */
+    bool taken[SERVERS_MAX];
+} servers_t;
+
+servers_t *servers_new(void);
+void servers_free(servers_t *servers);
+server_t *servers_find(servers_t *servers, const char *id);
+server_t *servers_put(servers_t *servers, const server_entry_t *entry);
+void servers_remove(servers_t *servers, server_t *server);
+void servers_sweep(servers_t *servers);
+void server_sent(server_t *server, double unread_tokens);
+void server_read(server_t *server, double tokens);
+void server_done(server_t *server);
+void server_load(server_t *server, int running, int waiting, int slots,
+                 int64_t now_ms);
+void server_fault(server_t *server, server_fault_t fault, int64_t now_ms);
+void server_good(server_t *server);
+bool server_usable(const server_t *server, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/relay/watch.c
@@ -0,0 +1,281 @@
+#include "watch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How long the store holds a watch that has nothing to tell, ms.  A connection
+ * that went silent for good is noticed only when this time and the slack are
+ * over, and a change must be in force within two seconds of its acknowledgement
+ * where nothing is wrong; each call costs, so it is not shorter. */
+#define WATCH_WAIT_MS 2500
+/* Longest time for an answer beyond that, ms: the store answers in 4, and up
+ * to a hundred times as slow it is better heard late than asked again. */
+#define WATCH_SLACK_MS 1000
+#define LIST_MS 2000
+#define CONNECT_MS 300
+/* Pauses after a failed call, ms, doubled each time. */
+#define PAUSE_FIRST_MS 50
+#define PAUSE_LAST_MS 800
+/* Largest answer, bytes: a page is about a megabyte at most. */
+#define ANSWER_MAX (4u << 20)
+#define STATUS_GONE 410
+
+typedef enum { WATCH_LISTING, WATCH_WATCHING } watch_state_t;
+
+struct watch {
+    struct event_base *base;
+    exchanges_t *exchanges;
+    struct event *timer;
+    exchange_t *exchange;
+    watch_hooks_t hooks;
+    char addr[CS_ADDR_MAX];
+    kind_t kind;
+    watch_state_t state;
+    char after[CS_NAME_MAX * 2]; /* name that the list goes on behind */
+    int64_t list_at;             /* revision of the list's first page */
+    int64_t at;                  /* revision to watch from */
+    int status;
+    buf_t answer;
+    int pause_ms;
+    int64_t heard_ms; /* when the store last answered well */
+    int64_t back_ms;  /* when it did so first after a failure */
+    bool failed;      /* the last call did not bring an answer */
+    bool listed;
+    uint64_t calls;
+};
+
+static void watch_call(watch_t *watch);
+
+static const char *
+kind_name(kind_t kind)
+{
+    switch (kind) {
+        case KIND_CONFIG:
+            return "configuration";
+        case KIND_SERVERS:
+            return "servers";
+        case KIND_WEIGHTS:
+            return "weights";
+        case KIND_LEASES:
+            break;
+    }
+    return "leases";
+}
+
+static void
+call_later(watch_t *watch, int ms)
+{
+    struct timeval after = {ms / 1000, ms % 1000 * 1000};
+    (void)event_add(watch->timer, &after);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    watch_call(arg);
+}
+
+/* Ask again after a pause that grows, so that a store in trouble is not asked
+ * by all hosts at once. */
+static void
+call_failed(watch_t *watch, const char *why)
+{
+    if (!watch->failed) {
+        log_record(LOG_WARN, "store", "lost", "kind=%s why=%s status=%d at=%lld",
+                   kind_name(watch->kind), why, watch->status,
+                   (long long)watch->at);
+    }
+    watch->failed = true;
+    call_later(watch, watch->pause_ms);
+    watch->pause_ms = watch->pause_ms * 2 < PAUSE_LAST_MS
+                          ? watch->pause_ms * 2
+                          : PAUSE_LAST_MS;
+}
+
+static void
+list_again(watch_t *watch)
+{
+    watch->state = WATCH_LISTING;
+    watch->after[0] = '\0';
+}
+
+static void
+note_heard(watch_t *watch)
+{
+    watch->heard_ms = time_mono_ms();
+    watch->pause_ms = PAUSE_FIRST_MS;
+    if (watch->failed) {
+        watch->failed = false;
+        watch->back_ms = watch->heard_ms;
+        log_record(LOG_INFO, "store", "back", "kind=%s at=%lld",
+                   kind_name(watch->kind), (long long)watch->at);
+    }
+}
+
+static void
+take_list_page(watch_t *watch, const store_page_t *page)
+{
+    if (watch->after[0] == '\0') {
+        watch->list_at = page->at;
+        watch->hooks.on_list(watch->hooks.arg);
+    }
+    for (size_t i = 0; i < page->count; i++) {
+        watch->hooks.on_object(watch->hooks.arg, &page->objects[i]);
+    }
+    if (page->more && page->count > 0) {
+        str_copy(watch->after, sizeof(watch->after),
+                 page->objects[page->count - 1].name);
+        return;
+    }
+    watch->at = watch->list_at;
+    watch->state = WATCH_WATCHING;
+    watch->listed = true;
+    watch->hooks.on_listed(watch->hooks.arg);
+    log_record(LOG_INFO, "store", "listed", "kind=%s at=%lld",
+               kind_name(watch->kind), (long long)watch->at);
+}
+
+static void
+take_answer(watch_t *watch)
+{
+    store_page_t page;
+    err_t err = {0};
+    if (platform_page_read(&page, buf_text(&watch->answer), watch->answer.len,
+                           &err) != 0) {
+        log_error("store", "An answer on %s cannot be read: %s.",
+                  kind_name(watch->kind), err.text);
+        call_failed(watch, "unreadable");
+        return;
+    }
+    note_heard(watch);
+    if (watch->state == WATCH_LISTING) {
+        take_list_page(watch, &page);
+    }
+    else {
+        for (size_t i = 0; i < page.count; i++) {
+            watch->hooks.on_object(watch->hooks.arg, &page.objects[i]);
+        }
+        watch->at = page.at > watch->at ? page.at : watch->at;
+    }
+    platform_page_free(&page);
+    watch_call(watch);
+}
+
+static head_verdict_t
+on_head(void *arg, const http_head_t *head)
+{
+    watch_t *watch = arg;
+    watch->status = head->status;
+    return HEAD_TAKE;
+}
+
+static void
+on_body(void *arg, const char *data, size_t len)
+{
+    watch_t *watch = arg;
+    if (watch->answer.len + len <= ANSWER_MAX) {
+        buf_add(&watch->answer, data, len);
+    }
+}
+
+static void
+on_end(void *arg, exchange_end_t end)
+{
+    watch_t *watch = arg;
+    watch->exchange = NULL;
+    if (end != EXCHANGE_WHOLE) {
+        call_failed(watch, "no-answer");
+        return;
+    }
+    if (watch->status == STATUS_GONE) {
+        log_record(LOG_WARN, "store", "history-gone", "kind=%s at=%lld",
+                   kind_name(watch->kind), (long long)watch->at);
+        list_again(watch);
+        watch_call(watch);
+        return;
+    }
+    if (watch->status != 200) {
+        call_failed(watch, "refused");
+        return;
+    }
+    take_answer(watch);
+}
+
+static void
+watch_call(watch_t *watch)
+{
+    CLEAN_BUF buf_t head = {0};
+    exchange_hooks_t hooks = {on_head, on_body, on_end, watch};
+    exchange_ask_t ask = {.addr = watch->addr, .connect_ms = CONNECT_MS};
+    watch->status = 0;
+    watch->answer.len = 0;
+    watch->calls++;
+    if (watch->state == WATCH_LISTING) {
+        platform_list_call(&head, watch->addr, watch->kind, watch->after);
+        ask.total_ms = LIST_MS;
+    }
+    else {
+        platform_watch_call(&head, watch->addr, watch->kind, watch->at,
+                            WATCH_WAIT_MS);
+        ask.total_ms = WATCH_WAIT_MS + WATCH_SLACK_MS;
+    }
+    ask.head = head.data;
+    ask.head_len = head.len;
+    watch->exchange = exchange_start(watch->exchanges, &ask, &hooks);
+}
+
+/* Begin with a whole list. */
+watch_t *
+watch_start(struct event_base *base, exchanges_t *exchanges, const char *addr,
+            kind_t kind, const watch_hooks_t *hooks)
+{
+    watch_t *watch = mem_zalloc(sizeof(*watch));
+    watch->base = base;
+    watch->exchanges = exchanges;
+    watch->hooks = *hooks;
+    watch->kind = kind;
+    watch->pause_ms = PAUSE_FIRST_MS;
+    str_copy(watch->addr, sizeof(watch->addr), addr);
+    watch->timer = evtimer_new(base, on_timer, watch);
+    watch_call(watch);
+    return watch;
+}
+
+void
+watch_stop(watch_t *watch)
+{
+    if (watch->exchange != NULL) {
+        exchange_cancel(watch->exchange);
+    }
+    event_free(watch->timer);
+    buf_free(&watch->answer);
+    free(watch);
+}
+
+int64_t
+watch_heard_ms(const watch_t *watch)
+{
+    return watch->heard_ms;
+}
+
+/* When the store answered again after it had not; 0 if it always did, and the
+ * time now while it does not. */
+int64_t
+watch_back_ms(const watch_t *watch)
+{
+    return watch->failed ? time_mono_ms() : watch->back_ms;
+}
+
+bool
+watch_listed(const watch_t *watch)
+{
+    return watch->listed;
+}
+
+uint64_t
+watch_calls(const watch_t *watch)
+{
+    return watch->calls;
+}
--- /dev/null
+++ b/relay/watch.h
@@ -0,0 +1,33 @@
+#ifndef CELERYSPOOL_WATCH_H
+#define CELERYSPOOL_WATCH_H
+
+/* Follows all objects of one kind in the platform's store: a whole list, then
+ * a watch from its revision on, and a list again where the store no longer
+ * has that history. */
+
+#include "../platform/platform.h"
+#include "exchange.h"
+
+typedef struct watch watch_t;
+
+typedef struct {
+    /* A whole list is about to be told. */
+    void (*on_list)(void *arg);
+    /* An object of the list, or one that has changed or was removed.  Older
+     * revisions may come behind newer ones. */
+    void (*on_object)(void *arg, const store_object_t *object);
+    /* The list is complete: what was not on it is not there. */
+    void (*on_listed)(void *arg);
+    void *arg;
+} watch_hooks_t;
+
+watch_t *watch_start(struct event_base *base, exchanges_t *exchanges,
+                     const char *addr, kind_t kind,
+                     const watch_hooks_t *hooks);
+void watch_stop(watch_t *watch);
+int64_t watch_heard_ms(const watch_t *watch);
+int64_t watch_back_ms(const watch_t *watch);
+bool watch_listed(const watch_t *watch);
+uint64_t watch_calls(const watch_t *watch);
+
+#endif
