--- a/relay/lease.c
+++ b/relay/lease.c
@@ -52,15 +52,8 @@
     return look ? LEASE_READ : LEASE_IDLE;
 }
 
-/* The fencing number that a write now sets: a holder that renews in time
- * keeps its own, everybody else takes the next. */
-int64_t
-lease_wanted_fence(const lease_t *lease)
-{
-    return lease->wanted_fence;
-}
-
-/* A step is about to be sent. */
+/* A step is about to be sent.  A holder that renews in time keeps its fencing
+ * number; everybody else takes the next. */
 void
 lease_asked(lease_t *lease, lease_step_t step, int64_t now_ms)
 {
@@ -71,6 +64,7 @@
     bool in_time = is_mine(lease) && lease->wrote_ms != 0 &&
                    now_ms - lease->wrote_ms < lease->span_ms;
     lease->asked_ms = now_ms;
+    lease->writes++;
     lease->wanted_fence = in_time ? lease->fence : lease->fence + 1;
 }
 
--- a/relay/lease.h
+++ b/relay/lease.h
@@ -31,13 +31,13 @@
     int64_t read_ms;  /* when it was last asked for */
     int64_t wrote_ms; /* when the last good write was sent; 0 for none */
     int64_t asked_ms; /* when the write under way was sent */
-    int64_t wanted_fence;
+    int64_t wanted_fence; /* that the last write sets */
+    int64_t writes;       /* so far; in each, so that no two are equal */
     bool pending; /* a write whose answer did not come */
 } lease_t;
 
 void lease_init(lease_t *lease, const char *self, int64_t span_ms);
 lease_step_t lease_next(const lease_t *lease, int64_t now_ms);
-int64_t lease_wanted_fence(const lease_t *lease);
 void lease_asked(lease_t *lease, lease_step_t step, int64_t now_ms);
 void lease_seen(lease_t *lease, int64_t revision, const char *holder,
                 int64_t fence, int64_t now_ms);
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -135,7 +135,7 @@
                               rollout};
     lease_asked(lease, step, time_boot_ms());
     CLEAN_JSON json_t *spec =
-        platform_lease_spec(lease->self, lease_wanted_fence(lease));
+        platform_lease_spec(lease->self, lease->wanted_fence, lease->writes);
     switch (step) {
         case LEASE_CREATE:
             platform_create_call(&head, addr, KIND_LEASES, LEASE_NAME, spec);
