Daemons tell each other what servers hold and load

Change: daemons find each other by objects in the store and send facts over their own port; membership and codec are the kernel's.

--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -49,7 +49,7 @@
      "how long a stop still takes requests while the balancer leaves"},
     {"listen", "http", TYPE_ADDR, AT(http), ROOM(http), 0, 0, MODE_BOTH, true,
      NULL, "callers and operators"},
-    {"listen", "peer", TYPE_ADDR, AT(peer), ROOM(peer), 0, 0, MODE_CHAT, true,
+    {"listen", "peer", TYPE_ADDR, AT(peer), ROOM(peer), 0, 0, MODE_BOTH, true,
      NULL, "other daemons, TCP and UDP"},
     {"listen", "http_threads", TYPE_INT, AT(http_threads), 0, 1, 64, MODE_CHAT,
      false, "2", "threads that serve callers"},
--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -1,4 +1,5 @@
 #include "cache-source.h"
+#include "peers.h"
 
 #include <string.h>
 
@@ -147,14 +148,20 @@
     return FETCH_START_MS + ms;
 }
 
-/* A server, or the store of kept parts, now holds a prompt. */
+/* A server, or the store of kept parts, now holds a prompt.  Peers are told
+ * of the parts that they may be asked for too. */
 void
 cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
     int64_t now = time_mono_ms();
+    const server_t *server = server_numbered(relay, number);
     for (unsigned i = 0; i < prefix->count; i++) {
-        (void)cache_map_note_at(relay->cache, number, prefix->levels[i].key,
-                                prefix->levels[i].tokens, now);
+        const prefix_level_t *level = &prefix->levels[i];
+        bool news = cache_map_note_at(relay->cache, number, level->key,
+                                      level->tokens, now);
+        if (news && i < shared_levels(prefix)) {
+            peers_tell_held(relay->peers, server, level->key, level->tokens);
+        }
     }
 }
 
--- /dev/null
+++ b/relay/peers.c
@@ -0,0 +1,398 @@
+#include "peers.h"
+#include "cache-source.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Daemons find each other by objects in the platform's store, one a daemon,
+ * and then talk by datagrams on a port of their own: membership as in the
+ * product's own deployments (kernel/members.c), and facts about servers.
+ * Lost datagrams cost a recomputation or a detour, never an answer. */
+
+#define STORE_CONNECT_MS 300
+#define STORE_CALL_MS 1000
+/* A daemon that knows no other looks at the store again this often, ms. */
+#define LOOK_ALONE_MS 5000
+#define LOOK_FAILED_MS 500
+/* A server that peers say is loading is left alone for this long, ms: a load
+ * and the runs before it; the end is told, this bounds a lost datagram. */
+#define LOADING_MS 2500
+/* Facts go straight to this many peers at most; the rest learn by their own
+ * sends.  Each costs 40 bytes and a peer. */
+#define DIRECT_MAX 16
+
+typedef enum { LOOK_WRITE, LOOK_REPLACE, LOOK_LIST, LOOK_DONE } look_t;
+
+struct peers {
+    relay_t *relay;
+    int fd;
+    struct event *readable;
+    members_t *members;
+    member_out_t out;
+    peer_datagram_t pending; /* facts that leave with the next tick */
+    peer_datagram_t taken;
+    unsigned char secret[SECRET_BYTES]; /* none: the network is private */
+    look_t look;
+    int64_t look_ms; /* when to go on */
+    int64_t next_beat_ms;
+    exchange_t *exchange;
+    int status;
+    buf_t answer;
+    uint64_t bytes_sent;
+};
+
+/* ---- datagrams ---- */
+
+static int
+addr_of(const char *text, struct sockaddr_in *out)
+{
+    int len = (int)sizeof(*out);
+    return evutil_parse_sockaddr_port(text, (struct sockaddr *)out, &len);
+}
+
+static void
+send_datagram(peers_t *peers, const char *addr,
+              const peer_datagram_t *datagram)
+{
+    unsigned char data[PEER_DATAGRAM_MAX];
+    struct sockaddr_in to;
+    size_t len = peer_encode(datagram, peers->secret, data);
+    if (len == 0 || addr_of(addr, &to) != 0) {
+        return;
+    }
+    (void)sendto(peers->fd, data, len, MSG_DONTWAIT, (struct sockaddr *)&to,
+                 sizeof(to));
+    peers->bytes_sent += len;
+}
+
+static void
+send_members(peers_t *peers)
+{
+    peer_datagram_t *datagram = &peers->taken;
+    for (size_t i = 0; i < peers->out.count; i++) {
+        datagram->kind = PEER_MEMBERS;
+        datagram->members = peers->out.messages[i];
+        send_datagram(peers, peers->out.addrs[i], datagram);
+    }
+}
+
+static void
+take_held(relay_t *relay, const server_t *server, const peer_fact_t *fact)
+{
+    (void)cache_map_note_at(relay->cache, server->number, fact->key,
+                            fact->tokens, time_mono_ms());
+}
+
+static void
+take_weights(relay_t *relay, server_t *server, const load_report_t *load)
+{
+    int64_t weights = strtoll(load->version, NULL, 10);
+    server->loading_ms =
+        load->loading[0] != '\0' ? time_mono_ms() + LOADING_MS : 0;
+    if (weights > server->said.weights) {
+        server->said.weights = weights;
+        cache_map_forget(relay->cache, server->number);
+    }
+}
+
+/* A fact about the store of kept parts names no server. */
+static void
+take_fact(relay_t *relay, const peer_fact_t *fact)
+{
+    if (fact->backend[0] == '\0') {
+        (void)cache_map_note_at(relay->cache, KV_STORE_NUMBER, fact->key,
+                                fact->tokens, time_mono_ms());
+        return;
+    }
+    server_t *server = servers_find(relay->servers, fact->backend);
+    if (server == NULL) {
+        return;
+    }
+    if (fact->is_load) {
+        take_weights(relay, server, &fact->load);
+    }
+    else {
+        take_held(relay, server, fact);
+    }
+}
+
+static void
+on_readable(evutil_socket_t fd, short what, void *arg)
+{
+    peers_t *peers = arg;
+    unsigned char data[PEER_DATAGRAM_MAX];
+    ssize_t len;
+    (void)what;
+    while ((len = recv(fd, data, sizeof(data), MSG_DONTWAIT)) > 0) {
+        peer_datagram_t *datagram = &peers->taken;
+        if (peer_decode(datagram, peers->secret, data, (size_t)len) != 0) {
+            log_warn("peers", "A datagram cannot be read.");
+            continue;
+        }
+        if (datagram->kind == PEER_FACTS) {
+            for (size_t i = 0; i < datagram->fact_count; i++) {
+                take_fact(peers->relay, &datagram->facts[i]);
+            }
+            continue;
+        }
+        members_receive(peers->members, &datagram->members, time_mono_ms(),
+                        &peers->out);
+        send_members(peers);
+    }
+}
+
+/* ---- facts ---- */
+
+static void
+flush_facts(peers_t *peers)
+{
+    member_t live[DIRECT_MAX + 1];
+    if (peers->pending.fact_count == 0) {
+        return;
+    }
+    size_t count = members_list(peers->members, live, DIRECT_MAX + 1);
+    peers->pending.kind = PEER_FACTS;
+    for (size_t i = 0; i < count; i++) {
+        if (live[i].health != MEMBER_DEAD &&
+            strcmp(live[i].name, peers->relay->settings.name) != 0) {
+            send_datagram(peers, live[i].peer, &peers->pending);
+        }
+    }
+    peers->pending.fact_count = 0;
+}
+
+static peer_fact_t *
+fact_add(peers_t *peers)
+{
+    if (peers->pending.fact_count == PEER_FACTS_MAX) {
+        flush_facts(peers);
+    }
+    peer_fact_t *fact = &peers->pending.facts[peers->pending.fact_count++];
+    memset(fact, 0, sizeof(*fact));
+    return fact;
+}
+
+/* Tell that a server holds a part of prompts; NULL is the store of kept
+ * parts. */
+void
+peers_tell_held(peers_t *peers, const server_t *server, uint64_t key,
+                uint32_t tokens)
+{
+    peer_fact_t *fact = fact_add(peers);
+    if (server != NULL) {
+        str_copy(fact->backend, sizeof(fact->backend), server->said.id);
+    }
+    fact->key = key;
+    fact->tokens = tokens;
+    fact->held = true;
+}
+
+/* Tell what weights a server is on, and which it is loading (0 for none):
+ * sooner than the platform's list does, so that no request is sent there in
+ * vain. */
+void
+peers_tell_weights(peers_t *peers, const server_t *server, int64_t loading)
+{
+    peer_fact_t *fact = fact_add(peers);
+    fact->is_load = true;
+    str_copy(fact->backend, sizeof(fact->backend), server->said.id);
+    (void)snprintf(fact->load.version, sizeof(fact->load.version), "%lld",
+                   (long long)server->said.weights);
+    if (loading > 0) {
+        (void)snprintf(fact->load.loading, sizeof(fact->load.loading), "%lld",
+                       (long long)loading);
+    }
+    flush_facts(peers);
+}
+
+/* Daemons that are alive, this one included. */
+size_t
+peers_live(const peers_t *peers)
+{
+    return members_live(peers->members);
+}
+
+/* ---- finding each other ---- */
+
+static head_verdict_t
+on_head(void *arg, const http_head_t *head)
+{
+    peers_t *peers = arg;
+    peers->status = head->status;
+    return HEAD_TAKE;
+}
+
+static void
+on_body(void *arg, const char *data, size_t len)
+{
+    peers_t *peers = arg;
+    buf_add(&peers->answer, data, len);
+}
+
+static void
+take_list(peers_t *peers)
+{
+    store_page_t page;
+    err_t err = {0};
+    char addr[CS_ADDR_MAX];
+    if (platform_page_read(&page, buf_text(&peers->answer), peers->answer.len,
+                           &err) != 0) {
+        log_warn("peers", "The list of daemons cannot be read: %s.",
+                 err.text);
+        return;
+    }
+    for (size_t i = 0; i < page.count; i++) {
+        if (platform_peer_read(&page.objects[i], addr, sizeof(addr)) == 0) {
+            members_seed(peers->members, addr);
+        }
+    }
+    log_record(LOG_INFO, "peers", "listed", "daemons=%zu", page.count);
+    platform_page_free(&page);
+}
+
+static void
+on_end(void *arg, exchange_end_t end)
+{
+    peers_t *peers = arg;
+    int64_t now = time_mono_ms();
+    peers->exchange = NULL;
+    peers->look_ms = now + LOOK_FAILED_MS;
+    if (end != EXCHANGE_WHOLE) {
+        return;
+    }
+    switch (peers->look) {
+        case LOOK_WRITE:
+            if (peers->status == 409) {
+                peers->look = LOOK_REPLACE;
+                peers->look_ms = now;
+            }
+            /* fallthrough */
+        case LOOK_REPLACE:
+            if (peers->status == 200 || peers->status == 201) {
+                peers->look = LOOK_LIST;
+                peers->look_ms = now;
+            }
+            return;
+        case LOOK_LIST:
+            if (peers->status == 200) {
+                take_list(peers);
+                peers->look = LOOK_DONE;
+                peers->look_ms = now + LOOK_ALONE_MS;
+            }
+            return;
+        case LOOK_DONE:
+            return;
+    }
+}
+
+static void
+look_call(peers_t *peers)
+{
+    const settings_t *settings = &peers->relay->settings;
+    exchange_hooks_t hooks = {on_head, on_body, on_end, peers};
+    CLEAN_BUF buf_t head = {0};
+    CLEAN_JSON json_t *spec = platform_peer_spec(settings->peer);
+    switch (peers->look) {
+        case LOOK_WRITE:
+            platform_create_call(&head, settings->store, KIND_PEERS,
+                                 settings->name, spec);
+            break;
+        case LOOK_REPLACE:
+            platform_replace_call(&head, settings->store, KIND_PEERS,
+                                  settings->name, 0, spec);
+            break;
+        case LOOK_LIST:
+        case LOOK_DONE:
+            platform_list_call(&head, settings->store, KIND_PEERS, "");
+            break;
+    }
+    exchange_ask_t ask = {.addr = settings->store,
+                          .head = head.data,
+                          .head_len = head.len,
+                          .connect_ms = STORE_CONNECT_MS,
+                          .total_ms = STORE_CALL_MS};
+    peers->status = 0;
+    peers->answer.len = 0;
+    peers->exchange = exchange_start(peers->relay->exchanges, &ask, &hooks);
+}
+
+static void
+look_tick(peers_t *peers, int64_t now)
+{
+    if (peers->exchange != NULL || now < peers->look_ms) {
+        return;
+    }
+    if (peers->look == LOOK_DONE) {
+        if (peers_live(peers) > 1) {
+            peers->look_ms = now + LOOK_ALONE_MS;
+            return;
+        }
+        peers->look = LOOK_LIST;
+    }
+    look_call(peers);
+}
+
+/* ---- all of it ---- */
+
+/* One step; membership has its own, slower one. */
+void
+peers_tick(peers_t *peers)
+{
+    int64_t now = time_mono_ms();
+    const relay_t *relay = peers->relay;
+    look_tick(peers, now);
+    flush_facts(peers);
+    if (now < peers->next_beat_ms) {
+        return;
+    }
+    peers->next_beat_ms = now + members_interval_ms();
+    members_tick(peers->members, now,
+                 relay->config != NULL ? relay->config->revision : 0,
+                 relay->stopping_ms != 0 ? MEMBER_LEAVING : MEMBER_LIVE,
+                 &peers->out);
+    send_members(peers);
+}
+
+static int
+socket_open(const char *addr)
+{
+    struct sockaddr_in at;
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (fd < 0) {
+        return -1;
+    }
+    if (addr_of(addr, &at) != 0 ||
+        bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0) {
+        (void)close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+/* Open the port and begin to look for others. */
+peers_t *
+peers_start(relay_t *relay, err_t *err)
+{
+    int fd = socket_open(relay->settings.peer);
+    if (fd < 0) {
+        (void)err_set(err, ERR_PEER, 1, "cannot listen at %s",
+                      relay->settings.peer);
+        return NULL;
+    }
+    member_t self = {.incarnation = (uint64_t)time_wall_ms()};
+    str_copy(self.name, sizeof(self.name), relay->settings.name);
+    str_copy(self.dc, sizeof(self.dc), relay->settings.dc);
+    str_copy(self.peer, sizeof(self.peer), relay->settings.peer);
+    str_copy(self.http, sizeof(self.http), relay->settings.http);
+    peers_t *peers = mem_zalloc(sizeof(*peers));
+    peers->relay = relay;
+    peers->fd = fd;
+    peers->members = members_new(&self, rng_next(&relay->rng));
+    peers->readable =
+        event_new(relay->base, fd, EV_READ | EV_PERSIST, on_readable, peers);
+    (void)event_add(peers->readable, NULL);
+    return peers;
+}
--- /dev/null
+++ b/relay/peers.h
@@ -0,0 +1,15 @@
+#ifndef CELERYSPOOL_PEERS_H
+#define CELERYSPOOL_PEERS_H
+
+/* The other daemons: who is alive, and what they have seen of the servers. */
+
+#include "../kernel/peer-codec.h"
+#include "relay.h"
+
+void peers_tell_held(peers_t *peers, const server_t *server, uint64_t key,
+                     uint32_t tokens);
+void peers_tell_weights(peers_t *peers, const server_t *server,
+                        int64_t loading);
+size_t peers_live(const peers_t *peers);
+
+#endif
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -55,6 +55,7 @@
     facts_tick(relay);
     requests_tick(relay);
     rollout_tick(relay->rollout);
+    peers_tick(relay->peers);
     if (relay->stopping_ms != 0) {
         stop_step(relay);
     }
@@ -112,6 +113,10 @@
     if (door_open(relay, err) != 0) {
         return -1;
     }
+    relay->peers = peers_start(relay, err);
+    if (relay->peers == NULL) {
+        return -1;
+    }
     relay->tick = event_new(relay->base, -1, EV_PERSIST, on_tick, relay);
     (void)event_add(relay->tick, &step);
     relay->signals[0] = evsignal_new(relay->base, SIGTERM, on_stop, relay);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -24,6 +24,7 @@
 typedef struct request request_t;
 
 typedef struct rollout rollout_t;
+typedef struct peers peers_t;
 
 /* ---- the newest weights that were named ---- */
 
@@ -84,6 +85,7 @@
     watch_t *servers_watch;
     watch_t *weights_watch;
     rollout_t *rollout;
+    peers_t *peers;
     retry_shares_t retries;
 
     rng_t rng;
@@ -129,6 +131,11 @@
 void facts_tick(relay_t *relay);
 void facts_ask_report(relay_t *relay, server_t *server);
 
+/* ---- other daemons ---- */
+
+peers_t *peers_start(relay_t *relay, err_t *err);
+void peers_tick(peers_t *peers);
+
 /* ---- orders ---- */
 
 rollout_t *rollout_new(relay_t *relay);
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -70,7 +70,7 @@
     if (!request->engine) {
         return true;
     }
-    return server->said.engine &&
+    return server->said.engine && now >= server->loading_ms &&
            strcmp(server->said.model, request->prompt.model) == 0 &&
            weights_allowed(request, server);
 }
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -1,4 +1,5 @@
 #include "lease.h"
+#include "peers.h"
 #include "relay.h"
 #include "rollout-plan.h"
 
@@ -224,6 +225,7 @@
         servers_find(job->rollout->relay->servers, job->server);
     if (server != NULL) {
         server->ordered = false;
+        server->loading_ms = 0;
         server->order_after_ms = time_mono_ms() + again_ms;
     }
     if (job->exchange != NULL) {
@@ -322,6 +324,7 @@
                    "server=%s version=%lld after_ms=%lld", server->said.id,
                    (long long)report.weights,
                    (long long)(time_mono_ms() - job->began_ms));
+        peers_tell_weights(job->rollout->relay->peers, server, 0);
         job_free(job, 0);
         return;
     }
@@ -334,12 +337,15 @@
 }
 
 static void
-take_job_answer(job_t *job, const server_t *server)
+take_job_answer(job_t *job, server_t *server)
 {
     switch (job->status) {
         case 202:
             job->state = JOB_LOADING;
             job->next_ms = time_mono_ms() + REPORT_LAG_MS;
+            server->loading_ms = time_mono_ms() + ORDER_SPAN_MS;
+            peers_tell_weights(job->rollout->relay->peers, server,
+                               job->version);
             return;
         case 200:
             job->state = JOB_REPORT;
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -42,6 +42,7 @@
     int64_t revision;    /* of its entry */
     bool ordered;        /* this host is bringing it to other weights */
     int64_t order_after_ms; /* not ordered again before */
+    int64_t loading_ms;     /* it is said to load weights until then */
     uint16_t number;     /* in the cache map; used again when it is gone */
     int64_t missing_ms;  /* since when its entry is gone, 0 if it is there */
     bool gone;           /* off the list for good; kept while it is used */
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -57,9 +57,11 @@
         case KIND_WEIGHTS:
             return "weights";
         case KIND_LEASES:
+            return "leases";
+        case KIND_PEERS:
             break;
     }
-    return "leases";
+    return "daemons";
 }
 
 static void
