--- a/relay/facts.c
+++ b/relay/facts.c
@@ -10,10 +10,6 @@
  * seconds of its return if its server lives; one that is still missing behind
  * that and a margin is gone, ms. */
 #define RETURN_MS 2300
-/* A server is asked for its report once in this time at most, ms. */
-#define REPORT_EVERY_MS 300
-#define REPORT_MS 500
-#define CONNECT_MS 250
 
 /* ---- configuration ---- */
 
@@ -187,95 +183,6 @@
     relay->weights_listed = true;
 }
 
-/* ---- reports ---- */
-
-typedef struct {
-    relay_t *relay;
-    char id[CS_NAME_MAX];
-    int status;
-    buf_t answer;
-} report_ask_t;
-
-static head_verdict_t
-on_report_head(void *arg, const http_head_t *head)
-{
-    report_ask_t *ask = arg;
-    ask->status = head->status;
-    return HEAD_TAKE;
-}
-
-static void
-on_report_body(void *arg, const char *data, size_t len)
-{
-    report_ask_t *ask = arg;
-    buf_add(&ask->answer, data, len);
-}
-
-static void
-take_report(const report_ask_t *ask)
-{
-    relay_t *relay = ask->relay;
-    server_report_t report;
-    err_t err = {0};
-    server_t *server = servers_find(relay->servers, ask->id);
-    if (server == NULL) {
-        return;
-    }
-    if (platform_report_read(&report, buf_text(&ask->answer), ask->answer.len,
-                             &err) != 0) {
-        log_warn("servers", "The report of %s cannot be read: %s.", ask->id,
-                 err.text);
-        return;
-    }
-    if (report.weights != server->said.weights) {
-        log_record(LOG_INFO, "servers", "reported",
-                   "server=%s weights=%lld orders=%lld busy=%d",
-                   server->said.id, (long long)report.weights,
-                   (long long)report.orders, report.busy);
-        cache_map_forget(relay->cache, server->number);
-        server->said.weights = report.weights;
-    }
-}
-
-static void
-on_report_end(void *arg, exchange_end_t end)
-{
-    report_ask_t *ask = arg;
-    if (end == EXCHANGE_WHOLE && ask->status == 200) {
-        take_report(ask);
-    }
-    else {
-        log_record(LOG_INFO, "servers", "no-report", "server=%s status=%d",
-                   ask->id, ask->status);
-    }
-    buf_free(&ask->answer);
-    free(ask);
-}
-
-/* Ask a server what it is on: the list may be behind, or out of reach. */
-void
-facts_ask_report(relay_t *relay, server_t *server)
-{
-    int64_t now = time_mono_ms();
-    CLEAN_BUF buf_t head = {0};
-    if (server->asked_ms != 0 && now - server->asked_ms < REPORT_EVERY_MS) {
-        return;
-    }
-    server->asked_ms = now;
-    report_ask_t *ask = mem_zalloc(sizeof(*ask));
-    ask->relay = relay;
-    str_copy(ask->id, sizeof(ask->id), server->said.id);
-    platform_report_call(&head, server->said.addr);
-    exchange_ask_t call = {.addr = server->said.addr,
-                           .head = head.data,
-                           .head_len = head.len,
-                           .connect_ms = CONNECT_MS,
-                           .total_ms = REPORT_MS};
-    exchange_hooks_t hooks = {on_report_head, on_report_body, on_report_end,
-                              ask};
-    (void)exchange_start(relay->exchanges, &call, &hooks);
-}
-
 /* ---- all of it ---- */
 
 void
@@ -316,5 +223,6 @@
             server_gone(relay, server, "not-back");
         }
     }
+    probes_tick(relay);
     servers_sweep(relay->servers);
 }
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -24,6 +24,10 @@
  * sends.  Each costs 40 bytes and a peer. */
 #define DIRECT_MAX 16
 
+/* Peers are told of a change of this many tokens to be read at a server: about
+ * 40 ms of its time. */
+#define LOAD_STEP_TOKENS 2000
+
 typedef enum { LOOK_WRITE, LOOK_REPLACE, LOOK_LIST, LOOK_DONE } look_t;
 
 struct peers {
@@ -89,6 +93,9 @@
 static void
 take_weights(relay_t *relay, server_t *server, const load_report_t *load)
 {
+    if (load->version[0] == '\0') {
+        return; /* it is about the sender's requests alone */
+    }
     int64_t weights = strtoll(load->version, NULL, 10);
     server->loading_ms =
         load->loading[0] != '\0' ? time_mono_ms() + LOADING_MS : 0;
@@ -100,7 +107,7 @@
 
 /* A fact about the store of kept parts names no server. */
 static void
-take_fact(relay_t *relay, const peer_fact_t *fact)
+take_fact(relay_t *relay, uint64_t host, const peer_fact_t *fact)
 {
     if (fact->backend[0] == '\0') {
         (void)cache_map_note_at(relay->cache, KV_STORE_NUMBER, fact->key,
@@ -113,6 +120,8 @@
     }
     if (fact->is_load) {
         take_weights(relay, server, &fact->load);
+        server_other(server, host, fact->load.waiting_tokens,
+                     fact->load.running, time_mono_ms());
     }
     else {
         take_held(relay, server, fact);
@@ -124,9 +133,13 @@
 {
     peers_t *peers = arg;
     unsigned char data[PEER_DATAGRAM_MAX];
+    struct sockaddr_in from;
+    socklen_t from_len = sizeof(from);
     ssize_t len;
     (void)what;
-    while ((len = recv(fd, data, sizeof(data), MSG_DONTWAIT)) > 0) {
+    while ((len = recvfrom(fd, data, sizeof(data), MSG_DONTWAIT,
+                           (struct sockaddr *)&from, &from_len)) > 0) {
+        uint64_t host = (uint64_t)from.sin_addr.s_addr << 16 | from.sin_port;
         peer_datagram_t *datagram = &peers->taken;
         if (peer_decode(datagram, peers->secret, data, (size_t)len) != 0) {
             log_warn("peers", "A datagram cannot be read.");
@@ -134,7 +147,7 @@
         }
         if (datagram->kind == PEER_FACTS) {
             for (size_t i = 0; i < datagram->fact_count; i++) {
-                take_fact(peers->relay, &datagram->facts[i]);
+                take_fact(peers->relay, host, &datagram->facts[i]);
             }
             continue;
         }
@@ -190,15 +203,43 @@
     fact->held = true;
 }
 
+static peer_fact_t *
+load_add(peers_t *peers, const server_t *server)
+{
+    peer_fact_t *fact = fact_add(peers);
+    fact->is_load = true;
+    str_copy(fact->backend, sizeof(fact->backend), server->said.id);
+    fact->load.running = server->own_running;
+    fact->load.waiting_tokens = (int)server->own_unread;
+    return fact;
+}
+
+/* Tell what this host has at the servers where that has changed by a few
+ * requests' worth: a server's own word does not say how much of the prompts
+ * at it is still to be read. */
+static void
+tell_loads(peers_t *peers)
+{
+    server_t *server;
+    CK_LIST_FOREACH(server, &peers->relay->servers->list, entry)
+    {
+        double change = server->own_unread - server->told_unread;
+        if (server->gone || !server->said.engine ||
+            (change < LOAD_STEP_TOKENS && change > -LOAD_STEP_TOKENS)) {
+            continue;
+        }
+        server->told_unread = server->own_unread;
+        (void)load_add(peers, server);
+    }
+}
+
 /* Tell what weights a server is on, and which it is loading (0 for none):
  * sooner than the platform's list does, so that no request is sent there in
  * vain. */
 void
 peers_tell_weights(peers_t *peers, const server_t *server, int64_t loading)
 {
-    peer_fact_t *fact = fact_add(peers);
-    fact->is_load = true;
-    str_copy(fact->backend, sizeof(fact->backend), server->said.id);
+    peer_fact_t *fact = load_add(peers, server);
     (void)snprintf(fact->load.version, sizeof(fact->load.version), "%lld",
                    (long long)server->said.weights);
     if (loading > 0) {
@@ -344,6 +385,7 @@
     int64_t now = time_mono_ms();
     const relay_t *relay = peers->relay;
     look_tick(peers, now);
+    tell_loads(peers);
     flush_facts(peers);
     if (now < peers->next_beat_ms) {
         return;
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -49,6 +49,7 @@
     bool kv_store;  /* keeps cached parts; takes no requests */
     char addr[CS_ADDR_MAX]; /* of a kv_store */
     char dc[CS_NAME_MAX];   /* of a kv_store */
+    char health[CS_NAME_MAX]; /* path of the question whether it is well */
     int slots;              /* of each engine */
     int64_t cache_tokens;   /* memory of each engine */
     int listeners;          /* event calls that a server bears at once */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -26,12 +26,21 @@
            relay->servers_listed && relay->weights_listed;
 }
 
+/* Whether no request is taken in any more: a stop was asked for long enough
+ * ago that the balancer has left, and what begins now might not end in time. */
+bool
+relay_shut(const relay_t *relay)
+{
+    return relay->stopping_ms != 0 &&
+           time_mono_ms() - relay->stopping_ms >= DOOR_MS;
+}
+
 static void
 stop_step(relay_t *relay)
 {
     int64_t since = time_mono_ms() - relay->stopping_ms;
     int64_t last = (int64_t)relay->settings.stop_s * 1000 - END_MARGIN_MS;
-    if (since >= DOOR_MS || since >= last) {
+    if (relay_shut(relay) || since >= last) {
         door_shut(relay);
     }
     if ((since >= DOOR_MS && relay->caller_count == 0) || since >= last) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -98,6 +98,7 @@
 
 int relay_run(const settings_t *settings, const char *path, err_t *err);
 bool relay_ready(const relay_t *relay);
+bool relay_shut(const relay_t *relay);
 const weights_t *relay_weights(const relay_t *relay, const char *model);
 void weights_note(relay_t *relay, const char *model, int64_t version,
                   int64_t named_ms);
@@ -123,13 +124,15 @@
                    buf_t *body);
 void request_caller_left(request_t *request);
 void requests_tick(relay_t *relay);
+void requests_leave(relay_t *relay, const server_t *server);
 
 /* ---- what the platform holds ---- */
 
 void facts_start(relay_t *relay);
 void facts_stop(relay_t *relay);
 void facts_tick(relay_t *relay);
-void facts_ask_report(relay_t *relay, server_t *server);
+void probes_tick(relay_t *relay);
+void probe_server(relay_t *relay, server_t *server);
 
 /* ---- other daemons ---- */
 
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -10,10 +10,6 @@
 /* Prompt tokens that an engine reads in a millisecond where nothing is known
  * better; measured at 57 on the engines of both users. */
 #define READ_TOKENS_PER_MS 55.0
-/* What one request of other hosts at an engine still has to be read on
- * average, tokens: about half of a mean prompt is held, and most of those
- * that run are read already. */
-#define OTHERS_UNREAD_TOKENS 400.0
 /* A request that waits at a server is not read at all yet. */
 #define WAITING_UNREAD_TOKENS 2000.0
 /* A server's own word on its load is taken for so long, ms. */
@@ -78,11 +74,9 @@
 static double
 engine_wait_ms(const server_t *server, int64_t now)
 {
-    double tokens = server->own_unread;
+    double tokens = server->own_unread + server_others_unread(server, now);
     if (server->load_ms != 0 && now - server->load_ms < LOAD_FRESH_MS) {
-        int others = server->load_running - server->own_running;
-        tokens += (others > 0 ? others : 0) * OTHERS_UNREAD_TOKENS +
-                  server->load_waiting * WAITING_UNREAD_TOKENS;
+        tokens += server->load_waiting * WAITING_UNREAD_TOKENS;
     }
     return tokens / READ_TOKENS_PER_MS;
 }
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -280,7 +280,7 @@
         return;
     }
     server->full_ms = now + FULL_PAUSE_MS;
-    facts_ask_report(request->relay, server);
+    probe_server(request->relay, server);
 }
 
 static head_verdict_t
@@ -292,6 +292,7 @@
                    request->id, request->server->said.id);
         return HEAD_SKIP;
     }
+    server_heard(request->server, time_mono_ms());
     note_load(request->server, head);
     request->answer = classify(request, head);
     request->status = head->status;
@@ -352,6 +353,7 @@
 on_body(void *arg, const char *data, size_t len)
 {
     request_t *request = arg;
+    server_heard(request->server, time_mono_ms());
     switch (request->answer) {
         case ANSWER_STREAM:
             pass_events(request, data, len);
@@ -510,7 +512,7 @@
     request->unread = request->prefix.tokens > request->cached
                           ? request->prefix.tokens - request->cached
                           : 0;
-    server_sent(server, request->unread);
+    server_sent(server, request->unread, request->sent_ms);
     note_tried(request, server);
     if (request->sends++ > 0) {
         relay->counts.retries++;
--- a/relay/request.c
+++ b/relay/request.c
@@ -14,6 +14,8 @@
 #define AFTER_START_MS 300
 #define AFTER_NONE_MS 500
 #define AFTER_FULL_MS 250
+/* Another daemon takes what comes on a connection that outlived a stop. */
+#define AFTER_STOP_MS 20
 /* Where a request names no deadline of its own, its route's timeout is one. */
 #define DEADLINE_NONE 0
 /* Bodies of all requests that a daemon holds at most, bytes: a quarter of the
@@ -191,6 +193,30 @@
     }
 }
 
+/* A server is gone without a word.  What may run elsewhere goes there; the
+ * rest waits on, since the server may only be cut off and still answer. */
+void
+requests_leave(relay_t *relay, const server_t *server)
+{
+    request_t *request;
+    request_t *next;
+    CK_LIST_FOREACH_SAFE(request, &relay->requests, entry, next)
+    {
+        if (request->server != server || request->exchange == NULL) {
+            continue;
+        }
+        bool sent = exchange_sent(request->exchange);
+        if (sent && !retry_may_repeat(request->route->kind,
+                                      request->route->resumable)) {
+            continue;
+        }
+        exchange_cancel(request->exchange);
+        request->exchange = NULL;
+        request->ran += sent ? 1 : 0;
+        request_failed(request, sent ? FATE_UNKNOWN : FATE_UNSENT);
+    }
+}
+
 /* A request that waits for any server to be there goes on when one is, or is
  * refused. */
 void
@@ -335,7 +361,8 @@
 check_entry(const relay_t *relay, const http_head_t *head, size_t body_len,
             const route_t **route, const workspace_entry_t **workspace)
 {
-    if (relay->config == NULL || relay->body_bytes + body_len > BODIES_MAX) {
+    if (relay->config == NULL || relay_shut(relay) ||
+        relay->body_bytes + body_len > BODIES_MAX) {
         return 503;
     }
     if (find(head, HEADER_REQUEST_ID) == NULL) {
@@ -370,7 +397,10 @@
                    id != NULL ? http_head_at(head, id->value) : "-", status,
                    (long long)(relay->config != NULL ? relay->config->version
                                                      : 0));
-        answer_plain(caller, status, status == 503 ? AFTER_START_MS : 0);
+        answer_plain(caller, status,
+                     status != 503       ? 0
+                     : relay_shut(relay) ? AFTER_STOP_MS
+                                         : AFTER_START_MS);
         return;
     }
     request_t *request = request_new(relay, caller, head, body);
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -11,6 +11,14 @@
 /* Faults in a row that open the circuit.  A connection that cannot be made is
  * proof enough by itself; a single broken answer is not. */
 #define CIRCUIT_FAULTS 2
+/* A server that says nothing for so long while it has work is asked whether it
+ * is there, ms.  Engines tell the events of a stream every few tens of ms; one
+ * that only reads prompts can be silent for longer, and then answers. */
+#define SILENCE_MS 300
+/* A silent server is asked again this often, ms. */
+#define SILENT_AGAIN_MS 500
+/* Another host's word on what it has at a server holds for so long, ms. */
+#define OTHER_FRESH_MS 1000
 /* Weight of the newest answer in the share of errors: about the last ten. */
 #define ERROR_WEIGHT 0.1
 
@@ -68,6 +76,7 @@
     server->error_share = 0;
     server->slowness = 1;
     server->misplaced = false;
+    server->silent = false;
 }
 
 /* Take an entry in; NULL if there is no number left for a new one. */
@@ -122,8 +131,11 @@
 
 /* A request goes to it that makes it read so many tokens. */
 void
-server_sent(server_t *server, double unread_tokens)
+server_sent(server_t *server, double unread_tokens, int64_t now_ms)
 {
+    if (server->own_running == 0) {
+        server->busy_ms = now_ms;
+    }
     server->own_running++;
     server->own_unread += unread_tokens;
 }
@@ -193,6 +205,64 @@
 bool
 server_usable(const server_t *server, int64_t now_ms)
 {
-    return !server->gone && !server->said.draining && !server->misplaced &&
+    return !server->gone && !server->said.draining && !server->silent && !server->misplaced &&
            now_ms >= server->closed_ms;
 }
+
+/* Something came from the server. */
+void
+server_heard(server_t *server, int64_t now_ms)
+{
+    server->heard_ms = now_ms;
+    server->silent = false;
+}
+
+/* Whether to ask a server if it is there at all.  A host that lost power or
+ * its path refuses nothing and closes nothing: requests to it would wait for
+ * their deadlines, and new ones would join them. */
+bool
+server_wants_probe(const server_t *server, int64_t now_ms)
+{
+    if (server->gone || server->probing) {
+        return false;
+    }
+    if (server->silent) {
+        return now_ms - server->asked_ms >= SILENT_AGAIN_MS;
+    }
+    int64_t since =
+        server->heard_ms > server->busy_ms ? server->heard_ms : server->busy_ms;
+    return server->own_running > 0 && now_ms - since >= SILENCE_MS;
+}
+
+/* Another host says what it has at the server; the oldest word makes room. */
+void
+server_other(server_t *server, uint64_t host, double unread, int running,
+             int64_t now_ms)
+{
+    other_load_t *slot = &server->others[0];
+    for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
+        other_load_t *other = &server->others[i];
+        if (other->host == host) {
+            slot = other;
+            break;
+        }
+        if (other->told_ms < slot->told_ms) {
+            slot = other;
+        }
+    }
+    *slot = (other_load_t){host, now_ms, unread, running};
+}
+
+/* Prompt tokens of other hosts that are not read yet, as far as they said. */
+double
+server_others_unread(const server_t *server, int64_t now_ms)
+{
+    double unread = 0;
+    for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
+        const other_load_t *other = &server->others[i];
+        if (other->host != 0 && now_ms - other->told_ms < OTHER_FRESH_MS) {
+            unread += other->unread;
+        }
+    }
+    return unread;
+}
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -36,6 +36,16 @@
     SERVER_FAULT_SILENT   /* no answer in the time that it had */
 } server_fault_t;
 
+/* What another host has at a server, by its own word. */
+#define OTHER_HOSTS_MAX 32
+
+typedef struct {
+    uint64_t host; /* hash of its address; 0 for none */
+    int64_t told_ms;
+    double unread;
+    int running;
+} other_load_t;
+
 typedef struct server {
     CK_LIST_ENTRY(server) entry;
     server_entry_t said;
@@ -50,6 +60,8 @@
     unsigned seen;       /* count of the list that it was last on */
     int own_running;     /* requests of this host at it */
     double own_unread;   /* their prompt tokens that are not read yet */
+    double told_unread;  /* what other hosts were last told of them */
+    other_load_t others[OTHER_HOSTS_MAX];
     int load_running;    /* by its own word */
     int load_waiting;
     int load_slots;
@@ -60,6 +72,10 @@
     double error_share;  /* of its answers lately that were errors */
     double slowness;     /* observed over expected time, smoothed */
     int64_t asked_ms;    /* when its report was last asked for */
+    int64_t heard_ms;    /* when anything last came from it */
+    int64_t busy_ms;     /* since when requests of this host are at it */
+    bool probing;        /* it is being asked whether it is there */
+    bool silent;         /* it was asked and did not answer */
 } server_t;
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
@@ -77,7 +93,7 @@
 server_t *servers_put(servers_t *servers, const server_entry_t *entry);
 void servers_remove(servers_t *servers, server_t *server);
 void servers_sweep(servers_t *servers);
-void server_sent(server_t *server, double unread_tokens);
+void server_sent(server_t *server, double unread_tokens, int64_t now_ms);
 void server_read(server_t *server, double tokens);
 void server_done(server_t *server);
 void server_load(server_t *server, int running, int waiting, int slots,
@@ -85,5 +101,10 @@
 void server_fault(server_t *server, server_fault_t fault, int64_t now_ms);
 void server_good(server_t *server);
 bool server_usable(const server_t *server, int64_t now_ms);
+void server_other(server_t *server, uint64_t host, double unread, int running,
+                  int64_t now_ms);
+double server_others_unread(const server_t *server, int64_t now_ms);
+bool server_wants_probe(const server_t *server, int64_t now_ms);
+void server_heard(server_t *server, int64_t now_ms);
 
 #endif
