--- a/relay/admit.c
+++ b/relay/admit.c
@@ -11,6 +11,10 @@
  * about with 1.0, 0.47 and 0.52 with 2.5 (two seeds each); 0.7 refuses on calm
  * days what would have been in time. */
 #define LATE_FACTOR 1.0
+/* A prompt that takes most of the target to read is late whatever is done.
+ * It is let in while the wait is under this part of the target, or the largest
+ * prompts would never be served. */
+#define WAIT_PART 0.4
 /* Part of the time left that the expected time may take: half of the answers
  * come later than expected, one in ten after twice the time. */
 #define LEFT_PART 0.8
@@ -20,18 +24,26 @@
 #define AFTER_LEAST_MS 150
 #define AFTER_PART 3
 
+static bool
+is_too_late(const admit_ask_t *ask)
+{
+    double wait_max = ask->target_ms * LATE_FACTOR - ask->read_ms;
+    double wait_least = ask->target_ms * WAIT_PART;
+    if (wait_max < wait_least) {
+        wait_max = wait_least;
+    }
+    return ask->wait_ms > wait_max ||
+           ask->wait_ms + ask->read_ms > ask->left_ms * LEFT_PART;
+}
+
 /* 0 to let a request in, else after how many ms it should come back. */
 int64_t
 admit_after_ms(const admit_ask_t *ask)
 {
-    double limit = ask->target_ms * LATE_FACTOR;
-    if (limit > ask->left_ms * LEFT_PART) {
-        limit = ask->left_ms * LEFT_PART;
-    }
-    if (!ask->engine || ask->expected_ms <= limit) {
+    if (!ask->engine || !is_too_late(ask)) {
         return 0;
     }
-    int64_t after = (int64_t)(ask->expected_ms - ask->target_ms / 2.0);
+    int64_t after = (int64_t)(ask->wait_ms - ask->target_ms / 2.0);
     if (after > ask->left_ms / AFTER_PART) {
         after = ask->left_ms / AFTER_PART;
     }
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -157,9 +157,9 @@
                                         : OBJECTIVE_TAIL,
                        .turn = relay->turn++};
     size_t best = policy_find("cost")->choose(all, count, &ask);
-    request->expected_ms =
-        all[best].wait_ms +
-        (request->engine ? place_recompute_ms(&all[best], &prefix) : 0);
+    request->wait_ms = all[best].wait_ms;
+    request->read_ms =
+        request->engine ? place_recompute_ms(&all[best], &prefix) : 0;
     log_record(LOG_INFO, "place", "chosen",
                "id=%s server=%s among=%zu wait_ms=%.0f held=%u of=%u "
                "weights=%lld config=%lld",
@@ -179,7 +179,8 @@
         return false;
     }
     int64_t after_ms = admit_after_ms(&(admit_ask_t){
-        .expected_ms = request->expected_ms,
+        .wait_ms = request->wait_ms,
+        .read_ms = request->read_ms,
         .target_ms = request->route->target_ms,
         .left_ms = request->until_ms - time_mono_ms(),
         .engine = request->engine});
--- a/relay/request.h
+++ b/relay/request.h
@@ -42,7 +42,8 @@
 
     int64_t came_ms;
     int64_t until_ms; /* the caller's deadline or the route's timeout */
-    double expected_ms;     /* to the first answer, when it was placed */
+    double wait_ms;         /* expected at its server, when it was placed */
+    double read_ms;         /* expected for its own prompt */
     int64_t waits_until_ms; /* for a server to be there at all */
     struct event *timer;
     request_phase_t phase;
