What is still held is told again

Cause: a part that other hosts' requests kept in use was told once and then believed dropped after six seconds. Change: a note is news again after two.

--- a/kernel/cache-map.c
+++ b/kernel/cache-map.c
@@ -8,6 +8,9 @@
  * a crashed server is one increment.  Entries unused for longest go first. */
 
 #define HOLDERS_MAX 8
+/* A note is worth passing on again after this, ms: well within the time that
+ * servers keep what is not used. */
+#define NOTE_STALE_MS 2000
 #define BUCKET_FACTOR 2
 
 typedef struct {
@@ -179,7 +182,8 @@
 }
 
 /* The same, with the time: a server forgets what is not used for long, so who
- * asks for holders may ask for those since a time. */
+ * asks for holders may ask for those since a time.  It is also news that a
+ * level which was not noted for a while is still there. */
 bool
 cache_map_note_at(cache_map_t *map, uint16_t backend, uint64_t key,
                   uint32_t tokens, int64_t now_ms)
@@ -194,8 +198,9 @@
     entry_link_newest(map, entry);
     int at = holder_find(map, entry, backend);
     if (at >= 0) {
+        int64_t before_ms = entry->holders[at].noted_ms;
         entry->holders[at].noted_ms = now_ms;
-        return false;
+        return now_ms - before_ms >= NOTE_STALE_MS;
     }
     holder_add(map, entry, backend, now_ms);
     return true;
