--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -17,6 +17,9 @@
 #define FETCH_OTHER_DC 2.0
 #define FETCH_KV_STORE 5.0
 #define SOURCES_MAX 8
+/* A prompt that was sent is read within this time, ms, or its server is in
+ * trouble. */
+#define COMING_MS 1500
 
 /* The store of kept parts that the configuration names, or NULL. */
 const relay_service_t *
@@ -42,7 +45,7 @@
     return prefix->count > 1 ? prefix->count - 1 : 0;
 }
 
-static server_t *
+server_t *
 server_numbered(const relay_t *relay, uint16_t number)
 {
     server_t *server;
@@ -115,6 +118,29 @@
     return found;
 }
 
+/* A part that a server is still reading stands in the map under a key of its
+ * own: whoever comes to that server next finds it read, but nobody can fetch
+ * it yet. */
+static uint64_t
+coming_key(uint64_t key)
+{
+    return ~key;
+}
+
+/* Tokens of a prompt that a server is reading now for another request. */
+static uint32_t
+coming_tokens(relay_t *relay, const prefix_t *prefix, const server_t *server,
+              int64_t now)
+{
+    prefix_t coming = {.count = shared_levels(prefix)};
+    for (unsigned i = 0; i < coming.count; i++) {
+        coming.levels[i] = prefix->levels[i];
+        coming.levels[i].key = coming_key(prefix->levels[i].key);
+    }
+    return cache_map_cached_since(relay->cache, &coming, server->number,
+                                  now - COMING_MS);
+}
+
 /* What a server holds of a prompt, and where it could fetch more. */
 void
 cache_look(relay_t *relay, const prefix_t *prefix,
@@ -126,6 +152,8 @@
     out->shared = shared > 0 ? prefix->levels[shared - 1].tokens : 0;
     out->here = cache_map_cached_since(relay->cache, prefix, server->number,
                                        now - BELIEF_MS);
+    uint32_t coming = coming_tokens(relay, prefix, server, now);
+    out->here = coming > out->here ? coming : out->here;
     for (unsigned i = shared; i > 0 && !out->found; i--) {
         const prefix_level_t *level = &prefix->levels[i - 1];
         if (level->tokens <= out->here) {
@@ -165,6 +193,32 @@
     }
 }
 
+/* A prompt was sent to a server, which will hold its parts once it has read
+ * them.  Without this two daemons that get prompts with the same part at the
+ * same time have it read at two servers: half of what was read again on a day
+ * with four changes of weights. */
+void
+cache_note_coming(relay_t *relay, const prefix_t *prefix, uint16_t number)
+{
+    int64_t now = time_mono_ms();
+    const server_t *server = server_numbered(relay, number);
+    for (unsigned i = 0; i < shared_levels(prefix); i++) {
+        const prefix_level_t *level = &prefix->levels[i];
+        uint64_t key = coming_key(level->key);
+        if (cache_map_note_at(relay->cache, number, key, level->tokens, now)) {
+            peers_tell_held(relay->peers, server, key, level->tokens);
+        }
+    }
+}
+
+/* All that a daemon that starts should know, at most max facts. */
+size_t
+cache_facts(relay_t *relay, cache_fact_t *facts, size_t max)
+{
+    return cache_map_recent(relay->cache, time_mono_ms() - BELIEF_MS, facts,
+                            max);
+}
+
 /* Whether the store of kept parts holds all that a prompt shares. */
 bool
 cache_kept(const relay_t *relay, const prefix_t *prefix)
--- a/relay/cache-source.h
+++ b/relay/cache-source.h
@@ -26,6 +26,10 @@
 void cache_look(relay_t *relay, const prefix_t *prefix, const server_t *server,
                 cache_view_t *out);
 void cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number);
+void cache_note_coming(relay_t *relay, const prefix_t *prefix,
+                       uint16_t number);
+size_t cache_facts(relay_t *relay, cache_fact_t *facts, size_t max);
+server_t *server_numbered(const relay_t *relay, uint16_t number);
 double cache_fetch_ms(const cache_view_t *view);
 const relay_service_t *cache_kv_store(const relay_t *relay);
 bool cache_kept(const relay_t *relay, const prefix_t *prefix);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -28,6 +28,12 @@
  * 40 ms of its time. */
 #define LOAD_STEP_TOKENS 2000
 
+/* Facts for a daemon that starts at most: nine servers hold about 400 shared
+ * parts. */
+#define SNAPSHOT_MAX 1024
+/* Others that it asks, against lost datagrams. */
+#define ASK_PEERS 2
+
 typedef enum { LOOK_WRITE, LOOK_REPLACE, LOOK_LIST, LOOK_DONE } look_t;
 
 struct peers {
@@ -42,6 +48,7 @@
     look_t look;
     int64_t look_ms; /* when to go on */
     int64_t next_beat_ms;
+    bool asked; /* others for what they know */
     exchange_t *exchange;
     int status;
     buf_t answer;
@@ -128,6 +135,44 @@
     }
 }
 
+/* A daemon that has just started asks, by an empty list, for all that is
+ * known: without it, it would have servers read again what they hold. */
+static void
+tell_all(peers_t *peers, const struct sockaddr_in *to)
+{
+    relay_t *relay = peers->relay;
+    cache_fact_t facts[SNAPSHOT_MAX];
+    char addr[CS_ADDR_MAX];
+    char ip[INET_ADDRSTRLEN];
+    size_t count = cache_facts(relay, facts, SNAPSHOT_MAX);
+    (void)inet_ntop(AF_INET, &to->sin_addr, ip, sizeof(ip));
+    (void)snprintf(addr, sizeof(addr), "%s:%u", ip, ntohs(to->sin_port));
+    peer_datagram_t *datagram = &peers->taken;
+    memset(datagram, 0, sizeof(*datagram));
+    datagram->kind = PEER_FACTS;
+    for (size_t i = 0; i < count; i++) {
+        const server_t *server = server_numbered(relay, facts[i].backend);
+        if (server == NULL && facts[i].backend != KV_STORE_NUMBER) {
+            continue;
+        }
+        peer_fact_t *fact = &datagram->facts[datagram->fact_count++];
+        memset(fact, 0, sizeof(*fact));
+        str_copy(fact->backend, sizeof(fact->backend),
+                 server != NULL ? server->said.id : "");
+        fact->key = facts[i].key;
+        fact->tokens = facts[i].tokens;
+        fact->held = true;
+        if (datagram->fact_count == PEER_FACTS_MAX) {
+            send_datagram(peers, addr, datagram);
+            datagram->fact_count = 0;
+        }
+    }
+    if (datagram->fact_count > 0) {
+        send_datagram(peers, addr, datagram);
+    }
+    log_record(LOG_INFO, "peers", "told", "to=%s facts=%zu", addr, count);
+}
+
 static void
 on_readable(evutil_socket_t fd, short what, void *arg)
 {
@@ -145,6 +190,10 @@
             log_warn("peers", "A datagram cannot be read.");
             continue;
         }
+        if (datagram->kind == PEER_FACTS && datagram->fact_count == 0) {
+            tell_all(peers, &from);
+            continue;
+        }
         if (datagram->kind == PEER_FACTS) {
             for (size_t i = 0; i < datagram->fact_count; i++) {
                 take_fact(peers->relay, host, &datagram->facts[i]);
@@ -214,6 +263,25 @@
     return fact;
 }
 
+/* Ask a few others for what they know, once they are found. */
+static void
+ask_all(peers_t *peers)
+{
+    member_t live[DIRECT_MAX + 1];
+    size_t asked = 0;
+    size_t count = members_list(peers->members, live, DIRECT_MAX + 1);
+    memset(&peers->taken, 0, sizeof(peers->taken));
+    peers->taken.kind = PEER_FACTS;
+    for (size_t i = 0; i < count && asked < ASK_PEERS; i++) {
+        if (live[i].health == MEMBER_ALIVE &&
+            strcmp(live[i].name, peers->relay->settings.name) != 0) {
+            send_datagram(peers, live[i].peer, &peers->taken);
+            asked++;
+        }
+    }
+    peers->asked = asked > 0;
+}
+
 /* Tell what this host has at the servers where that has changed by a few
  * requests' worth: a server's own word does not say how much of the prompts
  * at it is still to be read. */
@@ -385,6 +453,9 @@
     int64_t now = time_mono_ms();
     const relay_t *relay = peers->relay;
     look_tick(peers, now);
+    if (!peers->asked && peers->relay->servers_listed) {
+        ask_all(peers);
+    }
     tell_loads(peers);
     flush_facts(peers);
     if (now < peers->next_beat_ms) {
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -513,6 +513,9 @@
                           ? request->prefix.tokens - request->cached
                           : 0;
     server_sent(server, request->unread, request->sent_ms);
+    if (request->cached < request->prefix.tokens) {
+        cache_note_coming(relay, &request->prefix, server->number);
+    }
     note_tried(request, server);
     if (request->sends++ > 0) {
         relay->counts.retries++;
