--- a/kernel/command.c
+++ b/kernel/command.c
@@ -15,8 +15,7 @@
 {
     command_t *before = NULL;
     command_t *at;
-    CK_SLIST_FOREACH(at, &commands, entry)
-    {
+    CK_SLIST_FOREACH (at, &commands, entry) {
         if (strcmp(at->name, command->name) > 0) {
             break;
         }
@@ -34,8 +33,7 @@
 command_find(const char *name)
 {
     command_t *command;
-    CK_SLIST_FOREACH(command, &commands, entry)
-    {
+    CK_SLIST_FOREACH (command, &commands, entry) {
         if (strcmp(command->name, name) == 0) {
             return command;
         }
--- a/kernel/log.c
+++ b/kernel/log.c
@@ -66,10 +66,9 @@
         log_second = now_ms / 1000;
         log_second_bytes = 0;
     }
-    size_t room = level <= LOG_WARN ? RECORDS_PER_S
-                                    : RECORDS_PER_S - RECORDS_KEPT_PER_S;
-    if (log_second_bytes + len > room ||
-        log_waiting.len + len > RECORDS_MAX) {
+    size_t room =
+        level <= LOG_WARN ? RECORDS_PER_S : RECORDS_PER_S - RECORDS_KEPT_PER_S;
+    if (log_second_bytes + len > room || log_waiting.len + len > RECORDS_MAX) {
         log_left_out++;
         return false;
     }
@@ -83,10 +82,9 @@
 {
     char line[1400];
     int64_t now = time_wall_ms();
-    int len = snprintf(line, sizeof(line),
-                       "t=%lld level=%s host=%s part=%s event=%s %s\n",
-                       (long long)now, log_words[level], log_process, part,
-                       event, text);
+    int len = snprintf(
+        line, sizeof(line), "t=%lld level=%s host=%s part=%s event=%s %s\n",
+        (long long)now, log_words[level], log_process, part, event, text);
     if (len >= (int)sizeof(line)) {
         len = (int)sizeof(line) - 1;
         line[len - 1] = '\n';
--- a/kernel/place.c
+++ b/kernel/place.c
@@ -23,8 +23,7 @@
 policy_find(const char *name)
 {
     policy_t *policy;
-    CK_SLIST_FOREACH(policy, &policies, entry)
-    {
+    CK_SLIST_FOREACH (policy, &policies, entry) {
         if (strcmp(policy->name, name) == 0) {
             return policy;
         }
--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -29,8 +29,7 @@
     if (relay->config == NULL) {
         return NULL;
     }
-    CK_SLIST_FOREACH(service, &relay->config->services, entry)
-    {
+    CK_SLIST_FOREACH (service, &relay->config->services, entry) {
         if (service->kv_store) {
             return service;
         }
@@ -49,8 +48,7 @@
 server_numbered(const relay_t *relay, uint16_t number)
 {
     server_t *server;
-    CK_LIST_FOREACH(server, &relay->servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         if (server->number == number) {
             return server;
         }
@@ -100,9 +98,9 @@
 {
     uint16_t numbers[SOURCES_MAX];
     bool found = false;
-    size_t count = cache_map_holders(relay->cache, level->key,
-                                     now - KV_STORE_BELIEF_MS, numbers,
-                                     SOURCES_MAX);
+    size_t count =
+        cache_map_holders(relay->cache, level->key, now - KV_STORE_BELIEF_MS,
+                          numbers, SOURCES_MAX);
     for (size_t i = 0; i < count; i++) {
         cache_source_t source = {.tokens = level->tokens};
         prefix_t one = {.levels = {*level}, .count = 1};
@@ -143,8 +141,8 @@
 
 /* What a server holds of a prompt, and where it could fetch more. */
 void
-cache_look(relay_t *relay, const prefix_t *prefix,
-           const server_t *server, cache_view_t *out)
+cache_look(relay_t *relay, const prefix_t *prefix, const server_t *server,
+           cache_view_t *out)
 {
     int64_t now = time_mono_ms();
     unsigned shared = shared_levels(prefix);
--- a/relay/door.c
+++ b/relay/door.c
@@ -44,8 +44,8 @@
     buf_t body;
     request_t *request;
     caller_state_t state;
-    bool last;      /* close behind this answer */
-    bool too_long;  /* the body is over the limit */
+    bool last;     /* close behind this answer */
+    bool too_long; /* the body is over the limit */
     bool streaming;
     bool in_step; /* caller_step runs; it goes on by itself */
     struct event *timer;
@@ -373,8 +373,7 @@
         evconnlistener_free(relay->door);
         relay->door = NULL;
     }
-    CK_LIST_FOREACH_SAFE(caller, &relay->callers, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (caller, &relay->callers, entry, next) {
         if (is_quiet(caller)) {
             caller_free(caller);
         }
@@ -394,9 +393,8 @@
     if (headers != NULL) {
         (void)evbuffer_add(out, headers->data, headers->len);
     }
-    (void)evbuffer_add_printf(out, "%s%s\r\n",
-                              caller->last ? "Connection: close\r\n" : "",
-                              framing);
+    (void)evbuffer_add_printf(
+        out, "%s%s\r\n", caller->last ? "Connection: close\r\n" : "", framing);
 }
 
 /* The answer is complete: the connection waits for the next request, or
--- a/relay/exchange.c
+++ b/relay/exchange.c
@@ -68,8 +68,8 @@
     struct event *timer;
     int64_t until_ms; /* 0 for none */
     bool sent;
-    bool in_hook; /* an owner's hook runs: it may not be freed under it */
-    bool dead;    /* cancelled within a hook */
+    bool in_hook;  /* an owner's hook runs: it may not be freed under it */
+    bool dead;     /* cancelled within a hook */
     bool looked;   /* the owner has seen the head */
     bool skipping; /* this answer belongs to something else */
     int64_t keep_ms;
@@ -88,8 +88,7 @@
 pool_find(exchanges_t *exchanges, const char *addr)
 {
     addr_pool_t *pool;
-    CK_LIST_FOREACH(pool, &exchanges->pools, entry)
-    {
+    CK_LIST_FOREACH (pool, &exchanges->pools, entry) {
         if (strcmp(pool->addr, addr) == 0) {
             return pool;
         }
@@ -131,8 +130,7 @@
 {
     upconn_t *conn;
     upconn_t *next;
-    CK_LIST_FOREACH_SAFE(conn, &pool->kept, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (conn, &pool->kept, entry, next) {
         conn_free(conn);
     }
     CK_LIST_REMOVE(pool, entry);
@@ -145,8 +143,7 @@
 {
     addr_pool_t *pool;
     addr_pool_t *next;
-    CK_LIST_FOREACH_SAFE(pool, &exchanges->pools, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (pool, &exchanges->pools, entry, next) {
         pool_free(pool);
     }
     free(exchanges);
@@ -165,12 +162,10 @@
     int64_t now = time_mono_ms();
     addr_pool_t *pool;
     addr_pool_t *next_pool;
-    CK_LIST_FOREACH_SAFE(pool, &exchanges->pools, entry, next_pool)
-    {
+    CK_LIST_FOREACH_SAFE (pool, &exchanges->pools, entry, next_pool) {
         upconn_t *conn;
         upconn_t *next;
-        CK_LIST_FOREACH_SAFE(conn, &pool->kept, entry, next)
-        {
+        CK_LIST_FOREACH_SAFE (conn, &pool->kept, entry, next) {
             if (now >= conn->usable_until_ms) {
                 conn_free(conn);
             }
@@ -192,8 +187,7 @@
     }
     upconn_t *conn;
     upconn_t *next;
-    CK_LIST_FOREACH_SAFE(conn, &pool->kept, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (conn, &pool->kept, entry, next) {
         conn_free(conn);
     }
 }
@@ -229,8 +223,7 @@
     exchange_t *exchange = conn->exchange;
     struct evbuffer *in = bufferevent_get_input(conn->bev);
     struct evbuffer *out = bufferevent_get_output(conn->bev);
-    bool clean =
-        evbuffer_get_length(in) == 0 && evbuffer_get_length(out) == 0;
+    bool clean = evbuffer_get_length(in) == 0 && evbuffer_get_length(out) == 0;
     if (!clean || !exchange->reader.head.keep_alive ||
         exchange->keep_ms <= 0 || conn->pool->kept_count >= KEEP_MAX) {
         conn_free(conn);
@@ -272,9 +265,9 @@
         return;
     }
     exchange->in_hook = true;
-    exchange->skipping = exchange->hooks.on_head(exchange->hooks.arg,
-                                                 &exchange->reader.head) ==
-                         HEAD_SKIP;
+    exchange->skipping =
+        exchange->hooks.on_head(exchange->hooks.arg, &exchange->reader.head) ==
+        HEAD_SKIP;
     exchange->in_hook = false;
 }
 
@@ -493,7 +486,6 @@
     return conn;
 }
 
-
 static upconn_t *
 conn_take_kept(addr_pool_t *pool)
 {
--- a/relay/facts.c
+++ b/relay/facts.c
@@ -95,7 +95,8 @@
 static void
 log_server(const server_t *server)
 {
-    log_record(LOG_INFO, "servers", server->said.draining ? "draining" : "ready",
+    log_record(LOG_INFO, "servers",
+               server->said.draining ? "draining" : "ready",
                "server=%s service=%s addr=%s dc=%s weights=%lld",
                server->said.id, server->said.service, server->said.addr,
                server->said.dc, (long long)server->said.weights);
@@ -150,8 +151,7 @@
     relay_t *relay = arg;
     server_t *server;
     relay->servers_listed = true;
-    CK_LIST_FOREACH(server, &relay->servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         if (!server->gone && server->seen != relay->servers->lists) {
             server_missing(relay, server);
         }
@@ -216,8 +216,7 @@
 {
     int64_t now = time_mono_ms();
     server_t *server;
-    CK_LIST_FOREACH(server, &relay->servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         if (!server->gone && server->missing_ms != 0 &&
             !store_just_back(relay, now)) {
             server_gone(relay, server, "not-back");
--- a/relay/lease.h
+++ b/relay/lease.h
@@ -28,13 +28,13 @@
     char holder[LEASE_HOLDER_MAX];
     int64_t seen_ms; /* since when it has been seen unchanged */
 
-    int64_t read_ms;  /* when it was last asked for */
-    int64_t wrote_ms; /* when the last good write was sent; 0 for none */
-    int64_t asked_ms; /* when the write under way was sent */
+    int64_t read_ms;      /* when it was last asked for */
+    int64_t wrote_ms;     /* when the last good write was sent; 0 for none */
+    int64_t asked_ms;     /* when the write under way was sent */
     int64_t wanted_fence; /* that the last write sets */
     int64_t writes;       /* so far; in each, so that no two are equal */
-    bool pending; /* a write whose answer did not come */
-    bool leaving; /* it is to be given back */
+    bool pending;         /* a write whose answer did not come */
+    bool leaving;         /* it is to be given back */
 } lease_t;
 
 void lease_init(lease_t *lease, const char *self, int64_t span_ms);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -178,7 +178,7 @@
 {
     peers_t *peers = arg;
     unsigned char data[PEER_DATAGRAM_MAX];
-    struct sockaddr_in from;
+    struct sockaddr_in from = {0};
     socklen_t from_len = sizeof(from);
     ssize_t len;
     (void)what;
@@ -289,8 +289,7 @@
 tell_loads(peers_t *peers)
 {
     server_t *server;
-    CK_LIST_FOREACH(server, &peers->relay->servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
         double change = server->own_unread - server->told_unread;
         if (server->gone || !server->said.engine ||
             (change < LOAD_STEP_TOKENS && change > -LOAD_STEP_TOKENS)) {
@@ -349,8 +348,7 @@
     char addr[CS_ADDR_MAX];
     if (platform_page_read(&page, buf_text(&peers->answer), peers->answer.len,
                            &err) != 0) {
-        log_warn("peers", "The list of daemons cannot be read: %s.",
-                 err.text);
+        log_warn("peers", "The list of daemons cannot be read: %s.", err.text);
         return;
     }
     for (size_t i = 0; i < page.count; i++) {
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -120,8 +120,8 @@
 {
     int64_t now = time_mono_ms();
     CLEAN_BUF buf_t head = {0};
-    if (server->probing || (server->asked_ms != 0 &&
-                            now - server->asked_ms < PROBE_EVERY_MS)) {
+    if (server->probing ||
+        (server->asked_ms != 0 && now - server->asked_ms < PROBE_EVERY_MS)) {
         return;
     }
     server->asked_ms = now;
@@ -145,8 +145,7 @@
 {
     int64_t now = time_mono_ms();
     server_t *server;
-    CK_LIST_FOREACH(server, &relay->servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         if (server_wants_probe(server, now)) {
             probe_server(relay, server);
         }
--- a/relay/prompt.c
+++ b/relay/prompt.c
@@ -75,8 +75,8 @@
         tokens += prompt->tokens[i];
         out->levels[out->count++] = (prefix_level_t){chain, tokens};
     }
-    out->tokens = tokens > prompt->prompt_tokens ? tokens
-                                                 : prompt->prompt_tokens;
+    out->tokens =
+        tokens > prompt->prompt_tokens ? tokens : prompt->prompt_tokens;
 }
 
 /* The key of the prompt's home: of its deepest part that others share, under
--- a/relay/relay-config.c
+++ b/relay/relay-config.c
@@ -81,8 +81,7 @@
         &config->routes[host_bucket(route->host, strlen(route->host))];
     route_t *before = NULL;
     route_t *other;
-    CK_SLIST_FOREACH(other, list, entry)
-    {
+    CK_SLIST_FOREACH (other, list, entry) {
         if (strlen(other->prefix) < strlen(route->prefix)) {
             break;
         }
@@ -112,9 +111,8 @@
                    size_t host_len, const char *path, size_t path_len)
 {
     const route_t *route;
-    CK_SLIST_FOREACH(route, &config->routes[host_bucket(host, host_len)],
-                     entry)
-    {
+    CK_SLIST_FOREACH (route, &config->routes[host_bucket(host, host_len)],
+                      entry) {
         size_t prefix_len = strlen(route->prefix);
         if (strlen(route->host) == host_len &&
             strncasecmp(route->host, host, host_len) == 0 &&
@@ -131,8 +129,7 @@
 relay_config_workspace(const relay_config_t *config, const char *key)
 {
     const access_key_t *entry;
-    CK_SLIST_FOREACH(entry, &config->keys[key_bucket(key)], entry)
-    {
+    CK_SLIST_FOREACH (entry, &config->keys[key_bucket(key)], entry) {
         if (strcmp(entry->key, key) == 0) {
             return entry->workspace;
         }
@@ -144,8 +141,7 @@
 relay_config_service(const relay_config_t *config, const char *name)
 {
     const relay_service_t *service;
-    CK_SLIST_FOREACH(service, &config->services, entry)
-    {
+    CK_SLIST_FOREACH (service, &config->services, entry) {
         if (strcmp(service->name, name) == 0) {
             return service;
         }
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -45,15 +45,15 @@
 typedef struct relay_service {
     CK_SLIST_ENTRY(relay_service) entry;
     char name[CS_NAME_MAX];
-    bool engine;    /* serves a model in batches, with a prefix cache */
-    bool kv_store;  /* keeps cached parts; takes no requests */
-    char addr[CS_ADDR_MAX]; /* of a kv_store */
-    char dc[CS_NAME_MAX];   /* of a kv_store */
+    bool engine;   /* serves a model in batches, with a prefix cache */
+    bool kv_store; /* keeps cached parts; takes no requests */
+    char addr[CS_ADDR_MAX];   /* of a kv_store */
+    char dc[CS_NAME_MAX];     /* of a kv_store */
     char health[CS_NAME_MAX]; /* path of the question whether it is well */
-    int slots;              /* of each engine */
-    int64_t cache_tokens;   /* memory of each engine */
-    int listeners;          /* event calls that a server bears at once */
-    int connections;        /* that a server takes from all callers */
+    int slots;                /* of each engine */
+    int64_t cache_tokens;     /* memory of each engine */
+    int listeners;            /* event calls that a server bears at once */
+    int connections;          /* that a server takes from all callers */
 } relay_service_t;
 
 typedef struct workspace_entry {
@@ -107,7 +107,7 @@
 const workspace_entry_t *relay_config_workspace(const relay_config_t *config,
                                                 const char *key);
 const relay_service_t *relay_config_service(const relay_config_t *config,
-                                      const char *name);
+                                            const char *name);
 const char *route_service(const route_t *route, uint64_t draw);
 
 #endif
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -27,7 +27,8 @@
 }
 
 /* Whether no request is taken in any more: a stop was asked for long enough
- * ago that the balancer has left, and what begins now might not end in time. */
+ * ago that the balancer has left, and what begins now might not end in time.
+ */
 bool
 relay_shut(const relay_t *relay)
 {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -41,7 +41,7 @@
 
 typedef struct {
     char model[SERVER_MODEL_MAX];
-    int64_t version; /* the newest */
+    int64_t version;                     /* the newest */
     weights_named_t named[WEIGHTS_KEPT]; /* the newest first */
     size_t named_count;
 } weights_t;
@@ -91,7 +91,7 @@
     rng_t rng;
     uint64_t turn;
     unsigned turn_ticks;
-    const char *path; /* of the settings file */
+    const char *path;    /* of the settings file */
     int64_t stopping_ms; /* when the stop was asked for, 0 if it was not */
     relay_counts_t counts;
 };
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -114,8 +114,7 @@
     }
     char salt[CS_ID_LEN + 1];
     prefix_t prefix;
-    bool isolated =
-        request->workspace != NULL && request->workspace->isolated;
+    bool isolated = request->workspace != NULL && request->workspace->isolated;
     prompt_salt(request->prompt.model, server->said.weights,
                 isolated ? request->workspace->name : "", salt);
     prompt_levels(&request->prompt, salt, &prefix);
@@ -140,8 +139,7 @@
     server_t *servers[CHOOSE_MAX];
     size_t count = 0;
     server_t *server;
-    CK_LIST_FOREACH(server, &relay->servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         if (count < CHOOSE_MAX && may_serve(request, server, now)) {
             fill_candidate(request, server, now, &all[count]);
             servers[count++] = server;
@@ -170,7 +168,8 @@
     return servers[best];
 }
 
-/* Send a request that has no server yet, or refuse it; false if none can take it now. */
+/* Send a request that has no server yet, or refuse it; false if none can take
+ * it now. */
 bool
 request_place(request_t *request)
 {
@@ -178,12 +177,12 @@
     if (server == NULL) {
         return false;
     }
-    int64_t after_ms = admit_after_ms(&(admit_ask_t){
-        .wait_ms = request->wait_ms,
-        .read_ms = request->read_ms,
-        .target_ms = request->route->target_ms,
-        .left_ms = request->until_ms - time_mono_ms(),
-        .engine = request->engine});
+    int64_t after_ms = admit_after_ms(
+        &(admit_ask_t){.wait_ms = request->wait_ms,
+                       .read_ms = request->read_ms,
+                       .target_ms = request->route->target_ms,
+                       .left_ms = request->until_ms - time_mono_ms(),
+                       .engine = request->engine});
     if (after_ms > 0 && request->ran == 0) {
         request_refuse(request, "too-busy", after_ms);
         return true;
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -131,8 +131,7 @@
 {
     char text[32];
     char salt[CS_ID_LEN + 1];
-    bool isolated =
-        request->workspace != NULL && request->workspace->isolated;
+    bool isolated = request->workspace != NULL && request->workspace->isolated;
     prompt_salt(request->prompt.model, request->weights,
                 isolated ? request->workspace->name : "", salt);
     prompt_levels(&request->prompt, salt, &request->prefix);
@@ -190,8 +189,7 @@
 static void
 note_load(server_t *server, const http_head_t *head)
 {
-    const header_t *load =
-        http_head_find(head, wire_header_name(HEADER_LOAD));
+    const header_t *load = http_head_find(head, wire_header_name(HEADER_LOAD));
     char text[64];
     int running;
     int waiting;
@@ -211,8 +209,8 @@
     request->headers.len = 0;
     for (unsigned i = 0; i < head->count; i++) {
         const header_t *header = &head->headers[i];
-        switch (wire_header(http_head_at(head, header->name),
-                            header->name.len)) {
+        switch (
+            wire_header(http_head_at(head, header->name), header->name.len)) {
             case HEADER_CONNECTION:
             case HEADER_LENGTH:
             case HEADER_LOAD:
@@ -519,8 +517,7 @@
     note_tried(request, server);
     if (request->sends++ > 0) {
         relay->counts.retries++;
-        retry_share_spend(&relay->retries, request->service,
-                          request->sent_ms);
+        retry_share_spend(&relay->retries, request->service, request->sent_ms);
     }
     relay->counts.sends++;
     exchange_ask_t ask = {.addr = server->said.addr,
@@ -530,6 +527,5 @@
                           .body_len = request->body->len,
                           .bodiless = request->head->method == HTTP_HEAD,
                           .connect_ms = CONNECT_MS};
-    request->exchange =
-        exchange_start(relay->exchanges, &ask, &own);
+    request->exchange = exchange_start(relay->exchanges, &ask, &own);
 }
--- a/relay/request.c
+++ b/relay/request.c
@@ -44,8 +44,7 @@
         request->id, request->route->name,
         request->workspace != NULL ? request->workspace->name : "-",
         request->service, outcome, request->status, request->sends,
-        request->ran,
-        request->server != NULL ? request->server->said.id : "-",
+        request->ran, request->server != NULL ? request->server->said.id : "-",
         (long long)request->weights, request->cached, request->prefix.tokens,
         (long long)(request->first_ms > 0
                         ? request->first_ms - request->came_ms
@@ -200,8 +199,7 @@
 {
     request_t *request;
     request_t *next;
-    CK_LIST_FOREACH_SAFE(request, &relay->requests, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
         if (request->server != server || request->exchange == NULL) {
             continue;
         }
@@ -225,8 +223,7 @@
     int64_t now = time_mono_ms();
     request_t *request;
     request_t *next;
-    CK_LIST_FOREACH_SAFE(request, &relay->requests, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
         if (request->server != NULL) {
             continue;
         }
@@ -391,12 +388,11 @@
     if (status != 0) {
         const header_t *id = find(head, HEADER_REQUEST_ID);
         relay->counts.refused++;
-        log_record(LOG_WARN, "request", "not-let-in",
-                   "id=%.*s status=%d config=%lld",
-                   id != NULL ? (int)id->value.len : 1,
-                   id != NULL ? http_head_at(head, id->value) : "-", status,
-                   (long long)(relay->config != NULL ? relay->config->version
-                                                     : 0));
+        log_record(
+            LOG_WARN, "request", "not-let-in", "id=%.*s status=%d config=%lld",
+            id != NULL ? (int)id->value.len : 1,
+            id != NULL ? http_head_at(head, id->value) : "-", status,
+            (long long)(relay->config != NULL ? relay->config->version : 0));
         answer_plain(caller, status,
                      status != 503       ? 0
                      : relay_shut(relay) ? AFTER_STOP_MS
--- a/relay/request.h
+++ b/relay/request.h
@@ -41,7 +41,7 @@
     prompt_t prompt;
 
     int64_t came_ms;
-    int64_t until_ms; /* the caller's deadline or the route's timeout */
+    int64_t until_ms;       /* the caller's deadline or the route's timeout */
     double wait_ms;         /* expected at its server, when it was placed */
     double read_ms;         /* expected for its own prompt */
     int64_t waits_until_ms; /* for a server to be there at all */
@@ -54,7 +54,7 @@
     int64_t weights; /* that it is to be made with, of an engine */
     int64_t sent_ms;
     prefix_t prefix;
-    double unread; /* tokens of its prompt that the server must read */
+    double unread;   /* tokens of its prompt that the server must read */
     uint32_t cached; /* tokens that it need not read, as far as is known */
     bool saves;      /* it has the store of kept parts take the prompt */
     answer_t answer;
--- a/relay/retry-share.c
+++ b/relay/retry-share.c
@@ -47,8 +47,7 @@
 {
     int64_t slice = now_ms / (shares->window_ms / RETRY_SLICES);
     retry_share_t *share;
-    CK_SLIST_FOREACH(share, &shares->list, entry)
-    {
+    CK_SLIST_FOREACH (share, &shares->list, entry) {
         if (strcmp(share->service, service) == 0) {
             share_advance(share, slice);
             return share;
--- a/relay/rollout-plan.c
+++ b/relay/rollout-plan.c
@@ -30,8 +30,7 @@
     size_t count = 0;
     server_t *server;
     *loading = 0;
-    CK_LIST_FOREACH(server, &servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &servers->list, entry) {
         if (serves(server, model)) {
             count++;
             *loading += server->ordered ? 1 : 0;
@@ -62,8 +61,7 @@
 {
     server_t *best = NULL;
     server_t *server;
-    CK_LIST_FOREACH(server, &servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &servers->list, entry) {
         if (!serves(server, model) || server->said.weights >= version ||
             server->ordered || !server_usable(server, now_ms) ||
             now_ms < server->order_after_ms) {
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -81,8 +81,7 @@
 {
     size_t index;
     json_t *row;
-    json_array_foreach(named, index, row)
-    {
+    json_array_foreach (named, index, row) {
         const char *model = json_string_value(json_array_get(row, 0));
         int64_t version = json_integer_value(json_array_get(row, 1));
         int64_t named_ms = json_integer_value(json_array_get(row, 2));
@@ -221,8 +220,7 @@
 static void
 job_free(job_t *job, int64_t again_ms)
 {
-    server_t *server =
-        servers_find(job->rollout->relay->servers, job->server);
+    server_t *server = servers_find(job->rollout->relay->servers, job->server);
     if (server != NULL) {
         server->ordered = false;
         server->loading_ms = 0;
@@ -364,8 +362,7 @@
 on_job_end(void *arg, exchange_end_t end)
 {
     job_t *job = arg;
-    server_t *server =
-        servers_find(job->rollout->relay->servers, job->server);
+    server_t *server = servers_find(job->rollout->relay->servers, job->server);
     job->exchange = NULL;
     if (server == NULL || server->said.weights >= job->version) {
         job_free(job, 0);
@@ -389,10 +386,8 @@
 {
     job_t *job;
     job_t *next;
-    CK_LIST_FOREACH_SAFE(job, &rollout->jobs, entry, next)
-    {
-        server_t *server =
-            servers_find(rollout->relay->servers, job->server);
+    CK_LIST_FOREACH_SAFE (job, &rollout->jobs, entry, next) {
+        server_t *server = servers_find(rollout->relay->servers, job->server);
         if (server == NULL || server->said.weights >= job->version ||
             now - job->began_ms > ORDER_SPAN_MS) {
             job_free(job, 0);
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -44,8 +44,7 @@
 servers_find(servers_t *servers, const char *id)
 {
     server_t *server;
-    CK_LIST_FOREACH(server, &servers->list, entry)
-    {
+    CK_LIST_FOREACH (server, &servers->list, entry) {
         if (!server->gone && strcmp(server->said.id, id) == 0) {
             return server;
         }
@@ -121,8 +120,7 @@
 {
     server_t *server;
     server_t *next;
-    CK_LIST_FOREACH_SAFE(server, &servers->list, entry, next)
-    {
+    CK_LIST_FOREACH_SAFE (server, &servers->list, entry, next) {
         if (server->gone && server->own_running == 0) {
             servers_remove(servers, server);
         }
@@ -205,8 +203,8 @@
 bool
 server_usable(const server_t *server, int64_t now_ms)
 {
-    return !server->gone && !server->said.draining && !server->silent && !server->misplaced &&
-           now_ms >= server->closed_ms;
+    return !server->gone && !server->said.draining && !server->silent &&
+           !server->misplaced && now_ms >= server->closed_ms;
 }
 
 /* Something came from the server. */
@@ -229,8 +227,8 @@
     if (server->silent) {
         return now_ms - server->asked_ms >= SILENT_AGAIN_MS;
     }
-    int64_t since =
-        server->heard_ms > server->busy_ms ? server->heard_ms : server->busy_ms;
+    int64_t since = server->heard_ms > server->busy_ms ? server->heard_ms
+                                                       : server->busy_ms;
     return server->own_running > 0 && now_ms - since >= SILENCE_MS;
 }
 
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -49,33 +49,33 @@
 typedef struct server {
     CK_LIST_ENTRY(server) entry;
     server_entry_t said;
-    int64_t revision;    /* of its entry */
-    bool ordered;        /* this host is bringing it to other weights */
+    int64_t revision;       /* of its entry */
+    bool ordered;           /* this host is bringing it to other weights */
     int64_t order_after_ms; /* not ordered again before */
     int64_t loading_ms;     /* it is said to load weights until then */
-    uint16_t number;     /* in the cache map; used again when it is gone */
-    int64_t missing_ms;  /* since when its entry is gone, 0 if it is there */
-    bool gone;           /* off the list for good; kept while it is used */
-    bool misplaced;      /* another server answers at its address */
-    unsigned seen;       /* count of the list that it was last on */
-    int own_running;     /* requests of this host at it */
-    double own_unread;   /* their prompt tokens that are not read yet */
-    double told_unread;  /* what other hosts were last told of them */
+    uint16_t number;        /* in the cache map; used again when it is gone */
+    int64_t missing_ms; /* since when its entry is gone, 0 if it is there */
+    bool gone;          /* off the list for good; kept while it is used */
+    bool misplaced;     /* another server answers at its address */
+    unsigned seen;      /* count of the list that it was last on */
+    int own_running;    /* requests of this host at it */
+    double own_unread;  /* their prompt tokens that are not read yet */
+    double told_unread; /* what other hosts were last told of them */
     other_load_t others[OTHER_HOSTS_MAX];
-    int load_running;    /* by its own word */
+    int load_running; /* by its own word */
     int load_waiting;
     int load_slots;
-    int64_t load_ms;     /* when it said so, 0 for never */
-    unsigned faults;     /* in a row */
-    int64_t closed_ms;   /* the circuit is open until then */
-    int64_t full_ms;     /* it refused a request: not before then */
-    double error_share;  /* of its answers lately that were errors */
-    double slowness;     /* observed over expected time, smoothed */
-    int64_t asked_ms;    /* when its report was last asked for */
-    int64_t heard_ms;    /* when anything last came from it */
-    int64_t busy_ms;     /* since when requests of this host are at it */
-    bool probing;        /* it is being asked whether it is there */
-    bool silent;         /* it was asked and did not answer */
+    int64_t load_ms;    /* when it said so, 0 for never */
+    unsigned faults;    /* in a row */
+    int64_t closed_ms;  /* the circuit is open until then */
+    int64_t full_ms;    /* it refused a request: not before then */
+    double error_share; /* of its answers lately that were errors */
+    double slowness;    /* observed over expected time, smoothed */
+    int64_t asked_ms;   /* when its report was last asked for */
+    int64_t heard_ms;   /* when anything last came from it */
+    int64_t busy_ms;    /* since when requests of this host are at it */
+    bool probing;       /* it is being asked whether it is there */
+    bool silent;        /* it was asked and did not answer */
 } server_t;
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
--- a/relay/stream.h
+++ b/relay/stream.h
@@ -8,9 +8,9 @@
 #define EVENT_ID_MAX 64
 
 typedef struct {
-    buf_t part;             /* bytes of an event that is not whole yet */
+    buf_t part;              /* bytes of an event that is not whole yet */
     char last[EVENT_ID_MAX]; /* id of the last event that was given out */
-    bool overflow;          /* an event is longer than any should be */
+    bool overflow;           /* an event is longer than any should be */
 } stream_t;
 
 void stream_init(stream_t *stream, const char *last);
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -5,8 +5,9 @@
 
 /* How long the store holds a watch that has nothing to tell, ms.  A connection
  * that went silent for good is noticed only when this time and the slack are
- * over, and a change must be in force within two seconds of its acknowledgement
- * where nothing is wrong; each call costs, so it is not shorter. */
+ * over, and a change must be in force within two seconds of its
+ * acknowledgement where nothing is wrong; each call costs, so it is not
+ * shorter. */
 #define WATCH_WAIT_MS 2500
 /* Longest time for an answer beyond that, ms: the store answers in 4, and up
  * to a hundred times as slow it is better heard late than asked again. */
@@ -85,15 +86,14 @@
 call_failed(watch_t *watch, const char *why)
 {
     if (!watch->failed) {
-        log_record(LOG_WARN, "store", "lost", "kind=%s why=%s status=%d at=%lld",
-                   kind_name(watch->kind), why, watch->status,
-                   (long long)watch->at);
+        log_record(LOG_WARN, "store", "lost",
+                   "kind=%s why=%s status=%d at=%lld", kind_name(watch->kind),
+                   why, watch->status, (long long)watch->at);
     }
     watch->failed = true;
     call_later(watch, watch->pause_ms);
-    watch->pause_ms = watch->pause_ms * 2 < PAUSE_LAST_MS
-                          ? watch->pause_ms * 2
-                          : PAUSE_LAST_MS;
+    watch->pause_ms = watch->pause_ms * 2 < PAUSE_LAST_MS ? watch->pause_ms * 2
+                                                          : PAUSE_LAST_MS;
 }
 
 static void
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -40,8 +40,7 @@
 named_put(weights_t *weights, int64_t version, int64_t named_ms)
 {
     size_t at = 0;
-    while (at < weights->named_count &&
-           weights->named[at].version > version) {
+    while (at < weights->named_count && weights->named[at].version > version) {
         at++;
     }
     if (at < weights->named_count && weights->named[at].version == version) {
--- /dev/null
+++ b/tests/test-http-reader.c
@@ -0,0 +1,212 @@
+#include "../relay/http-reader.h"
+#include "test.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HEAD_MAX 2048
+
+typedef struct {
+    http_reader_t reader;
+    struct evbuffer *in;
+    buf_t body;
+} feed_t;
+
+static void
+on_body(void *arg, const char *data, size_t len)
+{
+    feed_t *feed = arg;
+    buf_add(&feed->body, data, len);
+}
+
+static void
+feed_open(feed_t *feed, bool response)
+{
+    memset(feed, 0, sizeof(*feed));
+    feed->in = evbuffer_new();
+    http_reader_init(&feed->reader, response, HEAD_MAX, on_body, feed);
+}
+
+static void
+feed_close(feed_t *feed)
+{
+    http_reader_free(&feed->reader);
+    evbuffer_free(feed->in);
+    buf_free(&feed->body);
+}
+
+/* Take bytes as far as they go. */
+static reader_state_t
+feed_bytes(feed_t *feed, const char *data, size_t len)
+{
+    (void)evbuffer_add(feed->in, data, len);
+    size_t before;
+    reader_state_t state;
+    do {
+        before = evbuffer_get_length(feed->in);
+        state = http_reader_feed(&feed->reader, feed->in);
+    } while (state == READER_BODY && evbuffer_get_length(feed->in) < before);
+    return state;
+}
+
+static reader_state_t
+read_request(const char *text, int *status)
+{
+    feed_t feed;
+    feed_open(&feed, false);
+    reader_state_t state = feed_bytes(&feed, text, strlen(text));
+    *status = feed.reader.status;
+    feed_close(&feed);
+    return state;
+}
+
+/* A caller hides a second request in the first: router and server disagree on
+ * where the first one ends, and the server runs a request that no caller
+ * sent.  Whatever two readers can take in two ways is refused. */
+START_TEST(what_can_be_read_in_two_ways_is_refused)
+{
+    static const char *const texts[] = {
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+        "Content-Length: 5\r\n\r\nabcde",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4, 4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "zz\r\nabc\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "FFFFFFFFFFFFFFFFF\r\nabc\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nX-One: 1\r\n two\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nX-One : 1\r\n\r\n",
+        "GET / HTTP/1.1\r\nX-One: 1\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nX-One: 1\001\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\n"
+        "Upgrade: websocket\r\n\r\n",
+        "\001\002\003\r\n\r\n",
+    };
+    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+        int status = 0;
+        reader_state_t state = read_request(texts[i], &status);
+        ck_assert_msg(state == READER_BAD, "text %zu was taken", i);
+        ck_assert_int_eq(status, 400);
+    }
+}
+END_TEST
+
+START_TEST(a_head_over_the_limit_is_told_so)
+{
+    char text[HEAD_MAX * 2];
+    int status = 0;
+    int len = snprintf(text, sizeof(text), "GET / HTTP/1.1\r\nHost: a\r\nX: ");
+    memset(text + len, 'x', sizeof(text) - (size_t)len);
+    memcpy(text + sizeof(text) - 5, "\r\n\r\n", 5);
+    ck_assert_int_eq(read_request(text, &status), READER_BAD);
+    ck_assert_int_eq(status, 431);
+}
+END_TEST
+
+/* Bytes of the next request have come with the body of this one.  They stay
+ * where they are until this one is answered. */
+START_TEST(the_next_request_stays_in_the_buffer)
+{
+    static const char text[] =
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n";
+    feed_t feed;
+    feed_open(&feed, false);
+    ck_assert_int_eq(feed_bytes(&feed, text, strlen(text)), READER_WHOLE);
+    ck_assert_str_eq(buf_text(&feed.body), "abcde");
+    ck_assert_uint_eq(evbuffer_get_length(feed.in), 28);
+    http_reader_next(&feed.reader);
+    ck_assert_int_eq(feed_bytes(&feed, "", 0), READER_WHOLE);
+    ck_assert(http_head_is(&feed.reader.head, feed.reader.head.target, "/b"));
+    feed_close(&feed);
+}
+END_TEST
+
+START_TEST(a_request_may_come_byte_by_byte)
+{
+    static const char text[] =
+        "POST /p?q=1 HTTP/1.1\r\nHost: a\r\nX-A: 1\r\nx-a: 2 \r\n"
+        "Content-Length: 3\r\n\r\nabc";
+    feed_t feed;
+    reader_state_t state = READER_HEAD;
+    feed_open(&feed, false);
+    for (size_t i = 0; i < sizeof(text) - 1; i++) {
+        ck_assert_int_ne(state, READER_WHOLE);
+        state = feed_bytes(&feed, text + i, 1);
+    }
+    const http_head_t *head = &feed.reader.head;
+    ck_assert_int_eq(state, READER_WHOLE);
+    ck_assert_str_eq(http_head_method(head), "POST");
+    ck_assert(http_head_is(head, head->target, "/p?q=1"));
+    ck_assert_uint_eq(head->count, 4);
+    ck_assert(http_head_is(head, head->headers[2].value, "2"));
+    ck_assert_str_eq(buf_text(&feed.body), "abc");
+    feed_close(&feed);
+}
+END_TEST
+
+/* A server's answer has no length and its connection breaks.  Only an end
+ * that the server made itself makes it whole. */
+START_TEST(an_answer_without_a_length_ends_with_its_connection)
+{
+    static const char text[] = "HTTP/1.1 200 OK\r\nX: y\r\n\r\npart";
+    feed_t feed;
+    feed_open(&feed, true);
+    ck_assert_int_eq(feed_bytes(&feed, text, strlen(text)), READER_BODY);
+    ck_assert(feed.reader.head.until_close);
+    ck_assert_int_eq(http_reader_eof(&feed.reader), READER_WHOLE);
+    feed_close(&feed);
+
+    static const char with_length[] =
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+    feed_open(&feed, true);
+    (void)feed_bytes(&feed, with_length, strlen(with_length));
+    ck_assert_int_ne(http_reader_eof(&feed.reader), READER_WHOLE);
+    feed_close(&feed);
+}
+END_TEST
+
+/* Whatever comes, the reader ends in a state and stays within its bounds:
+ * seeded damage to whole messages, cut into pieces of random length. */
+START_TEST(damaged_messages_do_no_harm)
+{
+    static const char text[] =
+        "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "X-Long: aaaaaaaaaaaaaaaaaaaaaaaa\r\n\r\n5\r\nabcde\r\n0\r\n\r\n";
+    for (uint64_t seed = 0; seed < 4000; seed++) {
+        rng_t rng = {seed};
+        char copy[sizeof(text)];
+        memcpy(copy, text, sizeof(text));
+        uint64_t damages = rng_below(&rng, 6);
+        for (uint64_t i = 0; i < damages; i++) {
+            copy[rng_below(&rng, sizeof(text) - 1)] =
+                (char)rng_below(&rng, 256);
+        }
+        feed_t feed;
+        feed_open(&feed, seed % 2 == 0);
+        size_t at = 0;
+        while (at < sizeof(text) - 1) {
+            size_t step = 1 + (size_t)rng_below(&rng, 20);
+            step = step < sizeof(text) - 1 - at ? step : sizeof(text) - 1 - at;
+            if (feed_bytes(&feed, copy + at, step) == READER_BAD) {
+                break;
+            }
+            at += step;
+        }
+        (void)http_reader_eof(&feed.reader);
+        ck_assert_uint_le(feed.body.len, sizeof(text));
+        feed_close(&feed);
+    }
+}
+END_TEST
+
+TEST_MAIN("http-reader", what_can_be_read_in_two_ways_is_refused,
+          a_head_over_the_limit_is_told_so,
+          the_next_request_stays_in_the_buffer,
+          a_request_may_come_byte_by_byte,
+          an_answer_without_a_length_ends_with_its_connection,
+          damaged_messages_do_no_harm)
--- /dev/null
+++ b/tests/test-lease.c
@@ -0,0 +1,276 @@
+#include "../relay/lease.h"
+#include "test.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Seeded histories of a few daemons and a store in virtual time: answers that
+ * are lost, writes that are done seconds later if their condition still
+ * holds, reads that are behind, daemons that freeze and that are restarted. */
+
+#define DAEMONS 4
+#define SPAN_MS 3000
+#define STEP_MS 20
+#define RUN_MS 60000
+#define LATE_MAX 16
+
+typedef struct {
+    bool used;
+    int64_t due_ms;
+    int64_t revision; /* that it must still have */
+    char holder[LEASE_HOLDER_MAX];
+    int64_t fence;
+} late_t;
+
+typedef struct {
+    rng_t rng;
+    int64_t now_ms;
+    bool exists;
+    int64_t revision;
+    int64_t fence;
+    char holder[LEASE_HOLDER_MAX];
+    int64_t old_revision; /* what a read that is behind tells */
+    int64_t old_fence;
+    char old_holder[LEASE_HOLDER_MAX];
+    late_t late[LATE_MAX];
+    lease_t leases[DAEMONS];
+    int64_t frozen_ms[DAEMONS]; /* until then */
+    unsigned starts;
+    int acted; /* the daemon that acted last */
+    int64_t highest_fence;
+    unsigned acts;
+} world_t;
+
+static void
+write_now(world_t *world, const char *holder, int64_t fence)
+{
+    world->old_revision = world->revision;
+    world->old_fence = world->fence;
+    str_copy(world->old_holder, sizeof(world->old_holder), world->holder);
+    world->exists = true;
+    world->revision++;
+    world->fence = fence;
+    str_copy(world->holder, sizeof(world->holder), holder);
+}
+
+static void
+write_late(world_t *world, const lease_t *lease)
+{
+    for (size_t i = 0; i < LATE_MAX; i++) {
+        late_t *late = &world->late[i];
+        if (late->used) {
+            continue;
+        }
+        late->used = true;
+        late->due_ms =
+            world->now_ms + 500 + (int64_t)rng_below(&world->rng, 5500);
+        late->revision = lease->revision;
+        late->fence = lease->wanted_fence;
+        str_copy(late->holder, sizeof(late->holder),
+                 lease_writes_holder(lease));
+        return;
+    }
+}
+
+static void
+do_late(world_t *world)
+{
+    for (size_t i = 0; i < LATE_MAX; i++) {
+        late_t *late = &world->late[i];
+        if (!late->used || world->now_ms < late->due_ms) {
+            continue;
+        }
+        late->used = false;
+        if (world->exists && late->revision == world->revision) {
+            write_now(world, late->holder, late->fence);
+        }
+    }
+}
+
+static void
+daemon_start(world_t *world, int daemon)
+{
+    char name[32];
+    (void)snprintf(name, sizeof(name), "d%d/%u", daemon, world->starts++);
+    lease_init(&world->leases[daemon], name, SPAN_MS);
+}
+
+static void
+see(const world_t *world, lease_t *lease)
+{
+    lease_seen(lease, world->revision, world->holder, world->fence,
+               world->now_ms);
+}
+
+static void
+do_write(world_t *world, lease_t *lease, bool create)
+{
+    bool fits = create ? !world->exists
+                       : world->exists && lease->revision == world->revision;
+    uint64_t luck = rng_below(&world->rng, 100);
+    if (luck < 10 && !create) {
+        write_late(world, lease);
+        lease_unanswered(lease);
+        return;
+    }
+    if (fits) {
+        write_now(world, lease_writes_holder(lease), lease->wanted_fence);
+    }
+    if (luck < 25) {
+        lease_unanswered(lease);
+        return;
+    }
+    see(world, lease);
+}
+
+static void
+daemon_step(world_t *world, lease_t *lease)
+{
+    lease_step_t step = lease_next(lease, world->now_ms);
+    if (step == LEASE_IDLE) {
+        return;
+    }
+    lease_asked(lease, step, world->now_ms);
+    if (rng_below(&world->rng, 100) < 5) {
+        return; /* the store refused; nothing was done */
+    }
+    if (step != LEASE_READ) {
+        do_write(world, lease, step == LEASE_CREATE);
+    }
+    else if (!world->exists) {
+        lease_seen_absent(lease);
+    }
+    else if (rng_below(&world->rng, 100) < 20 && world->old_revision > 0) {
+        lease_seen(lease, world->old_revision, world->old_holder,
+                   world->old_fence, world->now_ms);
+    }
+    else {
+        see(world, lease);
+    }
+}
+
+/* All that hold the lease now; one may act, and only under a number that no
+ * other has acted under, and none higher. */
+static void
+check_holders(world_t *world, uint64_t seed)
+{
+    int holders = 0;
+    for (int i = 0; i < DAEMONS; i++) {
+        const lease_t *lease = &world->leases[i];
+        if (world->now_ms < world->frozen_ms[i] ||
+            !lease_held(lease, world->now_ms)) {
+            continue;
+        }
+        holders++;
+        ck_assert_msg(lease->fence >= world->highest_fence,
+                      "seed %llu: fence %lld behind %lld",
+                      (unsigned long long)seed, (long long)lease->fence,
+                      (long long)world->highest_fence);
+        ck_assert_msg(lease->fence > world->highest_fence || world->acted == i,
+                      "seed %llu: two under one fence",
+                      (unsigned long long)seed);
+        world->highest_fence = lease->fence;
+        world->acted = i;
+        world->acts++;
+    }
+    ck_assert_msg(holders <= 1, "seed %llu: %d holders at %lld ms",
+                  (unsigned long long)seed, holders, (long long)world->now_ms);
+}
+
+static void
+trouble(world_t *world)
+{
+    int daemon = (int)rng_below(&world->rng, DAEMONS);
+    switch (rng_below(&world->rng, 400)) {
+        case 0:
+            world->frozen_ms[daemon] =
+                world->now_ms + (int64_t)rng_below(&world->rng, 8000);
+            return;
+        case 1:
+            daemon_start(world, daemon);
+            return;
+        case 2:
+            lease_leave(&world->leases[daemon]);
+            return;
+        default:
+            return;
+    }
+}
+
+static unsigned
+run(uint64_t seed)
+{
+    world_t *world = mem_zalloc(sizeof(*world));
+    world->rng.state = seed;
+    world->acted = -1;
+    for (int i = 0; i < DAEMONS; i++) {
+        daemon_start(world, i);
+    }
+    for (world->now_ms = 1; world->now_ms < RUN_MS; world->now_ms += STEP_MS) {
+        do_late(world);
+        trouble(world);
+        for (int i = 0; i < DAEMONS; i++) {
+            if (world->now_ms >= world->frozen_ms[i]) {
+                daemon_step(world, &world->leases[i]);
+            }
+        }
+        check_holders(world, seed);
+    }
+    unsigned acts = world->acts;
+    free(world);
+    return acts;
+}
+
+/* Two daemons order one server at the same time, or an older holder orders
+ * behind a newer one.  The store loses answers and does writes late, daemons
+ * freeze with the lease in hand and are restarted. */
+START_TEST(one_holder_at_a_time)
+{
+    unsigned acts = 0;
+    for (uint64_t seed = 1; seed <= 1000; seed++) {
+        acts += run(seed);
+    }
+    /* It must be held most of the time: 3,000 steps a run. */
+    ck_assert_uint_gt(acts, 1000 * 1200);
+}
+END_TEST
+
+/* A host is stopped on purpose while it holds the lease.  Its successor need
+ * not wait until the lease has run out. */
+START_TEST(a_lease_that_is_given_back_is_free_at_once)
+{
+    lease_t lease;
+    lease_init(&lease, "b/1", SPAN_MS);
+    lease_asked(&lease, LEASE_READ, 10);
+    lease_seen(&lease, 7, "a/1", 3, 12);
+    ck_assert_int_eq(lease_next(&lease, 100), LEASE_IDLE);
+    lease_seen(&lease, 8, "", 3, 900);
+    ck_assert_int_eq(lease_next(&lease, 901), LEASE_WRITE);
+    lease_asked(&lease, LEASE_WRITE, 901);
+    ck_assert_int_eq(lease.wanted_fence, 4);
+    lease_seen(&lease, 9, "b/1", 4, 905);
+    ck_assert(lease_held(&lease, 906));
+}
+END_TEST
+
+/* The holder's process was suspended over the end of its lease.  It may not
+ * act when it wakes, and takes the lease anew under a higher number. */
+START_TEST(a_holder_that_slept_does_not_act)
+{
+    lease_t lease;
+    lease_init(&lease, "a/1", SPAN_MS);
+    lease_seen_absent(&lease);
+    ck_assert_int_eq(lease_next(&lease, 1), LEASE_CREATE);
+    lease_asked(&lease, LEASE_CREATE, 1);
+    lease_seen(&lease, 1, "a/1", 1, 5);
+    ck_assert(lease_held(&lease, 100));
+    ck_assert(!lease_held(&lease, 5000));
+    ck_assert_int_eq(lease_next(&lease, 5000), LEASE_WRITE);
+    lease_asked(&lease, LEASE_WRITE, 5000);
+    ck_assert_int_eq(lease.wanted_fence, 2);
+}
+END_TEST
+
+TEST_MAIN("lease", one_holder_at_a_time,
+          a_lease_that_is_given_back_is_free_at_once,
+          a_holder_that_slept_does_not_act)
--- /dev/null
+++ b/tests/test-relay-config.c
@@ -0,0 +1,253 @@
+#include "../platform/platform.h"
+#include "../relay/prompt.h"
+#include "test.h"
+
+#include <string.h>
+
+static const char text[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"long\",\"host\":\"a.example\",\"path_prefix\":\"/x/y/\","
+    "\"kind\":\"idempotent\",\"timeout_ms\":900,\"service\":\"s1\"},"
+    "{\"name\":\"short\",\"host\":\"a.example\",\"path_prefix\":\"/x/\","
+    "\"kind\":\"non_idempotent\",\"timeout_ms\":900,\"public\":true,"
+    "\"traffic_split\":[{\"service\":\"s1\",\"weight\":90},"
+    "{\"service\":\"s2\",\"weight\":10}]},"
+    "{\"name\":\"st\",\"host\":\"b.example\",\"path_prefix\":\"/\","
+    "\"kind\":\"streaming\",\"resumable\":true,\"timeout_ms\":15000,"
+    "\"target_latency_ms\":1000,\"target_gap_ms\":800,\"attempts\":2,"
+    "\"service\":\"llm\"}],"
+    "\"services\":[{\"name\":\"s1\"},{\"name\":\"s2\"},"
+    "{\"name\":\"llm\",\"engine\":{\"slots\":64,\"cache_capacity\":900}},"
+    "{\"name\":\"kept\",\"cache_store_address\":\"10.0.0.9:80\","
+    "\"zone\":\"z1\",\"cache_capacity\":5}],"
+    "\"limits\":{\"max_header_bytes\":100,\"max_body_bytes\":200,"
+    "\"header_timeout_ms\":300,\"idle_timeout_ms\":400},"
+    "\"tenants\":[{\"name\":\"t1\",\"access_keys\":[\"k1\",\"k2\"],"
+    "\"priority\":3,\"isolated\":true},{\"name\":\"t2\","
+    "\"access_keys\":[\"k3\"]}]}";
+
+static relay_config_t *
+config_of(const char *spec, err_t *err)
+{
+    CLEAN_JSON json_t *doc = json_loads(spec, 0, NULL);
+    store_object_t object = {.name = "main", .revision = 42, .spec = doc};
+    return platform_config_read(&object, err);
+}
+
+static const char *
+route_of(const relay_config_t *config, const char *host, const char *path)
+{
+    const route_t *route =
+        relay_config_route(config, host, strlen(host), path, strlen(path));
+    return route == NULL ? "none" : route->name;
+}
+
+START_TEST(the_longest_prefix_of_the_host_counts)
+{
+    err_t err = {0};
+    relay_config_t *config = config_of(text, &err);
+    ck_assert_ptr_nonnull(config);
+    ck_assert_int_eq(config->version, 7);
+    ck_assert_int_eq(config->revision, 42);
+    ck_assert_str_eq(route_of(config, "a.example", "/x/y/z"), "long");
+    ck_assert_str_eq(route_of(config, "A.Example", "/x/q"), "short");
+    ck_assert_str_eq(route_of(config, "a.example", "/xy"), "none");
+    ck_assert_str_eq(route_of(config, "c.example", "/x/"), "none");
+    ck_assert_str_eq(route_of(config, "b.example", "/any"), "st");
+    relay_config_release(config);
+}
+END_TEST
+
+START_TEST(fields_are_what_they_say)
+{
+    err_t err = {0};
+    relay_config_t *config = config_of(text, &err);
+    const route_t *route =
+        relay_config_route(config, "b.example", 9, "/any", 4);
+    ck_assert_int_eq(route->kind, ROUTE_STREAM);
+    ck_assert(route->resumable);
+    ck_assert_int_eq(route->attempts, 2);
+    ck_assert_int_eq(route->gap_ms, 800);
+    ck_assert(relay_config_service(config, "llm")->engine);
+    ck_assert(relay_config_service(config, "kept")->kv_store);
+    ck_assert_str_eq(relay_config_service(config, "kept")->dc, "z1");
+    ck_assert_int_eq(config->limits.idle_ms, 400);
+    ck_assert_str_eq(relay_config_workspace(config, "k2")->name, "t1");
+    ck_assert(relay_config_workspace(config, "k2")->isolated);
+    ck_assert_ptr_null(relay_config_workspace(config, "k9"));
+    relay_config_release(config);
+}
+END_TEST
+
+START_TEST(a_split_follows_its_weights)
+{
+    err_t err = {0};
+    relay_config_t *config = config_of(text, &err);
+    const route_t *route =
+        relay_config_route(config, "a.example", 9, "/x/", 3);
+    unsigned second = 0;
+    for (uint64_t draw = 0; draw < 1000; draw++) {
+        second += strcmp(route_service(route, draw), "s2") == 0;
+    }
+    ck_assert_uint_eq(second, 100);
+    relay_config_release(config);
+}
+END_TEST
+
+/* A configuration that cannot be read whole changes nothing: half of it would
+ * send requests where none of them may go. */
+START_TEST(what_cannot_be_read_whole_is_refused)
+{
+    static const char *const bad[] = {
+        "{}",
+        "{\"version\":1}",
+        "{\"version\":1,\"routes\":[{}]}",
+        "{\"version\":1,\"routes\":[{\"host\":\"a\",\"path_prefix\":\"/\","
+        "\"kind\":\"other\",\"timeout_ms\":5,\"service\":\"s\"}]}",
+        "{\"version\":1,\"routes\":[{\"host\":\"a\",\"path_prefix\":\"/\","
+        "\"kind\":\"idempotent\",\"timeout_ms\":5}]}",
+        "{\"version\":1,\"routes\":[],\"tenants\":[{}]}",
+        "{\"version\":1,\"routes\":[],\"services\":[{}]}",
+    };
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        err_t err = {0};
+        ck_assert_ptr_null(config_of(bad[i], &err));
+        ck_assert_int_gt((int)strlen(err.text), 0);
+    }
+}
+END_TEST
+
+static int
+entry_of(const char *spec, server_entry_t *entry)
+{
+    err_t err = {0};
+    CLEAN_JSON json_t *doc = json_loads(spec, 0, NULL);
+    store_object_t object = {.name = "i-1", .spec = doc};
+    return platform_server_read(entry, &object, &err);
+}
+
+/* An entry comes from a foreign writer.  It names no server, and the others
+ * hold. */
+START_TEST(a_foreign_entry_names_no_server)
+{
+    static const char good[] =
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":4,\"state\":\"ready\",\"sequence\":9,\"born\":5,"
+        "\"models\":[{\"name\":\"m\",\"version\":3}]}";
+    static const char *const bad[] = {
+        "{}",
+        "[]",
+        "\"text\"",
+        "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+        "\"slots\":4,\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":4,\"state\":\"happy\"}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":\"4\",\"state\":\"ready\"}",
+        "{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":4,\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+        "\"slots\":4,\"state\":\"ready\",\"born\":\"now\"}",
+    };
+    server_entry_t entry;
+    ck_assert_int_eq(entry_of(good, &entry), 0);
+    ck_assert(entry.engine);
+    ck_assert_int_eq(entry.weights, 3);
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        ck_assert_msg(entry_of(bad[i], &entry) != 0, "entry %zu was taken", i);
+    }
+}
+END_TEST
+
+/* An answer of the store is damaged on its way, or holds what no writer of
+ * ours made.  Seeded damage; nothing is read beyond it. */
+START_TEST(damaged_pages_do_no_harm)
+{
+    static const char page_text[] =
+        "{\"items\":[{\"metadata\":{\"name\":\"i-1\",\"revision\":4},"
+        "\"specification\":{\"service\":\"s\",\"address\":\"10.0.0.1:80\"}},"
+        "{\"metadata\":{}},7],\"has_more\":false,\"at\":12}";
+    log_setup("test", LOG_ERROR);
+    for (uint64_t seed = 0; seed < 4000; seed++) {
+        rng_t rng = {seed};
+        char copy[sizeof(page_text)];
+        store_page_t page;
+        server_entry_t entry;
+        err_t err = {0};
+        memcpy(copy, page_text, sizeof(copy));
+        for (uint64_t i = 0; i < seed % 5; i++) {
+            copy[rng_below(&rng, sizeof(copy) - 1)] =
+                (char)rng_below(&rng, 256);
+        }
+        if (platform_page_read(&page, copy, sizeof(copy) - 1, &err) != 0) {
+            continue;
+        }
+        ck_assert_uint_le(page.count, 3);
+        for (size_t i = 0; i < page.count; i++) {
+            (void)platform_server_read(&entry, &page.objects[i], &err);
+        }
+        platform_page_free(&page);
+    }
+}
+END_TEST
+
+/* One entry of the list holds bytes that are no text.  The others must still
+ * be read, or a foreign writer could take all servers away. */
+START_TEST(bytes_that_are_no_text_spoil_one_entry_only)
+{
+    static const char page_text[] =
+        "{\"items\":[{\"metadata\":{\"name\":\"bad\",\"revision\":4},"
+        "\"specification\":{\"service\":\"\xff\xfe\"}},"
+        "{\"metadata\":{\"name\":\"lone\",\"revision\":4},"
+        "\"specification\":{\"service\":\"\\ud800\"}},"
+        "{\"metadata\":{\"name\":\"i-1\",\"revision\":5},"
+        "\"specification\":{\"service\":\"s\"}}],\"at\":12}";
+    store_page_t page;
+    err_t err = {0};
+    ck_assert_int_eq(
+        platform_page_read(&page, page_text, sizeof(page_text) - 1, &err), 0);
+    ck_assert_uint_eq(page.count, 3);
+    ck_assert_str_eq(page.objects[2].name, "i-1");
+    platform_page_free(&page);
+}
+END_TEST
+
+/* Parts kept under older weights, or by another workspace where one of the
+ * two is isolated, must not be found. */
+START_TEST(salts_differ_by_weights_and_isolation)
+{
+    char shared[CS_ID_LEN + 1];
+    char newer[CS_ID_LEN + 1];
+    char mine[CS_ID_LEN + 1];
+    char theirs[CS_ID_LEN + 1];
+    prompt_salt("m", 1, "", shared);
+    prompt_salt("m", 2, "", newer);
+    prompt_salt("m", 1, "a", mine);
+    prompt_salt("m", 1, "b", theirs);
+    ck_assert_str_ne(shared, newer);
+    ck_assert_str_ne(shared, mine);
+    ck_assert_str_ne(mine, theirs);
+}
+END_TEST
+
+START_TEST(parts_of_a_prompt_are_read)
+{
+    prompt_t prompt = {0};
+    prefix_t prefix;
+    static const char parts[] = "5c1e07a2:800,91bd3f06:410, e4402b7d:250";
+    prompt_read_parts(&prompt, parts, strlen(parts));
+    prompt_read_tokens(&prompt, "1460,80", 7);
+    ck_assert_uint_eq(prompt.count, 3);
+    ck_assert_uint_eq(prompt.output_tokens, 80);
+    prompt_levels(&prompt, "salt", &prefix);
+    ck_assert_uint_eq(prefix.levels[1].tokens, 1210);
+    ck_assert_uint_eq(prefix.tokens, 1460);
+}
+END_TEST
+
+TEST_MAIN("relay-config", the_longest_prefix_of_the_host_counts,
+          fields_are_what_they_say, a_split_follows_its_weights,
+          what_cannot_be_read_whole_is_refused,
+          a_foreign_entry_names_no_server, damaged_pages_do_no_harm,
+          bytes_that_are_no_text_spoil_one_entry_only,
+          salts_differ_by_weights_and_isolation, parts_of_a_prompt_are_read)
--- /dev/null
+++ b/tests/test-stream.c
@@ -0,0 +1,75 @@
+#include "../relay/stream.h"
+#include "test.h"
+
+#include <string.h>
+
+static const char events[] =
+    "id: 1\ndata: a\n\n"
+    "x-weights: 2\nid: 2\ndata: b\n\n"
+    "id: 3\r\ndata: c\r\n\r\n"
+    "data: no id\n\n"
+    "id: 10\ndata: d\n\n";
+
+/* Events reach the caller whole, whatever pieces they come in. */
+START_TEST(pieces_become_whole_events)
+{
+    for (uint64_t seed = 0; seed < 500; seed++) {
+        rng_t rng = {seed};
+        stream_t stream;
+        CLEAN_BUF buf_t out = {0};
+        size_t at = 0;
+        size_t count = 0;
+        stream_init(&stream, "");
+        while (at < sizeof(events) - 1) {
+            size_t step = 1 + (size_t)rng_below(&rng, 9);
+            step = step < sizeof(events) - 1 - at ? step
+                                                  : sizeof(events) - 1 - at;
+            count += stream_take(&stream, events + at, step, &out);
+            at += step;
+            ck_assert(out.len == 0 || out.data[out.len - 1] == '\n');
+        }
+        ck_assert_uint_eq(count, 5);
+        ck_assert_str_eq(buf_text(&out), events);
+        ck_assert_str_eq(stream.last, "10");
+        ck_assert_uint_eq(stream.part.len, 0);
+        stream_free(&stream);
+    }
+}
+END_TEST
+
+/* A server dies within an event, and another goes on one event too early.
+ * The caller gets neither the half event nor one that it has. */
+START_TEST(another_server_goes_on_without_gap_or_repeat)
+{
+    stream_t stream;
+    CLEAN_BUF buf_t out = {0};
+    stream_init(&stream, "");
+    (void)stream_take(&stream, "id: 1\ndata: a\n\nid: 2\nda", 23, &out);
+    ck_assert_str_eq(stream.last, "1");
+    stream_restart(&stream);
+    (void)stream_take(&stream, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 30,
+                      &out);
+    ck_assert_str_eq(buf_text(&out), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    stream_free(&stream);
+}
+END_TEST
+
+/* A broken server sends without end and without an event. */
+START_TEST(an_event_without_end_is_bounded)
+{
+    stream_t stream;
+    CLEAN_BUF buf_t out = {0};
+    char block[4096];
+    memset(block, 'x', sizeof(block));
+    stream_init(&stream, "");
+    for (int i = 0; i < 100 && !stream.overflow; i++) {
+        (void)stream_take(&stream, block, sizeof(block), &out);
+    }
+    ck_assert(stream.overflow);
+    stream_free(&stream);
+}
+END_TEST
+
+TEST_MAIN("stream", pieces_become_whole_events,
+          another_server_goes_on_without_gap_or_repeat,
+          an_event_without_end_is_bounded)
