--- a/relay/watch.c
+++ b/relay/watch.c
@@ -3,12 +3,16 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* How long the store holds a watch that has nothing to tell, ms.  A connection
- * that went silent for good is noticed only when this time and the slack are
- * over, and a change must be in force within two seconds of its
- * acknowledgement where nothing is wrong; each call costs, so it is not
- * shorter. */
+/* How long the store holds a watch that has nothing to tell, ms.  A store that
+ * loses its history may leave a watch waiting that will never hear of what was
+ * changed meanwhile, so it is asked anew in this time: with 8 s, daemons
+ * missed changes of configuration on each day with such a loss. */
 #define WATCH_WAIT_MS 2500
+/* Behind news the next watch waits so long, ms, and brings all that has come
+ * meanwhile: each call has its price and wakes the process, and entries of
+ * servers change in bursts.  Of 31 daemons and 90 servers it saves most calls;
+ * a leaving server must be known within two seconds. */
+#define GATHER_MS 400
 /* Longest time for an answer beyond that, ms: the store answers in 4, and up
  * to a hundred times as slow it is better heard late than asked again. */
 #define WATCH_SLACK_MS 1000
@@ -161,7 +165,13 @@
         }
         watch->at = page.at > watch->at ? page.at : watch->at;
     }
+    bool gather = watch->kind == KIND_SERVERS && watch->listed &&
+                  page.count > 0;
     platform_page_free(&page);
+    if (gather) {
+        call_later(watch, GATHER_MS);
+        return;
+    }
     watch_call(watch);
 }
 
