A stand-in of the platform, and the relay's tests with real processes

The stand-in is a store with revisions, watches, conditional writes, lost answers and lost history, and servers with incarnations, versions, orders, reports and faults.

--- /dev/null
+++ b/fakes/fake-platform.c
@@ -0,0 +1,182 @@
+#include "platform.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The stand-in's program.  Commands come by POST to the store's address:
+ * /admin/store {down, silent, lose, forget}, /admin/server/ID {mode, draining,
+ * gone, events, gap_ms}, /admin/object/KIND/NAME with a specification. */
+
+#define SERVERS_AT_MOST 32
+#define ADMIN_STORE "/admin/store"
+#define ADMIN_SERVER "/admin/server/"
+#define ADMIN_OBJECT "/admin/object/"
+
+typedef struct {
+    const char *addr;
+    const char *record;
+    const char *servers[SERVERS_AT_MOST];
+    size_t count;
+} args_t;
+
+typedef struct {
+    platform_store_t store;
+    platform_servers_t servers;
+} platform_t;
+
+static const struct argp_option options[] = {
+    {"store", 's', "IPV4:PORT", 0, "address of the store", 0},
+    {"record", 'r', "FILE", 0, "a line for each run and order", 0},
+    {"server", 'b', "ID,SERVICE,IPV4:PORT,DC,engine|plain", 0,
+     "a backend server", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    args_t *args = state->input;
+    switch (key) {
+        case 's':
+            args->addr = arg;
+            return 0;
+        case 'r':
+            args->record = arg;
+            return 0;
+        case 'b':
+            if (args->count == SERVERS_AT_MOST) {
+                argp_error(state, "at most %d servers", SERVERS_AT_MOST);
+            }
+            args->servers[args->count++] = arg;
+            return 0;
+        case ARGP_KEY_END:
+            if (args->addr == NULL || args->record == NULL) {
+                argp_error(state, "--store and --record are needed");
+            }
+            return 0;
+        default:
+            return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp arguments = {
+    options, parse_option,
+    NULL,    "Stand-in for the users' platform: store and servers.",
+    NULL,    NULL,
+    NULL};
+
+static void
+admin_store(platform_store_t *store, const json_t *command)
+{
+    if (json_object_get(command, "down") != NULL) {
+        store->faults.down = json_flag(command, "down");
+    }
+    if (json_object_get(command, "silent") != NULL) {
+        store->faults.silent = json_flag(command, "silent");
+    }
+    store->faults.lose = (int)json_int(command, "lose", store->faults.lose);
+    if (json_flag(command, "forget")) {
+        store->faults.history_at = store->revision + 1;
+        store->revision += 2;
+    }
+}
+
+static int
+admin_server(platform_t *platform, const char *id, const json_t *command)
+{
+    platform_server_t *server;
+    CK_LIST_FOREACH (server, &platform->servers, entry) {
+        if (strcmp(server->id, id) == 0) {
+            return server_command(server, command);
+        }
+    }
+    return -1;
+}
+
+static int
+admin_object(platform_store_t *store, const char *path, json_t *spec)
+{
+    char kind[CS_NAME_MAX * 2];
+    str_copy(kind, sizeof(kind), path);
+    char *name = strchr(kind, '/');
+    if (name == NULL || spec == NULL) {
+        return -1;
+    }
+    *name++ = '\0';
+    store_set(store, kind, name, json_incref(spec));
+    return 0;
+}
+
+static void
+handle(struct evhttp_request *req, void *arg)
+{
+    platform_t *platform = arg;
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+    if (path == NULL || strncmp(path, "/admin/", 7) != 0) {
+        store_handle(req, &platform->store);
+        return;
+    }
+    CLEAN_JSON json_t *command = body_json(req);
+    int status = 0;
+    if (strcmp(path, ADMIN_STORE) == 0) {
+        admin_store(&platform->store, command);
+    }
+    else if (strncmp(path, ADMIN_SERVER, strlen(ADMIN_SERVER)) == 0) {
+        status = admin_server(platform, path + strlen(ADMIN_SERVER), command);
+    }
+    else if (strncmp(path, ADMIN_OBJECT, strlen(ADMIN_OBJECT)) == 0) {
+        status = admin_object(&platform->store, path + strlen(ADMIN_OBJECT),
+                              command);
+    }
+    CLEAN_JSON json_t *answer =
+        json_pack("{s:I}", "revision", (json_int_t)platform->store.revision);
+    answer_json(req, status == 0 ? 200 : 404, answer);
+}
+
+static void
+on_signal(evutil_socket_t number, short what, void *arg)
+{
+    (void)number;
+    (void)what;
+    (void)event_base_loopbreak(arg);
+}
+
+int
+main(int argc, char **argv)
+{
+    args_t args = {0};
+    platform_t *platform = mem_zalloc(sizeof(*platform));
+    (void)argp_parse(&arguments, argc, argv, 0, NULL, &args);
+    (void)signal(SIGPIPE, SIG_IGN);
+    FILE *record = fopen(args.record, "ae");
+    struct event_base *base = event_base_new();
+    struct event *stop = evsignal_new(base, SIGTERM, on_signal, base);
+    (void)event_add(stop, NULL);
+    store_open(&platform->store, base);
+    CK_LIST_INIT(&platform->servers);
+    struct evhttp *http = evhttp_new(base);
+    evhttp_set_gencb(http, handle, platform);
+    const char *colon = strchr(args.addr, ':');
+    if (record == NULL || colon == NULL ||
+        evhttp_bind_socket(http, "127.0.0.1",
+                           (uint16_t)strtoul(colon + 1, NULL, 10)) != 0) {
+        (void)fprintf(stderr, "fake-platform: cannot use %s or %s\n",
+                      args.addr, args.record);
+        return EXIT_UNREACHABLE;
+    }
+    for (size_t i = 0; i < args.count; i++) {
+        platform_server_t *server =
+            server_open(&platform->store, args.servers[i], record);
+        if (server == NULL) {
+            (void)fprintf(stderr, "fake-platform: cannot open %s\n",
+                          args.servers[i]);
+            return EXIT_UNREACHABLE;
+        }
+        CK_LIST_INSERT_HEAD(&platform->servers, server, entry);
+    }
+    (void)event_base_dispatch(base);
+    (void)fclose(record);
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/fakes/platform-server.c
@@ -0,0 +1,428 @@
+#include "platform.h"
+
+#include "../relay/wire.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define BEAT_MS 300
+#define WORK_MS 15
+#define LOAD_MS 300
+#define SLOTS 8
+#define MODEL "m1"
+#define EVENT_TEXT_MAX 128
+
+/* One answer that is being made. */
+typedef struct {
+    platform_server_t *server;
+    struct evhttp_request *req;
+    unsigned next; /* event */
+    unsigned last;
+    bool closed; /* its reader has gone */
+} run_t;
+
+/* ---- its entry ---- */
+
+static json_t *
+entry_of(const platform_server_t *server)
+{
+    json_t *entry =
+        json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service",
+                  server->service, "address", server->addr, "zone", server->dc,
+                  "version", "v1", "slots", SLOTS, "state",
+                  server->draining ? "draining" : "ready", "cold_remaining_ms",
+                  0, "sequence", (json_int_t)1, "born", (json_int_t)1000);
+    if (server->engine) {
+        (void)json_object_set_new(
+            entry, "models",
+            json_pack("[{s:s,s:I,s:[]}]", "name", MODEL, "version",
+                      (json_int_t)server->version, "adapters"));
+    }
+    return entry;
+}
+
+static void
+on_beat(evutil_socket_t fd, short what, void *arg)
+{
+    platform_server_t *server = arg;
+    (void)fd;
+    (void)what;
+    server->beats++;
+    if (!server->gone && !server->store->faults.down &&
+        !server->store->faults.silent) {
+        store_set(server->store, "servers", server->id, entry_of(server));
+    }
+}
+
+/* ---- requests ---- */
+
+/* A line for each run, with what the tests look at. */
+static void
+record_run(platform_server_t *server, struct evhttp_request *req)
+{
+    static const wire_header_t shown[] = {
+        HEADER_REQUEST_ID,     HEADER_WORKSPACE,  HEADER_KEY,
+        HEADER_LAST_EVENT,     HEADER_CACHE_SALT, HEADER_CACHE_FETCH,
+        HEADER_EXPECT_VERSION, HEADER_PRIORITY,   HEADER_CACHE_PIN};
+    struct evbuffer *body = evhttp_request_get_input_buffer(req);
+    (void)fprintf(server->record, "run server=%s uri=%s body=%zu", server->id,
+                  evhttp_request_get_uri(req), evbuffer_get_length(body));
+    for (size_t i = 0; i < sizeof(shown) / sizeof(shown[0]); i++) {
+        const char *value = header_of(req, wire_header_name(shown[i]));
+        (void)fprintf(server->record, " %s=%s", wire_header_name(shown[i]),
+                      value != NULL ? value : "-");
+    }
+    (void)fputc('\n', server->record);
+    (void)fflush(server->record);
+}
+
+static void
+add_header(struct evhttp_request *req, wire_header_t header, const char *value)
+{
+    (void)evhttp_add_header(evhttp_request_get_output_headers(req),
+                            wire_header_name(header), value);
+}
+
+static void
+add_identity(const platform_server_t *server, struct evhttp_request *req)
+{
+    char load[64];
+    char signature[CS_NAME_MAX * 2];
+    const char *id = header_of(req, wire_header_name(HEADER_REQUEST_ID));
+    (void)snprintf(load, sizeof(load), "%d,0,%d", server->running, SLOTS);
+    (void)snprintf(signature, sizeof(signature), "sig.%s.%s", server->id,
+                   id != NULL ? id : "-");
+    add_header(req, HEADER_REQUEST_ID, id != NULL ? id : "-");
+    add_header(req, HEADER_SIGNATURE, signature);
+    add_header(req, HEADER_LOAD, load);
+}
+
+static void
+refuse(platform_server_t *server, struct evhttp_request *req, int status)
+{
+    add_header(req, HEADER_NOT_RUN, "1");
+    add_header(req, HEADER_SERVER_ID, server->id);
+    evhttp_send_reply(req, status, NULL, NULL);
+}
+
+static void
+run_free(run_t *run)
+{
+    run->server->running--;
+    free(run);
+}
+
+static void
+on_closed(struct evhttp_connection *connection, void *arg)
+{
+    run_t *run = arg;
+    (void)connection;
+    run->closed = true;
+}
+
+/* Break the connection in the middle of things. */
+static void
+cut(struct evhttp_request *req)
+{
+    struct bufferevent *bev =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(req));
+    (void)shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+}
+
+static void
+on_event_due(evutil_socket_t fd, short what, void *arg)
+{
+    run_t *run = arg;
+    platform_server_t *server = run->server;
+    struct evbuffer *out = evbuffer_new();
+    (void)fd;
+    (void)what;
+    if (run->closed || server->gone) {
+        if (!run->closed) {
+            evhttp_connection_set_closecb(
+                evhttp_request_get_connection(run->req), NULL, NULL);
+            cut(run->req);
+        }
+        run_free(run);
+        evbuffer_free(out);
+        return;
+    }
+    (void)evbuffer_add_printf(out, "id: %u\ndata: token-%u\n\n", run->next,
+                              run->next);
+    if (server->mode == MODE_CUT && run->next == run->last / 2) {
+        (void)evbuffer_add_printf(out, "id: %u\nda", run->next + 1);
+        evhttp_send_reply_chunk(run->req, out);
+        evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
+                                      NULL, NULL);
+        cut(run->req);
+        run_free(run);
+        evbuffer_free(out);
+        return;
+    }
+    evhttp_send_reply_chunk(run->req, out);
+    evbuffer_free(out);
+    if (run->next++ == run->last) {
+        evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
+                                      NULL, NULL);
+        evhttp_send_reply_end(run->req);
+        run_free(run);
+        return;
+    }
+    later(server->store->base, server->gap_ms, on_event_due, run);
+}
+
+static void
+begin_stream(run_t *run)
+{
+    const char *last =
+        header_of(run->req, wire_header_name(HEADER_LAST_EVENT));
+    char version[32];
+    run->next = last != NULL ? (unsigned)strtoul(last, NULL, 10) + 1 : 1;
+    run->last = run->server->events;
+    (void)snprintf(version, sizeof(version), "%lld",
+                   (long long)run->server->version);
+    add_header(run->req, HEADER_WEIGHTS, version);
+    (void)evhttp_add_header(evhttp_request_get_output_headers(run->req),
+                            "Content-Type", "text/event-stream");
+    evhttp_send_reply_start(run->req, 200, NULL);
+    on_event_due(-1, 0, run);
+}
+
+/* An answer to somebody else comes first, as of a request before. */
+static void
+send_foreign(struct evhttp_request *req)
+{
+    struct bufferevent *bev =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(req));
+    (void)evbuffer_add_printf(bufferevent_get_output(bev),
+                              "HTTP/1.1 200 OK\r\n%s: someone-else\r\n"
+                              "%s: sig.x\r\nContent-Length: 5\r\n\r\nwrong",
+                              wire_header_name(HEADER_REQUEST_ID),
+                              wire_header_name(HEADER_SIGNATURE));
+}
+
+static void
+on_work_done(evutil_socket_t fd, short what, void *arg)
+{
+    run_t *run = arg;
+    platform_server_t *server = run->server;
+    (void)fd;
+    (void)what;
+    if (run->closed) {
+        run_free(run);
+        return;
+    }
+    evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
+                                  NULL, NULL);
+    if (server->mode == MODE_RESET || server->gone) {
+        cut(run->req);
+        run_free(run);
+        return;
+    }
+    if (server->mode == MODE_FOREIGN) {
+        send_foreign(run->req);
+    }
+    struct evbuffer *out = evbuffer_new();
+    (void)evbuffer_add_printf(out, "answer of %s\n", server->id);
+    evhttp_send_reply(run->req, server->mode == MODE_ERROR ? 500 : 200, NULL,
+                      out);
+    evbuffer_free(out);
+    run_free(run);
+}
+
+/* Whether the request may begin here, as its headers say. */
+static bool
+is_expected(const platform_server_t *server, struct evhttp_request *req)
+{
+    const char *id = header_of(req, wire_header_name(HEADER_EXPECT_SERVER));
+    const char *version =
+        header_of(req, wire_header_name(HEADER_EXPECT_VERSION));
+    return (id == NULL || strcmp(id, server->id) == 0) &&
+           (version == NULL || strtoll(version, NULL, 10) == server->version);
+}
+
+static void
+run_request(platform_server_t *server, struct evhttp_request *req)
+{
+    if (!is_expected(server, req)) {
+        refuse(server, req, 421);
+        return;
+    }
+    if (server->mode == MODE_SHED || server->loading) {
+        refuse(server, req, 503);
+        return;
+    }
+    run_t *run = mem_zalloc(sizeof(*run));
+    run->server = server;
+    run->req = req;
+    server->running++;
+    record_run(server, req);
+    add_identity(server, req);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(req),
+                                  on_closed, run);
+    if (server->mode == MODE_SILENT) {
+        return;
+    }
+    if (server->engine && server->mode != MODE_RESET) {
+        begin_stream(run);
+        return;
+    }
+    later(server->store->base, WORK_MS, on_work_done, run);
+}
+
+/* ---- its own calls ---- */
+
+static void
+answer_report(const platform_server_t *server, struct evhttp_request *req)
+{
+    CLEAN_JSON json_t *report = json_pack(
+        "{s:s,s:[{s:s,s:I,s:[]}],s:b,s:I,s:i,s:i,s:I}", "stage", "both",
+        "models", "name", MODEL, "version", (json_int_t)server->version,
+        "adapters", "busy", server->loading, "sequence",
+        (json_int_t)server->orders, "queued_requests", 0, "active_requests",
+        server->running, "born", (json_int_t)1000);
+    answer_json(req, 200, report);
+}
+
+typedef struct {
+    platform_server_t *server;
+    int64_t version;
+} load_t;
+
+static void
+on_loaded(evutil_socket_t fd, short what, void *arg)
+{
+    load_t *load = arg;
+    (void)fd;
+    (void)what;
+    load->server->version = load->version;
+    load->server->loading = false;
+    free(load);
+}
+
+static int
+take_order(platform_server_t *server, const json_t *order)
+{
+    int64_t fence = json_int(order, "fencing_token", 0);
+    int64_t version = json_int(order, "version", 0);
+    if (json_text(order, "holder") == NULL || fence == 0) {
+        return 400;
+    }
+    if (fence < server->fence) {
+        return 412;
+    }
+    server->fence = fence;
+    if (version == server->version) {
+        return 200;
+    }
+    if (server->loading ||
+        json_int(order, "expect", server->orders) != server->orders) {
+        return 409;
+    }
+    server->orders++;
+    server->loading = true;
+    load_t *load = mem_zalloc(sizeof(*load));
+    *load = (load_t){server, version};
+    later(server->store->base, LOAD_MS, on_loaded, load);
+    return 202;
+}
+
+static void
+answer_order(platform_server_t *server, struct evhttp_request *req)
+{
+    CLEAN_JSON json_t *order = body_json(req);
+    CLEAN_TEXT char *text = json_dumps(order, JSON_COMPACT);
+    int status = take_order(server, order);
+    (void)fprintf(server->record, "order server=%s status=%d %s\n", server->id,
+                  status, text);
+    (void)fflush(server->record);
+    evhttp_send_reply(req, status, NULL, NULL);
+}
+
+static void
+server_handle(struct evhttp_request *req, void *arg)
+{
+    platform_server_t *server = arg;
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+    if (path != NULL && strcmp(path, "/report") == 0) {
+        if (server->mode != MODE_SILENT) {
+            answer_report(server, req);
+        }
+    }
+    else if (path != NULL && strcmp(path, "/order") == 0) {
+        answer_order(server, req);
+    }
+    else if (path != NULL && strcmp(path, "/health") == 0) {
+        add_header(req, HEADER_SERVER_ID, server->id);
+        evhttp_send_reply(req, server->draining ? 503 : 200, NULL, NULL);
+    }
+    else {
+        run_request(server, req);
+    }
+}
+
+/* Open a server: ID,SERVICE,IPV4:PORT,DC,engine|plain. */
+platform_server_t *
+server_open(platform_store_t *store, const char *words, FILE *record)
+{
+    char copy[512];
+    char *rest = copy;
+    platform_server_t *server = mem_zalloc(sizeof(*server));
+    static const struct timeval beat = {0, BEAT_MS * 1000};
+    str_copy(copy, sizeof(copy), words);
+    server->store = store;
+    server->record = record;
+    server->version = 1;
+    server->events = 8;
+    server->gap_ms = 20;
+    const char *parts[5] = {"", "", "", "", ""};
+    for (size_t i = 0; i < 5 && rest != NULL; i++) {
+        parts[i] = strsep(&rest, ",");
+    }
+    str_copy(server->id, sizeof(server->id), parts[0]);
+    str_copy(server->service, sizeof(server->service), parts[1]);
+    str_copy(server->addr, sizeof(server->addr), parts[2]);
+    str_copy(server->dc, sizeof(server->dc), parts[3]);
+    server->engine = strcmp(parts[4], "engine") == 0;
+    char host[CS_ADDR_MAX];
+    str_copy(host, sizeof(host), server->addr);
+    char *colon = strchr(host, ':');
+    server->http = evhttp_new(store->base);
+    evhttp_set_gencb(server->http, server_handle, server);
+    if (colon == NULL ||
+        evhttp_bind_socket(server->http, "127.0.0.1",
+                           (uint16_t)strtoul(colon + 1, NULL, 10)) != 0) {
+        free(server);
+        return NULL;
+    }
+    server->beat = event_new(store->base, -1, EV_PERSIST, on_beat, server);
+    (void)event_add(server->beat, &beat);
+    on_beat(-1, 0, server);
+    return server;
+}
+
+static const char *const mode_words[] = {"well",   "shed", "error",  "reset",
+                                         "silent", "cut",  "foreign"};
+
+/* Change what a server does: mode, draining, gone, events, gap_ms. */
+int
+server_command(platform_server_t *server, const json_t *command)
+{
+    const char *mode = json_text(command, "mode");
+    for (size_t i = 0; mode != NULL && i < 7; i++) {
+        if (strcmp(mode, mode_words[i]) == 0) {
+            server->mode = (server_mode_t)i;
+        }
+    }
+    server->events =
+        (unsigned)json_int(command, "events", (int64_t)server->events);
+    server->gap_ms =
+        (unsigned)json_int(command, "gap_ms", (int64_t)server->gap_ms);
+    server->draining = server->draining || json_flag(command, "draining");
+    if (json_flag(command, "gone")) {
+        server->gone = true;
+        store_remove(server->store, "servers", server->id);
+    }
+    on_beat(-1, 0, server);
+    return 0;
+}
--- /dev/null
+++ b/fakes/platform-store.c
@@ -0,0 +1,331 @@
+#include "platform.h"
+
+#include <event2/keyvalq_struct.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define OBJECTS_PATH "/objects/"
+#define PAGE_OBJECTS 50
+
+void
+answer_json(struct evhttp_request *req, int status, const json_t *body)
+{
+    CLEAN_TEXT char *text = json_dumps(body, JSON_COMPACT);
+    struct evbuffer *out = evbuffer_new();
+    (void)evbuffer_add(out, text, strlen(text));
+    (void)evhttp_add_header(evhttp_request_get_output_headers(req),
+                            "Content-Type", "application/json");
+    evhttp_send_reply(req, status, NULL, out);
+    evbuffer_free(out);
+}
+
+json_t *
+body_json(struct evhttp_request *req)
+{
+    struct evbuffer *in = evhttp_request_get_input_buffer(req);
+    size_t len = evbuffer_get_length(in);
+    return json_loadb((const char *)evbuffer_pullup(in, -1), len, 0, NULL);
+}
+
+const char *
+header_of(struct evhttp_request *req, const char *name)
+{
+    return evhttp_find_header(evhttp_request_get_input_headers(req), name);
+}
+
+/* Run something once, so many ms from now. */
+void
+later(struct event_base *base, int64_t ms,
+      void (*run)(evutil_socket_t, short, void *), void *arg)
+{
+    struct timeval after = {ms / 1000, ms % 1000 * 1000};
+    (void)event_base_once(base, -1, EV_TIMEOUT, run, arg, &after);
+}
+
+void
+store_open(platform_store_t *store, struct event_base *base)
+{
+    memset(store, 0, sizeof(*store));
+    store->base = base;
+    store->kinds = json_object();
+    store->events = json_array();
+    CK_LIST_INIT(&store->watchers);
+}
+
+static json_t *
+kind_of(platform_store_t *store, const char *kind)
+{
+    json_t *objects = json_object_get(store->kinds, kind);
+    if (objects == NULL) {
+        objects = json_object();
+        (void)json_object_set_new(store->kinds, kind, objects);
+    }
+    return objects;
+}
+
+json_t *
+store_object(platform_store_t *store, const char *kind, const char *name)
+{
+    return json_object_get(kind_of(store, kind), name);
+}
+
+static json_t *
+events_since(platform_store_t *store, const char *kind, int64_t from)
+{
+    json_t *out = json_array();
+    size_t index;
+    json_t *event;
+    json_array_foreach (store->events, index, event) {
+        if (json_int(event, "revision", 0) > from &&
+            json_text_is(event, "kind", kind)) {
+            (void)json_array_append(out, event);
+        }
+    }
+    return out;
+}
+
+static void
+watcher_free(watcher_t *watcher)
+{
+    CK_LIST_REMOVE(watcher, entry);
+    event_free(watcher->timer);
+    free(watcher);
+}
+
+static void
+watcher_answer(watcher_t *watcher)
+{
+    platform_store_t *store = watcher->store;
+    CLEAN_JSON json_t *body =
+        json_pack("{s:o,s:I}", "events",
+                  events_since(store, watcher->kind, watcher->from), "at",
+                  (json_int_t)store->revision);
+    struct evhttp_request *req = watcher->req;
+    watcher_free(watcher);
+    answer_json(req, 200, body);
+}
+
+static void
+on_watch_end(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    watcher_answer(arg);
+}
+
+static void
+note_event(platform_store_t *store, const char *kind, json_t *object,
+           bool tombstone)
+{
+    watcher_t *watcher;
+    watcher_t *next;
+    (void)json_array_append_new(
+        store->events,
+        json_pack("{s:I,s:s,s:O,s:b}", "revision", (json_int_t)store->revision,
+                  "kind", kind, "object", object, "tombstone", tombstone));
+    CK_LIST_FOREACH_SAFE (watcher, &store->watchers, entry, next) {
+        if (strcmp(watcher->kind, kind) == 0) {
+            watcher_answer(watcher);
+        }
+    }
+}
+
+/* Put a specification in; one that changes nothing makes no revision. */
+void
+store_set(platform_store_t *store, const char *kind, const char *name,
+          json_t *spec)
+{
+    json_t *old = store_object(store, kind, name);
+    if (old != NULL &&
+        json_equal(json_object_get(old, "specification"), spec)) {
+        json_decref(spec);
+        return;
+    }
+    store->revision++;
+    json_t *object =
+        json_pack("{s:{s:s,s:I,s:I,s:[],s:b},s:o,s:n}", "metadata", "name",
+                  name, "revision", (json_int_t)store->revision, "created",
+                  (json_int_t)store->revision, "finalizers",
+                  "deletion_pending", 0, "specification", spec, "status");
+    (void)json_object_set(kind_of(store, kind), name, object);
+    note_event(store, kind, object, false);
+    json_decref(object);
+}
+
+void
+store_remove(platform_store_t *store, const char *kind, const char *name)
+{
+    json_t *object = store_object(store, kind, name);
+    if (object == NULL) {
+        return;
+    }
+    json_incref(object);
+    store->revision++;
+    (void)json_object_del(kind_of(store, kind), name);
+    note_event(store, kind, object, true);
+    json_decref(object);
+}
+
+static void
+answer_list(platform_store_t *store, struct evhttp_request *req,
+            const char *kind, const char *after)
+{
+    json_t *items = json_array();
+    const char *name;
+    json_t *object;
+    bool behind = after == NULL;
+    bool more = false;
+    json_object_foreach (kind_of(store, kind), name, object) {
+        if (!behind) {
+            behind = strcmp(name, after) == 0;
+            continue;
+        }
+        if (json_array_size(items) == PAGE_OBJECTS) {
+            more = true;
+            break;
+        }
+        (void)json_array_append(items, object);
+    }
+    CLEAN_JSON json_t *body =
+        json_pack("{s:o,s:b,s:I}", "items", items, "has_more", more, "at",
+                  (json_int_t)store->revision);
+    answer_json(req, 200, body);
+}
+
+static void
+answer_watch(platform_store_t *store, struct evhttp_request *req,
+             const char *kind, const struct evkeyvalq *query)
+{
+    const char *from = evhttp_find_header(query, "watch");
+    const char *wait = evhttp_find_header(query, "wait_ms");
+    watcher_t *watcher = mem_zalloc(sizeof(*watcher));
+    watcher->store = store;
+    watcher->req = req;
+    watcher->from = strtoll(from, NULL, 10);
+    str_copy(watcher->kind, sizeof(watcher->kind), kind);
+    watcher->timer = evtimer_new(store->base, on_watch_end, watcher);
+    CK_LIST_INSERT_HEAD(&store->watchers, watcher, entry);
+    CLEAN_JSON json_t *events = events_since(store, kind, watcher->from);
+    if (watcher->from < store->faults.history_at) {
+        CLEAN_JSON json_t *gone = json_pack("{s:s}", "error", "history gone");
+        watcher_free(watcher);
+        answer_json(req, 410, gone);
+        return;
+    }
+    if (json_array_size(events) > 0 || wait == NULL) {
+        watcher_answer(watcher);
+        return;
+    }
+    long ms = strtol(wait, NULL, 10);
+    struct timeval after = {ms / 1000, ms % 1000 * 1000};
+    (void)event_add(watcher->timer, &after);
+}
+
+static void
+answer_get(platform_store_t *store, struct evhttp_request *req,
+           const char *kind, const char *name)
+{
+    struct evkeyvalq query = {0};
+    const char *text =
+        evhttp_uri_get_query(evhttp_request_get_evhttp_uri(req));
+    (void)evhttp_parse_query_str(text != NULL ? text : "", &query);
+    if (name != NULL) {
+        const json_t *object = store_object(store, kind, name);
+        CLEAN_JSON json_t *none = json_pack("{s:s}", "error", "absent");
+        answer_json(req, object != NULL ? 200 : 404,
+                    object != NULL ? object : none);
+    }
+    else if (evhttp_find_header(&query, "watch") != NULL) {
+        answer_watch(store, req, kind, &query);
+    }
+    else {
+        answer_list(store, req, kind, evhttp_find_header(&query, "after"));
+    }
+    evhttp_clear_headers(&query);
+}
+
+static int
+do_write(platform_store_t *store, enum evhttp_cmd_type method,
+         const char *kind, const char *name, const json_t *body)
+{
+    const json_t *metadata = json_object_get(body, "metadata");
+    const char *named = name != NULL ? name : json_text(metadata, "name");
+    json_t *spec = json_object_get(body, "specification");
+    const json_t *old =
+        named != NULL ? store_object(store, kind, named) : NULL;
+    if (named == NULL || spec == NULL) {
+        return 400;
+    }
+    if (method == EVHTTP_REQ_POST && old != NULL) {
+        return 409;
+    }
+    if (method == EVHTTP_REQ_PUT && old == NULL) {
+        return 404;
+    }
+    int64_t want = json_int(metadata, "revision", 0);
+    if (want != 0 &&
+        want != json_int(json_object_get(old, "metadata"), "revision", 0)) {
+        return 409;
+    }
+    store_set(store, kind, named, json_incref(spec));
+    return method == EVHTTP_REQ_POST ? 201 : 200;
+}
+
+static void
+answer_write(platform_store_t *store, struct evhttp_request *req,
+             const char *kind, const char *name)
+{
+    CLEAN_JSON json_t *body = body_json(req);
+    int status =
+        do_write(store, evhttp_request_get_command(req), kind, name, body);
+    const char *named =
+        name != NULL ? name
+                     : json_text(json_object_get(body, "metadata"), "name");
+    if (status < 300 && store->faults.lose > 0) {
+        store->faults.lose--;
+        return; /* done, and never answered */
+    }
+    const json_t *object =
+        named != NULL ? store_object(store, kind, named) : NULL;
+    CLEAN_JSON json_t *none = json_pack("{s:s}", "error", "refused");
+    answer_json(req, status, object != NULL ? object : none);
+}
+
+/* A call to the store. */
+void
+store_handle(struct evhttp_request *req, void *arg)
+{
+    platform_store_t *store = arg;
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+    char kind[CS_NAME_MAX];
+    CLEAN_JSON json_t *error = json_pack("{s:s}", "error", "not now");
+    if (store->faults.silent) {
+        return;
+    }
+    if (store->faults.down) {
+        answer_json(req, 503, error);
+        return;
+    }
+    if (path == NULL ||
+        strncmp(path, OBJECTS_PATH, strlen(OBJECTS_PATH)) != 0) {
+        answer_json(req, 404, error);
+        return;
+    }
+    str_copy(kind, sizeof(kind), path + strlen(OBJECTS_PATH));
+    char *name = strchr(kind, '/');
+    if (name != NULL) {
+        *name++ = '\0';
+    }
+    switch (evhttp_request_get_command(req)) {
+        case EVHTTP_REQ_GET:
+            answer_get(store, req, kind, name);
+            return;
+        case EVHTTP_REQ_POST:
+        case EVHTTP_REQ_PUT:
+            answer_write(store, req, kind, name);
+            return;
+        default:
+            answer_json(req, 400, error);
+            return;
+    }
+}
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -165,8 +165,8 @@
         }
         watch->at = page.at > watch->at ? page.at : watch->at;
     }
-    bool gather = watch->kind == KIND_SERVERS && watch->listed &&
-                  page.count > 0;
+    bool gather =
+        watch->kind == KIND_SERVERS && watch->listed && page.count > 0;
     platform_page_free(&page);
     if (gather) {
         call_later(watch, GATHER_MS);
--- /dev/null
+++ b/tests/proc-relay-path.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# A caller's request must reach a server as it was sent, and nothing must reach
+# one that no caller was allowed to send. Keys are not shown to servers, what is
+# the router's to set is not taken from callers, what two readers could take in
+# two ways is refused, and each answer is the server's own.
+. "$(dirname "$0")/relay-lib.sh"
+start_platform 2 2 && start_relays 1 || exit 1
+
+ID=a1 ask 1 '/read/x%20y?q=1&r=%2f' "${KEY1[@]}" -H 'X-Celeryspool-Cache-Pin: 9' >"$OUT/a1"
+expect "a read is answered" [ "$(tail -1 "$OUT/a1")" = 200 ]
+expect "path and query are as sent" grep -q 'run .*uri=/read/x%20y?q=1&r=%2f .*Attempt-Id=a1 ' "$RECORD"
+expect "the workspace is told, the key is not" grep -q 'Attempt-Id=a1 X-Celeryspool-Tenant=ws1 Authorization=- ' "$RECORD"
+expect "a caller's own workspace is not believed" [ "$(status_of 1 /open/x -H 'X-Celeryspool-Tenant: ws9')" = 200 ]
+expect "none is told on an open route" grep -q 'uri=/open/x .*Tenant=- ' "$RECORD"
+head -c 50000 /dev/zero | tr '\0' x >"$OUT/body"
+ID=a2 ask 1 /strike/s "${KEY1[@]}" -H 'Transfer-Encoding: chunked' --data-binary @"$OUT/body" >"$OUT/a2"
+expect "a body in chunks arrives whole" grep -q 'run .*uri=/strike/s body=50000 .*Attempt-Id=a2 ' "$RECORD"
+expect "no key is refused" [ "$(status_of 1 /read/x)" = 401 ]
+expect "an unknown key is refused" [ "$(status_of 1 /read/x -H 'Authorization: Token nobody')" = 401 ]
+expect "an unknown path is told" [ "$(status_of 1 /none/x "${KEY1[@]}")" = 404 ]
+expect "a body over the limit is told" [ "$(status_of 1 /strike/s "${KEY1[@]}" --data-binary @<(head -c 70000 /dev/zero))" = 413 ]
+expect "a head over the limit is told" [ "$(status_of 1 /read/x "${KEY1[@]}" -H "X-Long: $(head -c 5000 /dev/zero | tr '\0' x)")" = 431 ]
+
+before=$(wc -l <"$RECORD")
+smuggled='POST /strike/s HTTP/1.1\r\nHost: a.example\r\nX-Celeryspool-Attempt-Id: s1\r\nAuthorization: Token key1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/hidden HTTP/1.1\r\nHost: a.example\r\nX-Celeryspool-Attempt-Id: s2\r\nAuthorization: Token key1\r\n\r\n'
+expect "a request that hides another is refused" [ "$(raw "$(front 1)" "$smuggled" | head -1 | tr -d '\r')" = "HTTP/1.1 400 Bad Request" ]
+expect "nothing of it ran" [ "$(wc -l <"$RECORD")" = "$before" ]
+expect "a head that never ends is told so" [ "$(raw "$(front 1)" 'GET /read/x HTTP/1.1\r\nHost: a' | head -1 | cut -c1-12)" = "HTTP/1.1 408" ]
+
+# A late answer to somebody else comes before the right one.
+admin server/p1 '{"mode":"foreign"}'
+admin server/p2 '{"mode":"foreign"}'
+for i in 1 2 3 4; do ask 1 /read/f "${KEY1[@]}"; done >"$OUT/foreign"
+expect "each caller gets its own answer" [ "$(grep -c '^answer of p' "$OUT/foreign")" = 4 ]
+expect "nobody gets another's" [ "$(grep -c wrong "$OUT/foreign")" = 0 ]
+admin server/p1 '{"mode":"well"}'
+admin server/p2 '{"mode":"well"}'
+
+ask 1 /review/x "${KEY1[@]}" "${LLM[@]}" -d body >"$OUT/stream"
+expect "a stream comes whole and in order" [ "$(grep -o 'token-[0-9]*' "$OUT/stream" | tr '\n' ' ')" = "token-1 token-2 token-3 token-4 token-5 token-6 token-7 token-8 " ]
+expect "weights and cache name are told" grep -qE 'uri=/review/x .*Cache-Salt=[0-9a-f]{32} .*Expected-Version=1 ' "$RECORD"
+ask 1 /review/x -H 'Authorization: Token key2' "${LLM[@]}" -d body >/dev/null
+expect "an isolated workspace has a cache name of its own" [ "$(grep -o 'uri=/review/x .*Cache-Salt=[0-9a-f]*' "$RECORD" | sed 's/.*=//' | sort -u | wc -l)" = 2 ]
+expect "a caller resumes where it was" [ "$(ask 1 /review/x "${KEY1[@]}" "${LLM[@]}" -H 'Last-Event-Id: 6' -d body | grep -o 'token-[0-9]*' | tr '\n' ' ')" = "token-7 token-8 " ]
+finish
--- /dev/null
+++ b/tests/relay-lib.sh
@@ -0,0 +1,95 @@
+# What the tests of the relay share: a stand-in of the platform with its
+# servers, and daemons in relay mode before it.
+. "$(dirname "${BASH_SOURCE[0]}")/proc-lib.sh"
+PSTORE=127.0.0.1:$((7001 + BASE))
+RECORD=$OUT/record
+: >"$RECORD"
+
+server_addr() { echo "127.0.0.1:$((7100 + BASE + $1))"; }
+front() { echo "127.0.0.1:$((7200 + BASE + $1))"; }
+ready() { echo "127.0.0.1:$((7300 + BASE + $1))"; }
+inner() { echo "127.0.0.1:$((7400 + BASE + $1))"; }
+
+# relay_config VERSION [LIMITS]: four routes, two services, two workspaces
+relay_config() {
+    cat <<JSON
+{"version":$1,"routes":[
+ {"name":"read","host":"a.example","path_prefix":"/read/","kind":"idempotent","timeout_ms":800,"target_latency_ms":100,"attempts":2,"priority":2,"service":"desk"},
+ {"name":"strike","host":"a.example","path_prefix":"/strike/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"attempts":1,"priority":2,"service":"desk"},
+ {"name":"open","host":"a.example","path_prefix":"/open/","kind":"idempotent","timeout_ms":800,"target_latency_ms":100,"attempts":2,"priority":2,"public":true,"service":"desk"},
+ {"name":"review","host":"a.example","path_prefix":"/review/","kind":"streaming","timeout_ms":8000,"target_latency_ms":1000,"target_gap_ms":800,"attempts":2,"resumable":true,"priority":1,"service":"llm"},
+ {"name":"flag","host":"a.example","path_prefix":"/flag/","kind":"streaming","timeout_ms":3000,"target_latency_ms":1000,"target_gap_ms":800,"attempts":1,"resumable":false,"priority":0,"service":"llm"}],
+"services":[{"name":"desk","health_check_path":"/health"},{"name":"llm","health_check_path":"/health","engine":{"slots":8,"cache_capacity":90000,"max_in_flight":12,"models":[{"name":"m1"}]}}],
+"limits":{"max_header_bytes":4096,"max_body_bytes":65536,"header_timeout_ms":600,"idle_timeout_ms":3000},
+"tenants":[{"name":"ws1","access_keys":["key1","old-key"],"isolated":true},{"name":"ws2","access_keys":["key2"]}]}
+JSON
+}
+
+admin() { curl -s -o /dev/null --max-time 2 -d "$2" "http://$PSTORE/admin/$1"; }
+
+# start_platform ENGINES PLAINS
+start_platform() {
+    local args=() i
+    for ((i = 1; i <= $1; i++)); do args+=(--server "e$i,llm,$(server_addr "$i"),dc-a,engine"); done
+    for ((i = 1; i <= $2; i++)); do args+=(--server "p$i,desk,$(server_addr $((20 + i))),dc-a,plain"); done
+    run platform "$BUILD/fake-platform" --store "$PSTORE" --record "$RECORD" "${args[@]}"
+    wait_for "http://$PSTORE/objects/servers" || return 1
+    relay_config 1 >"$OUT/config-1.json"
+    admin object/config/main "@$OUT/config-1.json"
+    admin object/versions/m1 '{"model":"m1","version":1}'
+}
+
+relay_settings() {
+    cat <<INI
+[daemon]
+name = relay-$1
+dc = dc-a
+mode = relay
+[listen]
+http = $(front "$1")
+ready = $(ready "$1")
+peer = $(inner "$1")
+[platform]
+store = $PSTORE
+[relay]
+stop_s = 8
+retry_ratio = 0.2
+retry_slack = 50
+retry_window_s = 10
+lease_ms = 3000
+weights_ms = 10000
+INI
+}
+
+start_relay() {
+    relay_settings "$1" >"$OUT/relay-$1.ini"
+    run "relay-$1" "$BUILD/celeryspoold" --settings "$OUT/relay-$1.ini"
+}
+
+start_relays() {
+    local i
+    for ((i = 1; i <= $1; i++)); do start_relay "$i"; done
+    for ((i = 1; i <= $1; i++)); do wait_for "http://$(ready "$i")/readiness" || return 1; done
+}
+
+# ask RELAY PATH [CURL OPTION…]: the body, then the status on a line
+ask() {
+    local relay=$1 path=$2
+    shift 2
+    ID=${ID:-$(date +%s%N)$RANDOM}
+    curl -s --max-time 6 -w '\n%{http_code}\n' -H 'Host: a.example' -H "X-Celeryspool-Attempt-Id: $ID" \
+        -H 'X-Celeryspool-Deadline-Milliseconds: 5000' "$@" "http://$(front "$relay")$path"
+    ID=
+}
+status_of() { ask "$@" | tail -1; }
+KEY1=(-H 'Authorization: Token key1')
+LLM=(-H 'X-Celeryspool-Model: m1' -H 'X-Celeryspool-Token-Usage: 1460,80' -H 'X-Celeryspool-Prompt-Prefix: aa:800,bb:410,cc:250')
+# raw RELAY TEXT: what comes back for bytes as they are
+raw() {
+    local host=${1%:*} port=${1#*:}
+    exec 9<>"/dev/tcp/$host/$port" || return
+    printf "$2" >&9
+    timeout 2 head -c 400 <&9
+    exec 9>&-
+}
+runs_of() { grep -c "run .*X-Celeryspool-Attempt-Id=$1 " "$RECORD"; }
