Retries are shared by the daemons that are alive

Cause: the share was set for six daemons; 31 would together have spent five times what is allowed. Change: the slack is divided by the daemons seen alive lately.

--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -82,7 +82,7 @@
     {"relay", "stop_s", TYPE_INT, AT(stop_s), 0, 1, 3600, MODE_RELAY, true,
      NULL, "seconds from a stop's signal until the process is killed"},
     {"relay", "hosts", TYPE_INT, AT(hosts), 0, 1, 10000, MODE_RELAY, false,
-     "6", "daemons that share the retries at most"},
+     "4", "daemons that share the retries at least"},
     {"relay", "retry_ratio", TYPE_PERCENT, AT(again_percent), 0, 0, 100,
      MODE_RELAY, true, NULL, "retries for each request, as a fraction"},
     {"relay", "retry_slack", TYPE_INT, AT(again_slack), 0, 0, 1000000,
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -34,6 +34,11 @@
 /* Others that it asks, against lost datagrams. */
 #define ASK_PEERS 2
 
+/* A daemon that is gone still counts among those that share the retries for so
+ * long, ms: a host that restarts is back by then, and one that is cut off
+ * spends its part all the same. */
+#define LIVE_HELD_MS 15000
+
 typedef enum { LOOK_WRITE, LOOK_REPLACE, LOOK_LIST, LOOK_DONE } look_t;
 
 struct peers {
@@ -49,6 +54,8 @@
     int64_t look_ms; /* when to go on */
     int64_t next_beat_ms;
     bool asked; /* others for what they know */
+    size_t most_live; /* daemons, lately */
+    int64_t most_live_ms;
     exchange_t *exchange;
     int status;
     buf_t answer;
@@ -444,6 +451,24 @@
 
 /* ---- all of it ---- */
 
+/* This host's part of the retries that all may send besides those that their
+ * requests earn.  A host that is cut off from others still counts them for a
+ * while, so that two halves do not both spend the whole. */
+static void
+share_retries(peers_t *peers, int64_t now)
+{
+    relay_t *relay = peers->relay;
+    size_t live = peers_live(peers);
+    if (live >= peers->most_live || now - peers->most_live_ms > LIVE_HELD_MS) {
+        peers->most_live = live;
+        peers->most_live_ms = now;
+    }
+    size_t hosts = peers->most_live + 1;
+    size_t least = (size_t)relay->settings.hosts;
+    relay->retries.slack = (double)relay->settings.again_slack /
+                           (double)(hosts > least ? hosts : least);
+}
+
 /* One step; membership has its own, slower one. */
 void
 peers_tick(peers_t *peers)
@@ -460,6 +485,7 @@
         return;
     }
     peers->next_beat_ms = now + members_interval_ms();
+    share_retries(peers, now);
     members_tick(peers->members, now,
                  relay->config != NULL ? relay->config->revision : 0,
                  relay->stopping_ms != 0 ? MEMBER_LEAVING : MEMBER_LIVE,
