--- a/kernel/base.h
+++ b/kernel/base.h
@@ -52,6 +52,7 @@
 void log_record(log_level_t level, const char *part, const char *event,
                 const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 void log_flush(void);
+uint64_t log_left_out_total(void);
 void log_msg(log_level_t level, const char *part, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
 #define log_error(part, ...) log_msg(LOG_ERROR, part, __VA_ARGS__)
--- a/kernel/log.c
+++ b/kernel/log.c
@@ -27,7 +27,8 @@
 static buf_t log_waiting;
 static int64_t log_second;
 static size_t log_second_bytes;
-static uint64_t log_left_out;
+static uint64_t log_left_out; /* since the last line that told */
+static uint64_t log_left_out_ever;
 
 /* Name the process and the least urgent level that is written. */
 void
@@ -70,6 +71,7 @@
         level <= LOG_WARN ? RECORDS_PER_S : RECORDS_PER_S - RECORDS_KEPT_PER_S;
     if (log_second_bytes + len > room || log_waiting.len + len > RECORDS_MAX) {
         log_left_out++;
+        log_left_out_ever++;
         return false;
     }
     log_second_bytes += len;
@@ -112,6 +114,14 @@
     record_add(level, part, event, text);
 }
 
+/* Records that were left out since the start. */
+uint64_t
+log_left_out_total(void)
+{
+    LOCK_SCOPE(&log_lock);
+    return log_left_out_ever;
+}
+
 /* Write what waits, as much as the reader takes. */
 void
 log_flush(void)
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -77,6 +77,8 @@
      "chat: the own interface; relay: the router on the users' platform"},
     {"listen", "ready", TYPE_ADDR, AT(ready), ROOM(ready), 0, 0, MODE_RELAY,
      true, NULL, "the balancer's question whether this daemon is ready"},
+    {"listen", "metrics", TYPE_ADDR, AT(metrics), ROOM(metrics), 0, 0,
+     MODE_RELAY, true, NULL, "counters and histograms, as text"},
     {"relay", "objective", TYPE_OBJECTIVE, AT(objective), 0, 0, 0, MODE_RELAY,
      false, "tail", "what placement weighs most: tail (time) or hits"},
     {"relay", "stop_s", TYPE_INT, AT(stop_s), 0, 1, 3600, MODE_RELAY, true,
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -19,6 +19,7 @@
     int mode;
     int objective;
     char ready[CS_ADDR_MAX];
+    char metrics[CS_ADDR_MAX];
     int stop_s;
     int lease_ms;
     int weights_ms;
--- a/relay/door.c
+++ b/relay/door.c
@@ -294,6 +294,29 @@
                               status, http_status_str(status));
 }
 
+/* Whoever gathers metrics asks on their own address; any path will do. */
+static void
+on_metrics_read(struct bufferevent *bev, void *arg)
+{
+    struct evbuffer *in = bufferevent_get_input(bev);
+    struct evbuffer *out = bufferevent_get_output(bev);
+    struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+    CLEAN_BUF buf_t text = {0};
+    if (end.pos < 0) {
+        if (evbuffer_get_length(in) > READY_HEAD_MAX) {
+            bufferevent_free(bev);
+        }
+        return;
+    }
+    (void)evbuffer_drain(in, (size_t)end.pos + 4);
+    relay_metrics(arg, &text);
+    (void)evbuffer_add_printf(out,
+                              "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                              "Content-Length: %zu\r\n\r\n",
+                              text.len);
+    (void)evbuffer_add(out, text.data, text.len);
+}
+
 static void
 on_ready_event(struct bufferevent *bev, short what, void *arg)
 {
@@ -302,24 +325,40 @@
     bufferevent_free(bev);
 }
 
+/* A connection of the balancer or of whoever gathers metrics. */
 static void
-on_ready_accept(struct evconnlistener *listener, evutil_socket_t fd,
-                struct sockaddr *from, int len, void *arg)
+accept_small(relay_t *relay, evutil_socket_t fd, bufferevent_data_cb on_asked)
 {
-    relay_t *relay = arg;
     /* The balancer asks every second or so; a connection that is silent for
      * longer is not its. */
     static const struct timeval silent = {30, 0};
-    (void)listener;
-    (void)from;
-    (void)len;
     struct bufferevent *bev =
         bufferevent_socket_new(relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(bev, on_ready_read, NULL, on_ready_event, relay);
+    bufferevent_setcb(bev, on_asked, NULL, on_ready_event, relay);
     (void)bufferevent_set_timeouts(bev, &silent, NULL);
     (void)bufferevent_enable(bev, EV_READ | EV_WRITE);
 }
 
+static void
+on_ready_accept(struct evconnlistener *listener, evutil_socket_t fd,
+                struct sockaddr *from, int len, void *arg)
+{
+    (void)listener;
+    (void)from;
+    (void)len;
+    accept_small(arg, fd, on_ready_read);
+}
+
+static void
+on_metrics_accept(struct evconnlistener *listener, evutil_socket_t fd,
+                  struct sockaddr *from, int len, void *arg)
+{
+    (void)listener;
+    (void)from;
+    (void)len;
+    accept_small(arg, fd, on_metrics_read);
+}
+
 static struct evconnlistener *
 listen_at(relay_t *relay, const char *addr, evconnlistener_cb accepted,
           err_t *err)
@@ -341,14 +380,19 @@
     return listener;
 }
 
-/* Listen for callers and for the balancer. */
+/* Listen for callers, the balancer and whoever gathers metrics. */
 int
 door_open(relay_t *relay, err_t *err)
 {
     relay->ready_door =
         listen_at(relay, relay->settings.ready, on_ready_accept, err);
+    relay->metrics_door =
+        listen_at(relay, relay->settings.metrics, on_metrics_accept, err);
     relay->door = listen_at(relay, relay->settings.http, on_accept, err);
-    return relay->door != NULL && relay->ready_door != NULL ? 0 : -1;
+    return relay->door != NULL && relay->ready_door != NULL &&
+                   relay->metrics_door != NULL
+               ? 0
+               : -1;
 }
 
 /* Nothing has come that is not served and nothing is left to leave.  The end
--- /dev/null
+++ b/relay/meter.c
@@ -0,0 +1,78 @@
+#include "meter.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Quantiles that are told of each histogram. */
+static const double quantiles[] = {0.5, 0.95, 0.99};
+
+static const char *const outcome_words[METER_OUTCOMES] = {
+    "answered", "server_failure", "refused", "failed", "caller_left"};
+
+void
+meter_init(meter_t *meter)
+{
+    memset(meter, 0, sizeof(*meter));
+    CK_SLIST_INIT(&meter->routes);
+}
+
+/* The counts of a route, made at its first request. */
+meter_route_t *
+meter_route(meter_t *meter, const char *name)
+{
+    meter_route_t *route;
+    CK_SLIST_FOREACH (route, &meter->routes, entry) {
+        if (strcmp(route->name, name) == 0) {
+            return route;
+        }
+    }
+    route = mem_zalloc(sizeof(*route));
+    str_copy(route->name, sizeof(route->name), name);
+    CK_SLIST_INSERT_HEAD(&meter->routes, route, entry);
+    return route;
+}
+
+static void
+histogram_text(const histogram_t *histogram, const char *name,
+               const char *route, buf_t *out)
+{
+    for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++) {
+        buf_fmt(out, "celeryspool_%s_ms{route=\"%s\",quantile=\"%g\"} %.1f\n",
+                name, route, quantiles[i],
+                histogram_quantile(histogram, quantiles[i]));
+    }
+    buf_fmt(out, "celeryspool_%s_ms_sum{route=\"%s\"} %.1f\n", name, route,
+            (double)histogram->sum_us / 1000);
+    buf_fmt(out, "celeryspool_%s_ms_count{route=\"%s\"} %llu\n", name, route,
+            (unsigned long long)histogram->count);
+}
+
+void
+meter_gauge(buf_t *out, const char *name, double value)
+{
+    buf_fmt(out, "celeryspool_%s %g\n", name, value);
+}
+
+/* All counts and histograms. */
+void
+meter_text(const meter_t *meter, buf_t *out)
+{
+    const meter_route_t *route;
+    CK_SLIST_FOREACH (route, &meter->routes, entry) {
+        for (size_t i = 0; i < METER_OUTCOMES; i++) {
+            buf_fmt(out,
+                    "celeryspool_requests_total{route=\"%s\","
+                    "outcome=\"%s\"} %llu\n",
+                    route->name, outcome_words[i],
+                    (unsigned long long)route->outcomes[i]);
+        }
+        histogram_text(&route->first, "first_answer", route->name, out);
+        histogram_text(&route->total, "total", route->name, out);
+        histogram_text(&route->added, "added", route->name, out);
+    }
+    meter_gauge(out, "sends_total", (double)meter->sends);
+    meter_gauge(out, "retries_total", (double)meter->retries);
+    meter_gauge(out, "not_let_in_total", (double)meter->not_let_in);
+    meter_gauge(out, "prompt_tokens_total", (double)meter->prompt_tokens);
+    meter_gauge(out, "held_tokens_total", (double)meter->held_tokens);
+}
--- /dev/null
+++ b/relay/meter.h
@@ -0,0 +1,43 @@
+#ifndef CELERYSPOOL_METER_H
+#define CELERYSPOOL_METER_H
+
+/* What the relay counts, and how it is told: the usual text form. */
+
+#include "../kernel/metrics.h"
+
+#include <ck_queue.h>
+
+typedef enum {
+    METER_ANSWERED,
+    METER_SERVER_FAILURE, /* the server's own failure, passed on */
+    METER_REFUSED,
+    METER_FAILED,
+    METER_CALLER_LEFT,
+    METER_OUTCOMES
+} meter_outcome_t;
+
+/* One route's requests. */
+typedef struct meter_route {
+    CK_SLIST_ENTRY(meter_route) entry;
+    char name[CS_NAME_MAX];
+    uint64_t outcomes[METER_OUTCOMES];
+    histogram_t first; /* to the first event or the answer */
+    histogram_t total;
+    histogram_t added; /* by the router, before the send */
+} meter_route_t;
+
+typedef struct {
+    CK_SLIST_HEAD(meter_routes, meter_route) routes;
+    uint64_t sends;
+    uint64_t retries;
+    uint64_t not_let_in;
+    uint64_t prompt_tokens;
+    uint64_t held_tokens; /* that servers were believed to hold */
+} meter_t;
+
+void meter_init(meter_t *meter);
+meter_route_t *meter_route(meter_t *meter, const char *name);
+void meter_text(const meter_t *meter, buf_t *out);
+void meter_gauge(buf_t *out, const char *name, double value);
+
+#endif
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -55,7 +55,7 @@
     look_t look;
     int64_t look_ms; /* when to go on */
     int64_t next_beat_ms;
-    bool asked; /* others for what they know */
+    bool asked;       /* others for what they know */
     size_t most_live; /* daemons, lately */
     int64_t most_live_ms;
     exchange_t *exchange;
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -1,4 +1,4 @@
-#include "relay.h"
+#include "peers.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -36,6 +36,49 @@
            time_mono_ms() - relay->stopping_ms >= DOOR_MS;
 }
 
+/* What is known of one server, as gauges. */
+static void
+server_metrics(const server_t *server, int64_t now, buf_t *out)
+{
+    buf_fmt(out,
+            "celeryspool_server{server=\"%s\",service=\"%s\",weights=\"%lld\","
+            "usable=\"%d\"} %d\n",
+            server->said.id, server->said.service,
+            (long long)server->said.weights, server_usable(server, now),
+            server->own_running);
+}
+
+/* Counters, histograms and what this daemon believes, as text. */
+void
+relay_metrics(const relay_t *relay, buf_t *out)
+{
+    int64_t now = time_mono_ms();
+    const server_t *server;
+    meter_text(&relay->meter, out);
+    meter_gauge(out, "ready", relay_ready(relay));
+    meter_gauge(out, "requests_running", (double)relay->request_count);
+    meter_gauge(out, "callers", (double)relay->caller_count);
+    meter_gauge(out, "body_bytes", (double)relay->body_bytes);
+    meter_gauge(out, "server_connections_total",
+                (double)exchanges_opened(relay->exchanges));
+    meter_gauge(out, "config_version",
+                relay->config != NULL ? (double)relay->config->version : 0);
+    meter_gauge(out, "config_heard_ms_ago",
+                (double)(now - watch_heard_ms(relay->config_watch)));
+    meter_gauge(out, "servers_heard_ms_ago",
+                (double)(now - watch_heard_ms(relay->servers_watch)));
+    meter_gauge(out, "store_calls_total",
+                (double)(watch_calls(relay->config_watch) +
+                         watch_calls(relay->servers_watch) +
+                         watch_calls(relay->weights_watch)));
+    meter_gauge(out, "daemons", (double)peers_live(relay->peers));
+    meter_gauge(out, "cache_levels", (double)cache_map_size(relay->cache));
+    meter_gauge(out, "log_lines_left_out_total", (double)log_left_out_total());
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
+        server_metrics(server, now, out);
+    }
+}
+
 static void
 stop_step(relay_t *relay)
 {
@@ -145,6 +188,7 @@
     relay->path = path;
     relay->rng.state = (uint64_t)time_mono_us() ^
                        str_hash(settings->name, (uint64_t)time_wall_ms());
+    meter_init(&relay->meter);
     CK_LIST_INIT(&relay->callers);
     CK_LIST_INIT(&relay->requests);
     relay->servers = servers_new();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -9,6 +9,7 @@
 #include "../kernel/settings.h"
 #include "../kernel/tables.h"
 #include "exchange.h"
+#include "meter.h"
 #include "relay-config.h"
 #include "retry-share.h"
 #include "servers.h"
@@ -49,17 +50,6 @@
 typedef CK_LIST_HEAD(caller_list, caller) caller_list_t;
 typedef CK_LIST_HEAD(request_list, request) request_list_t;
 
-typedef struct {
-    uint64_t requests;
-    uint64_t answered;
-    uint64_t refused;
-    uint64_t failed;
-    uint64_t gone; /* the caller left */
-    uint64_t sends;
-    uint64_t retries;
-    uint64_t resumed;
-} relay_counts_t;
-
 struct relay {
     settings_t settings;
     struct event_base *base;
@@ -68,6 +58,7 @@
     exchanges_t *exchanges;
     struct evconnlistener *door;
     struct evconnlistener *ready_door;
+    struct evconnlistener *metrics_door;
     caller_list_t callers;
     request_list_t requests;
     size_t caller_count;
@@ -93,7 +84,7 @@
     unsigned turn_ticks;
     const char *path;    /* of the settings file */
     int64_t stopping_ms; /* when the stop was asked for, 0 if it was not */
-    relay_counts_t counts;
+    meter_t meter;
 };
 
 int relay_run(const settings_t *settings, const char *path, err_t *err);
@@ -105,6 +96,8 @@
 int64_t weights_older_ms(const weights_t *weights, int64_t version,
                          int64_t wall_ms);
 
+void relay_metrics(const relay_t *relay, buf_t *out);
+
 /* ---- callers ---- */
 
 int door_open(relay_t *relay, err_t *err);
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -164,8 +164,8 @@
     request->wait_ms = all[best].wait_ms;
     uint32_t held = all[best].cached;
     uint32_t tokens = request->prompt.prompt_tokens;
-    request->read_ms = (tokens > held ? tokens - held : 0) * 1000.0 /
-                       all[best].rate;
+    request->read_ms =
+        (tokens > held ? tokens - held : 0) * 1000.0 / all[best].rate;
     log_record(LOG_INFO, "place", "chosen",
                "id=%s server=%s among=%zu wait_ms=%.0f held=%u of=%u "
                "weights=%lld config=%lld",
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -406,7 +406,7 @@
     int status = request->status;
     memset(&request->headers, 0, sizeof(headers));
     memset(&request->answer_body, 0, sizeof(body));
-    request->relay->counts.answered++;
+    request->outcome = METER_ANSWERED;
     request_end(request, "answered");
     caller_answer(caller, status, &headers, buf_text(&body), body.len);
     buf_free(&headers);
@@ -420,7 +420,7 @@
     if (request->phase != REQUEST_STREAMING) {
         caller_stream_begin(caller, request->status, &request->headers);
     }
-    request->relay->counts.answered++;
+    request->outcome = METER_ANSWERED;
     request_end(request, "answered");
     caller_stream_end(caller);
 }
@@ -530,10 +530,10 @@
     }
     note_tried(request, server);
     if (request->sends++ > 0) {
-        relay->counts.retries++;
+        relay->meter.retries++;
         retry_share_spend(&relay->retries, request->service, request->sent_ms);
     }
-    relay->counts.sends++;
+    relay->meter.sends++;
     exchange_ask_t ask = {.addr = server->said.addr,
                           .head = head.data,
                           .head_len = head.len,
@@ -542,4 +542,7 @@
                           .bodiless = request->head->method == HTTP_HEAD,
                           .connect_ms = CONNECT_MS};
     request->exchange = exchange_start(relay->exchanges, &ask, &own);
+    if (request->sends == 1) {
+        request->added_us = time_mono_us() - request->came_us;
+    }
 }
--- a/relay/request.c
+++ b/relay/request.c
@@ -28,7 +28,7 @@
 request_caller_left(request_t *request)
 {
     request->caller = NULL;
-    request->relay->counts.gone++;
+    request->outcome = METER_CALLER_LEFT;
     request_end(request, "caller-left");
 }
 
@@ -54,6 +54,25 @@
         (long long)request->config->version);
 }
 
+/* Count the request among those of its route. */
+static void
+request_meter(const request_t *request)
+{
+    meter_t *meter = &request->relay->meter;
+    meter_route_t *route = meter_route(meter, request->route->name);
+    int64_t came_us = request->came_ms * 1000;
+    route->outcomes[request->outcome]++;
+    histogram_add(&route->total, time_mono_us() - came_us);
+    if (request->first_ms > 0) {
+        histogram_add(&route->first, request->first_ms * 1000 - came_us);
+    }
+    if (request->sends > 0) {
+        histogram_add(&route->added, request->added_us);
+    }
+    meter->prompt_tokens += request->prefix.tokens;
+    meter->held_tokens += request->cached;
+}
+
 /* The last step: everything that the request holds is given back.  Its answer
  * has been written before, or there is nobody to read one. */
 void
@@ -61,6 +80,7 @@
 {
     relay_t *relay = request->relay;
     request_log(request, outcome);
+    request_meter(request);
     request_sent_over(request);
     if (request->exchange != NULL) {
         exchange_cancel(request->exchange);
@@ -94,7 +114,7 @@
 {
     caller_t *caller = request->caller;
     request->status = 503;
-    request->relay->counts.refused++;
+    request->outcome = METER_REFUSED;
     log_record(LOG_WARN, "request", "refused", "id=%s why=%s after_ms=%lld",
                request->id, why, (long long)after_ms);
     request_end(request, why);
@@ -108,7 +128,7 @@
     caller_t *caller = request->caller;
     bool begun = request->phase == REQUEST_STREAMING;
     request->status = status;
-    request->relay->counts.failed++;
+    request->outcome = METER_FAILED;
     log_record(LOG_WARN, "request", "failed", "id=%s why=%s status=%d",
                request->id, why, begun ? 0 : status);
     request_end(request, why);
@@ -154,13 +174,13 @@
         .left_ms = request->until_ms - now,
     };
     retry_verdict_t verdict = retry_decide(&ask, fate);
-    log_record(LOG_WARN, "request", "send-failed",
-               "id=%s server=%s fate=%d ran=%d sends=%d share_left=%d "
-               "left_ms=%lld verdict=%d status=%d",
-               request->id,
-               request->server != NULL ? request->server->said.id : "-",
-               (int)fate, ask.ran, ask.sends, ask.share_left,
-               (long long)ask.left_ms, (int)verdict, request->status);
+    log_record(
+        LOG_WARN, "request", "send-failed",
+        "id=%s server=%s fate=%s ran=%d sends=%d share_left=%d "
+        "left_ms=%lld verdict=%s status=%d",
+        request->id, request->server != NULL ? request->server->said.id : "-",
+        send_fate_word(fate), ask.ran, ask.sends, ask.share_left,
+        (long long)ask.left_ms, retry_verdict_word(verdict), request->status);
     request_sent_over(request);
     switch (verdict) {
         case RETRY_AGAIN:
@@ -179,6 +199,7 @@
             int status = request->status;
             memset(&request->headers, 0, sizeof(headers));
             memset(&request->answer_body, 0, sizeof(body));
+            request->outcome = METER_SERVER_FAILURE;
             request_end(request, "server-failure");
             caller_answer(caller, status, &headers, buf_text(&body), body.len);
             buf_free(&headers);
@@ -327,7 +348,8 @@
     request->head = head;
     request->body = body;
     request->config = relay_config_hold(relay->config);
-    request->came_ms = time_mono_ms();
+    request->came_us = time_mono_us();
+    request->came_ms = request->came_us / 1000;
     request->timer = evtimer_new(relay->base, on_timer, request);
     stream_init(&request->stream, last);
     http_head_copy(head, find(head, HEADER_REQUEST_ID)->value, request->id,
@@ -383,11 +405,10 @@
 {
     const route_t *route = NULL;
     const workspace_entry_t *workspace = NULL;
-    relay->counts.requests++;
     int status = check_entry(relay, head, body->len, &route, &workspace);
     if (status != 0) {
         const header_t *id = find(head, HEADER_REQUEST_ID);
-        relay->counts.refused++;
+        relay->meter.not_let_in++;
         log_record(
             LOG_WARN, "request", "not-let-in", "id=%.*s status=%d config=%lld",
             id != NULL ? (int)id->value.len : 1,
--- a/relay/request.h
+++ b/relay/request.h
@@ -41,6 +41,9 @@
     prompt_t prompt;
 
     int64_t came_ms;
+    int64_t came_us;  /* the same, for what the router itself adds */
+    int64_t added_us; /* until the first send had left */
+    meter_outcome_t outcome;
     int64_t until_ms;       /* the caller's deadline or the route's timeout */
     double wait_ms;         /* expected at its server, when it was placed */
     double read_ms;         /* expected for its own prompt */
--- a/relay/retry-rule.c
+++ b/relay/retry-rule.c
@@ -56,3 +56,39 @@
     }
     return over;
 }
+
+/* The word for logs. */
+const char *
+send_fate_word(send_fate_t fate)
+{
+    switch (fate) {
+        case FATE_UNSENT:
+            return "unsent";
+        case FATE_REFUSED:
+            return "refused";
+        case FATE_UNKNOWN:
+            return "may-have-run";
+        case FATE_FAILED:
+            break;
+    }
+    return "failed";
+}
+
+/* The word for logs. */
+const char *
+retry_verdict_word(retry_verdict_t verdict)
+{
+    switch (verdict) {
+        case RETRY_AGAIN:
+            return "again";
+        case RETRY_REFUSE:
+            return "refuse";
+        case RETRY_FAIL:
+            return "fail";
+        case RETRY_PASS:
+            return "pass";
+        case RETRY_BREAK:
+            break;
+    }
+    return "break";
+}
--- a/relay/retry-rule.h
+++ b/relay/retry-rule.h
@@ -33,6 +33,8 @@
 } retry_verdict_t;
 
 bool retry_may_repeat(route_kind_t kind, bool resumable);
+const char *send_fate_word(send_fate_t fate);
+const char *retry_verdict_word(retry_verdict_t verdict);
 retry_verdict_t retry_decide(const retry_ask_t *ask, send_fate_t fate);
 
 #endif
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -19,8 +19,8 @@
 #define SILENT_AGAIN_MS 500
 /* Another host's word on what it has at a server holds for so long, ms. */
 #define OTHER_FRESH_MS 1000
-/* How slow a server reads against what is expected of all: weight of the newest
- * answer, and bounds that keep one odd answer from moving much. */
+/* How slow a server reads against what is expected of all: weight of the
+ * newest answer, and bounds that keep one odd answer from moving much. */
 #define SPEED_WEIGHT 0.15
 #define SPEED_RATIO_LEAST 0.5
 #define SPEED_RATIO_MOST 3.0
@@ -177,7 +177,7 @@
     switch (fault) {
         case SERVER_FAULT_ERROR:
             /* Its answers are good or bad one by one: only the share of bad
-             * ones counts, see choose.c. */
+             * ones counts, see request-place.c. */
             server->error_share += ERROR_WEIGHT * (1 - server->error_share);
             server->faults--;
             return;
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -13,6 +13,9 @@
  * servers change in bursts.  Of 31 daemons and 90 servers it saves most calls;
  * a leaving server must be known within two seconds. */
 #define GATHER_MS 400
+/* The same for a store that did not answer the last time: its return shows
+ * within a second instead of three and a half. */
+#define RETURN_WAIT_MS 50
 /* Longest time for an answer beyond that, ms: the store answers in 4, and up
  * to a hundred times as slow it is better heard late than asked again. */
 #define WATCH_SLACK_MS 1000
@@ -229,9 +232,10 @@
         ask.total_ms = LIST_MS;
     }
     else {
+        int wait_ms = watch->failed ? RETURN_WAIT_MS : WATCH_WAIT_MS;
         platform_watch_call(&head, watch->addr, watch->kind, watch->at,
-                            WATCH_WAIT_MS);
-        ask.total_ms = WATCH_WAIT_MS + WATCH_SLACK_MS;
+                            wait_ms);
+        ask.total_ms = wait_ms + WATCH_SLACK_MS;
     }
     ask.head = head.data;
     ask.head_len = head.len;
--- a/tests/proc-relay-path.sh
+++ b/tests/proc-relay-path.sh
@@ -42,4 +42,9 @@
 ask 1 /review/x -H 'Authorization: Token key2' "${LLM[@]}" -d body >/dev/null
 expect "an isolated workspace has a cache name of its own" [ "$(grep -o 'uri=/review/x .*Cache-Salt=[0-9a-f]*' "$RECORD" | sed 's/.*=//' | sort -u | wc -l)" = 2 ]
 expect "a caller resumes where it was" [ "$(ask 1 /review/x "${KEY1[@]}" "${LLM[@]}" -H 'Last-Event-Id: 6' -d body | grep -o 'token-[0-9]*' | tr '\n' ' ')" = "token-7 token-8 " ]
+
+curl -s --max-time 2 "http://$(meter 1)/metrics" >"$OUT/metrics"
+expect "metrics count the routes" grep -q 'requests_total{route="read",outcome="answered"} [1-9]' "$OUT/metrics"
+expect "and tell what is believed" grep -q '^celeryspool_config_version 1$' "$OUT/metrics"
+expect "each request left a record" grep -q 'part=request event=end id=a1 route=read .*outcome=answered status=200' "$OUT/relay-1.log"
 finish
--- a/tests/relay-lib.sh
+++ b/tests/relay-lib.sh
@@ -8,6 +8,7 @@
 server_addr() { echo "127.0.0.1:$((7100 + BASE + $1))"; }
 front() { echo "127.0.0.1:$((7200 + BASE + $1))"; }
 ready() { echo "127.0.0.1:$((7300 + BASE + $1))"; }
+meter() { echo "127.0.0.1:$((7500 + BASE + $1))"; }
 inner() { echo "127.0.0.1:$((7400 + BASE + $1))"; }
 
 # relay_config VERSION [LIMITS]: four routes, two services, two workspaces
@@ -49,6 +50,7 @@
 http = $(front "$1")
 ready = $(ready "$1")
 peer = $(inner "$1")
+metrics = $(meter "$1")
 [platform]
 store = $PSTORE
 [relay]
