--- a/relay/request.c
+++ b/relay/request.c
@@ -14,6 +14,9 @@
 #define AFTER_START_MS 300
 #define AFTER_NONE_MS 500
 #define AFTER_FULL_MS 250
+/* A begun stream that nobody takes now is tried again after this, ms: an
+ * engine's load takes two to four times as long. */
+#define WAIT_AGAIN_MS 300
 /* Another daemon takes what comes on a connection that outlived a stop. */
 #define AFTER_STOP_MS 20
 /* Where a request names no deadline of its own, its route's timeout is one. */
@@ -189,6 +192,11 @@
                     now + request->route->target_ms / WAIT_SHARE;
             }
             return;
+        case RETRY_WAIT:
+            request->tried_count = 0;
+            request->not_before_ms = now + WAIT_AGAIN_MS;
+            request->waits_until_ms = request->until_ms;
+            return;
         case RETRY_REFUSE:
             request_refuse(request, "refused-by-servers", AFTER_FULL_MS);
             return;
@@ -245,7 +253,7 @@
     request_t *request;
     request_t *next;
     CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
-        if (request->server != NULL) {
+        if (request->server != NULL || now < request->not_before_ms) {
             continue;
         }
         if (request_place(request) || now < request->waits_until_ms) {
--- a/relay/request.h
+++ b/relay/request.h
@@ -48,6 +48,7 @@
     double wait_ms;         /* expected at its server, when it was placed */
     double read_ms;         /* expected for its own prompt */
     double slowness;        /* of its server, when it was sent */
+    int64_t not_before_ms;  /* it is not tried again before */
     int64_t waits_until_ms; /* for a server to be there at all */
     struct event *timer;
     request_phase_t phase;
--- a/relay/retry-rule.c
+++ b/relay/retry-rule.c
@@ -3,6 +3,11 @@
 /* Sends of one request at most, whatever they came to: five servers that
  * refuse within milliseconds say that the service is full. */
 #define SENDS_MAX 5
+/* A stream that has begun is worth more patience: all servers may be loading
+ * weights or full for a second, and breaking it off throws away what its
+ * caller has. */
+#define SENDS_BEGUN_MAX 12
+#define LEFT_WAIT_MS 500
 /* A retry with less time than this cannot bring an answer, ms: two ways to a
  * server and its shortest work. */
 #define LEFT_LEAST_MS 20
@@ -42,6 +47,10 @@
             if (room && ask->ran < ask->attempts) {
                 return RETRY_AGAIN;
             }
+            if (ask->begun && ask->left_ms >= LEFT_WAIT_MS &&
+                ask->sends < SENDS_BEGUN_MAX && ask->ran < ask->attempts) {
+                return RETRY_WAIT;
+            }
             return ask->ran == 0 && !ask->begun ? RETRY_REFUSE : over;
         case FATE_UNKNOWN:
         case FATE_FAILED:
@@ -81,6 +90,8 @@
     switch (verdict) {
         case RETRY_AGAIN:
             return "again";
+        case RETRY_WAIT:
+            return "wait";
         case RETRY_REFUSE:
             return "refuse";
         case RETRY_FAIL:
--- a/relay/retry-rule.h
+++ b/relay/retry-rule.h
@@ -26,6 +26,7 @@
 
 typedef enum {
     RETRY_AGAIN,  /* send it to another server */
+    RETRY_WAIT,   /* the same, but in a moment */
     RETRY_REFUSE, /* tell the caller that it has not run, and when to come */
     RETRY_FAIL,   /* tell the caller that it failed, and promise nothing */
     RETRY_PASS,   /* give the caller the server's own failure */
