Daemons that cannot reach the store ask each other

Change: each keeps the platform's objects as the store gave them and lists them at its metrics address; a watch whose store does not answer asks peers, which are found by the settings' seeds too. Only newer revisions are taken, and a list older than an entry says nothing of it. Test: proc-relay-faults.

--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -67,7 +67,7 @@
      true, NULL, "the platform's object API"},
     {"platform", "timeout_ms", TYPE_INT, AT(store_timeout_ms), 0, 10, 60000,
      MODE_CHAT, false, "500", "longest wait for one call to the platform"},
-    {"peers", "seeds", TYPE_ADDRS, AT(seeds), 0, 0, 0, MODE_CHAT, false, "",
+    {"peers", "seeds", TYPE_ADDRS, AT(seeds), 0, 0, 0, MODE_BOTH, false, "",
      "peer addresses to begin with, separated by commas"},
     {"keys", "secret", TYPE_SECRET, AT(secret), 0, 0, 0, MODE_CHAT, true, NULL,
      "64 hexadecimal digits, equal in the whole deployment"},
--- a/relay/door.c
+++ b/relay/door.c
@@ -294,7 +294,8 @@
                               status, http_status_str(status));
 }
 
-/* Whoever gathers metrics asks on their own address; any path will do. */
+/* Whoever gathers metrics asks on their own address, by any path but those of
+ * what other daemons ask for. */
 static void
 on_metrics_read(struct bufferevent *bev, void *arg)
 {
@@ -308,12 +309,23 @@
         }
         return;
     }
+    char line[CS_ADDR_MAX * 4] = "";
+    char path[CS_ADDR_MAX * 4] = "";
+    (void)evbuffer_copyout(in, line, sizeof(line) - 1);
+    (void)sscanf(line, "GET %255[^ ?]", path);
     (void)evbuffer_drain(in, (size_t)end.pos + 4);
-    relay_metrics(arg, &text);
+    kind_t kind;
+    int status = 200;
+    if (!platform_kind_of(path, &kind)) {
+        relay_metrics(arg, &text);
+    }
+    else if (!kept_page(arg, kind, &text)) {
+        status = 404;
+    }
     (void)evbuffer_add_printf(out,
-                              "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                              "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
                               "Content-Length: %zu\r\n\r\n",
-                              text.len);
+                              status, http_status_str(status), text.len);
     (void)evbuffer_add(out, text.data, text.len);
 }
 
--- a/relay/facts.c
+++ b/relay/facts.c
@@ -1,3 +1,4 @@
+#include "peers.h"
 #include "relay.h"
 
 #include <stdlib.h>
@@ -20,6 +21,7 @@
 {
     relay_t *relay = arg;
     err_t err = {0};
+    kept_put(relay, KIND_CONFIG, object);
     if (strcmp(object->name, "main") != 0 || object->removed ||
         (relay->config != NULL &&
          object->revision <= relay->config->revision)) {
@@ -50,6 +52,21 @@
     (void)arg;
 }
 
+static void
+on_listed_nothing(void *arg, int64_t at)
+{
+    (void)arg;
+    (void)at;
+}
+
+/* A daemon to ask while the store does not answer. */
+static bool
+other_daemon(void *arg, char addr[CS_ADDR_MAX])
+{
+    relay_t *relay = arg;
+    return relay->peers != NULL && peers_any(relay->peers, addr);
+}
+
 /* ---- servers ---- */
 
 static void
@@ -123,6 +140,7 @@
     if (server != NULL && object->revision < server->revision) {
         return;
     }
+    kept_put(relay, KIND_SERVERS, object);
     if (object->removed) {
         if (server != NULL) {
             server_missing(relay, server);
@@ -146,13 +164,15 @@
 }
 
 static void
-on_servers_listed(void *arg)
+on_servers_listed(void *arg, int64_t at)
 {
     relay_t *relay = arg;
     server_t *server;
     relay->servers_listed = true;
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
-        if (!server->gone && server->seen != relay->servers->lists) {
+        /* A list that is older than the entry says nothing of it. */
+        if (!server->gone && server->seen != relay->servers->lists &&
+            server->revision <= at) {
             server_missing(relay, server);
         }
     }
@@ -166,6 +186,7 @@
     relay_t *relay = arg;
     weights_name_t name;
     err_t err = {0};
+    kept_put(relay, KIND_WEIGHTS, object);
     if (object->removed) {
         return;
     }
@@ -177,9 +198,10 @@
 }
 
 static void
-on_weights_listed(void *arg)
+on_weights_listed(void *arg, int64_t at)
 {
     relay_t *relay = arg;
+    (void)at;
     relay->weights_listed = true;
 }
 
@@ -189,10 +211,15 @@
 facts_start(relay_t *relay)
 {
     const char *store = relay->settings.store;
-    watch_hooks_t config = {on_nothing, on_config, on_nothing, relay};
+    watch_hooks_t config = {on_nothing, on_config, on_listed_nothing,
+                            other_daemon, relay};
     watch_hooks_t servers = {on_server_list, on_server, on_servers_listed,
-                             relay};
-    watch_hooks_t weights = {on_nothing, on_weights, on_weights_listed, relay};
+                             other_daemon, relay};
+    watch_hooks_t weights = {on_nothing, on_weights, on_weights_listed,
+                             other_daemon, relay};
+    for (size_t i = 0; i < KINDS_KEPT; i++) {
+        relay->kept[i] = json_object();
+    }
     relay->config_watch = watch_start(relay->base, relay->exchanges, store,
                                       KIND_CONFIG, &config);
     relay->servers_watch = watch_start(relay->base, relay->exchanges, store,
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -56,6 +56,7 @@
     int64_t look_ms; /* when to go on */
     int64_t next_beat_ms;
     bool asked;       /* others for what they know */
+    size_t turn;      /* of the daemon that is asked next */
     size_t most_live; /* daemons, lately */
     int64_t most_live_ms;
     exchange_t *exchange;
@@ -332,6 +333,25 @@
     return members_live(peers->members);
 }
 
+/* The address at which another daemon that is alive tells what it knows, in
+ * turn; false if there is none. */
+bool
+peers_any(peers_t *peers, char addr[CS_ADDR_MAX])
+{
+    member_t live[DIRECT_MAX + 1];
+    size_t count = members_list(peers->members, live, DIRECT_MAX + 1);
+    for (size_t i = 0; i < count; i++) {
+        const member_t *member = &live[(peers->turn + i) % count];
+        if (member->health == MEMBER_ALIVE &&
+            strcmp(member->name, peers->relay->settings.name) != 0) {
+            str_copy(addr, CS_ADDR_MAX, member->http);
+            peers->turn += i + 1;
+            return true;
+        }
+    }
+    return false;
+}
+
 /* ---- finding each other ---- */
 
 static head_verdict_t
@@ -511,6 +531,23 @@
     return fd;
 }
 
+/* The settings name a few hosts by an address of theirs; daemons listen for
+ * each other at the same port on all. */
+static void
+add_seeds(peers_t *peers)
+{
+    const settings_t *settings = &peers->relay->settings;
+    const char *port = strrchr(settings->peer, ':');
+    for (unsigned i = 0; i < settings->seed_count && port != NULL; i++) {
+        char addr[CS_ADDR_MAX * 2];
+        const char *colon = strrchr(settings->seeds[i], ':');
+        (void)snprintf(addr, sizeof(addr), "%.*s%s",
+                       (int)(colon - settings->seeds[i]), settings->seeds[i],
+                       port);
+        members_seed(peers->members, addr);
+    }
+}
+
 /* Open the port and begin to look for others. */
 peers_t *
 peers_start(relay_t *relay, err_t *err)
@@ -525,7 +562,8 @@
     str_copy(self.name, sizeof(self.name), relay->settings.name);
     str_copy(self.dc, sizeof(self.dc), relay->settings.dc);
     str_copy(self.peer, sizeof(self.peer), relay->settings.peer);
-    str_copy(self.http, sizeof(self.http), relay->settings.http);
+    /* Where other daemons can ask: see kept_page. */
+    str_copy(self.http, sizeof(self.http), relay->settings.metrics);
     peers_t *peers = mem_zalloc(sizeof(*peers));
     peers->relay = relay;
     peers->fd = fd;
@@ -533,5 +571,6 @@
     peers->readable =
         event_new(relay->base, fd, EV_READ | EV_PERSIST, on_readable, peers);
     (void)event_add(peers->readable, NULL);
+    add_seeds(peers);
     return peers;
 }
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -19,11 +19,18 @@
 /* Longest time for an answer beyond that, ms: the store answers in 4, and up
  * to a hundred times as slow it is better heard late than asked again. */
 #define WATCH_SLACK_MS 1000
-#define LIST_MS 2000
+/* A list is answered in a few ms, by a slow store in some hundred; without it
+ * another daemon is asked. */
+#define LIST_MS 700
 #define CONNECT_MS 300
 /* Pauses after a failed call, ms, doubled each time. */
 #define PAUSE_FIRST_MS 50
 #define PAUSE_LAST_MS 800
+/* Another daemon answers from memory; the store is asked again behind it
+ * after this pause, ms. */
+#define OTHER_MS 500
+#define OTHER_PAUSE_MS 300
+#define OTHERS_ASKED_MAX 4
 /* Largest answer, bytes: a page is about a megabyte at most. */
 #define ANSWER_MAX (4u << 20)
 #define STATUS_GONE 410
@@ -45,14 +52,19 @@
     int status;
     buf_t answer;
     int pause_ms;
-    int64_t heard_ms; /* when the store last answered well */
-    int64_t back_ms;  /* when it did so first after a failure */
-    bool failed;      /* the last call did not bring an answer */
+    int64_t heard_ms;      /* when the store last answered well */
+    int64_t back_ms;       /* when it did so first after a failure */
+    bool failed;           /* the last call did not bring an answer */
+    bool asks_other;       /* this call goes to another daemon */
+    unsigned others_asked; /* since the store was last asked */
     bool listed;
     uint64_t calls;
 };
 
 static void watch_call(watch_t *watch);
+static head_verdict_t on_head(void *arg, const http_head_t *head);
+static void on_body(void *arg, const char *data, size_t len);
+static void on_end(void *arg, exchange_end_t end);
 
 static const char *
 kind_name(kind_t kind)
@@ -87,6 +99,23 @@
     watch_call(arg);
 }
 
+static void
+call_other(watch_t *watch, const char *addr)
+{
+    CLEAN_BUF buf_t head = {0};
+    exchange_hooks_t hooks = {on_head, on_body, on_end, watch};
+    platform_list_call(&head, addr, watch->kind, "");
+    exchange_ask_t ask = {.addr = addr,
+                          .head = head.data,
+                          .head_len = head.len,
+                          .connect_ms = CONNECT_MS,
+                          .total_ms = OTHER_MS};
+    watch->asks_other = true;
+    watch->status = 0;
+    watch->answer.len = 0;
+    watch->exchange = exchange_start(watch->exchanges, &ask, &hooks);
+}
+
 /* Ask again after a pause that grows, so that a store in trouble is not asked
  * by all hosts at once. */
 static void
@@ -97,7 +126,15 @@
                    "kind=%s why=%s status=%d at=%lld", kind_name(watch->kind),
                    why, watch->status, (long long)watch->at);
     }
+    char other[CS_ADDR_MAX];
     watch->failed = true;
+    /* One that has just started itself knows nothing: ask the next. */
+    if (watch->others_asked < OTHERS_ASKED_MAX && watch->hooks.other != NULL &&
+        watch->hooks.other(watch->hooks.arg, other)) {
+        watch->others_asked++;
+        call_other(watch, other);
+        return;
+    }
     call_later(watch, watch->pause_ms);
     watch->pause_ms = watch->pause_ms * 2 < PAUSE_LAST_MS ? watch->pause_ms * 2
                                                           : PAUSE_LAST_MS;
@@ -141,11 +178,42 @@
     watch->at = watch->list_at;
     watch->state = WATCH_WATCHING;
     watch->listed = true;
-    watch->hooks.on_listed(watch->hooks.arg);
+    watch->hooks.on_listed(watch->hooks.arg, watch->at);
     log_record(LOG_INFO, "store", "listed", "kind=%s at=%lld",
                kind_name(watch->kind), (long long)watch->at);
 }
 
+/* Another daemon told what it knows: taken like a list of the store, which is
+ * still asked.  A host that is cut off from the store, or that starts while
+ * the store is away, serves by what its peers know. */
+static void
+take_other(watch_t *watch)
+{
+    store_page_t page;
+    err_t err = {0};
+    if (platform_page_read(&page, buf_text(&watch->answer), watch->answer.len,
+                           &err) != 0) {
+        log_warn("store", "Another daemon's answer cannot be read: %s.",
+                 err.text);
+        call_failed(watch, "unreadable");
+        return;
+    }
+    watch->hooks.on_list(watch->hooks.arg);
+    for (size_t i = 0; i < page.count; i++) {
+        watch->hooks.on_object(watch->hooks.arg, &page.objects[i]);
+    }
+    watch->hooks.on_listed(watch->hooks.arg, page.at);
+    if (!watch->listed || page.at > watch->at) {
+        log_record(LOG_INFO, "store", "told-by-peer", "kind=%s at=%lld",
+                   kind_name(watch->kind), (long long)page.at);
+        watch->at = page.at;
+    }
+    watch->listed = true;
+    watch->state = WATCH_WATCHING;
+    platform_page_free(&page);
+    call_later(watch, OTHER_PAUSE_MS);
+}
+
 static void
 take_answer(watch_t *watch)
 {
@@ -200,6 +268,10 @@
 {
     watch_t *watch = arg;
     watch->exchange = NULL;
+    if (watch->asks_other && end == EXCHANGE_WHOLE && watch->status == 200) {
+        take_other(watch);
+        return;
+    }
     if (end != EXCHANGE_WHOLE) {
         call_failed(watch, "no-answer");
         return;
@@ -224,6 +296,8 @@
     CLEAN_BUF buf_t head = {0};
     exchange_hooks_t hooks = {on_head, on_body, on_end, watch};
     exchange_ask_t ask = {.addr = watch->addr, .connect_ms = CONNECT_MS};
+    watch->asks_other = false;
+    watch->others_asked = 0;
     watch->status = 0;
     watch->answer.len = 0;
     watch->calls++;
@@ -295,3 +369,10 @@
 {
     return watch->calls;
 }
+
+/* The revision up to which the objects are known. */
+int64_t
+watch_at(const watch_t *watch)
+{
+    return watch->at;
+}
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -16,8 +16,12 @@
     /* An object of the list, or one that has changed or was removed.  Older
      * revisions may come behind newer ones. */
     void (*on_object)(void *arg, const store_object_t *object);
-    /* The list is complete: what was not on it is not there. */
-    void (*on_listed)(void *arg);
+    /* The list is complete: what was not on it was not there at this revision
+     * of the store. */
+    void (*on_listed)(void *arg, int64_t at);
+    /* The address of another daemon that may know the same objects while the
+     * store does not answer; false if there is none. */
+    bool (*other)(void *arg, char addr[CS_ADDR_MAX]);
     void *arg;
 } watch_hooks_t;
 
@@ -28,6 +32,7 @@
 int64_t watch_heard_ms(const watch_t *watch);
 int64_t watch_back_ms(const watch_t *watch);
 bool watch_listed(const watch_t *watch);
+int64_t watch_at(const watch_t *watch);
 uint64_t watch_calls(const watch_t *watch);
 
 #endif
--- a/tests/proc-relay-faults.sh
+++ b/tests/proc-relay-faults.sh
@@ -80,4 +80,12 @@
 expect "others go on with what they have" [ "$(status_of 2 /read/x "${KEY1[@]}")" = 200 ]
 admin store '{"down":false}'
 expect "ready once the store is back" wait_for "http://$(ready 1)/readiness"
+admin store '{"silent":true}'
+kill -KILL "${PIDS[relay-1]}"
+wait "${PIDS[relay-1]}" 2>/dev/null
+sed -i "s/^\[platform\]/[peers]\nseeds = $(inner 2)\n[platform]/" "$OUT/relay-1.ini"
+run relay-1 "$BUILD/celeryspoold" --settings "$OUT/relay-1.ini"
+expect "a daemon that starts beside one that runs needs no store" wait_for "http://$(ready 1)/readiness"
+expect "and serves" [ "$(status_of 1 /read/x "${KEY1[@]}")" = 200 ]
+admin store '{"silent":false}'
 finish
--- a/tests/test-retry-rule.c
+++ b/tests/test-retry-rule.c
@@ -54,8 +54,7 @@
                 }
                 if (ask.begun) {
                     ck_assert(verdict == RETRY_AGAIN ||
-                              verdict == RETRY_WAIT ||
-                              verdict == RETRY_BREAK);
+                              verdict == RETRY_WAIT || verdict == RETRY_BREAK);
                 }
             }
         }
