One way for small calls; the finding of other daemons is a module of its own

The same hooks that gather an answer stood five times (watch, probe, lease, orders, daemons) and the delivery of an answer twice; peers.c had 576 lines.

--- /dev/null
+++ b/relay/fetch.c
@@ -0,0 +1,72 @@
+#include "fetch.h"
+
+#include <stdlib.h>
+
+/* Longest answer, bytes: a page of the store is about a megabyte.  What is
+ * longer is cut here and cannot be read then. */
+#define ANSWER_MAX (4u << 20)
+
+struct fetch {
+    exchange_t *exchange;
+    int status;
+    buf_t answer;
+    void (*on_done)(void *arg, const fetch_result_t *result);
+    void *arg;
+};
+
+static head_verdict_t
+on_head(void *arg, const http_head_t *head)
+{
+    fetch_t *fetch = arg;
+    fetch->status = head->status;
+    return HEAD_TAKE;
+}
+
+static void
+on_body(void *arg, const char *data, size_t len)
+{
+    fetch_t *fetch = arg;
+    if (fetch->answer.len + len <= ANSWER_MAX) {
+        buf_add(&fetch->answer, data, len);
+    }
+}
+
+static void
+on_end(void *arg, exchange_end_t end)
+{
+    fetch_t *fetch = arg;
+    fetch_result_t result = {.whole = end == EXCHANGE_WHOLE,
+                             .sent = end != EXCHANGE_UNSENT,
+                             .status = fetch->status,
+                             .text = buf_text(&fetch->answer),
+                             .len = fetch->answer.len};
+    fetch->on_done(fetch->arg, &result);
+    buf_free(&fetch->answer);
+    free(fetch);
+}
+
+/* Start a call; nothing is told before this returns. */
+fetch_t *
+fetch_start(exchanges_t *exchanges, const fetch_ask_t *ask)
+{
+    fetch_t *fetch = mem_zalloc(sizeof(*fetch));
+    exchange_hooks_t hooks = {on_head, on_body, on_end, fetch};
+    exchange_ask_t call = {.addr = ask->addr,
+                           .head = ask->call->data,
+                           .head_len = ask->call->len,
+                           .connect_ms = ask->connect_ms,
+                           .total_ms = ask->total_ms};
+    fetch->on_done = ask->on_done;
+    fetch->arg = ask->arg;
+    fetch->exchange = exchange_start(exchanges, &call, &hooks);
+    return fetch;
+}
+
+/* Give a call up; nothing is told any more. */
+void
+fetch_cancel(fetch_t *fetch)
+{
+    exchange_cancel(fetch->exchange);
+    buf_free(&fetch->answer);
+    free(fetch);
+}
--- /dev/null
+++ b/relay/peers-look.h
@@ -0,0 +1,24 @@
+#ifndef CELERYSPOOL_PEERS_LOOK_H
+#define CELERYSPOOL_PEERS_LOOK_H
+
+/* How daemons find each other: each writes an object into the platform's store
+ * that says where it listens, and lists the others'. */
+
+#include "../kernel/settings.h"
+#include "../kernel/tables.h"
+#include "fetch.h"
+
+typedef enum { LOOK_WRITE, LOOK_REPLACE, LOOK_LIST, LOOK_DONE } look_step_t;
+
+typedef struct {
+    const settings_t *settings;
+    exchanges_t *exchanges;
+    members_t *members; /* what is found becomes a seed */
+    look_step_t step;
+    int64_t next_ms;
+    fetch_t *fetch;
+} peers_look_t;
+
+void peers_look_tick(peers_look_t *look, int64_t now);
+
+#endif
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -1,5 +1,6 @@
 #include "peers.h"
 #include "cache-source.h"
+#include "peers-look.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -12,11 +13,6 @@
  * product's own deployments (kernel/members.c), and facts about servers.
  * Lost datagrams cost a recomputation or a detour, never an answer. */
 
-#define STORE_CONNECT_MS 300
-#define STORE_CALL_MS 1000
-/* A daemon that knows no other looks at the store again this often, ms. */
-#define LOOK_ALONE_MS 5000
-#define LOOK_FAILED_MS 500
 /* A server that peers say is loading is left alone for this long, ms: a load
  * and the runs before it; the end is told, this bounds a lost datagram. */
 #define LOADING_MS 2500
@@ -41,8 +37,6 @@
  * spends its part all the same. */
 #define LIVE_HELD_MS 15000
 
-typedef enum { LOOK_WRITE, LOOK_REPLACE, LOOK_LIST, LOOK_DONE } look_t;
-
 struct peers {
     relay_t *relay;
     int fd;
@@ -52,16 +46,12 @@
     peer_datagram_t pending; /* facts that leave with the next tick */
     peer_datagram_t taken;
     unsigned char secret[SECRET_BYTES]; /* none: the network is private */
-    look_t look;
-    int64_t look_ms; /* when to go on */
+    peers_look_t look;
     int64_t next_beat_ms;
     bool asked;       /* others for what they know */
     size_t turn;      /* of the daemon that is asked next */
     size_t most_live; /* daemons, lately */
     int64_t most_live_ms;
-    exchange_t *exchange;
-    int status;
-    buf_t answer;
     uint64_t bytes_sent;
 };
 
@@ -352,125 +342,6 @@
     return false;
 }
 
-/* ---- finding each other ---- */
-
-static head_verdict_t
-on_head(void *arg, const http_head_t *head)
-{
-    peers_t *peers = arg;
-    peers->status = head->status;
-    return HEAD_TAKE;
-}
-
-static void
-on_body(void *arg, const char *data, size_t len)
-{
-    peers_t *peers = arg;
-    buf_add(&peers->answer, data, len);
-}
-
-static void
-take_list(peers_t *peers)
-{
-    store_page_t page;
-    err_t err = {0};
-    char addr[CS_ADDR_MAX];
-    if (platform_page_read(&page, buf_text(&peers->answer), peers->answer.len,
-                           &err) != 0) {
-        log_warn("peers", "The list of daemons cannot be read: %s.", err.text);
-        return;
-    }
-    for (size_t i = 0; i < page.count; i++) {
-        if (platform_peer_read(&page.objects[i], addr, sizeof(addr)) == 0) {
-            members_seed(peers->members, addr);
-        }
-    }
-    log_record(LOG_INFO, "peers", "listed", "daemons=%zu", page.count);
-    platform_page_free(&page);
-}
-
-static void
-on_end(void *arg, exchange_end_t end)
-{
-    peers_t *peers = arg;
-    int64_t now = time_mono_ms();
-    peers->exchange = NULL;
-    peers->look_ms = now + LOOK_FAILED_MS;
-    if (end != EXCHANGE_WHOLE) {
-        return;
-    }
-    switch (peers->look) {
-        case LOOK_WRITE:
-            if (peers->status == 409) {
-                peers->look = LOOK_REPLACE;
-                peers->look_ms = now;
-            }
-            /* fallthrough */
-        case LOOK_REPLACE:
-            if (peers->status == 200 || peers->status == 201) {
-                peers->look = LOOK_LIST;
-                peers->look_ms = now;
-            }
-            return;
-        case LOOK_LIST:
-            if (peers->status == 200) {
-                take_list(peers);
-                peers->look = LOOK_DONE;
-                peers->look_ms = now + LOOK_ALONE_MS;
-            }
-            return;
-        case LOOK_DONE:
-            return;
-    }
-}
-
-static void
-look_call(peers_t *peers)
-{
-    const settings_t *settings = &peers->relay->settings;
-    exchange_hooks_t hooks = {on_head, on_body, on_end, peers};
-    CLEAN_BUF buf_t head = {0};
-    CLEAN_JSON json_t *spec = platform_peer_spec(settings->peer);
-    switch (peers->look) {
-        case LOOK_WRITE:
-            platform_create_call(&head, settings->store, KIND_PEERS,
-                                 settings->name, spec);
-            break;
-        case LOOK_REPLACE:
-            platform_replace_call(&head, settings->store, KIND_PEERS,
-                                  settings->name, 0, spec);
-            break;
-        case LOOK_LIST:
-        case LOOK_DONE:
-            platform_list_call(&head, settings->store, KIND_PEERS, "");
-            break;
-    }
-    exchange_ask_t ask = {.addr = settings->store,
-                          .head = head.data,
-                          .head_len = head.len,
-                          .connect_ms = STORE_CONNECT_MS,
-                          .total_ms = STORE_CALL_MS};
-    peers->status = 0;
-    peers->answer.len = 0;
-    peers->exchange = exchange_start(peers->relay->exchanges, &ask, &hooks);
-}
-
-static void
-look_tick(peers_t *peers, int64_t now)
-{
-    if (peers->exchange != NULL || now < peers->look_ms) {
-        return;
-    }
-    if (peers->look == LOOK_DONE) {
-        if (peers_live(peers) > 1) {
-            peers->look_ms = now + LOOK_ALONE_MS;
-            return;
-        }
-        peers->look = LOOK_LIST;
-    }
-    look_call(peers);
-}
-
 /* ---- all of it ---- */
 
 /* This host's part of the retries that all may send besides those that their
@@ -497,7 +368,7 @@
 {
     int64_t now = time_mono_ms();
     const relay_t *relay = peers->relay;
-    look_tick(peers, now);
+    peers_look_tick(&peers->look, now);
     if (!peers->asked && peers->relay->servers_listed) {
         ask_all(peers);
     }
@@ -572,5 +443,8 @@
         event_new(relay->base, fd, EV_READ | EV_PERSIST, on_readable, peers);
     (void)event_add(peers->readable, NULL);
     add_seeds(peers);
+    peers->look = (peers_look_t){.settings = &relay->settings,
+                                 .exchanges = relay->exchanges,
+                                 .members = peers->members};
     return peers;
 }
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -18,32 +18,15 @@
     relay_t *relay;
     char id[CS_NAME_MAX];
     bool engine;
-    int status;
-    buf_t answer;
 } probe_t;
 
-static head_verdict_t
-on_head(void *arg, const http_head_t *head)
-{
-    probe_t *probe = arg;
-    probe->status = head->status;
-    return HEAD_TAKE;
-}
-
-static void
-on_body(void *arg, const char *data, size_t len)
-{
-    probe_t *probe = arg;
-    buf_add(&probe->answer, data, len);
-}
-
 static void
-take_report(const probe_t *probe, server_t *server)
+take_report(const probe_t *probe, server_t *server,
+            const fetch_result_t *result)
 {
     server_report_t report;
     err_t err = {0};
-    if (platform_report_read(&report, buf_text(&probe->answer),
-                             probe->answer.len, &err) != 0) {
+    if (platform_report_read(&report, result->text, result->len, &err) != 0) {
         log_warn("servers", "The report of %s cannot be read: %s.", probe->id,
                  err.text);
         return;
@@ -64,9 +47,9 @@
 {
     if (!server->silent) {
         log_record(LOG_WARN, "servers", "silent",
-                   "server=%s running=%d heard_ms_ago=%lld", server->said.id,
+                   "server=%s running=%d busy_ms=%lld", server->said.id,
                    server->own_running,
-                   (long long)(time_mono_ms() - server->heard_ms));
+                   (long long)(time_mono_ms() - server->busy_ms));
     }
     server->silent = true;
     exchanges_drop(relay->exchanges, server->said.addr);
@@ -74,28 +57,27 @@
 }
 
 static void
-on_end(void *arg, exchange_end_t end)
+on_done(void *arg, const fetch_result_t *result)
 {
     probe_t *probe = arg;
     relay_t *relay = probe->relay;
     server_t *server = servers_find(relay->servers, probe->id);
     if (server != NULL) {
         server->probing = false;
-        if (end == EXCHANGE_WHOLE) {
+        if (result->whole) {
             if (server->silent) {
                 log_record(LOG_INFO, "servers", "back", "server=%s",
                            server->said.id);
             }
             server_heard(server, time_mono_ms());
-            if (probe->engine && probe->status == 200) {
-                take_report(probe, server);
+            if (probe->engine && result->status == 200) {
+                take_report(probe, server, result);
             }
         }
         else {
             server_lost(relay, server);
         }
     }
-    buf_free(&probe->answer);
     free(probe);
 }
 
@@ -131,13 +113,13 @@
     probe->engine = server->said.engine;
     str_copy(probe->id, sizeof(probe->id), server->said.id);
     call_of(relay, server, &head);
-    exchange_ask_t ask = {.addr = server->said.addr,
-                          .head = head.data,
-                          .head_len = head.len,
-                          .connect_ms = CONNECT_MS,
-                          .total_ms = probe->engine ? REPORT_MS : HEALTH_MS};
-    exchange_hooks_t hooks = {on_head, on_body, on_end, probe};
-    (void)exchange_start(relay->exchanges, &ask, &hooks);
+    fetch_ask_t ask = {.addr = server->said.addr,
+                       .call = &head,
+                       .connect_ms = CONNECT_MS,
+                       .total_ms = probe->engine ? REPORT_MS : HEALTH_MS,
+                       .on_done = on_done,
+                       .arg = probe};
+    (void)fetch_start(relay->exchanges, &ask);
 }
 
 void
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -397,8 +397,10 @@
     request->server = NULL;
 }
 
-static void
-deliver(request_t *request)
+/* Give the caller the whole answer that was read.  The request is gone before
+ * the answer is written, since the caller's next one may begin at once. */
+void
+request_deliver(request_t *request, meter_outcome_t outcome, const char *word)
 {
     caller_t *caller = request->caller;
     buf_t headers = request->headers;
@@ -406,8 +408,8 @@
     int status = request->status;
     memset(&request->headers, 0, sizeof(headers));
     memset(&request->answer_body, 0, sizeof(body));
-    request->outcome = METER_ANSWERED;
-    request_end(request, "answered");
+    request->outcome = outcome;
+    request_end(request, word);
     caller_answer(caller, status, &headers, buf_text(&body), body.len);
     buf_free(&headers);
     buf_free(&body);
@@ -434,7 +436,7 @@
         case ANSWER_BUFFER:
             server_good(server);
             request_first_answer(request);
-            deliver(request);
+            request_deliver(request, METER_ANSWERED, "answered");
             return;
         case ANSWER_STREAM:
             if (request->stream.part.len > 0) {
--- a/relay/request.c
+++ b/relay/request.c
@@ -200,20 +200,9 @@
         case RETRY_REFUSE:
             request_refuse(request, "refused-by-servers", AFTER_FULL_MS);
             return;
-        case RETRY_PASS: {
-            caller_t *caller = request->caller;
-            buf_t headers = request->headers;
-            buf_t body = request->answer_body;
-            int status = request->status;
-            memset(&request->headers, 0, sizeof(headers));
-            memset(&request->answer_body, 0, sizeof(body));
-            request->outcome = METER_SERVER_FAILURE;
-            request_end(request, "server-failure");
-            caller_answer(caller, status, &headers, buf_text(&body), body.len);
-            buf_free(&headers);
-            buf_free(&body);
+        case RETRY_PASS:
+            request_deliver(request, METER_SERVER_FAILURE, "server-failure");
             return;
-        }
         case RETRY_FAIL:
         case RETRY_BREAK:
             request_fail(request, 502, "may-have-run");
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -42,39 +42,20 @@
     job_state_t state;
     int64_t began_ms;
     int64_t next_ms; /* when to ask again */
-    exchange_t *exchange;
-    int status;
-    buf_t answer;
+    fetch_t *fetch;
 } job_t;
 
 struct rollout {
     relay_t *relay;
     lease_t lease;
-    exchange_t *lease_call;
+    fetch_t *lease_call;
     lease_step_t lease_step;
-    int status;
-    buf_t answer;
     bool was_held;
     CK_LIST_HEAD(jobs, job) jobs;
 };
 
 /* ---- the lease ---- */
 
-static head_verdict_t
-on_lease_head(void *arg, const http_head_t *head)
-{
-    rollout_t *rollout = arg;
-    rollout->status = head->status;
-    return HEAD_TAKE;
-}
-
-static void
-on_lease_body(void *arg, const char *data, size_t len)
-{
-    rollout_t *rollout = arg;
-    buf_add(&rollout->answer, data, len);
-}
-
 /* When versions were named, as the holder has written it down. */
 static void
 take_named(relay_t *relay, const json_t *named)
@@ -108,13 +89,12 @@
 }
 
 static void
-take_lease(rollout_t *rollout)
+take_lease(rollout_t *rollout, const fetch_result_t *result)
 {
     store_page_t page;
     err_t err = {0};
     lease_object_t object = {0};
-    if (platform_object_read(&page, buf_text(&rollout->answer),
-                             rollout->answer.len, &err) != 0) {
+    if (platform_object_read(&page, result->text, result->len, &err) != 0) {
         log_warn("orders", "The lease cannot be read: %s.", err.text);
         lease_unanswered(&rollout->lease);
         return;
@@ -129,22 +109,22 @@
 }
 
 static void
-on_lease_end(void *arg, exchange_end_t end)
+on_lease_done(void *arg, const fetch_result_t *result)
 {
     rollout_t *rollout = arg;
     bool wrote = rollout->lease_step != LEASE_READ;
     rollout->lease_call = NULL;
-    if (end != EXCHANGE_WHOLE) {
-        if (wrote && end != EXCHANGE_UNSENT) {
+    if (!result->whole) {
+        if (wrote && result->sent) {
             lease_unanswered(&rollout->lease);
         }
         return;
     }
-    switch (rollout->status) {
+    switch (result->status) {
         case 200:
         case 201:
         case 409: /* with the object as it is */
-            take_lease(rollout);
+            take_lease(rollout, result);
             return;
         case 404:
             lease_seen_absent(&rollout->lease);
@@ -161,8 +141,6 @@
     const char *addr = relay->settings.store;
     lease_t *lease = &rollout->lease;
     CLEAN_BUF buf_t head = {0};
-    exchange_hooks_t hooks = {on_lease_head, on_lease_body, on_lease_end,
-                              rollout};
     lease_asked(lease, step, time_boot_ms());
     CLEAN_JSON json_t *spec =
         platform_lease_spec(lease_writes_holder(lease), lease->wanted_fence,
@@ -180,15 +158,14 @@
             platform_get_call(&head, addr, KIND_LEASES, LEASE_NAME);
             break;
     }
-    exchange_ask_t ask = {.addr = addr,
-                          .head = head.data,
-                          .head_len = head.len,
-                          .connect_ms = STORE_CONNECT_MS,
-                          .total_ms = STORE_CALL_MS};
+    fetch_ask_t ask = {.addr = addr,
+                       .call = &head,
+                       .connect_ms = STORE_CONNECT_MS,
+                       .total_ms = STORE_CALL_MS,
+                       .on_done = on_lease_done,
+                       .arg = rollout};
     rollout->lease_step = step;
-    rollout->status = 0;
-    rollout->answer.len = 0;
-    rollout->lease_call = exchange_start(relay->exchanges, &ask, &hooks);
+    rollout->lease_call = fetch_start(relay->exchanges, &ask);
 }
 
 static void
@@ -226,44 +203,25 @@
         server->loading_ms = 0;
         server->order_after_ms = time_mono_ms() + again_ms;
     }
-    if (job->exchange != NULL) {
-        exchange_cancel(job->exchange);
+    if (job->fetch != NULL) {
+        fetch_cancel(job->fetch);
     }
     CK_LIST_REMOVE(job, entry);
-    buf_free(&job->answer);
     free(job);
 }
 
-static head_verdict_t
-on_job_head(void *arg, const http_head_t *head)
-{
-    job_t *job = arg;
-    job->status = head->status;
-    return HEAD_TAKE;
-}
-
-static void
-on_job_body(void *arg, const char *data, size_t len)
-{
-    job_t *job = arg;
-    buf_add(&job->answer, data, len);
-}
-
-static void on_job_end(void *arg, exchange_end_t end);
+static void on_job_done(void *arg, const fetch_result_t *result);
 
 static void
 job_call(job_t *job, const server_t *server, const buf_t *head)
 {
-    exchange_hooks_t hooks = {on_job_head, on_job_body, on_job_end, job};
-    exchange_ask_t ask = {.addr = server->said.addr,
-                          .head = head->data,
-                          .head_len = head->len,
-                          .connect_ms = ORDER_CONNECT_MS,
-                          .total_ms = ORDER_CALL_MS};
-    job->status = 0;
-    job->answer.len = 0;
-    job->exchange =
-        exchange_start(job->rollout->relay->exchanges, &ask, &hooks);
+    fetch_ask_t ask = {.addr = server->said.addr,
+                       .call = head,
+                       .connect_ms = ORDER_CONNECT_MS,
+                       .total_ms = ORDER_CALL_MS,
+                       .on_done = on_job_done,
+                       .arg = job};
+    job->fetch = fetch_start(job->rollout->relay->exchanges, &ask);
 }
 
 static void
@@ -303,13 +261,12 @@
 }
 
 static void
-take_job_report(job_t *job, server_t *server)
+take_job_report(job_t *job, server_t *server, const fetch_result_t *result)
 {
     server_report_t report;
     err_t err = {0};
-    if (job->status != 200 ||
-        platform_report_read(&report, buf_text(&job->answer), job->answer.len,
-                             &err) != 0) {
+    if (result->status != 200 ||
+        platform_report_read(&report, result->text, result->len, &err) != 0) {
         job_free(job, AGAIN_MS);
         return;
     }
@@ -335,9 +292,9 @@
 }
 
 static void
-take_job_answer(job_t *job, server_t *server)
+take_job_answer(job_t *job, server_t *server, int status)
 {
-    switch (job->status) {
+    switch (status) {
         case 202:
             job->state = JOB_LOADING;
             job->next_ms = time_mono_ms() + REPORT_LAG_MS;
@@ -352,33 +309,33 @@
         default:
             log_record(LOG_WARN, "orders", "refused",
                        "server=%s status=%d fence=%lld", server->said.id,
-                       job->status, (long long)job->rollout->lease.fence);
+                       status, (long long)job->rollout->lease.fence);
             job_free(job, AGAIN_MS);
             return;
     }
 }
 
 static void
-on_job_end(void *arg, exchange_end_t end)
+on_job_done(void *arg, const fetch_result_t *result)
 {
     job_t *job = arg;
     server_t *server = servers_find(job->rollout->relay->servers, job->server);
-    job->exchange = NULL;
+    job->fetch = NULL;
     if (server == NULL || server->said.weights >= job->version) {
         job_free(job, 0);
         return;
     }
-    if (end != EXCHANGE_WHOLE) {
+    if (!result->whole) {
         log_record(LOG_WARN, "orders", "no-answer", "server=%s state=%d",
                    job->server, (int)job->state);
         job_free(job, AGAIN_MS);
         return;
     }
     if (job->state == JOB_ORDER) {
-        take_job_answer(job, server);
+        take_job_answer(job, server, result->status);
         return;
     }
-    take_job_report(job, server);
+    take_job_report(job, server, result);
 }
 
 static void
@@ -393,7 +350,7 @@
             job_free(job, 0);
             continue;
         }
-        if (job->exchange == NULL && now >= job->next_ms) {
+        if (job->fetch == NULL && now >= job->next_ms) {
             job_ask_report(job, server);
         }
     }
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -31,8 +31,6 @@
 #define OTHER_MS 500
 #define OTHER_PAUSE_MS 300
 #define OTHERS_ASKED_MAX 4
-/* Largest answer, bytes: a page is about a megabyte at most. */
-#define ANSWER_MAX (4u << 20)
 #define STATUS_GONE 410
 
 typedef enum { WATCH_LISTING, WATCH_WATCHING } watch_state_t;
@@ -41,7 +39,7 @@
     struct event_base *base;
     exchanges_t *exchanges;
     struct event *timer;
-    exchange_t *exchange;
+    fetch_t *fetch;
     watch_hooks_t hooks;
     char addr[CS_ADDR_MAX];
     kind_t kind;
@@ -49,8 +47,7 @@
     char after[CS_NAME_MAX * 2]; /* name that the list goes on behind */
     int64_t list_at;             /* revision of the list's first page */
     int64_t at;                  /* revision to watch from */
-    int status;
-    buf_t answer;
+    int status;                  /* of the last answer */
     int pause_ms;
     int64_t heard_ms;      /* when the store last answered well */
     int64_t back_ms;       /* when it did so first after a failure */
@@ -62,9 +59,7 @@
 };
 
 static void watch_call(watch_t *watch);
-static head_verdict_t on_head(void *arg, const http_head_t *head);
-static void on_body(void *arg, const char *data, size_t len);
-static void on_end(void *arg, exchange_end_t end);
+static void on_done(void *arg, const fetch_result_t *result);
 
 static const char *
 kind_name(kind_t kind)
@@ -103,17 +98,16 @@
 call_other(watch_t *watch, const char *addr)
 {
     CLEAN_BUF buf_t head = {0};
-    exchange_hooks_t hooks = {on_head, on_body, on_end, watch};
     platform_list_call(&head, addr, watch->kind, "");
-    exchange_ask_t ask = {.addr = addr,
-                          .head = head.data,
-                          .head_len = head.len,
-                          .connect_ms = CONNECT_MS,
-                          .total_ms = OTHER_MS};
+    fetch_ask_t ask = {.addr = addr,
+                       .call = &head,
+                       .connect_ms = CONNECT_MS,
+                       .total_ms = OTHER_MS,
+                       .on_done = on_done,
+                       .arg = watch};
     watch->asks_other = true;
     watch->status = 0;
-    watch->answer.len = 0;
-    watch->exchange = exchange_start(watch->exchanges, &ask, &hooks);
+    watch->fetch = fetch_start(watch->exchanges, &ask);
 }
 
 /* Ask again after a pause that grows, so that a store in trouble is not asked
@@ -187,12 +181,11 @@
  * still asked.  A host that is cut off from the store, or that starts while
  * the store is away, serves by what its peers know. */
 static void
-take_other(watch_t *watch)
+take_other(watch_t *watch, const fetch_result_t *result)
 {
     store_page_t page;
     err_t err = {0};
-    if (platform_page_read(&page, buf_text(&watch->answer), watch->answer.len,
-                           &err) != 0) {
+    if (platform_page_read(&page, result->text, result->len, &err) != 0) {
         log_warn("store", "Another daemon's answer cannot be read: %s.",
                  err.text);
         call_failed(watch, "unreadable");
@@ -215,12 +208,11 @@
 }
 
 static void
-take_answer(watch_t *watch)
+take_answer(watch_t *watch, const fetch_result_t *result)
 {
     store_page_t page;
     err_t err = {0};
-    if (platform_page_read(&page, buf_text(&watch->answer), watch->answer.len,
-                           &err) != 0) {
+    if (platform_page_read(&page, result->text, result->len, &err) != 0) {
         log_error("store", "An answer on %s cannot be read: %s.",
                   kind_name(watch->kind), err.text);
         call_failed(watch, "unreadable");
@@ -246,33 +238,17 @@
     watch_call(watch);
 }
 
-static head_verdict_t
-on_head(void *arg, const http_head_t *head)
-{
-    watch_t *watch = arg;
-    watch->status = head->status;
-    return HEAD_TAKE;
-}
-
-static void
-on_body(void *arg, const char *data, size_t len)
-{
-    watch_t *watch = arg;
-    if (watch->answer.len + len <= ANSWER_MAX) {
-        buf_add(&watch->answer, data, len);
-    }
-}
-
 static void
-on_end(void *arg, exchange_end_t end)
+on_done(void *arg, const fetch_result_t *result)
 {
     watch_t *watch = arg;
-    watch->exchange = NULL;
-    if (watch->asks_other && end == EXCHANGE_WHOLE && watch->status == 200) {
-        take_other(watch);
+    watch->fetch = NULL;
+    watch->status = result->status;
+    if (watch->asks_other && result->whole && watch->status == 200) {
+        take_other(watch, result);
         return;
     }
-    if (end != EXCHANGE_WHOLE) {
+    if (!result->whole) {
         call_failed(watch, "no-answer");
         return;
     }
@@ -287,19 +263,21 @@
         call_failed(watch, "refused");
         return;
     }
-    take_answer(watch);
+    take_answer(watch, result);
 }
 
 static void
 watch_call(watch_t *watch)
 {
     CLEAN_BUF buf_t head = {0};
-    exchange_hooks_t hooks = {on_head, on_body, on_end, watch};
-    exchange_ask_t ask = {.addr = watch->addr, .connect_ms = CONNECT_MS};
+    fetch_ask_t ask = {.addr = watch->addr,
+                       .call = &head,
+                       .connect_ms = CONNECT_MS,
+                       .on_done = on_done,
+                       .arg = watch};
     watch->asks_other = false;
     watch->others_asked = 0;
     watch->status = 0;
-    watch->answer.len = 0;
     watch->calls++;
     if (watch->state == WATCH_LISTING) {
         platform_list_call(&head, watch->addr, watch->kind, watch->after);
@@ -311,9 +289,7 @@
                             wait_ms);
         ask.total_ms = wait_ms + WATCH_SLACK_MS;
     }
-    ask.head = head.data;
-    ask.head_len = head.len;
-    watch->exchange = exchange_start(watch->exchanges, &ask, &hooks);
+    watch->fetch = fetch_start(watch->exchanges, &ask);
 }
 
 /* Begin with a whole list. */
@@ -336,11 +312,10 @@
 void
 watch_stop(watch_t *watch)
 {
-    if (watch->exchange != NULL) {
-        exchange_cancel(watch->exchange);
+    if (watch->fetch != NULL) {
+        fetch_cancel(watch->fetch);
     }
     event_free(watch->timer);
-    buf_free(&watch->answer);
     free(watch);
 }
 
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -6,7 +6,7 @@
  * has that history. */
 
 #include "../platform/platform.h"
-#include "exchange.h"
+#include "fetch.h"
 
 typedef struct watch watch_t;
 
