A daemon that starts spends no slack of the retries; begun streams stay within the share

By reading: a daemon that had just started took a fourth of the slack until it had found the others and began with an empty window, so hosts that restart in turn spent their part twice; a begun stream that waits was sent again without a look at the share. Change: no slack for ten seconds behind a start, four fifths of it in all, and the look. The tests of broken and absent servers and of an unknown daemon are made independent of where requests are placed: one server of three is at fault, for six streams, all of which must come whole (before: three of four); the daemon without a configuration is one that nobody knows.

--- a/relay/peers.c
+++ b/relay/peers.c
@@ -36,6 +36,12 @@
  * long, ms: a host that restarts is back by then, and one that is cut off
  * spends its part all the same. */
 #define LIVE_HELD_MS 15000
+/* A daemon that has just started does not know how many there are, nor what it
+ * spent before: it has only the ratio of its own requests for so long, ms.
+ * Daemons that restart in turn would else each spend their part twice. */
+#define LEARN_MS 10000
+/* Part of the slack that is spent at all: hosts count their windows apart. */
+#define SLACK_PART 0.8
 
 struct peers {
     relay_t *relay;
@@ -48,6 +54,7 @@
     unsigned char secret[SECRET_BYTES]; /* none: the network is private */
     peers_look_t look;
     int64_t next_beat_ms;
+    int64_t started_ms;
     bool asked;       /* others for what they know */
     size_t turn;      /* of the daemon that is asked next */
     size_t most_live; /* daemons, lately */
@@ -358,8 +365,11 @@
     }
     size_t hosts = peers->most_live + 1;
     size_t least = (size_t)relay->settings.hosts;
-    relay->retries.slack = (double)relay->settings.again_slack /
-                           (double)(hosts > least ? hosts : least);
+    bool knows_others = now - peers->started_ms >= LEARN_MS;
+    relay->retries.slack = knows_others
+                               ? SLACK_PART * relay->settings.again_slack /
+                                     (double)(hosts > least ? hosts : least)
+                               : 0;
 }
 
 /* One step; membership has its own, slower one. */
@@ -438,6 +448,7 @@
     peers_t *peers = mem_zalloc(sizeof(*peers));
     peers->relay = relay;
     peers->fd = fd;
+    peers->started_ms = time_mono_ms();
     peers->members = members_new(&self, rng_next(&relay->rng));
     peers->readable =
         event_new(relay->base, fd, EV_READ | EV_PERSIST, on_readable, peers);
--- a/relay/request.c
+++ b/relay/request.c
@@ -242,7 +242,10 @@
     request_t *request;
     request_t *next;
     CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
-        if (request->server != NULL || now < request->not_before_ms) {
+        /* Waiting again after a send is a retry like any other. */
+        if (request->server != NULL || now < request->not_before_ms ||
+            (request->sends > 0 && now < request->waits_until_ms &&
+             !retry_share_left(&relay->retries, request->service, now))) {
             continue;
         }
         if (request_place(request) || now < request->waits_until_ms) {
--- a/tests/proc-relay-faults.sh
+++ b/tests/proc-relay-faults.sh
@@ -28,16 +28,16 @@
 sleep 1
 
 for e in e1 e2 e3; do admin server/$e '{"events":40,"gap_ms":20}'; done
+# A stream may run at two servers, so one of three breaks off.
 admin server/e1 '{"mode":"cut"}'
-admin server/e2 '{"mode":"cut"}'
-for i in 1 2 3 4; do ask 1 /review/c$i "${KEY1[@]}" "${LLM[@]}" -d x >"$OUT/cut-$i" & done
+for i in 1 2 3 4 5 6; do ask 1 /review/c$i "${KEY1[@]}" "${LLM[@]:0:4}" -H "X-Celeryspool-Prompt-Prefix: c$i:800,d$i:410,e$i:250" -d x >"$OUT/cut-$i" & done
 wait $(jobs -p | grep -vxF "$(printf '%s\n' "${PIDS[@]}")")
 seq 1 40 | sed 's/^/token-/' >"$OUT/wanted"
 whole=0
-for i in 1 2 3 4; do grep -o 'token-[0-9]*' "$OUT/cut-$i" | cmp -s - "$OUT/wanted" && whole=$((whole + 1)); done
-expect "streams go on elsewhere, without gap or repeat" [ $whole -ge 3 ]
+for i in 1 2 3 4 5 6; do grep -o 'token-[0-9]*' "$OUT/cut-$i" | cmp -s - "$OUT/wanted" && whole=$((whole + 1)); done
+expect "some were broken off" grep -q 'send-failed.*server=e1 fate=may-have-run' "$OUT/relay-1.log"
+expect "streams go on elsewhere, without gap or repeat" [ $whole = 6 ]
 admin server/e1 '{"mode":"well"}'
-admin server/e2 '{"mode":"well"}'
 
 # A server falls silent, like a host without power behind open connections. A
 # stream may run at two servers, so one of the three is silent: with two, a
@@ -72,18 +72,20 @@
 expect "it ends by itself, in order" [ $? = 0 ]
 expect "what ran was finished" [ "$(grep -c token- "$OUT/stop")" = 40 ]
 
-# A daemon that starts while the store is away knows no configuration.
+# A daemon that starts while the store is away, and that nobody knows yet, has
+# no configuration; those that run go on.
 admin store '{"down":true}'
-start_relay 1
+start_relay 3
 sleep 0.7
-expect "no configuration: not ready" [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(ready 1)/readiness")" = 503 ]
-expect "no configuration: come back, not unknown" [ "$(status_of 1 /read/x "${KEY1[@]}")" = 503 ]
+expect "no configuration: not ready" [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(ready 3)/readiness")" = 503 ]
+expect "no configuration: come back, not unknown" [ "$(status_of 3 /read/x "${KEY1[@]}")" = 503 ]
 expect "others go on with what they have" [ "$(status_of 2 /read/x "${KEY1[@]}")" = 200 ]
 admin store '{"down":false}'
-expect "ready once the store is back" wait_for "http://$(ready 1)/readiness"
+expect "ready once the store is back" wait_for "http://$(ready 3)/readiness"
 admin store '{"silent":true}'
-kill -KILL "${PIDS[relay-1]}"
-wait "${PIDS[relay-1]}" 2>/dev/null
+kill -KILL "${PIDS[relay-3]}"
+wait "${PIDS[relay-3]}" 2>/dev/null
+relay_settings 1 >"$OUT/relay-1.ini"
 sed -i "s/^\[platform\]/[peers]\nseeds = $(inner 2)\n[platform]/" "$OUT/relay-1.ini"
 run relay-1 "$BUILD/celeryspoold" --settings "$OUT/relay-1.ini"
 expect "a daemon that starts beside one that runs needs no store" wait_for "http://$(ready 1)/readiness"
