A stream's event without end is not kept

Cause, by reading the change: the splitter told of an event over 256 KB, and nobody looked, so a broken server could fill a host's memory. Change: what was kept of it is dropped and the answer cannot be passed on.

--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -21,7 +21,6 @@
 #define SPEED_WAIT_MS 30.0
 #define SPEED_READ_MS 60.0
 #define FIRST_MS 15.0
-#define RETRY_STATUS_FULL 503
 
 static void
 head_add(buf_t *out, wire_header_t header, const char *value)
@@ -346,7 +345,14 @@
 pass_events(request_t *request, const char *data, size_t len)
 {
     CLEAN_BUF buf_t events = {0};
-    if (stream_take(&request->stream, data, len, &events) == 0) {
+    size_t count = stream_take(&request->stream, data, len, &events);
+    if (request->stream.overflow) {
+        /* No server of ours makes such an event: nothing more is kept of it,
+         * and the answer ends as one that cannot be passed on. */
+        stream_restart(&request->stream);
+        request->answer = ANSWER_BAD;
+    }
+    if (count == 0) {
         return;
     }
     if (request->unread > 0 || request->first_ms == 0) {
