--- a/relay/facts.c
+++ b/relay/facts.c
@@ -194,7 +194,7 @@
         log_record(LOG_WARN, "weights", "unreadable", "why=\"%s\"", err.text);
         return;
     }
-    weights_note(relay, name.model, name.version, time_wall_ms());
+    weights_heard(relay, name.model, name.version, time_wall_ms());
 }
 
 static void
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -79,6 +79,9 @@
     for (size_t i = 0; i < relay->weights_count; i++) {
         const weights_t *weights = &relay->weights[i];
         for (size_t at = 0; at < weights->named_count; at++) {
+            if (weights->named[at].guessed) {
+                continue;
+            }
             (void)json_array_append_new(
                 rows, json_pack("[s,I,I]", weights->model,
                                 (json_int_t)weights->named[at].version,
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -6,6 +6,10 @@
  * still be used counts from the naming, so a daemon that starts anew takes
  * the times from the lease's object, where the holder keeps them. */
 
+/* Part of the time for older weights that is over for a version of unknown
+ * age. */
+#define UNKNOWN_PART 2
+
 const weights_t *
 relay_weights(const relay_t *relay, const char *model)
 {
@@ -34,18 +38,21 @@
     return weights;
 }
 
-/* Put a version in, the newest first; the earliest time that anybody knows of
- * its naming counts. */
+/* Put a version in, the newest first.  The earliest time that anybody knows of
+ * its naming counts, and any that is known goes before a guess. */
 static void
-named_put(weights_t *weights, int64_t version, int64_t named_ms)
+named_put(weights_t *weights, int64_t version, int64_t named_ms, bool guessed)
 {
     size_t at = 0;
     while (at < weights->named_count && weights->named[at].version > version) {
         at++;
     }
     if (at < weights->named_count && weights->named[at].version == version) {
-        if (named_ms < weights->named[at].named_ms) {
-            weights->named[at].named_ms = named_ms;
+        weights_named_t *known = &weights->named[at];
+        bool better = known->guessed != guessed ? known->guessed
+                                                : named_ms < known->named_ms;
+        if (better) {
+            *known = (weights_named_t){version, named_ms, guessed};
         }
         return;
     }
@@ -56,20 +63,19 @@
                                                       : WEIGHTS_KEPT - 1;
     memmove(&weights->named[at + 1], &weights->named[at],
             (last - at) * sizeof(weights->named[0]));
-    weights->named[at] = (weights_named_t){version, named_ms};
+    weights->named[at] = (weights_named_t){version, named_ms, guessed};
     weights->named_count = last + 1;
 }
 
-/* A version of a model was named at that time of day, as far as is known. */
-void
-weights_note(relay_t *relay, const char *model, int64_t version,
-             int64_t named_ms)
+static void
+weights_put(relay_t *relay, const char *model, int64_t version,
+            int64_t named_ms, bool guessed)
 {
     weights_t *weights = weights_get(relay, model);
     if (weights == NULL) {
         return;
     }
-    named_put(weights, version, named_ms);
+    named_put(weights, version, named_ms, guessed);
     if (version > weights->version) {
         weights->version = version;
         log_record(LOG_INFO, "weights", "named", "model=%s version=%lld",
@@ -77,6 +83,29 @@
     }
 }
 
+/* A version of a model was named at that time of day. */
+void
+weights_note(relay_t *relay, const char *model, int64_t version,
+             int64_t named_ms)
+{
+    weights_put(relay, model, version, named_ms, false);
+}
+
+/* A daemon hears of a version by the store.  What stands in its first list may
+ * have been named long before; the lease's object tells when, but for versions
+ * that were named while nobody held the lease, as when hosts restart in turn.
+ * So it takes half of the time that older weights may be used for over: with
+ * none taken off, a daemon that was restarted 1.3 s behind a naming sent a
+ * request to replaced weights 10.2 s behind it. */
+void
+weights_heard(relay_t *relay, const char *model, int64_t version,
+              int64_t wall_ms)
+{
+    int64_t before_ms =
+        relay->weights_listed ? 0 : relay->settings.weights_ms / UNKNOWN_PART;
+    weights_put(relay, model, version, wall_ms - before_ms, before_ms > 0);
+}
+
 /* For how long a version has been replaced: since the first newer one was
  * named; 0 if there is none. */
 int64_t
