--- a/relay/relay.h
+++ b/relay/relay.h
@@ -98,6 +98,8 @@
 const weights_t *relay_weights(const relay_t *relay, const char *model);
 void weights_note(relay_t *relay, const char *model, int64_t version,
                   int64_t named_ms);
+void weights_guess(relay_t *relay, const char *model, int64_t version,
+                   int64_t named_ms);
 void weights_heard(relay_t *relay, const char *model, int64_t version,
                    int64_t wall_ms);
 int64_t weights_older_ms(const weights_t *weights, int64_t version,
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -67,7 +67,12 @@
         int64_t version = json_integer_value(json_array_get(row, 1));
         int64_t named_ms = json_integer_value(json_array_get(row, 2));
         if (model != NULL && version > 0 && named_ms > 0) {
-            weights_note(relay, model, version, named_ms);
+            if (json_is_true(json_array_get(row, 3))) {
+                weights_guess(relay, model, version, named_ms);
+            }
+            else {
+                weights_note(relay, model, version, named_ms);
+            }
         }
     }
 }
@@ -79,13 +84,11 @@
     for (size_t i = 0; i < relay->weights_count; i++) {
         const weights_t *weights = &relay->weights[i];
         for (size_t at = 0; at < weights->named_count; at++) {
-            if (weights->named[at].guessed) {
-                continue;
-            }
             (void)json_array_append_new(
-                rows, json_pack("[s,I,I]", weights->model,
+                rows, json_pack("[s,I,I,b]", weights->model,
                                 (json_int_t)weights->named[at].version,
-                                (json_int_t)weights->named[at].named_ms));
+                                (json_int_t)weights->named[at].named_ms,
+                                weights->named[at].guessed));
         }
     }
     return rows;
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -91,6 +91,16 @@
     weights_put(relay, model, version, named_ms, false);
 }
 
+/* The same where the time is only a bound: another daemon's guess.  It is kept
+ * as long as nobody knows better, or a daemon that starts later would guess
+ * anew, and later. */
+void
+weights_guess(relay_t *relay, const char *model, int64_t version,
+              int64_t named_ms)
+{
+    weights_put(relay, model, version, named_ms, true);
+}
+
 /* A daemon hears of a version by the store.  What stands in its first list may
  * have been named long before; the lease's object tells when, but for versions
  * that were named while nobody held the lease, as when hosts restart in turn.
--- a/tests/test-weights.c
+++ b/tests/test-weights.c
@@ -44,6 +44,22 @@
 }
 END_TEST
 
+/* The holder itself started behind the naming and could only guess.  A daemon
+ * that starts seven seconds later takes that guess, not a later one of its
+ * own. */
+START_TEST(an_older_guess_goes_before_ones_own)
+{
+    relay_t *relay = relay_of(false);
+    weights_heard(relay, "m", 3, 107000);
+    weights_guess(relay, "m", 3, 95000);
+    const weights_t *weights = relay_weights(relay, "m");
+    ck_assert_int_eq(weights_older_ms(weights, 2, 107000), 12000);
+    weights_note(relay, "m", 3, 99900);
+    ck_assert_int_eq(weights_older_ms(weights, 2, 107000), 7100);
+    free(relay);
+}
+END_TEST
+
 START_TEST(a_version_that_is_seen_to_be_named_is_new)
 {
     relay_t *relay = relay_of(true);
@@ -75,5 +91,6 @@
 
 TEST_MAIN("weights", a_version_of_unknown_age_is_not_taken_for_new,
           a_known_time_goes_before_a_guess,
+          an_older_guess_goes_before_ones_own,
           a_version_that_is_seen_to_be_named_is_new,
           the_oldest_newer_version_counts)
