A host's earlier write is not taken for its last: two could order at once

Cause: found by the new model of the lease (models/lease.pml). A write without an answer is done late; a read that is behind hides it; the host writes once more, is refused and shown an object that names it under the number that it wanted. It took that for its last write and counted its span from there, while its successor counts from when the first write was done: up to the difference both act. Ruled out: the span and its margin themselves, which the model finds sufficient (12,108,678 states). Change: the object has held the holder's count of writes all along; it is now read and compared. lease_seen takes a typed view of the object. Before: test-lease a_earlier write fails, the model without the count breaks (174,900 states). After: both hold; 1,000 seeded histories as before.

--- a/models/check.sh
+++ b/models/check.sh
@@ -34,5 +34,8 @@
 run config breaks -DGUARD=0
 run order holds -DFENCED=1
 run order holds -DFENCED=0
+run lease holds -DGUARD=1
+run lease breaks -DGUARD=0
+run lease breaks -DCOUNTED=0
 echo "models: $passed passed, $failed failed"
 [ $failed = 0 ]
--- a/relay/lease.c
+++ b/relay/lease.c
@@ -78,24 +78,27 @@
 }
 
 /* The object as the store holds it, by whatever answer.  If it is what this
- * process last tried to write, that write has taken effect. */
+ * process last tried to write, that write has taken effect.  An earlier write
+ * of its own, done late, is not: the lease would count from a later moment
+ * than the successor's wait, and both would act for a while.  The count of
+ * writes tells them apart. */
 void
-lease_seen(lease_t *lease, int64_t revision, const char *holder, int64_t fence,
-           int64_t now_ms)
+lease_seen(lease_t *lease, const lease_view_t *view, int64_t now_ms)
 {
     lease->absent = false;
-    if (lease->known && revision < lease->revision) {
+    if (lease->known && view->revision < lease->revision) {
         return; /* a read that is behind */
     }
-    bool changed = !lease->known || revision != lease->revision;
+    bool changed = !lease->known || view->revision != lease->revision;
     bool written = changed && lease->asked_ms != 0 &&
-                   strcmp(holder, lease->self) == 0 &&
-                   fence == lease->wanted_fence;
+                   strcmp(view->holder, lease->self) == 0 &&
+                   view->fence == lease->wanted_fence &&
+                   view->writes == lease->writes;
     lease->known = true;
     lease->pending = false;
-    lease->revision = revision;
-    lease->fence = fence;
-    str_copy(lease->holder, sizeof(lease->holder), holder);
+    lease->revision = view->revision;
+    lease->fence = view->fence;
+    str_copy(lease->holder, sizeof(lease->holder), view->holder);
     if (changed) {
         lease->seen_ms = now_ms;
     }
--- a/relay/lease.h
+++ b/relay/lease.h
@@ -16,6 +16,14 @@
     LEASE_WRITE   /* take or renew, if the revision still is the one known */
 } lease_step_t;
 
+/* The object as the store tells it. */
+typedef struct {
+    int64_t revision;
+    const char *holder; /* empty when it was given back */
+    int64_t fence;
+    int64_t writes; /* the holder's count of its writes, this one included */
+} lease_view_t;
+
 typedef struct {
     char self[LEASE_HOLDER_MAX];
     int64_t span_ms;
@@ -40,8 +48,7 @@
 void lease_init(lease_t *lease, const char *self, int64_t span_ms);
 lease_step_t lease_next(const lease_t *lease, int64_t now_ms);
 void lease_asked(lease_t *lease, lease_step_t step, int64_t now_ms);
-void lease_seen(lease_t *lease, int64_t revision, const char *holder,
-                int64_t fence, int64_t now_ms);
+void lease_seen(lease_t *lease, const lease_view_t *view, int64_t now_ms);
 void lease_seen_absent(lease_t *lease);
 void lease_unanswered(lease_t *lease);
 void lease_leave(lease_t *lease);
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -108,8 +108,11 @@
     if (platform_lease_read(&page.objects[0], &object, &err) != 0) {
         log_warn("orders", "The lease cannot be read: %s.", err.text);
     }
-    lease_seen(&rollout->lease, page.objects[0].revision, object.holder,
-               object.fence, time_boot_ms());
+    lease_view_t view = {.revision = page.objects[0].revision,
+                         .holder = object.holder,
+                         .fence = object.fence,
+                         .writes = object.writes};
+    lease_seen(&rollout->lease, &view, time_boot_ms());
     take_named(rollout->relay, object.named);
     platform_page_free(&page);
 }
--- a/tests/test-lease.c
+++ b/tests/test-lease.c
@@ -20,6 +20,7 @@
     int64_t revision; /* that it must still have */
     char holder[LEASE_HOLDER_MAX];
     int64_t fence;
+    int64_t writes;
 } late_t;
 
 typedef struct {
@@ -28,9 +29,11 @@
     bool exists;
     int64_t revision;
     int64_t fence;
+    int64_t writes;
     char holder[LEASE_HOLDER_MAX];
     int64_t old_revision; /* what a read that is behind tells */
     int64_t old_fence;
+    int64_t old_writes;
     char old_holder[LEASE_HOLDER_MAX];
     late_t late[LATE_MAX];
     lease_t leases[DAEMONS];
@@ -42,14 +45,16 @@
 } world_t;
 
 static void
-write_now(world_t *world, const char *holder, int64_t fence)
+write_now(world_t *world, const char *holder, int64_t fence, int64_t writes)
 {
     world->old_revision = world->revision;
     world->old_fence = world->fence;
+    world->old_writes = world->writes;
     str_copy(world->old_holder, sizeof(world->old_holder), world->holder);
     world->exists = true;
     world->revision++;
     world->fence = fence;
+    world->writes = writes;
     str_copy(world->holder, sizeof(world->holder), holder);
 }
 
@@ -66,6 +71,7 @@
             world->now_ms + 500 + (int64_t)rng_below(&world->rng, 5500);
         late->revision = lease->revision;
         late->fence = lease->wanted_fence;
+        late->writes = lease->writes;
         str_copy(late->holder, sizeof(late->holder),
                  lease_writes_holder(lease));
         return;
@@ -82,7 +88,7 @@
         }
         late->used = false;
         if (world->exists && late->revision == world->revision) {
-            write_now(world, late->holder, late->fence);
+            write_now(world, late->holder, late->fence, late->writes);
         }
     }
 }
@@ -98,8 +104,11 @@
 static void
 see(const world_t *world, lease_t *lease)
 {
-    lease_seen(lease, world->revision, world->holder, world->fence,
-               world->now_ms);
+    lease_view_t view = {.revision = world->revision,
+                         .holder = world->holder,
+                         .fence = world->fence,
+                         .writes = world->writes};
+    lease_seen(lease, &view, world->now_ms);
 }
 
 static void
@@ -114,7 +123,8 @@
         return;
     }
     if (fits) {
-        write_now(world, lease_writes_holder(lease), lease->wanted_fence);
+        write_now(world, lease_writes_holder(lease), lease->wanted_fence,
+                  lease->writes);
     }
     if (luck < 25) {
         lease_unanswered(lease);
@@ -141,8 +151,11 @@
         lease_seen_absent(lease);
     }
     else if (rng_below(&world->rng, 100) < 20 && world->old_revision > 0) {
-        lease_seen(lease, world->old_revision, world->old_holder,
-                   world->old_fence, world->now_ms);
+        lease_view_t view = {.revision = world->old_revision,
+                             .holder = world->old_holder,
+                             .fence = world->old_fence,
+                             .writes = world->old_writes};
+        lease_seen(lease, &view, world->now_ms);
     }
     else {
         see(world, lease);
@@ -242,13 +255,22 @@
     lease_t lease;
     lease_init(&lease, "b/1", SPAN_MS);
     lease_asked(&lease, LEASE_READ, 10);
-    lease_seen(&lease, 7, "a/1", 3, 12);
+    lease_seen(&lease,
+               &(lease_view_t){
+                   .revision = 7, .holder = "a/1", .fence = 3, .writes = 1},
+               12);
     ck_assert_int_eq(lease_next(&lease, 100), LEASE_IDLE);
-    lease_seen(&lease, 8, "", 3, 900);
+    lease_seen(
+        &lease,
+        &(lease_view_t){.revision = 8, .holder = "", .fence = 3, .writes = 1},
+        900);
     ck_assert_int_eq(lease_next(&lease, 901), LEASE_WRITE);
     lease_asked(&lease, LEASE_WRITE, 901);
     ck_assert_int_eq(lease.wanted_fence, 4);
-    lease_seen(&lease, 9, "b/1", 4, 905);
+    lease_seen(&lease,
+               &(lease_view_t){
+                   .revision = 9, .holder = "b/1", .fence = 4, .writes = 1},
+               905);
     ck_assert(lease_held(&lease, 906));
 }
 END_TEST
@@ -262,7 +284,10 @@
     lease_seen_absent(&lease);
     ck_assert_int_eq(lease_next(&lease, 1), LEASE_CREATE);
     lease_asked(&lease, LEASE_CREATE, 1);
-    lease_seen(&lease, 1, "a/1", 1, 5);
+    lease_seen(&lease,
+               &(lease_view_t){
+                   .revision = 1, .holder = "a/1", .fence = 1, .writes = 1},
+               5);
     ck_assert(lease_held(&lease, 100));
     ck_assert(!lease_held(&lease, 5000));
     ck_assert_int_eq(lease_next(&lease, 5000), LEASE_WRITE);
@@ -271,6 +296,33 @@
 }
 END_TEST
 
+/* Two hosts order servers at once.  A host's write gets no answer and is done
+ * late; a read that is behind hides it, so the host writes once more, is
+ * refused, and is shown an object that names it.  It takes that for its last
+ * write and counts its lease from there, while its successor counts from when
+ * the first one was done. */
+START_TEST(an_earlier_write_is_not_taken_for_the_last)
+{
+    lease_t lease;
+    lease_view_t free = {.revision = 7, .holder = "", .fence = 3};
+    lease_view_t first = {
+        .revision = 8, .holder = "a/1", .fence = 4, .writes = 1};
+    lease_init(&lease, "a/1", SPAN_MS);
+    lease_seen(&lease, &free, 10);
+    lease_asked(&lease, LEASE_WRITE, 1000);
+    lease_unanswered(&lease);
+    lease_asked(&lease, LEASE_READ, 2000);
+    lease_seen(&lease, &free, 2010);
+    lease_asked(&lease, LEASE_WRITE, 3500);
+    lease_seen(&lease, &first, 3510);
+    ck_assert(!lease_held(&lease, 3520));
+    ck_assert_int_eq(lease_next(&lease, 3520), LEASE_WRITE);
+    lease_asked(&lease, LEASE_WRITE, 3520);
+    ck_assert_int_eq(lease.wanted_fence, 5);
+}
+END_TEST
+
 TEST_MAIN("lease", one_holder_at_a_time,
           a_lease_that_is_given_back_is_free_at_once,
-          a_holder_that_slept_does_not_act)
+          a_holder_that_slept_does_not_act,
+          an_earlier_write_is_not_taken_for_the_last)
