--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build
 OUT ?= out
 SAN ?=
-LIBS := ck msgpack inih libmicrohttpd libcurl jansson libevent libxxhash libsodium libedit
+LIBS := ck msgpack inih jansson libevent libxxhash libsodium libedit
 CFLAGS += -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
           -D_GNU_SOURCE -DCK_USE_CC_BUILTINS=1 -pthread $(SAN) \
           $(shell pkg-config --cflags $(LIBS))
@@ -15,9 +15,10 @@
 DAEMONS := $(patsubst daemons/%.c,$(BUILD)/%,$(wildcard daemons/*.c))
 STANDINS := $(patsubst fakes/%.c,$(BUILD)/%,$(wildcard fakes/fake-*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
-SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] relay/*.[ch] platform/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch])
+SOAK := $(patsubst %.c,$(BUILD)/%.o,$(wildcard soak/*.c))
+SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] relay/*.[ch] platform/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] soak/*.[ch])
 
-.PHONY: all deploy capacity models unit-programs threads check unit procs demo bench experiment format format-check lint clean
+.PHONY: all soak deploy capacity models unit-programs threads check unit procs demo bench experiment format format-check lint clean
 all: $(DAEMONS) $(STANDINS)
 
 $(BUILD)/%.o: %.c
@@ -70,6 +71,15 @@
 	$(BUILD)/capacity
 	$(BUILD)/tests/test-members
 
+$(BUILD)/soak/soak: $(SOAK) $(BUILD)/libceleryspool.o
+	@$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+# Real programs under seeded faults; SEED=n plays one again.
+SEED ?= 1
+soak: all $(BUILD)/soak/soak
+	@mkdir -p $(OUT)
+	$(BUILD)/soak/soak --seed $(SEED) --build $(BUILD) --dir $(OUT)/soak-$(SEED) $(SOAK_ARGS)
+
 unit-programs: $(TESTS)
 unit: $(TESTS)
 	@set -e; for t in $(TESTS); do $$t; done
--- a/fakes/fake-load.c
+++ b/fakes/fake-load.c
@@ -1,7 +1,6 @@
 #include "load.h"
 
 #include <argp.h>
-#include <curl/curl.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -142,7 +141,6 @@
 {
     load_args_t args = {0};
     load_opts_default(&args.opts);
-    (void)curl_global_init(CURL_GLOBAL_ALL);
     (void)argp_parse(&arguments, argc, argv, 0, NULL, &args);
     (void)signal(SIGPIPE, SIG_IGN);
     if (args.opts.target_count == 0 || sodium_init() < 0) {
--- a/kernel/daemon.c
+++ b/kernel/daemon.c
@@ -1,7 +1,6 @@
 #include "daemon.h"
 #include "snapshot.h"
 
-#include <curl/curl.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -240,7 +239,6 @@
 daemon_start(const settings_t *settings, err_t *err)
 {
     celeryspoold_t *daemon = mem_zalloc(sizeof(*daemon));
-    (void)curl_global_init(CURL_GLOBAL_ALL);
     daemon->settings = *settings;
     daemon->incarnation = (uint64_t)time_wall_ms();
     daemon->started_ms = time_mono_ms();
@@ -312,5 +310,4 @@
     members_free(daemon->members);
     metrics_free(daemon->metrics);
     free(daemon);
-    curl_global_cleanup();
 }
--- a/relay/exchange.c
+++ b/kernel/exchange.c
@@ -521,7 +521,7 @@
     if (ask->body_len > 0) {
         buf_add(&exchange->out, ask->body, ask->body_len);
     }
-    upconn_t *conn = conn_take_kept(pool);
+    upconn_t *conn = ask->fresh ? NULL : conn_take_kept(pool);
     bool kept = conn != NULL;
     if (!kept) {
         conn = conn_open(pool);
@@ -540,7 +540,8 @@
         timer_until(exchange);
         return exchange;
     }
-    timer_arm(exchange, ask->connect_ms);
+    bool short_of_time = ask->total_ms > 0 && ask->total_ms < ask->connect_ms;
+    timer_arm(exchange, short_of_time ? ask->total_ms : ask->connect_ms);
     return exchange;
 }
 
--- a/relay/exchange.h
+++ b/kernel/exchange.h
@@ -44,6 +44,7 @@
     const void *body;
     size_t body_len;
     bool bodiless;  /* the answer has no body: HEAD */
+    bool fresh;     /* over a new connection, which can't have died unseen */
     int connect_ms; /* a connection that takes longer is given up */
     int total_ms;   /* 0: the owner has a timer of its own */
 } exchange_ask_t;
--- a/kernel/http-client.c
+++ b/kernel/http-client.c
@@ -1,51 +1,53 @@
+#include "exchange.h"
 #include "http.h"
+#include "loop.h"
 
-#include <ck_queue.h>
-#include <curl/curl.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/epoll.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
-#define POLL_MS 1000
-#define EVENTS_MAX 128
-#define SLOTS 1024
-#define CONNECTIONS_KEPT 256
+/* A client for programs with threads: a few loops, each with exchanges of its
+ * own.  An exchange is left with a loop, and all its callbacks come there. */
 
-/* One exchange.  It belongs to its worker's thread from the moment that the
- * worker takes it off the inbox until on_end has returned. */
-struct http_xfer {
-    CK_STAILQ_ENTRY(http_xfer) inbox;
-    CK_LIST_ENTRY(http_xfer) live;
+#define SLOTS 1024
+/* Kept connections are looked through this often. */
+#define SWEEP_MS 500
+/* Where a call names none, ms. */
+#define CONNECT_MS_DEFAULT 5000
+#define URL_SCHEME "http://"
+
+typedef struct worker worker_t;
+
+/* It belongs to its worker's thread from the moment that the worker takes it
+ * off the inbox until on_end has returned. */
+typedef struct xfer {
+    CK_STAILQ_ENTRY(xfer) inbox;
+    CK_LIST_ENTRY(xfer) live;
     uint64_t id;
-    CURL *easy;
-    struct curl_slist *headers;
-    char *body;
     http_call_t call;
+    char addr[CS_ADDR_MAX];
+    buf_t head;
+    char *body;
+    exchange_t *exchange;
     int status;
-    bool cancelled;
-};
+    http_end_t end;
+    bool over;
+    worker_t *worker; /* NULL for one that blocks its caller */
+} xfer_t;
 
-typedef CK_STAILQ_HEAD(xfer_inbox, http_xfer) xfer_inbox_t;
-typedef CK_LIST_HEAD(xfer_list, http_xfer) xfer_list_t;
+typedef CK_STAILQ_HEAD(xfer_inbox, xfer) xfer_inbox_t;
+typedef CK_LIST_HEAD(xfer_list, xfer) xfer_list_t;
 
-/* A worker owns one multi handle, and an epoll set with its sockets: with
- * curl_multi_poll every wake would look at every exchange.  Its lock is a
- * leaf. */
-typedef struct {
-    pthread_t thread;
+/* Its lock guards the inbox and the cancels, and is a leaf. */
+struct worker {
+    loop_t loop;
     pthread_mutex_t lock;
-    CURLM *multi;
-    int epoll;
-    int wake;       /* an eventfd, in the epoll set too */
-    int64_t due_ms; /* when libcurl wants to be called; -1 for never */
+    exchanges_t *exchanges;
+    struct event *sweep;
     xfer_inbox_t inbox;
     buf_t cancels; /* ids, one behind the other */
     xfer_list_t live[SLOTS];
-    bool stop;
-} worker_t;
+};
 
 struct http_client {
     unsigned threads;
@@ -54,333 +56,271 @@
     worker_t *workers;
 };
 
-static void
-xfer_free(http_xfer_t *xfer)
-{
-    curl_easy_cleanup(xfer->easy);
-    curl_slist_free_all(xfer->headers);
-    free(xfer->body);
-    free(xfer);
-}
+/* ---- one exchange ---- */
 
-static size_t
-xfer_on_data(char *data, size_t size, size_t count, void *arg)
+static bool
+has_header(const http_call_t *call, const char *name)
 {
-    http_xfer_t *xfer = arg;
-    long status = 0;
-    (void)curl_easy_getinfo(xfer->easy, CURLINFO_RESPONSE_CODE, &status);
-    xfer->status = (int)status;
-    if (xfer->call.on_data != NULL && !xfer->cancelled) {
-        xfer->call.on_data(xfer->call.arg, xfer->status, data, size * count);
+    size_t len = strlen(name);
+    for (int i = 0; i < HTTP_HEADERS_MAX && call->headers[i] != NULL; i++) {
+        if (strncasecmp(call->headers[i], name, len) == 0 &&
+            call->headers[i][len] == ':') {
+            return true;
+        }
     }
-    return size * count;
+    return false;
 }
 
-static size_t
-xfer_on_header(char *data, size_t size, size_t count, void *arg)
+/* Write the head out, and take the address from the URL. */
+static void
+xfer_head(xfer_t *xfer)
 {
-    http_xfer_t *xfer = arg;
-    size_t len = size * count;
-    char line[512];
-    char *colon;
-    if (xfer->call.on_header == NULL || len >= sizeof(line)) {
-        return len;
+    const http_call_t *call = &xfer->call;
+    const char *host = call->url;
+    if (strncmp(host, URL_SCHEME, strlen(URL_SCHEME)) == 0) {
+        host += strlen(URL_SCHEME);
     }
-    memcpy(line, data, len);
-    line[len] = '\0';
-    line[strcspn(line, "\r\n")] = '\0';
-    colon = strchr(line, ':');
-    if (colon != NULL) {
-        *colon = '\0';
-        const char *value = colon + 1 + strspn(colon + 1, " ");
-        xfer->call.on_header(xfer->call.arg, line, value);
+    size_t len = strcspn(host, "/?");
+    const char *target = host + len;
+    if (len < sizeof(xfer->addr)) {
+        memcpy(xfer->addr, host, len);
     }
-    return len;
-}
-
-/* Fill an easy handle from a call.  Expect: 100-continue and libcurl's own
- * silent retry on a stale connection are kept away by `fresh`, which calls
- * that may not be repeated set. */
-static CURL *
-xfer_easy(http_xfer_t *xfer)
-{
-    const http_call_t *call = &xfer->call;
-    CURL *easy = curl_easy_init();
+    buf_fmt(&xfer->head, "%s %s%s HTTP/1.1\r\nHost: %s\r\n", call->method,
+            target[0] == '/' ? "" : "/", target, xfer->addr);
     for (int i = 0; i < HTTP_HEADERS_MAX && call->headers[i] != NULL; i++) {
-        xfer->headers = curl_slist_append(xfer->headers, call->headers[i]);
+        buf_fmt(&xfer->head, "%s\r\n", call->headers[i]);
     }
-    xfer->headers = curl_slist_append(xfer->headers, "Expect:");
-    (void)curl_easy_setopt(easy, CURLOPT_URL, call->url);
-    (void)curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call->method);
-    (void)curl_easy_setopt(easy, CURLOPT_HTTPHEADER, xfer->headers);
-    (void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    (void)curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-    (void)curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    (void)curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                           (long)call->connect_ms);
-    (void)curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)call->total_ms);
-    (void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, xfer_on_data);
-    (void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, xfer);
-    (void)curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, xfer_on_header);
-    (void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, xfer);
-    (void)curl_easy_setopt(easy, CURLOPT_PRIVATE, xfer);
-    if (call->fresh) {
-        (void)curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
-        (void)curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    if (call->body != NULL || strcmp(call->method, "GET") != 0) {
+        buf_fmt(&xfer->head, "Content-Length: %zu\r\n", call->body_len);
     }
-    if (call->body != NULL) {
-        (void)curl_easy_setopt(easy, CURLOPT_POSTFIELDS, xfer->body);
-        (void)curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                               (curl_off_t)call->body_len);
+    if (call->body != NULL && !has_header(call, "Content-Type")) {
+        buf_str(&xfer->head, "Content-Type: application/json\r\n");
     }
-    return easy;
+    buf_str(&xfer->head, "\r\n");
 }
 
-static http_xfer_t *
+static xfer_t *
 xfer_new(const http_call_t *call, uint64_t id)
 {
-    http_xfer_t *xfer = mem_zalloc(sizeof(*xfer));
+    xfer_t *xfer = mem_zalloc(sizeof(*xfer));
     xfer->id = id;
     xfer->call = *call;
+    xfer_head(xfer);
     if (call->body != NULL) {
         xfer->body = mem_zalloc(call->body_len + 1);
         memcpy(xfer->body, call->body, call->body_len);
     }
-    xfer->easy = xfer_easy(xfer);
     return xfer;
 }
 
-/* Tell whether any byte of the request can have reached the other end. */
-static http_end_t
-xfer_end(CURL *easy, CURLcode code)
+static void
+xfer_free(xfer_t *xfer)
 {
-    long sent = 0;
-    (void)curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-    if (code == CURLE_OK) {
-        return HTTP_END_WHOLE;
-    }
-    if (sent == 0) {
-        return HTTP_END_UNSENT;
-    }
-    return code == CURLE_OPERATION_TIMEDOUT ? HTTP_END_TIMEOUT : HTTP_END_CUT;
+    buf_free(&xfer->head);
+    free(xfer->body);
+    free(xfer);
 }
 
 static void
-xfer_finish(worker_t *worker, http_xfer_t *xfer, http_end_t end)
+show_header(const xfer_t *xfer, const http_head_t *head,
+            const header_t *header)
 {
-    CK_LIST_REMOVE(xfer, live);
-    (void)curl_multi_remove_handle(worker->multi, xfer->easy);
-    long status = 0;
-    (void)curl_easy_getinfo(xfer->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (xfer->call.on_end != NULL) {
-        xfer->call.on_end(xfer->call.arg, end, (int)status);
-    }
-    xfer_free(xfer);
+    char name[128];
+    char value[512];
+    http_head_copy(head, header->name, name, sizeof(name));
+    http_head_copy(head, header->value, value, sizeof(value));
+    xfer->call.on_header(xfer->call.arg, name, value);
 }
 
-static void
-worker_take_inbox(worker_t *worker)
+static head_verdict_t
+on_head(void *arg, const http_head_t *head)
 {
-    for (;;) {
-        (void)pthread_mutex_lock(&worker->lock);
-        http_xfer_t *xfer = CK_STAILQ_FIRST(&worker->inbox);
-        if (xfer != NULL) {
-            CK_STAILQ_REMOVE_HEAD(&worker->inbox, inbox);
-        }
-        (void)pthread_mutex_unlock(&worker->lock);
-        if (xfer == NULL) {
-            return;
-        }
-        CK_LIST_INSERT_HEAD(&worker->live[xfer->id % SLOTS], xfer, live);
-        (void)curl_multi_add_handle(worker->multi, xfer->easy);
+    xfer_t *xfer = arg;
+    xfer->status = head->status;
+    for (unsigned i = 0; xfer->call.on_header != NULL && i < head->count;
+         i++) {
+        show_header(xfer, head, &head->headers[i]);
     }
+    return HEAD_TAKE;
 }
 
 static void
-worker_cancel_one(worker_t *worker, uint64_t id)
+on_body(void *arg, const char *data, size_t len)
 {
-    http_xfer_t *xfer;
-    CK_LIST_FOREACH (xfer, &worker->live[id % SLOTS], live) {
-        if (xfer->id == id) {
-            xfer->cancelled = true;
-            xfer_finish(worker, xfer, HTTP_END_CANCELLED);
-            return;
-        }
+    xfer_t *xfer = arg;
+    if (xfer->call.on_data != NULL) {
+        xfer->call.on_data(xfer->call.arg, xfer->status, data, len);
     }
 }
 
 static void
-worker_take_cancels(worker_t *worker)
+xfer_finish(xfer_t *xfer, http_end_t end)
 {
-    (void)pthread_mutex_lock(&worker->lock);
-    CLEAN_BUF buf_t cancels = worker->cancels;
-    worker->cancels = (buf_t){0};
-    (void)pthread_mutex_unlock(&worker->lock);
-    for (size_t at = 0; at < cancels.len; at += sizeof(uint64_t)) {
-        uint64_t id;
-        memcpy(&id, cancels.data + at, sizeof(id));
-        worker_cancel_one(worker, id);
+    xfer->end = end;
+    xfer->over = true;
+    if (xfer->worker == NULL) {
+        return; /* whoever waits for it looks */
     }
+    CK_LIST_REMOVE(xfer, live);
+    if (xfer->call.on_end != NULL) {
+        xfer->call.on_end(xfer->call.arg, end, xfer->status);
+    }
+    xfer_free(xfer);
 }
 
 static void
-worker_take_ended(worker_t *worker)
+on_end(void *arg, exchange_end_t end)
 {
-    int left;
-    CURLMsg *msg;
-    while ((msg = curl_multi_info_read(worker->multi, &left)) != NULL) {
-        if (msg->msg != CURLMSG_DONE) {
-            continue;
-        }
-        http_xfer_t *xfer = NULL;
-        CURLcode code = msg->data.result;
-        (void)curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &xfer);
-        xfer_finish(worker, xfer, xfer_end(xfer->easy, code));
+    xfer_t *xfer = arg;
+    xfer->exchange = NULL;
+    switch (end) {
+        case EXCHANGE_WHOLE:
+            xfer_finish(xfer, HTTP_END_WHOLE);
+            return;
+        case EXCHANGE_UNSENT:
+            xfer_finish(xfer, HTTP_END_UNSENT);
+            return;
+        case EXCHANGE_TIMEOUT:
+            xfer_finish(xfer, HTTP_END_TIMEOUT);
+            return;
+        case EXCHANGE_NO_ANSWER:
+        case EXCHANGE_BROKEN:
+        case EXCHANGE_GARBLED:
+            xfer_finish(xfer, HTTP_END_CUT);
+            return;
     }
 }
 
 static void
-worker_end_all(worker_t *worker)
+xfer_start(xfer_t *xfer, exchanges_t *exchanges)
 {
-    worker_take_inbox(worker);
-    for (size_t i = 0; i < SLOTS; i++) {
-        http_xfer_t *xfer;
-        while ((xfer = CK_LIST_FIRST(&worker->live[i])) != NULL) {
-            xfer->cancelled = true;
-            xfer_finish(worker, xfer, HTTP_END_CANCELLED);
-        }
-    }
+    const http_call_t *call = &xfer->call;
+    exchange_hooks_t hooks = {on_head, on_body, on_end, xfer};
+    exchange_ask_t ask = {.addr = xfer->addr,
+                          .head = xfer->head.data,
+                          .head_len = xfer->head.len,
+                          .body = xfer->body,
+                          .body_len = call->body_len,
+                          .bodiless = strcmp(call->method, "HEAD") == 0,
+                          .fresh = call->fresh,
+                          .connect_ms = call->connect_ms > 0
+                                            ? call->connect_ms
+                                            : CONNECT_MS_DEFAULT,
+                          .total_ms = call->total_ms};
+    xfer->exchange = exchange_start(exchanges, &ask, &hooks);
 }
 
-/* libcurl tells which sockets it waits for. */
-static int
-on_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *known)
+/* ---- on a worker's thread ---- */
+
+static xfer_t *
+take_inbox(worker_t *worker)
 {
-    (void)easy;
-    worker_t *worker = arg;
-    struct epoll_event event = {.data.fd = fd};
-    if (what == CURL_POLL_REMOVE) {
-        (void)epoll_ctl(worker->epoll, EPOLL_CTL_DEL, fd, NULL);
-        return 0;
+    LOCK_SCOPE(&worker->lock);
+    xfer_t *xfer = CK_STAILQ_FIRST(&worker->inbox);
+    if (xfer != NULL) {
+        CK_STAILQ_REMOVE_HEAD(&worker->inbox, inbox);
     }
-    event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) |
-                   ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
-    if (known == NULL) {
-        (void)epoll_ctl(worker->epoll, EPOLL_CTL_ADD, fd, &event);
-        (void)curl_multi_assign(worker->multi, fd, worker);
-    }
-    else {
-        (void)epoll_ctl(worker->epoll, EPOLL_CTL_MOD, fd, &event);
-    }
-    return 0;
+    return xfer;
 }
 
-/* libcurl tells when it wants to be called. */
-static int
-on_timer(CURLM *multi, long ms, void *arg)
+static void
+start_new(worker_t *worker)
 {
-    (void)multi;
-    worker_t *worker = arg;
-    worker->due_ms = ms < 0 ? -1 : time_mono_ms() + ms;
-    return 0;
+    xfer_t *xfer;
+    while ((xfer = take_inbox(worker)) != NULL) {
+        CK_LIST_INSERT_HEAD(&worker->live[xfer->id % SLOTS], xfer, live);
+        xfer_start(xfer, worker->exchanges);
+    }
 }
 
 static void
-worker_wake(worker_t *worker)
+xfer_cancel(xfer_t *xfer)
 {
-    uint64_t one = 1;
-    ssize_t put = write(worker->wake, &one, sizeof(one));
-    (void)put; /* a full counter wakes as well */
+    exchange_cancel(xfer->exchange);
+    xfer_finish(xfer, HTTP_END_CANCELLED);
 }
 
-static int
-wait_ms(const worker_t *worker)
+static void
+cancel_one(worker_t *worker, uint64_t id)
 {
-    if (worker->due_ms < 0) {
-        return POLL_MS;
+    xfer_t *xfer;
+    CK_LIST_FOREACH (xfer, &worker->live[id % SLOTS], live) {
+        if (xfer->id == id) {
+            xfer_cancel(xfer);
+            return;
+        }
     }
-    int64_t left = worker->due_ms - time_mono_ms();
-    return left < 0 ? 0 : left > POLL_MS ? POLL_MS : (int)left;
 }
 
 static void
-take_socket(worker_t *worker, const struct epoll_event *event)
+cancel_asked(worker_t *worker)
 {
-    int running;
-    int what =
-        ((event->events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
-        ((event->events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
-        ((event->events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
-    uint64_t count;
-    if (event->data.fd == worker->wake) {
-        ssize_t got = read(worker->wake, &count, sizeof(count));
-        (void)got;
-        return;
+    (void)pthread_mutex_lock(&worker->lock);
+    CLEAN_BUF buf_t cancels = worker->cancels;
+    worker->cancels = (buf_t){0};
+    (void)pthread_mutex_unlock(&worker->lock);
+    for (size_t at = 0; at < cancels.len; at += sizeof(uint64_t)) {
+        uint64_t id;
+        memcpy(&id, cancels.data + at, sizeof(id));
+        cancel_one(worker, id);
     }
-    (void)curl_multi_socket_action(worker->multi, event->data.fd, what,
-                                   &running);
 }
 
 static void
-worker_wait(worker_t *worker)
+cancel_all(worker_t *worker)
 {
-    struct epoll_event events[EVENTS_MAX];
-    int running;
-    int count = epoll_wait(worker->epoll, events, EVENTS_MAX, wait_ms(worker));
-    for (int i = 0; i < count; i++) {
-        take_socket(worker, &events[i]);
-    }
-    if (worker->due_ms >= 0 && time_mono_ms() >= worker->due_ms) {
-        worker->due_ms = -1;
-        (void)curl_multi_socket_action(worker->multi, CURL_SOCKET_TIMEOUT, 0,
-                                       &running);
+    for (size_t i = 0; i < SLOTS; i++) {
+        xfer_t *xfer;
+        while ((xfer = CK_LIST_FIRST(&worker->live[i])) != NULL) {
+            xfer_cancel(xfer);
+        }
     }
 }
 
-static void *
-worker_run(void *arg)
+static void
+on_wake(void *arg)
 {
     worker_t *worker = arg;
-    while (!__atomic_load_n(&worker->stop, __ATOMIC_ACQUIRE)) {
-        worker_take_inbox(worker);
-        worker_take_cancels(worker);
-        worker_wait(worker);
-        worker_take_ended(worker);
+    start_new(worker);
+    cancel_asked(worker);
+    if (loop_stopping(&worker->loop)) {
+        cancel_all(worker);
     }
-    worker_end_all(worker);
-    return NULL;
 }
 
+static void
+on_sweep(evutil_socket_t fd, short what, void *arg)
+{
+    worker_t *worker = arg;
+    (void)fd;
+    (void)what;
+    exchanges_sweep(worker->exchanges);
+}
+
+/* ---- from any thread ---- */
+
 static void
 worker_start(worker_t *worker)
 {
-    struct epoll_event event = {.events = EPOLLIN};
+    static const struct timeval sweep = {0, SWEEP_MS * 1000};
     (void)pthread_mutex_init(&worker->lock, NULL);
-    worker->due_ms = -1;
-    worker->epoll = epoll_create1(EPOLL_CLOEXEC);
-    worker->wake = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-    event.data.fd = worker->wake;
-    (void)epoll_ctl(worker->epoll, EPOLL_CTL_ADD, worker->wake, &event);
-    worker->multi = curl_multi_init();
-    (void)curl_multi_setopt(worker->multi, CURLMOPT_MAXCONNECTS,
-                            (long)CONNECTIONS_KEPT);
-    (void)curl_multi_setopt(worker->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
-    (void)curl_multi_setopt(worker->multi, CURLMOPT_SOCKETDATA, worker);
-    (void)curl_multi_setopt(worker->multi, CURLMOPT_TIMERFUNCTION, on_timer);
-    (void)curl_multi_setopt(worker->multi, CURLMOPT_TIMERDATA, worker);
     CK_STAILQ_INIT(&worker->inbox);
-    (void)pthread_create(&worker->thread, NULL, worker_run, worker);
+    loop_open(&worker->loop, on_wake, worker);
+    worker->exchanges = exchanges_new(worker->loop.base);
+    worker->sweep =
+        event_new(worker->loop.base, -1, EV_PERSIST, on_sweep, worker);
+    (void)event_add(worker->sweep, &sweep);
+    loop_start(&worker->loop);
 }
 
 static void
 worker_stop(worker_t *worker)
 {
-    __atomic_store_n(&worker->stop, true, __ATOMIC_RELEASE);
-    worker_wake(worker);
-    (void)pthread_join(worker->thread, NULL);
-    (void)curl_multi_cleanup(worker->multi);
-    (void)close(worker->epoll);
-    (void)close(worker->wake);
+    loop_join(&worker->loop);
+    on_wake(worker); /* what came behind the last turn */
+    exchanges_free(worker->exchanges);
+    event_free(worker->sweep);
+    loop_close(&worker->loop);
     buf_free(&worker->cancels);
     (void)pthread_mutex_destroy(&worker->lock);
 }
@@ -419,12 +359,13 @@
     (void)pthread_mutex_lock(&client->lock);
     uint64_t id = ++client->next;
     (void)pthread_mutex_unlock(&client->lock);
-    http_xfer_t *xfer = xfer_new(call, id);
+    xfer_t *xfer = xfer_new(call, id);
     worker_t *worker = &client->workers[id % client->threads];
+    xfer->worker = worker;
     (void)pthread_mutex_lock(&worker->lock);
     CK_STAILQ_INSERT_TAIL(&worker->inbox, xfer, inbox);
     (void)pthread_mutex_unlock(&worker->lock);
-    worker_wake(worker);
+    loop_wake(&worker->loop);
     return id;
 }
 
@@ -436,7 +377,7 @@
     (void)pthread_mutex_lock(&worker->lock);
     buf_add(&worker->cancels, &id, sizeof(id));
     (void)pthread_mutex_unlock(&worker->lock);
-    worker_wake(worker);
+    loop_wake(&worker->loop);
 }
 
 static void
@@ -452,17 +393,20 @@
 http_fetch(const http_call_t *call, int *status, buf_t *reply)
 {
     http_call_t mine = *call;
+    mine.on_header = NULL;
     mine.on_data = fetch_on_data;
     mine.arg = reply;
-    if (mine.on_header != NULL) {
-        mine.on_header = NULL;
+    struct event_base *base = event_base_new();
+    exchanges_t *exchanges = exchanges_new(base);
+    xfer_t *xfer = xfer_new(&mine, 0);
+    xfer_start(xfer, exchanges);
+    while (!xfer->over) {
+        (void)event_base_loop(base, EVLOOP_ONCE);
     }
-    http_xfer_t *xfer = xfer_new(&mine, 0);
-    CURLcode code = curl_easy_perform(xfer->easy);
-    long answer = 0;
-    (void)curl_easy_getinfo(xfer->easy, CURLINFO_RESPONSE_CODE, &answer);
-    *status = (int)answer;
-    http_end_t end = xfer_end(xfer->easy, code);
+    http_end_t end = xfer->end;
+    *status = xfer->status;
     xfer_free(xfer);
+    exchanges_free(exchanges);
+    event_base_free(base);
     return end;
 }
--- a/relay/door.c
+++ b/kernel/http-door.c
@@ -1,15 +1,17 @@
-#include "relay.h"
+#include "http-door.h"
 
+#include <ck_queue.h>
 #include <errno.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
 #include <http_parser.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-
-/* The callers' side: connections, whole requests off them, answers onto
- * them.  A connection serves one request after the other. */
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Connections that wait to be accepted: a herd of callers that comes back at
  * once must not be dropped, since a dropped opening is sent again only after
@@ -17,17 +19,13 @@
 #define DOOR_BACKLOG 4096
 /* What a caller may send ahead of its turn, bytes.  Reading then stops. */
 #define READ_AHEAD_MAX 262144
-/* Heads of a readiness question, bytes. */
-#define READY_HEAD_MAX 8192
 /* A connection that is closed behind an error takes what the caller still
  * sends for so long, ms: closing at once would reset it, and the caller could
  * lose the answer. */
 #define LINGER_MS 1000
-/* In force until a configuration says otherwise. */
-#define HEAD_BYTES_DEFAULT 16384
-#define BODY_BYTES_DEFAULT 4194304
-#define HEAD_MS_DEFAULT 3000
-#define IDLE_MS_DEFAULT 15000
+/* A caller that takes nothing of what is written to it for so long is gone, s:
+ * twice the longest deadline that callers set. */
+#define UNREAD_S 30
 
 typedef enum {
     CALLER_IDLE,    /* between requests */
@@ -38,40 +36,47 @@
 
 struct caller {
     CK_LIST_ENTRY(caller) entry;
-    relay_t *relay;
+    http_door_t *door;
     struct bufferevent *bev;
     http_reader_t reader;
     buf_t body;
-    request_t *request;
+    void *owner; /* of the request that is being answered */
     caller_state_t state;
     bool last;     /* close behind this answer */
     bool too_long; /* the body is over the limit */
-    bool streaming;
-    bool in_step; /* caller_step runs; it goes on by itself */
+    bool in_step;  /* caller_step runs; it goes on by itself */
     struct event *timer;
 };
 
+typedef CK_LIST_HEAD(caller_list, caller) caller_list_t;
+
+struct http_door {
+    struct event_base *base;
+    struct evconnlistener *listener; /* NULL once it takes no one in */
+    door_hooks_t hooks;
+    size_t callers_max;
+    caller_list_t callers;
+    size_t caller_count; /* read by other threads too */
+    bool leaving;        /* each answer is the last of its connection */
+};
+
 static void caller_step(caller_t *caller);
 
 static edge_limits_t
-limits_of(const relay_t *relay)
+limits_of(const http_door_t *door)
 {
-    if (relay->config != NULL) {
-        return relay->config->limits;
-    }
-    return (edge_limits_t){HEAD_BYTES_DEFAULT, BODY_BYTES_DEFAULT,
-                           HEAD_MS_DEFAULT, IDLE_MS_DEFAULT};
+    return door->hooks.limits(door->hooks.arg);
 }
 
 static void
 caller_free(caller_t *caller)
 {
-    relay_t *relay = caller->relay;
-    if (caller->request != NULL) {
-        request_caller_left(caller->request);
+    http_door_t *door = caller->door;
+    if (caller->owner != NULL) {
+        door->hooks.on_left(caller->owner);
     }
     CK_LIST_REMOVE(caller, entry);
-    relay->caller_count--;
+    __atomic_sub_fetch(&door->caller_count, 1, __ATOMIC_RELAXED);
     event_free(caller->timer);
     bufferevent_free(caller->bev);
     http_reader_free(&caller->reader);
@@ -87,7 +92,8 @@
 }
 
 /* A head that does not end, or a caller that stays idle, holds a connection
- * for nothing. */
+ * for nothing.  One that still takes its last answer is not idle: closed at
+ * that moment it would get a part of it. */
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -99,6 +105,11 @@
         caller_answer(caller, 408, NULL, "", 0);
         return;
     }
+    if (caller_unwritten(caller) > 0) {
+        int64_t idle_ms = limits_of(caller->door).idle_ms;
+        caller_timer(caller, idle_ms > 0 ? idle_ms : LINGER_MS);
+        return;
+    }
     caller_free(caller);
 }
 
@@ -106,7 +117,7 @@
 on_body(void *arg, const char *data, size_t len)
 {
     caller_t *caller = arg;
-    edge_limits_t limits = limits_of(caller->relay);
+    edge_limits_t limits = limits_of(caller->door);
     if (caller->body.len + len > (size_t)limits.body_bytes) {
         caller->too_long = true;
         return;
@@ -115,13 +126,24 @@
 }
 
 static void
-answer_bad(caller_t *caller, int status, const char *why)
+answer_unreadable(caller_t *caller, int status, const char *why)
 {
+    const door_hooks_t *hooks = &caller->door->hooks;
     log_info("door", "A request was answered %d: %s.", status, why);
     caller->last = true;
+    if (hooks->on_unreadable != NULL) {
+        hooks->on_unreadable(hooks->arg, caller, status, why);
+        return;
+    }
     caller_answer(caller, status, NULL, "", 0);
 }
 
+static void
+answer_too_long(caller_t *caller)
+{
+    answer_unreadable(caller, 413, "the body is longer than the limit");
+}
+
 /* Whether the length that a head names is over the limit: it is told before
  * the body has come. */
 static bool
@@ -135,14 +157,14 @@
 on_head(caller_t *caller)
 {
     const http_head_t *head = &caller->reader.head;
-    edge_limits_t limits = limits_of(caller->relay);
+    edge_limits_t limits = limits_of(caller->door);
     caller->last = !head->keep_alive;
     if (caller->reader.state == READER_BODY &&
         length_over(caller, (size_t)limits.body_bytes)) {
-        answer_bad(caller, 413, "the body is longer than the limit");
+        answer_too_long(caller);
         return;
     }
-    if (http_head_find(head, wire_header_name(HEADER_EXPECT)) != NULL) {
+    if (http_head_find(head, "Expect") != NULL) {
         static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
         (void)bufferevent_write(caller->bev, go_on, sizeof(go_on) - 1);
     }
@@ -151,9 +173,10 @@
 static void
 hand_over(caller_t *caller)
 {
+    const door_hooks_t *hooks = &caller->door->hooks;
     caller->state = CALLER_WAITING;
     (void)event_del(caller->timer);
-    request_begin(caller->relay, caller, &caller->reader.head, &caller->body);
+    hooks->on_request(hooks->arg, caller, &caller->reader.head, &caller->body);
 }
 
 /* Read on as far as a whole request; false once nothing more can be done. */
@@ -167,11 +190,11 @@
     }
     if (caller->state == CALLER_IDLE) {
         caller->state = CALLER_READING;
-        caller_timer(caller, limits_of(caller->relay).head_ms);
+        caller_timer(caller, limits_of(caller->door).head_ms);
     }
     reader_state_t state = http_reader_feed(&caller->reader, in);
     if (state == READER_BAD) {
-        answer_bad(caller, caller->reader.status, caller->reader.why);
+        answer_unreadable(caller, caller->reader.status, caller->reader.why);
         return false;
     }
     if (before == READER_HEAD && state != READER_HEAD) {
@@ -181,7 +204,7 @@
         return false;
     }
     if (caller->too_long) {
-        answer_bad(caller, 413, "the body is longer than the limit");
+        answer_too_long(caller);
         return false;
     }
     if (state == READER_WHOLE) {
@@ -189,7 +212,7 @@
         return false;
     }
     if (state == READER_BODY) {
-        caller_timer(caller, limits_of(caller->relay).idle_ms);
+        caller_timer(caller, limits_of(caller->door).idle_ms);
     }
     return state == READER_BODY && evbuffer_get_length(in) > 0;
 }
@@ -203,12 +226,12 @@
         return;
     }
     caller->in_step = true;
+    struct evbuffer *in = bufferevent_get_input(caller->bev);
     while (caller->state == CALLER_IDLE || caller->state == CALLER_READING) {
-        caller_state_t before = caller->state;
-        if (!read_on(caller) && caller->state != CALLER_IDLE) {
-            break;
-        }
-        if (before == CALLER_IDLE && caller->state == CALLER_IDLE) {
+        bool more = read_on(caller);
+        bool next =
+            caller->state == CALLER_IDLE && evbuffer_get_length(in) > 0;
+        if (!more && !next) {
             break;
         }
     }
@@ -233,8 +256,13 @@
 on_written(struct bufferevent *bev, void *arg)
 {
     caller_t *caller = arg;
+    const door_hooks_t *hooks = &caller->door->hooks;
     if (caller->state == CALLER_CLOSING) {
         (void)shutdown(bufferevent_getfd(bev), SHUT_WR);
+        return;
+    }
+    if (caller->owner != NULL && hooks->on_drained != NULL) {
+        hooks->on_drained(caller->owner);
     }
 }
 
@@ -242,7 +270,7 @@
 on_event(struct bufferevent *bev, short what, void *arg)
 {
     (void)bev;
-    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
         caller_free(arg);
     }
 }
@@ -251,160 +279,97 @@
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
           struct sockaddr *from, int len, void *arg)
 {
-    relay_t *relay = arg;
+    static const struct timeval unread = {UNREAD_S, 0};
+    http_door_t *door = arg;
     int on = 1;
     (void)listener;
     (void)from;
     (void)len;
+    if (door->callers_max > 0 && door->caller_count >= door->callers_max) {
+        log_warn("door", "A connection was closed: %zu are open.",
+                 door->caller_count);
+        (void)close(fd);
+        return;
+    }
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    edge_limits_t limits = limits_of(relay);
+    edge_limits_t limits = limits_of(door);
     caller_t *caller = mem_zalloc(sizeof(*caller));
-    caller->relay = relay;
+    caller->door = door;
     caller->bev =
-        bufferevent_socket_new(relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
-    caller->timer = evtimer_new(relay->base, on_timer, caller);
+        bufferevent_socket_new(door->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    caller->timer = evtimer_new(door->base, on_timer, caller);
     http_reader_init(&caller->reader, false, (size_t)limits.head_bytes,
                      on_body, caller);
     bufferevent_setcb(caller->bev, on_read, on_written, on_event, caller);
     bufferevent_setwatermark(caller->bev, EV_READ, 0, READ_AHEAD_MAX);
-    CK_LIST_INSERT_HEAD(&relay->callers, caller, entry);
-    relay->caller_count++;
+    (void)bufferevent_set_timeouts(caller->bev, NULL, &unread);
+    CK_LIST_INSERT_HEAD(&door->callers, caller, entry);
+    __atomic_add_fetch(&door->caller_count, 1, __ATOMIC_RELAXED);
     caller_timer(caller, limits.idle_ms);
     (void)bufferevent_enable(caller->bev, EV_READ | EV_WRITE);
 }
 
-/* The balancer's question is answered on its own address, by the status
- * alone. */
-static void
-on_ready_read(struct bufferevent *bev, void *arg)
-{
-    relay_t *relay = arg;
-    struct evbuffer *in = bufferevent_get_input(bev);
-    struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
-    if (end.pos < 0) {
-        if (evbuffer_get_length(in) > READY_HEAD_MAX) {
-            bufferevent_free(bev);
-        }
-        return;
-    }
-    (void)evbuffer_drain(in, (size_t)end.pos + 4);
-    int status = relay_ready(relay) ? 200 : 503;
-    (void)evbuffer_add_printf(bufferevent_get_output(bev),
-                              "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n",
-                              status, http_status_str(status));
-}
-
-/* Whoever gathers metrics asks on their own address, by any path but those of
- * what other daemons ask for. */
-static void
-on_metrics_read(struct bufferevent *bev, void *arg)
-{
-    struct evbuffer *in = bufferevent_get_input(bev);
-    struct evbuffer *out = bufferevent_get_output(bev);
-    struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
-    CLEAN_BUF buf_t text = {0};
-    if (end.pos < 0) {
-        if (evbuffer_get_length(in) > READY_HEAD_MAX) {
-            bufferevent_free(bev);
-        }
-        return;
+/* A socket that listens at an address of this host, or -1. */
+evutil_socket_t
+http_listen(const char *addr, err_t *err)
+{
+    struct sockaddr_in at;
+    int len = (int)sizeof(at);
+    int on = 1;
+    if (evutil_parse_sockaddr_port(addr, (struct sockaddr *)&at, &len) != 0 ||
+        at.sin_family != AF_INET) {
+        (void)err_set(err, ERR_HTTP, 1, "%s is no IPV4:PORT", addr);
+        return -1;
     }
-    char line[CS_ADDR_MAX * 4] = "";
-    char path[CS_ADDR_MAX * 4] = "";
-    (void)evbuffer_copyout(in, line, sizeof(line) - 1);
-    (void)sscanf(line, "GET %255[^ ?]", path);
-    (void)evbuffer_drain(in, (size_t)end.pos + 4);
-    kind_t kind;
-    int status = 200;
-    if (!platform_kind_of(path, &kind)) {
-        relay_metrics(arg, &text);
+    evutil_socket_t fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd >= 0) {
+        (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     }
-    else if (!kept_page(arg, kind, &text)) {
-        status = 404;
+    if (fd < 0 || bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
+        listen(fd, DOOR_BACKLOG) != 0) {
+        (void)err_set(err, ERR_HTTP, 1, "cannot listen at %s: %s", addr,
+                      strerror(errno));
+        if (fd >= 0) {
+            (void)close(fd);
+        }
+        return -1;
     }
-    (void)evbuffer_add_printf(out,
-                              "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
-                              "Content-Length: %zu\r\n\r\n",
-                              status, http_status_str(status), text.len);
-    (void)evbuffer_add(out, text.data, text.len);
+    return fd;
 }
 
-static void
-on_ready_event(struct bufferevent *bev, short what, void *arg)
+/* Serve callers that come to a listening socket. */
+http_door_t *
+http_door_open(struct event_base *base, const door_ask_t *ask)
 {
-    (void)arg;
-    (void)what;
-    bufferevent_free(bev);
+    http_door_t *door = mem_zalloc(sizeof(*door));
+    door->base = base;
+    door->hooks = ask->hooks;
+    door->callers_max = ask->callers_max;
+    CK_LIST_INIT(&door->callers);
+    door->listener = evconnlistener_new(
+        base, on_accept, door, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+        0, ask->fd);
+    return door;
 }
 
-/* A connection of the balancer or of whoever gathers metrics. */
-static void
-accept_small(relay_t *relay, evutil_socket_t fd, bufferevent_data_cb on_asked)
-{
-    /* The balancer asks every second or so; a connection that is silent for
-     * longer is not its. */
-    static const struct timeval silent = {30, 0};
-    struct bufferevent *bev =
-        bufferevent_socket_new(relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(bev, on_asked, NULL, on_ready_event, relay);
-    (void)bufferevent_set_timeouts(bev, &silent, NULL);
-    (void)bufferevent_enable(bev, EV_READ | EV_WRITE);
-}
-
-static void
-on_ready_accept(struct evconnlistener *listener, evutil_socket_t fd,
-                struct sockaddr *from, int len, void *arg)
-{
-    (void)listener;
-    (void)from;
-    (void)len;
-    accept_small(arg, fd, on_ready_read);
-}
-
-static void
-on_metrics_accept(struct evconnlistener *listener, evutil_socket_t fd,
-                  struct sockaddr *from, int len, void *arg)
+/* From now on each answer is the last of its connection. */
+void
+http_door_leave(http_door_t *door)
 {
-    (void)listener;
-    (void)from;
-    (void)len;
-    accept_small(arg, fd, on_metrics_read);
+    door->leaving = true;
 }
 
-static struct evconnlistener *
-listen_at(relay_t *relay, const char *addr, evconnlistener_cb accepted,
-          err_t *err)
+/* Take no new connection; those that are open are served on.  A caller that
+ * comes now is refused by the host itself, so nothing of its request has run.
+ */
+void
+http_door_quiesce(http_door_t *door)
 {
-    struct sockaddr_in at;
-    int len = (int)sizeof(at);
-    if (evutil_parse_sockaddr_port(addr, (struct sockaddr *)&at, &len) != 0) {
-        (void)err_set(err, ERR_HTTP, 1, "%s is no IPV4:PORT", addr);
-        return NULL;
+    if (door->listener != NULL) {
+        evconnlistener_free(door->listener);
+        door->listener = NULL;
     }
-    struct evconnlistener *listener = evconnlistener_new_bind(
-        relay->base, accepted, relay,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-        DOOR_BACKLOG, (struct sockaddr *)&at, len);
-    if (listener == NULL) {
-        (void)err_set(err, ERR_HTTP, 1, "cannot listen at %s: %s", addr,
-                      strerror(errno));
-    }
-    return listener;
-}
-
-/* Listen for callers, the balancer and whoever gathers metrics. */
-int
-door_open(relay_t *relay, err_t *err)
-{
-    relay->ready_door =
-        listen_at(relay, relay->settings.ready, on_ready_accept, err);
-    relay->metrics_door =
-        listen_at(relay, relay->settings.metrics, on_metrics_accept, err);
-    relay->door = listen_at(relay, relay->settings.http, on_accept, err);
-    return relay->door != NULL && relay->ready_door != NULL &&
-                   relay->metrics_door != NULL
-               ? 0
-               : -1;
 }
 
 /* Nothing has come that is not served and nothing is left to leave.  The end
@@ -421,27 +386,43 @@
 /* Take no new connection, and close those between two requests.  Called again
  * until all are closed. */
 void
-door_shut(relay_t *relay)
+http_door_shut(http_door_t *door)
 {
     caller_t *caller;
     caller_t *next;
-    if (relay->door != NULL) {
-        evconnlistener_free(relay->door);
-        relay->door = NULL;
-    }
-    CK_LIST_FOREACH_SAFE (caller, &relay->callers, entry, next) {
+    http_door_quiesce(door);
+    CK_LIST_FOREACH_SAFE (caller, &door->callers, entry, next) {
         if (is_quiet(caller)) {
             caller_free(caller);
         }
     }
 }
 
+/* Cut what is still open and free the door. */
+void
+http_door_free(http_door_t *door)
+{
+    caller_t *caller;
+    http_door_quiesce(door);
+    while ((caller = CK_LIST_FIRST(&door->callers)) != NULL) {
+        caller_free(caller);
+    }
+    free(door);
+}
+
+/* Connections that are open now; from any thread. */
+size_t
+http_door_callers(const http_door_t *door)
+{
+    return __atomic_load_n(&door->caller_count, __ATOMIC_RELAXED);
+}
+
 static void
 write_head(caller_t *caller, int status, const buf_t *headers,
            const char *framing)
 {
     struct evbuffer *out = bufferevent_get_output(caller->bev);
-    if (caller->relay->stopping_ms != 0) {
+    if (caller->door->leaving) {
         caller->last = true;
     }
     (void)evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", status,
@@ -453,26 +434,32 @@
         out, "%s%s\r\n", caller->last ? "Connection: close\r\n" : "", framing);
 }
 
+/* End the connection once all has left. */
+static void
+caller_close(caller_t *caller)
+{
+    caller->state = CALLER_CLOSING;
+    caller_timer(caller, LINGER_MS);
+    if (evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0) {
+        (void)shutdown(bufferevent_getfd(caller->bev), SHUT_WR);
+    }
+}
+
 /* The answer is complete: the connection waits for the next request, or
- * closes when all has left. */
+ * closes. */
 static void
 caller_done(caller_t *caller)
 {
-    caller->request = NULL;
-    caller->streaming = false;
+    caller->owner = NULL;
     caller->body.len = 0;
     caller->too_long = false;
     if (caller->last) {
-        caller->state = CALLER_CLOSING;
-        caller_timer(caller, LINGER_MS);
-        if (evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0) {
-            (void)shutdown(bufferevent_getfd(caller->bev), SHUT_WR);
-        }
+        caller_close(caller);
         return;
     }
     http_reader_next(&caller->reader);
     caller->state = CALLER_IDLE;
-    caller_timer(caller, limits_of(caller->relay).idle_ms);
+    caller_timer(caller, limits_of(caller->door).idle_ms);
     caller_step(caller);
 }
 
@@ -496,7 +483,6 @@
 void
 caller_stream_begin(caller_t *caller, int status, const buf_t *headers)
 {
-    caller->streaming = true;
     write_head(caller, status, headers, "Transfer-Encoding: chunked\r\n");
 }
 
@@ -524,19 +510,22 @@
 void
 caller_break(caller_t *caller)
 {
-    caller->request = NULL;
+    caller->owner = NULL;
     caller->last = true;
-    caller->state = CALLER_CLOSING;
-    caller_timer(caller, LINGER_MS);
-    if (evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0) {
-        (void)shutdown(bufferevent_getfd(caller->bev), SHUT_WR);
-    }
+    caller_close(caller);
 }
 
-/* The request that the connection waits for; it is told when the caller
- * leaves. */
+/* What the connection answers now; its owner is told when the caller leaves.
+ */
 void
-caller_serves(caller_t *caller, request_t *request)
+caller_serves(caller_t *caller, void *owner)
+{
+    caller->owner = owner;
+}
+
+/* Bytes that were written and have not left. */
+size_t
+caller_unwritten(const caller_t *caller)
 {
-    caller->request = request;
+    return evbuffer_get_length(bufferevent_get_output(caller->bev));
 }
--- a/relay/http-reader.h
+++ b/kernel/http-reader.h
@@ -6,7 +6,7 @@
  * order and repeats of headers on unchanged, and refuses what two parsers
  * could take in two ways. */
 
-#include "../kernel/base.h"
+#include "base.h"
 
 #include <event2/buffer.h>
 #include <http_parser.h>
--- a/kernel/http-server.c
+++ b/kernel/http-server.c
@@ -1,57 +1,93 @@
 #include "http.h"
+#include "http-door.h"
+#include "loop.h"
 
-#include <arpa/inet.h>
+#include <ck_queue.h>
 #include <ctype.h>
-#include <microhttpd.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-#define REPLY_HEADERS_MAX 8
-#define CONNECTION_MEMORY (32 * 1024)
-#define STREAM_BLOCK (16 * 1024)
+/* A server whose answers may come later and from any thread: a few loops, each
+ * with a door at the same listening socket.  An answer is left with its
+ * request, and the request with the loop that its connection belongs to. */
+
+#define HEAD_BYTES 32768
+/* A head that takes longer than this is given up, ms. */
+#define HEAD_MS 10000
+/* Where the owner names no time for idle connections, s. */
+#define IDLE_S_DEFAULT 60
+/* Bytes that a connection holds beyond what its caller takes; the rest waits
+ * with the request, where its backlog is seen. */
+#define UNWRITTEN_MAX 65536
+
+typedef struct text {
+    CK_SLIST_ENTRY(text) entry;
+    char data[];
+} text_t;
+
+typedef CK_SLIST_HEAD(text_list, text) text_list_t;
+typedef CK_STAILQ_HEAD(req_queue, http_req) req_queue_t;
+
+/* Its lock is a leaf behind a request's. */
+typedef struct {
+    http_server_t *server;
+    loop_t loop;
+    http_door_t *door;
+    pthread_mutex_t lock;
+    req_queue_t answered; /* requests with something to write */
+    bool writing;         /* the loop goes through them */
+} worker_t;
 
 struct http_server {
-    struct MHD_Daemon *mhd;
     http_server_opts_t opts;
+    unsigned threads;
     bool closing;
+    worker_t *workers;
 };
 
-/* Lock order: a request's lock is a leaf; nothing else is taken under it
- * but libmicrohttpd's own in suspend and resume. */
+/* How far an answer is. */
+typedef enum {
+    REPLY_NONE,
+    REPLY_WHOLE,  /* status, headers and body are there */
+    REPLY_STREAM, /* status and headers are there, the body comes by and by */
+    REPLY_CUT     /* none will come */
+} reply_t;
+
+/* Lock order: a request's lock, then its worker's. */
 struct http_req {
+    CK_STAILQ_ENTRY(http_req) answered;
     pthread_mutex_t lock;
     unsigned refs;
-    http_server_t *server;
-    struct MHD_Connection *conn; /* NULL once the connection has ended */
+    worker_t *worker;
+    caller_t *caller; /* NULL once the connection has ended or is answered */
+    http_head_t head; /* a copy: the connection's may go before it */
     char method[16];
     char *path;
     buf_t body;
-    bool too_long;
-    bool handed;    /* the handler has been called */
-    bool ready;     /* status and headers are known */
-    bool queued;    /* the response is libmicrohttpd's now */
-    bool suspended; /* the connection sleeps until ready or data */
-    bool streaming;
+    text_list_t texts; /* what the handler was shown */
+    bool queued;       /* it is among the answered */
+    reply_t reply;
+    bool begun; /* the head of a stream was written */
     bool ended;
     bool whole;
     int status;
-    char *names[REPLY_HEADERS_MAX];
-    char *values[REPLY_HEADERS_MAX];
-    unsigned headers;
+    buf_t headers; /* of the answer, as lines */
     buf_t out;
-    size_t out_at;
 };
 
 static void
 req_free(http_req_t *req)
 {
-    for (unsigned i = 0; i < req->headers; i++) {
-        free(req->names[i]);
-        free(req->values[i]);
+    text_t *text;
+    while ((text = CK_SLIST_FIRST(&req->texts)) != NULL) {
+        CK_SLIST_REMOVE_HEAD(&req->texts, entry);
+        free(text);
     }
+    buf_free(&req->head.text);
     buf_free(&req->body);
+    buf_free(&req->headers);
     buf_free(&req->out);
     free(req->path);
     (void)pthread_mutex_destroy(&req->lock);
@@ -78,211 +114,284 @@
     }
 }
 
-/* Wake the connection if it sleeps.  The caller holds the request's lock,
- * so the wake cannot fall between the sleeper's check and its sleep. */
+/* ---- on the loop's thread ---- */
+
+/* The connection has no more to do with the request. */
 static void
-req_wake(http_req_t *req)
+req_detach(http_req_t *req)
 {
-    if (req->suspended && req->conn != NULL) {
-        req->suspended = false;
-        MHD_resume_connection(req->conn);
-    }
+    (void)pthread_mutex_lock(&req->lock);
+    req->caller = NULL;
+    (void)pthread_mutex_unlock(&req->lock);
+    http_req_release(req);
 }
 
 static void
-req_suspend(http_req_t *req)
+on_left(void *owner)
 {
-    req->suspended = true;
-    MHD_suspend_connection(req->conn);
+    req_detach(owner);
 }
 
-/* Feed libmicrohttpd from the buffer, or put the connection to sleep. */
-static ssize_t
-req_read(void *cls, uint64_t pos, char *out, size_t max)
+/* Once the reply is whole nobody else changes what is read here. */
+static void
+write_whole(http_req_t *req)
 {
-    (void)pos;
-    http_req_t *req = cls;
-    LOCK_SCOPE(&req->lock);
-    size_t have = req->out.len - req->out_at;
-    if (have == 0 && req->ended) {
-        return req->whole ? MHD_CONTENT_READER_END_OF_STREAM
-                          : MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    if (have == 0) {
-        req_suspend(req);
-        return 0;
-    }
-    size_t take = have < max ? have : max;
-    memcpy(out, req->out.data + req->out_at, take);
-    req->out_at += take;
-    if (req->out_at == req->out.len) {
-        req->out.len = 0;
-        req->out_at = 0;
-    }
-    return (ssize_t)take;
-}
-
-/* Hand the response to libmicrohttpd.  Not under the request's lock, since
- * libmicrohttpd calls req_read under a lock of the response's own; once the
- * request is ready, what is read here does not change. */
-static enum MHD_Result
-req_queue(http_req_t *req)
-{
-    struct MHD_Response *response =
-        req->streaming
-            ? MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, STREAM_BLOCK,
-                                                req_read, req, NULL)
-            : MHD_create_response_from_buffer(req->out.len, req->out.data,
-                                              MHD_RESPMEM_MUST_COPY);
-    if (response == NULL) {
-        return MHD_NO;
-    }
-    for (unsigned i = 0; i < req->headers; i++) {
-        (void)MHD_add_response_header(response, req->names[i], req->values[i]);
-    }
-    if (__atomic_load_n(&req->server->closing, __ATOMIC_ACQUIRE)) {
-        (void)MHD_add_response_header(response, "Connection", "close");
-    }
-    req->queued = true;
-    enum MHD_Result result =
-        MHD_queue_response(req->conn, (unsigned)req->status, response);
-    MHD_destroy_response(response);
-    return result;
+    caller_t *caller = req->caller;
+    caller_serves(caller, NULL);
+    caller_answer(caller, req->status, &req->headers, buf_text(&req->out),
+                  req->out.len);
+    req_detach(req);
 }
 
-static http_req_t *
-req_new(http_server_t *server, struct MHD_Connection *conn, const char *method,
-        const char *path)
+/* Pass on what has gathered; true once the stream is over. */
+static bool
+write_stream(http_req_t *req)
 {
-    http_req_t *req = mem_zalloc(sizeof(*req));
-    (void)pthread_mutex_init(&req->lock, NULL);
-    req->refs = 1;
-    req->server = server;
-    req->conn = conn;
-    str_copy(req->method, sizeof(req->method), method);
-    req->path = strdup(path);
-    return req;
+    caller_t *caller = req->caller;
+    if (!req->begun) {
+        req->begun = true;
+        caller_stream_begin(caller, req->status, &req->headers);
+    }
+    if (caller_unwritten(caller) >= UNWRITTEN_MAX) {
+        return false; /* goes on when that has left */
+    }
+    LOCK_SCOPE(&req->lock);
+    size_t len = req->out.len < UNWRITTEN_MAX ? req->out.len : UNWRITTEN_MAX;
+    caller_stream_data(caller, buf_text(&req->out), len);
+    buf_drop(&req->out, len);
+    return req->ended && req->out.len == 0;
 }
 
 static void
-req_take_body(http_req_t *req, const char *data, size_t len)
+write_end(http_req_t *req, bool whole)
 {
-    if (req->body.len + len > req->server->opts.body_max) {
-        req->too_long = true;
-        buf_free(&req->body);
+    caller_t *caller = req->caller;
+    caller_serves(caller, NULL);
+    req_detach(req);
+    if (whole) {
+        caller_stream_end(caller);
     }
-    if (!req->too_long) {
-        buf_add(&req->body, data, len);
+    else {
+        caller_break(caller);
     }
 }
 
 static void
-req_hand_over(http_req_t *req)
+req_write(http_req_t *req)
 {
-    if (req->too_long) {
-        http_req_reply_error(req, 413, "body_too_large",
-                             "the body may have at most %zu bytes",
-                             req->server->opts.body_max);
-        return;
+    (void)pthread_mutex_lock(&req->lock);
+    reply_t reply = req->caller == NULL ? REPLY_NONE : req->reply;
+    (void)pthread_mutex_unlock(&req->lock);
+    switch (reply) {
+        case REPLY_NONE:
+            return;
+        case REPLY_WHOLE:
+            write_whole(req);
+            return;
+        case REPLY_STREAM:
+            if (write_stream(req)) {
+                write_end(req, req->whole);
+            }
+            return;
+        case REPLY_CUT:
+            write_end(req, false);
+            return;
     }
-    req->server->opts.handler(req, req->server->opts.arg);
 }
 
-/* Called by libmicrohttpd for the head, each piece of the body, its end, and
- * again after each resume until a response is queued. */
-static enum MHD_Result
-server_access(void *cls, struct MHD_Connection *conn, const char *url,
-              const char *method, const char *version, const char *data,
-              size_t *data_len, void **slot)
+static http_req_t *
+take_answered(worker_t *worker)
 {
-    (void)version;
-    http_req_t *req = *slot;
-    if (req == NULL) {
-        *slot = req_new(cls, conn, method, url);
-        return MHD_YES;
+    LOCK_SCOPE(&worker->lock);
+    http_req_t *req = CK_STAILQ_FIRST(&worker->answered);
+    if (req != NULL) {
+        CK_STAILQ_REMOVE_HEAD(&worker->answered, answered);
+        req->queued = false;
     }
-    if (*data_len > 0) {
-        req_take_body(req, data, *data_len);
-        *data_len = 0;
-        return MHD_YES;
+    return req;
+}
+
+/* Write what has been answered.  An answer can let its connection's next
+ * request begin, whose handler comes back here; the outer turn goes on. */
+static void
+write_answered(worker_t *worker)
+{
+    http_req_t *req;
+    if (worker->writing) {
+        return;
     }
-    if (!req->handed) {
-        req->handed = true;
-        req_hand_over(req);
+    worker->writing = true;
+    while ((req = take_answered(worker)) != NULL) {
+        req_write(req);
+        http_req_release(req);
     }
-    (void)pthread_mutex_lock(&req->lock);
-    bool ready = req->ready;
-    if (!ready) {
-        req_suspend(req);
+    worker->writing = false;
+}
+
+static void
+on_wake(void *arg)
+{
+    worker_t *worker = arg;
+    if (__atomic_load_n(&worker->server->closing, __ATOMIC_ACQUIRE)) {
+        http_door_leave(worker->door);
+        http_door_quiesce(worker->door);
     }
-    (void)pthread_mutex_unlock(&req->lock);
-    return !ready || req->queued ? MHD_YES : req_queue(req);
+    write_answered(worker);
 }
 
 static void
-server_completed(void *cls, struct MHD_Connection *conn, void **slot,
-                 enum MHD_RequestTerminationCode code)
-{
-    (void)cls;
-    (void)conn;
-    (void)code;
-    http_req_t *req = *slot;
-    if (req == NULL) {
-        return;
+on_drained(void *owner)
+{
+    req_write(owner);
+}
+
+static edge_limits_t
+limits(void *arg)
+{
+    const worker_t *worker = arg;
+    const http_server_opts_t *opts = &worker->server->opts;
+    unsigned idle_s =
+        opts->idle_seconds > 0 ? opts->idle_seconds : IDLE_S_DEFAULT;
+    return (edge_limits_t){HEAD_BYTES, (int)opts->body_max, HEAD_MS,
+                           (int)idle_s * 1000};
+}
+
+static bool
+is_escape(const char *text, size_t len)
+{
+    return len > 2 && text[0] == '%' && isxdigit((unsigned char)text[1]) &&
+           isxdigit((unsigned char)text[2]);
+}
+
+/* The length of the escaped or plain byte that a text begins with. */
+static size_t
+unit_len(const char *text, size_t len)
+{
+    return is_escape(text, len) ? 3 : 1;
+}
+
+/* A text of a URL without its escapes (RFC 3986), to be freed. */
+static char *
+unescape(const char *text, size_t len, bool plus_is_blank)
+{
+    char *out = mem_zalloc(len + 1);
+    size_t put = 0;
+    for (size_t at = 0; at < len;) {
+        size_t unit = unit_len(text + at, len - at);
+        char byte = text[at];
+        if (unit == 3) {
+            const char digits[] = {text[at + 1], text[at + 2], '\0'};
+            byte = (char)strtoul(digits, NULL, 16);
+        }
+        else if (byte == '+' && plus_is_blank) {
+            byte = ' ';
+        }
+        out[put++] = byte;
+        at += unit;
     }
-    (void)pthread_mutex_lock(&req->lock);
-    req->conn = NULL;
-    (void)pthread_mutex_unlock(&req->lock);
+    return out;
+}
+
+static http_req_t *
+req_new(worker_t *worker, caller_t *caller, const http_head_t *head,
+        buf_t *body)
+{
+    http_req_t *req = mem_zalloc(sizeof(*req));
+    const char *target = http_head_at(head, head->target);
+    const char *query = memchr(target, '?', head->target.len);
+    size_t path_len =
+        query != NULL ? (size_t)(query - target) : head->target.len;
+    (void)pthread_mutex_init(&req->lock, NULL);
+    CK_SLIST_INIT(&req->texts);
+    req->refs = 1;
+    req->worker = worker;
+    req->caller = caller;
+    req->head = *head;
+    req->head.text = (buf_t){0};
+    buf_add(&req->head.text, head->text.data, head->text.len);
+    req->body = *body;
+    *body = (buf_t){0};
+    req->path = unescape(target, path_len, false);
+    str_copy(req->method, sizeof(req->method), http_head_method(head));
+    return req;
+}
+
+static void
+on_request(void *arg, caller_t *caller, const http_head_t *head, buf_t *body)
+{
+    worker_t *worker = arg;
+    http_req_t *req = req_new(worker, caller, head, body);
+    caller_serves(caller, req);
+    http_req_hold(req);
+    worker->server->opts.handler(req, worker->server->opts.arg);
     http_req_release(req);
-    *slot = NULL;
+    write_answered(worker);
+}
+
+/* What cannot be read is answered like any other error of a caller's. */
+static void
+on_unreadable(void *arg, caller_t *caller, int status, const char *why)
+{
+    const char *code = status == 413 ? "body_too_large" : "bad_request";
+    CLEAN_BUF buf_t headers = {0};
+    CLEAN_JSON json_t *body =
+        json_pack("{s:{s:s,s:s}}", "error", "code", code, "message", why);
+    CLEAN_TEXT char *text = json_dumps(body, JSON_COMPACT);
+    (void)arg;
+    buf_str(&headers, "Content-Type: application/json\r\n");
+    caller_answer(caller, status, &headers, text, strlen(text));
+}
+
+/* ---- from any thread ---- */
+
+static void
+worker_open(worker_t *worker, http_server_t *server, evutil_socket_t fd)
+{
+    door_ask_t ask = {
+        .fd = fd,
+        .callers_max = server->opts.connections_max / server->threads,
+        .hooks = {.limits = limits,
+                  .on_request = on_request,
+                  .on_unreadable = on_unreadable,
+                  .on_left = on_left,
+                  .on_drained = on_drained,
+                  .arg = worker}};
+    worker->server = server;
+    (void)pthread_mutex_init(&worker->lock, NULL);
+    CK_STAILQ_INIT(&worker->answered);
+    loop_open(&worker->loop, on_wake, worker);
+    worker->door = http_door_open(worker->loop.base, &ask);
 }
 
 /* Start a server on an address of this host. */
 http_server_t *
 http_server_start(const http_server_opts_t *opts, err_t *err)
 {
+    evutil_socket_t fd = http_listen(opts->addr, err);
+    if (fd < 0) {
+        return NULL;
+    }
     http_server_t *server = mem_zalloc(sizeof(*server));
     server->opts = *opts;
-    char host[CS_ADDR_MAX];
-    str_copy(host, sizeof(host), opts->addr);
-    char *colon = strrchr(host, ':');
-    if (colon == NULL) {
-        free(server);
-        (void)err_set(err, ERR_HTTP, 0, "bad address %s", opts->addr);
-        return NULL;
+    server->threads = opts->threads > 0 ? opts->threads : 1;
+    server->workers = mem_zalloc(server->threads * sizeof(worker_t));
+    for (unsigned i = 0; i < server->threads; i++) {
+        worker_open(&server->workers[i], server, i == 0 ? fd : dup(fd));
     }
-    *colon = '\0';
-    struct sockaddr_in at = {.sin_family = AF_INET};
-    at.sin_port = htons((uint16_t)strtol(colon + 1, NULL, 10));
-    (void)inet_pton(AF_INET, host, &at.sin_addr);
-    server->mhd = MHD_start_daemon(
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
-        0, NULL, NULL, server_access, server, MHD_OPTION_SOCK_ADDR, &at,
-        MHD_OPTION_THREAD_POOL_SIZE, opts->threads > 1 ? opts->threads : 0,
-        MHD_OPTION_CONNECTION_LIMIT, opts->connections_max,
-        MHD_OPTION_CONNECTION_TIMEOUT, opts->idle_seconds,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-        MHD_OPTION_NOTIFY_COMPLETED, server_completed, NULL, MHD_OPTION_END);
-    if (server->mhd == NULL) {
-        free(server);
-        (void)err_set(err, ERR_HTTP, 0, "cannot listen on %s", opts->addr);
-        return NULL;
+    for (unsigned i = 0; i < server->threads; i++) {
+        loop_start(&server->workers[i].loop);
     }
     return server;
 }
 
 /* Take no more connections; those that are open are served on, each told to
- * close behind its next answer.  A caller that comes now is refused by the
- * host itself, so nothing of its request has run. */
+ * close behind its next answer. */
 void
 http_server_quiesce(http_server_t *server)
 {
-    if (__atomic_exchange_n(&server->closing, true, __ATOMIC_ACQ_REL)) {
-        return;
-    }
-    int fd = MHD_quiesce_daemon(server->mhd);
-    if (fd >= 0) {
-        (void)close(fd);
+    __atomic_store_n(&server->closing, true, __ATOMIC_RELEASE);
+    for (unsigned i = 0; i < server->threads; i++) {
+        loop_wake(&server->workers[i].loop);
     }
 }
 
@@ -290,9 +399,11 @@
 unsigned
 http_server_connections(http_server_t *server)
 {
-    const union MHD_DaemonInfo *info =
-        MHD_get_daemon_info(server->mhd, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-    return info == NULL ? 0 : info->num_connections;
+    size_t count = 0;
+    for (unsigned i = 0; i < server->threads; i++) {
+        count += http_door_callers(server->workers[i].door);
+    }
+    return (unsigned)count;
 }
 
 /* Stop; every request has been answered before, or is cut. */
@@ -302,7 +413,14 @@
     if (server == NULL) {
         return;
     }
-    MHD_stop_daemon(server->mhd);
+    for (unsigned i = 0; i < server->threads; i++) {
+        worker_t *worker = &server->workers[i];
+        loop_join(&worker->loop);
+        http_door_free(worker->door);
+        loop_close(&worker->loop);
+        (void)pthread_mutex_destroy(&worker->lock);
+    }
+    free(server->workers);
     free(server);
 }
 
@@ -312,65 +430,69 @@
     return req->method;
 }
 
+/* The path without its escapes. */
 const char *
 http_req_path(const http_req_t *req)
 {
     return req->path;
 }
 
-/* A value of the query string; only within the handler. */
-const char *
-http_req_query(http_req_t *req, const char *key)
+/* Keep a text as long as the request. */
+static const char *
+req_keep(http_req_t *req, const char *data, size_t len)
 {
-    return MHD_lookup_connection_value(req->conn, MHD_GET_ARGUMENT_KIND, key);
+    text_t *text = mem_zalloc(sizeof(*text) + len + 1);
+    memcpy(text->data, data, len);
+    CK_SLIST_INSERT_HEAD(&req->texts, text, entry);
+    return text->data;
 }
 
-/* A header's value; only within the handler. */
+/* A value of the query string without its escapes, or NULL. */
 const char *
-http_req_header(http_req_t *req, const char *name)
-{
-    return MHD_lookup_connection_value(req->conn, MHD_HEADER_KIND, name);
-}
-
-static void
-add_escaped(buf_t *out, const char *text, const char *keep)
+http_req_query(http_req_t *req, const char *key)
 {
-    for (; *text != '\0'; text++) {
-        unsigned char byte = (unsigned char)*text;
-        if (isalnum(byte) || strchr(keep, byte) != NULL) {
-            buf_add(out, text, 1);
-        }
-        else {
-            buf_fmt(out, "%%%02X", byte);
+    const char *target = http_head_at(&req->head, req->head.target);
+    const char *end = target + req->head.target.len;
+    const char *at = memchr(target, '?', req->head.target.len);
+    size_t key_len = strlen(key);
+    while (at != NULL && ++at < end) {
+        const char *next = memchr(at, '&', (size_t)(end - at));
+        size_t len = (size_t)((next != NULL ? next : end) - at);
+        if (len > key_len && memcmp(at, key, key_len) == 0 &&
+            at[key_len] == '=') {
+            CLEAN_TEXT char *value =
+                unescape(at + key_len + 1, len - key_len - 1, true);
+            return req_keep(req, value, strlen(value));
         }
+        at = next;
     }
+    return NULL;
 }
 
-static enum MHD_Result
-add_argument(void *arg, enum MHD_ValueKind kind, const char *key,
-             const char *value)
+/* A header's value, or NULL. */
+const char *
+http_req_header(http_req_t *req, const char *name)
 {
-    (void)kind;
-    buf_t *query = arg;
-    buf_str(query, query->len == 0 ? "?" : "&");
-    add_escaped(query, key, "-._~");
-    if (value != NULL) {
-        buf_str(query, "=");
-        add_escaped(query, value, "-._~");
+    const header_t *header = http_head_find(&req->head, name);
+    if (header == NULL) {
+        return NULL;
     }
-    return MHD_YES;
+    return req_keep(req, http_head_at(&req->head, header->value),
+                    header->value.len);
 }
 
-/* Append the path from an offset on, and the query, escaped anew as a URL
- * needs them (RFC 3986); only within the handler. */
+/* Append what the caller asked for behind so many characters of the path, as
+ * it was on the wire, the query included. */
 void
 http_req_target(http_req_t *req, size_t from, buf_t *out)
 {
-    CLEAN_BUF buf_t query = {0};
-    add_escaped(out, req->path + from, "-._~/:@!$&'()*+,;=");
-    (void)MHD_get_connection_values(req->conn, MHD_GET_ARGUMENT_KIND,
-                                    add_argument, &query);
-    buf_add(out, buf_text(&query), query.len);
+    const char *target = http_head_at(&req->head, req->head.target);
+    size_t len = req->head.target.len;
+    size_t at = 0;
+    for (size_t i = 0; i < from && at < len; i++) {
+        at += unit_len(target + at, len - at);
+    }
+    buf_add(out, target + at, len - at);
 }
 
 /* The whole body, NUL-ended. */
@@ -384,14 +506,11 @@
 }
 
 static void
-req_add_header(http_req_t *req, const char *name, const char *value)
+add_header(http_req_t *req, const char *name, const char *value)
 {
-    if (req->ready || req->headers == REPLY_HEADERS_MAX) {
-        return;
+    if (req->reply == REPLY_NONE) {
+        buf_fmt(&req->headers, "%s: %s\r\n", name, value);
     }
-    req->names[req->headers] = strdup(name);
-    req->values[req->headers] = strdup(value);
-    req->headers++;
 }
 
 /* Add a header to the answer, before it is begun. */
@@ -399,7 +518,36 @@
 http_req_reply_header(http_req_t *req, const char *name, const char *value)
 {
     LOCK_SCOPE(&req->lock);
-    req_add_header(req, name, value);
+    add_header(req, name, value);
+}
+
+/* There is something to write.  The caller holds the request's lock. */
+static void
+req_answered(http_req_t *req)
+{
+    worker_t *worker = req->worker;
+    if (req->caller == NULL) {
+        return;
+    }
+    LOCK_SCOPE(&worker->lock);
+    if (req->queued) {
+        return;
+    }
+    bool first = CK_STAILQ_EMPTY(&worker->answered);
+    req->queued = true;
+    req->refs++;
+    CK_STAILQ_INSERT_TAIL(&worker->answered, req, answered);
+    if (first) {
+        loop_wake(&worker->loop);
+    }
+}
+
+static void
+req_begin(http_req_t *req, reply_t reply, int status, const char *type)
+{
+    add_header(req, "Content-Type", type);
+    req->status = status;
+    req->reply = reply;
 }
 
 /* Answer whole; only the first answer to a request counts. */
@@ -408,14 +556,12 @@
                size_t len)
 {
     LOCK_SCOPE(&req->lock);
-    if (req->ready) {
+    if (req->reply != REPLY_NONE) {
         return;
     }
-    req_add_header(req, "Content-Type", type);
     buf_add(&req->out, body, len);
-    req->status = status;
-    req->ready = true;
-    req_wake(req);
+    req_begin(req, REPLY_WHOLE, status, type);
+    req_answered(req);
 }
 
 /* Answer with a JSON document. */
@@ -448,14 +594,11 @@
 http_req_stream(http_req_t *req, int status, const char *type)
 {
     LOCK_SCOPE(&req->lock);
-    if (req->ready) {
+    if (req->reply != REPLY_NONE) {
         return;
     }
-    req_add_header(req, "Content-Type", type);
-    req->status = status;
-    req->streaming = true;
-    req->ready = true;
-    req_wake(req);
+    req_begin(req, REPLY_STREAM, status, type);
+    req_answered(req);
 }
 
 /* Append to a streamed answer; bytes for a caller that is gone are lost. */
@@ -463,11 +606,11 @@
 http_req_write(http_req_t *req, const char *data, size_t len)
 {
     LOCK_SCOPE(&req->lock);
-    if (req->conn == NULL || req->ended) {
+    if (req->caller == NULL || req->reply != REPLY_STREAM || req->ended) {
         return;
     }
     buf_add(&req->out, data, len);
-    req_wake(req);
+    req_answered(req);
 }
 
 /* End a streamed answer.  One that is not whole breaks the connection before
@@ -481,7 +624,7 @@
     }
     req->ended = true;
     req->whole = whole;
-    req_wake(req);
+    req_answered(req);
 }
 
 /* Whether the caller has hung up. */
@@ -489,21 +632,24 @@
 http_req_gone(http_req_t *req)
 {
     LOCK_SCOPE(&req->lock);
-    return req->conn == NULL;
+    return req->caller == NULL;
 }
 
-/* Bytes that the caller has not read yet. */
+/* Bytes that wait because the caller does not read. */
 size_t
 http_req_backlog(http_req_t *req)
 {
     LOCK_SCOPE(&req->lock);
-    return req->out.len - req->out_at;
+    return req->out.len;
 }
 
 /* Cut the connection without any answer; fakes use it for their faults. */
 void
 http_req_cut(http_req_t *req)
 {
-    http_req_stream(req, 200, "application/octet-stream");
-    http_req_end(req, false);
+    LOCK_SCOPE(&req->lock);
+    if (req->reply == REPLY_NONE) {
+        req->reply = REPLY_CUT;
+        req_answered(req);
+    }
 }
--- a/kernel/http.h
+++ b/kernel/http.h
@@ -1,9 +1,9 @@
 #ifndef CELERYSPOOL_HTTP_H
 #define CELERYSPOOL_HTTP_H
 
-/* The HTTP edges: a server over libmicrohttpd whose answers may come later
- * and from any thread, and a client over libcurl's multi interface.  No
- * stream holds a thread on either side. */
+/* The HTTP edges for programs with threads: a server whose answers may come
+ * later and from any thread, over http-door.h, and a client over exchange.h.
+ * No stream holds a thread on either side. */
 
 #include "base.h"
 
@@ -16,7 +16,7 @@
     unsigned threads;
     size_t body_max; /* bytes; a longer body is answered 413 */
     unsigned connections_max;
-    unsigned idle_seconds; /* a silent caller is cut after this */
+    unsigned idle_seconds; /* a silent caller is cut after this; 0: a minute */
     http_handler_t handler;
     void *arg;
 } http_server_opts_t;
@@ -54,7 +54,6 @@
 void http_req_cut(http_req_t *req);
 
 typedef struct http_client http_client_t;
-typedef struct http_xfer http_xfer_t;
 
 /* How an exchange ended. */
 typedef enum {
@@ -62,7 +61,7 @@
     HTTP_END_UNSENT,    /* no byte of the request left this process */
     HTTP_END_CUT,       /* it broke after bytes had been sent */
     HTTP_END_TIMEOUT,   /* its time was up after bytes had been sent */
-    HTTP_END_CANCELLED, /* by http_xfer_cancel */
+    HTTP_END_CANCELLED, /* by http_client_cancel */
 } http_end_t;
 
 #define HTTP_HEADERS_MAX 12
--- a/kernel/store.c
+++ b/kernel/store.c
@@ -165,8 +165,8 @@
 }
 
 /* Write an object over a version, 0 for none.  The call goes out on its own
- * connection: on a used one libcurl may send it a second time by itself,
- * which would turn a success into a conflict. */
+ * connection: a kept one may have died unseen, and then nobody could tell
+ * whether the write was done. */
 void
 store_put(store_t *store, const char *name, int64_t version,
           const json_t *value, store_done_t done, void *arg)
--- a/relay/peers-look.h
+++ b/relay/peers-look.h
@@ -6,7 +6,7 @@
 
 #include "../kernel/settings.h"
 #include "../kernel/tables.h"
-#include "fetch.h"
+#include "../kernel/fetch.h"
 
 typedef enum { LOOK_WRITE, LOOK_REPLACE, LOOK_LIST, LOOK_DONE } look_step_t;
 
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -5,7 +5,7 @@
  * workspaces by key.  Decoded by platform/config-read.c, never changed once
  * it is in force, counted by reference. */
 
-#include "../kernel/base.h"
+#include "../kernel/http-door.h"
 
 #include <ck_queue.h>
 
@@ -69,13 +69,6 @@
     const workspace_entry_t *workspace;
 } access_key_t;
 
-typedef struct {
-    int head_bytes;
-    int body_bytes;
-    int head_ms; /* from the first byte of a head to its end */
-    int idle_ms; /* between requests of a connection */
-} edge_limits_t;
-
 #define CONFIG_BUCKETS 256
 
 typedef CK_SLIST_HEAD(route_list, route) route_list_t;
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -57,7 +57,7 @@
     meter_text(&relay->meter, out);
     meter_gauge(out, "ready", relay_ready(relay));
     meter_gauge(out, "requests_running", (double)relay->request_count);
-    meter_gauge(out, "callers", (double)relay->caller_count);
+    meter_gauge(out, "callers", (double)http_door_callers(relay->door));
     meter_gauge(out, "body_bytes", (double)relay->body_bytes);
     meter_gauge(out, "server_connections_total",
                 (double)exchanges_opened(relay->exchanges));
@@ -85,13 +85,13 @@
     int64_t since = time_mono_ms() - relay->stopping_ms;
     int64_t last = (int64_t)relay->settings.stop_s * 1000 - END_MARGIN_MS;
     if (relay_shut(relay) || since >= last) {
-        door_shut(relay);
+        http_door_shut(relay->door);
     }
-    if ((since >= DOOR_MS && relay->caller_count == 0) || since >= last) {
+    size_t callers = http_door_callers(relay->door);
+    if ((since >= DOOR_MS && callers == 0) || since >= last) {
         log_record(LOG_INFO, "daemon", "stopped",
                    "after_ms=%lld requests_left=%zu callers_left=%zu",
-                   (long long)since, relay->request_count,
-                   relay->caller_count);
+                   (long long)since, relay->request_count, callers);
         (void)event_base_loopbreak(relay->base);
     }
 }
@@ -124,9 +124,10 @@
         return;
     }
     relay->stopping_ms = time_mono_ms();
+    http_door_leave(relay->door);
     log_record(LOG_INFO, "daemon", "stopping",
                "signal=%d requests=%zu callers=%zu", (int)number,
-               relay->request_count, relay->caller_count);
+               relay->request_count, http_door_callers(relay->door));
 }
 
 /* The settings may have changed.  What may change while a process runs is
@@ -163,7 +164,7 @@
         return err_set(err, ERR_HTTP, 1, "no event loop can be had");
     }
     relay->exchanges = exchanges_new(relay->base);
-    if (door_open(relay, err) != 0) {
+    if (doors_open(relay, err) != 0) {
         return -1;
     }
     relay->peers = peers_start(relay, err);
@@ -189,7 +190,6 @@
     relay->rng.state = (uint64_t)time_mono_us() ^
                        str_hash(settings->name, (uint64_t)time_wall_ms());
     meter_init(&relay->meter);
-    CK_LIST_INIT(&relay->callers);
     CK_LIST_INIT(&relay->requests);
     relay->servers = servers_new();
     relay->cache = cache_map_new(CACHE_LEVELS);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -6,9 +6,10 @@
  * host has a quarter to three quarters of one core, so a second thread would
  * add switches and locks and no work done. */
 
+#include "../kernel/exchange.h"
+#include "../kernel/http-door.h"
 #include "../kernel/settings.h"
 #include "../kernel/tables.h"
-#include "exchange.h"
 #include "meter.h"
 #include "relay-config.h"
 #include "retry-share.h"
@@ -17,11 +18,7 @@
 #include "watch.h"
 #include "wire.h"
 
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-
 typedef struct relay relay_t;
-typedef struct caller caller_t;
 typedef struct request request_t;
 
 typedef struct rollout rollout_t;
@@ -51,7 +48,6 @@
     size_t named_count;
 } weights_t;
 
-typedef CK_LIST_HEAD(caller_list, caller) caller_list_t;
 typedef CK_LIST_HEAD(request_list, request) request_list_t;
 
 struct relay {
@@ -60,12 +56,10 @@
     struct event *tick;
     struct event *signals[3];
     exchanges_t *exchanges;
-    struct evconnlistener *door;
-    struct evconnlistener *ready_door;
-    struct evconnlistener *metrics_door;
-    caller_list_t callers;
+    http_door_t *door; /* of callers */
+    http_door_t *ready_door;
+    http_door_t *metrics_door;
     request_list_t requests;
-    size_t caller_count;
     size_t request_count;
     size_t body_bytes; /* of all requests that are held */
 
@@ -109,16 +103,7 @@
 
 /* ---- callers ---- */
 
-int door_open(relay_t *relay, err_t *err);
-void door_shut(relay_t *relay);
-void door_tick(relay_t *relay);
-void caller_answer(caller_t *caller, int status, const buf_t *headers,
-                   const char *body, size_t len);
-void caller_stream_begin(caller_t *caller, int status, const buf_t *headers);
-void caller_stream_data(caller_t *caller, const char *data, size_t len);
-void caller_stream_end(caller_t *caller);
-void caller_break(caller_t *caller);
-void caller_serves(caller_t *caller, request_t *request);
+int doors_open(relay_t *relay, err_t *err);
 
 /* ---- requests ---- */
 
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -6,7 +6,7 @@
  * has that history. */
 
 #include "../platform/platform.h"
-#include "fetch.h"
+#include "../kernel/fetch.h"
 
 typedef struct watch watch_t;
 
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -1,4 +1,4 @@
-#include "../relay/http-reader.h"
+#include "../kernel/http-reader.h"
 #include "test.h"
 
 #include <stdlib.h>
