A fault soak of our own

Cause: nothing disturbed real daemons from outside and at random; the process tests each play one story. Change: soak/: daemons and the platform's stand-in as processes, a proxy on each link (slow, held one way or both, refusing, reset, stalled), signals, the store's faults, changes; callers over kept connections check each answer, and at the end what servers recorded: runs, refusals, keys, workspaces, fences, stops, recovery. The stand-in's servers can tell another address than their own. Not covered: clocks (a process's own clock cannot be stepped from outside).

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 SOAK := $(patsubst %.c,$(BUILD)/%.o,$(wildcard soak/*.c))
 SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] relay/*.[ch] platform/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] soak/*.[ch])
 
-.PHONY: all soak deploy capacity models unit-programs threads check unit procs demo bench experiment format format-check lint clean
+.PHONY: all soak soak-check deploy capacity models unit-programs threads check unit procs demo bench experiment format format-check lint clean
 all: $(DAEMONS) $(STANDINS)
 
 $(BUILD)/%.o: %.c
@@ -80,6 +80,10 @@
 	@mkdir -p $(OUT)
 	$(BUILD)/soak/soak --seed $(SEED) --build $(BUILD) --dir $(OUT)/soak-$(SEED) $(SOAK_ARGS)
 
+# A short soak, and each seed that ever failed.
+soak-check: all $(BUILD)/soak/soak
+	@BUILD=$(BUILD) OUT=$(OUT) SEED=$(SEED) bash soak/regress.sh
+
 unit-programs: $(TESTS)
 unit: $(TESTS)
 	@set -e; for t in $(TESTS); do $$t; done
--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -29,8 +29,8 @@
 static const struct argp_option options[] = {
     {"store", 's', "IPV4:PORT", 0, "address of the store", 0},
     {"record", 'r', "FILE", 0, "a line for each run and order", 0},
-    {"server", 'b', "ID,SERVICE,IPV4:PORT,DC,engine|plain", 0,
-     "a backend server", 0},
+    {"server", 'b', "ID,SERVICE,IPV4:PORT,DC,engine|plain[,IPV4:PORT]", 0,
+     "a backend server, and where others reach it", 0},
     {0},
 };
 
--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -361,7 +361,8 @@
     }
 }
 
-/* Open a server: ID,SERVICE,IPV4:PORT,DC,engine|plain. */
+/* Open a server: ID,SERVICE,IPV4:PORT,DC,engine|plain[,IPV4:PORT], the last
+ * being the address that its entry tells, where others reach it. */
 platform_server_t *
 server_open(platform_store_t *store, const char *words, FILE *record)
 {
@@ -375,8 +376,8 @@
     server->version = 1;
     server->events = 8;
     server->gap_ms = 20;
-    const char *parts[5] = {"", "", "", "", ""};
-    for (size_t i = 0; i < 5 && rest != NULL; i++) {
+    const char *parts[6] = {"", "", "", "", "", ""};
+    for (size_t i = 0; i < 6 && rest != NULL; i++) {
         parts[i] = strsep(&rest, ",");
     }
     str_copy(server->id, sizeof(server->id), parts[0]);
@@ -386,6 +387,9 @@
     server->engine = strcmp(parts[4], "engine") == 0;
     char host[CS_ADDR_MAX];
     str_copy(host, sizeof(host), server->addr);
+    if (parts[5][0] != '\0') {
+        str_copy(server->addr, sizeof(server->addr), parts[5]);
+    }
     char *colon = strchr(host, ':');
     server->http = evhttp_new(store->base);
     evhttp_set_gencb(server->http, server_handle, server);
--- /dev/null
+++ b/soak/regress.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Plays every seed of soak/seeds.txt and one more, given or 1.
+cd "$(dirname "$0")/.." || exit 1
+BUILD=${BUILD:-build}
+OUT=${OUT:-out}
+mkdir -p "$OUT"
+failed=0
+while read -r seed seconds _; do
+    case $seed in '#'* | '') continue ;; esac
+    "$BUILD/soak/soak" --seed "$seed" --seconds "$seconds" --build "$BUILD" --dir "$OUT/soak-$seed" >"$OUT/soak-$seed.out" 2>&1 || {
+        failed=$((failed + 1))
+        cat "$OUT/soak-$seed.out"
+    }
+    tail -n 1 "$OUT/soak-$seed.out"
+done < <(cat soak/seeds.txt; echo "${SEED:-1} 8")
+[ "$failed" = 0 ]
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,194 @@
+#include "soak.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+
+/* Runs one soak: a seed, some seconds of trouble, a calm, the verdict. */
+
+#define TICK_MS 20
+/* At the end nothing goes wrong for so long, ms: the longest pause of a
+ * circuit, a watch and a lease fit in the first six seconds. */
+#define CALM_MS 9000
+#define START_MS 3000
+
+typedef struct {
+    uint64_t seed;
+    int seconds;
+    int relays;
+    int engines;
+    int callers;
+    int port;
+    const char *dir;
+    const char *build;
+} args_t;
+
+static const struct argp_option options[] = {
+    {"seed", 's', "N", 0, "what the faults are drawn from", 0},
+    {"seconds", 't', "N", 0, "of trouble", 0},
+    {"relays", 'r', "N", 0, "daemons, 16 at most", 0},
+    {"engines", 'e', "N", 0, "engines, 8 at most; two plain servers beside",
+     0},
+    {"callers", 'c', "N", 0, "callers at once", 0},
+    {"port", 'p', "N", 0, "first of 240 ports", 0},
+    {"dir", 'd', "DIR", 0, "for logs and records", 0},
+    {"build", 'b', "DIR", 0, "where the programs are", 0},
+    {0},
+};
+
+static error_t
+number(const char *text, long least, long most, struct argp_state *state,
+       long *out)
+{
+    char *end;
+    *out = strtol(text, &end, 10);
+    if (*end != '\0' || *out < least || *out > most) {
+        argp_error(state, "%s is no number from %ld to %ld", text, least,
+                   most);
+    }
+    return 0;
+}
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    args_t *args = state->input;
+    long value = 0;
+    switch (key) {
+        case 's':
+            args->seed = strtoull(arg, NULL, 10);
+            return 0;
+        case 't':
+            (void)number(arg, 1, 3600, state, &value);
+            args->seconds = (int)value;
+            return 0;
+        case 'r':
+            (void)number(arg, 1, RELAYS_MAX, state, &value);
+            args->relays = (int)value;
+            return 0;
+        case 'e':
+            (void)number(arg, 1, ENGINES_MAX, state, &value);
+            args->engines = (int)value;
+            return 0;
+        case 'c':
+            (void)number(arg, 1, 1000, state, &value);
+            args->callers = (int)value;
+            return 0;
+        case 'p':
+            (void)number(arg, 1024, 65000, state, &value);
+            args->port = (int)value;
+            return 0;
+        case 'd':
+            args->dir = arg;
+            return 0;
+        case 'b':
+            args->build = arg;
+            return 0;
+        default:
+            return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp arguments = {
+    options, parse_option,
+    NULL,    "Real daemons under seeded faults, checked by their callers.",
+    NULL,    NULL,
+    NULL};
+
+static void
+on_child(evutil_socket_t fd, short what, void *arg)
+{
+    int status;
+    pid_t pid;
+    (void)fd;
+    (void)what;
+    while ((pid = waitpid(-1, &status, WNOHANG)) > 0) {
+        deployment_child_ended(arg, pid, status);
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+    soak_t *soak = arg;
+    int64_t now = time_mono_ms();
+    (void)fd;
+    (void)what;
+    deployment_tick(soak);
+    if (now < soak->began_ms) {
+        return;
+    }
+    if (soak->callers == NULL) {
+        soak->callers = callers_start(soak, soak->caller_count);
+    }
+    faults_tick(soak);
+    exchanges_sweep(soak->exchanges);
+    if (now >= soak->end_ms) {
+        callers_stop(soak->callers);
+    }
+    if (now >= soak->end_ms + START_MS) {
+        (void)event_base_loopbreak(soak->base);
+    }
+}
+
+static int
+soak_open(soak_t *soak, const args_t *args, err_t *err)
+{
+    static const struct timeval step = {0, TICK_MS * 1000};
+    soak->seed = args->seed;
+    soak->rng.state = args->seed;
+    soak->build = args->build;
+    soak->port = args->port;
+    soak->relay_count = (size_t)args->relays;
+    soak->server_count = (size_t)args->engines + 2;
+    soak->caller_count = (size_t)args->callers;
+    (void)snprintf(soak->dir, sizeof(soak->dir), "%s", args->dir);
+    (void)snprintf(soak->record, sizeof(soak->record), "%s/record", args->dir);
+    (void)mkdir(args->dir, 0755);
+    (void)remove(soak->record);
+    soak->base = event_base_new();
+    soak->exchanges = exchanges_new(soak->base);
+    struct event *child = evsignal_new(soak->base, SIGCHLD, on_child, soak);
+    struct event *tick = event_new(soak->base, -1, EV_PERSIST, on_tick, soak);
+    (void)event_add(child, NULL);
+    (void)event_add(tick, &step);
+    soak->began_ms = time_mono_ms() + START_MS;
+    soak->calm_ms = soak->began_ms + (int64_t)args->seconds * 1000;
+    soak->end_ms = soak->calm_ms + CALM_MS;
+    return deployment_open(soak, err);
+}
+
+int
+main(int argc, char **argv)
+{
+    args_t args = {.seed = 1,
+                   .seconds = 15,
+                   .relays = 3,
+                   .engines = 3,
+                   .callers = 24,
+                   .port = 21000,
+                   .dir = "out/soak",
+                   .build = "build"};
+    soak_t *soak = mem_zalloc(sizeof(*soak));
+    err_t err = {0};
+    (void)argp_parse(&arguments, argc, argv, 0, NULL, &args);
+    (void)signal(SIGPIPE, SIG_IGN);
+    (void)setvbuf(stdout, NULL, _IOLBF, 0);
+    (void)printf("soak: seed %llu, %d relays, %d engines, %d s\n",
+                 (unsigned long long)args.seed, args.relays, args.engines,
+                 args.seconds);
+    if (soak_open(soak, &args, &err) != 0) {
+        (void)fprintf(stderr, "soak: %s\n", err.text);
+        deployment_stop(soak);
+        return EXIT_UNREACHABLE;
+    }
+    (void)event_base_dispatch(soak->base);
+    deployment_stop(soak);
+    callers_check(soak->callers);
+    (void)printf("soak: seed %llu, %u faults, %u promises broken\n",
+                 (unsigned long long)args.seed, soak->faults, soak->broken);
+    return soak->broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
