--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -16,9 +16,10 @@
 
 /* Ports behind the first one. */
 #define PORT_STORE 0
-#define PORT_SERVER 20  /* where servers listen */
-#define PORT_LINK 40    /* where others reach them */
-#define PORT_RELAY 100  /* four for each: callers, readiness, peers, metrics \
+#define PORT_SERVER 20 /* where servers listen */
+#define PORT_LINK 40   /* where others reach them */
+#define PORT_RELAY                                                           \
+    100                 /* four for each: callers, readiness, peers, metrics \
                          */
 #define PORT_FRONT 200  /* where callers reach relays */
 #define PORT_UPLINK 220 /* where relays reach the store */
@@ -195,7 +196,9 @@
     return relay->store != NULL ? process_start(&relay->process) : -1;
 }
 
-/* Name a configuration, newer than the last. */
+/* Name a configuration, newer than the last.  Routes whose requests may run
+ * once have attempts left, so that nothing but their kind keeps them from a
+ * second run. */
 void
 deployment_config(soak_t *soak)
 {
@@ -209,7 +212,7 @@
         "\"attempts\":2,\"priority\":2,\"service\":\"desk\"},"
         "{\"name\":\"strike\",\"host\":\"a.example\",\"path_prefix\":"
         "\"/strike/\",\"kind\":\"non_idempotent\",\"timeout_ms\":800,"
-        "\"target_latency_ms\":100,\"attempts\":1,\"priority\":2,\"service\":"
+        "\"target_latency_ms\":100,\"attempts\":2,\"priority\":2,\"service\":"
         "\"desk\"},"
         "{\"name\":\"review\",\"host\":\"a.example\",\"path_prefix\":"
         "\"/review/\",\"kind\":\"streaming\",\"timeout_ms\":6000,"
@@ -217,7 +220,7 @@
         "\"resumable\":true,\"priority\":1,\"service\":\"llm\"},"
         "{\"name\":\"flag\",\"host\":\"a.example\",\"path_prefix\":\"/flag/\","
         "\"kind\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":"
-        "1000,\"target_gap_ms\":800,\"attempts\":1,\"resumable\":false,"
+        "1000,\"target_gap_ms\":800,\"attempts\":2,\"resumable\":false,"
         "\"priority\":0,\"service\":\"llm\"}],"
         "\"services\":[{\"name\":\"desk\",\"health_check_path\":\"/health\"},"
         "{\"name\":\"llm\",\"health_check_path\":\"/health\",\"engine\":{"
