Two daemons watch the store for all in fleets of more than eight

Ruled out: longer waits (lost history is noticed too late; broke CONFIG before), and gathering longer (a leaving server must be known in time). Change: two daemons and one for each 32 watch, chosen by rendezvous over the live ones; the others watch through one of them by the store's own calls, at its inner address. Only the store's own word is passed on, paths are looked at every second, and a follower without an answer asks the store itself. A list that comes in replaces what is kept for others: entries that a list had shown to be gone were told on before. Small sites (four daemons) are not touched.

--- a/kernel/members.c
+++ b/kernel/members.c
@@ -116,6 +116,47 @@
     return true;
 }
 
+/* Put a member where its weight belongs among the heaviest. */
+static size_t
+owner_put(const member_t *member, uint64_t key, member_t *out, size_t count,
+          size_t max)
+{
+    uint64_t weight = place_weight(key, member->name);
+    size_t at = count;
+    while (at > 0 && place_weight(key, out[at - 1].name) < weight) {
+        at--;
+    }
+    if (at == max) {
+        return count;
+    }
+    size_t last = count < max ? count : max - 1;
+    memmove(&out[at + 1], &out[at], (last - at) * sizeof(*out));
+    out[at] = *member;
+    return last + 1;
+}
+
+/* The daemons that share a duty, at most max, by rendezvous over the live
+ * ones, this one included.  Like members_duty, they may be seen differently
+ * elsewhere for a while. */
+size_t
+members_duty_owners(members_t *members, const char *duty, member_t *out,
+                    size_t max)
+{
+    LOCK_SCOPE(&members->lock);
+    uint64_t key = str_hash(duty, 0);
+    member_node_t *node;
+    size_t count = 0;
+    if (members->self.intent == MEMBER_LIVE) {
+        count = owner_put(&members->self, key, out, count, max);
+    }
+    CK_LIST_FOREACH (node, &members->list, entry) {
+        if (takes_duties(&node->member)) {
+            count = owner_put(&node->member, key, out, count, max);
+        }
+    }
+    return count;
+}
+
 /* How many daemons serve, this one included. */
 size_t
 members_live(members_t *members)
--- a/relay/doors.c
+++ b/relay/doors.c
@@ -1,8 +1,6 @@
+#include "kept.h"
 #include "relay.h"
 
-#include <event2/buffer.h>
-#include <string.h>
-
 /* The three doors of a relay: callers, the balancer's question, metrics. */
 
 /* In force for callers until a configuration says otherwise. */
@@ -49,7 +47,7 @@
     request_caller_left(owner);
 }
 
-/* Questions are answered at once, so nobody leaves before the answer. */
+/* The balancer is answered at once, so it does not leave before the answer. */
 static void
 on_question_left(void *owner)
 {
@@ -72,23 +70,18 @@
 on_metrics_request(void *arg, caller_t *caller, const http_head_t *head,
                    buf_t *body)
 {
-    static const char type[] = "Content-Type: text/plain\r\n";
-    CLEAN_BUF buf_t headers = {0};
-    CLEAN_BUF buf_t text = {0};
-    char path[CS_ADDR_MAX * 4];
-    kind_t kind;
-    int status = 200;
+    relay_t *relay = arg;
+    char target[CS_ADDR_MAX * 4];
     (void)body;
-    http_head_copy(head, head->target, path, sizeof(path));
-    path[strcspn(path, "?")] = '\0';
-    if (!platform_kind_of(path, &kind)) {
-        relay_metrics(arg, &text);
+    http_head_copy(head, head->target, target, sizeof(target));
+    if (kept_answer(relay->kept, caller, target)) {
+        return;
     }
-    else if (!kept_page(arg, kind, &text)) {
-        status = 404;
-    }
-    buf_str(&headers, type);
-    caller_answer(caller, status, &headers, buf_text(&text), text.len);
+    CLEAN_BUF buf_t headers = {0};
+    CLEAN_BUF buf_t text = {0};
+    buf_str(&headers, "Content-Type: text/plain\r\n");
+    relay_metrics(relay, &text);
+    caller_answer(caller, 200, &headers, buf_text(&text), text.len);
 }
 
 static http_door_t *
@@ -112,7 +105,7 @@
                                        .on_left = on_question_left};
     static const door_hooks_t metrics = {.limits = question_limits,
                                          .on_request = on_metrics_request,
-                                         .on_left = on_question_left};
+                                         .on_left = kept_caller_left};
     relay->ready_door = open_at(relay, relay->settings.ready, &ready, err);
     relay->metrics_door =
         open_at(relay, relay->settings.metrics, &metrics, err);
--- a/relay/facts.c
+++ b/relay/facts.c
@@ -1,3 +1,4 @@
+#include "kept.h"
 #include "peers.h"
 #include "relay.h"
 
@@ -21,7 +22,7 @@
 {
     relay_t *relay = arg;
     err_t err = {0};
-    kept_put(relay, KIND_CONFIG, object);
+    kept_put(relay->kept, KIND_CONFIG, object);
     if (strcmp(object->name, "main") != 0 || object->removed ||
         (relay->config != NULL &&
          object->revision <= relay->config->revision)) {
@@ -47,16 +48,24 @@
 }
 
 static void
-on_nothing(void *arg)
+on_config_list(void *arg)
 {
-    (void)arg;
+    relay_t *relay = arg;
+    kept_list(relay->kept, KIND_CONFIG);
 }
 
 static void
-on_listed_nothing(void *arg, int64_t at)
+on_config_listed(void *arg, int64_t at)
 {
-    (void)arg;
-    (void)at;
+    relay_t *relay = arg;
+    kept_listed(relay->kept, KIND_CONFIG, at);
+}
+
+static void
+on_config_settled(void *arg)
+{
+    relay_t *relay = arg;
+    kept_settled(relay->kept, KIND_CONFIG);
 }
 
 /* A daemon to ask while the store does not answer. */
@@ -67,6 +76,15 @@
     return relay->peers != NULL && peers_any(relay->peers, addr);
 }
 
+/* The daemon that watches the store for this one too. */
+static bool
+upstream_daemon(void *arg, char addr[CS_ADDR_MAX])
+{
+    relay_t *relay = arg;
+    return relay->peers != NULL && relay->stopping_ms == 0 &&
+           peers_upstream(relay->peers, addr);
+}
+
 /* ---- servers ---- */
 
 static void
@@ -107,6 +125,14 @@
 {
     relay_t *relay = arg;
     relay->servers->lists++;
+    kept_list(relay->kept, KIND_SERVERS);
+}
+
+static void
+on_servers_settled(void *arg)
+{
+    relay_t *relay = arg;
+    kept_settled(relay->kept, KIND_SERVERS);
 }
 
 static void
@@ -140,7 +166,7 @@
     if (server != NULL && object->revision < server->revision) {
         return;
     }
-    kept_put(relay, KIND_SERVERS, object);
+    kept_put(relay->kept, KIND_SERVERS, object);
     if (object->removed) {
         if (server != NULL) {
             server_missing(relay, server);
@@ -169,6 +195,7 @@
     relay_t *relay = arg;
     server_t *server;
     relay->servers_listed = true;
+    kept_listed(relay->kept, KIND_SERVERS, at);
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         /* A list that is older than the entry says nothing of it. */
         if (!server->gone && server->seen != relay->servers->lists &&
@@ -186,7 +213,7 @@
     relay_t *relay = arg;
     weights_name_t name;
     err_t err = {0};
-    kept_put(relay, KIND_WEIGHTS, object);
+    kept_put(relay->kept, KIND_WEIGHTS, object);
     if (object->removed) {
         return;
     }
@@ -197,12 +224,26 @@
     weights_heard(relay, name.model, name.version, time_wall_ms());
 }
 
+static void
+on_weights_list(void *arg)
+{
+    relay_t *relay = arg;
+    kept_list(relay->kept, KIND_WEIGHTS);
+}
+
 static void
 on_weights_listed(void *arg, int64_t at)
 {
     relay_t *relay = arg;
-    (void)at;
     relay->weights_listed = true;
+    kept_listed(relay->kept, KIND_WEIGHTS, at);
+}
+
+static void
+on_weights_settled(void *arg)
+{
+    relay_t *relay = arg;
+    kept_settled(relay->kept, KIND_WEIGHTS);
 }
 
 /* ---- all of it ---- */
@@ -211,15 +252,21 @@
 facts_start(relay_t *relay)
 {
     const char *store = relay->settings.store;
-    watch_hooks_t config = {on_nothing, on_config, on_listed_nothing,
-                            other_daemon, relay};
-    watch_hooks_t servers = {on_server_list, on_server, on_servers_listed,
-                             other_daemon, relay};
-    watch_hooks_t weights = {on_nothing, on_weights, on_weights_listed,
-                             other_daemon, relay};
-    for (size_t i = 0; i < KINDS_KEPT; i++) {
-        relay->kept[i] = json_object();
-    }
+    watch_hooks_t config = {on_config_list, on_config,       on_config_listed,
+                            other_daemon,   upstream_daemon, on_config_settled,
+                            relay};
+    watch_hooks_t servers = {
+        on_server_list, on_server,       on_servers_listed,
+        other_daemon,   upstream_daemon, on_servers_settled,
+        relay};
+    watch_hooks_t weights = {on_weights_list,
+                             on_weights,
+                             on_weights_listed,
+                             other_daemon,
+                             upstream_daemon,
+                             on_weights_settled,
+                             relay};
+    relay->kept = kept_new(relay);
     relay->config_watch = watch_start(relay->base, relay->exchanges, store,
                                       KIND_CONFIG, &config);
     relay->servers_watch = watch_start(relay->base, relay->exchanges, store,
--- a/relay/kept.c
+++ b/relay/kept.c
@@ -1,38 +1,274 @@
-#include "relay.h"
+#include "kept.h"
 
-/* The platform's objects as its store gave them, kept for daemons that cannot
- * reach the store or start while it is away. */
+#include <stdlib.h>
 
-/* Keep an object as the store gave it, for daemons that cannot reach it. */
-void
-kept_put(relay_t *relay, kind_t kind, const store_object_t *object)
+/* Changes of a kind that are remembered for daemons that hear from this one;
+ * who is further behind lists anew.  Entries of 112 servers change about ten
+ * times a second while weights load: half a minute of them. */
+#define CHANGES_MAX 256
+/* Longest wait for news that is granted, ms. */
+#define WAIT_MAX_MS 5000
+
+typedef struct {
+    json_t *objects; /* by name */
+    json_t *listing; /* the same while a list comes in, else NULL */
+    json_t *changes; /* the oldest first */
+    int64_t since;   /* all changes behind this revision are there */
+} kept_kind_t;
+
+/* A daemon that waits for news. */
+typedef struct waiter {
+    CK_LIST_ENTRY(waiter) entry;
+    kept_t *kept;
+    caller_t *caller;
+    struct event *timer;
+    kind_t kind;
+    int64_t from;
+} waiter_t;
+
+typedef CK_LIST_HEAD(waiters, waiter) waiters_t;
+
+struct kept {
+    relay_t *relay;
+    kept_kind_t kinds[KINDS_KEPT];
+    waiters_t waiters;
+};
+
+kept_t *
+kept_new(relay_t *relay)
+{
+    kept_t *kept = mem_zalloc(sizeof(*kept));
+    kept->relay = relay;
+    CK_LIST_INIT(&kept->waiters);
+    for (size_t i = 0; i < KINDS_KEPT; i++) {
+        kept->kinds[i].objects = json_object();
+        kept->kinds[i].changes = json_array();
+    }
+    return kept;
+}
+
+static watch_t *
+watch_of(const kept_t *kept, kind_t kind)
+{
+    const relay_t *relay = kept->relay;
+    watch_t *watches[KINDS_KEPT] = {relay->config_watch, relay->servers_watch,
+                                    relay->weights_watch};
+    return watches[kind];
+}
+
+static void
+put_object(json_t *objects, const store_object_t *object)
 {
-    json_t *kept = relay->kept[kind];
     if (object->removed) {
-        (void)json_object_del(kept, object->name);
+        (void)json_object_del(objects, object->name);
         return;
     }
-    const json_t *old = json_object_get(kept, object->name);
-    if (old != NULL && json_int(json_object_get(old, "metadata"), "revision",
-                                0) > object->revision) {
+    const json_t *old = json_object_get(objects, object->name);
+    if (old == NULL || platform_revision(old) <= object->revision) {
+        (void)json_object_set_new(objects, object->name,
+                                  platform_object(object));
+    }
+}
+
+/* Keep an object as the store gave it. */
+void
+kept_put(kept_t *kept, kind_t kind, const store_object_t *object)
+{
+    kept_kind_t *own = &kept->kinds[kind];
+    put_object(own->objects, object);
+    if (own->listing != NULL) {
+        put_object(own->listing, object);
+        return;
+    }
+    (void)json_array_append_new(own->changes, platform_change(object));
+    if (json_array_size(own->changes) > CHANGES_MAX) {
+        own->since = platform_change_revision(json_array_get(own->changes, 0));
+        (void)json_array_remove(own->changes, 0);
+    }
+}
+
+/* A whole list comes in. */
+void
+kept_list(kept_t *kept, kind_t kind)
+{
+    kept_kind_t *own = &kept->kinds[kind];
+    json_decref(own->listing);
+    own->listing = json_object();
+}
+
+/* It is complete: what was not on it is gone, and what changed on the way to
+ * it is not known one by one. */
+void
+kept_listed(kept_t *kept, kind_t kind, int64_t at)
+{
+    kept_kind_t *own = &kept->kinds[kind];
+    if (own->listing == NULL) {
+        return;
+    }
+    json_decref(own->objects);
+    own->objects = own->listing;
+    own->listing = NULL;
+    own->since = at;
+    (void)json_array_clear(own->changes);
+}
+
+/* ---- answers ---- */
+
+static void
+answer(caller_t *caller, int status, json_t *owned)
+{
+    CLEAN_JSON json_t *page = owned;
+    CLEAN_TEXT char *text = json_dumps(page, JSON_COMPACT);
+    CLEAN_BUF buf_t body = {0};
+    CLEAN_BUF buf_t headers = {0};
+    buf_str(&headers, "Content-Type: application/json\r\n");
+    buf_str(&body, text != NULL ? text : "");
+    caller_answer(caller, status, &headers, buf_text(&body), body.len);
+}
+
+/* Changes behind a revision. */
+static json_t *
+changes_behind(const kept_kind_t *own, int64_t from)
+{
+    json_t *found = json_array();
+    size_t index;
+    json_t *change;
+    json_array_foreach (own->changes, index, change) {
+        if (platform_change_revision(change) > from) {
+            (void)json_array_append(found, change);
+        }
+    }
+    return found;
+}
+
+/* Answer who watches from a revision, unless there is nothing to tell.  Only
+ * the store's own word is passed on: a daemon that is cut off from the store
+ * would else hold all that hear from it on what it knows. */
+static bool
+answer_watch(kept_t *kept, caller_t *caller, kind_t kind, int64_t from,
+             bool over)
+{
+    const kept_kind_t *own = &kept->kinds[kind];
+    const watch_t *watch = watch_of(kept, kind);
+    if (!watch_fresh(watch) || kept->relay->stopping_ms != 0) {
+        answer(caller, 503, NULL);
+        return true;
+    }
+    if (from < own->since) {
+        answer(caller, 410, NULL);
+        return true;
+    }
+    json_t *changes = changes_behind(own, from);
+    if (json_array_size(changes) == 0 && !over) {
+        json_decref(changes);
+        return false;
+    }
+    answer(caller, 200, platform_changes(changes, watch_at(watch)));
+    return true;
+}
+
+static void
+waiter_free(waiter_t *waiter)
+{
+    CK_LIST_REMOVE(waiter, entry);
+    event_free(waiter->timer);
+    free(waiter);
+}
+
+/* The connection of a waiting daemon has ended. */
+void
+kept_caller_left(void *waiter)
+{
+    waiter_free(waiter);
+}
+
+/* Answer a waiter; it is gone before its answer is written, since its next
+ * question may follow at once. */
+static void
+waiter_try(waiter_t *waiter, bool over)
+{
+    kept_t *kept = waiter->kept;
+    caller_t *caller = waiter->caller;
+    kind_t kind = waiter->kind;
+    int64_t from = waiter->from;
+    bool news = !watch_fresh(watch_of(kept, kind)) || over ||
+                from < kept->kinds[kind].since ||
+                kept->relay->stopping_ms != 0;
+    if (!news) {
+        CLEAN_JSON json_t *changes = changes_behind(&kept->kinds[kind], from);
+        news = json_array_size(changes) > 0;
+    }
+    if (!news) {
         return;
     }
-    (void)json_object_set_new(kept, object->name, platform_object(object));
+    caller_serves(caller, NULL);
+    waiter_free(waiter);
+    (void)answer_watch(kept, caller, kind, from, true);
+}
+
+static void
+on_wait_over(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    waiter_try(arg, true);
+}
+
+/* There is news of a kind, or the store was lost or is back: tell those that
+ * wait. */
+void
+kept_settled(kept_t *kept, kind_t kind)
+{
+    waiter_t *waiter;
+    waiter_t *next;
+    CK_LIST_FOREACH_SAFE (waiter, &kept->waiters, entry, next) {
+        if (waiter->kind == kind) {
+            waiter_try(waiter, false);
+        }
+    }
+}
+
+static void
+wait_for_news(kept_t *kept, caller_t *caller, const store_query_t *query)
+{
+    int ms = query->wait_ms < WAIT_MAX_MS ? query->wait_ms : WAIT_MAX_MS;
+    struct timeval after = {ms / 1000, ms % 1000 * 1000};
+    waiter_t *waiter = mem_zalloc(sizeof(*waiter));
+    waiter->kept = kept;
+    waiter->caller = caller;
+    waiter->kind = query->kind;
+    waiter->from = query->from;
+    waiter->timer = evtimer_new(kept->relay->base, on_wait_over, waiter);
+    (void)event_add(waiter->timer, &after);
+    CK_LIST_INSERT_HEAD(&kept->waiters, waiter, entry);
+    caller_serves(caller, waiter);
 }
 
-/* All objects of a kind, as the store would list them; false for a kind that
- * is not kept or not known yet. */
+/* Answer another daemon's question for objects, as the store would; false if
+ * it is none. */
 bool
-kept_page(const relay_t *relay, kind_t kind, buf_t *out)
+kept_answer(kept_t *kept, caller_t *caller, const char *target)
 {
-    const watch_t *watches[] = {relay->config_watch, relay->servers_watch,
-                                relay->weights_watch};
-    if (kind > KIND_WEIGHTS || !watch_listed(watches[kind])) {
+    store_query_t query;
+    if (!platform_query_read(&query, target)) {
         return false;
     }
-    CLEAN_JSON json_t *page =
-        platform_page(relay->kept[kind], watch_at(watches[kind]));
-    CLEAN_TEXT char *text = json_dumps(page, JSON_COMPACT);
-    buf_str(out, text);
+    if (query.kind >= KINDS_KEPT ||
+        !watch_listed(watch_of(kept, query.kind))) {
+        answer(caller, 404, NULL);
+        return true;
+    }
+    watch_t *watch = watch_of(kept, query.kind);
+    if (!query.watches) {
+        answer(
+            caller, 200,
+            platform_page(kept->kinds[query.kind].objects, watch_at(watch)));
+        return true;
+    }
+    watch_serves(watch);
+    if (!answer_watch(kept, caller, query.kind, query.from,
+                      query.wait_ms <= 0)) {
+        wait_for_news(kept, caller, &query);
+    }
     return true;
 }
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -1,6 +1,7 @@
 #include "peers.h"
 #include "cache-source.h"
 #include "peers-look.h"
+#include "watch-duty.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -336,6 +337,28 @@
     return false;
 }
 
+/* Whether this daemon hears of the store's objects from another, and from
+ * which: see watch_duty_choose. */
+bool
+peers_upstream(peers_t *peers, char addr[CS_ADDR_MAX])
+{
+    member_t owners[WATCHERS_MAX];
+    const settings_t *settings = &peers->relay->settings;
+    size_t want = watch_duty_count(peers_live(peers));
+    if (want == 0) {
+        return false;
+    }
+    size_t count =
+        members_duty_owners(peers->members, "store-watch", owners, want);
+    const member_t *owner =
+        watch_duty_choose(owners, count, settings->name, settings->dc);
+    if (owner == NULL) {
+        return false;
+    }
+    str_copy(addr, CS_ADDR_MAX, owner->http);
+    return true;
+}
+
 /* ---- all of it ---- */
 
 /* This host's part of the retries that all may send besides those that their
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -11,6 +11,7 @@
 void peers_tell_weights(peers_t *peers, const server_t *server,
                         int64_t loading);
 size_t peers_live(const peers_t *peers);
+bool peers_upstream(peers_t *peers, char addr[CS_ADDR_MAX]);
 bool peers_any(peers_t *peers, char addr[CS_ADDR_MAX]);
 
 #endif
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -23,6 +23,7 @@
 
 typedef struct rollout rollout_t;
 typedef struct peers peers_t;
+typedef struct kept kept_t;
 
 /* Kinds of object that other daemons may ask for: the first of kind_t. */
 #define KINDS_KEPT 3
@@ -70,7 +71,7 @@
     size_t weights_count;
     bool servers_listed;
     bool weights_listed;
-    json_t *kept[KINDS_KEPT]; /* objects by name, for other daemons */
+    kept_t *kept; /* for other daemons */
     watch_t *config_watch;
     watch_t *servers_watch;
     watch_t *weights_watch;
@@ -119,11 +120,6 @@
 void facts_stop(relay_t *relay);
 void facts_tick(relay_t *relay);
 
-/* ---- what other daemons are told ---- */
-
-void kept_put(relay_t *relay, kind_t kind, const store_object_t *object);
-bool kept_page(const relay_t *relay, kind_t kind, buf_t *out);
-
 void probes_tick(relay_t *relay);
 void probe_server(relay_t *relay, server_t *server);
 
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -8,6 +8,21 @@
  * changed meanwhile, so it is asked anew in this time: with 8 s, daemons
  * missed changes of configuration on each day with such a loss. */
 #define WATCH_WAIT_MS 2500
+/* A daemon that others hear from asks in this time, and so does one that has
+ * just lost the daemon that it heard from, perhaps because the store is away:
+ * if the path to the store goes silent, that is to show within two seconds,
+ * ms. */
+#define BRIEF_WAIT_MS 1000
+#define BRIEF_SLACK_MS 600
+/* Others count as hearing from it for so long behind their last question, ms.
+ */
+#define SERVING_MS 5000
+/* A daemon that hears from another waits so long for news, ms, and so much
+ * longer for the answer; then, or when the other says that it does not hear
+ * the store itself, it asks the store for a while. */
+#define FOLLOW_WAIT_MS 900
+#define FOLLOW_SLACK_MS 300
+#define ALONE_MS 5000
 /* Behind news the next watch waits so long, ms, and brings all that has come
  * meanwhile: each call has its price and wakes the process, and entries of
  * servers change in bursts.  Of 31 daemons and 90 servers it saves most calls;
@@ -52,7 +67,11 @@
     int64_t heard_ms;      /* when the store last answered well */
     int64_t back_ms;       /* when it did so first after a failure */
     bool failed;           /* the last call did not bring an answer */
-    bool asks_other;       /* this call goes to another daemon */
+    bool asks_other;       /* this call goes to any other daemon */
+    bool follows;          /* this call goes to one that watches for it */
+    int64_t serving_ms;    /* others hear from this daemon until then */
+    bool fresh;            /* by the store's own word */
+    int64_t alone_ms;      /* it asks the store itself until then */
     unsigned others_asked; /* since the store was last asked */
     bool listed;
     uint64_t calls;
@@ -94,6 +113,18 @@
     watch_call(arg);
 }
 
+/* What is known is the store's own word or no longer; tell those that hear
+ * from this daemon of that and of news. */
+static void
+settle(watch_t *watch, bool fresh, bool news)
+{
+    bool changed = watch->fresh != fresh;
+    watch->fresh = fresh;
+    if (changed || news) {
+        watch->hooks.on_settled(watch->hooks.arg);
+    }
+}
+
 static void
 call_other(watch_t *watch, const char *addr)
 {
@@ -122,6 +153,7 @@
     }
     char other[CS_ADDR_MAX];
     watch->failed = true;
+    settle(watch, false, false);
     /* One that has just started itself knows nothing: ask the next. */
     if (watch->others_asked < OTHERS_ASKED_MAX && watch->hooks.other != NULL &&
         watch->hooks.other(watch->hooks.arg, other)) {
@@ -145,6 +177,9 @@
 note_heard(watch_t *watch)
 {
     watch->heard_ms = time_mono_ms();
+    if (watch->follows) {
+        return;
+    }
     watch->pause_ms = PAUSE_FIRST_MS;
     if (watch->failed) {
         watch->failed = false;
@@ -228,9 +263,12 @@
         }
         watch->at = page.at > watch->at ? page.at : watch->at;
     }
-    bool gather =
-        watch->kind == KIND_SERVERS && watch->listed && page.count > 0;
+    /* One that is followed has gathered already. */
+    bool gather = watch->kind == KIND_SERVERS && watch->listed &&
+                  page.count > 0 && !watch->follows;
+    bool news = page.count > 0;
     platform_page_free(&page);
+    settle(watch, !watch->follows && watch->state == WATCH_WATCHING, news);
     if (gather) {
         call_later(watch, GATHER_MS);
         return;
@@ -238,6 +276,20 @@
     watch_call(watch);
 }
 
+/* Who was followed is gone, cut off, behind, or does not hear the store
+ * itself: the store is asked from here at once, and for a while. */
+static void
+unfollow(watch_t *watch)
+{
+    log_record(LOG_INFO, "store", "unfollowed", "kind=%s status=%d at=%lld",
+               kind_name(watch->kind), watch->status, (long long)watch->at);
+    watch->alone_ms = time_mono_ms() + ALONE_MS;
+    if (watch->status == STATUS_GONE) {
+        list_again(watch);
+    }
+    watch_call(watch);
+}
+
 static void
 on_done(void *arg, const fetch_result_t *result)
 {
@@ -248,6 +300,10 @@
         take_other(watch, result);
         return;
     }
+    if (watch->follows && (!result->whole || watch->status != 200)) {
+        unfollow(watch);
+        return;
+    }
     if (!result->whole) {
         call_failed(watch, "no-answer");
         return;
@@ -266,8 +322,32 @@
     take_answer(watch, result);
 }
 
+/* Watch through the daemon that watches for this one, if there is one. */
+static bool
+call_upstream(watch_t *watch)
+{
+    char addr[CS_ADDR_MAX];
+    CLEAN_BUF buf_t head = {0};
+    watch->follows = watch->state == WATCH_WATCHING && watch->listed &&
+                     !watch->failed && time_mono_ms() >= watch->alone_ms &&
+                     watch->hooks.upstream(watch->hooks.arg, addr);
+    if (!watch->follows) {
+        return false;
+    }
+    platform_watch_call(&head, addr, watch->kind, watch->at, FOLLOW_WAIT_MS);
+    fetch_ask_t ask = {.addr = addr,
+                       .call = &head,
+                       .connect_ms = CONNECT_MS,
+                       .total_ms = FOLLOW_WAIT_MS + FOLLOW_SLACK_MS,
+                       .on_done = on_done,
+                       .arg = watch};
+    settle(watch, false, false);
+    watch->fetch = fetch_start(watch->exchanges, &ask);
+    return true;
+}
+
 static void
-watch_call(watch_t *watch)
+call_store(watch_t *watch)
 {
     CLEAN_BUF buf_t head = {0};
     fetch_ask_t ask = {.addr = watch->addr,
@@ -275,23 +355,35 @@
                        .connect_ms = CONNECT_MS,
                        .on_done = on_done,
                        .arg = watch};
-    watch->asks_other = false;
-    watch->others_asked = 0;
-    watch->status = 0;
     watch->calls++;
     if (watch->state == WATCH_LISTING) {
         platform_list_call(&head, watch->addr, watch->kind, watch->after);
         ask.total_ms = LIST_MS;
     }
     else {
-        int wait_ms = watch->failed ? RETURN_WAIT_MS : WATCH_WAIT_MS;
+        int64_t now = time_mono_ms();
+        bool brief = now < watch->serving_ms || now < watch->alone_ms;
+        int wait_ms = watch->failed ? RETURN_WAIT_MS
+                      : brief       ? BRIEF_WAIT_MS
+                                    : WATCH_WAIT_MS;
         platform_watch_call(&head, watch->addr, watch->kind, watch->at,
                             wait_ms);
-        ask.total_ms = wait_ms + WATCH_SLACK_MS;
+        ask.total_ms = wait_ms + (brief ? BRIEF_SLACK_MS : WATCH_SLACK_MS);
     }
     watch->fetch = fetch_start(watch->exchanges, &ask);
 }
 
+static void
+watch_call(watch_t *watch)
+{
+    watch->asks_other = false;
+    watch->others_asked = 0;
+    watch->status = 0;
+    if (!call_upstream(watch)) {
+        call_store(watch);
+    }
+}
+
 /* Begin with a whole list. */
 watch_t *
 watch_start(struct event_base *base, exchanges_t *exchanges, const char *addr,
@@ -339,6 +431,22 @@
     return watch->listed;
 }
 
+/* Whether what is known is the store's own word, no older than an answer
+ * takes. */
+bool
+watch_fresh(const watch_t *watch)
+{
+    return watch->fresh;
+}
+
+/* Others hear from this daemon: its own path to the store is looked at more
+ * often. */
+void
+watch_serves(watch_t *watch)
+{
+    watch->serving_ms = time_mono_ms() + SERVING_MS;
+}
+
 uint64_t
 watch_calls(const watch_t *watch)
 {
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -22,6 +22,12 @@
     /* The address of another daemon that may know the same objects while the
      * store does not answer; false if there is none. */
     bool (*other)(void *arg, char addr[CS_ADDR_MAX]);
+    /* The address of a daemon that watches the store for this one too; false
+     * if it watches for itself. */
+    bool (*upstream)(void *arg, char addr[CS_ADDR_MAX]);
+    /* News was taken in, or what is known has stopped being the store's own
+     * word: those that hear from this daemon are to be told. */
+    void (*on_settled)(void *arg);
     void *arg;
 } watch_hooks_t;
 
@@ -32,6 +38,8 @@
 int64_t watch_heard_ms(const watch_t *watch);
 int64_t watch_back_ms(const watch_t *watch);
 bool watch_listed(const watch_t *watch);
+bool watch_fresh(const watch_t *watch);
+void watch_serves(watch_t *watch);
 int64_t watch_at(const watch_t *watch);
 uint64_t watch_calls(const watch_t *watch);
 
