--- a/kernel/http-server.c
+++ b/kernel/http-server.c
@@ -1,9 +1,9 @@
 #include "http.h"
 #include "http-door.h"
 #include "loop.h"
+#include "url.h"
 
 #include <ck_queue.h>
-#include <ctype.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
@@ -256,42 +256,6 @@
                            (int)idle_s * 1000};
 }
 
-static bool
-is_escape(const char *text, size_t len)
-{
-    return len > 2 && text[0] == '%' && isxdigit((unsigned char)text[1]) &&
-           isxdigit((unsigned char)text[2]);
-}
-
-/* The length of the escaped or plain byte that a text begins with. */
-static size_t
-unit_len(const char *text, size_t len)
-{
-    return is_escape(text, len) ? 3 : 1;
-}
-
-/* A text of a URL without its escapes (RFC 3986), to be freed. */
-static char *
-unescape(const char *text, size_t len, bool plus_is_blank)
-{
-    char *out = mem_zalloc(len + 1);
-    size_t put = 0;
-    for (size_t at = 0; at < len;) {
-        size_t unit = unit_len(text + at, len - at);
-        char byte = text[at];
-        if (unit == 3) {
-            const char digits[] = {text[at + 1], text[at + 2], '\0'};
-            byte = (char)strtoul(digits, NULL, 16);
-        }
-        else if (byte == '+' && plus_is_blank) {
-            byte = ' ';
-        }
-        out[put++] = byte;
-        at += unit;
-    }
-    return out;
-}
-
 static http_req_t *
 req_new(worker_t *worker, caller_t *caller, const http_head_t *head,
         buf_t *body)
@@ -311,7 +275,7 @@
     buf_add(&req->head.text, head->text.data, head->text.len);
     req->body = *body;
     *body = (buf_t){0};
-    req->path = unescape(target, path_len, false);
+    req->path = url_unescape(target, path_len, false);
     str_copy(req->method, sizeof(req->method), http_head_method(head));
     return req;
 }
@@ -461,7 +425,7 @@
         if (len > key_len && memcmp(at, key, key_len) == 0 &&
             at[key_len] == '=') {
             CLEAN_TEXT char *value =
-                unescape(at + key_len + 1, len - key_len - 1, true);
+                url_unescape(at + key_len + 1, len - key_len - 1, true);
             return req_keep(req, value, strlen(value));
         }
         at = next;
@@ -490,7 +454,7 @@
     size_t len = req->head.target.len;
     size_t at = 0;
     for (size_t i = 0; i < from && at < len; i++) {
-        at += unit_len(target + at, len - at);
+        at += url_unit(target + at, len - at);
     }
     buf_add(out, target + at, len - at);
 }
--- a/soak/regress.sh
+++ b/soak/regress.sh
@@ -7,7 +7,7 @@
 failed=0
 while read -r seed seconds _; do
     case $seed in '#'* | '') continue ;; esac
-    "$BUILD/soak/soak" --seed "$seed" --seconds "$seconds" --build "$BUILD" --dir "$OUT/soak-$seed" >"$OUT/soak-$seed.out" 2>&1 || {
+    "$BUILD/soak/soak" --seed "$seed" --seconds "$seconds" --build "$BUILD" --port $((21000 + ${BASE:-0})) --dir "$OUT/soak-$seed" >"$OUT/soak-$seed.out" 2>&1 || {
         failed=$((failed + 1))
         cat "$OUT/soak-$seed.out"
     }
--- a/tests/test-http-edges.c
+++ b/tests/test-http-edges.c
@@ -13,10 +13,11 @@
 
 /* The HTTP server and client against each other, and against raw sockets. */
 
-#define ADDR "127.0.0.1:17391"
-#define PORT 17391
+/* BASE moves the port, so that runs do not meet. */
+#define PORT 6391
 #define BIG (16u << 20)
 
+static char addr[CS_ADDR_MAX];
 static http_req_t *held;
 static unsigned handled;
 
@@ -58,11 +59,28 @@
     }
 }
 
+static int
+port(void)
+{
+    const char *base = getenv("BASE");
+    return PORT + (base != NULL ? (int)strtol(base, NULL, 10) : 0);
+}
+
+/* A path's URL at the server, until the next is made. */
+static const char *
+url(const char *path)
+{
+    static char text[CS_ADDR_MAX * 2];
+    (void)snprintf(text, sizeof(text), "http://%s%s", addr, path);
+    return text;
+}
+
 static http_server_t *
 start(unsigned threads)
 {
     err_t err = {0};
-    http_server_opts_t opts = {.addr = ADDR,
+    (void)snprintf(addr, sizeof(addr), "127.0.0.1:%d", port());
+    http_server_opts_t opts = {.addr = addr,
                                .threads = threads,
                                .body_max = 65536,
                                .connections_max = 64,
@@ -79,7 +97,8 @@
 static int
 dial(void)
 {
-    struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(PORT)};
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)port())};
     struct timeval patience = {5, 0};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -148,7 +167,7 @@
     CLEAN_BUF buf_t reply = {0};
     int status;
     http_call_t call = {.method = "POST",
-                        .url = "http://" ADDR "/ab%20c/d?word=x%2By+z&q=1",
+                        .url = url("/ab%20c/d?word=x%2By+z&q=1"),
                         .headers = {"X-Agent: me"},
                         .body = "hello",
                         .body_len = 5,
@@ -196,15 +215,15 @@
     CLEAN_BUF buf_t reply = {0};
     int status;
     http_call_t call = {.method = "GET",
-                        .url = "http://" ADDR "/cut",
+                        .url = url("/cut"),
                         .connect_ms = 500,
                         .total_ms = 300};
     ck_assert_int_eq(http_fetch(&call, &status, &reply), HTTP_END_CUT);
-    call.url = "http://" ADDR "/broken";
+    call.url = url("/broken");
     ck_assert_int_eq(http_fetch(&call, &status, &reply), HTTP_END_CUT);
     ck_assert_int_eq(status, 200);
     ck_assert_str_eq(buf_text(&reply), "half");
-    call.url = "http://" ADDR "/later";
+    call.url = url("/later");
     ck_assert_int_eq(http_fetch(&call, &status, &reply), HTTP_END_TIMEOUT);
     http_req_release(wait_held());
     call.url = "http://127.0.0.1:1/nobody";
@@ -286,7 +305,7 @@
     http_client_t *client = http_client_new(2);
     seen_t seen = {0};
     http_call_t call = {.method = "GET",
-                        .url = "http://" ADDR "/later",
+                        .url = url("/later"),
                         .connect_ms = 1000,
                         .on_data = on_data,
                         .on_end = on_end,
@@ -297,7 +316,7 @@
     http_client_cancel(client, id);
     wait_ends(&seen, 1);
     ck_assert_uint_eq(seen.cancelled, 1);
-    call.url = "http://" ADDR "/stream";
+    call.url = url("/stream");
     held = NULL;
     (void)http_client_start(client, &call);
     http_req_t *req = wait_held();
@@ -310,7 +329,7 @@
     ck_assert_uint_eq(seen.whole, 1);
     ck_assert_str_eq(buf_text(&seen.body), "ab");
     held = NULL;
-    call.url = "http://" ADDR "/later";
+    call.url = url("/later");
     (void)http_client_start(client, &call);
     http_req_release(wait_held());
     http_client_free(client);
@@ -327,7 +346,8 @@
 {
     http_server_t *server = start(2);
     CLEAN_BUF buf_t got = {0};
-    struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(PORT)};
+    struct sockaddr_in to = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)port())};
     int fd = dial();
     say(fd, "GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
     http_req_t *req = wait_held();
