--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -206,13 +206,12 @@
     char text[64];
     int running;
     int waiting;
-    int slots;
     if (load == NULL) {
         return;
     }
     http_head_copy(head, load->value, text, sizeof(text));
-    if (sscanf(text, "%d,%d,%d", &running, &waiting, &slots) == 3) {
-        server_load(server, running, waiting, slots, time_mono_ms());
+    if (sscanf(text, "%d,%d,%*d", &running, &waiting) == 2) {
+        server_load(server, running, waiting, time_mono_ms());
     }
 }
 
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -160,12 +160,10 @@
 }
 
 void
-server_load(server_t *server, int running, int waiting, int slots,
-            int64_t now_ms)
+server_load(server_t *server, int running, int waiting, int64_t now_ms)
 {
     server->load_running = running;
     server->load_waiting = waiting;
-    server->load_slots = slots;
     server->load_ms = now_ms;
 }
 
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -20,7 +20,6 @@
     char addr[CS_ADDR_MAX];
     char dc[CS_NAME_MAX];
     int slots;
-    int cold_ms; /* how much longer it is slow after its start */
     bool draining;
     bool engine;                  /* it serves a model */
     char model[SERVER_MODEL_MAX]; /* of an engine */
@@ -64,7 +63,6 @@
     other_load_t others[OTHER_HOSTS_MAX];
     int load_running; /* by its own word */
     int load_waiting;
-    int load_slots;
     int64_t load_ms;    /* when it said so, 0 for never */
     unsigned faults;    /* in a row */
     int64_t closed_ms;  /* the circuit is open until then */
@@ -96,8 +94,7 @@
 void server_sent(server_t *server, double unread_tokens, int64_t now_ms);
 void server_read(server_t *server, double tokens);
 void server_done(server_t *server);
-void server_load(server_t *server, int running, int waiting, int slots,
-                 int64_t now_ms);
+void server_load(server_t *server, int running, int waiting, int64_t now_ms);
 void server_fault(server_t *server, server_fault_t fault, int64_t now_ms);
 void server_good(server_t *server);
 bool server_usable(const server_t *server, int64_t now_ms);
