A request that outlives its server's weights in the queue is taken back

Ruled out: a daemon that did not know when the version had been named. Change: a request that waits without an answer at a server whose weights were replaced 0.95 of the allowed time ago is given up there; what may be repeated goes elsewhere, the rest fails at once. Tests: test-weights (the decision); the taking back itself has none without the platform.

--- a/relay/relay.h
+++ b/relay/relay.h
@@ -97,6 +97,8 @@
                    int64_t named_ms);
 void weights_heard(relay_t *relay, const char *model, int64_t version,
                    int64_t wall_ms);
+bool weights_expired(const weights_t *weights, int64_t version,
+                     int64_t wall_ms, int64_t allowed_ms);
 int64_t weights_older_ms(const weights_t *weights, int64_t version,
                          int64_t wall_ms);
 
--- a/relay/request.c
+++ b/relay/request.c
@@ -210,6 +210,17 @@
     }
 }
 
+/* Give the send that is under way up; what has left may have run. */
+static void
+leave_server(request_t *request)
+{
+    bool sent = exchange_sent(request->exchange);
+    exchange_cancel(request->exchange);
+    request->exchange = NULL;
+    request->ran += sent ? 1 : 0;
+    request_failed(request, sent ? FATE_UNKNOWN : FATE_UNSENT);
+}
+
 /* A server is gone without a word.  What may run elsewhere goes there; the
  * rest waits on, since the server may only be cut off and still answer. */
 void
@@ -226,13 +237,25 @@
                                       request->route->resumable)) {
             continue;
         }
-        exchange_cancel(request->exchange);
-        request->exchange = NULL;
-        request->ran += sent ? 1 : 0;
-        request_failed(request, sent ? FATE_UNKNOWN : FATE_UNSENT);
+        leave_server(request);
     }
 }
 
+/* Whether a request still waits at a server whose weights may not begin an
+ * answer any more.  It was sent in time, but the server was slower than
+ * expected; closing its connection takes it out of the server's queue. */
+static bool
+began_too_late(const request_t *request)
+{
+    const weights_t *newest =
+        request->engine ? relay_weights(request->relay, request->prompt.model)
+                        : NULL;
+    return newest != NULL && request->phase == REQUEST_SENT &&
+           request->exchange != NULL && request->answer == ANSWER_NONE &&
+           weights_expired(newest, request->weights, time_wall_ms(),
+                           request->relay->settings.weights_ms);
+}
+
 /* A request that waits for any server to be there goes on when one is, or is
  * refused. */
 void
@@ -242,6 +265,15 @@
     request_t *request;
     request_t *next;
     CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+        if (began_too_late(request)) {
+            log_record(LOG_WARN, "request", "weights-expired",
+                       "id=%s server=%s weights=%lld waited_ms=%lld",
+                       request->id, request->server->said.id,
+                       (long long)request->weights,
+                       (long long)(now - request->sent_ms));
+            leave_server(request);
+            continue;
+        }
         /* Waiting again after a send is a retry like any other. */
         if (request->server != NULL || now < request->not_before_ms ||
             (request->sends > 0 && now < request->waits_until_ms &&
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -9,6 +9,8 @@
 /* Part of the time for older weights that is over for a version of unknown
  * age. */
 #define UNKNOWN_PART 2
+/* Part of the time for older weights in which an answer may begin on them. */
+#define BEGIN_PART 0.95
 
 const weights_t *
 relay_weights(const relay_t *relay, const char *model)
@@ -116,6 +118,17 @@
     weights_put(relay, model, version, wall_ms - before_ms, before_ms > 0);
 }
 
+/* Whether an answer on a version may not begin any more, when older weights
+ * may be used for so long.  The last part is left for the time that a closing
+ * takes to reach the server and for clocks that differ. */
+bool
+weights_expired(const weights_t *weights, int64_t version, int64_t wall_ms,
+                int64_t allowed_ms)
+{
+    return weights_older_ms(weights, version, wall_ms) >=
+           (int64_t)(BEGIN_PART * (double)allowed_ms);
+}
+
 /* For how long a version has been replaced: since the first newer one was
  * named; 0 if there is none. */
 int64_t
--- a/tests/test-weights.c
+++ b/tests/test-weights.c
@@ -89,7 +89,27 @@
 }
 END_TEST
 
-TEST_MAIN("weights", a_version_of_unknown_age_is_not_taken_for_new,
+/* A caller gets an answer of weights that were replaced ten seconds ago: its
+ * request was sent to them in time and then waited two and a half seconds at
+ * a slow server.  It must be taken back before it begins there. */
+START_TEST(a_waiting_request_outlives_its_weights)
+{
+    relay_t *relay = mem_zalloc(sizeof(*relay));
+    relay->weights_listed = true;
+    relay->settings.weights_ms = 10000;
+    weights_heard(relay, "m1", 1, 1000);
+    weights_heard(relay, "m1", 2, 20000);
+    const weights_t *weights = relay_weights(relay, "m1");
+    ck_assert(!weights_expired(weights, 1, 27440, 10000));
+    ck_assert(!weights_expired(weights, 1, 29400, 10000));
+    ck_assert(weights_expired(weights, 1, 29500, 10000));
+    ck_assert(!weights_expired(weights, 2, 90000, 10000));
+    free(relay);
+}
+END_TEST
+
+TEST_MAIN("weights", a_waiting_request_outlives_its_weights,
+          a_version_of_unknown_age_is_not_taken_for_new,
           a_known_time_goes_before_a_guess,
           an_older_guess_goes_before_ones_own,
           a_version_that_is_seen_to_be_named_is_new,
