A list that is behind loses no servers

The holder had taken them for gone: while the store was away it was told a list by a daemon that had itself been told an older one, and had dropped the entries that it knew in a newer form, since older ones were skipped before they were kept. Change: objects are kept before their revision is looked at, what is newer than a list survives it, and a peer's list that is behind is not taken.

--- a/relay/facts.c
+++ b/relay/facts.c
@@ -163,10 +163,10 @@
     server_entry_t entry;
     err_t err = {0};
     server_t *server = servers_find(relay->servers, object->name);
+    kept_put(relay->kept, KIND_SERVERS, object);
     if (server != NULL && object->revision < server->revision) {
         return;
     }
-    kept_put(relay->kept, KIND_SERVERS, object);
     if (object->removed) {
         if (server != NULL) {
             server_missing(relay, server);
--- a/relay/kept.c
+++ b/relay/kept.c
@@ -75,11 +75,11 @@
 kept_put(kept_t *kept, kind_t kind, const store_object_t *object)
 {
     kept_kind_t *own = &kept->kinds[kind];
-    put_object(own->objects, object);
     if (own->listing != NULL) {
         put_object(own->listing, object);
         return;
     }
+    put_object(own->objects, object);
     (void)json_array_append_new(own->changes, platform_change(object));
     if (json_array_size(own->changes) > CHANGES_MAX) {
         own->since = platform_change_revision(json_array_get(own->changes, 0));
@@ -96,6 +96,24 @@
     own->listing = json_object();
 }
 
+/* What is known of an object behind a list goes before what the list says of
+ * it, or does not: lists of the store come in pages, and one that another
+ * daemon tells can be behind.  An entry that is lost here is taken for a
+ * server that is gone by whoever asks this daemon. */
+static void
+keep_newer(kept_kind_t *own, int64_t at)
+{
+    const char *name;
+    json_t *object;
+    json_object_foreach (own->objects, name, object) {
+        const json_t *listed = json_object_get(own->listing, name);
+        int64_t told = listed != NULL ? platform_revision(listed) : at;
+        if (platform_revision(object) > told) {
+            (void)json_object_set(own->listing, name, object);
+        }
+    }
+}
+
 /* It is complete: what was not on it is gone, and what changed on the way to
  * it is not known one by one. */
 void
@@ -105,6 +123,7 @@
     if (own->listing == NULL) {
         return;
     }
+    keep_newer(own, at);
     json_decref(own->objects);
     own->objects = own->listing;
     own->listing = NULL;
@@ -112,6 +131,13 @@
     (void)json_array_clear(own->changes);
 }
 
+/* The objects of a kind by name. */
+const json_t *
+kept_objects(const kept_t *kept, kind_t kind)
+{
+    return kept->kinds[kind].objects;
+}
+
 /* ---- answers ---- */
 
 static void
--- a/relay/kept.h
+++ b/relay/kept.h
@@ -11,6 +11,7 @@
 void kept_put(kept_t *kept, kind_t kind, const store_object_t *object);
 void kept_list(kept_t *kept, kind_t kind);
 void kept_listed(kept_t *kept, kind_t kind, int64_t at);
+const json_t *kept_objects(const kept_t *kept, kind_t kind);
 void kept_settled(kept_t *kept, kind_t kind);
 bool kept_answer(kept_t *kept, caller_t *caller, const char *target);
 void kept_caller_left(void *waiter);
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -226,6 +226,12 @@
         call_failed(watch, "unreadable");
         return;
     }
+    if (watch->listed && page.at < watch->at) {
+        /* It is behind: what it lacks is not gone. */
+        platform_page_free(&page);
+        call_later(watch, OTHER_PAUSE_MS);
+        return;
+    }
     watch->hooks.on_list(watch->hooks.arg);
     for (size_t i = 0; i < page.count; i++) {
         watch->hooks.on_object(watch->hooks.arg, &page.objects[i]);
