--- a/relay/kept.c
+++ b/relay/kept.c
@@ -47,6 +47,18 @@
     return kept;
 }
 
+/* Nobody may wait any more. */
+void
+kept_free(kept_t *kept)
+{
+    for (size_t i = 0; i < KINDS_KEPT; i++) {
+        json_decref(kept->kinds[i].objects);
+        json_decref(kept->kinds[i].listing);
+        json_decref(kept->kinds[i].changes);
+    }
+    free(kept);
+}
+
 static watch_t *
 watch_of(const kept_t *kept, kind_t kind)
 {
--- a/relay/kept.h
+++ b/relay/kept.h
@@ -8,6 +8,7 @@
 #include "relay.h"
 
 kept_t *kept_new(relay_t *relay);
+void kept_free(kept_t *kept);
 void kept_put(kept_t *kept, kind_t kind, const store_object_t *object);
 void kept_list(kept_t *kept, kind_t kind);
 void kept_listed(kept_t *kept, kind_t kind, int64_t at);
--- a/tests/test-kept.c
+++ b/tests/test-kept.c
@@ -37,6 +37,8 @@
     ck_assert_int_eq(revision_of(kept, "b"), 20);
     ck_assert_int_eq(revision_of(kept, "c"), 30);
     ck_assert_int_eq(revision_of(kept, "d"), 0);
+    kept_free(kept);
+    free(relay);
 }
 END_TEST
 
