--- a/relay/kept.c
+++ b/relay/kept.c
@@ -179,30 +179,29 @@
     return found;
 }
 
-/* Answer who watches from a revision, unless there is nothing to tell.  Only
- * the store's own word is passed on: a daemon that is cut off from the store
- * would else hold all that hear from it on what it knows. */
-static bool
-answer_watch(kept_t *kept, caller_t *caller, kind_t kind, int64_t from,
-             bool over)
+/* What who watches from a revision is told: a status, with a page for 200, or
+ * 0 while there is nothing to tell and its time is not over.  Only the store's
+ * own word is passed on: a daemon that is cut off from the store would else
+ * hold all that hear from it on what it knows. */
+static int
+look(const kept_t *kept, kind_t kind, int64_t from, bool over, json_t **page)
 {
     const kept_kind_t *own = &kept->kinds[kind];
     const watch_t *watch = watch_of(kept, kind);
+    *page = NULL;
     if (!watch_fresh(watch) || kept->relay->stopping_ms != 0) {
-        answer(caller, 503, NULL);
-        return true;
+        return 503;
     }
     if (from < own->since) {
-        answer(caller, 410, NULL);
-        return true;
+        return 410;
     }
     json_t *changes = changes_behind(own, from);
     if (json_array_size(changes) == 0 && !over) {
         json_decref(changes);
-        return false;
+        return 0;
     }
-    answer(caller, 200, platform_changes(changes, watch_at(watch)));
-    return true;
+    *page = platform_changes(changes, watch_at(watch));
+    return 200;
 }
 
 static void
@@ -225,23 +224,15 @@
 static void
 waiter_try(waiter_t *waiter, bool over)
 {
-    kept_t *kept = waiter->kept;
     caller_t *caller = waiter->caller;
-    kind_t kind = waiter->kind;
-    int64_t from = waiter->from;
-    bool news = !watch_fresh(watch_of(kept, kind)) || over ||
-                from < kept->kinds[kind].since ||
-                kept->relay->stopping_ms != 0;
-    if (!news) {
-        CLEAN_JSON json_t *changes = changes_behind(&kept->kinds[kind], from);
-        news = json_array_size(changes) > 0;
-    }
-    if (!news) {
+    json_t *page;
+    int status = look(waiter->kept, waiter->kind, waiter->from, over, &page);
+    if (status == 0) {
         return;
     }
     caller_serves(caller, NULL);
     waiter_free(waiter);
-    (void)answer_watch(kept, caller, kind, from, true);
+    answer(caller, status, page);
 }
 
 static void
@@ -304,9 +295,12 @@
         return true;
     }
     watch_serves(watch);
-    if (!answer_watch(kept, caller, query.kind, query.from,
-                      query.wait_ms <= 0)) {
+    json_t *page;
+    int status = look(kept, query.kind, query.from, query.wait_ms <= 0, &page);
+    if (status == 0) {
         wait_for_news(kept, caller, &query);
+        return true;
     }
+    answer(caller, status, page);
     return true;
 }
--- a/soak/callers.c
+++ b/soak/callers.c
@@ -310,10 +310,9 @@
 /* ---- what servers recorded ---- */
 
 static ask_t *
-find(callers_t *callers, json_t *by_id, const char *id)
+find(const json_t *by_id, const char *id)
 {
-    (void)callers;
-    json_t *at = json_object_get(by_id, id);
+    const json_t *at = json_object_get(by_id, id);
     return at != NULL ? (ask_t *)(uintptr_t)json_integer_value(at) : NULL;
 }
 
@@ -345,7 +344,7 @@
     (void)field(line, wire_header_name(HEADER_WORKSPACE), workspace,
                 sizeof(workspace));
     (void)field(line, wire_header_name(HEADER_KEY), key, sizeof(key));
-    ask_t *ask = find(callers, by_id, id);
+    ask_t *ask = find(by_id, id);
     if (ask == NULL) {
         soak_broken(soak, "only what was asked runs", "%s", line);
         return;
