What a server holds is believed by least recent use, not by age; links as configured

Beliefs lasted 6 s, a figure of the earlier customers' engines; the new ones have room for three to nine seconds of prompts, as the load is. Fetching was taken for ten times as quick as 328 KB a token allows. Change: relay/held-parts.c keeps, for each server and for the store of kept parts, the parts that went in by order of use, within the configured room; what other hosts' requests brought in is told with their loads. Fetch times come from bytes a token and the slower of the two links. A quarter of the room is left to running requests and to what is heard of late.

--- a/fakes/engine-cache.c
+++ b/fakes/engine-cache.c
@@ -107,7 +107,7 @@
 }
 
 static block_t *
-cache_find(engine_cache_t *cache, uint64_t key)
+cache_find(const engine_cache_t *cache, uint64_t key)
 {
     block_t *block;
     CK_LIST_FOREACH (block, &cache->buckets[key % BUCKETS], bucket) {
@@ -131,6 +131,13 @@
     return true;
 }
 
+/* The same without a use. */
+bool
+engine_cache_holds(const engine_cache_t *cache, uint64_t key)
+{
+    return cache_find(cache, key) != NULL;
+}
+
 /* Hold a block, evicting the one unused for longest where it is full. */
 void
 engine_cache_store(engine_cache_t *cache, uint64_t key)
--- a/fakes/fakes.h
+++ b/fakes/fakes.h
@@ -20,6 +20,7 @@
 void engine_cache_free(engine_cache_t *cache);
 void engine_cache_clear(engine_cache_t *cache);
 bool engine_cache_has(engine_cache_t *cache, uint64_t key);
+bool engine_cache_holds(const engine_cache_t *cache, uint64_t key);
 void engine_cache_store(engine_cache_t *cache, uint64_t key);
 size_t engine_cache_size(const engine_cache_t *cache);
 json_t *engine_cache_events(engine_cache_t *cache, uint64_t after,
--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #define MEMBER_FIELDS 9
-#define LOAD_FIELDS 8
-#define CACHE_FIELDS 4
+#define LOAD_FIELDS 9
+#define CACHE_FIELDS 5
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -40,6 +40,7 @@
     if (!fact->is_load) {
         (void)msgpack_pack_uint64(packer, fact->key);
         (void)msgpack_pack_uint64(packer, fact->tokens);
+        (void)msgpack_pack_uint64(packer, fact->part);
         (void)msgpack_pack_int(packer, fact->held ? 1 : 0);
         return;
     }
@@ -50,6 +51,7 @@
     (void)msgpack_pack_int(packer, fact->load.slots);
     (void)msgpack_pack_int(packer, fact->load.waiting_tokens);
     (void)msgpack_pack_int(packer, fact->load.prefill_rate);
+    (void)msgpack_pack_uint64(packer, fact->load.filled);
 }
 
 /* Encode a datagram; its length, or 0 where it would not fit. */
@@ -155,14 +157,22 @@
     fact->is_load = object->via.array.size == LOAD_FIELDS;
     if (!fact->is_load) {
         uint64_t tokens;
+        uint64_t part;
         int held;
         bool good = take_unsigned(&at[1], &fact->key) &&
-                    take_unsigned(&at[2], &tokens) && take_int(&at[3], &held);
+                    take_unsigned(&at[2], &tokens) &&
+                    take_unsigned(&at[3], &part) && take_int(&at[4], &held);
         fact->tokens = good ? (uint32_t)tokens : 0;
+        fact->part = good ? (uint32_t)part : 0;
         fact->held = good && held != 0;
         return good;
     }
     load_report_t *load = &fact->load;
+    uint64_t filled;
+    if (!take_unsigned(&at[8], &filled)) {
+        return false;
+    }
+    load->filled = (uint32_t)filled;
     return take_text(&at[1], load->incarnation, sizeof(load->incarnation)) &&
            take_text(&at[2], load->version, sizeof(load->version)) &&
            take_text(&at[3], load->loading, sizeof(load->loading)) &&
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -17,7 +17,8 @@
     char backend[CS_NAME_MAX];
     load_report_t load;
     uint64_t key;
-    uint32_t tokens;
+    uint32_t tokens; /* of the prompt up to the end of the part */
+    uint32_t part;   /* of the part alone, 0 where it is not known */
     bool held;
 } peer_fact_t;
 
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -57,6 +57,7 @@
     int slots;
     int waiting_tokens;
     int prefill_rate; /* tokens a second */
+    uint32_t filled;  /* tokens of requests' own parts, of all time, wraps */
 } load_report_t;
 
 typedef struct {
--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -3,19 +3,16 @@
 
 #include <string.h>
 
-/* A server drops the parts that it used least recently.  At 30,000 new tokens
- * a second and 200,000 of room that is after about seven seconds; what was
- * not noted for longer than this is taken for dropped, ms. */
-#define BELIEF_MS 6000
-/* The store of kept parts has three times the room and takes less in. */
-#define KV_STORE_BELIEF_MS 12000
-/* Time to fetch, ms: to ask and start, and for each 1,000 tokens over the
- * servers' links; a link between data centres takes twice as long, and the
- * store of kept parts has a slower one. */
+/* Of an engine's memory for parts of prompts that are not in use: running
+ * requests hold the rest, and what other hosts sent there is heard of late. */
+#define ROOM_PART 0.75
+/* Time to ask for a fetch and to start it, ms. */
 #define FETCH_START_MS 8.0
-#define FETCH_MS_PER_K 1.2
+/* A link between data centres takes so much longer. */
 #define FETCH_OTHER_DC 2.0
-#define FETCH_KV_STORE 5.0
+/* Taken where the configuration does not tell sizes and links, ms a token. */
+#define FETCH_UNKNOWN_MS 0.01
+#define BITS_PER_BYTE 8.0
 #define SOURCES_MAX 8
 /* A prompt that was sent is read within this time, ms, or its server is in
  * trouble. */
@@ -37,6 +34,14 @@
     return NULL;
 }
 
+static const relay_service_t *
+service_of(const relay_t *relay, const server_t *server)
+{
+    return relay->config != NULL
+               ? relay_config_service(relay->config, server->said.service)
+               : NULL;
+}
+
 /* Levels that others can have too: all but the request's own part. */
 static unsigned
 shared_levels(const prefix_t *prefix)
@@ -56,6 +61,22 @@
     return NULL;
 }
 
+/* Time that one token takes from a store or a server of a service to a server
+ * of another, by what the configuration says of their links. */
+static double
+token_ms(const relay_service_t *from, const relay_service_t *to, bool same_dc)
+{
+    if (from == NULL || to == NULL || to->token_bytes <= 0 ||
+        from->link_bits_per_ms <= 0 || to->link_bits_per_ms <= 0) {
+        return FETCH_UNKNOWN_MS;
+    }
+    double link = from->link_bits_per_ms < to->link_bits_per_ms
+                      ? from->link_bits_per_ms
+                      : to->link_bits_per_ms;
+    double ms = (double)to->token_bytes * BITS_PER_BYTE / link;
+    return same_dc ? ms : ms * FETCH_OTHER_DC;
+}
+
 static bool
 take_source(const relay_t *relay, const server_t *to, uint16_t number,
             cache_source_t *out)
@@ -68,6 +89,8 @@
         str_copy(out->addr, sizeof(out->addr), store->addr);
         out->same_dc = strcmp(store->dc, to->said.dc) == 0;
         out->kv_store = true;
+        out->ms_per_token =
+            token_ms(store, service_of(relay, to), out->same_dc);
         return true;
     }
     const server_t *from = server_numbered(relay, number);
@@ -78,6 +101,8 @@
     str_copy(out->addr, sizeof(out->addr), from->said.addr);
     out->same_dc = strcmp(from->said.dc, to->said.dc) == 0;
     out->kv_store = false;
+    out->ms_per_token =
+        token_ms(service_of(relay, from), service_of(relay, to), out->same_dc);
     return true;
 }
 
@@ -92,22 +117,37 @@
     return a->same_dc || !b->same_dc;
 }
 
+/* What a server, or the store of kept parts, is believed to hold; NULL for a
+ * number that is nobody's. */
+static held_parts_t *
+held_by(const relay_t *relay, uint16_t number)
+{
+    if (number == KV_STORE_NUMBER) {
+        return relay->store_held;
+    }
+    const server_t *server = server_numbered(relay, number);
+    return server != NULL ? server->held : NULL;
+}
+
+static bool
+holds(const relay_t *relay, uint16_t number, uint64_t key)
+{
+    const held_parts_t *held = held_by(relay, number);
+    return held != NULL && held_parts_has(held, key);
+}
+
 static bool
 find_source(relay_t *relay, const prefix_level_t *level, const server_t *to,
-            int64_t now, cache_source_t *out)
+            cache_source_t *out)
 {
     uint16_t numbers[SOURCES_MAX];
     bool found = false;
     size_t count =
-        cache_map_holders(relay->cache, level->key, now - KV_STORE_BELIEF_MS,
-                          numbers, SOURCES_MAX);
+        cache_map_holders(relay->cache, level->key, 0, numbers, SOURCES_MAX);
     for (size_t i = 0; i < count; i++) {
         cache_source_t source = {.tokens = level->tokens};
-        prefix_t one = {.levels = {*level}, .count = 1};
-        bool fresh = numbers[i] == KV_STORE_NUMBER ||
-                     cache_map_cached_since(relay->cache, &one, numbers[i],
-                                            now - BELIEF_MS) > 0;
-        if (fresh && take_source(relay, to, numbers[i], &source) &&
+        if (holds(relay, numbers[i], level->key) &&
+            take_source(relay, to, numbers[i], &source) &&
             (!found || is_better(&source, out))) {
             *out = source;
             found = true;
@@ -148,8 +188,11 @@
     unsigned shared = shared_levels(prefix);
     memset(out, 0, sizeof(*out));
     out->shared = shared > 0 ? prefix->levels[shared - 1].tokens : 0;
-    out->here = cache_map_cached_since(relay->cache, prefix, server->number,
-                                       now - BELIEF_MS);
+    for (unsigned i = shared; i > 0 && out->here == 0; i--) {
+        const prefix_level_t *level = &prefix->levels[i - 1];
+        out->here =
+            held_parts_has(server->held, level->key) ? level->tokens : 0;
+    }
     uint32_t coming = coming_tokens(relay, prefix, server, now);
     out->here = coming > out->here ? coming : out->here;
     for (unsigned i = shared; i > 0 && !out->found; i--) {
@@ -157,7 +200,7 @@
         if (level->tokens <= out->here) {
             return;
         }
-        out->found = find_source(relay, level, server, now, &out->source);
+        out->found = find_source(relay, level, server, &out->source);
     }
 }
 
@@ -168,29 +211,83 @@
     if (!view->found) {
         return 0;
     }
-    double ms = (view->source.tokens - view->here) / 1000.0 * FETCH_MS_PER_K;
-    ms *= view->source.same_dc ? 1 : FETCH_OTHER_DC;
-    ms *= view->source.kv_store ? FETCH_KV_STORE : 1;
+    double ms = (view->source.tokens - view->here) * view->source.ms_per_token;
     return FETCH_START_MS + ms;
 }
 
-/* A server, or the store of kept parts, now holds a prompt.  Peers are told
- * of the parts that they may be asked for too. */
+static held_part_t
+part_of(const prefix_t *prefix, unsigned level)
+{
+    uint32_t before = level > 0 ? prefix->levels[level - 1].tokens : 0;
+    return (held_part_t){.key = prefix->levels[level].key,
+                         .prompt_tokens = prefix->levels[level].tokens,
+                         .tokens = prefix->levels[level].tokens - before};
+}
+
+/* A server, or the store of kept parts, has used or taken in the parts of a
+ * prompt.  Peers are told of the parts that they may be asked for too.  The
+ * first part is the last to be dropped, so it is noted last. */
 void
 cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
     int64_t now = time_mono_ms();
     const server_t *server = server_numbered(relay, number);
-    for (unsigned i = 0; i < prefix->count; i++) {
-        const prefix_level_t *level = &prefix->levels[i];
-        bool news = cache_map_note_at(relay->cache, number, level->key,
-                                      level->tokens, now);
-        if (news && i < shared_levels(prefix)) {
-            peers_tell_held(relay->peers, server, level->key, level->tokens);
+    held_parts_t *held = held_by(relay, number);
+    for (unsigned i = shared_levels(prefix); i > 0 && held != NULL; i--) {
+        const held_part_t part = part_of(prefix, i - 1);
+        held_parts_use(held, &part);
+        if (cache_map_note_at(relay->cache, number, part.key,
+                              part.prompt_tokens, now)) {
+            peers_tell_held(relay->peers, server, &part);
         }
     }
 }
 
+/* Another daemon says that a server uses or reads a part. */
+void
+cache_told(relay_t *relay, uint16_t number, const held_part_t *part)
+{
+    held_parts_t *held = held_by(relay, number);
+    (void)cache_map_note_at(relay->cache, number, part->key,
+                            part->prompt_tokens, time_mono_ms());
+    if (held != NULL && part->tokens > 0) {
+        held_parts_use(held, part);
+    }
+}
+
+/* What a server held is lost: it has started anew, or has other weights. */
+void
+cache_forget(relay_t *relay, const server_t *server)
+{
+    cache_map_forget(relay->cache, server->number);
+    held_parts_forget(server->held);
+}
+
+/* Take the size of a server's cache from the configuration. */
+void
+cache_room(const relay_t *relay, const server_t *server)
+{
+    const relay_service_t *service = service_of(relay, server);
+    if (service != NULL) {
+        held_parts_room(server->held,
+                        (int64_t)(ROOM_PART * (double)service->cache_tokens));
+    }
+}
+
+/* The same for all caches, when there is a new configuration. */
+void
+cache_rooms(relay_t *relay)
+{
+    const relay_service_t *store = cache_kv_store(relay);
+    server_t *server;
+    if (store != NULL) {
+        held_parts_room(relay->store_held, store->cache_tokens);
+    }
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
+        cache_room(relay, server);
+    }
+}
+
 /* A prompt was sent to a server, which will hold its parts once it has read
  * them.  Without this two daemons that get prompts with the same part at the
  * same time have it read at two servers: half of what was read again on a day
@@ -204,19 +301,11 @@
         const prefix_level_t *level = &prefix->levels[i];
         uint64_t key = coming_key(level->key);
         if (cache_map_note_at(relay->cache, number, key, level->tokens, now)) {
-            peers_tell_held(relay->peers, server, key, level->tokens);
+            peers_tell_coming(relay->peers, server, key, level->tokens);
         }
     }
 }
 
-/* All that a daemon that starts should know, at most max facts. */
-size_t
-cache_facts(relay_t *relay, cache_fact_t *facts, size_t max)
-{
-    return cache_map_recent(relay->cache, time_mono_ms() - BELIEF_MS, facts,
-                            max);
-}
-
 /* Whether the store of kept parts holds all that a prompt shares. */
 bool
 cache_kept(const relay_t *relay, const prefix_t *prefix)
@@ -225,7 +314,5 @@
     if (shared == 0) {
         return true;
     }
-    prefix_t deepest = {.levels = {prefix->levels[shared - 1]}, .count = 1};
-    return cache_map_cached_since(relay->cache, &deepest, KV_STORE_NUMBER,
-                                  time_mono_ms() - KV_STORE_BELIEF_MS) > 0;
+    return held_parts_has(relay->store_held, prefix->levels[shared - 1].key);
 }
--- a/relay/cache-source.h
+++ b/relay/cache-source.h
@@ -14,6 +14,7 @@
     char addr[CS_ADDR_MAX];
     bool same_dc; /* as the server that fetches */
     bool kv_store;
+    double ms_per_token; /* over the slower of the two links */
 } cache_source_t;
 
 typedef struct {
@@ -26,9 +27,12 @@
 void cache_look(relay_t *relay, const prefix_t *prefix, const server_t *server,
                 cache_view_t *out);
 void cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number);
+void cache_told(relay_t *relay, uint16_t number, const held_part_t *part);
+void cache_forget(relay_t *relay, const server_t *server);
+void cache_room(const relay_t *relay, const server_t *server);
+void cache_rooms(relay_t *relay);
 void cache_note_coming(relay_t *relay, const prefix_t *prefix,
                        uint16_t number);
-size_t cache_facts(relay_t *relay, cache_fact_t *facts, size_t max);
 server_t *server_numbered(const relay_t *relay, uint16_t number);
 double cache_fetch_ms(const cache_view_t *view);
 const relay_service_t *cache_kv_store(const relay_t *relay);
--- a/relay/facts.c
+++ b/relay/facts.c
@@ -1,3 +1,4 @@
+#include "cache-source.h"
 #include "kept.h"
 #include "peers.h"
 #include "relay.h"
@@ -45,6 +46,7 @@
                (long long)config->version, (long long)config->revision);
     relay_config_release(relay->config);
     relay->config = config;
+    cache_rooms(relay);
 }
 
 static void
@@ -93,7 +95,7 @@
     log_record(LOG_INFO, "servers", "gone", "server=%s service=%s why=%s",
                server->said.id, server->said.service, why);
     server->gone = true;
-    cache_map_forget(relay->cache, server->number);
+    cache_forget(relay, server);
     exchanges_drop(relay->exchanges, server->said.addr);
 }
 
@@ -152,7 +154,7 @@
 {
     if (server->said.born_ms != entry->born_ms ||
         server->said.weights != entry->weights) {
-        cache_map_forget(relay->cache, server->number);
+        cache_forget(relay, server);
     }
 }
 
@@ -186,6 +188,7 @@
         return;
     }
     server->revision = object->revision;
+    cache_room(relay, server);
     log_server(server);
 }
 
--- /dev/null
+++ b/relay/held-parts.c
@@ -0,0 +1,196 @@
+#include "held-parts.h"
+
+#include <ck_queue.h>
+#include <stdlib.h>
+
+/* A prompt's own part is never asked for again, but it pushes others out, so
+ * it stands in the order of use as an entry without a key.  Neighbours of that
+ * kind are made one, which bounds the entries by about two for each part. */
+
+#define BUCKETS 256
+/* Room of a cache whose size nobody has told, tokens: a small engine's. */
+#define ROOM_UNKNOWN_TOKENS 100000
+/* Parts of no tokens cost no room, so the number of entries is bounded too. */
+#define ENTRIES_MAX 16384
+
+typedef struct held_entry {
+    CK_LIST_ENTRY(held_entry) bucket;
+    struct held_entry *newer;
+    struct held_entry *older;
+    bool keyed; /* else filling of no further use */
+    held_part_t part;
+} held_entry_t;
+
+typedef CK_LIST_HEAD(held_bucket, held_entry) held_bucket_t;
+
+struct held_parts {
+    held_bucket_t buckets[BUCKETS];
+    held_entry_t *newest;
+    held_entry_t *oldest;
+    size_t count;
+    int64_t tokens; /* of all entries */
+    int64_t room;
+};
+
+held_parts_t *
+held_parts_new(void)
+{
+    held_parts_t *held = mem_zalloc(sizeof(*held));
+    held->room = ROOM_UNKNOWN_TOKENS;
+    return held;
+}
+
+static void
+entry_unlink(held_parts_t *held, held_entry_t *entry)
+{
+    if (entry->newer != NULL) {
+        entry->newer->older = entry->older;
+    }
+    else {
+        held->newest = entry->older;
+    }
+    if (entry->older != NULL) {
+        entry->older->newer = entry->newer;
+    }
+    else {
+        held->oldest = entry->newer;
+    }
+}
+
+static void
+entry_link_newest(held_parts_t *held, held_entry_t *entry)
+{
+    entry->newer = NULL;
+    entry->older = held->newest;
+    if (held->newest != NULL) {
+        held->newest->newer = entry;
+    }
+    held->newest = entry;
+    if (held->oldest == NULL) {
+        held->oldest = entry;
+    }
+}
+
+static void
+entry_free(held_parts_t *held, held_entry_t *entry)
+{
+    entry_unlink(held, entry);
+    if (entry->keyed) {
+        CK_LIST_REMOVE(entry, bucket);
+    }
+    held->tokens -= entry->part.tokens;
+    held->count--;
+    free(entry);
+}
+
+static held_entry_t *
+entry_find(const held_parts_t *held, uint64_t key)
+{
+    held_entry_t *entry;
+    CK_LIST_FOREACH (entry, &held->buckets[key % BUCKETS], bucket) {
+        if (entry->part.key == key) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+/* Drop what the cache no longer has room for.  A part goes when all of it is
+ * pushed out: of one that is partly there the rest is still of use. */
+static void
+drop_oldest(held_parts_t *held)
+{
+    while (held->oldest != NULL &&
+           (held->tokens - held->oldest->part.tokens >= held->room ||
+            held->count > ENTRIES_MAX)) {
+        entry_free(held, held->oldest);
+    }
+}
+
+/* How many tokens the cache holds at most; what is not above 0 says nothing
+ * and is left out. */
+void
+held_parts_room(held_parts_t *held, int64_t tokens)
+{
+    if (tokens > 0 && tokens != held->room) {
+        held->room = tokens;
+        drop_oldest(held);
+    }
+}
+
+/* The cache was emptied. */
+void
+held_parts_forget(held_parts_t *held)
+{
+    while (held->oldest != NULL) {
+        entry_free(held, held->oldest);
+    }
+}
+
+void
+held_parts_free(held_parts_t *held)
+{
+    if (held != NULL) {
+        held_parts_forget(held);
+        free(held);
+    }
+}
+
+/* A request used a part, which the cache has from now on if it had not. */
+void
+held_parts_use(held_parts_t *held, const held_part_t *part)
+{
+    held_entry_t *entry = entry_find(held, part->key);
+    if (entry != NULL) {
+        entry_unlink(held, entry);
+        entry_link_newest(held, entry);
+        return;
+    }
+    entry = mem_zalloc(sizeof(*entry));
+    entry->keyed = true;
+    entry->part = *part;
+    CK_LIST_INSERT_HEAD(&held->buckets[part->key % BUCKETS], entry, bucket);
+    entry_link_newest(held, entry);
+    held->tokens += part->tokens;
+    held->count++;
+    drop_oldest(held);
+}
+
+/* So many tokens went in that no other request will ask for. */
+void
+held_parts_fill(held_parts_t *held, uint32_t tokens)
+{
+    held_entry_t *entry = held->newest;
+    if (tokens == 0) {
+        return;
+    }
+    if (entry == NULL || entry->keyed) {
+        entry = mem_zalloc(sizeof(*entry));
+        entry_link_newest(held, entry);
+        held->count++;
+    }
+    entry->part.tokens += tokens;
+    held->tokens += tokens;
+    drop_oldest(held);
+}
+
+/* Whether a part is believed to be there. */
+bool
+held_parts_has(const held_parts_t *held, uint64_t key)
+{
+    return entry_find(held, key) != NULL;
+}
+
+/* The parts that are held, the one used last first; how many were written. */
+size_t
+held_parts_list(const held_parts_t *held, held_part_t *out, size_t max)
+{
+    size_t count = 0;
+    for (const held_entry_t *entry = held->newest;
+         entry != NULL && count < max; entry = entry->older) {
+        if (entry->keyed) {
+            out[count++] = entry->part;
+        }
+    }
+    return count;
+}
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -26,10 +26,12 @@
 /* Peers are told of a change of this many tokens to be read at a server: about
  * 40 ms of its time. */
 #define LOAD_STEP_TOKENS 2000
+/* The same of tokens that requests have brought into a server's cache: a small
+ * part of the least room that an engine has. */
+#define FILLED_STEP_TOKENS 4000
 
-/* Facts for a daemon that starts at most: nine servers hold about 400 shared
- * parts. */
-#define SNAPSHOT_MAX 1024
+/* Parts of one server that a daemon that starts is told of at most. */
+#define SNAPSHOT_PARTS_MAX 256
 /* Others that it asks, against lost datagrams. */
 #define ASK_PEERS 2
 
@@ -85,11 +87,24 @@
     }
 }
 
+static peer_fact_t
+held_fact(const server_t *server, const held_part_t *part)
+{
+    peer_fact_t fact = {.key = part->key,
+                        .tokens = part->prompt_tokens,
+                        .part = part->tokens,
+                        .held = true};
+    if (server != NULL) {
+        str_copy(fact.backend, sizeof(fact.backend), server->said.id);
+    }
+    return fact;
+}
+
 static void
 take_held(relay_t *relay, const server_t *server, const peer_fact_t *fact)
 {
-    (void)cache_map_note_at(relay->cache, server->number, fact->key,
-                            fact->tokens, time_mono_ms());
+    const held_part_t part = {fact->key, fact->tokens, fact->part};
+    cache_told(relay, server->number, &part);
 }
 
 static void
@@ -103,7 +118,7 @@
         load->loading[0] != '\0' ? time_mono_ms() + LOADING_MS : 0;
     if (weights > server->said.weights) {
         server->said.weights = weights;
-        cache_map_forget(relay->cache, server->number);
+        cache_forget(relay, server);
     }
 }
 
@@ -112,8 +127,8 @@
 take_fact(relay_t *relay, uint64_t host, const peer_fact_t *fact)
 {
     if (fact->backend[0] == '\0') {
-        (void)cache_map_note_at(relay->cache, KV_STORE_NUMBER, fact->key,
-                                fact->tokens, time_mono_ms());
+        const held_part_t part = {fact->key, fact->tokens, fact->part};
+        cache_told(relay, KV_STORE_NUMBER, &part);
         return;
     }
     server_t *server = servers_find(relay->servers, fact->backend);
@@ -122,49 +137,58 @@
     }
     if (fact->is_load) {
         take_weights(relay, server, &fact->load);
-        server_other(server, host, fact->load.waiting_tokens,
-                     fact->load.running, time_mono_ms());
+        const other_load_t said = {.host = host,
+                                   .told_ms = time_mono_ms(),
+                                   .unread = fact->load.waiting_tokens,
+                                   .running = fact->load.running,
+                                   .filled = fact->load.filled};
+        server_other(server, &said);
     }
     else {
         take_held(relay, server, fact);
     }
 }
 
+/* Tell one daemon what a server (NULL for the store of kept parts) is believed
+ * to hold, the part used last at the end, as its own list wants them; how many
+ * parts were told. */
+static size_t
+tell_parts(peers_t *peers, const char *addr, const server_t *server,
+           const held_parts_t *held)
+{
+    held_part_t parts[SNAPSHOT_PARTS_MAX];
+    size_t count = held_parts_list(held, parts, SNAPSHOT_PARTS_MAX);
+    peer_datagram_t *datagram = &peers->taken;
+    memset(datagram, 0, sizeof(*datagram));
+    datagram->kind = PEER_FACTS;
+    for (size_t i = count; i > 0; i--) {
+        peer_fact_t *fact = &datagram->facts[datagram->fact_count++];
+        *fact = held_fact(server, &parts[i - 1]);
+        if (datagram->fact_count == PEER_FACTS_MAX || i == 1) {
+            send_datagram(peers, addr, datagram);
+            datagram->fact_count = 0;
+        }
+    }
+    return count;
+}
+
 /* A daemon that has just started asks, by an empty list, for all that is
  * known: without it, it would have servers read again what they hold. */
 static void
 tell_all(peers_t *peers, const struct sockaddr_in *to)
 {
     relay_t *relay = peers->relay;
-    cache_fact_t facts[SNAPSHOT_MAX];
     char addr[CS_ADDR_MAX];
     char ip[INET_ADDRSTRLEN];
-    size_t count = cache_facts(relay, facts, SNAPSHOT_MAX);
     (void)inet_ntop(AF_INET, &to->sin_addr, ip, sizeof(ip));
     (void)snprintf(addr, sizeof(addr), "%s:%u", ip, ntohs(to->sin_port));
-    peer_datagram_t *datagram = &peers->taken;
-    memset(datagram, 0, sizeof(*datagram));
-    datagram->kind = PEER_FACTS;
-    for (size_t i = 0; i < count; i++) {
-        const server_t *server = server_numbered(relay, facts[i].backend);
-        if (server == NULL && facts[i].backend != KV_STORE_NUMBER) {
-            continue;
-        }
-        peer_fact_t *fact = &datagram->facts[datagram->fact_count++];
-        memset(fact, 0, sizeof(*fact));
-        str_copy(fact->backend, sizeof(fact->backend),
-                 server != NULL ? server->said.id : "");
-        fact->key = facts[i].key;
-        fact->tokens = facts[i].tokens;
-        fact->held = true;
-        if (datagram->fact_count == PEER_FACTS_MAX) {
-            send_datagram(peers, addr, datagram);
-            datagram->fact_count = 0;
+    size_t count = tell_parts(peers, addr, NULL, relay->store_held);
+    server_t *server;
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
+        if (!server->gone && server->said.engine) {
+            count += tell_parts(peers, addr, server, server->held);
         }
     }
-    if (datagram->fact_count > 0) {
-        send_datagram(peers, addr, datagram);
-    }
     log_record(LOG_INFO, "peers", "told", "to=%s facts=%zu", addr, count);
 }
 
@@ -235,16 +259,20 @@
 /* Tell that a server holds a part of prompts; NULL is the store of kept
  * parts. */
 void
-peers_tell_held(peers_t *peers, const server_t *server, uint64_t key,
-                uint32_t tokens)
+peers_tell_held(peers_t *peers, const server_t *server,
+                const held_part_t *part)
 {
-    peer_fact_t *fact = fact_add(peers);
-    if (server != NULL) {
-        str_copy(fact->backend, sizeof(fact->backend), server->said.id);
-    }
-    fact->key = key;
-    fact->tokens = tokens;
-    fact->held = true;
+    *fact_add(peers) = held_fact(server, part);
+}
+
+/* Tell that a server is reading a part; the key is not the part's own, see
+ * cache_note_coming. */
+void
+peers_tell_coming(peers_t *peers, const server_t *server, uint64_t key,
+                  uint32_t tokens)
+{
+    const held_part_t part = {.key = key, .prompt_tokens = tokens};
+    *fact_add(peers) = held_fact(server, &part);
 }
 
 static peer_fact_t *
@@ -255,6 +283,7 @@
     str_copy(fact->backend, sizeof(fact->backend), server->said.id);
     fact->load.running = server->own_running;
     fact->load.waiting_tokens = (int)server->own_unread;
+    fact->load.filled = server->filled;
     return fact;
 }
 
@@ -286,11 +315,14 @@
     server_t *server;
     CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
         double change = server->own_unread - server->told_unread;
+        uint32_t filled = server->filled - server->told_filled;
         if (server->gone || !server->said.engine ||
-            (change < LOAD_STEP_TOKENS && change > -LOAD_STEP_TOKENS)) {
+            (change < LOAD_STEP_TOKENS && change > -LOAD_STEP_TOKENS &&
+             filled < FILLED_STEP_TOKENS)) {
             continue;
         }
         server->told_unread = server->own_unread;
+        server->told_filled = server->filled;
         (void)load_add(peers, server);
     }
 }
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -6,8 +6,10 @@
 #include "../kernel/peer-codec.h"
 #include "relay.h"
 
-void peers_tell_held(peers_t *peers, const server_t *server, uint64_t key,
-                     uint32_t tokens);
+void peers_tell_held(peers_t *peers, const server_t *server,
+                     const held_part_t *part);
+void peers_tell_coming(peers_t *peers, const server_t *server, uint64_t key,
+                       uint32_t tokens);
 void peers_tell_weights(peers_t *peers, const server_t *server,
                         int64_t loading);
 size_t peers_live(const peers_t *peers);
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -1,3 +1,4 @@
+#include "cache-source.h"
 #include "relay.h"
 
 #include <stdlib.h>
@@ -35,7 +36,7 @@
         log_record(LOG_INFO, "servers", "reported",
                    "server=%s weights=%lld busy=%d", server->said.id,
                    (long long)report.weights, report.busy);
-        cache_map_forget(probe->relay->cache, server->number);
+        cache_forget(probe->relay, server);
         server->said.weights = report.weights;
     }
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -66,7 +66,8 @@
 
     relay_config_t *config; /* NULL until one was read */
     servers_t *servers;
-    cache_map_t *cache;
+    cache_map_t *cache;       /* who may hold or is reading a part */
+    held_parts_t *store_held; /* by the store of kept parts */
     weights_t weights[WEIGHTS_MODELS_MAX];
     size_t weights_count;
     bool servers_listed;
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -1,3 +1,4 @@
+#include "cache-source.h"
 #include "lease.h"
 #include "peers.h"
 #include "relay.h"
@@ -280,7 +281,7 @@
         return;
     }
     if (report.weights != server->said.weights) {
-        cache_map_forget(job->rollout->relay->cache, server->number);
+        cache_forget(job->rollout->relay, server);
         server->said.weights = report.weights;
     }
     if (report.weights >= job->version) {
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -96,6 +96,7 @@
         server = mem_zalloc(sizeof(*server));
         server->number = (uint16_t)number;
         server->slowness = 1;
+        server->held = held_parts_new();
         CK_LIST_INSERT_HEAD(&servers->list, server, entry);
         servers->count++;
     }
@@ -116,6 +117,7 @@
     servers->taken[server->number] = false;
     servers->count--;
     CK_LIST_REMOVE(server, entry);
+    held_parts_free(server->held);
     free(server);
 }
 
@@ -235,15 +237,26 @@
     return server->own_running > 0 && now_ms - since >= SILENCE_MS;
 }
 
-/* Another host says what it has at the server; the oldest word makes room. */
+/* A request of this host brought tokens into the server's cache that no other
+ * request will ask for. */
 void
-server_other(server_t *server, uint64_t host, double unread, int running,
-             int64_t now_ms)
+server_filled(server_t *server, uint32_t tokens)
+{
+    server->filled += tokens;
+    held_parts_fill(server->held, tokens);
+}
+
+/* Another host says what it has at the server; the oldest word makes room.
+ * What its requests have brought into the cache since its last word pushes out
+ * what was used before. */
+void
+server_other(server_t *server, const other_load_t *said)
 {
     other_load_t *slot = &server->others[0];
     for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
         other_load_t *other = &server->others[i];
-        if (other->host == host) {
+        if (other->host == said->host) {
+            held_parts_fill(server->held, said->filled - other->filled);
             slot = other;
             break;
         }
@@ -251,7 +264,7 @@
             slot = other;
         }
     }
-    *slot = (other_load_t){host, now_ms, unread, running};
+    *slot = *said;
 }
 
 /* Prompt tokens of other hosts that are not read yet, as far as they said. */
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -5,6 +5,7 @@
  * them.  No I/O and no clock: times go in. */
 
 #include "../kernel/base.h"
+#include "held-parts.h"
 
 #include <ck_queue.h>
 
@@ -36,13 +37,14 @@
 } server_fault_t;
 
 /* What another host has at a server, by its own word. */
-#define OTHER_HOSTS_MAX 32
+#define OTHER_HOSTS_MAX 64
 
 typedef struct {
     uint64_t host; /* hash of its address; 0 for none */
     int64_t told_ms;
     double unread;
     int running;
+    uint32_t filled; /* tokens of requests' own parts, of all time, wraps */
 } other_load_t;
 
 typedef struct server {
@@ -60,6 +62,10 @@
     int own_running;    /* requests of this host at it */
     double own_unread;  /* their prompt tokens that are not read yet */
     double told_unread; /* what other hosts were last told of them */
+    held_parts_t *held; /* what its cache is believed to hold */
+    uint32_t
+        filled; /* tokens of own requests' own parts, of all time, wraps */
+    uint32_t told_filled; /* the same, as other hosts were told */
     other_load_t others[OTHER_HOSTS_MAX];
     int load_running; /* by its own word */
     int load_waiting;
@@ -98,8 +104,8 @@
 void server_fault(server_t *server, server_fault_t fault, int64_t now_ms);
 void server_good(server_t *server);
 bool server_usable(const server_t *server, int64_t now_ms);
-void server_other(server_t *server, uint64_t host, double unread, int running,
-                  int64_t now_ms);
+void server_filled(server_t *server, uint32_t tokens);
+void server_other(server_t *server, const other_load_t *said);
 double server_others_unread(const server_t *server, int64_t now_ms);
 void server_speed(server_t *server, double expected_ms, double observed_ms);
 bool server_wants_probe(const server_t *server, int64_t now_ms);
