--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -342,7 +342,11 @@
     }
     server_read(server, request->unread);
     request->unread = 0;
-    cache_note(request->relay, &request->prefix, server->number);
+    if (request->engine) {
+        cache_note(request->relay, &request->prefix, server->number);
+        server_filled(
+            server, request->prefix.tokens - prompt_shared(&request->prompt));
+    }
     if (request->saves) {
         cache_note(request->relay, &request->prefix, KV_STORE_NUMBER);
     }
