Rollout: half a second of quiet, then runs go on beside the load

Change: nothing new goes to an engine that is picked, all hosts say what they still have there, and when nothing runs or half a second has passed it is ordered with runs going on.

--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -5,7 +5,7 @@
 
 /* Of an engine's memory for parts of prompts that are not in use: running
  * requests hold the rest, and what other hosts sent there is heard of late. */
-#define ROOM_PART 0.75
+#define ROOM_PART 0.65
 /* Time to ask for a fetch and to start it, ms. */
 #define FETCH_START_MS 8.0
 /* A link between data centres takes so much longer. */
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -306,22 +306,33 @@
     peers->asked = asked > 0;
 }
 
+/* Whether others should hear what this host has at a server.  Of one that is
+ * about to load weights they want to know when it is done. */
+static bool
+has_load_news(const server_t *server, int64_t now)
+{
+    double change = server->own_unread - server->told_unread;
+    uint32_t filled = server->filled - server->told_filled;
+    return change >= LOAD_STEP_TOKENS || change <= -LOAD_STEP_TOKENS ||
+           filled >= FILLED_STEP_TOKENS ||
+           (now < server->loading_ms &&
+            server->own_running != server->told_running);
+}
+
 /* Tell what this host has at the servers where that has changed by a few
  * requests' worth: a server's own word does not say how much of the prompts
  * at it is still to be read. */
 static void
-tell_loads(peers_t *peers)
+tell_loads(peers_t *peers, int64_t now)
 {
     server_t *server;
     CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
-        double change = server->own_unread - server->told_unread;
-        uint32_t filled = server->filled - server->told_filled;
         if (server->gone || !server->said.engine ||
-            (change < LOAD_STEP_TOKENS && change > -LOAD_STEP_TOKENS &&
-             filled < FILLED_STEP_TOKENS)) {
+            !has_load_news(server, now)) {
             continue;
         }
         server->told_unread = server->own_unread;
+        server->told_running = server->own_running;
         server->told_filled = server->filled;
         (void)load_add(peers, server);
     }
@@ -414,7 +425,7 @@
     if (!peers->asked && peers->relay->servers_listed) {
         ask_all(peers);
     }
-    tell_loads(peers);
+    tell_loads(peers, now);
     flush_facts(peers);
     if (now < peers->next_beat_ms) {
         return;
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -30,6 +30,7 @@
 
 typedef enum {
     JOB_REPORT, /* how many orders has it accepted, and is it there already */
+    JOB_QUIET,  /* nothing new goes there while what runs there ends */
     JOB_ORDER,
     JOB_LOADING
 } job_state_t;
@@ -42,7 +43,9 @@
     int64_t version;
     job_state_t state;
     int64_t began_ms;
-    int64_t next_ms; /* when to ask again */
+    int64_t next_ms;  /* when to ask again */
+    int64_t quiet_ms; /* since when nothing new goes there */
+    int64_t orders;   /* that the server had accepted by its report */
     fetch_t *fetch;
 } job_t;
 
@@ -242,19 +245,22 @@
     job_call(job, server, &head);
 }
 
-/* Give the order.  The lease is looked at last, right before it leaves. */
+/* Give the order.  What still runs goes on beside the load: held back by one
+ * long answer, a server would refuse all others for as long, and the rest of
+ * the fleet would be on old weights.  The lease is looked at last, right
+ * before the order leaves. */
 static void
-job_order(job_t *job, const server_t *server, int64_t expected)
+job_order(job_t *job, const server_t *server)
 {
     rollout_t *rollout = job->rollout;
     CLEAN_BUF buf_t head = {0};
     weights_order_t order = {.server = server->said.id,
                              .model = job->model,
                              .version = job->version,
-                             .runs = RUNS_FINISH,
+                             .runs = RUNS_GO_ON,
                              .holder = rollout->lease.self,
                              .fence = rollout->lease.fence,
-                             .expected_orders = expected};
+                             .expected_orders = job->orders};
     platform_order_call(&head, server->said.addr, &order);
     if (!lease_held(&rollout->lease, time_boot_ms())) {
         job_free(job, AGAIN_MS);
@@ -262,14 +268,28 @@
     }
     log_record(LOG_INFO, "orders", "load",
                "server=%s model=%s version=%lld from=%lld fence=%lld "
-               "expected=%lld",
+               "expected=%lld running=%d",
                server->said.id, job->model, (long long)job->version,
                (long long)server->said.weights,
-               (long long)rollout->lease.fence, (long long)expected);
+               (long long)rollout->lease.fence, (long long)job->orders,
+               server_running(server, time_mono_ms()));
     job->state = JOB_ORDER;
     job_call(job, server, &head);
 }
 
+/* Send nothing more to a server that is about to be ordered, so that what it
+ * runs ends on the weights that it began with. */
+static void
+job_quiet(job_t *job, server_t *server, int64_t orders)
+{
+    int64_t now = time_mono_ms();
+    job->orders = orders;
+    job->state = JOB_QUIET;
+    job->quiet_ms = now;
+    server->loading_ms = now + ROLLOUT_QUIET_MS + ORDER_CALL_MS;
+    peers_tell_weights(job->rollout->relay->peers, server, job->version);
+}
+
 static void
 take_job_report(job_t *job, server_t *server, const fetch_result_t *result)
 {
@@ -298,7 +318,7 @@
         job->next_ms = time_mono_ms() + LOADING_ASK_MS;
         return;
     }
-    job_order(job, server, report.orders);
+    job_quiet(job, server, report.orders);
 }
 
 static void
@@ -360,6 +380,12 @@
             job_free(job, 0);
             continue;
         }
+        if (job->state == JOB_QUIET && job->fetch == NULL) {
+            if (rollout_may_order(server, job->quiet_ms, now)) {
+                job_order(job, server);
+            }
+            continue;
+        }
         if (job->fetch == NULL && now >= job->next_ms) {
             job_ask_report(job, server);
         }
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -281,6 +281,20 @@
     return unread;
 }
 
+/* Requests of all hosts at it, as far as they said. */
+int
+server_running(const server_t *server, int64_t now_ms)
+{
+    int running = server->own_running;
+    for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
+        const other_load_t *other = &server->others[i];
+        if (other->host != 0 && now_ms - other->told_ms < OTHER_FRESH_MS) {
+            running += other->running;
+        }
+    }
+    return running;
+}
+
 /* A prompt that found nothing ahead of it was read in so much time.  Servers
  * of one service differ in speed, and one that is nearly full slows down. */
 void
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -62,6 +62,7 @@
     int own_running;    /* requests of this host at it */
     double own_unread;  /* their prompt tokens that are not read yet */
     double told_unread; /* what other hosts were last told of them */
+    int told_running;
     held_parts_t *held; /* what its cache is believed to hold */
     uint32_t
         filled; /* tokens of own requests' own parts, of all time, wraps */
@@ -106,6 +107,7 @@
 bool server_usable(const server_t *server, int64_t now_ms);
 void server_filled(server_t *server, uint32_t tokens);
 void server_other(server_t *server, const other_load_t *said);
+int server_running(const server_t *server, int64_t now_ms);
 double server_others_unread(const server_t *server, int64_t now_ms);
 void server_speed(server_t *server, double expected_ms, double observed_ms);
 bool server_wants_probe(const server_t *server, int64_t now_ms);
