A server that has loaded is used at once

Cause: who orders a load tells the others that it began; where the platform's list told of its end first nobody told of that, and 35 hosts left the server unused for up to 2.5 s. Change: an entry on newer weights ends the word that the server loads.

--- a/relay/servers.c
+++ b/relay/servers.c
@@ -100,6 +100,12 @@
         CK_LIST_INSERT_HEAD(&servers->list, server, entry);
         servers->count++;
     }
+    if (entry->weights > server->said.weights) {
+        /* Whoever ordered the load may have learnt of its end from this entry
+         * too and tell nobody: without this the server would stay unused here
+         * until the word that it loads expires. */
+        server->loading_ms = 0;
+    }
     bool renewed = server->said.born_ms != entry->born_ms ||
                    strcmp(server->said.addr, entry->addr) != 0;
     server->said = *entry;
