All stores of kept parts are used, each part in one of them

Cause: a deployment can name several stores; the router used the first it found. Change: relay/part-stores.c, rendezvous hashing of the deepest shared part over the stores; beliefs are kept and told for each by its name.

--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -18,22 +18,6 @@
  * trouble. */
 #define COMING_MS 1500
 
-/* The store of kept parts that the configuration names, or NULL. */
-const relay_service_t *
-cache_kv_store(const relay_t *relay)
-{
-    const relay_service_t *service;
-    if (relay->config == NULL) {
-        return NULL;
-    }
-    CK_SLIST_FOREACH (service, &relay->config->services, entry) {
-        if (service->kv_store) {
-            return service;
-        }
-    }
-    return NULL;
-}
-
 static const relay_service_t *
 service_of(const relay_t *relay, const server_t *server)
 {
@@ -49,6 +33,32 @@
     return prefix->count > 1 ? prefix->count - 1 : 0;
 }
 
+/* The service of the store with a number, or NULL. */
+static const relay_service_t *
+store_service(const relay_t *relay, uint16_t number)
+{
+    const part_store_t *store = &relay->stores.all[number - PART_STORE_NUMBER];
+    return relay->config != NULL && store->held != NULL
+               ? relay_config_service(relay->config, store->name)
+               : NULL;
+}
+
+/* The store that keeps what a prompt shares, and its number; NULL if there is
+ * no store or nothing is shared. */
+const relay_service_t *
+cache_store_for(const relay_t *relay, const prefix_t *prefix, uint16_t *number)
+{
+    unsigned shared = shared_levels(prefix);
+    int at = shared > 0 ? part_stores_for(&relay->stores,
+                                          prefix->levels[shared - 1].key)
+                        : -1;
+    if (at < 0) {
+        return NULL;
+    }
+    *number = (uint16_t)(PART_STORE_NUMBER + at);
+    return store_service(relay, *number);
+}
+
 server_t *
 server_numbered(const relay_t *relay, uint16_t number)
 {
@@ -81,14 +91,14 @@
 take_source(const relay_t *relay, const server_t *to, uint16_t number,
             cache_source_t *out)
 {
-    if (number == KV_STORE_NUMBER) {
-        const relay_service_t *store = cache_kv_store(relay);
+    if (number >= PART_STORE_NUMBER) {
+        const relay_service_t *store = store_service(relay, number);
         if (store == NULL) {
             return false;
         }
         str_copy(out->addr, sizeof(out->addr), store->addr);
         out->same_dc = strcmp(store->dc, to->said.dc) == 0;
-        out->kv_store = true;
+        out->kept_store = true;
         out->ms_per_token =
             token_ms(store, service_of(relay, to), out->same_dc);
         return true;
@@ -100,7 +110,7 @@
     }
     str_copy(out->addr, sizeof(out->addr), from->said.addr);
     out->same_dc = strcmp(from->said.dc, to->said.dc) == 0;
-    out->kv_store = false;
+    out->kept_store = false;
     out->ms_per_token =
         token_ms(service_of(relay, from), service_of(relay, to), out->same_dc);
     return true;
@@ -111,19 +121,19 @@
 static bool
 is_better(const cache_source_t *a, const cache_source_t *b)
 {
-    if (a->kv_store != b->kv_store) {
-        return !a->kv_store;
+    if (a->kept_store != b->kept_store) {
+        return !a->kept_store;
     }
     return a->same_dc || !b->same_dc;
 }
 
-/* What a server, or the store of kept parts, is believed to hold; NULL for a
+/* What a server, or a store of kept parts, is believed to hold; NULL for a
  * number that is nobody's. */
 static held_parts_t *
 held_by(const relay_t *relay, uint16_t number)
 {
-    if (number == KV_STORE_NUMBER) {
-        return relay->store_held;
+    if (number >= PART_STORE_NUMBER) {
+        return relay->stores.all[number - PART_STORE_NUMBER].held;
     }
     const server_t *server = server_numbered(relay, number);
     return server != NULL ? server->held : NULL;
@@ -215,6 +225,17 @@
     return FETCH_START_MS + ms;
 }
 
+/* The name by which other daemons know a holder. */
+static const char *
+holder_name(const relay_t *relay, uint16_t number)
+{
+    if (number >= PART_STORE_NUMBER) {
+        return relay->stores.all[number - PART_STORE_NUMBER].name;
+    }
+    const server_t *server = server_numbered(relay, number);
+    return server != NULL ? server->said.id : "";
+}
+
 static held_part_t
 part_of(const prefix_t *prefix, unsigned level)
 {
@@ -224,29 +245,35 @@
                          .tokens = prefix->levels[level].tokens - before};
 }
 
-/* A server, or the store of kept parts, has used or taken in the parts of a
+/* A server, or a store of kept parts, has used or taken in the parts of a
  * prompt.  Peers are told of the parts that they may be asked for too.  The
  * first part is the last to be dropped, so it is noted last. */
 void
 cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
     int64_t now = time_mono_ms();
-    const server_t *server = server_numbered(relay, number);
     held_parts_t *held = held_by(relay, number);
     for (unsigned i = shared_levels(prefix); i > 0 && held != NULL; i--) {
         const held_part_t part = part_of(prefix, i - 1);
         held_parts_use(held, &part);
         if (cache_map_note_at(relay->cache, number, part.key,
                               part.prompt_tokens, now)) {
-            peers_tell_held(relay->peers, server, &part);
+            peers_tell_held(relay->peers, holder_name(relay, number), &part);
         }
     }
 }
 
 /* Another daemon says that a server uses or reads a part. */
 void
-cache_told(relay_t *relay, uint16_t number, const held_part_t *part)
+cache_told(relay_t *relay, const char *holder, const held_part_t *part)
 {
+    const server_t *server = servers_find(relay->servers, holder);
+    int store = part_stores_named(&relay->stores, holder);
+    if (holder[0] == '\0' || (server == NULL && store < 0)) {
+        return;
+    }
+    uint16_t number = server != NULL ? server->number
+                                     : (uint16_t)(PART_STORE_NUMBER + store);
     held_parts_t *held = held_by(relay, number);
     (void)cache_map_note_at(relay->cache, number, part->key,
                             part->prompt_tokens, time_mono_ms());
@@ -278,11 +305,8 @@
 void
 cache_rooms(relay_t *relay)
 {
-    const relay_service_t *store = cache_kv_store(relay);
     server_t *server;
-    if (store != NULL) {
-        held_parts_room(relay->store_held, store->cache_tokens);
-    }
+    part_stores_sync(&relay->stores, relay->config);
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         cache_room(relay, server);
     }
@@ -296,23 +320,22 @@
 cache_note_coming(relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
     int64_t now = time_mono_ms();
-    const server_t *server = server_numbered(relay, number);
     for (unsigned i = 0; i < shared_levels(prefix); i++) {
         const prefix_level_t *level = &prefix->levels[i];
         uint64_t key = coming_key(level->key);
         if (cache_map_note_at(relay->cache, number, key, level->tokens, now)) {
-            peers_tell_coming(relay->peers, server, key, level->tokens);
+            peers_tell_coming(relay->peers, holder_name(relay, number), key,
+                              level->tokens);
         }
     }
 }
 
-/* Whether the store of kept parts holds all that a prompt shares. */
+/* Whether the store that a prompt belongs to has all that it shares. */
 bool
 cache_kept(const relay_t *relay, const prefix_t *prefix)
 {
+    uint16_t number;
     unsigned shared = shared_levels(prefix);
-    if (shared == 0) {
-        return true;
-    }
-    return held_parts_has(relay->store_held, prefix->levels[shared - 1].key);
+    return cache_store_for(relay, prefix, &number) == NULL ||
+           holds(relay, number, prefix->levels[shared - 1].key);
 }
--- /dev/null
+++ b/relay/part-stores.c
@@ -0,0 +1,96 @@
+#include "part-stores.h"
+#include "../kernel/tables.h"
+
+#include <string.h>
+
+static bool
+is_named(const relay_config_t *config, const char *name)
+{
+    const relay_service_t *service = relay_config_service(config, name);
+    return service != NULL && service->kv_store;
+}
+
+static void
+store_clear(part_store_t *store)
+{
+    held_parts_free(store->held);
+    *store = (part_store_t){0};
+}
+
+static void
+store_put(part_stores_t *stores, const relay_service_t *service)
+{
+    int at = part_stores_named(stores, service->name);
+    if (at < 0) {
+        at = part_stores_named(stores, "");
+    }
+    if (at < 0) {
+        log_error("cache", "There is no room for the store %s.",
+                  service->name);
+        return;
+    }
+    part_store_t *store = &stores->all[at];
+    if (store->held == NULL) {
+        store->held = held_parts_new();
+        str_copy(store->name, sizeof(store->name), service->name);
+    }
+    held_parts_room(store->held, service->cache_tokens);
+}
+
+/* Take the stores of a configuration; what is known of those that it names
+ * again stays. */
+void
+part_stores_sync(part_stores_t *stores, const relay_config_t *config)
+{
+    const relay_service_t *service;
+    for (size_t i = 0; i < PART_STORES_MAX; i++) {
+        part_store_t *store = &stores->all[i];
+        if (store->held != NULL && !is_named(config, store->name)) {
+            store_clear(store);
+        }
+    }
+    CK_SLIST_FOREACH (service, &config->services, entry) {
+        if (service->kv_store) {
+            store_put(stores, service);
+        }
+    }
+}
+
+void
+part_stores_free(part_stores_t *stores)
+{
+    for (size_t i = 0; i < PART_STORES_MAX; i++) {
+        store_clear(&stores->all[i]);
+    }
+}
+
+/* The place of the store that keeps a part, or -1 if there is none. */
+int
+part_stores_for(const part_stores_t *stores, uint64_t key)
+{
+    int best = -1;
+    uint64_t best_weight = 0;
+    for (int i = 0; i < PART_STORES_MAX; i++) {
+        const part_store_t *store = &stores->all[i];
+        uint64_t weight =
+            store->held != NULL ? place_weight(key, store->name) : 0;
+        if (store->held != NULL && (best < 0 || weight > best_weight)) {
+            best = i;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+/* The place of the store with a name, or of a free one for an empty name; -1
+ * if there is none. */
+int
+part_stores_named(const part_stores_t *stores, const char *name)
+{
+    for (int i = 0; i < PART_STORES_MAX; i++) {
+        if (strcmp(stores->all[i].name, name) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -88,25 +88,16 @@
 }
 
 static peer_fact_t
-held_fact(const server_t *server, const held_part_t *part)
+held_fact(const char *holder, const held_part_t *part)
 {
     peer_fact_t fact = {.key = part->key,
                         .tokens = part->prompt_tokens,
                         .part = part->tokens,
                         .held = true};
-    if (server != NULL) {
-        str_copy(fact.backend, sizeof(fact.backend), server->said.id);
-    }
+    str_copy(fact.backend, sizeof(fact.backend), holder);
     return fact;
 }
 
-static void
-take_held(relay_t *relay, const server_t *server, const peer_fact_t *fact)
-{
-    const held_part_t part = {fact->key, fact->tokens, fact->part};
-    cache_told(relay, server->number, &part);
-}
-
 static void
 take_weights(relay_t *relay, server_t *server, const load_report_t *load)
 {
@@ -122,38 +113,38 @@
     }
 }
 
-/* A fact about the store of kept parts names no server. */
 static void
-take_fact(relay_t *relay, uint64_t host, const peer_fact_t *fact)
+take_load(relay_t *relay, uint64_t host, const peer_fact_t *fact)
 {
-    if (fact->backend[0] == '\0') {
-        const held_part_t part = {fact->key, fact->tokens, fact->part};
-        cache_told(relay, KV_STORE_NUMBER, &part);
-        return;
-    }
     server_t *server = servers_find(relay->servers, fact->backend);
     if (server == NULL) {
         return;
     }
+    const other_load_t said = {.host = host,
+                               .told_ms = time_mono_ms(),
+                               .unread = fact->load.waiting_tokens,
+                               .running = fact->load.running,
+                               .filled = fact->load.filled};
+    take_weights(relay, server, &fact->load);
+    server_other(server, &said);
+}
+
+static void
+take_fact(relay_t *relay, uint64_t host, const peer_fact_t *fact)
+{
     if (fact->is_load) {
-        take_weights(relay, server, &fact->load);
-        const other_load_t said = {.host = host,
-                                   .told_ms = time_mono_ms(),
-                                   .unread = fact->load.waiting_tokens,
-                                   .running = fact->load.running,
-                                   .filled = fact->load.filled};
-        server_other(server, &said);
-    }
-    else {
-        take_held(relay, server, fact);
+        take_load(relay, host, fact);
+        return;
     }
+    const held_part_t part = {fact->key, fact->tokens, fact->part};
+    cache_told(relay, fact->backend, &part);
 }
 
-/* Tell one daemon what a server (NULL for the store of kept parts) is believed
- * to hold, the part used last at the end, as its own list wants them; how many
+/* Tell one daemon what a server or a store of kept parts is believed to hold,
+ * the part used last at the end, as its own list wants them; how many
  * parts were told. */
 static size_t
-tell_parts(peers_t *peers, const char *addr, const server_t *server,
+tell_parts(peers_t *peers, const char *addr, const char *holder,
            const held_parts_t *held)
 {
     held_part_t parts[SNAPSHOT_PARTS_MAX];
@@ -163,7 +154,7 @@
     datagram->kind = PEER_FACTS;
     for (size_t i = count; i > 0; i--) {
         peer_fact_t *fact = &datagram->facts[datagram->fact_count++];
-        *fact = held_fact(server, &parts[i - 1]);
+        *fact = held_fact(holder, &parts[i - 1]);
         if (datagram->fact_count == PEER_FACTS_MAX || i == 1) {
             send_datagram(peers, addr, datagram);
             datagram->fact_count = 0;
@@ -182,11 +173,17 @@
     char ip[INET_ADDRSTRLEN];
     (void)inet_ntop(AF_INET, &to->sin_addr, ip, sizeof(ip));
     (void)snprintf(addr, sizeof(addr), "%s:%u", ip, ntohs(to->sin_port));
-    size_t count = tell_parts(peers, addr, NULL, relay->store_held);
+    size_t count = 0;
     server_t *server;
+    for (size_t i = 0; i < PART_STORES_MAX; i++) {
+        const part_store_t *store = &relay->stores.all[i];
+        if (store->held != NULL) {
+            count += tell_parts(peers, addr, store->name, store->held);
+        }
+    }
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         if (!server->gone && server->said.engine) {
-            count += tell_parts(peers, addr, server, server->held);
+            count += tell_parts(peers, addr, server->said.id, server->held);
         }
     }
     log_record(LOG_INFO, "peers", "told", "to=%s facts=%zu", addr, count);
@@ -256,23 +253,21 @@
     return fact;
 }
 
-/* Tell that a server holds a part of prompts; NULL is the store of kept
- * parts. */
+/* Tell that a server or a store of kept parts holds a part of prompts. */
 void
-peers_tell_held(peers_t *peers, const server_t *server,
-                const held_part_t *part)
+peers_tell_held(peers_t *peers, const char *holder, const held_part_t *part)
 {
-    *fact_add(peers) = held_fact(server, part);
+    *fact_add(peers) = held_fact(holder, part);
 }
 
 /* Tell that a server is reading a part; the key is not the part's own, see
  * cache_note_coming. */
 void
-peers_tell_coming(peers_t *peers, const server_t *server, uint64_t key,
+peers_tell_coming(peers_t *peers, const char *holder, uint64_t key,
                   uint32_t tokens)
 {
     const held_part_t part = {.key = key, .prompt_tokens = tokens};
-    *fact_add(peers) = held_fact(server, &part);
+    *fact_add(peers) = held_fact(holder, &part);
 }
 
 static peer_fact_t *
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -193,7 +193,6 @@
     CK_LIST_INIT(&relay->requests);
     relay->servers = servers_new();
     relay->cache = cache_map_new(CACHE_LEVELS);
-    relay->store_held = held_parts_new();
     retry_shares_init(&relay->retries, settings->again_percent / 100.0,
                       (int64_t)settings->again_window_s * 1000);
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -11,6 +11,7 @@
 #include "../kernel/settings.h"
 #include "../kernel/tables.h"
 #include "meter.h"
+#include "part-stores.h"
 #include "relay-config.h"
 #include "retry-share.h"
 #include "servers.h"
@@ -66,8 +67,8 @@
 
     relay_config_t *config; /* NULL until one was read */
     servers_t *servers;
-    cache_map_t *cache;       /* who may hold or is reading a part */
-    held_parts_t *store_held; /* by the store of kept parts */
+    cache_map_t *cache;   /* who may hold or is reading a part */
+    part_stores_t stores; /* of kept parts */
     weights_t weights[WEIGHTS_MODELS_MAX];
     size_t weights_count;
     bool servers_listed;
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -112,7 +112,9 @@
 add_cache_headers(request_t *request, const server_t *server, buf_t *out)
 {
     relay_t *relay = request->relay;
-    const relay_service_t *store = cache_kv_store(relay);
+    uint16_t number;
+    const relay_service_t *store =
+        cache_store_for(relay, &request->prefix, &number);
     cache_view_t view;
     cache_look(relay, &request->prefix, server, &view);
     request->cached = view.found ? view.source.tokens : view.here;
@@ -324,6 +326,16 @@
     return HEAD_TAKE;
 }
 
+/* The server had the store of kept parts take what the prompt shares. */
+static void
+note_saved(request_t *request)
+{
+    uint16_t number;
+    if (cache_store_for(request->relay, &request->prefix, &number) != NULL) {
+        cache_note(request->relay, &request->prefix, number);
+    }
+}
+
 /* The first event or the whole answer is there: the prompt is read, and the
  * server holds its parts. */
 void
@@ -348,7 +360,7 @@
             server, request->prefix.tokens - prompt_shared(&request->prompt));
     }
     if (request->saves) {
-        cache_note(request->relay, &request->prefix, KV_STORE_NUMBER);
+        note_saved(request);
     }
 }
 
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -60,7 +60,7 @@
 static int
 number_take(servers_t *servers)
 {
-    for (int i = 0; i < SERVERS_MAX - 1; i++) {
+    for (int i = 0; i < SERVER_NUMBERS_MAX; i++) {
         if (!servers->taken[i]) {
             servers->taken[i] = true;
             return i;
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -9,9 +9,10 @@
 
 #include <ck_queue.h>
 
-/* Numbers that the cache map can tell apart; the last is not a server's, see
- * cache-source.h. */
+/* Numbers that the cache map can tell apart; the last ones are not servers',
+ * see cache-source.h. */
 #define SERVERS_MAX 1024
+#define SERVER_NUMBERS_MAX (SERVERS_MAX - 8)
 #define SERVER_MODEL_MAX 64
 
 /* What the platform says of a server, decoded by platform/server-read.c. */
