Placement knows slots that are taken, by word of other hosts too

Cause: the wait at an engine was counted from prompts that are not read yet alone. Change: time until a slot is free, from what the server says and the hosts have there and how long answers take there, learned; a host that hears that three quarters of a server's slots are taken tells the others, at most every 0.2 s.

--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #define MEMBER_FIELDS 9
-#define LOAD_FIELDS 9
+#define LOAD_FIELDS 10
 #define CACHE_FIELDS 5
 
 static void
@@ -52,6 +52,7 @@
     (void)msgpack_pack_int(packer, fact->load.waiting_tokens);
     (void)msgpack_pack_int(packer, fact->load.prefill_rate);
     (void)msgpack_pack_uint64(packer, fact->load.filled);
+    (void)msgpack_pack_int(packer, fact->load.at_server);
 }
 
 /* Encode a datagram; its length, or 0 where it would not fit. */
@@ -179,7 +180,8 @@
            take_int(&at[4], &load->running) &&
            take_int(&at[5], &load->slots) &&
            take_int(&at[6], &load->waiting_tokens) &&
-           take_int(&at[7], &load->prefill_rate);
+           take_int(&at[7], &load->prefill_rate) &&
+           take_int(&at[9], &load->at_server);
 }
 
 static int
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -58,6 +58,7 @@
     int waiting_tokens;
     int prefill_rate; /* tokens a second */
     uint32_t filled;  /* tokens of requests' own parts, of all time, wraps */
+    int at_server;    /* requests of all, by the server's word; -1: not told */
 } load_report_t;
 
 typedef struct {
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -127,6 +127,9 @@
                                .filled = fact->load.filled};
     take_weights(relay, server, &fact->load);
     server_other(server, &said);
+    if (fact->load.at_server >= 0) {
+        server_load(server, fact->load.at_server, 0, time_mono_ms());
+    }
 }
 
 static void
@@ -279,9 +282,19 @@
     fact->load.running = server->own_running;
     fact->load.waiting_tokens = (int)server->own_unread;
     fact->load.filled = server->filled;
+    fact->load.at_server = -1;
     return fact;
 }
 
+/* Tell what a server that is crowded said of its load: each host alone hears
+ * from it too seldom to know that others have taken its slots. */
+void
+peers_tell_crowded(peers_t *peers, const server_t *server)
+{
+    load_add(peers, server)->load.at_server =
+        server->load_running + server->load_waiting;
+}
+
 /* Ask a few others for what they know, once they are found. */
 static void
 ask_all(peers_t *peers)
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -80,7 +80,8 @@
     if (server->load_ms != 0 && now - server->load_ms < LOAD_FRESH_MS) {
         tokens += server->load_waiting * WAITING_UNREAD_TOKENS;
     }
-    return tokens * server->slowness / READ_TOKENS_PER_MS;
+    return tokens * server->slowness / READ_TOKENS_PER_MS +
+           server_slot_wait_ms(server, now);
 }
 
 static double
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -1,4 +1,5 @@
 #include "cache-source.h"
+#include "peers.h"
 #include "request.h"
 
 #include <stdlib.h>
@@ -202,7 +203,7 @@
 }
 
 static void
-note_load(server_t *server, const http_head_t *head)
+note_load(const relay_t *relay, server_t *server, const http_head_t *head)
 {
     const header_t *load = http_head_find(head, wire_header_name(HEADER_LOAD));
     char text[64];
@@ -213,7 +214,11 @@
     }
     http_head_copy(head, load->value, text, sizeof(text));
     if (sscanf(text, "%d,%d,%*d", &running, &waiting) == 2) {
-        server_load(server, running, waiting, time_mono_ms());
+        int64_t now = time_mono_ms();
+        server_load(server, running, waiting, now);
+        if (server->said.engine && server_crowded_news(server, now)) {
+            peers_tell_crowded(relay->peers, server);
+        }
     }
 }
 
@@ -305,7 +310,7 @@
         return HEAD_SKIP;
     }
     server_heard(request->server, time_mono_ms());
-    note_load(request->server, head);
+    note_load(request->relay, request->server, head);
     request->answer = classify(request, head);
     request->status = head->status;
     switch (request->answer) {
@@ -352,6 +357,7 @@
         server_speed(server, request->read_ms / request->slowness,
                      (double)(now - request->sent_ms) - FIRST_MS);
     }
+    request->began_ms = now;
     server_read(server, request->unread);
     request->unread = 0;
     if (request->engine) {
@@ -472,6 +478,8 @@
                 break; /* it ends within an event */
             }
             server_good(server);
+            server_held_slot(server,
+                             (double)(time_mono_ms() - request->began_ms));
             finish_stream(request);
             return;
         case ANSWER_FAILED:
--- a/relay/request.h
+++ b/relay/request.h
@@ -59,6 +59,7 @@
     server_t *server;
     int64_t weights; /* that it is to be made with, of an engine */
     int64_t sent_ms;
+    int64_t began_ms; /* its first event from this server was there */
     prefix_t prefix;
     double unread;   /* tokens of its prompt that the server must read */
     uint32_t cached; /* tokens that it need not read, as far as is known */
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -19,6 +19,16 @@
 #define SILENT_AGAIN_MS 500
 /* Another host's word on what it has at a server holds for so long, ms. */
 #define OTHER_FRESH_MS 1000
+/* A server's own word on its load is taken for so long, ms. */
+#define LOAD_FRESH_MS 1000
+/* Time that a request takes a slot where none was seen yet, ms. */
+#define HOLD_UNKNOWN_MS 500.0
+/* Weight of the newest one in the smoothed time. */
+#define HOLD_WEIGHT 0.1
+/* Other hosts are told of a server with this part of its slots taken, and
+ * again after so long, ms. */
+#define CROWDED_PART 0.75
+#define CROWDED_AGAIN_MS 200
 /* How slow a server reads against what is expected of all: weight of the
  * newest answer, and bounds that keep one odd answer from moving much. */
 #define SPEED_WEIGHT 0.15
@@ -175,6 +185,57 @@
     server->load_ms = now_ms;
 }
 
+/* Requests of all hosts at a server, waiting ones included: by its own word
+ * while that is fresh, and at least what the hosts say of themselves. */
+int
+server_places_taken(const server_t *server, int64_t now_ms)
+{
+    int running = server_running(server, now_ms);
+    if (server->load_ms != 0 && now_ms - server->load_ms < LOAD_FRESH_MS &&
+        server->load_running + server->load_waiting > running) {
+        running = server->load_running + server->load_waiting;
+    }
+    return running;
+}
+
+/* Time until a slot is free for one more request, ms.  It answers servers with
+ * few slots and short prompts: nothing there is unread for long, and yet
+ * requests wait behind answers that are being made. */
+double
+server_slot_wait_ms(const server_t *server, int64_t now_ms)
+{
+    int slots = server->said.slots;
+    int over = server_places_taken(server, now_ms) - slots + 1;
+    double hold = server->hold_ms > 0 ? server->hold_ms : HOLD_UNKNOWN_MS;
+    return slots > 0 && over > 0 ? over * hold / slots : 0;
+}
+
+/* A request had a slot for so long. */
+void
+server_held_slot(server_t *server, double ms)
+{
+    if (server->hold_ms <= 0) {
+        server->hold_ms = ms;
+        return;
+    }
+    server->hold_ms += HOLD_WEIGHT * (ms - server->hold_ms);
+}
+
+/* Whether other hosts should be told what the server says of its load: only
+ * of one whose slots are nearly taken, and not too often. */
+bool
+server_crowded_news(server_t *server, int64_t now_ms)
+{
+    int taken = server->load_running + server->load_waiting;
+    if (taken < server->said.slots * CROWDED_PART ||
+        now_ms - server->load_ms > 0 ||
+        now_ms - server->crowd_told_ms < CROWDED_AGAIN_MS) {
+        return false;
+    }
+    server->crowd_told_ms = now_ms;
+    return true;
+}
+
 /* Count a fault; enough of them leave the server alone for a while. */
 void
 server_fault(server_t *server, server_fault_t fault, int64_t now_ms)
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -71,7 +71,10 @@
     other_load_t others[OTHER_HOSTS_MAX];
     int load_running; /* by its own word */
     int load_waiting;
-    int64_t load_ms;    /* when it said so, 0 for never */
+    int64_t load_ms;       /* when it said so, 0 for never */
+    int64_t crowd_told_ms; /* when other hosts were told that it is crowded */
+    double hold_ms;     /* that a request takes a slot from its first token on,
+                         * smoothed; 0 unknown */
     unsigned faults;    /* in a row */
     int64_t closed_ms;  /* the circuit is open until then */
     int64_t full_ms;    /* it refused a request: not before then */
@@ -103,6 +106,10 @@
 void server_read(server_t *server, double tokens);
 void server_done(server_t *server);
 void server_load(server_t *server, int running, int waiting, int64_t now_ms);
+int server_places_taken(const server_t *server, int64_t now_ms);
+bool server_crowded_news(server_t *server, int64_t now_ms);
+double server_slot_wait_ms(const server_t *server, int64_t now_ms);
+void server_held_slot(server_t *server, double ms);
 void server_fault(server_t *server, server_fault_t fault, int64_t now_ms);
 void server_good(server_t *server);
 bool server_usable(const server_t *server, int64_t now_ms);
