The lease is taken in turn and looked at seldom by hosts that come last; back-off

Change: hosts stand in an order by rendezvous and leave a free lease to those before them for 0.15 s each, 1.5 s at most; behind a failed call nothing is asked for 0.25 s (holder) or 0.8 s; hosts that are not among the first three look every 2.4 s instead of 0.8; failed watches pause up to 1.6 s.

--- a/relay/lease.c
+++ b/relay/lease.c
@@ -12,6 +12,18 @@
 #define MARGIN_MS 300
 /* Others look at the object this often, ms, by cheap reads. */
 #define LOOK_MS 800
+/* Hosts behind the first few, which will not be the next holder, look less
+ * often, ms. */
+#define LOOK_FAR_MS 2400
+#define LOOK_NEAR_RANKS 3
+/* A free lease is left to each host that stands before this one for so long,
+ * ms, and to all of them together no longer than the second figure. */
+#define TURN_MS 150
+#define TURN_LAST_MS 1500
+/* Behind a call that failed nothing is asked for so long, ms: a store that is
+ * busy or away would else get ten calls a second of each host. */
+#define FAILED_HOLDER_MS 250
+#define FAILED_OTHER_MS 800
 
 /* A lease that this process may hold under a name of its own. */
 void
@@ -28,16 +40,23 @@
     return lease->known && strcmp(lease->holder, lease->self) == 0;
 }
 
+static int64_t
+look_ms(const lease_t *lease)
+{
+    return lease->turn_ms < LOOK_NEAR_RANKS * TURN_MS ? LOOK_MS : LOOK_FAR_MS;
+}
+
 /* What to ask the store now.  A holder whose process was suspended finds its
  * span over by the clock, and takes the lease anew under a higher number if
  * nobody else has. */
 lease_step_t
 lease_next(const lease_t *lease, int64_t now_ms)
 {
-    if (lease->leaving && !is_mine(lease)) {
+    if ((lease->leaving && !is_mine(lease)) || now_ms < lease->not_before_ms) {
         return LEASE_IDLE;
     }
-    bool look = lease->read_ms == 0 || now_ms - lease->read_ms >= LOOK_MS;
+    bool look =
+        lease->read_ms == 0 || now_ms - lease->read_ms >= look_ms(lease);
     if (lease->pending || !lease->known) {
         if (lease->absent && !lease->pending) {
             return LEASE_CREATE;
@@ -47,7 +66,8 @@
     if (lease->leaving) {
         return LEASE_WRITE;
     }
-    if (lease->holder[0] == '\0') {
+    if (lease->holder[0] == '\0' &&
+        now_ms - lease->seen_ms >= lease->turn_ms) {
         return LEASE_WRITE; /* it was given back */
     }
     if (is_mine(lease)) {
@@ -55,12 +75,31 @@
                    ? LEASE_WRITE
                    : LEASE_IDLE;
     }
-    if (now_ms - lease->seen_ms >= lease->span_ms + MARGIN_MS) {
+    if (now_ms - lease->seen_ms >=
+        lease->span_ms + MARGIN_MS + lease->turn_ms) {
         return LEASE_WRITE;
     }
     return look ? LEASE_READ : LEASE_IDLE;
 }
 
+/* How many live hosts stand before this one when the lease is free.  If all of
+ * a large fleet took it at once, all but one write would be in vain, each with
+ * its price, at the very moment at which the store is back from an outage. */
+void
+lease_take_turn(lease_t *lease, size_t rank)
+{
+    int64_t turn = (int64_t)rank * TURN_MS;
+    lease->turn_ms = turn < TURN_LAST_MS ? turn : TURN_LAST_MS;
+}
+
+/* A call brought nothing. */
+void
+lease_failed(lease_t *lease, int64_t now_ms)
+{
+    lease->not_before_ms =
+        now_ms + (is_mine(lease) ? FAILED_HOLDER_MS : FAILED_OTHER_MS);
+}
+
 /* A step is about to be sent.  A holder that renews in time keeps its fencing
  * number; everybody else takes the next. */
 void
--- a/relay/lease.h
+++ b/relay/lease.h
@@ -36,17 +36,21 @@
     char holder[LEASE_HOLDER_MAX];
     int64_t seen_ms; /* since when it has been seen unchanged */
 
-    int64_t read_ms;      /* when it was last asked for */
-    int64_t wrote_ms;     /* when the last good write was sent; 0 for none */
-    int64_t asked_ms;     /* when the write under way was sent */
-    int64_t wanted_fence; /* that the last write sets */
-    int64_t writes;       /* so far; in each, so that no two are equal */
-    bool pending;         /* a write whose answer did not come */
-    bool leaving;         /* it is to be given back */
+    int64_t turn_ms;       /* that it leaves others to take a free lease */
+    int64_t read_ms;       /* when it was last asked for */
+    int64_t wrote_ms;      /* when the last good write was sent; 0 for none */
+    int64_t asked_ms;      /* when the write under way was sent */
+    int64_t not_before_ms; /* nothing is asked before, behind a failure */
+    int64_t wanted_fence;  /* that the last write sets */
+    int64_t writes;        /* so far; in each, so that no two are equal */
+    bool pending;          /* a write whose answer did not come */
+    bool leaving;          /* it is to be given back */
 } lease_t;
 
 void lease_init(lease_t *lease, const char *self, int64_t span_ms);
 lease_step_t lease_next(const lease_t *lease, int64_t now_ms);
+void lease_take_turn(lease_t *lease, size_t rank);
+void lease_failed(lease_t *lease, int64_t now_ms);
 void lease_asked(lease_t *lease, lease_step_t step, int64_t now_ms);
 void lease_seen(lease_t *lease, const lease_view_t *view, int64_t now_ms);
 void lease_seen_absent(lease_t *lease);
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -128,6 +128,7 @@
     bool wrote = rollout->lease_step != LEASE_READ;
     rollout->lease_call = NULL;
     if (!result->whole) {
+        lease_failed(&rollout->lease, time_boot_ms());
         if (wrote && result->sent) {
             lease_unanswered(&rollout->lease);
         }
@@ -143,7 +144,8 @@
             lease_seen_absent(&rollout->lease);
             return;
         default:
-            return; /* nothing was done; the next tick asks again */
+            lease_failed(&rollout->lease, time_boot_ms());
+            return; /* nothing was done */
     }
 }
 
@@ -199,6 +201,8 @@
     if (rollout->lease_call != NULL) {
         return;
     }
+    lease_take_turn(&rollout->lease,
+                    peers_before(rollout->relay->peers, LEASE_NAME));
     lease_step_t step = lease_next(&rollout->lease, now);
     if (step != LEASE_IDLE) {
         lease_call(rollout, step);
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -40,7 +40,7 @@
 #define CONNECT_MS 300
 /* Pauses after a failed call, ms, doubled each time. */
 #define PAUSE_FIRST_MS 50
-#define PAUSE_LAST_MS 800
+#define PAUSE_LAST_MS 1600
 /* Another daemon answers from memory; the store is asked again behind it
  * after this pause, ms. */
 #define OTHER_MS 500
--- a/tests/test-lease.c
+++ b/tests/test-lease.c
@@ -99,6 +99,7 @@
     char name[32];
     (void)snprintf(name, sizeof(name), "d%d/%u", daemon, world->starts++);
     lease_init(&world->leases[daemon], name, SPAN_MS);
+    lease_take_turn(&world->leases[daemon], (size_t)daemon);
 }
 
 static void
@@ -322,7 +323,43 @@
 }
 END_TEST
 
+/* The store is back from an outage and the lease is free: all 35 hosts of a
+ * fleet write at once, one of them in earnest, and the store is busy with the
+ * rest.  They take turns, and the first does not wait. */
+START_TEST(a_fleet_takes_a_free_lease_in_turn)
+{
+    lease_view_t free = {.revision = 7, .holder = "", .fence = 3};
+    unsigned at_once = 0;
+    for (size_t rank = 0; rank < 35; rank++) {
+        lease_t lease;
+        lease_init(&lease, "a/1", SPAN_MS);
+        lease_take_turn(&lease, rank);
+        lease_seen(&lease, &free, 1000);
+        lease_asked(&lease, LEASE_READ, 1000);
+        at_once += lease_next(&lease, 1010) == LEASE_WRITE;
+        ck_assert(rank > 0 || lease_next(&lease, 1010) == LEASE_WRITE);
+        ck_assert_int_eq(lease_next(&lease, 1000 + SPAN_MS), LEASE_WRITE);
+    }
+    ck_assert_uint_eq(at_once, 1);
+}
+END_TEST
+
+/* A store that is busy gets ten calls a second of each host for as long as it
+ * is: behind a call that failed a host waits. */
+START_TEST(a_failed_call_is_not_repeated_at_once)
+{
+    lease_t lease;
+    lease_init(&lease, "a/1", SPAN_MS);
+    lease_asked(&lease, LEASE_READ, 1000);
+    lease_failed(&lease, 1010);
+    ck_assert_int_eq(lease_next(&lease, 1700), LEASE_IDLE);
+    ck_assert_int_eq(lease_next(&lease, 1900), LEASE_READ);
+}
+END_TEST
+
 TEST_MAIN("lease", one_holder_at_a_time,
           a_lease_that_is_given_back_is_free_at_once,
           a_holder_that_slept_does_not_act,
-          an_earlier_write_is_not_taken_for_the_last)
+          an_earlier_write_is_not_taken_for_the_last,
+          a_fleet_takes_a_free_lease_in_turn,
+          a_failed_call_is_not_repeated_at_once)
