--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -225,6 +225,20 @@
     return FETCH_START_MS + ms;
 }
 
+/* The address at which a server should fetch what it lacks of a prompt, or
+ * NULL.  Fetching is quicker than reading.  Where nobody is known to hold
+ * more, the store of kept parts (NULL if there is none) is named all the same:
+ * a miss costs a millisecond, another host may have had the part kept, and a
+ * server that has dropped what it was believed to hold would read it again. */
+const char *
+cache_fetch_from(const cache_view_t *view, const relay_service_t *store)
+{
+    if (view->found) {
+        return view->source.addr;
+    }
+    return store != NULL && view->shared > 0 ? store->addr : NULL;
+}
+
 /* The name by which other daemons know a holder. */
 static const char *
 holder_name(const relay_t *relay, uint16_t number)
--- a/relay/cache-source.h
+++ b/relay/cache-source.h
@@ -40,6 +40,8 @@
 const relay_service_t *cache_store_for(const relay_t *relay,
                                        const prefix_t *prefix,
                                        uint16_t *number);
+const char *cache_fetch_from(const cache_view_t *view,
+                             const relay_service_t *store);
 bool cache_kept(const relay_t *relay, const prefix_t *prefix);
 
 #endif
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -105,10 +105,7 @@
 }
 
 /* Where the server can fetch parts that it lacks, and whether it is to keep
- * what it reads in the store of kept parts.  Reading a shared part of 4,900
- * tokens takes 85 ms of an engine, fetching it 6 to 60.  Where nobody is known
- * to hold it, the store is asked all the same: a miss costs a millisecond, and
- * another host may have had it kept. */
+ * what it reads in the store of kept parts. */
 static void
 add_cache_headers(request_t *request, const server_t *server, buf_t *out)
 {
@@ -120,11 +117,9 @@
     cache_look(relay, &request->prefix, server, &view);
     request->cached = view.found ? view.source.tokens : view.here;
     request->saves = false;
-    if (view.found) {
-        head_add(out, HEADER_CACHE_FETCH, view.source.addr);
-    }
-    else if (store != NULL && view.here < view.shared) {
-        head_add(out, HEADER_CACHE_FETCH, store->addr);
+    const char *from = cache_fetch_from(&view, store);
+    if (from != NULL) {
+        head_add(out, HEADER_CACHE_FETCH, from);
     }
     if (store != NULL && !cache_kept(relay, &request->prefix)) {
         head_add(out, HEADER_CACHE_SAVE, store->addr);
