A host's count that goes back does not empty what a server is believed to hold

Cause, found on reading: the count of tokens that a host brought into a server's cache is taken as a difference modulo 2^32; a host that starts anew, or a datagram that comes late, made it four billion and emptied the list. Change: a count that goes back says nothing. Figures: test-held-parts fails without the guard.

--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -1,5 +1,4 @@
 #include "cache-source.h"
-#include "peers.h"
 
 #include <string.h>
 
@@ -272,7 +271,7 @@
         held_parts_use(held, &part);
         if (cache_map_note_at(relay->cache, number, part.key,
                               part.prompt_tokens, now)) {
-            peers_tell_held(relay->peers, holder_name(relay, number), &part);
+            relay->tell_part(relay->peers, holder_name(relay, number), &part);
         }
     }
 }
@@ -335,10 +334,11 @@
     int64_t now = time_mono_ms();
     for (unsigned i = 0; i < shared_levels(prefix); i++) {
         const prefix_level_t *level = &prefix->levels[i];
-        uint64_t key = coming_key(level->key);
-        if (cache_map_note_at(relay->cache, number, key, level->tokens, now)) {
-            peers_tell_coming(relay->peers, holder_name(relay, number), key,
-                              level->tokens);
+        const held_part_t part = {.key = coming_key(level->key),
+                                  .prompt_tokens = level->tokens};
+        if (cache_map_note_at(relay->cache, number, part.key, level->tokens,
+                              now)) {
+            relay->tell_part(relay->peers, holder_name(relay, number), &part);
         }
     }
 }
--- /dev/null
+++ b/relay/peers-take.c
@@ -0,0 +1,54 @@
+#include "peers-take.h"
+#include "cache-source.h"
+
+#include <stdlib.h>
+
+/* A server that peers say is loading is left alone for this long, ms: a load
+ * and the runs before it; the end is told, this bounds a lost datagram. */
+#define LOADING_MS 2500
+
+static void
+take_weights(relay_t *relay, server_t *server, const load_report_t *load)
+{
+    if (load->version[0] == '\0') {
+        return; /* it is about the sender's requests alone */
+    }
+    int64_t weights = strtoll(load->version, NULL, 10);
+    server->loading_ms =
+        load->loading[0] != '\0' ? time_mono_ms() + LOADING_MS : 0;
+    if (weights > server->said.weights) {
+        server->said.weights = weights;
+        cache_forget(relay, server);
+    }
+}
+
+static void
+take_load(relay_t *relay, uint64_t host, const peer_fact_t *fact)
+{
+    server_t *server = servers_find(relay->servers, fact->backend);
+    if (server == NULL) {
+        return;
+    }
+    const other_load_t said = {.host = host,
+                               .told_ms = time_mono_ms(),
+                               .unread = fact->load.waiting_tokens,
+                               .running = fact->load.running,
+                               .filled = fact->load.filled};
+    take_weights(relay, server, &fact->load);
+    server_other(server, &said);
+    if (fact->load.at_server >= 0) {
+        server_load(server, fact->load.at_server, 0, time_mono_ms());
+    }
+}
+
+/* Take in what another daemon, named by its address, says. */
+void
+peers_take(relay_t *relay, uint64_t host, const peer_fact_t *fact)
+{
+    if (fact->is_load) {
+        take_load(relay, host, fact);
+        return;
+    }
+    const held_part_t part = {fact->key, fact->tokens, fact->part};
+    cache_told(relay, fact->backend, &part);
+}
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -1,5 +1,5 @@
 #include "peers.h"
-#include "cache-source.h"
+#include "peers-take.h"
 #include "peers-look.h"
 #include "watch-duty.h"
 
@@ -14,9 +14,6 @@
  * product's own deployments (kernel/members.c), and facts about servers.
  * Lost datagrams cost a recomputation or a detour, never an answer. */
 
-/* A server that peers say is loading is left alone for this long, ms: a load
- * and the runs before it; the end is told, this bounds a lost datagram. */
-#define LOADING_MS 2500
 /* Facts go straight to this many peers at most; the rest learn by their own
  * sends, and have servers read again what these hold.  Each fact costs 40
  * bytes a peer. */
@@ -97,51 +94,6 @@
     return fact;
 }
 
-static void
-take_weights(relay_t *relay, server_t *server, const load_report_t *load)
-{
-    if (load->version[0] == '\0') {
-        return; /* it is about the sender's requests alone */
-    }
-    int64_t weights = strtoll(load->version, NULL, 10);
-    server->loading_ms =
-        load->loading[0] != '\0' ? time_mono_ms() + LOADING_MS : 0;
-    if (weights > server->said.weights) {
-        server->said.weights = weights;
-        cache_forget(relay, server);
-    }
-}
-
-static void
-take_load(relay_t *relay, uint64_t host, const peer_fact_t *fact)
-{
-    server_t *server = servers_find(relay->servers, fact->backend);
-    if (server == NULL) {
-        return;
-    }
-    const other_load_t said = {.host = host,
-                               .told_ms = time_mono_ms(),
-                               .unread = fact->load.waiting_tokens,
-                               .running = fact->load.running,
-                               .filled = fact->load.filled};
-    take_weights(relay, server, &fact->load);
-    server_other(server, &said);
-    if (fact->load.at_server >= 0) {
-        server_load(server, fact->load.at_server, 0, time_mono_ms());
-    }
-}
-
-static void
-take_fact(relay_t *relay, uint64_t host, const peer_fact_t *fact)
-{
-    if (fact->is_load) {
-        take_load(relay, host, fact);
-        return;
-    }
-    const held_part_t part = {fact->key, fact->tokens, fact->part};
-    cache_told(relay, fact->backend, &part);
-}
-
 /* Tell one daemon what a server or a store of kept parts is believed to hold,
  * the part used last at the end, as its own list wants them; how many
  * parts were told. */
@@ -214,7 +166,7 @@
         }
         if (datagram->kind == PEER_FACTS) {
             for (size_t i = 0; i < datagram->fact_count; i++) {
-                take_fact(peers->relay, host, &datagram->facts[i]);
+                peers_take(peers->relay, host, &datagram->facts[i]);
             }
             continue;
         }
@@ -255,23 +207,13 @@
     return fact;
 }
 
-/* Tell that a server or a store of kept parts holds a part of prompts. */
-void
-peers_tell_held(peers_t *peers, const char *holder, const held_part_t *part)
+/* The news that relay_t.tell_part passes on. */
+static void
+tell_part(peers_t *peers, const char *holder, const held_part_t *part)
 {
     *fact_add(peers) = held_fact(holder, part);
 }
 
-/* Tell that a server is reading a part; the key is not the part's own, see
- * cache_note_coming. */
-void
-peers_tell_coming(peers_t *peers, const char *holder, uint64_t key,
-                  uint32_t tokens)
-{
-    const held_part_t part = {.key = key, .prompt_tokens = tokens};
-    *fact_add(peers) = held_fact(holder, &part);
-}
-
 static peer_fact_t *
 load_add(peers_t *peers, const server_t *server)
 {
@@ -523,6 +465,7 @@
         event_new(relay->base, fd, EV_READ | EV_PERSIST, on_readable, peers);
     (void)event_add(peers->readable, NULL);
     add_seeds(peers);
+    relay->tell_part = tell_part;
     peers->look = (peers_look_t){.settings = &relay->settings,
                                  .exchanges = relay->exchanges,
                                  .members = peers->members};
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -6,10 +6,6 @@
 #include "../kernel/peer-codec.h"
 #include "relay.h"
 
-void peers_tell_held(peers_t *peers, const char *holder,
-                     const held_part_t *part);
-void peers_tell_coming(peers_t *peers, const char *holder, uint64_t key,
-                       uint32_t tokens);
 void peers_tell_crowded(peers_t *peers, const server_t *server);
 void peers_tell_weights(peers_t *peers, const server_t *server,
                         int64_t loading);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -26,6 +26,12 @@
 typedef struct peers peers_t;
 typedef struct kept kept_t;
 
+/* News that a holder, a server or a store of kept parts, has a part of
+ * prompts. A part of no tokens of its own is being read there, under a key of
+ * its own. */
+typedef void (*part_news_t)(peers_t *peers, const char *holder,
+                            const held_part_t *part);
+
 /* Kinds of object that other daemons may ask for: the first of kind_t. */
 #define KINDS_KEPT 3
 
@@ -79,6 +85,7 @@
     watch_t *weights_watch;
     rollout_t *rollout;
     peers_t *peers;
+    part_news_t tell_part; /* whoever passes news of parts on */
     retry_shares_t retries;
 
     rng_t rng;
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -320,6 +320,19 @@
     held_parts_fill(server->held, tokens);
 }
 
+/* What a host's requests have brought in since its last word.  A count that
+ * goes back is of a host that has started anew, or of a datagram that came
+ * late; taken for a wrap it would empty the list. */
+static void
+fill_since(server_t *server, const other_load_t *before,
+           const other_load_t *said)
+{
+    int32_t more = (int32_t)(said->filled - before->filled);
+    if (more > 0) {
+        held_parts_fill(server->held, (uint32_t)more);
+    }
+}
+
 /* Another host says what it has at the server; the oldest word makes room.
  * What its requests have brought into the cache since its last word pushes out
  * what was used before. */
@@ -330,7 +343,7 @@
     for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
         other_load_t *other = &server->others[i];
         if (other->host == said->host) {
-            held_parts_fill(server->held, said->filled - other->filled);
+            fill_since(server, other, said);
             slot = other;
             break;
         }
--- a/tests/test-held-parts.c
+++ b/tests/test-held-parts.c
@@ -73,7 +73,8 @@
 
 /* Another host's requests push parts out too: it tells how much they brought
  * in, as a count that only grows and wraps.  A host that is heard of for the
- * first time says nothing of what has changed. */
+ * first time says nothing of what has changed, and one that starts anew counts
+ * from nothing: its count goes back, which must not look like 4 billion. */
 START_TEST(what_other_hosts_send_pushes_out_too)
 {
     servers_t *servers = servers_new();
@@ -90,6 +91,10 @@
     said.filled += 700;
     server_other(server, &said);
     ck_assert(!held_parts_has(server->held, 1));
+    use(server->held, 2, 500);
+    said.filled = 5;
+    server_other(server, &said);
+    ck_assert(held_parts_has(server->held, 2));
     servers_free(servers);
 }
 END_TEST
