Only servers of which somebody has just heard are named as sources

A dark engine takes nothing in, so its parts stay believed for as long as it is dark, and other engines were told to fetch from it: some hundred ms, then the prompt is read all the same. Belief by age had hidden it. Ruled out: processor time (0.024 of a core). Change: a server is a source if this host or another has heard from it within 2 s.

--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -103,8 +103,8 @@
         return true;
     }
     const server_t *from = server_numbered(relay, number);
-    if (from == NULL || from == to || from->gone || from->misplaced ||
-        time_mono_ms() < from->closed_ms) {
+    if (from == NULL || from == to ||
+        !server_is_source(from, time_mono_ms())) {
         return false;
     }
     str_copy(out->addr, sizeof(out->addr), from->said.addr);
@@ -280,7 +280,7 @@
 void
 cache_told(relay_t *relay, const char *holder, const held_part_t *part)
 {
-    const server_t *server = servers_find(relay->servers, holder);
+    server_t *server = servers_find(relay->servers, holder);
     int store = part_stores_named(&relay->stores, holder);
     if (holder[0] == '\0' || (server == NULL && store < 0)) {
         return;
@@ -293,6 +293,9 @@
     if (held != NULL && part->tokens > 0) {
         held_parts_use(held, part);
     }
+    if (server != NULL && part->tokens > 0) {
+        server_lives(server, time_mono_ms());
+    }
 }
 
 /* What a server held is lost: it has started anew, or has other weights. */
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -19,6 +19,9 @@
 #define SILENT_AGAIN_MS 500
 /* Another host's word on what it has at a server holds for so long, ms. */
 #define OTHER_FRESH_MS 1000
+/* A server of which nobody has heard for so long is not taken for one that
+ * others can fetch from, ms. */
+#define LIFE_MS 2000
 /* A server's own word on its load is taken for so long, ms. */
 #define LOAD_FRESH_MS 1000
 /* Time that a request takes a slot where none was seen yet, ms. */
@@ -286,12 +289,32 @@
            !server->misplaced && now_ms >= server->closed_ms;
 }
 
+/* The server has answered this host, or another that says so. */
+void
+server_lives(server_t *server, int64_t now_ms)
+{
+    server->life_ms = now_ms;
+}
+
+/* Whether other servers may be told to fetch from it.  A dark server takes
+ * nothing in, so what it held is believed for as long as it is dark; whoever
+ * is sent there waits some hundred ms and then reads the prompt all the same.
+ */
+bool
+server_is_source(const server_t *server, int64_t now_ms)
+{
+    return !server->gone && !server->misplaced && !server->silent &&
+           now_ms >= server->closed_ms && server->life_ms != 0 &&
+           now_ms - server->life_ms < LIFE_MS;
+}
+
 /* Something came from the server. */
 void
 server_heard(server_t *server, int64_t now_ms)
 {
     server->heard_ms = now_ms;
     server->silent = false;
+    server_lives(server, now_ms);
 }
 
 /* Whether to ask a server if it is there at all.  A host that lost power or
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -82,6 +82,7 @@
     double slowness;    /* observed over expected time, smoothed */
     int64_t asked_ms;   /* when its report was last asked for */
     int64_t heard_ms;   /* when anything last came from it */
+    int64_t life_ms;    /* the same, to this host or another that said so */
     int64_t busy_ms;    /* since when requests of this host are at it */
     bool probing;       /* it is being asked whether it is there */
     bool silent;        /* it was asked and did not answer */
@@ -120,6 +121,8 @@
 double server_others_unread(const server_t *server, int64_t now_ms);
 void server_speed(server_t *server, double expected_ms, double observed_ms);
 bool server_wants_probe(const server_t *server, int64_t now_ms);
+void server_lives(server_t *server, int64_t now_ms);
+bool server_is_source(const server_t *server, int64_t now_ms);
 void server_heard(server_t *server, int64_t now_ms);
 
 #endif
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -154,6 +154,27 @@
 }
 END_TEST
 
+/* Callers wait half a second longer while servers are dark: others are told to
+ * fetch from a dark one, which is believed to hold what it held, since nothing
+ * pushes it out there.  A server is a source while somebody hears from it. */
+START_TEST(nobody_fetches_from_a_dark_server)
+{
+    servers_t *servers = servers_new();
+    server_entry_t entry = on_old;
+    server_t *server = servers_put(servers, &entry);
+    ck_assert(!server_is_source(server, 10000));
+    server_heard(server, 10000);
+    ck_assert(server_is_source(server, 11900));
+    ck_assert(!server_is_source(server, 12000));
+    server_lives(server, 12000);
+    ck_assert(server_is_source(server, 12500));
+    server->silent = true;
+    ck_assert(!server_is_source(server, 12500));
+    servers_free(servers);
+}
+END_TEST
+
 TEST_MAIN("servers", a_server_that_has_loaded_is_used_at_once,
           taken_slots_cost_time, a_crowded_server_is_told_now_and_then,
-          a_hot_part_does_not_queue_at_its_home)
+          a_hot_part_does_not_queue_at_its_home,
+          nobody_fetches_from_a_dark_server)
