A server is found by its number at once, and a source's time worked out once

Cause: the walk for where a prompt can be fetched went over all servers twice for each believed holder of each candidate (90 candidates, up to 8 holders), and looked both services up for each of them, though only the chosen one's time is used. A send worked out its kept store twice. Change: servers_t keeps a table by number where it kept which numbers are taken; find_source works out the time over the links for the source it takes; cache_kept is given the store that its caller has.

--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -58,18 +58,6 @@
     return store_service(relay, *number);
 }
 
-server_t *
-server_numbered(const relay_t *relay, uint16_t number)
-{
-    server_t *server;
-    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
-        if (server->number == number) {
-            return server;
-        }
-    }
-    return NULL;
-}
-
 /* Time that one token takes from a store or a server of a service to a server
  * of another, by what the configuration says of their links. */
 static double
@@ -98,11 +86,9 @@
         str_copy(out->addr, sizeof(out->addr), store->addr);
         out->same_dc = strcmp(store->dc, to->said.dc) == 0;
         out->kept_store = true;
-        out->ms_per_token =
-            token_ms(store, service_of(relay, to), out->same_dc);
         return true;
     }
-    const server_t *from = server_numbered(relay, number);
+    const server_t *from = servers_numbered(relay->servers, number);
     if (from == NULL || from == to ||
         !server_is_source(from, time_mono_ms())) {
         return false;
@@ -110,8 +96,6 @@
     str_copy(out->addr, sizeof(out->addr), from->said.addr);
     out->same_dc = strcmp(from->said.dc, to->said.dc) == 0;
     out->kept_store = false;
-    out->ms_per_token =
-        token_ms(service_of(relay, from), service_of(relay, to), out->same_dc);
     return true;
 }
 
@@ -134,7 +118,7 @@
     if (number >= PART_STORE_NUMBER) {
         return relay->stores.all[number - PART_STORE_NUMBER].held;
     }
-    const server_t *server = server_numbered(relay, number);
+    const server_t *server = servers_numbered(relay->servers, number);
     return server != NULL ? server->held : NULL;
 }
 
@@ -145,11 +129,22 @@
     return held != NULL && held_parts_has(held, key);
 }
 
+static const relay_service_t *
+holder_service(const relay_t *relay, uint16_t number)
+{
+    if (number >= PART_STORE_NUMBER) {
+        return store_service(relay, number);
+    }
+    const server_t *server = servers_numbered(relay->servers, number);
+    return server != NULL ? service_of(relay, server) : NULL;
+}
+
 static bool
 find_source(relay_t *relay, const prefix_level_t *level, const server_t *to,
             cache_source_t *out)
 {
     uint16_t numbers[SOURCES_MAX];
+    uint16_t best = 0;
     bool found = false;
     size_t count =
         cache_map_holders(relay->cache, level->key, 0, numbers, SOURCES_MAX);
@@ -159,9 +154,14 @@
             take_source(relay, to, numbers[i], &source) &&
             (!found || is_better(&source, out))) {
             *out = source;
+            best = numbers[i];
             found = true;
         }
     }
+    if (found) {
+        out->ms_per_token = token_ms(holder_service(relay, best),
+                                     service_of(relay, to), out->same_dc);
+    }
     return found;
 }
 
@@ -245,7 +245,7 @@
     if (number >= PART_STORE_NUMBER) {
         return relay->stores.all[number - PART_STORE_NUMBER].name;
     }
-    const server_t *server = server_numbered(relay, number);
+    const server_t *server = servers_numbered(relay->servers, number);
     return server != NULL ? server->said.id : "";
 }
 
@@ -346,12 +346,10 @@
     }
 }
 
-/* Whether the store that a prompt belongs to has all that it shares. */
+/* Whether the store that a prompt belongs to, by its number, has all that the
+ * prompt shares. */
 bool
-cache_kept(const relay_t *relay, const prefix_t *prefix)
+cache_kept(const relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
-    uint16_t number;
-    unsigned shared = shared_levels(prefix);
-    return cache_store_for(relay, prefix, &number) == NULL ||
-           holds(relay, number, prefix->levels[shared - 1].key);
+    return holds(relay, number, prefix->levels[shared_levels(prefix) - 1].key);
 }
--- a/relay/cache-source.h
+++ b/relay/cache-source.h
@@ -35,13 +35,12 @@
 void cache_rooms(relay_t *relay);
 void cache_note_coming(relay_t *relay, const prefix_t *prefix,
                        uint16_t number);
-server_t *server_numbered(const relay_t *relay, uint16_t number);
 double cache_fetch_ms(const cache_view_t *view);
 const relay_service_t *cache_store_for(const relay_t *relay,
                                        const prefix_t *prefix,
                                        uint16_t *number);
 const char *cache_fetch_from(const cache_view_t *view,
                              const relay_service_t *store);
-bool cache_kept(const relay_t *relay, const prefix_t *prefix);
+bool cache_kept(const relay_t *relay, const prefix_t *prefix, uint16_t number);
 
 #endif
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -121,7 +121,7 @@
     if (from != NULL) {
         head_add(out, HEADER_CACHE_FETCH, from);
     }
-    if (store != NULL && !cache_kept(relay, &request->prefix)) {
+    if (store != NULL && !cache_kept(relay, &request->prefix, number)) {
         head_add(out, HEADER_CACHE_SAVE, store->addr);
         request->saves = true;
     }
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -70,12 +70,18 @@
     return NULL;
 }
 
+/* The server with a number, or NULL for a number that is nobody's. */
+server_t *
+servers_numbered(const servers_t *servers, uint16_t number)
+{
+    return number < SERVER_NUMBERS_MAX ? servers->numbered[number] : NULL;
+}
+
 static int
-number_take(servers_t *servers)
+number_free(const servers_t *servers)
 {
     for (int i = 0; i < SERVER_NUMBERS_MAX; i++) {
-        if (!servers->taken[i]) {
-            servers->taken[i] = true;
+        if (servers->numbered[i] == NULL) {
             return i;
         }
     }
@@ -102,12 +108,13 @@
 {
     server_t *server = servers_find(servers, entry->id);
     if (server == NULL) {
-        int number = number_take(servers);
+        int number = number_free(servers);
         if (number < 0) {
             return NULL;
         }
         server = mem_zalloc(sizeof(*server));
         server->number = (uint16_t)number;
+        servers->numbered[number] = server;
         server->slowness = 1;
         server->held = held_parts_new();
         CK_LIST_INSERT_HEAD(&servers->list, server, entry);
@@ -133,7 +140,7 @@
 void
 servers_remove(servers_t *servers, server_t *server)
 {
-    servers->taken[server->number] = false;
+    servers->numbered[server->number] = NULL;
     servers->count--;
     CK_LIST_REMOVE(server, entry);
     held_parts_free(server->held);
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -94,12 +94,13 @@
     server_list_t list;
     size_t count;
     unsigned lists; /* how many whole lists were read */
-    bool taken[SERVERS_MAX];
+    server_t *numbered[SERVER_NUMBERS_MAX]; /* NULL for a free number */
 } servers_t;
 
 servers_t *servers_new(void);
 void servers_free(servers_t *servers);
 server_t *servers_find(servers_t *servers, const char *id);
+server_t *servers_numbered(const servers_t *servers, uint16_t number);
 server_t *servers_put(servers_t *servers, const server_entry_t *entry);
 void servers_remove(servers_t *servers, server_t *server);
 void servers_sweep(servers_t *servers);
