Checks that stood twice are one; code that the lists of held parts made dead is out

Found on reading the change again. Whether a server is there and answers stood in server_usable and server_is_source; whether another host's word is fresh in two sums; how many places are taken at a plain server beside server_places_taken, which says the same (no host tells of plain servers). cache_map_recent had no caller left. job_quiet never has a call under way, and server_crowded_news is only asked behind the word that it weighs, so both conditions were always true.

--- a/kernel/cache-map.c
+++ b/kernel/cache-map.c
@@ -306,26 +306,6 @@
     return count;
 }
 
-/* All that was noted since a time, the levels used last first. */
-size_t
-cache_map_recent(cache_map_t *map, int64_t since_ms, cache_fact_t *facts,
-                 size_t max)
-{
-    size_t count = 0;
-    LOCK_SCOPE(&map->lock);
-    for (cache_entry_t *entry = map->newest; entry != NULL;
-         entry = entry->older) {
-        for (int i = 0; i < entry->count && count < max; i++) {
-            if (entry->holders[i].noted_ms >= since_ms &&
-                holder_valid(map, &entry->holders[i])) {
-                facts[count++] = (cache_fact_t){entry->key, entry->tokens,
-                                                entry->holders[i].backend};
-            }
-        }
-    }
-    return count;
-}
-
 /* Bytes that the map takes at its present size. */
 size_t
 cache_map_memory(cache_map_t *map)
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -43,8 +43,6 @@
 bool cache_map_knows(cache_map_t *map, uint64_t key);
 size_t cache_map_size(cache_map_t *map);
 size_t cache_map_hottest(cache_map_t *map, cache_fact_t *facts, size_t max);
-size_t cache_map_recent(cache_map_t *map, int64_t since_ms,
-                        cache_fact_t *facts, size_t max);
 size_t cache_map_memory(cache_map_t *map);
 
 /* ---- view: what is known of each backend server now ---- */
--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -287,14 +287,15 @@
     }
     uint16_t number = server != NULL ? server->number
                                      : (uint16_t)(PART_STORE_NUMBER + store);
-    held_parts_t *held = held_by(relay, number);
+    int64_t now = time_mono_ms();
     (void)cache_map_note_at(relay->cache, number, part->key,
-                            part->prompt_tokens, time_mono_ms());
-    if (held != NULL && part->tokens > 0) {
-        held_parts_use(held, part);
+                            part->prompt_tokens, now);
+    if (part->tokens == 0) {
+        return; /* it is only being read */
     }
-    if (server != NULL && part->tokens > 0) {
-        server_lives(server, time_mono_ms());
+    held_parts_use(held_by(relay, number), part);
+    if (server != NULL) {
+        server_lives(server, now);
     }
 }
 
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -1,6 +1,6 @@
 #include "peers.h"
-#include "peers-take.h"
 #include "peers-look.h"
+#include "peers-take.h"
 #include "watch-duty.h"
 
 #include <arpa/inet.h>
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -84,11 +84,7 @@
 static double
 plain_wait_ms(const server_t *server, int64_t now)
 {
-    int running = server->own_running;
-    if (server_load_fresh(server, now)) {
-        int said = server->load_running + server->load_waiting;
-        running = said > running ? said : running;
-    }
+    int running = server_places_taken(server, now);
     int over = running - server->said.slots + 1;
     return running * SLOT_FREE_MS + (over > 0 ? over * SLOT_TAKEN_MS : 0);
 }
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -384,7 +384,7 @@
             job_free(job, 0);
             continue;
         }
-        if (job->state == JOB_QUIET && job->fetch == NULL) {
+        if (job->state == JOB_QUIET) {
             if (rollout_may_order(server, job->quiet_ms, now)) {
                 job_order(job, server);
             }
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -245,7 +245,6 @@
 {
     int taken = server->load_running + server->load_waiting;
     if (taken < server->said.slots * CROWDED_PART ||
-        now_ms != server->load_ms ||
         now_ms - server->crowd_told_ms < CROWDED_AGAIN_MS) {
         return false;
     }
@@ -288,12 +287,19 @@
     server->error_share -= ERROR_WEIGHT * server->error_share;
 }
 
+/* Whether it is there, at its address, and answers, as far as is known. */
+static bool
+is_reachable(const server_t *server, int64_t now_ms)
+{
+    return !server->gone && !server->silent && !server->misplaced &&
+           now_ms >= server->closed_ms;
+}
+
 /* Whether new work may go to it at all. */
 bool
 server_usable(const server_t *server, int64_t now_ms)
 {
-    return !server->gone && !server->said.draining && !server->silent &&
-           !server->misplaced && now_ms >= server->closed_ms;
+    return is_reachable(server, now_ms) && !server->said.draining;
 }
 
 /* The server has answered this host, or another that says so. */
@@ -310,8 +316,7 @@
 bool
 server_is_source(const server_t *server, int64_t now_ms)
 {
-    return !server->gone && !server->misplaced && !server->silent &&
-           now_ms >= server->closed_ms && server->life_ms != 0 &&
+    return is_reachable(server, now_ms) && server->life_ms != 0 &&
            now_ms - server->life_ms < LIFE_MS;
 }
 
@@ -384,6 +389,12 @@
     *slot = *said;
 }
 
+static bool
+is_fresh(const other_load_t *other, int64_t now_ms)
+{
+    return other->host != 0 && now_ms - other->told_ms < OTHER_FRESH_MS;
+}
+
 /* Prompt tokens of other hosts that are not read yet, as far as they said. */
 double
 server_others_unread(const server_t *server, int64_t now_ms)
@@ -391,7 +402,7 @@
     double unread = 0;
     for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
         const other_load_t *other = &server->others[i];
-        if (other->host != 0 && now_ms - other->told_ms < OTHER_FRESH_MS) {
+        if (is_fresh(other, now_ms)) {
             unread += other->unread;
         }
     }
@@ -405,7 +416,7 @@
     int running = server->own_running;
     for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
         const other_load_t *other = &server->others[i];
-        if (other->host != 0 && now_ms - other->told_ms < OTHER_FRESH_MS) {
+        if (is_fresh(other, now_ms)) {
             running += other->running;
         }
     }
