One list in the order of last use for all three that keep one

The links of such a list stood in kernel/cache-map.c and fakes/engine-cache.c, and relay/held-parts.c wrote them a third time. kernel/lru.c has them once, intrusive as the other lists, with test-lru.

--- a/fakes/engine-cache.c
+++ b/fakes/engine-cache.c
@@ -1,3 +1,4 @@
+#include "../kernel/lru.h"
 #include "fakes.h"
 
 #include <stdlib.h>
@@ -8,8 +9,7 @@
 
 typedef struct block {
     CK_LIST_ENTRY(block) bucket;
-    struct block *newer;
-    struct block *older;
+    lru_link_t lru;
     uint64_t key;
 } block_t;
 
@@ -22,8 +22,7 @@
 
 struct engine_cache {
     block_list_t buckets[BUCKETS];
-    block_t *newest;
-    block_t *oldest;
+    lru_t lru;
     size_t size;
     size_t max;
     uint64_t sequence; /* of the newest event */
@@ -39,37 +38,6 @@
     return cache;
 }
 
-static void
-cache_unlink(engine_cache_t *cache, block_t *block)
-{
-    if (block->newer != NULL) {
-        block->newer->older = block->older;
-    }
-    else {
-        cache->newest = block->older;
-    }
-    if (block->older != NULL) {
-        block->older->newer = block->newer;
-    }
-    else {
-        cache->oldest = block->newer;
-    }
-}
-
-static void
-cache_link_newest(engine_cache_t *cache, block_t *block)
-{
-    block->newer = NULL;
-    block->older = cache->newest;
-    if (cache->newest != NULL) {
-        cache->newest->newer = block;
-    }
-    cache->newest = block;
-    if (cache->oldest == NULL) {
-        cache->oldest = block;
-    }
-}
-
 static void
 cache_publish(engine_cache_t *cache, uint64_t key, bool stored)
 {
@@ -81,8 +49,8 @@
 static void
 cache_evict_oldest(engine_cache_t *cache)
 {
-    block_t *block = cache->oldest;
-    cache_unlink(cache, block);
+    block_t *block = LRU_ENTRY(cache->lru.oldest, block_t, lru);
+    lru_remove(&cache->lru, &block->lru);
     CK_LIST_REMOVE(block, bucket);
     cache_publish(cache, block->key, false);
     cache->size--;
@@ -93,7 +61,7 @@
 void
 engine_cache_clear(engine_cache_t *cache)
 {
-    while (cache->oldest != NULL) {
+    while (cache->lru.oldest != NULL) {
         cache_evict_oldest(cache);
     }
     cache->sequence = 0;
@@ -126,8 +94,7 @@
     if (block == NULL) {
         return false;
     }
-    cache_unlink(cache, block);
-    cache_link_newest(cache, block);
+    lru_use(&cache->lru, &block->lru);
     return true;
 }
 
@@ -151,7 +118,7 @@
     block_t *block = mem_zalloc(sizeof(*block));
     block->key = key;
     CK_LIST_INSERT_HEAD(&cache->buckets[key % BUCKETS], block, bucket);
-    cache_link_newest(cache, block);
+    lru_add(&cache->lru, &block->lru);
     cache->size++;
     cache_publish(cache, key, true);
 }
--- a/kernel/cache-map.c
+++ b/kernel/cache-map.c
@@ -1,3 +1,4 @@
+#include "lru.h"
 #include "tables.h"
 
 #include <stdlib.h>
@@ -21,8 +22,7 @@
 
 typedef struct cache_entry {
     CK_LIST_ENTRY(cache_entry) bucket;
-    struct cache_entry *newer;
-    struct cache_entry *older;
+    lru_link_t lru;
     uint64_t key;
     uint32_t tokens;
     uint32_t uses;
@@ -38,8 +38,7 @@
     size_t size;
     size_t bucket_count;
     entry_list_t *buckets;
-    cache_entry_t *newest;
-    cache_entry_t *oldest;
+    lru_t lru;
     uint16_t epochs[BACKENDS_MAX];
 };
 
@@ -55,41 +54,16 @@
     return map;
 }
 
-static void
-entry_unlink(cache_map_t *map, cache_entry_t *entry)
-{
-    if (entry->newer != NULL) {
-        entry->newer->older = entry->older;
-    }
-    else {
-        map->newest = entry->older;
-    }
-    if (entry->older != NULL) {
-        entry->older->newer = entry->newer;
-    }
-    else {
-        map->oldest = entry->newer;
-    }
-}
-
-static void
-entry_link_newest(cache_map_t *map, cache_entry_t *entry)
+static cache_entry_t *
+entry_of(lru_link_t *link)
 {
-    entry->newer = NULL;
-    entry->older = map->newest;
-    if (map->newest != NULL) {
-        map->newest->newer = entry;
-    }
-    map->newest = entry;
-    if (map->oldest == NULL) {
-        map->oldest = entry;
-    }
+    return LRU_ENTRY(link, cache_entry_t, lru);
 }
 
 static void
 entry_free(cache_map_t *map, cache_entry_t *entry)
 {
-    entry_unlink(map, entry);
+    lru_remove(&map->lru, &entry->lru);
     CK_LIST_REMOVE(entry, bucket);
     map->size--;
     free(entry);
@@ -99,8 +73,8 @@
 void
 cache_map_free(cache_map_t *map)
 {
-    while (map->oldest != NULL) {
-        entry_free(map, map->oldest);
+    while (map->lru.oldest != NULL) {
+        entry_free(map, entry_of(map->lru.oldest));
     }
     free(map->buckets);
     (void)pthread_mutex_destroy(&map->lock);
@@ -123,13 +97,13 @@
 entry_make(cache_map_t *map, uint64_t key, uint32_t tokens)
 {
     if (map->size >= map->max) {
-        entry_free(map, map->oldest);
+        entry_free(map, entry_of(map->lru.oldest));
     }
     cache_entry_t *entry = mem_zalloc(sizeof(*entry));
     entry->key = key;
     entry->tokens = tokens;
     CK_LIST_INSERT_HEAD(&map->buckets[key % map->bucket_count], entry, bucket);
-    entry_link_newest(map, entry);
+    lru_add(&map->lru, &entry->lru);
     map->size++;
     return entry;
 }
@@ -194,8 +168,7 @@
         entry = entry_make(map, key, tokens);
     }
     entry->uses++;
-    entry_unlink(map, entry);
-    entry_link_newest(map, entry);
+    lru_use(&map->lru, &entry->lru);
     int at = holder_find(map, entry, backend);
     if (at >= 0) {
         int64_t before_ms = entry->holders[at].noted_ms;
@@ -294,8 +267,8 @@
 {
     size_t count = 0;
     LOCK_SCOPE(&map->lock);
-    for (cache_entry_t *entry = map->newest; entry != NULL;
-         entry = entry->older) {
+    for (cache_entry_t *entry = entry_of(map->lru.newest); entry != NULL;
+         entry = entry_of(entry->lru.older)) {
         for (int i = 0; i < entry->count && count < max; i++) {
             if (entry->uses > 1 && holder_valid(map, &entry->holders[i])) {
                 facts[count++] = (cache_fact_t){entry->key, entry->tokens,
--- a/relay/held-parts.c
+++ b/relay/held-parts.c
@@ -1,4 +1,5 @@
 #include "held-parts.h"
+#include "../kernel/lru.h"
 
 #include <ck_queue.h>
 #include <stdlib.h>
@@ -15,8 +16,7 @@
 
 typedef struct held_entry {
     CK_LIST_ENTRY(held_entry) bucket;
-    struct held_entry *newer;
-    struct held_entry *older;
+    lru_link_t lru;
     bool keyed; /* else filling of no further use */
     held_part_t part;
 } held_entry_t;
@@ -25,8 +25,7 @@
 
 struct held_parts {
     held_bucket_t buckets[BUCKETS];
-    held_entry_t *newest;
-    held_entry_t *oldest;
+    lru_t lru;
     size_t count;
     int64_t tokens; /* of all entries */
     int64_t room;
@@ -40,41 +39,16 @@
     return held;
 }
 
-static void
-entry_unlink(held_parts_t *held, held_entry_t *entry)
-{
-    if (entry->newer != NULL) {
-        entry->newer->older = entry->older;
-    }
-    else {
-        held->newest = entry->older;
-    }
-    if (entry->older != NULL) {
-        entry->older->newer = entry->newer;
-    }
-    else {
-        held->oldest = entry->newer;
-    }
-}
-
-static void
-entry_link_newest(held_parts_t *held, held_entry_t *entry)
+static held_entry_t *
+entry_of(lru_link_t *link)
 {
-    entry->newer = NULL;
-    entry->older = held->newest;
-    if (held->newest != NULL) {
-        held->newest->newer = entry;
-    }
-    held->newest = entry;
-    if (held->oldest == NULL) {
-        held->oldest = entry;
-    }
+    return LRU_ENTRY(link, held_entry_t, lru);
 }
 
 static void
 entry_free(held_parts_t *held, held_entry_t *entry)
 {
-    entry_unlink(held, entry);
+    lru_remove(&held->lru, &entry->lru);
     if (entry->keyed) {
         CK_LIST_REMOVE(entry, bucket);
     }
@@ -100,10 +74,11 @@
 static void
 drop_oldest(held_parts_t *held)
 {
-    while (held->oldest != NULL &&
-           (held->tokens - held->oldest->part.tokens >= held->room ||
+    held_entry_t *oldest;
+    while ((oldest = entry_of(held->lru.oldest)) != NULL &&
+           (held->tokens - oldest->part.tokens >= held->room ||
             held->count > ENTRIES_MAX)) {
-        entry_free(held, held->oldest);
+        entry_free(held, oldest);
     }
 }
 
@@ -122,8 +97,8 @@
 void
 held_parts_forget(held_parts_t *held)
 {
-    while (held->oldest != NULL) {
-        entry_free(held, held->oldest);
+    while (held->lru.oldest != NULL) {
+        entry_free(held, entry_of(held->lru.oldest));
     }
 }
 
@@ -142,15 +117,14 @@
 {
     held_entry_t *entry = entry_find(held, part->key);
     if (entry != NULL) {
-        entry_unlink(held, entry);
-        entry_link_newest(held, entry);
+        lru_use(&held->lru, &entry->lru);
         return;
     }
     entry = mem_zalloc(sizeof(*entry));
     entry->keyed = true;
     entry->part = *part;
     CK_LIST_INSERT_HEAD(&held->buckets[part->key % BUCKETS], entry, bucket);
-    entry_link_newest(held, entry);
+    lru_add(&held->lru, &entry->lru);
     held->tokens += part->tokens;
     held->count++;
     drop_oldest(held);
@@ -160,13 +134,13 @@
 void
 held_parts_fill(held_parts_t *held, uint32_t tokens)
 {
-    held_entry_t *entry = held->newest;
+    held_entry_t *entry = entry_of(held->lru.newest);
     if (tokens == 0) {
         return;
     }
     if (entry == NULL || entry->keyed) {
         entry = mem_zalloc(sizeof(*entry));
-        entry_link_newest(held, entry);
+        lru_add(&held->lru, &entry->lru);
         held->count++;
     }
     entry->part.tokens += tokens;
@@ -186,8 +160,8 @@
 held_parts_list(const held_parts_t *held, held_part_t *out, size_t max)
 {
     size_t count = 0;
-    for (const held_entry_t *entry = held->newest;
-         entry != NULL && count < max; entry = entry->older) {
+    for (const held_entry_t *entry = entry_of(held->lru.newest);
+         entry != NULL && count < max; entry = entry_of(entry->lru.older)) {
         if (entry->keyed) {
             out[count++] = entry->part;
         }
