Settings: the platform's bounds may be fractions

Cause: retry_slack, stop_s, retry_window_s, lease_ms and weights_ms were read as whole numbers and retry_ratio as whole hundredths, while the platform fills in what it likes. Ruled out: the template, which passes values on as they are.

Change: such settings are decimal numbers with a range each and keep their precision. Hexadecimal, infinity, not-a-number and trailing text are refused with file, line and range. The three fields named again_* are retry_ratio, retry_slack, retry_window_s.

Test: tests/test-settings.c fills deploy/celeryspool.ini.template with fractions, large numbers and nonsense; on the code before the first of them ends with the message above.

--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -14,7 +14,7 @@
     TYPE_LEVEL,
     TYPE_MODE,
     TYPE_OBJECTIVE,
-    TYPE_PERCENT, /* written as a fraction */
+    TYPE_REAL,
     TYPE_INT
 } setting_type_t;
 
@@ -81,19 +81,19 @@
      MODE_RELAY, true, NULL, "counters and histograms, as text"},
     {"relay", "objective", TYPE_OBJECTIVE, AT(objective), 0, 0, 0, MODE_RELAY,
      false, "tail", "what placement weighs most: tail (time) or hits"},
-    {"relay", "stop_s", TYPE_INT, AT(stop_s), 0, 1, 3600, MODE_RELAY, true,
+    {"relay", "stop_s", TYPE_REAL, AT(stop_s), 0, 1, 3600, MODE_RELAY, true,
      NULL, "seconds from a stop's signal until the process is killed"},
     {"relay", "hosts", TYPE_INT, AT(hosts), 0, 1, 10000, MODE_RELAY, false,
      "4", "daemons that share the retries at least"},
-    {"relay", "retry_ratio", TYPE_PERCENT, AT(again_percent), 0, 0, 100,
-     MODE_RELAY, true, NULL, "retries for each request, as a fraction"},
-    {"relay", "retry_slack", TYPE_INT, AT(again_slack), 0, 0, 1000000,
+    {"relay", "retry_ratio", TYPE_REAL, AT(retry_ratio), 0, 0, 1, MODE_RELAY,
+     true, NULL, "retries for each request, as a fraction"},
+    {"relay", "retry_slack", TYPE_REAL, AT(retry_slack), 0, 0, 1000000,
      MODE_RELAY, true, NULL, "retries of all daemons besides, in a window"},
-    {"relay", "retry_window_s", TYPE_INT, AT(again_window_s), 0, 1, 3600,
+    {"relay", "retry_window_s", TYPE_REAL, AT(retry_window_s), 0, 1, 3600,
      MODE_RELAY, true, NULL, "seconds that retries are counted over"},
-    {"relay", "lease_ms", TYPE_INT, AT(lease_ms), 0, 100, 600000, MODE_RELAY,
+    {"relay", "lease_ms", TYPE_REAL, AT(lease_ms), 0, 100, 600000, MODE_RELAY,
      true, NULL, "how long the lease on orders holds"},
-    {"relay", "weights_ms", TYPE_INT, AT(weights_ms), 0, 100, 3600000,
+    {"relay", "weights_ms", TYPE_REAL, AT(weights_ms), 0, 100, 3600000,
      MODE_RELAY, true, NULL,
      "older weights may begin an answer for so long after newer are named"},
 };
@@ -178,6 +178,24 @@
     return true;
 }
 
+/* A decimal number, with a fraction or without.  strtod() alone would also
+ * take hexadecimal, infinity and what follows white space. */
+static bool
+take_real(const setting_t *entry, const char *value, double *out)
+{
+    char *end;
+    if (strspn(value, "+-.0123456789eE") != strlen(value)) {
+        return false;
+    }
+    double number = strtod(value, &end);
+    if (end == value || *end != '\0' ||
+        !(number >= entry->min && number <= entry->max)) {
+        return false;
+    }
+    *out = number;
+    return true;
+}
+
 static bool
 take_addrs(settings_t *settings, const char *value)
 {
@@ -218,18 +236,6 @@
     return strcmp(word, "relay") == 0 ? MODE_RELAY : 0;
 }
 
-static bool
-take_percent(const char *value, int *out)
-{
-    char *end;
-    double number = strtod(value, &end);
-    if (end == value || *end != '\0' || !(number >= 0 && number <= 1)) {
-        return false;
-    }
-    *out = (int)(number * 100 + 0.5);
-    return true;
-}
-
 /* Put a value where it belongs; on failure say what would be allowed. */
 static const char *
 setting_take(const setting_t *entry, settings_t *settings, const char *value)
@@ -275,9 +281,8 @@
             return settings->objective || strcmp(value, "tail") == 0
                        ? NULL
                        : "tail or hits";
-        case TYPE_PERCENT:
-            return take_percent(value, (int *)at) ? NULL
-                                                  : "a fraction from 0 to 1";
+        case TYPE_REAL:
+            return take_real(entry, value, (double *)at) ? NULL : "a number";
         case TYPE_INT:
             return take_int(entry, value, (int *)at) ? NULL : "a whole number";
     }
@@ -288,11 +293,10 @@
 problem_value(reader_t *reader, const setting_t *entry, const char *value,
               const char *allowed)
 {
-    if (entry->type == TYPE_INT) {
+    if (entry->type == TYPE_INT || entry->type == TYPE_REAL) {
         problem(reader, reader->line,
-                "%s = %s is not allowed; allowed: a whole number from %d to "
-                "%d",
-                entry->key, value, entry->min, entry->max);
+                "%s = %s is not allowed; allowed: %s from %d to %d",
+                entry->key, value, allowed, entry->min, entry->max);
         return;
     }
     /* A secret is not repeated in a message that may be logged. */
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -20,12 +20,12 @@
     int objective;
     char ready[CS_ADDR_MAX];
     char metrics[CS_ADDR_MAX];
-    int stop_s;
-    int lease_ms;
-    int weights_ms;
-    int again_percent;
-    int again_slack;
-    int again_window_s;
+    double stop_s;
+    double lease_ms;
+    double weights_ms;
+    double retry_ratio;
+    double retry_slack;
+    double retry_window_s;
     int hosts;
     int log_level;
     char event_log[256];
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -380,7 +380,7 @@
     relay_t *relay = peers->relay;
     double part = retry_hosts_part(&peers->hosts, peers_live(peers),
                                    (size_t)relay->settings.hosts, now);
-    relay->retries.slack = part * relay->settings.again_slack;
+    relay->retries.slack = part * relay->settings.retry_slack;
 }
 
 /* One step; membership has its own, slower one. */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -83,7 +83,7 @@
 stop_step(relay_t *relay)
 {
     int64_t since = time_mono_ms() - relay->stopping_ms;
-    int64_t last = (int64_t)relay->settings.stop_s * 1000 - END_MARGIN_MS;
+    int64_t last = (int64_t)(relay->settings.stop_s * 1000) - END_MARGIN_MS;
     if (relay_shut(relay) || since >= last) {
         http_door_shut(relay->door);
     }
@@ -193,8 +193,8 @@
     CK_LIST_INIT(&relay->requests);
     relay->servers = servers_new();
     relay->cache = cache_map_new(CACHE_LEVELS);
-    retry_shares_init(&relay->retries, settings->again_percent / 100.0,
-                      (int64_t)settings->again_window_s * 1000);
+    retry_shares_init(&relay->retries, settings->retry_ratio,
+                      (int64_t)(settings->retry_window_s * 1000));
 }
 
 /* Run until a signal ends it. */
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -447,6 +447,6 @@
                    (unsigned long long)(rng_next(&relay->rng) & 0xffffffffu));
     rollout->relay = relay;
     CK_LIST_INIT(&rollout->jobs);
-    lease_init(&rollout->lease, self, relay->settings.lease_ms);
+    lease_init(&rollout->lease, self, (int64_t)relay->settings.lease_ms);
     return rollout;
 }
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -114,7 +114,9 @@
               int64_t wall_ms)
 {
     int64_t before_ms =
-        relay->weights_listed ? 0 : relay->settings.weights_ms / UNKNOWN_PART;
+        relay->weights_listed
+            ? 0
+            : (int64_t)relay->settings.weights_ms / UNKNOWN_PART;
     weights_put(relay, model, version, wall_ms - before_ms, before_ms > 0);
 }
 
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -107,6 +107,121 @@
 }
 END_TEST
 
+/* A value that the platform fills into the settings' template. */
+typedef struct {
+    const char *name;
+    const char *value;
+} filled_t;
+
+/* The template with the given values in place of its names; the section of
+ * seeds is left empty.  A name that is not listed gets "1". */
+static const char *
+template_with(const filled_t *values, size_t count)
+{
+    static char out[4096];
+    char text[4096];
+    FILE *file = fopen("deploy/celeryspool.ini.template", "re");
+    ck_assert_ptr_nonnull(file);
+    text[fread(text, 1, sizeof(text) - 1, file)] = '\0';
+    (void)fclose(file);
+    CLEAN_BUF buf_t filled = {0};
+    const char *at = text;
+    const char *open;
+    while ((open = strstr(at, "{{")) != NULL) {
+        const char *close = strstr(open, "}}");
+        ck_assert_ptr_nonnull(close);
+        buf_add(&filled, at, (size_t)(open - at));
+        at = close + 2;
+        if (open[2] == '#') {
+            at = strstr(at, "{{/seeds}}") + strlen("{{/seeds}}");
+            continue;
+        }
+        size_t len = (size_t)(close - open) - 2;
+        const char *value = "1";
+        for (size_t i = 0; i < count; i++) {
+            if (strlen(values[i].name) == len &&
+                strncmp(values[i].name, open + 2, len) == 0) {
+                value = values[i].value;
+            }
+        }
+        buf_str(&filled, value);
+    }
+    buf_str(&filled, at);
+    str_copy(out, sizeof(out), buf_text(&filled));
+    return out;
+}
+
+static const filled_t platform_values[] = {
+    {"node_name", "edge-a-1"},
+    {"zone", "dc-a"},
+    {"listen_addresses.front", "127.0.0.1:8101"},
+    {"listen_addresses.readiness", "127.0.0.1:8102"},
+    {"ip_address", "127.0.0.1"},
+    {"internal_port_range.0", "7340"},
+    {"internal_port_range.1", "7341"},
+    {"platform.address", "127.0.0.1:9001"},
+    {"bounds.grace_s", "8.5"},
+    {"bounds.retry_budget_ratio", "0.125"},
+    {"bounds.retry_budget_slack", "35.833333333333336"},
+    {"bounds.budget_window_s", "10.25"},
+    {"bounds.lease_ms", "3000.5"},
+    {"bounds.version_ms", "1e4"},
+};
+#define PLATFORM_VALUES (sizeof(platform_values) / sizeof(platform_values[0]))
+
+/* Guards against a daemon that exits at its start because a bound of the
+ * platform is a fraction. */
+START_TEST(bounds_may_be_fractions_and_keep_their_precision)
+{
+    settings_t settings;
+    CLEAN_BUF buf_t problems = {0};
+    (void)settings_read_text(&settings, "f",
+                             template_with(platform_values, PLATFORM_VALUES),
+                             &problems);
+    ck_assert_str_eq(buf_text(&problems), "");
+    ck_assert_double_eq(settings.stop_s, 8.5);
+    ck_assert_double_eq(settings.retry_ratio, 0.125);
+    ck_assert_double_eq(settings.retry_slack, 35.833333333333336);
+    ck_assert_double_eq(settings.retry_window_s, 10.25);
+    ck_assert_double_eq(settings.lease_ms, 3000.5);
+    ck_assert_double_eq(settings.weights_ms, 10000);
+}
+END_TEST
+
+START_TEST(bounds_out_of_range_or_no_numbers_are_faults)
+{
+    static const char *const bad[] = {
+        "",     "x",     "-1",  "1e9", "inf", "nan", "0x10",
+        "1.5x", "1 000", "1,5", "--3", "1e",  ".",   "99999999999999999999",
+    };
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        filled_t values[PLATFORM_VALUES];
+        settings_t settings;
+        CLEAN_BUF buf_t problems = {0};
+        memcpy(values, platform_values, sizeof(values));
+        for (size_t at = 0; at < PLATFORM_VALUES; at++) {
+            if (strncmp(values[at].name, "bounds.", 7) == 0) {
+                values[at].value = bad[i];
+            }
+        }
+        (void)settings_read_text(&settings, "f.ini",
+                                 template_with(values, PLATFORM_VALUES),
+                                 &problems);
+        static const char *const keys[] = {"stop_s",      "retry_ratio",
+                                           "retry_slack", "retry_window_s",
+                                           "lease_ms",    "weights_ms"};
+        for (size_t key = 0; key < sizeof(keys) / sizeof(keys[0]); key++) {
+            char want[128];
+            (void)snprintf(want, sizeof(want),
+                           "%s = %s is not allowed; allowed: a number from ",
+                           keys[key], bad[i]);
+            ck_assert_msg(strstr(buf_text(&problems), want) != NULL,
+                          "%s is missing in: %s", want, buf_text(&problems));
+        }
+    }
+}
+END_TEST
+
 /* Bytes of a good file are changed, dropped and doubled at random, with a
  * fixed seed: the reader must end with a verdict, under the sanitizers. */
 START_TEST(damaged_files_get_a_verdict)
@@ -132,4 +247,6 @@
           each_fault_names_file_line_and_what_is_allowed,
           all_faults_are_told_in_one_run, contradictions_are_faults,
           a_secret_is_never_repeated, the_example_file_is_good,
+          bounds_may_be_fractions_and_keep_their_precision,
+          bounds_out_of_range_or_no_numbers_are_faults,
           damaged_files_get_a_verdict)
