Caches are followed by their own lists and events

Cause: daemons estimated what each cache holds from requests alone. Believed memory was set to 0.65 of an engine's to stay on the safe side.

Change: each engine and each kept store is followed by one daemon, chosen by rendezvous over all live ones. It reads the list once, then the events, and notifies the others of parts that its estimate lacks, or still has. Estimates count 0.95 of an engine's memory. Three new metrics.

--- /dev/null
+++ b/relay/cache-follow.c
@@ -0,0 +1,238 @@
+#include "cache-source.h"
+#include "peers.h"
+#include "prompt.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Follows what engines' caches and the kept stores hold, by their own lists
+ * and events.  Each cache is followed by one daemon, which notifies the others
+ * of what differs from its own estimate.
+ *
+ * The load that this answers: an engine's memory turns over within seconds, so
+ * an estimate from requests alone is soon wrong, and parts that are held
+ * elsewhere would be read again.  After a loss of all daemons the lists
+ * restore what the engines, which ran on, hold. */
+
+/* How often each daemon works out which caches fall to it, ms. */
+#define SHARE_MS 1000
+/* Pause behind an answer, ms: the next one brings all events of that time. */
+#define GATHER_MS 250
+/* Longest wait for events, ms, and for an answer beyond that. */
+#define EVENTS_WAIT_MS 800
+#define SLACK_MS 400
+#define LIST_MS 1500
+#define CONNECT_MS 250
+/* Behind a failed call, ms. */
+#define AGAIN_MS 1000
+/* A daemon that has run for less does not know yet which parts prompts share,
+ * and takes all parts of a list for shared ones, ms. */
+#define NEW_DAEMON_MS 5000
+
+typedef struct follow {
+    CK_LIST_ENTRY(follow) entry;
+    cache_follows_t *follows;
+    char holder[CS_NAME_MAX]; /* a server's id or a kept store's name */
+    char addr[CS_ADDR_MAX];
+    bool listed; /* place is known */
+    cache_place_t place;
+    int64_t next_ms;
+    fetch_t *fetch;
+    unsigned seen; /* count of the sharing that it was last in */
+} follow_t;
+
+struct cache_follows {
+    relay_t *relay;
+    CK_LIST_HEAD(follow_list, follow) list;
+    unsigned shares;
+    int64_t share_ms;
+    int64_t started_ms;
+};
+
+static void
+follow_free(follow_t *follow)
+{
+    if (follow->fetch != NULL) {
+        fetch_cancel(follow->fetch);
+    }
+    CK_LIST_REMOVE(follow, entry);
+    free(follow);
+}
+
+/* Parts that only one request has are left out: no other one asks for them. */
+static void
+on_event(void *arg, const cache_event_t *event)
+{
+    const follow_t *follow = arg;
+    relay_t *relay = follow->follows->relay;
+    int64_t age = time_mono_ms() - follow->follows->started_ms;
+    uint64_t key = prompt_part_key(prompt_part(event->id, strlen(event->id)),
+                                   event->salt);
+    const held_part_t part = {
+        .key = key, .prompt_tokens = event->tokens, .tokens = event->tokens};
+    bool shared = cache_map_knows(relay->cache, key);
+    relay->meter.cache_events++;
+    if (event->grew) {
+        if (event->tokens > 0 && (shared || age < NEW_DAEMON_MS)) {
+            cache_appeared(relay, follow->holder, &part);
+        }
+        return;
+    }
+    if (shared && cache_evicted(relay, follow->holder, key)) {
+        relay->meter.cache_evicted++;
+        relay->notify_part(relay->peers, follow->holder, &part, false);
+    }
+}
+
+static bool
+take_answer(follow_t *follow, const fetch_result_t *result)
+{
+    err_t err = {0};
+    cache_place_t place = {0};
+    bool listing = !follow->listed;
+    if (!result->whole || result->status != 200) {
+        return false;
+    }
+    int status =
+        listing ? platform_cache_list_read(&place, result->text, result->len,
+                                           on_event, follow, &err)
+                : platform_cache_events_read(&place, result->text, result->len,
+                                             on_event, follow, &err);
+    if (status != 0) {
+        log_warn("cache", "The answer of %s cannot be read: %s.",
+                 follow->holder, err.text);
+        return false;
+    }
+    if (listing) {
+        log_record(LOG_INFO, "cache", "listed",
+                   "holder=%s epoch=%lld next=%lld", follow->holder,
+                   (long long)place.epoch, (long long)place.next);
+    }
+    follow->listed =
+        listing || (!place.gap && place.epoch == follow->place.epoch);
+    follow->place = place;
+    return true;
+}
+
+static void
+on_done(void *arg, const fetch_result_t *result)
+{
+    follow_t *follow = arg;
+    int64_t now = time_mono_ms();
+    follow->fetch = NULL;
+    if (take_answer(follow, result)) {
+        follow->next_ms = follow->listed ? now + GATHER_MS : now;
+        return;
+    }
+    follow->next_ms = now + AGAIN_MS;
+}
+
+static void
+follow_call(follow_t *follow)
+{
+    CLEAN_BUF buf_t head = {0};
+    fetch_ask_t ask = {.addr = follow->addr,
+                       .call = &head,
+                       .connect_ms = CONNECT_MS,
+                       .total_ms = LIST_MS,
+                       .on_done = on_done,
+                       .arg = follow};
+    if (follow->listed) {
+        platform_cache_events_call(&head, follow->addr, follow->place.next,
+                                   EVENTS_WAIT_MS);
+        ask.total_ms = EVENTS_WAIT_MS + SLACK_MS;
+    }
+    else {
+        platform_cache_list_call(&head, follow->addr);
+    }
+    follow->fetch = fetch_start(follow->follows->relay->exchanges, &ask);
+}
+
+static follow_t *
+follow_find(cache_follows_t *follows, const char *holder)
+{
+    follow_t *follow;
+    CK_LIST_FOREACH (follow, &follows->list, entry) {
+        if (strcmp(follow->holder, holder) == 0) {
+            return follow;
+        }
+    }
+    return NULL;
+}
+
+/* Follow a holder if that falls to this daemon. */
+static void
+share_holder(cache_follows_t *follows, const char *holder, const char *addr)
+{
+    if (!peers_duty(follows->relay->peers, holder)) {
+        return;
+    }
+    follow_t *follow = follow_find(follows, holder);
+    if (follow == NULL) {
+        follow = mem_zalloc(sizeof(*follow));
+        follow->follows = follows;
+        str_copy(follow->holder, sizeof(follow->holder), holder);
+        CK_LIST_INSERT_HEAD(&follows->list, follow, entry);
+    }
+    if (strcmp(follow->addr, addr) != 0) {
+        str_copy(follow->addr, sizeof(follow->addr), addr);
+        follow->listed = false;
+    }
+    follow->seen = follows->shares;
+}
+
+static void
+share_all(cache_follows_t *follows)
+{
+    const relay_t *relay = follows->relay;
+    const server_t *server;
+    const relay_service_t *service;
+    follow_t *follow;
+    follow_t *next;
+    follows->shares++;
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
+        if (server->said.engine && !server->gone) {
+            share_holder(follows, server->said.id, server->said.addr);
+        }
+    }
+    CK_SLIST_FOREACH (service, &relay->config->services, entry) {
+        if (service->kv_store) {
+            share_holder(follows, service->name, service->addr);
+        }
+    }
+    CK_LIST_FOREACH_SAFE (follow, &follows->list, entry, next) {
+        if (follow->seen != follows->shares) {
+            follow_free(follow);
+        }
+    }
+}
+
+cache_follows_t *
+cache_follows_new(relay_t *relay)
+{
+    cache_follows_t *follows = mem_zalloc(sizeof(*follows));
+    follows->relay = relay;
+    follows->started_ms = time_mono_ms();
+    CK_LIST_INIT(&follows->list);
+    return follows;
+}
+
+/* One step. */
+void
+cache_follows_tick(cache_follows_t *follows)
+{
+    int64_t now = time_mono_ms();
+    follow_t *follow;
+    if (!follows->relay->servers_listed || follows->relay->config == NULL) {
+        return;
+    }
+    if (now >= follows->share_ms) {
+        follows->share_ms = now + SHARE_MS;
+        share_all(follows);
+    }
+    CK_LIST_FOREACH (follow, &follows->list, entry) {
+        if (follow->fetch == NULL && now >= follow->next_ms) {
+            follow_call(follow);
+        }
+    }
+}
--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -3,9 +3,8 @@
 
 #include <string.h>
 
-/* Of an engine's memory for parts of prompts that are not in use: running
- * requests hold the rest, and what other hosts sent there is heard of late. */
-#define ROOM_PART 0.65
+/* Part of an engine's memory that holds parts of prompts. */
+#define ROOM_PART 0.95
 /* Time to ask for a fetch and to start it, ms. */
 #define FETCH_START_MS 8.0
 /* A link between data centres takes so much longer. */
@@ -285,11 +284,55 @@
         held_parts_use(held, &part);
         if (cache_map_note_at(relay->cache, number, part.key,
                               part.prompt_tokens, now)) {
-            relay->tell_part(relay->peers, holder_name(relay, number), &part);
+            relay->notify_part(relay->peers, holder_name(relay, number), &part,
+                               true);
         }
     }
 }
 
+/* The number of a server or kept store by its name; -1 if it is unknown. */
+static int
+holder_number(const relay_t *relay, const char *holder)
+{
+    const server_t *server = servers_find(relay->servers, holder);
+    int store = part_stores_named(&relay->stores, holder);
+    if (holder[0] == '\0' || (server == NULL && store < 0)) {
+        return -1;
+    }
+    return server != NULL ? server->number : PART_STORE_NUMBER + store;
+}
+
+/* A holder has a part by its own list or events.  Notifies the other daemons
+ * if that was not known. */
+void
+cache_appeared(relay_t *relay, const char *holder, const held_part_t *part)
+{
+    int number = holder_number(relay, holder);
+    held_parts_t *held = number >= 0 ? held_by(relay, (uint16_t)number) : NULL;
+    if (held == NULL || held_parts_has(held, part->key)) {
+        return;
+    }
+    held_parts_use(held, part);
+    (void)cache_map_note_at(relay->cache, (uint16_t)number, part->key,
+                            part->prompt_tokens, time_mono_ms());
+    relay->meter.cache_appeared++;
+    relay->notify_part(relay->peers, holder, part, true);
+}
+
+/* A holder evicted a part; false if it was not known to hold it. */
+bool
+cache_evicted(relay_t *relay, const char *holder, uint64_t key)
+{
+    int number = holder_number(relay, holder);
+    held_parts_t *held = number >= 0 ? held_by(relay, (uint16_t)number) : NULL;
+    if (held == NULL || !held_parts_has(held, key)) {
+        return false;
+    }
+    held_parts_drop(held, key);
+    (void)cache_map_drop(relay->cache, (uint16_t)number, key);
+    return true;
+}
+
 /* Another daemon says that a server uses or reads a part. */
 void
 cache_told(relay_t *relay, const char *holder, const held_part_t *part)
@@ -356,7 +399,8 @@
                                   .prompt_tokens = level->tokens};
         if (cache_map_note_at(relay->cache, number, part.key, level->tokens,
                               now)) {
-            relay->tell_part(relay->peers, holder_name(relay, number), &part);
+            relay->notify_part(relay->peers, holder_name(relay, number), &part,
+                               true);
         }
     }
 }
@@ -379,6 +423,9 @@
     const relay_service_t *to = store_service(relay, number);
     const relay_service_t *from = service_of(relay, server);
     unsigned shared = shared_levels(prefix);
+    if (to == NULL || shared == 0) {
+        return false;
+    }
     unsigned kept = levels_held(store->held, prefix, 0, shared);
     uint32_t total = prefix->levels[shared - 1].tokens;
     bool told = from != NULL && from->token_bytes > 0;
--- a/relay/cache-source.h
+++ b/relay/cache-source.h
@@ -29,6 +29,9 @@
 void cache_look(relay_t *relay, const prefix_t *prefix, const server_t *server,
                 cache_view_t *out);
 void cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number);
+void cache_appeared(relay_t *relay, const char *holder,
+                    const held_part_t *part);
+bool cache_evicted(relay_t *relay, const char *holder, uint64_t key);
 void cache_told(relay_t *relay, const char *holder, const held_part_t *part);
 void cache_forget(relay_t *relay, const server_t *server);
 void cache_room(const relay_t *relay, const server_t *server);
--- a/relay/held-parts.c
+++ b/relay/held-parts.c
@@ -130,6 +130,16 @@
     drop_oldest(held);
 }
 
+/* A part was evicted, whatever the order of use says. */
+void
+held_parts_drop(held_parts_t *held, uint64_t key)
+{
+    held_entry_t *entry = entry_find(held, key);
+    if (entry != NULL) {
+        entry_free(held, entry);
+    }
+}
+
 /* So many tokens went in that no other request will ask for. */
 void
 held_parts_fill(held_parts_t *held, uint32_t tokens)
--- a/relay/held-parts.h
+++ b/relay/held-parts.h
@@ -20,6 +20,7 @@
 void held_parts_free(held_parts_t *held);
 void held_parts_room(held_parts_t *held, int64_t tokens);
 void held_parts_forget(held_parts_t *held);
+void held_parts_drop(held_parts_t *held, uint64_t key);
 void held_parts_use(held_parts_t *held, const held_part_t *part);
 void held_parts_fill(held_parts_t *held, uint32_t tokens);
 bool held_parts_has(const held_parts_t *held, uint64_t key);
--- a/relay/meter.c
+++ b/relay/meter.c
@@ -75,4 +75,7 @@
     meter_gauge(out, "not_let_in_total", (double)meter->not_let_in);
     meter_gauge(out, "prompt_tokens_total", (double)meter->prompt_tokens);
     meter_gauge(out, "held_tokens_total", (double)meter->held_tokens);
+    meter_gauge(out, "cache_events_total", (double)meter->cache_events);
+    meter_gauge(out, "cache_appeared_total", (double)meter->cache_appeared);
+    meter_gauge(out, "cache_evicted_total", (double)meter->cache_evicted);
 }
--- a/relay/meter.h
+++ b/relay/meter.h
@@ -32,7 +32,10 @@
     uint64_t retries;
     uint64_t not_let_in;
     uint64_t prompt_tokens;
-    uint64_t held_tokens; /* that servers were believed to hold */
+    uint64_t held_tokens;    /* that servers were believed to hold */
+    uint64_t cache_events;   /* of the caches that this daemon follows */
+    uint64_t cache_appeared; /* parts that were not known to be held */
+    uint64_t cache_evicted;  /* parts that were still believed to be held */
 } meter_t;
 
 void meter_init(meter_t *meter);
--- a/relay/peers-take.c
+++ b/relay/peers-take.c
@@ -50,5 +50,9 @@
         return;
     }
     const held_part_t part = {fact->key, fact->tokens, fact->part};
+    if (!fact->held) {
+        cache_evicted(relay, fact->backend, fact->key);
+        return;
+    }
     cache_told(relay, fact->backend, &part);
 }
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -207,11 +207,13 @@
     return fact;
 }
 
-/* The news that relay_t.tell_part passes on. */
 static void
-tell_part(peers_t *peers, const char *holder, const held_part_t *part)
+notify_part(peers_t *peers, const char *holder, const held_part_t *part,
+            bool held)
 {
-    *fact_add(peers) = held_fact(holder, part);
+    peer_fact_t *fact = fact_add(peers);
+    *fact = held_fact(holder, part);
+    fact->held = held;
 }
 
 static peer_fact_t *
@@ -310,6 +312,13 @@
     return members_live(peers->members);
 }
 
+/* Whether a duty falls to this daemon: see members_duty. */
+bool
+peers_duty(const peers_t *peers, const char *duty)
+{
+    return members_duty(peers->members, duty);
+}
+
 /* How many other live daemons stand before this one for a duty; all that know
  * the same daemons agree on the order. */
 size_t
@@ -465,7 +474,7 @@
         event_new(relay->base, fd, EV_READ | EV_PERSIST, on_readable, peers);
     (void)event_add(peers->readable, NULL);
     add_seeds(peers);
-    relay->tell_part = tell_part;
+    relay->notify_part = notify_part;
     peers->look = (peers_look_t){.settings = &relay->settings,
                                  .exchanges = relay->exchanges,
                                  .members = peers->members};
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -108,6 +108,7 @@
     facts_tick(relay);
     requests_tick(relay);
     rollout_tick(relay->rollout);
+    cache_follows_tick(relay->cache_follows);
     peers_tick(relay->peers);
     if (relay->stopping_ms != 0) {
         stop_step(relay);
@@ -212,6 +213,7 @@
                settings->dc, settings->http, settings->ready, settings->store);
     facts_start(relay);
     relay->rollout = rollout_new(relay);
+    relay->cache_follows = cache_follows_new(relay);
     (void)event_base_dispatch(relay->base);
     log_flush();
     /* What is left belongs to the process, which ends now. */
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -25,12 +25,13 @@
 typedef struct rollout rollout_t;
 typedef struct peers peers_t;
 typedef struct kept kept_t;
+typedef struct cache_follows cache_follows_t;
 
-/* News that a holder, a server or a store of kept parts, has a part of
- * prompts. A part of no tokens of its own is being read there, under a key of
- * its own. */
-typedef void (*part_news_t)(peers_t *peers, const char *holder,
-                            const held_part_t *part);
+/* Notifies the other daemons that a holder, a server or a kept store, has a
+ * part of prompts, or has it no longer. A part of no tokens of its own is
+ * being read there, under a key of its own. */
+typedef void (*part_notify_t)(peers_t *peers, const char *holder,
+                              const held_part_t *part, bool held);
 
 /* Kinds of object that other daemons may ask for: the first of kind_t. */
 #define KINDS_KEPT 3
@@ -85,7 +86,8 @@
     watch_t *weights_watch;
     rollout_t *rollout;
     peers_t *peers;
-    part_news_t tell_part; /* whoever passes news of parts on */
+    part_notify_t notify_part;
+    cache_follows_t *cache_follows;
     retry_shares_t retries;
 
     rng_t rng;
@@ -139,6 +141,11 @@
 peers_t *peers_start(relay_t *relay, err_t *err);
 void peers_tick(peers_t *peers);
 
+/* ---- caches ---- */
+
+cache_follows_t *cache_follows_new(relay_t *relay);
+void cache_follows_tick(cache_follows_t *follows);
+
 /* ---- orders ---- */
 
 rollout_t *rollout_new(relay_t *relay);
