A follower passes over a watcher that has lost the store

Cause: a daemon whose watcher answered 503 asked the store itself for five seconds, once a second for each of three kinds, then went back to the same watcher; and one that had failed never followed again until the store answered it. While a store that is away was answered for by another daemon, it was asked again every 300 ms by every host. Ruled out: reads of the lease, which cost a tenth of a call each.

Change: a watcher that says it has lost the store is passed over for two seconds and the next one is followed; a silent one makes the daemon ask the store at once. A daemon that has lost all watchers asks with growing pauses, and follows again as soon as one of them has the store.

Test: tests/test-watch-duty.c, a_watcher_that_lost_the_store_is_passed_over; on the code before the same watcher is chosen again. The other tests there keep their checks, with no watcher passed over.

--- a/relay/facts.c
+++ b/relay/facts.c
@@ -87,6 +87,13 @@
            peers_upstream(relay->peers, addr);
 }
 
+static void
+upstream_lost(void *arg, const char *addr, bool answered)
+{
+    relay_t *relay = arg;
+    peers_upstream_lost(relay->peers, addr, answered);
+}
+
 /* ---- servers ---- */
 
 static void
@@ -272,20 +279,25 @@
 facts_start(relay_t *relay)
 {
     const char *store = relay->settings.store;
-    watch_hooks_t config = {on_config_list, on_config,       on_config_listed,
-                            other_daemon,   upstream_daemon, on_config_settled,
-                            relay};
-    watch_hooks_t servers = {
-        on_server_list, on_server,       on_servers_listed,
-        other_daemon,   upstream_daemon, on_servers_settled,
-        relay};
-    watch_hooks_t weights = {on_weights_list,
-                             on_weights,
-                             on_weights_listed,
-                             other_daemon,
-                             upstream_daemon,
-                             on_weights_settled,
-                             relay};
+    const watch_hooks_t shared = {.other = other_daemon,
+                                  .upstream = upstream_daemon,
+                                  .upstream_lost = upstream_lost,
+                                  .arg = relay};
+    watch_hooks_t config = shared;
+    config.on_list = on_config_list;
+    config.on_object = on_config;
+    config.on_listed = on_config_listed;
+    config.on_settled = on_config_settled;
+    watch_hooks_t servers = shared;
+    servers.on_list = on_server_list;
+    servers.on_object = on_server;
+    servers.on_listed = on_servers_listed;
+    servers.on_settled = on_servers_settled;
+    watch_hooks_t weights = shared;
+    weights.on_list = on_weights_list;
+    weights.on_object = on_weights;
+    weights.on_listed = on_weights_listed;
+    weights.on_settled = on_weights_settled;
     relay->kept = kept_new(relay);
     relay->config_watch = watch_start(relay->base, relay->exchanges, store,
                                       KIND_CONFIG, &config);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -41,6 +41,7 @@
     peer_datagram_t taken;
     unsigned char secret[SECRET_BYTES]; /* none: the network is private */
     peers_look_t look;
+    watch_avoided_t avoided;
     int64_t next_beat_ms;
     bool asked;          /* others for what they know */
     size_t turn;         /* of the daemon that is asked next */
@@ -357,21 +358,26 @@
     return false;
 }
 
-/* Whether this daemon hears of the store's objects from another, and from
- * which: see watch_duty_choose. */
+static size_t
+watchers(const peers_t *peers, member_t owners[WATCHERS_MAX])
+{
+    size_t want = watch_duty_count(peers_live(peers));
+    return want == 0 ? 0
+                     : members_duty_owners(peers->members, "store-watch",
+                                           owners, want);
+}
+
+/* Whether this daemon follows another one's watches of the store, and which:
+ * see watch_duty_choose. */
 bool
 peers_upstream(peers_t *peers, char addr[CS_ADDR_MAX])
 {
     member_t owners[WATCHERS_MAX];
     const settings_t *settings = &peers->relay->settings;
-    size_t want = watch_duty_count(peers_live(peers));
-    if (want == 0) {
-        return false;
-    }
-    size_t count =
-        members_duty_owners(peers->members, "store-watch", owners, want);
+    size_t count = watchers(peers, owners);
     const member_t *owner =
-        watch_duty_choose(owners, count, settings->name, settings->dc);
+        watch_duty_choose(owners, count, settings->name, settings->dc,
+                          &peers->avoided, time_mono_ms());
     if (owner == NULL) {
         return false;
     }
@@ -379,6 +385,21 @@
     return true;
 }
 
+/* The watcher at an address does not serve this daemon.  One that answered so
+ * has lost the store, and another may have it; one that is silent may be cut
+ * off as this daemon is, and waiting for the next would take too long. */
+void
+peers_upstream_lost(peers_t *peers, const char *addr, bool answered)
+{
+    member_t owners[WATCHERS_MAX];
+    size_t count = watchers(peers, owners);
+    for (size_t i = 0; i < count; i++) {
+        if (!answered || strcmp(owners[i].http, addr) == 0) {
+            watch_duty_avoid(&peers->avoided, owners[i].name, time_mono_ms());
+        }
+    }
+}
+
 /* ---- all of it ---- */
 
 /* This host's part of the retries that all may send besides those that their
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -13,6 +13,7 @@
 bool peers_duty(const peers_t *peers, const char *duty);
 size_t peers_live(const peers_t *peers);
 bool peers_upstream(peers_t *peers, char addr[CS_ADDR_MAX]);
+void peers_upstream_lost(peers_t *peers, const char *addr, bool answered);
 bool peers_any(peers_t *peers, char addr[CS_ADDR_MAX]);
 
 #endif
--- a/relay/watch-duty.h
+++ b/relay/watch-duty.h
@@ -9,7 +9,21 @@
 #define WATCHERS_MAX 16
 
 size_t watch_duty_count(size_t daemons);
+/* Watchers that did not serve this daemon lately. */
+typedef struct {
+    struct {
+        char name[CS_NAME_MAX];
+        int64_t until_ms;
+    } all[WATCHERS_MAX];
+} watch_avoided_t;
+
+void watch_duty_avoid(watch_avoided_t *avoided, const char *name,
+                      int64_t now_ms);
+bool watch_duty_avoids(const watch_avoided_t *avoided, const char *name,
+                       int64_t now_ms);
 const member_t *watch_duty_choose(const member_t *owners, size_t count,
-                                  const char *self, const char *dc);
+                                  const char *self, const char *dc,
+                                  const watch_avoided_t *avoided,
+                                  int64_t now_ms);
 
 #endif
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -17,12 +17,13 @@
 /* Others count as hearing from it for so long behind their last question, ms.
  */
 #define SERVING_MS 5000
-/* A daemon that hears from another waits so long for news, ms, and so much
- * longer for the answer; then, or when the other says that it does not hear
- * the store itself, it asks the store for a while. */
+/* A daemon that follows another one waits so long for changes, ms, and so much
+ * longer for the answer. */
 #define FOLLOW_WAIT_MS 900
 #define FOLLOW_SLACK_MS 300
-#define ALONE_MS 5000
+/* A daemon that has lost the ones that it follows asks the store for brief
+ * answers for so long, ms. */
+#define ALONE_MS 2000
 /* Behind news the next watch waits so long, ms, and brings all that has come
  * meanwhile: each call has its price and wakes the process, and entries of
  * servers change in bursts.  A leaving server must be known within two
@@ -57,6 +58,7 @@
     fetch_t *fetch;
     watch_hooks_t hooks;
     char addr[CS_ADDR_MAX];
+    char upstream[CS_ADDR_MAX]; /* that this daemon follows, if it does */
     kind_t kind;
     watch_state_t state;
     char after[CS_NAME_MAX * 2]; /* name that the list goes on behind */
@@ -141,8 +143,34 @@
     watch->fetch = fetch_start(watch->exchanges, &ask);
 }
 
-/* Ask again after a pause that grows, so that a store in trouble is not asked
+/* Time until the next call; it grows, so that a store in trouble is not asked
  * by all hosts at once. */
+static int
+pause_next(watch_t *watch)
+{
+    int pause_ms = watch->pause_ms;
+    watch->pause_ms =
+        pause_ms * 2 < PAUSE_LAST_MS ? pause_ms * 2 : PAUSE_LAST_MS;
+    return pause_ms;
+}
+
+/* Whether this daemon follows others as a rule, and has lost them. */
+static bool
+has_lost_upstream(const watch_t *watch)
+{
+    return watch->alone_ms != 0 && time_mono_ms() < watch->alone_ms + ALONE_MS;
+}
+
+/* Behind another daemon's answer the store is asked again soon by those that
+ * others follow. The rest take longer and longer: they are many, and hear of
+ * the store's return from the former. */
+static void
+call_later_behind_other(watch_t *watch)
+{
+    int pause_ms = has_lost_upstream(watch) ? pause_next(watch) : 0;
+    call_later(watch, pause_ms > OTHER_PAUSE_MS ? pause_ms : OTHER_PAUSE_MS);
+}
+
 static void
 call_failed(watch_t *watch, const char *why)
 {
@@ -161,9 +189,7 @@
         call_other(watch, other);
         return;
     }
-    call_later(watch, watch->pause_ms);
-    watch->pause_ms = watch->pause_ms * 2 < PAUSE_LAST_MS ? watch->pause_ms * 2
-                                                          : PAUSE_LAST_MS;
+    call_later(watch, pause_next(watch));
 }
 
 static void
@@ -173,19 +199,18 @@
     watch->after[0] = '\0';
 }
 
+/* The store answered, or a daemon that it answers. */
 static void
 note_heard(watch_t *watch)
 {
     watch->heard_ms = time_mono_ms();
-    if (watch->follows) {
-        return;
-    }
     watch->pause_ms = PAUSE_FIRST_MS;
     if (watch->failed) {
         watch->failed = false;
         watch->back_ms = watch->heard_ms;
-        log_record(LOG_INFO, "store", "back", "kind=%s at=%lld",
-                   kind_name(watch->kind), (long long)watch->at);
+        log_record(LOG_INFO, "store", "back", "kind=%s at=%lld followed=%d",
+                   kind_name(watch->kind), (long long)watch->at,
+                   watch->follows);
     }
 }
 
@@ -229,7 +254,7 @@
     if (watch->listed && page.at < watch->at) {
         /* It is behind: what it lacks is not gone. */
         platform_page_free(&page);
-        call_later(watch, OTHER_PAUSE_MS);
+        call_later_behind_other(watch);
         return;
     }
     watch->hooks.on_list(watch->hooks.arg);
@@ -245,7 +270,7 @@
     watch->listed = true;
     watch->state = WATCH_WATCHING;
     platform_page_free(&page);
-    call_later(watch, OTHER_PAUSE_MS);
+    call_later_behind_other(watch);
 }
 
 static void
@@ -282,14 +307,16 @@
     watch_call(watch);
 }
 
-/* Who was followed is gone, cut off, behind, or does not hear the store
- * itself: the store is asked from here at once, and for a while. */
+/* The daemon that was followed is gone, cut off, behind, or has lost the store
+ * itself: another one is followed, or the store is asked. */
 static void
 unfollow(watch_t *watch)
 {
     log_record(LOG_INFO, "store", "unfollowed", "kind=%s status=%d at=%lld",
                kind_name(watch->kind), watch->status, (long long)watch->at);
     watch->alone_ms = time_mono_ms() + ALONE_MS;
+    watch->hooks.upstream_lost(watch->hooks.arg, watch->upstream,
+                               watch->status != 0);
     if (watch->status == STATUS_GONE) {
         list_again(watch);
     }
@@ -332,10 +359,9 @@
 static bool
 call_upstream(watch_t *watch)
 {
-    char addr[CS_ADDR_MAX];
+    char *addr = watch->upstream;
     CLEAN_BUF buf_t head = {0};
     watch->follows = watch->state == WATCH_WATCHING && watch->listed &&
-                     !watch->failed && time_mono_ms() >= watch->alone_ms &&
                      watch->hooks.upstream(watch->hooks.arg, addr);
     if (!watch->follows) {
         return false;
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -25,6 +25,8 @@
     /* The address of a daemon that watches the store for this one too; false
      * if it watches for itself. */
     bool (*upstream)(void *arg, char addr[CS_ADDR_MAX]);
+    /* That daemon does not serve; answered tells whether it said so itself. */
+    void (*upstream_lost)(void *arg, const char *addr, bool answered);
     /* News was taken in, or what is known has stopped being the store's own
      * word: those that hear from this daemon are to be told. */
     void (*on_settled)(void *arg);
