The order of daemons for a duty counts all members

Cause: peers_before looked at the first 65 members of a list whose order differs from daemon to daemon. In a fleet of 78 each counted another set, so several took themselves for the first in line for the lease and wrote at once.

Change: members_duty_rank counts over the whole table. A follower of a cache logs that it lost the cache and that it has it again, once each.

Test: tests/test-members.c, all_members_agree_on_the_order_for_a_duty, 100 daemons in virtual time: each rank falls to one of them. The count over 65 members gives ranks twice.

--- a/kernel/members.c
+++ b/kernel/members.c
@@ -116,6 +116,23 @@
     return true;
 }
 
+/* How many other live daemons come before this one for a duty.  Counted over
+ * all members, so that daemons that know the same ones agree. */
+size_t
+members_duty_rank(members_t *members, const char *duty)
+{
+    LOCK_SCOPE(&members->lock);
+    uint64_t key = str_hash(duty, 0);
+    uint64_t mine = place_weight(key, members->self.name);
+    size_t before = 0;
+    const member_node_t *node;
+    CK_LIST_FOREACH (node, &members->list, entry) {
+        before += node->member.health == MEMBER_ALIVE &&
+                  place_weight(key, node->member.name) > mine;
+    }
+    return before;
+}
+
 /* Put a member where its weight belongs among the heaviest. */
 static size_t
 owner_put(const member_t *member, uint64_t key, member_t *out, size_t count,
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -268,6 +268,7 @@
                      int64_t now_ms, member_out_t *out);
 size_t members_list(members_t *members, member_t *out, size_t max);
 bool members_duty(members_t *members, const char *duty);
+size_t members_duty_rank(members_t *members, const char *duty);
 size_t members_duty_owners(members_t *members, const char *duty, member_t *out,
                            size_t max);
 size_t members_live(members_t *members);
--- a/relay/cache-follow.c
+++ b/relay/cache-follow.c
@@ -38,6 +38,7 @@
     cache_place_t place;
     int64_t next_ms;
     fetch_t *fetch;
+    bool lost;     /* the last call brought nothing */
     unsigned seen; /* count of the sharing that it was last in */
 } follow_t;
 
@@ -119,12 +120,18 @@
 {
     follow_t *follow = arg;
     int64_t now = time_mono_ms();
+    bool good = take_answer(follow, result);
     follow->fetch = NULL;
-    if (take_answer(follow, result)) {
-        follow->next_ms = follow->listed ? now + GATHER_MS : now;
-        return;
-    }
-    follow->next_ms = now + AGAIN_MS;
+    if (follow->lost == good) {
+        log_record(good ? LOG_INFO : LOG_WARN, "cache",
+                   good ? "followed-again" : "lost",
+                   "holder=%s addr=%s status=%d", follow->holder, follow->addr,
+                   result->status);
+    }
+    follow->lost = !good;
+    follow->next_ms = !good            ? now + AGAIN_MS
+                      : follow->listed ? now + GATHER_MS
+                                       : now;
 }
 
 static void
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -320,23 +320,11 @@
     return members_duty(peers->members, duty);
 }
 
-/* How many other live daemons stand before this one for a duty; all that know
- * the same daemons agree on the order. */
+/* How many other live daemons come before this one for a duty. */
 size_t
-peers_before(const peers_t *peers, const char *duty)
+peers_duty_rank(const peers_t *peers, const char *duty)
 {
-    member_t live[DIRECT_MAX + 1];
-    const char *self = peers->relay->settings.name;
-    uint64_t key = str_hash(duty, 0);
-    uint64_t own = place_weight(key, self);
-    size_t before = 0;
-    size_t count = members_list(peers->members, live, DIRECT_MAX + 1);
-    for (size_t i = 0; i < count; i++) {
-        before += live[i].health == MEMBER_ALIVE &&
-                  strcmp(live[i].name, self) != 0 &&
-                  place_weight(key, live[i].name) > own;
-    }
-    return before;
+    return members_duty_rank(peers->members, duty);
 }
 
 /* The address at which another daemon that is alive tells what it knows, in
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -9,7 +9,7 @@
 void peers_tell_crowded(peers_t *peers, const server_t *server);
 void peers_tell_weights(peers_t *peers, const server_t *server,
                         int64_t loading);
-size_t peers_before(const peers_t *peers, const char *duty);
+size_t peers_duty_rank(const peers_t *peers, const char *duty);
 bool peers_duty(const peers_t *peers, const char *duty);
 size_t peers_live(const peers_t *peers);
 bool peers_upstream(peers_t *peers, char addr[CS_ADDR_MAX]);
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -202,7 +202,7 @@
         return;
     }
     lease_take_turn(&rollout->lease,
-                    peers_before(rollout->relay->peers, LEASE_NAME));
+                    peers_duty_rank(rollout->relay->peers, LEASE_NAME));
     lease_step_t step = lease_next(&rollout->lease, now);
     if (step != LEASE_IDLE) {
         lease_call(rollout, step);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -235,6 +235,29 @@
 }
 END_TEST
 
+/* Guards against many daemons of a large fleet that all take themselves for
+ * the first in line: their writes to a free lease would all but one be in
+ * vain. */
+START_TEST(all_members_agree_on_the_order_for_a_duty)
+{
+    static fleet_t fleet;
+    const size_t count = 100;
+    bool taken[100] = {false};
+    fleet_start(&fleet, count);
+    (void)rounds_to_know_all(&fleet);
+    for (int i = 0; i < 60; i++) {
+        round_of(&fleet);
+    }
+    for (size_t i = 0; i < count; i++) {
+        size_t rank = members_duty_rank(fleet.tables[i], "orders");
+        ck_assert_uint_lt(rank, count);
+        ck_assert(!taken[rank]);
+        taken[rank] = true;
+    }
+    fleet_stop(&fleet);
+}
+END_TEST
+
 /* Random bytes, and good datagrams with changed ones, must be refused whole
  * and never read past their end. */
 START_TEST(forged_and_damaged_datagrams_are_refused)
@@ -268,4 +291,5 @@
 TEST_MAIN("members", four_daemons, sixteen_daemons, sixty_four_daemons,
           three_hundred_and_fifty_daemons,
           a_duty_falls_to_one_live_member_and_moves_when_it_dies,
+          all_members_agree_on_the_order_for_a_duty,
           forged_and_damaged_datagrams_are_refused)
