Parts that nobody asks for are kept track of, not announced

Cause: a daemon that has just started could not tell parts that prompts share from parts of one request, and announced all of each list.

Change: the follower of a cache keeps such parts to itself and notifies the others once a request here or elsewhere asks for one.

Test: the decisions are those of tests/test-cache-events.c; the rule which parts are announced has no test of its own yet.

--- a/relay/cache-follow.c
+++ b/relay/cache-follow.c
@@ -25,16 +25,17 @@
 #define CONNECT_MS 250
 /* Behind a failed call, ms. */
 #define AGAIN_MS 1000
-/* A daemon that has run for less does not know yet which parts prompts share,
- * and takes all parts of a list for shared ones, ms. */
-#define NEW_DAEMON_MS 5000
+/* Parts of one cache that are kept track of before any request asks for them,
+ * tokens. */
+#define UNASKED_TOKENS (64 << 20)
 
 typedef struct follow {
     CK_LIST_ENTRY(follow) entry;
     cache_follows_t *follows;
     char holder[CS_NAME_MAX]; /* a server's id or a kept store's name */
     char addr[CS_ADDR_MAX];
-    bool listed; /* place is known */
+    held_parts_t *unasked; /* held, and no request is known to ask for them */
+    bool listed;           /* place is known */
     cache_place_t place;
     int64_t next_ms;
     fetch_t *fetch;
@@ -47,7 +48,6 @@
     CK_LIST_HEAD(follow_list, follow) list;
     unsigned shares;
     int64_t share_ms;
-    int64_t started_ms;
 };
 
 static void
@@ -57,40 +57,68 @@
         fetch_cancel(follow->fetch);
     }
     CK_LIST_REMOVE(follow, entry);
+    held_parts_free(follow->unasked);
     free(follow);
 }
 
-/* Parts that only one request has are left out: no other one asks for them. */
+/* Most parts are of one request alone and asked for by no other.  The others
+ * are notified of a part once some request is known to ask for it. */
 static void
 on_event(void *arg, const cache_event_t *event)
 {
-    const follow_t *follow = arg;
+    follow_t *follow = arg;
     relay_t *relay = follow->follows->relay;
-    int64_t age = time_mono_ms() - follow->follows->started_ms;
     uint64_t key = prompt_part_key(prompt_part(event->id, strlen(event->id)),
                                    event->salt);
     const held_part_t part = {
         .key = key, .prompt_tokens = event->tokens, .tokens = event->tokens};
-    bool shared = cache_map_knows(relay->cache, key);
+    bool there = event->grew && event->tokens > 0;
     relay->meter.cache_events++;
-    if (event->grew) {
-        if (event->tokens > 0 && (shared || age < NEW_DAEMON_MS)) {
-            cache_appeared(relay, follow->holder, &part);
+    if (!cache_map_knows(relay->cache, key)) {
+        if (there) {
+            held_parts_use(follow->unasked, &part);
+        }
+        else {
+            held_parts_drop(follow->unasked, key);
         }
         return;
     }
-    if (shared && cache_evicted(relay, follow->holder, key)) {
+    if (there) {
+        cache_appeared(relay, follow->holder, &part);
+    }
+    else if (!event->grew && cache_evicted(relay, follow->holder, key)) {
         relay->meter.cache_evicted++;
         relay->notify_part(relay->peers, follow->holder, &part, false);
     }
 }
 
+/* A request here or at another daemon asks for a part. */
+void
+cache_follows_asked(cache_follows_t *follows, uint64_t key)
+{
+    follow_t *follow;
+    if (follows == NULL) {
+        return;
+    }
+    CK_LIST_FOREACH (follow, &follows->list, entry) {
+        const held_part_t *unasked = held_parts_get(follow->unasked, key);
+        if (unasked != NULL) {
+            const held_part_t part = *unasked;
+            held_parts_drop(follow->unasked, key);
+            cache_appeared(follows->relay, follow->holder, &part);
+        }
+    }
+}
+
 static bool
 take_answer(follow_t *follow, const fetch_result_t *result)
 {
     err_t err = {0};
     cache_place_t place = {0};
     bool listing = !follow->listed;
+    if (listing) {
+        held_parts_forget(follow->unasked);
+    }
     if (!result->whole || result->status != 200) {
         return false;
     }
@@ -178,6 +206,8 @@
     if (follow == NULL) {
         follow = mem_zalloc(sizeof(*follow));
         follow->follows = follows;
+        follow->unasked = held_parts_new();
+        held_parts_room(follow->unasked, UNASKED_TOKENS);
         str_copy(follow->holder, sizeof(follow->holder), holder);
         CK_LIST_INSERT_HEAD(&follows->list, follow, entry);
     }
@@ -219,7 +249,6 @@
 {
     cache_follows_t *follows = mem_zalloc(sizeof(*follows));
     follows->relay = relay;
-    follows->started_ms = time_mono_ms();
     CK_LIST_INIT(&follows->list);
     return follows;
 }
--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -348,8 +348,10 @@
     (void)cache_map_note_at(relay->cache, number, part->key,
                             part->prompt_tokens, now);
     if (part->tokens == 0) {
+        cache_follows_asked(relay->cache_follows, coming_key(part->key));
         return; /* it is only being read */
     }
+    cache_follows_asked(relay->cache_follows, part->key);
     held_parts_use(held_by(relay, number), part);
     if (server != NULL) {
         server_lives(server, now);
@@ -397,6 +399,7 @@
         const prefix_level_t *level = &prefix->levels[i];
         const held_part_t part = {.key = coming_key(level->key),
                                   .prompt_tokens = level->tokens};
+        cache_follows_asked(relay->cache_follows, level->key);
         if (cache_map_note_at(relay->cache, number, part.key, level->tokens,
                               now)) {
             relay->notify_part(relay->peers, holder_name(relay, number), &part,
--- a/relay/held-parts.c
+++ b/relay/held-parts.c
@@ -158,6 +158,14 @@
     drop_oldest(held);
 }
 
+/* A part that is believed to be there, or NULL. */
+const held_part_t *
+held_parts_get(const held_parts_t *held, uint64_t key)
+{
+    const held_entry_t *entry = entry_find(held, key);
+    return entry != NULL ? &entry->part : NULL;
+}
+
 /* Whether a part is believed to be there. */
 bool
 held_parts_has(const held_parts_t *held, uint64_t key)
--- a/relay/held-parts.h
+++ b/relay/held-parts.h
@@ -23,6 +23,7 @@
 void held_parts_drop(held_parts_t *held, uint64_t key);
 void held_parts_use(held_parts_t *held, const held_part_t *part);
 void held_parts_fill(held_parts_t *held, uint32_t tokens);
+const held_part_t *held_parts_get(const held_parts_t *held, uint64_t key);
 bool held_parts_has(const held_parts_t *held, uint64_t key);
 size_t held_parts_list(const held_parts_t *held, held_part_t *out, size_t max);
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -145,6 +145,7 @@
 
 cache_follows_t *cache_follows_new(relay_t *relay);
 void cache_follows_tick(cache_follows_t *follows);
+void cache_follows_asked(cache_follows_t *follows, uint64_t key);
 
 /* ---- orders ---- */
 
