The rule which cache events are announced is a module of its own, with its test

relay/cache-events.c decides, without I/O, what relay/cache-follow.c does with a list or an event; no behaviour changes. tests/test-cache-events.c: a part is announced once a request asks for it; an eviction before that is kept track of.

--- a/relay/cache-follow.c
+++ b/relay/cache-follow.c
@@ -1,6 +1,5 @@
-#include "cache-source.h"
+#include "cache-events.h"
 #include "peers.h"
-#include "prompt.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -61,52 +60,25 @@
     free(follow);
 }
 
-/* Most parts are of one request alone and asked for by no other.  The others
- * are notified of a part once some request is known to ask for it. */
 static void
 on_event(void *arg, const cache_event_t *event)
 {
-    follow_t *follow = arg;
-    relay_t *relay = follow->follows->relay;
-    uint64_t key = prompt_part_key(prompt_part(event->id, strlen(event->id)),
-                                   event->salt);
-    const held_part_t part = {
-        .key = key, .prompt_tokens = event->tokens, .tokens = event->tokens};
-    bool there = event->grew && event->tokens > 0;
-    relay->meter.cache_events++;
-    if (!cache_map_knows(relay->cache, key)) {
-        if (there) {
-            held_parts_use(follow->unasked, &part);
-        }
-        else {
-            held_parts_drop(follow->unasked, key);
-        }
-        return;
-    }
-    if (there) {
-        cache_appeared(relay, follow->holder, &part);
-    }
-    else if (!event->grew && cache_evicted(relay, follow->holder, key)) {
-        relay->meter.cache_evicted++;
-        relay->notify_part(relay->peers, follow->holder, &part, false);
-    }
+    const follow_t *follow = arg;
+    cache_event_take(follow->follows->relay, follow->unasked, follow->holder,
+                     event);
 }
 
 /* A request here or at another daemon asks for a part. */
 void
 cache_follows_asked(cache_follows_t *follows, uint64_t key)
 {
-    follow_t *follow;
+    const follow_t *follow;
     if (follows == NULL) {
         return;
     }
     CK_LIST_FOREACH (follow, &follows->list, entry) {
-        const held_part_t *unasked = held_parts_get(follow->unasked, key);
-        if (unasked != NULL) {
-            const held_part_t part = *unasked;
-            held_parts_drop(follow->unasked, key);
-            cache_appeared(follows->relay, follow->holder, &part);
-        }
+        cache_event_asked(follows->relay, follow->unasked, follow->holder,
+                          key);
     }
 }
 
--- a/tests/test-cache-events.c
+++ b/tests/test-cache-events.c
@@ -1,5 +1,5 @@
 #include "../platform/platform.h"
-#include "../relay/cache-source.h"
+#include "../relay/cache-events.h"
 #include "../relay/peers-take.h"
 #include "test.h"
 
@@ -163,6 +163,56 @@
 }
 END_TEST
 
+/* Guards against a fleet whose daemons tell each other of every request's own
+ * parts, and against shared ones that stay unknown behind a restart. */
+START_TEST(a_part_is_announced_once_a_request_asks_for_it)
+{
+    server_t *server;
+    relay_t *relay = relay_with("a", &server);
+    held_parts_t *unasked = held_parts_new();
+    cache_event_t event = {
+        .salt = "s1", .id = "5c1e", .tokens = 700, .grew = true};
+    uint64_t key = prompt_part_key(prompt_part("5c1e", 4), "s1");
+    cache_event_take(relay, unasked, "a", &event);
+    ck_assert_uint_eq(notified, 0);
+    ck_assert(!held_parts_has(server->held, key));
+    cache_event_asked(relay, unasked, "a", key + 1);
+    ck_assert_uint_eq(notified, 0);
+    cache_event_asked(relay, unasked, "a", key);
+    ck_assert_uint_eq(notified, 1);
+    ck_assert(held_parts_has(server->held, key));
+    cache_event_asked(relay, unasked, "a", key);
+    cache_event_take(relay, unasked, "a", &event);
+    ck_assert_uint_eq(notified, 1);
+    event.grew = false;
+    event.tokens = 0;
+    cache_event_take(relay, unasked, "a", &event);
+    ck_assert_uint_eq(notified, 2);
+    ck_assert(!held_parts_has(server->held, key));
+    held_parts_free(unasked);
+    relay_without(relay);
+}
+END_TEST
+
+/* A part that is evicted before anybody asks for it is forgotten. */
+START_TEST(an_eviction_before_any_request_is_kept_track_of)
+{
+    server_t *server;
+    relay_t *relay = relay_with("a", &server);
+    held_parts_t *unasked = held_parts_new();
+    cache_event_t event = {
+        .salt = "s1", .id = "5c1e", .tokens = 700, .grew = true};
+    cache_event_take(relay, unasked, "a", &event);
+    event.grew = false;
+    cache_event_take(relay, unasked, "a", &event);
+    cache_event_asked(relay, unasked, "a",
+                      prompt_part_key(prompt_part("5c1e", 4), "s1"));
+    ck_assert_uint_eq(notified, 0);
+    held_parts_free(unasked);
+    relay_without(relay);
+}
+END_TEST
+
 /* ---- the load ---- */
 
 #define PARTS 400
@@ -225,4 +275,6 @@
           events_give_changes_and_gaps, what_is_no_answer_is_an_error,
           others_are_notified_of_changes_only,
           a_notice_of_an_eviction_is_taken,
+          a_part_is_announced_once_a_request_asks_for_it,
+          an_eviction_before_any_request_is_kept_track_of,
           events_correct_what_requests_alone_do_not_show)
