Caches are followed once the other daemons are known

Behind the power loss of all hosts the logs show 7,831 "cache listed" in two seconds: each daemon knew no other yet, took every engine for its own to follow and had it list its cache, which stalls the engine. 188 "servers silent" follow in the next two seconds, and first tokens were late for four more. Ruled out: engines that crashed (none in these seconds), the store (back at second 34).

Change: a daemon follows nothing in its first two seconds, by when it knows the others.

Test: a_daemon_that_has_just_started_follows_nothing (ends in a crash without the change).

--- a/relay/cache-follow.c
+++ b/relay/cache-follow.c
@@ -13,6 +13,10 @@
  * elsewhere would be read again.  After a loss of all daemons the lists
  * restore what the engines, which ran on, hold. */
 
+/* A daemon that has just started knows few others, and would follow what falls
+ * to them: after a loss of all daemons each would have every engine list its
+ * cache, which stalls the engine.  It waits until the others are known, ms. */
+#define KNOWN_MS 2000
 /* How often each daemon works out which caches fall to it, ms. */
 #define SHARE_MS 1000
 /* Pause behind an answer, ms: the next one brings all events of that time. */
@@ -221,10 +225,23 @@
 {
     cache_follows_t *follows = mem_zalloc(sizeof(*follows));
     follows->relay = relay;
+    follows->share_ms = time_mono_ms() + KNOWN_MS;
     CK_LIST_INIT(&follows->list);
     return follows;
 }
 
+/* Caches that this daemon follows. */
+size_t
+cache_follows_count(const cache_follows_t *follows)
+{
+    const follow_t *follow;
+    size_t count = 0;
+    CK_LIST_FOREACH (follow, &follows->list, entry) {
+        count++;
+    }
+    return count;
+}
+
 /* One step. */
 void
 cache_follows_tick(cache_follows_t *follows)
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -144,6 +144,7 @@
 /* ---- caches ---- */
 
 cache_follows_t *cache_follows_new(relay_t *relay);
+size_t cache_follows_count(const cache_follows_t *follows);
 void cache_follows_tick(cache_follows_t *follows);
 void cache_follows_asked(cache_follows_t *follows, uint64_t key);
 
--- a/tests/test-cache-events.c
+++ b/tests/test-cache-events.c
@@ -3,6 +3,7 @@
 #include "../relay/peers-take.h"
 #include "test.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define TAKEN_MAX 8
@@ -213,6 +214,24 @@
 }
 END_TEST
 
+/* Guards against a herd that has every engine list its cache to each daemon,
+ * which stalls the engines: a daemon that knows no other yet follows nothing.
+ */
+START_TEST(a_daemon_that_has_just_started_follows_nothing)
+{
+    server_t *server;
+    relay_t *relay = relay_with("a", &server);
+    relay_config_t config = {0};
+    cache_follows_t *follows = cache_follows_new(relay);
+    relay->servers_listed = true;
+    relay->config = &config;
+    cache_follows_tick(follows);
+    ck_assert_uint_eq(cache_follows_count(follows), 0);
+    free(follows);
+    relay_without(relay);
+}
+END_TEST
+
 /* ---- the load ---- */
 
 #define PARTS 400
@@ -277,4 +296,5 @@
           a_notice_of_an_eviction_is_taken,
           a_part_is_announced_once_a_request_asks_for_it,
           an_eviction_before_any_request_is_kept_track_of,
+          a_daemon_that_has_just_started_follows_nothing,
           events_correct_what_requests_alone_do_not_show)
