--- a/relay/cache-events.c
+++ b/relay/cache-events.c
@@ -10,21 +10,21 @@
 /* Notifies the other daemons of a change that they do not know.  A part that
  * no request is known to ask for is only kept track of. */
 void
-cache_event_take(relay_t *relay, held_parts_t *unasked, const char *holder,
+cache_event_take(relay_t *relay, cached_parts_t *unasked, const char *holder,
                  const cache_event_t *event)
 {
     uint64_t key = prompt_part_key(prompt_part(event->id, strlen(event->id)),
                                    event->salt);
-    const held_part_t part = {
+    const cached_part_t part = {
         .key = key, .prompt_tokens = event->tokens, .tokens = event->tokens};
     bool there = event->grew && event->tokens > 0;
     relay->meter.cache_events++;
     if (!cache_map_knows(relay->cache, key)) {
         if (there) {
-            held_parts_use(unasked, &part);
+            cached_parts_use(unasked, &part);
         }
         else {
-            held_parts_drop(unasked, key);
+            cached_parts_drop(unasked, key);
         }
         return;
     }
@@ -40,13 +40,13 @@
 /* A request here or at another daemon asks for a part: the others are notified
  * if the cache holds it. */
 void
-cache_event_asked(relay_t *relay, held_parts_t *unasked, const char *holder,
+cache_event_asked(relay_t *relay, cached_parts_t *unasked, const char *holder,
                   uint64_t key)
 {
-    const held_part_t *known = held_parts_get(unasked, key);
+    const cached_part_t *known = cached_parts_get(unasked, key);
     if (known != NULL) {
-        const held_part_t part = *known;
-        held_parts_drop(unasked, key);
+        const cached_part_t part = *known;
+        cached_parts_drop(unasked, key);
         cache_appeared(relay, holder, &part);
     }
 }
--- a/relay/cache-follow.c
+++ b/relay/cache-follow.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Follows what engines' caches and the kept stores hold, by their own lists
+/* Follows what engines' caches and the kv stores hold, by their own lists
  * and events.  Each cache is followed by one daemon, which notifies the others
  * of what differs from its own estimate.
  *
@@ -35,10 +35,11 @@
 typedef struct follow {
     CK_LIST_ENTRY(follow) entry;
     cache_follows_t *follows;
-    char holder[CS_NAME_MAX]; /* a server's id or a kept store's name */
+    char holder[CS_NAME_MAX]; /* a server's id or a kv store's name */
     char addr[CS_ADDR_MAX];
-    held_parts_t *unasked; /* held, and no request is known to ask for them */
-    bool listed;           /* place is known */
+    cached_parts_t
+        *unasked; /* held, and no request is known to ask for them */
+    bool listed;  /* place is known */
     cache_place_t place;
     int64_t next_ms;
     fetch_t *fetch;
@@ -60,7 +61,7 @@
         fetch_cancel(follow->fetch);
     }
     CK_LIST_REMOVE(follow, entry);
-    held_parts_free(follow->unasked);
+    cached_parts_free(follow->unasked);
     free(follow);
 }
 
@@ -93,7 +94,7 @@
     cache_place_t place = {0};
     bool listing = !follow->listed;
     if (listing) {
-        held_parts_forget(follow->unasked);
+        cached_parts_forget(follow->unasked);
     }
     if (!result->whole || result->status != 200) {
         return false;
@@ -182,8 +183,8 @@
     if (follow == NULL) {
         follow = mem_zalloc(sizeof(*follow));
         follow->follows = follows;
-        follow->unasked = held_parts_new();
-        held_parts_room(follow->unasked, UNASKED_TOKENS);
+        follow->unasked = cached_parts_new();
+        cached_parts_room(follow->unasked, UNASKED_TOKENS);
         str_copy(follow->holder, sizeof(follow->holder), holder);
         CK_LIST_INSERT_HEAD(&follows->list, follow, entry);
     }
@@ -204,8 +205,8 @@
     follow_t *next;
     follows->shares++;
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
-        if (server->said.engine && !server->gone) {
-            share_holder(follows, server->said.id, server->said.addr);
+        if (server->info.engine && !server->gone) {
+            share_holder(follows, server->info.id, server->info.addr);
         }
     }
     CK_SLIST_FOREACH (service, &relay->config->services, entry) {
--- a/relay/cache-save.c
+++ b/relay/cache-save.c
@@ -1,7 +1,7 @@
 #include "cache-save.h"
 
 /* The load that this answers: in a large fleet, prompts come many times faster
- * than the link of a kept store takes them in.  A server sends all of a
+ * than the link of a kv store takes them in.  A server sends all of a
  * prompt, the part that no other request asks for too, and gives up a transfer
  * that would wait long.  Were all prompts saved, most transfers would be given
  * up, the store would lack what daemons believe that it holds, and fetches
--- a/relay/cache-save.h
+++ b/relay/cache-save.h
@@ -1,7 +1,7 @@
 #ifndef CELERYSPOOL_CACHE_SAVE_H
 #define CELERYSPOOL_CACHE_SAVE_H
 
-/* Which prompts a kept store is to take. No I/O and no clock. */
+/* Which prompts a kv store is to take. No I/O and no clock. */
 
 #include "../kernel/base.h"
 
--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -15,13 +15,13 @@
 #define SOURCES_MAX 8
 /* A prompt that was sent is read within this time, ms, or its server is in
  * trouble. */
-#define COMING_MS 1500
+#define PENDING_MS 1500
 
 static const relay_service_t *
 service_of(const relay_t *relay, const server_t *server)
 {
     return relay->config != NULL
-               ? relay_config_service(relay->config, server->said.service)
+               ? relay_config_service(relay->config, server->info.service)
                : NULL;
 }
 
@@ -36,7 +36,7 @@
 static const relay_service_t *
 store_service(const relay_t *relay, uint16_t number)
 {
-    const part_store_t *store = &relay->stores.all[number - PART_STORE_NUMBER];
+    const kv_store_t *store = &relay->stores.all[number - KV_STORE_NUMBER];
     return relay->config != NULL && store->held != NULL
                ? relay_config_service(relay->config, store->name)
                : NULL;
@@ -48,13 +48,13 @@
 cache_store_for(const relay_t *relay, const prefix_t *prefix, uint16_t *number)
 {
     unsigned shared = shared_levels(prefix);
-    int at = shared > 0 ? part_stores_for(&relay->stores,
-                                          prefix->levels[shared - 1].key)
+    int at = shared > 0 ? kv_stores_for(&relay->stores,
+                                        prefix->levels[shared - 1].key)
                         : -1;
     if (at < 0) {
         return NULL;
     }
-    *number = (uint16_t)(PART_STORE_NUMBER + at);
+    *number = (uint16_t)(KV_STORE_NUMBER + at);
     return store_service(relay, *number);
 }
 
@@ -78,14 +78,14 @@
 take_source(const relay_t *relay, const server_t *to, uint16_t number,
             cache_source_t *out)
 {
-    if (number >= PART_STORE_NUMBER) {
+    if (number >= KV_STORE_NUMBER) {
         const relay_service_t *store = store_service(relay, number);
         if (store == NULL) {
             return false;
         }
         str_copy(out->addr, sizeof(out->addr), store->addr);
-        out->same_dc = strcmp(store->dc, to->said.dc) == 0;
-        out->kept_store = true;
+        out->same_dc = strcmp(store->dc, to->info.dc) == 0;
+        out->kv_store = true;
         return true;
     }
     const server_t *from = servers_numbered(relay->servers, number);
@@ -93,9 +93,9 @@
         !server_is_source(from, time_mono_ms())) {
         return false;
     }
-    str_copy(out->addr, sizeof(out->addr), from->said.addr);
-    out->same_dc = strcmp(from->said.dc, to->said.dc) == 0;
-    out->kept_store = false;
+    str_copy(out->addr, sizeof(out->addr), from->info.addr);
+    out->same_dc = strcmp(from->info.dc, to->info.dc) == 0;
+    out->kv_store = false;
     return true;
 }
 
@@ -104,19 +104,19 @@
 static bool
 is_better(const cache_source_t *a, const cache_source_t *b)
 {
-    if (a->kept_store != b->kept_store) {
-        return !a->kept_store;
+    if (a->kv_store != b->kv_store) {
+        return !a->kv_store;
     }
     return a->same_dc || !b->same_dc;
 }
 
-/* What a server, or a store of kept parts, is believed to hold; NULL for a
+/* What a server, or a kv store, is believed to hold; NULL for a
  * number that is nobody's. */
-static held_parts_t *
+static cached_parts_t *
 held_by(const relay_t *relay, uint16_t number)
 {
-    if (number >= PART_STORE_NUMBER) {
-        return relay->stores.all[number - PART_STORE_NUMBER].held;
+    if (number >= KV_STORE_NUMBER) {
+        return relay->stores.all[number - KV_STORE_NUMBER].held;
     }
     const server_t *server = servers_numbered(relay->servers, number);
     return server != NULL ? server->held : NULL;
@@ -125,11 +125,11 @@
 /* How many levels of a prompt are held without a gap, counted from one of
  * them on: behind a part that is missing the rest is of no use. */
 static unsigned
-levels_held(const held_parts_t *held, const prefix_t *prefix, unsigned from,
+levels_held(const cached_parts_t *held, const prefix_t *prefix, unsigned from,
             unsigned to)
 {
     unsigned at = from;
-    while (at < to && held_parts_has(held, prefix->levels[at].key)) {
+    while (at < to && cached_parts_has(held, prefix->levels[at].key)) {
         at++;
     }
     return at;
@@ -139,14 +139,14 @@
 holds(const relay_t *relay, uint16_t number, const prefix_t *prefix,
       unsigned from, unsigned to)
 {
-    const held_parts_t *held = held_by(relay, number);
+    const cached_parts_t *held = held_by(relay, number);
     return held != NULL && levels_held(held, prefix, from, to) == to;
 }
 
 static const relay_service_t *
 holder_service(const relay_t *relay, uint16_t number)
 {
-    if (number >= PART_STORE_NUMBER) {
+    if (number >= KV_STORE_NUMBER) {
         return store_service(relay, number);
     }
     const server_t *server = servers_numbered(relay->servers, number);
@@ -186,23 +186,23 @@
  * own: whoever comes to that server next finds it read, but nobody can fetch
  * it yet. */
 static uint64_t
-coming_key(uint64_t key)
+pending_key(uint64_t key)
 {
     return ~key;
 }
 
 /* Tokens of a prompt that a server is reading now for another request. */
 static uint32_t
-coming_tokens(relay_t *relay, const prefix_t *prefix, const server_t *server,
-              int64_t now)
+pending_tokens(relay_t *relay, const prefix_t *prefix, const server_t *server,
+               int64_t now)
 {
     prefix_t coming = {.count = shared_levels(prefix)};
     for (unsigned i = 0; i < coming.count; i++) {
         coming.levels[i] = prefix->levels[i];
-        coming.levels[i].key = coming_key(prefix->levels[i].key);
+        coming.levels[i].key = pending_key(prefix->levels[i].key);
     }
     return cache_map_cached_since(relay->cache, &coming, server->number,
-                                  now - COMING_MS);
+                                  now - PENDING_MS);
 }
 
 /* What a server holds of a prompt, and where it could fetch more. */
@@ -216,7 +216,7 @@
     memset(out, 0, sizeof(*out));
     out->shared = shared > 0 ? prefix->levels[shared - 1].tokens : 0;
     out->here = held > 0 ? prefix->levels[held - 1].tokens : 0;
-    uint32_t coming = coming_tokens(relay, prefix, server, now);
+    uint32_t coming = pending_tokens(relay, prefix, server, now);
     out->here = coming > out->here ? coming : out->here;
     for (unsigned i = shared; i > held && !out->found; i--) {
         if (prefix->levels[i - 1].tokens <= out->here) {
@@ -239,7 +239,7 @@
 
 /* The address at which a server should fetch what it lacks of a prompt, or
  * NULL.  Fetching is quicker than reading.  Where nobody is known to hold
- * more, the store of kept parts (NULL if there is none) is named all the same:
+ * more, the kv store (NULL if there is none) is named all the same:
  * a miss costs a millisecond, another host may have had the part kept, and a
  * server that has dropped what it was believed to hold would read it again. */
 const char *
@@ -255,33 +255,33 @@
 static const char *
 holder_name(const relay_t *relay, uint16_t number)
 {
-    if (number >= PART_STORE_NUMBER) {
-        return relay->stores.all[number - PART_STORE_NUMBER].name;
+    if (number >= KV_STORE_NUMBER) {
+        return relay->stores.all[number - KV_STORE_NUMBER].name;
     }
     const server_t *server = servers_numbered(relay->servers, number);
-    return server != NULL ? server->said.id : "";
+    return server != NULL ? server->info.id : "";
 }
 
-static held_part_t
+static cached_part_t
 part_of(const prefix_t *prefix, unsigned level)
 {
     uint32_t before = level > 0 ? prefix->levels[level - 1].tokens : 0;
-    return (held_part_t){.key = prefix->levels[level].key,
-                         .prompt_tokens = prefix->levels[level].tokens,
-                         .tokens = prefix->levels[level].tokens - before};
+    return (cached_part_t){.key = prefix->levels[level].key,
+                           .prompt_tokens = prefix->levels[level].tokens,
+                           .tokens = prefix->levels[level].tokens - before};
 }
 
-/* A server, or a store of kept parts, has used or taken in the parts of a
+/* A server, or a kv store, has used or taken in the parts of a
  * prompt.  Peers are told of the parts that they may be asked for too.  The
  * first part is the last to be dropped, so it is noted last. */
 void
 cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
     int64_t now = time_mono_ms();
-    held_parts_t *held = held_by(relay, number);
+    cached_parts_t *held = held_by(relay, number);
     for (unsigned i = shared_levels(prefix); i > 0 && held != NULL; i--) {
-        const held_part_t part = part_of(prefix, i - 1);
-        held_parts_use(held, &part);
+        const cached_part_t part = part_of(prefix, i - 1);
+        cached_parts_use(held, &part);
         if (cache_map_note_at(relay->cache, number, part.key,
                               part.prompt_tokens, now)) {
             relay->notify_part(relay->peers, holder_name(relay, number), &part,
@@ -290,29 +290,30 @@
     }
 }
 
-/* The number of a server or kept store by its name; -1 if it is unknown. */
+/* The number of a server or kv store by its name; -1 if it is unknown. */
 static int
 holder_number(const relay_t *relay, const char *holder)
 {
     const server_t *server = servers_find(relay->servers, holder);
-    int store = part_stores_named(&relay->stores, holder);
+    int store = kv_stores_named(&relay->stores, holder);
     if (holder[0] == '\0' || (server == NULL && store < 0)) {
         return -1;
     }
-    return server != NULL ? server->number : PART_STORE_NUMBER + store;
+    return server != NULL ? server->number : KV_STORE_NUMBER + store;
 }
 
 /* A holder has a part by its own list or events.  Notifies the other daemons
  * if that was not known. */
 void
-cache_appeared(relay_t *relay, const char *holder, const held_part_t *part)
+cache_appeared(relay_t *relay, const char *holder, const cached_part_t *part)
 {
     int number = holder_number(relay, holder);
-    held_parts_t *held = number >= 0 ? held_by(relay, (uint16_t)number) : NULL;
-    if (held == NULL || held_parts_has(held, part->key)) {
+    cached_parts_t *held =
+        number >= 0 ? held_by(relay, (uint16_t)number) : NULL;
+    if (held == NULL || cached_parts_has(held, part->key)) {
         return;
     }
-    held_parts_use(held, part);
+    cached_parts_use(held, part);
     (void)cache_map_note_at(relay->cache, (uint16_t)number, part->key,
                             part->prompt_tokens, time_mono_ms());
     relay->meter.cache_appeared++;
@@ -324,37 +325,38 @@
 cache_evicted(relay_t *relay, const char *holder, uint64_t key)
 {
     int number = holder_number(relay, holder);
-    held_parts_t *held = number >= 0 ? held_by(relay, (uint16_t)number) : NULL;
-    if (held == NULL || !held_parts_has(held, key)) {
+    cached_parts_t *held =
+        number >= 0 ? held_by(relay, (uint16_t)number) : NULL;
+    if (held == NULL || !cached_parts_has(held, key)) {
         return false;
     }
-    held_parts_drop(held, key);
+    cached_parts_drop(held, key);
     (void)cache_map_drop(relay->cache, (uint16_t)number, key);
     return true;
 }
 
 /* Another daemon says that a server uses or reads a part. */
 void
-cache_told(relay_t *relay, const char *holder, const held_part_t *part)
+cache_apply(relay_t *relay, const char *holder, const cached_part_t *part)
 {
     server_t *server = servers_find(relay->servers, holder);
-    int store = part_stores_named(&relay->stores, holder);
+    int store = kv_stores_named(&relay->stores, holder);
     if (holder[0] == '\0' || (server == NULL && store < 0)) {
         return;
     }
-    uint16_t number = server != NULL ? server->number
-                                     : (uint16_t)(PART_STORE_NUMBER + store);
+    uint16_t number =
+        server != NULL ? server->number : (uint16_t)(KV_STORE_NUMBER + store);
     int64_t now = time_mono_ms();
     (void)cache_map_note_at(relay->cache, number, part->key,
                             part->prompt_tokens, now);
     if (part->tokens == 0) {
-        cache_follows_asked(relay->cache_follows, coming_key(part->key));
+        cache_follows_asked(relay->cache_follows, pending_key(part->key));
         return; /* it is only being read */
     }
     cache_follows_asked(relay->cache_follows, part->key);
-    held_parts_use(held_by(relay, number), part);
+    cached_parts_use(held_by(relay, number), part);
     if (server != NULL) {
-        server_lives(server, now);
+        server_confirm_alive(server, now);
     }
 }
 
@@ -363,7 +365,7 @@
 cache_forget(relay_t *relay, const server_t *server)
 {
     cache_map_forget(relay->cache, server->number);
-    held_parts_forget(server->held);
+    cached_parts_forget(server->held);
 }
 
 /* Take the size of a server's cache from the configuration. */
@@ -372,8 +374,9 @@
 {
     const relay_service_t *service = service_of(relay, server);
     if (service != NULL) {
-        held_parts_room(server->held,
-                        (int64_t)(ROOM_PART * (double)service->cache_tokens));
+        cached_parts_room(
+            server->held,
+            (int64_t)(ROOM_PART * (double)service->cache_tokens));
     }
 }
 
@@ -382,7 +385,7 @@
 cache_rooms(relay_t *relay)
 {
     server_t *server;
-    part_stores_sync(&relay->stores, relay->config);
+    kv_stores_sync(&relay->stores, relay->config);
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         cache_room(relay, server);
     }
@@ -392,13 +395,13 @@
  * them.  Without this two daemons that get prompts with the same part at the
  * same time have it read at two servers, as whenever weights change. */
 void
-cache_note_coming(relay_t *relay, const prefix_t *prefix, uint16_t number)
+cache_note_pending(relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
     int64_t now = time_mono_ms();
     for (unsigned i = 0; i < shared_levels(prefix); i++) {
         const prefix_level_t *level = &prefix->levels[i];
-        const held_part_t part = {.key = coming_key(level->key),
-                                  .prompt_tokens = level->tokens};
+        const cached_part_t part = {.key = pending_key(level->key),
+                                    .prompt_tokens = level->tokens};
         cache_follows_asked(relay->cache_follows, level->key);
         if (cache_map_note_at(relay->cache, number, part.key, level->tokens,
                               now)) {
@@ -422,7 +425,7 @@
 cache_save(relay_t *relay, const prefix_t *prefix, const server_t *server,
            uint16_t number)
 {
-    part_store_t *store = &relay->stores.all[number - PART_STORE_NUMBER];
+    kv_store_t *store = &relay->stores.all[number - KV_STORE_NUMBER];
     const relay_service_t *to = store_service(relay, number);
     const relay_service_t *from = service_of(relay, server);
     unsigned shared = shared_levels(prefix);
@@ -438,7 +441,7 @@
                        ((double)from->token_bytes * BITS_PER_BYTE)
                  : 0,
         .hosts = peers_live(relay->peers),
-        .same_dc = strcmp(to->dc, server->said.dc) == 0,
+        .same_dc = strcmp(to->dc, server->info.dc) == 0,
         .shared = total - (kept > 0 ? prefix->levels[kept - 1].tokens : 0),
         .own = prefix->tokens - total};
     return cache_save_allowed(&store->saves, &ask, time_mono_ms());
--- a/relay/cache-source.h
+++ b/relay/cache-source.h
@@ -6,16 +6,16 @@
 #include "prompt.h"
 #include "relay.h"
 
-/* The numbers from which on the cache map knows the stores of kept parts. */
-#define PART_STORE_NUMBER SERVER_NUMBERS_MAX
-_Static_assert(PART_STORE_NUMBER + PART_STORES_MAX == SERVERS_MAX,
+/* The numbers from which on the cache map knows the kv stores. */
+#define KV_STORE_NUMBER SERVER_NUMBERS_MAX
+_Static_assert(KV_STORE_NUMBER + KV_STORES_MAX == SERVERS_MAX,
                "numbers of stores");
 
 typedef struct {
     uint32_t tokens; /* of the prompt that the source holds */
     char addr[CS_ADDR_MAX];
     bool same_dc; /* as the server that fetches */
-    bool kept_store;
+    bool kv_store;
     double ms_per_token; /* over the slower of the two links */
 } cache_source_t;
 
@@ -30,14 +30,15 @@
                 cache_view_t *out);
 void cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number);
 void cache_appeared(relay_t *relay, const char *holder,
-                    const held_part_t *part);
+                    const cached_part_t *part);
 bool cache_evicted(relay_t *relay, const char *holder, uint64_t key);
-void cache_told(relay_t *relay, const char *holder, const held_part_t *part);
+void cache_apply(relay_t *relay, const char *holder,
+                 const cached_part_t *part);
 void cache_forget(relay_t *relay, const server_t *server);
 void cache_room(const relay_t *relay, const server_t *server);
 void cache_rooms(relay_t *relay);
-void cache_note_coming(relay_t *relay, const prefix_t *prefix,
-                       uint16_t number);
+void cache_note_pending(relay_t *relay, const prefix_t *prefix,
+                        uint16_t number);
 double cache_fetch_ms(const cache_view_t *view);
 const relay_service_t *cache_store_for(const relay_t *relay,
                                        const prefix_t *prefix,
--- a/relay/held-parts.c
+++ b/relay/cached-parts.c
@@ -1,4 +1,4 @@
-#include "held-parts.h"
+#include "cached-parts.h"
 #include "../kernel/lru.h"
 
 #include <ck_queue.h>
@@ -14,39 +14,39 @@
 /* Parts of no tokens cost no room, so the number of entries is bounded too. */
 #define ENTRIES_MAX 16384
 
-typedef struct held_entry {
-    CK_LIST_ENTRY(held_entry) bucket;
+typedef struct cached_entry {
+    CK_LIST_ENTRY(cached_entry) bucket;
     lru_link_t lru;
     bool keyed; /* else filling of no further use */
-    held_part_t part;
-} held_entry_t;
+    cached_part_t part;
+} cached_entry_t;
 
-typedef CK_LIST_HEAD(held_bucket, held_entry) held_bucket_t;
+typedef CK_LIST_HEAD(cached_bucket, cached_entry) cached_bucket_t;
 
-struct held_parts {
-    held_bucket_t buckets[BUCKETS];
+struct cached_parts {
+    cached_bucket_t buckets[BUCKETS];
     lru_t lru;
     size_t count;
     int64_t tokens; /* of all entries */
     int64_t room;
 };
 
-held_parts_t *
-held_parts_new(void)
+cached_parts_t *
+cached_parts_new(void)
 {
-    held_parts_t *held = mem_zalloc(sizeof(*held));
+    cached_parts_t *held = mem_zalloc(sizeof(*held));
     held->room = ROOM_UNKNOWN_TOKENS;
     return held;
 }
 
-static held_entry_t *
+static cached_entry_t *
 entry_of(lru_link_t *link)
 {
-    return LRU_ENTRY(link, held_entry_t, lru);
+    return LRU_ENTRY(link, cached_entry_t, lru);
 }
 
 static void
-entry_free(held_parts_t *held, held_entry_t *entry)
+entry_free(cached_parts_t *held, cached_entry_t *entry)
 {
     lru_remove(&held->lru, &entry->lru);
     if (entry->keyed) {
@@ -57,10 +57,10 @@
     free(entry);
 }
 
-static held_entry_t *
-entry_find(const held_parts_t *held, uint64_t key)
+static cached_entry_t *
+entry_find(const cached_parts_t *held, uint64_t key)
 {
-    held_entry_t *entry;
+    cached_entry_t *entry;
     CK_LIST_FOREACH (entry, &held->buckets[key % BUCKETS], bucket) {
         if (entry->part.key == key) {
             return entry;
@@ -72,9 +72,9 @@
 /* Drop what the cache no longer has room for.  A part goes when all of it is
  * pushed out: of one that is partly there the rest is still of use. */
 static void
-drop_oldest(held_parts_t *held)
+drop_oldest(cached_parts_t *held)
 {
-    held_entry_t *oldest;
+    cached_entry_t *oldest;
     while ((oldest = entry_of(held->lru.oldest)) != NULL &&
            (held->tokens - oldest->part.tokens >= held->room ||
             held->count > ENTRIES_MAX)) {
@@ -85,7 +85,7 @@
 /* How many tokens the cache holds at most; what is not above 0 says nothing
  * and is left out. */
 void
-held_parts_room(held_parts_t *held, int64_t tokens)
+cached_parts_room(cached_parts_t *held, int64_t tokens)
 {
     if (tokens > 0 && tokens != held->room) {
         held->room = tokens;
@@ -95,7 +95,7 @@
 
 /* The cache was emptied. */
 void
-held_parts_forget(held_parts_t *held)
+cached_parts_forget(cached_parts_t *held)
 {
     while (held->lru.oldest != NULL) {
         entry_free(held, entry_of(held->lru.oldest));
@@ -103,19 +103,19 @@
 }
 
 void
-held_parts_free(held_parts_t *held)
+cached_parts_free(cached_parts_t *held)
 {
     if (held != NULL) {
-        held_parts_forget(held);
+        cached_parts_forget(held);
         free(held);
     }
 }
 
 /* A request used a part, which the cache has from now on if it had not. */
 void
-held_parts_use(held_parts_t *held, const held_part_t *part)
+cached_parts_use(cached_parts_t *held, const cached_part_t *part)
 {
-    held_entry_t *entry = entry_find(held, part->key);
+    cached_entry_t *entry = entry_find(held, part->key);
     if (entry != NULL) {
         lru_use(&held->lru, &entry->lru);
         return;
@@ -132,9 +132,9 @@
 
 /* A part was evicted, whatever the order of use says. */
 void
-held_parts_drop(held_parts_t *held, uint64_t key)
+cached_parts_drop(cached_parts_t *held, uint64_t key)
 {
-    held_entry_t *entry = entry_find(held, key);
+    cached_entry_t *entry = entry_find(held, key);
     if (entry != NULL) {
         entry_free(held, entry);
     }
@@ -142,9 +142,9 @@
 
 /* So many tokens went in that no other request will ask for. */
 void
-held_parts_fill(held_parts_t *held, uint32_t tokens)
+cached_parts_fill(cached_parts_t *held, uint32_t tokens)
 {
-    held_entry_t *entry = entry_of(held->lru.newest);
+    cached_entry_t *entry = entry_of(held->lru.newest);
     if (tokens == 0) {
         return;
     }
@@ -159,26 +159,26 @@
 }
 
 /* A part that is believed to be there, or NULL. */
-const held_part_t *
-held_parts_get(const held_parts_t *held, uint64_t key)
+const cached_part_t *
+cached_parts_get(const cached_parts_t *held, uint64_t key)
 {
-    const held_entry_t *entry = entry_find(held, key);
+    const cached_entry_t *entry = entry_find(held, key);
     return entry != NULL ? &entry->part : NULL;
 }
 
 /* Whether a part is believed to be there. */
 bool
-held_parts_has(const held_parts_t *held, uint64_t key)
+cached_parts_has(const cached_parts_t *held, uint64_t key)
 {
     return entry_find(held, key) != NULL;
 }
 
 /* The parts that are held, the one used last first; how many were written. */
 size_t
-held_parts_list(const held_parts_t *held, held_part_t *out, size_t max)
+cached_parts_list(const cached_parts_t *held, cached_part_t *out, size_t max)
 {
     size_t count = 0;
-    for (const held_entry_t *entry = entry_of(held->lru.newest);
+    for (const cached_entry_t *entry = entry_of(held->lru.newest);
          entry != NULL && count < max; entry = entry_of(entry->lru.older)) {
         if (entry->keyed) {
             out[count++] = entry->part;
--- /dev/null
+++ b/relay/cached-parts.h
@@ -0,0 +1,32 @@
+#ifndef CELERYSPOOL_CACHED_PARTS_H
+#define CELERYSPOOL_CACHED_PARTS_H
+
+/* What a prefix cache is believed to hold: the parts of prompts that went in,
+ * in the order of their last use.  The cache drops the least recently used
+ * parts when it is full, and so does this.  No I/O and no clock.  One thread
+ * uses it. */
+
+#include "../kernel/base.h"
+
+typedef struct cached_parts cached_parts_t;
+
+typedef struct {
+    uint64_t key;
+    uint32_t prompt_tokens; /* of the prompt up to this part's end */
+    uint32_t tokens;        /* of this part alone */
+} cached_part_t;
+
+cached_parts_t *cached_parts_new(void);
+void cached_parts_free(cached_parts_t *held);
+void cached_parts_room(cached_parts_t *held, int64_t tokens);
+void cached_parts_forget(cached_parts_t *held);
+void cached_parts_drop(cached_parts_t *held, uint64_t key);
+void cached_parts_use(cached_parts_t *held, const cached_part_t *part);
+void cached_parts_fill(cached_parts_t *held, uint32_t tokens);
+const cached_part_t *cached_parts_get(const cached_parts_t *held,
+                                      uint64_t key);
+bool cached_parts_has(const cached_parts_t *held, uint64_t key);
+size_t cached_parts_list(const cached_parts_t *held, cached_part_t *out,
+                         size_t max);
+
+#endif
--- a/relay/facts.c
+++ b/relay/discovery.c
@@ -1,5 +1,5 @@
 #include "cache-source.h"
-#include "kept.h"
+#include "object-cache.h"
 #include "peers.h"
 #include "relay.h"
 
@@ -23,7 +23,7 @@
 {
     relay_t *relay = arg;
     err_t err = {0};
-    kept_put(relay->kept, KIND_CONFIG, object);
+    object_cache_put(relay->objects, KIND_CONFIG, object);
     if (strcmp(object->name, "main") != 0 || object->removed ||
         (relay->config != NULL &&
          object->revision <= relay->config->revision)) {
@@ -53,21 +53,21 @@
 on_config_list(void *arg)
 {
     relay_t *relay = arg;
-    kept_list(relay->kept, KIND_CONFIG);
+    object_cache_list(relay->objects, KIND_CONFIG);
 }
 
 static void
 on_config_listed(void *arg, int64_t at)
 {
     relay_t *relay = arg;
-    kept_listed(relay->kept, KIND_CONFIG, at);
+    object_cache_listed(relay->objects, KIND_CONFIG, at);
 }
 
 static void
 on_config_settled(void *arg)
 {
     relay_t *relay = arg;
-    kept_settled(relay->kept, KIND_CONFIG);
+    object_cache_notify(relay->objects, KIND_CONFIG);
 }
 
 /* A daemon to ask while the store does not answer. */
@@ -100,15 +100,15 @@
 server_gone(relay_t *relay, server_t *server, const char *why)
 {
     log_record(LOG_INFO, "servers", "gone", "server=%s service=%s why=%s",
-               server->said.id, server->said.service, why);
+               server->info.id, server->info.service, why);
     server->gone = true;
     cache_forget(relay, server);
-    exchanges_drop(relay->exchanges, server->said.addr);
+    exchanges_drop(relay->exchanges, server->info.addr);
 }
 
 /* Whether entries may be missing only because the store was away. */
 static bool
-store_just_back(const relay_t *relay, int64_t now)
+store_recovering(const relay_t *relay, int64_t now)
 {
     int64_t back = watch_back_ms(relay->servers_watch);
     return back != 0 && now - back < RETURN_MS;
@@ -118,13 +118,13 @@
 server_missing(relay_t *relay, server_t *server)
 {
     int64_t now = time_mono_ms();
-    if (!store_just_back(relay, now)) {
+    if (!store_recovering(relay, now)) {
         server_gone(relay, server, "removed");
         return;
     }
     if (server->missing_ms == 0) {
         log_record(LOG_INFO, "servers", "missing", "server=%s",
-                   server->said.id);
+                   server->info.id);
         server->missing_ms = now;
     }
 }
@@ -134,24 +134,24 @@
 {
     relay_t *relay = arg;
     relay->servers->lists++;
-    kept_list(relay->kept, KIND_SERVERS);
+    object_cache_list(relay->objects, KIND_SERVERS);
 }
 
 static void
 on_servers_settled(void *arg)
 {
     relay_t *relay = arg;
-    kept_settled(relay->kept, KIND_SERVERS);
+    object_cache_notify(relay->objects, KIND_SERVERS);
 }
 
 static void
 log_server(const server_t *server)
 {
     log_record(LOG_INFO, "servers",
-               server->said.draining ? "draining" : "ready",
+               server->info.draining ? "draining" : "ready",
                "server=%s service=%s addr=%s dc=%s weights=%lld",
-               server->said.id, server->said.service, server->said.addr,
-               server->said.dc, (long long)server->said.weights);
+               server->info.id, server->info.service, server->info.addr,
+               server->info.dc, (long long)server->info.weights);
 }
 
 /* What was kept at a server is lost with a start or with other weights. */
@@ -159,8 +159,8 @@
 forget_if_renewed(relay_t *relay, const server_t *server,
                   const server_entry_t *entry)
 {
-    if (server->said.born_ms != entry->born_ms ||
-        server->said.weights != entry->weights) {
+    if (server->info.born_ms != entry->born_ms ||
+        server->info.weights != entry->weights) {
         cache_forget(relay, server);
     }
 }
@@ -172,11 +172,11 @@
 is_news(const server_t *server, const server_entry_t *entry)
 {
     return server == NULL || server->missing_ms != 0 ||
-           server->said.draining != entry->draining ||
-           server->said.weights != entry->weights ||
-           server->said.born_ms != entry->born_ms ||
-           strcmp(server->said.addr, entry->addr) != 0 ||
-           strcmp(server->said.service, entry->service) != 0;
+           server->info.draining != entry->draining ||
+           server->info.weights != entry->weights ||
+           server->info.born_ms != entry->born_ms ||
+           strcmp(server->info.addr, entry->addr) != 0 ||
+           strcmp(server->info.service, entry->service) != 0;
 }
 
 static void
@@ -186,7 +186,7 @@
     server_entry_t entry;
     err_t err = {0};
     server_t *server = servers_find(relay->servers, object->name);
-    kept_put(relay->kept, KIND_SERVERS, object);
+    object_cache_put(relay->objects, KIND_SERVERS, object);
     if (server != NULL && object->revision < server->revision) {
         return;
     }
@@ -222,7 +222,7 @@
     relay_t *relay = arg;
     server_t *server;
     relay->servers_listed = true;
-    kept_listed(relay->kept, KIND_SERVERS, at);
+    object_cache_listed(relay->objects, KIND_SERVERS, at);
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         /* A list that is older than the entry says nothing of it. */
         if (!server->gone && server->seen != relay->servers->lists &&
@@ -240,7 +240,7 @@
     relay_t *relay = arg;
     weights_name_t name;
     err_t err = {0};
-    kept_put(relay->kept, KIND_WEIGHTS, object);
+    object_cache_put(relay->objects, KIND_WEIGHTS, object);
     if (object->removed) {
         return;
     }
@@ -248,14 +248,14 @@
         log_record(LOG_WARN, "weights", "unreadable", "why=\"%s\"", err.text);
         return;
     }
-    weights_heard(relay, name.model, name.version, time_wall_ms());
+    weights_observe(relay, name.model, name.version, time_wall_ms());
 }
 
 static void
 on_weights_list(void *arg)
 {
     relay_t *relay = arg;
-    kept_list(relay->kept, KIND_WEIGHTS);
+    object_cache_list(relay->objects, KIND_WEIGHTS);
 }
 
 static void
@@ -263,20 +263,20 @@
 {
     relay_t *relay = arg;
     relay->weights_listed = true;
-    kept_listed(relay->kept, KIND_WEIGHTS, at);
+    object_cache_listed(relay->objects, KIND_WEIGHTS, at);
 }
 
 static void
 on_weights_settled(void *arg)
 {
     relay_t *relay = arg;
-    kept_settled(relay->kept, KIND_WEIGHTS);
+    object_cache_notify(relay->objects, KIND_WEIGHTS);
 }
 
 /* ---- all of it ---- */
 
 void
-facts_start(relay_t *relay)
+discovery_start(relay_t *relay)
 {
     const char *store = relay->settings.store;
     const watch_hooks_t shared = {.other = other_daemon,
@@ -298,7 +298,7 @@
     weights.on_object = on_weights;
     weights.on_listed = on_weights_listed;
     weights.on_settled = on_weights_settled;
-    relay->kept = kept_new(relay);
+    relay->objects = object_cache_new(relay);
     relay->config_watch = watch_start(relay->base, relay->exchanges, store,
                                       KIND_CONFIG, &config);
     relay->servers_watch = watch_start(relay->base, relay->exchanges, store,
@@ -308,7 +308,7 @@
 }
 
 void
-facts_stop(relay_t *relay)
+discovery_stop(relay_t *relay)
 {
     watch_stop(relay->config_watch);
     watch_stop(relay->servers_watch);
@@ -318,13 +318,13 @@
 /* Entries that were missing when the store came back and have not come back
  * themselves are gone. */
 void
-facts_tick(relay_t *relay)
+discovery_tick(relay_t *relay)
 {
     int64_t now = time_mono_ms();
     server_t *server;
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         if (!server->gone && server->missing_ms != 0 &&
-            !store_just_back(relay, now)) {
+            !store_recovering(relay, now)) {
             server_gone(relay, server, "not-back");
         }
     }
--- a/relay/part-stores.c
+++ b/relay/kv-stores.c
@@ -1,4 +1,4 @@
-#include "part-stores.h"
+#include "kv-stores.h"
 #include "../kernel/tables.h"
 
 #include <string.h>
@@ -11,40 +11,40 @@
 }
 
 static void
-store_clear(part_store_t *store)
+store_clear(kv_store_t *store)
 {
-    held_parts_free(store->held);
-    *store = (part_store_t){0};
+    cached_parts_free(store->held);
+    *store = (kv_store_t){0};
 }
 
 static void
-store_put(part_stores_t *stores, const relay_service_t *service)
+store_put(kv_stores_t *stores, const relay_service_t *service)
 {
-    int at = part_stores_named(stores, service->name);
+    int at = kv_stores_named(stores, service->name);
     if (at < 0) {
-        at = part_stores_named(stores, "");
+        at = kv_stores_named(stores, "");
     }
     if (at < 0) {
         log_error("cache", "There is no room for the store %s.",
                   service->name);
         return;
     }
-    part_store_t *store = &stores->all[at];
+    kv_store_t *store = &stores->all[at];
     if (store->held == NULL) {
-        store->held = held_parts_new();
+        store->held = cached_parts_new();
         str_copy(store->name, sizeof(store->name), service->name);
     }
-    held_parts_room(store->held, service->cache_tokens);
+    cached_parts_room(store->held, service->cache_tokens);
 }
 
 /* Take the stores of a configuration; what is known of those that it names
  * again stays. */
 void
-part_stores_sync(part_stores_t *stores, const relay_config_t *config)
+kv_stores_sync(kv_stores_t *stores, const relay_config_t *config)
 {
     const relay_service_t *service;
-    for (size_t i = 0; i < PART_STORES_MAX; i++) {
-        part_store_t *store = &stores->all[i];
+    for (size_t i = 0; i < KV_STORES_MAX; i++) {
+        kv_store_t *store = &stores->all[i];
         if (store->held != NULL && !is_named(config, store->name)) {
             store_clear(store);
         }
@@ -57,21 +57,21 @@
 }
 
 void
-part_stores_free(part_stores_t *stores)
+kv_stores_free(kv_stores_t *stores)
 {
-    for (size_t i = 0; i < PART_STORES_MAX; i++) {
+    for (size_t i = 0; i < KV_STORES_MAX; i++) {
         store_clear(&stores->all[i]);
     }
 }
 
 /* The place of the store that keeps a part, or -1 if there is none. */
 int
-part_stores_for(const part_stores_t *stores, uint64_t key)
+kv_stores_for(const kv_stores_t *stores, uint64_t key)
 {
     int best = -1;
     uint64_t best_weight = 0;
-    for (int i = 0; i < PART_STORES_MAX; i++) {
-        const part_store_t *store = &stores->all[i];
+    for (int i = 0; i < KV_STORES_MAX; i++) {
+        const kv_store_t *store = &stores->all[i];
         uint64_t weight =
             store->held != NULL ? place_weight(key, store->name) : 0;
         if (store->held != NULL && (best < 0 || weight > best_weight)) {
@@ -85,9 +85,9 @@
 /* The place of the store with a name, or of a free one for an empty name; -1
  * if there is none. */
 int
-part_stores_named(const part_stores_t *stores, const char *name)
+kv_stores_named(const kv_stores_t *stores, const char *name)
 {
-    for (int i = 0; i < PART_STORES_MAX; i++) {
+    for (int i = 0; i < KV_STORES_MAX; i++) {
         if (strcmp(stores->all[i].name, name) == 0) {
             return i;
         }
--- a/relay/lease.c
+++ b/relay/lease.c
@@ -122,7 +122,7 @@
  * than the successor's wait, and both would act for a while.  The count of
  * writes tells them apart. */
 void
-lease_seen(lease_t *lease, const lease_view_t *view, int64_t now_ms)
+lease_observe(lease_t *lease, const lease_view_t *view, int64_t now_ms)
 {
     lease->absent = false;
     if (lease->known && view->revision < lease->revision) {
@@ -147,7 +147,7 @@
 }
 
 void
-lease_seen_absent(lease_t *lease)
+lease_observe_absent(lease_t *lease)
 {
     lease->absent = true;
     lease->pending = false;
--- a/relay/doors.c
+++ b/relay/listeners.c
@@ -1,4 +1,4 @@
-#include "kept.h"
+#include "object-cache.h"
 #include "relay.h"
 
 /* The three doors of a relay: callers, the balancer's question, metrics. */
@@ -74,7 +74,7 @@
     char target[CS_ADDR_MAX * 4];
     (void)body;
     http_head_copy(head, head->target, target, sizeof(target));
-    if (kept_answer(relay->kept, caller, target)) {
+    if (object_cache_answer(relay->objects, caller, target)) {
         return;
     }
     CLEAN_BUF buf_t headers = {0};
@@ -95,7 +95,7 @@
 
 /* Listen for callers, the balancer and whoever gathers metrics. */
 int
-doors_open(relay_t *relay, err_t *err)
+listeners_open(relay_t *relay, err_t *err)
 {
     static const door_hooks_t callers = {.limits = callers_limits,
                                          .on_request = on_caller_request,
@@ -105,7 +105,7 @@
                                        .on_left = on_question_left};
     static const door_hooks_t metrics = {.limits = question_limits,
                                          .on_request = on_metrics_request,
-                                         .on_left = kept_caller_left};
+                                         .on_left = object_cache_caller_left};
     relay->ready_door = open_at(relay, relay->settings.ready, &ready, err);
     relay->metrics_door =
         open_at(relay, relay->settings.metrics, &metrics, err);
--- a/relay/kept.c
+++ b/relay/object-cache.c
@@ -1,4 +1,4 @@
-#include "kept.h"
+#include "object-cache.h"
 
 #include <stdlib.h>
 
@@ -14,12 +14,12 @@
     json_t *listing; /* the same while a list comes in, else NULL */
     json_t *changes; /* the oldest first */
     int64_t since;   /* all changes behind this revision are there */
-} kept_kind_t;
+} object_cache_kind_t;
 
 /* A daemon that waits for news. */
 typedef struct waiter {
     CK_LIST_ENTRY(waiter) entry;
-    kept_t *kept;
+    object_cache_t *cache;
     caller_t *caller;
     struct event *timer;
     kind_t kind;
@@ -28,43 +28,43 @@
 
 typedef CK_LIST_HEAD(waiters, waiter) waiters_t;
 
-struct kept {
+struct object_cache {
     relay_t *relay;
-    kept_kind_t kinds[KINDS_KEPT];
+    object_cache_kind_t kinds[KINDS_CACHED];
     waiters_t waiters;
 };
 
-kept_t *
-kept_new(relay_t *relay)
+object_cache_t *
+object_cache_new(relay_t *relay)
 {
-    kept_t *kept = mem_zalloc(sizeof(*kept));
-    kept->relay = relay;
-    CK_LIST_INIT(&kept->waiters);
-    for (size_t i = 0; i < KINDS_KEPT; i++) {
-        kept->kinds[i].objects = json_object();
-        kept->kinds[i].changes = json_array();
+    object_cache_t *cache = mem_zalloc(sizeof(*cache));
+    cache->relay = relay;
+    CK_LIST_INIT(&cache->waiters);
+    for (size_t i = 0; i < KINDS_CACHED; i++) {
+        cache->kinds[i].objects = json_object();
+        cache->kinds[i].changes = json_array();
     }
-    return kept;
+    return cache;
 }
 
 /* Nobody may wait any more. */
 void
-kept_free(kept_t *kept)
+object_cache_free(object_cache_t *cache)
 {
-    for (size_t i = 0; i < KINDS_KEPT; i++) {
-        json_decref(kept->kinds[i].objects);
-        json_decref(kept->kinds[i].listing);
-        json_decref(kept->kinds[i].changes);
+    for (size_t i = 0; i < KINDS_CACHED; i++) {
+        json_decref(cache->kinds[i].objects);
+        json_decref(cache->kinds[i].listing);
+        json_decref(cache->kinds[i].changes);
     }
-    free(kept);
+    free(cache);
 }
 
 static watch_t *
-watch_of(const kept_t *kept, kind_t kind)
+watch_of(const object_cache_t *cache, kind_t kind)
 {
-    const relay_t *relay = kept->relay;
-    watch_t *watches[KINDS_KEPT] = {relay->config_watch, relay->servers_watch,
-                                    relay->weights_watch};
+    const relay_t *relay = cache->relay;
+    watch_t *watches[KINDS_CACHED] = {
+        relay->config_watch, relay->servers_watch, relay->weights_watch};
     return watches[kind];
 }
 
@@ -84,9 +84,10 @@
 
 /* Keep an object as the store gave it. */
 void
-kept_put(kept_t *kept, kind_t kind, const store_object_t *object)
+object_cache_put(object_cache_t *cache, kind_t kind,
+                 const store_object_t *object)
 {
-    kept_kind_t *own = &kept->kinds[kind];
+    object_cache_kind_t *own = &cache->kinds[kind];
     if (own->listing != NULL) {
         put_object(own->listing, object);
         return;
@@ -101,9 +102,9 @@
 
 /* A whole list comes in. */
 void
-kept_list(kept_t *kept, kind_t kind)
+object_cache_list(object_cache_t *cache, kind_t kind)
 {
-    kept_kind_t *own = &kept->kinds[kind];
+    object_cache_kind_t *own = &cache->kinds[kind];
     json_decref(own->listing);
     own->listing = json_object();
 }
@@ -113,7 +114,7 @@
  * daemon tells can be behind.  An entry that is lost here is taken for a
  * server that is gone by whoever asks this daemon. */
 static void
-keep_newer(kept_kind_t *own, int64_t at)
+keep_newer(object_cache_kind_t *own, int64_t at)
 {
     const char *name;
     json_t *object;
@@ -129,9 +130,9 @@
 /* It is complete: what was not on it is gone, and what changed on the way to
  * it is not known one by one. */
 void
-kept_listed(kept_t *kept, kind_t kind, int64_t at)
+object_cache_listed(object_cache_t *cache, kind_t kind, int64_t at)
 {
-    kept_kind_t *own = &kept->kinds[kind];
+    object_cache_kind_t *own = &cache->kinds[kind];
     if (own->listing == NULL) {
         return;
     }
@@ -145,9 +146,9 @@
 
 /* The objects of a kind by name. */
 const json_t *
-kept_objects(const kept_t *kept, kind_t kind)
+object_cache_objects(const object_cache_t *cache, kind_t kind)
 {
-    return kept->kinds[kind].objects;
+    return cache->kinds[kind].objects;
 }
 
 /* ---- answers ---- */
@@ -166,7 +167,7 @@
 
 /* Changes behind a revision. */
 static json_t *
-changes_behind(const kept_kind_t *own, int64_t from)
+changes_behind(const object_cache_kind_t *own, int64_t from)
 {
     json_t *found = json_array();
     size_t index;
@@ -184,12 +185,13 @@
  * own word is passed on: a daemon that is cut off from the store would else
  * hold all that hear from it on what it knows. */
 static int
-look(const kept_t *kept, kind_t kind, int64_t from, bool over, json_t **page)
+look(const object_cache_t *cache, kind_t kind, int64_t from, bool over,
+     json_t **page)
 {
-    const kept_kind_t *own = &kept->kinds[kind];
-    const watch_t *watch = watch_of(kept, kind);
+    const object_cache_kind_t *own = &cache->kinds[kind];
+    const watch_t *watch = watch_of(cache, kind);
     *page = NULL;
-    if (!watch_fresh(watch) || kept->relay->stopping_ms != 0) {
+    if (!watch_fresh(watch) || cache->relay->stopping_ms != 0) {
         return 503;
     }
     if (from < own->since) {
@@ -214,7 +216,7 @@
 
 /* The connection of a waiting daemon has ended. */
 void
-kept_caller_left(void *waiter)
+object_cache_caller_left(void *waiter)
 {
     waiter_free(waiter);
 }
@@ -226,7 +228,7 @@
 {
     caller_t *caller = waiter->caller;
     json_t *page;
-    int status = look(waiter->kept, waiter->kind, waiter->from, over, &page);
+    int status = look(waiter->cache, waiter->kind, waiter->from, over, &page);
     if (status == 0) {
         return;
     }
@@ -246,11 +248,11 @@
 /* There is news of a kind, or the store was lost or is back: tell those that
  * wait. */
 void
-kept_settled(kept_t *kept, kind_t kind)
+object_cache_notify(object_cache_t *cache, kind_t kind)
 {
     waiter_t *waiter;
     waiter_t *next;
-    CK_LIST_FOREACH_SAFE (waiter, &kept->waiters, entry, next) {
+    CK_LIST_FOREACH_SAFE (waiter, &cache->waiters, entry, next) {
         if (waiter->kind == kind) {
             waiter_try(waiter, false);
         }
@@ -258,47 +260,50 @@
 }
 
 static void
-wait_for_news(kept_t *kept, caller_t *caller, const store_query_t *query)
+wait_for_news(object_cache_t *cache, caller_t *caller,
+              const store_query_t *query)
 {
     int ms = query->wait_ms < WAIT_MAX_MS ? query->wait_ms : WAIT_MAX_MS;
     struct timeval after = {ms / 1000, ms % 1000 * 1000};
     waiter_t *waiter = mem_zalloc(sizeof(*waiter));
-    waiter->kept = kept;
+    waiter->cache = cache;
     waiter->caller = caller;
     waiter->kind = query->kind;
     waiter->from = query->from;
-    waiter->timer = evtimer_new(kept->relay->base, on_wait_over, waiter);
+    waiter->timer = evtimer_new(cache->relay->base, on_wait_over, waiter);
     (void)event_add(waiter->timer, &after);
-    CK_LIST_INSERT_HEAD(&kept->waiters, waiter, entry);
+    CK_LIST_INSERT_HEAD(&cache->waiters, waiter, entry);
     caller_serves(caller, waiter);
 }
 
 /* Answer another daemon's question for objects, as the store would; false if
  * it is none. */
 bool
-kept_answer(kept_t *kept, caller_t *caller, const char *target)
+object_cache_answer(object_cache_t *cache, caller_t *caller,
+                    const char *target)
 {
     store_query_t query;
     if (!platform_query_read(&query, target)) {
         return false;
     }
-    if (query.kind >= KINDS_KEPT ||
-        !watch_listed(watch_of(kept, query.kind))) {
+    if (query.kind >= KINDS_CACHED ||
+        !watch_listed(watch_of(cache, query.kind))) {
         answer(caller, 404, NULL);
         return true;
     }
-    watch_t *watch = watch_of(kept, query.kind);
+    watch_t *watch = watch_of(cache, query.kind);
     if (!query.watches) {
         answer(
             caller, 200,
-            platform_page(kept->kinds[query.kind].objects, watch_at(watch)));
+            platform_page(cache->kinds[query.kind].objects, watch_at(watch)));
         return true;
     }
     watch_serves(watch);
     json_t *page;
-    int status = look(kept, query.kind, query.from, query.wait_ms <= 0, &page);
+    int status =
+        look(cache, query.kind, query.from, query.wait_ms <= 0, &page);
     if (status == 0) {
-        wait_for_news(kept, caller, &query);
+        wait_for_news(cache, caller, &query);
         return true;
     }
     answer(caller, status, page);
--- a/relay/peers-look.c
+++ b/relay/peer-discovery.c
@@ -1,4 +1,4 @@
-#include "peers-look.h"
+#include "peer-discovery.h"
 #include "../platform/platform.h"
 
 #define STORE_CONNECT_MS 300
@@ -8,7 +8,7 @@
 #define LOOK_FAILED_MS 500
 
 static void
-take_list(peers_look_t *look, const fetch_result_t *result)
+take_list(peer_discovery_t *look, const fetch_result_t *result)
 {
     store_page_t page;
     err_t err = {0};
@@ -29,7 +29,7 @@
 static void
 on_done(void *arg, const fetch_result_t *result)
 {
-    peers_look_t *look = arg;
+    peer_discovery_t *look = arg;
     int64_t now = time_mono_ms();
     look->fetch = NULL;
     look->next_ms = now + LOOK_FAILED_MS;
@@ -62,7 +62,7 @@
 }
 
 static void
-look_call(peers_look_t *look)
+look_call(peer_discovery_t *look)
 {
     const settings_t *settings = look->settings;
     CLEAN_BUF buf_t head = {0};
@@ -92,7 +92,7 @@
 
 /* One step: write our own object, list all, and look again while alone. */
 void
-peers_look_tick(peers_look_t *look, int64_t now)
+peer_discovery_tick(peer_discovery_t *look, int64_t now)
 {
     if (look->fetch != NULL || now < look->next_ms) {
         return;
--- a/relay/peers-look.h
+++ b/relay/peer-discovery.h
@@ -1,5 +1,5 @@
-#ifndef CELERYSPOOL_PEERS_LOOK_H
-#define CELERYSPOOL_PEERS_LOOK_H
+#ifndef CELERYSPOOL_PEER_DISCOVERY_H
+#define CELERYSPOOL_PEER_DISCOVERY_H
 
 /* How daemons find each other: each writes an object into the platform's store
  * that says where it listens, and lists the others'. */
@@ -17,8 +17,8 @@
     look_step_t step;
     int64_t next_ms;
     fetch_t *fetch;
-} peers_look_t;
+} peer_discovery_t;
 
-void peers_look_tick(peers_look_t *look, int64_t now);
+void peer_discovery_tick(peer_discovery_t *look, int64_t now);
 
 #endif
--- a/relay/peers-take.c
+++ b/relay/peers-apply.c
@@ -1,4 +1,4 @@
-#include "peers-take.h"
+#include "peers-apply.h"
 #include "cache-source.h"
 
 #include <stdlib.h>
@@ -16,8 +16,8 @@
     int64_t weights = strtoll(load->version, NULL, 10);
     server->loading_ms =
         load->loading[0] != '\0' ? time_mono_ms() + LOADING_MS : 0;
-    if (weights > server->said.weights) {
-        server->said.weights = weights;
+    if (weights > server->info.weights) {
+        server->info.weights = weights;
         cache_forget(relay, server);
     }
 }
@@ -35,7 +35,7 @@
                                .running = fact->load.running,
                                .filled = fact->load.filled};
     take_weights(relay, server, &fact->load);
-    server_other(server, &said);
+    server_peer_load(server, &said);
     if (fact->load.at_server >= 0) {
         server_load(server, fact->load.at_server, 0, time_mono_ms());
     }
@@ -43,16 +43,16 @@
 
 /* Take in what another daemon, named by its address, says. */
 void
-peers_take(relay_t *relay, uint64_t host, const peer_fact_t *fact)
+peers_apply(relay_t *relay, uint64_t host, const peer_fact_t *fact)
 {
     if (fact->is_load) {
         take_load(relay, host, fact);
         return;
     }
-    const held_part_t part = {fact->key, fact->tokens, fact->part};
+    const cached_part_t part = {fact->key, fact->tokens, fact->part};
     if (!fact->held) {
         cache_evicted(relay, fact->backend, fact->key);
         return;
     }
-    cache_told(relay, fact->backend, &part);
+    cache_apply(relay, fact->backend, &part);
 }
--- a/relay/peers-take.h
+++ b/relay/peers-apply.h
@@ -1,11 +1,11 @@
-#ifndef CELERYSPOOL_PEERS_TAKE_H
-#define CELERYSPOOL_PEERS_TAKE_H
+#ifndef CELERYSPOOL_PEERS_APPLY_H
+#define CELERYSPOOL_PEERS_APPLY_H
 
 /* How the word of other daemons becomes what this one believes of servers. */
 
 #include "../kernel/peer-codec.h"
 #include "relay.h"
 
-void peers_take(relay_t *relay, uint64_t host, const peer_fact_t *fact);
+void peers_apply(relay_t *relay, uint64_t host, const peer_fact_t *fact);
 
 #endif
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -1,6 +1,6 @@
 #include "peers.h"
-#include "peers-look.h"
-#include "peers-take.h"
+#include "peer-discovery.h"
+#include "peers-apply.h"
 #include "watch-duty.h"
 
 #include <arpa/inet.h>
@@ -40,7 +40,7 @@
     peer_datagram_t pending; /* facts that leave with the next tick */
     peer_datagram_t taken;
     unsigned char secret[SECRET_BYTES]; /* none: the network is private */
-    peers_look_t look;
+    peer_discovery_t look;
     watch_avoided_t avoided;
     int64_t next_beat_ms;
     bool asked;          /* others for what they know */
@@ -85,7 +85,7 @@
 }
 
 static peer_fact_t
-held_fact(const char *holder, const held_part_t *part)
+held_fact(const char *holder, const cached_part_t *part)
 {
     peer_fact_t fact = {.key = part->key,
                         .tokens = part->prompt_tokens,
@@ -95,15 +95,15 @@
     return fact;
 }
 
-/* Tell one daemon what a server or a store of kept parts is believed to hold,
+/* Tell one daemon what a server or a kv store is believed to hold,
  * the part used last at the end, as its own list wants them; how many
  * parts were told. */
 static size_t
-tell_parts(peers_t *peers, const char *addr, const char *holder,
-           const held_parts_t *held)
+send_parts(peers_t *peers, const char *addr, const char *holder,
+           const cached_parts_t *held)
 {
-    held_part_t parts[SNAPSHOT_PARTS_MAX];
-    size_t count = held_parts_list(held, parts, SNAPSHOT_PARTS_MAX);
+    cached_part_t parts[SNAPSHOT_PARTS_MAX];
+    size_t count = cached_parts_list(held, parts, SNAPSHOT_PARTS_MAX);
     peer_datagram_t *datagram = &peers->taken;
     memset(datagram, 0, sizeof(*datagram));
     datagram->kind = PEER_FACTS;
@@ -121,7 +121,7 @@
 /* A daemon that has just started asks, by an empty list, for all that is
  * known: without it, it would have servers read again what they hold. */
 static void
-tell_all(peers_t *peers, const struct sockaddr_in *to)
+send_all(peers_t *peers, const struct sockaddr_in *to)
 {
     relay_t *relay = peers->relay;
     char addr[CS_ADDR_MAX];
@@ -130,15 +130,15 @@
     (void)snprintf(addr, sizeof(addr), "%s:%u", ip, ntohs(to->sin_port));
     size_t count = 0;
     server_t *server;
-    for (size_t i = 0; i < PART_STORES_MAX; i++) {
-        const part_store_t *store = &relay->stores.all[i];
+    for (size_t i = 0; i < KV_STORES_MAX; i++) {
+        const kv_store_t *store = &relay->stores.all[i];
         if (store->held != NULL) {
-            count += tell_parts(peers, addr, store->name, store->held);
+            count += send_parts(peers, addr, store->name, store->held);
         }
     }
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
-        if (!server->gone && server->said.engine) {
-            count += tell_parts(peers, addr, server->said.id, server->held);
+        if (!server->gone && server->info.engine) {
+            count += send_parts(peers, addr, server->info.id, server->held);
         }
     }
     log_record(LOG_INFO, "peers", "told", "to=%s facts=%zu", addr, count);
@@ -162,12 +162,12 @@
             continue;
         }
         if (datagram->kind == PEER_FACTS && datagram->fact_count == 0) {
-            tell_all(peers, &from);
+            send_all(peers, &from);
             continue;
         }
         if (datagram->kind == PEER_FACTS) {
             for (size_t i = 0; i < datagram->fact_count; i++) {
-                peers_take(peers->relay, host, &datagram->facts[i]);
+                peers_apply(peers->relay, host, &datagram->facts[i]);
             }
             continue;
         }
@@ -209,7 +209,7 @@
 }
 
 static void
-notify_part(peers_t *peers, const char *holder, const held_part_t *part,
+notify_part(peers_t *peers, const char *holder, const cached_part_t *part,
             bool held)
 {
     peer_fact_t *fact = fact_add(peers);
@@ -222,7 +222,7 @@
 {
     peer_fact_t *fact = fact_add(peers);
     fact->is_load = true;
-    str_copy(fact->backend, sizeof(fact->backend), server->said.id);
+    str_copy(fact->backend, sizeof(fact->backend), server->info.id);
     fact->load.running = server->own_running;
     fact->load.waiting_tokens = (int)server->own_unread;
     fact->load.filled = server->filled;
@@ -233,7 +233,7 @@
 /* Tell what a server that is crowded said of its load: each host alone hears
  * from it too seldom to know that others have taken its slots. */
 void
-peers_tell_crowded(peers_t *peers, const server_t *server)
+peers_notify_crowded(peers_t *peers, const server_t *server)
 {
     load_add(peers, server)->load.at_server =
         server->load_running + server->load_waiting;
@@ -275,11 +275,11 @@
  * requests' worth: a server's own word does not say how much of the prompts
  * at it is still to be read. */
 static void
-tell_loads(peers_t *peers, int64_t now)
+notify_loads(peers_t *peers, int64_t now)
 {
     server_t *server;
     CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
-        if (server->gone || !server->said.engine ||
+        if (server->gone || !server->info.engine ||
             !has_load_news(server, now)) {
             continue;
         }
@@ -294,11 +294,11 @@
  * sooner than the platform's list does, so that no request is sent there in
  * vain. */
 void
-peers_tell_weights(peers_t *peers, const server_t *server, int64_t loading)
+peers_notify_weights(peers_t *peers, const server_t *server, int64_t loading)
 {
     peer_fact_t *fact = load_add(peers, server);
     (void)snprintf(fact->load.version, sizeof(fact->load.version), "%lld",
-                   (long long)server->said.weights);
+                   (long long)server->info.weights);
     if (loading > 0) {
         (void)snprintf(fact->load.loading, sizeof(fact->load.loading), "%lld",
                        (long long)loading);
@@ -407,11 +407,11 @@
 {
     int64_t now = time_mono_ms();
     const relay_t *relay = peers->relay;
-    peers_look_tick(&peers->look, now);
+    peer_discovery_tick(&peers->look, now);
     if (!peers->asked && peers->relay->servers_listed) {
         ask_all(peers);
     }
-    tell_loads(peers, now);
+    notify_loads(peers, now);
     flush_facts(peers);
     if (now < peers->next_beat_ms) {
         return;
@@ -472,7 +472,7 @@
     str_copy(self.name, sizeof(self.name), relay->settings.name);
     str_copy(self.dc, sizeof(self.dc), relay->settings.dc);
     str_copy(self.peer, sizeof(self.peer), relay->settings.peer);
-    /* Where other daemons can ask: see kept_page. */
+    /* Where other daemons can ask: see object_cache_answer. */
     str_copy(self.http, sizeof(self.http), relay->settings.metrics);
     peers_t *peers = mem_zalloc(sizeof(*peers));
     peers->relay = relay;
@@ -484,8 +484,8 @@
     (void)event_add(peers->readable, NULL);
     add_seeds(peers);
     relay->notify_part = notify_part;
-    peers->look = (peers_look_t){.settings = &relay->settings,
-                                 .exchanges = relay->exchanges,
-                                 .members = peers->members};
+    peers->look = (peer_discovery_t){.settings = &relay->settings,
+                                     .exchanges = relay->exchanges,
+                                     .members = peers->members};
     return peers;
 }
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -6,9 +6,9 @@
 #include "../kernel/peer-codec.h"
 #include "relay.h"
 
-void peers_tell_crowded(peers_t *peers, const server_t *server);
-void peers_tell_weights(peers_t *peers, const server_t *server,
-                        int64_t loading);
+void peers_notify_crowded(peers_t *peers, const server_t *server);
+void peers_notify_weights(peers_t *peers, const server_t *server,
+                          int64_t loading);
 size_t peers_duty_rank(const peers_t *peers, const char *duty);
 bool peers_duty(const peers_t *peers, const char *duty);
 size_t peers_live(const peers_t *peers);
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -32,12 +32,12 @@
                  err.text);
         return;
     }
-    if (report.weights != server->said.weights) {
+    if (report.weights != server->info.weights) {
         log_record(LOG_INFO, "servers", "reported",
-                   "server=%s weights=%lld busy=%d", server->said.id,
+                   "server=%s weights=%lld busy=%d", server->info.id,
                    (long long)report.weights, report.busy);
         cache_forget(probe->relay, server);
-        server->said.weights = report.weights;
+        server->info.weights = report.weights;
     }
 }
 
@@ -48,13 +48,13 @@
 {
     if (!server->silent) {
         log_record(LOG_WARN, "servers", "silent",
-                   "server=%s running=%d busy_ms=%lld", server->said.id,
+                   "server=%s running=%d busy_ms=%lld", server->info.id,
                    server->own_running,
                    (long long)(time_mono_ms() - server->busy_ms));
     }
     server->silent = true;
-    exchanges_drop(relay->exchanges, server->said.addr);
-    requests_leave(relay, server);
+    exchanges_drop(relay->exchanges, server->info.addr);
+    requests_abandon(relay, server);
 }
 
 static void
@@ -68,9 +68,9 @@
         if (result->whole) {
             if (server->silent) {
                 log_record(LOG_INFO, "servers", "back", "server=%s",
-                           server->said.id);
+                           server->info.id);
             }
-            server_heard(server, time_mono_ms());
+            server_note_answer(server, time_mono_ms());
             if (probe->engine && result->status == 200) {
                 take_report(probe, server, result);
             }
@@ -87,13 +87,13 @@
 {
     const relay_service_t *service =
         relay->config != NULL
-            ? relay_config_service(relay->config, server->said.service)
+            ? relay_config_service(relay->config, server->info.service)
             : NULL;
-    if (server->said.engine) {
-        platform_report_call(out, server->said.addr);
+    if (server->info.engine) {
+        platform_report_call(out, server->info.addr);
         return;
     }
-    platform_health_call(out, server->said.addr,
+    platform_health_call(out, server->info.addr,
                          service != NULL ? service->health : "/");
 }
 
@@ -111,10 +111,10 @@
     server->probing = true;
     probe_t *probe = mem_zalloc(sizeof(*probe));
     probe->relay = relay;
-    probe->engine = server->said.engine;
-    str_copy(probe->id, sizeof(probe->id), server->said.id);
+    probe->engine = server->info.engine;
+    str_copy(probe->id, sizeof(probe->id), server->info.id);
     call_of(relay, server, &head);
-    fetch_ask_t ask = {.addr = server->said.addr,
+    fetch_ask_t ask = {.addr = server->info.addr,
                        .call = &head,
                        .connect_ms = CONNECT_MS,
                        .total_ms = probe->engine ? REPORT_MS : HEALTH_MS,
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -43,8 +43,8 @@
     buf_fmt(out,
             "celeryspool_server{server=\"%s\",service=\"%s\",weights=\"%lld\","
             "usable=\"%d\"} %d\n",
-            server->said.id, server->said.service,
-            (long long)server->said.weights, server_usable(server, now),
+            server->info.id, server->info.service,
+            (long long)server->info.weights, server_usable(server, now),
             server->own_running);
 }
 
@@ -105,7 +105,7 @@
     if (relay->turn_ticks++ % SWEEP_TICKS == 0) {
         exchanges_sweep(relay->exchanges);
     }
-    facts_tick(relay);
+    discovery_tick(relay);
     requests_tick(relay);
     rollout_tick(relay->rollout);
     cache_follows_tick(relay->cache_follows);
@@ -165,7 +165,7 @@
         return err_set(err, ERR_HTTP, 1, "no event loop can be had");
     }
     relay->exchanges = exchanges_new(relay->base);
-    if (doors_open(relay, err) != 0) {
+    if (listeners_open(relay, err) != 0) {
         return -1;
     }
     relay->peers = peers_start(relay, err);
@@ -211,7 +211,7 @@
     log_record(LOG_INFO, "daemon", "started",
                "version=%s dc=%s http=%s ready=%s store=%s", CS_VERSION,
                settings->dc, settings->http, settings->ready, settings->store);
-    facts_start(relay);
+    discovery_start(relay);
     relay->rollout = rollout_new(relay);
     relay->cache_follows = cache_follows_new(relay);
     (void)event_base_dispatch(relay->base);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -11,7 +11,7 @@
 #include "../kernel/settings.h"
 #include "../kernel/tables.h"
 #include "meter.h"
-#include "part-stores.h"
+#include "kv-stores.h"
 #include "relay-config.h"
 #include "retry-share.h"
 #include "servers.h"
@@ -24,17 +24,17 @@
 
 typedef struct rollout rollout_t;
 typedef struct peers peers_t;
-typedef struct kept kept_t;
+typedef struct object_cache object_cache_t;
 typedef struct cache_follows cache_follows_t;
 
-/* Notifies the other daemons that a holder, a server or a kept store, has a
+/* Notifies the other daemons that a holder, a server or a kv store, has a
  * part of prompts, or has it no longer. A part of no tokens of its own is
  * being read there, under a key of its own. */
 typedef void (*part_notify_t)(peers_t *peers, const char *holder,
-                              const held_part_t *part, bool held);
+                              const cached_part_t *part, bool held);
 
 /* Kinds of object that other daemons may ask for: the first of kind_t. */
-#define KINDS_KEPT 3
+#define KINDS_CACHED 3
 
 /* ---- the newest weights that were named ---- */
 
@@ -74,13 +74,13 @@
 
     relay_config_t *config; /* NULL until one was read */
     servers_t *servers;
-    cache_map_t *cache;   /* who may hold or is reading a part */
-    part_stores_t stores; /* of kept parts */
+    cache_map_t *cache; /* who may hold or is reading a part */
+    kv_stores_t stores; /* of kept parts */
     weights_t weights[WEIGHTS_MODELS_MAX];
     size_t weights_count;
     bool servers_listed;
     bool weights_listed;
-    kept_t *kept; /* for other daemons */
+    object_cache_t *objects; /* for other daemons */
     watch_t *config_watch;
     watch_t *servers_watch;
     watch_t *weights_watch;
@@ -104,10 +104,10 @@
 const weights_t *relay_weights(const relay_t *relay, const char *model);
 void weights_note(relay_t *relay, const char *model, int64_t version,
                   int64_t named_ms);
-void weights_guess(relay_t *relay, const char *model, int64_t version,
-                   int64_t named_ms);
-void weights_heard(relay_t *relay, const char *model, int64_t version,
-                   int64_t wall_ms);
+void weights_note_bound(relay_t *relay, const char *model, int64_t version,
+                        int64_t named_ms);
+void weights_observe(relay_t *relay, const char *model, int64_t version,
+                     int64_t wall_ms);
 bool weights_expired(const weights_t *weights, int64_t version,
                      int64_t wall_ms, int64_t allowed_ms);
 int64_t weights_older_ms(const weights_t *weights, int64_t version,
@@ -117,7 +117,7 @@
 
 /* ---- callers ---- */
 
-int doors_open(relay_t *relay, err_t *err);
+int listeners_open(relay_t *relay, err_t *err);
 
 /* ---- requests ---- */
 
@@ -125,13 +125,13 @@
                    buf_t *body);
 void request_caller_left(request_t *request);
 void requests_tick(relay_t *relay);
-void requests_leave(relay_t *relay, const server_t *server);
+void requests_abandon(relay_t *relay, const server_t *server);
 
 /* ---- what the platform holds ---- */
 
-void facts_start(relay_t *relay);
-void facts_stop(relay_t *relay);
-void facts_tick(relay_t *relay);
+void discovery_start(relay_t *relay);
+void discovery_stop(relay_t *relay);
+void discovery_tick(relay_t *relay);
 
 void probes_tick(relay_t *relay);
 void probe_server(relay_t *relay, server_t *server);
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -48,25 +48,25 @@
 {
     const weights_t *newest =
         relay_weights(request->relay, request->prompt.model);
-    if (newest == NULL || server->said.weights >= newest->version) {
+    if (newest == NULL || server->info.weights >= newest->version) {
         return true;
     }
-    return weights_older_ms(newest, server->said.weights, time_wall_ms()) <
+    return weights_older_ms(newest, server->info.weights, time_wall_ms()) <
            (int64_t)(OLD_WEIGHTS_PART * request->relay->settings.weights_ms);
 }
 
 static bool
 may_serve(const request_t *request, const server_t *server, int64_t now)
 {
-    if (strcmp(server->said.service, request->service) != 0 ||
+    if (strcmp(server->info.service, request->service) != 0 ||
         !server_usable(server, now) || is_tried(request, server)) {
         return false;
     }
     if (!request->engine) {
         return true;
     }
-    return server->said.engine && now >= server->loading_ms &&
-           strcmp(server->said.model, request->prompt.model) == 0 &&
+    return server->info.engine && now >= server->loading_ms &&
+           strcmp(server->info.model, request->prompt.model) == 0 &&
            weights_allowed(request, server);
 }
 
@@ -85,7 +85,7 @@
 plain_wait_ms(const server_t *server, int64_t now)
 {
     int running = server_places_taken(server, now);
-    int over = running - server->said.slots + 1;
+    int over = running - server->info.slots + 1;
     return running * SLOT_FREE_MS + (over > 0 ? over * SLOT_TAKEN_MS : 0);
 }
 
@@ -120,17 +120,17 @@
     out->id = server->number;
     out->rate = READ_TOKENS_PER_MS * 1000 / server->slowness;
     out->running = server->own_running;
-    out->same_dc = strcmp(server->said.dc, relay->settings.dc) == 0;
+    out->same_dc = strcmp(server->info.dc, relay->settings.dc) == 0;
     out->wait_ms = request->engine ? engine_wait_ms(server, now)
                                    : plain_wait_ms(server, now);
     out->wait_ms += server->error_share * ERROR_MS;
     out->wait_ms += now < server->full_ms ? FULL_MS : 0;
     if (!request->engine) {
-        out->rank = place_weight(0, server->said.id);
+        out->rank = place_weight(0, server->info.id);
         return;
     }
     cache_view_t view;
-    cache_look(relay, levels_for(request, server->said.weights, levels),
+    cache_look(relay, levels_for(request, server->info.weights, levels),
                server, &view);
     out->cached = view.found ? view.source.tokens : view.here;
     out->wait_ms += cache_fetch_ms(&view);
@@ -138,9 +138,9 @@
      * takes longer for it counts as waiting. */
     out->wait_ms += (request->prompt.prompt_tokens - view.shared) *
                     (server->slowness - 1) / READ_TOKENS_PER_MS;
-    out->rank = place_weight(request->home, server->said.id);
+    out->rank = place_weight(request->home, server->info.id);
     const weights_t *newest = relay_weights(relay, request->prompt.model);
-    if (newest != NULL && server->said.weights < newest->version) {
+    if (newest != NULL && server->info.weights < newest->version) {
         out->wait_ms += OLD_WEIGHTS_MS;
     }
 }
@@ -181,9 +181,9 @@
     log_record(LOG_INFO, "place", "chosen",
                "id=%s server=%s among=%zu wait_ms=%.0f held=%u of=%u "
                "weights=%lld config=%lld",
-               request->id, servers[best]->said.id, count, all[best].wait_ms,
+               request->id, servers[best]->info.id, count, all[best].wait_ms,
                all[best].cached, prefix.tokens,
-               (long long)servers[best]->said.weights,
+               (long long)servers[best]->info.weights,
                (long long)request->config->version);
     return servers[best];
 }
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -105,7 +105,7 @@
 }
 
 /* Where the server can fetch parts that it lacks, and whether it is to keep
- * what it reads in the store of kept parts. */
+ * what it reads in the kv store. */
 static void
 add_cache_headers(request_t *request, const server_t *server, buf_t *out)
 {
@@ -172,7 +172,7 @@
     (void)snprintf(text, sizeof(text), "%lld",
                    (long long)(request->until_ms - request->sent_ms));
     head_add(out, HEADER_DEADLINE, text);
-    head_add(out, HEADER_EXPECT_SERVER, server->said.id);
+    head_add(out, HEADER_EXPECT_SERVER, server->info.id);
     if (request->workspace != NULL) {
         head_add(out, HEADER_WORKSPACE, request->workspace->name);
     }
@@ -212,8 +212,8 @@
     if (sscanf(text, "%d,%d,%*d", &running, &waiting) == 2) {
         int64_t now = time_mono_ms();
         server_load(server, running, waiting, now);
-        if (server->said.engine && server_crowded_news(server, now)) {
-            peers_tell_crowded(relay->peers, server);
+        if (server->info.engine && server_crowded_news(server, now)) {
+            peers_notify_crowded(relay->peers, server);
         }
     }
 }
@@ -286,10 +286,10 @@
     }
     const header_t *id =
         http_head_find(head, wire_header_name(HEADER_SERVER_ID));
-    if (id != NULL && !http_head_is(head, id->value, server->said.id)) {
+    if (id != NULL && !http_head_is(head, id->value, server->info.id)) {
         /* Another server has the address; its own entry tells where. */
         server->misplaced = true;
-        exchanges_drop(request->relay->exchanges, server->said.addr);
+        exchanges_drop(request->relay->exchanges, server->info.addr);
         return;
     }
     server->full_ms = now + FULL_PAUSE_MS;
@@ -302,10 +302,10 @@
     request_t *request = arg;
     if (is_other_answer(request, head)) {
         log_record(LOG_WARN, "request", "stray-answer", "id=%s server=%s",
-                   request->id, request->server->said.id);
+                   request->id, request->server->info.id);
         return HEAD_SKIP;
     }
-    server_heard(request->server, time_mono_ms());
+    server_note_answer(request->server, time_mono_ms());
     note_load(request->relay, request->server, head);
     request->answer = classify(request, head);
     request->status = head->status;
@@ -327,7 +327,7 @@
     return HEAD_TAKE;
 }
 
-/* The server had the store of kept parts take what the prompt shares. */
+/* The server had the kv store take what the prompt shares. */
 static void
 note_saved(request_t *request)
 {
@@ -395,7 +395,7 @@
 on_body(void *arg, const char *data, size_t len)
 {
     request_t *request = arg;
-    server_heard(request->server, time_mono_ms());
+    server_note_answer(request->server, time_mono_ms());
     switch (request->answer) {
         case ANSWER_STREAM:
             pass_events(request, data, len);
@@ -546,7 +546,7 @@
     request->sent_ms = time_mono_ms();
     request->server = server;
     request->slowness = server->slowness;
-    request->weights = server->said.weights;
+    request->weights = server->info.weights;
     request->answer = ANSWER_NONE;
     request->headers.len =
         request->phase == REQUEST_STREAMING ? request->headers.len : 0;
@@ -561,7 +561,7 @@
                           : 0;
     server_sent(server, request->unread, request->sent_ms);
     if (request->cached < request->prefix.tokens) {
-        cache_note_coming(relay, &request->prefix, server->number);
+        cache_note_pending(relay, &request->prefix, server->number);
     }
     note_tried(request, server);
     if (request->sends++ > 0) {
@@ -569,7 +569,7 @@
         retry_share_spend(&relay->retries, request->service, request->sent_ms);
     }
     relay->meter.sends++;
-    exchange_ask_t ask = {.addr = server->said.addr,
+    exchange_ask_t ask = {.addr = server->info.addr,
                           .head = head.data,
                           .head_len = head.len,
                           .body = request->body->data,
--- a/relay/request.c
+++ b/relay/request.c
@@ -47,7 +47,7 @@
         request->id, request->route->name,
         request->workspace != NULL ? request->workspace->name : "-",
         request->service, outcome, request->status, request->sends,
-        request->ran, request->server != NULL ? request->server->said.id : "-",
+        request->ran, request->server != NULL ? request->server->info.id : "-",
         (long long)request->weights, request->cached, request->prefix.tokens,
         (long long)(request->first_ms > 0
                         ? request->first_ms - request->came_ms
@@ -181,7 +181,7 @@
         LOG_WARN, "request", "send-failed",
         "id=%s server=%s fate=%s ran=%d sends=%d share_left=%d "
         "left_ms=%lld verdict=%s status=%d",
-        request->id, request->server != NULL ? request->server->said.id : "-",
+        request->id, request->server != NULL ? request->server->info.id : "-",
         send_fate_word(fate), ask.ran, ask.sends, ask.share_left,
         (long long)ask.left_ms, retry_verdict_word(verdict), request->status);
     request_sent_over(request);
@@ -212,7 +212,7 @@
 
 /* Give the send that is under way up; what has left may have run. */
 static void
-leave_server(request_t *request)
+abandon_send(request_t *request)
 {
     bool sent = exchange_sent(request->exchange);
     exchange_cancel(request->exchange);
@@ -224,7 +224,7 @@
 /* A server is gone without a word.  What may run elsewhere goes there; the
  * rest waits on, since the server may only be cut off and still answer. */
 void
-requests_leave(relay_t *relay, const server_t *server)
+requests_abandon(relay_t *relay, const server_t *server)
 {
     request_t *request;
     request_t *next;
@@ -237,7 +237,7 @@
                                       request->route->resumable)) {
             continue;
         }
-        leave_server(request);
+        abandon_send(request);
     }
 }
 
@@ -268,10 +268,10 @@
         if (began_too_late(request)) {
             log_record(LOG_WARN, "request", "weights-expired",
                        "id=%s server=%s weights=%lld waited_ms=%lld",
-                       request->id, request->server->said.id,
+                       request->id, request->server->info.id,
                        (long long)request->weights,
                        (long long)(now - request->sent_ms));
-            leave_server(request);
+            abandon_send(request);
             continue;
         }
         /* Waiting again after a send is a retry like any other. */
--- a/relay/request.h
+++ b/relay/request.h
@@ -63,7 +63,7 @@
     prefix_t prefix;
     double unread;   /* tokens of its prompt that the server must read */
     uint32_t cached; /* tokens that it need not read, as far as is known */
-    bool saves;      /* it has the store of kept parts take the prompt */
+    bool saves;      /* it has the kv store take the prompt */
     answer_t answer;
     int status;
     buf_t headers; /* of the answer, as the caller gets them */
--- a/relay/rollout-plan.c
+++ b/relay/rollout-plan.c
@@ -19,8 +19,8 @@
 static bool
 serves(const server_t *server, const char *model)
 {
-    return !server->gone && server->said.engine &&
-           strcmp(server->said.model, model) == 0;
+    return !server->gone && server->info.engine &&
+           strcmp(server->info.model, model) == 0;
 }
 
 /* How many servers have the model, and how many of them are being ordered. */
@@ -42,15 +42,15 @@
 static bool
 comes_before(const server_t *a, const server_t *b)
 {
-    if (a->said.weights != b->said.weights) {
-        return a->said.weights < b->said.weights;
+    if (a->info.weights != b->info.weights) {
+        return a->info.weights < b->info.weights;
     }
     int busy_a = a->load_running + a->load_waiting;
     int busy_b = b->load_running + b->load_waiting;
     if (busy_a != busy_b) {
         return busy_a < busy_b;
     }
-    return strcmp(a->said.id, b->said.id) < 0;
+    return strcmp(a->info.id, b->info.id) < 0;
 }
 
 /* The next server to load a version: the one on the oldest weights, among
@@ -62,7 +62,7 @@
     server_t *best = NULL;
     server_t *server;
     CK_LIST_FOREACH (server, &servers->list, entry) {
-        if (!serves(server, model) || server->said.weights >= version ||
+        if (!serves(server, model) || server->info.weights >= version ||
             server->ordered || !server_usable(server, now_ms) ||
             now_ms < server->order_after_ms) {
             continue;
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -72,7 +72,7 @@
         int64_t named_ms = json_integer_value(json_array_get(row, 2));
         if (model != NULL && version > 0 && named_ms > 0) {
             if (json_is_true(json_array_get(row, 3))) {
-                weights_guess(relay, model, version, named_ms);
+                weights_note_bound(relay, model, version, named_ms);
             }
             else {
                 weights_note(relay, model, version, named_ms);
@@ -116,7 +116,7 @@
                          .holder = object.holder,
                          .fence = object.fence,
                          .writes = object.writes};
-    lease_seen(&rollout->lease, &view, time_boot_ms());
+    lease_observe(&rollout->lease, &view, time_boot_ms());
     take_named(rollout->relay, object.named);
     platform_page_free(&page);
 }
@@ -141,7 +141,7 @@
             take_lease(rollout, result);
             return;
         case 404:
-            lease_seen_absent(&rollout->lease);
+            lease_observe_absent(&rollout->lease);
             return;
         default:
             lease_failed(&rollout->lease, time_boot_ms());
@@ -232,7 +232,7 @@
 static void
 job_call(job_t *job, const server_t *server, const buf_t *head)
 {
-    fetch_ask_t ask = {.addr = server->said.addr,
+    fetch_ask_t ask = {.addr = server->info.addr,
                        .call = head,
                        .connect_ms = ORDER_CONNECT_MS,
                        .total_ms = ORDER_CALL_MS,
@@ -245,7 +245,7 @@
 job_ask_report(job_t *job, const server_t *server)
 {
     CLEAN_BUF buf_t head = {0};
-    platform_report_call(&head, server->said.addr);
+    platform_report_call(&head, server->info.addr);
     job_call(job, server, &head);
 }
 
@@ -258,14 +258,14 @@
 {
     rollout_t *rollout = job->rollout;
     CLEAN_BUF buf_t head = {0};
-    weights_order_t order = {.server = server->said.id,
+    weights_order_t order = {.server = server->info.id,
                              .model = job->model,
                              .version = job->version,
                              .runs = RUNS_GO_ON,
                              .holder = rollout->lease.self,
                              .fence = rollout->lease.fence,
                              .expected_orders = job->orders};
-    platform_order_call(&head, server->said.addr, &order);
+    platform_order_call(&head, server->info.addr, &order);
     if (!lease_held(&rollout->lease, time_boot_ms())) {
         job_free(job, AGAIN_MS);
         return;
@@ -273,8 +273,8 @@
     log_record(LOG_INFO, "orders", "load",
                "server=%s model=%s version=%lld from=%lld fence=%lld "
                "expected=%lld running=%d",
-               server->said.id, job->model, (long long)job->version,
-               (long long)server->said.weights,
+               server->info.id, job->model, (long long)job->version,
+               (long long)server->info.weights,
                (long long)rollout->lease.fence, (long long)job->orders,
                server_running(server, time_mono_ms()));
     job->state = JOB_ORDER;
@@ -291,7 +291,7 @@
     job->state = JOB_QUIET;
     job->quiet_ms = now;
     server->loading_ms = now + ROLLOUT_QUIET_MS + ORDER_CALL_MS;
-    peers_tell_weights(job->rollout->relay->peers, server, job->version);
+    peers_notify_weights(job->rollout->relay->peers, server, job->version);
 }
 
 static void
@@ -304,16 +304,16 @@
         job_free(job, AGAIN_MS);
         return;
     }
-    if (report.weights != server->said.weights) {
+    if (report.weights != server->info.weights) {
         cache_forget(job->rollout->relay, server);
-        server->said.weights = report.weights;
+        server->info.weights = report.weights;
     }
     if (report.weights >= job->version) {
         log_record(LOG_INFO, "orders", "loaded",
-                   "server=%s version=%lld after_ms=%lld", server->said.id,
+                   "server=%s version=%lld after_ms=%lld", server->info.id,
                    (long long)report.weights,
                    (long long)(time_mono_ms() - job->began_ms));
-        peers_tell_weights(job->rollout->relay->peers, server, 0);
+        peers_notify_weights(job->rollout->relay->peers, server, 0);
         job_free(job, 0);
         return;
     }
@@ -333,8 +333,8 @@
             job->state = JOB_LOADING;
             job->next_ms = time_mono_ms() + REPORT_LAG_MS;
             server->loading_ms = time_mono_ms() + ORDER_SPAN_MS;
-            peers_tell_weights(job->rollout->relay->peers, server,
-                               job->version);
+            peers_notify_weights(job->rollout->relay->peers, server,
+                                 job->version);
             return;
         case 200:
             job->state = JOB_REPORT;
@@ -342,7 +342,7 @@
             return;
         default:
             log_record(LOG_WARN, "orders", "refused",
-                       "server=%s status=%d fence=%lld", server->said.id,
+                       "server=%s status=%d fence=%lld", server->info.id,
                        status, (long long)job->rollout->lease.fence);
             job_free(job, AGAIN_MS);
             return;
@@ -355,7 +355,7 @@
     job_t *job = arg;
     server_t *server = servers_find(job->rollout->relay->servers, job->server);
     job->fetch = NULL;
-    if (server == NULL || server->said.weights >= job->version) {
+    if (server == NULL || server->info.weights >= job->version) {
         job_free(job, 0);
         return;
     }
@@ -379,7 +379,7 @@
     job_t *next;
     CK_LIST_FOREACH_SAFE (job, &rollout->jobs, entry, next) {
         server_t *server = servers_find(rollout->relay->servers, job->server);
-        if (server == NULL || server->said.weights >= job->version ||
+        if (server == NULL || server->info.weights >= job->version ||
             now - job->began_ms > ORDER_SPAN_MS) {
             job_free(job, 0);
             continue;
@@ -410,7 +410,7 @@
         job->rollout = rollout;
         job->began_ms = now;
         job->version = weights->version;
-        str_copy(job->server, sizeof(job->server), server->said.id);
+        str_copy(job->server, sizeof(job->server), server->info.id);
         str_copy(job->model, sizeof(job->model), weights->model);
         CK_LIST_INSERT_HEAD(&rollout->jobs, job, entry);
         server->ordered = true;
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -63,7 +63,7 @@
 {
     server_t *server;
     CK_LIST_FOREACH (server, &servers->list, entry) {
-        if (!server->gone && strcmp(server->said.id, id) == 0) {
+        if (!server->gone && strcmp(server->info.id, id) == 0) {
             return server;
         }
     }
@@ -116,19 +116,19 @@
         server->number = (uint16_t)number;
         servers->numbered[number] = server;
         server->slowness = 1;
-        server->held = held_parts_new();
+        server->held = cached_parts_new();
         CK_LIST_INSERT_HEAD(&servers->list, server, entry);
         servers->count++;
     }
-    if (entry->weights > server->said.weights) {
+    if (entry->weights > server->info.weights) {
         /* Whoever ordered the load may have learnt of its end from this entry
          * too and tell nobody: without this the server would stay unused here
          * until the word that it loads expires. */
         server->loading_ms = 0;
     }
-    bool renewed = server->said.born_ms != entry->born_ms ||
-                   strcmp(server->said.addr, entry->addr) != 0;
-    server->said = *entry;
+    bool renewed = server->info.born_ms != entry->born_ms ||
+                   strcmp(server->info.addr, entry->addr) != 0;
+    server->info = *entry;
     if (renewed) {
         server_renew(server);
     }
@@ -143,7 +143,7 @@
     servers->numbered[server->number] = NULL;
     servers->count--;
     CK_LIST_REMOVE(server, entry);
-    held_parts_free(server->held);
+    cached_parts_free(server->held);
     free(server);
 }
 
@@ -221,7 +221,7 @@
 double
 server_slot_wait_ms(const server_t *server, int64_t now_ms)
 {
-    int slots = server->said.slots;
+    int slots = server->info.slots;
     int over = server_places_taken(server, now_ms) - slots + 1;
     double hold = server->hold_ms > 0 ? server->hold_ms : HOLD_UNKNOWN_MS;
     return slots > 0 && over > 0 ? over * hold / slots : 0;
@@ -244,7 +244,7 @@
 server_crowded_news(server_t *server, int64_t now_ms)
 {
     int taken = server->load_running + server->load_waiting;
-    if (taken < server->said.slots * CROWDED_PART ||
+    if (taken < server->info.slots * CROWDED_PART ||
         now_ms - server->crowd_told_ms < CROWDED_AGAIN_MS) {
         return false;
     }
@@ -299,12 +299,12 @@
 bool
 server_usable(const server_t *server, int64_t now_ms)
 {
-    return is_reachable(server, now_ms) && !server->said.draining;
+    return is_reachable(server, now_ms) && !server->info.draining;
 }
 
 /* The server has answered this host, or another that says so. */
 void
-server_lives(server_t *server, int64_t now_ms)
+server_confirm_alive(server_t *server, int64_t now_ms)
 {
     server->life_ms = now_ms;
 }
@@ -322,11 +322,11 @@
 
 /* Something came from the server. */
 void
-server_heard(server_t *server, int64_t now_ms)
+server_note_answer(server_t *server, int64_t now_ms)
 {
     server->heard_ms = now_ms;
     server->silent = false;
-    server_lives(server, now_ms);
+    server_confirm_alive(server, now_ms);
 }
 
 /* Whether to ask a server if it is there at all.  A host that lost power or
@@ -352,7 +352,7 @@
 server_filled(server_t *server, uint32_t tokens)
 {
     server->filled += tokens;
-    held_parts_fill(server->held, tokens);
+    cached_parts_fill(server->held, tokens);
 }
 
 /* What a host's requests have brought in since its last word.  A count that
@@ -364,7 +364,7 @@
 {
     int32_t more = (int32_t)(said->filled - before->filled);
     if (more > 0) {
-        held_parts_fill(server->held, (uint32_t)more);
+        cached_parts_fill(server->held, (uint32_t)more);
     }
 }
 
@@ -372,7 +372,7 @@
  * What its requests have brought into the cache since its last word pushes out
  * what was used before. */
 void
-server_other(server_t *server, const other_load_t *said)
+server_peer_load(server_t *server, const other_load_t *said)
 {
     other_load_t *slot = &server->others[0];
     for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -5,7 +5,7 @@
  * them.  No I/O and no clock: times go in. */
 
 #include "../kernel/base.h"
-#include "held-parts.h"
+#include "cached-parts.h"
 
 #include <ck_queue.h>
 
@@ -50,7 +50,7 @@
 
 typedef struct server {
     CK_LIST_ENTRY(server) entry;
-    server_entry_t said;
+    server_entry_t info;
     int64_t revision;       /* of its entry */
     bool ordered;           /* this host is bringing it to other weights */
     int64_t order_after_ms; /* not ordered again before */
@@ -64,7 +64,7 @@
     double own_unread;  /* their prompt tokens that are not read yet */
     double told_unread; /* what other hosts were last told of them */
     int told_running;
-    held_parts_t *held; /* what its cache is believed to hold */
+    cached_parts_t *held; /* what its cache is believed to hold */
     uint32_t
         filled; /* tokens of own requests' own parts, of all time, wraps */
     uint32_t told_filled; /* the same, as other hosts were told */
@@ -117,13 +117,13 @@
 void server_good(server_t *server);
 bool server_usable(const server_t *server, int64_t now_ms);
 void server_filled(server_t *server, uint32_t tokens);
-void server_other(server_t *server, const other_load_t *said);
+void server_peer_load(server_t *server, const other_load_t *said);
 int server_running(const server_t *server, int64_t now_ms);
 double server_others_unread(const server_t *server, int64_t now_ms);
 void server_speed(server_t *server, double expected_ms, double observed_ms);
 bool server_wants_probe(const server_t *server, int64_t now_ms);
-void server_lives(server_t *server, int64_t now_ms);
+void server_confirm_alive(server_t *server, int64_t now_ms);
 bool server_is_source(const server_t *server, int64_t now_ms);
-void server_heard(server_t *server, int64_t now_ms);
+void server_note_answer(server_t *server, int64_t now_ms);
 
 #endif
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -97,8 +97,8 @@
  * as long as nobody knows better, or a daemon that starts later would guess
  * anew, and later. */
 void
-weights_guess(relay_t *relay, const char *model, int64_t version,
-              int64_t named_ms)
+weights_note_bound(relay_t *relay, const char *model, int64_t version,
+                   int64_t named_ms)
 {
     weights_put(relay, model, version, named_ms, true);
 }
@@ -110,8 +110,8 @@
  * none taken off, a daemon that was restarted 1.3 s behind a naming sent a
  * request to replaced weights 10.2 s behind it. */
 void
-weights_heard(relay_t *relay, const char *model, int64_t version,
-              int64_t wall_ms)
+weights_observe(relay_t *relay, const char *model, int64_t version,
+                int64_t wall_ms)
 {
     int64_t before_ms =
         relay->weights_listed
--- a/tests/test-cache-events.c
+++ b/tests/test-cache-events.c
@@ -1,6 +1,6 @@
 #include "../platform/platform.h"
 #include "../relay/cache-events.h"
-#include "../relay/peers-take.h"
+#include "../relay/peers-apply.h"
 #include "test.h"
 
 #include <stdlib.h>
@@ -97,7 +97,7 @@
 static unsigned notified;
 
 static void
-count_notice(peers_t *peers, const char *holder, const held_part_t *part,
+count_notice(peers_t *peers, const char *holder, const cached_part_t *part,
              bool held)
 {
     (void)peers;
@@ -134,16 +134,16 @@
 {
     server_t *server;
     relay_t *relay = relay_with("a", &server);
-    const held_part_t part = {.key = 5, .prompt_tokens = 70, .tokens = 70};
+    const cached_part_t part = {.key = 5, .prompt_tokens = 70, .tokens = 70};
     cache_appeared(relay, "a", &part);
     cache_appeared(relay, "a", &part);
     cache_appeared(relay, "stranger", &part);
     ck_assert_uint_eq(notified, 1);
-    ck_assert(held_parts_has(server->held, 5));
+    ck_assert(cached_parts_has(server->held, 5));
     ck_assert(cache_evicted(relay, "a", 5));
     ck_assert(!cache_evicted(relay, "a", 5));
     ck_assert(!cache_evicted(relay, "stranger", 5));
-    ck_assert(!held_parts_has(server->held, 5));
+    ck_assert(!cached_parts_has(server->held, 5));
     relay_without(relay);
 }
 END_TEST
@@ -155,11 +155,11 @@
     relay_t *relay = relay_with("a", &server);
     peer_fact_t fact = {.key = 5, .tokens = 700, .part = 300, .held = true};
     str_copy(fact.backend, sizeof(fact.backend), "a");
-    peers_take(relay, 1, &fact);
-    ck_assert(held_parts_has(server->held, 5));
+    peers_apply(relay, 1, &fact);
+    ck_assert(cached_parts_has(server->held, 5));
     fact.held = false;
-    peers_take(relay, 1, &fact);
-    ck_assert(!held_parts_has(server->held, 5));
+    peers_apply(relay, 1, &fact);
+    ck_assert(!cached_parts_has(server->held, 5));
     relay_without(relay);
 }
 END_TEST
@@ -170,18 +170,18 @@
 {
     server_t *server;
     relay_t *relay = relay_with("a", &server);
-    held_parts_t *unasked = held_parts_new();
+    cached_parts_t *unasked = cached_parts_new();
     cache_event_t event = {
         .salt = "s1", .id = "5c1e", .tokens = 700, .grew = true};
     uint64_t key = prompt_part_key(prompt_part("5c1e", 4), "s1");
     cache_event_take(relay, unasked, "a", &event);
     ck_assert_uint_eq(notified, 0);
-    ck_assert(!held_parts_has(server->held, key));
+    ck_assert(!cached_parts_has(server->held, key));
     cache_event_asked(relay, unasked, "a", key + 1);
     ck_assert_uint_eq(notified, 0);
     cache_event_asked(relay, unasked, "a", key);
     ck_assert_uint_eq(notified, 1);
-    ck_assert(held_parts_has(server->held, key));
+    ck_assert(cached_parts_has(server->held, key));
     cache_event_asked(relay, unasked, "a", key);
     cache_event_take(relay, unasked, "a", &event);
     ck_assert_uint_eq(notified, 1);
@@ -189,8 +189,8 @@
     event.tokens = 0;
     cache_event_take(relay, unasked, "a", &event);
     ck_assert_uint_eq(notified, 2);
-    ck_assert(!held_parts_has(server->held, key));
-    held_parts_free(unasked);
+    ck_assert(!cached_parts_has(server->held, key));
+    cached_parts_free(unasked);
     relay_without(relay);
 }
 END_TEST
@@ -200,7 +200,7 @@
 {
     server_t *server;
     relay_t *relay = relay_with("a", &server);
-    held_parts_t *unasked = held_parts_new();
+    cached_parts_t *unasked = cached_parts_new();
     cache_event_t event = {
         .salt = "s1", .id = "5c1e", .tokens = 700, .grew = true};
     cache_event_take(relay, unasked, "a", &event);
@@ -209,7 +209,7 @@
     cache_event_asked(relay, unasked, "a",
                       prompt_part_key(prompt_part("5c1e", 4), "s1"));
     ck_assert_uint_eq(notified, 0);
-    held_parts_free(unasked);
+    cached_parts_free(unasked);
     relay_without(relay);
 }
 END_TEST
@@ -248,26 +248,26 @@
 {
     server_t *server;
     relay_t *relay = relay_with("a", &server);
-    held_parts_t *truth = held_parts_new();
+    cached_parts_t *truth = cached_parts_new();
     rng_t rng = {5};
     unsigned wrong = 0;
-    held_parts_room(truth, ROOM_TOKENS);
-    held_parts_room(server->held, ROOM_TOKENS);
+    cached_parts_room(truth, ROOM_TOKENS);
+    cached_parts_room(server->held, ROOM_TOKENS);
     for (unsigned step = 0; step < STEPS; step++) {
         uint64_t key = 1 + rng_below(&rng, PARTS);
-        const held_part_t part = {key, PART_TOKENS, PART_TOKENS};
+        const cached_part_t part = {key, PART_TOKENS, PART_TOKENS};
         bool own = rng_below(&rng, 4) == 0;
-        wrong += own && held_parts_has(server->held, key) &&
-                 !held_parts_has(truth, key);
-        held_parts_use(truth, &part);
-        held_parts_fill(truth, UNSEEN_TOKENS);
+        wrong += own && cached_parts_has(server->held, key) &&
+                 !cached_parts_has(truth, key);
+        cached_parts_use(truth, &part);
+        cached_parts_fill(truth, UNSEEN_TOKENS);
         if (own) {
-            held_parts_use(server->held, &part);
-            held_parts_fill(server->held, UNSEEN_TOKENS);
+            cached_parts_use(server->held, &part);
+            cached_parts_fill(server->held, UNSEEN_TOKENS);
         }
         for (uint64_t at = 1; follows && at <= PARTS; at++) {
-            const held_part_t seen = {at, PART_TOKENS, PART_TOKENS};
-            if (held_parts_has(truth, at)) {
+            const cached_part_t seen = {at, PART_TOKENS, PART_TOKENS};
+            if (cached_parts_has(truth, at)) {
                 cache_appeared(relay, "a", &seen);
             }
             else {
@@ -275,7 +275,7 @@
             }
         }
     }
-    held_parts_free(truth);
+    cached_parts_free(truth);
     relay_without(relay);
     return wrong;
 }
--- a/tests/test-cache-source.c
+++ b/tests/test-cache-source.c
@@ -58,11 +58,11 @@
 static void
 put_part(relay_t *relay, server_t *server, uint64_t key)
 {
-    const held_part_t part = {.key = key, .prompt_tokens = 1, .tokens = 1};
-    held_parts_use(server->held, &part);
+    const cached_part_t part = {.key = key, .prompt_tokens = 1, .tokens = 1};
+    cached_parts_use(server->held, &part);
     (void)cache_map_note_at(relay->cache, server->number, key, 1,
                             time_mono_ms());
-    server_lives(server, time_mono_ms());
+    server_confirm_alive(server, time_mono_ms());
 }
 
 /* Guards against counting parts behind a missing one as held: a server reads
--- a/tests/test-held-parts.c
+++ b/tests/test-cached-parts.c
@@ -1,6 +1,6 @@
 #include "../fakes/fakes.h"
 #include "../kernel/tables.h"
-#include "../relay/held-parts.h"
+#include "../relay/cached-parts.h"
 #include "../relay/servers.h"
 #include "test.h"
 
@@ -8,18 +8,18 @@
 
 #define BLOCK_TOKENS 16u
 
-static held_part_t
+static cached_part_t
 part(uint64_t key, uint32_t tokens)
 {
-    return (held_part_t){
+    return (cached_part_t){
         .key = key, .prompt_tokens = tokens, .tokens = tokens};
 }
 
 static void
-use(held_parts_t *held, uint64_t key, uint32_t tokens)
+use(cached_parts_t *held, uint64_t key, uint32_t tokens)
 {
-    const held_part_t used = part(key, tokens);
-    held_parts_use(held, &used);
+    const cached_part_t used = part(key, tokens);
+    cached_parts_use(held, &used);
 }
 
 /* Callers wait for prompts to be read again though the router placed them
@@ -27,23 +27,23 @@
  * what it used least recently, and the router believed by age alone. */
 START_TEST(what_was_used_least_recently_is_gone_first)
 {
-    held_parts_t *held = held_parts_new();
-    held_parts_room(held, 1000);
+    cached_parts_t *held = cached_parts_new();
+    cached_parts_room(held, 1000);
     use(held, 1, 400);
     use(held, 2, 400);
     use(held, 1, 400);
-    held_parts_fill(held, 599);
-    ck_assert(held_parts_has(held, 1));
-    ck_assert(held_parts_has(held, 2));
-    held_parts_fill(held, 2);
-    ck_assert(held_parts_has(held, 1));
-    ck_assert(!held_parts_has(held, 2));
-    held_parts_fill(held, 100000);
-    ck_assert(!held_parts_has(held, 1));
+    cached_parts_fill(held, 599);
+    ck_assert(cached_parts_has(held, 1));
+    ck_assert(cached_parts_has(held, 2));
+    cached_parts_fill(held, 2);
+    ck_assert(cached_parts_has(held, 1));
+    ck_assert(!cached_parts_has(held, 2));
+    cached_parts_fill(held, 100000);
+    ck_assert(!cached_parts_has(held, 1));
     use(held, 3, 10);
-    held_parts_forget(held);
-    ck_assert(!held_parts_has(held, 3));
-    held_parts_free(held);
+    cached_parts_forget(held);
+    ck_assert(!cached_parts_has(held, 3));
+    cached_parts_free(held);
 }
 END_TEST
 
@@ -51,23 +51,23 @@
  * make the list useless; one that shrinks the cache drops at once. */
 START_TEST(a_size_that_says_nothing_is_left_out)
 {
-    held_parts_t *held = held_parts_new();
+    cached_parts_t *held = cached_parts_new();
     use(held, 1, 400);
-    held_parts_room(held, 0);
-    held_parts_room(held, -7);
-    ck_assert(held_parts_has(held, 1));
-    held_parts_room(held, 500);
+    cached_parts_room(held, 0);
+    cached_parts_room(held, -7);
+    ck_assert(cached_parts_has(held, 1));
+    cached_parts_room(held, 500);
     use(held, 2, 300);
     use(held, 3, 300);
-    ck_assert(!held_parts_has(held, 1));
+    ck_assert(!cached_parts_has(held, 1));
     for (uint64_t key = 100; key < 100000; key++) {
         use(held, key, 0);
     }
-    held_part_t *all = mem_zalloc(100000 * sizeof(*all));
-    ck_assert_uint_le(held_parts_list(held, all, 100000), 20000);
+    cached_part_t *all = mem_zalloc(100000 * sizeof(*all));
+    ck_assert_uint_le(cached_parts_list(held, all, 100000), 20000);
     ck_assert_uint_eq(all[0].key, 99999);
     free(all);
-    held_parts_free(held);
+    cached_parts_free(held);
 }
 END_TEST
 
@@ -80,21 +80,21 @@
     servers_t *servers = servers_new();
     server_entry_t entry = {.id = "a", .service = "s", .addr = "127.0.0.1:1"};
     server_t *server = servers_put(servers, &entry);
-    held_parts_room(server->held, 1000);
+    cached_parts_room(server->held, 1000);
     use(server->held, 1, 500);
     other_load_t said = {.host = 9, .told_ms = 1, .filled = UINT32_MAX - 10};
-    server_other(server, &said);
-    ck_assert(held_parts_has(server->held, 1));
+    server_peer_load(server, &said);
+    ck_assert(cached_parts_has(server->held, 1));
     said.filled += 400;
-    server_other(server, &said);
-    ck_assert(held_parts_has(server->held, 1));
+    server_peer_load(server, &said);
+    ck_assert(cached_parts_has(server->held, 1));
     said.filled += 700;
-    server_other(server, &said);
-    ck_assert(!held_parts_has(server->held, 1));
+    server_peer_load(server, &said);
+    ck_assert(!cached_parts_has(server->held, 1));
     use(server->held, 2, 500);
     said.filled = 5;
-    server_other(server, &said);
-    ck_assert(held_parts_has(server->held, 2));
+    server_peer_load(server, &said);
+    ck_assert(cached_parts_has(server->held, 2));
     servers_free(servers);
 }
 END_TEST
@@ -135,14 +135,14 @@
     for (uint64_t seed = 1; seed <= 20; seed++) {
         rng_t rng = {.state = seed};
         engine_cache_t *engine = engine_cache_new(ENGINE_BLOCKS);
-        held_parts_t *held = held_parts_new();
+        cached_parts_t *held = cached_parts_new();
         uint32_t late = 0;
         uint64_t own = 1000;
-        held_parts_room(held, (int64_t)ENGINE_BLOCKS * BLOCK_TOKENS);
+        cached_parts_room(held, (int64_t)ENGINE_BLOCKS * BLOCK_TOKENS);
         for (unsigned i = 0; i < 600; i++) {
             uint64_t key = rng_next(&rng) % PARTS;
             uint64_t blocks = rng_next(&rng) % 300;
-            bool believed = held_parts_has(held, key);
+            bool believed = cached_parts_has(held, key);
             right +=
                 believed == engine_holds(engine, key, PART_BLOCKS) ? 1 : 0;
             asked++;
@@ -151,11 +151,11 @@
             use(held, key, PART_BLOCKS * BLOCK_TOKENS);
             late += (uint32_t)blocks * BLOCK_TOKENS;
             if (rng_next(&rng) % 5 != 0) {
-                held_parts_fill(held, late);
+                cached_parts_fill(held, late);
                 late = 0;
             }
         }
-        held_parts_free(held);
+        cached_parts_free(held);
         engine_cache_free(engine);
     }
     ck_assert_uint_ge(right * 100, asked * 95);
@@ -178,7 +178,7 @@
 
 typedef struct {
     engine_cache_t *engine;
-    held_parts_t *held;
+    cached_parts_t *held;
     double noted_s[FAMILIES];
 } play_server_t;
 
@@ -211,7 +211,7 @@
         case BELIEF_AGE:
             return now - server->noted_s[family] < AGE_S;
         case BELIEF_USE:
-            return held_parts_has(server->held, family);
+            return cached_parts_has(server->held, family);
         case BELIEF_ORACLE:
             return engine_holds(server->engine, family, FAMILY_BLOCKS);
     }
@@ -230,8 +230,9 @@
     uint64_t own = 1000;
     for (unsigned i = 0; i < SERVERS; i++) {
         servers[i].engine = engine_cache_new(SMALL_BLOCKS);
-        servers[i].held = held_parts_new();
-        held_parts_room(servers[i].held, (int64_t)SMALL_BLOCKS * BLOCK_TOKENS);
+        servers[i].held = cached_parts_new();
+        cached_parts_room(servers[i].held,
+                          (int64_t)SMALL_BLOCKS * BLOCK_TOKENS);
         for (unsigned f = 0; f < FAMILIES; f++) {
             servers[i].noted_s[f] = -AGE_S;
         }
@@ -258,12 +259,12 @@
         engine_read(server->engine, family, FAMILY_BLOCKS);
         engine_read(server->engine, own++, OWN_BLOCKS);
         use(server->held, family, FAMILY_BLOCKS * BLOCK_TOKENS);
-        held_parts_fill(server->held, OWN_BLOCKS * BLOCK_TOKENS);
+        cached_parts_fill(server->held, OWN_BLOCKS * BLOCK_TOKENS);
         server->noted_s[family] = now;
     }
     for (unsigned i = 0; i < SERVERS; i++) {
         engine_cache_free(servers[i].engine);
-        held_parts_free(servers[i].held);
+        cached_parts_free(servers[i].held);
     }
     return read;
 }
@@ -287,7 +288,7 @@
 }
 END_TEST
 
-TEST_MAIN("held-parts", what_was_used_least_recently_is_gone_first,
+TEST_MAIN("cached-parts", what_was_used_least_recently_is_gone_first,
           a_size_that_says_nothing_is_left_out,
           what_other_hosts_send_pushes_out_too, beliefs_follow_an_engine,
           less_is_read_again_where_memory_is_short)
--- a/tests/test-part-stores.c
+++ b/tests/test-kv-stores.c
@@ -1,4 +1,4 @@
-#include "../relay/part-stores.h"
+#include "../relay/kv-stores.h"
 #include "test.h"
 
 #include <stdio.h>
@@ -39,19 +39,19 @@
 /* Keep all parts in turn, twice; how many the stores are believed to hold in
  * the end. */
 static unsigned
-parts_kept(part_stores_t *stores)
+parts_kept(kv_stores_t *stores)
 {
     unsigned kept = 0;
     for (unsigned i = 0; i < 2 * PARTS; i++) {
         uint64_t key = part_key(i % PARTS);
-        const held_part_t part = {key, PART_TOKENS, PART_TOKENS};
-        int at = part_stores_for(stores, key);
-        held_parts_use(stores->all[at].held, &part);
+        const cached_part_t part = {key, PART_TOKENS, PART_TOKENS};
+        int at = kv_stores_for(stores, key);
+        cached_parts_use(stores->all[at].held, &part);
     }
     for (unsigned i = 0; i < PARTS; i++) {
         uint64_t key = part_key(i);
         kept +=
-            held_parts_has(stores->all[part_stores_for(stores, key)].held, key)
+            cached_parts_has(stores->all[kv_stores_for(stores, key)].held, key)
                 ? 1
                 : 0;
     }
@@ -63,14 +63,14 @@
  * router used one of them.  All three together hold everything. */
 START_TEST(the_room_of_all_stores_adds_up)
 {
-    part_stores_t stores = {0};
+    kv_stores_t stores = {0};
     relay_config_t *one = config_of(1, 9);
     relay_config_t *three = config_of(3, 9);
-    part_stores_sync(&stores, one);
+    kv_stores_sync(&stores, one);
     ck_assert_uint_lt(parts_kept(&stores), PARTS);
-    part_stores_sync(&stores, three);
+    kv_stores_sync(&stores, three);
     ck_assert_uint_eq(parts_kept(&stores), PARTS);
-    part_stores_free(&stores);
+    kv_stores_free(&stores);
     relay_config_release(one);
     relay_config_release(three);
 }
@@ -80,27 +80,27 @@
  * hold is not forgotten, and only the dropped one's parts move. */
 START_TEST(a_store_that_goes_takes_only_its_own_parts)
 {
-    part_stores_t stores = {0};
+    kv_stores_t stores = {0};
     relay_config_t *three = config_of(3, 9);
     relay_config_t *two = config_of(3, 1);
     char before[PARTS][CS_NAME_MAX];
-    part_stores_sync(&stores, three);
+    kv_stores_sync(&stores, three);
     (void)parts_kept(&stores);
     for (unsigned i = 0; i < PARTS; i++) {
-        int at = part_stores_for(&stores, part_key(i));
+        int at = kv_stores_for(&stores, part_key(i));
         str_copy(before[i], CS_NAME_MAX, stores.all[at].name);
     }
-    part_stores_sync(&stores, two);
-    ck_assert_int_eq(part_stores_named(&stores, "kept-1"), -1);
+    kv_stores_sync(&stores, two);
+    ck_assert_int_eq(kv_stores_named(&stores, "kept-1"), -1);
     for (unsigned i = 0; i < PARTS; i++) {
-        const part_store_t *store =
-            &stores.all[part_stores_for(&stores, part_key(i))];
+        const kv_store_t *store =
+            &stores.all[kv_stores_for(&stores, part_key(i))];
         if (strcmp(before[i], "kept-1") != 0) {
             ck_assert_str_eq(store->name, before[i]);
-            ck_assert(held_parts_has(store->held, part_key(i)));
+            ck_assert(cached_parts_has(store->held, part_key(i)));
         }
     }
-    part_stores_free(&stores);
+    kv_stores_free(&stores);
     relay_config_release(three);
     relay_config_release(two);
 }
@@ -110,22 +110,22 @@
  * for, leaves a router that works. */
 START_TEST(none_and_too_many)
 {
-    part_stores_t stores = {0};
+    kv_stores_t stores = {0};
     relay_config_t *none = config_of(0, 9);
-    relay_config_t *many = config_of(PART_STORES_MAX + 3, 99);
-    part_stores_sync(&stores, none);
-    ck_assert_int_eq(part_stores_for(&stores, 7), -1);
-    part_stores_sync(&stores, many);
+    relay_config_t *many = config_of(KV_STORES_MAX + 3, 99);
+    kv_stores_sync(&stores, none);
+    ck_assert_int_eq(kv_stores_for(&stores, 7), -1);
+    kv_stores_sync(&stores, many);
     for (uint64_t key = 0; key < 100; key++) {
-        ck_assert_int_ge(part_stores_for(&stores, key), 0);
+        ck_assert_int_ge(kv_stores_for(&stores, key), 0);
     }
-    part_stores_sync(&stores, none);
-    ck_assert_int_eq(part_stores_for(&stores, 7), -1);
-    part_stores_free(&stores);
+    kv_stores_sync(&stores, none);
+    ck_assert_int_eq(kv_stores_for(&stores, 7), -1);
+    kv_stores_free(&stores);
     relay_config_release(none);
     relay_config_release(many);
 }
 END_TEST
 
-TEST_MAIN("part-stores", the_room_of_all_stores_adds_up,
+TEST_MAIN("kv-stores", the_room_of_all_stores_adds_up,
           a_store_that_goes_takes_only_its_own_parts, none_and_too_many)
--- a/tests/test-lease.c
+++ b/tests/test-lease.c
@@ -109,7 +109,7 @@
                          .holder = world->holder,
                          .fence = world->fence,
                          .writes = world->writes};
-    lease_seen(lease, &view, world->now_ms);
+    lease_observe(lease, &view, world->now_ms);
 }
 
 static void
@@ -149,14 +149,14 @@
         do_write(world, lease, step == LEASE_CREATE);
     }
     else if (!world->exists) {
-        lease_seen_absent(lease);
+        lease_observe_absent(lease);
     }
     else if (rng_below(&world->rng, 100) < 20 && world->old_revision > 0) {
         lease_view_t view = {.revision = world->old_revision,
                              .holder = world->old_holder,
                              .fence = world->old_fence,
                              .writes = world->old_writes};
-        lease_seen(lease, &view, world->now_ms);
+        lease_observe(lease, &view, world->now_ms);
     }
     else {
         see(world, lease);
@@ -256,22 +256,22 @@
     lease_t lease;
     lease_init(&lease, "b/1", SPAN_MS);
     lease_asked(&lease, LEASE_READ, 10);
-    lease_seen(&lease,
-               &(lease_view_t){
-                   .revision = 7, .holder = "a/1", .fence = 3, .writes = 1},
-               12);
+    lease_observe(&lease,
+                  &(lease_view_t){
+                      .revision = 7, .holder = "a/1", .fence = 3, .writes = 1},
+                  12);
     ck_assert_int_eq(lease_next(&lease, 100), LEASE_IDLE);
-    lease_seen(
+    lease_observe(
         &lease,
         &(lease_view_t){.revision = 8, .holder = "", .fence = 3, .writes = 1},
         900);
     ck_assert_int_eq(lease_next(&lease, 901), LEASE_WRITE);
     lease_asked(&lease, LEASE_WRITE, 901);
     ck_assert_int_eq(lease.wanted_fence, 4);
-    lease_seen(&lease,
-               &(lease_view_t){
-                   .revision = 9, .holder = "b/1", .fence = 4, .writes = 1},
-               905);
+    lease_observe(&lease,
+                  &(lease_view_t){
+                      .revision = 9, .holder = "b/1", .fence = 4, .writes = 1},
+                  905);
     ck_assert(lease_held(&lease, 906));
 }
 END_TEST
@@ -282,13 +282,13 @@
 {
     lease_t lease;
     lease_init(&lease, "a/1", SPAN_MS);
-    lease_seen_absent(&lease);
+    lease_observe_absent(&lease);
     ck_assert_int_eq(lease_next(&lease, 1), LEASE_CREATE);
     lease_asked(&lease, LEASE_CREATE, 1);
-    lease_seen(&lease,
-               &(lease_view_t){
-                   .revision = 1, .holder = "a/1", .fence = 1, .writes = 1},
-               5);
+    lease_observe(&lease,
+                  &(lease_view_t){
+                      .revision = 1, .holder = "a/1", .fence = 1, .writes = 1},
+                  5);
     ck_assert(lease_held(&lease, 100));
     ck_assert(!lease_held(&lease, 5000));
     ck_assert_int_eq(lease_next(&lease, 5000), LEASE_WRITE);
@@ -309,13 +309,13 @@
     lease_view_t first = {
         .revision = 8, .holder = "a/1", .fence = 4, .writes = 1};
     lease_init(&lease, "a/1", SPAN_MS);
-    lease_seen(&lease, &free, 10);
+    lease_observe(&lease, &free, 10);
     lease_asked(&lease, LEASE_WRITE, 1000);
     lease_unanswered(&lease);
     lease_asked(&lease, LEASE_READ, 2000);
-    lease_seen(&lease, &free, 2010);
+    lease_observe(&lease, &free, 2010);
     lease_asked(&lease, LEASE_WRITE, 3500);
-    lease_seen(&lease, &first, 3510);
+    lease_observe(&lease, &first, 3510);
     ck_assert(!lease_held(&lease, 3520));
     ck_assert_int_eq(lease_next(&lease, 3520), LEASE_WRITE);
     lease_asked(&lease, LEASE_WRITE, 3520);
@@ -334,7 +334,7 @@
         lease_t lease;
         lease_init(&lease, "a/1", SPAN_MS);
         lease_take_turn(&lease, rank);
-        lease_seen(&lease, &free, 1000);
+        lease_observe(&lease, &free, 1000);
         lease_asked(&lease, LEASE_READ, 1000);
         at_once += lease_next(&lease, 1010) == LEASE_WRITE;
         ck_assert(rank > 0 || lease_next(&lease, 1010) == LEASE_WRITE);
--- a/tests/test-peers-take.c
+++ b/tests/test-peers-apply.c
@@ -1,4 +1,4 @@
-#include "../relay/peers-take.h"
+#include "../relay/peers-apply.h"
 #include "../relay/cache-source.h"
 #include "test.h"
 
@@ -23,7 +23,7 @@
 {
     servers_free(relay->servers);
     cache_map_free(relay->cache);
-    part_stores_free(&relay->stores);
+    kv_stores_free(&relay->stores);
     free(relay);
 }
 
@@ -44,12 +44,12 @@
     relay_t *relay = relay_with("a", &server);
     peer_fact_t fact = {.key = 5, .tokens = 700, .part = 300, .held = true};
     str_copy(fact.backend, sizeof(fact.backend), "a");
-    peers_take(relay, 1, &fact);
-    ck_assert(held_parts_has(server->held, 5));
+    peers_apply(relay, 1, &fact);
+    ck_assert(cached_parts_has(server->held, 5));
     fact.key = 6;
     fact.part = 0;
-    peers_take(relay, 1, &fact);
-    ck_assert(!held_parts_has(server->held, 6));
+    peers_apply(relay, 1, &fact);
+    ck_assert(!cached_parts_has(server->held, 6));
     ck_assert(cache_map_knows(relay->cache, 6));
     relay_without(relay);
 }
@@ -62,12 +62,12 @@
     server_t *server;
     relay_t *relay = relay_with("a", &server);
     peer_fact_t fact = {.key = 5, .tokens = 700, .part = 300, .held = true};
-    peers_take(relay, 1, &fact);
+    peers_apply(relay, 1, &fact);
     str_copy(fact.backend, sizeof(fact.backend), "b");
-    peers_take(relay, 1, &fact);
+    peers_apply(relay, 1, &fact);
     peer_fact_t load = load_of("b");
-    peers_take(relay, 1, &load);
-    ck_assert(!held_parts_has(server->held, 5));
+    peers_apply(relay, 1, &load);
+    ck_assert(!cached_parts_has(server->held, 5));
     ck_assert(!cache_map_knows(relay->cache, 5));
     relay_without(relay);
 }
@@ -80,27 +80,27 @@
 {
     server_t *server;
     relay_t *relay = relay_with("a", &server);
-    const held_part_t part = {.key = 5, .prompt_tokens = 9, .tokens = 9};
-    held_parts_use(server->held, &part);
+    const cached_part_t part = {.key = 5, .prompt_tokens = 9, .tokens = 9};
+    cached_parts_use(server->held, &part);
     peer_fact_t load = load_of("a");
     load.load.running = 2;
     load.load.at_server = 6;
     str_copy(load.load.version, sizeof(load.load.version), "1");
     str_copy(load.load.loading, sizeof(load.load.loading), "2");
-    peers_take(relay, 1, &load);
+    peers_apply(relay, 1, &load);
     ck_assert_int_gt(server->loading_ms, time_mono_ms());
     ck_assert_int_eq(server_running(server, time_mono_ms()), 2);
     ck_assert_int_eq(server_places_taken(server, time_mono_ms()), 6);
-    ck_assert(held_parts_has(server->held, 5));
+    ck_assert(cached_parts_has(server->held, 5));
     load = load_of("a");
     str_copy(load.load.version, sizeof(load.load.version), "2");
-    peers_take(relay, 1, &load);
+    peers_apply(relay, 1, &load);
     ck_assert_int_eq(server->loading_ms, 0);
-    ck_assert_int_eq(server->said.weights, 2);
-    ck_assert(!held_parts_has(server->held, 5));
+    ck_assert_int_eq(server->info.weights, 2);
+    ck_assert(!cached_parts_has(server->held, 5));
     relay_without(relay);
 }
 END_TEST
 
-TEST_MAIN("peers-take", parts_that_others_use_are_held,
+TEST_MAIN("peers-apply", parts_that_others_use_are_held,
           words_about_strangers_do_nothing, loads_and_weights_of_others_count)
--- a/tests/test-rollout-plan.c
+++ b/tests/test-rollout-plan.c
@@ -30,17 +30,17 @@
     servers_t *servers = servers_new();
     server_t *server = server_add(servers, 1);
     other_load_t said = {.host = 7, .told_ms = 1000, .running = 1};
-    server_other(server, &said);
+    server_peer_load(server, &said);
     server_sent(server, 0, 1000);
     ck_assert(!rollout_may_order(server, 1000, 1100));
     server_done(server);
     ck_assert(!rollout_may_order(server, 1000, 1100));
     said.running = 0;
     said.told_ms = 1150;
-    server_other(server, &said);
+    server_peer_load(server, &said);
     ck_assert(rollout_may_order(server, 1000, 1150));
     said.running = 5;
-    server_other(server, &said);
+    server_peer_load(server, &said);
     ck_assert(!rollout_may_order(server, 1000, 1000 + ROLLOUT_QUIET_MS - 1));
     ck_assert(rollout_may_order(server, 1000, 1000 + ROLLOUT_QUIET_MS));
     servers_free(servers);
@@ -78,7 +78,7 @@
 static void
 step_one(play_server_t *one, int loading, int64_t now)
 {
-    if (one->quiet_ms == 0 || one->server->said.weights == 2) {
+    if (one->quiet_ms == 0 || one->server->info.weights == 2) {
         return;
     }
     if (now >= one->ends_ms && one->server->own_running > 0) {
@@ -93,7 +93,7 @@
                              ? STEP_MS * LOADS_FULL_SPEED / loading
                              : STEP_MS;
     if (one->load_left_ms <= 0) {
-        one->server->said.weights = 2;
+        one->server->info.weights = 2;
         one->server->ordered = false;
     }
 }
@@ -117,14 +117,14 @@
         left = 0;
         begin_picked(servers, all, now);
         for (int i = 0; i < SERVERS; i++) {
-            loading += all[i].loading && all[i].server->said.weights < 2;
+            loading += all[i].loading && all[i].server->info.weights < 2;
             if (all[i].quiet_ms == 0) {
                 all[i].ends_ms = now + 3000;
             }
         }
         for (int i = 0; i < SERVERS; i++) {
             step_one(&all[i], loading, now);
-            left += all[i].server->said.weights < 2;
+            left += all[i].server->info.weights < 2;
         }
         now += STEP_MS;
     }
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -141,7 +141,7 @@
                 server_slot_wait_ms(all[i].server, (int64_t)now);
             candidates[i].rate = 48000;
             candidates[i].cached = i == 0 ? PLAY_SHARED_TOKENS : 0;
-            candidates[i].rank = place_weight(7, all[i].server->said.id);
+            candidates[i].rank = place_weight(7, all[i].server->info.id);
         }
         place_ask_t ask = {.prefix = &shared, .objective = OBJECTIVE_TAIL};
         size_t best =
@@ -163,10 +163,10 @@
     server_entry_t entry = on_old;
     server_t *server = servers_put(servers, &entry);
     ck_assert(!server_is_source(server, 10000));
-    server_heard(server, 10000);
+    server_note_answer(server, 10000);
     ck_assert(server_is_source(server, 11900));
     ck_assert(!server_is_source(server, 12000));
-    server_lives(server, 12000);
+    server_confirm_alive(server, 12000);
     ck_assert(server_is_source(server, 12500));
     server->silent = true;
     ck_assert(!server_is_source(server, 12500));
--- a/tests/test-weights.c
+++ b/tests/test-weights.c
@@ -22,7 +22,7 @@
 START_TEST(a_version_of_unknown_age_is_not_taken_for_new)
 {
     relay_t *relay = relay_of(false);
-    weights_heard(relay, "m", 3, 100000);
+    weights_observe(relay, "m", 3, 100000);
     const weights_t *weights = relay_weights(relay, "m");
     ck_assert_int_eq(weights->version, 3);
     ck_assert_int_ge(weights_older_ms(weights, 2, 108000 - 1300), 8000);
@@ -34,11 +34,11 @@
 START_TEST(a_known_time_goes_before_a_guess)
 {
     relay_t *relay = relay_of(false);
-    weights_heard(relay, "m", 3, 100000);
+    weights_observe(relay, "m", 3, 100000);
     weights_note(relay, "m", 3, 99500);
     const weights_t *weights = relay_weights(relay, "m");
     ck_assert_int_eq(weights_older_ms(weights, 2, 101000), 1500);
-    weights_heard(relay, "m", 3, 100000);
+    weights_observe(relay, "m", 3, 100000);
     ck_assert_int_eq(weights_older_ms(weights, 2, 101000), 1500);
     free(relay);
 }
@@ -50,8 +50,8 @@
 START_TEST(an_older_guess_goes_before_ones_own)
 {
     relay_t *relay = relay_of(false);
-    weights_heard(relay, "m", 3, 107000);
-    weights_guess(relay, "m", 3, 95000);
+    weights_observe(relay, "m", 3, 107000);
+    weights_note_bound(relay, "m", 3, 95000);
     const weights_t *weights = relay_weights(relay, "m");
     ck_assert_int_eq(weights_older_ms(weights, 2, 107000), 12000);
     weights_note(relay, "m", 3, 99900);
@@ -63,7 +63,7 @@
 START_TEST(a_version_that_is_seen_to_be_named_is_new)
 {
     relay_t *relay = relay_of(true);
-    weights_heard(relay, "m", 3, 100000);
+    weights_observe(relay, "m", 3, 100000);
     const weights_t *weights = relay_weights(relay, "m");
     ck_assert_int_eq(weights_older_ms(weights, 2, 103000), 3000);
     ck_assert_int_eq(weights_older_ms(weights, 3, 103000), 0);
@@ -97,8 +97,8 @@
     relay_t *relay = mem_zalloc(sizeof(*relay));
     relay->weights_listed = true;
     relay->settings.weights_ms = 10000;
-    weights_heard(relay, "m1", 1, 1000);
-    weights_heard(relay, "m1", 2, 20000);
+    weights_observe(relay, "m1", 1, 1000);
+    weights_observe(relay, "m1", 2, 20000);
     const weights_t *weights = relay_weights(relay, "m1");
     ck_assert(!weights_expired(weights, 1, 27440, 10000));
     ck_assert(!weights_expired(weights, 1, 29400, 10000));
