Comments of the relay in plain terms

Comments only. Daemons that tell, hear or take somebody's word are now daemons that notify, follow and apply; one comment that told of a run is cut to its reason.

--- a/relay/cache-events.c
+++ b/relay/cache-events.c
@@ -4,8 +4,7 @@
 
 /* The load that this answers: most parts that a cache takes in belong to one
  * request and are asked for by no other.  Announced to all daemons they would
- * cost more than the rest of what daemons tell each other, the more the larger
- * the fleet is. */
+ * cost more than all other messages between them. */
 
 /* Notifies the other daemons of a change that they do not know.  A part that
  * no request is known to ask for is only kept track of. */
--- a/relay/cache-save.c
+++ b/relay/cache-save.c
@@ -50,7 +50,7 @@
         return false;
     }
     if (ask->link_tokens_per_ms <= 0) {
-        return true; /* the configuration does not tell what it takes */
+        return true; /* not configured */
     }
     fill(share, rate, now_ms);
     if (share->credit <= 0 ||
--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -9,7 +9,7 @@
 #define FETCH_START_MS 8.0
 /* A link between data centres takes so much longer. */
 #define FETCH_OTHER_DC 2.0
-/* Taken where the configuration does not tell sizes and links, ms a token. */
+/* Where the configuration has no sizes or links, ms a token. */
 #define FETCH_UNKNOWN_MS 0.01
 #define BITS_PER_BYTE 8.0
 #define SOURCES_MAX 8
@@ -111,7 +111,7 @@
 }
 
 /* What a server, or a kv store, is believed to hold; NULL for a
- * number that is nobody's. */
+ * unused number. */
 static cached_parts_t *
 held_by(const relay_t *relay, uint16_t number)
 {
@@ -182,9 +182,8 @@
     return found;
 }
 
-/* A part that a server is still reading stands in the map under a key of its
- * own: whoever comes to that server next finds it read, but nobody can fetch
- * it yet. */
+/* A part that a server is still reading has a key of its own: the next request
+ * there finds it read, but it cannot be fetched yet. */
 static uint64_t
 pending_key(uint64_t key)
 {
@@ -238,8 +237,8 @@
 }
 
 /* The address at which a server should fetch what it lacks of a prompt, or
- * NULL.  Fetching is quicker than reading.  Where nobody is known to hold
- * more, the kv store (NULL if there is none) is named all the same:
+ * NULL.  Fetching is quicker than reading.  Where no holder of more is
+ * known, the kv store (NULL if there is none) is named all the same:
  * a miss costs a millisecond, another host may have had the part kept, and a
  * server that has dropped what it was believed to hold would read it again. */
 const char *
@@ -272,8 +271,8 @@
 }
 
 /* A server, or a kv store, has used or taken in the parts of a
- * prompt.  Peers are told of the parts that they may be asked for too.  The
- * first part is the last to be dropped, so it is noted last. */
+ * prompt.  Peers are notified of shared parts.  The first part is evicted
+ * last, so it is noted last. */
 void
 cache_note(relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
@@ -335,7 +334,7 @@
     return true;
 }
 
-/* Another daemon says that a server uses or reads a part. */
+/* Applies a peer's notice that a server uses or reads a part. */
 void
 cache_apply(relay_t *relay, const char *holder, const cached_part_t *part)
 {
--- a/relay/cached-parts.c
+++ b/relay/cached-parts.c
@@ -9,7 +9,7 @@
  * kind are made one, which bounds the entries by about two for each part. */
 
 #define BUCKETS 256
-/* Room of a cache whose size nobody has told, tokens: a small engine's. */
+/* Room of a cache of unknown size, tokens: a small engine's. */
 #define ROOM_UNKNOWN_TOKENS 100000
 /* Parts of no tokens cost no room, so the number of entries is bounded too. */
 #define ENTRIES_MAX 16384
--- a/relay/lease.h
+++ b/relay/lease.h
@@ -16,7 +16,7 @@
     LEASE_WRITE   /* take or renew, if the revision still is the one known */
 } lease_step_t;
 
-/* The object as the store tells it. */
+/* The object as the store has it. */
 typedef struct {
     int64_t revision;
     const char *holder; /* empty when it was given back */
--- a/relay/listeners.c
+++ b/relay/listeners.c
@@ -93,7 +93,7 @@
     return ask.fd < 0 ? NULL : http_door_open(relay->base, &ask);
 }
 
-/* Listen for callers, the balancer and whoever gathers metrics. */
+/* Listens for callers, the balancer, other daemons and metrics. */
 int
 listeners_open(relay_t *relay, err_t *err)
 {
--- a/relay/meter.c
+++ b/relay/meter.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Quantiles that are told of each histogram. */
+/* Quantiles that each histogram shows. */
 static const double quantiles[] = {0.5, 0.95, 0.99};
 
 static const char *const outcome_words[METER_OUTCOMES] = {
--- a/relay/meter.h
+++ b/relay/meter.h
@@ -1,7 +1,7 @@
 #ifndef CELERYSPOOL_METER_H
 #define CELERYSPOOL_METER_H
 
-/* What the relay counts, and how it is told: the usual text form. */
+/* The relay's counters and histograms, and their text form. */
 
 #include "../kernel/metrics.h"
 
--- a/relay/object-cache.c
+++ b/relay/object-cache.c
@@ -2,8 +2,8 @@
 
 #include <stdlib.h>
 
-/* Changes of a kind that are remembered for daemons that hear from this one;
- * who is further behind lists anew.  Entries of 112 servers change about ten
+/* Changes of a kind that are kept for followers; one that is further behind
+ * lists anew.  Entries of 112 servers change about ten
  * times a second while weights load: half a minute of them. */
 #define CHANGES_MAX 256
 /* Longest wait for news that is granted, ms. */
@@ -183,7 +183,7 @@
 /* What who watches from a revision is told: a status, with a page for 200, or
  * 0 while there is nothing to tell and its time is not over.  Only the store's
  * own word is passed on: a daemon that is cut off from the store would else
- * hold all that hear from it on what it knows. */
+ * keep its followers on what it has. */
 static int
 look(const object_cache_t *cache, kind_t kind, int64_t from, bool over,
      json_t **page)
@@ -245,8 +245,8 @@
     waiter_try(arg, true);
 }
 
-/* There is news of a kind, or the store was lost or is back: tell those that
- * wait. */
+/* Answers the followers that wait: a kind has changed, or the store was lost
+ * or is back. */
 void
 object_cache_notify(object_cache_t *cache, kind_t kind)
 {
--- a/relay/object-cache.h
+++ b/relay/object-cache.h
@@ -1,9 +1,8 @@
 #ifndef CELERYSPOOL_OBJECT_CACHE_H
 #define CELERYSPOOL_OBJECT_CACHE_H
 
-/* The platform's objects as its store gave them, kept for other daemons: for
- * those that cannot reach the store or start while it is away, as a list; for
- * those that hear from this daemon instead of the store, as watches. */
+/* Caches the platform's objects and serves them to other daemons: lists to
+ * those that cannot reach the store, watches to followers. */
 
 #include "relay.h"
 
--- a/relay/peers-apply.c
+++ b/relay/peers-apply.c
@@ -4,7 +4,8 @@
 #include <stdlib.h>
 
 /* A server that peers say is loading is left alone for this long, ms: a load
- * and the runs before it; the end is told, this bounds a lost datagram. */
+ * and the runs before it. Its end is announced; this bounds a lost datagram.
+ */
 #define LOADING_MS 2500
 
 static void
@@ -41,7 +42,7 @@
     }
 }
 
-/* Take in what another daemon, named by its address, says. */
+/* Applies a fact that another daemon, named by its address, sent. */
 void
 peers_apply(relay_t *relay, uint64_t host, const peer_fact_t *fact)
 {
--- a/relay/peers-apply.h
+++ b/relay/peers-apply.h
@@ -1,7 +1,7 @@
 #ifndef CELERYSPOOL_PEERS_APPLY_H
 #define CELERYSPOOL_PEERS_APPLY_H
 
-/* How the word of other daemons becomes what this one believes of servers. */
+/* Applies other daemons' facts to what is known of servers. */
 
 #include "../kernel/peer-codec.h"
 #include "relay.h"
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -19,14 +19,14 @@
  * bytes a peer. */
 #define DIRECT_MAX 64
 
-/* Peers are told of a change of this many tokens to be read at a server: about
+/* Peers are notified of a change of this many unread tokens at a server: about
  * 40 ms of its time. */
 #define LOAD_STEP_TOKENS 2000
 /* The same of tokens that requests have brought into a server's cache: a small
  * part of the least room that an engine has. */
 #define FILLED_STEP_TOKENS 4000
 
-/* Parts of one server that a daemon that starts is told of at most. */
+/* Parts of one server that are sent to a daemon that starts, at most. */
 #define SNAPSHOT_PARTS_MAX 256
 /* Others that it asks, against lost datagrams. */
 #define ASK_PEERS 2
@@ -230,8 +230,8 @@
     return fact;
 }
 
-/* Tell what a server that is crowded said of its load: each host alone hears
- * from it too seldom to know that others have taken its slots. */
+/* Notifies peers of a crowded server's reported load: each host gets too few
+ * of its answers to know that others have taken its slots. */
 void
 peers_notify_crowded(peers_t *peers, const server_t *server)
 {
@@ -290,8 +290,8 @@
     }
 }
 
-/* Tell what weights a server is on, and which it is loading (0 for none):
- * sooner than the platform's list does, so that no request is sent there in
+/* Notifies peers of a server's weights and of those that it loads (0 for
+ * none), sooner than the platform's list, so that no request is sent there in
  * vain. */
 void
 peers_notify_weights(peers_t *peers, const server_t *server, int64_t loading)
@@ -327,8 +327,8 @@
     return members_duty_rank(peers->members, duty);
 }
 
-/* The address at which another daemon that is alive tells what it knows, in
- * turn; false if there is none. */
+/* The address at which a live daemon serves its objects, in turn; false if
+ * there is none. */
 bool
 peers_any(peers_t *peers, char addr[CS_ADDR_MAX])
 {
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -52,8 +52,8 @@
     char health[CS_NAME_MAX]; /* path of the question whether it is well */
     int slots;                /* of each engine */
     int64_t cache_tokens;     /* memory of each engine or of a kv_store */
-    int64_t token_bytes;      /* cached, of each token; 0 not told */
-    double link_bits_per_ms;  /* for cached parts; 0 not told */
+    int64_t token_bytes;      /* cached, of each token; 0: unknown */
+    double link_bits_per_ms;  /* for cached parts; 0: unknown */
     int listeners;            /* event calls that a server bears at once */
     int connections;          /* that a server takes from all callers */
 } relay_service_t;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -46,7 +46,7 @@
 
 typedef struct {
     int64_t version;
-    int64_t named_ms; /* by the time of day, when a host first heard of it */
+    int64_t named_ms; /* by the time of day, when a host first knew it */
     bool guessed;     /* that time is not known, only a bound */
 } weights_named_t;
 
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -17,19 +17,19 @@
 #define SILENCE_MS 300
 /* A silent server is asked again this often, ms. */
 #define SILENT_AGAIN_MS 500
-/* Another host's word on what it has at a server holds for so long, ms. */
+/* Another host's load at a server is valid for so long, ms. */
 #define OTHER_FRESH_MS 1000
-/* A server of which nobody has heard for so long is not taken for one that
- * others can fetch from, ms. */
+/* A server that has answered no host for so long is not a source to fetch
+ * from, ms. */
 #define LIFE_MS 2000
-/* A server's own word on its load is taken for so long, ms. */
+/* A server's reported load is valid for so long, ms. */
 #define LOAD_FRESH_MS 1000
 /* Time that a request takes a slot where none was seen yet, ms. */
 #define HOLD_UNKNOWN_MS 500.0
 /* Weight of the newest one in the smoothed time. */
 #define HOLD_WEIGHT 0.1
-/* Other hosts are told of a server with this part of its slots taken, and
- * again after so long, ms. */
+/* Peers are notified of a server with this part of its slots taken, and again
+ * after so long, ms. */
 #define CROWDED_PART 0.75
 #define CROWDED_AGAIN_MS 200
 /* How slow a server reads against what is expected of all: weight of the
@@ -70,7 +70,7 @@
     return NULL;
 }
 
-/* The server with a number, or NULL for a number that is nobody's. */
+/* The server with a number, or NULL for an unused one. */
 server_t *
 servers_numbered(const servers_t *servers, uint16_t number)
 {
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -9,7 +9,7 @@
 
 #include <ck_queue.h>
 
-/* Numbers that the cache map can tell apart; the last ones are not servers',
+/* Numbers that the cache map distinguishes; the last ones are not servers',
  * see cache-source.h. */
 #define SERVERS_MAX 1024
 #define SERVER_NUMBERS_MAX (SERVERS_MAX - 8)
@@ -62,17 +62,17 @@
     unsigned seen;      /* count of the list that it was last on */
     int own_running;    /* requests of this host at it */
     double own_unread;  /* their prompt tokens that are not read yet */
-    double told_unread; /* what other hosts were last told of them */
+    double told_unread; /* as other hosts were last notified */
     int told_running;
     cached_parts_t *held; /* what its cache is believed to hold */
     uint32_t
         filled; /* tokens of own requests' own parts, of all time, wraps */
-    uint32_t told_filled; /* the same, as other hosts were told */
+    uint32_t told_filled; /* the same, as last notified */
     other_load_t others[OTHER_HOSTS_MAX];
     int load_running; /* by its own word */
     int load_waiting;
     int64_t load_ms;       /* when it said so, 0 for never */
-    int64_t crowd_told_ms; /* when other hosts were told that it is crowded */
+    int64_t crowd_told_ms; /* when others were last notified of its load */
     double hold_ms;     /* that a request takes a slot from its first token on,
                          * smoothed; 0 unknown */
     unsigned faults;    /* in a row */
--- a/relay/watch-duty.h
+++ b/relay/watch-duty.h
@@ -1,8 +1,8 @@
 #ifndef CELERYSPOOL_WATCH_DUTY_H
 #define CELERYSPOOL_WATCH_DUTY_H
 
-/* Which daemons watch the platform's store, and from which of them the others
- * hear.  No I/O. */
+/* Which daemons watch the platform's store, and which of them the others
+ * follow.  No I/O. */
 
 #include "../kernel/tables.h"
 
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -14,8 +14,7 @@
  * ms. */
 #define BRIEF_WAIT_MS 1000
 #define BRIEF_SLACK_MS 600
-/* Others count as hearing from it for so long behind their last question, ms.
- */
+/* Others count as followers for so long behind their last call, ms. */
 #define SERVING_MS 5000
 /* A daemon that follows another one waits so long for changes, ms, and so much
  * longer for the answer. */
@@ -71,7 +70,7 @@
     bool failed;           /* the last call did not bring an answer */
     bool asks_other;       /* this call goes to any other daemon */
     bool follows;          /* this call goes to one that watches for it */
-    int64_t serving_ms;    /* others hear from this daemon until then */
+    int64_t serving_ms;    /* others follow this daemon until then */
     bool fresh;            /* by the store's own word */
     int64_t alone_ms;      /* it asks the store itself until then */
     unsigned others_asked; /* since the store was last asked */
@@ -115,8 +114,8 @@
     watch_call(arg);
 }
 
-/* What is known is the store's own word or no longer; tell those that hear
- * from this daemon of that and of news. */
+/* Notes whether what is known is current, and notifies followers of that and
+ * of changes. */
 static void
 settle(watch_t *watch, bool fresh, bool news)
 {
@@ -237,9 +236,9 @@
                kind_name(watch->kind), (long long)watch->at);
 }
 
-/* Another daemon told what it knows: taken like a list of the store, which is
- * still asked.  A host that is cut off from the store, or that starts while
- * the store is away, serves by what its peers know. */
+/* Another daemon's list is taken like one of the store, which is still asked.
+ * A host that is cut off from the store, or that starts while the store is
+ * away, serves by what its peers know. */
 static void
 take_other(watch_t *watch, const fetch_result_t *result)
 {
@@ -471,8 +470,7 @@
     return watch->fresh;
 }
 
-/* Others hear from this daemon: its own path to the store is looked at more
- * often. */
+/* Others follow this daemon: it checks its path to the store more often. */
 void
 watch_serves(watch_t *watch)
 {
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -11,7 +11,7 @@
 typedef struct watch watch_t;
 
 typedef struct {
-    /* A whole list is about to be told. */
+    /* A whole list follows. */
     void (*on_list)(void *arg);
     /* An object of the list, or one that has changed or was removed.  Older
      * revisions may come behind newer ones. */
@@ -25,10 +25,10 @@
     /* The address of a daemon that watches the store for this one too; false
      * if it watches for itself. */
     bool (*upstream)(void *arg, char addr[CS_ADDR_MAX]);
-    /* That daemon does not serve; answered tells whether it said so itself. */
+    /* That daemon does not serve; answered: it said so itself. */
     void (*upstream_lost)(void *arg, const char *addr, bool answered);
-    /* News was taken in, or what is known has stopped being the store's own
-     * word: those that hear from this daemon are to be told. */
+    /* Objects have changed, or what is known is no longer current: followers
+     * are to be notified. */
     void (*on_settled)(void *arg);
     void *arg;
 } watch_hooks_t;
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -93,9 +93,9 @@
     weights_put(relay, model, version, named_ms, false);
 }
 
-/* The same where the time is only a bound: another daemon's guess.  It is kept
- * as long as nobody knows better, or a daemon that starts later would guess
- * anew, and later. */
+/* The same where the time is only a bound that another daemon estimated.  It
+ * is kept until the time is known, or a daemon that starts later would
+ * estimate a later one. */
 void
 weights_note_bound(relay_t *relay, const char *model, int64_t version,
                    int64_t named_ms)
@@ -106,9 +106,9 @@
 /* A daemon hears of a version by the store.  What stands in its first list may
  * have been named long before; the lease's object tells when, but for versions
  * that were named while nobody held the lease, as when hosts restart in turn.
- * So it takes half of the time that older weights may be used for over: with
- * none taken off, a daemon that was restarted 1.3 s behind a naming sent a
- * request to replaced weights 10.2 s behind it. */
+ * So it takes half of the time that older weights may be used for over:
+ * otherwise a daemon that restarts behind a naming would use replaced weights
+ * too long. */
 void
 weights_observe(relay_t *relay, const char *model, int64_t version,
                 int64_t wall_ms)
