The stand-in's engines list their caches and tell their events

The check is right and stays; on the users' platform the call exists.

Change: fakes/platform-cache.c answers /kv-list and /kv-events from the prompts that an engine ran, emptied by a load of weights.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -257,6 +257,9 @@
     run->req = req;
     server->running++;
     record_run(server, req);
+    if (server->engine) {
+        server_cache_run(server, req);
+    }
     add_identity(server, req);
     evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                   on_closed, run);
@@ -296,6 +299,7 @@
     (void)fd;
     (void)what;
     load->server->version = load->version;
+    server_cache_clear(load->server);
     load->server->loading = false;
     free(load);
 }
@@ -356,7 +360,8 @@
         add_header(req, HEADER_SERVER_ID, server->id);
         evhttp_send_reply(req, server->draining ? 503 : 200, NULL, NULL);
     }
-    else {
+    else if (!server->engine || path == NULL ||
+             !server_cache_answer(server, req, path)) {
         run_request(server, req);
     }
 }
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -77,6 +77,9 @@
     bool gone;
     server_mode_t mode;
     int64_t version;
+    json_t *cache_held;   /* of an engine: salt/id -> part */
+    json_t *cache_events; /* the oldest first */
+    int64_t cache_next;   /* number of the newest */
     int64_t orders;
     int64_t fence;
     bool loading;
@@ -89,6 +92,10 @@
 
 typedef CK_LIST_HEAD(platform_servers, platform_server) platform_servers_t;
 
+void server_cache_run(platform_server_t *server, struct evhttp_request *req);
+void server_cache_clear(platform_server_t *server);
+bool server_cache_answer(const platform_server_t *server,
+                         struct evhttp_request *req, const char *path);
 platform_server_t *server_open(platform_store_t *store, const char *words,
                                FILE *record);
 int server_command(platform_server_t *server, const json_t *command);
