Limits of workspaces are held over all hosts

Change: relay/quota.c keeps a token bucket for each limited workspace, for all hosts in touch together. A host subtracts what it spends itself and what the others announce (a datagram each 200 ms, sooner when much was spent); what was spent twice meanwhile becomes a debt. Between two words the others are expected to go on as before. A host that is silent may only be cut off, so the others keep to their part of each limit until it is gone for 15 s; a host that has just started begins with what the bounds allow beyond a limit, never with a burst. A request is charged when it comes, given back if it surely has not run, charged again if it runs once more; it is refused at once by 429, with the time at which the bucket will have its tokens behind the callers that were told before it.

--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -7,6 +7,10 @@
 #define MEMBER_FIELDS 9
 #define LOAD_FIELDS 10
 #define CACHE_FIELDS 5
+#define USAGE_FIELDS 3
+#define MEMBERS_FIELDS 5
+#define FACTS_FIELDS 2
+#define QUOTAS_FIELDS 4
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -55,6 +59,48 @@
     (void)msgpack_pack_int(packer, fact->load.at_server);
 }
 
+static void
+pack_members(msgpack_packer *packer, const member_message_t *message)
+{
+    (void)msgpack_pack_array(packer, MEMBERS_FIELDS);
+    (void)msgpack_pack_int(packer, PEER_MEMBERS);
+    (void)msgpack_pack_array(packer, message->count);
+    for (size_t i = 0; i < message->count; i++) {
+        pack_member(packer, &message->records[i]);
+    }
+    (void)msgpack_pack_int(packer, (int)message->kind);
+    (void)msgpack_pack_uint64(packer, message->sequence);
+    pack_text(packer, message->target);
+}
+
+static void
+pack_facts(msgpack_packer *packer, const peer_datagram_t *datagram)
+{
+    (void)msgpack_pack_array(packer, FACTS_FIELDS);
+    (void)msgpack_pack_int(packer, PEER_FACTS);
+    (void)msgpack_pack_array(packer, datagram->fact_count);
+    for (size_t i = 0; i < datagram->fact_count; i++) {
+        pack_fact(packer, &datagram->facts[i]);
+    }
+}
+
+static void
+pack_quotas(msgpack_packer *packer, const peer_datagram_t *datagram)
+{
+    (void)msgpack_pack_array(packer, QUOTAS_FIELDS);
+    (void)msgpack_pack_int(packer, PEER_QUOTAS);
+    (void)msgpack_pack_array(packer, datagram->usage_count);
+    for (size_t i = 0; i < datagram->usage_count; i++) {
+        const peer_usage_t *usage = &datagram->usages[i];
+        (void)msgpack_pack_array(packer, USAGE_FIELDS);
+        (void)msgpack_pack_uint64(packer, usage->workspace);
+        (void)msgpack_pack_uint64(packer, usage->spent);
+        (void)msgpack_pack_uint64(packer, usage->recent);
+    }
+    (void)msgpack_pack_uint64(packer, datagram->incarnation);
+    (void)msgpack_pack_uint64(packer, datagram->sequence);
+}
+
 /* Encode a datagram; its length, or 0 where it would not fit. */
 size_t
 peer_encode(const peer_datagram_t *datagram, const unsigned char *secret,
@@ -64,23 +110,16 @@
     msgpack_packer packer;
     msgpack_sbuffer_init(&buffer);
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    bool members = datagram->kind == PEER_MEMBERS;
-    size_t count = members ? datagram->members.count : datagram->fact_count;
-    (void)msgpack_pack_array(&packer, members ? 5 : 2);
-    (void)msgpack_pack_int(&packer, (int)datagram->kind);
-    (void)msgpack_pack_array(&packer, count);
-    for (size_t i = 0; i < count; i++) {
-        if (members) {
-            pack_member(&packer, &datagram->members.records[i]);
-        }
-        else {
-            pack_fact(&packer, &datagram->facts[i]);
-        }
-    }
-    if (members) {
-        (void)msgpack_pack_int(&packer, (int)datagram->members.kind);
-        (void)msgpack_pack_uint64(&packer, datagram->members.sequence);
-        pack_text(&packer, datagram->members.target);
+    switch (datagram->kind) {
+        case PEER_MEMBERS:
+            pack_members(&packer, &datagram->members);
+            break;
+        case PEER_FACTS:
+            pack_facts(&packer, datagram);
+            break;
+        case PEER_QUOTAS:
+            pack_quotas(&packer, datagram);
+            break;
     }
     size_t len = 0;
     if (buffer.size + PEER_MAC_BYTES <= PEER_DATAGRAM_MAX) {
@@ -184,25 +223,53 @@
            take_int(&at[9], &load->at_server);
 }
 
+static bool
+take_count(const msgpack_object *object, uint32_t *out)
+{
+    uint64_t value;
+    bool good = take_unsigned(object, &value) && value <= UINT32_MAX;
+    *out = good ? (uint32_t)value : 0;
+    return good;
+}
+
+static bool
+take_usage(const msgpack_object *object, peer_usage_t *usage)
+{
+    const msgpack_object *at = object->via.array.ptr;
+    return object->type == MSGPACK_OBJECT_ARRAY &&
+           object->via.array.size == USAGE_FIELDS &&
+           take_unsigned(&at[0], &usage->workspace) &&
+           take_count(&at[1], &usage->spent) &&
+           take_count(&at[2], &usage->recent);
+}
+
+/* Decode one entry of a datagram's list. */
+static bool
+take_entry(peer_datagram_t *datagram, const msgpack_object *at, size_t i)
+{
+    switch (datagram->kind) {
+        case PEER_MEMBERS:
+            datagram->members.count = i + 1;
+            return i < MEMBER_RECORDS_MAX &&
+                   take_member(at, &datagram->members.records[i]);
+        case PEER_FACTS:
+            datagram->fact_count = i + 1;
+            return i < PEER_FACTS_MAX && take_fact(at, &datagram->facts[i]);
+        case PEER_QUOTAS:
+            datagram->usage_count = i + 1;
+            return i < PEER_USAGES_MAX && take_usage(at, &datagram->usages[i]);
+    }
+    return false;
+}
+
 static int
 take_list(peer_datagram_t *datagram, const msgpack_object *list)
 {
     size_t count = list->via.array.size;
     for (size_t i = 0; i < count; i++) {
-        const msgpack_object *at = &list->via.array.ptr[i];
-        if (datagram->kind == PEER_MEMBERS) {
-            if (i == MEMBER_RECORDS_MAX ||
-                !take_member(at, &datagram->members.records[i])) {
-                return -1;
-            }
-            datagram->members.count = i + 1;
-        }
-        else if (i == PEER_FACTS_MAX || !take_fact(at, &datagram->facts[i])) {
+        if (!take_entry(datagram, &list->via.array.ptr[i], i)) {
             return -1;
         }
-        else {
-            datagram->fact_count = i + 1;
-        }
     }
     return 0;
 }
@@ -230,10 +297,14 @@
         return -1;
     }
     datagram->kind = (peer_kind_t)kind;
-    bool members = kind == PEER_MEMBERS && root->via.array.size == 5 &&
+    uint32_t size = root->via.array.size;
+    bool members = kind == PEER_MEMBERS && size == MEMBERS_FIELDS &&
                    take_member_head(datagram, at);
-    bool facts = kind == PEER_FACTS && root->via.array.size == 2;
-    return members || facts ? take_list(datagram, &at[1]) : -1;
+    bool facts = kind == PEER_FACTS && size == FACTS_FIELDS;
+    bool quotas = kind == PEER_QUOTAS && size == QUOTAS_FIELDS &&
+                  take_unsigned(&at[2], &datagram->incarnation) &&
+                  take_unsigned(&at[3], &datagram->sequence);
+    return members || facts || quotas ? take_list(datagram, &at[1]) : -1;
 }
 
 /* Decode a datagram; -1 for one that another key made or that is malformed,
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -9,7 +9,10 @@
 #define PEER_FACTS_MAX 64
 #define PEER_MAC_BYTES 16
 
-typedef enum { PEER_MEMBERS = 1, PEER_FACTS = 2 } peer_kind_t;
+/* Workspaces of one announcement at most. */
+#define PEER_USAGES_MAX 256
+
+typedef enum { PEER_MEMBERS = 1, PEER_FACTS = 2, PEER_QUOTAS = 3 } peer_kind_t;
 
 /* A load report or a change of a cache entry, by the server's name. */
 typedef struct {
@@ -22,11 +25,22 @@
     bool held;
 } peer_fact_t;
 
+/* What the sender has spent of a workspace's limit. */
+typedef struct {
+    uint64_t workspace; /* hash of its name */
+    uint32_t spent;     /* of the sender's lifetime, wraps */
+    uint32_t recent;    /* since its last announcement, wraps below 0 */
+} peer_usage_t;
+
 typedef struct {
     peer_kind_t kind;
     member_message_t members;
     peer_fact_t facts[PEER_FACTS_MAX];
     size_t fact_count;
+    peer_usage_t usages[PEER_USAGES_MAX];
+    size_t usage_count;
+    uint64_t incarnation; /* of an announcement's sender */
+    uint64_t sequence;
 } peer_datagram_t;
 
 size_t peer_encode(const peer_datagram_t *datagram,
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -26,6 +26,9 @@
     double retry_ratio;
     double retry_slack;
     double retry_window_s;
+    double quota_window_s;
+    double quota_overage;
+    double quota_slack;
     int hosts;
     int log_level;
     char event_log[256];
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -16,6 +16,22 @@
 
 /* ---- configuration ---- */
 
+/* The limits of the workspaces that the configuration names. */
+static void
+set_quotas(relay_t *relay)
+{
+    const relay_config_t *config = relay->config;
+    int64_t now = time_mono_ms();
+    quotas_config_begin(&relay->quotas);
+    for (size_t i = 0; i < config->workspace_count; i++) {
+        const workspace_entry_t *workspace = &config->workspaces[i];
+        const quota_limit_t limit = {workspace->limit_rate,
+                                     workspace->limit_burst};
+        quotas_config_set(&relay->quotas, workspace->name, &limit, now);
+    }
+    quotas_config_end(&relay->quotas);
+}
+
 /* A daemon only ever goes up in revisions: lists and watches may tell an
  * older state behind a newer one. */
 static void
@@ -47,6 +63,7 @@
     relay_config_release(relay->config);
     relay->config = config;
     cache_rooms(relay);
+    set_quotas(relay);
 }
 
 static void
--- a/relay/peer-discovery.c
+++ b/relay/peer-discovery.c
@@ -20,12 +20,15 @@
     for (size_t i = 0; i < page.count; i++) {
         if (platform_peer_read(&page.objects[i], addr, sizeof(addr)) == 0) {
             members_seed(look->members, addr);
+            look->on_listed(look->arg, addr);
         }
     }
     log_record(LOG_INFO, "peers", "listed", "daemons=%zu", page.count);
     platform_page_free(&page);
 }
 
+static void look_call(peer_discovery_t *look);
+
 static void
 on_done(void *arg, const fetch_result_t *result)
 {
@@ -40,13 +43,13 @@
         case LOOK_WRITE:
             if (result->status == 409) {
                 look->step = LOOK_REPLACE;
-                look->next_ms = now;
+                look_call(look);
             }
             /* fallthrough */
         case LOOK_REPLACE:
             if (result->status == 200 || result->status == 201) {
                 look->step = LOOK_LIST;
-                look->next_ms = now;
+                look_call(look);
             }
             return;
         case LOOK_LIST:
--- a/relay/peer-discovery.h
+++ b/relay/peer-discovery.h
@@ -14,6 +14,9 @@
     const settings_t *settings;
     exchanges_t *exchanges;
     members_t *members; /* what is found becomes a seed */
+    /* Another daemon is listed at this address. */
+    void (*on_listed)(void *arg, const char *addr);
+    void *arg;
     look_step_t step;
     int64_t next_ms;
     fetch_t *fetch;
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -58,6 +58,15 @@
     return evutil_parse_sockaddr_port(text, (struct sockaddr *)out, &len);
 }
 
+static void
+send_bytes(peers_t *peers, const struct sockaddr_in *to,
+           const unsigned char *data, size_t len)
+{
+    (void)sendto(peers->fd, data, len, MSG_DONTWAIT,
+                 (const struct sockaddr *)to, sizeof(*to));
+    peers->bytes_sent += len;
+}
+
 static void
 send_datagram(peers_t *peers, const char *addr,
               const peer_datagram_t *datagram)
@@ -68,9 +77,22 @@
     if (len == 0 || addr_of(addr, &to) != 0) {
         return;
     }
-    (void)sendto(peers->fd, data, len, MSG_DONTWAIT, (struct sockaddr *)&to,
-                 sizeof(to));
-    peers->bytes_sent += len;
+    send_bytes(peers, &to, data, len);
+}
+
+/* A daemon as one number. */
+static uint64_t
+host_of(const struct sockaddr_in *addr)
+{
+    return (uint64_t)addr->sin_addr.s_addr << 16 | addr->sin_port;
+}
+
+static struct sockaddr_in
+addr_of_host(uint64_t host)
+{
+    return (struct sockaddr_in){.sin_family = AF_INET,
+                                .sin_port = (in_port_t)host,
+                                .sin_addr = {(in_addr_t)(host >> 16)}};
 }
 
 static void
@@ -155,7 +177,7 @@
     (void)what;
     while ((len = recvfrom(fd, data, sizeof(data), MSG_DONTWAIT,
                            (struct sockaddr *)&from, &from_len)) > 0) {
-        uint64_t host = (uint64_t)from.sin_addr.s_addr << 16 | from.sin_port;
+        uint64_t host = host_of(&from);
         peer_datagram_t *datagram = &peers->taken;
         if (peer_decode(datagram, peers->secret, data, (size_t)len) != 0) {
             log_warn("peers", "A datagram cannot be read.");
@@ -165,6 +187,11 @@
             send_all(peers, &from);
             continue;
         }
+        if (datagram->kind == PEER_QUOTAS) {
+            quotas_apply(&peers->relay->quotas, host, datagram,
+                         time_mono_ms());
+            continue;
+        }
         if (datagram->kind == PEER_FACTS) {
             for (size_t i = 0; i < datagram->fact_count; i++) {
                 peers_apply(peers->relay, host, &datagram->facts[i]);
@@ -239,6 +266,53 @@
         server->load_running + server->load_waiting;
 }
 
+/* ---- limits of workspaces ---- */
+
+/* A daemon at an address may spend of the workspaces' limits. */
+static void
+note_spender(void *arg, const char *addr)
+{
+    peers_t *peers = arg;
+    struct sockaddr_in at;
+    if (addr_of(addr, &at) == 0 &&
+        strcmp(addr, peers->relay->settings.peer) != 0) {
+        quotas_host_known(&peers->relay->quotas, host_of(&at), time_mono_ms());
+    }
+}
+
+static void
+note_members(peers_t *peers)
+{
+    member_t members[QUOTA_HOSTS_MAX];
+    size_t count = members_list(peers->members, members, QUOTA_HOSTS_MAX);
+    for (size_t i = 0; i < count; i++) {
+        if (members[i].health != MEMBER_DEAD) {
+            note_spender(peers, members[i].peer);
+        }
+    }
+}
+
+/* Tells all hosts that may spend what this one has spent. */
+static void
+announce_quotas(peers_t *peers, int64_t now)
+{
+    quotas_t *quotas = &peers->relay->quotas;
+    unsigned char data[PEER_DATAGRAM_MAX];
+    quotas_tick(quotas, now);
+    if (!quotas_announce(quotas, &peers->taken, now)) {
+        return;
+    }
+    size_t len = peer_encode(&peers->taken, peers->secret, data);
+    for (size_t i = 0; i < QUOTA_HOSTS_MAX && len > 0; i++) {
+        if (quotas->hosts[i].host != 0) {
+            struct sockaddr_in to = addr_of_host(quotas->hosts[i].host);
+            send_bytes(peers, &to, data, len);
+        }
+    }
+}
+
+/* ---- what others know ---- */
+
 /* Ask a few others for what they know, once they are found. */
 static void
 ask_all(peers_t *peers)
@@ -413,11 +487,13 @@
     }
     notify_loads(peers, now);
     flush_facts(peers);
+    announce_quotas(peers, now);
     if (now < peers->next_beat_ms) {
         return;
     }
     peers->next_beat_ms = now + members_interval_ms();
     share_retries(peers, now);
+    note_members(peers);
     members_tick(peers->members, now,
                  relay->config != NULL ? relay->config->revision : 0,
                  relay->stopping_ms != 0 ? MEMBER_LEAVING : MEMBER_LIVE,
@@ -486,6 +562,8 @@
     relay->notify_part = notify_part;
     peers->look = (peer_discovery_t){.settings = &relay->settings,
                                      .exchanges = relay->exchanges,
-                                     .members = peers->members};
+                                     .members = peers->members,
+                                     .on_listed = note_spender,
+                                     .arg = peers};
     return peers;
 }
--- /dev/null
+++ b/relay/quota.h
@@ -0,0 +1,116 @@
+#ifndef CELERYSPOOL_QUOTA_H
+#define CELERYSPOOL_QUOTA_H
+
+/* Rate limits of workspaces, in tokens or requests, over all hosts together.
+ * No I/O and no clock. */
+
+#include "../kernel/peer-codec.h"
+
+#include <ck_queue.h>
+
+#define QUOTA_HOSTS_MAX 512
+#define QUOTA_BUCKETS 1024
+
+typedef struct {
+    double rate;  /* units a second; 0 for no limit */
+    double burst; /* units */
+} quota_limit_t;
+
+/* How far all hosts together may exceed a limit: in any window, the limit
+ * times (1 + overage), plus slack. */
+typedef struct {
+    double window_s;
+    double overage;
+    double slack; /* units */
+} quota_bounds_t;
+
+typedef struct {
+    bool allowed;
+    int64_t after_ms; /* when to come back, 0 where it never fits */
+} quota_verdict_t;
+
+/* What one other host has said of a workspace. */
+typedef struct {
+    uint32_t spent;   /* of its lifetime, wraps */
+    unsigned contact; /* in which it said so; 0 for none */
+} quota_heard_t;
+
+typedef struct quota {
+    CK_SLIST_ENTRY(quota) entry;
+    uint64_t workspace; /* hash of its name */
+    char name[CS_NAME_MAX];
+    quota_limit_t limit;
+    unsigned round;     /* of the configuration that it was last in */
+    double level;       /* left for the hosts in touch; negative for a debt */
+    int64_t level_ms;   /* when that was */
+    uint32_t spent;     /* by this host, of its lifetime, wraps */
+    uint32_t told;      /* the same, as last announced */
+    double booked;      /* of callers that were told when to come back */
+    double others_rate; /* spent by other hosts, units a ms */
+    double others_sum;  /* the same, of the present slice */
+    int64_t slice_ms;   /* begin of that slice */
+    quota_heard_t *heard; /* by number of host; NULL until one has spoken */
+    uint64_t allowed;
+    uint64_t refused;
+} quota_t;
+
+/* Another host that may spend. */
+typedef struct {
+    uint64_t host; /* its address; 0 for a free place */
+    int64_t known_ms;
+    int64_t heard_ms; /* 0 for never */
+    uint64_t incarnation;
+    uint64_t sequence;
+    unsigned contact; /* span without silence or restart, unique */
+    bool fresh;
+} quota_host_t;
+
+typedef struct {
+    CK_SLIST_HEAD(quota_bucket, quota) buckets[QUOTA_BUCKETS];
+    quota_bounds_t bounds;
+    quota_host_t hosts[QUOTA_HOSTS_MAX];
+    size_t host_count; /* known ones */
+    size_t fresh_count;
+    int64_t heard_sum_ms; /* of the hosts in touch */
+    double part;          /* of each limit that the hosts in touch may spend */
+    int64_t started_ms;
+    unsigned contacts; /* so far */
+    size_t count;
+    unsigned round;
+    uint64_t incarnation;
+    uint64_t sequence;
+    size_t next_bucket; /* of the next announcement */
+    int64_t announced_ms;
+} quotas_t;
+
+void quotas_init(quotas_t *quotas, const quota_bounds_t *bounds,
+                 uint64_t incarnation, int64_t now_ms);
+void quotas_free(quotas_t *quotas);
+
+/* A configuration is in force: begin, set for each limited workspace, end.
+ * Workspaces that were not set have no limit any more. */
+void quotas_config_begin(quotas_t *quotas);
+void quotas_config_set(quotas_t *quotas, const char *workspace,
+                       const quota_limit_t *limit, int64_t now_ms);
+void quotas_config_end(quotas_t *quotas);
+
+quota_t *quotas_find(const quotas_t *quotas, const char *workspace);
+quota_verdict_t quota_ask(quotas_t *quotas, quota_t *quota, double cost,
+                          int64_t now_ms);
+void quota_spend(quotas_t *quotas, quota_t *quota, double cost,
+                 int64_t now_ms);
+void quota_return(quotas_t *quotas, quota_t *quota, double cost,
+                  int64_t now_ms);
+double quota_available(quotas_t *quotas, quota_t *quota, int64_t now_ms);
+double quota_unseen(const quotas_t *quotas, const quota_t *quota,
+                    int64_t now_ms);
+
+/* Other hosts. */
+void quotas_host_known(quotas_t *quotas, uint64_t host, int64_t now_ms);
+void quotas_tick(quotas_t *quotas, int64_t now_ms);
+int64_t quotas_interval_ms(const quotas_t *quotas);
+bool quotas_announce(quotas_t *quotas, peer_datagram_t *out, int64_t now_ms);
+void quotas_apply(quotas_t *quotas, uint64_t host,
+                  const peer_datagram_t *datagram, int64_t now_ms);
+
+#endif
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -58,10 +58,17 @@
     int connections;          /* that a server takes from all callers */
 } relay_service_t;
 
+/* What a workspace's limit counts. */
+typedef enum { LIMIT_REQUESTS, LIMIT_TOKENS } limit_unit_t;
+
 typedef struct workspace_entry {
     char name[CS_NAME_MAX];
-    bool isolated;     /* shares no cached part with another workspace */
-    bool has_priority; /* which then goes before the route's */
+    limit_unit_t limit_unit;
+    double limit_rate;   /* units a second over all hosts; 0 for no limit */
+    double limit_burst;  /* units at once */
+    double plain_tokens; /* of a request that names none */
+    bool isolated;       /* shares no cached part with another workspace */
+    bool has_priority;   /* which then goes before the route's */
     int priority;
 } workspace_entry_t;
 
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -48,6 +48,26 @@
             server->own_running);
 }
 
+/* What this daemon knows of the workspaces' limits. */
+static void
+quota_metrics(const quotas_t *quotas, buf_t *out)
+{
+    meter_gauge(out, "quota_hosts", (double)quotas->host_count + 1);
+    meter_gauge(out, "quota_hosts_in_touch", (double)quotas->fresh_count + 1);
+    for (size_t i = 0; i < QUOTA_BUCKETS; i++) {
+        const quota_t *quota;
+        CK_SLIST_FOREACH (quota, &quotas->buckets[i], entry) {
+            buf_fmt(out,
+                    "celeryspool_quota_left{workspace=\"%s\"} %.0f\n"
+                    "celeryspool_quota_allowed_total{workspace=\"%s\"} %llu\n"
+                    "celeryspool_quota_refused_total{workspace=\"%s\"} %llu\n",
+                    quota->name, quota->level, quota->name,
+                    (unsigned long long)quota->allowed, quota->name,
+                    (unsigned long long)quota->refused);
+        }
+    }
+}
+
 /* Counters, histograms and what this daemon believes, as text. */
 void
 relay_metrics(const relay_t *relay, buf_t *out)
@@ -77,6 +97,7 @@
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         server_metrics(server, now, out);
     }
+    quota_metrics(&relay->quotas, out);
 }
 
 static void
@@ -194,6 +215,11 @@
     CK_LIST_INIT(&relay->requests);
     relay->servers = servers_new();
     relay->cache = cache_map_new(CACHE_LEVELS);
+    const quota_bounds_t bounds = {.window_s = settings->quota_window_s,
+                                   .overage = settings->quota_overage,
+                                   .slack = settings->quota_slack};
+    quotas_init(&relay->quotas, &bounds, (uint64_t)time_wall_ms(),
+                time_mono_ms());
     retry_shares_init(&relay->retries, settings->retry_ratio,
                       (int64_t)(settings->retry_window_s * 1000));
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -11,6 +11,7 @@
 #include "../kernel/settings.h"
 #include "../kernel/tables.h"
 #include "meter.h"
+#include "quota.h"
 #include "kv-stores.h"
 #include "relay-config.h"
 #include "retry-share.h"
@@ -89,6 +90,7 @@
     part_notify_t notify_part;
     cache_follows_t *cache_follows;
     retry_shares_t retries;
+    quotas_t quotas;
 
     rng_t rng;
     uint64_t turn;
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -564,6 +564,9 @@
         cache_note_pending(relay, &request->prefix, server->number);
     }
     note_tried(request, server);
+    if (request->ran > 0) {
+        request_charge_again(request);
+    }
     if (request->sends++ > 0) {
         relay->meter.retries++;
         retry_share_spend(&relay->retries, request->service, request->sent_ms);
--- a/relay/request.h
+++ b/relay/request.h
@@ -61,6 +61,7 @@
     int64_t sent_ms;
     int64_t began_ms; /* its first event from this server was there */
     prefix_t prefix;
+    double charged;  /* of its workspace's limit */
     double unread;   /* tokens of its prompt that the server must read */
     uint32_t cached; /* tokens that it need not read, as far as is known */
     bool saves;      /* it has the kv store take the prompt */
@@ -87,6 +88,7 @@
 void request_deliver(request_t *request, meter_outcome_t outcome,
                      const char *word);
 void request_refuse(request_t *request, const char *why, int64_t after_ms);
+void request_charge_again(request_t *request);
 void request_fail(request_t *request, int status, const char *why);
 void request_salt(const request_t *request, int64_t weights,
                   char out[CS_ID_LEN + 1]);
--- a/tests/relay-lib.sh
+++ b/tests/relay-lib.sh
@@ -40,6 +40,11 @@
     admin object/versions/m1 '{"model":"m1","version":1}'
 }
 
+# limited_config VERSION UNIT RATE BURST: workspace ws1 has a limit
+limited_config() {
+    relay_config "$1" | sed "s/{\"name\":\"ws1\"/&,\"unit\":\"$2\",\"rate_per_s\":$3,\"burst\":$4,\"uncached_tokens\":200/"
+}
+
 relay_settings() {
     cat <<INI
 [daemon]
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -322,9 +322,34 @@
 }
 END_TEST
 
+START_TEST(announcements_of_quotas_arrive_as_sent)
+{
+    static peer_datagram_t datagram;
+    static peer_datagram_t out;
+    unsigned char data[PEER_DATAGRAM_MAX];
+    datagram = (peer_datagram_t){
+        .kind = PEER_QUOTAS, .incarnation = 1ULL << 40, .sequence = 3};
+    for (size_t i = 0; i < PEER_USAGES_MAX; i++) {
+        datagram.usages[i] = (peer_usage_t){
+            UINT64_MAX - i, UINT32_MAX - (uint32_t)i, (uint32_t)-5};
+    }
+    datagram.usage_count = PEER_USAGES_MAX;
+    size_t len = peer_encode(&datagram, secret, data);
+    ck_assert_uint_gt(len, 0);
+    ck_assert_int_eq(peer_decode(&out, secret, data, len), 0);
+    ck_assert_int_eq(out.kind, PEER_QUOTAS);
+    ck_assert_uint_eq(out.incarnation, datagram.incarnation);
+    ck_assert_uint_eq(out.sequence, 3);
+    ck_assert_uint_eq(out.usage_count, PEER_USAGES_MAX);
+    ck_assert_int_eq(memcmp(out.usages, datagram.usages, sizeof(out.usages)),
+                     0);
+}
+END_TEST
+
 TEST_MAIN("members", four_daemons, sixteen_daemons, sixty_four_daemons,
           three_hundred_and_fifty_daemons,
           a_duty_falls_to_one_live_member_and_moves_when_it_dies,
           a_herd_that_starts_at_once_knows_itself_soon,
           all_members_agree_on_the_order_for_a_duty,
+          announcements_of_quotas_arrive_as_sent,
           forged_and_damaged_datagrams_are_refused)
--- a/tests/test-relay-config.c
+++ b/tests/test-relay-config.c
@@ -79,6 +79,53 @@
 }
 END_TEST
 
+static const char limited[] =
+    "{\"version\":1,\"routes\":[],\"tenants\":["
+    "{\"name\":\"t1\",\"unit\":\"tokens\",\"rate_per_s\":36000.5,"
+    "\"burst\":40000,\"uncached_tokens\":200},"
+    "{\"name\":\"t2\",\"rate_per_s\":20,\"burst\":30},"
+    "{\"name\":\"t3\",\"rate_per_s\":0},"
+    "{\"name\":\"t4\",\"rate_per_s\":null}]}";
+
+START_TEST(limits_of_workspaces_are_read)
+{
+    err_t err = {0};
+    relay_config_t *config = config_of(limited, &err);
+    ck_assert_ptr_nonnull(config);
+    const workspace_entry_t *workspaces = config->workspaces;
+    ck_assert_int_eq(workspaces[0].limit_unit, LIMIT_TOKENS);
+    ck_assert_double_eq(workspaces[0].limit_rate, 36000.5);
+    ck_assert_double_eq(workspaces[0].limit_burst, 40000);
+    ck_assert_double_eq(workspaces[0].plain_tokens, 200);
+    ck_assert_int_eq(workspaces[1].limit_unit, LIMIT_REQUESTS);
+    ck_assert_double_eq(workspaces[1].limit_rate, 20);
+    ck_assert_double_eq(workspaces[2].limit_rate, 0);
+    ck_assert_double_eq(workspaces[3].limit_rate, 0);
+    relay_config_release(config);
+}
+END_TEST
+
+/* Guards against a limit that cannot be read being taken for none. */
+START_TEST(limits_that_are_no_numbers_are_refused)
+{
+    static const char *const wrong[][2] = {{"rate_per_s", "\"10\""},
+                                           {"rate_per_s", "-1"},
+                                           {"burst", "[]"},
+                                           {"uncached_tokens", "true"}};
+    for (size_t i = 0; i < sizeof(wrong) / sizeof(wrong[0]); i++) {
+        err_t err = {0};
+        char spec[256];
+        (void)snprintf(spec, sizeof(spec),
+                       "{\"version\":1,\"routes\":[],\"tenants\":"
+                       "[{\"name\":\"t1\",\"%s\":%s}]}",
+                       wrong[i][0], wrong[i][1]);
+        ck_assert_ptr_null(config_of(spec, &err));
+        ck_assert_ptr_nonnull(strstr(err.text, "t1"));
+        ck_assert_ptr_nonnull(strstr(err.text, wrong[i][0]));
+    }
+}
+END_TEST
+
 START_TEST(a_split_follows_its_weights)
 {
     err_t err = {0};
@@ -246,7 +293,8 @@
 END_TEST
 
 TEST_MAIN("relay-config", the_longest_prefix_of_the_host_counts,
-          fields_are_what_they_say, a_split_follows_its_weights,
+          fields_are_what_they_say, limits_of_workspaces_are_read,
+          limits_that_are_no_numbers_are_refused, a_split_follows_its_weights,
           what_cannot_be_read_whole_is_refused,
           a_foreign_entry_names_no_server, damaged_pages_do_no_harm,
           bytes_that_are_no_text_spoil_one_entry_only,
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -113,8 +113,43 @@
     const char *value;
 } filled_t;
 
-/* The template with the given values in place of its names; the section of
- * seeds is left empty.  A name that is not listed gets "1". */
+/* The value of a name of the template, or NULL. */
+static const char *
+value_of(const filled_t *values, size_t count, const char *name, size_t len)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strlen(values[i].name) == len &&
+            strncmp(values[i].name, name, len) == 0) {
+            return values[i].value;
+        }
+    }
+    return NULL;
+}
+
+/* Renders a section, whose text is between its two tags, if its name has a
+ * value; returns what follows it. */
+static const char *
+render_section(const filled_t *values, size_t count, const char *open,
+               buf_t *out)
+{
+    const char *close = strstr(open, "}}");
+    size_t len = (size_t)(close - open) - 3;
+    char tag[64];
+    (void)snprintf(tag, sizeof(tag), "{{/%.*s}}", (int)len, open + 3);
+    const char *end = strstr(close, tag);
+    ck_assert_ptr_nonnull(end);
+    const char *value = value_of(values, count, open + 3, len);
+    const char *dot = strstr(close, "{{.}}");
+    if (value != NULL && dot != NULL && dot < end) {
+        buf_add(out, close + 2, (size_t)(dot - close) - 2);
+        buf_str(out, value);
+        buf_add(out, dot + 5, (size_t)(end - dot) - 5);
+    }
+    return end + strlen(tag);
+}
+
+/* The template with the given values in place of its names; a section of a
+ * name that is not listed is empty.  Other such names get "1". */
 static const char *
 template_with(const filled_t *values, size_t count)
 {
@@ -133,18 +168,12 @@
         buf_add(&filled, at, (size_t)(open - at));
         at = close + 2;
         if (open[2] == '#') {
-            at = strstr(at, "{{/seeds}}") + strlen("{{/seeds}}");
+            at = render_section(values, count, open, &filled);
             continue;
         }
-        size_t len = (size_t)(close - open) - 2;
-        const char *value = "1";
-        for (size_t i = 0; i < count; i++) {
-            if (strlen(values[i].name) == len &&
-                strncmp(values[i].name, open + 2, len) == 0) {
-                value = values[i].value;
-            }
-        }
-        buf_str(&filled, value);
+        const char *value =
+            value_of(values, count, open + 2, (size_t)(close - open) - 2);
+        buf_str(&filled, value != NULL ? value : "1");
     }
     buf_str(&filled, at);
     str_copy(out, sizeof(out), buf_text(&filled));
@@ -164,6 +193,9 @@
     {"bounds.retry_budget_ratio", "0.125"},
     {"bounds.retry_budget_slack", "35.833333333333336"},
     {"bounds.budget_window_s", "10.25"},
+    {"bounds.quota_window_s", "8.5"},
+    {"bounds.quota_overage", "0.1"},
+    {"bounds.quota_slack", "140000"},
     {"bounds.lease_ms", "3000.5"},
     {"bounds.version_ms", "1e4"},
 };
@@ -185,6 +217,29 @@
     ck_assert_double_eq(settings.retry_window_s, 10.25);
     ck_assert_double_eq(settings.lease_ms, 3000.5);
     ck_assert_double_eq(settings.weights_ms, 10000);
+    ck_assert_double_eq(settings.quota_window_s, 8.5);
+    ck_assert_double_eq(settings.quota_overage, 0.1);
+    ck_assert_double_eq(settings.quota_slack, 140000);
+}
+END_TEST
+
+/* Guards against a daemon that exits at its start on a platform that names no
+ * bounds of quotas. */
+START_TEST(bounds_of_quotas_may_be_missing)
+{
+    settings_t settings;
+    CLEAN_BUF buf_t problems = {0};
+    filled_t values[PLATFORM_VALUES];
+    size_t count = 0;
+    for (size_t i = 0; i < PLATFORM_VALUES; i++) {
+        if (strstr(platform_values[i].name, "quota") == NULL) {
+            values[count++] = platform_values[i];
+        }
+    }
+    (void)settings_read_text(&settings, "f", template_with(values, count),
+                             &problems);
+    ck_assert_str_eq(buf_text(&problems), "");
+    ck_assert_double_eq(settings.quota_slack, 0);
 }
 END_TEST
 
@@ -207,9 +262,10 @@
         (void)settings_read_text(&settings, "f.ini",
                                  template_with(values, PLATFORM_VALUES),
                                  &problems);
-        static const char *const keys[] = {"stop_s",      "retry_ratio",
-                                           "retry_slack", "retry_window_s",
-                                           "lease_ms",    "weights_ms"};
+        static const char *const keys[] = {
+            "stop_s",         "retry_ratio",   "retry_slack",
+            "retry_window_s", "lease_ms",      "weights_ms",
+            "quota_window_s", "quota_overage", "quota_slack"};
         for (size_t key = 0; key < sizeof(keys) / sizeof(keys[0]); key++) {
             char want[128];
             (void)snprintf(want, sizeof(want),
@@ -248,5 +304,6 @@
           all_faults_are_told_in_one_run, contradictions_are_faults,
           a_secret_is_never_repeated, the_example_file_is_good,
           bounds_may_be_fractions_and_keep_their_precision,
+          bounds_of_quotas_may_be_missing,
           bounds_out_of_range_or_no_numbers_are_faults,
           damaged_files_get_a_verdict)
