What daemons have at servers is announced in full, in datagrams of its own

Cause: of the time until the first token, hosts believed a tenth. A host announced its unread tokens at a server in steps of 2,000, so a prompt of 1,800 was never announced, and 24 hosts hid up to 48,000 tokens at each server; what waited unchanged for a second was taken for outdated. Ruled out: the reading speed (the first answer comes after what is really unread, to within a third).

Change: loads leave each 50 ms, by a hash of the server's id (about 15 bytes a server in place of 70), at each change of 256 tokens, when a server is empty, and again while it is not.

Not a gain by itself: all hosts now see the same server idle and send there until the next news, which the next change answers.

--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -11,6 +11,8 @@
 #define MEMBERS_FIELDS 5
 #define FACTS_FIELDS 2
 #define QUOTAS_FIELDS 4
+#define SERVER_LOAD_FIELDS 4
+#define LOADS_FIELDS 2
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -101,6 +103,22 @@
     (void)msgpack_pack_uint64(packer, datagram->sequence);
 }
 
+static void
+pack_loads(msgpack_packer *packer, const peer_datagram_t *datagram)
+{
+    (void)msgpack_pack_array(packer, LOADS_FIELDS);
+    (void)msgpack_pack_int(packer, PEER_LOADS);
+    (void)msgpack_pack_array(packer, datagram->load_count);
+    for (size_t i = 0; i < datagram->load_count; i++) {
+        const peer_load_t *load = &datagram->loads[i];
+        (void)msgpack_pack_array(packer, SERVER_LOAD_FIELDS);
+        (void)msgpack_pack_uint64(packer, load->server);
+        (void)msgpack_pack_uint64(packer, load->unread);
+        (void)msgpack_pack_uint64(packer, load->running);
+        (void)msgpack_pack_uint64(packer, load->filled);
+    }
+}
+
 /* Encode a datagram; its length, or 0 where it would not fit. */
 size_t
 peer_encode(const peer_datagram_t *datagram, const unsigned char *secret,
@@ -120,6 +138,9 @@
         case PEER_QUOTAS:
             pack_quotas(&packer, datagram);
             break;
+        case PEER_LOADS:
+            pack_loads(&packer, datagram);
+            break;
     }
     size_t len = 0;
     if (buffer.size + PEER_MAC_BYTES <= PEER_DATAGRAM_MAX) {
@@ -243,6 +264,18 @@
            take_count(&at[2], &usage->recent);
 }
 
+static bool
+take_server_load(const msgpack_object *object, peer_load_t *load)
+{
+    const msgpack_object *at = object->via.array.ptr;
+    return object->type == MSGPACK_OBJECT_ARRAY &&
+           object->via.array.size == SERVER_LOAD_FIELDS &&
+           take_count(&at[0], &load->server) &&
+           take_count(&at[1], &load->unread) &&
+           take_count(&at[2], &load->running) &&
+           take_count(&at[3], &load->filled);
+}
+
 /* Decode one entry of a datagram's list. */
 static bool
 take_entry(peer_datagram_t *datagram, const msgpack_object *at, size_t i)
@@ -258,6 +291,10 @@
         case PEER_QUOTAS:
             datagram->usage_count = i + 1;
             return i < PEER_USAGES_MAX && take_usage(at, &datagram->usages[i]);
+        case PEER_LOADS:
+            datagram->load_count = i + 1;
+            return i < PEER_LOADS_MAX &&
+                   take_server_load(at, &datagram->loads[i]);
     }
     return false;
 }
@@ -304,7 +341,9 @@
     bool quotas = kind == PEER_QUOTAS && size == QUOTAS_FIELDS &&
                   take_unsigned(&at[2], &datagram->incarnation) &&
                   take_unsigned(&at[3], &datagram->sequence);
-    return members || facts || quotas ? take_list(datagram, &at[1]) : -1;
+    bool loads = kind == PEER_LOADS && size == LOADS_FIELDS;
+    return members || facts || quotas || loads ? take_list(datagram, &at[1])
+                                               : -1;
 }
 
 /* Decode a datagram; -1 for one that another key made or that is malformed,
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -12,7 +12,15 @@
 /* Workspaces of one announcement at most. */
 #define PEER_USAGES_MAX 256
 
-typedef enum { PEER_MEMBERS = 1, PEER_FACTS = 2, PEER_QUOTAS = 3 } peer_kind_t;
+/* Servers of one datagram of loads at most. */
+#define PEER_LOADS_MAX 256
+
+typedef enum {
+    PEER_MEMBERS = 1,
+    PEER_FACTS = 2,
+    PEER_QUOTAS = 3,
+    PEER_LOADS = 4
+} peer_kind_t;
 
 /* A load report or a change of a cache entry, by the server's name. */
 typedef struct {
@@ -32,6 +40,14 @@
     uint32_t recent;    /* since its last announcement, wraps below 0 */
 } peer_usage_t;
 
+/* What the sender has at a server. */
+typedef struct {
+    uint32_t server; /* hash of its id */
+    uint32_t unread; /* prompt tokens */
+    uint32_t running;
+    uint32_t filled; /* tokens brought into its cache, of all time, wraps */
+} peer_load_t;
+
 typedef struct {
     peer_kind_t kind;
     member_message_t members;
@@ -39,6 +55,8 @@
     size_t fact_count;
     peer_usage_t usages[PEER_USAGES_MAX];
     size_t usage_count;
+    peer_load_t loads[PEER_LOADS_MAX];
+    size_t load_count;
     uint64_t incarnation; /* of an announcement's sender */
     uint64_t sequence;
 } peer_datagram_t;
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -139,6 +139,7 @@
             dispatch_run(daemon);
             return;
         case PEER_QUOTAS:
+        case PEER_LOADS:
             return;
     }
 }
--- /dev/null
+++ b/relay/peer-loads.c
@@ -0,0 +1,75 @@
+#include "peer-loads.h"
+
+/* The load that this answers: many hosts place small prompts at the same
+ * servers.  Each has little at any one of them, and all of them together fill
+ * it, so what is not announced adds up to most of a server's queue. */
+
+/* Unread tokens that go without an announcement: a few ms of a server's time.
+ */
+#define STEP_TOKENS 256
+/* Tokens brought into a server's cache that go without one: a small part of
+ * the least room that an engine has. */
+#define FILLED_STEP_TOKENS 4000
+/* What has not changed is repeated, ms, before it is taken for outdated. */
+#define REPEAT_MS 400
+
+static bool
+has_news(const server_t *server, int64_t now)
+{
+    double change = server->own_unread - server->told_unread;
+    uint32_t filled = server->filled - server->told_filled;
+    bool emptied = server->own_unread <= 0 && server->told_unread > 0;
+    bool repeat = server->own_unread > 0 && now - server->told_ms >= REPEAT_MS;
+    return change >= STEP_TOKENS || change <= -STEP_TOKENS || emptied ||
+           repeat || filled >= FILLED_STEP_TOKENS ||
+           (now < server->loading_ms &&
+            server->own_running != server->told_running);
+}
+
+/* Loads that find no room leave with the next datagram. */
+bool
+peer_loads_collect(servers_t *servers, peer_datagram_t *out, int64_t now_ms)
+{
+    server_t *server;
+    out->kind = PEER_LOADS;
+    out->load_count = 0;
+    CK_LIST_FOREACH (server, &servers->list, entry) {
+        if (out->load_count == PEER_LOADS_MAX) {
+            break;
+        }
+        if (server->gone || !server->info.engine ||
+            !has_news(server, now_ms)) {
+            continue;
+        }
+        server->told_unread = server->own_unread;
+        server->told_running = server->own_running;
+        server->told_filled = server->filled;
+        server->told_ms = now_ms;
+        out->loads[out->load_count++] =
+            (peer_load_t){.server = server->key,
+                          .unread = (uint32_t)server->own_unread,
+                          .running = (uint32_t)server->own_running,
+                          .filled = server->filled};
+    }
+    return out->load_count > 0;
+}
+
+/* Applies the loads of another daemon, named by its address. */
+void
+peer_loads_apply(servers_t *servers, uint64_t host,
+                 const peer_datagram_t *datagram, int64_t now_ms)
+{
+    for (size_t i = 0; i < datagram->load_count; i++) {
+        const peer_load_t *load = &datagram->loads[i];
+        server_t *server = servers_keyed(servers, load->server);
+        if (server == NULL) {
+            continue;
+        }
+        const other_load_t said = {.host = host,
+                                   .told_ms = now_ms,
+                                   .unread = load->unread,
+                                   .running = (int)load->running,
+                                   .filled = load->filled};
+        server_peer_load(server, &said);
+    }
+}
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -1,5 +1,6 @@
 #include "peers.h"
 #include "peer-discovery.h"
+#include "peer-loads.h"
 #include "peers-apply.h"
 #include "watch-duty.h"
 
@@ -18,13 +19,7 @@
  * sends, and have servers read again what these hold.  Each fact costs 40
  * bytes a peer. */
 #define DIRECT_MAX 64
-
-/* Peers are notified of a change of this many unread tokens at a server: about
- * 40 ms of its time. */
-#define LOAD_STEP_TOKENS 2000
-/* The same of tokens that requests have brought into a server's cache: a small
- * part of the least room that an engine has. */
-#define FILLED_STEP_TOKENS 4000
+#define LOADS_MS 50
 
 /* Parts of one server that are sent to a daemon that starts, at most. */
 #define SNAPSHOT_PARTS_MAX 256
@@ -35,6 +30,7 @@
     relay_t *relay;
     int fd;
     struct event *readable;
+    struct event *loads;
     members_t *members;
     member_out_t out;
     peer_datagram_t pending; /* facts that leave with the next tick */
@@ -187,6 +183,11 @@
             send_all(peers, &from);
             continue;
         }
+        if (datagram->kind == PEER_LOADS) {
+            peer_loads_apply(peers->relay->servers, host, datagram,
+                             time_mono_ms());
+            continue;
+        }
         if (datagram->kind == PEER_QUOTAS) {
             quotas_apply(&peers->relay->quotas, host, datagram,
                          time_mono_ms());
@@ -206,22 +207,28 @@
 
 /* ---- facts ---- */
 
+/* Sends a datagram to as many daemons as are notified directly. */
 static void
-flush_facts(peers_t *peers)
+send_direct(peers_t *peers, const peer_datagram_t *datagram)
 {
     member_t live[DIRECT_MAX + 1];
-    if (peers->pending.fact_count == 0) {
-        return;
-    }
     size_t count = members_list(peers->members, live, DIRECT_MAX + 1);
-    peers->pending.kind = PEER_FACTS;
     for (size_t i = 0; i < count; i++) {
         if (live[i].health != MEMBER_DEAD &&
             strcmp(live[i].name, peers->relay->settings.name) != 0) {
-            send_datagram(peers, live[i].peer, &peers->pending);
+            send_datagram(peers, live[i].peer, datagram);
         }
     }
-    peers->pending.fact_count = 0;
+}
+
+static void
+flush_facts(peers_t *peers)
+{
+    if (peers->pending.fact_count > 0) {
+        peers->pending.kind = PEER_FACTS;
+        send_direct(peers, &peers->pending);
+        peers->pending.fact_count = 0;
+    }
 }
 
 static peer_fact_t *
@@ -332,35 +339,13 @@
     peers->asked = asked > 0;
 }
 
-/* Whether others should hear what this host has at a server.  Of one that is
- * about to load weights they want to know when it is done. */
-static bool
-has_load_news(const server_t *server, int64_t now)
-{
-    double change = server->own_unread - server->told_unread;
-    uint32_t filled = server->filled - server->told_filled;
-    return change >= LOAD_STEP_TOKENS || change <= -LOAD_STEP_TOKENS ||
-           filled >= FILLED_STEP_TOKENS ||
-           (now < server->loading_ms &&
-            server->own_running != server->told_running);
-}
-
-/* Tell what this host has at the servers where that has changed by a few
- * requests' worth: a server's own word does not say how much of the prompts
- * at it is still to be read. */
+/* Tell what this host has at the servers where that has changed: a server's
+ * own word does not say how much of the prompts at it is still to be read. */
 static void
 notify_loads(peers_t *peers, int64_t now)
 {
-    server_t *server;
-    CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
-        if (server->gone || !server->info.engine ||
-            !has_load_news(server, now)) {
-            continue;
-        }
-        server->told_unread = server->own_unread;
-        server->told_running = server->own_running;
-        server->told_filled = server->filled;
-        (void)load_add(peers, server);
+    if (peer_loads_collect(peers->relay->servers, &peers->taken, now)) {
+        send_direct(peers, &peers->taken);
     }
 }
 
@@ -475,6 +460,14 @@
     relay->retries.slack = part * relay->settings.retry_slack;
 }
 
+static void
+on_loads(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    notify_loads(arg, time_mono_ms());
+}
+
 /* One step; membership has its own, slower one. */
 void
 peers_tick(peers_t *peers)
@@ -485,7 +478,6 @@
     if (!peers->asked && peers->relay->servers_listed) {
         ask_all(peers);
     }
-    notify_loads(peers, now);
     flush_facts(peers);
     announce_quotas(peers, now);
     if (now < peers->next_beat_ms) {
@@ -558,6 +550,9 @@
     peers->readable =
         event_new(relay->base, fd, EV_READ | EV_PERSIST, on_readable, peers);
     (void)event_add(peers->readable, NULL);
+    static const struct timeval loads_step = {0, LOADS_MS * 1000};
+    peers->loads = event_new(relay->base, -1, EV_PERSIST, on_loads, peers);
+    (void)event_add(peers->loads, &loads_step);
     add_seeds(peers);
     relay->notify_part = notify_part;
     peers->look = (peer_discovery_t){.settings = &relay->settings,
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -70,6 +70,19 @@
     return NULL;
 }
 
+/* The server with a key, or NULL. */
+server_t *
+servers_keyed(const servers_t *servers, uint32_t key)
+{
+    server_t *server;
+    CK_LIST_FOREACH (server, &servers->list, entry) {
+        if (server->key == key && !server->gone) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
 /* The server with a number, or NULL for an unused one. */
 server_t *
 servers_numbered(const servers_t *servers, uint16_t number)
@@ -114,6 +127,7 @@
         }
         server = mem_zalloc(sizeof(*server));
         server->number = (uint16_t)number;
+        server->key = (uint32_t)str_hash(entry->id, 0);
         servers->numbered[number] = server;
         server->slowness = 1;
         server->held = cached_parts_new();
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -55,6 +55,7 @@
     bool ordered;           /* this host is bringing it to other weights */
     int64_t order_after_ms; /* not ordered again before */
     int64_t loading_ms;     /* it is said to load weights until then */
+    uint32_t key;           /* hash of its id, for other hosts */
     uint16_t number;        /* in the cache map; used again when it is gone */
     int64_t missing_ms; /* since when its entry is gone, 0 if it is there */
     bool gone;          /* off the list for good; kept while it is used */
@@ -64,6 +65,7 @@
     double own_unread;  /* their prompt tokens that are not read yet */
     double told_unread; /* as other hosts were last notified */
     int told_running;
+    int64_t told_ms;
     cached_parts_t *held; /* what its cache is believed to hold */
     uint32_t
         filled; /* tokens of own requests' own parts, of all time, wraps */
@@ -101,6 +103,7 @@
 void servers_free(servers_t *servers);
 server_t *servers_find(servers_t *servers, const char *id);
 server_t *servers_numbered(const servers_t *servers, uint16_t number);
+server_t *servers_keyed(const servers_t *servers, uint32_t key);
 server_t *servers_put(servers_t *servers, const server_entry_t *entry);
 void servers_remove(servers_t *servers, server_t *server);
 void servers_sweep(servers_t *servers);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -346,10 +346,35 @@
 }
 END_TEST
 
+START_TEST(announcements_of_loads_arrive_as_sent)
+{
+    static peer_datagram_t datagram;
+    static peer_datagram_t out;
+    unsigned char data[PEER_DATAGRAM_MAX];
+    datagram = (peer_datagram_t){.kind = PEER_LOADS};
+    for (uint32_t i = 0; i < PEER_LOADS_MAX; i++) {
+        datagram.loads[i] =
+            (peer_load_t){UINT32_MAX - i, i * 100000, i, UINT32_MAX};
+    }
+    datagram.load_count = PEER_LOADS_MAX;
+    size_t len = peer_encode(&datagram, secret, data);
+    ck_assert_uint_gt(len, 0);
+    ck_assert_int_eq(peer_decode(&out, secret, data, len), 0);
+    ck_assert_uint_eq(out.load_count, PEER_LOADS_MAX);
+    ck_assert_int_eq(memcmp(out.loads, datagram.loads, sizeof(out.loads)), 0);
+    /* Damaged ones are never read past their end. */
+    rng_t rng = {7};
+    for (int i = 0; i < 2000; i++) {
+        (void)peer_decode(&out, secret, data, rng_below(&rng, len));
+    }
+}
+END_TEST
+
 TEST_MAIN("members", four_daemons, sixteen_daemons, sixty_four_daemons,
           three_hundred_and_fifty_daemons,
           a_duty_falls_to_one_live_member_and_moves_when_it_dies,
           a_herd_that_starts_at_once_knows_itself_soon,
           all_members_agree_on_the_order_for_a_duty,
           announcements_of_quotas_arrive_as_sent,
+          announcements_of_loads_arrive_as_sent,
           forged_and_damaged_datagrams_are_refused)
--- /dev/null
+++ b/tests/test-peer-loads.c
@@ -0,0 +1,76 @@
+#include "../relay/peer-loads.h"
+#include "test.h"
+
+#include <string.h>
+
+static server_t *
+put_engine(servers_t *servers, const char *id)
+{
+    server_entry_t entry = {.slots = 64, .engine = true, .weights = 1};
+    str_copy(entry.id, sizeof(entry.id), id);
+    str_copy(entry.service, sizeof(entry.service), "llm");
+    return servers_put(servers, &entry);
+}
+
+/* Guards against a queue that is made of small prompts of many hosts, none of
+ * which is worth a word by itself. */
+START_TEST(small_prompts_are_announced)
+{
+    static peer_datagram_t datagram;
+    servers_t *here = servers_new();
+    servers_t *there = servers_new();
+    server_t *mine = put_engine(here, "e1");
+    server_t *theirs = put_engine(there, "e1");
+    server_sent(mine, 600, 1000);
+    ck_assert(peer_loads_collect(here, &datagram, 1000));
+    peer_loads_apply(there, 1, &datagram, 1001);
+    peer_loads_apply(there, 2, &datagram, 1001);
+    ck_assert_double_eq(server_others_unread(theirs, 1001), 1200);
+    ck_assert(!peer_loads_collect(here, &datagram, 1050));
+    servers_free(here);
+    servers_free(there);
+}
+END_TEST
+
+/* Guards against a full server that looks idle: what waits there for long has
+ * not changed, and an old word is not believed. */
+START_TEST(what_goes_on_waiting_is_announced_again)
+{
+    static peer_datagram_t datagram;
+    servers_t *here = servers_new();
+    servers_t *there = servers_new();
+    server_t *mine = put_engine(here, "e1");
+    server_t *theirs = put_engine(there, "e1");
+    server_sent(mine, 9000, 0);
+    for (int64_t now = 0; now < 5000; now += 50) {
+        if (peer_loads_collect(here, &datagram, now)) {
+            peer_loads_apply(there, 1, &datagram, now);
+        }
+        ck_assert_double_eq(server_others_unread(theirs, now), 9000);
+    }
+    server_read(mine, 9000);
+    ck_assert(peer_loads_collect(here, &datagram, 5000));
+    peer_loads_apply(there, 1, &datagram, 5000);
+    ck_assert_double_eq(server_others_unread(theirs, 5000), 0);
+    ck_assert(!peer_loads_collect(here, &datagram, 9000));
+    servers_free(here);
+    servers_free(there);
+}
+END_TEST
+
+/* A host that has just started is told of servers that it does not know. */
+START_TEST(loads_of_unknown_servers_do_nothing)
+{
+    static peer_datagram_t datagram = {.kind = PEER_LOADS, .load_count = 1};
+    servers_t *servers = servers_new();
+    server_t *server = put_engine(servers, "e1");
+    datagram.loads[0] = (peer_load_t){.server = server->key + 1, .unread = 5};
+    peer_loads_apply(servers, 1, &datagram, 10);
+    ck_assert_double_eq(server_others_unread(server, 10), 0);
+    servers_free(servers);
+}
+END_TEST
+
+TEST_MAIN("peer-loads", small_prompts_are_announced,
+          what_goes_on_waiting_is_announced_again,
+          loads_of_unknown_servers_do_nothing)
