Servers are booked by what all hosts send, at a part of their speed; tighter admission

Cause: in the burst of 2.5 x, answers whose first token came in 52 ms ended at their deadlines: with prompts unread, an engine makes a token behind each piece of up to 4,096 prompt tokens (an event of 7 tokens each 500 to 600 ms; p50 of the time from the first event to the last of thread-review 3.5 s), so that an engine which always has something to read finishes no long answer. Refusing at a wait of the whole target came too late for both: all in a queue of that length are late, and the queue is never empty.

Change: each host books what all hosts send to a server and takes it off at 0.85 of the speed at which it is read; the wait is the longer of this and of what is unread. A request is refused where the wait and its own reading exceed 0.45 of its target (a large one: a wait of 0.35).

--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -11,7 +11,7 @@
 #define MEMBERS_FIELDS 5
 #define FACTS_FIELDS 2
 #define QUOTAS_FIELDS 4
-#define SERVER_LOAD_FIELDS 4
+#define SERVER_LOAD_FIELDS 5
 #define LOADS_FIELDS 2
 
 static void
@@ -116,6 +116,7 @@
         (void)msgpack_pack_uint64(packer, load->unread);
         (void)msgpack_pack_uint64(packer, load->running);
         (void)msgpack_pack_uint64(packer, load->filled);
+        (void)msgpack_pack_uint64(packer, load->sent);
     }
 }
 
@@ -273,7 +274,8 @@
            take_count(&at[0], &load->server) &&
            take_count(&at[1], &load->unread) &&
            take_count(&at[2], &load->running) &&
-           take_count(&at[3], &load->filled);
+           take_count(&at[3], &load->filled) &&
+           take_count(&at[4], &load->sent);
 }
 
 /* Decode one entry of a datagram's list. */
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -46,6 +46,7 @@
     uint32_t unread; /* prompt tokens */
     uint32_t running;
     uint32_t filled; /* tokens brought into its cache, of all time, wraps */
+    uint32_t sent;   /* tokens given to it to read, of all time, wraps */
 } peer_load_t;
 
 typedef struct {
--- a/relay/admit.c
+++ b/relay/admit.c
@@ -9,11 +9,11 @@
 /* A request is refused when it would be later than this times its target.
  * Letting more in makes all of them late; letting less in refuses on calm days
  * what would have been in time. */
-#define LATE_FACTOR 1.0
+#define LATE_FACTOR 0.45
 /* A prompt that takes most of the target to read is late whatever is done.
  * It is let in while the wait is under this part of the target, or the largest
  * prompts would never be served. */
-#define WAIT_PART 0.4
+#define WAIT_PART 0.35
 /* Part of the time left that the expected time may take: half of the answers
  * come later than expected, one in ten after twice the time. */
 #define LEFT_PART 0.8
--- a/relay/peer-loads.c
+++ b/relay/peer-loads.c
@@ -18,10 +18,11 @@
 {
     double change = server->own_unread - server->told_unread;
     uint32_t filled = server->filled - server->told_filled;
+    bool sent = server->sent - server->told_sent >= STEP_TOKENS;
     bool emptied = server->own_unread <= 0 && server->told_unread > 0;
     bool repeat = server->own_unread > 0 && now - server->told_ms >= REPEAT_MS;
     return change >= STEP_TOKENS || change <= -STEP_TOKENS || emptied ||
-           repeat || filled >= FILLED_STEP_TOKENS ||
+           sent || repeat || filled >= FILLED_STEP_TOKENS ||
            (now < server->loading_ms &&
             server->own_running != server->told_running);
 }
@@ -45,11 +46,13 @@
         server->told_running = server->own_running;
         server->told_filled = server->filled;
         server->told_ms = now_ms;
+        server->told_sent = server->sent;
         out->loads[out->load_count++] =
             (peer_load_t){.server = server->key,
                           .unread = (uint32_t)server->own_unread,
                           .running = (uint32_t)server->own_running,
-                          .filled = server->filled};
+                          .filled = server->filled,
+                          .sent = server->sent};
     }
     return out->load_count > 0;
 }
@@ -69,7 +72,8 @@
                                    .told_ms = now_ms,
                                    .unread = load->unread,
                                    .running = (int)load->running,
-                                   .filled = load->filled};
+                                   .filled = load->filled,
+                                   .sent = load->sent};
         server_peer_load(server, &said);
     }
 }
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -19,6 +19,7 @@
  * sends, and have servers read again what these hold.  Each fact costs 40
  * bytes a peer. */
 #define DIRECT_MAX 64
+/* Loads are announced this often, ms. */
 #define LOADS_MS 50
 
 /* Parts of one server that are sent to a daemon that starts, at most. */
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -8,9 +8,6 @@
  * would have read the prompt: what waits there, and what of the prompt they
  * do not hold.  Plain services are weighed by what runs there. */
 
-/* Prompt tokens that an engine reads in a millisecond, steps of those that
- * generate included.  Each server's own speed is learned: see server_speed. */
-#define READ_TOKENS_PER_MS 48.0
 /* A request that waits at a server is not read at all yet. */
 #define WAITING_UNREAD_TOKENS 2000.0
 /* Time that one more request at a plain server costs, ms: while there is a
@@ -73,13 +70,15 @@
 }
 
 static double
-engine_wait_ms(const server_t *server, int64_t now)
+engine_wait_ms(server_t *server, int64_t now)
 {
     double tokens = server->own_unread + server_others_unread(server, now);
     if (server_load_fresh(server, now)) {
         tokens += server->load_waiting * WAITING_UNREAD_TOKENS;
     }
-    return tokens * server->slowness / READ_TOKENS_PER_MS +
+    double booked = server_booked(server, now);
+    tokens = booked > tokens ? booked : tokens;
+    return tokens * server->slowness / SERVER_READ_TOKENS_PER_MS +
            server_slot_wait_ms(server, now);
 }
 
@@ -114,13 +113,13 @@
 }
 
 static void
-fill_candidate(const request_t *request, const server_t *server, int64_t now,
+fill_candidate(const request_t *request, server_t *server, int64_t now,
                place_levels_t *levels, candidate_t *out)
 {
     relay_t *relay = request->relay;
     memset(out, 0, sizeof(*out));
     out->id = server->number;
-    out->rate = READ_TOKENS_PER_MS * 1000 / server->slowness;
+    out->rate = SERVER_READ_TOKENS_PER_MS * 1000 / server->slowness;
     out->running = server->own_running;
     out->same_dc = strcmp(server->info.dc, relay->settings.dc) == 0;
     out->wait_ms = request->engine ? engine_wait_ms(server, now)
@@ -139,7 +138,7 @@
     /* The request's own part is read wherever it goes; what a slower server
      * takes longer for it counts as waiting. */
     out->wait_ms += (request->prompt.prompt_tokens - view.shared) *
-                    (server->slowness - 1) / READ_TOKENS_PER_MS;
+                    (server->slowness - 1) / SERVER_READ_TOKENS_PER_MS;
     out->rank = place_weight(request->home, server->info.id);
     const weights_t *newest = relay_weights(relay, request->prompt.model);
     if (newest != NULL && server->info.weights < newest->version) {
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -37,6 +37,10 @@
 #define SPEED_WEIGHT 0.15
 #define SPEED_RATIO_LEAST 0.5
 #define SPEED_RATIO_MOST 3.0
+/* Part of its speed at which a server is expected to read what is booked: an
+ * answer's tokens are made between the pieces of prompts, and with one behind
+ * the other they take so long that long answers miss their deadlines. */
+#define BOOKED_PART 0.85
 /* Weight of the newest answer in the share of errors: about the last ten. */
 #define ERROR_WEIGHT 0.1
 
@@ -109,6 +113,7 @@
     server->closed_ms = 0;
     server->full_ms = 0;
     server->load_ms = 0;
+    server->booked = 0;
     server->error_share = 0;
     server->slowness = 1;
     server->misplaced = false;
@@ -174,6 +179,19 @@
     }
 }
 
+/* Prompt tokens of all hosts that a server would still have to read if it kept
+ * a part of its time for answers.  More than what is unread: it does not fall
+ * to nothing where a server has just caught up. */
+double
+server_booked(server_t *server, int64_t now_ms)
+{
+    double speed = SERVER_READ_TOKENS_PER_MS * BOOKED_PART / server->slowness;
+    double read = (double)(now_ms - server->booked_ms) * speed;
+    server->booked = server->booked > read ? server->booked - read : 0;
+    server->booked_ms = now_ms;
+    return server->booked;
+}
+
 /* A request goes to it that makes it read so many tokens. */
 void
 server_sent(server_t *server, double unread_tokens, int64_t now_ms)
@@ -182,6 +200,8 @@
         server->busy_ms = now_ms;
     }
     server->own_running++;
+    server->booked = server_booked(server, now_ms) + unread_tokens;
+    server->sent += (uint32_t)unread_tokens;
     server->own_unread += unread_tokens;
 }
 
@@ -382,25 +402,55 @@
     }
 }
 
-/* Another host says what it has at the server; the oldest word makes room.
- * What its requests have brought into the cache since its last word pushes out
- * what was used before. */
-void
-server_peer_load(server_t *server, const other_load_t *said)
+/* Tokens that a host has given the server to read since its last word; of a
+ * host that had said nothing, those that are not read yet. */
+static double
+sent_since(const other_load_t *before, const other_load_t *said)
+{
+    int32_t more = (int32_t)(said->sent - before->sent);
+    if (before->host != said->host || before->sent == 0 || more < 0) {
+        return said->unread;
+    }
+    return more;
+}
+
+/* The place of a host's word, or the oldest one to make room for it. */
+static other_load_t *
+other_place(server_t *server, uint64_t host)
 {
-    other_load_t *slot = &server->others[0];
-    for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
+    other_load_t *oldest = &server->others[0];
+    for (size_t i = 0; i < server->other_count; i++) {
         other_load_t *other = &server->others[i];
-        if (other->host == said->host) {
-            fill_since(server, other, said);
-            slot = other;
-            break;
+        if (other->host == host) {
+            return other;
         }
-        if (other->told_ms < slot->told_ms) {
-            slot = other;
+        if (other->told_ms < oldest->told_ms) {
+            oldest = other;
         }
     }
-    *slot = *said;
+    return server->other_count < OTHER_HOSTS_MAX
+               ? &server->others[server->other_count++]
+               : oldest;
+}
+
+/* Another host says what it has at the server.  What its requests have brought
+ * into the cache since its last word pushes out what was used before. */
+void
+server_peer_load(server_t *server, const other_load_t *said)
+{
+    other_load_t *place = other_place(server, said->host);
+    bool known = place->host == said->host;
+    uint32_t sent = known ? place->sent : 0;
+    if (known) {
+        fill_since(server, place, said);
+    }
+    if (said->sent != 0) {
+        server->booked =
+            server_booked(server, said->told_ms) + sent_since(place, said);
+        sent = said->sent;
+    }
+    *place = *said;
+    place->sent = sent;
 }
 
 static bool
@@ -414,7 +464,7 @@
 server_others_unread(const server_t *server, int64_t now_ms)
 {
     double unread = 0;
-    for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
+    for (size_t i = 0; i < server->other_count; i++) {
         const other_load_t *other = &server->others[i];
         if (is_fresh(other, now_ms)) {
             unread += other->unread;
@@ -428,7 +478,7 @@
 server_running(const server_t *server, int64_t now_ms)
 {
     int running = server->own_running;
-    for (size_t i = 0; i < OTHER_HOSTS_MAX; i++) {
+    for (size_t i = 0; i < server->other_count; i++) {
         const other_load_t *other = &server->others[i];
         if (is_fresh(other, now_ms)) {
             running += other->running;
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -15,6 +15,10 @@
 #define SERVER_NUMBERS_MAX (SERVERS_MAX - 8)
 #define SERVER_MODEL_MAX 64
 
+/* Prompt tokens that an engine reads in a millisecond, steps of those that
+ * generate included.  Each server's own speed is learned: see server_speed. */
+#define SERVER_READ_TOKENS_PER_MS 48.0
+
 /* What the platform says of a server, decoded by platform/server-read.c. */
 typedef struct {
     char id[CS_NAME_MAX];
@@ -38,7 +42,7 @@
 } server_fault_t;
 
 /* What another host has at a server, by its own word. */
-#define OTHER_HOSTS_MAX 64
+#define OTHER_HOSTS_MAX 384
 
 typedef struct {
     uint64_t host; /* hash of its address; 0 for none */
@@ -46,6 +50,7 @@
     double unread;
     int running;
     uint32_t filled; /* tokens of requests' own parts, of all time, wraps */
+    uint32_t sent;   /* tokens to read, of all time, wraps; 0: not said */
 } other_load_t;
 
 typedef struct server {
@@ -66,12 +71,17 @@
     double told_unread; /* as other hosts were last notified */
     int told_running;
     int64_t told_ms;
+    uint32_t told_sent;
+    uint32_t sent;     /* tokens given to it to read, of all time, wraps */
+    double booked;     /* tokens of all hosts, read at a part of its speed */
+    int64_t booked_ms; /* when that was */
     cached_parts_t *held; /* what its cache is believed to hold */
     uint32_t
         filled; /* tokens of own requests' own parts, of all time, wraps */
     uint32_t told_filled; /* the same, as last notified */
     other_load_t others[OTHER_HOSTS_MAX];
-    int load_running; /* by its own word */
+    size_t other_count; /* places in use */
+    int load_running;   /* by its own word */
     int load_waiting;
     int64_t load_ms;       /* when it said so, 0 for never */
     int64_t crowd_told_ms; /* when others were last notified of its load */
@@ -122,6 +132,7 @@
 void server_filled(server_t *server, uint32_t tokens);
 void server_peer_load(server_t *server, const other_load_t *said);
 int server_running(const server_t *server, int64_t now_ms);
+double server_booked(server_t *server, int64_t now_ms);
 double server_others_unread(const server_t *server, int64_t now_ms);
 void server_speed(server_t *server, double expected_ms, double observed_ms);
 bool server_wants_probe(const server_t *server, int64_t now_ms);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -354,7 +354,7 @@
     datagram = (peer_datagram_t){.kind = PEER_LOADS};
     for (uint32_t i = 0; i < PEER_LOADS_MAX; i++) {
         datagram.loads[i] =
-            (peer_load_t){UINT32_MAX - i, i * 100000, i, UINT32_MAX};
+            (peer_load_t){UINT32_MAX - i, i * 100000, i, UINT32_MAX, i << 20};
     }
     datagram.load_count = PEER_LOADS_MAX;
     size_t len = peer_encode(&datagram, secret, data);
--- a/tests/test-peer-loads.c
+++ b/tests/test-peer-loads.c
@@ -58,6 +58,31 @@
 }
 END_TEST
 
+/* Guards against a server that looks idle as soon as it has caught up: what
+ * others had it read is booked, and falls slower than it is read. */
+START_TEST(what_others_send_is_booked)
+{
+    static peer_datagram_t datagram;
+    servers_t *here = servers_new();
+    servers_t *there = servers_new();
+    server_t *mine = put_engine(here, "e1");
+    server_t *theirs = put_engine(there, "e1");
+    server_sent(mine, 1000, 0);
+    ck_assert(peer_loads_collect(here, &datagram, 0));
+    peer_loads_apply(there, 1, &datagram, 0);
+    server_sent(mine, 4800, 50);
+    server_read(mine, 5800);
+    ck_assert(peer_loads_collect(here, &datagram, 50));
+    peer_loads_apply(there, 1, &datagram, 50);
+    ck_assert_double_eq(server_others_unread(theirs, 50), 0);
+    ck_assert_double_eq(server_booked(theirs, 50), 4800);
+    ck_assert_double_gt(server_booked(theirs, 150), 0);
+    ck_assert_double_eq(server_booked(theirs, 250), 0);
+    servers_free(here);
+    servers_free(there);
+}
+END_TEST
+
 /* A host that has just started is told of servers that it does not know. */
 START_TEST(loads_of_unknown_servers_do_nothing)
 {
@@ -72,5 +97,5 @@
 END_TEST
 
 TEST_MAIN("peer-loads", small_prompts_are_announced,
-          what_goes_on_waiting_is_announced_again,
+          what_goes_on_waiting_is_announced_again, what_others_send_is_booked,
           loads_of_unknown_servers_do_nothing)
--- a/tests/test-place-fleet.c
+++ b/tests/test-place-fleet.c
@@ -1,3 +1,4 @@
+#include "../relay/admit.h"
 #include "../relay/peer-loads.h"
 #include "../relay/request.h"
 #include "test.h"
@@ -14,6 +15,8 @@
 #define NEWS_MS 50
 #define RUN_MS 6000
 #define WARM_MS 1000
+#define TARGET_MS 1200
+#define DEADLINE_MS 3000
 #define REQUESTS_MAX 20000
 
 typedef struct {
@@ -32,6 +35,9 @@
     placed_t placed[REQUESTS_MAX];
     size_t count;
     relay_config_t *config;
+    bool admission;
+    size_t refused;
+    double read_tokens; /* of prompts that were let in behind WARM_MS */
     rng_t rng;
 } fleet_t;
 
@@ -105,6 +111,16 @@
     request.home = rng_next(&fleet->rng);
     server_t *server = request_choose(&request, now);
     ck_assert_ptr_nonnull(server);
+    const admit_ask_t ask = {.wait_ms = request.wait_ms,
+                             .read_ms = request.read_ms,
+                             .target_ms = TARGET_MS,
+                             .left_ms = DEADLINE_MS,
+                             .engine = true};
+    if (fleet->admission && admit_after_ms(&ask) > 0) {
+        fleet->refused++;
+        return;
+    }
+    fleet->read_tokens += now > WARM_MS ? tokens : 0;
     size_t engine = engine_of(fleet, host, server);
     double begin = (double)now;
     begin = fleet->free_ms[engine] > begin ? fleet->free_ms[engine] : begin;
@@ -224,5 +240,43 @@
 }
 END_TEST
 
+/* Part of their time that the servers spend on prompts. */
+static double
+busy_part(const fleet_t *fleet)
+{
+    return fleet->read_tokens / ENGINE_TOKENS_PER_MS /
+           (ENGINES * (RUN_MS - WARM_MS));
+}
+
+/* Guards against servers that read prompts without a pause: the answers that
+ * they are making then come so slowly that they miss their deadlines. */
+START_TEST(overload_leaves_servers_time_for_answers)
+{
+    static const double loads[] = {1.2, 1.5, 2.5, 5};
+    for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
+        fleet_t *fleet = fleet_new(i + 1);
+        fleet->admission = true;
+        fleet_play(fleet, loads[i], 1800);
+        ck_assert_double_le(busy_part(fleet), 0.92);
+        ck_assert_double_ge(busy_part(fleet), 0.8);
+        ck_assert_double_le(wait_quantile(fleet, 0.95), TARGET_MS / 2.0);
+        fleet_free(fleet);
+    }
+}
+END_TEST
+
+/* With room for all, nobody is refused. */
+START_TEST(nobody_is_refused_where_there_is_room)
+{
+    fleet_t *fleet = fleet_new(1);
+    fleet->admission = true;
+    fleet_play(fleet, 0.7, 1800);
+    ck_assert_uint_eq(fleet->refused, 0);
+    fleet_free(fleet);
+}
+END_TEST
+
 TEST_MAIN("place-fleet", small_prompts_of_many_hosts_spread,
-          large_prompts_of_many_hosts_spread)
+          large_prompts_of_many_hosts_spread,
+          overload_leaves_servers_time_for_answers,
+          nobody_is_refused_where_there_is_room)
