Admission keeps a margin that each host learns from its own answers

Change: relay/forecast.c smooths how much later than expected first answers come, and how much that varies; a request is refused when the wait, its own reading and this margin (the mean and three spreads) exceed 0.9 of its target. What a server is worth less is weighed when it is chosen and is no wait. The refusal's log line names wait, reading and margin.

--- a/relay/admit.c
+++ b/relay/admit.c
@@ -6,10 +6,9 @@
  * would be read in vain.  Refused at once and told when to come back, those
  * that are let in are in time. */
 
-/* A request is refused when it would be later than this times its target.
- * Letting more in makes all of them late; letting less in refuses on calm days
- * what would have been in time. */
-#define LATE_FACTOR 0.45
+/* Part of the target within which an answer is expected to come: network and
+ * hosts take the rest. */
+#define TARGET_PART 0.9
 /* A prompt that takes most of the target to read is late whatever is done.
  * It is let in while the wait is under this part of the target, or the largest
  * prompts would never be served. */
@@ -23,10 +22,12 @@
 #define AFTER_LEAST_MS 150
 #define AFTER_PART 3
 
+/* Whether the first answer would be late, as late as answers lately were. */
 static bool
 is_too_late(const admit_ask_t *ask)
 {
-    double wait_max = ask->target_ms * LATE_FACTOR - ask->read_ms;
+    double wait_max =
+        ask->target_ms * TARGET_PART - ask->read_ms - ask->margin_ms;
     double wait_least = ask->target_ms * WAIT_PART;
     if (wait_max < wait_least) {
         wait_max = wait_least;
--- a/relay/admit.h
+++ b/relay/admit.h
@@ -6,10 +6,11 @@
 #include "../kernel/base.h"
 
 typedef struct {
-    double wait_ms;  /* for what is ahead of it at the best server */
-    double read_ms;  /* for its own prompt behind that */
-    int target_ms;   /* that is in time */
-    int64_t left_ms; /* until nobody waits for it any more */
+    double wait_ms;   /* for what is ahead of it at the best server */
+    double read_ms;   /* for its own prompt behind that */
+    double margin_ms; /* that answers lately came later than expected */
+    int target_ms;    /* that is in time */
+    int64_t left_ms;  /* until nobody waits for it any more */
     bool engine;
 } admit_ask_t;
 
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -91,6 +91,8 @@
                 (double)(watch_calls(relay->config_watch) +
                          watch_calls(relay->servers_watch) +
                          watch_calls(relay->weights_watch)));
+    meter_gauge(out, "forecast_error_ms", relay->forecast.error_ms);
+    meter_gauge(out, "forecast_spread_ms", relay->forecast.spread_ms);
     meter_gauge(out, "daemons", (double)peers_live(relay->peers));
     meter_gauge(out, "cache_levels", (double)cache_map_size(relay->cache));
     meter_gauge(out, "log_lines_left_out_total", (double)log_left_out_total());
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -12,6 +12,7 @@
 #include "../kernel/tables.h"
 #include "meter.h"
 #include "quota.h"
+#include "forecast.h"
 #include "kv-stores.h"
 #include "relay-config.h"
 #include "retry-share.h"
@@ -91,6 +92,7 @@
     cache_follows_t *cache_follows;
     retry_shares_t retries;
     quotas_t quotas;
+    forecast_t forecast; /* of first answers of engines */
 
     rng_t rng;
     uint64_t turn;
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -112,7 +112,23 @@
     return &levels->prefix;
 }
 
-static void
+/* What a server is worth less than another that would answer as soon, in ms.
+ */
+static double
+preference_ms(const request_t *request, const server_t *server)
+{
+    double ms = server->error_share * ERROR_MS;
+    const weights_t *newest =
+        request->engine ? relay_weights(request->relay, request->prompt.model)
+                        : NULL;
+    if (newest != NULL && server->info.weights < newest->version) {
+        ms += OLD_WEIGHTS_MS;
+    }
+    return ms;
+}
+
+/* Fills a candidate; returns how long the request would wait there, ms. */
+static double
 fill_candidate(const request_t *request, server_t *server, int64_t now,
                place_levels_t *levels, candidate_t *out)
 {
@@ -122,28 +138,26 @@
     out->rate = SERVER_READ_TOKENS_PER_MS * 1000 / server->slowness;
     out->running = server->own_running;
     out->same_dc = strcmp(server->info.dc, relay->settings.dc) == 0;
-    out->wait_ms = request->engine ? engine_wait_ms(server, now)
-                                   : plain_wait_ms(server, now);
-    out->wait_ms += server->error_share * ERROR_MS;
-    out->wait_ms += now < server->full_ms ? FULL_MS : 0;
+    double wait = request->engine ? engine_wait_ms(server, now)
+                                  : plain_wait_ms(server, now);
+    wait += now < server->full_ms ? FULL_MS : 0;
     if (!request->engine) {
         out->rank = place_weight(0, server->info.id);
-        return;
+        out->wait_ms = wait + preference_ms(request, server);
+        return wait;
     }
     cache_view_t view;
     cache_look(relay, levels_for(request, server->info.weights, levels),
                server, &view);
     out->cached = view.found ? view.source.tokens : view.here;
-    out->wait_ms += cache_fetch_ms(&view);
+    wait += cache_fetch_ms(&view);
     /* The request's own part is read wherever it goes; what a slower server
      * takes longer for it counts as waiting. */
-    out->wait_ms += (request->prompt.prompt_tokens - view.shared) *
-                    (server->slowness - 1) / SERVER_READ_TOKENS_PER_MS;
+    wait += (request->prompt.prompt_tokens - view.shared) *
+            (server->slowness - 1) / SERVER_READ_TOKENS_PER_MS;
     out->rank = place_weight(request->home, server->info.id);
-    const weights_t *newest = relay_weights(relay, request->prompt.model);
-    if (newest != NULL && server->info.weights < newest->version) {
-        out->wait_ms += OLD_WEIGHTS_MS;
-    }
+    out->wait_ms = wait + preference_ms(request, server);
+    return wait;
 }
 
 /* The servers that may take a request. */
@@ -198,6 +212,7 @@
     relay_t *relay = request->relay;
     candidate_t all[CHOOSE_MAX];
     server_t *servers[CHOOSE_MAX];
+    double waits[CHOOSE_MAX];
     place_levels_t levels = {0};
     size_t usable = list_usable(request, now, servers);
     if (usable == 0) {
@@ -205,7 +220,7 @@
     }
     size_t count = keep_weighed(request, &levels, servers, usable);
     for (size_t i = 0; i < count; i++) {
-        fill_candidate(request, servers[i], now, &levels, &all[i]);
+        waits[i] = fill_candidate(request, servers[i], now, &levels, &all[i]);
     }
     /* Only what is shared can be held here or there. */
     prefix_t prefix = {.tokens = prompt_shared(&request->prompt)};
@@ -215,7 +230,7 @@
                                         : OBJECTIVE_TAIL,
                        .turn = relay->turn++};
     size_t best = policy_find("cost")->choose(all, count, &ask);
-    request->wait_ms = all[best].wait_ms;
+    request->wait_ms = waits[best];
     uint32_t held = all[best].cached;
     uint32_t tokens = request->prompt.prompt_tokens;
     request->read_ms =
@@ -224,7 +239,7 @@
         LOG_INFO, "place", "chosen",
         "id=%s server=%s among=%zu usable=%zu wait_ms=%.0f held=%u of=%u "
         "weights=%lld config=%lld",
-        request->id, servers[best]->info.id, count, usable, all[best].wait_ms,
+        request->id, servers[best]->info.id, count, usable, waits[best],
         all[best].cached, prefix.tokens,
         (long long)servers[best]->info.weights,
         (long long)request->config->version);
@@ -240,13 +255,21 @@
     if (server == NULL) {
         return false;
     }
-    int64_t after_ms = admit_after_ms(
-        &(admit_ask_t){.wait_ms = request->wait_ms,
-                       .read_ms = request->read_ms,
-                       .target_ms = request->route->target_ms,
-                       .left_ms = request->until_ms - time_mono_ms(),
-                       .engine = request->engine});
+    int64_t after_ms = admit_after_ms(&(admit_ask_t){
+        .wait_ms = request->wait_ms,
+        .read_ms = request->read_ms,
+        .margin_ms = forecast_margin_ms(&request->relay->forecast),
+        .target_ms = request->route->target_ms,
+        .left_ms = request->until_ms - time_mono_ms(),
+        .engine = request->engine});
     if (after_ms > 0 && request->ran == 0) {
+        log_record(LOG_INFO, "place", "too-busy",
+                   "id=%s server=%s wait_ms=%.0f read_ms=%.0f margin_ms=%.0f "
+                   "target_ms=%d",
+                   request->id, server->info.id, request->wait_ms,
+                   request->read_ms,
+                   forecast_margin_ms(&request->relay->forecast),
+                   request->route->target_ms);
         request_refuse(request, "too-busy", after_ms);
         return true;
     }
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -337,6 +337,17 @@
     }
 }
 
+/* Learns from how late the first answer is. */
+static void
+note_forecast(request_t *request, int64_t now)
+{
+    if (request->engine) {
+        forecast_note(&request->relay->forecast,
+                      request->wait_ms + request->read_ms,
+                      (double)(now - request->sent_ms));
+    }
+}
+
 /* The first event or the whole answer is there: the prompt is read, and the
  * server holds its parts. */
 void
@@ -354,6 +365,7 @@
                      (double)(now - request->sent_ms) - FIRST_MS);
     }
     request->began_ms = now;
+    note_forecast(request, now);
     server_read(server, request->unread);
     request->unread = 0;
     if (request->engine) {
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -142,6 +142,20 @@
 }
 END_TEST
 
+/* Where answers lately were late, fewer are let in. */
+START_TEST(a_margin_is_kept_for_late_answers)
+{
+    admit_ask_t ask = {.wait_ms = 700,
+                       .read_ms = 50,
+                       .target_ms = 1000,
+                       .left_ms = 15000,
+                       .engine = true};
+    ck_assert_int_eq(admit_after_ms(&ask), 0);
+    ask.margin_ms = 400;
+    ck_assert_int_gt(admit_after_ms(&ask), 0);
+}
+END_TEST
+
 /* Callers come back within a third of the time that they have. */
 START_TEST(the_time_to_come_back_is_one_that_callers_keep)
 {
@@ -157,5 +171,5 @@
 
 TEST_MAIN("admit", overload_does_not_make_everybody_late,
           nobody_is_refused_where_there_is_room,
-          the_largest_prompts_are_served,
+          the_largest_prompts_are_served, a_margin_is_kept_for_late_answers,
           the_time_to_come_back_is_one_that_callers_keep)
--- /dev/null
+++ b/tests/test-forecast.c
@@ -0,0 +1,62 @@
+#include "../relay/forecast.h"
+#include "test.h"
+
+/* Guards against requests that are let in by a forecast which everybody can
+ * see to be wrong. */
+START_TEST(late_answers_widen_the_margin)
+{
+    forecast_t forecast = {0};
+    for (int i = 0; i < 200; i++) {
+        forecast_note(&forecast, 100, 500);
+    }
+    ck_assert_double_ge(forecast_margin_ms(&forecast), 350);
+    ck_assert_double_le(forecast_margin_ms(&forecast), 700);
+}
+END_TEST
+
+/* Guards against refusals that go on behind an overload: answers that come as
+ * expected close the margin again. */
+START_TEST(answers_in_time_close_it_again)
+{
+    forecast_t forecast = {0};
+    for (int i = 0; i < 200; i++) {
+        forecast_note(&forecast, 100, 1500);
+    }
+    for (int i = 0; i < 300; i++) {
+        forecast_note(&forecast, 50, 50);
+    }
+    ck_assert_double_le(forecast_margin_ms(&forecast), 100);
+}
+END_TEST
+
+/* Answers that come sooner than expected do not let more in than the target
+ * allows. */
+START_TEST(the_margin_is_never_negative)
+{
+    forecast_t forecast = {0};
+    for (int i = 0; i < 200; i++) {
+        forecast_note(&forecast, 900, 50);
+    }
+    ck_assert_double_ge(forecast_margin_ms(&forecast), 0);
+}
+END_TEST
+
+/* Answers that vary leave room for those that come later than most. */
+START_TEST(most_answers_come_within_the_margin)
+{
+    forecast_t forecast = {0};
+    rng_t rng = {3};
+    unsigned within = 0;
+    for (int i = 0; i < 5000; i++) {
+        double late = 400 * rng_unit(&rng) * rng_unit(&rng);
+        within += late <= forecast_margin_ms(&forecast);
+        forecast_note(&forecast, 100, 100 + late);
+    }
+    ck_assert_uint_ge(within, 4500);
+    ck_assert_double_le(forecast_margin_ms(&forecast), 500);
+}
+END_TEST
+
+TEST_MAIN("forecast", late_answers_widen_the_margin,
+          answers_in_time_close_it_again, the_margin_is_never_negative,
+          most_answers_come_within_the_margin)
--- a/tests/test-place-fleet.c
+++ b/tests/test-place-fleet.c
@@ -15,15 +15,20 @@
 #define NEWS_MS 50
 #define RUN_MS 6000
 #define WARM_MS 1000
+/* Under overload the hosts first learn how late answers come. */
+#define OVERLOAD_RUN_MS 9000
+#define OVERLOAD_WARM_MS 3000
 #define TARGET_MS 1200
 #define DEADLINE_MS 3000
-#define REQUESTS_MAX 20000
+#define REQUESTS_MAX 40000
 
 typedef struct {
     size_t host;
     size_t engine;
     double tokens;
-    double wait_ms; /* for what was ahead of it */
+    double wait_ms;     /* for what was ahead of it */
+    double expected_ms; /* from its coming until it is read */
+    int64_t came_ms;
     double done_ms; /* its prompt is read */
     bool counted_off;
 } placed_t;
@@ -36,6 +41,8 @@
     size_t count;
     relay_config_t *config;
     bool admission;
+    int64_t run_ms;
+    int64_t warm_ms;
     size_t refused;
     double read_tokens; /* of prompts that were let in behind WARM_MS */
     rng_t rng;
@@ -65,6 +72,8 @@
 {
     fleet_t *fleet = mem_zalloc(sizeof(*fleet));
     fleet->rng.state = seed;
+    fleet->run_ms = RUN_MS;
+    fleet->warm_ms = WARM_MS;
     fleet->config = relay_config_new();
     log_setup("test", LOG_ERROR);
     for (size_t i = 0; i < HOSTS; i++) {
@@ -111,16 +120,18 @@
     request.home = rng_next(&fleet->rng);
     server_t *server = request_choose(&request, now);
     ck_assert_ptr_nonnull(server);
-    const admit_ask_t ask = {.wait_ms = request.wait_ms,
-                             .read_ms = request.read_ms,
-                             .target_ms = TARGET_MS,
-                             .left_ms = DEADLINE_MS,
-                             .engine = true};
+    const admit_ask_t ask = {
+        .wait_ms = request.wait_ms,
+        .read_ms = request.read_ms,
+        .margin_ms = forecast_margin_ms(&request.relay->forecast),
+        .target_ms = TARGET_MS,
+        .left_ms = DEADLINE_MS,
+        .engine = true};
     if (fleet->admission && admit_after_ms(&ask) > 0) {
         fleet->refused++;
         return;
     }
-    fleet->read_tokens += now > WARM_MS ? tokens : 0;
+    fleet->read_tokens += now > fleet->warm_ms ? tokens : 0;
     size_t engine = engine_of(fleet, host, server);
     double begin = (double)now;
     begin = fleet->free_ms[engine] > begin ? fleet->free_ms[engine] : begin;
@@ -132,6 +143,8 @@
                    .engine = engine,
                    .tokens = tokens,
                    .wait_ms = begin - (double)now,
+                   .expected_ms = request.wait_ms + request.read_ms,
+                   .came_ms = now,
                    .done_ms = fleet->free_ms[engine]};
 }
 
@@ -144,6 +157,9 @@
             server_t *server = fleet->servers[placed->host][placed->engine];
             server_read(server, placed->tokens);
             server_done(server);
+            forecast_note(&fleet->hosts[placed->host]->forecast,
+                          placed->expected_ms,
+                          placed->done_ms - (double)placed->came_ms);
             placed->counted_off = true;
         }
     }
@@ -171,7 +187,7 @@
 fleet_play(fleet_t *fleet, double utilisation, double tokens)
 {
     double per_ms = utilisation * ENGINES * ENGINE_TOKENS_PER_MS / tokens;
-    for (int64_t now = 1; now <= RUN_MS; now++) {
+    for (int64_t now = 1; now <= fleet->run_ms; now++) {
         fleet_finish(fleet, now);
         fleet_announce(fleet, now);
         double expect = per_ms;
@@ -201,7 +217,7 @@
     size_t count = 0;
     for (size_t i = 0; i < fleet->count; i++) {
         const placed_t *placed = &fleet->placed[i];
-        if (placed->done_ms > WARM_MS) {
+        if (placed->done_ms > (double)fleet->warm_ms) {
             waits[count++] = placed->wait_ms;
         }
     }
@@ -245,7 +261,7 @@
 busy_part(const fleet_t *fleet)
 {
     return fleet->read_tokens / ENGINE_TOKENS_PER_MS /
-           (ENGINES * (RUN_MS - WARM_MS));
+           (double)(ENGINES * (fleet->run_ms - fleet->warm_ms));
 }
 
 /* Guards against servers that read prompts without a pause: the answers that
@@ -256,6 +272,8 @@
     for (size_t i = 0; i < sizeof(loads) / sizeof(loads[0]); i++) {
         fleet_t *fleet = fleet_new(i + 1);
         fleet->admission = true;
+        fleet->run_ms = OVERLOAD_RUN_MS;
+        fleet->warm_ms = OVERLOAD_WARM_MS;
         fleet_play(fleet, loads[i], 1800);
         ck_assert_double_le(busy_part(fleet), 0.92);
         ck_assert_double_ge(busy_part(fleet), 0.8);
@@ -276,7 +294,30 @@
 }
 END_TEST
 
+/* Guards against requests that are refused by idle servers: that a server is
+ * on older weights or has failed some answers is no wait. */
+START_TEST(preferences_are_no_waiting)
+{
+    fleet_t *fleet = fleet_new(1);
+    relay_t *relay = fleet->hosts[0];
+    request_t request = {
+        .relay = relay, .config = fleet->config, .engine = true};
+    str_copy(request.service, sizeof(request.service), "llm");
+    str_copy(request.prompt.model, sizeof(request.prompt.model), "m");
+    request.prompt.count = 1;
+    request.prompt.prompt_tokens = 100;
+    relay->settings.weights_ms = 60000;
+    weights_note(relay, "m", 2, time_wall_ms());
+    for (size_t i = 0; i < ENGINES; i++) {
+        fleet->servers[0][i]->error_share = 0.5;
+    }
+    ck_assert_ptr_nonnull(request_choose(&request, 1));
+    ck_assert_double_eq(request.wait_ms, 0);
+    fleet_free(fleet);
+}
+END_TEST
+
 TEST_MAIN("place-fleet", small_prompts_of_many_hosts_spread,
           large_prompts_of_many_hosts_spread,
           overload_leaves_servers_time_for_answers,
-          nobody_is_refused_where_there_is_room)
+          nobody_is_refused_where_there_is_room, preferences_are_no_waiting)
