--- a/relay/request.h
+++ b/relay/request.h
@@ -88,7 +88,9 @@
 void request_deliver(request_t *request, meter_outcome_t outcome,
                      const char *word);
 void request_refuse(request_t *request, const char *why, int64_t after_ms);
+quota_verdict_t request_ask_quota(request_t *request);
 void request_charge_again(request_t *request);
+void request_return_charge(request_t *request);
 void request_fail(request_t *request, int status, const char *why);
 void request_salt(const request_t *request, int64_t weights,
                   char out[CS_ID_LEN + 1]);
