--- a/relay/peers-table.h
+++ b/relay/peers-table.h
@@ -20,6 +20,7 @@
     int fd;
     struct event *readable;
     struct event *loads;
+    size_t load_steps; /* since loads were last announced */
     members_t *members;
     member_out_t out;
     peer_datagram_t pending; /* facts that leave with the next tick */
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -9,8 +9,10 @@
  * product's own deployments (kernel/members.c), and facts about servers.
  * Lost datagrams cost a recomputation or a detour, never an answer. */
 
-/* Loads are announced this often, ms. */
+/* Loads are announced this often, ms, and less often in fleets of more hosts
+ * than this, of which each has less to say. */
 #define LOADS_MS 50
+#define LOADS_HOSTS 50
 
 /* This host's part of the retries that all may send besides those that their
  * requests earn. */
@@ -26,9 +28,14 @@
 static void
 on_loads(evutil_socket_t fd, short what, void *arg)
 {
+    peers_t *peers = arg;
+    size_t steps = 1 + peers_live(peers) / LOADS_HOSTS;
     (void)fd;
     (void)what;
-    peers_notify_loads(arg, time_mono_ms());
+    if (++peers->load_steps >= steps) {
+        peers->load_steps = 0;
+        peers_notify_loads(peers, time_mono_ms());
+    }
 }
 
 /* One step; membership has its own, slower one. */
--- a/relay/quota.c
+++ b/relay/quota.c
@@ -34,7 +34,7 @@
  * that the datagrams of a host are bounded; a host is silent behind several
  * lost ones. */
 #define INTERVAL_LEAST_MS 200
-#define INTERVAL_HOST_MS 4
+#define INTERVAL_HOST_MS 8
 #define SILENT_INTERVALS 4
 /* Slice over which the others' rate is measured, and weight of the newest. */
 #define SLICE_MS 250
@@ -498,8 +498,10 @@
 quotas_announce(quotas_t *quotas, peer_datagram_t *out, int64_t now_ms)
 {
     int64_t since = now_ms - quotas->announced_ms;
-    if (quotas->count == 0 || quotas->host_count == 0 ||
-        (since < quotas_interval_ms(quotas) && !has_news(quotas))) {
+    int64_t interval = quotas_interval_ms(quotas);
+    bool due =
+        since >= interval || (since >= interval / 2 && has_news(quotas));
+    if (quotas->count == 0 || quotas->host_count == 0 || !due) {
         return false;
     }
     quotas->announced_ms = now_ms;
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -277,6 +277,25 @@
 }
 END_TEST
 
+/* The same in a large fleet, whose hosts announce less often. */
+START_TEST(flood_over_many_hosts_stays_within_the_limit)
+{
+    for (uint64_t seed = 1; seed <= 2; seed++) {
+        sim_t *sim = sim_new(78, seed == 1 ? 120000 : 600000, seed);
+        double rate = sim->limit.rate / 1000;
+        sim->load = rate * 0.55;
+        sim_lead(sim);
+        sim_play(sim, 10000, 14000);
+        sim->load = rate * 5;
+        sim_play(sim, 14000, 28000);
+        sim->load = rate * 0.55;
+        sim_play(sim, 28000, RUN_MS);
+        ck_assert_double_le(worst_window(sim), 1);
+        sim_free(sim);
+    }
+}
+END_TEST
+
 /* All hosts are killed within a flood: none begins with a burst that the
  * others have spent before. */
 START_TEST(a_started_fleet_does_not_spend_a_burst_again)
@@ -508,6 +527,7 @@
 
 TEST_MAIN("quota", nothing_below_a_limit_is_refused,
           flood_stays_within_the_limit_and_uses_it,
+          flood_over_many_hosts_stays_within_the_limit,
           a_started_fleet_does_not_spend_a_burst_again,
           a_started_fleet_serves_what_is_usual,
           hosts_that_are_cut_off_keep_to_their_part,
