--- a/relay/peer-loads.c
+++ b/relay/peer-loads.c
@@ -16,15 +16,16 @@
 static bool
 has_news(const server_t *server, int64_t now)
 {
-    double change = server->own_unread - server->told_unread;
-    uint32_t filled = server->filled - server->told_filled;
-    bool sent = server->sent - server->told_sent >= STEP_TOKENS;
-    bool emptied = server->own_unread <= 0 && server->told_unread > 0;
-    bool repeat = server->own_unread > 0 && now - server->told_ms >= REPEAT_MS;
+    double change = server->own_unread - server->announced_unread;
+    uint32_t filled = server->filled - server->announced_filled;
+    bool sent = server->sent - server->announced_sent >= STEP_TOKENS;
+    bool emptied = server->own_unread <= 0 && server->announced_unread > 0;
+    bool repeat =
+        server->own_unread > 0 && now - server->announced_ms >= REPEAT_MS;
     return change >= STEP_TOKENS || change <= -STEP_TOKENS || emptied ||
            sent || repeat || filled >= FILLED_STEP_TOKENS ||
            (now < server->loading_ms &&
-            server->own_running != server->told_running);
+            server->own_running != server->announced_running);
 }
 
 /* Loads that find no room leave with the next datagram. */
@@ -42,11 +43,11 @@
             !has_news(server, now_ms)) {
             continue;
         }
-        server->told_unread = server->own_unread;
-        server->told_running = server->own_running;
-        server->told_filled = server->filled;
-        server->told_ms = now_ms;
-        server->told_sent = server->sent;
+        server->announced_unread = server->own_unread;
+        server->announced_running = server->own_running;
+        server->announced_filled = server->filled;
+        server->announced_ms = now_ms;
+        server->announced_sent = server->sent;
         out->loads[out->load_count++] =
             (peer_load_t){.server = server->key,
                           .unread = (uint32_t)server->own_unread,
@@ -68,12 +69,12 @@
         if (server == NULL) {
             continue;
         }
-        const other_load_t said = {.host = host,
-                                   .told_ms = now_ms,
-                                   .unread = load->unread,
-                                   .running = (int)load->running,
-                                   .filled = load->filled,
-                                   .sent = load->sent};
-        server_peer_load(server, &said);
+        const other_load_t report = {.host = host,
+                                     .received_ms = now_ms,
+                                     .unread = load->unread,
+                                     .running = (int)load->running,
+                                     .filled = load->filled,
+                                     .sent = load->sent};
+        server_peer_load(server, &report);
     }
 }
--- a/relay/peer-loads.h
+++ b/relay/peer-loads.h
@@ -1,7 +1,7 @@
 #ifndef CELERYSPOOL_PEER_LOADS_H
 #define CELERYSPOOL_PEER_LOADS_H
 
-/* What daemons tell each other of their requests at servers.  No I/O. */
+/* The daemons' announcements of their requests at servers.  No I/O. */
 
 #include "../kernel/peer-codec.h"
 #include "servers.h"
--- a/relay/peers-apply.c
+++ b/relay/peers-apply.c
@@ -3,8 +3,9 @@
 
 #include <stdlib.h>
 
-/* A server that peers say is loading is left alone for this long, ms: a load
- * and the runs before it. Its end is announced; this bounds a lost datagram.
+/* A server that peers report as loading is left alone for this long, ms: a
+ * load and the runs before it. Its end is announced; this bounds a lost
+ * datagram.
  */
 #define LOADING_MS 2500
 
@@ -30,13 +31,13 @@
     if (server == NULL) {
         return;
     }
-    const other_load_t said = {.host = host,
-                               .told_ms = time_mono_ms(),
-                               .unread = fact->load.waiting_tokens,
-                               .running = fact->load.running,
-                               .filled = fact->load.filled};
+    const other_load_t report = {.host = host,
+                                 .received_ms = time_mono_ms(),
+                                 .unread = fact->load.waiting_tokens,
+                                 .running = fact->load.running,
+                                 .filled = fact->load.filled};
     take_weights(relay, server, &fact->load);
-    server_peer_load(server, &said);
+    server_peer_load(server, &report);
     if (fact->load.at_server >= 0) {
         server_load(server, fact->load.at_server, 0, time_mono_ms());
     }
--- a/relay/peers-datagram.c
+++ b/relay/peers-datagram.c
@@ -57,7 +57,7 @@
                                 .sin_addr = {(in_addr_t)(host >> 16)}};
 }
 
-/* Sends what membership wants to say. */
+/* Sends the pending messages of membership. */
 void
 peers_send_members(peers_t *peers)
 {
@@ -81,9 +81,8 @@
     return fact;
 }
 
-/* Tell one daemon what a server or a kv store is believed to hold,
- * the part used last at the end, as its own list wants them; how many
- * parts were told. */
+/* Sends one daemon the parts that a server or a kv store is believed to hold,
+ * the most recently used one last; returns their number. */
 static size_t
 send_parts(peers_t *peers, const char *addr, const char *holder,
            const cached_parts_t *held)
--- a/relay/peers-notify.c
+++ b/relay/peers-notify.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-/* What a daemon tells the others: parts that caches hold, its requests at
- * servers, what it has spent of workspaces' limits. */
+/* Notifications to other daemons: parts that caches hold, requests at servers,
+ * units spent of workspaces' limits. */
 
 /* Others that it asks, against lost datagrams. */
 #define ASK_PEERS 2
@@ -109,7 +109,7 @@
     }
 }
 
-/* Tells all hosts that may spend what this one has spent. */
+/* Announces what this host has spent to all that may spend. */
 void
 peers_announce_quotas(peers_t *peers, int64_t now)
 {
@@ -130,7 +130,7 @@
 
 /* ---- what others know ---- */
 
-/* Ask a few others for what they know, once they are found. */
+/* Requests the known facts from a few others, once they are found. */
 void
 peers_ask_all(peers_t *peers)
 {
@@ -149,8 +149,8 @@
     peers->asked = asked > 0;
 }
 
-/* Tell what this host has at the servers where that has changed: a server's
- * own word does not say how much of the prompts at it is still to be read. */
+/* Announces this host's requests at servers: a server's load header does not
+ * count the prompt tokens that are still to be read. */
 void
 peers_notify_loads(peers_t *peers, int64_t now)
 {
--- a/relay/peers-table.h
+++ b/relay/peers-table.h
@@ -47,7 +47,7 @@
 peer_fact_t peers_held_fact(const char *holder, const cached_part_t *part);
 void peers_on_readable(evutil_socket_t fd, short what, void *arg);
 
-/* What others are told. */
+/* Notifications. */
 void peers_flush_facts(peers_t *peers);
 void peers_notify_part(peers_t *peers, const char *holder,
                        const cached_part_t *part, bool held);
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -10,7 +10,7 @@
  * Lost datagrams cost a recomputation or a detour, never an answer. */
 
 /* Loads are announced this often, ms, and less often in fleets of more hosts
- * than this, of which each has less to say. */
+ * than this, each of which has fewer requests. */
 #define LOADS_MS 50
 #define LOADS_HOSTS 50
 
--- a/relay/quota.c
+++ b/relay/quota.c
@@ -10,8 +10,8 @@
  * Each host keeps one token bucket for each workspace, for all hosts in touch
  * together: it subtracts what it spends itself and what the others announce.
  * What was spent twice in the time of an announcement makes the bucket
- * negative and is paid back, so the error does not add up.  Hosts that are not
- * heard may be spending too: the others go on with their own part of the limit
+ * negative and is paid back, so the error does not add up.  Silent hosts
+ * may be spending too: the others go on with their own part of the limit
  * until the silent ones are gone for good. */
 
 /* Parts of what the bounds allow beyond a limit: added to each bucket, so that
@@ -20,11 +20,11 @@
  * spent by all hosts without an announcement. */
 #define EXTRA_PART 0.3
 #define START_PART 0.4
-#define UNTOLD_PART 0.15
+#define UNANNOUNCED_PART 0.15
 /* A request that exceeds the bucket is admitted to a full one up to this part
  * of what the bounds allow, else never. */
 #define OVERSIZE_PART 0.5
-/* A host that is neither heard nor a member counts for so long, ms: longer
+/* A host that neither announces nor is a member counts for so long, ms: longer
  * than one that is cut off goes on spending its part. */
 #define KNOWN_MS 15000
 /* Until other hosts are listed, this many are assumed. */
@@ -36,7 +36,7 @@
 #define INTERVAL_LEAST_MS 200
 #define INTERVAL_HOST_MS 8
 #define SILENT_INTERVALS 4
-/* Slice over which the others' rate is measured, and weight of the newest. */
+/* Slice over which the others' rate is averaged, and weight of the newest. */
 #define SLICE_MS 250
 #define SLICE_WEIGHT 0.4
 /* Bounds of the time to come back, ms. */
@@ -60,7 +60,7 @@
 static void
 quota_free(quota_t *quota)
 {
-    free(quota->heard);
+    free(quota->reports);
     free(quota);
 }
 
@@ -179,14 +179,15 @@
 
 /* ---- the bucket ---- */
 
-/* Time since the last word of the hosts in touch, ms, in the mean. */
+/* Mean time since the last announcements of the hosts in touch, ms. */
 static double
 silence_ms(const quotas_t *quotas, int64_t now_ms)
 {
-    if (quotas->fresh_count == 0) {
+    if (quotas->in_touch_count == 0) {
         return 0;
     }
-    double mean = (double)quotas->heard_sum_ms / (double)quotas->fresh_count;
+    double mean =
+        (double)quotas->received_sum_ms / (double)quotas->in_touch_count;
     return fmax(0, (double)now_ms - mean);
 }
 
@@ -212,7 +213,7 @@
 }
 
 /* Units that the hosts in touch are expected to have spent since they were
- * last heard. */
+ * last announcements. */
 double
 quota_unseen(const quotas_t *quotas, const quota_t *quota, int64_t now_ms)
 {
@@ -244,7 +245,7 @@
 }
 
 /* When a bucket that lacks so much will have it, behind the callers that were
- * told to come back before. */
+ * given a time before. */
 static int64_t
 after_ms(const quotas_t *quotas, quota_t *quota, double missing, double cost)
 {
@@ -364,10 +365,10 @@
     if (alone && now_ms - quotas->started_ms < LEARN_MS) {
         return;
     }
-    set_part(
-        quotas,
-        (double)(quotas->fresh_count + 1) / (double)(quotas->host_count + 1),
-        now_ms);
+    set_part(quotas,
+             (double)(quotas->in_touch_count + 1) /
+                 (double)(quotas->host_count + 1),
+             now_ms);
 }
 
 /* Drops hosts that are gone and counts those that are silent. */
@@ -380,12 +381,12 @@
         if (host->host == 0) {
             continue;
         }
-        if (host->fresh && now_ms - host->heard_ms > silent) {
-            host->fresh = false;
-            quotas->fresh_count--;
-            quotas->heard_sum_ms -= host->heard_ms;
+        if (host->in_touch && now_ms - host->received_ms > silent) {
+            host->in_touch = false;
+            quotas->in_touch_count--;
+            quotas->received_sum_ms -= host->received_ms;
         }
-        if (!host->fresh && now_ms - host->heard_ms > KNOWN_MS &&
+        if (!host->in_touch && now_ms - host->received_ms > KNOWN_MS &&
             now_ms - host->known_ms > KNOWN_MS) {
             host->host = 0;
             quotas->host_count--;
@@ -410,31 +411,32 @@
 }
 
 static void
-host_heard(quotas_t *quotas, quota_host_t *host,
-           const peer_datagram_t *datagram, int64_t now_ms)
+host_received(quotas_t *quotas, quota_host_t *host,
+              const peer_datagram_t *datagram, int64_t now_ms)
 {
-    bool first = host->heard_ms == 0;
-    quotas->heard_sum_ms += now_ms - (host->fresh ? host->heard_ms : 0);
-    host->heard_ms = now_ms;
+    bool first = host->received_ms == 0;
+    quotas->received_sum_ms +=
+        now_ms - (host->in_touch ? host->received_ms : 0);
+    host->received_ms = now_ms;
     host->known_ms = now_ms;
     host->sequence = datagram->sequence;
-    if (!host->fresh || host->incarnation != datagram->incarnation) {
+    if (!host->in_touch || host->incarnation != datagram->incarnation) {
         host->contact = ++quotas->contacts;
     }
     host->incarnation = datagram->incarnation;
-    if (host->fresh) {
+    if (host->in_touch) {
         return;
     }
-    host->fresh = true;
-    quotas->fresh_count++;
+    host->in_touch = true;
+    quotas->in_touch_count++;
     if (first && now_ms - quotas->started_ms < LEARN_MS) {
         join_start(quotas, now_ms);
     }
     count_hosts(quotas, now_ms);
 }
 
-/* Subtracts what a host has spent since its last word, or since the one before
- * this, where it was out of touch: then it spent of its own part. */
+/* Subtracts what a host has spent since its last announcement.  What it spent
+ * while it was out of touch was of its own part. */
 static void
 apply_usage(quotas_t *quotas, const quota_host_t *host,
             const peer_usage_t *usage, int64_t now_ms)
@@ -443,15 +445,15 @@
     if (quota == NULL) {
         return;
     }
-    if (quota->heard == NULL) {
-        quota->heard = mem_zalloc(QUOTA_HOSTS_MAX * sizeof(*quota->heard));
+    if (quota->reports == NULL) {
+        quota->reports = mem_zalloc(QUOTA_HOSTS_MAX * sizeof(*quota->reports));
     }
-    quota_heard_t *heard = &quota->heard[host - quotas->hosts];
-    uint32_t since = heard->contact == host->contact
-                         ? usage->spent - heard->spent
+    quota_report_t *last = &quota->reports[host - quotas->hosts];
+    uint32_t since = last->contact == host->contact
+                         ? usage->spent - last->spent
                          : usage->recent;
     double delta = (double)(int32_t)since;
-    *heard = (quota_heard_t){usage->spent, host->contact};
+    *last = (quota_report_t){usage->spent, host->contact};
     quota_advance(quotas, quota, now_ms);
     quota->level -= delta;
     quota->others_sum += delta;
@@ -468,7 +470,7 @@
         datagram->incarnation < host->incarnation) {
         return;
     }
-    host_heard(quotas, host, datagram, now_ms);
+    host_received(quotas, host, datagram, now_ms);
     for (size_t i = 0; i < datagram->usage_count; i++) {
         apply_usage(quotas, host, &datagram->usages[i], now_ms);
     }
@@ -481,10 +483,11 @@
     for (size_t i = 0; i < QUOTA_BUCKETS; i++) {
         const quota_t *quota;
         CK_SLIST_FOREACH (quota, &quotas->buckets[i], entry) {
-            double untold =
-                fabs((double)(int32_t)(quota->spent - quota->told));
-            if (untold > UNTOLD_PART * allowance(quotas, &quota->limit) /
-                             (double)(quotas->host_count + 1)) {
+            double unannounced =
+                fabs((double)(int32_t)(quota->spent - quota->announced));
+            if (unannounced > UNANNOUNCED_PART *
+                                  allowance(quotas, &quota->limit) /
+                                  (double)(quotas->host_count + 1)) {
                 return true;
             }
         }
@@ -513,16 +516,17 @@
         size_t at = (quotas->next_bucket + i) % QUOTA_BUCKETS;
         quota_t *quota;
         CK_SLIST_FOREACH (quota, &quotas->buckets[at], entry) {
-            if (quota->spent == quota->told) {
+            if (quota->spent == quota->announced) {
                 continue;
             }
             if (out->usage_count == PEER_USAGES_MAX) {
                 quotas->next_bucket = at;
                 return true;
             }
-            out->usages[out->usage_count++] = (peer_usage_t){
-                quota->workspace, quota->spent, quota->spent - quota->told};
-            quota->told = quota->spent;
+            out->usages[out->usage_count++] =
+                (peer_usage_t){quota->workspace, quota->spent,
+                               quota->spent - quota->announced};
+            quota->announced = quota->spent;
         }
     }
     return true;
--- a/relay/quota.h
+++ b/relay/quota.h
@@ -29,11 +29,11 @@
     int64_t after_ms; /* when to come back, 0 where it never fits */
 } quota_verdict_t;
 
-/* What one other host has said of a workspace. */
+/* The last announcement of one other host for a workspace. */
 typedef struct {
     uint32_t spent;   /* of its lifetime, wraps */
-    unsigned contact; /* in which it said so; 0 for none */
-} quota_heard_t;
+    unsigned contact; /* in which that was received; 0 for none */
+} quota_report_t;
 
 typedef struct quota {
     CK_SLIST_ENTRY(quota) entry;
@@ -44,12 +44,12 @@
     double level;       /* left for the hosts in touch; negative for a debt */
     int64_t level_ms;   /* when that was */
     uint32_t spent;     /* by this host, of its lifetime, wraps */
-    uint32_t told;      /* the same, as last announced */
-    double booked;      /* of callers that were told when to come back */
+    uint32_t announced; /* the same, as last announced */
+    double booked;      /* of callers that were given a time to come back */
     double others_rate; /* spent by other hosts, units a ms */
     double others_sum;  /* the same, of the present slice */
     int64_t slice_ms;   /* begin of that slice */
-    quota_heard_t *heard; /* by number of host; NULL until one has spoken */
+    quota_report_t *reports; /* by number of host; NULL until one has spoken */
     uint64_t allowed;
     uint64_t refused;
 } quota_t;
@@ -58,11 +58,11 @@
 typedef struct {
     uint64_t host; /* its address; 0 for a free place */
     int64_t known_ms;
-    int64_t heard_ms; /* 0 for never */
+    int64_t received_ms; /* 0 for never */
     uint64_t incarnation;
     uint64_t sequence;
     unsigned contact; /* span without silence or restart, unique */
-    bool fresh;
+    bool in_touch;
 } quota_host_t;
 
 typedef struct {
@@ -70,9 +70,9 @@
     quota_bounds_t bounds;
     quota_host_t hosts[QUOTA_HOSTS_MAX];
     size_t host_count; /* known ones */
-    size_t fresh_count;
-    int64_t heard_sum_ms; /* of the hosts in touch */
-    double part;          /* of each limit that the hosts in touch may spend */
+    size_t in_touch_count;
+    int64_t received_sum_ms; /* of the hosts in touch */
+    double part; /* of each limit that the hosts in touch may spend */
     int64_t started_ms;
     unsigned contacts; /* so far */
     size_t count;
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -53,7 +53,8 @@
 quota_metrics(const quotas_t *quotas, buf_t *out)
 {
     meter_gauge(out, "quota_hosts", (double)quotas->host_count + 1);
-    meter_gauge(out, "quota_hosts_in_touch", (double)quotas->fresh_count + 1);
+    meter_gauge(out, "quota_hosts_in_touch",
+                (double)quotas->in_touch_count + 1);
     for (size_t i = 0; i < QUOTA_BUCKETS; i++) {
         const quota_t *quota;
         CK_SLIST_FOREACH (quota, &quotas->buckets[i], entry) {
--- a/relay/request-quota.c
+++ b/relay/request-quota.c
@@ -56,7 +56,7 @@
                request->id, quota->name, cost, quota->level,
                quota_unseen(quotas, quota, now), quota->limit.rate,
                quota->limit.burst, quotas->host_count + 1,
-               quotas->fresh_count + 1);
+               quotas->in_touch_count + 1);
     return verdict;
 }
 
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -11,8 +11,8 @@
 /* Faults in a row that open the circuit.  A connection that cannot be made is
  * proof enough by itself; a single broken answer is not. */
 #define CIRCUIT_FAULTS 2
-/* A server that says nothing for so long while it has work is asked whether it
- * is there, ms.  Engines tell the events of a stream every few tens of ms; one
+/* A server that is silent for so long while it has work is probed, ms.
+ * Engines send the events of a stream every few tens of ms; one
  * that only reads prompts can be silent for longer, and then answers. */
 #define SILENCE_MS 300
 /* A silent server is asked again this often, ms. */
@@ -141,8 +141,8 @@
     }
     if (entry->weights > server->info.weights) {
         /* Whoever ordered the load may have learnt of its end from this entry
-         * too and tell nobody: without this the server would stay unused here
-         * until the word that it loads expires. */
+         * too and notify nobody: without this the server would stay unused
+         * here until the notice of its load expires. */
         server->loading_ms = 0;
     }
     bool renewed = server->info.born_ms != entry->born_ms ||
@@ -229,15 +229,15 @@
     server->load_ms = now_ms;
 }
 
-/* Whether a server's own word on its load still counts. */
+/* Whether the load that a server reported is recent. */
 bool
 server_load_fresh(const server_t *server, int64_t now_ms)
 {
     return server->load_ms != 0 && now_ms - server->load_ms < LOAD_FRESH_MS;
 }
 
-/* Requests of all hosts at a server, waiting ones included: by its own word
- * while that is fresh, and at least what the hosts say of themselves. */
+/* Requests of all hosts at a server, waiting ones included: by its own report
+ * while that is recent, and at least the sum of what the hosts announce. */
 int
 server_places_taken(const server_t *server, int64_t now_ms)
 {
@@ -272,17 +272,17 @@
     server->hold_ms += HOLD_WEIGHT * (ms - server->hold_ms);
 }
 
-/* Whether other hosts should be told what the server says of its load: only
+/* Whether other hosts are notified of the server's reported load: only
  * of one whose slots are nearly taken, and not too often. */
 bool
 server_crowded_news(server_t *server, int64_t now_ms)
 {
     int taken = server->load_running + server->load_waiting;
     if (taken < server->info.slots * CROWDED_PART ||
-        now_ms - server->crowd_told_ms < CROWDED_AGAIN_MS) {
+        now_ms - server->crowd_announced_ms < CROWDED_AGAIN_MS) {
         return false;
     }
-    server->crowd_told_ms = now_ms;
+    server->crowd_announced_ms = now_ms;
     return true;
 }
 
@@ -336,29 +336,29 @@
     return is_reachable(server, now_ms) && !server->info.draining;
 }
 
-/* The server has answered this host, or another that says so. */
+/* The server has answered this host, or another that reports it. */
 void
 server_confirm_alive(server_t *server, int64_t now_ms)
 {
-    server->life_ms = now_ms;
+    server->alive_ms = now_ms;
 }
 
-/* Whether other servers may be told to fetch from it.  A dark server takes
+/* Whether other servers may fetch from it.  A dark server takes
  * nothing in, so what it held is believed for as long as it is dark; whoever
  * is sent there waits some hundred ms and then reads the prompt all the same.
  */
 bool
 server_is_source(const server_t *server, int64_t now_ms)
 {
-    return is_reachable(server, now_ms) && server->life_ms != 0 &&
-           now_ms - server->life_ms < LIFE_MS;
+    return is_reachable(server, now_ms) && server->alive_ms != 0 &&
+           now_ms - server->alive_ms < LIFE_MS;
 }
 
 /* Something came from the server. */
 void
 server_note_answer(server_t *server, int64_t now_ms)
 {
-    server->heard_ms = now_ms;
+    server->answered_ms = now_ms;
     server->silent = false;
     server_confirm_alive(server, now_ms);
 }
@@ -375,8 +375,8 @@
     if (server->silent) {
         return now_ms - server->asked_ms >= SILENT_AGAIN_MS;
     }
-    int64_t since = server->heard_ms > server->busy_ms ? server->heard_ms
-                                                       : server->busy_ms;
+    int64_t since = server->answered_ms > server->busy_ms ? server->answered_ms
+                                                          : server->busy_ms;
     return server->own_running > 0 && now_ms - since >= SILENCE_MS;
 }
 
@@ -389,32 +389,32 @@
     cached_parts_fill(server->held, tokens);
 }
 
-/* What a host's requests have brought in since its last word.  A count that
- * goes back is of a host that has started anew, or of a datagram that came
- * late; taken for a wrap it would empty the list. */
+/* What a host's requests have brought in since its last announcement.  A count
+ * that goes back is of a host that has started anew, or of a datagram that
+ * came late; taken for a wrap it would empty the list. */
 static void
 fill_since(server_t *server, const other_load_t *before,
-           const other_load_t *said)
+           const other_load_t *report)
 {
-    int32_t more = (int32_t)(said->filled - before->filled);
+    int32_t more = (int32_t)(report->filled - before->filled);
     if (more > 0) {
         cached_parts_fill(server->held, (uint32_t)more);
     }
 }
 
-/* Tokens that a host has given the server to read since its last word; of a
- * host that had said nothing, those that are not read yet. */
+/* Tokens that a host has given the server to read since its last announcement;
+ * for its first one, those that are not read yet. */
 static double
-sent_since(const other_load_t *before, const other_load_t *said)
+sent_since(const other_load_t *before, const other_load_t *report)
 {
-    int32_t more = (int32_t)(said->sent - before->sent);
-    if (before->host != said->host || before->sent == 0 || more < 0) {
-        return said->unread;
+    int32_t more = (int32_t)(report->sent - before->sent);
+    if (before->host != report->host || before->sent == 0 || more < 0) {
+        return report->unread;
     }
     return more;
 }
 
-/* The place of a host's word, or the oldest one to make room for it. */
+/* The place of a host's announcement, or the oldest one to be replaced. */
 static other_load_t *
 other_place(server_t *server, uint64_t host)
 {
@@ -424,7 +424,7 @@
         if (other->host == host) {
             return other;
         }
-        if (other->told_ms < oldest->told_ms) {
+        if (other->received_ms < oldest->received_ms) {
             oldest = other;
         }
     }
@@ -433,33 +433,34 @@
                : oldest;
 }
 
-/* Another host says what it has at the server.  What its requests have brought
- * into the cache since its last word pushes out what was used before. */
+/* Applies another host's announcement.  What its requests have brought into
+ * the cache since the last one pushes out what was used before. */
 void
-server_peer_load(server_t *server, const other_load_t *said)
+server_peer_load(server_t *server, const other_load_t *report)
 {
-    other_load_t *place = other_place(server, said->host);
-    bool known = place->host == said->host;
+    other_load_t *place = other_place(server, report->host);
+    bool known = place->host == report->host;
     uint32_t sent = known ? place->sent : 0;
     if (known) {
-        fill_since(server, place, said);
+        fill_since(server, place, report);
     }
-    if (said->sent != 0) {
-        server->booked =
-            server_booked(server, said->told_ms) + sent_since(place, said);
-        sent = said->sent;
+    if (report->sent != 0) {
+        server->booked = server_booked(server, report->received_ms) +
+                         sent_since(place, report);
+        sent = report->sent;
     }
-    *place = *said;
+    *place = *report;
     place->sent = sent;
 }
 
 static bool
 is_fresh(const other_load_t *other, int64_t now_ms)
 {
-    return other->host != 0 && now_ms - other->told_ms < OTHER_FRESH_MS;
+    return other->host != 0 && now_ms - other->received_ms < OTHER_FRESH_MS;
 }
 
-/* Prompt tokens of other hosts that are not read yet, as far as they said. */
+/* Prompt tokens of other hosts that are not read yet, as far as they have
+ * reported. */
 double
 server_others_unread(const server_t *server, int64_t now_ms)
 {
@@ -473,7 +474,7 @@
     return unread;
 }
 
-/* Requests of all hosts at it, as far as they said. */
+/* Requests of all hosts at it, as far as they have reported. */
 int
 server_running(const server_t *server, int64_t now_ms)
 {
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -19,7 +19,7 @@
  * generate included.  Each server's own speed is learned: see server_speed. */
 #define SERVER_READ_TOKENS_PER_MS 48.0
 
-/* What the platform says of a server, decoded by platform/server-read.c. */
+/* A server's entry on the platform, decoded by platform/server-read.c. */
 typedef struct {
     char id[CS_NAME_MAX];
     char service[CS_NAME_MAX];
@@ -41,16 +41,16 @@
     SERVER_FAULT_SILENT   /* no answer in the time that it had */
 } server_fault_t;
 
-/* What another host has at a server, by its own word. */
+/* What another host has at a server, as it last announced. */
 #define OTHER_HOSTS_MAX 384
 
 typedef struct {
     uint64_t host; /* hash of its address; 0 for none */
-    int64_t told_ms;
+    int64_t received_ms;
     double unread;
     int running;
     uint32_t filled; /* tokens of requests' own parts, of all time, wraps */
-    uint32_t sent;   /* tokens to read, of all time, wraps; 0: not said */
+    uint32_t sent;   /* tokens to read, of all time, wraps; 0: not reported */
 } other_load_t;
 
 typedef struct server {
@@ -59,7 +59,7 @@
     int64_t revision;       /* of its entry */
     bool ordered;           /* this host is bringing it to other weights */
     int64_t order_after_ms; /* not ordered again before */
-    int64_t loading_ms;     /* it is said to load weights until then */
+    int64_t loading_ms;     /* it is reported to load weights until then */
     uint32_t key;           /* hash of its id, for other hosts */
     uint16_t number;        /* in the cache map; used again when it is gone */
     int64_t missing_ms; /* since when its entry is gone, 0 if it is there */
@@ -68,23 +68,24 @@
     unsigned seen;      /* count of the list that it was last on */
     int own_running;    /* requests of this host at it */
     double own_unread;  /* their prompt tokens that are not read yet */
-    double told_unread; /* as other hosts were last notified */
-    int told_running;
-    int64_t told_ms;
-    uint32_t told_sent;
+    double announced_unread; /* as other hosts were last notified */
+    int announced_running;
+    int64_t announced_ms;
+    uint32_t announced_sent;
     uint32_t sent;     /* tokens given to it to read, of all time, wraps */
     double booked;     /* tokens of all hosts, read at a part of its speed */
     int64_t booked_ms; /* when that was */
     cached_parts_t *held; /* what its cache is believed to hold */
     uint32_t
         filled; /* tokens of own requests' own parts, of all time, wraps */
-    uint32_t told_filled; /* the same, as last notified */
+    uint32_t announced_filled; /* the same, as last notified */
     other_load_t others[OTHER_HOSTS_MAX];
     size_t other_count; /* places in use */
-    int load_running;   /* by its own word */
+    int load_running;   /* by its own report */
     int load_waiting;
-    int64_t load_ms;       /* when it said so, 0 for never */
-    int64_t crowd_told_ms; /* when others were last notified of its load */
+    int64_t load_ms; /* when it reported that, 0 for never */
+    int64_t
+        crowd_announced_ms; /* when others were last notified of its load */
     double hold_ms;     /* that a request takes a slot from its first token on,
                          * smoothed; 0 unknown */
     unsigned faults;    /* in a row */
@@ -93,11 +94,11 @@
     double error_share; /* of its answers lately that were errors */
     double slowness;    /* observed over expected time, smoothed */
     int64_t asked_ms;   /* when its report was last asked for */
-    int64_t heard_ms;   /* when anything last came from it */
-    int64_t life_ms;    /* the same, to this host or another that said so */
-    int64_t busy_ms;    /* since when requests of this host are at it */
-    bool probing;       /* it is being asked whether it is there */
-    bool silent;        /* it was asked and did not answer */
+    int64_t answered_ms; /* when anything last came from it */
+    int64_t alive_ms; /* the same, to this host or another that reported it */
+    int64_t busy_ms;  /* since when requests of this host are at it */
+    bool probing;     /* it is being asked whether it is there */
+    bool silent;      /* it was asked and did not answer */
 } server_t;
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
@@ -130,7 +131,7 @@
 void server_good(server_t *server);
 bool server_usable(const server_t *server, int64_t now_ms);
 void server_filled(server_t *server, uint32_t tokens);
-void server_peer_load(server_t *server, const other_load_t *said);
+void server_peer_load(server_t *server, const other_load_t *report);
 int server_running(const server_t *server, int64_t now_ms);
 double server_booked(server_t *server, int64_t now_ms);
 double server_others_unread(const server_t *server, int64_t now_ms);
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -31,7 +31,7 @@
     size_t hosts;
     quotas_t quotas[HOSTS_MAX];
     bool down[HOSTS_MAX];
-    int group[HOSTS_MAX]; /* hosts hear those of their own group */
+    int group[HOSTS_MAX]; /* only hosts of one group reach each other */
     flight_t flights[FLIGHT_MAX];
     size_t flight_count;
     quota_limit_t limit;
@@ -207,6 +207,23 @@
     sim->load = load;
 }
 
+/* A calm fleet, in which one workspace then sends nine times its usual for 14
+ * s.
+ */
+static void
+sim_flood(sim_t *sim, double skew)
+{
+    double rate = sim->limit.rate / 1000;
+    sim->load = rate * 0.55;
+    sim_lead(sim);
+    sim_play(sim, 10000, 14000);
+    sim->load = rate * 5;
+    sim->skew = skew;
+    sim_play(sim, 14000, 28000);
+    sim->load = rate * 0.55;
+    sim_play(sim, 28000, RUN_MS);
+}
+
 /* The largest sum over any window, as a part of what is allowed. */
 static double
 worst_window(const sim_t *sim)
@@ -257,14 +274,7 @@
     for (size_t i = 0; i < sizeof(rates) / sizeof(rates[0]); i++) {
         for (uint64_t seed = 1; seed <= 3; seed++) {
             sim_t *sim = sim_new(25, rates[i], seed);
-            sim->load = rates[i] * 0.55 / 1000;
-            sim_lead(sim);
-            sim_play(sim, 10000, 14000);
-            sim->load = rates[i] * 5 / 1000;
-            sim->skew = seed == 3 ? 0.5 : 0;
-            sim_play(sim, 14000, 28000);
-            sim->load = rates[i] * 0.55 / 1000;
-            sim_play(sim, 28000, RUN_MS);
+            sim_flood(sim, seed == 3 ? 0.5 : 0);
             ck_assert_double_le(worst_window(sim), 1);
             double ran = 0;
             for (int64_t ms = 16000; ms < 28000; ms++) {
@@ -282,14 +292,7 @@
 {
     for (uint64_t seed = 1; seed <= 2; seed++) {
         sim_t *sim = sim_new(78, seed == 1 ? 120000 : 600000, seed);
-        double rate = sim->limit.rate / 1000;
-        sim->load = rate * 0.55;
-        sim_lead(sim);
-        sim_play(sim, 10000, 14000);
-        sim->load = rate * 5;
-        sim_play(sim, 14000, 28000);
-        sim->load = rate * 0.55;
-        sim_play(sim, 28000, RUN_MS);
+        sim_flood(sim, 0);
         ck_assert_double_le(worst_window(sim), 1);
         sim_free(sim);
     }
@@ -403,7 +406,7 @@
 }
 END_TEST
 
-/* Words that are repeated or overtaken are not subtracted again. */
+/* Announcements that are repeated or overtaken are not subtracted again. */
 START_TEST(a_repeated_announcement_changes_nothing)
 {
     quotas_t quotas;
@@ -476,7 +479,7 @@
 }
 END_TEST
 
-/* Callers that are refused are told different times, so that they do not come
+/* Callers that are refused are given different times, so that they do not come
  * back at once for what only one of them can have. */
 START_TEST(refused_callers_come_back_in_order)
 {
--- a/tests/test-rollout-plan.c
+++ b/tests/test-rollout-plan.c
@@ -29,18 +29,18 @@
 {
     servers_t *servers = servers_new();
     server_t *server = server_add(servers, 1);
-    other_load_t said = {.host = 7, .told_ms = 1000, .running = 1};
-    server_peer_load(server, &said);
+    other_load_t report = {.host = 7, .received_ms = 1000, .running = 1};
+    server_peer_load(server, &report);
     server_sent(server, 0, 1000);
     ck_assert(!rollout_may_order(server, 1000, 1100));
     server_done(server);
     ck_assert(!rollout_may_order(server, 1000, 1100));
-    said.running = 0;
-    said.told_ms = 1150;
-    server_peer_load(server, &said);
+    report.running = 0;
+    report.received_ms = 1150;
+    server_peer_load(server, &report);
     ck_assert(rollout_may_order(server, 1000, 1150));
-    said.running = 5;
-    server_peer_load(server, &said);
+    report.running = 5;
+    server_peer_load(server, &report);
     ck_assert(!rollout_may_order(server, 1000, 1000 + ROLLOUT_QUIET_MS - 1));
     ck_assert(rollout_may_order(server, 1000, 1000 + ROLLOUT_QUIET_MS));
     servers_free(servers);
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -13,7 +13,7 @@
 
 /* Callers wait at few servers while a third of the fleet stands idle: a host
  * was told that a server loads weights, the platform's list told both it and
- * the host that gives the orders that the load was over, so nobody said so,
+ * the host that gives the orders that the load was over, so nobody report so,
  * and the server stayed unused until the word expired. */
 START_TEST(a_server_that_has_loaded_is_used_at_once)
 {
