A host that restarts with an earlier clock is heard again

Cause: announcements of limits were dropped where their incarnation, the wall clock at the sender's start, was lower than the last one. A host whose clock went back between two lives stayed silent to the others for good: its spending was not subtracted, and they kept to less than their part.

Change: only announcements of the host's previous life are dropped.

--- a/relay/quota.c
+++ b/relay/quota.c
@@ -420,10 +420,14 @@
     host->received_ms = now_ms;
     host->known_ms = now_ms;
     host->sequence = datagram->sequence;
-    if (!host->in_touch || host->incarnation != datagram->incarnation) {
+    bool restarted = host->incarnation != datagram->incarnation;
+    if (!host->in_touch || restarted) {
         host->contact = ++quotas->contacts;
     }
-    host->incarnation = datagram->incarnation;
+    if (restarted) {
+        host->previous = host->incarnation;
+        host->incarnation = datagram->incarnation;
+    }
     if (host->in_touch) {
         return;
     }
@@ -459,7 +463,9 @@
     quota->others_sum += delta;
 }
 
-/* Applies an announcement; repeated and overtaken ones change nothing. */
+/* Applies an announcement; repeated and overtaken ones change nothing.  A
+ * host's clock may go back between two lives, so that incarnations have no
+ * order. */
 void
 quotas_apply(quotas_t *quotas, uint64_t from, const peer_datagram_t *datagram,
              int64_t now_ms)
@@ -467,7 +473,7 @@
     quota_host_t *host = host_find(quotas, from);
     bool same = host != NULL && host->incarnation == datagram->incarnation;
     if (host == NULL || (same && datagram->sequence <= host->sequence) ||
-        datagram->incarnation < host->incarnation) {
+        datagram->incarnation == host->previous) {
         return;
     }
     host_received(quotas, host, datagram, now_ms);
--- a/relay/quota.h
+++ b/relay/quota.h
@@ -60,6 +60,7 @@
     int64_t known_ms;
     int64_t received_ms; /* 0 for never */
     uint64_t incarnation;
+    uint64_t previous; /* incarnation before this one */
     uint64_t sequence;
     unsigned contact; /* span without silence or restart, unique */
     bool in_touch;
--- a/tests/test-quota.c
+++ b/tests/test-quota.c
@@ -441,6 +441,38 @@
 }
 END_TEST
 
+/* Guards against a host that restarts with its clock set back and is taken for
+ * silent: what it spends would count for nobody.  Late datagrams of its
+ * earlier life still change nothing. */
+START_TEST(a_restart_with_an_earlier_clock_is_a_new_life)
+{
+    quotas_t quotas;
+    const quota_limit_t limit = {1000, 1000};
+    static peer_datagram_t datagram = {.kind = PEER_QUOTAS,
+                                       .incarnation = 500,
+                                       .sequence = 9,
+                                       .usage_count = 1};
+    quotas_init(&quotas, &bounds, 1, 0);
+    quotas_config_begin(&quotas);
+    quotas_config_set(&quotas, SPACE, &limit, 20000);
+    quotas_config_end(&quotas);
+    quota_t *quota = quotas_find(&quotas, SPACE);
+    datagram.usages[0] = (peer_usage_t){quota->workspace, 10, 10};
+    quotas_apply(&quotas, 7, &datagram, 20000);
+    double before = quota->level;
+    datagram.incarnation = 400;
+    datagram.sequence = 1;
+    datagram.usages[0] = (peer_usage_t){quota->workspace, 300, 300};
+    quotas_apply(&quotas, 7, &datagram, 20000);
+    ck_assert_double_eq_tol(quota->level, before - 300, 0.001);
+    datagram.incarnation = 500;
+    datagram.sequence = 10;
+    quotas_apply(&quotas, 7, &datagram, 20000);
+    ck_assert_double_eq_tol(quota->level, before - 300, 0.001);
+    quotas_free(&quotas);
+}
+END_TEST
+
 /* A request that did not run gives back what it was charged, also to the
  * other hosts. */
 START_TEST(what_did_not_run_is_given_back)
@@ -537,6 +569,7 @@
           halves_that_are_cut_off_serve_what_is_usual,
           hosts_that_start_in_turn_keep_the_limit,
           a_repeated_announcement_changes_nothing,
+          a_restart_with_an_earlier_clock_is_a_new_life,
           what_did_not_run_is_given_back,
           a_request_beyond_any_limit_is_told_so,
           refused_callers_come_back_in_order, limits_change_at_run_time)
