A server on other weights is no source of cached parts

Change: only a server on the same weights is a source. A kv store that such a run saves to is not covered: its parts have no owner to ask.

test-cache-source (a_server_on_other_weights_is_no_source) fails before and passes now.

--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -89,7 +89,9 @@
         return true;
     }
     const server_t *from = servers_numbered(relay->servers, number);
-    if (from == NULL || from == to ||
+    /* Parts under the name of other weights may have been made after a load,
+     * by a run that went on beside it. */
+    if (from == NULL || from == to || from->info.weights != to->info.weights ||
         !server_is_source(from, time_mono_ms())) {
         return false;
     }
--- a/tests/test-cache-source.c
+++ b/tests/test-cache-source.c
@@ -100,6 +100,32 @@
 }
 END_TEST
 
+/* Guards against an answer made on other weights: a run that goes on beside a
+ * load and is read in again leaves parts under the older weights' name that
+ * the newer ones made, and its server must not be fetched from for these. */
+START_TEST(a_server_on_other_weights_is_no_source)
+{
+    relay_t *relay = mem_zalloc(sizeof(*relay));
+    relay->servers = servers_new();
+    relay->cache = cache_map_new(64);
+    server_t *older = put_engine(relay, "1");
+    server_t *source = put_engine(relay, "2");
+    const prefix_t prefix = {
+        .levels = {{11, 100}, {12, 300}}, .count = 2, .tokens = 300};
+    cache_view_t view;
+    put_part(relay, source, 11);
+    cache_look(relay, &prefix, older, &view);
+    ck_assert(view.found);
+    source->info.weights = older->info.weights + 1;
+    cache_look(relay, &prefix, older, &view);
+    ck_assert(!view.found);
+    servers_free(relay->servers);
+    cache_map_free(relay->cache);
+    free(relay);
+}
+END_TEST
+
 TEST_MAIN("cache-source", a_wrong_belief_does_not_cost_the_prompt,
           a_known_source_goes_first, a_fetch_takes_the_links_time,
-          parts_behind_a_gap_are_of_no_use)
+          parts_behind_a_gap_are_of_no_use,
+          a_server_on_other_weights_is_no_source)
