Retry share: records and metrics of what a host may still retry

Added: `retries_left` in `send-failed`, gauges `retries_left{service}` and `retry_slack`, a record `peers retry-slack` when this host's part changes (bounded: it changes with the membership). Decisions are unchanged.

--- a/relay/peers.c
+++ b/relay/peers.c
@@ -25,7 +25,14 @@
     double share =
         retry_hosts_slack_share(&peers->retry_hosts, peers_live_count(peers),
                                 (size_t)relay->settings.hosts_min, now);
-    relay->retry_shares.slack = share * relay->settings.retry_slack;
+    double slack = share * relay->settings.retry_slack;
+    if (slack != relay->retry_shares.slack) {
+        log_record(LOG_INFO, "peers", "retry-slack",
+                   "slack=%.2f before=%.2f live=%zu peak=%zu", slack,
+                   relay->retry_shares.slack, peers_live_count(peers),
+                   peers->retry_hosts.peak_live);
+    }
+    relay->retry_shares.slack = slack;
 }
 
 static void
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -72,9 +72,21 @@
     }
 }
 
+/* Writes what this host may still retry. */
+static void
+write_retry_metrics(retry_shares_t *shares, int64_t now, buf_t *out)
+{
+    const retry_share_t *share;
+    meter_write_value(out, "retry_slack", shares->slack);
+    CK_SLIST_FOREACH (share, &shares->list, entry) {
+        buf_fmt(out, "celeryspool_retries_left{service=\"%s\"} %.1f\n",
+                share->service, retry_share_left(shares, share->service, now));
+    }
+}
+
 /* Writes all metrics as text. */
 void
-relay_write_metrics(const relay_t *relay, buf_t *out)
+relay_write_metrics(relay_t *relay, buf_t *out)
 {
     int64_t now = time_mono_ms();
     const server_t *server;
@@ -109,6 +121,7 @@
         write_server_metrics(server, now, out);
     }
     write_quota_metrics(&relay->quotas, out);
+    write_retry_metrics(&relay->retry_shares, now, out);
 }
 
 static void
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -120,7 +120,7 @@
 int64_t weights_superseded_for_ms(const weights_t *weights, int64_t version,
                                   int64_t wall_ms);
 
-void relay_write_metrics(const relay_t *relay, buf_t *out);
+void relay_write_metrics(relay_t *relay, buf_t *out);
 
 /* ---- callers ---- */
 
--- a/relay/request.c
+++ b/relay/request.c
@@ -178,6 +178,8 @@
 request_handle_failed_attempt(request_t *request, send_result_t result)
 {
     int64_t now = time_mono_ms();
+    double retries_left =
+        retry_share_left(&request->relay->retry_shares, request->service, now);
     retry_state_t state = {
         .kind = request->route->kind,
         .resumable = request->route->resumable,
@@ -185,18 +187,17 @@
         .possible_runs = request->possible_runs,
         .sends = request->sends,
         .answer_started = request->phase == REQUEST_STREAMING,
-        .within_share = retry_share_can_retry(&request->relay->retry_shares,
-                                              request->service, now),
+        .within_share = retries_left >= 1,
         .remaining_ms = request->deadline_ms - now,
     };
     retry_decision_t decision = retry_decide(&state, result);
     log_record(LOG_WARN, "request", "send-failed",
                "id=%s server=%s fate=%s ran=%d sends=%d share_left=%d "
-               "left_ms=%lld verdict=%s status=%d",
+               "retries_left=%.1f left_ms=%lld verdict=%s status=%d",
                request->id,
                request->server != NULL ? request->server->info.id : "-",
                send_result_name(result), state.possible_runs, state.sends,
-               state.within_share, (long long)state.remaining_ms,
+               state.within_share, retries_left, (long long)state.remaining_ms,
                retry_decision_name(decision), request->status);
     request_release_server(request);
     switch (decision) {
--- a/relay/retry-share.c
+++ b/relay/retry-share.c
@@ -116,10 +116,9 @@
     share->requests[share->newest_slice % RETRY_SLICES_MAX]++;
 }
 
-/* Whether one more retry is within the share. */
-bool
-retry_share_can_retry(retry_shares_t *shares, const char *service,
-                      int64_t now_ms)
+/* Returns how many retries to a service are within the share now. */
+double
+retry_share_left(retry_shares_t *shares, const char *service, int64_t now_ms)
 {
     const retry_share_t *share = get_share(shares, service, now_ms);
     size_t oldest = (size_t)((share->newest_slice + 1) % RETRY_SLICES_MAX);
@@ -129,7 +128,15 @@
         requests += i != oldest ? share->requests[i] : 0;
         retries += share->retries[i];
     }
-    return retries + 1 <= shares->ratio * requests + shares->slack;
+    return shares->ratio * requests + shares->slack - retries;
+}
+
+/* Whether one more retry is within the share. */
+bool
+retry_share_can_retry(retry_shares_t *shares, const char *service,
+                      int64_t now_ms)
+{
+    return retry_share_left(shares, service, now_ms) >= 1;
 }
 
 /* Counts a retry that was sent. */
--- a/relay/retry-share.h
+++ b/relay/retry-share.h
@@ -42,6 +42,8 @@
 void retry_shares_free(retry_shares_t *shares);
 void retry_share_count_request(retry_shares_t *shares, const char *service,
                                int64_t now_ms);
+double retry_share_left(retry_shares_t *shares, const char *service,
+                        int64_t now_ms);
 bool retry_share_can_retry(retry_shares_t *shares, const char *service,
                            int64_t now_ms);
 void retry_share_count_retry(retry_shares_t *shares, const char *service,
