Retry share: restarts and callers that move do not spend the limit twice

What callers saw: while servers reject most requests, a service got 2 to 8 in 100 more retries in ten seconds than all hosts together may send, so first tries were rejected behind them.

Cause: a host applied ratio and slack to its own last window, and one that had started knew nothing of before. (1) Slack: 0.8 of it before a restart, half of that again two seconds after. (2) Ratio: what ten seconds of requests had saved could be sent at once right before a restart, and the requests after it counted again. The same without a restart: callers of failed hosts go on to others, which save for them again.

Change: the ratio is a token bucket that is empty at a start. A request adds 0.75 of the ratio, at most 0.25 of a window's ratio is saved. In a window a host sends at most what the bucket held at its begin (paid for by the window before, which the limit counts too) plus what the window's requests add: within the ratio for any assignment of requests to hosts and any restarts. Slack comes after a whole window; the window is the setting's, not a fixed 10 s.

--- a/relay/peers.c
+++ b/relay/peers.c
@@ -129,7 +129,8 @@
     peers_t *peers = mem_zalloc(sizeof(*peers));
     peers->relay = relay;
     peers->fd = fd;
-    retry_hosts_init(&peers->retry_hosts, time_mono_ms());
+    retry_hosts_init(&peers->retry_hosts, relay->retry_shares.window_ms,
+                     time_mono_ms());
     peers->members = members_new(&self, rng_next(&relay->rng));
     peers->read_event = event_new(relay->base, fd, EV_READ | EV_PERSIST,
                                   peers_on_readable, peers);
--- a/relay/retry-share.c
+++ b/relay/retry-share.c
@@ -5,11 +5,22 @@
 
 /* In any window, the number of retries that all hosts together send to a
  * service is limited to a ratio of its requests plus a fixed slack.  Each host
- * applies the ratio to its own requests and has an equal part of the slack, so
- * the sum holds without messages between hosts.
+ * applies the ratio to its own requests and has an equal part of the slack.
+ *
+ * The sum must hold although hosts restart, know nothing of what they or their
+ * predecessors spent, and callers move from one host to another:
+ *
+ * - The ratio is a token bucket.  Each request adds its part of the ratio less
+ *   BURST_SHARE, and the bucket holds at most BURST_SHARE of what the ratio
+ *   allows for the requests of the last window.  What a host sends within a
+ *   window is at most the content of the bucket at its begin, which the
+ *   requests of the window before paid for, and what the window's own requests
+ *   add.  A host starts with an empty bucket, so a restart adds nothing.
+ * - The slack is a number of retries per window.  A host that has just started
+ *   has none until what was spent before the start is out of every window.
  *
  * Counts are kept per slice of time.  As the newest slice is incomplete, as
- * many slices as make up a window cover slightly less than one.  Retries are
+ * many slices as make up a window cover slightly less than one.  Used slack is
  * therefore counted for one slice more; otherwise two outages nearly a window
  * apart could both use the whole slack within one window.  Requests are not,
  * since the budget must not be overestimated. */
@@ -18,21 +29,20 @@
  * slack: a host that restarts is back by then, and one that is cut off still
  * spends its part. */
 #define PEAK_HOLD_MS 15000
-/* For DISCOVERY_MS after its start a host does not know how many hosts there
- * are and has no slack.  Then it has half of its part until WINDOW_MS after
- * the start, since it does not know what it spent before the start. */
-#define DISCOVERY_MS 2000
-#define WINDOW_MS 10000
-/* Shares of the slack and of the ratio that are used.  The limit applies to
- * windows of all hosts together, but each host spends by its own last window,
- * so together they could spend slightly more than any common window allows. */
+/* Shares of the slack and of the ratio that are used.  The limit applies when
+ * retries arrive and counts requests when callers send them; delays on the way
+ * can add to a window what was spent slightly outside it. */
 #define SLACK_SHARE 0.8
 #define RATIO_SHARE 0.95
+/* Share of the ratio that can be saved up and sent at once.  The rest of it is
+ * the rate in an outage that lasts longer than a window. */
+#define BURST_SHARE 0.25
 
 void
-retry_hosts_init(retry_hosts_t *hosts, int64_t now_ms)
+retry_hosts_init(retry_hosts_t *hosts, int64_t window_ms, int64_t now_ms)
 {
-    *hosts = (retry_hosts_t){.started_ms = now_ms, .peak_seen_ms = now_ms};
+    *hosts = (retry_hosts_t){
+        .window_ms = window_ms, .started_ms = now_ms, .peak_seen_ms = now_ms};
 }
 
 /* Returns this host's share of the total slack, given the number of live
@@ -49,10 +59,10 @@
         hosts->peak_seen_ms = now_ms;
     }
     size_t count = hosts->peak_live + 1;
-    int64_t age = now_ms - hosts->started_ms;
-    double share = age < DISCOVERY_MS ? 0 : age < WINDOW_MS ? 0.5 : 1;
-    return share * SLACK_SHARE /
-           (double)(count > hosts_min ? count : hosts_min);
+    if (now_ms - hosts->started_ms < hosts->window_ms) {
+        return 0;
+    }
+    return SLACK_SHARE / (double)(count > hosts_min ? count : hosts_min);
 }
 
 void
@@ -81,7 +91,7 @@
     for (int64_t i = 1; i <= behind && i <= RETRY_SLICES_MAX; i++) {
         size_t index = (size_t)((share->newest_slice + i) % RETRY_SLICES_MAX);
         share->requests[index] = 0;
-        share->retries[index] = 0;
+        share->slack_used[index] = 0;
     }
     if (behind > 0) {
         share->newest_slice = slice;
@@ -107,6 +117,26 @@
     return share;
 }
 
+/* Returns the requests of the last window, at most. */
+static unsigned
+count_requests(const retry_share_t *share)
+{
+    size_t oldest = (size_t)((share->newest_slice + 1) % RETRY_SLICES_MAX);
+    unsigned requests = 0;
+    for (size_t i = 0; i < RETRY_SLICES_MAX; i++) {
+        requests += i != oldest ? share->requests[i] : 0;
+    }
+    return requests;
+}
+
+/* Limits the bucket to what may be saved up. */
+static void
+limit_saved(const retry_shares_t *shares, retry_share_t *share)
+{
+    double max = BURST_SHARE * shares->ratio * count_requests(share);
+    share->saved = share->saved < max ? share->saved : max;
+}
+
 /* Counts a request for a service. */
 void
 retry_share_count_request(retry_shares_t *shares, const char *service,
@@ -114,21 +144,21 @@
 {
     retry_share_t *share = get_share(shares, service, now_ms);
     share->requests[share->newest_slice % RETRY_SLICES_MAX]++;
+    share->saved += (1 - BURST_SHARE) * shares->ratio;
+    limit_saved(shares, share);
 }
 
 /* Returns how many retries to a service are within the share now. */
 double
 retry_share_left(retry_shares_t *shares, const char *service, int64_t now_ms)
 {
-    const retry_share_t *share = get_share(shares, service, now_ms);
-    size_t oldest = (size_t)((share->newest_slice + 1) % RETRY_SLICES_MAX);
-    unsigned requests = 0;
-    unsigned retries = 0;
+    retry_share_t *share = get_share(shares, service, now_ms);
+    double slack = shares->slack;
     for (size_t i = 0; i < RETRY_SLICES_MAX; i++) {
-        requests += i != oldest ? share->requests[i] : 0;
-        retries += share->retries[i];
+        slack -= share->slack_used[i];
     }
-    return shares->ratio * requests + shares->slack - retries;
+    limit_saved(shares, share);
+    return share->saved + (slack > 0 ? slack : 0);
 }
 
 /* Whether one more retry is within the share. */
@@ -139,11 +169,15 @@
     return retry_share_left(shares, service, now_ms) >= 1;
 }
 
-/* Counts a retry that was sent. */
+/* Counts a retry that was sent, against the ratio if possible. */
 void
 retry_share_count_retry(retry_shares_t *shares, const char *service,
                         int64_t now_ms)
 {
     retry_share_t *share = get_share(shares, service, now_ms);
-    share->retries[share->newest_slice % RETRY_SLICES_MAX]++;
+    limit_saved(shares, share);
+    double from_saved = share->saved < 1 ? share->saved : 1;
+    share->saved -= from_saved;
+    share->slack_used[share->newest_slice % RETRY_SLICES_MAX] +=
+        1 - from_saved;
 }
--- a/relay/retry-share.h
+++ b/relay/retry-share.h
@@ -16,24 +16,26 @@
     char service[CS_NAME_MAX];
     int64_t newest_slice;                /* its number, counted from time 0 */
     unsigned requests[RETRY_SLICES_MAX]; /* by slice number, as a ring */
-    unsigned retries[RETRY_SLICES_MAX];  /* by slice number, as a ring */
+    double slack_used[RETRY_SLICES_MAX]; /* by slice number, as a ring */
+    double saved; /* retries that requests paid for and that were not sent */
 } retry_share_t;
 
 typedef struct {
     CK_SLIST_HEAD(shares, retry_share) list;
     double ratio;      /* retries that a request adds to the budget */
     double slack;      /* retries per window of this host besides the ratio */
-    int64_t window_ms; /* over which requests and retries are counted */
+    int64_t window_ms; /* in which the retries of all hosts are limited */
 } retry_shares_t;
 
 /* How many hosts share the slack, as seen by one of them. */
 typedef struct {
+    int64_t window_ms; /* in which the retries of all hosts are limited */
     int64_t started_ms;
     size_t peak_live; /* recent maximum of live hosts */
     int64_t peak_seen_ms;
 } retry_hosts_t;
 
-void retry_hosts_init(retry_hosts_t *hosts, int64_t now_ms);
+void retry_hosts_init(retry_hosts_t *hosts, int64_t window_ms, int64_t now_ms);
 double retry_hosts_slack_share(retry_hosts_t *hosts, size_t live,
                                size_t hosts_min, int64_t now_ms);
 
--- a/tests/test-retry-share.c
+++ b/tests/test-retry-share.c
@@ -125,7 +125,7 @@
 {
     retry_shares_free(&host->shares);
     retry_shares_init(&host->shares, RATIO, WINDOW_MS);
-    retry_hosts_init(&host->hosts, now);
+    retry_hosts_init(&host->hosts, WINDOW_MS, now);
     host->started_ms = now;
 }
 
@@ -162,6 +162,67 @@
     return sent;
 }
 
+/* Checks that all hosts together kept the limit in each window. */
+static void
+check_common_limit(uint64_t seed, const int *requests, const int *retries)
+{
+    for (int ms = WINDOW_MS; ms < RUN_MS; ms++) {
+        int sum = retries[ms + 1] - retries[ms + 1 - WINDOW_MS];
+        ck_assert_msg(
+            sum <= RATIO * max_requests(requests, ms) + SLACK_ALL,
+            "seed %d: %d retries of all hosts up to %d ms, %d requests",
+            (int)seed, sum, ms, max_requests(requests, ms));
+    }
+}
+
+/* Simulates hosts that restart, one after the other from 20 s on and with some
+ * seeds all at once at 45 s.  Outages come and go; none_before_restart leaves
+ * out those shortly before all restart. */
+static void
+simulate_restarts(uint64_t seed, bool none_before_restart)
+{
+    rng_t rng = {seed};
+    static host_t hosts[HOSTS_MAX];
+    static int requests[RUN_MS + 1];
+    static int retries[RUN_MS + 1];
+    int count = seed % 2 == 0 ? 4 : HOSTS_MAX;
+    int next = 0;
+    memset(hosts, 0, sizeof(hosts));
+    for (int i = 0; i < count; i++) {
+        CK_SLIST_INIT(&hosts[i].shares.list);
+        host_start(&hosts[i], -20000);
+    }
+    for (int ms = 0; ms < RUN_MS; ms += STEP_MS) {
+        bool paused = none_before_restart && ms >= 34000 && ms < 45000;
+        bool outage = ms / 3000 % 3 != 0 && !paused;
+        int requested = 0;
+        int sent = 0;
+        if (ms >= 20000 && ms < 40000 && ms % 2000 == 0) {
+            host_start(&hosts[next++ % count], ms);
+        }
+        if (ms == 45000 && seed % 3 == 0) {
+            for (int i = 0; i < count; i++) {
+                host_start(&hosts[i], ms);
+            }
+        }
+        for (int i = 0; i < count; i++) {
+            hosts[i].shares.slack =
+                SLACK_ALL *
+                retry_hosts_slack_share(
+                    &hosts[i].hosts, live_hosts(hosts, count, i, ms), 0, ms);
+            sent += host_step(&hosts[i], &rng, outage, ms, &requested);
+        }
+        for (int at = ms; at < ms + STEP_MS; at++) {
+            requests[at + 1] = requests[ms] + requested;
+            retries[at + 1] = retries[ms] + sent;
+        }
+    }
+    for (int i = 0; i < count; i++) {
+        retry_shares_free(&hosts[i].shares);
+    }
+    check_common_limit(seed, requests, retries);
+}
+
 /* Guards against exceeding the limit of all hosts together, which overloads
  * the service: hosts restart one after the other or all at once during an
  * outage, don't know what they have spent, and learn of each other with a
@@ -169,36 +230,48 @@
 START_TEST(restarting_hosts_stay_within_the_common_limit)
 {
     for (uint64_t seed = 1; seed <= 60; seed++) {
+        simulate_restarts(seed, true);
+    }
+}
+END_TEST
+
+/* Guards against spending the limit twice: all hosts restart in the middle of
+ * an outage, right after they have spent what they had saved. */
+START_TEST(hosts_that_restart_in_an_outage_stay_within_the_common_limit)
+{
+    for (uint64_t seed = 1; seed <= 60; seed++) {
+        simulate_restarts(seed, false);
+    }
+}
+END_TEST
+
+/* Guards against spending the limit twice without any restart: the callers of
+ * hosts that fail in an outage go on to the other hosts, which have saved as
+ * much for the callers of their own. */
+START_TEST(callers_that_move_stay_within_the_common_limit)
+{
+    for (uint64_t seed = 1; seed <= 20; seed++) {
         rng_t rng = {seed};
         static host_t hosts[HOSTS_MAX];
         static int requests[RUN_MS + 1];
         static int retries[RUN_MS + 1];
-        int count = seed % 2 == 0 ? 4 : HOSTS_MAX;
-        int next = 0;
+        int failure_ms = 20000 + (int)rng_below(&rng, 10000);
+        int outage_ms = failure_ms - 200 - (int)rng_below(&rng, 3000);
         memset(hosts, 0, sizeof(hosts));
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < HOSTS_MAX; i++) {
             CK_SLIST_INIT(&hosts[i].shares.list);
             host_start(&hosts[i], -20000);
         }
         for (int ms = 0; ms < RUN_MS; ms += STEP_MS) {
-            /* No outage right before all hosts restart at once, since then no
-             * host knows what was spent. */
-            bool outage = ms / 3000 % 3 != 0 && (ms < 34000 || ms >= 45000);
             int requested = 0;
             int sent = 0;
-            if (ms >= 20000 && ms < 40000 && ms % 2000 == 0) {
-                host_start(&hosts[next++ % count], ms);
-            }
-            if (ms == 45000 && seed % 3 == 0) {
-                for (int i = 0; i < count; i++) {
-                    host_start(&hosts[i], ms);
-                }
-            }
-            for (int i = 0; i < count; i++) {
+            bool outage = ms >= outage_ms && ms < outage_ms + 15000;
+            for (int step = 0; step < HOSTS_MAX; step++) {
+                bool failed = ms >= failure_ms && step % 2 == 0;
+                int i = failed ? (step + 1) % (HOSTS_MAX - 1) : step;
                 hosts[i].shares.slack =
-                    SLACK_ALL * retry_hosts_slack_share(
-                                    &hosts[i].hosts,
-                                    live_hosts(hosts, count, i, ms), 0, ms);
+                    SLACK_ALL *
+                    retry_hosts_slack_share(&hosts[i].hosts, HOSTS_MAX, 0, ms);
                 sent += host_step(&hosts[i], &rng, outage, ms, &requested);
             }
             for (int at = ms; at < ms + STEP_MS; at++) {
@@ -206,17 +279,42 @@
                 retries[at + 1] = retries[ms] + sent;
             }
         }
-        for (int i = 0; i < count; i++) {
+        for (int i = 0; i < HOSTS_MAX; i++) {
             retry_shares_free(&hosts[i].shares);
         }
-        for (int ms = WINDOW_MS; ms < RUN_MS; ms++) {
-            int sum = retries[ms + 1] - retries[ms + 1 - WINDOW_MS];
-            ck_assert_msg(
-                sum <= RATIO * max_requests(requests, ms) + SLACK_ALL,
-                "seed %d: %d retries of all hosts up to %d ms, %d requests",
-                (int)seed, sum, ms, max_requests(requests, ms));
+        check_common_limit(seed, requests, retries);
+    }
+}
+END_TEST
+
+/* Guards against a host that has no slack for ever after a start. */
+START_TEST(a_started_host_gets_its_slack_after_a_window)
+{
+    retry_hosts_t hosts;
+    retry_hosts_init(&hosts, WINDOW_MS, 500);
+    ck_assert_double_eq(
+        retry_hosts_slack_share(&hosts, 4, 0, 500 + WINDOW_MS - 1), 0);
+    ck_assert_double_gt(retry_hosts_slack_share(&hosts, 4, 0, 500 + WINDOW_MS),
+                        0);
+}
+END_TEST
+
+/* Guards against a host that can't retry at all after a start: what its own
+ * requests add may be sent at once. */
+START_TEST(a_started_host_retries_for_its_own_requests)
+{
+    retry_shares_t shares;
+    int sent = 0;
+    retry_shares_init(&shares, RATIO, WINDOW_MS);
+    for (int ms = 0; ms < 1000; ms++) {
+        retry_share_count_request(&shares, "s", ms);
+        if (retry_share_can_retry(&shares, "s", ms)) {
+            retry_share_count_retry(&shares, "s", ms);
+            sent++;
         }
     }
+    ck_assert_int_ge(sent, 80);
+    retry_shares_free(&shares);
 }
 END_TEST
 
@@ -252,4 +350,8 @@
 TEST_MAIN("retry-share", no_window_holds_more_than_the_share,
           bursts_stay_within_the_share, a_retry_counts_for_a_whole_window,
           restarting_hosts_stay_within_the_common_limit,
+          hosts_that_restart_in_an_outage_stay_within_the_common_limit,
+          callers_that_move_stay_within_the_common_limit,
+          a_started_host_gets_its_slack_after_a_window,
+          a_started_host_retries_for_its_own_requests,
           services_have_shares_of_their_own)
