Retry share: hosts that are cut off for minutes still share the slack

Found while looking for the same fault elsewhere: how many share the slack while the fleet is in halves.

Cause: a host that is gone counts for 15 s among those that share the slack, so a longer cut looks like the loss of half the fleet. It counts for 10 min now; hosts that left for good shrink the others' part as long, which costs some slack and no rule.

--- a/relay/retry-share.c
+++ b/relay/retry-share.c
@@ -26,9 +26,9 @@
  * since the budget must not be overestimated. */
 
 /* For how long a host that is gone still counts among those that share the
- * slack: a host that restarts is back by then, and one that is cut off still
- * spends its part. */
-#define PEAK_HOLD_MS 15000
+ * slack: one that is cut off still spends its part, and data centres may lose
+ * each other for minutes. */
+#define PEAK_HOLD_MS 600000
 /* Shares of the slack and of the ratio that are used.  The limit applies when
  * retries arrive and counts requests when callers send them; delays on the way
  * can add to a window what was spent slightly outside it. */
--- a/tests/test-retry-share.c
+++ b/tests/test-retry-share.c
@@ -287,6 +287,22 @@
 }
 END_TEST
 
+/* Guards against each half of a fleet that is cut in two for minutes spending
+ * the slack of the whole fleet. */
+START_TEST(halves_of_a_fleet_share_the_slack)
+{
+    static const int minutes_ms = 180000;
+    retry_hosts_t hosts;
+    retry_hosts_init(&hosts, WINDOW_MS, 0);
+    (void)retry_hosts_slack_share(&hosts, HOSTS_MAX, 0, 20000);
+    for (int ms = 20000; ms < 20000 + minutes_ms; ms += STEP_MS) {
+        double share =
+            retry_hosts_slack_share(&hosts, HOSTS_MAX / 2 + 1, 0, ms);
+        ck_assert_double_le(share * HOSTS_MAX, 1);
+    }
+}
+END_TEST
+
 /* Guards against a host that has no slack for ever after a start. */
 START_TEST(a_started_host_gets_its_slack_after_a_window)
 {
@@ -352,6 +368,7 @@
           restarting_hosts_stay_within_the_common_limit,
           hosts_that_restart_in_an_outage_stay_within_the_common_limit,
           callers_that_move_stay_within_the_common_limit,
+          halves_of_a_fleet_share_the_slack,
           a_started_host_gets_its_slack_after_a_window,
           a_started_host_retries_for_its_own_requests,
           services_have_shares_of_their_own)
