Servers: a late report or entry does not take back newer weights

What callers saw: requests answered 421 and placed once more while weights are loaded.

Cause: a report (state of some hundred ms ago) and an entry (read again from another daemon, or older than a peer's notice) replaced the known weights, whatever they were.

Change: within one start of a server its weights only become newer; the report's and the entry's start time tell a restart. Probes and rollout share the code.

The tests fail with the two comparisons off: late_report_does_not_take_back_weights: '!server_update_weights(...)' failed late_entry_does_not_take_back_weights: entry.weights == 1, 2 == 2

--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -221,6 +221,7 @@
         return;
     }
     if (server != NULL) {
+        server_keep_weights(server, &entry);
         clear_stale_cache(relay, server, &entry);
     }
     bool has_changed = entry_has_changed(server, &entry);
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -33,12 +33,11 @@
                  err.text);
         return;
     }
-    if (report.weights != server->info.weights) {
+    if (server_update_weights(server, report.weights, report.started_ms)) {
         log_record(LOG_INFO, "servers", "reported",
                    "server=%s weights=%lld busy=%d", server->info.id,
                    (long long)report.weights, report.busy);
         cache_clear(probe->relay, server);
-        server->info.weights = report.weights;
     }
 }
 
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -307,9 +307,8 @@
         job_free(job, JOB_RETRY_MS);
         return;
     }
-    if (report.weights != server->info.weights) {
+    if (server_update_weights(server, report.weights, report.started_ms)) {
         cache_clear(job->rollout->relay, server);
-        server->info.weights = report.weights;
     }
     if (report.weights >= job->version) {
         log_record(LOG_INFO, "orders", "loaded",
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -156,6 +156,36 @@
     return server;
 }
 
+/* Updates a server's weights by its own report; true if they changed.
+ *
+ * A report may show the state of some hundred ms ago, so it may come after the
+ * entry or a peer's notice of newer weights.  Weights only become newer until
+ * a server restarts.  A server that is taken to have older weights than it has
+ * would be named as a source of parts, which may be those of the newer ones.
+ */
+bool
+server_update_weights(server_t *server, int64_t weights, int64_t started_ms)
+{
+    bool restarted = started_ms > server->info.started_ms;
+    if (weights == server->info.weights ||
+        (weights < server->info.weights && !restarted)) {
+        return false;
+    }
+    server->info.weights = weights;
+    return true;
+}
+
+/* Keeps the known weights in an entry that was written before the load that a
+ * peer or the server itself has reported. */
+void
+server_keep_weights(const server_t *server, server_entry_t *entry)
+{
+    if (entry->started_ms == server->info.started_ms &&
+        entry->weights < server->info.weights) {
+        entry->weights = server->info.weights;
+    }
+}
+
 void
 servers_remove(servers_t *servers, server_t *server)
 {
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -153,6 +153,9 @@
                             double observed_ms);
 bool server_needs_probe(const server_t *server, int64_t now_ms);
 void server_confirm_alive(server_t *server, int64_t now_ms);
+bool server_update_weights(server_t *server, int64_t weights,
+                           int64_t started_ms);
+void server_keep_weights(const server_t *server, server_entry_t *entry);
 bool server_is_fetch_source(const server_t *server, int64_t now_ms);
 void server_note_answer(server_t *server, int64_t now_ms);
 
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -176,8 +176,63 @@
 }
 END_TEST
 
+/* Guards against a late report that takes back newer weights: the server would
+ * be named as a source of parts of the older ones. */
+START_TEST(late_report_does_not_take_back_weights)
+{
+    servers_t *servers = servers_new();
+    server_entry_t entry = on_old;
+    entry.started_ms = 100;
+    server_t *server = servers_put(servers, &entry);
+    entry.weights = 2;
+    (void)servers_put(servers, &entry);
+    ck_assert(!server_update_weights(server, 1, 100));
+    ck_assert_int_eq(server->info.weights, 2);
+    ck_assert(!server_update_weights(server, 1, 0));
+    ck_assert_int_eq(server->info.weights, 2);
+    ck_assert(server_update_weights(server, 3, 100));
+    ck_assert_int_eq(server->info.weights, 3);
+    servers_free(servers);
+}
+END_TEST
+
+/* Guards against a late entry that takes back newer weights, which a peer has
+ * reported before the store's watch brought the entry. */
+START_TEST(late_entry_does_not_take_back_weights)
+{
+    servers_t *servers = servers_new();
+    server_entry_t entry = on_old;
+    server_t *server = servers_put(servers, &entry);
+    ck_assert(server_update_weights(server, 2, 0));
+    server_keep_weights(server, &entry);
+    ck_assert_int_eq(entry.weights, 2);
+    servers_free(servers);
+}
+END_TEST
+
+/* A server that restarts may have older weights than before. */
+START_TEST(restarted_server_may_have_older_weights)
+{
+    servers_t *servers = servers_new();
+    server_entry_t entry = on_old;
+    entry.started_ms = 100;
+    entry.weights = 2;
+    server_t *server = servers_put(servers, &entry);
+    ck_assert(server_update_weights(server, 1, 200));
+    ck_assert_int_eq(server->info.weights, 1);
+    entry.started_ms = 200;
+    entry.weights = 0;
+    server_keep_weights(server, &entry);
+    ck_assert_int_eq(entry.weights, 0);
+    servers_free(servers);
+}
+END_TEST
+
 TEST_MAIN("servers", server_is_used_once_listed_with_new_weights,
           taken_slots_add_to_the_wait,
           nearly_full_server_is_announced_at_intervals,
           hot_part_does_not_queue_at_its_home,
-          unreachable_server_is_no_fetch_source)
+          unreachable_server_is_no_fetch_source,
+          late_report_does_not_take_back_weights,
+          late_entry_does_not_take_back_weights,
+          restarted_server_may_have_older_weights)
