Cache: older weights exchange no parts with a kv store

What callers could get: an answer on older weights from parts that the newer ones made. How, by the published protocol: loads are ordered so that running requests go on. One that is preempted on the newer weights is prefilled again and its server saves the parts under the salt of the older weights. A kv store drops nothing for a new version and keeps a part as it was first made, so it hands these parts to servers that are still on the older weights. No check compared versions: a server is asked for by its weights, a store was not.

Change: weights are the newest if neither the store's list nor a server's entry, report or announced load shows newer ones; only then a request's server fetches from or saves to a kv store. What is known when a request is placed decides, no timing.

--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -448,18 +448,17 @@
 
 /* Returns whether the kv store with a number has all shared parts of a prompt.
  */
-bool
-cache_store_has_shared(const relay_t *relay, const prefix_t *prefix,
-                       uint16_t number)
+static bool
+store_has_shared(const relay_t *relay, const prefix_t *prefix, uint16_t number)
 {
     return holder_has_levels(relay, number, prefix, 0, shared_levels(prefix));
 }
 
 /* Returns whether a server that a prompt is sent to should save its shared
  * parts to the kv store with a number. */
-bool
-cache_should_save(relay_t *relay, const prefix_t *prefix,
-                  const server_t *server, uint16_t number)
+static bool
+should_save(relay_t *relay, const prefix_t *prefix, const server_t *server,
+            uint16_t number)
 {
     kv_store_t *store = &relay->kv_stores.all[number - KV_STORE_NUMBER_MIN];
     const relay_service_t *to = store_service(relay, number);
@@ -485,3 +484,28 @@
         .unshared_tokens = prefix->tokens - total};
     return cache_save_allowed(&store->save_bucket, &params, time_mono_ms());
 }
+
+/* Plans the transfers for a prompt that is sent to a server: where it fetches
+ * what it lacks and where it saves the shared parts. */
+void
+cache_plan_transfer(relay_t *relay, const prefix_t *prefix,
+                    const server_t *server, bool use_kv_stores,
+                    cache_transfer_t *out)
+{
+    uint16_t number;
+    cache_view_t view;
+    memset(out, 0, sizeof(*out));
+    cache_lookup(relay, prefix, server, &view);
+    view.found = view.found && (use_kv_stores || !view.source.kv_store);
+    const relay_service_t *store =
+        use_kv_stores ? cache_find_store(relay, prefix, &number) : NULL;
+    const char *from = cache_fetch_address(&view, store);
+    out->cached_tokens = view.found ? view.source.tokens : view.held_tokens;
+    if (from != NULL) {
+        str_copy(out->fetch_addr, sizeof(out->fetch_addr), from);
+    }
+    if (store != NULL && !store_has_shared(relay, prefix, number) &&
+        should_save(relay, prefix, server, number)) {
+        str_copy(out->save_addr, sizeof(out->save_addr), store->addr);
+    }
+}
--- a/relay/cache-source.h
+++ b/relay/cache-source.h
@@ -26,6 +26,13 @@
     cache_source_t source;  /* valid if found */
 } cache_view_t;
 
+/* What a server is asked to transfer for a prompt. */
+typedef struct {
+    char fetch_addr[CS_ADDR_MAX]; /* empty for no fetch */
+    char save_addr[CS_ADDR_MAX];  /* of a kv store; empty for no save */
+    uint32_t cached_tokens;       /* held by the server or its source */
+} cache_transfer_t;
+
 void cache_lookup(relay_t *relay, const prefix_t *prefix,
                   const server_t *server, cache_view_t *out);
 void cache_note_held(relay_t *relay, const prefix_t *prefix, uint16_t number);
@@ -46,9 +53,8 @@
                                         uint16_t *number);
 const char *cache_fetch_address(const cache_view_t *view,
                                 const relay_service_t *store);
-bool cache_should_save(relay_t *relay, const prefix_t *prefix,
-                       const server_t *server, uint16_t number);
-bool cache_store_has_shared(const relay_t *relay, const prefix_t *prefix,
-                            uint16_t number);
+void cache_plan_transfer(relay_t *relay, const prefix_t *prefix,
+                         const server_t *server, bool use_kv_stores,
+                         cache_transfer_t *out);
 
 #endif
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -232,6 +232,9 @@
         return;
     }
     server->revision = object->revision;
+    if (entry.engine) {
+        weights_note_seen(relay, entry.model, entry.weights);
+    }
     cache_set_capacity(relay, server);
     if (has_changed) {
         log_server(server);
--- a/relay/peers-apply.c
+++ b/relay/peers-apply.c
@@ -15,8 +15,11 @@
         return; /* the report does not include weights */
     }
     int64_t weights = strtoll(load->version, NULL, 10);
+    int64_t loading = strtoll(load->loading, NULL, 10);
+    weights_note_seen(relay, server->info.model, weights);
+    weights_note_seen(relay, server->info.model, loading);
     server->loading_until_ms =
-        load->loading[0] != '\0' ? time_mono_ms() + LOADING_TIMEOUT_MS : 0;
+        loading > 0 ? time_mono_ms() + LOADING_TIMEOUT_MS : 0;
     if (weights > server->info.weights) {
         server->info.weights = weights;
         cache_clear(relay, server);
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -33,6 +33,9 @@
                  err.text);
         return;
     }
+    if (server->info.engine) {
+        weights_note_seen(probe->relay, server->info.model, report.weights);
+    }
     if (server_update_weights(server, report.weights, report.started_ms)) {
         log_record(LOG_INFO, "servers", "reported",
                    "server=%s weights=%lld busy=%d", server->info.id,
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -56,6 +56,7 @@
 typedef struct {
     char model[SERVER_MODEL_MAX];
     int64_t newest_version;
+    int64_t newest_seen; /* named, or reported or announced of a server */
     weights_version_t versions[WEIGHTS_VERSIONS_MAX]; /* newest first */
     size_t version_count;
 } weights_t;
@@ -117,6 +118,10 @@
                                int64_t version, int64_t wall_ms);
 bool weights_expired(const weights_t *weights, int64_t version,
                      int64_t wall_ms, int64_t allowed_ms);
+void weights_note_seen(relay_t *relay, const char *model, int64_t version);
+int64_t weights_newest_seen(const relay_t *relay, const char *model);
+bool weights_are_newest(const relay_t *relay, const char *model,
+                        int64_t version);
 int64_t weights_superseded_for_ms(const weights_t *weights, int64_t version,
                                   int64_t wall_ms);
 
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -134,6 +134,20 @@
     return ms;
 }
 
+/* Whether a server may exchange parts of the request's prompt with a kv store.
+ *
+ * Once newer weights are published, a request that started on older ones may
+ * be continued on the newer ones.  If it is preempted there, its server
+ * prefills it again and saves parts of the newer weights under the salt of the
+ * older ones.  A kv store keeps them and does not show by which weights they
+ * were made, so it is used for the newest weights alone. */
+bool
+request_may_use_kv_stores(const request_t *request, const server_t *server)
+{
+    return weights_are_newest(request->relay, request->prompt.model,
+                              server->info.weights);
+}
+
 /* Fills a candidate and returns the expected wait there, ms. */
 static double
 fill_candidate(const request_t *request, server_t *server, int64_t now,
@@ -156,6 +170,8 @@
     cache_view_t view;
     cache_lookup(relay, get_levels(request, server->info.weights, levels),
                  server, &view);
+    view.found = view.found && (!view.source.kv_store ||
+                                request_may_use_kv_stores(request, server));
     out->cached_tokens = view.found ? view.source.tokens : view.held_tokens;
     wait += cache_fetch_ms(&view);
     /* The request's own part is prefilled on any server.  The extra time that
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -108,24 +108,18 @@
 static void
 add_cache_headers(request_t *request, const server_t *server, buf_t *out)
 {
-    relay_t *relay = request->relay;
-    uint16_t number;
-    const relay_service_t *store =
-        cache_find_store(relay, &request->prefix, &number);
-    cache_view_t view;
-    cache_lookup(relay, &request->prefix, server, &view);
-    request->cached_tokens =
-        view.found ? view.source.tokens : view.held_tokens;
-    request->saves_to_kv_store = false;
-    const char *from = cache_fetch_address(&view, store);
-    if (from != NULL) {
-        add_header(out, HEADER_CACHE_FETCH_FROM, from);
-    }
-    if (store != NULL &&
-        !cache_store_has_shared(relay, &request->prefix, number) &&
-        cache_should_save(relay, &request->prefix, server, number)) {
-        add_header(out, HEADER_CACHE_SAVE_TO, store->addr);
-        request->saves_to_kv_store = true;
+    cache_transfer_t transfer;
+    cache_plan_transfer(request->relay, &request->prefix, server,
+                        request_may_use_kv_stores(request, server), &transfer);
+    request->cached_tokens = transfer.cached_tokens;
+    str_copy(request->fetch_addr, sizeof(request->fetch_addr),
+             transfer.fetch_addr);
+    request->saves_to_kv_store = transfer.save_addr[0] != '\0';
+    if (transfer.fetch_addr[0] != '\0') {
+        add_header(out, HEADER_CACHE_FETCH_FROM, transfer.fetch_addr);
+    }
+    if (request->saves_to_kv_store) {
+        add_header(out, HEADER_CACHE_SAVE_TO, transfer.save_addr);
     }
 }
 
@@ -570,6 +564,11 @@
     request->server = server;
     request->server_slowness = server->slowness;
     request->weights_version = server->info.weights;
+    request->newest_weights =
+        request->engine ? weights_newest_seen(relay, request->prompt.model)
+                        : 0;
+    request->servers_age_ms =
+        request->sent_ms - watch_answered_ms(relay->servers_watch);
     request->answer = ANSWER_NONE;
     request->headers.len =
         request->phase == REQUEST_STREAMING ? request->headers.len : 0;
--- a/relay/request.c
+++ b/relay/request.c
@@ -43,14 +43,18 @@
     log_record(
         LOG_INFO, "request", "end",
         "id=%s route=%s workspace=%s service=%s outcome=%s status=%d "
-        "sends=%d ran=%d server=%s weights=%lld held=%u of=%u first_ms=%lld "
+        "sends=%d ran=%d server=%s weights=%lld newest=%lld servers_ms=%lld "
+        "fetch=%s save=%d held=%u of=%u first_ms=%lld "
         "total_ms=%lld left_ms=%lld config=%lld",
         request->id, request->route->name,
         request->workspace != NULL ? request->workspace->name : "-",
         request->service, outcome, request->status, request->sends,
         request->possible_runs,
         request->server != NULL ? request->server->info.id : "-",
-        (long long)request->weights_version, request->cached_tokens,
+        (long long)request->weights_version,
+        (long long)request->newest_weights, (long long)request->servers_age_ms,
+        request->fetch_addr[0] != '\0' ? request->fetch_addr : "-",
+        request->saves_to_kv_store, request->cached_tokens,
         request->prefix.tokens,
         (long long)(request->first_answer_ms > 0
                         ? request->first_answer_ms - request->received_ms
--- a/relay/request.h
+++ b/relay/request.h
@@ -67,6 +67,9 @@
     double prefill_tokens;  /* prompt tokens still to be prefilled */
     uint32_t cached_tokens; /* prompt tokens believed to be cached */
     bool saves_to_kv_store; /* the server is asked to save the prompt there */
+    char fetch_addr[CS_ADDR_MAX]; /* it is asked to fetch from; may be empty */
+    int64_t newest_weights;       /* known when it was sent */
+    int64_t servers_age_ms; /* age of the list of servers when it was sent */
     answer_class_t answer;
     int status;
     buf_t headers; /* of the answer, as passed to the caller */
@@ -97,6 +100,8 @@
 void request_fail(request_t *request, int status, const char *reason);
 void request_cache_salt(const request_t *request, int64_t weights,
                         char out[CS_ID_LEN + 1]);
+bool request_may_use_kv_stores(const request_t *request,
+                               const server_t *server);
 server_t *request_choose_server(request_t *request, int64_t now);
 void request_record_first_answer(request_t *request);
 
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -89,6 +89,7 @@
         return;
     }
     insert_version(weights, version, published_ms, estimated);
+    weights_note_seen(relay, model, version);
     if (version > weights->newest_version) {
         weights->newest_version = version;
         log_record(LOG_INFO, "weights", "named", "model=%s version=%lld",
@@ -96,6 +97,33 @@
     }
 }
 
+/* Notes that a server has a version or is loading it, so that the version has
+ * been published, whether or not this daemon has read it from the store. */
+void
+weights_note_seen(relay_t *relay, const char *model, int64_t version)
+{
+    weights_t *weights = weights_find_or_add(relay, model);
+    if (weights != NULL && version > weights->newest_seen) {
+        weights->newest_seen = version;
+    }
+}
+
+/* Returns the newest version of a model that is known to be published, 0 if
+ * none is. */
+int64_t
+weights_newest_seen(const relay_t *relay, const char *model)
+{
+    const weights_t *weights = relay_find_weights(relay, model);
+    return weights != NULL ? weights->newest_seen : 0;
+}
+
+/* Whether no newer version of a model is known to be published. */
+bool
+weights_are_newest(const relay_t *relay, const char *model, int64_t version)
+{
+    return version >= weights_newest_seen(relay, model);
+}
+
 /* Records a version of a model and the wall-clock time of its publication. */
 void
 weights_record(relay_t *relay, const char *model, int64_t version,
--- a/tests/test-cache-source.c
+++ b/tests/test-cache-source.c
@@ -127,7 +127,49 @@
 }
 END_TEST
 
+/* Guards against an answer from parts of newer weights under the salt of older
+ * ones, which a request that continued through a load saved to a kv store: for
+ * older weights nothing is fetched from the store or saved there, even if it
+ * has the prompt. */
+START_TEST(older_weights_do_not_use_the_kv_store)
+{
+    relay_t *relay = mem_zalloc(sizeof(*relay));
+    relay->servers = servers_new();
+    relay->cache_map = cache_map_new(64);
+    relay->config = relay_config_new();
+    relay_service_t *service = mem_zalloc(sizeof(*service));
+    str_copy(service->name, sizeof(service->name), "kept");
+    str_copy(service->addr, sizeof(service->addr), store.addr);
+    service->kv_store = true;
+    service->cache_tokens = 100000;
+    CK_SLIST_INSERT_HEAD(&relay->config->services, service, entry);
+    kv_stores_sync(&relay->kv_stores, relay->config);
+    const server_t *server = put_engine(relay, "1");
+    const prefix_t prefix = {
+        .levels = {{11, 100}, {12, 300}}, .count = 2, .tokens = 300};
+    const cached_part_t part = {
+        .key = 11, .prompt_tokens = 100, .tokens = 100};
+    cached_parts_use(relay->kv_stores.all[0].cached_parts, &part);
+    (void)cache_map_add_holder_at(relay->cache_map, KV_STORE_NUMBER_MIN, 11,
+                                  100, time_mono_ms());
+    cache_transfer_t transfer;
+    cache_plan_transfer(relay, &prefix, server, true, &transfer);
+    ck_assert_str_eq(transfer.fetch_addr, store.addr);
+    ck_assert_uint_eq(transfer.cached_tokens, 100);
+    cache_plan_transfer(relay, &prefix, server, false, &transfer);
+    ck_assert_str_eq(transfer.fetch_addr, "");
+    ck_assert_str_eq(transfer.save_addr, "");
+    ck_assert_uint_eq(transfer.cached_tokens, 0);
+    kv_stores_free(&relay->kv_stores);
+    relay_config_release(relay->config);
+    servers_free(relay->servers);
+    cache_map_free(relay->cache_map);
+    free(relay);
+}
+END_TEST
+
 TEST_MAIN("cache-source", wrong_estimate_does_not_prevent_a_fetch,
           known_source_is_preferred, fetch_time_is_that_of_missing_tokens,
           parts_after_a_gap_are_not_counted,
-          server_on_other_weights_is_no_source)
+          server_on_other_weights_is_no_source,
+          older_weights_do_not_use_the_kv_store)
--- a/tests/test-weights.c
+++ b/tests/test-weights.c
@@ -109,7 +109,26 @@
 }
 END_TEST
 
+/* Guards against older weights that are taken for the newest ones: a server
+ * that has newer ones shows that these are published, even if this daemon has
+ * not read them from the store. */
+START_TEST(weights_of_a_server_show_that_others_are_older)
+{
+    relay_t *relay = relay_new(true);
+    ck_assert(weights_are_newest(relay, "m", 1));
+    weights_record_from_store(relay, "m", 2, 100000);
+    ck_assert(weights_are_newest(relay, "m", 2));
+    ck_assert(!weights_are_newest(relay, "m", 1));
+    weights_note_seen(relay, "m", 3);
+    ck_assert(!weights_are_newest(relay, "m", 2));
+    ck_assert(weights_are_newest(relay, "m", 3));
+    ck_assert_int_eq(relay_find_weights(relay, "m")->newest_version, 2);
+    free(relay);
+}
+END_TEST
+
 TEST_MAIN("weights", waiting_request_expires_with_weights,
           version_of_unknown_age_is_not_new, known_time_replaces_estimate,
           earlier_estimate_replaces_own,
-          version_observed_after_first_list_is_new, first_newer_version_counts)
+          version_observed_after_first_list_is_new, first_newer_version_counts,
+          weights_of_a_server_show_that_others_are_older)
