Retry share, weights: comments and the test's simulation as a new reader needs them

No change of behaviour or of a check. The bucket's comment says what a window can hold; the simulated hosts of test-retry-share are started, recorded and freed by functions that both simulations use.

--- a/relay/cache-source.c
+++ b/relay/cache-source.c
@@ -485,8 +485,8 @@
     return cache_save_allowed(&store->save_bucket, &params, time_mono_ms());
 }
 
-/* Plans the transfers for a prompt that is sent to a server: where it fetches
- * what it lacks and where it saves the shared parts. */
+/* Plans the transfers for a prompt that is sent to a server: where the server
+ * fetches what it lacks and where it saves the shared parts. */
 void
 cache_plan_transfer(relay_t *relay, const prefix_t *prefix,
                     const server_t *server, bool use_kv_stores,
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -56,7 +56,7 @@
 typedef struct {
     char model[SERVER_MODEL_MAX];
     int64_t newest_version;
-    int64_t newest_seen; /* named, or reported or announced of a server */
+    int64_t newest_seen; /* read from the store, or a server has or loads it */
     weights_version_t versions[WEIGHTS_VERSIONS_MAX]; /* newest first */
     size_t version_count;
 } weights_t;
--- a/relay/retry-share.c
+++ b/relay/retry-share.c
@@ -7,17 +7,18 @@
  * service is limited to a ratio of its requests plus a fixed slack.  Each host
  * applies the ratio to its own requests and has an equal part of the slack.
  *
- * The sum must hold although hosts restart, know nothing of what they or their
- * predecessors spent, and callers move from one host to another:
+ * The limit must hold although a host that starts does not know what was spent
+ * before, and although callers move from one host to another:
  *
- * - The ratio is a token bucket.  Each request adds its part of the ratio less
- *   BURST_SHARE, and the bucket holds at most BURST_SHARE of what the ratio
- *   allows for the requests of the last window.  What a host sends within a
- *   window is at most the content of the bucket at its begin, which the
- *   requests of the window before paid for, and what the window's own requests
- *   add.  A host starts with an empty bucket, so a restart adds nothing.
+ * - The ratio is a token bucket.  Each request adds (1 - BURST_SHARE) * ratio,
+ *   and the bucket holds at most BURST_SHARE * ratio for each request of the
+ *   last window.  Within a window a host thus sends at most BURST_SHARE *
+ * ratio for each request of the window before, which the limit counts too, and
+ *   (1 - BURST_SHARE) * ratio for each request of the window itself.  The
+ *   bucket is empty at a start, so a restart adds nothing.
  * - The slack is a number of retries per window.  A host that has just started
- *   has none until what was spent before the start is out of every window.
+ *   has none for one window: what its predecessor spent is in no window of the
+ *   slack that follows.
  *
  * Counts are kept per slice of time.  As the newest slice is incomplete, as
  * many slices as make up a window cover slightly less than one.  Used slack is
@@ -117,7 +118,8 @@
     return share;
 }
 
-/* Returns the requests of the last window, at most. */
+/* Returns the requests of the last window, slightly fewer while the newest
+ * slice is incomplete. */
 static unsigned
 count_requests(const retry_share_t *share)
 {
@@ -129,7 +131,7 @@
     return requests;
 }
 
-/* Limits the bucket to what may be saved up. */
+/* Limits the bucket to what the requests of the last window allow. */
 static void
 limit_saved(const retry_shares_t *shares, retry_share_t *share)
 {
@@ -169,7 +171,8 @@
     return retry_share_left(shares, service, now_ms) >= 1;
 }
 
-/* Counts a retry that was sent, against the ratio if possible. */
+/* Counts a retry that was sent.  It is taken from the bucket as far as
+ * possible, the rest from the slack. */
 void
 retry_share_count_retry(retry_shares_t *shares, const char *service,
                         int64_t now_ms)
--- a/relay/retry-share.h
+++ b/relay/retry-share.h
@@ -17,7 +17,7 @@
     int64_t newest_slice;                /* its number, counted from time 0 */
     unsigned requests[RETRY_SLICES_MAX]; /* by slice number, as a ring */
     double slack_used[RETRY_SLICES_MAX]; /* by slice number, as a ring */
-    double saved; /* retries that requests paid for and that were not sent */
+    double saved; /* content of the ratio's token bucket, in retries */
 } retry_share_t;
 
 typedef struct {
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -160,9 +160,8 @@
  *
  * A report may show the state of some hundred ms ago, so it may come after the
  * entry or a peer's notice of newer weights.  Weights only become newer until
- * a server restarts.  A server that is taken to have older weights than it has
- * would be named as a source of parts, which may be those of the newer ones.
- */
+ * a server restarts.  If a server were believed to have older weights than it
+ * has, others would fetch parts from it that its newer weights have made. */
 bool
 server_update_weights(server_t *server, int64_t weights, int64_t started_ms)
 {
@@ -175,8 +174,9 @@
     return true;
 }
 
-/* Keeps the known weights in an entry that was written before the load that a
- * peer or the server itself has reported. */
+/* Replaces older weights in an entry of the same start by the known ones.  The
+ * entry was written before a load whose end a peer or the server itself has
+ * reported. */
 void
 server_keep_weights(const server_t *server, server_entry_t *entry)
 {
--- a/tests/test-retry-share.c
+++ b/tests/test-retry-share.c
@@ -162,6 +162,33 @@
     return sent;
 }
 
+static void
+hosts_start(host_t *hosts, int count, int64_t now)
+{
+    memset(hosts, 0, (size_t)count * sizeof(*hosts));
+    for (int i = 0; i < count; i++) {
+        CK_SLIST_INIT(&hosts[i].shares.list);
+        host_start(&hosts[i], now);
+    }
+}
+
+static void
+hosts_free(host_t *hosts, int count)
+{
+    for (int i = 0; i < count; i++) {
+        retry_shares_free(&hosts[i].shares);
+    }
+}
+
+/* Adds what happened in a step to the totals up to each ms. */
+static void
+record_step(int *totals, int ms, int added)
+{
+    for (int at = ms; at < ms + STEP_MS; at++) {
+        totals[at + 1] = totals[ms] + added;
+    }
+}
+
 /* Checks that all hosts together kept the limit in each window. */
 static void
 check_common_limit(uint64_t seed, const int *requests, const int *retries)
@@ -187,11 +214,7 @@
     static int retries[RUN_MS + 1];
     int count = seed % 2 == 0 ? 4 : HOSTS_MAX;
     int next = 0;
-    memset(hosts, 0, sizeof(hosts));
-    for (int i = 0; i < count; i++) {
-        CK_SLIST_INIT(&hosts[i].shares.list);
-        host_start(&hosts[i], -20000);
-    }
+    hosts_start(hosts, count, -20000);
     for (int ms = 0; ms < RUN_MS; ms += STEP_MS) {
         bool paused = none_before_restart && ms >= 34000 && ms < 45000;
         bool outage = ms / 3000 % 3 != 0 && !paused;
@@ -212,14 +235,10 @@
                     &hosts[i].hosts, live_hosts(hosts, count, i, ms), 0, ms);
             sent += host_step(&hosts[i], &rng, outage, ms, &requested);
         }
-        for (int at = ms; at < ms + STEP_MS; at++) {
-            requests[at + 1] = requests[ms] + requested;
-            retries[at + 1] = retries[ms] + sent;
-        }
-    }
-    for (int i = 0; i < count; i++) {
-        retry_shares_free(&hosts[i].shares);
+        record_step(requests, ms, requested);
+        record_step(retries, ms, sent);
     }
+    hosts_free(hosts, count);
     check_common_limit(seed, requests, retries);
 }
 
@@ -245,44 +264,44 @@
 }
 END_TEST
 
-/* Guards against spending the limit twice without any restart: the callers of
- * hosts that fail in an outage go on to the other hosts, which have saved as
- * much for the callers of their own. */
+/* Simulates an outage of 15 s in which every other host fails.  The callers of
+ * the failed hosts go on to the next ones. */
+static void
+simulate_moving_callers(uint64_t seed)
+{
+    rng_t rng = {seed};
+    static host_t hosts[HOSTS_MAX];
+    static int requests[RUN_MS + 1];
+    static int retries[RUN_MS + 1];
+    int failure_ms = 20000 + (int)rng_below(&rng, 10000);
+    int outage_ms = failure_ms - 200 - (int)rng_below(&rng, 3000);
+    hosts_start(hosts, HOSTS_MAX, -20000);
+    for (int ms = 0; ms < RUN_MS; ms += STEP_MS) {
+        int requested = 0;
+        int sent = 0;
+        bool outage = ms >= outage_ms && ms < outage_ms + 15000;
+        for (int callers = 0; callers < HOSTS_MAX; callers++) {
+            bool failed = ms >= failure_ms && callers % 2 == 0;
+            int i = failed ? (callers + 1) % (HOSTS_MAX - 1) : callers;
+            hosts[i].shares.slack =
+                SLACK_ALL *
+                retry_hosts_slack_share(&hosts[i].hosts, HOSTS_MAX, 0, ms);
+            sent += host_step(&hosts[i], &rng, outage, ms, &requested);
+        }
+        record_step(requests, ms, requested);
+        record_step(retries, ms, sent);
+    }
+    hosts_free(hosts, HOSTS_MAX);
+    check_common_limit(seed, requests, retries);
+}
+
+/* Guards against spending the limit twice without any restart: hosts that
+ * fail have spent what was saved for their callers, and the hosts to which the
+ * callers go would save as much for them again. */
 START_TEST(callers_that_move_stay_within_the_common_limit)
 {
     for (uint64_t seed = 1; seed <= 20; seed++) {
-        rng_t rng = {seed};
-        static host_t hosts[HOSTS_MAX];
-        static int requests[RUN_MS + 1];
-        static int retries[RUN_MS + 1];
-        int failure_ms = 20000 + (int)rng_below(&rng, 10000);
-        int outage_ms = failure_ms - 200 - (int)rng_below(&rng, 3000);
-        memset(hosts, 0, sizeof(hosts));
-        for (int i = 0; i < HOSTS_MAX; i++) {
-            CK_SLIST_INIT(&hosts[i].shares.list);
-            host_start(&hosts[i], -20000);
-        }
-        for (int ms = 0; ms < RUN_MS; ms += STEP_MS) {
-            int requested = 0;
-            int sent = 0;
-            bool outage = ms >= outage_ms && ms < outage_ms + 15000;
-            for (int step = 0; step < HOSTS_MAX; step++) {
-                bool failed = ms >= failure_ms && step % 2 == 0;
-                int i = failed ? (step + 1) % (HOSTS_MAX - 1) : step;
-                hosts[i].shares.slack =
-                    SLACK_ALL *
-                    retry_hosts_slack_share(&hosts[i].hosts, HOSTS_MAX, 0, ms);
-                sent += host_step(&hosts[i], &rng, outage, ms, &requested);
-            }
-            for (int at = ms; at < ms + STEP_MS; at++) {
-                requests[at + 1] = requests[ms] + requested;
-                retries[at + 1] = retries[ms] + sent;
-            }
-        }
-        for (int i = 0; i < HOSTS_MAX; i++) {
-            retry_shares_free(&hosts[i].shares);
-        }
-        check_common_limit(seed, requests, retries);
+        simulate_moving_callers(seed);
     }
 }
 END_TEST
