Retry share: a host that has just started has a part of the slack

Change: of the slack 0.5 is used, and 0.4 in the first window after a start, none of it in the first 2 s; both together stay within one slack.

--- a/relay/retry-share.c
+++ b/relay/retry-share.c
@@ -16,9 +16,9 @@
  * ratio for each request of the window before, which the limit counts too, and
  *   (1 - BURST_SHARE) * ratio for each request of the window itself.  The
  *   bucket is empty at a start, so a restart adds nothing.
- * - The slack is a number of retries per window.  A host that has just started
- *   has none for one window: what its predecessor spent is in no window of the
- *   slack that follows.
+ * - The slack is a number of retries per window.  For one window after a start
+ *   a host uses START_SLACK_SHARE of it instead of SLACK_SHARE; both together
+ *   are less than the slack.
  *
  * Counts are kept per slice of time.  As the newest slice is incomplete, as
  * many slices as make up a window cover slightly less than one.  Used slack is
@@ -30,10 +30,16 @@
  * slack: one that is cut off still spends its part, and data centres may lose
  * each other for minutes. */
 #define PEAK_HOLD_MS 600000
+/* A host has no slack for DISCOVERY_MS after its start, and may then still not
+ * know all hosts: until SETTLED_MS it assumes HOSTS_ASSUMED at least. */
+#define DISCOVERY_MS 2000
+#define SETTLED_MS 5000
+#define HOSTS_ASSUMED 32
 /* Shares of the slack and of the ratio that are used.  The limit applies when
  * retries arrive and counts requests when callers send them; delays on the way
  * can add to a window what was spent slightly outside it. */
-#define SLACK_SHARE 0.8
+#define SLACK_SHARE 0.5
+#define START_SLACK_SHARE 0.4
 #define RATIO_SHARE 0.95
 /* Share of the ratio that can be saved up and sent at once.  The rest of it is
  * the rate in an outage that lasts longer than a window. */
@@ -59,11 +65,16 @@
         hosts->peak_live = live;
         hosts->peak_seen_ms = now_ms;
     }
+    int64_t age_ms = now_ms - hosts->started_ms;
     size_t count = hosts->peak_live + 1;
-    if (now_ms - hosts->started_ms < hosts->window_ms) {
+    if (age_ms < DISCOVERY_MS) {
         return 0;
     }
-    return SLACK_SHARE / (double)(count > hosts_min ? count : hosts_min);
+    if (age_ms < SETTLED_MS && hosts_min < HOSTS_ASSUMED) {
+        hosts_min = HOSTS_ASSUMED;
+    }
+    double share = age_ms < hosts->window_ms ? START_SLACK_SHARE : SLACK_SHARE;
+    return share / (double)(count > hosts_min ? count : hosts_min);
 }
 
 void
