--- a/tests/test-retry-share.c
+++ b/tests/test-retry-share.c
@@ -330,14 +330,15 @@
     retry_hosts_t started;
     retry_hosts_init(&old, WINDOW_MS, -20000);
     retry_hosts_init(&started, WINDOW_MS, 500);
-    double before = retry_hosts_slack_share(&old, 4, 0, 499);
+    double before = retry_hosts_slack_share(&old, HOSTS_MAX, 0, 499);
     ck_assert_double_gt(before, 0);
     for (int ms = 500; ms < 500 + WINDOW_MS; ms += STEP_MS) {
-        double after = retry_hosts_slack_share(&started, 4, 0, ms);
-        ck_assert_double_le((before + after) * 4, 1);
+        double after = retry_hosts_slack_share(&started, HOSTS_MAX, 0, ms);
+        ck_assert_double_le((before + after) * HOSTS_MAX, 1);
     }
     ck_assert_double_eq(
-        retry_hosts_slack_share(&started, 4, 0, 500 + WINDOW_MS), before);
+        retry_hosts_slack_share(&started, HOSTS_MAX, 0, 500 + WINDOW_MS),
+        before);
 }
 END_TEST
 
