--- a/relay/retry-share.c
+++ b/relay/retry-share.c
@@ -12,10 +12,10 @@
  *
  * - The ratio is a token bucket.  Each request adds (1 - BURST_SHARE) * ratio,
  *   and the bucket holds at most BURST_SHARE * ratio for each request of the
- *   last window.  Within a window a host thus sends at most BURST_SHARE *
- * ratio for each request of the window before, which the limit counts too, and
- *   (1 - BURST_SHARE) * ratio for each request of the window itself.  The
- *   bucket is empty at a start, so a restart adds nothing.
+ *   last window.  So a host sends within a window at most
+ *   BURST_SHARE * ratio for each request of the window before, which the limit
+ *   counts too, and (1 - BURST_SHARE) * ratio for each request of the window
+ *   itself.  The bucket is empty at a start, so a restart adds nothing.
  * - The slack is a number of retries per window.  For one window after a start
  *   a host uses START_SLACK_SHARE of it instead of SLACK_SHARE; both together
  *   are less than the slack.
