store watching: a record when a watch goes to another address

'store watching' names the address whenever it changes (a few lines for each change of watchers), and 'store lost' says after how many ms. No decision changes.

--- a/relay/watch.c
+++ b/relay/watch.c
@@ -58,6 +58,7 @@
     watch_hooks_t hooks;
     char addr[CS_ADDR_MAX];
     char upstream[CS_ADDR_MAX]; /* address of the last upstream */
+    char source[CS_ADDR_MAX]; /* address of the last watch, "" at the start */
     object_kind_t kind;
     watch_state_t state;
     char list_after[CS_NAME_MAX * 2]; /* last name of the list so far */
@@ -67,6 +68,7 @@
     int backoff_ms;
     int64_t answered_ms;       /* last valid answer of the store or upstream */
     int64_t recovered_ms;      /* first valid answer after the last failure */
+    int64_t called_ms;         /* when the current call was sent */
     bool failed;               /* no valid answer since a failed call */
     bool calls_peer;           /* the current call goes to a peer */
     bool calls_upstream;       /* the current call goes to the upstream */
@@ -177,8 +179,10 @@
 {
     if (!watch->failed) {
         log_record(LOG_WARN, "store", "lost",
-                   "kind=%s why=%s status=%d at=%lld", kind_name(watch->kind),
-                   why, watch->status, (long long)watch->revision);
+                   "kind=%s why=%s status=%d at=%lld after_ms=%lld",
+                   kind_name(watch->kind), why, watch->status,
+                   (long long)watch->revision,
+                   (long long)(time_mono_ms() - watch->called_ms));
     }
     char peer[CS_ADDR_MAX];
     watch->failed = true;
@@ -361,6 +365,18 @@
     apply_answer(watch, result);
 }
 
+/* Records a watch that goes to another address than the last one. */
+static void
+record_source(watch_t *watch, const char *addr)
+{
+    if (strcmp(watch->source, addr) == 0) {
+        return;
+    }
+    str_copy(watch->source, sizeof(watch->source), addr);
+    log_record(LOG_INFO, "store", "watching", "kind=%s through=%s at=%lld",
+               kind_name(watch->kind), addr, (long long)watch->revision);
+}
+
 /* Sends the watch to this daemon's upstream.  Returns false if it has none, or
  * has no list yet. */
 static bool
@@ -382,6 +398,7 @@
         .total_ms = FOLLOW_WAIT_MS + FOLLOW_SLACK_MS,
         .on_done = on_done,
         .arg = watch};
+    record_source(watch, addr);
     update_fresh(watch, false, false);
     watch->fetch = fetch_start(watch->exchanges, &call_options);
     return true;
@@ -410,6 +427,7 @@
                                     : WATCH_WAIT_MS;
         platform_watch_call(&head, watch->addr, watch->kind, watch->revision,
                             wait_ms);
+        record_source(watch, watch->addr);
         call_options.total_ms =
             wait_ms + (short_wait ? SHORT_WAIT_SLACK_MS : WATCH_SLACK_MS);
     }
@@ -422,6 +440,7 @@
     watch->calls_peer = false;
     watch->peer_calls = 0;
     watch->status = 0;
+    watch->called_ms = time_mono_ms();
     if (!call_upstream(watch)) {
         call_store(watch);
     }
