watch: one that leaves its upstream uses short waits, whoever saw the loss

Callers: a server that begins to drain right behind an outage of the store gets requests from some hosts for up to 2.8 s more.

Cause: an upstream that has lost the store is avoided by all three watches of a host, but only the watch that saw the loss used short waits. The watch of the servers, which the upstream loses 0.4 s after the others (it gathers changes), then went to the silent store with the longest wait, 2.5 s and one more for the answer; the store had dropped the call.

--- a/relay/watch.c
+++ b/relay/watch.c
@@ -404,6 +404,21 @@
     return true;
 }
 
+/* Begins to watch the store itself.  A watch that leaves an upstream uses
+ * short waits for a while, although no call of its own has failed: another
+ * watch of this daemon may have found that the upstream has lost the store,
+ * and a call to a silent store would end only after the longest wait. */
+static void
+leave_upstream(watch_t *watch, int64_t now)
+{
+    bool had_upstream =
+        watch->source[0] != '\0' && strcmp(watch->source, watch->addr) != 0;
+    record_source(watch, watch->addr);
+    if (had_upstream) {
+        watch->short_wait_until_ms = now + UPSTREAM_LOST_MS;
+    }
+}
+
 static void
 call_store(watch_t *watch)
 {
@@ -420,6 +435,7 @@
     }
     else {
         int64_t now = time_mono_ms();
+        leave_upstream(watch, now);
         bool short_wait =
             now < watch->followed_until_ms || now < watch->short_wait_until_ms;
         int wait_ms = watch->failed ? RECOVERY_WAIT_MS
@@ -427,7 +443,6 @@
                                     : WATCH_WAIT_MS;
         platform_watch_call(&head, watch->addr, watch->kind, watch->revision,
                             wait_ms);
-        record_source(watch, watch->addr);
         call_options.total_ms =
             wait_ms + (short_wait ? SHORT_WAIT_SLACK_MS : WATCH_SLACK_MS);
     }
