watch: the first follower replaces a long wait that is under way

The same fault elsewhere: a host that nobody follows watches the store with the longest wait. Whoever begins to follow it is told 'no changes' until that call ends, up to 3.5 s, if a silent store has dropped it; the short waits of a followed host began with its next call only.

Not provoked by itself with processes.

Now a daemon that begins to be followed sends its watch again with the short wait, one call more for each kind.

Test first_follower_renews_long_watch (new, test-watch) before: no second call within a second; now at once with 1,000 ms.

--- a/relay/watch.c
+++ b/relay/watch.c
@@ -66,11 +66,12 @@
     int64_t revision;                 /* the watch continues after it */
     int status;                       /* status of the last answer, or 0 */
     int backoff_ms;
-    int64_t answered_ms;       /* last valid answer of the store or upstream */
-    int64_t recovered_ms;      /* first valid answer after the last failure */
-    int64_t called_ms;         /* when the current call was sent */
-    bool failed;               /* no valid answer since a failed call */
-    bool calls_peer;           /* the current call goes to a peer */
+    int64_t answered_ms;  /* last valid answer of the store or upstream */
+    int64_t recovered_ms; /* first valid answer after the last failure */
+    int64_t called_ms;    /* when the current call was sent */
+    int wait_ms;     /* of the current watch of the store, 0 for other calls */
+    bool failed;     /* no valid answer since a failed call */
+    bool calls_peer; /* the current call goes to a peer */
     bool calls_upstream;       /* the current call goes to the upstream */
     int64_t followed_until_ms; /* when the last follower counts as gone */
     bool fresh;                /* objects are current according to the store */
@@ -338,6 +339,7 @@
 {
     watch_t *watch = arg;
     watch->fetch = NULL;
+    watch->wait_ms = 0;
     watch->status = result->status;
     if (watch->calls_peer && result->complete && watch->status == 200) {
         apply_peer_list(watch, result);
@@ -438,13 +440,14 @@
         leave_upstream(watch, now);
         bool short_wait =
             now < watch->followed_until_ms || now < watch->short_wait_until_ms;
-        int wait_ms = watch->failed ? RECOVERY_WAIT_MS
-                      : short_wait  ? SHORT_WAIT_MS
-                                    : WATCH_WAIT_MS;
+        watch->wait_ms = watch->failed ? RECOVERY_WAIT_MS
+                         : short_wait  ? SHORT_WAIT_MS
+                                       : WATCH_WAIT_MS;
         platform_watch_call(&head, watch->addr, watch->kind, watch->revision,
-                            wait_ms);
+                            watch->wait_ms);
         call_options.total_ms =
-            wait_ms + (short_wait ? SHORT_WAIT_SLACK_MS : WATCH_SLACK_MS);
+            watch->wait_ms +
+            (short_wait ? SHORT_WAIT_SLACK_MS : WATCH_SLACK_MS);
     }
     watch->fetch = fetch_start(watch->exchanges, &call_options);
 }
@@ -517,11 +520,20 @@
 }
 
 /* Records that another daemon follows this one.  While followed, this daemon
- * uses short watches, so it detects sooner that the store is unreachable. */
+ * uses short watches, so it detects sooner that the store is unreachable.  A
+ * long one that is under way is replaced: if the store has dropped it, the
+ * followers would take the silence for "no changes" until it ends. */
 void
 watch_note_follower(watch_t *watch)
 {
     watch->followed_until_ms = time_mono_ms() + FOLLOWED_MS;
+    if (watch->wait_ms != WATCH_WAIT_MS) {
+        return;
+    }
+    fetch_cancel(watch->fetch);
+    watch->fetch = NULL;
+    watch->wait_ms = 0;
+    watch_call(watch);
 }
 
 uint64_t
--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -182,4 +182,23 @@
 }
 END_TEST
 
-TEST_MAIN("watch", watch_after_upstream_uses_short_wait)
+/* Guards against followers that hear nothing for seconds after an outage of
+ * the store: the daemon that they begin to follow has a call with its longest
+ * wait under way, which the store does not answer. */
+START_TEST(first_follower_renews_long_watch)
+{
+    fixture_t fixture;
+    fixture_open(&fixture, false);
+    await_watches(&fixture, &fixture.store, 1);
+    ck_assert_int_eq(fixture.store.wait_ms, 2500);
+    watch_note_follower(fixture.watch);
+    await_watches(&fixture, &fixture.store, 2);
+    ck_assert_int_eq(fixture.store.wait_ms, 1000);
+    watch_note_follower(fixture.watch);
+    ck_assert_uint_eq(watch_store_call_count(fixture.watch), 3);
+    fixture_close(&fixture);
+}
+END_TEST
+
+TEST_MAIN("watch", watch_after_upstream_uses_short_wait,
+          first_follower_renews_long_watch)
