--- a/kernel/cache-map.c
+++ b/kernel/cache-map.c
@@ -265,18 +265,19 @@
     return map->size;
 }
 
-/* Lists the most recently used levels with their holders, for the snapshot
- * from which a peer warms up.  A level used only once most often belongs to a
- * single request and is left out. */
-size_t
-cache_map_list_reused(cache_map_t *map, cached_level_t *levels, size_t max)
+/* Adds the levels that were used more than once, or only once, to a list,
+ * the most recently used first; returns the new count. */
+static size_t
+list_levels(const cache_map_t *map, bool reused, cached_level_t *levels,
+            size_t count, size_t max)
 {
-    size_t count = 0;
-    LOCK_SCOPE(&map->lock);
-    for (cache_entry_t *entry = entry_from_link(map->lru.newest);
+    for (const cache_entry_t *entry = entry_from_link(map->lru.newest);
          entry != NULL; entry = entry_from_link(entry->lru.older)) {
+        if ((entry->uses > 1) != reused) {
+            continue;
+        }
         for (int i = 0; i < entry->count && count < max; i++) {
-            if (entry->uses > 1 && holder_is_valid(map, &entry->holders[i])) {
+            if (holder_is_valid(map, &entry->holders[i])) {
                 levels[count++] = (cached_level_t){entry->key, entry->tokens,
                                                    entry->holders[i].backend};
             }
@@ -285,6 +286,18 @@
     return count;
 }
 
+/* Lists levels with their holders, for the snapshot from which a peer warms
+ * up.  A level used only once most often belongs to a single request, so these
+ * come last.  They are not left out: a level that other daemons' requests
+ * share counts here as used once, since it is announced only once. */
+size_t
+cache_map_list_levels(cache_map_t *map, cached_level_t *levels, size_t max)
+{
+    LOCK_SCOPE(&map->lock);
+    size_t count = list_levels(map, true, levels, 0, max);
+    return list_levels(map, false, levels, count, max);
+}
+
 /* Returns the memory that the map uses now, in bytes. */
 size_t
 cache_map_memory_bytes(cache_map_t *map)
--- a/kernel/snapshot.c
+++ b/kernel/snapshot.c
@@ -11,7 +11,7 @@
 {
     json_t *list = json_array();
     cached_level_t *facts = mem_zalloc(max * sizeof(*facts));
-    size_t count = cache_map_list_reused(daemon->cache, facts, max);
+    size_t count = cache_map_list_levels(daemon->cache, facts, max);
     for (size_t i = 0; i < count; i++) {
         backend_state_t state;
         if (view_get(daemon->view, facts[i].backend, &state)) {
--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -44,7 +44,7 @@
                               uint16_t *out, size_t max);
 bool cache_map_has_key(cache_map_t *map, uint64_t key);
 size_t cache_map_size(cache_map_t *map);
-size_t cache_map_list_reused(cache_map_t *map, cached_level_t *levels,
+size_t cache_map_list_levels(cache_map_t *map, cached_level_t *levels,
                              size_t max);
 size_t cache_map_memory_bytes(cache_map_t *map);
 
--- a/plugins/cmd-show.c
+++ b/plugins/cmd-show.c
@@ -118,7 +118,7 @@
 {
     cached_level_t facts[CACHE_ROWS_MAX];
     json_t *rows = json_array();
-    size_t count = cache_map_list_reused(daemon->cache, facts, CACHE_ROWS_MAX);
+    size_t count = cache_map_list_levels(daemon->cache, facts, CACHE_ROWS_MAX);
     for (size_t i = 0; i < count; i++) {
         char key[20];
         backend_state_t state = {0};
--- a/tests/test-place.c
+++ b/tests/test-place.c
@@ -87,7 +87,29 @@
     }
     ck_assert_uint_eq(cache_map_size(map), 64);
     ck_assert(cache_map_has_key(map, 7));
-    ck_assert_uint_ge(cache_map_list_reused(map, levels, 256), 64);
+    ck_assert_uint_ge(cache_map_list_levels(map, levels, 256), 64);
+    cache_map_free(map);
+}
+END_TEST
+
+/* Guards against slow first tokens after a restart of one daemon: the snapshot
+ * that it gets from a peer lacks the levels that only other daemons' requests
+ * share, which were announced to the peer once. */
+START_TEST(snapshot_holds_levels_announced_by_peers)
+{
+    cache_map_t *map = cache_map_new(64);
+    cached_level_t levels[3];
+    (void)cache_map_add_holder(map, 1, 10, 16);
+    (void)cache_map_add_holder(map, 2, 20, 16);
+    (void)cache_map_add_holder(map, 2, 20, 16);
+    (void)cache_map_add_holder(map, 3, 30, 16);
+    ck_assert_uint_eq(cache_map_list_levels(map, levels, 3), 3);
+    ck_assert_uint_eq(levels[0].key, 20);
+    ck_assert_uint_eq(levels[1].key, 30);
+    ck_assert_uint_eq(levels[2].key, 10);
+    ck_assert_uint_eq(levels[2].backend, 1);
+    ck_assert_uint_eq(cache_map_list_levels(map, levels, 1), 1);
+    ck_assert_uint_eq(levels[0].key, 20);
     cache_map_free(map);
 }
 END_TEST
@@ -254,6 +276,7 @@
 TEST_MAIN("place", keys_of_other_workspaces_and_versions_never_match,
           restarted_server_loses_all_cache_entries,
           cache_map_stays_within_its_bound,
+          snapshot_holds_levels_announced_by_peers,
           stale_report_is_corrected_by_sent_requests,
           failing_or_slow_server_is_rated_lower,
           cost_weighs_waiting_against_recomputing,
