--- a/relay/watch.c
+++ b/relay/watch.c
@@ -20,7 +20,7 @@
  * extra time for the answer, ms. */
 #define FOLLOW_WAIT_MS 900
 #define FOLLOW_SLACK_MS 300
-/* How long a daemon that has lost its upstream uses SHORT_WAIT_MS, ms; the
+/* How long a watch that has left its upstream uses SHORT_WAIT_MS, ms; the
  * loss counts as recent for twice as long. */
 #define UPSTREAM_LOST_MS 2000
 /* After changes the next watch is delayed by this, ms, to get further changes
@@ -58,7 +58,7 @@
     watch_hooks_t hooks;
     char addr[CS_ADDR_MAX];
     char upstream[CS_ADDR_MAX]; /* address of the last upstream */
-    char source[CS_ADDR_MAX]; /* address of the last watch, "" at the start */
+    char source[CS_ADDR_MAX];   /* where the last watch went */
     object_kind_t kind;
     watch_state_t state;
     char list_after[CS_NAME_MAX * 2]; /* last name of the list so far */
@@ -406,19 +406,25 @@
     return true;
 }
 
-/* Begins to watch the store itself.  A watch that leaves an upstream uses
- * short waits for a while, although no call of its own has failed: another
- * watch of this daemon may have found that the upstream has lost the store,
- * and a call to a silent store would end only after the longest wait. */
-static void
-leave_upstream(watch_t *watch, int64_t now)
+/* Whether the last watch went through an upstream. */
+static bool
+had_upstream(const watch_t *watch)
+{
+    return watch->source[0] != '\0' && strcmp(watch->source, watch->addr) != 0;
+}
+
+/* Whether the next watch of the store uses SHORT_WAIT_MS.  It does after an
+ * upstream even if no call of this watch has failed: another watch of this
+ * daemon may have found that the upstream has lost the store, and a silent
+ * store drops the call, which ends only after its wait. */
+static bool
+uses_short_wait(watch_t *watch)
 {
-    bool had_upstream =
-        watch->source[0] != '\0' && strcmp(watch->source, watch->addr) != 0;
-    record_source(watch, watch->addr);
-    if (had_upstream) {
+    int64_t now = time_mono_ms();
+    if (had_upstream(watch)) {
         watch->short_wait_until_ms = now + UPSTREAM_LOST_MS;
     }
+    return now < watch->followed_until_ms || now < watch->short_wait_until_ms;
 }
 
 static void
@@ -436,10 +442,8 @@
         call_options.total_ms = LIST_TIMEOUT_MS;
     }
     else {
-        int64_t now = time_mono_ms();
-        leave_upstream(watch, now);
-        bool short_wait =
-            now < watch->followed_until_ms || now < watch->short_wait_until_ms;
+        bool short_wait = uses_short_wait(watch);
+        record_source(watch, watch->addr);
         watch->wait_ms = watch->failed ? RECOVERY_WAIT_MS
                          : short_wait  ? SHORT_WAIT_MS
                                        : WATCH_WAIT_MS;
