--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -9,8 +9,11 @@
 #include <sys/socket.h>
 
 /* Tests a watch against a store and an upstream that run in the same event
- * loop and hold every watch that they are told to hold. */
+ * loop.  The store leaves watches unanswered, the upstream answers at once. */
 
+/* The longest and the short wait that a watch asks the store for. */
+#define LONG_WAIT_MS 2500
+#define SHORT_WAIT_MS 1000
 #define STEP_MS 20
 #define STEPS_MAX 50
 #define NO_CHANGES "{\"events\":[],\"at\":5}"
@@ -177,7 +180,7 @@
     await_watches(&fixture, &fixture.upstream, 1);
     fixture.follows = false;
     await_watches(&fixture, &fixture.store, 1);
-    ck_assert_int_eq(fixture.store.wait_ms, 1000);
+    ck_assert_int_eq(fixture.store.wait_ms, SHORT_WAIT_MS);
     fixture_close(&fixture);
 }
 END_TEST
@@ -190,10 +193,11 @@
     fixture_t fixture;
     fixture_open(&fixture, false);
     await_watches(&fixture, &fixture.store, 1);
-    ck_assert_int_eq(fixture.store.wait_ms, 2500);
+    ck_assert_int_eq(fixture.store.wait_ms, LONG_WAIT_MS);
     watch_note_follower(fixture.watch);
     await_watches(&fixture, &fixture.store, 2);
-    ck_assert_int_eq(fixture.store.wait_ms, 1000);
+    ck_assert_int_eq(fixture.store.wait_ms, SHORT_WAIT_MS);
+    /* A short one is kept: the list and two watches have been sent. */
     watch_note_follower(fixture.watch);
     ck_assert_uint_eq(watch_store_call_count(fixture.watch), 3);
     fixture_close(&fixture);
