watch: short waits for as long as all upstreams are avoided

Cause: gave short waits to a watch in the moment that it goes from an upstream to the store. A watch that had gone there earlier, and whose two seconds were over, used the longest wait again, although the host's other watches had lost upstreams since and all were avoided.

Change: the search for an upstream says why there is none: this host watches the store itself, or all are avoided.

The other two tests' checks are the same; their stand-in returns the new type.

--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -97,12 +97,14 @@
 }
 
 /* Finds the daemon whose watches of the store this one follows. */
-static bool
+static upstream_t
 find_upstream_daemon(void *arg, char addr[CS_ADDR_MAX])
 {
     relay_t *relay = arg;
-    return relay->peers != NULL && relay->stop_requested_ms == 0 &&
-           peers_find_upstream(relay->peers, addr);
+    if (relay->peers == NULL || relay->stop_requested_ms != 0) {
+        return UPSTREAM_NONE;
+    }
+    return peers_find_upstream(relay->peers, addr);
 }
 
 static void
--- a/relay/peers-duty.c
+++ b/relay/peers-duty.c
@@ -54,9 +54,20 @@
                              peers->members, "store-watch", owners, wanted);
 }
 
-/* Finds the address of the daemon whose watches of the store this one follows;
- * false if it watches the store itself.  See watch_duty_choose. */
-bool
+static bool
+is_listed(const member_t *owners, size_t count, const char *name)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(owners[i].name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Finds the address of the daemon whose watches of the store this one follows.
+ * See watch_duty_choose. */
+upstream_t
 peers_find_upstream(peers_t *peers, char addr[CS_ADDR_MAX])
 {
     member_t owners[WATCHERS_MAX];
@@ -65,11 +76,13 @@
     const member_t *owner =
         watch_duty_choose(owners, count, settings->name, settings->dc,
                           &peers->avoided_watchers, time_mono_ms());
-    if (owner == NULL) {
-        return false;
+    if (owner != NULL) {
+        str_copy(addr, CS_ADDR_MAX, owner->http_addr);
+        return UPSTREAM_FOUND;
     }
-    str_copy(addr, CS_ADDR_MAX, owner->http_addr);
-    return true;
+    return count == 0 || is_listed(owners, count, settings->name)
+               ? UPSTREAM_NONE
+               : UPSTREAM_AVOIDED;
 }
 
 /* Avoids the watcher at an address, which does not serve this daemon.  A
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -20,8 +20,8 @@
  * extra time for the answer, ms. */
 #define FOLLOW_WAIT_MS 900
 #define FOLLOW_SLACK_MS 300
-/* How long a watch that has left its upstream uses SHORT_WAIT_MS, ms; the
- * loss counts as recent for twice as long. */
+/* How long a watch uses SHORT_WAIT_MS after it has lost its upstream or all
+ * were avoided, ms; the loss counts as recent for twice as long. */
 #define UPSTREAM_LOST_MS 2000
 /* After changes the next watch is delayed by this, ms, to get further changes
  * in one answer: each call has a cost and wakes the process, and entries of
@@ -379,6 +379,28 @@
                kind_name(watch->kind), addr, (long long)watch->revision);
 }
 
+/* Finds the upstream of the next watch; false if the store is to be called.
+ * While all upstreams are avoided, the store may be unreachable, whichever
+ * watch of this daemon lost them: a silent store drops a call, which ends only
+ * after its wait, so the waits are short. */
+static bool
+find_upstream(watch_t *watch)
+{
+    if (watch->state != WATCH_WATCHING || !watch->listed) {
+        return false;
+    }
+    switch (watch->hooks.find_upstream(watch->hooks.arg, watch->upstream)) {
+        case UPSTREAM_FOUND:
+            return true;
+        case UPSTREAM_AVOIDED:
+            watch->short_wait_until_ms = time_mono_ms() + UPSTREAM_LOST_MS;
+            return false;
+        case UPSTREAM_NONE:
+            break;
+    }
+    return false;
+}
+
 /* Sends the watch to this daemon's upstream.  Returns false if it has none, or
  * has no list yet. */
 static bool
@@ -386,8 +408,7 @@
 {
     char *addr = watch->upstream;
     CLEAN_BUF buf_t head = {0};
-    watch->calls_upstream = watch->state == WATCH_WATCHING && watch->listed &&
-                            watch->hooks.find_upstream(watch->hooks.arg, addr);
+    watch->calls_upstream = find_upstream(watch);
     if (!watch->calls_upstream) {
         return false;
     }
@@ -406,27 +427,6 @@
     return true;
 }
 
-/* Whether the last watch went through an upstream. */
-static bool
-had_upstream(const watch_t *watch)
-{
-    return watch->source[0] != '\0' && strcmp(watch->source, watch->addr) != 0;
-}
-
-/* Whether the next watch of the store uses SHORT_WAIT_MS.  It does after an
- * upstream even if no call of this watch has failed: another watch of this
- * daemon may have found that the upstream has lost the store, and a silent
- * store drops the call, which ends only after its wait. */
-static bool
-uses_short_wait(watch_t *watch)
-{
-    int64_t now = time_mono_ms();
-    if (had_upstream(watch)) {
-        watch->short_wait_until_ms = now + UPSTREAM_LOST_MS;
-    }
-    return now < watch->followed_until_ms || now < watch->short_wait_until_ms;
-}
-
 static void
 call_store(watch_t *watch)
 {
@@ -442,7 +442,9 @@
         call_options.total_ms = LIST_TIMEOUT_MS;
     }
     else {
-        bool short_wait = uses_short_wait(watch);
+        int64_t now = time_mono_ms();
+        bool short_wait =
+            now < watch->followed_until_ms || now < watch->short_wait_until_ms;
         record_source(watch, watch->addr);
         watch->wait_ms = watch->failed ? RECOVERY_WAIT_MS
                          : short_wait  ? SHORT_WAIT_MS
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -11,6 +11,13 @@
 
 typedef struct watch watch_t;
 
+/* Through whom a daemon watches the store. */
+typedef enum {
+    UPSTREAM_NONE,   /* it watches the store itself */
+    UPSTREAM_FOUND,  /* it follows another daemon */
+    UPSTREAM_AVOIDED /* it would, but all have recently failed to serve it */
+} upstream_t;
+
 typedef struct {
     /* A whole list begins. */
     void (*on_list_begin)(void *arg);
@@ -23,9 +30,8 @@
     /* Finds the address of another daemon to list the objects from while the
      * store does not answer; false if there is none. */
     bool (*find_peer)(void *arg, char addr[CS_ADDR_MAX]);
-    /* Finds the address of the daemon whose watches this one follows; false if
-     * this one watches the store itself. */
-    bool (*find_upstream)(void *arg, char addr[CS_ADDR_MAX]);
+    /* Finds the address of the daemon whose watches this one follows. */
+    upstream_t (*find_upstream)(void *arg, char addr[CS_ADDR_MAX]);
     /* A call to the followed daemon failed.  answered is true if it sent an
      * error or an incomplete response, false if it sent none. */
     void (*on_upstream_lost)(void *arg, const char *addr, bool answered);
--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -33,7 +33,7 @@
     exchanges_t *exchanges;
     listener_t store;
     listener_t upstream;
-    bool follows;
+    upstream_t found;
     watch_t *watch;
 } fixture_t;
 
@@ -103,12 +103,12 @@
     (void)revision;
 }
 
-static bool
+static upstream_t
 find_upstream(void *arg, char addr[CS_ADDR_MAX])
 {
     const fixture_t *fixture = arg;
     str_copy(addr, CS_ADDR_MAX, fixture->upstream.addr);
-    return fixture->follows;
+    return fixture->found;
 }
 
 static void
@@ -126,12 +126,12 @@
 }
 
 static void
-fixture_open(fixture_t *fixture, bool follows)
+fixture_open(fixture_t *fixture, upstream_t found)
 {
     memset(fixture, 0, sizeof(*fixture));
     fixture->base = event_base_new();
     fixture->exchanges = exchanges_new(fixture->base);
-    fixture->follows = follows;
+    fixture->found = found;
     listener_open(&fixture->store, fixture->base);
     listener_open(&fixture->upstream, fixture->base);
     fixture->store.holds_watches = true;
@@ -176,9 +176,21 @@
 START_TEST(watch_after_upstream_uses_short_wait)
 {
     fixture_t fixture;
-    fixture_open(&fixture, true);
+    fixture_open(&fixture, UPSTREAM_FOUND);
     await_watches(&fixture, &fixture.upstream, 1);
-    fixture.follows = false;
+    fixture.found = UPSTREAM_AVOIDED;
+    await_watches(&fixture, &fixture.store, 1);
+    ck_assert_int_eq(fixture.store.wait_ms, SHORT_WAIT_MS);
+    fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against the same when the loss was longer ago than this watch uses
+ * short waits for it, but other watches of this daemon have met it since. */
+START_TEST(watch_uses_short_wait_while_upstreams_are_avoided)
+{
+    fixture_t fixture;
+    fixture_open(&fixture, UPSTREAM_AVOIDED);
     await_watches(&fixture, &fixture.store, 1);
     ck_assert_int_eq(fixture.store.wait_ms, SHORT_WAIT_MS);
     fixture_close(&fixture);
@@ -191,7 +203,7 @@
 START_TEST(first_follower_renews_long_watch)
 {
     fixture_t fixture;
-    fixture_open(&fixture, false);
+    fixture_open(&fixture, UPSTREAM_NONE);
     await_watches(&fixture, &fixture.store, 1);
     ck_assert_int_eq(fixture.store.wait_ms, LONG_WAIT_MS);
     watch_note_follower(fixture.watch);
@@ -205,4 +217,5 @@
 END_TEST
 
 TEST_MAIN("watch", watch_after_upstream_uses_short_wait,
+          watch_uses_short_wait_while_upstreams_are_avoided,
           first_follower_renews_long_watch)
