--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -197,7 +197,7 @@
 }
 END_TEST
 
-/* Guards against followers that hear nothing for seconds after an outage of
+/* Guards against followers that get no changes for seconds after an outage of
  * the store: the daemon that they begin to follow has a call with its longest
  * wait under way, which the store does not answer. */
 START_TEST(first_follower_renews_long_watch)
