Servers: a stated rate limit is decoded, logged and shown

platform/signals-read.c decodes what a server says of itself; the relay logs a limit when it begins, changes and ends, has a gauge of it, and does not pass the header on to callers. No decision uses it yet.

--- a/relay/relay.c
+++ b/relay/relay.c
@@ -49,6 +49,10 @@
             server->info.id, server->info.service,
             (long long)server->info.weights, server_is_usable(server, now),
             server->own_running);
+    if (server->limit_stated) {
+        buf_fmt(out, "celeryspool_server_limit{server=\"%s\"} %.3f\n",
+                server->info.id, server->limit_per_s);
+    }
 }
 
 /* Writes the metrics of the workspaces' limits. */
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -215,6 +215,30 @@
     }
 }
 
+/* Whether an answer was made by the server itself for this request. */
+static bool
+is_own_answer(const request_t *request, const http_head_t *head)
+{
+    return http_head_find(head, wire_header_name(HEADER_REQUEST_ID)) != NULL &&
+           (request->answer == ANSWER_REJECTED ||
+            http_head_find(head, wire_header_name(HEADER_SIGNATURE)) != NULL);
+}
+
+static void
+record_limit(server_t *server, const server_signals_t *signals)
+{
+    bool stated = signals->limit == SIGNAL_VALID;
+    if (signals->limit == SIGNAL_INVALID ||
+        (stated == server->limit_stated &&
+         signals->limit_per_s == server->limit_per_s)) {
+        return;
+    }
+    server->limit_stated = stated;
+    server->limit_per_s = signals->limit_per_s;
+    log_record(LOG_INFO, "servers", stated ? "limit-stated" : "limit-ended",
+               "server=%s per_s=%.3f", server->info.id, server->limit_per_s);
+}
+
 static void
 copy_answer_headers(request_t *request, const http_head_t *head)
 {
@@ -226,6 +250,7 @@
             case HEADER_CONNECTION:
             case HEADER_CONTENT_LENGTH:
             case HEADER_LOAD:
+            case HEADER_SERVER_LIMIT:
                 continue;
             default:
                 break;
@@ -309,6 +334,11 @@
     record_load(request->relay, request->server, head);
     request->answer = classify(request, head);
     request->status = head->status;
+    if (is_own_answer(request, head)) {
+        server_signals_t signals;
+        platform_signals_read(&signals, head);
+        record_limit(request->server, &signals);
+    }
     switch (request->answer) {
         case ANSWER_REJECTED:
             record_rejection(request, head);
--- /dev/null
+++ b/relay/server-signals.h
@@ -0,0 +1,20 @@
+#ifndef CELERYSPOOL_SERVER_SIGNALS_H
+#define CELERYSPOOL_SERVER_SIGNALS_H
+
+/* What a server says of itself in the head of an answer.  Decoded by
+ * platform/signals-read.c. */
+
+#include "../kernel/base.h"
+
+typedef enum {
+    SIGNAL_ABSENT,
+    SIGNAL_VALID,
+    SIGNAL_INVALID /* present, but its value cannot be parsed */
+} signal_state_t;
+
+typedef struct {
+    signal_state_t limit;
+    double limit_per_s; /* requests a second from all hosts together */
+} server_signals_t;
+
+#endif
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -107,6 +107,8 @@
     /* When the server last answered this host or a host that reported it. */
     int64_t confirmed_alive_ms;
     int64_t busy_since_ms; /* when own_running last rose from 0 */
+    bool limit_stated;     /* in its last answer that says either */
+    double limit_per_s;    /* if stated: requests a second from all hosts */
     bool probing;          /* a probe is in flight */
     bool unresponsive;     /* the last probe got no answer */
 } server_t;
--- a/relay/wire.h
+++ b/relay/wire.h
@@ -46,6 +46,7 @@
     HEADER_LOAD,
     HEADER_NOT_EXECUTED,
     HEADER_WEIGHTS_VERSION, /* weights version that produced the answer */
+    HEADER_SERVER_LIMIT,    /* requests a second from all hosts together */
     HEADER_COUNT
 } wire_header_t;
 
