Test: hosts together exceed a rate limit that a server states (fails)

The platform's stand-in states a limit on command (limit_per_s) in all answers, rejections and health checks included, and records the time of each arrival.

Hypothesis 1, narrower: the statement is received and nothing uses it.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -76,6 +76,15 @@
     (void)fflush(server->record);
 }
 
+/* Records the arrival of a request that takes a slot or is rejected. */
+static void
+record_arrival(const platform_server_t *server)
+{
+    (void)fprintf(server->record, "arrival server=%s at_ms=%lld\n", server->id,
+                  (long long)time_wall_ms());
+    (void)fflush(server->record);
+}
+
 static void
 add_header(struct evhttp_request *req, wire_header_t header, const char *value)
 {
@@ -83,6 +92,17 @@
                             wire_header_name(header), value);
 }
 
+/* Adds what the server says of itself, in rejections too. */
+static void
+add_signals(const platform_server_t *server, struct evhttp_request *req)
+{
+    char text[32];
+    if (server->limit_per_s >= 0) {
+        (void)snprintf(text, sizeof(text), "%.2f", server->limit_per_s);
+        add_header(req, HEADER_SERVER_LIMIT, text);
+    }
+}
+
 static void
 add_identity(const platform_server_t *server, struct evhttp_request *req)
 {
@@ -95,13 +115,17 @@
     add_header(req, HEADER_REQUEST_ID, id != NULL ? id : "-");
     add_header(req, HEADER_SIGNATURE, signature);
     add_header(req, HEADER_LOAD, load);
+    add_signals(server, req);
 }
 
 static void
 reject(platform_server_t *server, struct evhttp_request *req, int status)
 {
+    const char *id = find_header(req, wire_header_name(HEADER_REQUEST_ID));
+    add_header(req, HEADER_REQUEST_ID, id != NULL ? id : "-");
     add_header(req, HEADER_NOT_EXECUTED, "1");
     add_header(req, HEADER_SERVER_ID, server->id);
+    add_signals(server, req);
     evhttp_send_reply(req, status, NULL, NULL);
 }
 
@@ -248,6 +272,7 @@
 static void
 run_request(platform_server_t *server, struct evhttp_request *req)
 {
+    record_arrival(server);
     if (!is_expected(server, req)) {
         reject(server, req, 421);
         return;
@@ -362,7 +387,9 @@
         answer_order(server, req);
     }
     else if (path != NULL && strcmp(path, "/health") == 0) {
+        record_arrival(server);
         add_header(req, HEADER_SERVER_ID, server->id);
+        add_signals(server, req);
         evhttp_send_reply(req, server->draining ? 503 : 200, NULL, NULL);
     }
     else if (!server->engine || path == NULL ||
@@ -386,6 +413,7 @@
     server->version = 1;
     server->events = 8;
     server->event_interval_ms = 20;
+    server->limit_per_s = -1;
     const char *parts[6] = {"", "", "", "", "", ""};
     for (size_t i = 0; i < 6 && rest != NULL; i++) {
         parts[i] = strsep(&rest, ",");
@@ -419,7 +447,8 @@
 static const char *const mode_names[] = {"well",   "shed", "error",  "reset",
                                          "silent", "cut",  "foreign"};
 
-/* Applies a command to a server: mode, draining, gone, events, gap_ms. */
+/* Applies a command to a server: mode, draining, gone, events, gap_ms, and
+ * limit_per_s, a negative one for none. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -433,6 +462,10 @@
         (unsigned)json_get_int(command, "events", (int64_t)server->events);
     server->event_interval_ms = (unsigned)json_get_int(
         command, "gap_ms", (int64_t)server->event_interval_ms);
+    const json_t *limit = json_object_get(command, "limit_per_s");
+    if (json_is_number(limit)) {
+        server->limit_per_s = json_number_value(limit);
+    }
     server->draining = server->draining || json_get_bool(command, "draining");
     if (json_get_bool(command, "gone")) {
         server->removed = true;
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -89,6 +89,7 @@
     int running;
     unsigned events;            /* number of events of each stream */
     unsigned event_interval_ms; /* between events of a stream */
+    double limit_per_s;         /* stated in answers if not negative */
     FILE *record;               /* one line per request and order */
 } platform_server_t;
 
--- /dev/null
+++ b/tests/proc-server-limit.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Guards against hosts that together exceed the rate limit that a server states.
+. "$(dirname "$0")/relay-lib.sh"
+HOSTS=3
+start_platform 0 2 && start_relays $HOSTS || exit 1
+sleep 6 # hosts have settled on each other's number
+
+# send_load NAME SECONDS: 16 requests a second at each host; a line for each with
+# its status and Retry-After
+send_load() {
+    local host i
+    for ((host = 1; host <= HOSTS; host++)); do
+        for ((i = 0; i < $2 * 16; i++)); do
+            curl -s -o /dev/null --max-time 3 -w '%{http_code} %header{retry-after}\n' -H 'Host: a.example' \
+                -H "X-Celeryspool-Attempt-Id: $1-$host-$i" -H 'X-Celeryspool-Deadline-Milliseconds: 2000' "${KEY1[@]}" \
+                "http://$(relay_addr "$host")/read/x" >>"$OUT/$1" &
+            sleep 0.06
+        done &
+    done
+    wait $(jobs -p | grep -vxF "$(printf '%s\n' "${PIDS[@]}")")
+    sleep 0.5
+}
+# arrivals SERVER FROM_MS TO_MS: the fewest and the most arrivals within 4 s
+arrivals() {
+    grep "^arrival server=$1 " "$RECORD" | sed 's/.*at_ms=//' | awk -v from="$2" -v to="$3" '
+        $1 >= from && $1 <= to { at[n++] = $1 }
+        END {
+            min = n
+            for (start = from; start + 4000 <= to; start += 20) {
+                count = 0
+                for (i = 0; i < n; i++) count += at[i] >= start && at[i] < start + 4000
+                max = count > max ? count : max
+                min = count < min ? count : min
+            }
+            print min + 0, max + 0
+        }'
+}
+
+post_admin server/p1 '{"limit_per_s":2}'
+begin=$(now_ms)
+send_load one 11
+read -r fewest most <<<"$(arrivals p1 $((begin + 3000)) $((begin + 10500)))"
+expect "one of two states 2 a second: at most 17 arrive in 4 s ($most)" [ "$most" -le 17 ]
+expect "half of the limit is used at least ($fewest of 8)" [ "$fewest" -ge 4 ]
+expect "all callers are served" [ "$(grep -c '^200' "$OUT/one")" = $((HOSTS * 11 * 16)) ]
+
+post_admin server/p1 '{"limit_per_s":3}'
+post_admin server/p2 '{"limit_per_s":3}'
+begin=$(now_ms)
+send_load both 11
+for server in p1 p2; do
+    read -r fewest most <<<"$(arrivals $server $((begin + 3000)) $((begin + 10500)))"
+    expect "both state 3 a second: at most 23 arrive at $server in 4 s ($most)" [ "$most" -le 23 ]
+    expect "half of the limit of $server is used at least ($fewest of 12)" [ "$fewest" -ge 6 ]
+done
+grep -v '^200' "$OUT/both" >"$OUT/rejected"
+expect "the others are rejected" [ "$(grep -c '^503' "$OUT/rejected")" -ge $((HOSTS * 11 * 16 / 2)) ]
+expect "with a Retry-After time" [ "$(grep -c '^503 [0-9.]' "$OUT/rejected")" = "$(wc -l <"$OUT/rejected")" ]
+late=$(sed -n 's/.*event=end id=both.*status=503 .* total_ms=\([0-9]*\) .*/\1/p' "$OUT"/relay-*.log | awk '$1 > 50' | wc -l)
+expect "at once ($late after more than 50 ms)" [ "$late" -le $(($(wc -l <"$OUT/rejected") / 20)) ]
+
+post_admin server/p1 '{"limit_per_s":-1}'
+post_admin server/p2 '{"limit_per_s":-1}'
+sleep 3
+send_load ended 3
+expect "all callers are served again once no limit is stated" [ "$(grep -c '^200' "$OUT/ended")" = $((HOSTS * 3 * 16)) ]
+finish
