Host count: the assumed number of hosts has a module of its own

The share of a rate limit that a server states for all hosts needs the same estimate as the retry slack: a peak that outlasts a partition, and more hosts than known after a start. test-retry-share is unchanged and passes (11 checks).

--- a/relay/peers.c
+++ b/relay/peers.c
@@ -30,7 +30,7 @@
         log_record(LOG_INFO, "peers", "retry-slack",
                    "slack=%.2f before=%.2f live=%zu peak=%zu", slack,
                    relay->retry_shares.slack, peers_live_count(peers),
-                   peers->retry_hosts.peak_live);
+                   peers->retry_hosts.count.peak_live);
     }
     relay->retry_shares.slack = slack;
 }
--- a/relay/retry-share.c
+++ b/relay/retry-share.c
@@ -26,15 +26,6 @@
  * apart could both use the whole slack within one window.  Requests are not,
  * since the budget must not be overestimated. */
 
-/* For how long a host that is gone still counts among those that share the
- * slack: one that is cut off still spends its part, and data centres may lose
- * each other for minutes. */
-#define PEAK_HOLD_MS 600000
-/* A host has no slack for DISCOVERY_MS after its start, and may then still not
- * know all hosts: until SETTLED_MS it assumes HOSTS_ASSUMED at least. */
-#define DISCOVERY_MS 2000
-#define SETTLED_MS 5000
-#define HOSTS_ASSUMED 32
 /* Shares of the slack and of the ratio that are used.  The limit applies when
  * retries arrive and counts requests when callers send them; delays on the way
  * can add to a window what was spent slightly outside it. */
@@ -48,33 +39,20 @@
 void
 retry_hosts_init(retry_hosts_t *hosts, int64_t window_ms, int64_t now_ms)
 {
-    *hosts = (retry_hosts_t){
-        .window_ms = window_ms, .started_ms = now_ms, .peak_seen_ms = now_ms};
+    hosts->window_ms = window_ms;
+    host_count_init(&hosts->count, now_ms);
 }
 
 /* Returns this host's share of the total slack, given the number of live
- * hosts, this one included, and a minimum of hosts to assume.  One more host
- * than the recent peak is assumed.  The peak is used so that two halves of a
- * partition don't both spend the whole slack. */
+ * hosts, this one included, and a minimum of hosts to assume. */
 double
 retry_hosts_slack_share(retry_hosts_t *hosts, size_t live, size_t hosts_min,
                         int64_t now_ms)
 {
-    if (live >= hosts->peak_live ||
-        now_ms - hosts->peak_seen_ms > PEAK_HOLD_MS) {
-        hosts->peak_live = live;
-        hosts->peak_seen_ms = now_ms;
-    }
-    int64_t age_ms = now_ms - hosts->started_ms;
-    size_t count = hosts->peak_live + 1;
-    if (age_ms < DISCOVERY_MS) {
-        return 0;
-    }
-    if (age_ms < SETTLED_MS && hosts_min < HOSTS_ASSUMED) {
-        hosts_min = HOSTS_ASSUMED;
-    }
+    size_t assumed = host_count_update(&hosts->count, live, hosts_min, now_ms);
+    int64_t age_ms = now_ms - hosts->count.started_ms;
     double share = age_ms < hosts->window_ms ? START_SLACK_SHARE : SLACK_SHARE;
-    return share / (double)(count > hosts_min ? count : hosts_min);
+    return assumed > 0 ? share / (double)assumed : 0;
 }
 
 void
--- a/relay/retry-share.h
+++ b/relay/retry-share.h
@@ -5,6 +5,7 @@
  * service.  No I/O and no clock. */
 
 #include "../kernel/base.h"
+#include "host-count.h"
 
 #include <ck_queue.h>
 
@@ -27,12 +28,10 @@
     int64_t window_ms; /* in which the retries of all hosts are limited */
 } retry_shares_t;
 
-/* How many hosts share the slack, as seen by one of them. */
+/* The hosts that share the slack, as seen by one of them. */
 typedef struct {
     int64_t window_ms; /* in which the retries of all hosts are limited */
-    int64_t started_ms;
-    size_t peak_live; /* recent maximum of live hosts */
-    int64_t peak_seen_ms;
+    host_count_t count;
 } retry_hosts_t;
 
 void retry_hosts_init(retry_hosts_t *hosts, int64_t window_ms, int64_t now_ms);
