Server limit: hosts share what a server states for all of them

What callers saw: nothing yet.

Cause: the statement arrived with the first answer to each host (records 'limit-stated' of the test before this commit) and no decision used it.

Why this works: a limit is a property of the fleet, so its state is too. Hosts notify each other of changes alone (eight random hosts each, revisioned, bound to the server's start); those that rank first for the server share it by token buckets, with the same estimate of the hosts as the retry slack; the others send a single request at long random intervals. Placement passes over a server without a token; if only limits stand in the way, the caller is rejected at once with the time of the next free part, each caller a later one. Answers that were made before the limit was stated do not end it, a new start of the server does. Health checks count, load reports and cache events take no slot and do not.

Rejected: an equal part for every host (at 350 hosts one request in minutes each, or 350 at once), a periodic broadcast of each limit (8 KB/s are spent already), an expiry without notices (350 hosts asking again are more than the limit).

--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -13,6 +13,8 @@
 #define USAGES_FIELDS 4
 #define SERVER_LOAD_FIELDS 5
 #define LOADS_FIELDS 2
+#define SIGNAL_FIELDS 5
+#define SIGNALS_FIELDS 2
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -120,6 +122,23 @@
     }
 }
 
+static void
+pack_signals(msgpack_packer *packer, const peer_datagram_t *datagram)
+{
+    (void)msgpack_pack_array(packer, SIGNALS_FIELDS);
+    (void)msgpack_pack_int(packer, PEER_SIGNALS);
+    (void)msgpack_pack_array(packer, datagram->signal_count);
+    for (size_t i = 0; i < datagram->signal_count; i++) {
+        const peer_signal_t *signal = &datagram->signals[i];
+        (void)msgpack_pack_array(packer, SIGNAL_FIELDS);
+        (void)msgpack_pack_uint64(packer, signal->server_hash);
+        (void)msgpack_pack_uint64(packer, signal->incarnation);
+        (void)msgpack_pack_uint64(packer, signal->limit_revision);
+        (void)msgpack_pack_int(packer, signal->limit_stated ? 1 : 0);
+        (void)msgpack_pack_uint64(packer, signal->limit_milli_per_s);
+    }
+}
+
 /* Encodes a datagram; returns its length, or 0 if it does not fit. */
 size_t
 peer_encode(const peer_datagram_t *datagram, const unsigned char *secret,
@@ -142,6 +161,9 @@
         case PEER_LOADS:
             pack_loads(&packer, datagram);
             break;
+        case PEER_SIGNALS:
+            pack_signals(&packer, datagram);
+            break;
     }
     size_t len = 0;
     if (buffer.size + PEER_MAC_BYTES <= PEER_DATAGRAM_MAX) {
@@ -286,6 +308,22 @@
            parse_count(&fields[4], &load->sent_tokens);
 }
 
+static bool
+parse_signal(const msgpack_object *object, peer_signal_t *signal)
+{
+    const msgpack_object *fields = object->via.array.ptr;
+    int stated;
+    bool valid = object->type == MSGPACK_OBJECT_ARRAY &&
+                 object->via.array.size == SIGNAL_FIELDS &&
+                 parse_count(&fields[0], &signal->server_hash) &&
+                 parse_count(&fields[1], &signal->incarnation) &&
+                 parse_count(&fields[2], &signal->limit_revision) &&
+                 parse_int(&fields[3], &stated) &&
+                 parse_unsigned(&fields[4], &signal->limit_milli_per_s);
+    signal->limit_stated = valid && stated != 0;
+    return valid;
+}
+
 /* Decodes one entry of a datagram's list. */
 static bool
 parse_entry(peer_datagram_t *datagram, const msgpack_object *entry, size_t i)
@@ -307,6 +345,10 @@
             datagram->load_count = i + 1;
             return i < PEER_LOADS_MAX &&
                    parse_server_load(entry, &datagram->loads[i]);
+        case PEER_SIGNALS:
+            datagram->signal_count = i + 1;
+            return i < PEER_SIGNALS_MAX &&
+                   parse_signal(entry, &datagram->signals[i]);
     }
     return false;
 }
@@ -340,6 +382,9 @@
         case PEER_LOADS:
             datagram->load_count = 0;
             return;
+        case PEER_SIGNALS:
+            datagram->signal_count = 0;
+            return;
     }
 }
 
@@ -377,7 +422,8 @@
                   parse_unsigned(&fields[2], &datagram->incarnation) &&
                   parse_unsigned(&fields[3], &datagram->sequence);
     bool loads = kind == PEER_LOADS && size == LOADS_FIELDS;
-    return members || facts || usages || loads
+    bool signals = kind == PEER_SIGNALS && size == SIGNALS_FIELDS;
+    return members || facts || usages || loads || signals
                ? parse_list(datagram, &fields[1])
                : -1;
 }
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -16,11 +16,15 @@
 /* Servers in one PEER_LOADS datagram. */
 #define PEER_LOADS_MAX 256
 
+/* Servers in one PEER_SIGNALS datagram. */
+#define PEER_SIGNALS_MAX 128
+
 typedef enum {
     PEER_MEMBERS = 1,
     PEER_FACTS = 2,
     PEER_USAGES = 3,
-    PEER_LOADS = 4
+    PEER_LOADS = 4,
+    PEER_SIGNALS = 5
 } peer_kind_t;
 
 /* A load report or a change of a cache entry of a backend server. */
@@ -52,6 +56,15 @@
     uint32_t sent_tokens;     /* sent to prefill; cumulative, wraps */
 } peer_load_t;
 
+/* What a server has said of itself. */
+typedef struct {
+    uint32_t server_hash;    /* of its id */
+    uint32_t incarnation;    /* hash of its address and start time */
+    uint32_t limit_revision; /* 0 if it never stated a limit */
+    bool limit_stated;
+    uint64_t limit_milli_per_s; /* requests in 1000 s from all hosts */
+} peer_signal_t;
+
 /* Of the union, only the member for the kind is valid. */
 typedef struct {
     peer_kind_t kind;
@@ -71,6 +84,10 @@
             peer_load_t loads[PEER_LOADS_MAX];
             size_t load_count;
         };
+        struct { /* PEER_SIGNALS */
+            peer_signal_t signals[PEER_SIGNALS_MAX];
+            size_t signal_count;
+        };
     };
 } peer_datagram_t;
 
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -144,6 +144,7 @@
             return;
         case PEER_USAGES:
         case PEER_LOADS:
+        case PEER_SIGNALS:
             return;
     }
 }
--- a/relay/peers-datagram.c
+++ b/relay/peers-datagram.c
@@ -128,6 +128,7 @@
                 send_parts(peers, addr, server->info.id, server->cached_parts);
         }
     }
+    peers_send_signals(peers, addr);
     log_record(LOG_INFO, "peers", "told", "to=%s facts=%zu", addr, count);
 }
 
@@ -168,6 +169,9 @@
         case PEER_LOADS:
             peer_loads_apply(relay->servers, host, datagram, now);
             return;
+        case PEER_SIGNALS:
+            peers_apply_signals(peers, now);
+            return;
     }
 }
 
--- a/relay/peers-internal.h
+++ b/relay/peers-internal.h
@@ -58,4 +58,10 @@
 void peers_announce_quotas(peers_t *peers, int64_t now);
 void peers_request_facts(peers_t *peers);
 
+/* Signals of servers. */
+void peers_update_limits(peers_t *peers, int64_t now);
+void peers_announce_signals(peers_t *peers);
+void peers_send_signals(peers_t *peers, const char *addr);
+void peers_apply_signals(peers_t *peers, int64_t now);
+
 #endif
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -59,12 +59,14 @@
         peers_request_facts(peers);
     }
     peers_flush_facts(peers);
+    peers_announce_signals(peers);
     peers_announce_quotas(peers, now);
     if (now < peers->next_members_tick_ms) {
         return;
     }
     peers->next_members_tick_ms = now + members_tick_interval_ms();
     update_retry_slack(peers, now);
+    peers_update_limits(peers, now);
     peers_confirm_quota_hosts(peers);
     members_tick(
         peers->members, now,
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -10,6 +10,7 @@
 void peers_notify_reported_load(peers_t *peers, const server_t *server);
 void peers_notify_weights(peers_t *peers, const server_t *server,
                           int64_t loading);
+void peers_set_limit_hosts(peers_t *peers, server_t *server);
 size_t peers_duty_rank(const peers_t *peers, const char *duty);
 bool peers_has_duty(const peers_t *peers, const char *duty);
 size_t peers_live_count(const peers_t *peers);
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -100,16 +100,30 @@
                          service != NULL ? service->health_path : "/");
 }
 
+/* Whether the server's limit allows a probe.  A health check takes a slot like
+ * a request, a load report does not. */
+static bool
+may_probe(const server_t *server, int64_t now)
+{
+    return server->info.engine ||
+           server_limit_allows_probe(&server->limit, now);
+}
+
 /* Probes a server, unless a probe is in flight or was sent just now. */
 void
 probe_server(relay_t *relay, server_t *server)
 {
     int64_t now = time_mono_ms();
     CLEAN_BUF buf_t head = {0};
-    if (server->probing || (server->probed_ms != 0 &&
-                            now - server->probed_ms < PROBE_INTERVAL_MS)) {
+    if (server->probing ||
+        (server->probed_ms != 0 &&
+         now - server->probed_ms < PROBE_INTERVAL_MS) ||
+        !may_probe(server, now)) {
         return;
     }
+    if (!server->info.engine) {
+        server_limit_take(&server->limit, now);
+    }
     server->probed_ms = now;
     server->probing = true;
     probe_t *probe = mem_zalloc(sizeof(*probe));
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -49,9 +49,9 @@
             server->info.id, server->info.service,
             (long long)server->info.weights, server_is_usable(server, now),
             server->own_running);
-    if (server->limit_stated) {
+    if (server->limit.current.stated) {
         buf_fmt(out, "celeryspool_server_limit{server=\"%s\"} %.3f\n",
-                server->info.id, server->limit_per_s);
+                server->info.id, server->limit.current.per_s);
     }
 }
 
@@ -247,6 +247,7 @@
     meter_init(&relay->meter);
     CK_LIST_INIT(&relay->requests);
     relay->servers = servers_new();
+    relay->servers->seed = rng_next(&relay->rng);
     relay->cache_map = cache_map_new(CACHE_MAP_LEVELS_MAX);
     const quota_bounds_t bounds = {.window_s = settings->quota_window_s,
                                    .overage = settings->quota_overage,
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -32,6 +32,8 @@
 /* Expected number of randomly sampled servers per request. */
 #define SAMPLE_SERVERS 4
 #define CANDIDATES_MAX 512
+/* Shortest Retry-After for a request that the servers' limits exclude. */
+#define RETRY_AFTER_LIMIT_MS_MIN 50
 
 static bool
 is_tried(const request_t *request, const server_t *server)
@@ -59,6 +61,8 @@
                      request->relay->settings.old_weights_max_ms);
 }
 
+/* Whether a server may serve the request, apart from the limit that it
+ * states. */
 static bool
 can_serve(const request_t *request, const server_t *server, int64_t now)
 {
@@ -184,20 +188,84 @@
     return wait;
 }
 
-/* Lists the servers that may serve a request; returns their number. */
+/* Lists the servers that may serve a request; returns their number.  Counts
+ * those that only their limit excludes. */
 static size_t
-list_usable_servers(const request_t *request, int64_t now, server_t **out)
+list_usable_servers(const request_t *request, int64_t now, server_t **out,
+                    size_t *limited)
 {
     size_t count = 0;
     server_t *server;
+    *limited = 0;
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
-        if (count < CANDIDATES_MAX && can_serve(request, server, now)) {
-            out[count++] = server;
+        if (count == CANDIDATES_MAX || !can_serve(request, server, now)) {
+            continue;
         }
+        if (!server_limit_allows(&server->limit, now)) {
+            ++*limited;
+            continue;
+        }
+        out[count++] = server;
     }
     return count;
 }
 
+/* Returns, of the servers that only their limit excludes, the one to which a
+ * rejected caller should return first; NULL if there is none. */
+static server_t *
+find_limited_server(const request_t *request, int64_t now)
+{
+    server_t *first = NULL;
+    int64_t first_ms = INT64_MAX;
+    server_t *server;
+    CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
+        if (!can_serve(request, server, now) ||
+            server_limit_allows(&server->limit, now)) {
+            continue;
+        }
+        int64_t after_ms = server_limit_reservation_ms(&server->limit, now);
+        if (after_ms < first_ms) {
+            first = server;
+            first_ms = after_ms;
+        }
+    }
+    return first;
+}
+
+/* Whether one of the servers that only their limit excludes may be sent a
+ * request before a time. */
+static bool
+is_server_free_by(const request_t *request, int64_t now, int64_t by_ms)
+{
+    const server_t *server;
+    CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
+        if (can_serve(request, server, now) &&
+            now + server_limit_wait_ms(&server->limit, now) <= by_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Rejects a request that no server's limit allows in time; false if it may
+ * keep waiting. */
+static bool
+reject_if_limited(request_t *request, int64_t now)
+{
+    server_t *server = find_limited_server(request, now);
+    if (server == NULL || request->possible_runs > 0 ||
+        is_server_free_by(request, now, request->placement_deadline_ms)) {
+        return false;
+    }
+    int64_t after_ms = server_limit_reservation_ms(&server->limit, now);
+    server_limit_reserve(&server->limit, now);
+    request_reject(request, "server-limit",
+                   after_ms > RETRY_AFTER_LIMIT_MS_MIN
+                       ? after_ms
+                       : RETRY_AFTER_LIMIT_MS_MIN);
+    return true;
+}
+
 /* Reduces the usable servers to those that are compared: the first choice by
  * rendezvous hashing, those that hold the shared part of the prompt, and a
  * random sample.  Load reports are slightly stale, so all hosts see the same
@@ -241,7 +309,8 @@
     server_t *servers[CANDIDATES_MAX];
     double waits[CANDIDATES_MAX];
     levels_cache_t levels = {0};
-    size_t usable = list_usable_servers(request, now, servers);
+    size_t limited;
+    size_t usable = list_usable_servers(request, now, servers, &limited);
     if (usable == 0) {
         return NULL;
     }
@@ -264,14 +333,13 @@
     request->expected_prefill_ms =
         (tokens > cached_tokens ? tokens - cached_tokens : 0) * 1000.0 /
         candidates[best].prefill_rate;
-    log_record(
-        LOG_INFO, "place", "chosen",
-        "id=%s server=%s among=%zu usable=%zu wait_ms=%.0f held=%u of=%u "
-        "weights=%lld config=%lld",
-        request->id, servers[best]->info.id, count, usable, waits[best],
-        candidates[best].cached_tokens, prefix.tokens,
-        (long long)servers[best]->info.weights,
-        (long long)request->config->version);
+    log_record(LOG_INFO, "place", "chosen",
+               "id=%s server=%s among=%zu usable=%zu limited=%zu wait_ms=%.0f "
+               "held=%u of=%u weights=%lld config=%lld",
+               request->id, servers[best]->info.id, count, usable, limited,
+               waits[best], candidates[best].cached_tokens, prefix.tokens,
+               (long long)servers[best]->info.weights,
+               (long long)request->config->version);
     return servers[best];
 }
 
@@ -284,7 +352,7 @@
     int64_t now = time_mono_ms();
     server_t *server = request_choose_server(request, now);
     if (server == NULL) {
-        return false;
+        return reject_if_limited(request, now);
     }
     const admit_input_t input = {
         .wait_ms = request->expected_wait_ms,
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -215,28 +215,45 @@
     }
 }
 
-/* Whether an answer was made by the server itself for this request. */
+/* Whether an answer was made by the server itself for this request.  Another
+ * server that uses its address now answers 421 with its own id. */
 static bool
 is_own_answer(const request_t *request, const http_head_t *head)
 {
+    const header_t *server_id =
+        http_head_find(head, wire_header_name(HEADER_SERVER_ID));
+    if (server_id != NULL &&
+        !http_head_is(head, server_id->value, request->server->info.id)) {
+        return false;
+    }
     return http_head_find(head, wire_header_name(HEADER_REQUEST_ID)) != NULL &&
            (request->answer == ANSWER_REJECTED ||
             http_head_find(head, wire_header_name(HEADER_SIGNATURE)) != NULL);
 }
 
+/* Records what the server says of its limit.  Only a success shows that a
+ * limit has ended. */
 static void
-record_limit(server_t *server, const server_signals_t *signals)
+record_limit(const request_t *request, const server_signals_t *signals)
 {
-    bool stated = signals->limit == SIGNAL_VALID;
-    if (signals->limit == SIGNAL_INVALID ||
-        (stated == server->limit_stated &&
-         signals->limit_per_s == server->limit_per_s)) {
-        return;
+    server_t *server = request->server;
+    bool changed = false;
+    switch (signals->limit) {
+        case SIGNAL_VALID:
+            peers_set_limit_hosts(request->relay->peers, server);
+            changed = server_limit_hear(&server->limit, signals->limit_per_s,
+                                        time_mono_ms());
+            break;
+        case SIGNAL_ABSENT:
+            changed = request->status / 100 == 2 &&
+                      server_limit_hear_none(&server->limit, request->sent_ms);
+            break;
+        case SIGNAL_INVALID:
+            break;
+    }
+    if (changed) {
+        server_log_limit(server, "answer");
     }
-    server->limit_stated = stated;
-    server->limit_per_s = signals->limit_per_s;
-    log_record(LOG_INFO, "servers", stated ? "limit-stated" : "limit-ended",
-               "server=%s per_s=%.3f", server->info.id, server->limit_per_s);
 }
 
 static void
@@ -337,7 +354,7 @@
     if (is_own_answer(request, head)) {
         server_signals_t signals;
         platform_signals_read(&signals, head);
-        record_limit(request->server, &signals);
+        record_limit(request, &signals);
     }
     switch (request->answer) {
         case ANSWER_REJECTED:
@@ -613,6 +630,7 @@
             ? request->prefix.tokens - request->cached_tokens
             : 0;
     server_add_request(server, request->prefill_tokens, request->sent_ms);
+    server_limit_take(&server->limit, request->sent_ms);
     if (request->cached_tokens < request->prefix.tokens) {
         cache_note_pending(relay, &request->prefix, server->number);
     }
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -106,8 +106,9 @@
 
 /* Resets what was observed before the server restarted or changed address. */
 static void
-reset_observations(server_t *server)
+reset_observations(const servers_t *servers, server_t *server)
 {
+    server_limit_init(&server->limit, servers->seed ^ server->id_hash);
     server->consecutive_faults = 0;
     server->circuit_open_until_ms = 0;
     server->full_until_ms = 0;
@@ -136,6 +137,7 @@
         servers->numbered[number] = server;
         server->slowness = 1;
         server->cached_parts = cached_parts_new();
+        server_limit_init(&server->limit, servers->seed ^ server->id_hash);
         CK_LIST_INSERT_HEAD(&servers->list, server, entry);
         servers->count++;
     }
@@ -149,7 +151,7 @@
                    strcmp(server->info.addr, entry->addr) != 0;
     server->info = *entry;
     if (renewed) {
-        reset_observations(server);
+        reset_observations(servers, server);
     }
     server->missing_since_ms = 0;
     server->list_generation = servers->list_generation;
@@ -396,6 +398,28 @@
            now_ms - server->confirmed_alive_ms < SOURCE_ALIVE_MS;
 }
 
+/* Returns a number that identifies the server's start. */
+uint32_t
+server_incarnation(const server_t *server)
+{
+    return (uint32_t)str_hash(server->info.addr,
+                              (uint64_t)server->info.started_ms);
+}
+
+/* Logs a change of the limit that the server states. */
+void
+server_log_limit(const server_t *server, const char *source)
+{
+    const server_limit_notice_t *limit = &server->limit.current;
+    log_record(LOG_INFO, "servers",
+               limit->stated ? "limit-stated" : "limit-ended",
+               "server=%s per_s=%.3f revision=%u source=%s rank=%zu live=%zu "
+               "assumed=%zu",
+               server->info.id, limit->per_s, limit->revision, source,
+               server->limit.hosts.rank, server->limit.hosts.live,
+               server->limit.hosts.assumed);
+}
+
 /* Records that data arrived from the server. */
 void
 server_note_answer(server_t *server, int64_t now_ms)
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -6,6 +6,7 @@
 
 #include "../kernel/base.h"
 #include "cached-parts.h"
+#include "server-limit.h"
 
 #include <ck_queue.h>
 
@@ -107,8 +108,7 @@
     /* When the server last answered this host or a host that reported it. */
     int64_t confirmed_alive_ms;
     int64_t busy_since_ms; /* when own_running last rose from 0 */
-    bool limit_stated;     /* in its last answer that says either */
-    double limit_per_s;    /* if stated: requests a second from all hosts */
+    server_limit_t limit;  /* that it states for all hosts together */
     bool probing;          /* a probe is in flight */
     bool unresponsive;     /* the last probe got no answer */
 } server_t;
@@ -118,7 +118,8 @@
 typedef struct {
     server_list_t list;
     size_t count;
-    unsigned list_generation;               /* number of complete lists read */
+    unsigned list_generation; /* number of complete lists read */
+    uint64_t seed; /* of this host's random decisions about servers */
     server_t *numbered[SERVER_NUMBERS_MAX]; /* NULL for a free number */
 } servers_t;
 
@@ -159,6 +160,8 @@
                            int64_t started_ms);
 void server_keep_weights(const server_t *server, server_entry_t *entry);
 bool server_is_fetch_source(const server_t *server, int64_t now_ms);
+uint32_t server_incarnation(const server_t *server);
+void server_log_limit(const server_t *server, const char *source);
 void server_note_answer(server_t *server, int64_t now_ms);
 
 #endif
