--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -232,14 +232,20 @@
     return first;
 }
 
-/* Whether one of the servers that only their limit excludes may be sent a
- * request before a time. */
+/* Whether a server of the request's service may be able to take it before a
+ * time: its limit allows that, or something else than a limit excludes it,
+ * which may end at any time. */
 static bool
-is_server_free_by(const request_t *request, int64_t now, int64_t by_ms)
+may_be_free_by(const request_t *request, int64_t now, int64_t by_ms)
 {
     const server_t *server;
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
-        if (can_serve(request, server, now) &&
+        if (strcmp(server->info.service, request->service) != 0 ||
+            server->removed || server->info.draining ||
+            is_tried(request, server)) {
+            continue;
+        }
+        if (!can_serve(request, server, now) ||
             now + server_limit_wait_ms(&server->limit, now) <= by_ms) {
             return true;
         }
@@ -247,14 +253,14 @@
     return false;
 }
 
-/* Rejects a request that no server's limit allows in time; false if it may
- * keep waiting. */
+/* Rejects a request if nothing but limits keeps it from the servers, and none
+ * of them allows it in time; false if it may keep waiting. */
 static bool
 reject_if_limited(request_t *request, int64_t now)
 {
     server_t *server = find_limited_server(request, now);
     if (server == NULL || request->possible_runs > 0 ||
-        is_server_free_by(request, now, request->placement_deadline_ms)) {
+        may_be_free_by(request, now, request->placement_deadline_ms)) {
         return false;
     }
     int64_t after_ms = server_limit_reservation_ms(&server->limit, now);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -328,6 +328,35 @@
 }
 END_TEST
 
+START_TEST(signals_are_decoded_as_encoded)
+{
+    static peer_datagram_t datagram;
+    static peer_datagram_t out;
+    unsigned char data[PEER_DATAGRAM_MAX];
+    datagram.kind = PEER_SIGNALS;
+    datagram.signal_count = PEER_SIGNALS_MAX;
+    for (size_t i = 0; i < PEER_SIGNALS_MAX; i++) {
+        datagram.signals[i] =
+            (peer_signal_t){.server_hash = UINT32_MAX - (uint32_t)i,
+                            .incarnation = UINT32_MAX,
+                            .limit_revision = UINT32_MAX,
+                            .limit_stated = i % 2 == 0,
+                            .limit_milli_per_s = 1000000000ULL + i};
+    }
+    size_t len = peer_encode(&datagram, secret, data);
+    ck_assert_uint_gt(len, 0);
+    ck_assert_int_eq(peer_decode(&out, secret, data, len), 0);
+    ck_assert_uint_eq(out.signal_count, PEER_SIGNALS_MAX);
+    for (size_t i = 0; i < PEER_SIGNALS_MAX; i++) {
+        ck_assert_uint_eq(out.signals[i].server_hash,
+                          UINT32_MAX - (uint32_t)i);
+        ck_assert_uint_eq(out.signals[i].limit_revision, UINT32_MAX);
+        ck_assert(out.signals[i].limit_stated == (i % 2 == 0));
+        ck_assert_uint_eq(out.signals[i].limit_milli_per_s, 1000000000ULL + i);
+    }
+}
+END_TEST
+
 START_TEST(usages_are_decoded_as_encoded)
 {
     static peer_datagram_t datagram;
@@ -381,5 +410,6 @@
           a_duty_has_one_live_owner_and_moves_when_it_dies,
           members_that_start_at_once_discover_each_other_soon,
           all_members_agree_on_the_ranks_for_a_duty,
-          usages_are_decoded_as_encoded, loads_are_decoded_as_encoded,
+          signals_are_decoded_as_encoded, usages_are_decoded_as_encoded,
+          loads_are_decoded_as_encoded,
           forged_and_damaged_datagrams_are_rejected)
--- /dev/null
+++ b/tests/test-server-signals.c
@@ -0,0 +1,77 @@
+#include "../platform/platform.h"
+#include "test.h"
+
+#include <string.h>
+
+static server_signals_t
+read_signals(const char *headers)
+{
+    http_reader_t reader;
+    server_signals_t signals;
+    struct evbuffer *in = evbuffer_new();
+    http_reader_init(&reader, true, 4096, NULL, NULL);
+    (void)evbuffer_add_printf(
+        in, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", headers);
+    (void)http_reader_feed(&reader, in);
+    platform_signals_read(&signals, &reader.head);
+    http_reader_free(&reader);
+    evbuffer_free(in);
+    return signals;
+}
+
+static void
+check_limit(const char *value, signal_state_t state, double per_s)
+{
+    char headers[256];
+    (void)snprintf(headers, sizeof(headers), "Server-Limit: %s\r\n", value);
+    server_signals_t signals = read_signals(headers);
+    ck_assert_msg(signals.limit == state, "%s: state %d", value,
+                  (int)signals.limit);
+    ck_assert_msg(state != SIGNAL_VALID || signals.limit_per_s == per_s,
+                  "%s: %f", value, signals.limit_per_s);
+}
+
+/* A value that is no number must neither set a limit nor end one. */
+START_TEST(limits_that_are_no_number_are_invalid)
+{
+    check_limit("1.6", SIGNAL_VALID, 1.6);
+    check_limit("0", SIGNAL_VALID, 0);
+    check_limit("300", SIGNAL_VALID, 300);
+    check_limit(".5", SIGNAL_VALID, 0.5);
+    check_limit("-1", SIGNAL_INVALID, 0);
+    check_limit("nan", SIGNAL_INVALID, 0);
+    check_limit("inf", SIGNAL_INVALID, 0);
+    check_limit("0x10", SIGNAL_INVALID, 0);
+    check_limit("1e9", SIGNAL_INVALID, 0);
+    check_limit("1.2.3", SIGNAL_INVALID, 0);
+    check_limit("1,5", SIGNAL_INVALID, 0);
+    check_limit(".", SIGNAL_INVALID, 0);
+    check_limit("", SIGNAL_INVALID, 0);
+    check_limit("1 2", SIGNAL_INVALID, 0);
+    check_limit("11111111111111111111111111111111111111", SIGNAL_INVALID, 0);
+    ck_assert_int_eq(read_signals("").limit, SIGNAL_ABSENT);
+}
+END_TEST
+
+/* The pages write the name with and without their prefix. */
+START_TEST(limit_is_read_under_both_names)
+{
+    ck_assert_double_eq(
+        read_signals("X-Celeryspool-Server-Limit: 2\r\n").limit_per_s, 2);
+    ck_assert_double_eq(read_signals("server-limit: 3\r\n").limit_per_s, 3);
+}
+END_TEST
+
+/* Of several values the strictest one counts, and a garbled one beside a valid
+ * one does not hide it. */
+START_TEST(lowest_of_several_limits_counts)
+{
+    server_signals_t signals = read_signals(
+        "Server-Limit: 5\r\nServer-Limit: 2\r\nServer-Limit: x\r\n");
+    ck_assert_int_eq(signals.limit, SIGNAL_VALID);
+    ck_assert_double_eq(signals.limit_per_s, 2);
+}
+END_TEST
+
+TEST_MAIN("server-signals", limits_that_are_no_number_are_invalid,
+          limit_is_read_under_both_names, lowest_of_several_limits_counts)
