--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -7,7 +7,8 @@
 
 /* Entry point of the platform stand-in.  Commands are sent to the store's
  * address: /admin/store {down, silent, lose, forget}, /admin/server/ID {mode,
- * draining, gone, events, gap_ms, limit_per_s}, /admin/object/KIND/NAME with a
+ * draining, gone, events, gap_ms, limit_per_s, rest_s,
+ * leaving}, /admin/object/KIND/NAME with a
  * specification. */
 
 #define SERVERS_MAX 32
--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -101,6 +101,9 @@
         (void)snprintf(text, sizeof(text), "%.2f", server->limit_per_s);
         add_header(req, HEADER_SERVER_LIMIT, text);
     }
+    if (server->leaving) {
+        add_header(req, HEADER_SERVER_LEAVING, "1");
+    }
 }
 
 static void
@@ -126,6 +129,11 @@
     add_header(req, HEADER_NOT_EXECUTED, "1");
     add_header(req, HEADER_SERVER_ID, server->id);
     add_signals(server, req);
+    if (status == 503 && server->rest_s > 0) {
+        char text[32];
+        (void)snprintf(text, sizeof(text), "%.2f", server->rest_s);
+        add_header(req, HEADER_RETRY_AFTER, text);
+    }
     evhttp_send_reply(req, status, NULL, NULL);
 }
 
@@ -448,7 +456,8 @@
                                          "silent", "cut",  "foreign"};
 
 /* Applies a command to a server: mode, draining, gone, events, gap_ms, and
- * limit_per_s, a negative one for none. */
+ * limit_per_s, a negative one for none, rest_s, that rejections ask for, and
+ * leaving, which its answers say though its entry does not. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -466,6 +475,11 @@
     if (json_is_number(limit)) {
         server->limit_per_s = json_number_value(limit);
     }
+    const json_t *rest = json_object_get(command, "rest_s");
+    if (json_is_number(rest)) {
+        server->rest_s = json_number_value(rest);
+    }
+    server->leaving = server->leaving || json_get_bool(command, "leaving");
     server->draining = server->draining || json_get_bool(command, "draining");
     if (json_get_bool(command, "gone")) {
         server->removed = true;
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -90,6 +90,8 @@
     unsigned events;            /* number of events of each stream */
     unsigned event_interval_ms; /* between events of a stream */
     double limit_per_s;         /* stated in answers if not negative */
+    double rest_s;              /* asked for in rejections if positive */
+    bool leaving;               /* said in answers */
     FILE *record;               /* one line per request and order */
 } platform_server_t;
 
