Server rest: a host keeps to the rest that a server asks of it

Cause: a rejection raised the server's cost for 150 ms and excluded nothing; Retry-After was written for callers and never read from servers.

Why this works: the rest excludes the server at the one place where servers are chosen, for every kind of attempt, and for health checks. It ends with single requests, so that those that waited do not arrive at once. It is not counted as a fault.

--- a/relay/probe.c
+++ b/relay/probe.c
@@ -100,13 +100,14 @@
                          service != NULL ? service->health_path : "/");
 }
 
-/* Whether the server's limit allows a probe.  A health check takes a slot like
- * a request, a load report does not. */
+/* Whether what the server says of itself allows a probe.  A health check takes
+ * a slot like a request, a load report does not. */
 static bool
 may_probe(const server_t *server, int64_t now)
 {
     return server->info.engine ||
-           server_limit_allows_probe(&server->limit, now);
+           (server_rest_allows(&server->rest, now) &&
+            server_limit_allows_probe(&server->limit, now));
 }
 
 /* Probes a server, unless a probe is in flight or was sent just now. */
@@ -122,7 +123,7 @@
         return;
     }
     if (!server->info.engine) {
-        server_limit_take(&server->limit, now);
+        server_take_request(server, now);
     }
     server->probed_ms = now;
     server->probing = true;
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -53,6 +53,11 @@
         buf_fmt(out, "celeryspool_server_limit{server=\"%s\"} %.3f\n",
                 server->info.id, server->limit.current.per_s);
     }
+    if (!server_rest_allows(&server->rest, now)) {
+        buf_fmt(out, "celeryspool_server_rest_ms{server=\"%s\"} %lld\n",
+                server->info.id,
+                (long long)server_rest_wait_ms(&server->rest, now));
+    }
 }
 
 /* Writes the metrics of the workspaces' limits. */
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -32,8 +32,11 @@
 /* Expected number of randomly sampled servers per request. */
 #define SAMPLE_SERVERS 4
 #define CANDIDATES_MAX 512
-/* Shortest Retry-After for a request that the servers' limits exclude. */
-#define RETRY_AFTER_LIMIT_MS_MIN 50
+/* Added to the Retry-After of a request that limits or rests exclude: a
+ * margin, and a random part, so that not all callers return at the end of a
+ * rest. */
+#define RETRY_AFTER_MARGIN_MS 50
+#define RETRY_AFTER_SPREAD_MS 250
 
 static bool
 is_tried(const request_t *request, const server_t *server)
@@ -61,8 +64,8 @@
                      request->relay->settings.old_weights_max_ms);
 }
 
-/* Whether a server may serve the request, apart from the limit that it
- * states. */
+/* Whether a server may serve the request, apart from its rate limit and the
+ * rest that it asks for. */
 static bool
 can_serve(const request_t *request, const server_t *server, int64_t now)
 {
@@ -189,20 +192,20 @@
 }
 
 /* Lists the servers that may serve a request; returns their number.  Counts
- * those that only their limit excludes. */
+ * those that only their limit or rest excludes. */
 static size_t
 list_usable_servers(const request_t *request, int64_t now, server_t **out,
-                    size_t *limited)
+                    size_t *excluded)
 {
     size_t count = 0;
     server_t *server;
-    *limited = 0;
+    *excluded = 0;
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
         if (count == CANDIDATES_MAX || !can_serve(request, server, now)) {
             continue;
         }
-        if (!server_limit_allows(&server->limit, now)) {
-            ++*limited;
+        if (!server_allows_request(server, now)) {
+            ++*excluded;
             continue;
         }
         out[count++] = server;
@@ -210,20 +213,32 @@
     return count;
 }
 
-/* Returns, of the servers that only their limit excludes, the one to which a
- * rejected caller should return first; NULL if there is none. */
+/* Returns the time after which a caller that a server's limit or rest excludes
+ * should return. */
+static int64_t
+return_after_ms(const server_t *server, int64_t now)
+{
+    int64_t rest_ms = server_rest_wait_ms(&server->rest, now);
+    int64_t limit_ms = server->limit.current.stated
+                           ? server_limit_reservation_ms(&server->limit, now)
+                           : 0;
+    return rest_ms > limit_ms ? rest_ms : limit_ms;
+}
+
+/* Returns, of the servers that only their limit or rest excludes, the one to
+ * which a rejected caller should return first; NULL if there is none. */
 static server_t *
-find_limited_server(const request_t *request, int64_t now)
+find_excluded_server(const request_t *request, int64_t now)
 {
     server_t *first = NULL;
     int64_t first_ms = INT64_MAX;
     server_t *server;
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
         if (!can_serve(request, server, now) ||
-            server_limit_allows(&server->limit, now)) {
+            server_allows_request(server, now)) {
             continue;
         }
-        int64_t after_ms = server_limit_reservation_ms(&server->limit, now);
+        int64_t after_ms = return_after_ms(server, now);
         if (after_ms < first_ms) {
             first = server;
             first_ms = after_ms;
@@ -233,8 +248,8 @@
 }
 
 /* Whether a server of the request's service may be able to take it before a
- * time: its limit allows that, or something else than a limit excludes it,
- * which may end at any time. */
+ * time: its limit and rest allow that, or something else excludes it, which
+ * may end at any time. */
 static bool
 may_be_free_by(const request_t *request, int64_t now, int64_t by_ms)
 {
@@ -246,29 +261,31 @@
             continue;
         }
         if (!can_serve(request, server, now) ||
-            now + server_limit_wait_ms(&server->limit, now) <= by_ms) {
+            now + server_request_wait_ms(server, now) <= by_ms) {
             return true;
         }
     }
     return false;
 }
 
-/* Rejects a request if nothing but limits keeps it from the servers, and none
- * of them allows it in time; false if it may keep waiting. */
+/* Rejects a request if nothing but limits and rests keeps it from the servers,
+ * and none of them can take it in time; false if it may keep waiting. */
 static bool
-reject_if_limited(request_t *request, int64_t now)
+reject_if_excluded(request_t *request, int64_t now)
 {
-    server_t *server = find_limited_server(request, now);
+    server_t *server = find_excluded_server(request, now);
     if (server == NULL || request->possible_runs > 0 ||
         may_be_free_by(request, now, request->placement_deadline_ms)) {
         return false;
     }
-    int64_t after_ms = server_limit_reservation_ms(&server->limit, now);
-    server_limit_reserve(&server->limit, now);
-    request_reject(request, "server-limit",
-                   after_ms > RETRY_AFTER_LIMIT_MS_MIN
-                       ? after_ms
-                       : RETRY_AFTER_LIMIT_MS_MIN);
+    bool rests = !server_rest_allows(&server->rest, now);
+    int64_t after_ms =
+        return_after_ms(server, now) + RETRY_AFTER_MARGIN_MS +
+        (int64_t)rng_below(&request->relay->rng, RETRY_AFTER_SPREAD_MS);
+    if (server->limit.current.stated) {
+        server_limit_reserve(&server->limit, now);
+    }
+    request_reject(request, rests ? "server-rest" : "server-limit", after_ms);
     return true;
 }
 
@@ -315,8 +332,8 @@
     server_t *servers[CANDIDATES_MAX];
     double waits[CANDIDATES_MAX];
     levels_cache_t levels = {0};
-    size_t limited;
-    size_t usable = list_usable_servers(request, now, servers, &limited);
+    size_t excluded;
+    size_t usable = list_usable_servers(request, now, servers, &excluded);
     if (usable == 0) {
         return NULL;
     }
@@ -339,13 +356,14 @@
     request->expected_prefill_ms =
         (tokens > cached_tokens ? tokens - cached_tokens : 0) * 1000.0 /
         candidates[best].prefill_rate;
-    log_record(LOG_INFO, "place", "chosen",
-               "id=%s server=%s among=%zu usable=%zu limited=%zu wait_ms=%.0f "
-               "held=%u of=%u weights=%lld config=%lld",
-               request->id, servers[best]->info.id, count, usable, limited,
-               waits[best], candidates[best].cached_tokens, prefix.tokens,
-               (long long)servers[best]->info.weights,
-               (long long)request->config->version);
+    log_record(
+        LOG_INFO, "place", "chosen",
+        "id=%s server=%s among=%zu usable=%zu excluded=%zu wait_ms=%.0f "
+        "held=%u of=%u weights=%lld config=%lld",
+        request->id, servers[best]->info.id, count, usable, excluded,
+        waits[best], candidates[best].cached_tokens, prefix.tokens,
+        (long long)servers[best]->info.weights,
+        (long long)request->config->version);
     return servers[best];
 }
 
@@ -358,7 +376,7 @@
     int64_t now = time_mono_ms();
     server_t *server = request_choose_server(request, now);
     if (server == NULL) {
-        return reject_if_limited(request, now);
+        return reject_if_excluded(request, now);
     }
     const admit_input_t input = {
         .wait_ms = request->expected_wait_ms,
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -226,8 +226,9 @@
         !http_head_is(head, server_id->value, request->server->info.id)) {
         return false;
     }
-    return http_head_find(head, wire_header_name(HEADER_REQUEST_ID)) != NULL &&
-           (request->answer == ANSWER_REJECTED ||
+    return request->answer == ANSWER_REJECTED ||
+           (http_head_find(head, wire_header_name(HEADER_REQUEST_ID)) !=
+                NULL &&
             http_head_find(head, wire_header_name(HEADER_SIGNATURE)) != NULL);
 }
 
@@ -256,6 +257,25 @@
     }
 }
 
+/* Records the rest that the server asks for, or that it takes requests. */
+static void
+record_rest(const request_t *request, const server_signals_t *signals)
+{
+    server_t *server = request->server;
+    if (request->answer != ANSWER_REJECTED) {
+        if (server_rest_end(&server->rest, request->sent_ms)) {
+            log_record(LOG_INFO, "servers", "rest-ended", "server=%s",
+                       server->info.id);
+        }
+        return;
+    }
+    if (signals->rest == SIGNAL_VALID && signals->rest_ms > 0 &&
+        server_rest_begin(&server->rest, signals->rest_ms, time_mono_ms())) {
+        log_record(LOG_INFO, "servers", "rest-asked", "server=%s ms=%lld",
+                   server->info.id, (long long)signals->rest_ms);
+    }
+}
+
 static void
 copy_answer_headers(request_t *request, const http_head_t *head)
 {
@@ -268,6 +288,7 @@
             case HEADER_CONTENT_LENGTH:
             case HEADER_LOAD:
             case HEADER_SERVER_LIMIT:
+            case HEADER_SERVER_LEAVING:
                 continue;
             default:
                 break;
@@ -355,6 +376,7 @@
         server_signals_t signals;
         platform_signals_read(&signals, head);
         record_limit(request, &signals);
+        record_rest(request, &signals);
     }
     switch (request->answer) {
         case ANSWER_REJECTED:
@@ -630,7 +652,7 @@
             ? request->prefix.tokens - request->cached_tokens
             : 0;
     server_add_request(server, request->prefill_tokens, request->sent_ms);
-    server_limit_take(&server->limit, request->sent_ms);
+    server_take_request(server, request->sent_ms);
     if (request->cached_tokens < request->prefix.tokens) {
         cache_note_pending(relay, &request->prefix, server->number);
     }
--- a/relay/server-signals.h
+++ b/relay/server-signals.h
@@ -14,7 +14,9 @@
 
 typedef struct {
     signal_state_t limit;
-    double limit_per_s; /* requests a second from all hosts together */
+    double limit_per_s;  /* requests a second from all hosts together */
+    signal_state_t rest; /* in a rejection; absent in any other answer */
+    int64_t rest_ms;     /* without requests from this host */
 } server_signals_t;
 
 #endif
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -109,6 +109,7 @@
 reset_observations(const servers_t *servers, server_t *server)
 {
     server_limit_init(&server->limit, servers->seed ^ server->id_hash);
+    server->rest = (server_rest_t){0};
     server->consecutive_faults = 0;
     server->circuit_open_until_ms = 0;
     server->full_until_ms = 0;
@@ -398,6 +399,33 @@
            now_ms - server->confirmed_alive_ms < SOURCE_ALIVE_MS;
 }
 
+/* Returns whether what the server says of itself allows a request now. */
+bool
+server_allows_request(const server_t *server, int64_t now_ms)
+{
+    return server_request_wait_ms(server, now_ms) == 0;
+}
+
+/* Returns the time until what the server says of itself allows a request. */
+int64_t
+server_request_wait_ms(const server_t *server, int64_t now_ms)
+{
+    int64_t rest_ms = server_rest_wait_ms(&server->rest, now_ms);
+    int64_t limit_ms = server_limit_allows(&server->limit, now_ms)
+                           ? 0
+                           : server_limit_wait_ms(&server->limit, now_ms);
+    return rest_ms > limit_ms ? rest_ms : limit_ms;
+}
+
+/* Counts a request, or a probe that takes a slot, that is sent to the server.
+ */
+void
+server_take_request(server_t *server, int64_t now_ms)
+{
+    server_limit_take(&server->limit, now_ms);
+    server_rest_take(&server->rest, now_ms);
+}
+
 /* Returns a number that identifies the server's start. */
 uint32_t
 server_incarnation(const server_t *server)
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -7,6 +7,7 @@
 #include "../kernel/base.h"
 #include "cached-parts.h"
 #include "server-limit.h"
+#include "server-rest.h"
 
 #include <ck_queue.h>
 
@@ -109,6 +110,7 @@
     int64_t confirmed_alive_ms;
     int64_t busy_since_ms; /* when own_running last rose from 0 */
     server_limit_t limit;  /* that it states for all hosts together */
+    server_rest_t rest;    /* that it asks of this host */
     bool probing;          /* a probe is in flight */
     bool unresponsive;     /* the last probe got no answer */
 } server_t;
@@ -160,6 +162,9 @@
                            int64_t started_ms);
 void server_keep_weights(const server_t *server, server_entry_t *entry);
 bool server_is_fetch_source(const server_t *server, int64_t now_ms);
+bool server_allows_request(const server_t *server, int64_t now_ms);
+int64_t server_request_wait_ms(const server_t *server, int64_t now_ms);
+void server_take_request(server_t *server, int64_t now_ms);
 uint32_t server_incarnation(const server_t *server);
 void server_log_limit(const server_t *server, const char *source);
 void server_note_answer(server_t *server, int64_t now_ms);
--- a/tests/test-server-signals.c
+++ b/tests/test-server-signals.c
@@ -4,14 +4,14 @@
 #include <string.h>
 
 static server_signals_t
-read_signals(const char *headers)
+read_answer(int status, const char *headers)
 {
     http_reader_t reader;
     server_signals_t signals;
     struct evbuffer *in = evbuffer_new();
     http_reader_init(&reader, true, 4096, NULL, NULL);
     (void)evbuffer_add_printf(
-        in, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", headers);
+        in, "HTTP/1.1 %d X\r\n%sContent-Length: 0\r\n\r\n", status, headers);
     (void)http_reader_feed(&reader, in);
     platform_signals_read(&signals, &reader.head);
     http_reader_free(&reader);
@@ -19,6 +19,12 @@
     return signals;
 }
 
+static server_signals_t
+read_signals(const char *headers)
+{
+    return read_answer(200, headers);
+}
+
 static void
 check_limit(const char *value, signal_state_t state, double per_s)
 {
@@ -73,5 +79,34 @@
 }
 END_TEST
 
+static void
+check_rest(const char *value, signal_state_t state, int64_t ms)
+{
+    char headers[256];
+    (void)snprintf(headers, sizeof(headers), "Retry-After: %s\r\n", value);
+    server_signals_t signals = read_answer(503, headers);
+    ck_assert_msg(signals.rest == state, "%s: state %d", value,
+                  (int)signals.rest);
+    ck_assert_msg(state != SIGNAL_VALID || signals.rest_ms == ms, "%s: %lld",
+                  value, (long long)signals.rest_ms);
+}
+
+/* Only seconds can be kept to: a date depends on two clocks. */
+START_TEST(rest_is_read_as_seconds_alone)
+{
+    check_rest("3", SIGNAL_VALID, 3000);
+    check_rest("0.25", SIGNAL_VALID, 250);
+    check_rest("0", SIGNAL_VALID, 0);
+    check_rest("600", SIGNAL_VALID, 600000);
+    check_rest("99999999999999999999", SIGNAL_VALID, 1000000000);
+    check_rest("-3", SIGNAL_INVALID, 0);
+    check_rest("soon", SIGNAL_INVALID, 0);
+    check_rest("Thu, 03 Dec 2026 19:00:00 GMT", SIGNAL_INVALID, 0);
+    ck_assert_int_eq(read_answer(200, "Retry-After: 3\r\n").rest,
+                     SIGNAL_ABSENT);
+}
+END_TEST
+
 TEST_MAIN("server-signals", limits_that_are_no_number_are_invalid,
-          limit_is_read_under_both_names, lowest_of_several_limits_counts)
+          limit_is_read_under_both_names, lowest_of_several_limits_counts,
+          rest_is_read_as_seconds_alone)
