Servers that say they leave get no new requests

Only the platform's list showed that a server drains, and it comes later.

Change: the flag is decoded with the other signals, makes the server unusable for new requests until its next start, and is passed on with the notices of limits, so that hosts that got no answer of the server know too. What runs there goes on.

--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -13,7 +13,7 @@
 #define USAGES_FIELDS 4
 #define SERVER_LOAD_FIELDS 5
 #define LOADS_FIELDS 2
-#define SIGNAL_FIELDS 5
+#define SIGNAL_FIELDS 6
 #define SIGNALS_FIELDS 2
 
 static void
@@ -136,6 +136,7 @@
         (void)msgpack_pack_uint64(packer, signal->limit_revision);
         (void)msgpack_pack_int(packer, signal->limit_stated ? 1 : 0);
         (void)msgpack_pack_uint64(packer, signal->limit_milli_per_s);
+        (void)msgpack_pack_int(packer, signal->leaving ? 1 : 0);
     }
 }
 
@@ -313,14 +314,17 @@
 {
     const msgpack_object *fields = object->via.array.ptr;
     int stated;
+    int leaving;
     bool valid = object->type == MSGPACK_OBJECT_ARRAY &&
                  object->via.array.size == SIGNAL_FIELDS &&
                  parse_count(&fields[0], &signal->server_hash) &&
                  parse_count(&fields[1], &signal->incarnation) &&
                  parse_count(&fields[2], &signal->limit_revision) &&
                  parse_int(&fields[3], &stated) &&
-                 parse_unsigned(&fields[4], &signal->limit_milli_per_s);
+                 parse_unsigned(&fields[4], &signal->limit_milli_per_s) &&
+                 parse_int(&fields[5], &leaving);
     signal->limit_stated = valid && stated != 0;
+    signal->leaving = valid && leaving != 0;
     return valid;
 }
 
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -63,6 +63,7 @@
     uint32_t limit_revision; /* 0 if it never stated a limit */
     bool limit_stated;
     uint64_t limit_milli_per_s; /* requests in 1000 s from all hosts */
+    bool leaving;
 } peer_signal_t;
 
 /* Of the union, only the member for the kind is valid. */
--- a/relay/peers-signals.c
+++ b/relay/peers-signals.c
@@ -57,7 +57,8 @@
                         .incarnation = server_incarnation(server),
                         .limit_revision = limit->revision,
                         .limit_stated = limit->stated,
-                        .limit_milli_per_s = (uint64_t)(limit->per_s * MILLI)};
+                        .limit_milli_per_s = (uint64_t)(limit->per_s * MILLI),
+                        .leaving = server->leaving};
 }
 
 /* Sends a datagram to a few random daemons. */
@@ -88,9 +89,10 @@
     datagram->kind = PEER_SIGNALS;
     datagram->signal_count = 0;
     CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
-        if (server->limit.unannounced &&
+        if ((server->limit.unannounced || server->leaving_unannounced) &&
             datagram->signal_count < PEER_SIGNALS_MAX) {
             server->limit.unannounced = false;
+            server->leaving_unannounced = false;
             add_signal(datagram, server);
         }
     }
@@ -108,7 +110,7 @@
     datagram->kind = PEER_SIGNALS;
     datagram->signal_count = 0;
     CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
-        if (server->limit.current.revision != 0 &&
+        if ((server->limit.current.revision != 0 || server->leaving) &&
             datagram->signal_count < PEER_SIGNALS_MAX) {
             add_signal(datagram, server);
         }
@@ -119,14 +121,9 @@
 }
 
 static void
-apply_signal(peers_t *peers, const peer_signal_t *signal, int64_t now)
+apply_limit(peers_t *peers, server_t *server, const peer_signal_t *signal,
+            int64_t now)
 {
-    server_t *server =
-        servers_find_by_id_hash(peers->relay->servers, signal->server_hash);
-    if (server == NULL || signal->limit_revision == 0 ||
-        signal->incarnation != server_incarnation(server)) {
-        return;
-    }
     const server_limit_notice_t notice = {
         .revision = signal->limit_revision,
         .stated = signal->limit_stated,
@@ -137,6 +134,23 @@
     }
 }
 
+static void
+apply_signal(peers_t *peers, const peer_signal_t *signal, int64_t now)
+{
+    server_t *server =
+        servers_find_by_id_hash(peers->relay->servers, signal->server_hash);
+    if (server == NULL || signal->incarnation != server_incarnation(server)) {
+        return;
+    }
+    if (signal->limit_revision != 0) {
+        apply_limit(peers, server, signal, now);
+    }
+    if (signal->leaving && server_set_leaving(server)) {
+        log_record(LOG_INFO, "servers", "leaving", "server=%s source=peer",
+                   server->info.id);
+    }
+}
+
 /* Applies the signals of another daemon's datagram. */
 void
 peers_apply_signals(peers_t *peers, int64_t now)
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -276,6 +276,16 @@
     }
 }
 
+/* Records that the server leaves. */
+static void
+record_leaving(const request_t *request, const server_signals_t *signals)
+{
+    if (signals->leaving && server_set_leaving(request->server)) {
+        log_record(LOG_INFO, "servers", "leaving", "server=%s source=answer",
+                   request->server->info.id);
+    }
+}
+
 static void
 copy_answer_headers(request_t *request, const http_head_t *head)
 {
@@ -377,6 +387,7 @@
         platform_signals_read(&signals, head);
         record_limit(request, &signals);
         record_rest(request, &signals);
+        record_leaving(request, &signals);
     }
     switch (request->answer) {
         case ANSWER_REJECTED:
--- a/relay/server-signals.h
+++ b/relay/server-signals.h
@@ -17,6 +17,7 @@
     double limit_per_s;  /* requests a second from all hosts together */
     signal_state_t rest; /* in a rejection; absent in any other answer */
     int64_t rest_ms;     /* without requests from this host */
+    bool leaving;        /* it takes no new requests */
 } server_signals_t;
 
 #endif
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -110,6 +110,8 @@
 {
     server_limit_init(&server->limit, servers->seed ^ server->id_hash);
     server->rest = (server_rest_t){0};
+    server->leaving = false;
+    server->leaving_unannounced = false;
     server->consecutive_faults = 0;
     server->circuit_open_until_ms = 0;
     server->full_until_ms = 0;
@@ -378,7 +380,8 @@
 bool
 server_is_usable(const server_t *server, int64_t now_ms)
 {
-    return is_reachable(server, now_ms) && !server->info.draining;
+    return is_reachable(server, now_ms) && !server->info.draining &&
+           !server->leaving;
 }
 
 /* Records that the server answered this host or a host that reported it. */
@@ -399,6 +402,19 @@
            now_ms - server->confirmed_alive_ms < SOURCE_ALIVE_MS;
 }
 
+/* Records that the server has said that it leaves, which holds until its next
+ * start; returns whether that is news. */
+bool
+server_set_leaving(server_t *server)
+{
+    if (server->leaving) {
+        return false;
+    }
+    server->leaving = true;
+    server->leaving_unannounced = true;
+    return true;
+}
+
 /* Returns whether what the server says of itself allows a request now. */
 bool
 server_allows_request(const server_t *server, int64_t now_ms)
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -108,11 +108,13 @@
     int64_t answered_ms;   /* when data last arrived from the server */
     /* When the server last answered this host or a host that reported it. */
     int64_t confirmed_alive_ms;
-    int64_t busy_since_ms; /* when own_running last rose from 0 */
-    server_limit_t limit;  /* that it states for all hosts together */
-    server_rest_t rest;    /* that it asks of this host */
-    bool probing;          /* a probe is in flight */
-    bool unresponsive;     /* the last probe got no answer */
+    int64_t busy_since_ms;    /* when own_running last rose from 0 */
+    server_limit_t limit;     /* that it states for all hosts together */
+    server_rest_t rest;       /* that it asks of this host */
+    bool leaving;             /* it has said so since its start */
+    bool leaving_unannounced; /* other hosts have to be notified of that */
+    bool probing;             /* a probe is in flight */
+    bool unresponsive;        /* the last probe got no answer */
 } server_t;
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
@@ -162,6 +164,7 @@
                            int64_t started_ms);
 void server_keep_weights(const server_t *server, server_entry_t *entry);
 bool server_is_fetch_source(const server_t *server, int64_t now_ms);
+bool server_set_leaving(server_t *server);
 bool server_allows_request(const server_t *server, int64_t now_ms);
 int64_t server_request_wait_ms(const server_t *server, int64_t now_ms);
 void server_take_request(server_t *server, int64_t now_ms);
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -341,7 +341,8 @@
                             .incarnation = UINT32_MAX,
                             .limit_revision = UINT32_MAX,
                             .limit_stated = i % 2 == 0,
-                            .limit_milli_per_s = 1000000000ULL + i};
+                            .limit_milli_per_s = 1000000000ULL + i,
+                            .leaving = i % 3 == 0};
     }
     size_t len = peer_encode(&datagram, secret, data);
     ck_assert_uint_gt(len, 0);
@@ -352,6 +353,7 @@
                           UINT32_MAX - (uint32_t)i);
         ck_assert_uint_eq(out.signals[i].limit_revision, UINT32_MAX);
         ck_assert(out.signals[i].limit_stated == (i % 2 == 0));
+        ck_assert(out.signals[i].leaving == (i % 3 == 0));
         ck_assert_uint_eq(out.signals[i].limit_milli_per_s, 1000000000ULL + i);
     }
 }
--- a/tests/test-server-signals.c
+++ b/tests/test-server-signals.c
@@ -107,6 +107,17 @@
 }
 END_TEST
 
+/* Any other value than 1 says nothing. */
+START_TEST(only_1_says_that_a_server_leaves)
+{
+    ck_assert(read_answer(503, "Server-Leaving: 1\r\n").leaving);
+    ck_assert(read_signals("X-Celeryspool-Server-Leaving: 1\r\n").leaving);
+    ck_assert(!read_signals("Server-Leaving: 0\r\n").leaving);
+    ck_assert(!read_signals("Server-Leaving: yes\r\n").leaving);
+    ck_assert(!read_signals("").leaving);
+}
+END_TEST
+
 TEST_MAIN("server-signals", limits_that_are_no_number_are_invalid,
           limit_is_read_under_both_names, lowest_of_several_limits_counts,
-          rest_is_read_as_seconds_alone)
+          rest_is_read_as_seconds_alone, only_1_says_that_a_server_leaves)
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -74,6 +74,31 @@
 }
 END_TEST
 
+/* What a server has said of itself ends with its next start, also if that has
+ * the same id and address, and not with a new entry of the same start. */
+START_TEST(signals_of_an_earlier_start_are_forgotten)
+{
+    servers_t *servers = servers_new();
+    server_entry_t entry = on_old;
+    entry.started_ms = 1000;
+    server_t *server = servers_put(servers, &entry);
+    uint32_t incarnation = server_incarnation(server);
+    ck_assert(server_set_leaving(server));
+    ck_assert(!server_set_leaving(server));
+    (void)server_limit_hear(&server->limit, 1, 100);
+    (void)server_rest_begin(&server->rest, 5000, 100);
+    (void)servers_put(servers, &entry);
+    ck_assert(!server_is_usable(server, 200));
+    ck_assert(!server_allows_request(server, 200));
+    entry.started_ms = 2000;
+    (void)servers_put(servers, &entry);
+    ck_assert(server_is_usable(server, 200));
+    ck_assert(server_allows_request(server, 200));
+    ck_assert_uint_ne(server_incarnation(server), incarnation);
+    servers_free(servers);
+}
+END_TEST
+
 /* ---- simulated latency ---- */
 
 #define SIM_SERVERS 6
@@ -228,7 +253,8 @@
 }
 END_TEST
 
-TEST_MAIN("servers", server_is_used_once_listed_with_new_weights,
+TEST_MAIN("servers", signals_of_an_earlier_start_are_forgotten,
+          server_is_used_once_listed_with_new_weights,
           taken_slots_add_to_the_wait,
           nearly_full_server_is_announced_at_intervals,
           hot_part_does_not_queue_at_its_home,
