--- a/soak/faults.c
+++ b/soak/faults.c
@@ -37,6 +37,10 @@
     FAULT_NEW_CONFIG,
     FAULT_NEW_WEIGHTS,
     FAULT_REMOVE_KEY, /* a key is removed from the configuration */
+    /* The kinds from here on are drawn with --signals alone, so that the other
+     * seeds draw the same faults as before these kinds existed. */
+    FAULT_SERVER_LIMIT, /* a server states a rate limit */
+    FAULT_SERVER_REST,  /* a server rejects and asks for rest */
     FAULT_KINDS
 } fault_kind_t;
 
@@ -44,7 +48,7 @@
     "relay-kill", "relay-stop",   "relay-pause", "relay-reload",  "front-link",
     "store-link", "server-link",  "resets",      "stalls",        "server",
     "store-down", "store-silent", "store-loses", "store-forgets", "config",
-    "weights",    "key"};
+    "weights",    "key",          "limit",       "rest"};
 
 typedef struct fault {
     CK_LIST_ENTRY(fault) entry;
@@ -103,6 +107,20 @@
     soak_post_admin(soak, path, body);
 }
 
+/* Sends a server a command with one number. */
+static void
+set_server_number(soak_t *soak, size_t target, const char *mode,
+                  const char *name, int64_t number)
+{
+    char path[CS_NAME_MAX * 2];
+    char body[96];
+    (void)snprintf(path, sizeof(path), "server/%s",
+                   server_at(soak, target)->id);
+    (void)snprintf(body, sizeof(body), "{\"mode\":\"%s\",\"%s\":%lld}", mode,
+                   name, (long long)number);
+    soak_post_admin(soak, path, body);
+}
+
 static link_state_t
 random_link_fault(soak_t *soak)
 {
@@ -215,6 +233,16 @@
         case FAULT_REMOVE_KEY:
             remove_old_key(soak);
             return;
+        case FAULT_SERVER_LIMIT:
+            disturb_servers(soak, duration_ms);
+            set_server_number(soak, fault->target, "well", "limit_per_s",
+                              (int64_t)rng_below(&soak->rng, 10));
+            return;
+        case FAULT_SERVER_REST:
+            disturb_servers(soak, duration_ms);
+            set_server_number(soak, fault->target, "shed", "rest_s",
+                              1 + (int64_t)rng_below(&soak->rng, 2));
+            return;
         case FAULT_KINDS:
             return;
     }
@@ -243,6 +271,12 @@
         case FAULT_SERVER:
             set_server_mode(soak, fault->target, "well");
             return;
+        case FAULT_SERVER_LIMIT:
+            set_server_number(soak, fault->target, "well", "limit_per_s", -1);
+            return;
+        case FAULT_SERVER_REST:
+            set_server_number(soak, fault->target, "well", "rest_s", 0);
+            return;
         case FAULT_STORE_DOWN:
             soak_post_admin(soak, "store", "{\"down\":false}");
             return;
@@ -260,7 +294,8 @@
     fault_t *fault = mem_zalloc(sizeof(*fault));
     int64_t duration_ms =
         DURATION_MS_MIN + (int64_t)rng_below(&soak->rng, DURATION_RANGE_MS);
-    fault->kind = (fault_kind_t)rng_below(&soak->rng, FAULT_KINDS);
+    fault->kind = (fault_kind_t)rng_below(
+        &soak->rng, soak->signals ? FAULT_KINDS : FAULT_SERVER_LIMIT);
     fault->target = (size_t)rng_below(&soak->rng, 64);
     fault->until_ms = now + duration_ms;
     if (fault->until_ms > soak->faults_end_ms) {
--- a/soak/regress.sh
+++ b/soak/regress.sh
@@ -1,16 +1,19 @@
 #!/usr/bin/env bash
-# Runs the soak with every seed of soak/seeds.txt and one more: SEED, or 1.
+# Runs the soak with every seed of soak/seeds.txt and twice with one more: SEED,
+# or 1, without and with signals of servers.
 cd "$(dirname "$0")/.." || exit 1
 BUILD=${BUILD:-build}
 OUT=${OUT:-out}
 mkdir -p "$OUT"
 failed=0
-while read -r seed seconds _; do
+while read -r seed seconds more _; do
     case $seed in '#'* | '') continue ;; esac
-    "$BUILD/soak/soak" --seed "$seed" --seconds "$seconds" --build "$BUILD" --port $((21000 + ${BASE:-0})) --dir "$OUT/soak-$seed" >"$OUT/soak-$seed.out" 2>&1 || {
+    options=()
+    [ "$more" = --signals ] && options=(--signals)
+    "$BUILD/soak/soak" --seed "$seed" --seconds "$seconds" --build "$BUILD" --port $((21000 + ${BASE:-0})) --dir "$OUT/soak-$seed" "${options[@]}" >"$OUT/soak-$seed.out" 2>&1 || {
         failed=$((failed + 1))
         cat "$OUT/soak-$seed.out"
     }
     tail -n 1 "$OUT/soak-$seed.out"
-done < <(cat soak/seeds.txt; echo "${SEED:-1} 8")
+done < <(cat soak/seeds.txt; echo "${SEED:-1} 8"; echo "${SEED:-1} 8 --signals")
 [ "$failed" = 0 ]
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -25,6 +25,7 @@
     int engines;
     int callers;
     int port;
+    bool signals;
     const char *dir;
     const char *build;
 } args_t;
@@ -37,6 +38,8 @@
      "number of engines, at most 8; two plain servers are added", 0},
     {"callers", 'c', "N", 0, "number of concurrent callers", 0},
     {"port", 'p', "N", 0, "first of 240 consecutive ports", 0},
+    {"signals", 'S', NULL, 0,
+     "servers also state rate limits and ask for rest", 0},
     {"dir", 'd', "DIR", 0, "directory for logs and records", 0},
     {"build", 'b', "DIR", 0, "directory of the programs", 0},
     {0},
@@ -84,6 +87,9 @@
             (void)parse_number(arg, 1024, 65000, state, &value);
             args->port = (int)value;
             return 0;
+        case 'S':
+            args->signals = true;
+            return 0;
         case 'd':
             args->dir = arg;
             return 0;
@@ -148,6 +154,7 @@
     soak->rng.state = args->seed;
     soak->build = args->build;
     soak->first_port = args->port;
+    soak->signals = args->signals;
     soak->relay_count = (size_t)args->relays;
     soak->server_count = (size_t)args->engines + 2;
     soak->caller_count = (size_t)args->callers;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -83,6 +83,7 @@
     char record_path[192]; /* what the backend servers recorded */
     int first_port;        /* the soak uses 240 ports from this one */
     int64_t start_ms;      /* callers and faults start */
+    bool signals; /* servers also state rate limits and ask for rest */
     int64_t faults_end_ms; /* end of all faults, start of the recovery phase */
     int64_t end_ms;        /* callers send no further request */
     process_t platform;
