--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -256,7 +256,7 @@
     const server_t *server;
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
         if (strcmp(server->info.service, request->service) != 0 ||
-            server->removed || server->info.draining ||
+            server->removed || server->info.draining || server->leaving ||
             is_tried(request, server)) {
             continue;
         }
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -215,77 +215,6 @@
     }
 }
 
-/* Whether an answer was made by the server itself for this request.  Another
- * server that uses its address now answers 421 with its own id. */
-static bool
-is_own_answer(const request_t *request, const http_head_t *head)
-{
-    const header_t *server_id =
-        http_head_find(head, wire_header_name(HEADER_SERVER_ID));
-    if (server_id != NULL &&
-        !http_head_is(head, server_id->value, request->server->info.id)) {
-        return false;
-    }
-    return request->answer == ANSWER_REJECTED ||
-           (http_head_find(head, wire_header_name(HEADER_REQUEST_ID)) !=
-                NULL &&
-            http_head_find(head, wire_header_name(HEADER_SIGNATURE)) != NULL);
-}
-
-/* Records what the server says of its limit.  Only a success shows that a
- * limit has ended. */
-static void
-record_limit(const request_t *request, const server_signals_t *signals)
-{
-    server_t *server = request->server;
-    bool changed = false;
-    switch (signals->limit) {
-        case SIGNAL_VALID:
-            peers_set_limit_hosts(request->relay->peers, server);
-            changed = server_limit_hear(&server->limit, signals->limit_per_s,
-                                        time_mono_ms());
-            break;
-        case SIGNAL_ABSENT:
-            changed = request->status / 100 == 2 &&
-                      server_limit_hear_none(&server->limit, request->sent_ms);
-            break;
-        case SIGNAL_INVALID:
-            break;
-    }
-    if (changed) {
-        server_log_limit(server, "answer");
-    }
-}
-
-/* Records the rest that the server asks for, or that it takes requests. */
-static void
-record_rest(const request_t *request, const server_signals_t *signals)
-{
-    server_t *server = request->server;
-    if (request->answer != ANSWER_REJECTED) {
-        if (server_rest_end(&server->rest, request->sent_ms)) {
-            log_record(LOG_INFO, "servers", "rest-ended", "server=%s",
-                       server->info.id);
-        }
-        return;
-    }
-    if (signals->rest == SIGNAL_VALID && signals->rest_ms > 0 &&
-        server_rest_begin(&server->rest, signals->rest_ms, time_mono_ms())) {
-        log_record(LOG_INFO, "servers", "rest-asked", "server=%s ms=%lld",
-                   server->info.id, (long long)signals->rest_ms);
-    }
-}
-
-/* Records that the server leaves. */
-static void
-record_leaving(const request_t *request, const server_signals_t *signals)
-{
-    if (signals->leaving && server_set_leaving(request->server)) {
-        log_record(LOG_INFO, "servers", "leaving", "server=%s source=answer",
-                   request->server->info.id);
-    }
-}
-
 static void
 copy_answer_headers(request_t *request, const http_head_t *head)
 {
@@ -382,13 +311,7 @@
     record_load(request->relay, request->server, head);
     request->answer = classify(request, head);
     request->status = head->status;
-    if (is_own_answer(request, head)) {
-        server_signals_t signals;
-        platform_signals_read(&signals, head);
-        record_limit(request, &signals);
-        record_rest(request, &signals);
-        record_leaving(request, &signals);
-    }
+    request_record_signals(request, head);
     switch (request->answer) {
         case ANSWER_REJECTED:
             record_rejection(request, head);
--- a/relay/request.h
+++ b/relay/request.h
@@ -103,6 +103,7 @@
 bool request_may_use_kv_stores(const request_t *request,
                                const server_t *server);
 server_t *request_choose_server(request_t *request, int64_t now);
+void request_record_signals(const request_t *request, const http_head_t *head);
 void request_record_first_answer(request_t *request);
 
 #endif
--- a/relay/server-limit.c
+++ b/relay/server-limit.c
@@ -248,7 +248,8 @@
 }
 
 /* Whether a probe may be sent.  It tells whether requests at the server have
- * to go elsewhere, so it may take a token in advance. */
+ * to go elsewhere, so it may take a token in advance.  A host that does not
+ * use the server has one such token for the whole limit. */
 bool
 server_limit_allows_probe(const server_limit_t *limit, int64_t now_ms)
 {
@@ -284,9 +285,13 @@
     }
     advance(limit, now_ms);
     limit->level -= 1;
-    if (!is_user(limit)) {
-        plan_recheck(limit, now_ms);
+    if (is_user(limit)) {
+        return;
     }
+    if (limit->level < -PROBE_DEBT) {
+        limit->level = -PROBE_DEBT;
+    }
+    plan_recheck(limit, now_ms);
 }
 
 /* Returns the time after which a rejected caller should return: when an even
--- a/tests/proc-server-limit.sh
+++ b/tests/proc-server-limit.sh
@@ -5,21 +5,6 @@
 start_platform 0 2 && start_relays $HOSTS || exit 1
 sleep 6 # hosts have settled on each other's number
 
-# send_load NAME SECONDS: 16 requests a second at each host; a line for each with
-# its status and Retry-After
-send_load() {
-    local host i
-    for ((host = 1; host <= HOSTS; host++)); do
-        for ((i = 0; i < $2 * 16; i++)); do
-            curl -s -o /dev/null --max-time 3 -w '%{http_code} %header{retry-after}\n' -H 'Host: a.example' \
-                -H "X-Celeryspool-Attempt-Id: $1-$host-$i" -H 'X-Celeryspool-Deadline-Milliseconds: 2000' "${KEY1[@]}" \
-                "http://$(relay_addr "$host")/read/x" >>"$OUT/$1" &
-            sleep 0.06
-        done &
-    done
-    wait $(jobs -p | grep -vxF "$(printf '%s\n' "${PIDS[@]}")")
-    sleep 0.5
-}
 # arrivals SERVER FROM_MS TO_MS: the arrivals, and the most of them within 4 s
 arrivals() {
     grep "^arrival server=$1 " "$RECORD" | sed 's/.*at_ms=//' | awk -v from="$2" -v to="$3" '
--- a/tests/relay-lib.sh
+++ b/tests/relay-lib.sh
@@ -100,3 +100,22 @@
     exec 9>&-
 }
 count_runs() { grep -c "run .*X-Celeryspool-Attempt-Id=$1 " "$RECORD"; }
+
+# send_load NAME SECONDS: 16 requests a second at each of HOSTS daemons; a line in
+# $OUT/NAME for each with its status and Retry-After
+send_load() {
+    local host
+    for ((host = 1; host <= HOSTS; host++)); do send_load_to "$host" "$1" "$2" & done
+    wait $(jobs -p | grep -vxF "$(printf '%s\n' "${PIDS[@]}")")
+}
+send_load_to() {
+    local i calls=()
+    for ((i = 0; i < $3 * 16; i++)); do
+        curl -s -o /dev/null --max-time 3 -w '%{http_code} %header{retry-after}\n' -H 'Host: a.example' \
+            -H "X-Celeryspool-Attempt-Id: $2-$1-$i" -H 'X-Celeryspool-Deadline-Milliseconds: 2000' "${KEY1[@]}" \
+            "http://$(relay_addr "$1")/read/x" >>"$OUT/$2" &
+        calls+=($!)
+        sleep 0.06
+    done
+    wait "${calls[@]}"
+}
