Server limit: an engine's few requests go to the larger prompts

Cause: a limit counts requests, and small prompts (four of five) used up most of it, while the large ones, three quarters of all tokens, went to the other engines.

Change: a prompt below the mean size (smoothed, of this host's requests) pays 300 ms more at a limited engine; it still goes there if the others are busier than that.

--- a/relay/relay.h
+++ b/relay/relay.h
@@ -99,6 +99,7 @@
 
     rng_t rng;
     uint64_t placement_count;
+    double mean_prompt_tokens; /* smoothed, of requests for engines */
     unsigned tick_count;
     const char *settings_path;
     int64_t stop_requested_ms; /* 0 while no shutdown was requested */
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -185,6 +185,8 @@
      * a slower server needs for it counts as wait. */
     wait += (request->prompt.prompt_tokens - view.shared_tokens) *
             (server->slowness - 1) / SERVER_PREFILL_TOKENS_PER_MS;
+    wait += server_limit_cost_ms(&server->limit, request->prompt.prompt_tokens,
+                                 relay->mean_prompt_tokens);
     out->rendezvous_weight =
         place_rendezvous_weight(request->affinity_key, server->info.id);
     out->wait_ms = wait + penalty_ms(request, server);
--- a/relay/request.c
+++ b/relay/request.c
@@ -22,6 +22,8 @@
 #define RETRY_AFTER_STOP_MS 20
 /* The request has no deadline header; the route's timeout applies. */
 #define DEADLINE_NONE 0
+/* Weight of the newest prompt in the smoothed size of prompts. */
+#define MEAN_PROMPT_WEIGHT 0.02
 /* Bound on the bodies of all requests in flight, bytes: a quarter of the
  * smallest host's memory. */
 #define BODY_BYTES_MAX (40u << 20)
@@ -490,6 +492,9 @@
     if (request->engine) {
         read_prompt(request);
         request->affinity_key = prompt_affinity_key(&request->prompt);
+        relay->mean_prompt_tokens +=
+            MEAN_PROMPT_WEIGHT *
+            (request->prompt.prompt_tokens - relay->mean_prompt_tokens);
     }
     set_deadlines(request);
     quota_decision_t quota = request_charge_quota(request);
--- a/relay/server-limit.c
+++ b/relay/server-limit.c
@@ -41,6 +41,9 @@
 #define ANNOUNCED_CHANGE 0.1
 /* Longest time that a rejected caller is told to wait. */
 #define RESERVATION_MS_MAX 5000
+/* Cost of sending a prompt below the mean size to a limited server: about that
+ * of a server that has just rejected a request. */
+#define SMALL_PROMPT_COST_MS 300.0
 /* Tokens that probes may take from an empty bucket. */
 #define PROBE_DEBT 1.0
 
@@ -276,6 +279,18 @@
     return now_ms < limit->recheck_ms + RECHECK_WINDOW_MS ? 0 : INT32_MAX;
 }
 
+/* Returns the cost, ms, of one of the few requests that a server takes.  The
+ * limit counts requests, whatever they need, so the larger ones relieve the
+ * other servers most. */
+double
+server_limit_cost_ms(const server_limit_t *limit, double prompt_tokens,
+                     double mean_prompt_tokens)
+{
+    return limit->current.stated && prompt_tokens < mean_prompt_tokens
+               ? SMALL_PROMPT_COST_MS
+               : 0;
+}
+
 /* Counts a request or a probe that is sent to the server. */
 void
 server_limit_take(server_limit_t *limit, int64_t now_ms)
--- a/relay/server-limit.h
+++ b/relay/server-limit.h
@@ -50,6 +50,8 @@
 bool server_limit_allows(const server_limit_t *limit, int64_t now_ms);
 bool server_limit_allows_probe(const server_limit_t *limit, int64_t now_ms);
 int64_t server_limit_wait_ms(const server_limit_t *limit, int64_t now_ms);
+double server_limit_cost_ms(const server_limit_t *limit, double prompt_tokens,
+                            double mean_prompt_tokens);
 void server_limit_take(server_limit_t *limit, int64_t now_ms);
 int64_t server_limit_reservation_ms(const server_limit_t *limit,
                                     int64_t now_ms);
--- a/tests/test-server-limit.c
+++ b/tests/test-server-limit.c
@@ -120,6 +120,19 @@
 }
 END_TEST
 
+/* Small prompts that use up a limited server's few requests leave the large
+ * ones to the other servers. */
+START_TEST(limited_server_is_kept_for_large_prompts)
+{
+    server_limit_t limit = make_stated(2, &alone);
+    ck_assert_double_eq(server_limit_cost_ms(&limit, 4000, 3000), 0);
+    ck_assert_double_eq(server_limit_cost_ms(&limit, 3000, 3000), 0);
+    ck_assert_double_gt(server_limit_cost_ms(&limit, 2000, 3000), 0);
+    (void)server_limit_hear_none(&limit, 1001);
+    ck_assert_double_eq(server_limit_cost_ms(&limit, 2000, 3000), 0);
+}
+END_TEST
+
 /* ---- a fleet in virtual time ---- */
 
 #define FLEET_MAX 350
@@ -466,5 +479,6 @@
           host_that_knows_no_others_does_not_use_a_limit,
           older_notice_changes_nothing, host_that_knows_less_is_answered,
           rejected_callers_return_one_after_the_other,
+          limited_server_is_kept_for_large_prompts,
           hosts_together_keep_to_a_stated_limit,
           hosts_forget_a_limit_that_has_ended)
