Server limit: a changing limit is announced once a second

A limit that follows the server's load changes with each answer; at 350 hosts each change of a tenth or more would be passed on by every host (eight notices of some 70 bytes each, up to ten times a second). The begin and the end of a limit are still announced at once. Test fluctuating_limit_is_announced_once_a_second: 1,000 answers in 10 s, at most 10 notices (1,000 before).

--- a/relay/server-limit.c
+++ b/relay/server-limit.c
@@ -37,8 +37,10 @@
 /* A single request that is not sent within this time waits for the next
  * interval; otherwise it could be sent with those of many other hosts. */
 #define RECHECK_WINDOW_MS 2000
-/* A change by a smaller share is not announced. */
+/* A change by a smaller share, or sooner after the last one, is not announced:
+ * a limit may follow the server's load. */
 #define ANNOUNCED_CHANGE 0.1
+#define ANNOUNCE_INTERVAL_MS 1000
 /* Longest time that a rejected caller is told to wait. */
 #define RESERVATION_MS_MAX 5000
 /* Cost of sending a prompt below the mean size to a limited server: about that
@@ -150,12 +152,25 @@
     }
 }
 
-/* Whether a limit differs enough from the announced one to announce it. */
+/* Whether to announce a limit that an answer states: it is new, or differs
+ * enough from the announced one. */
 static bool
-is_notable(const server_limit_t *limit, double per_s)
+is_notable(const server_limit_t *limit, double per_s, int64_t now_ms)
 {
-    return fabs(per_s - limit->announced_per_s) >
-           ANNOUNCED_CHANGE * limit->announced_per_s;
+    if (!limit->current.stated) {
+        return true;
+    }
+    return now_ms - limit->announced_ms >= ANNOUNCE_INTERVAL_MS &&
+           fabs(per_s - limit->announced_per_s) >
+               ANNOUNCED_CHANGE * limit->announced_per_s;
+}
+
+static void
+set_announced(server_limit_t *limit, int64_t now_ms)
+{
+    limit->announced_per_s = limit->current.per_s;
+    limit->announced_ms = now_ms;
+    limit->unannounced = true;
 }
 
 /* Applies a limit that an answer of the server states.  Returns whether it is
@@ -164,13 +179,12 @@
 server_limit_hear(server_limit_t *limit, double per_s, int64_t now_ms)
 {
     per_s = per_s < PER_S_MAX ? per_s : PER_S_MAX;
-    bool notable = !limit->current.stated || is_notable(limit, per_s);
+    bool notable = is_notable(limit, per_s, now_ms);
     set_current(limit, true, per_s, now_ms);
     limit->learned_ms = now_ms;
     if (notable) {
         limit->current.revision++;
-        limit->announced_per_s = per_s;
-        limit->unannounced = true;
+        set_announced(limit, now_ms);
     }
     return notable;
 }
@@ -218,8 +232,7 @@
     }
     set_current(limit, notice->stated, notice->per_s, now_ms);
     limit->current.revision = notice->revision;
-    limit->announced_per_s = notice->per_s;
-    limit->unannounced = true;
+    set_announced(limit, now_ms);
     if (notice->stated) {
         limit->learned_ms = now_ms;
     }
--- a/relay/server-limit.h
+++ b/relay/server-limit.h
@@ -24,8 +24,9 @@
 typedef struct {
     server_limit_notice_t current;
     double announced_per_s;
-    bool unannounced;   /* other hosts have to be notified of the change */
-    int64_t learned_ms; /* when an answer or a notice last stated it */
+    int64_t announced_ms; /* when the announced value was learned */
+    bool unannounced;     /* other hosts have to be notified of the change */
+    int64_t learned_ms;   /* when an answer or a notice last stated it */
     server_limit_hosts_t hosts;
     rng_t rng;
 
--- a/tests/test-server-limit.c
+++ b/tests/test-server-limit.c
@@ -120,6 +120,23 @@
 }
 END_TEST
 
+/* A limit that changes with each answer must not fill the network between the
+ * hosts with notices; its end is always announced. */
+START_TEST(fluctuating_limit_is_announced_once_a_second)
+{
+    server_limit_t limit = make_stated(2, &alone);
+    uint32_t before = limit.current.revision;
+    for (int64_t now = 1000; now < 11000; now += 10) {
+        (void)server_limit_hear(&limit, now % 20 == 0 ? 3 : 1, now);
+    }
+    ck_assert_uint_ge(limit.current.revision - before, 5);
+    ck_assert_uint_le(limit.current.revision - before, 10);
+    limit.unannounced = false;
+    ck_assert(server_limit_hear_none(&limit, 11000));
+    ck_assert(limit.unannounced);
+}
+END_TEST
+
 /* Small prompts that use up a limited server's few requests leave the large
  * ones to the other servers. */
 START_TEST(limited_server_is_kept_for_large_prompts)
@@ -479,6 +496,7 @@
           host_that_knows_no_others_does_not_use_a_limit,
           older_notice_changes_nothing, host_that_knows_less_is_answered,
           rejected_callers_return_one_after_the_other,
+          fluctuating_limit_is_announced_once_a_second,
           limited_server_is_kept_for_large_prompts,
           hosts_together_keep_to_a_stated_limit,
           hosts_forget_a_limit_that_has_ended)
