--- a/relay/host-count.c
+++ b/relay/host-count.c
@@ -17,7 +17,7 @@
 }
 
 /* Returns how many hosts to assume, given the number of live hosts, this one
- * included, and a minimum; 0 if it is too early to tell.  One more host than
+ * included, and a minimum; 0 if it is not known yet.  One more host than
  * the recent peak is assumed.  The peak is used so that two halves of a
  * partition don't both use the whole amount. */
 size_t
--- a/relay/server-limit.c
+++ b/relay/server-limit.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-/* A limit binds all hosts together, but a host only hears the answers to its
+/* A limit binds all hosts together, but a host only reads the answers to its
  * own requests.  So the hosts notify each other of changes alone, and each
  * derives its part from the number of hosts:
  *
@@ -41,7 +41,7 @@
  * a limit may follow the server's load. */
 #define ANNOUNCED_CHANGE 0.1
 #define ANNOUNCE_INTERVAL_MS 1000
-/* Longest time that a rejected caller is told to wait. */
+/* Longest Retry-After of a rejected caller. */
 #define RESERVATION_MS_MAX 5000
 /* Cost of sending a prompt below the mean size to a limited server: about that
  * of a server that has just rejected a request. */
@@ -219,7 +219,7 @@
            (!current->stated || notice->per_s < current->per_s);
 }
 
-/* Applies another host's notice; returns whether it was news.  A host that
+/* Applies another host's notice; returns whether it is newer.  A host that
  * knows less than this one, as after a restart, is answered: its later changes
  * would be ignored by all others. */
 bool
@@ -263,7 +263,7 @@
     return !limit->current.stated || server_limit_wait_ms(limit, now_ms) == 0;
 }
 
-/* Whether a probe may be sent.  It tells whether requests at the server have
+/* Whether a probe may be sent.  It shows whether requests at the server have
  * to go elsewhere, so it may take a token in advance.  A host that does not
  * use the server has one such token for the whole limit. */
 bool
--- a/relay/server-limit.h
+++ b/relay/server-limit.h
@@ -13,8 +13,8 @@
     size_t rank;    /* live hosts that rank before this one for the server */
 } server_limit_hosts_t;
 
-/* What hosts tell each other of a limit.  Each change that a server's answer
- * shows to a host gets the next revision. */
+/* The state of a limit that hosts exchange.  Each change that a server's
+ * answer shows to a host gets the next revision. */
 typedef struct {
     uint32_t revision; /* 0: nothing was ever stated */
     bool stated;
