Platform stand-in: weights of cached parts, preemption, loads that wait

The stand-in could not show an answer from parts of other weights: it cleared a cache at a load and knew neither which weights had made a part nor preemption.

Now each part has the version that prefilled it, servers fetch parts from each other and from a kv store ("kv" in place of "engine"; a part that it holds stays as it was first made), and requests go on through a load or are waited for, by the order's drain mode. On command requests are preempted (the newest of the least urgent first) and prefilled again, fetches wait, orders are refused, or carried out late without an answer; a report states memory and preempted requests. The record has a line for each prompt that is prefilled again, with the weights on which its request started and those that prefill it, and one for each answer that starts from a part of other weights ("stale"). Orders have a file of their own.

tests/relay-lib.sh: further servers, the second workspace's key.

--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -7,9 +7,9 @@
 
 /* Entry point of the platform stand-in.  Commands are sent to the store's
  * address: /admin/store {down, silent, lose, forget}, /admin/server/ID {mode,
- * draining, gone, events, gap_ms, limit_per_s, rest_s,
- * leaving}, /admin/object/KIND/NAME with a
- * specification. */
+ * draining, gone, events, gap_ms, limit_per_s, rest_s, leaving, forget,
+ * preempt, readmit, hold_fetches, refuse_orders, late_order_ms, memory_used},
+ * /admin/object/KIND/NAME with a specification. */
 
 #define SERVERS_MAX 32
 #define ADMIN_STORE "/admin/store"
@@ -32,8 +32,8 @@
     {"store", 's', "IPV4:PORT", 0, "address of the store", 0},
     {"record", 'r', "FILE", 0,
      "file for a line per request and order executed", 0},
-    {"server", 'b', "ID,SERVICE,IPV4:PORT,DC,engine|plain[,IPV4:PORT]", 0,
-     "a backend server, and the address in its entry", 0},
+    {"server", 'b', "ID,SERVICE,IPV4:PORT,DC,engine|plain|kv[,IPV4:PORT]", 0,
+     "a backend server or kv store, and the address in its entry", 0},
     {0},
 };
 
@@ -171,8 +171,8 @@
         return EXIT_UNREACHABLE;
     }
     for (size_t i = 0; i < args.server_count; i++) {
-        platform_server_t *server =
-            server_open(&platform->store, args.servers[i], record);
+        platform_server_t *server = server_open(
+            &platform->store, &platform->servers, args.servers[i], record);
         if (server == NULL) {
             (void)fprintf(stderr, "fake-platform: cannot open %s\n",
                           args.servers[i]);
--- a/fakes/platform-cache.c
+++ b/fakes/platform-cache.c
@@ -5,12 +5,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The list and the events of a stand-in engine's cache.  It holds the parts of
- * all prompts executed since the last load of weights.  A call for events is
- * answered immediately, also if there are none. */
+/* The cache of a stand-in engine or kv store, its list and its events.  An
+ * engine holds the parts of all prompts executed since the last load of
+ * weights.  The version of the weights that prefilled a part is known here
+ * alone, as at the platform's servers.  A call for events is answered
+ * immediately, also if there are none. */
 
 #define EPOCH 1
 #define MODEL "m1"
+#define KEY_MAX 256
 
 static void
 add_event(platform_server_t *server, const char *sign, const json_t *part,
@@ -27,42 +30,120 @@
 }
 
 static void
-add_part(platform_server_t *server, const char *salt, const char *id,
-         int64_t tokens)
+format_key(char key[KEY_MAX], const char *salt, const char *id)
+{
+    (void)snprintf(key, KEY_MAX, "%s/%s", salt, id);
+}
+
+/* Adds a part that weights of a version have prefilled, unless it is held. */
+static void
+add_part(platform_server_t *server, const char *key, json_t *part,
+         int64_t version)
 {
-    char key[256];
-    (void)snprintf(key, sizeof(key), "%s/%s", salt, id);
     if (server->cached_parts == NULL) {
         server->cached_parts = json_object();
+        server->part_versions = json_object();
     }
     if (json_object_get(server->cached_parts, key) != NULL) {
         return;
     }
-    json_t *part = json_pack("[s,s,I,s]", salt, id, (json_int_t)tokens, MODEL);
-    add_event(server, "+", part, tokens);
-    (void)json_object_set_new(server->cached_parts, key, part);
+    add_event(server, "+", part, json_integer_value(json_array_get(part, 2)));
+    (void)json_object_set(server->cached_parts, key, part);
+    (void)json_object_set_new(server->part_versions, key,
+                              json_integer(version));
+}
+
+/* Returns the version that prefilled a part, 0 if the server lacks the part.
+ */
+static int64_t
+part_version(const platform_server_t *server, const char *key)
+{
+    return server != NULL ? json_integer_value(
+                                json_object_get(server->part_versions, key))
+                          : 0;
+}
+
+/* Returns the cache that a header of a request names, or NULL. */
+static platform_server_t *
+find_cache(const run_t *run, wire_header_t header)
+{
+    const char *addr = find_header(run->req, wire_header_name(header));
+    platform_server_t *server;
+    CK_LIST_FOREACH (server, run->server->servers, entry) {
+        if (addr != NULL && strcmp(server->addr, addr) == 0) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
+static void
+copy_part(platform_server_t *to, const platform_server_t *from,
+          const char *key)
+{
+    int64_t version = part_version(from, key);
+    if (version != 0 && to != NULL) {
+        add_part(to, key, json_object_get(from->cached_parts, key), version);
+    }
+}
+
+/* Records that an answer is made from a part of other weights. */
+static void
+record_stale(const run_t *run, const char *key, int64_t version)
+{
+    (void)fprintf(run->server->record,
+                  "stale server=%s uri=%s part=%s made=%lld runs=%lld\n",
+                  run->server->id, evhttp_request_get_uri(run->req), key,
+                  (long long)version, (long long)run->server->version);
+    (void)fflush(run->server->record);
 }
 
-/* Adds the parts of a request's prompt to the cache. */
+/* Provides one part of a run's prompt: from the cache, from the source of a
+ * run that starts, or by prefill.  After the first part that was prefilled,
+ * all are. */
+static void
+provide_part(const run_t *run, const char *salt, const char *id,
+             int64_t tokens, bool *cached)
+{
+    platform_server_t *server = run->server;
+    char key[KEY_MAX];
+    format_key(key, salt, id);
+    if (*cached && !run->started && part_version(server, key) == 0) {
+        copy_part(server, find_cache(run, HEADER_CACHE_FETCH_FROM), key);
+    }
+    int64_t version = part_version(server, key);
+    *cached = *cached && version != 0;
+    if (*cached && version != server->version && !run->started) {
+        record_stale(run, key, version);
+    }
+    if (!*cached) {
+        CLEAN_JSON json_t *part =
+            json_pack("[s,s,I,s]", salt, id, (json_int_t)tokens, MODEL);
+        add_part(server, key, part, server->version);
+    }
+    copy_part(find_cache(run, HEADER_CACHE_SAVE_TO), server, key);
+}
+
+/* Provides the prompt of a run that starts or that was preempted.  Only a run
+ * that starts must not use parts of other weights. */
 void
-server_cache_add_prompt(platform_server_t *server, struct evhttp_request *req)
+server_cache_provide_prompt(const run_t *run)
 {
-    const char *salt = find_header(req, wire_header_name(HEADER_CACHE_SALT));
+    const char *salt =
+        find_header(run->req, wire_header_name(HEADER_CACHE_SALT));
     const char *prompt =
-        find_header(req, wire_header_name(HEADER_PROMPT_PREFIX));
+        find_header(run->req, wire_header_name(HEADER_PROMPT_PREFIX));
+    bool cached = true;
     char copy[1024];
     char *rest = copy;
     char *word;
-    if (prompt == NULL) {
-        return;
-    }
-    str_copy(copy, sizeof(copy), prompt);
+    str_copy(copy, sizeof(copy), prompt != NULL ? prompt : "");
     while ((word = strsep(&rest, ",")) != NULL) {
         char *colon = strchr(word, ':');
         if (colon != NULL) {
             *colon = '\0';
-            add_part(server, salt != NULL ? salt : "", word,
-                     strtoll(colon + 1, NULL, 10));
+            provide_part(run, salt != NULL ? salt : "", word,
+                         strtoll(colon + 1, NULL, 10), &cached);
         }
     }
 }
@@ -77,6 +158,7 @@
         add_event(server, "-", part, 0);
     }
     (void)json_object_clear(server->cached_parts);
+    (void)json_object_clear(server->part_versions);
 }
 
 static void
--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -7,20 +7,13 @@
 
 #define HEARTBEAT_MS 300
 #define EXECUTION_MS 15
-#define WEIGHTS_LOAD_MS 300
 #define SLOTS 8
+#define MEMORY_TOKENS 90000
+/* Of a request that states none. */
+#define PRIORITY_DEFAULT 5
 #define MODEL "m1"
 #define EVENT_TEXT_MAX 128
 
-/* A request in execution. */
-typedef struct {
-    platform_server_t *server;
-    struct evhttp_request *req;
-    unsigned next_event; /* number of the next event to send */
-    unsigned last_event; /* number of the last event of the stream */
-    bool closed;         /* the client has closed the connection */
-} run_t;
-
 /* ---- the entry in the store ---- */
 
 static json_t *
@@ -140,8 +133,11 @@
 static void
 run_free(run_t *run)
 {
-    run->server->running--;
+    platform_server_t *server = run->server;
+    CK_LIST_REMOVE(run, entry);
+    server->running--;
     free(run);
+    server_order_check(server);
 }
 
 static void
@@ -150,6 +146,9 @@
     run_t *run = arg;
     (void)connection;
     run->closed = true;
+    if (run->paused) {
+        run_free(run);
+    }
 }
 
 /* Shuts the connection down, whatever is still to be sent. */
@@ -166,9 +165,13 @@
 {
     run_t *run = arg;
     platform_server_t *server = run->server;
-    struct evbuffer *out = evbuffer_new();
     (void)fd;
     (void)what;
+    if (run->preempted && !run->closed) {
+        run->paused = true;
+        return;
+    }
+    struct evbuffer *out = evbuffer_new();
     if (run->closed || server->removed) {
         if (!run->closed) {
             evhttp_connection_set_closecb(
@@ -179,6 +182,11 @@
         evbuffer_free(out);
         return;
     }
+    if (run->shown_version != server->version) {
+        run->shown_version = server->version;
+        (void)evbuffer_add_printf(out, "x-celeryspool-weight-versions: %lld\n",
+                                  (long long)server->version);
+    }
     (void)evbuffer_add_printf(out, "id: %u\ndata: token-%u\n\n",
                               run->next_event, run->next_event);
     if (server->mode == MODE_CUT && run->next_event == run->last_event / 2) {
@@ -213,6 +221,10 @@
     run->next_event =
         last_id != NULL ? (unsigned)strtoul(last_id, NULL, 10) + 1 : 1;
     run->last_event = run->server->events;
+    run->version = run->server->version;
+    run->shown_version = run->version;
+    server_cache_provide_prompt(run);
+    run->started = true;
     (void)snprintf(version, sizeof(version), "%lld",
                    (long long)run->server->version);
     add_header(run->req, HEADER_WEIGHTS_VERSION, version);
@@ -222,6 +234,18 @@
     on_event_due(-1, 0, run);
 }
 
+/* Goes on with a run that was paused. */
+void
+server_continue_run(run_t *run)
+{
+    run->paused = false;
+    if (run->started) {
+        on_event_due(-1, 0, run);
+        return;
+    }
+    begin_stream(run);
+}
+
 /* Sends an answer that carries another request's id, as a late answer to an
  * earlier request on the connection would. */
 static void
@@ -290,19 +314,24 @@
         return;
     }
     run_t *run = mem_zalloc(sizeof(*run));
+    const char *priority = find_header(req, wire_header_name(HEADER_PRIORITY));
     run->server = server;
     run->req = req;
+    run->priority =
+        priority != NULL ? (int)strtol(priority, NULL, 10) : PRIORITY_DEFAULT;
+    CK_LIST_INSERT_HEAD(&server->runs, run, entry);
     server->running++;
     record_run(server, req);
-    if (server->engine) {
-        server_cache_add_prompt(server, req);
-    }
     add_identity(server, req);
     evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                   on_closed, run);
     if (server->mode == MODE_SILENT) {
         return;
     }
+    if (server->engine && server->hold_fetches) {
+        run->paused = true;
+        return;
+    }
     if (server->engine && server->mode != MODE_RESET) {
         begin_stream(run);
         return;
@@ -310,77 +339,23 @@
     run_later(server->store->base, EXECUTION_MS, on_work_done, run);
 }
 
-/* ---- reports and orders ---- */
+/* ---- reports ---- */
 
 static void
 answer_report(const platform_server_t *server, struct evhttp_request *req)
 {
+    int preempted = server_count_preempted(server);
     CLEAN_JSON json_t *report = json_pack(
-        "{s:s,s:[{s:s,s:I,s:[]}],s:b,s:I,s:i,s:i,s:I}", "stage", "both",
-        "models", "name", MODEL, "version", (json_int_t)server->version,
-        "adapters", "busy", server->loading, "sequence",
-        (json_int_t)server->order_count, "queued_requests", 0,
-        "active_requests", server->running, "born", (json_int_t)1000);
+        "{s:s,s:[{s:s,s:I,s:[]}],s:b,s:I,s:i,s:i,s:I,s:I,s:I}", "stage",
+        "both", "models", "name", MODEL, "version",
+        (json_int_t)server->version, "adapters", "busy", server->loading,
+        "sequence", (json_int_t)server->order_count, "queued_requests",
+        preempted, "active_requests", server->running - preempted,
+        "cache_used", (json_int_t)server->memory_used, "cache_total",
+        (json_int_t)server->memory_total, "born", (json_int_t)1000);
     answer_json(req, 200, report);
 }
 
-typedef struct {
-    platform_server_t *server;
-    int64_t version;
-} weights_load_t;
-
-static void
-on_weights_loaded(evutil_socket_t fd, short what, void *arg)
-{
-    weights_load_t *load = arg;
-    (void)fd;
-    (void)what;
-    load->server->version = load->version;
-    server_cache_clear(load->server);
-    load->server->loading = false;
-    free(load);
-}
-
-static int
-apply_order(platform_server_t *server, const json_t *order)
-{
-    int64_t fencing_token = json_get_int(order, "fencing_token", 0);
-    int64_t version = json_get_int(order, "version", 0);
-    if (json_get_string(order, "holder") == NULL || fencing_token == 0) {
-        return 400;
-    }
-    if (fencing_token < server->fencing_token) {
-        return 412;
-    }
-    server->fencing_token = fencing_token;
-    if (version == server->version) {
-        return 200;
-    }
-    if (server->loading ||
-        json_get_int(order, "expect", server->order_count) !=
-            server->order_count) {
-        return 409;
-    }
-    server->order_count++;
-    server->loading = true;
-    weights_load_t *load = mem_zalloc(sizeof(*load));
-    *load = (weights_load_t){server, version};
-    run_later(server->store->base, WEIGHTS_LOAD_MS, on_weights_loaded, load);
-    return 202;
-}
-
-static void
-answer_order(platform_server_t *server, struct evhttp_request *req)
-{
-    CLEAN_JSON json_t *order = parse_body(req);
-    CLEAN_TEXT char *text = json_dumps(order, JSON_COMPACT);
-    int status = apply_order(server, order);
-    (void)fprintf(server->record, "order server=%s status=%d %s\n", server->id,
-                  status, text);
-    (void)fflush(server->record);
-    evhttp_send_reply(req, status, NULL, NULL);
-}
-
 static void
 server_handle(struct evhttp_request *req, void *arg)
 {
@@ -392,7 +367,7 @@
         }
     }
     else if (path != NULL && strcmp(path, "/order") == 0) {
-        answer_order(server, req);
+        server_order_handle(server, req);
     }
     else if (path != NULL && strcmp(path, "/health") == 0) {
         record_arrival(server);
@@ -400,16 +375,18 @@
         add_signals(server, req);
         evhttp_send_reply(req, server->draining ? 503 : 200, NULL, NULL);
     }
-    else if (!server->engine || path == NULL ||
+    else if ((!server->engine && !server->kv_store) || path == NULL ||
              !server_cache_handle(server, req, path)) {
         run_request(server, req);
     }
 }
 
-/* Opens a server: ID,SERVICE,IPV4:PORT,DC,engine|plain[,IPV4:PORT]. The second
- * address, if given, is the one in its entry, where clients reach it. */
+/* Opens a server: ID,SERVICE,IPV4:PORT,DC,engine|plain|kv[,IPV4:PORT]. The
+ * second address, if given, is the one in its entry, where clients reach it.
+ * A kv store has no entry. */
 platform_server_t *
-server_open(platform_store_t *store, const char *spec, FILE *record)
+server_open(platform_store_t *store, platform_servers_t *servers,
+            const char *spec, FILE *record)
 {
     char copy[512];
     char *rest = copy;
@@ -417,8 +394,11 @@
     static const struct timeval interval = {0, HEARTBEAT_MS * 1000};
     str_copy(copy, sizeof(copy), spec);
     server->store = store;
+    server->servers = servers;
     server->record = record;
     server->version = 1;
+    server->memory_total = MEMORY_TOKENS;
+    CK_LIST_INIT(&server->runs);
     server->events = 8;
     server->event_interval_ms = 20;
     server->limit_per_s = -1;
@@ -431,6 +411,7 @@
     str_copy(server->addr, sizeof(server->addr), parts[2]);
     str_copy(server->dc, sizeof(server->dc), parts[3]);
     server->engine = strcmp(parts[4], "engine") == 0;
+    server->kv_store = strcmp(parts[4], "kv") == 0;
     char host[CS_ADDR_MAX];
     str_copy(host, sizeof(host), server->addr);
     if (parts[5][0] != '\0') {
@@ -445,6 +426,9 @@
         free(server);
         return NULL;
     }
+    if (server->kv_store) {
+        return server;
+    }
     server->heartbeat_timer =
         event_new(store->base, -1, EV_PERSIST, on_heartbeat, server);
     (void)event_add(server->heartbeat_timer, &interval);
@@ -455,9 +439,43 @@
 static const char *const mode_names[] = {"well",   "shed", "error",  "reset",
                                          "silent", "cut",  "foreign"};
 
+/* Applies what a command says of a server's cache and of its orders: forget
+ * (its cached parts), preempt (a number of requests), readmit (those that were
+ * preempted), hold_fetches, refuse_orders, late_order_ms, memory_used. */
+static void
+apply_engine_command(platform_server_t *server, const json_t *command)
+{
+    if (json_get_bool(command, "forget")) {
+        server_cache_clear(server);
+    }
+    server_preempt(server, json_get_int(command, "preempt", 0));
+    if (json_get_bool(command, "readmit")) {
+        server_readmit(server);
+    }
+    if (json_object_get(command, "refuse_orders") != NULL) {
+        server->refuse_orders = json_get_bool(command, "refuse_orders");
+    }
+    server->late_order_ms =
+        json_get_int(command, "late_order_ms", server->late_order_ms);
+    server->memory_used =
+        json_get_int(command, "memory_used", server->memory_used);
+    if (json_object_get(command, "hold_fetches") == NULL) {
+        return;
+    }
+    server->hold_fetches = json_get_bool(command, "hold_fetches");
+    run_t *run;
+    run_t *next;
+    CK_LIST_FOREACH_SAFE (run, &server->runs, entry, next) {
+        if (!server->hold_fetches && run->paused && !run->preempted) {
+            server_continue_run(run);
+        }
+    }
+}
+
 /* Applies a command to a server: mode, draining, gone, events, gap_ms, and
  * limit_per_s, a negative one for none, rest_s, that rejections ask for, and
- * leaving, which its answers say though its entry does not. */
+ * leaving, which its answers say though its entry does not; see also
+ * apply_engine_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -479,6 +497,10 @@
     if (json_is_number(rest)) {
         server->rest_s = json_number_value(rest);
     }
+    apply_engine_command(server, command);
+    if (server->kv_store) {
+        return 0;
+    }
     server->leaving = server->leaving || json_get_bool(command, "leaving");
     server->draining = server->draining || json_get_bool(command, "draining");
     if (json_get_bool(command, "gone")) {
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -65,9 +65,30 @@
     MODE_FOREIGN /* sends another request's answer before its own */
 } server_mode_t;
 
+typedef CK_LIST_HEAD(platform_servers, platform_server) platform_servers_t;
+
+/* A request in execution. */
+typedef struct run {
+    CK_LIST_ENTRY(run) entry;
+    struct platform_server *server;
+    struct evhttp_request *req;
+    unsigned next_event;   /* number of the next event to send */
+    unsigned last_event;   /* number of the last event of the stream */
+    int64_t version;       /* of the weights on which it started */
+    int64_t shown_version; /* of the weights last shown in the stream */
+    int priority;          /* 0 is the most urgent */
+    bool started;          /* its stream has begun */
+    bool preempted;        /* waits to be prefilled again */
+    bool paused;           /* preempted or held back, and no timer is set */
+    bool closed;           /* the client has closed the connection */
+} run_t;
+
+typedef CK_LIST_HEAD(runs, run) runs_t;
+
 typedef struct platform_server {
     CK_LIST_ENTRY(platform_server) entry;
     platform_store_t *store;
+    platform_servers_t *servers; /* all, for transfers between caches */
     struct evhttp *http;
     struct event *heartbeat_timer;
     char id[CS_NAME_MAX];
@@ -75,36 +96,54 @@
     char addr[CS_ADDR_MAX];
     char dc[CS_NAME_MAX];
     bool engine;
+    bool kv_store; /* caches parts and runs no requests */
     bool draining;
     bool removed;
     server_mode_t mode;
     int64_t version;
-    json_t *cached_parts;       /* of an engine: salt/id -> part */
+    json_t *cached_parts;       /* salt/id -> part */
+    json_t *part_versions;      /* salt/id -> version that prefilled it */
     json_t *cache_events;       /* oldest first */
     int64_t newest_cache_event; /* number of the newest cache event */
     int64_t order_count;
     int64_t fencing_token;
-    bool loading;
+    bool loading;          /* an order is being carried out */
+    bool load_started;     /* the order does not wait for requests any more */
+    int64_t loads_version; /* of the order that is being carried out */
     int64_t heartbeat_count;
-    int running;
+    int running;                /* length of runs */
+    runs_t runs;                /* newest first */
     unsigned events;            /* number of events of each stream */
     unsigned event_interval_ms; /* between events of a stream */
     double limit_per_s;         /* stated in answers if not negative */
     double rest_s;              /* asked for in rejections if positive */
     bool leaving;               /* said in answers */
-    FILE *record;               /* one line per request and order */
+    bool hold_fetches;          /* new requests wait before they fetch */
+    bool refuse_orders;         /* answers 409 to orders */
+    int64_t late_order_ms; /* if positive, orders are carried out so late and
+                              never answered */
+    int64_t memory_used;   /* reported */
+    int64_t memory_total;  /* reported */
+    FILE *record;          /* one line per request and order */
 } platform_server_t;
 
-typedef CK_LIST_HEAD(platform_servers, platform_server) platform_servers_t;
-
-void server_cache_add_prompt(platform_server_t *server,
-                             struct evhttp_request *req);
+void server_cache_provide_prompt(const run_t *run);
 void server_cache_clear(platform_server_t *server);
 bool server_cache_handle(const platform_server_t *server,
                          struct evhttp_request *req, const char *path);
-platform_server_t *server_open(platform_store_t *store, const char *spec,
+platform_server_t *server_open(platform_store_t *store,
+                               platform_servers_t *servers, const char *spec,
                                FILE *record);
 int server_command(platform_server_t *server, const json_t *command);
+void server_continue_run(run_t *run);
+
+void server_order_handle(platform_server_t *server,
+                         struct evhttp_request *req);
+void server_order_check(platform_server_t *server);
+
+void server_preempt(platform_server_t *server, int64_t count);
+void server_readmit(platform_server_t *server);
+int server_count_preempted(const platform_server_t *server);
 
 /* ---- helpers for the store and the servers ---- */
 void answer_json(struct evhttp_request *req, int status, const json_t *body);
--- a/tests/relay-lib.sh
+++ b/tests/relay-lib.sh
@@ -28,9 +28,9 @@
 
 post_admin() { curl -s -o /dev/null --max-time 2 -d "$2" "http://$PLATFORM_STORE/admin/$1"; }
 
-# start_platform ENGINES PLAIN_SERVERS
+# start_platform ENGINES PLAIN_SERVERS: EXTRA_SERVERS holds further arguments
 start_platform() {
-    local args=() i
+    local args=("${EXTRA_SERVERS[@]}") i
     for ((i = 1; i <= $1; i++)); do args+=(--server "e$i,llm,$(server_addr "$i"),dc-a,engine"); done
     for ((i = 1; i <= $2; i++)); do args+=(--server "p$i,desk,$(server_addr $((20 + i))),dc-a,plain"); done
     run platform "$BUILD/fake-platform" --store "$PLATFORM_STORE" --record "$RECORD" "${args[@]}"
@@ -90,6 +90,7 @@
 }
 request_status() { send_request "$@" | tail -1; }
 KEY1=(-H 'Authorization: Token key1')
+KEY2=(-H 'Authorization: Token key2')
 LLM_HEADERS=(-H 'X-Celeryspool-Model: m1' -H 'X-Celeryspool-Token-Usage: 1460,80' -H 'X-Celeryspool-Prompt-Prefix: aa:800,bb:410,cc:250')
 # send_raw ADDR TEXT: sends bytes unchanged and prints the response
 send_raw() {
