Rollout: requests go on through a load only where none is preempted

What callers got: an answer on older weights from parts that the newer ones had made (STALE).

Change: right before the order the server's own report decides. A load of a server that seems idle waits too. Peers get the notice of a drain once a second; a job lasts as long as the server says that it carries out its order.

--- a/relay/rollout-plan.c
+++ b/relay/rollout-plan.c
@@ -7,6 +7,12 @@
  * speed.  A server drains before it loads, so only about half of the servers
  * being updated are loading at a time. */
 #define ORDERED_SHARE 0.34
+/* Longest time from the state that a report shows to the arrival of the order:
+ * reports lag by some hundred ms. */
+#define REPORT_AGE_MS 600
+/* Share of its slots up to which a server has enough of them free for the
+ * requests that arrive before the order. */
+#define SLOTS_SHARE 0.75
 
 /* Returns how many of a model's servers may be updated at once. */
 size_t
@@ -76,10 +82,11 @@
     return best;
 }
 
-/* Whether a draining server can be ordered to load now.  Draining keeps most
- * answers from being generated partly on one version and partly on another.
- * Longer answers are not waited for: one of them would keep the server from
- * all other requests, and the fleet from the new weights. */
+/* Whether a draining server can be ordered to load now, if the requests that
+ * still run there may go on.  Draining keeps most answers from being generated
+ * partly on one version and partly on another.  Longer answers are not waited
+ * for: one of them would keep the server from all other requests, and the
+ * fleet from the new weights. */
 bool
 rollout_can_order(const server_t *server, int64_t drain_started_ms,
                   int64_t now_ms)
@@ -87,3 +94,33 @@
     return now_ms - drain_started_ms >= ROLLOUT_DRAIN_MS ||
            server_count_running(server, now_ms) == 0;
 }
+
+/* Whether no request is preempted at a server, and none will be before an
+ * order arrives there: the memory that is free suffices for all prompts that
+ * can be prefilled until then. */
+static bool
+is_free_of_preemption(const server_report_t *report, int slots)
+{
+    double free_tokens = (double)(report->memory_total - report->memory_used);
+    return report->waiting == 0 && report->running <= SLOTS_SHARE * slots &&
+           free_tokens >= SERVER_PREFILL_TOKENS_PER_MS * REPORT_AGE_MS;
+}
+
+/* Decides by a server's own report whether its running requests may go on
+ * through a load.
+ *
+ * A request that is preempted before the load and prefilled after it is
+ * prefilled by the newer weights, but cached under the salt of the older ones.
+ * Servers that are still on these fetch its parts, and no server or kv store
+ * shows which weights made a part.  So requests go on only where none is
+ * preempted; a load that waits for them is always safe, but may keep the
+ * server from all requests for seconds. */
+rollout_decision_t
+rollout_decide(const server_report_t *report, int slots, int64_t drained_ms)
+{
+    if (is_free_of_preemption(report, slots)) {
+        return ROLLOUT_ORDER_KEEP;
+    }
+    return drained_ms >= ROLLOUT_DRAIN_MAX_MS ? ROLLOUT_ORDER_WAIT
+                                              : ROLLOUT_DRAIN;
+}
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -20,19 +20,23 @@
 /* Reports lag by a few hundred ms: the effect of an order shows after this
  * time. */
 #define REPORT_LAG_MS 400
-/* Interval between reports of a server that loads. */
-#define LOADING_POLL_MS 250
+/* Interval between reports of a server that drains or loads. */
+#define REPORT_INTERVAL_MS 250
+/* Interval between notices to peers that a server drains or loads, which they
+ * forget after some seconds. */
+#define NOTICE_INTERVAL_MS 1000
 /* A server that could not be ordered to load is not tried again for this time.
  */
 #define JOB_RETRY_MS 500
-/* A job that has not finished in this time is abandoned, so that the server is
- * ordered again.  A load takes less than a second, and the requests that run
- * when it starts finish within a few seconds. */
+/* A job is abandoned, so that the server is ordered again, if the server has
+ * not said for this long that it carries out an order.  A load takes less than
+ * a second. */
 #define JOB_TIMEOUT_MS 6000
 
 typedef enum {
     JOB_REPORT,   /* requesting its weights and count of accepted orders */
     JOB_DRAINING, /* it gets no new requests while running ones finish */
+    JOB_DECIDING, /* requesting the report that decides on the order */
     JOB_ORDER,    /* the order was sent */
     JOB_LOADING   /* polling its report until it has the version */
 } job_state_t;
@@ -45,8 +49,10 @@
     int64_t version;
     job_state_t state;
     int64_t started_ms;
+    int64_t expires_ms;       /* when the job is abandoned */
     int64_t next_poll_ms;     /* when to request the next report */
     int64_t drain_started_ms; /* when JOB_DRAINING began */
+    int64_t notified_ms;      /* when peers were last notified of it */
     int64_t accepted_orders;  /* count in the server's last report */
     fetch_t *fetch;
 } job_t;
@@ -251,19 +257,29 @@
     job_send(job, server, &call);
 }
 
-/* Sends the load order.  Requests that still run go on during the load: if the
- * load waited for one long answer, the server would reject all other requests
- * until then, and the rest of the fleet would stay on old weights.  The lease
- * is checked last, right before the order is sent. */
+/* Keeps new requests from the server, here and at the peers. */
 static void
-job_send_order(job_t *job, const server_t *server)
+job_hold_requests(job_t *job, server_t *server)
+{
+    int64_t now = time_mono_ms();
+    server->loading_until_ms = now + JOB_TIMEOUT_MS;
+    if (now - job->notified_ms >= NOTICE_INTERVAL_MS) {
+        job->notified_ms = now;
+        peers_notify_weights(job->rollout->relay->peers, server, job->version);
+    }
+}
+
+/* Sends the load order.  The lease is checked last, right before the order is
+ * sent. */
+static void
+job_send_order(job_t *job, const server_t *server, drain_mode_t drain_mode)
 {
     rollout_t *rollout = job->rollout;
     CLEAN_BUF buf_t call = {0};
     weights_order_t order = {.server = server->info.id,
                              .model = job->model,
                              .version = job->version,
-                             .drain_mode = DRAIN_KEEP,
+                             .drain_mode = drain_mode,
                              .holder = rollout->lease.self,
                              .fence = rollout->lease.fence,
                              .expected_orders = job->accepted_orders};
@@ -274,12 +290,13 @@
     }
     log_record(LOG_INFO, "orders", "load",
                "server=%s model=%s version=%lld from=%lld fence=%lld "
-               "expected=%lld running=%d",
+               "expected=%lld running=%d waits=%d",
                server->info.id, job->model, (long long)job->version,
                (long long)server->info.weights,
                (long long)rollout->lease.fence,
                (long long)job->accepted_orders,
-               server_count_running(server, time_mono_ms()));
+               server_count_running(server, time_mono_ms()),
+               drain_mode == DRAIN_WAIT);
     job->state = JOB_ORDER;
     job_send(job, server, &call);
 }
@@ -287,14 +304,55 @@
 /* Stops sending requests to a server that is about to be ordered to load, so
  * that its running requests end on the weights on which they started. */
 static void
-job_drain(job_t *job, server_t *server, int64_t accepted_orders)
+job_drain(job_t *job, server_t *server)
 {
-    int64_t now = time_mono_ms();
-    job->accepted_orders = accepted_orders;
     job->state = JOB_DRAINING;
-    job->drain_started_ms = now;
-    server->loading_until_ms = now + ROLLOUT_DRAIN_MS + ORDER_CALL_MS;
-    peers_notify_weights(job->rollout->relay->peers, server, job->version);
+    job->drain_started_ms = time_mono_ms();
+    job_hold_requests(job, server);
+}
+
+/* Orders the server to load, or lets it drain on, by its report. */
+static void
+job_decide(job_t *job, server_t *server, const server_report_t *report)
+{
+    int64_t now = time_mono_ms();
+    switch (rollout_decide(report, server->info.slots,
+                           now - job->drain_started_ms)) {
+        case ROLLOUT_ORDER_KEEP:
+            job_send_order(job, server, DRAIN_KEEP);
+            return;
+        case ROLLOUT_ORDER_WAIT:
+            log_record(LOG_INFO, "orders", "no-room",
+                       "server=%s running=%d waiting=%d used=%lld total=%lld",
+                       server->info.id, report->running, report->waiting,
+                       (long long)report->memory_used,
+                       (long long)report->memory_total);
+            job_send_order(job, server, DRAIN_WAIT);
+            return;
+        case ROLLOUT_DRAIN:
+            job->state = JOB_DRAINING;
+            job->next_poll_ms = now + REPORT_INTERVAL_MS;
+            job_hold_requests(job, server);
+            return;
+    }
+}
+
+/* Advances a job whose server drains.  If nothing runs there, a load that
+ * waits starts at once, and a request of a host that has missed the notice
+ * does not go on through it. */
+static void
+job_drain_tick(job_t *job, server_t *server, int64_t now)
+{
+    if (now < job->next_poll_ms ||
+        !rollout_can_order(server, job->drain_started_ms, now)) {
+        return;
+    }
+    if (server_count_running(server, now) == 0) {
+        job_send_order(job, server, DRAIN_WAIT);
+        return;
+    }
+    job->state = JOB_DECIDING;
+    job_request_report(job, server);
 }
 
 static void
@@ -319,12 +377,26 @@
         job_free(job, 0);
         return;
     }
-    if (report.busy || job->state == JOB_LOADING) {
+    if (report.busy) {
+        job->expires_ms = time_mono_ms() + JOB_TIMEOUT_MS;
         job->state = JOB_LOADING;
-        job->next_poll_ms = time_mono_ms() + LOADING_POLL_MS;
-        return;
     }
-    job_drain(job, server, report.accepted_orders);
+    job->accepted_orders = report.accepted_orders;
+    switch (job->state) {
+        case JOB_REPORT:
+            job_drain(job, server);
+            return;
+        case JOB_DECIDING:
+            job_decide(job, server, &report);
+            return;
+        case JOB_LOADING:
+            job->next_poll_ms = time_mono_ms() + REPORT_INTERVAL_MS;
+            job_hold_requests(job, server);
+            return;
+        case JOB_DRAINING:
+        case JOB_ORDER:
+            return;
+    }
 }
 
 static void
@@ -334,9 +406,8 @@
         case 202:
             job->state = JOB_LOADING;
             job->next_poll_ms = time_mono_ms() + REPORT_LAG_MS;
-            server->loading_until_ms = time_mono_ms() + JOB_TIMEOUT_MS;
-            peers_notify_weights(job->rollout->relay->peers, server,
-                                 job->version);
+            job->notified_ms = 0;
+            job_hold_requests(job, server);
             return;
         case 200:
             job->state = JOB_REPORT;
@@ -382,14 +453,12 @@
     CK_LIST_FOREACH_SAFE (job, &rollout->jobs, entry, next) {
         server_t *server = servers_find(rollout->relay->servers, job->server);
         if (server == NULL || server->info.weights >= job->version ||
-            now - job->started_ms > JOB_TIMEOUT_MS) {
+            now > job->expires_ms) {
             job_free(job, 0);
             continue;
         }
         if (job->state == JOB_DRAINING) {
-            if (rollout_can_order(server, job->drain_started_ms, now)) {
-                job_send_order(job, server);
-            }
+            job_drain_tick(job, server, now);
             continue;
         }
         if (job->fetch == NULL && now >= job->next_poll_ms) {
@@ -411,6 +480,7 @@
         job_t *job = mem_zalloc(sizeof(*job));
         job->rollout = rollout;
         job->started_ms = now;
+        job->expires_ms = now + JOB_TIMEOUT_MS;
         job->version = weights->newest_version;
         str_copy(job->server, sizeof(job->server), server->info.id);
         str_copy(job->model, sizeof(job->model), weights->model);
--- a/tests/test-relay-config.c
+++ b/tests/test-relay-config.c
@@ -259,6 +259,28 @@
 }
 END_TEST
 
+START_TEST(report_is_read)
+{
+    static const char text[] =
+        "{\"models\":[{\"name\":\"m1\",\"version\":3,\"adapters\":[]}],"
+        "\"busy\":true,\"sequence\":2,\"queued_requests\":1,"
+        "\"active_requests\":12,\"cache_used\":41000,\"cache_total\":90000,"
+        "\"born\":1000}";
+    server_report_t report;
+    err_t err = {0};
+    ck_assert_int_eq(
+        platform_report_read(&report, text, sizeof(text) - 1, &err), 0);
+    ck_assert(report.busy);
+    ck_assert_int_eq(report.weights, 3);
+    ck_assert_int_eq(report.accepted_orders, 2);
+    ck_assert_int_eq(report.waiting, 1);
+    ck_assert_int_eq(report.running, 12);
+    ck_assert_int_eq(report.memory_used, 41000);
+    ck_assert_int_eq(report.memory_total, 90000);
+    ck_assert_int_eq(report.started_ms, 1000);
+}
+END_TEST
+
 /* Parts cached under older weights, or by another workspace if one of the two
  * is isolated, must not be found. */
 START_TEST(salts_differ_by_weights_and_isolation)
@@ -296,5 +318,5 @@
           workspace_limits_are_read, invalid_limits_are_rejected,
           split_follows_weights, invalid_configurations_are_rejected,
           invalid_entries_are_rejected, corrupted_pages_are_read_safely,
-          invalid_text_affects_one_entry,
+          invalid_text_affects_one_entry, report_is_read,
           salts_differ_by_weights_and_isolation, prompt_parts_are_read)
--- a/tests/test-rollout-plan.c
+++ b/tests/test-rollout-plan.c
@@ -49,6 +49,48 @@
 }
 END_TEST
 
+static const server_report_t unloaded = {
+    .running = 4, .memory_used = 20000, .memory_total = 100000};
+
+/* Asserts what is decided early and late in the drain of a server with 16
+ * slots. */
+static void
+assert_decision(const server_report_t *report, rollout_decision_t early,
+                rollout_decision_t late)
+{
+    ck_assert_int_eq(rollout_decide(report, 16, ROLLOUT_DRAIN_MS), early);
+    ck_assert_int_eq(rollout_decide(report, 16, ROLLOUT_DRAIN_MAX_MS - 1),
+                     early);
+    ck_assert_int_eq(rollout_decide(report, 16, ROLLOUT_DRAIN_MAX_MS), late);
+}
+
+/* Guards against parts that newer weights make under the salt of older ones: a
+ * load waits for requests of which some are preempted or may be. */
+START_TEST(requests_go_on_only_where_none_is_preempted)
+{
+    server_report_t report = unloaded;
+    assert_decision(&report, ROLLOUT_ORDER_KEEP, ROLLOUT_ORDER_KEEP);
+    report.waiting = 1;
+    assert_decision(&report, ROLLOUT_DRAIN, ROLLOUT_ORDER_WAIT);
+    report = unloaded;
+    report.memory_used = 80000;
+    assert_decision(&report, ROLLOUT_DRAIN, ROLLOUT_ORDER_WAIT);
+    report = unloaded;
+    report.running = 16;
+    assert_decision(&report, ROLLOUT_DRAIN, ROLLOUT_ORDER_WAIT);
+}
+END_TEST
+
+/* A server that does not report its memory may have none left. */
+START_TEST(unknown_memory_does_not_suffice)
+{
+    server_report_t report = unloaded;
+    report.memory_used = 0;
+    report.memory_total = 0;
+    assert_decision(&report, ROLLOUT_DRAIN, ROLLOUT_ORDER_WAIT);
+}
+END_TEST
+
 /* ---- a rollout under load ---- */
 
 typedef struct {
@@ -138,4 +180,5 @@
 END_TEST
 
 TEST_MAIN("rollout-plan", server_is_ordered_when_drained,
-          long_answers_do_not_delay_rollout)
+          requests_go_on_only_where_none_is_preempted,
+          unknown_memory_does_not_suffice, long_answers_do_not_delay_rollout)
