--- a/relay/relay-config.c
+++ b/relay/relay-config.c
@@ -83,6 +83,9 @@
         &config->routes[host_bucket(route->host, strlen(route->host))];
     route_t *before = NULL;
     route_t *other;
+    if (route->timeout_ms > config->longest_timeout_ms) {
+        config->longest_timeout_ms = route->timeout_ms;
+    }
     CK_SLIST_FOREACH (other, list, entry) {
         if (strlen(other->prefix) < strlen(route->prefix)) {
             break;
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -90,6 +90,7 @@
     int64_t revision;   /* revision of the object in the store */
     bool keys_required; /* requests need an access key */
     http_limits_t limits;
+    int longest_timeout_ms;              /* of all routes */
     route_list_t routes[CONFIG_BUCKETS]; /* by hash of the host */
     key_list_t keys[CONFIG_BUCKETS];     /* by hash of the key */
     relay_services_t services;
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -179,6 +179,19 @@
     return true;
 }
 
+/* Records that a request is sent to the server on its present weights. Returns
+ * the time since the first one that this host sent on them; the server has had
+ * them for at least that long. */
+int64_t
+server_use_weights(server_t *server, int64_t now_ms)
+{
+    if (server->used_weights != server->info.weights) {
+        server->used_weights = server->info.weights;
+        server->used_weights_ms = now_ms;
+    }
+    return now_ms - server->used_weights_ms;
+}
+
 /* Replaces older weights in an entry of the same start by the known ones.  The
  * entry was written before a load whose end a peer or the server itself has
  * reported. */
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -65,6 +65,8 @@
     int64_t order_not_before_ms; /* no new weights order before this time */
     /* No new requests before this time: the server loads weights. */
     int64_t loading_until_ms;
+    int64_t used_weights;    /* on which this host last sent a request */
+    int64_t used_weights_ms; /* when it first sent one on them */
     uint32_t id_hash; /* of the id; identifies the server to other hosts */
     uint16_t number;  /* in the cache map; reused after removal */
     /* When the entry disappeared from the platform; 0 if it is listed. */
@@ -166,6 +168,7 @@
 bool server_is_fetch_source(const server_t *server, int64_t now_ms);
 bool server_set_leaving(server_t *server);
 bool server_allows_request(const server_t *server, int64_t now_ms);
+int64_t server_use_weights(server_t *server, int64_t now_ms);
 int64_t server_request_wait_ms(const server_t *server, int64_t now_ms);
 void server_take_request(server_t *server, int64_t now_ms);
 uint32_t server_incarnation(const server_t *server);
--- a/tests/proc-rollout-preempted.sh
+++ b/tests/proc-rollout-preempted.sh
@@ -72,6 +72,21 @@
 engine e1 '{"readmit":true}'
 end_case 2 a1 b1
 
+echo "  a request is preempted after the load, when a more urgent one has arrived"
+engine e2 '{"mode":"shed"}'
+stream review a2
+expect "a2 runs at e1" wait_record '^run server=e1 uri=/review/a2 ' 3
+run_older b2 "$(server_addr 1)"
+publish 3
+expect "e1 loads while a2 goes on" wait_record '^loaded server=e1 version=3' 4
+engine e2 '{"mode":"shed"}'
+stream flag c2
+expect "c2 runs at e1" wait_record '^run server=e1 uri=/flag/c2 ' 3
+engine e1 '{"preempt":1}'
+sleep 0.2
+engine e1 '{"readmit":true}'
+end_case 3 a2 b2 c2
+
 echo "  a request is preempted before the load, its parts are fetched from the kv store"
 engine e2 '{"mode":"shed"}'
 SHARED=dd:800,ee:410
@@ -82,8 +97,8 @@
 engine kept '{"forget":true}'
 sleep 1.5 # the relay learns that the parts are gone
 run_older b3 "$KEPT"
-publish 3
-wait_record '^loaded server=e1 version=3' 4
+publish 4
+wait_record '^loaded server=e1 version=4' 4
 engine e1 '{"readmit":true}'
-end_case 3 a3 b3
+end_case 4 a3 b3
 finish
--- a/tests/test-relay-config.c
+++ b/tests/test-relay-config.c
@@ -72,6 +72,7 @@
     ck_assert(relay_config_find_service(config, "kept")->kv_store);
     ck_assert_str_eq(relay_config_find_service(config, "kept")->dc, "z1");
     ck_assert_int_eq(config->limits.idle_ms, 400);
+    ck_assert_int_eq(config->longest_timeout_ms, 15000);
     ck_assert_str_eq(relay_config_find_workspace(config, "k2")->name, "t1");
     ck_assert(relay_config_find_workspace(config, "k2")->isolated);
     ck_assert_ptr_null(relay_config_find_workspace(config, "k9"));
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -253,6 +253,22 @@
 }
 END_TEST
 
+/* Guards against urgent requests that preempt one which has gone on through a
+ * load: the time since a load counts anew for each version. */
+START_TEST(use_of_weights_counts_from_their_first_request)
+{
+    servers_t *servers = servers_new();
+    server_entry_t entry = on_old;
+    server_t *server = servers_put(servers, &entry);
+    ck_assert_int_eq(server_use_weights(server, 1000), 0);
+    ck_assert_int_eq(server_use_weights(server, 9000), 8000);
+    ck_assert(server_update_weights(server, 2, 0));
+    ck_assert_int_eq(server_use_weights(server, 9500), 0);
+    ck_assert_int_eq(server_use_weights(server, 9700), 200);
+    servers_free(servers);
+}
+END_TEST
+
 TEST_MAIN("servers", signals_of_an_earlier_start_are_forgotten,
           server_is_used_once_listed_with_new_weights,
           taken_slots_add_to_the_wait,
@@ -261,4 +277,5 @@
           unreachable_server_is_no_fetch_source,
           late_report_does_not_take_back_weights,
           late_entry_does_not_take_back_weights,
-          restarted_server_may_have_older_weights)
+          restarted_server_may_have_older_weights,
+          use_of_weights_counts_from_their_first_request)
