Rollout: a server drains until its unanswered load order is answered

What callers could get: an answer on older weights from parts that the newer ones had made. An order that lets requests go on is sent where no request is preempted; one without an answer may be carried out seconds later, when that no longer holds, since half a second after the missing answer the server got requests again until the next try.

Change: behind an unanswered order that lets requests go on, hosts keep their requests from the server until an order is answered or its report shows the load, so that its use of memory only falls. An unanswered order that waits for requests is safe at any time and changes nothing. Left open: hosts that do not meet their peers do not get the notice.

--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -54,6 +54,7 @@
     int64_t drain_started_ms; /* when JOB_DRAINING began */
     int64_t notified_ms;      /* when peers were last notified of it */
     int64_t accepted_orders;  /* count in the server's last report */
+    drain_mode_t drain_mode;  /* of the order that was sent */
     fetch_t *fetch;
 } job_t;
 
@@ -298,6 +299,7 @@
                server_count_running(server, time_mono_ms()),
                drain_mode == DRAIN_WAIT);
     job->state = JOB_ORDER;
+    job->drain_mode = drain_mode;
     job_send(job, server, &call);
 }
 
@@ -422,6 +424,25 @@
     }
 }
 
+/* A call got no answer.  The order may still be carried out, seconds later. If
+ * requests may go on through that load, the server drains until an order is
+ * answered: otherwise some may be preempted by then, see rollout_decide. */
+static void
+job_call_failed(job_t *job, server_t *server)
+{
+    int64_t now = time_mono_ms();
+    log_record(LOG_WARN, "orders", "no-answer", "server=%s state=%d",
+               job->server, (int)job->state);
+    if (job->state != JOB_ORDER || job->drain_mode != DRAIN_KEEP) {
+        job_free(job, JOB_RETRY_MS);
+        return;
+    }
+    job->state = JOB_DRAINING;
+    job->next_poll_ms = now + JOB_RETRY_MS;
+    job->expires_ms = now + JOB_TIMEOUT_MS;
+    job_hold_requests(job, server);
+}
+
 static void
 on_job_done(void *arg, const fetch_result_t *result)
 {
@@ -433,9 +454,7 @@
         return;
     }
     if (!result->complete) {
-        log_record(LOG_WARN, "orders", "no-answer", "server=%s state=%d",
-                   job->server, (int)job->state);
-        job_free(job, JOB_RETRY_MS);
+        job_call_failed(job, server);
         return;
     }
     if (job->state == JOB_ORDER) {
