--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -325,10 +325,8 @@
     add_identity(server, req);
     evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                   on_closed, run);
-    if (server->mode == MODE_SILENT) {
-        return;
-    }
-    if (server->engine && server->hold_fetches) {
+    if (server->mode == MODE_SILENT ||
+        (server->engine && server->hold_fetches)) {
         run->paused = true;
         return;
     }
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -79,7 +79,7 @@
     int priority;          /* 0 is the most urgent */
     bool started;          /* its stream has begun */
     bool preempted;        /* waits to be prefilled again */
-    bool paused;           /* preempted or held back, and no timer is set */
+    bool paused;           /* no timer is set: preempted, silent or held */
     bool closed;           /* the client has closed the connection */
 } run_t;
 
--- a/relay/rollout-plan.c
+++ b/relay/rollout-plan.c
@@ -10,8 +10,8 @@
 /* Longest time from the state that a report shows to the arrival of the order:
  * reports lag by some hundred ms. */
 #define REPORT_AGE_MS 600
-/* Share of its slots up to which a server has enough of them free for the
- * requests that arrive before the order. */
+/* Share of a server's slots that may be taken if its requests are to go on.
+ * The others are for requests that arrive before the order. */
 #define SLOTS_SHARE 0.75
 
 /* Returns how many of a model's servers may be updated at once. */
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -424,9 +424,9 @@
     }
 }
 
-/* A call got no answer.  The order may still be carried out, seconds later. If
- * requests may go on through that load, the server drains until an order is
- * answered: otherwise some may be preempted by then, see rollout_decide. */
+/* A call got no answer.  If it was an order, the server may still carry it
+ * out, seconds later.  If its requests would then go on, it drains until an
+ * order is answered: otherwise it might have preempted some by then. */
 static void
 job_call_failed(job_t *job, server_t *server)
 {
--- a/tests/proc-rollout-preempted.sh
+++ b/tests/proc-rollout-preempted.sh
@@ -22,16 +22,6 @@
         "${KEY2[@]}" "${LLM_HEADERS[@]:0:4}" -H "X-Celeryspool-Prompt-Prefix: ${SHARED:-aa:800,bb:410},$2:250" -d x \
         "http://$(relay_addr 1)/$1/$2" >"$OUT/$2" &
 }
-# wait_record PATTERN SECONDS: waits for a line of the stand-in's record
-wait_record() {
-    local n
-    for ((n = 0; n < $2 * 10; n++)); do
-        grep -qE "$1" "$RECORD" && return 0
-        sleep 0.1
-    done
-    return 1
-}
-engine() { post_admin "server/$1" "$2"; }
 publish() { post_admin object/versions/m1 "{\"model\":\"m1\",\"version\":$1}"; }
 tokens() { grep -c token- "$OUT/$1"; }
 
@@ -79,6 +69,7 @@
 run_older b2 "$(server_addr 1)"
 publish 3
 expect "e1 loads while a2 goes on" wait_record '^loaded server=e1 version=3' 4
+expect "the daemon knows it" wait_line "$OUT/relay-1.log" 'event=loaded server=e1 version=3' 4
 engine e2 '{"mode":"shed"}'
 stream flag c2
 expect "c2 runs at e1" wait_record '^run server=e1 uri=/flag/c2 ' 3
--- a/tests/proc-rollout-unanswered.sh
+++ b/tests/proc-rollout-unanswered.sh
@@ -4,19 +4,10 @@
 start_platform 2 2 && start_relays 1 || exit 1
 sleep 2.2 # a daemon makes no retries just after its start
 
-engine() { post_admin "server/$1" "$2"; }
 stream() { send_request 1 "/$1/$2" "${KEY2[@]}" "${LLM_HEADERS[@]:0:4}" -H "X-Celeryspool-Prompt-Prefix: $2:800,s$2:410,t$2:250" -d x >"$OUT/$2" & }
 # runs_since SERVER LINE: requests that a server has run since a line of the record
 runs_since() { tail -n +"$2" "$RECORD" | grep -c "^run server=$1 "; }
 lines() { wc -l <"$RECORD"; }
-wait_record() {
-    local n
-    for ((n = 0; n < $2 * 20; n++)); do
-        grep -qE "$1" "$RECORD" && return 0
-        sleep 0.05
-    done
-    return 1
-}
 
 # A long answer runs at e1; e2 gets no order.
 for e in e1 e2; do engine $e '{"events":100,"gap_ms":40}'; done
--- a/tests/relay-lib.sh
+++ b/tests/relay-lib.sh
@@ -26,8 +26,22 @@
 JSON
 }
 
+# wait_line FILE PATTERN SECONDS: waits for a line of a file
+wait_line() {
+    local n
+    for ((n = 0; n < $3 * 20; n++)); do
+        grep -qE "$2" "$1" && return 0
+        sleep 0.05
+    done
+    return 1
+}
+wait_record() { wait_line "$RECORD" "$@"; }
+
 post_admin() { curl -s -o /dev/null --max-time 2 -d "$2" "http://$PLATFORM_STORE/admin/$1"; }
 
+# engine ID COMMAND
+engine() { post_admin "server/$1" "$2"; }
+
 # start_platform ENGINES PLAIN_SERVERS: EXTRA_SERVERS holds further arguments
 start_platform() {
     local args=("${EXTRA_SERVERS[@]}") i
