Silent servers: a started stream moves only where it can go on

Callers saw: a started stream that may be resumed was cut, though its server was only silent for 1.5 s and went on; one that may not be resumed, at the same server, completed.

Cause: at the second failed probe requests_fail_over took started streams from the silent server before anything was known to take them. request_place found nothing, since the others were silent too, and requests_tick ended the stream an eighth of its target later. Class of fault: work is given up before what replaces it is sure.

Change: a started stream leaves a silent server only if another server can take it now, or other hosts serve forwarded requests, or nothing has yet shown whether they do (one stream at a time finds out). One that lost its server waits for a server until its deadline, not for 125 ms, and may go back to one that was tried.

--- a/relay/helpers.c
+++ b/relay/helpers.c
@@ -130,6 +130,23 @@
     return best;
 }
 
+/* Whether a host has served forwarded requests lately, or no request is at one
+ * and none has refused lately. */
+bool
+helpers_may_serve(const helpers_t *helpers, int64_t now_ms)
+{
+    bool idle = true;
+    for (size_t i = 0; i < helpers->count; i++) {
+        const helper_t *helper = &helpers->list[i];
+        if (served_recently(helper, now_ms)) {
+            return true;
+        }
+        idle =
+            idle && helper->running == 0 && now_ms >= helper->avoid_until_ms;
+    }
+    return idle;
+}
+
 /* Records that a request has been forwarded to a host. */
 void
 helpers_tried_add(helpers_tried_t *tried, const member_t *member)
--- a/relay/helpers.h
+++ b/relay/helpers.h
@@ -36,6 +36,7 @@
                                const member_t *members, size_t count,
                                const helpers_tried_t *tried, rng_t *rng,
                                int64_t now_ms);
+bool helpers_may_serve(const helpers_t *helpers, int64_t now_ms);
 void helpers_tried_add(helpers_tried_t *tried, const member_t *member);
 void helpers_tried_remove(helpers_tried_t *tried, const char *addr);
 void helpers_begin(helpers_t *helpers, const char *addr, int64_t now_ms);
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -338,6 +338,18 @@
                request->possible_runs, reach_state_name(relay->reach.state));
 }
 
+/* Whether a stream that has started should be forwarded: other hosts serve
+ * forwarded requests, or none is there that would show whether they do.  If
+ * the servers are silent for all hosts, the others wait for them. */
+bool
+request_may_forward(const request_t *request, int64_t now)
+{
+    const relay_t *relay = request->relay;
+    member_t member;
+    return !request->from_host && helpers_may_serve(&relay->helpers, now) &&
+           peers_choose_helper(relay->peers, &request->helpers_tried, &member);
+}
+
 /* Forwards the request to another host; false if there is none, or if it comes
  * from another host itself. */
 bool
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -402,6 +402,22 @@
     return listed;
 }
 
+/* Whether another server than the request's, which does not answer, or another
+ * host could take it now. */
+bool
+request_has_alternative(const request_t *request)
+{
+    int64_t now = time_mono_ms();
+    const server_t *server;
+    CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
+        if (server != request->server && can_serve(request, server, now) &&
+            server_allows_request(server, now)) {
+            return true;
+        }
+    }
+    return is_unreached(request, now) && request_may_forward(request, now);
+}
+
 /* Forwards a request whose servers this host does not reach to another host,
  * or rejects it if no host can serve it.  False if it may keep waiting. */
 static bool
--- a/relay/request.c
+++ b/relay/request.c
@@ -249,6 +249,22 @@
     };
 }
 
+/* No server can take the request after a failed attempt.  A stream that has
+ * started waits until its deadline, and may go back to a server that was
+ * tried: cut, it would be lost to its caller. */
+static void
+wait_for_server(request_t *request, int64_t now)
+{
+    if (request->phase == REQUEST_STREAMING) {
+        request->tried_count = 0;
+        request->helpers_tried.count = 0;
+        request->placement_deadline_ms = request->deadline_ms;
+        return;
+    }
+    request->placement_deadline_ms =
+        now + request->route->target_latency_ms / PLACEMENT_WAIT_DIVISOR;
+}
+
 /* An attempt has failed: retries the request or ends it. */
 void
 request_handle_failed_attempt(request_t *request, send_result_t result)
@@ -271,15 +287,12 @@
     switch (decision) {
         case RETRY_NOW:
             if (!request_place(request)) {
-                request->placement_deadline_ms =
-                    now +
-                    request->route->target_latency_ms / PLACEMENT_WAIT_DIVISOR;
+                wait_for_server(request, now);
             }
             return;
         case RETRY_LATER:
-            request->tried_count = 0;
+            wait_for_server(request, now);
             request->not_before_ms = now + STREAM_BACKOFF_MS;
-            request->placement_deadline_ms = request->deadline_ms;
             return;
         case RETRY_REJECT:
             request_reject(request, "refused-by-servers", RETRY_AFTER_FULL_MS);
@@ -322,7 +335,7 @@
 /* A server does not answer: fails its requests over to other servers.  A sound
  * server may be silent for a second, so those that were sent keep waiting if
  * they could not be sent again, and streams that have started unless
- * with_started is set. */
+ * with_started is set and another server or host can take them now. */
 void
 requests_fail_over(relay_t *relay, const server_t *server, bool with_started)
 {
@@ -333,7 +346,9 @@
             continue;
         }
         bool sent = exchange_has_sent(request->exchange);
-        bool waits = request->phase == REQUEST_STREAMING && !with_started;
+        bool started = request->phase == REQUEST_STREAMING;
+        bool waits =
+            started && (!with_started || !request_has_alternative(request));
         if (sent && (waits || !can_move(request))) {
             continue;
         }
--- a/relay/request.h
+++ b/relay/request.h
@@ -133,6 +133,7 @@
 void request_reject_with_status(request_t *request, int status,
                                 const char *reason, int64_t retry_after_ms);
 bool request_forward(request_t *request);
+bool request_may_forward(const request_t *request, int64_t now);
 bool request_helper_is_lost(const request_t *request, int64_t now);
 void request_release_helper(request_t *request);
 void request_reject_unreached(request_t *request);
@@ -143,6 +144,7 @@
 void request_note_quota(request_t *request);
 void request_count_in_shares(request_t *request);
 server_t *request_choose_server(request_t *request, int64_t now);
+bool request_has_alternative(const request_t *request);
 void request_record_signals(const request_t *request, const http_head_t *head);
 void request_record_first_answer(request_t *request);
 
--- a/tests/test-helpers.c
+++ b/tests/test-helpers.c
@@ -157,8 +157,27 @@
 }
 END_TEST
 
+/* Guards against streams that are taken from silent servers for the sake of
+ * hosts that wait for the same servers. */
+START_TEST(streams_move_only_to_hosts_that_may_serve)
+{
+    helpers_t helpers = {0};
+    set_members(3, 1);
+    ck_assert(helpers_may_serve(&helpers, 0));
+    helpers_begin(&helpers, members[1].peer_addr, 0);
+    ck_assert(!helpers_may_serve(&helpers, 100));
+    helpers_note_served(&helpers, members[1].peer_addr, 200);
+    ck_assert(helpers_may_serve(&helpers, 200));
+    helpers_end(&helpers, members[1].peer_addr);
+    helpers_avoid(&helpers, members[1].peer_addr, 300);
+    ck_assert(!helpers_may_serve(&helpers, 1299));
+    ck_assert(helpers_may_serve(&helpers, 1300));
+}
+END_TEST
+
 TEST_MAIN("helpers", only_live_hosts_that_serve_are_chosen,
           requests_are_spread_over_hosts, few_requests_stay_in_the_data_centre,
           hosts_of_another_data_centre_are_found_in_a_large_fleet,
           records_are_bounded_and_those_in_use_stay,
-          a_host_whose_server_failed_may_be_chosen_again)
+          a_host_whose_server_failed_may_be_chosen_again,
+          streams_move_only_to_hosts_that_may_serve)
