Forwarding: a host answers for its own runs alone

Callers saw: streams cut over silent servers, though hosts now move them only where they can go on: 1 to 2 of 4 at each of three hosts.

Cause: a host that takes a forwarded request counts the runs before it in possible_runs. When it found no server, was rejected or ran out of time, it answered 502 for a request that it had not sent; the first host took that for one more run, and the attempts were spent.

Change: what a host may answer for a forwarded request follows from its own runs (request_own_runs). If it has not sent it, it says that it was not run, and the first host goes on waiting.

--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -426,7 +426,7 @@
     if (request_forward(request)) {
         return true;
     }
-    if (request->possible_runs > 0) {
+    if (request_own_runs(request) > 0) {
         return false;
     }
     if (request->from_host) {
--- a/relay/request.c
+++ b/relay/request.c
@@ -212,7 +212,7 @@
         server_record_fault(request->server, SERVER_FAULT_TIMEOUT,
                             time_mono_ms());
     }
-    if (request->possible_runs == 0 &&
+    if (request_own_runs(request) == 0 &&
         (request->exchange == NULL || !exchange_has_sent(request->exchange))) {
         request_reject(request, "no-server-in-time", RETRY_AFTER_NO_SERVER_MS);
         return;
@@ -231,15 +231,24 @@
     return request->from_host && granted < max ? granted : max;
 }
 
-/* Returns the state of a request for the rule of retries. */
+/* Returns how often the request may have run through this host. */
+int
+request_own_runs(const request_t *request)
+{
+    return request->possible_runs - request->runs_before;
+}
+
+/* Returns the state of a request for the rule of retries.  Runs through the
+ * host that forwarded it count there: they say nothing of what this one may
+ * answer. */
 static retry_state_t
 make_retry_state(const request_t *request, double retries_left, int64_t now)
 {
     return (retry_state_t){
         .kind = request->route->kind,
         .resumable = request->route->resumable,
-        .attempts_max = request->route->attempts,
-        .possible_runs = request->possible_runs,
+        .attempts_max = request->route->attempts - request->runs_before,
+        .possible_runs = request_own_runs(request),
         /* While the servers are not reached, sends that never left this host
          * say nothing of the service. */
         .sends = reach_is_lost(&request->relay->reach) ? 1 : request->sends,
@@ -273,7 +282,7 @@
     double retries_left =
         retry_share_left(&request->relay->retry_shares, request->service, now);
     retry_state_t state = make_retry_state(request, retries_left, now);
-    state.attempts_max = runs_max(request);
+    state.attempts_max = runs_max(request) - request->runs_before;
     retry_decision_t decision = retry_decide(&state, result);
     log_record(LOG_WARN, "request", "send-failed",
                "id=%s server=%s fate=%s ran=%d sends=%d share_left=%d "
@@ -408,7 +417,7 @@
         if (request_place(request) || now < request->placement_deadline_ms) {
             continue;
         }
-        if (request->possible_runs == 0) {
+        if (request_own_runs(request) == 0) {
             request_reject(request, "no-server", RETRY_AFTER_NO_SERVER_MS);
         }
         else {
