--- a/tests/lost-lib.sh
+++ b/tests/lost-lib.sh
@@ -23,7 +23,7 @@
     local i
     for ((i = 1; i <= $2; i++)); do
         {
-            ID="$1-$i" send_request "${4:-1}" "$3" "${KEY1[@]}" "${LLM_HEADERS[@]:0:4}" -H "X-Celeryspool-Prompt-Prefix: $i:800,b$i:410,c$i:250" -d x
+            ID="$1-$i" send_request "${4:-1}" "$3" "${KEY1[@]}" "${LLM_HEADERS[@]:0:4}" -H "X-Celeryspool-Prompt-Prefix: $1$i:800,b$1$i:410,c$1$i:250" -d x
             echo "exit $?"
         } >"$OUT/$1-$i" &
         sleep 0.02
