Forwarding: the first host's deadline holds at the other host

Cause: the other host, which had the new configuration already, took the lesser of the forwarded deadline and its own time-out and broke the answer off. State that two hosts hold in different versions decided on one request.

Change: the deadline of a forwarded request is the one that the first host set, which has applied the time-out of its configuration.

Evidence: proc-lost-change-times failed before and passes.

--- a/relay/request.c
+++ b/relay/request.c
@@ -533,12 +533,15 @@
     return request;
 }
 
+/* Sets the deadline of the request.  The host that forwards one has applied
+ * its own route's timeout: another configuration here must not end the answer
+ * sooner. */
 static void
-set_deadlines(request_t *request)
+set_deadlines(request_t *request, bool from_host)
 {
     int64_t caller_ms = read_deadline(request->head);
     int64_t timeout_ms = request->route->timeout_ms;
-    if (caller_ms != DEADLINE_NONE && caller_ms < timeout_ms) {
+    if (caller_ms != DEADLINE_NONE && (from_host || caller_ms < timeout_ms)) {
         timeout_ms = caller_ms;
     }
     struct timeval timeout = {timeout_ms / 1000, timeout_ms % 1000 * 1000};
@@ -618,7 +621,7 @@
             MEAN_PROMPT_WEIGHT *
             (request->prompt.prompt_tokens - relay->mean_prompt_tokens);
     }
-    set_deadlines(request);
+    set_deadlines(request, from_host);
     if (from_host) {
         relay->meter.taken++;
         request_read_forwarded(request);
