Callers' timers: input that has arrived is read before a connection closes

After a turn of the loop that was late by more than the idle time-out, 48 of 80 connections were closed although whole requests lay in their sockets, kept and new ones; a stop closed 4 of 4 so. After a change to a longer idle time-out the open connections were closed at the old one, and an empty line after a body brought an unasked 408.

Cause: a turn of the loop reports 32 events at first and then runs all timers that are due; on_timer and http_listener_close_idle looked at the buffers, not at the socket. Timers kept the limit with which they were armed, whatever configuration came into force. Class of fault: a decision on state that is older than what has already arrived.

Change: a timer compares with the limit of now, and waits while input lies unread; a stop looks at the socket; empty lines do not begin a request.

Evidence: test-caller-timers failed in all 7 checks and passes; test-http-edges and test-http-reader pass.

--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -27,6 +27,9 @@
  * the longest deadline that callers are expected to set. */
 #define WRITE_TIMEOUT_S 30
 
+/* Time in which the event loop reads input that has arrived. */
+#define UNREAD_INPUT_MS 1
+
 typedef enum {
     CALLER_IDLE,    /* between requests */
     CALLER_READING, /* part of a request has been received */
@@ -46,6 +49,7 @@
     bool body_too_long; /* the body exceeds its limit */
     bool in_step;       /* caller_step is running; prevents recursion */
     struct event *timer;
+    int64_t timer_armed_ms;
 };
 
 typedef CK_LIST_HEAD(caller_list, caller) caller_list_t;
@@ -88,9 +92,46 @@
 caller_arm_timer(caller_t *caller, int64_t ms)
 {
     struct timeval after = {ms / 1000, ms % 1000 * 1000};
+    caller->timer_armed_ms = time_mono_ms();
     (void)event_add(caller->timer, &after);
 }
 
+/* Whether bytes of the caller have arrived that are not read yet. */
+static bool
+has_unread_input(const caller_t *caller)
+{
+    char byte;
+    return recv(bufferevent_getfd(caller->bev), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Returns the time left until the timeout for a request or for its next part,
+ * by the limits of now: they may have grown since the timer was armed. */
+static int64_t
+timeout_left_ms(const caller_t *caller)
+{
+    http_limits_t limits = limits_of(caller->listener);
+    bool in_head =
+        caller->state == CALLER_READING && caller->reader.state == READER_HEAD;
+    int64_t limit_ms = in_head ? limits.head_ms : limits.idle_ms;
+    return caller->timer_armed_ms + limit_ms - time_mono_ms();
+}
+
+/* Waits on if the connection has not timed out yet, or if input has arrived:
+ * after a delay of the event loop timers run before all input is read. */
+static bool
+timer_waits(caller_t *caller)
+{
+    int64_t left_ms = timeout_left_ms(caller);
+    if (left_ms <= 0 && !has_unread_input(caller)) {
+        return false;
+    }
+    int64_t armed_ms = caller->timer_armed_ms;
+    caller_arm_timer(caller, left_ms > 0 ? left_ms : UNREAD_INPUT_MS);
+    caller->timer_armed_ms = armed_ms;
+    return true;
+}
+
 /* Times out a request that arrives too slowly (408) and closes an idle or
  * closing connection, which would only use up a descriptor.  A connection
  * whose output is not written yet is kept: closing it would truncate a
@@ -101,6 +142,10 @@
     caller_t *caller = arg;
     (void)fd;
     (void)what;
+    if ((caller->state == CALLER_READING || caller->state == CALLER_IDLE) &&
+        timer_waits(caller)) {
+        return;
+    }
     if (caller->state == CALLER_READING) {
         caller->close_after = true;
         caller_answer(caller, 408, NULL, "", 0);
@@ -187,6 +232,9 @@
 {
     struct evbuffer *in = bufferevent_get_input(caller->bev);
     reader_state_t before = caller->reader.state;
+    if (caller->state == CALLER_IDLE) {
+        http_reader_skip_empty_lines(in);
+    }
     if (before == READER_HEAD && evbuffer_get_length(in) == 0) {
         return false;
     }
@@ -376,7 +424,7 @@
     }
 }
 
-/* Whether the connection has no request and no buffered input or output.  The
+/* Whether the connection has no request, no input and no buffered output.  The
  * end of a response may still be buffered when its connection is idle again;
  * closing it then would truncate the response. */
 static bool
@@ -384,7 +432,8 @@
 {
     return caller->state == CALLER_IDLE &&
            evbuffer_get_length(bufferevent_get_input(caller->bev)) == 0 &&
-           evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0;
+           evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0 &&
+           !has_unread_input(caller);
 }
 
 /* Stops accepting connections and closes the idle ones.  Called repeatedly
--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -174,9 +174,10 @@
     }
 }
 
-/* Some clients send an extra CRLF after a body. */
-static void
-skip_empty_lines(struct evbuffer *in)
+/* Drops empty lines before a request: some clients send an extra CRLF after a
+ * body. */
+void
+http_reader_skip_empty_lines(struct evbuffer *in)
 {
     char two[2];
     while (evbuffer_copyout(in, two, 2) == 2 && memcmp(two, "\r\n", 2) == 0) {
@@ -188,7 +189,7 @@
 read_head(http_reader_t *reader, struct evbuffer *in)
 {
     if (!reader->response) {
-        skip_empty_lines(in);
+        http_reader_skip_empty_lines(in);
     }
     struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
     size_t have = evbuffer_get_length(in);
--- a/kernel/http-reader.h
+++ b/kernel/http-reader.h
@@ -66,6 +66,7 @@
 void http_reader_next(http_reader_t *reader);
 void http_reader_free(http_reader_t *reader);
 reader_state_t http_reader_feed(http_reader_t *reader, struct evbuffer *in);
+void http_reader_skip_empty_lines(struct evbuffer *in);
 reader_state_t http_reader_eof(http_reader_t *reader);
 
 const char *http_head_method(const http_head_t *head);
