Silent servers: requests that wait for an answer stay as streams do

Callers saw: with their only server silent for 1.1 or 2 s, 12 of 12 requests that may run twice got 502 with 4 s of their time left, while those that may not were answered by that server once it went on.

Cause: the first failed probe took all requests that may run again from the server, whether another one could take them or not.

Change: one rule for all requests that were sent to a silent server.

--- a/relay/request.c
+++ b/relay/request.c
@@ -341,11 +341,33 @@
     return retry_decide(&state, SEND_UNKNOWN) == RETRY_NOW;
 }
 
-/* A server does not answer: fails its requests over to other servers.  A sound
- * server may be silent for a second, so those that were sent keep waiting if
- * they could not be sent again, and streams that have started unless
- * with_started is set and another server or host can take them now; one alone
- * if it is doubtful that these will. */
+/* Whether a request that was sent to a silent server stays there.  A sound
+ * server may be silent for a second, so a request leaves it only if it may run
+ * again and can be taken now; one alone if that is doubtful. */
+static bool
+stays_at_silent_server(const request_t *request, bool with_started,
+                       bool *trial_sent)
+{
+    bool started = request->phase == REQUEST_STREAMING;
+    if ((started && !with_started) || !can_move(request)) {
+        return true;
+    }
+    switch (request_find_alternative(request)) {
+        case ALTERNATIVE_NONE:
+            return true;
+        case ALTERNATIVE_DOUBTFUL: {
+            bool stays = *trial_sent;
+            *trial_sent = true;
+            return stays;
+        }
+        case ALTERNATIVE_LIKELY:
+            break;
+    }
+    return false;
+}
+
+/* A server does not answer: fails its requests over to other servers, those
+ * whose answers have started only if with_started is set. */
 void
 requests_fail_over(relay_t *relay, const server_t *server, bool with_started)
 {
@@ -353,20 +375,11 @@
     request_t *next;
     bool trial_sent = false;
     CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
-        if (request->server != server || request->exchange == NULL) {
-            continue;
-        }
-        bool sent = exchange_has_sent(request->exchange);
-        bool started = request->phase == REQUEST_STREAMING;
-        alternative_t alternative = started && with_started
-                                        ? request_find_alternative(request)
-                                        : ALTERNATIVE_NONE;
-        bool stays = alternative == ALTERNATIVE_NONE ||
-                     (alternative == ALTERNATIVE_DOUBTFUL && trial_sent);
-        if (sent && ((started && stays) || !can_move(request))) {
+        if (request->server != server || request->exchange == NULL ||
+            (exchange_has_sent(request->exchange) &&
+             stays_at_silent_server(request, with_started, &trial_sent))) {
             continue;
         }
-        trial_sent = trial_sent || alternative == ALTERNATIVE_DOUBTFUL;
         abandon_attempt(request);
     }
 }
