Retries: an attempt after a lost one is made over a new connection

A stream whose connection broke first was forwarded again to the same host over a kept connection whose end had not been read yet. The request counted as sent, and the attempts were used up within 1 ms.

Change: an attempt after one that may have run opens a connection. If the host or server has ended it is refused, which costs no run.

One connection more for each attempt that is repeated.

--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -500,6 +500,7 @@
         .body = request->body->data,
         .body_len = request->body->len,
         .no_response_body = request->head->method == HTTP_HEAD,
+        .new_connection = request_needs_new_connection(request),
         .connect_ms = CONNECT_TIMEOUT_MS};
     request->exchange =
         exchange_start(relay->exchanges, &options, &request_hooks);
--- a/relay/request.c
+++ b/relay/request.c
@@ -238,6 +238,15 @@
     return request->possible_runs - request->runs_before;
 }
 
+/* Whether an attempt is made over a new connection: one that is open may have
+ * ended unnoticed, and if an attempt has been lost already, none may be left
+ * after this one. */
+bool
+request_needs_new_connection(const request_t *request)
+{
+    return request->possible_runs > 0;
+}
+
 /* Returns the state of a request for the rule of retries.  Runs through the
  * host that forwarded it count there: they say nothing of what this one may
  * answer. */
--- a/relay/request.h
+++ b/relay/request.h
@@ -109,6 +109,7 @@
 /* Sends or rejects a waiting request; false if it must keep waiting. */
 bool request_place(request_t *request);
 int request_own_runs(const request_t *request);
+bool request_needs_new_connection(const request_t *request);
 void request_send(request_t *request, server_t *server);
 void request_release_server(request_t *request);
 void request_handle_failed_attempt(request_t *request, send_result_t result);
