Requests: a trailer is no part of the head

A caller that sent a chunked body with a trailer ended the daemon: one such request, SIGSEGV, every request in flight there lost.

Cause: http-parser reports a trailer's lines as headers. The reader added them to the head as spans of the head's text, though they lie in the input buffer, which is drained and elsewhere in memory. Whoever then looked for a header by name, or passed the headers on, read at a wild address. The same holds for a server's trailer, whose head nobody reads after the body.

Lines of a trailer are now dropped, as HTTP allows. http-parser itself bounds their length at 80 KB.

--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -39,6 +39,10 @@
 {
     http_reader_t *reader = reader_of(parser);
     http_head_t *head = &reader->head;
+    if (reader->state != READER_HEAD) {
+        return 0; /* a trailer, which is dropped: it is not in the head's text
+                   */
+    }
     if (head->count == HTTP_HEAD_HEADERS_MAX) {
         return reject(reader, 431, "too many headers");
     }
@@ -59,6 +63,9 @@
 {
     http_reader_t *reader = reader_of(parser);
     http_head_t *head = &reader->head;
+    if (reader->state != READER_HEAD) {
+        return 0;
+    }
     if (reader->last_was_value) {
         return reject(reader, 400, "a folded header");
     }
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -170,6 +170,24 @@
 }
 END_TEST
 
+/* Guards against a trailer whose lines are taken for some of the head, which
+ * no longer holds them. */
+START_TEST(a_trailer_is_not_part_of_the_head)
+{
+    static const char text[] =
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\nX-Trailer: 1\r\nHost: b\r\n\r\n";
+    feed_t feed;
+    feed_open(&feed, false);
+    ck_assert_int_eq(feed_bytes(&feed, text, strlen(text)), READER_COMPLETE);
+    const http_head_t *head = &feed.reader.head;
+    ck_assert_uint_eq(head->count, 2);
+    ck_assert_ptr_null(http_head_find(head, "X-Trailer"));
+    ck_assert(http_head_is(head, head->headers[0].value, "a"));
+    feed_close(&feed);
+}
+END_TEST
+
 /* For any input the reader terminates and stays within its bounds.  The input
  * is valid messages with seeded damage, split into pieces of random length. */
 START_TEST(damaged_messages_stay_within_bounds)
@@ -208,4 +226,6 @@
           a_head_over_the_limit_gets_431, the_next_request_stays_in_the_buffer,
           a_request_may_arrive_byte_by_byte,
           a_response_without_a_length_ends_with_its_connection,
+
+          a_trailer_is_not_part_of_the_head,
           damaged_messages_stay_within_bounds)
