--- /dev/null
+++ b/fakes/fake-garbage.c
@@ -0,0 +1,361 @@
+#include "../kernel/base.h"
+#include "../relay/wire.h"
+
+#include <argp.h>
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Entry point of a stand-in for a broken backend server: it answers requests
+ * with bytes of a chosen kind that come at a chosen rate until the caller
+ * closes.  GET /garbage/KIND chooses another kind.  Health checks and reports
+ * get a sound answer, or with --probes the same bytes.  A line to the standard
+ * output for each connection that ends after such an answer. */
+
+#define TICK_MS 5
+/* Unsent bytes of a connection above which it waits for the peer. */
+#define UNSENT_MAX (4u << 20)
+#define REQUEST_MAX 16384
+#define COMMAND "GET /garbage/"
+#define RATE_DEFAULT_MB_S 40
+
+typedef enum {
+    HEAD_NONE,
+    HEAD_OK,      /* 200 with the request's id and a signature, no length */
+    HEAD_CHUNKED, /* the same with chunks */
+    HEAD_EVENTS,  /* the same as a stream of events */
+    HEAD_FAILURE, /* 500 with the request's id and a signature */
+    HEAD_REJECTED /* 503 that states that the request has not run */
+} head_t;
+
+typedef struct {
+    const char *name;
+    head_t head;
+    const char *begin; /* once after the head */
+    const char *more;  /* without end */
+} kind_t;
+
+static const kind_t kinds[] = {
+    {"bytes", HEAD_NONE, "", "no answer "},
+    {"http-bytes", HEAD_NONE, "HTTP/1.1 200 ", "no answer "},
+    {"empty-lines", HEAD_NONE, "", "\r\n"},
+    {"newlines", HEAD_NONE, "", "\n"},
+    {"head", HEAD_NONE, "HTTP/1.1 200 OK\r\n", "X-More: 0123456789\r\n"},
+    {"interim", HEAD_NONE, "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    {"strays", HEAD_NONE, "",
+     "HTTP/1.1 200 OK\r\nX-Celeryspool-Attempt-Id: someone-else\r\n"
+     "X-Celeryspool-Server-Signature: sig.x\r\nContent-Length: 5\r\n\r\n"
+     "wrong"},
+    {"stray-body", HEAD_NONE,
+     "HTTP/1.1 200 OK\r\nX-Celeryspool-Attempt-Id: someone-else\r\n"
+     "X-Celeryspool-Server-Signature: sig.x\r\n\r\n",
+     "wrong"},
+    {"unsigned", HEAD_NONE, "HTTP/1.1 200 OK\r\n\r\n", "no answer "},
+    {"body", HEAD_OK, "", "0123456789"},
+    {"chunks", HEAD_CHUNKED, "", "a\r\n0123456789\r\n"},
+    {"no-chunks", HEAD_CHUNKED, "a\r\n0123456789\r\n", "no chunk "},
+    {"chunk-extension", HEAD_CHUNKED, "a;", "more"},
+    {"chunk-extensions", HEAD_CHUNKED, "",
+     "1;0123456789012345678901234567890123456789\r\nx\r\n"},
+    {"trailer", HEAD_CHUNKED, "a\r\n0123456789\r\n0\r\n",
+     "X-More: 0123456789\r\n"},
+    {"event", HEAD_EVENTS, "id: 1\ndata: token-1\n\n", "data: no end\n"},
+    {"repeats", HEAD_EVENTS, "id: 1\ndata: token-1\n\n",
+     "id: 1\ndata: token-1\n\n"},
+    {"events", HEAD_EVENTS, "", "data: 0123456789\n\n"},
+    {"failure", HEAD_FAILURE, "", "0123456789"},
+    {"rejection", HEAD_REJECTED, "", "0123456789"},
+};
+
+typedef struct {
+    const char *addr;
+    const char *id;
+    const kind_t *kind;
+    double rate_mb_s;
+    bool probes;
+    struct event_base *base;
+} garbage_t;
+
+typedef struct {
+    garbage_t *server;
+    struct bufferevent *bev;
+    struct event *timer;
+    const kind_t *kind; /* NULL before the first garbage */
+    size_t sent;
+    size_t next; /* byte of what is repeated */
+    double due;  /* bytes */
+    int64_t begun_ms;
+} peer_t;
+
+static const kind_t *
+find_kind(const char *name)
+{
+    for (size_t i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+        if (strcmp(kinds[i].name, name) == 0) {
+            return &kinds[i];
+        }
+    }
+    return NULL;
+}
+
+static const struct argp_option options[] = {
+    {"listen", 'l', "IPV4:PORT", 0, "address", 0},
+    {"id", 'i', "ID", 0, "of the server", 0},
+    {"kind", 'k', "KIND", 0, "of the bytes", 0},
+    {"rate", 'r', "MB/S", 0, "at which a connection gets them", 0},
+    {"probes", 'p', NULL, 0, "health checks and reports get them too", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *arg, struct argp_state *state)
+{
+    garbage_t *server = state->input;
+    switch (key) {
+        case 'l':
+            server->addr = arg;
+            return 0;
+        case 'i':
+            server->id = arg;
+            return 0;
+        case 'k':
+            server->kind = find_kind(arg);
+            if (server->kind == NULL) {
+                argp_error(state, "no kind %s", arg);
+            }
+            return 0;
+        case 'r':
+            server->rate_mb_s = strtod(arg, NULL);
+            return 0;
+        case 'p':
+            server->probes = true;
+            return 0;
+        case ARGP_KEY_END:
+            if (server->addr == NULL || server->id == NULL) {
+                argp_error(state, "--listen and --id are required");
+            }
+            return 0;
+        default:
+            return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp arguments = {
+    options, parse_option, NULL, "Stand-in for a server that sends garbage.",
+    NULL,    NULL,         NULL};
+
+static void
+peer_free(peer_t *peer)
+{
+    if (peer->kind != NULL) {
+        (void)printf("closed kind=%s sent=%zu ms=%lld\n", peer->kind->name,
+                     peer->sent, (long long)(time_mono_ms() - peer->begun_ms));
+        (void)fflush(stdout);
+    }
+    event_free(peer->timer);
+    bufferevent_free(peer->bev);
+    free(peer);
+}
+
+/* Adds bytes of what is repeated, beginning where the last ones ended. */
+static void
+add_more(peer_t *peer, size_t len)
+{
+    struct evbuffer *out = bufferevent_get_output(peer->bev);
+    const char *more = peer->kind->more;
+    size_t more_len = strlen(more);
+    char block[4096];
+    while (len > 0) {
+        size_t step = len < sizeof(block) ? len : sizeof(block);
+        for (size_t i = 0; i < step; i++) {
+            block[i] = more[peer->next];
+            peer->next = peer->next + 1 < more_len ? peer->next + 1 : 0;
+        }
+        (void)evbuffer_add(out, block, step);
+        peer->sent += step;
+        len -= step;
+    }
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+    peer_t *peer = arg;
+    (void)fd;
+    (void)what;
+    if (evbuffer_get_length(bufferevent_get_output(peer->bev)) > UNSENT_MAX) {
+        return;
+    }
+    peer->due += peer->server->rate_mb_s * 1e6 * TICK_MS / 1000;
+    size_t len = (size_t)peer->due;
+    peer->due -= (double)len;
+    add_more(peer, len);
+}
+
+/* Copies a header's value from a request; empty if it has none. */
+static void
+copy_header(const char *request, wire_header_t header, char *out, size_t size)
+{
+    char name[128];
+    (void)snprintf(name, sizeof(name), "\r\n%s: ", wire_header_name(header));
+    const char *at = strcasestr(request, name);
+    out[0] = '\0';
+    if (at != NULL) {
+        at += strlen(name);
+        (void)snprintf(out, size, "%.*s", (int)strcspn(at, "\r"), at);
+    }
+}
+
+static void
+add_head(const peer_t *peer, const char *request)
+{
+    static const char *const first[] = {
+        [HEAD_OK] = "200 OK",
+        [HEAD_CHUNKED] = "200 OK\r\nTransfer-Encoding: chunked",
+        [HEAD_EVENTS] = "200 OK\r\nContent-Type: text/event-stream",
+        [HEAD_FAILURE] = "500 Failed",
+        [HEAD_REJECTED] = "503 Full"};
+    struct evbuffer *out = bufferevent_get_output(peer->bev);
+    char id[128];
+    if (peer->kind->head == HEAD_NONE) {
+        return;
+    }
+    copy_header(request, HEADER_REQUEST_ID, id, sizeof(id));
+    (void)evbuffer_add_printf(out, "HTTP/1.1 %s\r\n%s: %s\r\n",
+                              first[peer->kind->head],
+                              wire_header_name(HEADER_REQUEST_ID), id);
+    if (peer->kind->head == HEAD_REJECTED) {
+        (void)evbuffer_add_printf(out, "%s: 1\r\n\r\n",
+                                  wire_header_name(HEADER_NOT_EXECUTED));
+        return;
+    }
+    (void)evbuffer_add_printf(out, "%s: sig.%s.%s\r\n\r\n",
+                              wire_header_name(HEADER_SIGNATURE),
+                              peer->server->id, id);
+}
+
+static void
+begin_garbage(peer_t *peer, const char *request)
+{
+    static const struct timeval tick = {0, TICK_MS * 1000};
+    peer->kind = peer->server->kind;
+    peer->begun_ms = time_mono_ms();
+    add_head(peer, request);
+    (void)bufferevent_write(peer->bev, peer->kind->begin,
+                            strlen(peer->kind->begin));
+    (void)event_add(peer->timer, &tick);
+}
+
+static void
+answer_probe(const peer_t *peer)
+{
+    static const char report[] =
+        "{\"stage\":\"both\",\"models\":[{\"name\":\"m1\",\"version\":1,"
+        "\"adapters\":[]}],\"busy\":false,\"sequence\":1,"
+        "\"queued_requests\":0,\"active_requests\":0,\"cache_used\":0,"
+        "\"cache_total\":90000,\"born\":1}";
+    (void)evbuffer_add_printf(
+        bufferevent_get_output(peer->bev),
+        "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %zu\r\n\r\n%s",
+        wire_header_name(HEADER_SERVER_ID), peer->server->id,
+        sizeof(report) - 1, report);
+}
+
+/* Chooses the kind that a command names. */
+static void
+take_command(const peer_t *peer, const char *request)
+{
+    char name[64];
+    const char *at = request + strlen(COMMAND);
+    (void)snprintf(name, sizeof(name), "%.*s", (int)strcspn(at, " "), at);
+    const kind_t *kind = find_kind(name);
+    peer->server->kind = kind != NULL ? kind : peer->server->kind;
+    (void)evbuffer_add_printf(bufferevent_get_output(peer->bev),
+                              "HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n",
+                              kind != NULL ? "200 OK" : "404 No such kind");
+}
+
+static bool
+is_probe(const char *request)
+{
+    return strncmp(request, "GET /health ", 12) == 0 ||
+           strncmp(request, "GET /report ", 12) == 0;
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+    peer_t *peer = arg;
+    struct evbuffer *in = bufferevent_get_input(bev);
+    char request[REQUEST_MAX];
+    if (peer->kind == NULL &&
+        evbuffer_search(in, "\r\n\r\n", 4, NULL).pos < 0) {
+        return;
+    }
+    ev_ssize_t len = evbuffer_copyout(in, request, sizeof(request) - 1);
+    (void)evbuffer_drain(in, evbuffer_get_length(in));
+    if (peer->kind != NULL || len < 0) {
+        return;
+    }
+    request[len] = '\0';
+    if (strncmp(request, COMMAND, strlen(COMMAND)) == 0) {
+        take_command(peer, request);
+    }
+    else if (is_probe(request) && !peer->server->probes) {
+        answer_probe(peer);
+    }
+    else {
+        begin_garbage(peer, request);
+    }
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+    (void)bev;
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+        peer_free(arg);
+    }
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *from, int len, void *arg)
+{
+    peer_t *peer = mem_zalloc(sizeof(*peer));
+    (void)listener;
+    (void)from;
+    (void)len;
+    peer->server = arg;
+    peer->bev =
+        bufferevent_socket_new(peer->server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    peer->timer = event_new(peer->server->base, -1, EV_PERSIST, on_tick, peer);
+    bufferevent_setcb(peer->bev, on_read, NULL, on_event, peer);
+    (void)bufferevent_enable(peer->bev, EV_READ | EV_WRITE);
+}
+
+int
+main(int argc, char **argv)
+{
+    garbage_t server = {.kind = &kinds[0], .rate_mb_s = RATE_DEFAULT_MB_S};
+    struct sockaddr_in at;
+    int len = (int)sizeof(at);
+    (void)argp_parse(&arguments, argc, argv, 0, NULL, &server);
+    (void)signal(SIGPIPE, SIG_IGN);
+    server.base = event_base_new();
+    if (evutil_parse_sockaddr_port(server.addr, (struct sockaddr *)&at,
+                                   &len) != 0 ||
+        evconnlistener_new_bind(server.base, on_accept, &server,
+                                LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 64,
+                                (struct sockaddr *)&at, sizeof(at)) == NULL) {
+        (void)fprintf(stderr, "fake-garbage: cannot use %s\n", server.addr);
+        return EXIT_UNREACHABLE;
+    }
+    (void)event_base_dispatch(server.base);
+    _Exit(EXIT_SUCCESS);
+}
