Answers: bytes that do not begin as a response are none

Bytes that come slowly and are no HTTP held a call until its route's time: 504 after 3017 ms for "no answer" at 1 KB/s. The reader looks at a head only once its empty line has come or 32 KB have.

It now rejects a response that does not begin with "HTTP/", after empty lines perhaps, with the first byte that differs. a_response_begins_with_its_version fails before and passes now.

--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -191,6 +191,31 @@
     }
 }
 
+/* Whether input whose head is incomplete begins as a response does, perhaps
+ * after empty lines. */
+static bool
+begins_as_response(struct evbuffer *in)
+{
+    static const char version[] = "HTTP/";
+    size_t at = 0;
+    struct evbuffer_ptr from;
+    (void)evbuffer_ptr_set(in, &from, 0, EVBUFFER_PTR_SET);
+    char c;
+    while (evbuffer_copyout_from(in, &from, &c, 1) == 1 &&
+           version[at] != '\0') {
+        if (c == version[at]) {
+            at++;
+        }
+        else if (at > 0 || (c != '\r' && c != '\n')) {
+            return false;
+        }
+        if (evbuffer_ptr_set(in, &from, 1, EVBUFFER_PTR_ADD) != 0) {
+            break;
+        }
+    }
+    return true;
+}
+
 static bool
 read_head(http_reader_t *reader, struct evbuffer *in)
 {
@@ -203,6 +228,9 @@
         if (have > reader->head_max) {
             (void)reject(reader, 431, "the head is too long");
         }
+        else if (reader->response && !begins_as_response(in)) {
+            (void)reject(reader, 400, "not a response");
+        }
         return false;
     }
     size_t len = (size_t)end.pos + 4;
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -170,6 +170,30 @@
 }
 END_TEST
 
+/* Guards against bytes that are no response and are taken for the begin of a
+ * long head. */
+START_TEST(a_response_begins_with_its_version)
+{
+    static const char *const begins[] = {"H", "HTTP/1.", "\r\nHTT", "\n",
+                                         "HTTP/1.1 200 OK\r\nX: y\r\n"};
+    static const char *const others[] = {"x", "HTTX", "\r\nno", "H\r\nT",
+                                         "no line end"};
+    feed_t feed;
+    for (size_t i = 0; i < sizeof(begins) / sizeof(begins[0]); i++) {
+        feed_open(&feed, true);
+        ck_assert_int_eq(feed_bytes(&feed, begins[i], strlen(begins[i])),
+                         READER_HEAD);
+        feed_close(&feed);
+    }
+    for (size_t i = 0; i < sizeof(others) / sizeof(others[0]); i++) {
+        feed_open(&feed, true);
+        ck_assert_int_eq(feed_bytes(&feed, others[i], strlen(others[i])),
+                         READER_INVALID);
+        feed_close(&feed);
+    }
+}
+END_TEST
+
 /* Guards against a trailer whose lines are taken for some of the head, which
  * no longer holds them. */
 START_TEST(a_trailer_is_not_part_of_the_head)
@@ -226,6 +250,6 @@
           a_head_over_the_limit_gets_431, the_next_request_stays_in_the_buffer,
           a_request_may_arrive_byte_by_byte,
           a_response_without_a_length_ends_with_its_connection,
-
+          a_response_begins_with_its_version,
           a_trailer_is_not_part_of_the_head,
           damaged_messages_stay_within_bounds)
