Exchanges: a bound for what is read besides the answer

A server that sent interim responses, responses to other requests or framing of chunks without end held a call until its route's time: 504 after 3014 to 3045 ms and 112 to 120 MB, and each such response to another request a warning in the log (3394 of two calls).

Cause: an exchange skips what is not its answer and waits for what follows, without a bound.

An exchange now counts the bytes that it reads besides the body that its owner accepts, and ends as malformed after 1 MB and as much as that body, or after 16 responses to other requests. The request may have run, as after any broken answer.

endless_bytes_end_an_exchange ends with a time-out before.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -12,6 +12,13 @@
 
 /* Bytes of a response head.  Common servers send less than 8 KB. */
 #define RESPONSE_HEAD_MAX 32768
+/* Bytes of an exchange besides the body that its owner accepts: heads, interim
+ * responses, responses to other requests, and what frames chunks, which
+ * may have as many bytes again as the body.  Sound servers send a few KB;
+ * broken ones may send bytes without end. */
+#define EXTRA_BYTES_MAX (1u << 20)
+/* Responses to other requests in one exchange.  A sound server sends a few. */
+#define STRAYS_MAX 16
 /* An idle connection expires this long before the timeout that its server
  * announced: the server's close may already be in transit. */
 #define KEEP_ALIVE_MARGIN_MS 700
@@ -70,11 +77,14 @@
     struct event *timer;
     int64_t deadline_ms; /* 0 for none */
     bool sent;
-    bool reused;    /* its connection was open before */
-    bool in_hook;   /* a hook is running: do not free the exchange */
-    bool cancelled; /* cancelled by a hook: free the exchange after it */
-    bool head_seen; /* on_head was called for this response */
-    bool skipping;  /* the owner rejected this response */
+    bool reused;     /* its connection was open before */
+    bool in_hook;    /* a hook is running: do not free the exchange */
+    bool cancelled;  /* cancelled by a hook: free the exchange after it */
+    bool head_seen;  /* on_head was called for this response */
+    bool skipping;   /* the owner rejected this response */
+    unsigned strays; /* responses skipped */
+    size_t extra;    /* bytes read besides the accepted body */
+    size_t accepted; /* bytes of the accepted body read */
     int64_t keep_alive_ms;
 };
 
@@ -295,8 +305,11 @@
 on_body(void *arg, const char *data, size_t len)
 {
     exchange_t *exchange = arg;
-    if (exchange->skipping || exchange->cancelled || !exchange->head_seen ||
-        exchange->hooks.on_body == NULL) {
+    if (exchange->skipping || exchange->cancelled || !exchange->head_seen) {
+        return;
+    }
+    exchange->accepted += len;
+    if (exchange->hooks.on_body == NULL) {
         return;
     }
     exchange->in_hook = true;
@@ -313,13 +326,55 @@
     exchange_end(exchange, EXCHANGE_COMPLETE);
 }
 
-/* Parses buffered input; false if the exchange has ended or needs more. */
-static bool
-read_step(exchange_t *exchange, struct evbuffer *in)
+/* Parses buffered input and counts what is not passed to the owner. */
+static reader_state_t
+feed_input(exchange_t *exchange, struct evbuffer *in)
 {
+    size_t before = evbuffer_get_length(in) + exchange->accepted;
     reader_state_t state = http_reader_feed(&exchange->reader, in);
+    exchange->extra += before - evbuffer_get_length(in) - exchange->accepted;
+    return state;
+}
+
+/* Ends the exchange if one of its hooks has cancelled it. */
+static bool
+ended_by_hook(exchange_t *exchange)
+{
     if (exchange->cancelled) {
         exchange_cancel(exchange);
+        return true;
+    }
+    return false;
+}
+
+/* Ends the exchange if it has read too much that is of no use. */
+static bool
+ended_by_extra_bytes(exchange_t *exchange)
+{
+    if (exchange->extra > EXTRA_BYTES_MAX + exchange->accepted ||
+        exchange->strays > STRAYS_MAX) {
+        exchange_end(exchange, EXCHANGE_MALFORMED);
+        return true;
+    }
+    return false;
+}
+
+/* A response that is not the request's was read: the next one follows. */
+static void
+begin_next_response(exchange_t *exchange)
+{
+    exchange->strays += exchange->skipping ? 1 : 0;
+    exchange->head_seen = false;
+    exchange->skipping = false;
+    http_reader_next(&exchange->reader);
+}
+
+/* Parses buffered input; false if the exchange has ended or needs more. */
+static bool
+read_step(exchange_t *exchange, struct evbuffer *in)
+{
+    reader_state_t state = feed_input(exchange, in);
+    if (ended_by_hook(exchange)) {
         return false;
     }
     if (state == READER_INVALID) {
@@ -333,21 +388,17 @@
     if (!exchange->head_seen && !interim) {
         pass_head(exchange);
     }
-    if (exchange->cancelled) {
-        exchange_cancel(exchange);
+    if (ended_by_hook(exchange)) {
         return false;
     }
-    if (state == READER_BODY) {
-        return evbuffer_get_length(in) > 0;
-    }
-    if (!interim && !exchange->skipping) {
+    if (state == READER_COMPLETE && !interim && !exchange->skipping) {
         response_complete(exchange);
         return false;
     }
-    exchange->head_seen = false;
-    exchange->skipping = false;
-    http_reader_next(&exchange->reader);
-    return evbuffer_get_length(in) > 0;
+    if (state == READER_COMPLETE) {
+        begin_next_response(exchange);
+    }
+    return !ended_by_extra_bytes(exchange) && evbuffer_get_length(in) > 0;
 }
 
 static void
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -18,7 +18,8 @@
     EXCHANGE_UNSENT,    /* no connection was made; nothing was sent */
     EXCHANGE_NO_ANSWER, /* the connection failed before a response began */
     EXCHANGE_BROKEN,    /* the connection failed within the response */
-    EXCHANGE_MALFORMED, /* the response is not valid HTTP */
+    EXCHANGE_MALFORMED, /* the response is not valid HTTP, or has too many
+                           bytes besides its body */
     EXCHANGE_TIMEOUT    /* total_ms passed, the request had been sent */
 } exchange_end_t;
 
--- a/tests/test-exchange.c
+++ b/tests/test-exchange.c
@@ -19,18 +19,40 @@
     struct bufferevent *connections[CONNECTIONS_MAX];
     unsigned accepted;
     unsigned answered;
+    const char *answer; /* an empty 200 if NULL */
+    const char *more;   /* without end after the answer; NULL for none */
+    size_t sent;        /* bytes of what is without end */
 } server_t;
 
-/* Answers each request on a connection with an empty 200. */
+/* What callers see of an exchange. */
+typedef struct {
+    server_t *server;
+    size_t body_len;
+    exchange_end_t end;
+    int64_t ms;
+} seen_t;
+
+static void
+send_more(struct bufferevent *bev, void *arg)
+{
+    server_t *server = arg;
+    for (int i = 0; server->more != NULL && i < 100; i++) {
+        (void)bufferevent_write(bev, server->more, strlen(server->more));
+        server->sent += strlen(server->more);
+    }
+}
+
+/* Answers each request on a connection. */
 static void
 on_read(struct bufferevent *bev, void *arg)
 {
-    static const char answer[] =
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    static const char empty[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    server_t *server = arg;
+    const char *answer = server->answer != NULL ? server->answer : empty;
     struct evbuffer *in = bufferevent_get_input(bev);
-    (void)arg;
     (void)evbuffer_drain(in, evbuffer_get_length(in));
-    (void)bufferevent_write(bev, answer, sizeof(answer) - 1);
+    (void)bufferevent_write(bev, answer, strlen(answer));
+    bufferevent_setcb(bev, on_read, send_more, NULL, server);
 }
 
 static void
@@ -45,7 +67,7 @@
                     sizeof(server->source));
     struct bufferevent *bev =
         bufferevent_socket_new(server->base, fd, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(bev, on_read, NULL, NULL, NULL);
+    bufferevent_setcb(bev, on_read, NULL, NULL, server);
     (void)bufferevent_enable(bev, EV_READ | EV_WRITE);
     ck_assert_uint_lt(server->accepted, CONNECTIONS_MAX);
     server->connections[server->accepted++] = bev;
@@ -138,5 +160,115 @@
 }
 END_TEST
 
+static head_action_t
+on_seen_head(void *arg, const http_head_t *head)
+{
+    (void)arg;
+    return http_head_find(head, "Other") != NULL ? HEAD_SKIP : HEAD_ACCEPT;
+}
+
+static void
+on_seen_body(void *arg, const char *data, size_t len)
+{
+    seen_t *seen = arg;
+    (void)data;
+    seen->body_len += len;
+}
+
+static void
+on_seen_end(void *arg, exchange_end_t end)
+{
+    seen_t *seen = arg;
+    seen->end = end;
+    (void)event_base_loopbreak(seen->server->base);
+}
+
+/* Sends one request to a server with these bytes for an answer. */
+static void
+see_answer(server_t *server, exchanges_t *exchanges, seen_t *seen)
+{
+    static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const exchange_request_t request = {.addr = server->addr,
+                                        .head = head,
+                                        .head_len = sizeof(head) - 1,
+                                        .connect_ms = 1000,
+                                        .total_ms = 3000};
+    const exchange_hooks_t hooks = {on_seen_head, on_seen_body, on_seen_end,
+                                    seen};
+    int64_t begun_ms = time_mono_ms();
+    seen->server = server;
+    (void)exchange_start(exchanges, &request, &hooks);
+    (void)event_base_dispatch(server->base);
+    seen->ms = time_mono_ms() - begun_ms;
+}
+
+static exchange_end_t
+end_of_answer(const char *answer, const char *more, seen_t *seen)
+{
+    server_t server;
+    server_start(&server);
+    server.answer = answer;
+    server.more = more;
+    exchanges_t *exchanges = exchanges_new(server.base);
+    see_answer(&server, exchanges, seen);
+    ck_assert(!exchanges_has_idle(exchanges, server.addr));
+    ck_assert_uint_lt(server.sent, 8u << 20);
+    exchanges_free(exchanges);
+    server_stop(&server);
+    return seen->end;
+}
+
+/* Guards against bytes without end that are no answer and are read until the
+ * exchange's time is over. */
+START_TEST(endless_bytes_end_an_exchange)
+{
+    static const char *const answers[][2] = {
+        {"no answer", ""},
+        {"HTTP/1.1 200 ", "no answer"},
+        {"\r\n", "\r\n"},
+        {"HTTP/1.1 200 OK\r\n", "X-More: 1\r\n"},
+        {"HTTP/1.1 102 Wait\r\n\r\n", "HTTP/1.1 102 Wait\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\nOther: 1\r\n\r\n", "body"},
+        {"HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 1\r\n\r\nx",
+         "HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 1\r\n\r\nx"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "1;a-long-extension-of-a-short-chunk\r\nx\r\n"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "more"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+         "X-More: 1\r\n"},
+    };
+    for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+        seen_t seen = {0};
+        exchange_end_t end =
+            end_of_answer(answers[i][0], answers[i][1], &seen);
+        ck_assert_msg(end == EXCHANGE_MALFORMED, "answer %zu ends as %d", i,
+                      (int)end);
+        ck_assert_int_lt(seen.ms, 1500);
+    }
+}
+END_TEST
+
+/* Guards against short interim and stray responses that end an exchange. */
+START_TEST(short_bytes_of_no_use_keep_the_connection)
+{
+    server_t server;
+    seen_t seen = {0};
+    server_start(&server);
+    exchanges_t *exchanges = exchanges_new(server.base);
+    server.answer =
+        "HTTP/1.1 102 Wait\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 5\r\n\r\nother"
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+    see_answer(&server, exchanges, &seen);
+    ck_assert_int_eq(seen.end, EXCHANGE_COMPLETE);
+    ck_assert_uint_eq(seen.body_len, 4);
+    ck_assert_uint_eq(server.accepted, 1);
+    ck_assert(exchanges_has_idle(exchanges, server.addr));
+    exchanges_free(exchanges);
+    server_stop(&server);
+}
+END_TEST
+
 TEST_MAIN("exchange", reused_connections_are_told_from_new_ones,
-          connections_come_from_the_set_address)
+          connections_come_from_the_set_address, endless_bytes_end_an_exchange,
+          short_bytes_of_no_use_keep_the_connection)
