Exchanges: an answer that is none ends at once

An answer that is of no use was read to its end. If its body had none, the call was held until its route's time: 504 after 3014 to 3049 ms and about 119 MB for an answer without a signature, a body over 8 MB, a failure's body, an event without end; a rejection, which promises that the request has not run, became a 504 too, and streams that could have gone on elsewhere had no time left.

- HEAD_DISCARD: the owner of an exchange has no use for a body.
The rest is read so that the connection can be kept, but at most 64 KB and for 100 ms; then the exchange ends as EXCHANGE_STOPPED.
For rejections, invalid answers and what another host answers itself.
- exchange_stop: on_body finds that the answer is none.
For a body over 8 MB, an event over 256 KB, and an answer of a fetch over 4 MB, which now fails instead of being read on and cut.

A request is treated as before once its answer is complete, so a rejection counts as such and an invalid answer may have run.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -19,6 +19,10 @@
 #define EXTRA_BYTES_MAX (1u << 20)
 /* Responses to other requests in one exchange.  A sound server sends a few. */
 #define STRAYS_MAX 16
+/* The rest of a response that has no use is read, so that its connection can
+ * be kept, unless it is longer or takes longer than this. */
+#define DISCARD_BYTES_MAX 65536
+#define DISCARD_MS 100
 /* An idle connection expires this long before the timeout that its server
  * announced: the server's close may already be in transit. */
 #define KEEP_ALIVE_MARGIN_MS 700
@@ -82,6 +86,8 @@
     bool cancelled;  /* cancelled by a hook: free the exchange after it */
     bool head_seen;  /* on_head was called for this response */
     bool skipping;   /* the owner rejected this response */
+    bool discarding; /* the rest of this response has no use */
+    bool stopped;    /* by a hook: end the exchange after it */
     unsigned strays; /* responses skipped */
     size_t extra;    /* bytes read besides the accepted body */
     size_t accepted; /* bytes of the accepted body read */
@@ -285,7 +291,15 @@
     }
 }
 
-/* Passes the head to the owner, who accepts or skips the response. */
+static void
+timer_arm(exchange_t *exchange, int ms)
+{
+    struct timeval after = {ms / 1000, ms % 1000 * 1000};
+    (void)event_add(exchange->timer, &after);
+}
+
+/* Passes the head to the owner, who accepts, skips or discards the response.
+ */
 static void
 pass_head(exchange_t *exchange)
 {
@@ -295,17 +309,23 @@
         return;
     }
     exchange->in_hook = true;
-    exchange->skipping =
-        exchange->hooks.on_head(exchange->hooks.arg, &exchange->reader.head) ==
-        HEAD_SKIP;
+    head_action_t action =
+        exchange->hooks.on_head(exchange->hooks.arg, &exchange->reader.head);
     exchange->in_hook = false;
+    exchange->skipping = action == HEAD_SKIP;
+    if (action == HEAD_DISCARD) {
+        exchange->discarding = true;
+        exchange->extra = 0;
+        timer_arm(exchange, DISCARD_MS);
+    }
 }
 
 static void
 on_body(void *arg, const char *data, size_t len)
 {
     exchange_t *exchange = arg;
-    if (exchange->skipping || exchange->cancelled || !exchange->head_seen) {
+    if (exchange->skipping || exchange->discarding || exchange->cancelled ||
+        exchange->stopped || !exchange->head_seen) {
         return;
     }
     exchange->accepted += len;
@@ -336,7 +356,7 @@
     return state;
 }
 
-/* Ends the exchange if one of its hooks has cancelled it. */
+/* Ends the exchange if one of its hooks wants that. */
 static bool
 ended_by_hook(exchange_t *exchange)
 {
@@ -344,6 +364,10 @@
         exchange_cancel(exchange);
         return true;
     }
+    if (exchange->stopped) {
+        exchange_end(exchange, EXCHANGE_STOPPED);
+        return true;
+    }
     return false;
 }
 
@@ -351,6 +375,10 @@
 static bool
 ended_by_extra_bytes(exchange_t *exchange)
 {
+    if (exchange->discarding && exchange->extra > DISCARD_BYTES_MAX) {
+        exchange_end(exchange, EXCHANGE_STOPPED);
+        return true;
+    }
     if (exchange->extra > EXTRA_BYTES_MAX + exchange->accepted ||
         exchange->strays > STRAYS_MAX) {
         exchange_end(exchange, EXCHANGE_MALFORMED);
@@ -442,13 +470,6 @@
     buf_free(&exchange->out);
 }
 
-static void
-timer_arm(exchange_t *exchange, int ms)
-{
-    struct timeval after = {ms / 1000, ms % 1000 * 1000};
-    (void)event_add(exchange->timer, &after);
-}
-
 /* Arms the timer for the deadline of the exchange, if it has one. */
 static void
 timer_arm_deadline(exchange_t *exchange)
@@ -494,6 +515,10 @@
     exchange_t *exchange = arg;
     (void)fd;
     (void)what;
+    if (exchange->discarding) {
+        exchange_end(exchange, EXCHANGE_STOPPED);
+        return;
+    }
     exchange_end(exchange,
                  exchange->sent ? EXCHANGE_TIMEOUT : EXCHANGE_UNSENT);
 }
@@ -638,6 +663,14 @@
     exchange_free(exchange);
 }
 
+/* To be called by on_body if the response turns out to be of no use: the
+ * exchange ends as stopped after the hook and closes its connection. */
+void
+exchange_stop(exchange_t *exchange)
+{
+    exchange->stopped = true;
+}
+
 /* Whether the exchange uses a connection that was open before. */
 bool
 exchange_is_reused(const exchange_t *exchange)
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -20,12 +20,15 @@
     EXCHANGE_BROKEN,    /* the connection failed within the response */
     EXCHANGE_MALFORMED, /* the response is not valid HTTP, or has too many
                            bytes besides its body */
+    EXCHANGE_STOPPED,   /* the owner wanted no more of the response */
     EXCHANGE_TIMEOUT    /* total_ms passed, the request had been sent */
 } exchange_end_t;
 
 typedef enum {
     HEAD_ACCEPT, /* pass the body to on_body */
-    HEAD_SKIP    /* a response to another request: discard it */
+    HEAD_SKIP,   /* a response to another request: discard it */
+    HEAD_DISCARD /* the response has no use: end with it, or without it if it
+                    is long or slow */
 } head_action_t;
 
 typedef struct {
@@ -61,6 +64,7 @@
                            const exchange_request_t *request,
                            const exchange_hooks_t *hooks);
 void exchange_cancel(exchange_t *exchange);
+void exchange_stop(exchange_t *exchange);
 bool exchange_has_sent(const exchange_t *exchange);
 bool exchange_is_reused(const exchange_t *exchange);
 
--- a/kernel/fetch.c
+++ b/kernel/fetch.c
@@ -2,8 +2,8 @@
 
 #include <stdlib.h>
 
-/* Longest answer: a page of the store is about a megabyte.  What exceeds this
- * is dropped, so that a longer answer fails to parse. */
+/* Longest answer: a page of the store is about a megabyte.  A longer one is
+ * not read to its end. */
 #define ANSWER_BYTES_MAX (4u << 20)
 
 struct fetch {
@@ -26,9 +26,11 @@
 on_body(void *arg, const char *data, size_t len)
 {
     fetch_t *fetch = arg;
-    if (fetch->answer.len + len <= ANSWER_BYTES_MAX) {
-        buf_add(&fetch->answer, data, len);
+    if (fetch->answer.len + len > ANSWER_BYTES_MAX) {
+        exchange_stop(fetch->exchange);
+        return;
     }
+    buf_add(&fetch->answer, data, len);
 }
 
 static void
--- a/kernel/http-client.c
+++ b/kernel/http-client.c
@@ -190,6 +190,7 @@
         case EXCHANGE_NO_ANSWER:
         case EXCHANGE_BROKEN:
         case EXCHANGE_MALFORMED:
+        case EXCHANGE_STOPPED:
             xfer_finish(xfer, HTTP_END_BROKEN);
             return;
     }
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -174,7 +174,7 @@
         case ANSWER_INVALID:
             break;
     }
-    return HEAD_ACCEPT;
+    return request_uses_body(request) ? HEAD_ACCEPT : HEAD_DISCARD;
 }
 
 static void
@@ -281,6 +281,7 @@
     request->exchange = NULL;
     switch (end) {
         case EXCHANGE_COMPLETE:
+        case EXCHANGE_STOPPED: /* only if the answer is of no use */
             on_complete_answer(request);
             return;
         case EXCHANGE_UNSENT:
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -144,6 +144,15 @@
     probe_server(request->relay, server);
 }
 
+/* Whether the body of the answer may be passed on. */
+bool
+request_uses_body(const request_t *request)
+{
+    return request->answer == ANSWER_BUFFER ||
+           request->answer == ANSWER_FAILED ||
+           request->answer == ANSWER_STREAM;
+}
+
 static head_action_t
 on_head(void *arg, const http_head_t *head)
 {
@@ -174,7 +183,7 @@
         case ANSWER_INVALID:
             break;
     }
-    return HEAD_ACCEPT;
+    return request_uses_body(request) ? HEAD_ACCEPT : HEAD_DISCARD;
 }
 
 /* The server has saved the shared parts of the prompt to the kv store. */
@@ -234,6 +243,15 @@
     }
 }
 
+/* The answer turns out to be none. */
+static void
+stop_invalid_answer(request_t *request)
+{
+    stream_restart(&request->stream);
+    request->answer = ANSWER_INVALID;
+    exchange_stop(request->exchange);
+}
+
 /* Passes the complete events of a stream to the caller. */
 void
 request_pass_events(request_t *request, const char *data, size_t len)
@@ -241,10 +259,8 @@
     CLEAN_BUF buf_t events = {0};
     size_t count = stream_feed(&request->stream, data, len, &events);
     if (request->stream.overflow) {
-        /* No valid event is that long.  Drop it and treat the rest of the
-         * answer as invalid. */
-        stream_restart(&request->stream);
-        request->answer = ANSWER_INVALID;
+        /* No valid event is that long. */
+        stop_invalid_answer(request);
     }
     if (count == 0) {
         return;
@@ -271,7 +287,7 @@
         case ANSWER_BUFFER:
         case ANSWER_FAILED:
             if (request->answer_body.len + len > ANSWER_BYTES_MAX) {
-                request->answer = ANSWER_INVALID;
+                stop_invalid_answer(request);
                 return;
             }
             buf_add(&request->answer_body, data, len);
@@ -391,6 +407,7 @@
     request->exchange = NULL;
     switch (end) {
         case EXCHANGE_COMPLETE:
+        case EXCHANGE_STOPPED: /* only if the answer is of no use */
             on_complete_answer(request);
             return;
         case EXCHANGE_UNSENT:
--- a/relay/request.h
+++ b/relay/request.h
@@ -118,6 +118,7 @@
 bool request_may_use_kv_stores(const request_t *request,
                                const server_t *server);
 bool request_has_other_id(const request_t *request, const http_head_t *head);
+bool request_uses_body(const request_t *request);
 void request_copy_answer_headers(request_t *request, const http_head_t *head);
 void request_pass_events(request_t *request, const char *data, size_t len);
 void request_finish_stream(request_t *request);
--- a/tests/test-exchange.c
+++ b/tests/test-exchange.c
@@ -1,4 +1,5 @@
 #include "../kernel/exchange.h"
+#include "../kernel/fetch.h"
 #include "test.h"
 
 #include <arpa/inet.h>
@@ -27,8 +28,12 @@
 /* What callers see of an exchange. */
 typedef struct {
     server_t *server;
+    exchange_t *exchange;
+    head_action_t action;
+    size_t body_max; /* the body is of no use beyond it; 0: has no limit */
     size_t body_len;
     exchange_end_t end;
+    bool complete; /* of a fetch */
     int64_t ms;
 } seen_t;
 
@@ -163,8 +168,8 @@
 static head_action_t
 on_seen_head(void *arg, const http_head_t *head)
 {
-    (void)arg;
-    return http_head_find(head, "Other") != NULL ? HEAD_SKIP : HEAD_ACCEPT;
+    const seen_t *seen = arg;
+    return http_head_find(head, "Other") != NULL ? HEAD_SKIP : seen->action;
 }
 
 static void
@@ -173,6 +178,9 @@
     seen_t *seen = arg;
     (void)data;
     seen->body_len += len;
+    if (seen->body_max > 0 && seen->body_len > seen->body_max) {
+        exchange_stop(seen->exchange);
+    }
 }
 
 static void
@@ -197,7 +205,7 @@
                                     seen};
     int64_t begun_ms = time_mono_ms();
     seen->server = server;
-    (void)exchange_start(exchanges, &request, &hooks);
+    seen->exchange = exchange_start(exchanges, &request, &hooks);
     (void)event_base_dispatch(server->base);
     seen->ms = time_mono_ms() - begun_ms;
 }
@@ -238,7 +246,7 @@
          "X-More: 1\r\n"},
     };
     for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
-        seen_t seen = {0};
+        seen_t seen = {.action = HEAD_ACCEPT};
         exchange_end_t end =
             end_of_answer(answers[i][0], answers[i][1], &seen);
         ck_assert_msg(end == EXCHANGE_MALFORMED, "answer %zu ends as %d", i,
@@ -248,17 +256,41 @@
 }
 END_TEST
 
-/* Guards against short interim and stray responses that end an exchange. */
+/* Guards against a body of no use that is read without end, whether it comes
+ * fast, slowly or not at all. */
+START_TEST(a_body_of_no_use_ends_an_exchange)
+{
+    static const char head[] = "HTTP/1.1 503 Full\r\n\r\n";
+    seen_t seen = {.action = HEAD_DISCARD};
+    ck_assert_int_eq(end_of_answer(head, "body", &seen), EXCHANGE_STOPPED);
+    ck_assert_int_lt(seen.ms, 1500);
+    ck_assert_int_eq(end_of_answer(head, NULL, &seen), EXCHANGE_STOPPED);
+    ck_assert_int_lt(seen.ms, 1500);
+    ck_assert_uint_eq(seen.body_len, 0);
+    seen.action = HEAD_ACCEPT;
+    seen.body_max = 100000;
+    ck_assert_int_eq(end_of_answer("HTTP/1.1 200 OK\r\n\r\n", "body", &seen),
+                     EXCHANGE_STOPPED);
+    ck_assert_int_lt(seen.ms, 1500);
+}
+END_TEST
+
+/* Guards against connections that are closed over a short body of no use, and
+ * against short interim and stray responses that end an exchange. */
 START_TEST(short_bytes_of_no_use_keep_the_connection)
 {
     server_t server;
-    seen_t seen = {0};
+    seen_t seen = {.action = HEAD_DISCARD};
     server_start(&server);
     exchanges_t *exchanges = exchanges_new(server.base);
+    server.answer = "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull";
+    see_answer(&server, exchanges, &seen);
+    ck_assert_int_eq(seen.end, EXCHANGE_COMPLETE);
     server.answer =
         "HTTP/1.1 102 Wait\r\n\r\n"
         "HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 5\r\n\r\nother"
         "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine";
+    seen.action = HEAD_ACCEPT;
     see_answer(&server, exchanges, &seen);
     ck_assert_int_eq(seen.end, EXCHANGE_COMPLETE);
     ck_assert_uint_eq(seen.body_len, 4);
@@ -269,6 +301,44 @@
 }
 END_TEST
 
+static void
+on_fetched(void *arg, const fetch_result_t *result)
+{
+    seen_t *seen = arg;
+    seen->complete = result->complete;
+    seen->body_len = result->len;
+    (void)event_base_loopbreak(seen->server->base);
+}
+
+/* Guards against an answer of the store or to a probe that never ends. */
+START_TEST(an_endless_answer_ends_a_fetch)
+{
+    server_t server;
+    CLEAN_BUF buf_t request = {0};
+    server_start(&server);
+    server.answer = "HTTP/1.1 200 OK\r\n\r\n";
+    server.more = "0123456789";
+    exchanges_t *exchanges = exchanges_new(server.base);
+    seen_t seen = {.server = &server, .complete = true};
+    const fetch_options_t options = {.addr = server.addr,
+                                     .request = &request,
+                                     .connect_ms = 1000,
+                                     .total_ms = 5000,
+                                     .on_done = on_fetched,
+                                     .arg = &seen};
+    buf_str(&request, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    (void)fetch_start(exchanges, &options);
+    (void)event_base_dispatch(server.base);
+    ck_assert(!seen.complete);
+    ck_assert_uint_le(seen.body_len, 4u << 20);
+    ck_assert_uint_lt(server.sent, 16u << 20);
+    exchanges_free(exchanges);
+    server_stop(&server);
+}
+END_TEST
+
 TEST_MAIN("exchange", reused_connections_are_told_from_new_ones,
           connections_come_from_the_set_address, endless_bytes_end_an_exchange,
-          short_bytes_of_no_use_keep_the_connection)
+          a_body_of_no_use_ends_an_exchange,
+          short_bytes_of_no_use_keep_the_connection,
+          an_endless_answer_ends_a_fetch)
