Streams: events that repeat have a bound

A server that sent events that the caller has already, without end, held the stream until its route's time (3016 ms), as the events were dropped one by one and nothing else came.

More than 4 MB of them from one server now make its answer invalid: the stream goes on elsewhere if it may, else it is broken off. endless_repeats_are_bounded fails before.

--- a/relay/stream.c
+++ b/relay/stream.c
@@ -7,6 +7,10 @@
  * than what would exhaust a host's memory. */
 #define EVENT_BYTES_MAX (256 * 1024)
 
+/* Bytes of events that the caller already has, from one server: far more than
+ * an answer that is repeated from its start. */
+#define REPEATED_BYTES_MAX (4u << 20)
+
 /* Starts a stream whose caller has received the events up to this id; empty
  * for none. */
 void
@@ -28,6 +32,7 @@
 stream_restart(stream_t *stream)
 {
     stream->partial.len = 0;
+    stream->repeated_bytes = 0;
 }
 
 /* Returns the length of the first event in the text, including the empty line
@@ -107,6 +112,9 @@
             buf_add(out, text, event_len);
             events++;
         }
+        else {
+            stream->repeated_bytes += event_len;
+        }
         if (has_id && is_new_event(stream, id)) {
             str_copy(stream->last_id, sizeof(stream->last_id), id);
         }
@@ -114,6 +122,7 @@
         from = 0;
     }
     buf_consume(&stream->partial, consumed);
-    stream->overflow = stream->partial.len > EVENT_BYTES_MAX;
+    stream->overflow = stream->partial.len > EVENT_BYTES_MAX ||
+                       stream->repeated_bytes > REPEATED_BYTES_MAX;
     return events;
 }
--- a/relay/stream.h
+++ b/relay/stream.h
@@ -10,7 +10,8 @@
 typedef struct {
     buf_t partial;              /* bytes of an incomplete event */
     char last_id[EVENT_ID_MAX]; /* id of the last event passed on */
-    bool overflow;              /* an event exceeds the size limit */
+    size_t repeated_bytes;      /* dropped since the stream was restarted */
+    bool overflow;              /* an event, or what repeats, is too long */
 } stream_t;
 
 void stream_init(stream_t *stream, const char *last_id);
--- a/tests/test-stream.c
+++ b/tests/test-stream.c
@@ -74,5 +74,28 @@
 }
 END_TEST
 
+/* Guards against a broken server that repeats what the caller has without end.
+ */
+START_TEST(endless_repeats_are_bounded)
+{
+    static const char event[] = "id: 1\ndata: a\n\n";
+    stream_t stream;
+    CLEAN_BUF buf_t out = {0};
+    stream_init(&stream, "");
+    (void)stream_feed(&stream, event, sizeof(event) - 1, &out);
+    for (int i = 0; i < 100000; i++) {
+        (void)stream_feed(&stream, event, sizeof(event) - 1, &out);
+        ck_assert(!stream.overflow);
+    }
+    for (int i = 0; i < 200000 && !stream.overflow; i++) {
+        (void)stream_feed(&stream, event, sizeof(event) - 1, &out);
+    }
+    ck_assert(stream.overflow);
+    ck_assert_str_eq(buf_text(&out), event);
+    stream_free(&stream);
+}
+END_TEST
+
 TEST_MAIN("stream", split_events_are_joined,
-          resumed_stream_has_no_gap_or_repeat, endless_event_is_bounded)
+          resumed_stream_has_no_gap_or_repeat, endless_event_is_bounded,
+          endless_repeats_are_bounded)
