Streams: a bound for what a slow caller has not read

A server that sent valid events at 40 MB/s to a caller that read 20 KB/s of them filled the daemon's memory: 111 to 115 MB within the 3 s of the route, by one call. Events were buffered for the caller without a bound.

--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -12,6 +12,9 @@
 #define CONNECT_TIMEOUT_MS 250
 /* Largest answer that is buffered until it is complete, bytes. */
 #define ANSWER_BYTES_MAX (8u << 20)
+/* Events that a caller has not read yet, bytes.  A model produces far fewer
+ * within a request's time. */
+#define CALLER_UNSENT_MAX (8u << 20)
 /* A server that rejects a request is believed to be full for this long, ms: a
  * few of its batch steps. */
 #define FULL_AFTER_REFUSAL_MS 150
@@ -258,8 +261,9 @@
 {
     CLEAN_BUF buf_t events = {0};
     size_t count = stream_feed(&request->stream, data, len, &events);
-    if (request->stream.overflow) {
-        /* No valid event is that long. */
+    if (request->stream.overflow ||
+        caller_unsent_bytes(request->caller) > CALLER_UNSENT_MAX) {
+        /* No valid event is that long, no valid stream that fast. */
         stop_invalid_answer(request);
     }
     if (count == 0) {
