--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -12,6 +12,17 @@
 
 /* Bytes of a response head.  Common servers send less than 8 KB. */
 #define RESPONSE_HEAD_MAX 32768
+/* Bytes of an exchange besides the body that its owner accepts: heads, interim
+ * responses, responses to other requests, and what frames chunks, which
+ * may have as many bytes again as the body.  Sound servers send a few KB;
+ * broken ones may send bytes without end. */
+#define EXTRA_BYTES_MAX (1u << 20)
+/* Responses to other requests in one exchange.  A sound server sends a few. */
+#define STRAYS_MAX 16
+/* The rest of a response that has no use is read, so that its connection can
+ * be kept, unless it is longer or takes longer than this. */
+#define DISCARD_BYTES_MAX 65536
+#define DISCARD_MS 100
 /* An idle connection expires this long before the timeout that its server
  * announced: the server's close may already be in transit. */
 #define KEEP_ALIVE_MARGIN_MS 700
@@ -70,11 +81,16 @@
     struct event *timer;
     int64_t deadline_ms; /* 0 for none */
     bool sent;
-    bool reused;    /* its connection was open before */
-    bool in_hook;   /* a hook is running: do not free the exchange */
-    bool cancelled; /* cancelled by a hook: free the exchange after it */
-    bool head_seen; /* on_head was called for this response */
-    bool skipping;  /* the owner rejected this response */
+    bool reused;     /* its connection was open before */
+    bool in_hook;    /* a hook is running: do not free the exchange */
+    bool cancelled;  /* cancelled by a hook: free the exchange after it */
+    bool head_seen;  /* on_head was called for this response */
+    bool skipping;   /* the owner rejected this response */
+    bool discarding; /* the rest of this response has no use */
+    bool stopped;    /* by a hook: end the exchange after it */
+    unsigned strays; /* responses skipped */
+    size_t extra;    /* bytes read besides the accepted body */
+    size_t accepted; /* bytes of the accepted body read */
     int64_t keep_alive_ms;
 };
 
@@ -275,7 +291,15 @@
     }
 }
 
-/* Passes the head to the owner, who accepts or skips the response. */
+static void
+timer_arm(exchange_t *exchange, int ms)
+{
+    struct timeval after = {ms / 1000, ms % 1000 * 1000};
+    (void)event_add(exchange->timer, &after);
+}
+
+/* Passes the head to the owner, who accepts, skips or discards the response.
+ */
 static void
 pass_head(exchange_t *exchange)
 {
@@ -285,18 +309,27 @@
         return;
     }
     exchange->in_hook = true;
-    exchange->skipping =
-        exchange->hooks.on_head(exchange->hooks.arg, &exchange->reader.head) ==
-        HEAD_SKIP;
+    head_action_t action =
+        exchange->hooks.on_head(exchange->hooks.arg, &exchange->reader.head);
     exchange->in_hook = false;
+    exchange->skipping = action == HEAD_SKIP;
+    if (action == HEAD_DISCARD) {
+        exchange->discarding = true;
+        exchange->extra = 0;
+        timer_arm(exchange, DISCARD_MS);
+    }
 }
 
 static void
 on_body(void *arg, const char *data, size_t len)
 {
     exchange_t *exchange = arg;
-    if (exchange->skipping || exchange->cancelled || !exchange->head_seen ||
-        exchange->hooks.on_body == NULL) {
+    if (exchange->skipping || exchange->discarding || exchange->cancelled ||
+        exchange->stopped || !exchange->head_seen) {
+        return;
+    }
+    exchange->accepted += len;
+    if (exchange->hooks.on_body == NULL) {
         return;
     }
     exchange->in_hook = true;
@@ -313,13 +346,63 @@
     exchange_end(exchange, EXCHANGE_COMPLETE);
 }
 
-/* Parses buffered input; false if the exchange has ended or needs more. */
-static bool
-read_step(exchange_t *exchange, struct evbuffer *in)
+/* Parses buffered input and counts what is not passed to the owner. */
+static reader_state_t
+feed_input(exchange_t *exchange, struct evbuffer *in)
 {
+    size_t before = evbuffer_get_length(in) + exchange->accepted;
     reader_state_t state = http_reader_feed(&exchange->reader, in);
+    exchange->extra += before - evbuffer_get_length(in) - exchange->accepted;
+    return state;
+}
+
+/* Ends the exchange if one of its hooks wants that. */
+static bool
+ended_by_hook(exchange_t *exchange)
+{
     if (exchange->cancelled) {
         exchange_cancel(exchange);
+        return true;
+    }
+    if (exchange->stopped) {
+        exchange_end(exchange, EXCHANGE_STOPPED);
+        return true;
+    }
+    return false;
+}
+
+/* Ends the exchange if it has read too much that is of no use. */
+static bool
+ended_by_extra_bytes(exchange_t *exchange)
+{
+    if (exchange->discarding && exchange->extra > DISCARD_BYTES_MAX) {
+        exchange_end(exchange, EXCHANGE_STOPPED);
+        return true;
+    }
+    if (exchange->extra > EXTRA_BYTES_MAX + exchange->accepted ||
+        exchange->strays > STRAYS_MAX) {
+        exchange_end(exchange, EXCHANGE_MALFORMED);
+        return true;
+    }
+    return false;
+}
+
+/* A response that is not the request's was read: the next one follows. */
+static void
+begin_next_response(exchange_t *exchange)
+{
+    exchange->strays += exchange->skipping ? 1 : 0;
+    exchange->head_seen = false;
+    exchange->skipping = false;
+    http_reader_next(&exchange->reader);
+}
+
+/* Parses buffered input; false if the exchange has ended or needs more. */
+static bool
+read_step(exchange_t *exchange, struct evbuffer *in)
+{
+    reader_state_t state = feed_input(exchange, in);
+    if (ended_by_hook(exchange)) {
         return false;
     }
     if (state == READER_INVALID) {
@@ -333,21 +416,17 @@
     if (!exchange->head_seen && !interim) {
         pass_head(exchange);
     }
-    if (exchange->cancelled) {
-        exchange_cancel(exchange);
+    if (ended_by_hook(exchange)) {
         return false;
     }
-    if (state == READER_BODY) {
-        return evbuffer_get_length(in) > 0;
-    }
-    if (!interim && !exchange->skipping) {
+    if (state == READER_COMPLETE && !interim && !exchange->skipping) {
         response_complete(exchange);
         return false;
     }
-    exchange->head_seen = false;
-    exchange->skipping = false;
-    http_reader_next(&exchange->reader);
-    return evbuffer_get_length(in) > 0;
+    if (state == READER_COMPLETE) {
+        begin_next_response(exchange);
+    }
+    return !ended_by_extra_bytes(exchange) && evbuffer_get_length(in) > 0;
 }
 
 static void
@@ -391,13 +470,6 @@
     buf_free(&exchange->out);
 }
 
-static void
-timer_arm(exchange_t *exchange, int ms)
-{
-    struct timeval after = {ms / 1000, ms % 1000 * 1000};
-    (void)event_add(exchange->timer, &after);
-}
-
 /* Arms the timer for the deadline of the exchange, if it has one. */
 static void
 timer_arm_deadline(exchange_t *exchange)
@@ -443,6 +515,10 @@
     exchange_t *exchange = arg;
     (void)fd;
     (void)what;
+    if (exchange->discarding) {
+        exchange_end(exchange, EXCHANGE_STOPPED);
+        return;
+    }
     exchange_end(exchange,
                  exchange->sent ? EXCHANGE_TIMEOUT : EXCHANGE_UNSENT);
 }
@@ -587,6 +663,14 @@
     exchange_free(exchange);
 }
 
+/* To be called by on_body if the response turns out to be of no use: the
+ * exchange ends as stopped after the hook and closes its connection. */
+void
+exchange_stop(exchange_t *exchange)
+{
+    exchange->stopped = true;
+}
+
 /* Whether the exchange uses a connection that was open before. */
 bool
 exchange_is_reused(const exchange_t *exchange)
