Exchanges: a silent transport ends only what may run elsewhere

Callers saw: a request that may not be repeated gets 502 after 2.9 s of 5 s because its server reads nothing for 3.2 s; a stream that may not be resumed would be cut.

Cause: TCP_USER_TIMEOUT and keep-alive gave each connection up after 2.5 to 3 s without an acknowledgement, whatever the request at it; a closed window counts as silence too. The kernel decided, not the rule of retries.

Change: a request that may not run elsewhere, or whose long body a server may read slowly, bears silence until its deadline; all others keep 2.5 s, which ends connections that have gone silent for good.

A transport that acknowledges nothing cannot be had on loopback without privileges: not run.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -37,8 +37,8 @@
  * another server. */
 #define PROBE_IDLE_S 1
 #define PROBE_INTERVAL_S 1
-#define PROBES_MAX 2
 #define UNACKED_TIMEOUT_MS 2500
+#define MS_PER_S 1000
 
 typedef struct addr_pool addr_pool_t;
 
@@ -49,6 +49,7 @@
     struct bufferevent *bev;
     exchange_t *exchange; /* NULL while it is idle */
     int64_t expires_ms;
+    int silence_ms; /* without acknowledgements after which it is given up */
 } conn_t;
 
 typedef CK_LIST_HEAD(conn_list, conn) conn_list_t;
@@ -535,21 +536,29 @@
                : -1;
 }
 
+/* Sets the time without acknowledgements after which a connection is given up.
+ */
+static void
+socket_set_silence(evutil_socket_t fd, int silence_ms)
+{
+    unsigned timeout_ms = (unsigned)silence_ms;
+    int probes = silence_ms / (PROBE_INTERVAL_S * MS_PER_S);
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+                     sizeof(timeout_ms));
+}
+
 static void
 socket_tune(evutil_socket_t fd)
 {
     int on = 1;
     int idle = PROBE_IDLE_S;
     int probe = PROBE_INTERVAL_S;
-    int probes = PROBES_MAX;
-    unsigned timeout_ms = UNACKED_TIMEOUT_MS;
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     (void)setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
     (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe, sizeof(probe));
-    (void)setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-    (void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-                     sizeof(timeout_ms));
+    socket_set_silence(fd, UNACKED_TIMEOUT_MS);
 }
 
 static conn_t *
@@ -578,6 +587,7 @@
     }
     conn_t *conn = mem_zalloc(sizeof(*conn));
     conn->pool = pool;
+    conn->silence_ms = UNACKED_TIMEOUT_MS;
     conn->bev =
         bufferevent_socket_new(pool->owner->base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
@@ -605,6 +615,18 @@
     return NULL;
 }
 
+/* Sets how long the exchange of a connection bears a silent peer. */
+static void
+conn_set_silence(conn_t *conn, int silence_ms)
+{
+    int wanted_ms =
+        silence_ms > UNACKED_TIMEOUT_MS ? silence_ms : UNACKED_TIMEOUT_MS;
+    if (conn->silence_ms != wanted_ms) {
+        conn->silence_ms = wanted_ms;
+        socket_set_silence(bufferevent_getfd(conn->bev), wanted_ms);
+    }
+}
+
 /* Starts an exchange.  No hook is called before this returns; an unusable
  * address ends it as unsent from the event loop. */
 exchange_t *
@@ -634,6 +656,7 @@
     }
     exchange->conn = conn;
     conn->exchange = exchange;
+    conn_set_silence(conn, request->silence_ms);
     if (request->total_ms > 0) {
         exchange->deadline_ms = time_mono_ms() + request->total_ms;
     }
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -49,8 +49,10 @@
     size_t body_len;
     bool no_response_body; /* the request is a HEAD */
     bool new_connection;   /* not an idle one, which may be dead */
-    int connect_ms;        /* time limit for a new connection */
-    int total_ms; /* for the whole exchange; 0: the owner has a timer */
+    int silence_ms; /* a peer may acknowledge nothing for so long, if that is
+                       longer than the default */
+    int connect_ms; /* time limit for a new connection */
+    int total_ms;   /* for the whole exchange; 0: the owner has a timer */
 } exchange_request_t;
 
 exchanges_t *exchanges_new(struct event_base *base);
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -10,6 +10,10 @@
 /* Connect timeout, ms: hosts of one region are a few ms apart, and a server
  * whose listen backlog is full does not answer at all. */
 #define CONNECT_TIMEOUT_MS 250
+/* A body that is longer may exceed what the server's kernel takes in while the
+ * server does not read. */
+#define SLOW_BODY_BYTES 65536
+#define MS_PER_S 1000
 /* Largest answer that is buffered until it is complete, bytes. */
 #define ANSWER_BYTES_MAX (8u << 20)
 /* Events that a caller has not read yet, bytes.  A model produces far fewer
@@ -473,6 +477,20 @@
     }
 }
 
+/* Returns how long the server may acknowledge nothing.  Silence ends an answer
+ * only if the request may run elsewhere.  A server that reads a long body
+ * slowly acknowledges as little as one that is gone. */
+static int
+request_silence_ms(const request_t *request)
+{
+    bool may_move =
+        retry_can_rerun(request->route->kind, request->route->resumable) &&
+        request->body->len <= SLOW_BODY_BYTES;
+    int64_t left_ms = request->deadline_ms - request->sent_ms;
+    /* In whole seconds, so that kept connections are seldom set anew. */
+    return may_move ? 0 : (int)((left_ms / MS_PER_S + 1) * MS_PER_S);
+}
+
 /* Starts an attempt at a server. */
 void
 request_send(request_t *request, server_t *server)
@@ -522,6 +540,7 @@
         .body_len = request->body->len,
         .no_response_body = request->head->method == HTTP_HEAD,
         .new_connection = request_needs_new_connection(request),
+        .silence_ms = request_silence_ms(request),
         .connect_ms = CONNECT_TIMEOUT_MS};
     request->exchange =
         exchange_start(relay->exchanges, &options, &request_hooks);
