Callers: bodies count towards their bound while they arrive

Callers saw: nothing here; on a host with 256 MB the process would end, and with it every request.

Cause: the bound on bodies (40 MB) counted a request once it was complete. Before that each connection could hold a whole body, and kept its memory for the next request.

Change: a listener counts what all callers have sent of their bodies, and answers 503 to a request that does not fit; a connection keeps 64 KB.

--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -27,6 +27,10 @@
  * the longest deadline that callers are expected to set. */
 #define WRITE_TIMEOUT_S 30
 
+/* Memory of a body that a connection keeps for its next request. */
+#define BODY_KEPT_BYTES 65536
+/* In this time some of the other requests end. */
+#define NO_ROOM_RETRY_AFTER_S "0.3"
 /* Time in which the event loop reads input that has arrived. */
 #define UNREAD_INPUT_MS 1
 
@@ -47,6 +51,7 @@
     caller_state_t state;
     bool close_after;   /* close the connection after this response */
     bool body_too_long; /* the body exceeds its limit */
+    bool no_room;       /* the bodies of all callers exceed theirs */
     bool in_step;       /* caller_step is running; prevents recursion */
     struct event *timer;
     int64_t timer_armed_ms;
@@ -59,6 +64,8 @@
     struct evconnlistener *acceptor; /* NULL once it has stopped accepting */
     http_listener_hooks_t hooks;
     size_t connections_max;
+    size_t body_bytes_max;
+    size_t body_bytes; /* of all callers */
     caller_list_t callers;
     size_t caller_count; /* also read by other threads */
     bool draining;       /* each response closes its connection */
@@ -72,6 +79,17 @@
     return listener->hooks.limits(listener->hooks.arg);
 }
 
+/* Empties the body, and frees its memory if it was long. */
+static void
+drop_body(caller_t *caller)
+{
+    caller->listener->body_bytes -= caller->body.len;
+    caller->body.len = 0;
+    if (caller->body.cap > BODY_KEPT_BYTES) {
+        buf_free(&caller->body);
+    }
+}
+
 static void
 caller_free(caller_t *caller)
 {
@@ -84,6 +102,7 @@
     event_free(caller->timer);
     bufferevent_free(caller->bev);
     http_reader_free(&caller->reader);
+    drop_body(caller);
     buf_free(&caller->body);
     free(caller);
 }
@@ -159,6 +178,14 @@
     caller_free(caller);
 }
 
+/* Whether the bodies of all callers have room for more bytes. */
+static bool
+has_room(const http_listener_t *listener, size_t len)
+{
+    return listener->body_bytes_max == 0 ||
+           listener->body_bytes + len <= listener->body_bytes_max;
+}
+
 static void
 on_body(void *arg, const char *data, size_t len)
 {
@@ -168,6 +195,11 @@
         caller->body_too_long = true;
         return;
     }
+    if (!has_room(caller->listener, len)) {
+        caller->no_room = true;
+        return;
+    }
+    caller->listener->body_bytes += len;
     buf_add(&caller->body, data, len);
 }
 
@@ -190,6 +222,18 @@
     answer_bad_request(caller, 413, "the body is longer than the limit");
 }
 
+/* Rejects a request whose body does not fit beside those of other callers. */
+static void
+answer_no_room(caller_t *caller)
+{
+    CLEAN_BUF buf_t headers = {0};
+    buf_str(&headers, "Retry-After: " NO_ROOM_RETRY_AFTER_S "\r\n");
+    log_info("door", "Rejected a request: %zu bytes of bodies are held.",
+             caller->listener->body_bytes);
+    caller->close_after = true;
+    caller_answer(caller, 503, &headers, "", 0);
+}
+
 /* Whether the Content-Length exceeds a limit, so that the request can be
  * rejected before its body arrives. */
 static bool
@@ -258,6 +302,10 @@
         answer_body_too_long(caller);
         return false;
     }
+    if (caller->no_room) {
+        answer_no_room(caller);
+        return false;
+    }
     if (state == READER_COMPLETE) {
         hand_over_request(caller);
         return false;
@@ -399,6 +447,7 @@
     listener->base = base;
     listener->hooks = opts->hooks;
     listener->connections_max = opts->connections_max;
+    listener->body_bytes_max = opts->body_bytes_max;
     CK_LIST_INIT(&listener->callers);
     listener->acceptor = evconnlistener_new(
         base, on_accept, listener,
@@ -505,8 +554,9 @@
 caller_answer_done(caller_t *caller)
 {
     caller->owner = NULL;
-    caller->body.len = 0;
+    drop_body(caller);
     caller->body_too_long = false;
+    caller->no_room = false;
     if (caller->close_after) {
         caller_close(caller);
         return;
--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -42,6 +42,7 @@
 typedef struct {
     evutil_socket_t fd;     /* a listening socket; the listener closes it */
     size_t connections_max; /* 0 for no limit */
+    size_t body_bytes_max;  /* of all requests, complete or not; 0: no limit */
     http_listener_hooks_t hooks;
 } http_listener_opts_t;
 
--- a/relay/listeners.c
+++ b/relay/listeners.c
@@ -112,6 +112,7 @@
               const http_listener_hooks_t *hooks, err_t *err)
 {
     http_listener_opts_t opts = {.fd = http_listen(addr, err),
+                                 .body_bytes_max = BODY_BYTES_MAX,
                                  .hooks = *hooks};
     opts.hooks.arg = relay;
     return opts.fd < 0 ? NULL : http_listener_open(relay->base, &opts);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -138,6 +138,10 @@
 
 /* ---- callers ---- */
 
+/* Bound on the bodies of all requests in flight, bytes: a quarter of the
+ * smallest host's memory. */
+#define BODY_BYTES_MAX (40u << 20)
+
 int listeners_open(relay_t *relay, err_t *err);
 
 /* ---- requests ---- */
--- a/relay/request.c
+++ b/relay/request.c
@@ -24,9 +24,6 @@
 #define DEADLINE_NONE 0
 /* Weight of the newest prompt in the smoothed size of prompts. */
 #define MEAN_PROMPT_WEIGHT 0.02
-/* Bound on the bodies of all requests in flight, bytes: a quarter of the
- * smallest host's memory. */
-#define BODY_BYTES_MAX (40u << 20)
 
 /* The caller closed its connection: cancels its request and closes the
  * connection to the server, so that the server stops working. */
