Logs: a failed request names what a lost answer depends on

LOST could not be traced from the records: they named neither the configuration and its age, nor how long the server had been silent, nor the host that the request was forwarded to. The record of a failure has them now.

--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -63,6 +63,7 @@
                (long long)config->version, (long long)config->revision);
     relay_config_release(relay->config);
     relay->config = config;
+    relay->config_adopted_ms = time_mono_ms();
     cache_apply_config(relay);
     set_quotas(relay);
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -81,6 +81,7 @@
     size_t body_bytes; /* bodies of all requests in flight */
 
     relay_config_t *config; /* NULL until the first one was read */
+    int64_t config_adopted_ms;
     servers_t *servers;
     reach_t reach;             /* of the servers, from this host */
     fatal_parts_t fatal_parts; /* of prompts, that crash servers */
--- a/relay/request.c
+++ b/relay/request.c
@@ -176,6 +176,28 @@
     }
 }
 
+/* Logs what led to a failure; status 0 is an answer that is broken off. */
+static void
+log_failure(const request_t *request, const char *reason, int status)
+{
+    const relay_t *relay = request->relay;
+    const server_t *server = request->server;
+    int64_t now = time_mono_ms();
+    log_record(
+        LOG_WARN, "request", "failed",
+        "id=%s why=%s status=%d server=%s helper=%s last_event=%s "
+        "silent_ms=%lld left_ms=%lld ran=%d sends=%d reach=%s "
+        "config=%lld newest_config=%lld config_age_ms=%lld",
+        request->id, reason, status, server != NULL ? server->info.id : "-",
+        request->helper[0] != '\0' ? request->helper : "-",
+        request->stream.last_id[0] != '\0' ? request->stream.last_id : "-",
+        (long long)(server != NULL ? now - server->answered_ms : -1),
+        (long long)(request->deadline_ms - now), request->possible_runs,
+        request->sends, reach_state_name(relay->reach.state),
+        (long long)request->config->version, (long long)relay->config->version,
+        (long long)(now - relay->config_adopted_ms));
+}
+
 /* Tells the caller that the request failed; it may have run. */
 void
 request_fail(request_t *request, int status, const char *reason)
@@ -188,8 +210,7 @@
     }
     request->status = status;
     request->outcome = METER_FAILED;
-    log_record(LOG_WARN, "request", "failed", "id=%s why=%s status=%d",
-               request->id, reason, streaming ? 0 : status);
+    log_failure(request, reason, streaming ? 0 : status);
     request_end(request, reason);
     if (streaming) {
         caller_abort(caller);
