Soak: no request is cut off beside planned work, and engines fall silent

Cause: nothing checked that a request that was sent whole ends with a complete answer beside changes of the configuration, SIGHUP and SIGTERM, and every silence of a server excused it. Other modes draw what they drew.

--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -218,6 +218,7 @@
 {
     CLEAN_BUF buf_t text = {0};
     bool old_key = soak->old_key_removed_ms == 0;
+    soak->config_version++;
     buf_fmt(
         &text,
         "{\"version\":%lld,\"routes\":["
@@ -229,7 +230,7 @@
         "\"target_latency_ms\":100,\"attempts\":2,\"priority\":2,\"service\":"
         "\"desk\"},"
         "{\"name\":\"review\",\"host\":\"a.example\",\"path_prefix\":"
-        "\"/review/\",\"kind\":\"streaming\",\"timeout_ms\":6000,"
+        "\"/review/\",\"kind\":\"streaming\",\"timeout_ms\":%d,"
         "\"target_latency_ms\":1000,\"target_gap_ms\":800,\"attempts\":2,"
         "\"resumable\":true,\"priority\":1,\"service\":\"llm\"},"
         "{\"name\":\"flag\",\"host\":\"a.example\",\"path_prefix\":\"/flag/\","
@@ -244,7 +245,9 @@
         "\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
         "\"tenants\":[{\"name\":\"ws1\",\"access_keys\":[\"key1\"%s],"
         "\"isolated\":true},{\"name\":\"ws2\",\"access_keys\":[\"key2\"]}]}",
-        (long long)++soak->config_version, old_key ? ",\"old-key\"" : "");
+        (long long)soak->config_version,
+        soak->planned && soak->config_version % 2 == 0 ? 5000 : 6000,
+        old_key ? ",\"old-key\"" : "");
     soak_post_admin(soak, "object/config/main", buf_text(&text));
 }
 
@@ -273,7 +276,7 @@
 int
 deployment_open(soak_t *soak, err_t *err)
 {
-    size_t engines = soak->server_count - 2;
+    size_t engines = soak->server_count - PLAIN_SERVERS;
     soak_addr(soak, PORT_STORE, soak->store_addr);
     process_set_name(soak, &soak->platform, "platform");
     char **argv = soak->platform.argv;
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -17,6 +17,9 @@
 /* A relay or server counts as disturbed for this long after a fault: requests
  * in flight, open circuit breakers and retries have ended by then. */
 #define AFTEREFFECT_MS 3000
+/* A sound server may say nothing for so long: minimum, and random part. */
+#define SILENCE_MS_MIN 800
+#define SILENCE_RANGE_MS 1000
 /* A brittle server that ends is back after this time. */
 #define BRITTLE_RESTART_MS 4000
 
@@ -49,6 +52,8 @@
     FAULT_FATAL_PART,     /* a part of a prompt ends the engines */
     FAULT_ONE_RELAY,      /* all callers use one relay */
     FAULT_UNFRAMED,       /* answers end with their connection */
+    /* From here on with --planned alone. */
+    FAULT_SILENCE, /* links from engines deliver nothing for about a second */
     FAULT_KINDS
 } fault_kind_t;
 
@@ -57,7 +62,7 @@
     "store-link", "server-link",  "resets",      "stalls",        "server",
     "store-down", "store-silent", "store-loses", "store-forgets", "config",
     "weights",    "key",          "limit",       "rest",          "host-cut",
-    "brittle",    "fatal-part",   "one-relay",   "unframed"};
+    "brittle",    "fatal-part",   "one-relay",   "unframed",      "silence"};
 
 typedef struct fault {
     CK_LIST_ENTRY(fault) entry;
@@ -169,6 +174,18 @@
              way == 0 ? LINK_HOLD_BOTH : LINK_RESET_NEW);
 }
 
+/* Sets the links of one engine, two or all.  Nothing is lost, so that this
+ * counts as no disturbance. */
+static void
+set_silence(soak_t *soak, size_t target, link_state_t state)
+{
+    size_t engines = soak->server_count - PLAIN_SERVERS;
+    size_t count = target % 3 == 0 ? 1 : target % 3 == 1 ? 2 : engines;
+    for (size_t i = 0; i < count; i++) {
+        link_set_state(soak->servers[(target + i) % engines].link, state);
+    }
+}
+
 static link_state_t
 random_link_fault(soak_t *soak)
 {
@@ -220,7 +237,7 @@
     disturb_servers(soak, 3000);
 }
 
-/* Starts a fault of the kinds that --cuts adds. */
+/* Starts a fault of the kinds that --cuts and --planned add. */
 static void
 start_further_fault(soak_t *soak, const fault_t *fault, int64_t duration_ms)
 {
@@ -244,6 +261,9 @@
                 soak, fault->target,
                 rng_below(&soak->rng, 2) == 0 ? "until-close" : "torn");
             return;
+        case FAULT_SILENCE:
+            set_silence(soak, fault->target, LINK_HOLD_FROM_TARGET);
+            return;
         case FAULT_SERVER_BRITTLE:
             disturb_servers(soak, duration_ms + BRITTLE_RESTART_MS);
             set_server_number(soak, fault->target, "well", "room", 2);
@@ -331,6 +351,7 @@
         case FAULT_FATAL_PART:
         case FAULT_ONE_RELAY:
         case FAULT_UNFRAMED:
+        case FAULT_SILENCE:
             start_further_fault(soak, fault, duration_ms);
             return;
         case FAULT_KINDS:
@@ -370,6 +391,9 @@
         case FAULT_HOST_CUT:
             cut_host(soak, relay, false, LINK_OK);
             return;
+        case FAULT_SILENCE:
+            set_silence(soak, fault->target, LINK_OK);
+            return;
         case FAULT_FATAL_PART:
             if (--soak->fatal_parts == 0) {
                 set_fatal_part(soak, "none");
@@ -396,13 +420,26 @@
     }
 }
 
+/* Draws planned work, or silence. */
+static fault_kind_t
+random_planned_kind(soak_t *soak)
+{
+    static const fault_kind_t kinds[] = {FAULT_NEW_CONFIG, FAULT_NEW_CONFIG,
+                                         FAULT_RELAY_RELOAD, FAULT_SILENCE};
+    return kinds[rng_below(&soak->rng, sizeof(kinds) / sizeof(kinds[0]))];
+}
+
 /* With --cuts, a third of the faults are of the kinds that it adds. */
 static fault_kind_t
 random_kind(soak_t *soak)
 {
+    if (soak->planned) {
+        return random_planned_kind(soak);
+    }
     if (soak->cuts && rng_below(&soak->rng, 3) == 0) {
-        return FAULT_HOST_CUT + (fault_kind_t)rng_below(
-                                    &soak->rng, FAULT_KINDS - FAULT_HOST_CUT);
+        return FAULT_HOST_CUT +
+               (fault_kind_t)rng_below(&soak->rng,
+                                       FAULT_SILENCE - FAULT_HOST_CUT);
     }
     return (fault_kind_t)rng_below(
         &soak->rng, soak->signals ? FAULT_HOST_CUT : FAULT_SERVER_LIMIT);
@@ -416,6 +453,10 @@
         DURATION_MS_MIN + (int64_t)rng_below(&soak->rng, DURATION_RANGE_MS);
     fault->kind = random_kind(soak);
     fault->target = (size_t)rng_below(&soak->rng, 64);
+    if (fault->kind == FAULT_SILENCE) {
+        duration_ms =
+            SILENCE_MS_MIN + (int64_t)rng_below(&soak->rng, SILENCE_RANGE_MS);
+    }
     fault->until_ms = now + duration_ms;
     if (fault->until_ms > soak->faults_end_ms) {
         fault->until_ms = soak->faults_end_ms;
--- a/soak/records.c
+++ b/soak/records.c
@@ -14,6 +14,11 @@
 #define KEY_REMOVAL_MS 2000
 /* At least this share of the requests in the recovery phase must succeed. */
 #define RECOVERY_SUCCESS_SHARE 0.95
+/* A request that no server ran may end without an answer as soon as this: it
+ * crossed the close of a kept connection. */
+#define LOSS_SLACK_MS 300
+/* A request that ends so close to its timeout has reached it. */
+#define TIMEOUT_MARGIN_MS 150
 
 static soak_request_t *
 find_request(const json_t *by_id, const char *id)
@@ -118,6 +123,20 @@
     }
 }
 
+/* Whether a request that was sent whole ended without a complete answer before
+ * its time was over. */
+static bool
+was_cut_off(const soak_request_t *request)
+{
+    int64_t elapsed_ms = request->ended_ms - request->sent_ms;
+    if (request->ended_ms == 0 || request->end == EXCHANGE_COMPLETE ||
+        request->end == EXCHANGE_UNSENT ||
+        elapsed_ms > request_route(request)->timeout_ms - TIMEOUT_MARGIN_MS) {
+        return false;
+    }
+    return request->runs > 0 || elapsed_ms > LOSS_SLACK_MS;
+}
+
 static void
 check_request(const callers_t *callers, const soak_request_t *request)
 {
@@ -151,6 +170,13 @@
         soak_report_violation(soak, "a graceful shutdown cuts off no request",
                               "%s ended %d", id, (int)request->end);
     }
+    if (request->calm && was_cut_off(request)) {
+        soak_report_violation(
+            soak, "planned work cuts off no request",
+            "%s at %s ended %d after %" PRId64 " ms, ran %d times", id,
+            soak->relays[request->relay].process.name, (int)request->end,
+            request->ended_ms - request->sent_ms, request->runs);
+    }
 }
 
 /* Checks all requests against what the backend servers recorded. */
@@ -162,6 +188,7 @@
     unsigned recovery_successes = 0;
     unsigned recovery_requests = 0;
     unsigned succeeded_total = 0;
+    unsigned calm_requests = 0;
     soak_request_t *request;
     char id[REQUEST_ID_MAX];
     CK_STAILQ_FOREACH (request, &callers->requests, entry) {
@@ -175,12 +202,14 @@
         bool succeeded =
             request->end == EXCHANGE_COMPLETE && request->status == 200;
         succeeded_total += succeeded ? 1 : 0;
+        calm_requests += request->calm ? 1 : 0;
         if (request->sent_ms > soak->faults_end_ms + 6000 &&
             strcmp(request->key, "old-key") != 0) {
             recovery_requests++;
             recovery_successes += succeeded ? 1 : 0;
         }
     }
+    (void)printf("  %u requests beside planned work alone\n", calm_requests);
     (void)printf("  %" PRIu64
                  " requests, %u succeeded; %u of %u in the "
                  "recovery phase\n",
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -27,6 +27,7 @@
     int port;
     bool signals;
     bool cuts;
+    bool planned;
     const char *dir;
     const char *build;
 } args_t;
@@ -45,6 +46,10 @@
      "besides that, hosts are cut off from all servers and servers are "
      "brittle",
      0},
+    {"planned", 'P', NULL, 0,
+     "nothing but changes of the configuration, SIGHUP and servers that are "
+     "silent for about a second",
+     0},
     {"dir", 'd', "DIR", 0, "directory for logs and records", 0},
     {"build", 'b', "DIR", 0, "directory of the programs", 0},
     {0},
@@ -99,6 +104,9 @@
             args->signals = true;
             args->cuts = true;
             return 0;
+        case 'P':
+            args->planned = true;
+            return 0;
         case 'd':
             args->dir = arg;
             return 0;
@@ -165,8 +173,9 @@
     soak->first_port = args->port;
     soak->signals = args->signals;
     soak->cuts = args->cuts;
+    soak->planned = args->planned;
     soak->relay_count = (size_t)args->relays;
-    soak->server_count = (size_t)args->engines + 2;
+    soak->server_count = (size_t)args->engines + PLAIN_SERVERS;
     soak->caller_count = (size_t)args->callers;
     (void)snprintf(soak->dir, sizeof(soak->dir), "%s", args->dir);
     (void)snprintf(soak->record_path, sizeof(soak->record_path), "%s/record",
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -15,11 +15,11 @@
 
 #define RELAYS_MAX 16
 #define ENGINES_MAX 8
-#define PLAIN_SERVERS_MAX 4
+#define PLAIN_SERVERS 2
 /* A part of prompts that callers send while it ends the engines. */
 #define CALLERS_FATAL_PART "dead"
 
-#define SERVERS_MAX (ENGINES_MAX + PLAIN_SERVERS_MAX)
+#define SERVERS_MAX (ENGINES_MAX + PLAIN_SERVERS)
 
 /* ---- processes ---- */
 
@@ -71,6 +71,7 @@
     int64_t start_ms;      /* callers and faults start */
     bool signals;      /* servers also state rate limits and ask for rest */
     bool cuts;         /* besides, hosts are cut off from all servers */
+    bool planned;      /* planned work and silence alone */
     int fatal_parts;   /* running faults in which a part ends servers */
     int one_relay;     /* running faults in which callers use one relay */
     size_t used_relay; /* that one */
