Platform stand-in: software versions, restarts, streams broken off

Cause: streams of two software versions could not be told apart with the stand-in, as all its entries have version v1 and its events bear no mark of the run that made them.

Recorded runs end with the software version and the header Resumes. Without these commands entries and answers are as before.

--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -9,7 +9,7 @@
  * address: /admin/store {down, silent, lose, forget}, /admin/server/ID {mode,
  * draining, gone, events, gap_ms, limit_per_s, rest_s, leaving, brittle, room,
  * work_ms, forget, preempt, readmit, hold_fetches, refuse_orders,
- * late_order_ms, memory_used},
+ * late_order_ms, memory_used, software, show_runs, end_streams, restart},
  * /admin/object/KIND/NAME with a specification. */
 
 #define SERVERS_MAX 32
@@ -33,8 +33,11 @@
     {"store", 's', "IPV4:PORT", 0, "address of the store", 0},
     {"record", 'r', "FILE", 0,
      "file for a line per request and order executed", 0},
-    {"server", 'b', "ID,SERVICE,IPV4:PORT,DC,engine|plain|kv[,IPV4:PORT]", 0,
-     "a backend server or kv store, and the address in its entry", 0},
+    {"server", 'b',
+     "ID,SERVICE,IPV4:PORT,DC,engine|plain|kv[,[IPV4:PORT][,SOFTWARE]]", 0,
+     "a backend server or kv store, the address in its entry, and the version "
+     "of its software (v1; - for none)",
+     0},
     {0},
 };
 
--- a/fakes/platform-crash.c
+++ b/fakes/platform-crash.c
@@ -7,7 +7,8 @@
 #include <sys/socket.h>
 
 /* Servers that end and start again: brittle ones, which end when they have to
- * reject too many requests, and those that a part of a prompt ends. */
+ * reject too many requests, those that a part of a prompt ends, and those that
+ * are restarted on command. */
 
 /* Time from the end of a server to its next start. */
 #define RESTART_MS 4000
@@ -37,6 +38,14 @@
     (void)fflush(server->record);
 }
 
+/* Its entry is written at once, as by any server that starts. */
+static void
+on_commanded_restart(evutil_socket_t fd, short what, void *arg)
+{
+    on_restart(fd, what, arg);
+    server_write_entry(arg);
+}
+
 /* Ends a stream that has no length within an event. */
 static void
 tear_event(const run_t *run)
@@ -47,15 +56,22 @@
     (void)send(fd, piece, sizeof(piece) - 1, MSG_NOSIGNAL | MSG_DONTWAIT);
 }
 
-/* Ends the server with all that runs there; it starts again later. */
-void
-server_crash(platform_server_t *server)
+/* Breaks off a run in the middle of its answer. */
+static void
+break_off(const run_t *run)
+{
+    if (run->unframed) {
+        tear_event(run);
+    }
+    server_shut_connection(run->req);
+}
+
+/* Ends the server with all that runs there. */
+static void
+end_server(platform_server_t *server)
 {
     run_t *run;
     run_t *next;
-    if (server->crashed) {
-        return;
-    }
     server->crashed = true;
     server->rejection_count = 0;
     (void)fprintf(server->record, "crash server=%s at_ms=%lld\n", server->id,
@@ -64,12 +80,48 @@
     evhttp_del_accept_socket(server->http, server->socket);
     server->socket = NULL;
     CK_LIST_FOREACH_SAFE (run, &server->runs, entry, next) {
-        if (run->unframed) {
-            tear_event(run);
+        break_off(run);
+    }
+}
+
+/* Ends the server; it starts again later. */
+void
+server_crash(platform_server_t *server)
+{
+    if (!server->crashed) {
+        end_server(server);
+        run_later(server->store->base, RESTART_MS, on_restart, server);
+    }
+}
+
+/* Ends the server, and starts it again under its id after the time. */
+void
+server_restart(platform_server_t *server, int64_t down_ms)
+{
+    if (!server->crashed) {
+        end_server(server);
+        run_later(server->store->base, down_ms, on_commanded_restart, server);
+    }
+}
+
+/* Breaks off a share of the streams that run, old and new ones alike; the
+ * server goes on. */
+void
+server_end_streams(platform_server_t *server, double share)
+{
+    run_t *run;
+    run_t *next;
+    double due = 0;
+    CK_LIST_FOREACH_SAFE (run, &server->runs, entry, next) {
+        if (!run->started || run->closed) {
+            continue;
+        }
+        due += share;
+        if (due >= 1) {
+            due -= 1;
+            break_off(run);
         }
-        server_shut_connection(run->req);
     }
-    run_later(server->store->base, RESTART_MS, on_restart, server);
 }
 
 /* Whether a request has the part in its prompt that ends the server. */
--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -15,6 +15,9 @@
 #define PRIORITY_DEFAULT 5
 #define MODEL "m1"
 #define EVENT_TEXT_MAX 128
+/* The attempt that brought a resumed stream's first event. */
+#define HEADER_RESUMES_NAME "Resumes"
+#define SOFTWARE_DEFAULT "v1"
 
 /* ---- the entry in the store ---- */
 
@@ -22,11 +25,11 @@
 make_entry(const platform_server_t *server)
 {
     json_t *entry = json_pack(
-        "{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service", server->service,
-        "address", server->addr, "zone", server->dc, "version", "v1", "slots",
-        SLOTS, "state", server->draining ? "draining" : "ready",
-        "cold_remaining_ms", 0, "sequence", (json_int_t)1, "born",
-        (json_int_t)server->started_ms);
+        "{s:s,s:s,s:s,s:s*,s:i,s:s,s:i,s:I,s:I}", "service", server->service,
+        "address", server->addr, "zone", server->dc, "version",
+        server->software[0] != '\0' ? server->software : NULL, "slots", SLOTS,
+        "state", server->draining ? "draining" : "ready", "cold_remaining_ms",
+        0, "sequence", (json_int_t)1, "born", (json_int_t)server->started_ms);
     if (server->engine) {
         (void)json_object_set_new(
             entry, "models",
@@ -36,12 +39,9 @@
     return entry;
 }
 
-static void
-on_heartbeat(evutil_socket_t fd, short what, void *arg)
+void
+server_write_entry(platform_server_t *server)
 {
-    platform_server_t *server = arg;
-    (void)fd;
-    (void)what;
     server->heartbeat_count++;
     if (!server->removed && !server->crashed && !server->store->faults.down &&
         !server->store->faults.silent) {
@@ -49,6 +49,14 @@
     }
 }
 
+static void
+on_heartbeat(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    server_write_entry(arg);
+}
+
 /* ---- requests ---- */
 
 /* Records a request with the headers that tests check. */
@@ -69,7 +77,10 @@
         (void)fprintf(server->record, " %s=%s", wire_header_name(shown[i]),
                       value != NULL ? value : "-");
     }
-    (void)fputc('\n', server->record);
+    const char *resumes = find_header(req, HEADER_RESUMES_NAME);
+    (void)fprintf(server->record, " software=%s " HEADER_RESUMES_NAME "=%s\n",
+                  server->software[0] != '\0' ? server->software : "-",
+                  resumes != NULL ? resumes : "-");
     (void)fflush(server->record);
 }
 
@@ -274,6 +285,19 @@
               run);
 }
 
+static void
+add_event(const run_t *run, struct evbuffer *out)
+{
+    (void)evbuffer_add_printf(out, "id: %u\ndata: token-%u", run->next_event,
+                              run->next_event);
+    if (run->server->show_runs) {
+        (void)evbuffer_add_printf(
+            out, " server=%s software=%s", run->server->id,
+            run->software[0] != '\0' ? run->software : "-");
+    }
+    (void)evbuffer_add_printf(out, "\n\n");
+}
+
 static void
 on_event_due(evutil_socket_t fd, short what, void *arg)
 {
@@ -308,8 +332,7 @@
         (void)evbuffer_add_printf(out, "x-celeryspool-weight-versions: %lld\n",
                                   (long long)server->version);
     }
-    (void)evbuffer_add_printf(out, "id: %u\ndata: token-%u\n\n",
-                              run->next_event, run->next_event);
+    add_event(run, out);
     if (run->unframed) {
         send_unframed_event(run, out);
         evbuffer_free(out);
@@ -479,6 +502,7 @@
     run->req = req;
     run->priority =
         priority != NULL ? (int)strtol(priority, NULL, 10) : PRIORITY_DEFAULT;
+    str_copy(run->software, sizeof(run->software), server->software);
     CK_LIST_INSERT_HEAD(&server->runs, run, entry);
     server->running++;
     record_run(server, req);
@@ -551,7 +575,16 @@
     }
 }
 
-/* Opens a server: ID,SERVICE,IPV4:PORT,DC,engine|plain|kv[,IPV4:PORT]. The
+/* Sets the version of a server's software; "-" and NULL for none. */
+static void
+set_software(platform_server_t *server, const char *software)
+{
+    bool none = software == NULL || strcmp(software, "-") == 0;
+    str_copy(server->software, sizeof(server->software), none ? "" : software);
+}
+
+/* Opens a server:
+ * ID,SERVICE,IPV4:PORT,DC,engine|plain|kv[,[IPV4:PORT][,SOFTWARE]].  The
  * second address, if given, is the one in its entry, where clients reach it.
  * A kv store has no entry. */
 platform_server_t *
@@ -575,8 +608,8 @@
     server->brittle = -1;
     server->work_ms = EXECUTION_MS;
     server->started_ms = STARTED_MS;
-    const char *parts[6] = {"", "", "", "", "", ""};
-    for (size_t i = 0; i < 6 && rest != NULL; i++) {
+    const char *parts[7] = {"", "", "", "", "", "", SOFTWARE_DEFAULT};
+    for (size_t i = 0; i < 7 && rest != NULL; i++) {
         parts[i] = strsep(&rest, ",");
     }
     str_copy(server->id, sizeof(server->id), parts[0]);
@@ -590,6 +623,7 @@
     if (parts[5][0] != '\0') {
         str_copy(server->addr, sizeof(server->addr), parts[5]);
     }
+    set_software(server, parts[6]);
     char *colon = strchr(host, ':');
     server->http = evhttp_new(store->base);
     evhttp_set_gencb(server->http, server_handle, server);
@@ -604,7 +638,7 @@
     server->heartbeat_timer =
         event_new(store->base, -1, EV_PERSIST, on_heartbeat, server);
     (void)event_add(server->heartbeat_timer, &interval);
-    on_heartbeat(-1, 0, server);
+    server_write_entry(server);
     return server;
 }
 
@@ -645,11 +679,35 @@
     }
 }
 
+/* Applies what a command says of a server's software and of the life of its
+ * streams: software (null for an entry without a version), show_runs,
+ * end_streams (the share of them that is broken off), restart (after being
+ * down for so many ms). */
+static void
+apply_life_command(platform_server_t *server, const json_t *command)
+{
+    const json_t *software = json_object_get(command, "software");
+    const json_t *share = json_object_get(command, "end_streams");
+    int64_t down_ms = json_get_int(command, "restart", -1);
+    if (json_object_get(command, "show_runs") != NULL) {
+        server->show_runs = json_get_bool(command, "show_runs");
+    }
+    if (json_is_number(share)) {
+        server_end_streams(server, json_number_value(share));
+    }
+    if (software != NULL) {
+        set_software(server, json_string_value(software));
+    }
+    if (down_ms >= 0) {
+        server_restart(server, down_ms);
+    }
+}
+
 /* Applies a command to a server: mode, draining, gone, events, gap_ms, and
  * limit_per_s, a negative one for none, rest_s, that rejections ask for, and
  * leaving, which its answers say though its entry does not; brittle, room,
  * work_ms, fatal_part, see platform_server_t, and crash; see also
- * apply_engine_command. */
+ * apply_engine_command and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -682,6 +740,7 @@
         server_crash(server);
     }
     apply_engine_command(server, command);
+    apply_life_command(server, command);
     if (server->kv_store) {
         return 0;
     }
@@ -691,6 +750,6 @@
         server->removed = true;
         store_remove(server->store, "servers", server->id);
     }
-    on_heartbeat(-1, 0, server);
+    server_write_entry(server);
     return 0;
 }
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -76,17 +76,18 @@
     CK_LIST_ENTRY(run) entry;
     struct platform_server *server;
     struct evhttp_request *req;
-    unsigned next_event;   /* number of the next event to send */
-    unsigned last_event;   /* number of the last event of the stream */
-    int64_t version;       /* of the weights on which it started */
-    int64_t shown_version; /* of the weights last shown in the stream */
-    int priority;          /* 0 is the most urgent */
-    bool started;          /* its stream has begun */
-    bool fatal;            /* it ends the server after its first event */
-    bool preempted;        /* waits to be prefilled again */
-    bool paused;           /* no event is due: preempted, silent or held */
-    bool closed;           /* the client has closed the connection */
-    bool unframed;         /* its answer ends with its connection */
+    unsigned next_event;        /* number of the next event to send */
+    unsigned last_event;        /* number of the last event of the stream */
+    int64_t version;            /* of the weights on which it started */
+    int64_t shown_version;      /* of the weights last shown in the stream */
+    char software[CS_NAME_MAX]; /* of the server when it started */
+    int priority;               /* 0 is the most urgent */
+    bool started;               /* its stream has begun */
+    bool fatal;                 /* it ends the server after its first event */
+    bool preempted;             /* waits to be prefilled again */
+    bool paused;   /* no event is due: preempted, silent or held */
+    bool closed;   /* the client has closed the connection */
+    bool unframed; /* its answer ends with its connection */
     struct event *deadline_timer; /* NULL except of a silent one */
 } run_t;
 
@@ -135,8 +136,10 @@
     /* A request with this part ends the server once its answer has begun;
      * empty for none. */
     char fatal_part[CS_NAME_MAX];
-    bool crashed;       /* it has ended and starts again later */
-    int64_t started_ms; /* start time that it states */
+    bool crashed;               /* it has ended and starts again later */
+    int64_t started_ms;         /* start time that it states */
+    char software[CS_NAME_MAX]; /* version in its entry; empty for none */
+    bool show_runs; /* events name the server and software of their run */
     int64_t rejections_ms[REJECTIONS_MAX];
     size_t rejection_count;
     bool hold_fetches;     /* new requests wait before they fetch */
@@ -157,10 +160,13 @@
                                FILE *record);
 int server_command(platform_server_t *server, const json_t *command);
 void server_continue_run(run_t *run);
+void server_write_entry(platform_server_t *server);
 
 void server_shut_connection(struct evhttp_request *req);
 int server_listen(platform_server_t *server);
 void server_crash(platform_server_t *server);
+void server_restart(platform_server_t *server, int64_t down_ms);
+void server_end_streams(platform_server_t *server, double share);
 bool server_has_fatal_part(const platform_server_t *server,
                            struct evhttp_request *req);
 bool server_note_rejection(platform_server_t *server);
