Soak: engines of several software versions and streams that go on

Cause: the soak had engines of one version, and callers that never took a stream up again. Half of the callers ask for streams of 40 events in 1.6 s and take them up at another relay with Last-Event-Id and Resumes, sometimes in strange ways first (no Resumes, from another workspace, an unknown attempt, no Last-Event-Id). Checked are: one version a stream, no event missing or twice, complete only with the last event, events only from runs of their own request, and of 12 streams or more that are taken up where two undisturbed engines of their version serve, half of the share that begins. The last third of the faults is planned work. The other modes draw what they drew.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -1,4 +1,4 @@
-#include "callers.h"
+#include "streams.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -11,7 +11,7 @@
 #define THINK_MS_MAX 60
 /* One in so many requests has the fatal part while there is one. */
 #define FATAL_REQUEST_INTERVAL 40
-#define STREAM_EVENTS 8 /* events in a stream of the stand-in */
+#define SHORT_STREAM_EVENTS 8 /* events in a stream of the stand-in */
 
 struct caller {
     callers_t *callers;
@@ -50,7 +50,7 @@
 {
     CLEAN_BUF buf_t expected = {0};
     if (request_route(caller->request)->stream) {
-        for (int i = 1; i <= STREAM_EVENTS; i++) {
+        for (int i = 1; i <= SHORT_STREAM_EVENTS; i++) {
             buf_fmt(&expected, "id: %d\ndata: token-%d\n\n", i, i);
         }
     }
@@ -103,7 +103,9 @@
 {
     soak_t *soak = caller->callers->soak;
     uint64_t draw = rng_below(&soak->rng, 10);
-    request->kind = (request_kind_t)rng_below(&soak->rng, REQUEST_KINDS);
+    /* With versions, others ask for streams. */
+    request->kind = (request_kind_t)rng_below(
+        &soak->rng, soak->versions ? REQUEST_REVIEW : REQUEST_KINDS);
     request->relay = (size_t)rng_below(&soak->rng, soak->relay_count);
     if (soak->one_relay > 0) {
         request->relay = soak->used_relay;
@@ -164,6 +166,9 @@
         caller->timer = evtimer_new(soak->base, on_think_timer, caller);
         send_next_request(caller);
     }
+    if (soak->versions) {
+        callers->streams = streams_start(callers, count);
+    }
     return callers;
 }
 
--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -144,12 +144,17 @@
     server->is_engine = engine;
     (void)snprintf(server->id, sizeof(server->id), "%c%zu", engine ? 'e' : 'p',
                    i + 1);
+    if (engine && soak->versions) {
+        (void)snprintf(server->version, sizeof(server->version), "v%zu",
+                       1 + i % 2);
+    }
     char **argv = soak->platform.argv;
     size_t arg = 5 + 2 * i;
     argv[arg] = format_string("--server");
     argv[arg + 1] = format_string(
-        "%s,%s,%s,dc-%c,%s,%s", server->id, engine ? "llm" : "desk",
-        listen_addr, "ab"[i % 2], engine ? "engine" : "plain", link_addr);
+        "%s,%s,%s,dc-%c,%s,%s%s%s", server->id, engine ? "llm" : "desk",
+        listen_addr, "ab"[i % 2], engine ? "engine" : "plain", link_addr,
+        server->version[0] != '\0' ? "," : "", server->version);
     server->link = link_open(soak->base, link_addr, listen_addr, err);
     return server->link != NULL ? 0 : -1;
 }
@@ -246,7 +251,9 @@
         "\"tenants\":[{\"name\":\"ws1\",\"access_keys\":[\"key1\"%s],"
         "\"isolated\":true},{\"name\":\"ws2\",\"access_keys\":[\"key2\"]}]}",
         (long long)soak->config_version,
-        soak->planned && soak->config_version % 2 == 0 ? 5000 : 6000,
+        (soak->planned || soak->versions) && soak->config_version % 2 == 0
+            ? 5000
+            : 6000,
         old_key ? ",\"old-key\"" : "");
     soak_post_admin(soak, "object/config/main", buf_text(&text));
 }
@@ -297,6 +304,9 @@
         time_sleep_ms(50);
     }
     soak->weights = 1;
+    if (soak->versions) {
+        versions_open(soak);
+    }
     deployment_publish_config(soak);
     publish_weights(soak);
     for (size_t i = 0; i < soak->relay_count; i++) {
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -1,4 +1,4 @@
-#include "soak.h"
+#include "faults.h"
 
 #include <ck_queue.h>
 #include <signal.h>
@@ -11,6 +11,8 @@
 /* Time between the starts of two faults: minimum, and random part on top. */
 #define INTERVAL_MS_MIN 150
 #define INTERVAL_RANGE_MS 900
+/* With versions, further time for relays and engines to be undisturbed. */
+#define VERSIONS_INTERVAL_MS 300
 /* Duration of a fault: minimum, and random part on top. */
 #define DURATION_MS_MIN 200
 #define DURATION_RANGE_MS 2500
@@ -23,46 +25,39 @@
 /* A brittle server that ends is back after this time. */
 #define BRITTLE_RESTART_MS 4000
 
-typedef enum {
-    FAULT_RELAY_KILL,
-    FAULT_RELAY_STOP,
-    FAULT_RELAY_PAUSE,
-    FAULT_RELAY_RELOAD,
-    FAULT_CALLER_LINK,       /* the link from callers to a relay */
-    FAULT_STORE_LINK,        /* the link from a relay to the store */
-    FAULT_SERVER_LINK,       /* the link to a server */
-    FAULT_RESET_CONNECTIONS, /* open connections on a link are reset */
-    FAULT_STALL_CONNECTIONS, /* open connections on a link transfer no more
-                                data */
-    FAULT_SERVER,            /* a server answers wrongly or not at all */
-    FAULT_STORE_DOWN,
-    FAULT_STORE_SILENT,
-    FAULT_STORE_LOSES_ANSWERS, /* writes are done but not answered */
-    FAULT_STORE_LOSES_HISTORY,
-    FAULT_NEW_CONFIG,
-    FAULT_NEW_WEIGHTS,
-    FAULT_REMOVE_KEY, /* a key is removed from the configuration */
-    /* The kinds from here on are drawn with --signals alone, so that the other
-     * seeds draw the same faults as before these kinds existed. */
-    FAULT_SERVER_LIMIT, /* a server states a rate limit */
-    FAULT_SERVER_REST,  /* a server rejects and asks for rest */
-    /* From here on with --cuts alone. */
-    FAULT_HOST_CUT,       /* a relay is cut off from all servers */
-    FAULT_SERVER_BRITTLE, /* a server ends over rejected requests */
-    FAULT_FATAL_PART,     /* a part of a prompt ends the engines */
-    FAULT_ONE_RELAY,      /* all callers use one relay */
-    FAULT_UNFRAMED,       /* answers end with their connection */
-    /* From here on with --planned alone. */
-    FAULT_SILENCE, /* links from engines deliver nothing for about a second */
-    FAULT_KINDS
-} fault_kind_t;
-
-static const char *const kind_names[FAULT_KINDS] = {
-    "relay-kill", "relay-stop",   "relay-pause", "relay-reload",  "front-link",
-    "store-link", "server-link",  "resets",      "stalls",        "server",
-    "store-down", "store-silent", "store-loses", "store-forgets", "config",
-    "weights",    "key",          "limit",       "rest",          "host-cut",
-    "brittle",    "fatal-part",   "one-relay",   "unframed",      "silence"};
+static const char *const kind_names[FAULT_KINDS] = {"relay-kill",
+                                                    "relay-stop",
+                                                    "relay-pause",
+                                                    "relay-reload",
+                                                    "front-link",
+                                                    "store-link",
+                                                    "server-link",
+                                                    "resets",
+                                                    "stalls",
+                                                    "server",
+                                                    "store-down",
+                                                    "store-silent",
+                                                    "store-loses",
+                                                    "store-forgets",
+                                                    "config",
+                                                    "weights",
+                                                    "key",
+                                                    "limit",
+                                                    "rest",
+                                                    "host-cut",
+                                                    "brittle",
+                                                    "fatal-part",
+                                                    "one-relay",
+                                                    "unframed",
+                                                    "silence",
+                                                    "engine-drain",
+                                                    "engine-restart",
+                                                    "roll",
+                                                    "version-leaves",
+                                                    "streams-end",
+                                                    "in-turn",
+                                                    "at-once",
+                                                    "caller-resets"};
 
 typedef struct fault {
     CK_LIST_ENTRY(fault) entry;
@@ -94,7 +89,7 @@
     return until > current_ms ? until : current_ms;
 }
 
-static void
+void
 disturb_relay(soak_relay_t *relay, int64_t duration_ms)
 {
     relay->disturbances++;
@@ -102,12 +97,23 @@
         extend_until(relay->disturbed_until_ms, duration_ms);
 }
 
-static void
-disturb_servers(soak_t *soak, int64_t duration_ms)
+/* Disturbs one server, and for checks that do not tell servers apart all. */
+void
+disturb_server(soak_t *soak, soak_server_t *server, int64_t duration_ms)
 {
     soak->server_disturbances++;
     soak->servers_disturbed_until_ms =
         extend_until(soak->servers_disturbed_until_ms, duration_ms);
+    server->disturbed_until_ms =
+        extend_until(server->disturbed_until_ms, duration_ms);
+}
+
+static void
+disturb_servers(soak_t *soak, int64_t duration_ms)
+{
+    for (size_t i = 0; i < soak->server_count; i++) {
+        disturb_server(soak, &soak->servers[i], duration_ms);
+    }
 }
 
 static void
@@ -237,11 +243,13 @@
     disturb_servers(soak, 3000);
 }
 
-/* Starts a fault of the kinds that --cuts and --planned add. */
+/* Starts a fault of the kinds that --cuts, --planned and --versions
+ * add. */
 static void
 start_further_fault(soak_t *soak, const fault_t *fault, int64_t duration_ms)
 {
     soak_relay_t *relay = relay_at(soak, fault->target);
+    soak_server_t *server = server_at(soak, fault->target);
     switch (fault->kind) {
         case FAULT_HOST_CUT:
             start_host_cut(soak, relay, duration_ms);
@@ -256,7 +264,7 @@
             soak->used_relay = fault->target % soak->relay_count;
             return;
         case FAULT_UNFRAMED:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             set_server_mode(
                 soak, fault->target,
                 rng_below(&soak->rng, 2) == 0 ? "until-close" : "torn");
@@ -265,12 +273,13 @@
             set_silence(soak, fault->target, LINK_HOLD_FROM_TARGET);
             return;
         case FAULT_SERVER_BRITTLE:
-            disturb_servers(soak, duration_ms + BRITTLE_RESTART_MS);
+            disturb_server(soak, server, duration_ms + BRITTLE_RESTART_MS);
             set_server_number(soak, fault->target, "well", "room", 2);
             set_server_number(soak, fault->target, "well", "brittle",
                               1 + (int64_t)rng_below(&soak->rng, 5));
             return;
         default:
+            versions_start_fault(soak, fault->kind, fault->target);
             return;
     }
 }
@@ -297,21 +306,21 @@
             link_set_state(relay->store_link, random_link_fault(soak));
             return;
         case FAULT_SERVER_LINK:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             link_set_state(server->link, random_link_fault(soak));
             return;
         case FAULT_RESET_CONNECTIONS:
-            disturb_servers(soak, 0);
+            disturb_server(soak, server, 0);
             link_reset(server->link);
             link_reset(relay->store_link);
             return;
         case FAULT_STALL_CONNECTIONS:
-            disturb_servers(soak, 0);
+            disturb_server(soak, server, 0);
             link_stall(server->link);
             link_stall(relay->store_link);
             return;
         case FAULT_SERVER:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             set_server_mode(soak, fault->target,
                             modes[rng_below(&soak->rng, 6)]);
             return;
@@ -337,25 +346,18 @@
             remove_old_key(soak);
             return;
         case FAULT_SERVER_LIMIT:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             set_server_number(soak, fault->target, "well", "limit_per_s",
                               (int64_t)rng_below(&soak->rng, 10));
             return;
         case FAULT_SERVER_REST:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             set_server_number(soak, fault->target, "shed", "rest_s",
                               1 + (int64_t)rng_below(&soak->rng, 2));
             return;
-        case FAULT_HOST_CUT:
-        case FAULT_SERVER_BRITTLE:
-        case FAULT_FATAL_PART:
-        case FAULT_ONE_RELAY:
-        case FAULT_UNFRAMED:
-        case FAULT_SILENCE:
+        default:
             start_further_fault(soak, fault, duration_ms);
             return;
-        case FAULT_KINDS:
-            return;
     }
 }
 
@@ -420,22 +422,48 @@
     }
 }
 
-/* Draws planned work, or silence. */
 static fault_kind_t
 random_planned_kind(soak_t *soak)
 {
     static const fault_kind_t kinds[] = {FAULT_NEW_CONFIG, FAULT_NEW_CONFIG,
-                                         FAULT_RELAY_RELOAD, FAULT_SILENCE};
-    return kinds[rng_below(&soak->rng, sizeof(kinds) / sizeof(kinds[0]))];
+                                         FAULT_RELAY_RELOAD, FAULT_SILENCE,
+                                         FAULT_ENGINE_DRAIN};
+    size_t count = sizeof(kinds) / sizeof(kinds[0]);
+    return kinds[rng_below(&soak->rng, soak->versions ? count : count - 1)];
+}
+
+/* Most faults with --versions break off streams; the others are planned work
+ * or of the kinds that are drawn always. */
+static fault_kind_t
+random_versions_kind(soak_t *soak)
+{
+    static const fault_kind_t kinds[] = {
+        FAULT_RELAY_KILL,     FAULT_RELAY_KILL,     FAULT_RELAY_KILL,
+        FAULT_ENGINE_RESTART, FAULT_ENGINES_ROLL,   FAULT_VERSION_LEAVES,
+        FAULT_STREAMS_END,    FAULT_RELAYS_IN_TURN, FAULT_RELAYS_AT_ONCE,
+        FAULT_CALLER_RESETS,  FAULT_HOST_CUT};
+    switch (rng_below(&soak->rng, 10)) {
+        case 0:
+            return (fault_kind_t)rng_below(&soak->rng, FAULT_SERVER_LIMIT);
+        case 1:
+        case 2:
+            return random_planned_kind(soak);
+        default:
+            return kinds[rng_below(&soak->rng,
+                                   sizeof(kinds) / sizeof(kinds[0]))];
+    }
 }
 
 /* With --cuts, a third of the faults are of the kinds that it adds. */
 static fault_kind_t
 random_kind(soak_t *soak)
 {
-    if (soak->planned) {
+    if (soak->planned || time_mono_ms() >= soak->planned_from_ms) {
         return random_planned_kind(soak);
     }
+    if (soak->versions) {
+        return random_versions_kind(soak);
+    }
     if (soak->cuts && rng_below(&soak->rng, 3) == 0) {
         return FAULT_HOST_CUT +
                (fault_kind_t)rng_below(&soak->rng,
@@ -487,5 +515,8 @@
         start_random_fault(soak, now);
         next_fault_ms = now + INTERVAL_MS_MIN +
                         (int64_t)rng_below(&soak->rng, INTERVAL_RANGE_MS);
+        if (soak->versions) {
+            next_fault_ms += VERSIONS_INTERVAL_MS;
+        }
     }
 }
--- a/soak/records.c
+++ b/soak/records.c
@@ -1,4 +1,4 @@
-#include "callers.h"
+#include "streams.h"
 #include "../relay/wire.h"
 
 #include <inttypes.h>
@@ -46,6 +46,18 @@
     return out;
 }
 
+static void
+note_run_server(const soak_t *soak, soak_request_t *request, char *line)
+{
+    char id[CS_NAME_MAX];
+    (void)parse_field(line, "server", id, sizeof(id));
+    for (size_t i = 0; i < soak->server_count; i++) {
+        if (strcmp(soak->servers[i].id, id) == 0) {
+            request->ran_servers |= (uint32_t)1 << i;
+        }
+    }
+}
+
 static void
 check_run(callers_t *callers, json_t *by_id, char *line)
 {
@@ -66,6 +78,7 @@
         return;
     }
     request->runs++;
+    note_run_server(soak, request, line);
     if (strcmp(key, "-") != 0 || strcmp(workspace, request->workspace) != 0) {
         soak_report_violation(soak, "servers receive the workspace and no key",
                               "%s", line);
@@ -170,6 +183,11 @@
         soak_report_violation(soak, "a graceful shutdown cuts off no request",
                               "%s ended %d", id, (int)request->end);
     }
+    if ((request->shown_servers & ~request->ran_servers) != 0) {
+        soak_report_violation(soak, "events come from runs of their request",
+                              "%s: servers %x, ran at %x", id,
+                              request->shown_servers, request->ran_servers);
+    }
     if (request->calm && was_cut_off(request)) {
         soak_report_violation(
             soak, "planned work cuts off no request",
@@ -215,6 +233,9 @@
                  "recovery phase\n",
                  callers->request_count, succeeded_total, recovery_successes,
                  recovery_requests);
+    if (callers->streams != NULL) {
+        streams_check(callers->streams);
+    }
     if (recovery_requests < 20 ||
         recovery_successes < recovery_requests * RECOVERY_SUCCESS_SHARE) {
         soak_report_violation(soak, "requests succeed again after the faults",
--- a/soak/regress.sh
+++ b/soak/regress.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs the soak with every seed of soak/seeds.txt and three times with one more:
-# SEED, or 1, without and with signals of servers, and with hosts cut off.
+# Runs the soak with every seed of soak/seeds.txt and four times with one more:
+# SEED, or 1, without and with signals of servers, with hosts cut off, and with
+# several software versions.
 cd "$(dirname "$0")/.." || exit 1
 BUILD=${BUILD:-build}
 OUT=${OUT:-out}
@@ -15,5 +16,5 @@
         cat "$OUT/soak-$seed.out"
     }
     tail -n 1 "$OUT/soak-$seed.out"
-done < <(cat soak/seeds.txt; echo "${SEED:-1} 8"; echo "${SEED:-1} 8 --signals"; echo "${SEED:-1} 12 --cuts")
+done < <(cat soak/seeds.txt; echo "${SEED:-1} 8"; echo "${SEED:-1} 8 --signals"; echo "${SEED:-1} 12 --cuts"; echo "${SEED:-1} 15 --versions")
 [ "$failed" = 0 ]
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -28,6 +28,7 @@
     bool signals;
     bool cuts;
     bool planned;
+    bool versions;
     const char *dir;
     const char *build;
 } args_t;
@@ -50,6 +51,11 @@
      "nothing but changes of the configuration, SIGHUP and servers that are "
      "silent for about a second",
      0},
+    {"versions", 'V', NULL, 0,
+     "engines have several software versions, and callers take streams up; "
+     "the "
+     "last third is planned work",
+     0},
     {"dir", 'd', "DIR", 0, "directory for logs and records", 0},
     {"build", 'b', "DIR", 0, "directory of the programs", 0},
     {0},
@@ -107,6 +113,9 @@
         case 'P':
             args->planned = true;
             return 0;
+        case 'V':
+            args->versions = true;
+            return 0;
         case 'd':
             args->dir = arg;
             return 0;
@@ -154,6 +163,7 @@
         soak->callers = callers_start(soak, soak->caller_count);
     }
     faults_tick(soak);
+    versions_tick(soak);
     exchanges_sweep(soak->exchanges);
     if (now >= soak->end_ms) {
         callers_stop(soak->callers);
@@ -174,6 +184,7 @@
     soak->signals = args->signals;
     soak->cuts = args->cuts;
     soak->planned = args->planned;
+    soak->versions = args->versions;
     soak->relay_count = (size_t)args->relays;
     soak->server_count = (size_t)args->engines + PLAIN_SERVERS;
     soak->caller_count = (size_t)args->callers;
@@ -190,17 +201,31 @@
     (void)event_add(tick, &interval);
     soak->start_ms = time_mono_ms() + SETTLE_MS;
     soak->faults_end_ms = soak->start_ms + (int64_t)args->seconds * 1000;
+    soak->planned_from_ms =
+        soak->versions ? soak->faults_end_ms - (int64_t)args->seconds * 333
+                       : soak->faults_end_ms;
     soak->end_ms = soak->faults_end_ms + RECOVERY_MS;
     return deployment_open(soak, err);
 }
 
+/* With versions there are two or more engines of each, and enough relays that
+ * most are undisturbed while one is killed. */
+static void
+set_sizes(args_t *args)
+{
+    if (args->relays == 0) {
+        args->relays = args->versions ? 5 : 3;
+    }
+    if (args->engines == 0) {
+        args->engines = args->versions ? 7 : 3;
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     args_t args = {.seed = 1,
                    .seconds = 15,
-                   .relays = 3,
-                   .engines = 3,
                    .callers = 24,
                    .port = 21000,
                    .dir = "out/soak",
@@ -208,6 +233,7 @@
     soak_t *soak = mem_zalloc(sizeof(*soak));
     err_t err = {0};
     (void)argp_parse(&arguments, argc, argv, 0, NULL, &args);
+    set_sizes(&args);
     (void)signal(SIGPIPE, SIG_IGN);
     (void)setvbuf(stdout, NULL, _IOLBF, 0);
     (void)printf("soak: seed %llu, %d relays, %d engines, %d s\n",
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -55,6 +55,9 @@
     char id[CS_NAME_MAX];
     bool is_engine;
     link_t *link;
+    int64_t disturbed_until_ms; /* end of its own faults' effects */
+    char version[CS_NAME_MAX];  /* of its software; empty while it leaves */
+    bool draining;              /* it leaves, or has left */
 } soak_server_t;
 
 typedef struct callers callers_t;
@@ -69,12 +72,14 @@
     char record_path[192]; /* what the backend servers recorded */
     int first_port;        /* the soak uses 240 ports from this one */
     int64_t start_ms;      /* callers and faults start */
-    bool signals;      /* servers also state rate limits and ask for rest */
-    bool cuts;         /* besides, hosts are cut off from all servers */
-    bool planned;      /* planned work and silence alone */
-    int fatal_parts;   /* running faults in which a part ends servers */
-    int one_relay;     /* running faults in which callers use one relay */
-    size_t used_relay; /* that one */
+    bool signals;  /* servers also state rate limits and ask for rest */
+    bool cuts;     /* besides, hosts are cut off from all servers */
+    bool versions; /* engines have several software versions */
+    int64_t planned_from_ms; /* then planned work and silence alone */
+    bool planned;            /* planned work and silence alone */
+    int fatal_parts;         /* running faults in which a part ends servers */
+    int one_relay;         /* running faults in which callers use one relay */
+    size_t used_relay;     /* that one */
     int64_t faults_end_ms; /* end of all faults, start of the recovery phase */
     int64_t end_ms;        /* callers send no further request */
     process_t platform;
@@ -108,6 +113,13 @@
 
 void faults_tick(soak_t *soak);
 
+/* ---- the software versions of engines ---- */
+
+void versions_open(soak_t *soak);
+void versions_tick(soak_t *soak);
+void versions_note_event(soak_server_t *engine, const char *version);
+size_t versions_count_sound(const soak_t *soak, const char *version);
+
 /* ---- callers and the guarantees that they check ---- */
 
 callers_t *callers_start(soak_t *soak, size_t count);
