--- a/soak/callers.c
+++ b/soak/callers.c
@@ -167,7 +167,7 @@
         send_next_request(caller);
     }
     if (soak->versions) {
-        callers->streams = streams_start(callers, count);
+        callers->streams = streams_start(callers, 2 * count);
     }
     return callers;
 }
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -174,7 +174,7 @@
 static void
 start_host_cut(soak_t *soak, soak_relay_t *relay, int64_t duration_ms)
 {
-    uint64_t way = rng_below(&soak->rng, 3);
+    uint64_t way = rng_below(soak->fault_rng, 3);
     disturb_relay(relay, duration_ms);
     cut_host(soak, relay, way == 1,
              way == 0 ? LINK_HOLD_BOTH : LINK_RESET_NEW);
@@ -195,7 +195,7 @@
 static link_state_t
 random_link_fault(soak_t *soak)
 {
-    return LINK_DELAYED + (link_state_t)rng_below(&soak->rng, 5);
+    return LINK_DELAYED + (link_state_t)rng_below(soak->fault_rng, 5);
 }
 
 static void
@@ -267,7 +267,7 @@
             disturb_server(soak, server, duration_ms);
             set_server_mode(
                 soak, fault->target,
-                rng_below(&soak->rng, 2) == 0 ? "until-close" : "torn");
+                rng_below(soak->fault_rng, 2) == 0 ? "until-close" : "torn");
             return;
         case FAULT_SILENCE:
             set_silence(soak, fault->target, LINK_HOLD_FROM_TARGET);
@@ -276,7 +276,7 @@
             disturb_server(soak, server, duration_ms + BRITTLE_RESTART_MS);
             set_server_number(soak, fault->target, "well", "room", 2);
             set_server_number(soak, fault->target, "well", "brittle",
-                              1 + (int64_t)rng_below(&soak->rng, 5));
+                              1 + (int64_t)rng_below(soak->fault_rng, 5));
             return;
         default:
             versions_start_fault(soak, fault->kind, fault->target);
@@ -322,7 +322,7 @@
         case FAULT_SERVER:
             disturb_server(soak, server, duration_ms);
             set_server_mode(soak, fault->target,
-                            modes[rng_below(&soak->rng, 6)]);
+                            modes[rng_below(soak->fault_rng, 6)]);
             return;
         case FAULT_STORE_DOWN:
             soak_post_admin(soak, "store", "{\"down\":true}");
@@ -348,12 +348,12 @@
         case FAULT_SERVER_LIMIT:
             disturb_server(soak, server, duration_ms);
             set_server_number(soak, fault->target, "well", "limit_per_s",
-                              (int64_t)rng_below(&soak->rng, 10));
+                              (int64_t)rng_below(soak->fault_rng, 10));
             return;
         case FAULT_SERVER_REST:
             disturb_server(soak, server, duration_ms);
             set_server_number(soak, fault->target, "shed", "rest_s",
-                              1 + (int64_t)rng_below(&soak->rng, 2));
+                              1 + (int64_t)rng_below(soak->fault_rng, 2));
             return;
         default:
             start_further_fault(soak, fault, duration_ms);
@@ -429,7 +429,8 @@
                                          FAULT_RELAY_RELOAD, FAULT_SILENCE,
                                          FAULT_ENGINE_DRAIN};
     size_t count = sizeof(kinds) / sizeof(kinds[0]);
-    return kinds[rng_below(&soak->rng, soak->versions ? count : count - 1)];
+    return kinds[rng_below(soak->fault_rng,
+                           soak->versions ? count : count - 1)];
 }
 
 /* Most faults with --versions break off streams; the others are planned work
@@ -442,14 +443,15 @@
         FAULT_ENGINE_RESTART, FAULT_ENGINES_ROLL,   FAULT_VERSION_LEAVES,
         FAULT_STREAMS_END,    FAULT_RELAYS_IN_TURN, FAULT_RELAYS_AT_ONCE,
         FAULT_CALLER_RESETS,  FAULT_HOST_CUT};
-    switch (rng_below(&soak->rng, 10)) {
+    switch (rng_below(soak->fault_rng, 10)) {
         case 0:
-            return (fault_kind_t)rng_below(&soak->rng, FAULT_SERVER_LIMIT);
+            return (fault_kind_t)rng_below(soak->fault_rng,
+                                           FAULT_SERVER_LIMIT);
         case 1:
         case 2:
             return random_planned_kind(soak);
         default:
-            return kinds[rng_below(&soak->rng,
+            return kinds[rng_below(soak->fault_rng,
                                    sizeof(kinds) / sizeof(kinds[0]))];
     }
 }
@@ -464,13 +466,13 @@
     if (soak->versions) {
         return random_versions_kind(soak);
     }
-    if (soak->cuts && rng_below(&soak->rng, 3) == 0) {
+    if (soak->cuts && rng_below(soak->fault_rng, 3) == 0) {
         return FAULT_HOST_CUT +
-               (fault_kind_t)rng_below(&soak->rng,
+               (fault_kind_t)rng_below(soak->fault_rng,
                                        FAULT_SILENCE - FAULT_HOST_CUT);
     }
     return (fault_kind_t)rng_below(
-        &soak->rng, soak->signals ? FAULT_HOST_CUT : FAULT_SERVER_LIMIT);
+        soak->fault_rng, soak->signals ? FAULT_HOST_CUT : FAULT_SERVER_LIMIT);
 }
 
 static void
@@ -478,12 +480,13 @@
 {
     fault_t *fault = mem_zalloc(sizeof(*fault));
     int64_t duration_ms =
-        DURATION_MS_MIN + (int64_t)rng_below(&soak->rng, DURATION_RANGE_MS);
+        DURATION_MS_MIN +
+        (int64_t)rng_below(soak->fault_rng, DURATION_RANGE_MS);
     fault->kind = random_kind(soak);
-    fault->target = (size_t)rng_below(&soak->rng, 64);
+    fault->target = (size_t)rng_below(soak->fault_rng, 64);
     if (fault->kind == FAULT_SILENCE) {
-        duration_ms =
-            SILENCE_MS_MIN + (int64_t)rng_below(&soak->rng, SILENCE_RANGE_MS);
+        duration_ms = SILENCE_MS_MIN +
+                      (int64_t)rng_below(soak->fault_rng, SILENCE_RANGE_MS);
     }
     fault->until_ms = now + duration_ms;
     if (fault->until_ms > soak->faults_end_ms) {
@@ -514,7 +517,7 @@
     if (now >= next_fault_ms && now < soak->faults_end_ms) {
         start_random_fault(soak, now);
         next_fault_ms = now + INTERVAL_MS_MIN +
-                        (int64_t)rng_below(&soak->rng, INTERVAL_RANGE_MS);
+                        (int64_t)rng_below(soak->fault_rng, INTERVAL_RANGE_MS);
         if (soak->versions) {
             next_fault_ms += VERSIONS_INTERVAL_MS;
         }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -179,6 +179,9 @@
     static const struct timeval interval = {0, TICK_MS * 1000};
     soak->seed = args->seed;
     soak->rng.state = args->seed;
+    soak->own_fault_rng.state = args->seed;
+    soak->fault_rng =
+        args->versions || args->planned ? &soak->own_fault_rng : &soak->rng;
     soak->build = args->build;
     soak->first_port = args->port;
     soak->signals = args->signals;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -66,6 +66,8 @@
     struct event_base *base;
     exchanges_t *exchanges;
     rng_t rng;
+    rng_t own_fault_rng;
+    rng_t *fault_rng; /* of the callers too, or the faults' own */
     uint64_t seed;
     const char *build;
     char dir[128];
--- a/soak/versions.c
+++ b/soak/versions.c
@@ -126,7 +126,8 @@
     uint64_t known =
         time_mono_ms() < middle_ms ? VERSIONS_MAX - 1 : VERSIONS_MAX;
     uint64_t own = strtoull(engine->version + 1, NULL, 10);
-    uint64_t number = 1 + (own + rng_below(&soak->rng, known - 1)) % known;
+    uint64_t number =
+        1 + (own + rng_below(soak->fault_rng, known - 1)) % known;
     (void)snprintf(out, CS_NAME_MAX, "v%u", (unsigned)number);
 }
 
