Stand-ins: a version of its own for each server without one, short records

Cause: two servers whose entries name no version may run different software, and counted as one version; a recorded run could exceed a reader's line with a long Resumes.

Change: fake-streams counts each such server as a version of its own; the record has at most 128 bytes of Resumes.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -78,7 +78,8 @@
                       value != NULL ? value : "-");
     }
     const char *resumes = find_header(req, HEADER_RESUMES_NAME);
-    (void)fprintf(server->record, " software=%s " HEADER_RESUMES_NAME "=%s\n",
+    (void)fprintf(server->record,
+                  " software=%s " HEADER_RESUMES_NAME "=%.128s\n",
                   server->software[0] != '\0' ? server->software : "-",
                   resumes != NULL ? resumes : "-");
     (void)fflush(server->record);
--- a/fakes/streams-events.c
+++ b/fakes/streams-events.c
@@ -52,11 +52,16 @@
     list_add(&events->servers, server);
 }
 
+/* Servers that name no version may differ, so each counts as one of its own.
+ */
 static void
 note_version(stream_events_t *events, const char *event)
 {
     char version[CS_NAME_MAX];
     read_word(event, " software=", version);
+    if (strcmp(version, "-") == 0) {
+        (void)snprintf(version, sizeof(version), "-%.60s", events->server);
+    }
     if (!list_has(&events->versions, version)) {
         list_add(&events->versions, version);
         events->version_count++;
