Tests: streams over servers of two software versions

Cause: nothing showed whether a stream goes on at the version that began it, inside an answer, over forwards, or over a client's tries at several hosts.

Each demands no mixed stream, each event once, and where hosts are in touch that half of the streams taken up go on.

--- /dev/null
+++ b/tests/proc-stream-versions.sh
@@ -0,0 +1,45 @@
+#!/usr/bin/env bash
+# Guards against streams that go on at a server of another software version when theirs breaks off.
+. "$(dirname "$0")/stream-versions-lib.sh"
+start_versions || exit 1
+
+# Half of the streams of each version are broken off, twice; the twin servers have room.
+clients half 7 8
+for ((n = 0; n < 2; n++)); do
+    sleep 3.5
+    for id in "${VERSION_1[@]}" "${VERSION_2[@]}"; do engine "$id" '{"end_streams":0.5}'; done
+done
+wait_clients
+expect_versions half
+expect_begun half
+expect "half: streams go on inside their answer ($(figure half moved_inside))" [ "$(figure half moved_inside)" -ge 10 ]
+expect "half: nearly all are complete ($(figure half complete) of $(figure half begun))" \
+    [ $(($(figure half complete) * 10)) -ge $(($(figure half begun) * 9)) ]
+
+# One server of a version ends: its streams go on at the other.
+clients one 7 6
+sleep 4
+engine e1 '{"restart":600000}'
+sleep 0.9
+engine e1 '{"gone":true}'
+wait_clients
+expect_versions one
+expect_begun one
+expect "one: nearly all are complete ($(figure one complete) of $(figure one begun))" \
+    [ $(($(figure one complete) * 10)) -ge $(($(figure one begun) * 9)) ]
+
+# Both of the other version end for good: there is nowhere to go on.
+clients last 6 4
+sleep 3.5
+for id in "${VERSION_2[@]}"; do engine "$id" '{"restart":600000}'; done
+sleep 0.9
+for id in "${VERSION_2[@]}"; do engine "$id" '{"gone":true}'; done
+clients after 2 3
+wait_clients
+expect_versions last
+expect "last: streams that cannot go on end within a second ($(figure last broken_wait_ms) ms)" [ "$(figure last broken_wait_ms)" -le 1200 ]
+expect "last: taken up again they are refused within a second ($(figure last refused_wait_ms) ms)" [ "$(figure last refused_wait_ms)" -le 1200 ]
+expect "last: none ends at its deadline ($(figure last late))" [ "$(figure last late)" = 0 ]
+expect_versions after
+expect_begun after
+finish
