--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -144,12 +144,17 @@
     server->is_engine = engine;
     (void)snprintf(server->id, sizeof(server->id), "%c%zu", engine ? 'e' : 'p',
                    i + 1);
+    if (engine && soak->versions) {
+        (void)snprintf(server->version, sizeof(server->version), "v%zu",
+                       1 + i % 2);
+    }
     char **argv = soak->platform.argv;
     size_t arg = 5 + 2 * i;
     argv[arg] = format_string("--server");
     argv[arg + 1] = format_string(
-        "%s,%s,%s,dc-%c,%s,%s", server->id, engine ? "llm" : "desk",
-        listen_addr, "ab"[i % 2], engine ? "engine" : "plain", link_addr);
+        "%s,%s,%s,dc-%c,%s,%s%s%s", server->id, engine ? "llm" : "desk",
+        listen_addr, "ab"[i % 2], engine ? "engine" : "plain", link_addr,
+        server->version[0] != '\0' ? "," : "", server->version);
     server->link = link_open(soak->base, link_addr, listen_addr, err);
     return server->link != NULL ? 0 : -1;
 }
@@ -218,6 +223,7 @@
 {
     CLEAN_BUF buf_t text = {0};
     bool old_key = soak->old_key_removed_ms == 0;
+    soak->config_version++;
     buf_fmt(
         &text,
         "{\"version\":%lld,\"routes\":["
@@ -229,7 +235,7 @@
         "\"target_latency_ms\":100,\"attempts\":2,\"priority\":2,\"service\":"
         "\"desk\"},"
         "{\"name\":\"review\",\"host\":\"a.example\",\"path_prefix\":"
-        "\"/review/\",\"kind\":\"streaming\",\"timeout_ms\":6000,"
+        "\"/review/\",\"kind\":\"streaming\",\"timeout_ms\":%d,"
         "\"target_latency_ms\":1000,\"target_gap_ms\":800,\"attempts\":2,"
         "\"resumable\":true,\"priority\":1,\"service\":\"llm\"},"
         "{\"name\":\"flag\",\"host\":\"a.example\",\"path_prefix\":\"/flag/\","
@@ -244,7 +250,11 @@
         "\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
         "\"tenants\":[{\"name\":\"ws1\",\"access_keys\":[\"key1\"%s],"
         "\"isolated\":true},{\"name\":\"ws2\",\"access_keys\":[\"key2\"]}]}",
-        (long long)++soak->config_version, old_key ? ",\"old-key\"" : "");
+        (long long)soak->config_version,
+        (soak->planned || soak->versions) && soak->config_version % 2 == 0
+            ? 5000
+            : 6000,
+        old_key ? ",\"old-key\"" : "");
     soak_post_admin(soak, "object/config/main", buf_text(&text));
 }
 
@@ -273,7 +283,7 @@
 int
 deployment_open(soak_t *soak, err_t *err)
 {
-    size_t engines = soak->server_count - 2;
+    size_t engines = soak->server_count - PLAIN_SERVERS;
     soak_addr(soak, PORT_STORE, soak->store_addr);
     process_set_name(soak, &soak->platform, "platform");
     char **argv = soak->platform.argv;
@@ -294,6 +304,9 @@
         time_sleep_ms(50);
     }
     soak->weights = 1;
+    if (soak->versions) {
+        versions_open(soak);
+    }
     deployment_publish_config(soak);
     publish_weights(soak);
     for (size_t i = 0; i < soak->relay_count; i++) {
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -1,4 +1,4 @@
-#include "soak.h"
+#include "faults.h"
 
 #include <ck_queue.h>
 #include <signal.h>
@@ -11,53 +11,53 @@
 /* Time between the starts of two faults: minimum, and random part on top. */
 #define INTERVAL_MS_MIN 150
 #define INTERVAL_RANGE_MS 900
+/* With versions, further time for relays and engines to be undisturbed. */
+#define VERSIONS_INTERVAL_MS 300
 /* Duration of a fault: minimum, and random part on top. */
 #define DURATION_MS_MIN 200
 #define DURATION_RANGE_MS 2500
 /* A relay or server counts as disturbed for this long after a fault: requests
  * in flight, open circuit breakers and retries have ended by then. */
 #define AFTEREFFECT_MS 3000
+/* A sound server may say nothing for so long: minimum, and random part. */
+#define SILENCE_MS_MIN 800
+#define SILENCE_RANGE_MS 1000
 /* A brittle server that ends is back after this time. */
 #define BRITTLE_RESTART_MS 4000
 
-typedef enum {
-    FAULT_RELAY_KILL,
-    FAULT_RELAY_STOP,
-    FAULT_RELAY_PAUSE,
-    FAULT_RELAY_RELOAD,
-    FAULT_CALLER_LINK,       /* the link from callers to a relay */
-    FAULT_STORE_LINK,        /* the link from a relay to the store */
-    FAULT_SERVER_LINK,       /* the link to a server */
-    FAULT_RESET_CONNECTIONS, /* open connections on a link are reset */
-    FAULT_STALL_CONNECTIONS, /* open connections on a link transfer no more
-                                data */
-    FAULT_SERVER,            /* a server answers wrongly or not at all */
-    FAULT_STORE_DOWN,
-    FAULT_STORE_SILENT,
-    FAULT_STORE_LOSES_ANSWERS, /* writes are done but not answered */
-    FAULT_STORE_LOSES_HISTORY,
-    FAULT_NEW_CONFIG,
-    FAULT_NEW_WEIGHTS,
-    FAULT_REMOVE_KEY, /* a key is removed from the configuration */
-    /* The kinds from here on are drawn with --signals alone, so that the other
-     * seeds draw the same faults as before these kinds existed. */
-    FAULT_SERVER_LIMIT, /* a server states a rate limit */
-    FAULT_SERVER_REST,  /* a server rejects and asks for rest */
-    /* From here on with --cuts alone. */
-    FAULT_HOST_CUT,       /* a relay is cut off from all servers */
-    FAULT_SERVER_BRITTLE, /* a server ends over rejected requests */
-    FAULT_FATAL_PART,     /* a part of a prompt ends the engines */
-    FAULT_ONE_RELAY,      /* all callers use one relay */
-    FAULT_UNFRAMED,       /* answers end with their connection */
-    FAULT_KINDS
-} fault_kind_t;
-
-static const char *const kind_names[FAULT_KINDS] = {
-    "relay-kill", "relay-stop",   "relay-pause", "relay-reload",  "front-link",
-    "store-link", "server-link",  "resets",      "stalls",        "server",
-    "store-down", "store-silent", "store-loses", "store-forgets", "config",
-    "weights",    "key",          "limit",       "rest",          "host-cut",
-    "brittle",    "fatal-part",   "one-relay",   "unframed"};
+static const char *const kind_names[FAULT_KINDS] = {"relay-kill",
+                                                    "relay-stop",
+                                                    "relay-pause",
+                                                    "relay-reload",
+                                                    "front-link",
+                                                    "store-link",
+                                                    "server-link",
+                                                    "resets",
+                                                    "stalls",
+                                                    "server",
+                                                    "store-down",
+                                                    "store-silent",
+                                                    "store-loses",
+                                                    "store-forgets",
+                                                    "config",
+                                                    "weights",
+                                                    "key",
+                                                    "limit",
+                                                    "rest",
+                                                    "host-cut",
+                                                    "brittle",
+                                                    "fatal-part",
+                                                    "one-relay",
+                                                    "unframed",
+                                                    "silence",
+                                                    "engine-drain",
+                                                    "engine-restart",
+                                                    "roll",
+                                                    "version-leaves",
+                                                    "streams-end",
+                                                    "in-turn",
+                                                    "at-once",
+                                                    "caller-resets"};
 
 typedef struct fault {
     CK_LIST_ENTRY(fault) entry;
@@ -89,7 +89,7 @@
     return until > current_ms ? until : current_ms;
 }
 
-static void
+void
 disturb_relay(soak_relay_t *relay, int64_t duration_ms)
 {
     relay->disturbances++;
@@ -97,12 +97,23 @@
         extend_until(relay->disturbed_until_ms, duration_ms);
 }
 
-static void
-disturb_servers(soak_t *soak, int64_t duration_ms)
+/* Disturbs one server, and for checks that do not tell servers apart all. */
+void
+disturb_server(soak_t *soak, soak_server_t *server, int64_t duration_ms)
 {
     soak->server_disturbances++;
     soak->servers_disturbed_until_ms =
         extend_until(soak->servers_disturbed_until_ms, duration_ms);
+    server->disturbed_until_ms =
+        extend_until(server->disturbed_until_ms, duration_ms);
+}
+
+static void
+disturb_servers(soak_t *soak, int64_t duration_ms)
+{
+    for (size_t i = 0; i < soak->server_count; i++) {
+        disturb_server(soak, &soak->servers[i], duration_ms);
+    }
 }
 
 static void
@@ -163,16 +174,28 @@
 static void
 start_host_cut(soak_t *soak, soak_relay_t *relay, int64_t duration_ms)
 {
-    uint64_t way = rng_below(&soak->rng, 3);
+    uint64_t way = rng_below(soak->fault_rng, 3);
     disturb_relay(relay, duration_ms);
     cut_host(soak, relay, way == 1,
              way == 0 ? LINK_HOLD_BOTH : LINK_RESET_NEW);
 }
 
+/* Sets the links of one engine, two or all.  Nothing is lost, so that this
+ * counts as no disturbance. */
+static void
+set_silence(soak_t *soak, size_t target, link_state_t state)
+{
+    size_t engines = soak->server_count - PLAIN_SERVERS;
+    size_t count = target % 3 == 0 ? 1 : target % 3 == 1 ? 2 : engines;
+    for (size_t i = 0; i < count; i++) {
+        link_set_state(soak->servers[(target + i) % engines].link, state);
+    }
+}
+
 static link_state_t
 random_link_fault(soak_t *soak)
 {
-    return LINK_DELAYED + (link_state_t)rng_below(&soak->rng, 5);
+    return LINK_DELAYED + (link_state_t)rng_below(soak->fault_rng, 5);
 }
 
 static void
@@ -220,11 +243,13 @@
     disturb_servers(soak, 3000);
 }
 
-/* Starts a fault of the kinds that --cuts adds. */
+/* Starts a fault of the kinds that --cuts, --planned and --versions
+ * add. */
 static void
 start_further_fault(soak_t *soak, const fault_t *fault, int64_t duration_ms)
 {
     soak_relay_t *relay = relay_at(soak, fault->target);
+    soak_server_t *server = server_at(soak, fault->target);
     switch (fault->kind) {
         case FAULT_HOST_CUT:
             start_host_cut(soak, relay, duration_ms);
@@ -239,18 +264,22 @@
             soak->used_relay = fault->target % soak->relay_count;
             return;
         case FAULT_UNFRAMED:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             set_server_mode(
                 soak, fault->target,
-                rng_below(&soak->rng, 2) == 0 ? "until-close" : "torn");
+                rng_below(soak->fault_rng, 2) == 0 ? "until-close" : "torn");
+            return;
+        case FAULT_SILENCE:
+            set_silence(soak, fault->target, LINK_HOLD_FROM_TARGET);
             return;
         case FAULT_SERVER_BRITTLE:
-            disturb_servers(soak, duration_ms + BRITTLE_RESTART_MS);
+            disturb_server(soak, server, duration_ms + BRITTLE_RESTART_MS);
             set_server_number(soak, fault->target, "well", "room", 2);
             set_server_number(soak, fault->target, "well", "brittle",
-                              1 + (int64_t)rng_below(&soak->rng, 5));
+                              1 + (int64_t)rng_below(soak->fault_rng, 5));
             return;
         default:
+            versions_start_fault(soak, fault->kind, fault->target);
             return;
     }
 }
@@ -277,23 +306,23 @@
             link_set_state(relay->store_link, random_link_fault(soak));
             return;
         case FAULT_SERVER_LINK:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             link_set_state(server->link, random_link_fault(soak));
             return;
         case FAULT_RESET_CONNECTIONS:
-            disturb_servers(soak, 0);
+            disturb_server(soak, server, 0);
             link_reset(server->link);
             link_reset(relay->store_link);
             return;
         case FAULT_STALL_CONNECTIONS:
-            disturb_servers(soak, 0);
+            disturb_server(soak, server, 0);
             link_stall(server->link);
             link_stall(relay->store_link);
             return;
         case FAULT_SERVER:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             set_server_mode(soak, fault->target,
-                            modes[rng_below(&soak->rng, 6)]);
+                            modes[rng_below(soak->fault_rng, 6)]);
             return;
         case FAULT_STORE_DOWN:
             soak_post_admin(soak, "store", "{\"down\":true}");
@@ -317,24 +346,18 @@
             remove_old_key(soak);
             return;
         case FAULT_SERVER_LIMIT:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             set_server_number(soak, fault->target, "well", "limit_per_s",
-                              (int64_t)rng_below(&soak->rng, 10));
+                              (int64_t)rng_below(soak->fault_rng, 10));
             return;
         case FAULT_SERVER_REST:
-            disturb_servers(soak, duration_ms);
+            disturb_server(soak, server, duration_ms);
             set_server_number(soak, fault->target, "shed", "rest_s",
-                              1 + (int64_t)rng_below(&soak->rng, 2));
+                              1 + (int64_t)rng_below(soak->fault_rng, 2));
             return;
-        case FAULT_HOST_CUT:
-        case FAULT_SERVER_BRITTLE:
-        case FAULT_FATAL_PART:
-        case FAULT_ONE_RELAY:
-        case FAULT_UNFRAMED:
+        default:
             start_further_fault(soak, fault, duration_ms);
             return;
-        case FAULT_KINDS:
-            return;
     }
 }
 
@@ -370,6 +393,9 @@
         case FAULT_HOST_CUT:
             cut_host(soak, relay, false, LINK_OK);
             return;
+        case FAULT_SILENCE:
+            set_silence(soak, fault->target, LINK_OK);
+            return;
         case FAULT_FATAL_PART:
             if (--soak->fatal_parts == 0) {
                 set_fatal_part(soak, "none");
@@ -396,16 +422,57 @@
     }
 }
 
+static fault_kind_t
+random_planned_kind(soak_t *soak)
+{
+    static const fault_kind_t kinds[] = {FAULT_NEW_CONFIG, FAULT_NEW_CONFIG,
+                                         FAULT_RELAY_RELOAD, FAULT_SILENCE,
+                                         FAULT_ENGINE_DRAIN};
+    size_t count = sizeof(kinds) / sizeof(kinds[0]);
+    return kinds[rng_below(soak->fault_rng,
+                           soak->versions ? count : count - 1)];
+}
+
+/* Most faults with --versions break off streams; the others are planned work
+ * or of the kinds that are drawn always. */
+static fault_kind_t
+random_versions_kind(soak_t *soak)
+{
+    static const fault_kind_t kinds[] = {
+        FAULT_RELAY_KILL,     FAULT_RELAY_KILL,     FAULT_RELAY_KILL,
+        FAULT_ENGINE_RESTART, FAULT_ENGINES_ROLL,   FAULT_VERSION_LEAVES,
+        FAULT_STREAMS_END,    FAULT_RELAYS_IN_TURN, FAULT_RELAYS_AT_ONCE,
+        FAULT_CALLER_RESETS,  FAULT_HOST_CUT};
+    switch (rng_below(soak->fault_rng, 10)) {
+        case 0:
+            return (fault_kind_t)rng_below(soak->fault_rng,
+                                           FAULT_SERVER_LIMIT);
+        case 1:
+        case 2:
+            return random_planned_kind(soak);
+        default:
+            return kinds[rng_below(soak->fault_rng,
+                                   sizeof(kinds) / sizeof(kinds[0]))];
+    }
+}
+
 /* With --cuts, a third of the faults are of the kinds that it adds. */
 static fault_kind_t
 random_kind(soak_t *soak)
 {
-    if (soak->cuts && rng_below(&soak->rng, 3) == 0) {
-        return FAULT_HOST_CUT + (fault_kind_t)rng_below(
-                                    &soak->rng, FAULT_KINDS - FAULT_HOST_CUT);
+    if (soak->planned || time_mono_ms() >= soak->planned_from_ms) {
+        return random_planned_kind(soak);
+    }
+    if (soak->versions) {
+        return random_versions_kind(soak);
+    }
+    if (soak->cuts && rng_below(soak->fault_rng, 3) == 0) {
+        return FAULT_HOST_CUT +
+               (fault_kind_t)rng_below(soak->fault_rng,
+                                       FAULT_SILENCE - FAULT_HOST_CUT);
     }
     return (fault_kind_t)rng_below(
-        &soak->rng, soak->signals ? FAULT_HOST_CUT : FAULT_SERVER_LIMIT);
+        soak->fault_rng, soak->signals ? FAULT_HOST_CUT : FAULT_SERVER_LIMIT);
 }
 
 static void
@@ -413,9 +480,14 @@
 {
     fault_t *fault = mem_zalloc(sizeof(*fault));
     int64_t duration_ms =
-        DURATION_MS_MIN + (int64_t)rng_below(&soak->rng, DURATION_RANGE_MS);
+        DURATION_MS_MIN +
+        (int64_t)rng_below(soak->fault_rng, DURATION_RANGE_MS);
     fault->kind = random_kind(soak);
-    fault->target = (size_t)rng_below(&soak->rng, 64);
+    fault->target = (size_t)rng_below(soak->fault_rng, 64);
+    if (fault->kind == FAULT_SILENCE) {
+        duration_ms = SILENCE_MS_MIN +
+                      (int64_t)rng_below(soak->fault_rng, SILENCE_RANGE_MS);
+    }
     fault->until_ms = now + duration_ms;
     if (fault->until_ms > soak->faults_end_ms) {
         fault->until_ms = soak->faults_end_ms;
@@ -445,6 +517,9 @@
     if (now >= next_fault_ms && now < soak->faults_end_ms) {
         start_random_fault(soak, now);
         next_fault_ms = now + INTERVAL_MS_MIN +
-                        (int64_t)rng_below(&soak->rng, INTERVAL_RANGE_MS);
+                        (int64_t)rng_below(soak->fault_rng, INTERVAL_RANGE_MS);
+        if (soak->versions) {
+            next_fault_ms += VERSIONS_INTERVAL_MS;
+        }
     }
 }
