Stand-in: a client that left before a crash ends with its connection

The stand-in ended by SIGSEGV when a server crashed while one of its runs had already lost its client, whose connection is freed (seen in two soaks). A server that is restarted on command forgot neither its draining nor its removal.

--- a/fakes/platform-crash.c
+++ b/fakes/platform-crash.c
@@ -42,8 +42,12 @@
 static void
 on_commanded_restart(evutil_socket_t fd, short what, void *arg)
 {
+    platform_server_t *server = arg;
     on_restart(fd, what, arg);
-    server_write_entry(arg);
+    server->draining = false;
+    server->leaving = false;
+    server->removed = false;
+    server_write_entry(server);
 }
 
 /* Ends a stream that has no length within an event. */
@@ -60,6 +64,9 @@
 static void
 break_off(const run_t *run)
 {
+    if (run->closed) {
+        return; /* its client has gone, and its connection with it */
+    }
     if (run->unframed) {
         tear_event(run);
     }
