Silent servers: a stream with a blocked part stays

Cause: request_find_alternative did not ask what request_place asks first.

Evidence: proc-lost-fatal-part failed before.

--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -418,7 +418,12 @@
 request_find_alternative(const request_t *request)
 {
     int64_t now = time_mono_ms();
+    relay_t *relay = request->relay;
     alternative_t best = ALTERNATIVE_NONE;
+    if (fatal_parts_find_blocked(&relay->fatal_parts, &request->fatal) !=
+        NULL) {
+        return ALTERNATIVE_NONE; /* request_place would reject it */
+    }
     const server_t *server;
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
         if (server == request->server || !can_serve(request, server, now) ||
