Forwarding: the first host decides whether a request may run once more

Cause: the other host took the stream from the silent server by its own configuration and its own share of retries, though only the first host can repeat it.

Change: the first host says with the request whether it could send it once more; if not, the other one leaves it at its server.

Evidence: proc-lost-change-resumable and proc-lost-share-elsewhere failed before.

--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -42,9 +42,10 @@
     (void)snprintf(text, sizeof(text), "%lld",
                    (long long)(request->deadline_ms - request->sent_ms));
     add_header(out, HEADER_DEADLINE, text);
-    (void)snprintf(text, sizeof(text), "%d,%d,%u,%llx", request->possible_runs,
-                   request->shares_counted, request->last_tried,
-                   (unsigned long long)request->software);
+    (void)snprintf(text, sizeof(text), "%d,%d,%u,%llx,%d",
+                   request->possible_runs, request->shares_counted,
+                   request->last_tried, (unsigned long long)request->software,
+                   request_can_move(request));
     add_header(out, HEADER_FORWARDED, text);
     request_end_head(request, out);
 }
@@ -83,12 +84,14 @@
     int counted = 0;
     unsigned last_tried = 0;
     unsigned long long software = SOFTWARE_ANY;
+    int can_move = 0;
     (void)copy_forwarded_header(request->head, text, sizeof(text));
-    (void)sscanf(text, "%d,%d,%u,%llx", &runs, &counted, &last_tried,
-                 &software);
+    (void)sscanf(text, "%d,%d,%u,%llx,%d", &runs, &counted, &last_tried,
+                 &software, &can_move);
     note_tried_elsewhere(request, last_tried);
     request->from_host = true;
     request->software = software;
+    request->first_host_can_move = can_move != 0;
     request->runs_before = runs > 0 ? runs : 0;
     request->possible_runs = request->runs_before;
     request->sends = request->runs_before;
--- a/relay/request.c
+++ b/relay/request.c
@@ -362,12 +362,15 @@
 }
 
 /* Whether a request that was sent to a silent server could be sent again to
- * another one now, by this host or the one that forwarded it, if it had run.
- */
-static bool
-can_move(const request_t *request)
+ * another one now if it had run.  Of one that another host forwarded, that
+ * host has said so when it did. */
+bool
+request_can_move(const request_t *request)
 {
     int64_t now = time_mono_ms();
+    if (request->from_host && !request->first_host_can_move) {
+        return false;
+    }
     double retries_left =
         retry_share_left(&request->relay->retry_shares, request->service, now);
     retry_state_t state = make_retry_state(request, retries_left, now);
@@ -383,7 +386,7 @@
                        bool *trial_sent)
 {
     bool started = request->phase == REQUEST_STREAMING;
-    if ((started && !with_started) || !can_move(request)) {
+    if ((started && !with_started) || !request_can_move(request)) {
         return true;
     }
     switch (request_find_alternative(request)) {
@@ -454,7 +457,8 @@
             abandon_attempt(request);
             continue;
         }
-        if (request_helper_is_lost(request, now) && can_move(request)) {
+        if (request_helper_is_lost(request, now) &&
+            request_can_move(request)) {
             helpers_avoid(&relay->helpers, request->helper, now);
             abandon_attempt(request);
             continue;
--- a/relay/request.h
+++ b/relay/request.h
@@ -101,8 +101,9 @@
     char helper[CS_ADDR_MAX];
     helpers_tried_t helpers_tried;
     int64_t helper_retry_after_ms; /* of its answer */
-    bool from_host;      /* another host has forwarded it to this one */
-    int runs_before;     /* possible_runs when it was forwarded */
+    bool from_host;           /* another host has forwarded it to this one */
+    int runs_before;          /* possible_runs when it was forwarded */
+    bool first_host_can_move; /* that host could send it once more */
     bool shares_counted; /* as a request in the retry shares, here or there */
     bool shares_counted_before; /* the same before it was forwarded */
 
@@ -117,6 +118,7 @@
 /* Sends or rejects a waiting request; false if it must keep waiting. */
 bool request_place(request_t *request);
 int request_own_runs(const request_t *request);
+bool request_can_move(const request_t *request);
 bool request_needs_new_connection(const request_t *request);
 void request_send(request_t *request, server_t *server);
 void request_release_server(request_t *request);
