Started streams: no number of rejections cuts one that has time left

Callers saw: a stream that had lost its server was cut at its twelfth send, 10 s before its deadline, though its first server was back (2 of 3).

Cause: a bound on sends that was meant to end hammering ended the stream. Each send also took from the share of retries.

Change: the wait between attempts grows to 1.5 s, and the deadline alone ends the stream.

Evidence: proc-lost-sends failed before; test-retry-rule passes.

--- a/relay/request.c
+++ b/relay/request.c
@@ -17,6 +17,7 @@
 /* Backoff before an interrupted stream that no server takes is tried again,
  * ms.  An engine that loads weights needs two to four times as long. */
 #define STREAM_BACKOFF_MS 300
+#define STREAM_BACKOFF_MS_MAX 1500
 /* Retry-After during shutdown, ms: another daemon can take the retry at once.
  */
 #define RETRY_AFTER_STOP_MS 20
@@ -292,6 +293,15 @@
     };
 }
 
+/* Returns how long a started stream waits for its next attempt: longer each
+ * time, since each one takes from the share of retries. */
+static int64_t
+stream_backoff_ms(const request_t *request)
+{
+    int64_t ms = STREAM_BACKOFF_MS * (int64_t)(request->sends + 1) / 2;
+    return ms < STREAM_BACKOFF_MS_MAX ? ms : STREAM_BACKOFF_MS_MAX;
+}
+
 /* No server can take the request after a failed attempt.  A stream that has
  * started waits until its deadline, and may go back to a server that was
  * tried: cut, it would be lost to its caller. */
@@ -301,7 +311,7 @@
     if (request->phase == REQUEST_STREAMING) {
         request->tried_count = 0;
         request->helpers_tried.count = 0;
-        request->not_before_ms = now + STREAM_BACKOFF_MS;
+        request->not_before_ms = now + stream_backoff_ms(request);
         request->placement_deadline_ms = request->deadline_ms;
         return;
     }
--- a/relay/retry-rule.c
+++ b/relay/retry-rule.c
@@ -3,11 +3,10 @@
 /* Maximum number of sends of a request, whatever their results: five
  * rejections within milliseconds mean that the service is full. */
 #define SENDS_MAX 5
-/* A stream whose answer has started may be sent more often and wait in
- * between: all servers may be loading weights or full for a second, and
- * aborting it would waste what its caller has received. */
-#define SENDS_STARTED_MAX 12
-/* With less time than this such a stream does not wait any more. */
+/* A stream whose answer has started waits between sends until its time is up:
+ * all servers may be loading weights or full for seconds, and aborting it
+ * would waste what its caller has received.  With less time than this it does
+ * not wait any more. */
 #define REMAINING_WAIT_MIN_MS 500
 /* With less time than this a retry can't bring an answer: it takes two network
  * transfers and the shortest processing time of a server. */
@@ -53,7 +52,6 @@
             }
             if (state->answer_started &&
                 state->remaining_ms >= REMAINING_WAIT_MIN_MS &&
-                state->sends < SENDS_STARTED_MAX &&
                 state->possible_runs < state->attempts_max) {
                 return RETRY_LATER;
             }
