Forwarding: a request leaves a frozen host only if another can take it

Callers saw: with the only other host frozen for 1.7 s, 6 of 6 streams that may be resumed got 502 with 3.7 s left, while 4 of 4 others completed.

Cause: as at silent servers, work was given up before anything could replace it.

--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -325,6 +325,17 @@
            !peers_is_alive(request->relay->peers, request->helper);
 }
 
+/* Whether a server or a further host could take a request whose host does not
+ * answer. */
+bool
+request_can_leave_helper(const request_t *request)
+{
+    member_t member;
+    return request_find_alternative(request) != ALTERNATIVE_NONE ||
+           peers_choose_helper(request->relay->peers, &request->helpers_tried,
+                               &member);
+}
+
 /* Ends an attempt at another host. */
 void
 request_release_helper(request_t *request)
--- a/relay/request.c
+++ b/relay/request.c
@@ -468,7 +468,7 @@
             continue;
         }
         if (request_helper_is_lost(request, now) &&
-            request_can_move(request)) {
+            request_can_move(request) && request_can_leave_helper(request)) {
             helpers_avoid(&relay->helpers, request->helper, now);
             abandon_attempt(request);
             continue;
--- a/relay/request.h
+++ b/relay/request.h
@@ -154,6 +154,7 @@
                                 const char *reason, int64_t retry_after_ms);
 bool request_forward(request_t *request);
 bool request_may_forward(const request_t *request, int64_t now);
+bool request_can_leave_helper(const request_t *request);
 bool request_helper_is_lost(const request_t *request, int64_t now);
 void request_release_helper(request_t *request);
 void request_reject_unreached(request_t *request);
