Forwarding: a blocked part is no run of the other host

Traced by the review, not seen: a host that took a forwarded request with a part that it knows to be blocked answered 502 for runs before it, and the first host counted one more. It answers 503 now, as for all that it has not sent.

--- a/relay/request-fatal.c
+++ b/relay/request-fatal.c
@@ -110,7 +110,7 @@
     if (part == NULL || takes_trial(request, part, now)) {
         return false;
     }
-    if (request->possible_runs > 0) {
+    if (request_own_runs(request) > 0) {
         request_fail(request, 502, "fatal-part");
         return true;
     }
