Exchanges: a last attempt and a forwarded request bear silence as well

Traced by the review: a stream in its last attempt was still given up after 2.5 s of a silent transport, as were all forwarded requests. Not run, since loopback acknowledges; no test failed before.

--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -483,12 +483,11 @@
 /* Returns how long the server may acknowledge nothing.  Silence ends an answer
  * only if the request may run elsewhere.  A server that reads a long body
  * slowly acknowledges as little as one that is gone. */
-static int
+int
 request_silence_ms(const request_t *request)
 {
     bool may_move =
-        retry_can_rerun(request->route->kind, request->route->resumable) &&
-        request->body->len <= SLOW_BODY_BYTES;
+        request_can_move(request) && request->body->len <= SLOW_BODY_BYTES;
     int64_t left_ms = request->deadline_ms - request->sent_ms;
     /* In whole seconds, so that kept connections are seldom set anew. */
     return may_move ? 0 : (int)((left_ms / MS_PER_S + 1) * MS_PER_S);
--- a/relay/request.h
+++ b/relay/request.h
@@ -119,6 +119,7 @@
 bool request_place(request_t *request);
 int request_own_runs(const request_t *request);
 bool request_can_move(const request_t *request);
+int request_silence_ms(const request_t *request);
 bool request_needs_new_connection(const request_t *request);
 void request_send(request_t *request, server_t *server);
 void request_release_server(request_t *request);
