Forwarding: a stream goes on at the service that began it

Traced by the review, not seen: a host that takes a forwarded stream picks the service of its route anew, by weight or by another configuration, and the stream could go on at a server of another service that has a version of the same name. The forwarding host names the service; a host whose route does not lead there does not take the stream. No test failed before.

--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -42,10 +42,11 @@
     (void)snprintf(text, sizeof(text), "%lld",
                    (long long)(request->deadline_ms - request->sent_ms));
     add_header(out, HEADER_DEADLINE, text);
-    (void)snprintf(text, sizeof(text), "%d,%d,%u,%llx,%d",
+    (void)snprintf(text, sizeof(text), "%d,%d,%u,%llx,%d,%llx",
                    request->possible_runs, request->shares_counted,
                    request->last_tried, (unsigned long long)request->software,
-                   request_can_move(request));
+                   request_can_move(request),
+                   (unsigned long long)str_hash(request->service, 0));
     add_header(out, HEADER_FORWARDED, text);
     request_end_head(request, out);
 }
@@ -75,7 +76,7 @@
 
 /* Reads how often a request that another host forwards may have run, whether
  * its retry shares have counted it, which server it was last sent to, and the
- * software version at which its stream has to go on. */
+ * service and software version at which its stream has to go on. */
 void
 request_read_forwarded(request_t *request)
 {
@@ -84,14 +85,19 @@
     int counted = 0;
     unsigned last_tried = 0;
     unsigned long long software = SOFTWARE_ANY;
+    unsigned long long service = 0;
     int can_move = 0;
     (void)copy_forwarded_header(request->head, text, sizeof(text));
-    (void)sscanf(text, "%d,%d,%u,%llx,%d", &runs, &counted, &last_tried,
-                 &software, &can_move);
+    (void)sscanf(text, "%d,%d,%u,%llx,%d,%llx", &runs, &counted, &last_tried,
+                 &software, &can_move, &service);
     note_tried_elsewhere(request, last_tried);
     request->from_host = true;
     request->software = software;
     request->first_host_can_move = can_move != 0;
+    if (software != SOFTWARE_ANY &&
+        !request_select_service(request, service)) {
+        request->software = SOFTWARE_UNKNOWN;
+    }
     request->runs_before = runs > 0 ? runs : 0;
     request->possible_runs = request->runs_before;
     request->sends = request->runs_before;
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -91,8 +91,8 @@
 
 /* Selects the service at which the stream began; false if the route does not
  * lead there any more. */
-static bool
-select_service(request_t *request, uint64_t service)
+bool
+request_select_service(request_t *request, uint64_t service)
 {
     const route_t *route = request->route;
     if (str_hash(request->service, 0) == service) {
@@ -114,7 +114,7 @@
 {
     request->origin_pending = false;
     if (origin->software == SOFTWARE_UNKNOWN ||
-        !select_service(request, origin->service)) {
+        !request_select_service(request, origin->service)) {
         reject_unknown(request, true);
         return false;
     }
--- a/relay/request.h
+++ b/relay/request.h
@@ -172,6 +172,7 @@
 void request_tick_origin(request_t *request, int64_t now);
 void request_note_first_event(request_t *request);
 bool request_end_if_version_gone(request_t *request);
+bool request_select_service(request_t *request, uint64_t service);
 void request_set_service(request_t *request, const char *service);
 void request_renew_placement_deadline(request_t *request);
 alternative_t request_find_alternative(const request_t *request);
--- a/relay/wire.h
+++ b/relay/wire.h
@@ -42,8 +42,8 @@
     HEADER_KV_FROM,
 
     /* Between hosts. */
-    HEADER_FORWARDED, /* a request: RUNS,COUNTED,TRIED,SOFTWARE,MOVES; an
-                         answer: TRIED,SOFTWARE, or why it was not taken */
+    HEADER_FORWARDED, /* a request: RUNS,COUNTED,TRIED,SOFTWARE,MOVES,SERVICE;
+                         an answer: TRIED,SOFTWARE, or why it was not taken */
 
     /* From servers. */
     HEADER_SIGNATURE,
