--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -19,6 +19,8 @@
 #define SIGNALS_FIELDS 2
 #define PART_FIELDS 5
 #define PARTS_FIELDS 2
+#define ORIGIN_FIELDS 4
+#define ORIGINS_FIELDS 2
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -166,6 +168,22 @@
     }
 }
 
+static void
+pack_origins(msgpack_packer *packer, const peer_datagram_t *datagram)
+{
+    (void)msgpack_pack_array(packer, ORIGINS_FIELDS);
+    (void)msgpack_pack_int(packer, (int)datagram->kind);
+    (void)msgpack_pack_array(packer, datagram->origin_count);
+    for (size_t i = 0; i < datagram->origin_count; i++) {
+        const peer_origin_t *origin = &datagram->origins[i];
+        (void)msgpack_pack_array(packer, ORIGIN_FIELDS);
+        (void)msgpack_pack_uint64(packer, origin->stream);
+        (void)msgpack_pack_uint64(packer, origin->service);
+        (void)msgpack_pack_uint64(packer, origin->software);
+        (void)msgpack_pack_uint64(packer, origin->lifetime_ms);
+    }
+}
+
 /* Encodes a datagram; returns its length, or 0 if it does not fit. */
 size_t
 peer_encode(const peer_datagram_t *datagram, const unsigned char *secret,
@@ -194,6 +212,10 @@
         case PEER_PARTS:
             pack_parts(&packer, datagram);
             break;
+        case PEER_ORIGINS:
+        case PEER_ORIGIN_QUERY:
+            pack_origins(&packer, datagram);
+            break;
     }
     size_t len = 0;
     if (buffer.size + PEER_MAC_BYTES <= PEER_DATAGRAM_MAX) {
@@ -388,6 +410,18 @@
            parse_count(&fields[4], &part->age_ms);
 }
 
+static bool
+parse_origin(const msgpack_object *object, peer_origin_t *origin)
+{
+    const msgpack_object *fields = object->via.array.ptr;
+    return object->type == MSGPACK_OBJECT_ARRAY &&
+           object->via.array.size == ORIGIN_FIELDS &&
+           parse_unsigned(&fields[0], &origin->stream) &&
+           parse_unsigned(&fields[1], &origin->service) &&
+           parse_unsigned(&fields[2], &origin->software) &&
+           parse_count(&fields[3], &origin->lifetime_ms);
+}
+
 /* Decodes one entry of a datagram's list. */
 static bool
 parse_entry(peer_datagram_t *datagram, const msgpack_object *entry, size_t i)
@@ -417,6 +451,11 @@
             datagram->part_count = i + 1;
             return i < PEER_PARTS_MAX &&
                    parse_part(entry, &datagram->parts[i]);
+        case PEER_ORIGINS:
+        case PEER_ORIGIN_QUERY:
+            datagram->origin_count = i + 1;
+            return i < PEER_ORIGINS_MAX &&
+                   parse_origin(entry, &datagram->origins[i]);
     }
     return false;
 }
@@ -456,6 +495,10 @@
         case PEER_PARTS:
             datagram->part_count = 0;
             return;
+        case PEER_ORIGINS:
+        case PEER_ORIGIN_QUERY:
+            datagram->origin_count = 0;
+            return;
     }
 }
 
@@ -495,7 +538,9 @@
     bool loads = kind == PEER_LOADS && size == LOADS_FIELDS;
     bool signals = kind == PEER_SIGNALS && size == SIGNALS_FIELDS;
     bool parts = kind == PEER_PARTS && size == PARTS_FIELDS;
-    return members || facts || usages || loads || signals || parts
+    bool origins = (kind == PEER_ORIGINS || kind == PEER_ORIGIN_QUERY) &&
+                   size == ORIGINS_FIELDS;
+    return members || facts || usages || loads || signals || parts || origins
                ? parse_list(datagram, &fields[1])
                : -1;
 }
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -25,7 +25,9 @@
     PEER_USAGES = 3,
     PEER_LOADS = 4,
     PEER_SIGNALS = 5,
-    PEER_PARTS = 6
+    PEER_PARTS = 6,
+    PEER_ORIGINS = 7,
+    PEER_ORIGIN_QUERY = 8 /* each entry names a stream only */
 } peer_kind_t;
 
 /* A load report or a change of a cache entry of a backend server. */
@@ -84,6 +86,17 @@
     uint32_t age_ms; /* of the observation */
 } peer_part_t;
 
+/* Streams in one PEER_ORIGINS or PEER_ORIGIN_QUERY datagram. */
+#define PEER_ORIGINS_MAX 64
+
+/* Which software version began a stream; see relay/stream-origins.h. */
+typedef struct {
+    uint64_t stream;
+    uint64_t service;
+    uint64_t software;
+    uint32_t lifetime_ms; /* 0: the sender does not know the stream */
+} peer_origin_t;
+
 /* Of the union, only the member for the kind is valid. */
 typedef struct {
     peer_kind_t kind;
@@ -111,6 +124,10 @@
             peer_part_t parts[PEER_PARTS_MAX];
             size_t part_count;
         };
+        struct { /* PEER_ORIGINS, PEER_ORIGIN_QUERY */
+            peer_origin_t origins[PEER_ORIGINS_MAX];
+            size_t origin_count;
+        };
     };
 } peer_datagram_t;
 
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -146,6 +146,8 @@
         case PEER_LOADS:
         case PEER_SIGNALS:
         case PEER_PARTS:
+        case PEER_ORIGINS:
+        case PEER_ORIGIN_QUERY:
             return;
     }
 }
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -14,6 +14,12 @@
  * unreachable is written again within two seconds; the rest is a margin. */
 #define STORE_RECOVERY_MS 2300
 
+/* A list of servers is taken as current if the store has answered within this
+ * time, ms: a watch waits a little less. */
+#define LIST_AGE_MS_MAX 3000
+/* How long software versions are remembered, ms: more than streams last. */
+#define SOFTWARE_KEPT_MS 120000
+
 /* ---- configuration ---- */
 
 /* Applies the limits of the workspaces in the configuration. */
@@ -345,6 +351,25 @@
     watch_stop(relay->weights_watch);
 }
 
+/* Records which software versions are listed. */
+static void
+note_software(relay_t *relay)
+{
+    int64_t wall = time_wall_ms();
+    const server_t *server;
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
+        if (!server->removed) {
+            const software_sighting_t sighting = {
+                .service = str_hash(server->info.service, 0),
+                .software = server->info.software,
+                .seen_ms = wall};
+            software_seen_note(&relay->software_seen, &sighting);
+        }
+    }
+    software_seen_cover(&relay->software_seen, wall, wall);
+    software_seen_forget(&relay->software_seen, wall - SOFTWARE_KEPT_MS);
+}
+
 /* Removes servers whose entries have not been written again after the store's
  * recovery, sends the probes that are due and frees unused servers. */
 void
@@ -358,6 +383,11 @@
             mark_server_gone(relay, server, "not-back");
         }
     }
+    if (relay->servers_listed &&
+        now - watch_answered_ms(relay->servers_watch) < LIST_AGE_MS_MAX) {
+        note_software(relay);
+    }
+    stream_origins_sweep(&relay->stream_origins, now);
     probes_tick(relay);
     servers_sweep(relay->servers);
 }
--- a/relay/meter.c
+++ b/relay/meter.c
@@ -80,6 +80,11 @@
                       (double)meter->forwards_refused);
     meter_write_value(out, "taken_from_hosts_total", (double)meter->taken);
     meter_write_value(out, "not_let_in_total", (double)meter->not_admitted);
+    meter_write_value(out, "streams_taken_up_total", (double)meter->resumes);
+    meter_write_value(out, "streams_asked_for_total",
+                      (double)meter->resumes_asked);
+    meter_write_value(out, "streams_unknown_total",
+                      (double)meter->resumes_unknown);
     meter_write_value(out, "prompt_tokens_total",
                       (double)meter->prompt_tokens);
     meter_write_value(out, "held_tokens_total", (double)meter->cached_tokens);
--- a/relay/peers-datagram.c
+++ b/relay/peers-datagram.c
@@ -130,6 +130,7 @@
     }
     peers_send_signals(peers, addr);
     peers_send_parts(peers, addr);
+    peers_send_origins(peers, addr);
     log_record(LOG_INFO, "peers", "told", "to=%s facts=%zu", addr, count);
 }
 
@@ -176,6 +177,12 @@
         case PEER_PARTS:
             peers_apply_parts(peers, now);
             return;
+        case PEER_ORIGINS:
+            peers_apply_origins(peers, host, now);
+            return;
+        case PEER_ORIGIN_QUERY:
+            peers_answer_origin_query(peers, from, now);
+            return;
     }
 }
 
--- a/relay/peers-internal.h
+++ b/relay/peers-internal.h
@@ -66,6 +66,12 @@
 size_t peers_receivers(const peers_t *peers);
 void peers_send_to_some(peers_t *peers, const peer_datagram_t *datagram);
 
+/* Origins of streams. */
+void peers_send_origins(peers_t *peers, const char *addr);
+void peers_apply_origins(peers_t *peers, uint64_t host, int64_t now);
+void peers_answer_origin_query(peers_t *peers, const struct sockaddr_in *from,
+                               int64_t now);
+
 /* Parts of prompts. */
 void peers_announce_parts(peers_t *peers);
 void peers_send_parts(peers_t *peers, const char *addr);
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -19,6 +19,9 @@
 void peers_avoid_upstream(peers_t *peers, const char *addr, bool answered);
 bool peers_choose_helper(peers_t *peers, const helpers_tried_t *tried,
                          member_t *out);
+void peers_announce_origin(peers_t *peers, const stream_origin_t *origin);
+void peers_ask_origin(peers_t *peers, stream_query_t *query);
+void peers_ask_origin_again(peers_t *peers, const stream_query_t *query);
 bool peers_is_alive(peers_t *peers, const char *peer_addr);
 bool peers_next_http_addr(peers_t *peers, char addr[CS_ADDR_MAX]);
 
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -40,6 +40,7 @@
                      report.started_ms > server->info.started_ms
                          ? SERVER_RESTARTED
                          : SERVER_LIVES);
+    server_confirm_software(server, report.started_ms);
     if (server->info.engine) {
         weights_note_seen(probe->relay, server->info.model, report.weights);
     }
@@ -167,6 +168,17 @@
     send_probe(relay, server, false);
 }
 
+/* A connection to the server broke: it may have started again, with other
+ * software than its entry names.  Its report tells. */
+void
+relay_doubt_software(relay_t *relay, server_t *server)
+{
+    if (server->info.engine) {
+        server->software_in_doubt = true;
+        probe_server(relay, server);
+    }
+}
+
 /* Probes a few random servers to find out whether this host reaches any: in
  * doubt those that have not failed yet, and any once the path is lost. */
 static void
@@ -216,6 +228,9 @@
             send_probe(relay, server, true);
         }
         if (!server_needs_probe(server, now)) {
+            if (server->software_in_doubt && !server->removed && !lost) {
+                probe_server(relay, server);
+            }
             continue;
         }
         if (!lost) {
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -261,6 +261,7 @@
     CK_LIST_INIT(&relay->requests);
     fatal_parts_init(&relay->fatal_parts);
     server_crashes_init(&relay->server_crashes);
+    stream_origins_init(&relay->stream_origins);
     relay->servers = servers_new();
     relay->servers->seed = rng_next(&relay->rng);
     relay->cache_map = cache_map_new(CACHE_MAP_LEVELS_MAX);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -20,6 +20,8 @@
 #include "retry-share.h"
 #include "server-crashes.h"
 #include "servers.h"
+#include "software-seen.h"
+#include "stream-origins.h"
 #include "stream.h"
 #include "watch.h"
 #include "wire.h"
@@ -101,6 +103,8 @@
     peers_t *peers;
     part_notify_t notify_part;
     cache_follower_t *cache_follower;
+    stream_origins_t stream_origins;
+    software_seen_t software_seen;
     retry_shares_t retry_shares;
     quotas_t quotas;
     forecast_t forecast; /* error of the engines' expected latency */
@@ -147,6 +151,9 @@
 void request_caller_disconnected(request_t *request);
 void requests_tick(relay_t *relay);
 void requests_drop_blocked(relay_t *relay);
+void requests_apply_origin(relay_t *relay, const stream_origin_t *origin);
+void requests_note_origin_unknown(relay_t *relay, uint64_t stream,
+                                  uint64_t host);
 void requests_fail_over(relay_t *relay, const server_t *server,
                         bool with_started);
 
@@ -165,6 +172,7 @@
 void relay_log_blocked(const relay_t *relay, const char *source);
 void relay_apply_life(relay_t *relay, const server_t *server,
                       server_life_t life);
+void relay_doubt_software(relay_t *relay, server_t *server);
 bool relay_reaches(const relay_t *relay, const server_t *server);
 void probe_server(relay_t *relay, server_t *server);
 
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -42,8 +42,9 @@
     (void)snprintf(text, sizeof(text), "%lld",
                    (long long)(request->deadline_ms - request->sent_ms));
     add_header(out, HEADER_DEADLINE, text);
-    (void)snprintf(text, sizeof(text), "%d,%d,%u", request->possible_runs,
-                   request->shares_counted, request->last_tried);
+    (void)snprintf(text, sizeof(text), "%d,%d,%u,%llx", request->possible_runs,
+                   request->shares_counted, request->last_tried,
+                   (unsigned long long)request->software);
     add_header(out, HEADER_FORWARDED, text);
     request_end_head(request, out);
 }
@@ -72,7 +73,8 @@
 }
 
 /* Reads how often a request that another host forwards may have run, whether
- * its retry shares have counted it, and which server it was last sent to. */
+ * its retry shares have counted it, which server it was last sent to, and the
+ * software version at which its stream has to go on. */
 void
 request_read_forwarded(request_t *request)
 {
@@ -80,10 +82,13 @@
     int runs = 0;
     int counted = 0;
     unsigned last_tried = 0;
+    unsigned long long software = SOFTWARE_ANY;
     (void)copy_forwarded_header(request->head, text, sizeof(text));
-    (void)sscanf(text, "%d,%d,%u", &runs, &counted, &last_tried);
+    (void)sscanf(text, "%d,%d,%u,%llx", &runs, &counted, &last_tried,
+                 &software);
     note_tried_elsewhere(request, last_tried);
     request->from_host = true;
+    request->software = software;
     request->runs_before = runs > 0 ? runs : 0;
     request->possible_runs = request->runs_before;
     request->sends = request->runs_before;
@@ -92,13 +97,14 @@
 
 /* ---- the answer ---- */
 
-/* Adds the server that the request was last sent to, for the host that has
- * forwarded the request. */
+/* Adds the server that the request was last sent to and its software version,
+ * for the host that has forwarded the request. */
 void
 request_add_last_tried(const request_t *request, buf_t *headers)
 {
-    char text[16];
-    (void)snprintf(text, sizeof(text), "%u", request->last_tried);
+    char text[64];
+    (void)snprintf(text, sizeof(text), "%u,%llx", request->last_tried,
+                   (unsigned long long)request->current_software);
     add_header(headers, HEADER_FORWARDED, text);
 }
 
@@ -106,8 +112,12 @@
 read_last_tried(request_t *request, const http_head_t *head)
 {
     char text[64];
+    unsigned last_tried = 0;
+    unsigned long long software = SOFTWARE_UNKNOWN;
     if (copy_forwarded_header(head, text, sizeof(text))) {
-        note_tried_elsewhere(request, (unsigned)strtoul(text, NULL, 10));
+        (void)sscanf(text, "%u,%llx", &last_tried, &software);
+        note_tried_elsewhere(request, last_tried);
+        request->current_software = software;
     }
 }
 
@@ -327,6 +337,7 @@
     relay_t *relay = request->relay;
     request->sent_ms = time_mono_ms();
     request->weights_version = 0;
+    request->current_software = SOFTWARE_UNKNOWN;
     request_begin_answer(request);
     str_copy(request->helper, sizeof(request->helper), member->peer_addr);
     helpers_tried_add(&request->helpers_tried, member);
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -74,6 +74,7 @@
 {
     if (strcmp(server->info.service, request->service) != 0 ||
         !server_is_usable(server, now) || is_tried(request, server) ||
+        !request_is_at_version(request, server) ||
         !relay_reaches(request->relay, server)) {
         return false;
     }
@@ -267,7 +268,8 @@
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
         if (strcmp(server->info.service, request->service) != 0 ||
             server->removed || server->info.draining || server->leaving ||
-            is_tried(request, server)) {
+            is_tried(request, server) ||
+            !request_is_at_version(request, server)) {
             continue;
         }
         if (!can_serve(request, server, now) ||
@@ -390,7 +392,7 @@
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
         if (strcmp(server->info.service, request->service) != 0 ||
             server->removed || server->info.draining || server->leaving ||
-            server->address_taken) {
+            server->address_taken || !request_is_at_version(request, server)) {
             continue;
         }
         if (server_is_reachable(server, now) &&
@@ -435,16 +437,23 @@
         return true;
     }
     server_t *server = request_choose_server(request, now);
+    if (server == NULL && request_end_if_version_gone(request)) {
+        return true;
+    }
     if (server == NULL) {
         return is_unreached(request, now) ? place_elsewhere(request)
                                           : reject_if_excluded(request, now);
     }
+    int64_t remaining_ms = request->deadline_ms - now;
+    bool goes_on = request->software != SOFTWARE_ANY;
     const admit_input_t input = {
         .wait_ms = request->expected_wait_ms,
         .prefill_ms = request->expected_prefill_ms,
         .margin_ms = forecast_margin_ms(&request->relay->forecast),
-        .target_ms = request->route->target_latency_ms,
-        .remaining_ms = request->deadline_ms - now,
+        /* A stream that goes on is late, but not lost. */
+        .target_ms =
+            goes_on ? (int)remaining_ms : request->route->target_latency_ms,
+        .remaining_ms = remaining_ms,
         .engine = request->engine};
     int64_t after_ms = admit_retry_after_ms(&input);
     if (after_ms > 0 && request->possible_runs == 0) {
--- /dev/null
+++ b/relay/request-resume.c
@@ -0,0 +1,293 @@
+#include "peers.h"
+#include "request.h"
+
+#include <string.h>
+
+/* Streams go on at the software version that began them: inside their answer,
+ * at other hosts, and when their callers take them up.  A caller names the
+ * attempt that brought the first event; what is not known is never guessed. */
+
+/* Other hosts are a few ms away; one that has just ended does not answer. */
+#define ORIGIN_ANSWER_MS 300
+/* Retry-After if the hosts that may know the origin did not all answer, ms. */
+#define RETRY_AFTER_UNKNOWN_MS 300
+/* Streams may have begun this much earlier than the longest timeout: clocks
+ * and lists of hosts differ. */
+#define BEGAN_MARGIN_MS 3000
+
+/* ---- streams that begin ---- */
+
+static void
+get_stream_name(const request_t *request, const char *attempt, size_t len,
+                stream_name_t *name)
+{
+    *name = (stream_name_t){.workspace = request->workspace != NULL
+                                             ? request->workspace->name
+                                             : "",
+                            .host = request->route->host,
+                            .prefix = request->route->prefix,
+                            .attempt = attempt,
+                            .attempt_len = len};
+}
+
+static uint64_t
+make_key(const request_t *request, const header_t *attempt)
+{
+    stream_name_t name;
+    get_stream_name(request, http_head_at(request->head, attempt->value),
+                    attempt->value.len, &name);
+    return stream_origin_key(&name);
+}
+
+/* The first event of the stream is about to be passed on: from now on the
+ * stream goes on at this version alone, wherever its caller takes it up.  The
+ * host that forwarded a request records its origin itself. */
+void
+request_note_first_event(request_t *request)
+{
+    relay_t *relay = request->relay;
+    int64_t now = time_mono_ms();
+    request->software = request->current_software;
+    if (request->from_host || request->route->kind != ROUTE_STREAM ||
+        !request->route->resumable) {
+        return;
+    }
+    const header_t *id =
+        http_head_find(request->head, wire_header_name(HEADER_REQUEST_ID));
+    const stream_origin_t origin = {.stream = request->resumes != 0
+                                                  ? request->resumes
+                                                  : make_key(request, id),
+                                    .service = str_hash(request->service, 0),
+                                    .software = request->software,
+                                    .expires_ms = request->origin_expires_ms};
+    peers_announce_origin(
+        relay->peers,
+        stream_origins_put(&relay->stream_origins, &origin, now));
+}
+
+/* ---- streams that are taken up ---- */
+
+static void
+log_taken_up(const request_t *request, const char *source)
+{
+    log_record(LOG_INFO, "request", "taken-up",
+               "id=%s stream=%016llx last_event=%s source=%s "
+               "software=%016llx waited_ms=%lld",
+               request->id, (unsigned long long)request->resumes,
+               request->stream.last_id, source,
+               (unsigned long long)request->software,
+               (long long)(time_mono_ms() - request->received_ms));
+}
+
+/* Rejects the request: it has not run, and nobody knows where it may. */
+static void
+reject_unknown(request_t *request, bool all_answered)
+{
+    request->relay->meter.resumes_unknown++;
+    log_taken_up(request, "none");
+    request_reject(request, "stream-unknown",
+                   all_answered ? 0 : RETRY_AFTER_UNKNOWN_MS);
+}
+
+/* Selects the service at which the stream began; false if the route does not
+ * lead there any more. */
+static bool
+select_service(request_t *request, uint64_t service)
+{
+    const route_t *route = request->route;
+    if (str_hash(request->service, 0) == service) {
+        return true;
+    }
+    for (unsigned i = 0; i < route->split_count; i++) {
+        if (str_hash(route->split[i].service, 0) == service) {
+            request_set_service(request, route->split[i].service);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Applies a known origin; false if the request was rejected. */
+static bool
+apply_origin(request_t *request, const stream_origin_t *origin,
+             const char *source)
+{
+    request->origin_pending = false;
+    if (origin->software == SOFTWARE_UNKNOWN ||
+        !select_service(request, origin->service)) {
+        reject_unknown(request, true);
+        return false;
+    }
+    request->software = origin->software;
+    request_renew_placement_deadline(request);
+    log_taken_up(request, source);
+    return true;
+}
+
+/* No host knows the stream: it began at the only version that its service had
+ * lately, if that is certain.  False if the request was rejected. */
+static bool
+apply_only_version(request_t *request, bool all_answered)
+{
+    const relay_t *relay = request->relay;
+    int64_t now = time_wall_ms();
+    uint64_t service = str_hash(request->service, 0);
+    uint64_t only = software_seen_only(
+        &relay->software_seen, service,
+        now - relay->config->longest_timeout_ms - BEGAN_MARGIN_MS, now);
+    if (only == SOFTWARE_UNKNOWN) {
+        request->origin_pending = false;
+        reject_unknown(request, all_answered);
+        return false;
+    }
+    const stream_origin_t origin = {.service = service, .software = only};
+    return apply_origin(request, &origin, "only");
+}
+
+/* Asks other hosts for the origin; false if there is nobody to ask or too many
+ * were asked lately. */
+static bool
+ask_for_origin(request_t *request)
+{
+    relay_t *relay = request->relay;
+    int64_t now = time_mono_ms();
+    if (!stream_origins_take_query(&relay->stream_origins, now)) {
+        return false;
+    }
+    relay->meter.resumes_asked++;
+    request->origin_query.stream = request->resumes;
+    request->origin_asked_ms = now;
+    peers_ask_origin(relay->peers, &request->origin_query);
+    request->origin_pending = request->origin_query.count > 0;
+    return request->origin_pending;
+}
+
+/* Whether the caller takes up a stream of which it has events. */
+static bool
+is_taken_up(const request_t *request, const header_t *resumes)
+{
+    return request->route->kind == ROUTE_STREAM &&
+           (request->stream.last_id[0] != '\0' || resumes != NULL);
+}
+
+/* Finds out at which version a stream that the caller takes up has to go on.
+ * Returns whether the request may be placed now; otherwise it waits for the
+ * answers of other hosts, or was rejected. */
+bool
+request_resolve_origin(request_t *request)
+{
+    relay_t *relay = request->relay;
+    const header_t *resumes =
+        http_head_find(request->head, wire_header_name(HEADER_RESUMES));
+    if (request->software != SOFTWARE_ANY || !is_taken_up(request, resumes)) {
+        return true;
+    }
+    relay->meter.resumes++;
+    if (resumes == NULL) {
+        return apply_only_version(request, true);
+    }
+    request->resumes = make_key(request, resumes);
+    const stream_origin_t *origin = stream_origins_find(
+        &relay->stream_origins, request->resumes, time_mono_ms());
+    if (origin != NULL) {
+        return apply_origin(request, origin, "own");
+    }
+    return !ask_for_origin(request) && apply_only_version(request, false);
+}
+
+/* Asks again, or gives up asking. */
+void
+request_tick_origin(request_t *request, int64_t now)
+{
+    if (now - request->origin_asked_ms < ORIGIN_ANSWER_MS) {
+        peers_ask_origin_again(request->relay->peers, &request->origin_query);
+        return;
+    }
+    if (apply_only_version(request, false)) {
+        (void)request_place(request);
+    }
+}
+
+/* Goes on with the requests that wait for this origin. */
+void
+requests_apply_origin(relay_t *relay, const stream_origin_t *origin)
+{
+    const stream_origin_t known = *origin;
+    request_t *request;
+    request_t *next;
+    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+        if (request->origin_pending && request->resumes == known.stream &&
+            apply_origin(request, &known, "peers")) {
+            (void)request_place(request);
+        }
+    }
+}
+
+/* A host does not know the origin that requests wait for. */
+void
+requests_note_origin_unknown(relay_t *relay, uint64_t stream, uint64_t host)
+{
+    request_t *request;
+    request_t *next;
+    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+        if (!request->origin_pending || request->resumes != stream) {
+            continue;
+        }
+        stream_query_note_unknown(&request->origin_query, host);
+        if (stream_query_is_answered(&request->origin_query) &&
+            apply_only_version(request, true)) {
+            (void)request_place(request);
+        }
+    }
+}
+
+/* ---- servers ---- */
+
+/* Whether the request may go on at a server's software version.  A server that
+ * may have started again with other software begins and takes no stream that
+ * its caller may take up. */
+bool
+request_is_at_version(const request_t *request, const server_t *server)
+{
+    bool resumable =
+        request->route->kind == ROUTE_STREAM && request->route->resumable;
+    return (request->software == SOFTWARE_ANY ||
+            request->software == server->info.software) &&
+           !(resumable && server->software_in_doubt);
+}
+
+/* Whether no server is left that has the version of the stream and takes new
+ * requests. */
+static bool
+is_version_gone(const request_t *request)
+{
+    const server_t *server;
+    if (request->software == SOFTWARE_ANY || !request->relay->servers_listed) {
+        return false;
+    }
+    CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
+        if (server->info.software == request->software &&
+            strcmp(server->info.service, request->service) == 0 &&
+            !server->removed && !server->info.draining && !server->leaving &&
+            !server->address_taken) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Ends the request if its stream can go on nowhere. */
+bool
+request_end_if_version_gone(request_t *request)
+{
+    if (!is_version_gone(request)) {
+        return false;
+    }
+    if (request->possible_runs > 0 || request->phase == REQUEST_STREAMING) {
+        request_fail(request, 502, "version-gone");
+    }
+    else {
+        request_reject(request, "version-gone", 0);
+    }
+    return true;
+}
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -254,6 +254,7 @@
     }
     if (request->phase != REQUEST_STREAMING) {
         request->phase = REQUEST_STREAMING;
+        request_note_first_event(request);
         caller_stream_begin(request->caller, request->status,
                             &request->headers);
     }
@@ -398,6 +399,7 @@
             server_record_fault(request->server, SERVER_FAULT_CONNECT,
                                 time_mono_ms());
             server_brittle_restart(&request->server->brittle, time_mono_ms());
+            relay_doubt_software(request->relay, request->server);
             request_handle_failed_attempt(request, SEND_UNSENT);
             return;
         case EXCHANGE_NO_ANSWER:
@@ -419,6 +421,7 @@
                          !request->connection_reused);
     }
     request_note_lost(request);
+    relay_doubt_software(request->relay, request->server);
     request->possible_runs++;
     server_record_fault(request->server, SERVER_FAULT_BROKEN, time_mono_ms());
     request_handle_failed_attempt(request, SEND_UNKNOWN);
@@ -464,6 +467,7 @@
     request->server_was_sound =
         server->consecutive_faults == 0 && !server->unresponsive;
     request->weights_version = server->info.weights;
+    request->current_software = server->info.software;
     request->newest_weights =
         request->engine ? weights_newest_seen(relay, request->prompt.model)
                         : 0;
--- a/relay/request.c
+++ b/relay/request.c
@@ -22,6 +22,10 @@
 #define RETRY_AFTER_STOP_MS 20
 /* The request has no deadline header; the route's timeout applies. */
 #define DEADLINE_NONE 0
+/* The origin of a stream is kept for as long as its caller may take it up,
+ * which it does within its deadline, ms. */
+#define ORIGIN_MARGIN_MS 2000
+#define ORIGIN_LIFETIME_MS_MAX 120000
 /* Weight of the newest prompt in the smoothed size of prompts. */
 #define MEAN_PROMPT_WEIGHT 0.02
 /* Bound on the bodies of all requests in flight, bytes: a quarter of the
@@ -47,7 +51,7 @@
         "id=%s route=%s workspace=%s service=%s outcome=%s status=%d "
         "sends=%d ran=%d server=%s weights=%lld newest=%lld servers_ms=%lld "
         "fetch=%s save=%d held=%u of=%u first_ms=%lld "
-        "total_ms=%lld left_ms=%lld config=%lld",
+        "total_ms=%lld left_ms=%lld config=%lld software=%016llx",
         request->id, request->route->name,
         request->workspace != NULL ? request->workspace->name : "-",
         request->service, outcome, request->status, request->sends,
@@ -63,7 +67,8 @@
                         : -1),
         (long long)(now - request->received_ms),
         (long long)(request->deadline_ms - now),
-        (long long)request->config->version);
+        (long long)request->config->version,
+        (unsigned long long)request->software);
 }
 
 /* Updates the metrics of the request's route. */
@@ -384,6 +389,10 @@
         }
         /* Placement after a first attempt is a retry and must be within the
          * share. */
+        if (request->origin_pending) {
+            request_tick_origin(request, now);
+            continue;
+        }
         if (request->exchange != NULL || now < request->not_before_ms ||
             (request->sends > 0 && now < request->placement_deadline_ms &&
              !retry_share_can_retry(&relay->retry_shares, request->service,
@@ -517,6 +526,31 @@
         request->received_ms +
         request->route->target_latency_ms / PLACEMENT_WAIT_DIVISOR;
     (void)event_add(request->timer, &timeout);
+    int64_t lifetime_ms =
+        caller_ms > timeout_ms ? caller_ms : request->route->timeout_ms;
+    request->origin_expires_ms =
+        request->received_ms + ORIGIN_MARGIN_MS +
+        (lifetime_ms < ORIGIN_LIFETIME_MS_MAX ? lifetime_ms
+                                              : ORIGIN_LIFETIME_MS_MAX);
+}
+
+/* Gives a stream that is taken up as long for its placement as a new one has
+ * for its first event: refused, it would be lost. */
+void
+request_renew_placement_deadline(request_t *request)
+{
+    request->placement_deadline_ms =
+        time_mono_ms() + request->route->target_latency_ms;
+}
+
+/* Sets the service that the request is sent to. */
+void
+request_set_service(request_t *request, const char *name)
+{
+    const relay_service_t *service =
+        relay_config_find_service(request->config, name);
+    str_copy(request->service, sizeof(request->service), name);
+    request->engine = service != NULL && service->engine;
 }
 
 /* Returns the status to reject a request with, or 0 to accept it. */
@@ -575,11 +609,8 @@
     request_t *request = request_new(relay, caller, head, body);
     request->route = route;
     request->workspace = workspace;
-    str_copy(request->service, sizeof(request->service),
-             route_pick_service(route, rng_next(&relay->rng)));
-    const relay_service_t *service =
-        relay_config_find_service(relay->config, request->service);
-    request->engine = service != NULL && service->engine;
+    request_set_service(request,
+                        route_pick_service(route, rng_next(&relay->rng)));
     if (request->engine) {
         read_prompt(request);
         request_note_parts(request);
@@ -602,5 +633,7 @@
         return;
     }
     caller_set_owner(caller, request);
-    (void)request_place(request);
+    if (request_resolve_origin(request)) {
+        (void)request_place(request);
+    }
 }
--- a/relay/request.h
+++ b/relay/request.h
@@ -80,7 +80,15 @@
     buf_t headers; /* of the answer, as passed to the caller */
     buf_t answer_body;
     stream_t stream;
-    bool moved; /* unused */
+
+    /* A stream goes on only at the software version that began it. */
+    uint64_t software;         /* SOFTWARE_ANY before the first event */
+    uint64_t current_software; /* of the server of the current attempt */
+    uint64_t resumes;    /* key of the stream that is taken up; 0 for none */
+    bool origin_pending; /* other hosts were asked for its origin */
+    int64_t origin_asked_ms;   /* when that was */
+    int64_t origin_expires_ms; /* the caller does not return after this */
+    stream_query_t origin_query;
 
     /* The host that it is forwarded to instead of a server; empty if none. */
     char helper[CS_ADDR_MAX];
@@ -143,6 +151,13 @@
 void request_note_quota(request_t *request);
 void request_count_in_shares(request_t *request);
 server_t *request_choose_server(request_t *request, int64_t now);
+bool request_is_at_version(const request_t *request, const server_t *server);
+bool request_resolve_origin(request_t *request);
+void request_tick_origin(request_t *request, int64_t now);
+void request_note_first_event(request_t *request);
+bool request_end_if_version_gone(request_t *request);
+void request_set_service(request_t *request, const char *service);
+void request_renew_placement_deadline(request_t *request);
 void request_record_signals(const request_t *request, const http_head_t *head);
 void request_record_first_answer(request_t *request);
 
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -86,6 +86,28 @@
     return NULL;
 }
 
+static uint64_t
+make_software(uint64_t hash)
+{
+    return hash == SOFTWARE_ANY || hash == SOFTWARE_UNKNOWN ? 1 : hash;
+}
+
+/* Returns the software version that an entry names. */
+uint64_t
+software_from_name(const char *version)
+{
+    return make_software(str_hash(version, 0));
+}
+
+/* Returns the software version of a server whose entry names none: no other
+ * server's, nor its own after another start. */
+uint64_t
+software_of_unnamed(const server_entry_t *entry)
+{
+    uint64_t start = str_hash(entry->addr, (uint64_t)entry->started_ms);
+    return make_software(str_hash(entry->id, start));
+}
+
 /* Returns the server with a number, or NULL if the number is unused. */
 server_t *
 servers_find_by_number(const servers_t *servers, uint16_t number)
@@ -122,6 +144,7 @@
     server->slowness = 1;
     server->address_taken = false;
     server->unresponsive = false;
+    server->software_in_doubt = false;
 }
 
 /* A server that starts in place of one that was brittle, mostly under another
@@ -496,6 +519,16 @@
                               (uint64_t)server->info.started_ms);
 }
 
+/* Applies the start time that a server reports: if it is that of its entry,
+ * the software is as well. */
+void
+server_confirm_software(server_t *server, int64_t started_ms)
+{
+    bool restarted = server->info.started_ms != 0 && started_ms != 0 &&
+                     started_ms > server->info.started_ms;
+    server->software_in_doubt = restarted;
+}
+
 /* Logs whether the server states that it is brittle. */
 void
 server_log_brittle(const server_t *server, const char *source)
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -9,6 +9,7 @@
 #include "server-brittle.h"
 #include "server-limit.h"
 #include "server-rest.h"
+#include "stream-origins.h"
 
 #include <ck_queue.h>
 
@@ -34,6 +35,10 @@
     char model[SERVER_MODEL_MAX]; /* engines only */
     int64_t weights;              /* version of the model's weights */
     int64_t started_ms;           /* wall-clock start time; 0 if unknown */
+    /* Version of the server's software: a hash, which alone of all is equal
+     * for servers of one version.  One that names no version has a hash of
+     * its own, other after each start. */
+    uint64_t software;
 } server_entry_t;
 
 /* Why an attempt failed, for the circuit breaker. */
@@ -119,6 +124,8 @@
     bool leaving_unannounced; /* other hosts have to be notified of that */
     bool probing;             /* a probe is in flight */
     bool unresponsive;        /* the last probe got no answer */
+    /* It may have started again, with other software, since its entry. */
+    bool software_in_doubt;
 } server_t;
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
@@ -131,6 +138,8 @@
     server_t *numbered[SERVER_NUMBERS_MAX]; /* NULL for a free number */
 } servers_t;
 
+uint64_t software_from_name(const char *version);
+uint64_t software_of_unnamed(const server_entry_t *entry);
 servers_t *servers_new(void);
 void servers_free(servers_t *servers);
 server_t *servers_find(servers_t *servers, const char *id);
@@ -179,6 +188,7 @@
 uint32_t server_incarnation(const server_t *server);
 void server_log_brittle(const server_t *server, const char *source);
 void server_log_limit(const server_t *server, const char *source);
+void server_confirm_software(server_t *server, int64_t started_ms);
 void server_note_answer(server_t *server, int64_t now_ms);
 
 #endif
--- /dev/null
+++ b/relay/software-seen.c
@@ -0,0 +1,88 @@
+#include "software-seen.h"
+
+#include "stream-origins.h"
+
+/* Longest gap between two spans that are taken for one, ms: the entry of a
+ * server is listed for longer, whatever ends it. */
+#define GAP_MS_MAX 4000
+
+/* Records that a server of a service with a version is listed. */
+void
+software_seen_note(software_seen_t *seen, const software_sighting_t *sighting)
+{
+    for (size_t i = 0; i < seen->count; i++) {
+        software_sighting_t *known = &seen->list[i];
+        if (known->service == sighting->service &&
+            known->software == sighting->software) {
+            if (sighting->seen_ms > known->seen_ms) {
+                known->seen_ms = sighting->seen_ms;
+            }
+            return;
+        }
+    }
+    if (seen->count == SOFTWARE_SEEN_MAX) {
+        seen->overflow = true;
+        return;
+    }
+    seen->list[seen->count++] = *sighting;
+}
+
+/* Records that all versions of a span of time are known, by this host or by
+ * another one before it. */
+void
+software_seen_cover(software_seen_t *seen, int64_t since_ms, int64_t until_ms)
+{
+    bool joins = seen->since_ms != 0 &&
+                 since_ms <= seen->until_ms + GAP_MS_MAX &&
+                 seen->since_ms <= until_ms + GAP_MS_MAX;
+    if (!joins) {
+        if (seen->since_ms == 0 || until_ms > seen->until_ms) {
+            seen->since_ms = since_ms;
+            seen->until_ms = until_ms;
+        }
+        return;
+    }
+    seen->since_ms = since_ms < seen->since_ms ? since_ms : seen->since_ms;
+    seen->until_ms = until_ms > seen->until_ms ? until_ms : seen->until_ms;
+}
+
+/* Forgets versions that no server has had since a time. */
+void
+software_seen_forget(software_seen_t *seen, int64_t before_ms)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < seen->count; i++) {
+        if (seen->list[i].seen_ms >= before_ms) {
+            seen->list[kept++] = seen->list[i];
+        }
+    }
+    seen->count = kept;
+    if (seen->overflow && kept < SOFTWARE_SEEN_MAX) {
+        seen->overflow = false;
+        seen->since_ms = seen->until_ms;
+    }
+}
+
+/* Returns the only version that a service had since a time, or
+ * SOFTWARE_UNKNOWN if it had several or what it had is not known. */
+uint64_t
+software_seen_only(const software_seen_t *seen, uint64_t service,
+                   int64_t since_ms, int64_t now_ms)
+{
+    uint64_t only = SOFTWARE_UNKNOWN;
+    if (seen->overflow || seen->since_ms == 0 || seen->since_ms > since_ms ||
+        seen->until_ms + GAP_MS_MAX < now_ms) {
+        return SOFTWARE_UNKNOWN;
+    }
+    for (size_t i = 0; i < seen->count; i++) {
+        const software_sighting_t *known = &seen->list[i];
+        if (known->service != service || known->seen_ms < since_ms) {
+            continue;
+        }
+        if (only != SOFTWARE_UNKNOWN && only != known->software) {
+            return SOFTWARE_UNKNOWN;
+        }
+        only = known->software;
+    }
+    return only;
+}
--- /dev/null
+++ b/relay/stream-origins.h
@@ -0,0 +1,77 @@
+#ifndef CELERYSPOOL_STREAM_ORIGINS_H
+#define CELERYSPOOL_STREAM_ORIGINS_H
+
+/* The software version of the server that began each stream, so that a stream
+ * that its caller takes up at another host goes on at that version.  No I/O
+ * and no clock. */
+
+#include "../kernel/base.h"
+
+#include <ck_queue.h>
+
+/* Streams that one host remembers; of more, the one that expires first is
+ * forgotten. */
+#define STREAM_ORIGINS_MAX 4096
+/* Other hosts that keep the origin of a stream. */
+#define STREAM_ORIGIN_COPIES 3
+/* Other hosts that are asked for the origin of a stream: more than keep it,
+ * since some of them may have ended or be new since. */
+#define STREAM_ORIGIN_ASKED_MAX 6
+
+/* A software version, see server_entry_t; these are never those of a server.
+ */
+#define SOFTWARE_ANY 0
+#define SOFTWARE_UNKNOWN UINT64_MAX
+
+typedef struct stream_origin {
+    CK_LIST_ENTRY(stream_origin) entry; /* in its bucket, or a free one */
+    uint64_t stream;                    /* see stream_origin_key */
+    uint64_t service;                   /* hash of its name */
+    uint64_t software;  /* SOFTWARE_UNKNOWN if two streams have the key */
+    int64_t expires_ms; /* 0 if it is free */
+} stream_origin_t;
+
+#define STREAM_ORIGIN_BUCKETS 1024
+
+typedef CK_LIST_HEAD(stream_origin_list, stream_origin) stream_origin_list_t;
+
+typedef struct {
+    stream_origin_list_t buckets[STREAM_ORIGIN_BUCKETS];
+    stream_origin_list_t free;
+    stream_origin_t all[STREAM_ORIGINS_MAX];
+    size_t count;
+    double queries_left; /* that may be asked now */
+    int64_t queries_updated_ms;
+} stream_origins_t;
+
+/* What a stream belongs to.  Streams of another workspace or route have other
+ * keys, even if their attempts have the same id. */
+typedef struct {
+    const char *workspace; /* empty if none */
+    const char *host;      /* of the route */
+    const char *prefix;    /* of the route */
+    const char *attempt;   /* id of the attempt that brought its first event */
+    size_t attempt_len;
+} stream_name_t;
+
+/* A question to other hosts for the origin of a stream. */
+typedef struct {
+    uint64_t stream;
+    uint64_t hosts[STREAM_ORIGIN_ASKED_MAX]; /* that were asked */
+    bool answered[STREAM_ORIGIN_ASKED_MAX];
+    size_t count;
+} stream_query_t;
+
+uint64_t stream_origin_key(const stream_name_t *name);
+void stream_origins_init(stream_origins_t *origins);
+stream_origin_t *stream_origins_put(stream_origins_t *origins,
+                                    const stream_origin_t *origin,
+                                    int64_t now_ms);
+const stream_origin_t *stream_origins_find(const stream_origins_t *origins,
+                                           uint64_t stream, int64_t now_ms);
+void stream_origins_sweep(stream_origins_t *origins, int64_t now_ms);
+bool stream_origins_take_query(stream_origins_t *origins, int64_t now_ms);
+void stream_query_note_unknown(stream_query_t *query, uint64_t host);
+bool stream_query_is_answered(const stream_query_t *query);
+
+#endif
--- a/relay/wire.h
+++ b/relay/wire.h
@@ -21,6 +21,7 @@
     HEADER_TOKEN_USAGE,   /* prompt tokens and most output tokens */
     HEADER_PROMPT_PREFIX, /* parts of the prompt, ID:TOKENS each */
     HEADER_LAST_EVENT_ID, /* resumes a stream after this event */
+    HEADER_RESUMES, /* attempt that brought the first event of that stream */
     HEADER_OUTPUT_HINT,
 
     /* From callers, replaced or removed. */
@@ -41,8 +42,8 @@
     HEADER_KV_FROM,
 
     /* Between hosts. */
-    HEADER_FORWARDED, /* a request: RUNS,COUNTED; an answer: why it was not
-                         taken */
+    HEADER_FORWARDED, /* a request: RUNS,COUNTED,TRIED,SOFTWARE; an answer:
+                         TRIED,SOFTWARE, or why it was not taken */
 
     /* From servers. */
     HEADER_SIGNATURE,
