--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -18,13 +18,17 @@
     EXCHANGE_UNSENT,    /* no connection was made; nothing was sent */
     EXCHANGE_NO_ANSWER, /* the connection failed before a response began */
     EXCHANGE_BROKEN,    /* the connection failed within the response */
-    EXCHANGE_MALFORMED, /* the response is not valid HTTP */
+    EXCHANGE_MALFORMED, /* the response is not valid HTTP, or has too many
+                           bytes besides its body */
+    EXCHANGE_STOPPED,   /* the owner wanted no more of the response */
     EXCHANGE_TIMEOUT    /* total_ms passed, the request had been sent */
 } exchange_end_t;
 
 typedef enum {
     HEAD_ACCEPT, /* pass the body to on_body */
-    HEAD_SKIP    /* a response to another request: discard it */
+    HEAD_SKIP,   /* a response to another request: discard it */
+    HEAD_DISCARD /* the response has no use: end with it, or without it if it
+                    is long or slow */
 } head_action_t;
 
 typedef struct {
@@ -45,8 +49,10 @@
     size_t body_len;
     bool no_response_body; /* the request is a HEAD */
     bool new_connection;   /* not an idle one, which may be dead */
-    int connect_ms;        /* time limit for a new connection */
-    int total_ms; /* for the whole exchange; 0: the owner has a timer */
+    int silence_ms; /* a peer may acknowledge nothing for so long, if that is
+                       longer than the default */
+    int connect_ms; /* time limit for a new connection */
+    int total_ms;   /* for the whole exchange; 0: the owner has a timer */
 } exchange_request_t;
 
 exchanges_t *exchanges_new(struct event_base *base);
@@ -60,6 +66,7 @@
                            const exchange_request_t *request,
                            const exchange_hooks_t *hooks);
 void exchange_cancel(exchange_t *exchange);
+void exchange_stop(exchange_t *exchange);
 bool exchange_has_sent(const exchange_t *exchange);
 bool exchange_is_reused(const exchange_t *exchange);
 
--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -27,6 +27,13 @@
  * the longest deadline that callers are expected to set. */
 #define WRITE_TIMEOUT_S 30
 
+/* Memory of a body that a connection keeps for its next request. */
+#define BODY_KEPT_BYTES 65536
+/* In this time some of the other requests end. */
+#define NO_ROOM_RETRY_AFTER_S "0.3"
+/* Time in which the event loop reads input that has arrived. */
+#define UNREAD_INPUT_MS 1
+
 typedef enum {
     CALLER_IDLE,    /* between requests */
     CALLER_READING, /* part of a request has been received */
@@ -44,8 +51,10 @@
     caller_state_t state;
     bool close_after;   /* close the connection after this response */
     bool body_too_long; /* the body exceeds its limit */
+    bool no_room;       /* the bodies of all callers exceed theirs */
     bool in_step;       /* caller_step is running; prevents recursion */
     struct event *timer;
+    int64_t timer_armed_ms;
 };
 
 typedef CK_LIST_HEAD(caller_list, caller) caller_list_t;
@@ -55,6 +64,8 @@
     struct evconnlistener *acceptor; /* NULL once it has stopped accepting */
     http_listener_hooks_t hooks;
     size_t connections_max;
+    size_t body_bytes_max;
+    size_t body_bytes; /* of all callers */
     caller_list_t callers;
     size_t caller_count; /* also read by other threads */
     bool draining;       /* each response closes its connection */
@@ -68,6 +79,17 @@
     return listener->hooks.limits(listener->hooks.arg);
 }
 
+/* Empties the body, and frees its memory if it was long. */
+static void
+drop_body(caller_t *caller)
+{
+    caller->listener->body_bytes -= caller->body.len;
+    caller->body.len = 0;
+    if (caller->body.cap > BODY_KEPT_BYTES) {
+        buf_free(&caller->body);
+    }
+}
+
 static void
 caller_free(caller_t *caller)
 {
@@ -80,6 +102,7 @@
     event_free(caller->timer);
     bufferevent_free(caller->bev);
     http_reader_free(&caller->reader);
+    drop_body(caller);
     buf_free(&caller->body);
     free(caller);
 }
@@ -88,9 +111,46 @@
 caller_arm_timer(caller_t *caller, int64_t ms)
 {
     struct timeval after = {ms / 1000, ms % 1000 * 1000};
+    caller->timer_armed_ms = time_mono_ms();
     (void)event_add(caller->timer, &after);
 }
 
+/* Whether bytes of the caller have arrived that are not read yet. */
+static bool
+has_unread_input(const caller_t *caller)
+{
+    char byte;
+    return recv(bufferevent_getfd(caller->bev), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Returns the time left until the timeout for a request or for its next part,
+ * by the limits of now: they may have grown since the timer was armed. */
+static int64_t
+timeout_left_ms(const caller_t *caller)
+{
+    http_limits_t limits = limits_of(caller->listener);
+    bool in_head =
+        caller->state == CALLER_READING && caller->reader.state == READER_HEAD;
+    int64_t limit_ms = in_head ? limits.head_ms : limits.idle_ms;
+    return caller->timer_armed_ms + limit_ms - time_mono_ms();
+}
+
+/* Waits on if the connection has not timed out yet, or if input has arrived:
+ * after a delay of the event loop timers run before all input is read. */
+static bool
+timer_waits(caller_t *caller)
+{
+    int64_t left_ms = timeout_left_ms(caller);
+    if (left_ms <= 0 && !has_unread_input(caller)) {
+        return false;
+    }
+    int64_t armed_ms = caller->timer_armed_ms;
+    caller_arm_timer(caller, left_ms > 0 ? left_ms : UNREAD_INPUT_MS);
+    caller->timer_armed_ms = armed_ms;
+    return true;
+}
+
 /* Times out a request that arrives too slowly (408) and closes an idle or
  * closing connection, which would only use up a descriptor.  A connection
  * whose output is not written yet is kept: closing it would truncate a
@@ -101,6 +161,10 @@
     caller_t *caller = arg;
     (void)fd;
     (void)what;
+    if ((caller->state == CALLER_READING || caller->state == CALLER_IDLE) &&
+        timer_waits(caller)) {
+        return;
+    }
     if (caller->state == CALLER_READING) {
         caller->close_after = true;
         caller_answer(caller, 408, NULL, "", 0);
@@ -114,6 +178,14 @@
     caller_free(caller);
 }
 
+/* Whether the bodies of all callers have room for more bytes. */
+static bool
+has_room(const http_listener_t *listener, size_t len)
+{
+    return listener->body_bytes_max == 0 ||
+           listener->body_bytes + len <= listener->body_bytes_max;
+}
+
 static void
 on_body(void *arg, const char *data, size_t len)
 {
@@ -123,6 +195,11 @@
         caller->body_too_long = true;
         return;
     }
+    if (!has_room(caller->listener, len)) {
+        caller->no_room = true;
+        return;
+    }
+    caller->listener->body_bytes += len;
     buf_add(&caller->body, data, len);
 }
 
@@ -145,6 +222,18 @@
     answer_bad_request(caller, 413, "the body is longer than the limit");
 }
 
+/* Rejects a request whose body does not fit beside those of other callers. */
+static void
+answer_no_room(caller_t *caller)
+{
+    CLEAN_BUF buf_t headers = {0};
+    buf_str(&headers, "Retry-After: " NO_ROOM_RETRY_AFTER_S "\r\n");
+    log_info("door", "Rejected a request: %zu bytes of bodies are held.",
+             caller->listener->body_bytes);
+    caller->close_after = true;
+    caller_answer(caller, 503, &headers, "", 0);
+}
+
 /* Whether the Content-Length exceeds a limit, so that the request can be
  * rejected before its body arrives. */
 static bool
@@ -187,6 +276,9 @@
 {
     struct evbuffer *in = bufferevent_get_input(caller->bev);
     reader_state_t before = caller->reader.state;
+    if (caller->state == CALLER_IDLE) {
+        http_reader_skip_empty_lines(in);
+    }
     if (before == READER_HEAD && evbuffer_get_length(in) == 0) {
         return false;
     }
@@ -210,6 +302,10 @@
         answer_body_too_long(caller);
         return false;
     }
+    if (caller->no_room) {
+        answer_no_room(caller);
+        return false;
+    }
     if (state == READER_COMPLETE) {
         hand_over_request(caller);
         return false;
@@ -351,6 +447,7 @@
     listener->base = base;
     listener->hooks = opts->hooks;
     listener->connections_max = opts->connections_max;
+    listener->body_bytes_max = opts->body_bytes_max;
     CK_LIST_INIT(&listener->callers);
     listener->acceptor = evconnlistener_new(
         base, on_accept, listener,
@@ -376,7 +473,7 @@
     }
 }
 
-/* Whether the connection has no request and no buffered input or output.  The
+/* Whether the connection has no request, no input and no buffered output.  The
  * end of a response may still be buffered when its connection is idle again;
  * closing it then would truncate the response. */
 static bool
@@ -384,7 +481,8 @@
 {
     return caller->state == CALLER_IDLE &&
            evbuffer_get_length(bufferevent_get_input(caller->bev)) == 0 &&
-           evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0;
+           evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0 &&
+           !has_unread_input(caller);
 }
 
 /* Stops accepting connections and closes the idle ones.  Called repeatedly
@@ -456,8 +554,9 @@
 caller_answer_done(caller_t *caller)
 {
     caller->owner = NULL;
-    caller->body.len = 0;
+    drop_body(caller);
     caller->body_too_long = false;
+    caller->no_room = false;
     if (caller->close_after) {
         caller_close(caller);
         return;
--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -39,6 +39,10 @@
 {
     http_reader_t *reader = reader_of(parser);
     http_head_t *head = &reader->head;
+    if (reader->state != READER_HEAD) {
+        return 0; /* a trailer, which is dropped: it is not in the head's text
+                   */
+    }
     if (head->count == HTTP_HEAD_HEADERS_MAX) {
         return reject(reader, 431, "too many headers");
     }
@@ -59,6 +63,9 @@
 {
     http_reader_t *reader = reader_of(parser);
     http_head_t *head = &reader->head;
+    if (reader->state != READER_HEAD) {
+        return 0;
+    }
     if (reader->last_was_value) {
         return reject(reader, 400, "a folded header");
     }
@@ -174,9 +181,10 @@
     }
 }
 
-/* Some clients send an extra CRLF after a body. */
-static void
-skip_empty_lines(struct evbuffer *in)
+/* Drops empty lines before a request: some clients send an extra CRLF after a
+ * body. */
+void
+http_reader_skip_empty_lines(struct evbuffer *in)
 {
     char two[2];
     while (evbuffer_copyout(in, two, 2) == 2 && memcmp(two, "\r\n", 2) == 0) {
@@ -184,11 +192,36 @@
     }
 }
 
+/* Whether input whose head is incomplete begins as a response does, perhaps
+ * after empty lines. */
+static bool
+begins_as_response(struct evbuffer *in)
+{
+    static const char version[] = "HTTP/";
+    size_t at = 0;
+    struct evbuffer_ptr from;
+    (void)evbuffer_ptr_set(in, &from, 0, EVBUFFER_PTR_SET);
+    char c;
+    while (evbuffer_copyout_from(in, &from, &c, 1) == 1 &&
+           version[at] != '\0') {
+        if (c == version[at]) {
+            at++;
+        }
+        else if (at > 0 || (c != '\r' && c != '\n')) {
+            return false;
+        }
+        if (evbuffer_ptr_set(in, &from, 1, EVBUFFER_PTR_ADD) != 0) {
+            break;
+        }
+    }
+    return true;
+}
+
 static bool
 read_head(http_reader_t *reader, struct evbuffer *in)
 {
     if (!reader->response) {
-        skip_empty_lines(in);
+        http_reader_skip_empty_lines(in);
     }
     struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
     size_t have = evbuffer_get_length(in);
@@ -196,6 +229,9 @@
         if (have > reader->head_max) {
             (void)reject(reader, 431, "the head is too long");
         }
+        else if (reader->response && !begins_as_response(in)) {
+            (void)reject(reader, 400, "not a response");
+        }
         return false;
     }
     size_t len = (size_t)end.pos + 4;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -83,6 +83,7 @@
     size_t body_bytes; /* bodies of all requests in flight */
 
     relay_config_t *config; /* NULL until the first one was read */
+    int64_t config_adopted_ms;
     servers_t *servers;
     reach_t reach;             /* of the servers, from this host */
     fatal_parts_t fatal_parts; /* of prompts, that crash servers */
@@ -142,6 +143,10 @@
 
 /* ---- callers ---- */
 
+/* Bound on the bodies of all requests in flight, bytes: a quarter of the
+ * smallest host's memory. */
+#define BODY_BYTES_MAX (40u << 20)
+
 int listeners_open(relay_t *relay, err_t *err);
 
 /* ---- requests ---- */
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -184,7 +184,7 @@
         case ANSWER_INVALID:
             break;
     }
-    return HEAD_ACCEPT;
+    return request_uses_body(request) ? HEAD_ACCEPT : HEAD_DISCARD;
 }
 
 static void
@@ -291,6 +291,7 @@
     request->exchange = NULL;
     switch (end) {
         case EXCHANGE_COMPLETE:
+        case EXCHANGE_STOPPED: /* only if the answer is of no use */
             on_complete_answer(request);
             return;
         case EXCHANGE_UNSENT:
@@ -349,6 +350,18 @@
                request->possible_runs, reach_state_name(relay->reach.state));
 }
 
+/* Whether a stream that has started should be forwarded: other hosts serve
+ * forwarded requests, or none is there that would show whether they do.  If
+ * the servers are silent for all hosts, the others wait for them. */
+bool
+request_may_forward(const request_t *request, int64_t now)
+{
+    const relay_t *relay = request->relay;
+    member_t member;
+    return !request->from_host && helpers_may_serve(&relay->helpers, now) &&
+           peers_choose_helper(relay->peers, &request->helpers_tried, &member);
+}
+
 /* Forwards the request to another host; false if there is none, or if it comes
  * from another host itself. */
 bool
@@ -372,6 +385,7 @@
         .body = request->body->data,
         .body_len = request->body->len,
         .no_response_body = request->head->method == HTTP_HEAD,
+        .new_connection = request_needs_new_connection(request),
         .connect_ms = CONNECT_TIMEOUT_MS};
     exchange_hooks_t hooks = {on_head, on_body, on_end, request};
     request->exchange = exchange_start(relay->exchanges, &options, &hooks);
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -10,8 +10,15 @@
 /* Connect timeout, ms: hosts of one region are a few ms apart, and a server
  * whose listen backlog is full does not answer at all. */
 #define CONNECT_TIMEOUT_MS 250
+/* A body that is longer may exceed what the server's kernel takes in while the
+ * server does not read. */
+#define SLOW_BODY_BYTES 65536
+#define MS_PER_S 1000
 /* Largest answer that is buffered until it is complete, bytes. */
 #define ANSWER_BYTES_MAX (8u << 20)
+/* Events that a caller has not read yet, bytes.  A model produces far fewer
+ * within a request's time. */
+#define CALLER_UNSENT_MAX (8u << 20)
 /* A server that rejects a request is believed to be full for this long, ms: a
  * few of its batch steps. */
 #define FULL_AFTER_REFUSAL_MS 150
@@ -127,6 +134,7 @@
 {
     server_t *server = request->server;
     int64_t now = time_mono_ms();
+    server->rejected_ms = now;
     if (head->status != 421) {
         server->full_until_ms = now + FULL_AFTER_REFUSAL_MS;
         return;
@@ -144,6 +152,15 @@
     probe_server(request->relay, server);
 }
 
+/* Whether the body of the answer may be passed on. */
+bool
+request_uses_body(const request_t *request)
+{
+    return request->answer == ANSWER_BUFFER ||
+           request->answer == ANSWER_FAILED ||
+           request->answer == ANSWER_STREAM;
+}
+
 static head_action_t
 on_head(void *arg, const http_head_t *head)
 {
@@ -166,6 +183,7 @@
         case ANSWER_BUFFER:
         case ANSWER_FAILED:
         case ANSWER_STREAM:
+            request->server->rejected_ms = 0;
             if (request->phase != REQUEST_STREAMING) {
                 request_copy_answer_headers(request, head);
             }
@@ -174,7 +192,7 @@
         case ANSWER_INVALID:
             break;
     }
-    return HEAD_ACCEPT;
+    return request_uses_body(request) ? HEAD_ACCEPT : HEAD_DISCARD;
 }
 
 /* The server has saved the shared parts of the prompt to the kv store. */
@@ -234,17 +252,25 @@
     }
 }
 
+/* The answer turns out to be none. */
+static void
+stop_invalid_answer(request_t *request)
+{
+    stream_restart(&request->stream);
+    request->answer = ANSWER_INVALID;
+    exchange_stop(request->exchange);
+}
+
 /* Passes the complete events of a stream to the caller. */
 void
 request_pass_events(request_t *request, const char *data, size_t len)
 {
     CLEAN_BUF buf_t events = {0};
     size_t count = stream_feed(&request->stream, data, len, &events);
-    if (request->stream.overflow) {
-        /* No valid event is that long.  Drop it and treat the rest of the
-         * answer as invalid. */
-        stream_restart(&request->stream);
-        request->answer = ANSWER_INVALID;
+    if (request->stream.overflow ||
+        caller_unsent_bytes(request->caller) > CALLER_UNSENT_MAX) {
+        /* No valid event is that long, no valid stream that fast. */
+        stop_invalid_answer(request);
     }
     if (count == 0) {
         return;
@@ -272,7 +298,7 @@
         case ANSWER_BUFFER:
         case ANSWER_FAILED:
             if (request->answer_body.len + len > ANSWER_BYTES_MAX) {
-                request->answer = ANSWER_INVALID;
+                stop_invalid_answer(request);
                 return;
             }
             buf_add(&request->answer_body, data, len);
@@ -392,6 +418,7 @@
     request->exchange = NULL;
     switch (end) {
         case EXCHANGE_COMPLETE:
+        case EXCHANGE_STOPPED: /* only if the answer is of no use */
             on_complete_answer(request);
             return;
         case EXCHANGE_UNSENT:
@@ -453,6 +480,20 @@
     }
 }
 
+/* Returns how long the server may acknowledge nothing.  Silence ends an answer
+ * only if the request may run elsewhere.  A server that reads a long body
+ * slowly acknowledges as little as one that is gone. */
+static int
+request_silence_ms(const request_t *request)
+{
+    bool may_move =
+        retry_can_rerun(request->route->kind, request->route->resumable) &&
+        request->body->len <= SLOW_BODY_BYTES;
+    int64_t left_ms = request->deadline_ms - request->sent_ms;
+    /* In whole seconds, so that kept connections are seldom set anew. */
+    return may_move ? 0 : (int)((left_ms / MS_PER_S + 1) * MS_PER_S);
+}
+
 /* Starts an attempt at a server. */
 void
 request_send(request_t *request, server_t *server)
@@ -502,6 +543,8 @@
         .body = request->body->data,
         .body_len = request->body->len,
         .no_response_body = request->head->method == HTTP_HEAD,
+        .new_connection = request_needs_new_connection(request),
+        .silence_ms = request_silence_ms(request),
         .connect_ms = CONNECT_TIMEOUT_MS};
     request->exchange =
         exchange_start(relay->exchanges, &options, &request_hooks);
--- a/relay/request.c
+++ b/relay/request.c
@@ -28,9 +28,6 @@
 #define ORIGIN_LIFETIME_MS_MAX 120000
 /* Weight of the newest prompt in the smoothed size of prompts. */
 #define MEAN_PROMPT_WEIGHT 0.02
-/* Bound on the bodies of all requests in flight, bytes: a quarter of the
- * smallest host's memory. */
-#define BODY_BYTES_MAX (40u << 20)
 
 /* The caller closed its connection: cancels its request and closes the
  * connection to the server, so that the server stops working. */
@@ -184,6 +181,28 @@
     }
 }
 
+/* Logs what led to a failure; status 0 is an answer that is broken off. */
+static void
+log_failure(const request_t *request, const char *reason, int status)
+{
+    const relay_t *relay = request->relay;
+    const server_t *server = request->server;
+    int64_t now = time_mono_ms();
+    log_record(
+        LOG_WARN, "request", "failed",
+        "id=%s why=%s status=%d server=%s helper=%s last_event=%s "
+        "silent_ms=%lld left_ms=%lld ran=%d sends=%d reach=%s "
+        "config=%lld newest_config=%lld config_age_ms=%lld",
+        request->id, reason, status, server != NULL ? server->info.id : "-",
+        request->helper[0] != '\0' ? request->helper : "-",
+        request->stream.last_id[0] != '\0' ? request->stream.last_id : "-",
+        (long long)(server != NULL ? now - server->answered_ms : -1),
+        (long long)(request->deadline_ms - now), request->possible_runs,
+        request->sends, reach_state_name(relay->reach.state),
+        (long long)request->config->version, (long long)relay->config->version,
+        (long long)(now - relay->config_adopted_ms));
+}
+
 /* Tells the caller that the request failed; it may have run. */
 void
 request_fail(request_t *request, int status, const char *reason)
@@ -196,8 +215,7 @@
     }
     request->status = status;
     request->outcome = METER_FAILED;
-    log_record(LOG_WARN, "request", "failed", "id=%s why=%s status=%d",
-               request->id, reason, streaming ? 0 : status);
+    log_failure(request, reason, streaming ? 0 : status);
     request_end(request, reason);
     if (streaming) {
         caller_abort(caller);
@@ -217,7 +235,7 @@
         server_record_fault(request->server, SERVER_FAULT_TIMEOUT,
                             time_mono_ms());
     }
-    if (request->possible_runs == 0 &&
+    if (request_own_runs(request) == 0 &&
         (request->exchange == NULL || !exchange_has_sent(request->exchange))) {
         request_reject(request, "no-server-in-time", RETRY_AFTER_NO_SERVER_MS);
         return;
@@ -236,15 +254,33 @@
     return request->from_host && granted < max ? granted : max;
 }
 
-/* Returns the state of a request for the rule of retries. */
+/* Returns how often the request may have run through this host. */
+int
+request_own_runs(const request_t *request)
+{
+    return request->possible_runs - request->runs_before;
+}
+
+/* Whether an attempt is made over a new connection: one that is open may have
+ * ended unnoticed, and if an attempt has been lost already, none may be left
+ * after this one. */
+bool
+request_needs_new_connection(const request_t *request)
+{
+    return request->possible_runs > 0;
+}
+
+/* Returns the state of a request for the rule of retries.  Runs through the
+ * host that forwarded it count there: they say nothing of what this one may
+ * answer. */
 static retry_state_t
 make_retry_state(const request_t *request, double retries_left, int64_t now)
 {
     return (retry_state_t){
         .kind = request->route->kind,
         .resumable = request->route->resumable,
-        .attempts_max = request->route->attempts,
-        .possible_runs = request->possible_runs,
+        .attempts_max = request->route->attempts - request->runs_before,
+        .possible_runs = request_own_runs(request),
         /* While the servers are not reached, sends that never left this host
          * say nothing of the service. */
         .sends = reach_is_lost(&request->relay->reach) ? 1 : request->sends,
@@ -254,6 +290,23 @@
     };
 }
 
+/* No server can take the request after a failed attempt.  A stream that has
+ * started waits until its deadline, and may go back to a server that was
+ * tried: cut, it would be lost to its caller. */
+static void
+wait_for_server(request_t *request, int64_t now)
+{
+    if (request->phase == REQUEST_STREAMING) {
+        request->tried_count = 0;
+        request->helpers_tried.count = 0;
+        request->not_before_ms = now + STREAM_BACKOFF_MS;
+        request->placement_deadline_ms = request->deadline_ms;
+        return;
+    }
+    request->placement_deadline_ms =
+        now + request->route->target_latency_ms / PLACEMENT_WAIT_DIVISOR;
+}
+
 /* An attempt has failed: retries the request or ends it. */
 void
 request_handle_failed_attempt(request_t *request, send_result_t result)
@@ -262,7 +315,7 @@
     double retries_left =
         retry_share_left(&request->relay->retry_shares, request->service, now);
     retry_state_t state = make_retry_state(request, retries_left, now);
-    state.attempts_max = runs_max(request);
+    state.attempts_max = runs_max(request) - request->runs_before;
     retry_decision_t decision = retry_decide(&state, result);
     log_record(LOG_WARN, "request", "send-failed",
                "id=%s server=%s fate=%s ran=%d sends=%d share_left=%d "
@@ -276,15 +329,11 @@
     switch (decision) {
         case RETRY_NOW:
             if (!request_place(request)) {
-                request->placement_deadline_ms =
-                    now +
-                    request->route->target_latency_ms / PLACEMENT_WAIT_DIVISOR;
+                wait_for_server(request, now);
             }
             return;
         case RETRY_LATER:
-            request->tried_count = 0;
-            request->not_before_ms = now + STREAM_BACKOFF_MS;
-            request->placement_deadline_ms = request->deadline_ms;
+            wait_for_server(request, now);
             return;
         case RETRY_REJECT:
             request_reject(request, "refused-by-servers", RETRY_AFTER_FULL_MS);
@@ -324,22 +373,43 @@
     return retry_decide(&state, SEND_UNKNOWN) == RETRY_NOW;
 }
 
-/* A server does not answer: fails its requests over to other servers.  A sound
- * server may be silent for a second, so those that were sent keep waiting if
- * they could not be sent again, and streams that have started unless
- * with_started is set. */
+/* Whether a request that was sent to a silent server stays there.  A sound
+ * server may be silent for a second, so a request leaves it only if it may run
+ * again and can be taken now; one alone if that is doubtful. */
+static bool
+stays_at_silent_server(const request_t *request, bool with_started,
+                       bool *trial_sent)
+{
+    bool started = request->phase == REQUEST_STREAMING;
+    if ((started && !with_started) || !can_move(request)) {
+        return true;
+    }
+    switch (request_find_alternative(request)) {
+        case ALTERNATIVE_NONE:
+            return true;
+        case ALTERNATIVE_DOUBTFUL: {
+            bool stays = *trial_sent;
+            *trial_sent = true;
+            return stays;
+        }
+        case ALTERNATIVE_LIKELY:
+            break;
+    }
+    return false;
+}
+
+/* A server does not answer: fails its requests over to other servers, those
+ * whose answers have started only if with_started is set. */
 void
 requests_fail_over(relay_t *relay, const server_t *server, bool with_started)
 {
     request_t *request;
     request_t *next;
+    bool trial_sent = false;
     CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
-        if (request->server != server || request->exchange == NULL) {
-            continue;
-        }
-        bool sent = exchange_has_sent(request->exchange);
-        bool waits = request->phase == REQUEST_STREAMING && !with_started;
-        if (sent && (waits || !can_move(request))) {
+        if (request->server != server || request->exchange == NULL ||
+            (exchange_has_sent(request->exchange) &&
+             stays_at_silent_server(request, with_started, &trial_sent))) {
             continue;
         }
         abandon_attempt(request);
@@ -402,7 +472,7 @@
         if (request_place(request) || now < request->placement_deadline_ms) {
             continue;
         }
-        if (request->possible_runs == 0) {
+        if (request_own_runs(request) == 0) {
             request_reject(request, "no-server", RETRY_AFTER_NO_SERVER_MS);
         }
         else {
@@ -512,12 +582,15 @@
     return request;
 }
 
+/* Sets the deadline of the request.  The host that forwards one has applied
+ * its own route's timeout: another configuration here must not end the answer
+ * sooner. */
 static void
-set_deadlines(request_t *request)
+set_deadlines(request_t *request, bool from_host)
 {
     int64_t caller_ms = read_deadline(request->head);
     int64_t timeout_ms = request->route->timeout_ms;
-    if (caller_ms != DEADLINE_NONE && caller_ms < timeout_ms) {
+    if (caller_ms != DEADLINE_NONE && (from_host || caller_ms < timeout_ms)) {
         timeout_ms = caller_ms;
     }
     struct timeval timeout = {timeout_ms / 1000, timeout_ms % 1000 * 1000};
@@ -619,7 +692,7 @@
             MEAN_PROMPT_WEIGHT *
             (request->prompt.prompt_tokens - relay->mean_prompt_tokens);
     }
-    set_deadlines(request);
+    set_deadlines(request, from_host);
     if (from_host) {
         relay->meter.taken++;
         request_read_forwarded(request);
--- a/relay/request.h
+++ b/relay/request.h
@@ -27,6 +27,13 @@
     ANSWER_INVALID   /* must not be passed on */
 } answer_class_t;
 
+/* What could take a request whose server does not answer. */
+typedef enum {
+    ALTERNATIVE_NONE,
+    ALTERNATIVE_DOUBTFUL, /* only servers that may reject it */
+    ALTERNATIVE_LIKELY
+} alternative_t;
+
 struct request {
     CK_LIST_ENTRY(request) entry;
     relay_t *relay;
@@ -109,6 +116,8 @@
 
 /* Sends or rejects a waiting request; false if it must keep waiting. */
 bool request_place(request_t *request);
+int request_own_runs(const request_t *request);
+bool request_needs_new_connection(const request_t *request);
 void request_send(request_t *request, server_t *server);
 void request_release_server(request_t *request);
 void request_handle_failed_attempt(request_t *request, send_result_t result);
@@ -126,6 +135,7 @@
 bool request_may_use_kv_stores(const request_t *request,
                                const server_t *server);
 bool request_has_other_id(const request_t *request, const http_head_t *head);
+bool request_uses_body(const request_t *request);
 void request_copy_answer_headers(request_t *request, const http_head_t *head);
 void request_pass_events(request_t *request, const char *data, size_t len);
 void request_finish_stream(request_t *request);
@@ -141,6 +151,7 @@
 void request_reject_with_status(request_t *request, int status,
                                 const char *reason, int64_t retry_after_ms);
 bool request_forward(request_t *request);
+bool request_may_forward(const request_t *request, int64_t now);
 bool request_helper_is_lost(const request_t *request, int64_t now);
 void request_release_helper(request_t *request);
 void request_reject_unreached(request_t *request);
@@ -158,6 +169,7 @@
 bool request_end_if_version_gone(request_t *request);
 void request_set_service(request_t *request, const char *service);
 void request_renew_placement_deadline(request_t *request);
+alternative_t request_find_alternative(const request_t *request);
 void request_record_signals(const request_t *request, const http_head_t *head);
 void request_record_first_answer(request_t *request);
 
