--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -76,7 +76,8 @@
 {
     if (strcmp(server->info.service, request->service) != 0 ||
         !server_is_usable(server, now) || is_tried(request, server) ||
-        !request_is_at_version(request, server) ||
+        !request_fits_version(request, server) ||
+        request_avoids_doubt(request, server) ||
         !relay_reaches(request->relay, server)) {
         return false;
     }
@@ -274,7 +275,7 @@
         if (strcmp(server->info.service, request->service) != 0 ||
             server->removed || server->info.draining || server->leaving ||
             is_tried(request, server) ||
-            !request_is_at_version(request, server)) {
+            !request_fits_version(request, server)) {
             continue;
         }
         if (!can_serve(request, server, now) ||
@@ -397,7 +398,7 @@
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
         if (strcmp(server->info.service, request->service) != 0 ||
             server->removed || server->info.draining || server->leaving ||
-            server->address_taken || !request_is_at_version(request, server)) {
+            server->address_taken || !request_fits_version(request, server)) {
             continue;
         }
         if (server_is_reachable(server, now) &&
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -243,17 +243,21 @@
 
 /* ---- servers ---- */
 
-/* Whether the request may go on at a server's software version.  A server that
- * may have started again with other software begins and takes no stream that
- * its caller may take up. */
+/* Whether the request may go on at a server's software version. */
 bool
-request_is_at_version(const request_t *request, const server_t *server)
+request_fits_version(const request_t *request, const server_t *server)
 {
-    bool resumable =
-        request->route->kind == ROUTE_STREAM && request->route->resumable;
-    return (request->software == SOFTWARE_ANY ||
-            request->software == server->info.software) &&
-           !(resumable && server->software_in_doubt);
+    return request->software == SOFTWARE_ANY ||
+           request->software == server->info.software;
+}
+
+/* Whether the server's software version is in doubt, and the request is a
+ * stream that must not go on at another version. */
+bool
+request_avoids_doubt(const request_t *request, const server_t *server)
+{
+    return server->software_in_doubt && request->route->kind == ROUTE_STREAM &&
+           request->route->resumable;
 }
 
 /* Whether no server is left that has the version of the stream and takes new
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -90,6 +90,26 @@
     }
 }
 
+/* Applies the software versions that the holder has seen, so that a daemon
+ * that has just started knows which there were before. */
+static void
+apply_software(relay_t *relay, const lease_object_t *object)
+{
+    size_t index;
+    json_t *row;
+    json_array_foreach (object->software, index, row) {
+        const software_sighting_t sighting = {
+            .service = (uint64_t)json_integer_value(json_array_get(row, 0)),
+            .software = (uint64_t)json_integer_value(json_array_get(row, 1)),
+            .seen_ms = json_integer_value(json_array_get(row, 2))};
+        software_seen_note(&relay->software_seen, &sighting);
+    }
+    if (object->software_since_ms > 0) {
+        software_seen_cover(&relay->software_seen, object->software_since_ms,
+                            object->software_until_ms);
+    }
+}
+
 static json_t *
 published_rows(const relay_t *relay)
 {
@@ -127,6 +147,7 @@
                              .writes = object.writes};
     lease_observe(&rollout->lease, &record, time_boot_ms());
     apply_published(rollout->relay, object.published);
+    apply_software(rollout->relay, &object);
     platform_page_free(&page);
 }
 
@@ -168,7 +189,7 @@
     lease_step_sent(lease, step, time_boot_ms());
     CLEAN_JSON json_t *spec = platform_lease_spec(
         lease_requested_holder(lease), lease->requested_fence, lease->writes,
-        published_rows(relay));
+        published_rows(relay), &relay->software_seen);
     switch (step) {
         case LEASE_CREATE:
             platform_create_call(&call, addr, KIND_LEASES, LEASE_NAME, spec);
