--- /dev/null
+++ b/tests/test-stream-origins.c
@@ -0,0 +1,295 @@
+#include "../relay/stream-origins.h"
+#include "test.h"
+
+#include <string.h>
+
+#define LONG_ID_LEN 65536
+
+static uint64_t
+make_key(const char *workspace, const char *host, const char *prefix,
+         const char *attempt)
+{
+    const stream_name_t name = {.workspace = workspace,
+                                .host = host,
+                                .prefix = prefix,
+                                .attempt = attempt,
+                                .attempt_len = strlen(attempt)};
+    return stream_origin_key(&name);
+}
+
+static uint64_t
+make_key_of_bytes(const char *bytes, size_t len)
+{
+    const stream_name_t name = {.workspace = "w",
+                                .host = "h",
+                                .prefix = "/p",
+                                .attempt = bytes,
+                                .attempt_len = len};
+    return stream_origin_key(&name);
+}
+
+static stream_origins_t *
+origins_new(void)
+{
+    stream_origins_t *origins = mem_zalloc(sizeof(*origins));
+    stream_origins_init(origins);
+    return origins;
+}
+
+static const stream_origin_t *
+put(stream_origins_t *origins, uint64_t stream, uint64_t software,
+    int64_t expires_ms, int64_t now)
+{
+    const stream_origin_t origin = {.stream = stream,
+                                    .service = 7,
+                                    .software = software,
+                                    .expires_ms = expires_ms};
+    return stream_origins_put(origins, &origin, now);
+}
+
+/* Checks that all keys of a list differ. */
+static void
+check_all_differ(const uint64_t *keys, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        for (size_t j = 0; j < i; j++) {
+            ck_assert_uint_ne(keys[i], keys[j]);
+        }
+    }
+}
+
+/* Guards against a caller that takes up the stream of another workspace. */
+START_TEST(keys_differ_by_each_part_of_the_name)
+{
+    const uint64_t keys[] = {
+        make_key("w", "h", "/p", "a"), make_key("v", "h", "/p", "a"),
+        make_key("", "h", "/p", "a"),  make_key("w", "g", "/p", "a"),
+        make_key("w", "", "/p", "a"),  make_key("w", "h", "/q", "a"),
+        make_key("w", "h", "", "a"),   make_key("w", "h", "/p", "b"),
+        make_key("w", "h", "/p", "")};
+    check_all_differ(keys, sizeof(keys) / sizeof(keys[0]));
+    ck_assert_uint_eq(keys[0], make_key("w", "h", "/p", "a"));
+}
+END_TEST
+
+/* Guards against names whose parts, joined, are the same text. */
+START_TEST(texts_of_a_name_cannot_run_together)
+{
+    const uint64_t keys[] = {
+        make_key("ab", "c", "d", "e"), make_key("a", "bc", "d", "e"),
+        make_key("abc", "", "d", "e"), make_key("ab", "cd", "", "e"),
+        make_key("ab", "", "cd", "e"), make_key("ab", "c", "", "de"),
+        make_key("ab", "c", "de", ""), make_key("", "abc", "d", "e"),
+        make_key("", "", "", "abcde"), make_key("abcde", "", "", ""),
+        make_key_of_bytes("x\0y", 3),  make_key_of_bytes("x", 1),
+        make_key_of_bytes("/p\0x", 4), make_key_of_bytes("\0x", 2),
+        make_key_of_bytes("x\0", 2),   make_key_of_bytes("", 0),
+        make_key_of_bytes("\0", 1),    make_key_of_bytes("\0\0", 2)};
+    check_all_differ(keys, sizeof(keys) / sizeof(keys[0]));
+}
+END_TEST
+
+/* Guards against ids that are read past their end, or of which a part does not
+ * count. */
+START_TEST(ids_may_be_of_any_bytes_and_long)
+{
+    uint64_t keys[256 + 3];
+    char *id = mem_zalloc(LONG_ID_LEN);
+    for (int i = 0; i < 256; i++) {
+        const char byte = (char)i;
+        keys[i] = make_key_of_bytes(&byte, 1);
+    }
+    for (size_t i = 0; i < LONG_ID_LEN; i++) {
+        id[i] = (char)(i * 31 + i / 256);
+    }
+    keys[256] = make_key_of_bytes(id, LONG_ID_LEN);
+    keys[257] = make_key_of_bytes(id, LONG_ID_LEN - 1);
+    id[LONG_ID_LEN - 1] ^= 1;
+    keys[258] = make_key_of_bytes(id, LONG_ID_LEN);
+    check_all_differ(keys, sizeof(keys) / sizeof(keys[0]));
+    id[LONG_ID_LEN - 1] ^= 1;
+    ck_assert_uint_eq(keys[256], make_key_of_bytes(id, LONG_ID_LEN));
+    free(id);
+}
+END_TEST
+
+/* The expiry of a stream in a shuffled order; all differ. */
+static int64_t
+shuffled_expiry(uint64_t stream)
+{
+    return 1000 + (int64_t)(stream * 2654435761U % (STREAM_ORIGINS_MAX * 3));
+}
+
+static size_t
+count_found(const stream_origins_t *origins, uint64_t streams, int64_t now)
+{
+    size_t found = 0;
+    for (uint64_t stream = 0; stream < streams; stream++) {
+        found += stream_origins_find(origins, stream, now) != NULL;
+    }
+    return found;
+}
+
+static int64_t
+first_expiry(const stream_origins_t *origins)
+{
+    int64_t first = INT64_MAX;
+    for (size_t i = 0; i < STREAM_ORIGINS_MAX; i++) {
+        int64_t expires_ms = origins->all[i].expires_ms;
+        first = expires_ms < first ? expires_ms : first;
+    }
+    return first;
+}
+
+/* Guards against a table that grows, or forgets what lasts longest. */
+START_TEST(the_table_is_bounded_and_forgets_what_expires_first)
+{
+    stream_origins_t *origins = origins_new();
+    const uint64_t streams = STREAM_ORIGINS_MAX * 3;
+    for (uint64_t i = 0; i < STREAM_ORIGINS_MAX; i++) {
+        (void)put(origins, i, 1, shuffled_expiry(i), 0);
+    }
+    for (uint64_t i = STREAM_ORIGINS_MAX; i < streams; i++) {
+        int64_t first = first_expiry(origins);
+        int64_t added = shuffled_expiry(i);
+        (void)put(origins, i, 1, added, 0);
+        ck_assert_ptr_nonnull(stream_origins_find(origins, i, 0));
+        ck_assert_int_ge(first_expiry(origins),
+                         added < first ? added : first + 1);
+        ck_assert_uint_eq(origins->count, STREAM_ORIGINS_MAX);
+    }
+    ck_assert_uint_eq(count_found(origins, streams, 0), STREAM_ORIGINS_MAX);
+    free(origins);
+}
+END_TEST
+
+/* Guards against a stream that goes on at the wrong one of two versions. */
+START_TEST(two_versions_under_one_key_are_unknown)
+{
+    stream_origins_t *origins = origins_new();
+    (void)put(origins, 1, 10, 1000, 0);
+    ck_assert_uint_eq(put(origins, 1, 10, 1000, 0)->software, 10);
+    ck_assert_uint_eq(put(origins, 1, 11, 1000, 0)->software,
+                      SOFTWARE_UNKNOWN);
+    ck_assert_uint_eq(put(origins, 1, 10, 1000, 0)->software,
+                      SOFTWARE_UNKNOWN);
+    ck_assert_uint_eq(stream_origins_find(origins, 1, 0)->software,
+                      SOFTWARE_UNKNOWN);
+    (void)put(origins, 2, 10, 1000, 0);
+    ck_assert_uint_eq(put(origins, 2, SOFTWARE_UNKNOWN, 1000, 0)->software,
+                      SOFTWARE_UNKNOWN);
+    ck_assert_uint_eq(origins->count, 2);
+    free(origins);
+}
+END_TEST
+
+/* Guards against a stream that goes on at another service. */
+START_TEST(two_services_under_one_key_are_unknown)
+{
+    stream_origins_t *origins = origins_new();
+    const stream_origin_t other = {
+        .stream = 1, .service = 8, .software = 10, .expires_ms = 1000};
+    (void)put(origins, 1, 10, 1000, 0);
+    ck_assert_uint_eq(stream_origins_put(origins, &other, 0)->software,
+                      SOFTWARE_UNKNOWN);
+    free(origins);
+}
+END_TEST
+
+/* Guards against an origin that is used after its time, or lost before. */
+START_TEST(an_origin_expires_and_may_be_renewed)
+{
+    stream_origins_t *origins = origins_new();
+    (void)put(origins, 1, 10, 1000, 0);
+    ck_assert_ptr_nonnull(stream_origins_find(origins, 1, 999));
+    ck_assert_ptr_null(stream_origins_find(origins, 1, 1000));
+    ck_assert_ptr_null(stream_origins_find(origins, 2, 0));
+    (void)put(origins, 1, 10, 3000, 999);
+    (void)put(origins, 1, 10, 2000, 999);
+    ck_assert_ptr_nonnull(stream_origins_find(origins, 1, 2999));
+    ck_assert_ptr_null(stream_origins_find(origins, 1, 3000));
+    ck_assert_uint_eq(put(origins, 1, 11, 4000, 3000)->software, 11);
+    ck_assert_uint_eq(origins->count, 1);
+    ck_assert_uint_eq(stream_origins_find(origins, 1, 3999)->software, 11);
+    free(origins);
+}
+END_TEST
+
+/* Guards against records that stay, and against live ones that are removed. */
+START_TEST(a_sweep_removes_what_has_expired)
+{
+    stream_origins_t *origins = origins_new();
+    for (uint64_t i = 0; i < STREAM_ORIGINS_MAX; i++) {
+        (void)put(origins, i, 1, 1 + (int64_t)i, 0);
+    }
+    stream_origins_sweep(origins, 100);
+    ck_assert_uint_eq(origins->count, STREAM_ORIGINS_MAX - 100);
+    ck_assert_uint_eq(count_found(origins, STREAM_ORIGINS_MAX, 0),
+                      STREAM_ORIGINS_MAX - 100);
+    stream_origins_sweep(origins, STREAM_ORIGINS_MAX);
+    ck_assert_uint_eq(origins->count, 0);
+    for (uint64_t i = 0; i < STREAM_ORIGINS_MAX; i++) {
+        (void)put(origins, i * STREAM_ORIGIN_BUCKETS, 1, 9000, 5000);
+    }
+    ck_assert_uint_eq(origins->count, STREAM_ORIGINS_MAX);
+    free(origins);
+}
+END_TEST
+
+static int
+take_queries(stream_origins_t *origins, int asked, int64_t now)
+{
+    int taken = 0;
+    for (int i = 0; i < asked; i++) {
+        taken += stream_origins_take_query(origins, now);
+    }
+    return taken;
+}
+
+/* Guards against callers that make a host flood others with questions. */
+START_TEST(questions_are_64_at_once_and_16_a_second)
+{
+    stream_origins_t *origins = origins_new();
+    int taken = 0;
+    ck_assert_int_eq(take_queries(origins, 1000, 5000), 64);
+    ck_assert_int_eq(take_queries(origins, 10, 5062), 0);
+    ck_assert_int_eq(take_queries(origins, 10, 5063), 1);
+    for (int64_t now = 5064; now <= 15063; now++) {
+        taken += take_queries(origins, 5, now);
+    }
+    ck_assert_int_ge(taken, 159);
+    ck_assert_int_le(taken, 160);
+    ck_assert_int_eq(take_queries(origins, 1000, 10000000), 64);
+    free(origins);
+}
+END_TEST
+
+/* Guards against a rejection for good before all hosts have said that they do
+ * not know the stream. */
+START_TEST(a_question_is_answered_once_all_hosts_answered)
+{
+    stream_query_t query = {.count = STREAM_ORIGIN_ASKED_MAX};
+    for (size_t i = 0; i < query.count; i++) {
+        query.hosts[i] = 100 + i;
+    }
+    stream_query_note_unknown(&query, 1);
+    for (size_t i = 0; i < query.count; i++) {
+        ck_assert(!stream_query_is_answered(&query));
+        stream_query_note_unknown(&query, 100 + i);
+        stream_query_note_unknown(&query, 100 + i);
+        stream_query_note_unknown(&query, 99);
+    }
+    ck_assert(stream_query_is_answered(&query));
+}
+END_TEST
+
+TEST_MAIN("stream-origins", keys_differ_by_each_part_of_the_name,
+          texts_of_a_name_cannot_run_together,
+          ids_may_be_of_any_bytes_and_long,
+          the_table_is_bounded_and_forgets_what_expires_first,
+          two_versions_under_one_key_are_unknown,
+          two_services_under_one_key_are_unknown,
+          an_origin_expires_and_may_be_renewed,
+          a_sweep_removes_what_has_expired,
+          questions_are_64_at_once_and_16_a_second,
+          a_question_is_answered_once_all_hosts_answered)
