Software versions: what was forgotten or had no room is not certain

Found by test-software-forgotten, which failed in both tests: after 120 s the list of versions forgets one, but still counted as complete for that time, so with timeouts of over 117 s a stream could go on at a version that is not the only one; and a host's record could cover the time in which the list had no room. The list is complete from what it still has on, and never across such a time.

--- a/relay/software-seen.c
+++ b/relay/software-seen.c
@@ -32,6 +32,12 @@
 void
 software_seen_cover(software_seen_t *seen, int64_t since_ms, int64_t until_ms)
 {
+    if (since_ms <= seen->blind_until_ms) {
+        since_ms = seen->blind_until_ms + 1;
+    }
+    if (until_ms < since_ms) {
+        return;
+    }
     bool joins = seen->since_ms != 0 &&
                  since_ms <= seen->until_ms + GAP_MS_MAX &&
                  seen->since_ms <= until_ms + GAP_MS_MAX;
@@ -60,6 +66,10 @@
     if (seen->overflow && kept < SOFTWARE_SEEN_MAX) {
         seen->overflow = false;
         seen->since_ms = seen->until_ms;
+        seen->blind_until_ms = seen->until_ms - 1;
+    }
+    if (seen->since_ms != 0 && seen->since_ms < before_ms) {
+        seen->since_ms = before_ms;
     }
 }
 
--- a/relay/software-seen.h
+++ b/relay/software-seen.h
@@ -19,9 +19,10 @@
 typedef struct {
     software_sighting_t list[SOFTWARE_SEEN_MAX];
     size_t count;
-    bool overflow;    /* some versions were not recorded */
-    int64_t since_ms; /* all since then are recorded; 0: nothing is */
-    int64_t until_ms; /* all until then are recorded */
+    bool overflow;          /* some versions were not recorded */
+    int64_t since_ms;       /* all since then are recorded; 0: nothing is */
+    int64_t until_ms;       /* all until then are recorded */
+    int64_t blind_until_ms; /* until then some were not recorded */
 } software_seen_t;
 
 void software_seen_note(software_seen_t *seen,
