Origins: a host that starts gets those that are needed the longest

Hosts know 92.7 % of the streams taken up when 4 hosts with 13 new ones a second each restart in turn, since the first 512 in the order of the table are sent (test-stream-fleet-limits failed). Now 512 that expire last: the test passes.

--- a/relay/peers-origins.c
+++ b/relay/peers-origins.c
@@ -154,30 +154,23 @@
     }
 }
 
-/* Sends a daemon that has just started the known origins.  Each host has the
- * streams that began there and its part of the others, so they are few. */
+/* Sends a daemon that has just started the known origins, those that are
+ * needed the longest if there are many. */
 void
 peers_send_origins(peers_t *peers, const char *addr)
 {
-    const stream_origins_t *origins = &peers->relay->stream_origins;
+    const stream_origin_t *origins[SNAPSHOT_ORIGINS_MAX];
     peer_datagram_t *datagram = &peers->scratch;
     int64_t now = time_mono_ms();
-    size_t left = SNAPSHOT_ORIGINS_MAX;
+    size_t count = stream_origins_list(&peers->relay->stream_origins, origins,
+                                       SNAPSHOT_ORIGINS_MAX, now);
     datagram->kind = PEER_ORIGINS;
     datagram->origin_count = 0;
-    for (size_t i = 0; i < STREAM_ORIGINS_MAX && left > 0; i++) {
-        const stream_origin_t *origin = &origins->all[i];
-        if (origin->expires_ms <= now) {
-            continue;
-        }
-        left--;
-        add_origin(datagram, origin, now);
-        if (datagram->origin_count == PEER_ORIGINS_MAX) {
+    for (size_t i = 0; i < count; i++) {
+        add_origin(datagram, origins[i], now);
+        if (datagram->origin_count == PEER_ORIGINS_MAX || i + 1 == count) {
             peers_send(peers, addr, datagram);
             datagram->origin_count = 0;
         }
     }
-    if (datagram->origin_count > 0) {
-        peers_send(peers, addr, datagram);
-    }
 }
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -1,6 +1,7 @@
 #include "stream-origins.h"
 
 #include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Questions to other hosts in a row and a second, in bounded bytes whatever
@@ -140,6 +141,34 @@
     }
 }
 
+static int
+compare_expiry(const void *a, const void *b)
+{
+    const stream_origin_t *first = *(const stream_origin_t *const *)a;
+    const stream_origin_t *second = *(const stream_origin_t *const *)b;
+    return (first->expires_ms < second->expires_ms) -
+           (first->expires_ms > second->expires_ms);
+}
+
+/* Lists the known origins, at most max: those that expire last, these first.
+ * Returns their number. */
+size_t
+stream_origins_list(const stream_origins_t *origins,
+                    const stream_origin_t **out, size_t max, int64_t now_ms)
+{
+    const stream_origin_t *all[STREAM_ORIGINS_MAX];
+    size_t count = 0;
+    for (size_t i = 0; i < STREAM_ORIGINS_MAX; i++) {
+        if (origins->all[i].expires_ms > now_ms) {
+            all[count++] = &origins->all[i];
+        }
+    }
+    qsort(all, count, sizeof(all[0]), compare_expiry);
+    count = count < max ? count : max;
+    memcpy(out, all, count * sizeof(all[0]));
+    return count;
+}
+
 /* Whether other hosts may be asked once more. */
 bool
 stream_origins_take_query(stream_origins_t *origins, int64_t now_ms)
--- a/relay/stream-origins.h
+++ b/relay/stream-origins.h
@@ -70,6 +70,9 @@
 const stream_origin_t *stream_origins_find(const stream_origins_t *origins,
                                            uint64_t stream, int64_t now_ms);
 void stream_origins_sweep(stream_origins_t *origins, int64_t now_ms);
+size_t stream_origins_list(const stream_origins_t *origins,
+                           const stream_origin_t **out, size_t max,
+                           int64_t now_ms);
 bool stream_origins_take_query(stream_origins_t *origins, int64_t now_ms);
 void stream_query_note_unknown(stream_query_t *query, uint64_t host);
 bool stream_query_is_answered(const stream_query_t *query);
