Retries: open connections are used as soon as new ones are in doubt

A forwarded request depends on the path to hosts, not to servers, and opens one after a lost attempt as before.

--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -405,7 +405,7 @@
         .body = request->body->data,
         .body_len = request->body->len,
         .no_response_body = request->head->method == HTTP_HEAD,
-        .new_connection = request_needs_new_connection(request),
+        .new_connection = request->possible_runs > 0,
         .silence_ms = request_silence_ms(request),
         .connect_ms = CONNECT_TIMEOUT_MS};
     exchange_hooks_t hooks = {on_head, on_body, on_end, request};
--- a/relay/request.c
+++ b/relay/request.c
@@ -269,15 +269,15 @@
     return request->possible_runs - request->runs_before;
 }
 
-/* Whether an attempt is made over a new connection: one that is open may have
- * ended unnoticed, and if an attempt has been lost already, none may be left
- * after this one.  While new connections fail, an open one is the better
- * choice. */
+/* Whether an attempt at a server is made over a new connection: one that is
+ * open may have ended unnoticed, and if an attempt has been lost already, none
+ * may be left after this one.  While new connections fail, an open one is the
+ * better choice. */
 bool
 request_needs_new_connection(const request_t *request)
 {
     return request->possible_runs > 0 &&
-           request->relay->reach.state != REACH_KEPT;
+           request->relay->reach.state == REACH_OK;
 }
 
 /* Returns the state of a request for the rule of retries.  Runs through the
