--- a/tests/procs.sh
+++ b/tests/procs.sh
@@ -2,7 +2,7 @@
 # Runs the tests with real processes, JOBS at a time on ports of their own, and
 # counts the failures.
 cd "$(dirname "$0")/.." || exit 1
-JOBS=${JOBS:-3}
+JOBS=${JOBS:-4}
 PORTS_PER_JOB=3000
 results=$(mktemp -d)
 trap 'rm -rf "$results"' EXIT
