Comments of the origins of streams, and ran in the record of a failed send

ran means all attempts that may have run in every record now, as before the change that made it own runs in one of them. No other change in what it does; no test failed before.

--- a/relay/probe.c
+++ b/relay/probe.c
@@ -169,7 +169,7 @@
 }
 
 /* A connection to the server broke: it may have started again, with other
- * software than its entry names.  Its report tells. */
+ * software than its entry names.  Its report shows which start it is. */
 void
 relay_doubt_software(relay_t *relay, server_t *server)
 {
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -79,7 +79,8 @@
                (long long)(time_mono_ms() - request->received_ms));
 }
 
-/* Rejects the request: it has not run, and nobody knows where it may. */
+/* Rejects the request, which has not run: the version of its stream is not
+ * known. */
 static void
 reject_unknown(request_t *request, bool all_answered)
 {
@@ -144,8 +145,8 @@
     return apply_origin(request, &origin, "only");
 }
 
-/* Asks other hosts for the origin; false if there is nobody to ask or too many
- * were asked lately. */
+/* Asks other hosts for the origin; false if there are none or too many
+ * questions were asked lately. */
 static bool
 ask_for_origin(request_t *request)
 {
--- a/relay/request.c
+++ b/relay/request.c
@@ -334,6 +334,7 @@
     double retries_left =
         retry_share_left(&request->relay->retry_shares, request->service, now);
     retry_state_t state = make_retry_state(request, retries_left, now);
+    /* Here a forwarded request runs once; the first host may repeat it. */
     state.attempts_max = runs_max(request) - request->runs_before;
     retry_decision_t decision = retry_decide(&state, result);
     log_record(LOG_WARN, "request", "send-failed",
@@ -341,7 +342,7 @@
                "retries_left=%.1f left_ms=%lld verdict=%s status=%d",
                request->id,
                request->server != NULL ? request->server->info.id : "-",
-               send_result_name(result), state.possible_runs, state.sends,
+               send_result_name(result), request->possible_runs, state.sends,
                state.within_share, retries_left, (long long)state.remaining_ms,
                retry_decision_name(decision), request->status);
     request_release_server(request);
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -10,8 +10,8 @@
 #define QUERIES_PER_S 16.0
 #define MS_PER_S 1000.0
 
-/* Returns the key of a stream.  It is cryptographic, so that nobody can find
- * an id that has the key of another workspace's stream. */
+/* Returns the key of a stream.  The hash is cryptographic, so that no id can
+ * be found that has the key of another workspace's stream. */
 uint64_t
 stream_origin_key(const stream_name_t *name)
 {
@@ -83,8 +83,8 @@
 }
 
 /* Records the origin of a stream, or that the stream is still in use.  If
- * attempts with one id began at two versions, nobody knows which of them the
- * caller has. */
+ * attempts with one id began at two versions, it is not known which of them
+ * the caller has. */
 stream_origin_t *
 stream_origins_put(stream_origins_t *origins, const stream_origin_t *origin,
                    int64_t now_ms)
