Servers: one that started again keeps no software of its older entry

Found in reading: a server whose report shows a later start than its entry took no resumable stream until an entry of that start arrived, for as long as the store is away; and an older entry that is listed once more would have put its version back. It has a version of its own in between now, at which streams begin and go on.

Evidence: the new test of test-servers failed before (there was no such function; with the doubt alone the older entry's version came back).

--- a/relay/servers.c
+++ b/relay/servers.c
@@ -164,6 +164,19 @@
     }
 }
 
+/* Gives a server that has started again since its entry a software version of
+ * its own until an entry of that start arrives. */
+static void
+hide_old_software(server_t *server)
+{
+    server_entry_t start = server->info;
+    if (start.started_ms != 0 &&
+        server->reported_start_ms > start.started_ms) {
+        start.started_ms = server->reported_start_ms;
+        server->info.software = software_of_unnamed(&start);
+    }
+}
+
 /* Adds or updates a server by its entry.  Returns NULL if no number is free
  * for a new one. */
 server_t *
@@ -196,6 +209,7 @@
     bool renewed = server->info.started_ms != entry->started_ms ||
                    strcmp(server->info.addr, entry->addr) != 0;
     server->info = *entry;
+    hide_old_software(server);
     if (renewed) {
         reset_observations(servers, server, now_ms);
     }
@@ -525,9 +539,11 @@
 void
 server_confirm_software(server_t *server, int64_t started_ms)
 {
-    bool restarted = server->info.started_ms != 0 && started_ms != 0 &&
-                     started_ms > server->info.started_ms;
-    server->software_in_doubt = restarted;
+    server->software_in_doubt = false;
+    if (started_ms > server->reported_start_ms) {
+        server->reported_start_ms = started_ms;
+    }
+    hide_old_software(server);
 }
 
 /* Logs whether the server states that it is brittle. */
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -128,6 +128,7 @@
     bool unresponsive;        /* the last probe got no answer */
     /* It may have started again, with other software, since its entry. */
     bool software_in_doubt;
+    int64_t reported_start_ms; /* latest start that its reports showed */
 } server_t;
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -269,7 +269,33 @@
 }
 END_TEST
 
-TEST_MAIN("servers", signals_of_an_earlier_start_are_forgotten,
+/* Guards against a server that started again with other software and is taken
+ * to have that of its older entry. */
+START_TEST(a_restarted_server_has_not_the_software_of_its_old_entry)
+{
+    servers_t *servers = servers_new();
+    server_entry_t entry = {.id = "e1",
+                            .addr = "10.0.0.1:1",
+                            .started_ms = 1000,
+                            .software = software_from_name("v1")};
+    server_t *server = servers_put(servers, &entry, 0);
+    server_confirm_software(server, 1000);
+    ck_assert_uint_eq(server->info.software, entry.software);
+    server_confirm_software(server, 2000);
+    uint64_t restarted = server->info.software;
+    ck_assert_uint_ne(restarted, entry.software);
+    (void)servers_put(servers, &entry, 0);
+    ck_assert_uint_eq(server->info.software, restarted);
+    entry.started_ms = 2000;
+    entry.software = software_from_name("v2");
+    (void)servers_put(servers, &entry, 0);
+    ck_assert_uint_eq(server->info.software, entry.software);
+    servers_free(servers);
+}
+END_TEST
+
+TEST_MAIN("servers", a_restarted_server_has_not_the_software_of_its_old_entry,
+          signals_of_an_earlier_start_are_forgotten,
           server_is_used_once_listed_with_new_weights,
           taken_slots_add_to_the_wait,
           nearly_full_server_is_announced_at_intervals,
