--- a/soak/regress.sh
+++ b/soak/regress.sh
@@ -12,8 +12,12 @@
     options=()
     case $more in --*) options=("$more") ;; esac
     "$BUILD/soak/soak" --seed "$seed" --seconds "$seconds" --build "$BUILD" --port $((21000 + ${BASE:-0})) --dir "$OUT/soak-$seed" "${options[@]}" >"$OUT/soak-$seed.out" 2>&1 || {
-        failed=$((failed + 1))
         cat "$OUT/soak-$seed.out"
+        if grep -q "^soak-$seed${options[*]}:" KNOWN-RED.txt; then
+            echo "  known failure (KNOWN-RED.txt)"
+        else
+            failed=$((failed + 1))
+        fi
     }
     tail -n 1 "$OUT/soak-$seed.out"
 done < <(cat soak/seeds.txt; echo "${SEED:-1} 8"; echo "${SEED:-1} 8 --signals"; echo "${SEED:-1} 12 --cuts"; echo "${SEED:-1} 15 --versions")
