--- a/relay/request.c
+++ b/relay/request.c
@@ -487,6 +487,10 @@
             request_tick_origin(request, now);
             continue;
         }
+        if (request->exchange == NULL &&
+            request_end_if_version_gone(request)) {
+            continue;
+        }
         if (request->exchange != NULL || now < request->not_before_ms ||
             (request->sends > 0 && now < request->placement_deadline_ms &&
              !retry_share_can_retry(&relay->retry_shares, request->service,
