--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -126,7 +126,7 @@
     return origin != NULL && origin->expires_ms > now_ms ? origin : NULL;
 }
 
-/* Forgets the streams that nobody can take up any more. */
+/* Forgets the origins that have expired. */
 void
 stream_origins_sweep(stream_origins_t *origins, int64_t now_ms)
 {
--- a/soak/streams.h
+++ b/soak/streams.h
@@ -14,7 +14,7 @@
     STREAM_PROPER,          /* as the platform's users do */
     STREAM_WITHOUT_RESUMES, /* says only what its last event was */
     STREAM_OTHER_WORKSPACE, /* names an attempt of another workspace */
-    STREAM_UNKNOWN_ATTEMPT, /* names an attempt that nobody made */
+    STREAM_UNKNOWN_ATTEMPT, /* names an attempt that was never made */
     STREAM_ONLY_RESUMES,    /* names an attempt and no event */
     STREAM_ASKS
 } stream_ask_t;
