--- a/Makefile
+++ b/Makefile
@@ -10,13 +10,13 @@
 LDLIBS := $(shell pkg-config --libs $(LIBS)) -lhttp_parser -lpthread -lm
 CHECK_LIBS := $(shell pkg-config --libs check)
 
-KERNEL := $(patsubst %.c,$(BUILD)/%.o,$(wildcard kernel/*.c plugins/*.c relay/*.c platform/*.c))
+KERNEL := $(patsubst %.c,$(BUILD)/%.o,$(wildcard kernel/*.c plugins/*.c balance/*.c relay/*.c platform/*.c))
 FAKES := $(patsubst %.c,$(BUILD)/%.o,$(filter-out fakes/fake-%.c,$(wildcard fakes/*.c)))
 DAEMONS := $(patsubst daemons/%.c,$(BUILD)/%,$(wildcard daemons/*.c))
 STANDINS := $(patsubst fakes/%.c,$(BUILD)/%,$(wildcard fakes/fake-*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test-*.c))
 SOAK := $(patsubst %.c,$(BUILD)/%.o,$(wildcard soak/*.c) fakes/link.c)
-SOURCES := $(wildcard kernel/*.[ch] plugins/*.[ch] relay/*.[ch] platform/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] soak/*.[ch])
+SOURCES := $(wildcard balance/*.[ch] kernel/*.[ch] plugins/*.[ch] relay/*.[ch] platform/*.[ch] daemons/*.[ch] fakes/*.[ch] tests/*.[ch] bench/*.[ch] soak/*.[ch])
 
 .PHONY: all soak soak-check deploy capacity models unit-programs threads check unit procs demo bench experiment format format-check lint clean
 all: $(DAEMONS) $(STANDINS)
