Admission by priority: slots are kept free for more urgent routes (not complete)

Requests were admitted by their expected wait against their own target, so at engines whose slots run out the urgent route with the short target was rejected before the less urgent one that holds slots for seconds. A less urgent request is now sent only where enough slots stay free for the more urgent ones, waits at the host otherwise, and is rejected after half of its target. On only for services where a more urgent route's target is at most half of a less urgent one's. Hosts announce the requests that they have at servers also when these end.

--- /dev/null
+++ b/balance/admission.c
@@ -0,0 +1,78 @@
+#include "admission.h"
+
+/* Answers overload in which slots, not prefill, run out: long answers hold
+ * their slots for seconds, and a short urgent request that waits for one of
+ * them to end is late.  Less urgent requests are therefore placed only while
+ * enough slots stay free for the urgent ones that are likely to arrive (trunk
+ * reservation).  Otherwise they wait at the host, where an urgent request
+ * overtakes them, and not in the engine's queue, where a free slot would go
+ * to them. */
+
+/* A less urgent request waits at a host for this share of its target.  The
+ * rest is left for its prefill, or for a second attempt in time. */
+#define WAIT_TARGET_SHARE 0.5
+/* Longest wait at a host as a share of the time that the caller has left. */
+#define WAIT_REMAINING_SHARE 0.125
+/* Share of the remaining time that the expected time may take: half of the
+ * answers take longer than expected, one in ten twice as long. */
+#define REMAINING_SHARE 0.8
+/* Share of the slots that is never reserved, so that less urgent classes are
+ * not starved by a lasting flood of urgent requests. */
+#define UNRESERVED_SHARE 0.25
+
+/* Returns the class of a priority, 0 for the most urgent. */
+unsigned
+priority_class(int priority)
+{
+    return priority <= 0                  ? 0
+           : priority >= PRIORITY_CLASSES ? PRIORITY_CLASSES - 1
+                                          : (unsigned)priority;
+}
+
+/* Returns how long a less urgent request may wait at a host for room. */
+int64_t
+admission_wait_max_ms(int target_ms, int64_t remaining_ms)
+{
+    double by_target = target_ms * WAIT_TARGET_SHARE;
+    double by_remaining = (double)remaining_ms * WAIT_REMAINING_SHARE;
+    return (int64_t)(by_target < by_remaining ? by_target : by_remaining);
+}
+
+/* Whether the server has a slot for the request besides those that are kept
+ * for more urgent classes. */
+bool
+admission_has_room(const admission_input_t *input)
+{
+    if (input->slots <= 0 || input->most_urgent) {
+        return true;
+    }
+    double reserve_max = input->slots * (1 - UNRESERVED_SHARE);
+    double reserve =
+        input->reserve < reserve_max ? input->reserve : reserve_max;
+    return input->in_flight + 1 + reserve <= input->slots;
+}
+
+static admission_t
+wait_or_reject(const admission_input_t *input, const char *reason)
+{
+    int64_t max_ms = admission_wait_max_ms(
+        input->target_ms, input->remaining_ms + input->waited_here_ms);
+    bool may_wait = input->waited_here_ms < max_ms;
+    return (admission_t){may_wait ? ADMISSION_WAIT : ADMISSION_REJECT, reason};
+}
+
+/* Decides whether a request is sent to the chosen server, waits at this host
+ * or is rejected.  A request of the most urgent class is rejected only if it
+ * cannot be answered within the time that it has left. */
+admission_t
+admission_decide(const admission_input_t *input)
+{
+    double expected_ms = input->wait_ms + input->prefill_ms;
+    if (expected_ms > (double)input->remaining_ms * REMAINING_SHARE) {
+        return (admission_t){ADMISSION_REJECT, "out-of-time"};
+    }
+    if (!admission_has_room(input)) {
+        return wait_or_reject(input, "no-room");
+    }
+    return (admission_t){ADMISSION_SEND, NULL};
+}
--- a/relay/peer-loads.c
+++ b/relay/peer-loads.c
@@ -30,8 +30,9 @@
     return change >= PREFILL_STEP_TOKENS || change <= -PREFILL_STEP_TOKENS ||
            prefill_done || sent || repeat ||
            unshared >= UNSHARED_STEP_TOKENS ||
-           (now < server->loading_until_ms &&
-            server->own_running != server->announced_running);
+           server->own_running != server->announced_running ||
+           (server->own_running > 0 &&
+            now - server->announced_ms >= REPEAT_MS);
 }
 
 /* Loads that exceed the datagram are sent with the next one. */
--- a/relay/peers-duty.c
+++ b/relay/peers-duty.c
@@ -12,6 +12,16 @@
     return members_live_count(peers->members);
 }
 
+/* Returns the recent maximum of live daemons: those that a partition hides for
+ * a while still send requests. */
+size_t
+peers_recent_count(const peers_t *peers)
+{
+    size_t live = peers_live_count(peers);
+    size_t peak = peers->retry_hosts.count.peak_live;
+    return peak > live ? peak : live;
+}
+
 /* Whether this daemon has a duty: see members_has_duty. */
 bool
 peers_has_duty(const peers_t *peers, const char *duty)
--- a/relay/relay-config.c
+++ b/relay/relay-config.c
@@ -5,6 +5,10 @@
 #include <strings.h>
 #include <xxhash.h>
 
+/* An urgent route whose target is at most this share of a less urgent one's
+ * cannot wait until one of the less urgent requests has been prefilled. */
+#define PRIORITY_TARGET_SHARE 0.5
+
 relay_config_t *
 relay_config_new(void)
 {
@@ -54,6 +58,63 @@
     }
 }
 
+static bool
+route_uses_service(const route_t *route, const char *service)
+{
+    for (unsigned i = 0; i < route->split_count; i++) {
+        if (strcmp(route->split[i].service, service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Marks a service if its most urgent routes have a target of at most
+ * PRIORITY_TARGET_SHARE of that of a less urgent route. */
+static void
+mark_priority_service(const relay_config_t *config, relay_service_t *service)
+{
+    int target_ms[PRIORITY_CLASSES] = {0};
+    for (size_t i = 0; i < CONFIG_BUCKETS; i++) {
+        const route_t *route;
+        CK_SLIST_FOREACH (route, &config->routes[i], entry) {
+            unsigned class = priority_class(route->priority);
+            if (route->kind == ROUTE_STREAM && route->target_latency_ms > 0 &&
+                route_uses_service(route, service->name) &&
+                (target_ms[class] == 0 ||
+                 route->target_latency_ms < target_ms[class])) {
+                target_ms[class] = route->target_latency_ms;
+            }
+        }
+    }
+    unsigned first = 0;
+    while (first < PRIORITY_CLASSES && target_ms[first] == 0) {
+        first++;
+    }
+    service->most_urgent_class = first;
+    for (unsigned i = first + 1; i < PRIORITY_CLASSES; i++) {
+        if (target_ms[first] <= target_ms[i] * PRIORITY_TARGET_SHARE) {
+            service->priority_admission = true;
+        }
+    }
+}
+
+/* Marks the services whose engines admit requests by priority.
+ *
+ * Otherwise a request is rejected if its expected wait is too large a share of
+ * its own target.  Where urgent requests have much shorter targets than the
+ * others, that rejects the urgent ones first. */
+void
+relay_config_mark_priority_services(relay_config_t *config)
+{
+    relay_service_t *service;
+    CK_SLIST_FOREACH (service, &config->services, entry) {
+        if (service->engine) {
+            mark_priority_service(config, service);
+        }
+    }
+}
+
 /* Host names are compared without regard to case, so they are hashed in lower
  * case. */
 static size_t
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -5,6 +5,7 @@
  * by access key.  Decoded by platform/config-read.c, immutable once in force,
  * reference-counted. */
 
+#include "../balance/admission.h"
 #include "../kernel/http-listener.h"
 
 #include <ck_queue.h>
@@ -56,6 +57,10 @@
     double link_bits_per_ms; /* for transfers of cached parts; 0: unknown */
     int max_event_calls;     /* concurrent, to a server; not enforced */
     int max_connections;     /* of a server; not enforced */
+    /* Its engines admit requests by priority: see
+     * relay_config_mark_priority_services. */
+    bool priority_admission;
+    unsigned most_urgent_class; /* of its routes */
 } relay_service_t;
 
 /* The unit of a workspace's limit. */
@@ -102,6 +107,7 @@
 relay_config_t *relay_config_hold(relay_config_t *config);
 void relay_config_release(relay_config_t *config);
 void relay_config_add_route(relay_config_t *config, route_t *route);
+void relay_config_mark_priority_services(relay_config_t *config);
 void relay_config_add_key(relay_config_t *config, const char *key,
                           const workspace_entry_t *workspace);
 const route_t *relay_config_find_route(const relay_config_t *config,
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -8,7 +8,6 @@
 
 /* Interval of the work that no event triggers: waiting requests, leases,
  * sweeps of idle connections. */
-#define TICK_MS 100
 #define SWEEP_TICKS 5
 /* Capacity of the cache map: with about 20 prompts of three levels on each
  * server, 9 servers hold 540 levels and 112 servers 6,700.  A level takes 104
@@ -130,6 +129,7 @@
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         write_server_metrics(server, now, out);
     }
+    service_states_write_metrics(&relay->service_states, out);
     write_quota_metrics(&relay->quotas, out);
     write_retry_metrics(&relay->retry_shares, now, out);
 }
@@ -165,6 +165,7 @@
         exchanges_sweep(relay->exchanges);
     }
     discovery_tick(relay);
+    service_states_tick(&relay->service_states, time_mono_ms());
     requests_tick(relay);
     rollout_tick(relay->rollout);
     cache_follower_tick(relay->cache_follower);
@@ -218,7 +219,7 @@
 static int
 relay_open(relay_t *relay, err_t *err)
 {
-    static const struct timeval interval = {0, TICK_MS * 1000};
+    static const struct timeval interval = {0, RELAY_TICK_MS * 1000};
     struct event_config *base_config = event_config_new();
     (void)event_config_set_flag(base_config, EVENT_BASE_FLAG_NOLOCK);
     relay->base = event_base_new_with_config(base_config);
@@ -259,6 +260,7 @@
                        str_hash(settings->name, (uint64_t)time_wall_ms());
     meter_init(&relay->meter);
     CK_LIST_INIT(&relay->requests);
+    CK_SLIST_INIT(&relay->service_states);
     fatal_parts_init(&relay->fatal_parts);
     server_crashes_init(&relay->server_crashes);
     stream_origins_init(&relay->stream_origins);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -19,6 +19,7 @@
 #include "relay-config.h"
 #include "retry-share.h"
 #include "server-crashes.h"
+#include "service-state.h"
 #include "servers.h"
 #include "software-seen.h"
 #include "stream-origins.h"
@@ -26,6 +27,9 @@
 #include "watch.h"
 #include "wire.h"
 
+/* Interval of the periodic work, ms. */
+#define RELAY_TICK_MS 100
+
 typedef struct relay relay_t;
 typedef struct request request_t;
 
@@ -109,6 +113,7 @@
     retry_shares_t retry_shares;
     quotas_t quotas;
     forecast_t forecast; /* error of the engines' expected latency */
+    service_states_t service_states;
 
     rng_t rng;
     uint64_t placement_count;
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -31,6 +31,12 @@
 #define FULL_COST_MS 300.0
 /* A stream may try a server that has rejected requests after this time, ms. */
 #define REJECTED_TRIAL_MS 1000
+/* Share of the prompts ahead at an engine that a request of the most urgent
+ * class waits for: it overtakes those of other classes. */
+#define URGENT_QUEUE_SHARE 0.5
+/* Cost of a server that has no room for a less urgent request, ms: more than
+ * any wait, so that servers with room are chosen first. */
+#define NO_ROOM_COST_MS 5000.0
 /* Expected number of randomly sampled servers per request. */
 #define SAMPLE_SERVERS 4
 #define CANDIDATES_MAX 512
@@ -89,6 +95,25 @@
            are_weights_allowed(request, server);
 }
 
+/* Returns the expected time until an engine prefills a request that goes by
+ * priority.  The slots that are in use keep a request of the most urgent class
+ * waiting; one of another class is not sent while too few are free. */
+static double
+expected_priority_wait_ms(const request_t *request, server_t *server,
+                          int64_t now)
+{
+    double tokens =
+        server->own_prefill_tokens + server_sum_peer_prefill(server, now);
+    double prefill_ms =
+        tokens * server->slowness / SERVER_PREFILL_TOKENS_PER_MS;
+    if (request->most_urgent) {
+        return prefill_ms * URGENT_QUEUE_SHARE +
+               server_slot_wait_ms(server, now);
+    }
+    return prefill_ms +
+           (request_finds_room(request, server, now) ? 0 : NO_ROOM_COST_MS);
+}
+
 static double
 expected_engine_wait_ms(server_t *server, int64_t now)
 {
@@ -174,8 +199,10 @@
     out->prefill_rate = SERVER_PREFILL_TOKENS_PER_MS * 1000 / server->slowness;
     out->running = server->own_running;
     out->same_dc = strcmp(server->info.dc, relay->settings.dc) == 0;
-    double wait = request->engine ? expected_engine_wait_ms(server, now)
-                                  : expected_plain_wait_ms(server, now);
+    double wait = request->service_state != NULL
+                      ? expected_priority_wait_ms(request, server, now)
+                  : request->engine ? expected_engine_wait_ms(server, now)
+                                    : expected_plain_wait_ms(server, now);
     bool rejects =
         now < server->full_until_ms ||
         (request->phase == REQUEST_STREAMING && server->rejected_ms != 0);
@@ -345,24 +372,17 @@
     return kept;
 }
 
-/* Returns the server for a request, or NULL if none can take it now. */
-server_t *
-request_choose_server(request_t *request, int64_t now)
+/* Fills the candidates, sets what the best of them is expected to take and
+ * returns its index. */
+static size_t
+choose_best(request_t *request, server_t **servers, size_t count, int64_t now,
+            levels_cache_t *levels, candidate_t *candidates)
 {
     relay_t *relay = request->relay;
-    candidate_t candidates[CANDIDATES_MAX];
-    server_t *servers[CANDIDATES_MAX];
     double waits[CANDIDATES_MAX];
-    levels_cache_t levels = {0};
-    size_t excluded;
-    size_t usable = list_usable_servers(request, now, servers, &excluded);
-    if (usable == 0) {
-        return NULL;
-    }
-    size_t count = sample_servers(request, &levels, servers, usable);
     for (size_t i = 0; i < count; i++) {
         waits[i] =
-            fill_candidate(request, servers[i], now, &levels, &candidates[i]);
+            fill_candidate(request, servers[i], now, levels, &candidates[i]);
     }
     /* Only the shared part of the prompt can be cached anywhere. */
     prefix_t prefix = {.tokens = prompt_shared_tokens(&request->prompt)};
@@ -378,12 +398,43 @@
     request->expected_prefill_ms =
         (tokens > cached_tokens ? tokens - cached_tokens : 0) * 1000.0 /
         candidates[best].prefill_rate;
+    return best;
+}
+
+/* Returns the server for a request, or NULL if none can take it now.  If none
+ * of the sampled servers has room for a less urgent request, all are compared.
+ */
+server_t *
+request_choose_server(request_t *request, int64_t now)
+{
+    candidate_t candidates[CANDIDATES_MAX];
+    server_t *usable[CANDIDATES_MAX];
+    server_t *sampled[CANDIDATES_MAX];
+    server_t **servers = sampled;
+    levels_cache_t levels = {0};
+    size_t excluded;
+    request_set_reserve(request, now);
+    size_t usable_count = list_usable_servers(request, now, usable, &excluded);
+    if (usable_count == 0) {
+        return NULL;
+    }
+    memcpy(sampled, usable, usable_count * sizeof(*usable));
+    size_t count = sample_servers(request, &levels, sampled, usable_count);
+    size_t best =
+        choose_best(request, servers, count, now, &levels, candidates);
+    if (count < usable_count &&
+        !request_finds_room(request, servers[best], now)) {
+        servers = usable;
+        count = usable_count;
+        best = choose_best(request, servers, count, now, &levels, candidates);
+    }
     log_record(
         LOG_INFO, "place", "chosen",
         "id=%s server=%s among=%zu usable=%zu excluded=%zu wait_ms=%.0f "
         "held=%u of=%u weights=%lld config=%lld",
-        request->id, servers[best]->info.id, count, usable, excluded,
-        waits[best], candidates[best].cached_tokens, prefix.tokens,
+        request->id, servers[best]->info.id, count, usable_count, excluded,
+        request->expected_wait_ms, candidates[best].cached_tokens,
+        prompt_shared_tokens(&request->prompt),
         (long long)servers[best]->info.weights,
         (long long)request->config->version);
     return servers[best];
@@ -485,6 +536,9 @@
     }
     int64_t remaining_ms = request->deadline_ms - now;
     bool goes_on = request->software != SOFTWARE_ANY;
+    if (request->service_state != NULL && !goes_on) {
+        return request_admit(request, server, now);
+    }
     const admit_input_t input = {
         .wait_ms = request->expected_wait_ms,
         .prefill_ms = request->expected_prefill_ms,
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -336,6 +336,7 @@
     server_subtract_prefill(request->server, request->prefill_tokens);
     request->prefill_tokens = 0;
     server_remove_request(request->server);
+    request_count_in_flight(request, false);
     request->server = NULL;
 }
 
@@ -520,6 +521,7 @@
             ? request->prefix.tokens - request->cached_tokens
             : 0;
     server_add_request(server, request->prefill_tokens, request->sent_ms);
+    request_count_in_flight(request, true);
     server_take_request(server, request->sent_ms);
     if (request->cached_tokens < request->prefix.tokens) {
         cache_note_pending(relay, &request->prefix, server->number);
--- a/relay/request.c
+++ b/relay/request.c
@@ -652,6 +652,7 @@
         relay_config_find_service(request->config, name);
     str_copy(request->service, sizeof(request->service), name);
     request->engine = service != NULL && service->engine;
+    request_set_admission(request);
 }
 
 /* Returns the status to reject a request with, or 0 to accept it. */
--- a/relay/request.h
+++ b/relay/request.h
@@ -48,6 +48,13 @@
     char id[REQUEST_ID_MAX];
     char service[CS_NAME_MAX];
     bool engine; /* the service runs a model */
+    /* NULL unless the service's engines admit requests by priority. */
+    service_state_t *service_state;
+    unsigned priority_class;
+    bool most_urgent;       /* no class of the service is more urgent */
+    bool counted_in_flight; /* in service_state */
+    int64_t waits_since_ms; /* for room at an engine; 0 if it does not */
+    double reserve;         /* slots that it leaves to more urgent ones */
     prompt_t prompt;
     fatal_request_t fatal; /* the shared parts of the prompt */
     bool tries_part;       /* it is the trial of a blocked part */
@@ -176,6 +183,14 @@
 void request_set_service(request_t *request, const char *service);
 void request_renew_placement_deadline(request_t *request);
 alternative_t request_find_alternative(const request_t *request);
+void request_set_admission(request_t *request);
+void request_set_reserve(request_t *request, int64_t now);
+void request_count_in_flight(request_t *request, bool in_flight);
+admission_input_t request_admission_input(const request_t *request,
+                                          const server_t *server, int64_t now);
+bool request_finds_room(const request_t *request, const server_t *server,
+                        int64_t now);
+bool request_admit(request_t *request, server_t *server, int64_t now);
 void request_record_signals(const request_t *request, const http_head_t *head);
 void request_record_first_answer(request_t *request);
 
--- /dev/null
+++ b/relay/service-state.c
@@ -0,0 +1,53 @@
+#include "service-state.h"
+
+#include <string.h>
+
+/* Returns the state of a service, which is added if it is new.  Names of
+ * services are few and stay. */
+service_state_t *
+service_states_get(service_states_t *states, const char *name)
+{
+    service_state_t *state;
+    CK_SLIST_FOREACH (state, states, entry) {
+        if (strcmp(state->name, name) == 0) {
+            return state;
+        }
+    }
+    state = mem_zalloc(sizeof(*state));
+    str_copy(state->name, sizeof(state->name), name);
+    CK_SLIST_INSERT_HEAD(states, state, entry);
+    return state;
+}
+
+/* Observes the requests in flight. */
+void
+service_states_tick(service_states_t *states, int64_t now_ms)
+{
+    service_state_t *state;
+    CK_SLIST_FOREACH (state, states, entry) {
+        reserve_observe(&state->reserve, state->in_flight, now_ms);
+    }
+}
+
+void
+service_states_write_metrics(const service_states_t *states, buf_t *out)
+{
+    const service_state_t *state;
+    CK_SLIST_FOREACH (state, states, entry) {
+        for (unsigned i = 0; i < PRIORITY_CLASSES; i++) {
+            if (state->sent[i] + state->waited[i] + state->rejected[i] == 0) {
+                continue;
+            }
+            buf_fmt(out,
+                    "celeryspool_admission{service=\"%s\",class=\"%u\","
+                    "verdict=\"sent\"} %llu\n"
+                    "celeryspool_admission{service=\"%s\",class=\"%u\","
+                    "verdict=\"waited\"} %llu\n"
+                    "celeryspool_admission{service=\"%s\",class=\"%u\","
+                    "verdict=\"rejected\"} %llu\n",
+                    state->name, i, (unsigned long long)state->sent[i],
+                    state->name, i, (unsigned long long)state->waited[i],
+                    state->name, i, (unsigned long long)state->rejected[i]);
+        }
+    }
+}
--- /dev/null
+++ b/relay/service-state.h
@@ -0,0 +1,28 @@
+#ifndef CELERYSPOOL_SERVICE_STATE_H
+#define CELERYSPOOL_SERVICE_STATE_H
+
+/* What this host has observed of a service whose engines admit requests by
+ * priority.  It outlives the configuration. */
+
+#include "../balance/reserve.h"
+
+#include <ck_queue.h>
+
+typedef struct service_state {
+    CK_SLIST_ENTRY(service_state) entry;
+    char name[CS_NAME_MAX];
+    unsigned in_flight[PRIORITY_CLASSES]; /* of this host, at all engines */
+    reserve_t reserve;
+    uint64_t sent[PRIORITY_CLASSES];
+    uint64_t waited[PRIORITY_CLASSES]; /* requests that waited for room */
+    uint64_t rejected[PRIORITY_CLASSES];
+} service_state_t;
+
+typedef CK_SLIST_HEAD(service_states, service_state) service_states_t;
+
+service_state_t *service_states_get(service_states_t *states,
+                                    const char *name);
+void service_states_tick(service_states_t *states, int64_t now_ms);
+void service_states_write_metrics(const service_states_t *states, buf_t *out);
+
+#endif
