--- /dev/null
+++ b/balance/wait-queue.c
@@ -0,0 +1,416 @@
+#include "wait-queue.h"
+
+#include <math.h>
+#include <string.h>
+
+/* Orders waiting requests by priority class, then by start-time fair queueing
+ * among workspaces (Goyal, Vin, Cheng), where the cost of a request is its
+ * tokens, and within a workspace by total wait, longest first.
+ *
+ * Each class is one list sorted by start tag.  Start tags of a workspace's
+ * items follow from the order within the workspace, so an item that does not
+ * go last moves those behind it: its workspace is then taken out of the list
+ * and merged in again, in one pass over at most WAIT_ITEMS_MAX items. */
+
+/* An item without cost would not delay the next one of its workspace. */
+#define COST_MIN 1.0
+
+typedef struct {
+    wait_item_t *items[WAIT_ITEMS_MAX];
+    size_t count;
+} flow_items_t;
+
+/* Empties the queue without touching items. */
+void
+wait_queue_init(wait_queue_t *queue)
+{
+    memset(queue, 0, sizeof(*queue));
+    for (size_t i = 0; i < WAIT_CLASSES; i++) {
+        CK_LIST_INIT(&queue->classes[i].items);
+    }
+    for (size_t i = 0; i < WAIT_BUCKETS; i++) {
+        CK_SLIST_INIT(&queue->buckets[i]);
+    }
+    CK_SLIST_INIT(&queue->free_flows);
+    for (size_t i = 0; i < WAIT_FLOWS_MAX; i++) {
+        CK_SLIST_INSERT_HEAD(&queue->free_flows, &queue->flows[i], entry);
+    }
+}
+
+static double
+item_cost(const wait_item_t *item)
+{
+    return fmax(item->cost, COST_MIN);
+}
+
+/* Returns when the caller's total wait began.  Comparing these compares total
+ * waits at any moment. */
+static int64_t
+wait_began_ms(const wait_item_t *item)
+{
+    return item->arrived_ms - item->waited_ms;
+}
+
+/* ---- workspaces ---- */
+
+static struct wait_bucket *
+bucket_of(wait_queue_t *queue, uint64_t workspace, unsigned priority_class)
+{
+    return &queue->buckets[(workspace + priority_class) % WAIT_BUCKETS];
+}
+
+static wait_flow_t *
+find_flow(wait_queue_t *queue, uint64_t workspace, unsigned priority_class)
+{
+    wait_flow_t *flow;
+    CK_SLIST_FOREACH (flow, bucket_of(queue, workspace, priority_class),
+                      entry) {
+        if (flow->workspace == workspace &&
+            flow->priority_class == priority_class) {
+            return flow;
+        }
+    }
+    return NULL;
+}
+
+static void
+release_flow(wait_queue_t *queue, wait_flow_t *flow)
+{
+    CK_SLIST_REMOVE(bucket_of(queue, flow->workspace, flow->priority_class),
+                    flow, wait_flow, entry);
+    CK_SLIST_INSERT_HEAD(&queue->free_flows, flow, entry);
+}
+
+/* By how much an empty workspace's next item would start behind that of a
+ * workspace without state. */
+static double
+debt_of(const wait_queue_t *queue, const wait_flow_t *flow)
+{
+    return flow->next_tag - queue->classes[flow->priority_class].virtual_time;
+}
+
+/* Makes room for a workspace.  Empty workspaces whose next item would start at
+ * the virtual time anyway lose their state.  If there are none, the virtual
+ * time of one class advances to the smallest tag of an empty workspace: the
+ * order of known workspaces stays, and unknown ones start slightly later. */
+static void
+reclaim_flows(wait_queue_t *queue)
+{
+    wait_flow_t *least = NULL;
+    for (size_t i = 0; i < WAIT_FLOWS_MAX; i++) {
+        wait_flow_t *flow = &queue->flows[i];
+        if (flow->count > 0) {
+            continue;
+        }
+        if (debt_of(queue, flow) <= 0) {
+            release_flow(queue, flow);
+        }
+        else if (least == NULL ||
+                 debt_of(queue, flow) < debt_of(queue, least)) {
+            least = flow;
+        }
+    }
+    if (CK_SLIST_EMPTY(&queue->free_flows) && least != NULL) {
+        queue->classes[least->priority_class].virtual_time = least->next_tag;
+        release_flow(queue, least);
+    }
+}
+
+static wait_flow_t *
+find_or_add_flow(wait_queue_t *queue, const wait_item_t *item)
+{
+    wait_flow_t *flow =
+        find_flow(queue, item->workspace, item->priority_class);
+    if (flow != NULL) {
+        return flow;
+    }
+    if (CK_SLIST_EMPTY(&queue->free_flows)) {
+        reclaim_flows(queue);
+    }
+    flow = CK_SLIST_FIRST(&queue->free_flows);
+    CK_SLIST_REMOVE_HEAD(&queue->free_flows, entry);
+    *flow = (wait_flow_t){.workspace = item->workspace,
+                          .priority_class = item->priority_class};
+    CK_SLIST_INSERT_HEAD(
+        bucket_of(queue, item->workspace, item->priority_class), flow, entry);
+    return flow;
+}
+
+/* ---- the order within a class ---- */
+
+/* Whether an item goes before another of its class.  Workspaces with equal
+ * start tags are ordered by total wait. */
+static bool
+goes_before(const wait_item_t *a, const wait_item_t *b)
+{
+    if (a->start_tag != b->start_tag) {
+        return a->start_tag < b->start_tag;
+    }
+    return wait_began_ms(a) < wait_began_ms(b);
+}
+
+/* Inserts an item into the list of its class, at or behind a given item
+ * (NULL: from the start). */
+static void
+insert_from(wait_class_t *class, wait_item_t *from, wait_item_t *item)
+{
+    wait_item_t *previous = from;
+    wait_item_t *next = from == NULL ? CK_LIST_FIRST(&class->items)
+                                     : CK_LIST_NEXT(from, entry);
+    while (next != NULL && !goes_before(item, next)) {
+        previous = next;
+        next = CK_LIST_NEXT(next, entry);
+    }
+    if (previous == NULL) {
+        CK_LIST_INSERT_HEAD(&class->items, item, entry);
+    }
+    else {
+        CK_LIST_INSERT_AFTER(previous, item, entry);
+    }
+}
+
+/* Takes the items of a workspace out of the list, in their order. */
+static void
+detach_items(wait_class_t *class, const wait_flow_t *flow, flow_items_t *out)
+{
+    wait_item_t *item = CK_LIST_FIRST(&class->items);
+    out->count = 0;
+    while (item != NULL && out->count < flow->count) {
+        wait_item_t *next = CK_LIST_NEXT(item, entry);
+        if (item->flow == flow) {
+            CK_LIST_REMOVE(item, entry);
+            out->items[out->count++] = item;
+        }
+        item = next;
+    }
+}
+
+/* Puts the items of a workspace back into the list with new start tags. */
+static void
+attach_items(wait_class_t *class, const wait_flow_t *flow,
+             const flow_items_t *items)
+{
+    double tag = flow->next_tag;
+    wait_item_t *previous = NULL;
+    for (size_t i = 0; i < items->count; i++) {
+        items->items[i]->start_tag = tag;
+        tag += item_cost(items->items[i]);
+        insert_from(class, previous, items->items[i]);
+        previous = items->items[i];
+    }
+}
+
+/* Adds an item to a workspace whose items are detached, behind those that have
+ * waited at least as long. */
+static void
+add_by_wait(flow_items_t *items, wait_item_t *item)
+{
+    size_t i = items->count++;
+    while (i > 0 && wait_began_ms(items->items[i - 1]) > wait_began_ms(item)) {
+        items->items[i] = items->items[i - 1];
+        i--;
+    }
+    items->items[i] = item;
+}
+
+static void
+link_item(wait_queue_t *queue, wait_item_t *item)
+{
+    wait_class_t *class = &queue->classes[item->priority_class];
+    wait_flow_t *flow = find_or_add_flow(queue, item);
+    flow_items_t items = {.count = 0};
+    if (flow->count == 0) {
+        flow->next_tag = fmax(flow->next_tag, class->virtual_time);
+    }
+    else {
+        detach_items(class, flow, &items);
+    }
+    add_by_wait(&items, item);
+    item->flow = flow;
+    flow->count++;
+    flow->backlog += item_cost(item);
+    attach_items(class, flow, &items);
+    class->count++;
+    queue->count++;
+}
+
+/* Takes an item out of the queue and charges its workspace if it was placed.
+ * The items behind it keep their tags if it was the first of its workspace and
+ * is charged; else they move. */
+static void
+unlink_item(wait_queue_t *queue, wait_item_t *item, bool charge)
+{
+    wait_class_t *class = &queue->classes[item->priority_class];
+    wait_flow_t *flow = item->flow;
+    bool first = item->start_tag <= flow->next_tag;
+    CK_LIST_REMOVE(item, entry);
+    item->flow = NULL;
+    flow->count--;
+    flow->backlog = flow->count == 0 ? 0 : flow->backlog - item_cost(item);
+    class->count--;
+    queue->count--;
+    if (charge) {
+        flow->next_tag += item_cost(item);
+        class->virtual_time = fmax(class->virtual_time, item->start_tag);
+    }
+    if (flow->count > 0 && !(first && charge)) {
+        flow_items_t items;
+        detach_items(class, flow, &items);
+        attach_items(class, flow, &items);
+    }
+    if (flow->count == 0 && debt_of(queue, flow) <= 0) {
+        release_flow(queue, flow);
+    }
+}
+
+/* ---- a full queue ---- */
+
+/* Returns the last item of the workspace with the largest backlog of a
+ * class. */
+static wait_item_t *
+last_of_largest_backlog(wait_class_t *class)
+{
+    wait_item_t *found = NULL;
+    wait_item_t *item;
+    CK_LIST_FOREACH (item, &class->items, entry) {
+        if (found == NULL || item->flow == found->flow ||
+            item->flow->backlog > found->flow->backlog) {
+            found = item;
+        }
+    }
+    return found;
+}
+
+/* Returns the item that makes room for another one, or NULL if that one is to
+ * be rejected.  Expired items go first.  Then an item of the least urgent
+ * class goes; if that is also the class of the new item, only one of a
+ * workspace with a larger backlog, or one of its own workspace that has waited
+ * less. */
+static wait_item_t *
+find_victim(wait_queue_t *queue, const wait_item_t *item, int64_t now_ms)
+{
+    unsigned least_urgent = WAIT_CLASSES - 1;
+    wait_item_t *victim = wait_queue_expired(queue, now_ms);
+    if (victim != NULL) {
+        return victim;
+    }
+    while (least_urgent > 0 && queue->classes[least_urgent].count == 0) {
+        least_urgent--;
+    }
+    if (item->priority_class > least_urgent) {
+        return NULL;
+    }
+    victim = last_of_largest_backlog(&queue->classes[least_urgent]);
+    if (item->priority_class < least_urgent) {
+        return victim;
+    }
+    if (victim->workspace == item->workspace) {
+        return wait_began_ms(item) < wait_began_ms(victim) ? victim : NULL;
+    }
+    const wait_flow_t *flow =
+        find_flow(queue, item->workspace, item->priority_class);
+    double backlog = (flow == NULL ? 0 : flow->backlog) + item_cost(item);
+    return victim->flow->backlog > backlog ? victim : NULL;
+}
+
+/* ---- interface ---- */
+
+/* Adds an item.  False if it is rejected: the queue is full or its wait has
+ * ended already.  True with *evicted set if another item was removed to make
+ * room; the caller rejects that one. */
+bool
+wait_queue_push(wait_queue_t *queue, wait_item_t *item, int64_t now_ms,
+                wait_item_t **evicted)
+{
+    *evicted = NULL;
+    if (item->priority_class >= WAIT_CLASSES) {
+        item->priority_class = WAIT_CLASSES - 1;
+    }
+    wait_counters_t *counters = &queue->classes[item->priority_class].counters;
+    if (item->deadline_ms <= now_ms) {
+        counters->rejected++;
+        return false;
+    }
+    if (queue->count >= WAIT_ITEMS_MAX) {
+        wait_item_t *victim = find_victim(queue, item, now_ms);
+        if (victim == NULL) {
+            counters->rejected++;
+            return false;
+        }
+        unlink_item(queue, victim, false);
+        queue->classes[victim->priority_class].counters.evicted++;
+        *evicted = victim;
+    }
+    link_item(queue, item);
+    counters->pushed++;
+    return true;
+}
+
+/* Returns the first item of a class or of the next less urgent one that has
+ * any. */
+static wait_item_t *
+first_from_class(wait_queue_t *queue, unsigned priority_class)
+{
+    for (unsigned i = priority_class; i < WAIT_CLASSES; i++) {
+        wait_item_t *item = CK_LIST_FIRST(&queue->classes[i].items);
+        if (item != NULL) {
+            return item;
+        }
+    }
+    return NULL;
+}
+
+/* Returns the item to place next, which stays in the queue, or NULL. */
+wait_item_t *
+wait_queue_first(wait_queue_t *queue)
+{
+    return first_from_class(queue, 0);
+}
+
+/* Returns the item that would be placed after another one, or NULL.  To look
+ * past an item that is to be removed, get the next one first. */
+wait_item_t *
+wait_queue_next(wait_queue_t *queue, wait_item_t *item)
+{
+    wait_item_t *next = CK_LIST_NEXT(item, entry);
+    return next != NULL ? next
+                        : first_from_class(queue, item->priority_class + 1);
+}
+
+/* Returns an item whose wait has ended, which stays in the queue, or NULL. */
+wait_item_t *
+wait_queue_expired(wait_queue_t *queue, int64_t now_ms)
+{
+    wait_item_t *item = wait_queue_first(queue);
+    while (item != NULL && item->deadline_ms > now_ms) {
+        item = wait_queue_next(queue, item);
+    }
+    return item;
+}
+
+/* Removes an item.  Its workspace is charged only if it was placed.  Does
+ * nothing for an item that does not wait. */
+void
+wait_queue_remove(wait_queue_t *queue, wait_item_t *item, bool placed)
+{
+    if (item->flow == NULL) {
+        return;
+    }
+    unlink_item(queue, item, placed);
+    wait_counters_t *counters = &queue->classes[item->priority_class].counters;
+    counters->placed += placed ? 1 : 0;
+    counters->left += placed ? 0 : 1;
+}
+
+size_t
+wait_queue_count(const wait_queue_t *queue, unsigned priority_class)
+{
+    return priority_class < WAIT_CLASSES ? queue->classes[priority_class].count
+                                         : 0;
+}
+
+size_t
+wait_queue_total(const wait_queue_t *queue)
+{
+    return queue->count;
+}
