Wait queue: tells whether a workspace is over its share

Fair queueing at one host alone does not protect other workspaces: hosts compete for free slots with two to five waiting requests each.

--- a/balance/wait-queue.c
+++ b/balance/wait-queue.c
@@ -14,6 +14,16 @@
 
 /* An item without cost would not delay the next one of its workspace. */
 #define COST_MIN 1.0
+/* Time constant of recent costs.  A host of a large fleet gets two to five
+ * requests a second of a long class; it needs some seconds to see which
+ * workspace sends more than the others. */
+#define RECENT_MS 3000.0
+/* Capacity of a class is scarce if more than this part of its recent demand
+ * was not placed. */
+#define SCARCE_SHARE 0.02
+/* Weights of recent costs grow with time; they are scaled down before they
+ * exceed e^100. */
+#define RESCALE_MS ((int64_t)(100 * RECENT_MS))
 
 typedef struct {
     wait_item_t *items[WAIT_ITEMS_MAX];
@@ -31,10 +41,6 @@
     for (size_t i = 0; i < WAIT_BUCKETS; i++) {
         CK_SLIST_INIT(&queue->buckets[i]);
     }
-    CK_SLIST_INIT(&queue->free_flows);
-    for (size_t i = 0; i < WAIT_FLOWS_MAX; i++) {
-        CK_SLIST_INSERT_HEAD(&queue->free_flows, &queue->flows[i], entry);
-    }
 }
 
 static double
@@ -73,14 +79,6 @@
     return NULL;
 }
 
-static void
-release_flow(wait_queue_t *queue, wait_flow_t *flow)
-{
-    CK_SLIST_REMOVE(bucket_of(queue, flow->workspace, flow->priority_class),
-                    flow, wait_flow, entry);
-    CK_SLIST_INSERT_HEAD(&queue->free_flows, flow, entry);
-}
-
 /* By how much an empty workspace's next item would start behind that of a
  * workspace without state. */
 static double
@@ -89,31 +87,41 @@
     return flow->next_tag - queue->classes[flow->priority_class].virtual_time;
 }
 
-/* Makes room for a workspace.  Empty workspaces whose next item would start at
- * the virtual time anyway lose their state.  If there are none, the virtual
- * time of one class advances to the smallest tag of an empty workspace: the
- * order of known workspaces stays, and unknown ones start slightly later. */
-static void
-reclaim_flows(wait_queue_t *queue)
+/* Whether the state of one empty workspace is better dropped than that of
+ * another: one whose next item would start at the virtual time anyway, else
+ * the one with the least debt; of these, one with less recent demand. */
+static bool
+drops_before(const wait_queue_t *queue, const wait_flow_t *a,
+             const wait_flow_t *b)
+{
+    double debt_a = fmax(0, debt_of(queue, a));
+    double debt_b = fmax(0, debt_of(queue, b));
+    return debt_a != debt_b ? debt_a < debt_b : a->demand < b->demand;
+}
+
+/* Makes room for a workspace by dropping the state of an empty one, and
+ * returns that.  If its next item would not start at the virtual time, the
+ * virtual time of its class advances to it: the order of known workspaces
+ * stays, and unknown ones start slightly later. */
+static wait_flow_t *
+reclaim_flow(wait_queue_t *queue)
 {
     wait_flow_t *least = NULL;
     for (size_t i = 0; i < WAIT_FLOWS_MAX; i++) {
         wait_flow_t *flow = &queue->flows[i];
-        if (flow->count > 0) {
-            continue;
-        }
-        if (debt_of(queue, flow) <= 0) {
-            release_flow(queue, flow);
-        }
-        else if (least == NULL ||
-                 debt_of(queue, flow) < debt_of(queue, least)) {
+        if (flow->count == 0 &&
+            (least == NULL || drops_before(queue, flow, least))) {
             least = flow;
         }
     }
-    if (CK_SLIST_EMPTY(&queue->free_flows) && least != NULL) {
-        queue->classes[least->priority_class].virtual_time = least->next_tag;
-        release_flow(queue, least);
-    }
+    wait_class_t *class = &queue->classes[least->priority_class];
+    class->virtual_time = fmax(class->virtual_time, least->next_tag);
+    class->demand -= least->demand;
+    class->placed -= least->placed;
+    class->share_version++;
+    CK_SLIST_REMOVE(bucket_of(queue, least->workspace, least->priority_class),
+                    least, wait_flow, entry);
+    return least;
 }
 
 static wait_flow_t *
@@ -124,11 +132,9 @@
     if (flow != NULL) {
         return flow;
     }
-    if (CK_SLIST_EMPTY(&queue->free_flows)) {
-        reclaim_flows(queue);
-    }
-    flow = CK_SLIST_FIRST(&queue->free_flows);
-    CK_SLIST_REMOVE_HEAD(&queue->free_flows, entry);
+    flow = queue->flows_used < WAIT_FLOWS_MAX
+               ? &queue->flows[queue->flows_used++]
+               : reclaim_flow(queue);
     *flow = (wait_flow_t){.workspace = item->workspace,
                           .priority_class = item->priority_class};
     CK_SLIST_INSERT_HEAD(
@@ -136,6 +142,84 @@
     return flow;
 }
 
+/* ---- shares of workspaces ---- */
+
+static double
+weight_now(const wait_queue_t *queue)
+{
+    return exp((double)(queue->now_ms - queue->origin_ms) / RECENT_MS);
+}
+
+/* Moves the origin of the weights to the present. */
+static void
+rescale(wait_queue_t *queue)
+{
+    double factor = 1 / weight_now(queue);
+    for (size_t i = 0; i < WAIT_FLOWS_MAX; i++) {
+        queue->flows[i].demand *= factor;
+        queue->flows[i].placed *= factor;
+    }
+    for (size_t i = 0; i < WAIT_CLASSES; i++) {
+        queue->classes[i].demand *= factor;
+        queue->classes[i].placed *= factor;
+    }
+    queue->origin_ms = queue->now_ms;
+}
+
+static void
+advance_clock(wait_queue_t *queue, int64_t now_ms)
+{
+    if (now_ms > queue->now_ms) {
+        queue->now_ms = now_ms;
+    }
+    if (queue->now_ms - queue->origin_ms > RESCALE_MS) {
+        rescale(queue);
+    }
+}
+
+/* Counts an item that leaves into the recent costs of its workspace. */
+static void
+count_cost(wait_queue_t *queue, wait_flow_t *flow, double cost, bool placed)
+{
+    wait_class_t *class = &queue->classes[flow->priority_class];
+    double weighted = cost * weight_now(queue);
+    flow->demand += weighted;
+    class->demand += weighted;
+    flow->placed += placed ? weighted : 0;
+    class->placed += placed ? weighted : 0;
+    class->share_version++;
+}
+
+/* Whether an item's workspace has recently had more than its max-min fair
+ * share of what this host placed in the class, while capacity was scarce.
+ * Hosts compete for capacity with short queues each, so the order within a
+ * queue alone does not keep a workspace from taking most of it; a request that
+ * is over its share should therefore be placed only if a slot more than usual
+ * stays free.  The fair share is the level up to which the demands of all
+ * workspaces add up to what was placed. */
+bool
+wait_queue_over_share(wait_queue_t *queue, const wait_item_t *item)
+{
+    wait_flow_t *own = item->flow;
+    const wait_class_t *class = &queue->classes[item->priority_class];
+    double up_to_own = 0;
+    if (own == NULL || class->placed >= class->demand * (1 - SCARCE_SHARE)) {
+        return false;
+    }
+    if (own->share_version == class->share_version) {
+        return own->over_share;
+    }
+    for (size_t i = 0; i < queue->flows_used; i++) {
+        const wait_flow_t *flow = &queue->flows[i];
+        if (flow->priority_class == item->priority_class) {
+            up_to_own += fmin(flow->demand, own->placed);
+        }
+    }
+    own->over_share = up_to_own > class->placed;
+    own->share_version = class->share_version;
+    return own->over_share;
+}
+
 /* ---- the order within a class ---- */
 
 /* Whether an item goes before another of its class.  Workspaces with equal
@@ -243,6 +327,7 @@
     wait_class_t *class = &queue->classes[item->priority_class];
     wait_flow_t *flow = item->flow;
     bool first = item->start_tag <= flow->next_tag;
+    count_cost(queue, flow, item_cost(item), charge);
     CK_LIST_REMOVE(item, entry);
     item->flow = NULL;
     flow->count--;
@@ -258,9 +343,6 @@
         detach_items(class, flow, &items);
         attach_items(class, flow, &items);
     }
-    if (flow->count == 0 && debt_of(queue, flow) <= 0) {
-        release_flow(queue, flow);
-    }
 }
 
 /* ---- a full queue ---- */
@@ -323,6 +405,7 @@
                 wait_item_t **evicted)
 {
     *evicted = NULL;
+    advance_clock(queue, now_ms);
     if (item->priority_class >= WAIT_CLASSES) {
         item->priority_class = WAIT_CLASSES - 1;
     }
--- a/balance/wait-queue.h
+++ b/balance/wait-queue.h
@@ -20,12 +20,16 @@
 
 /* A workspace in a priority class. */
 typedef struct wait_flow {
-    CK_SLIST_ENTRY(wait_flow) entry; /* in its bucket or the free list */
+    CK_SLIST_ENTRY(wait_flow) entry; /* in its bucket */
     uint64_t workspace;
     unsigned priority_class;
     double next_tag; /* start tag of its next item */
     double backlog;  /* cost of its waiting items */
     size_t count;
+    double demand; /* recent cost of items that were placed or not */
+    double placed; /* recent cost of items that were placed */
+    bool over_share;
+    uint64_t share_version; /* of its class when over_share was computed */
 } wait_flow_t;
 
 /* Embedded in a request.  Zeroed before its first use; the caller sets the
@@ -55,15 +59,20 @@
     CK_LIST_HEAD(wait_items, wait_item) items; /* by start tag */
     double virtual_time; /* largest start tag of the items placed */
     size_t count;
+    double demand; /* sums over its workspaces with state */
+    double placed;
+    uint64_t share_version; /* number of changes of these sums */
     wait_counters_t counters;
 } wait_class_t;
 
 typedef struct {
     wait_class_t classes[WAIT_CLASSES];
     CK_SLIST_HEAD(wait_bucket, wait_flow) buckets[WAIT_BUCKETS];
-    CK_SLIST_HEAD(wait_free, wait_flow) free_flows;
     wait_flow_t flows[WAIT_FLOWS_MAX];
+    size_t flows_used; /* those behind have never been used */
     size_t count;
+    int64_t now_ms;    /* of the last push */
+    int64_t origin_ms; /* when recent costs had weight 1 */
 } wait_queue_t;
 
 void wait_queue_init(wait_queue_t *queue);
@@ -72,6 +81,7 @@
 wait_item_t *wait_queue_first(wait_queue_t *queue);
 wait_item_t *wait_queue_next(wait_queue_t *queue, wait_item_t *item);
 wait_item_t *wait_queue_expired(wait_queue_t *queue, int64_t now_ms);
+bool wait_queue_over_share(wait_queue_t *queue, const wait_item_t *item);
 void wait_queue_remove(wait_queue_t *queue, wait_item_t *item, bool placed);
 size_t wait_queue_count(const wait_queue_t *queue, unsigned priority_class);
 size_t wait_queue_total(const wait_queue_t *queue);
