Admission by priority: queue at the host and return times

Requests that find no room wait in a queue per service, in the order of urgency, fairly among workspaces and by the time that their callers have waited; those that are rejected are told times to return that are spread over the time in which there is room. How long a caller has waited before follows from the deadline that it states.

--- a/balance/admission.h
+++ b/balance/admission.h
@@ -5,9 +5,7 @@
  * and no clock. */
 
 #include "../kernel/base.h"
-
-/* Priority class 0 is the most urgent. */
-#define PRIORITY_CLASSES 4
+#include "priority-class.h"
 
 typedef enum { ADMISSION_SEND, ADMISSION_WAIT, ADMISSION_REJECT } verdict_t;
 
--- a/balance/return-times.c
+++ b/balance/return-times.c
@@ -39,7 +39,7 @@
     memset(times, 0, sizeof(*times));
     times->rng = rng;
     times->started_ms = now_ms;
-    for (size_t i = 0; i < RETURN_CLASSES; i++) {
+    for (size_t i = 0; i < PRIORITY_CLASSES; i++) {
         times->classes[i].rate_ms = now_ms;
     }
 }
@@ -47,9 +47,9 @@
 static return_class_t *
 class_of(return_times_t *times, unsigned priority_class)
 {
-    return &times->classes[priority_class < RETURN_CLASSES
+    return &times->classes[priority_class < PRIORITY_CLASSES
                                ? priority_class
-                               : RETURN_CLASSES - 1];
+                               : PRIORITY_CLASSES - 1];
 }
 
 /* ---- rates ---- */
@@ -81,7 +81,7 @@
     if (age < RATE_KNOWN_MS) {
         return 0;
     }
-    for (unsigned i = priority_class; i < RETURN_CLASSES; i++) {
+    for (unsigned i = priority_class; i < PRIORITY_CLASSES; i++) {
         const return_class_t *class = &times->classes[i];
         rate += class->rate * decay(now_ms - class->rate_ms);
     }
@@ -195,8 +195,8 @@
 return_time_next(return_times_t *times, unsigned priority_class,
                  int64_t waited_ms, int64_t remaining_ms, int64_t now_ms)
 {
-    unsigned index =
-        priority_class < RETURN_CLASSES ? priority_class : RETURN_CLASSES - 1;
+    unsigned index = priority_class < PRIORITY_CLASSES ? priority_class
+                                                       : PRIORITY_CLASSES - 1;
     return_class_t *class = &times->classes[index];
     int64_t remaining = remaining_ms > 0 ? remaining_ms : 0;
     int64_t tenth = (remaining + RETURN_MIN_DIVISOR - 1) / RETURN_MIN_DIVISOR;
--- a/balance/return-times.h
+++ b/balance/return-times.h
@@ -5,8 +5,8 @@
  * return_times_t per service.  No I/O, no clock and no allocation. */
 
 #include "../kernel/base.h"
+#include "priority-class.h"
 
-#define RETURN_CLASSES 4
 /* Promises that are outstanding at once, per class.  A host that rejects 200
  * requests a second of callers with 2.5 s has about 170. */
 #define RETURN_PROMISES_MAX 512
@@ -33,7 +33,7 @@
 } return_class_t;
 
 typedef struct {
-    return_class_t classes[RETURN_CLASSES];
+    return_class_t classes[PRIORITY_CLASSES];
     int64_t started_ms;
     rng_t rng;
 } return_times_t;
--- a/balance/wait-queue.c
+++ b/balance/wait-queue.c
@@ -35,7 +35,7 @@
 wait_queue_init(wait_queue_t *queue)
 {
     memset(queue, 0, sizeof(*queue));
-    for (size_t i = 0; i < WAIT_CLASSES; i++) {
+    for (size_t i = 0; i < PRIORITY_CLASSES; i++) {
         CK_LIST_INIT(&queue->classes[i].items);
     }
     for (size_t i = 0; i < WAIT_BUCKETS; i++) {
@@ -159,7 +159,7 @@
         queue->flows[i].demand *= factor;
         queue->flows[i].placed *= factor;
     }
-    for (size_t i = 0; i < WAIT_CLASSES; i++) {
+    for (size_t i = 0; i < PRIORITY_CLASSES; i++) {
         queue->classes[i].demand *= factor;
         queue->classes[i].placed *= factor;
     }
@@ -371,7 +371,7 @@
 static wait_item_t *
 find_victim(wait_queue_t *queue, const wait_item_t *item, int64_t now_ms)
 {
-    unsigned least_urgent = WAIT_CLASSES - 1;
+    unsigned least_urgent = PRIORITY_CLASSES - 1;
     wait_item_t *victim = wait_queue_expired(queue, now_ms);
     if (victim != NULL) {
         return victim;
@@ -406,8 +406,8 @@
 {
     *evicted = NULL;
     advance_clock(queue, now_ms);
-    if (item->priority_class >= WAIT_CLASSES) {
-        item->priority_class = WAIT_CLASSES - 1;
+    if (item->priority_class >= PRIORITY_CLASSES) {
+        item->priority_class = PRIORITY_CLASSES - 1;
     }
     wait_counters_t *counters = &queue->classes[item->priority_class].counters;
     if (item->deadline_ms <= now_ms) {
@@ -434,7 +434,7 @@
 static wait_item_t *
 first_from_class(wait_queue_t *queue, unsigned priority_class)
 {
-    for (unsigned i = priority_class; i < WAIT_CLASSES; i++) {
+    for (unsigned i = priority_class; i < PRIORITY_CLASSES; i++) {
         wait_item_t *item = CK_LIST_FIRST(&queue->classes[i].items);
         if (item != NULL) {
             return item;
@@ -488,8 +488,9 @@
 size_t
 wait_queue_count(const wait_queue_t *queue, unsigned priority_class)
 {
-    return priority_class < WAIT_CLASSES ? queue->classes[priority_class].count
-                                         : 0;
+    return priority_class < PRIORITY_CLASSES
+               ? queue->classes[priority_class].count
+               : 0;
 }
 
 size_t
--- a/balance/wait-queue.h
+++ b/balance/wait-queue.h
@@ -5,10 +5,10 @@
  * they are placed.  No I/O, no clock and no allocation. */
 
 #include "../kernel/base.h"
+#include "priority-class.h"
 
 #include <ck_queue.h>
 
-#define WAIT_CLASSES 4
 /* A host of the largest deployments gets about 13 requests a second and holds
  * each for at most a few seconds; a queue of this length is only reached by
  * bursts that can't all be served. */
@@ -35,7 +35,7 @@
 /* Embedded in a request.  Zeroed before its first use; the caller sets the
  * first group of fields and leaves them unchanged while the item waits. */
 typedef struct wait_item {
-    unsigned priority_class; /* 0 (most urgent) to WAIT_CLASSES - 1 */
+    unsigned priority_class; /* 0 (most urgent) to PRIORITY_CLASSES - 1 */
     uint64_t workspace;      /* hash of its name; 0 for none */
     double cost;             /* tokens of work */
     int64_t waited_ms;       /* before this attempt */
@@ -66,7 +66,7 @@
 } wait_class_t;
 
 typedef struct {
-    wait_class_t classes[WAIT_CLASSES];
+    wait_class_t classes[PRIORITY_CLASSES];
     CK_SLIST_HEAD(wait_bucket, wait_flow) buckets[WAIT_BUCKETS];
     wait_flow_t flows[WAIT_FLOWS_MAX];
     size_t flows_used; /* those behind have never been used */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -9,6 +9,8 @@
 /* Interval of the work that no event triggers: waiting requests, leases,
  * sweeps of idle connections. */
 #define SWEEP_TICKS 5
+/* Interval at which requests that wait for room are looked at, ms. */
+#define QUEUE_INTERVAL_MS 25
 /* Capacity of the cache map: with about 20 prompts of three levels on each
  * server, 9 servers hold 540 levels and 112 servers 6,700.  A level takes 104
  * bytes. */
@@ -176,6 +178,29 @@
     log_flush();
 }
 
+/* Looks at the requests that wait for room again after a short time.  A host
+ * learns of an answer that ends at another host only by that one's next
+ * announcement, so a shorter interval would not place them sooner. */
+void
+relay_schedule_queues(relay_t *relay)
+{
+    static const struct timeval interval = {0, QUEUE_INTERVAL_MS * 1000};
+    if (!event_pending(relay->queue_timer, EV_TIMEOUT, NULL)) {
+        (void)event_add(relay->queue_timer, &interval);
+    }
+}
+
+static void
+on_queue_timer(evutil_socket_t fd, short what, void *arg)
+{
+    relay_t *relay = arg;
+    (void)fd;
+    (void)what;
+    if (requests_place_queued(relay)) {
+        relay_schedule_queues(relay);
+    }
+}
+
 static void
 on_stop(evutil_socket_t number, short what, void *arg)
 {
@@ -240,6 +265,7 @@
     }
     relay->tick_timer = event_new(relay->base, -1, EV_PERSIST, on_tick, relay);
     (void)event_add(relay->tick_timer, &interval);
+    relay->queue_timer = evtimer_new(relay->base, on_queue_timer, relay);
     relay->signals[0] = evsignal_new(relay->base, SIGTERM, on_stop, relay);
     relay->signals[1] = evsignal_new(relay->base, SIGINT, on_stop, relay);
     relay->signals[2] = evsignal_new(relay->base, SIGHUP, on_reload, relay);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -114,6 +114,7 @@
     quotas_t quotas;
     forecast_t forecast; /* error of the engines' expected latency */
     service_states_t service_states;
+    struct event *queue_timer; /* pending while requests wait for room */
 
     rng_t rng;
     uint64_t placement_count;
@@ -161,6 +162,8 @@
 void request_answer_no_room(caller_t *caller);
 void request_caller_disconnected(request_t *request);
 void requests_tick(relay_t *relay);
+bool requests_place_queued(relay_t *relay);
+void relay_schedule_queues(relay_t *relay);
 void requests_drop_blocked(relay_t *relay);
 void requests_apply_origin(relay_t *relay, const stream_origin_t *origin);
 void requests_note_origin_unknown(relay_t *relay, uint64_t stream,
--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -1,16 +1,30 @@
 #include "peers.h"
 #include "request.h"
 
+#include <stddef.h>
 #include <string.h>
 
 /* Admission by priority: see balance/admission.c. */
 
-/* Retry-After of a less urgent request that found no room, ms: one of the
- * long answers that hold the slots ends within this time. */
-#define RETRY_AFTER_MIN_MS 300
-#define RETRY_AFTER_SPREAD_MS 2500
-/* Callers wait for at most this part of the time that they have left. */
-#define RETRY_AFTER_DIVISOR 3
+/* Requests that are tried without success in one round: those behind them find
+ * room hardly more often. */
+#define QUEUE_FAILURES_MAX 3
+
+static request_t *
+request_from_item(wait_item_t *item)
+{
+    return (request_t *)((char *)item - offsetof(request_t, wait_item));
+}
+
+/* Returns the class in which the request waits: a workspace's priority takes
+ * precedence over that of the route. */
+static unsigned
+request_queue_class(const request_t *request)
+{
+    return request->workspace != NULL && request->workspace->has_priority
+               ? priority_class(request->workspace->priority)
+               : request->priority_class;
+}
 
 /* Sets how the request's service admits it.  Slots are kept free by the
  * priority of the route, since that says how long such a request can wait; the
@@ -28,7 +42,25 @@
     request->most_urgent =
         request->priority_class <= service->most_urgent_class;
     request->service_state =
-        service_states_get(&request->relay->service_states, request->service);
+        service_states_get(&request->relay->service_states, request->service,
+                           &request->relay->rng, time_mono_ms());
+}
+
+/* Records how long the caller of a new request has waited before. */
+void
+request_note_caller_wait(request_t *request, int64_t stated_ms)
+{
+    service_state_t *state = request->service_state;
+    if (state == NULL) {
+        return;
+    }
+    request->waited_before_ms = caller_wait_observe(
+        &state->caller_waits, str_hash(request->route->name, 0), stated_ms);
+    if (request->waited_before_ms > 0) {
+        return_times_note_returned(&state->return_times,
+                                   request->priority_class,
+                                   request->waited_before_ms, time_mono_ms());
+    }
 }
 
 /* Counts the request among those that this host has at the service's engines.
@@ -106,14 +138,94 @@
     }
 }
 
-static int64_t
-retry_after_ms(request_t *request, int64_t remaining_ms)
+/* Rejects the request and tells its caller when to return: in the order of
+ * urgency and of the time that callers have waited. */
+static void
+reject(request_t *request, const char *reason, int64_t now)
+{
+    service_state_t *state = request->service_state;
+    int64_t after_ms = return_time_next(
+        &state->return_times, request->priority_class,
+        request->waited_before_ms + now - request->received_ms,
+        request->deadline_ms - now, now);
+    state->rejected[request->priority_class]++;
+    request_reject(request, reason, after_ms);
+}
+
+/* Puts the request into the queue of those that wait for room at an engine; it
+ * is rejected if the queue is full. */
+static void
+enqueue(request_t *request, int64_t now)
+{
+    service_state_t *state = request->service_state;
+    wait_item_t *evicted;
+    request->wait_item = (wait_item_t){
+        .priority_class = request_queue_class(request),
+        .workspace = request->workspace != NULL
+                         ? str_hash(request->workspace->name, 0)
+                         : 0,
+        .cost = (double)request->prompt.prompt_tokens,
+        .waited_ms = request->waited_before_ms,
+        .arrived_ms = request->received_ms,
+        .deadline_ms =
+            now + admission_wait_max_ms(request->route->target_latency_ms,
+                                        request->deadline_ms - now)};
+    request->waits_since_ms = now;
+    state->waited[request->priority_class]++;
+    bool queued =
+        wait_queue_push(&state->queue, &request->wait_item, now, &evicted);
+    if (evicted != NULL) {
+        reject(request_from_item(evicted), "queue-full", now);
+    }
+    if (!queued) {
+        reject(request, "queue-full", now);
+        return;
+    }
+    relay_schedule_queues(request->relay);
+}
+
+/* Removes the request from the queue of its service. */
+void
+request_leave_queue(request_t *request, bool placed)
+{
+    if (request->service_state != NULL && request->wait_item.flow != NULL) {
+        wait_queue_remove(&request->service_state->queue, &request->wait_item,
+                          placed);
+    }
+}
+
+/* Whether the request waits for room at an engine. */
+bool
+request_is_queued(const request_t *request)
 {
-    int64_t ms =
-        RETRY_AFTER_MIN_MS +
-        (int64_t)rng_below(&request->relay->rng, RETRY_AFTER_SPREAD_MS);
-    int64_t max_ms = remaining_ms / RETRY_AFTER_DIVISOR;
-    return ms < max_ms ? ms : max_ms;
+    return request->wait_item.flow != NULL;
+}
+
+/* Whether requests that are at least as urgent wait already. */
+static bool
+must_queue(const request_t *request)
+{
+    const wait_queue_t *queue = &request->service_state->queue;
+    for (unsigned i = 0; i <= request_queue_class(request); i++) {
+        if (!request->most_urgent && wait_queue_count(queue, i) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+log_rejection(const request_t *request, const server_t *server,
+              const admission_input_t *input, const char *reason)
+{
+    log_record(LOG_INFO, "place", "no-room",
+               "id=%s why=%s class=%u server=%s in_flight=%d slots=%d "
+               "reserve=%.1f wait_ms=%.0f read_ms=%.0f waited_ms=%lld "
+               "waited_before_ms=%lld",
+               request->id, reason, request->priority_class, server->info.id,
+               input->in_flight, input->slots, input->reserve, input->wait_ms,
+               input->prefill_ms, (long long)input->waited_here_ms,
+               (long long)request->waited_before_ms);
 }
 
 /* Sends the request to a server, rejects it or lets it wait for room; false if
@@ -127,34 +239,66 @@
     admission_t admission = request->possible_runs > 0
                                 ? (admission_t){ADMISSION_SEND, NULL}
                                 : admission_decide(&input);
+    if (!request_is_queued(request) && admission.verdict == ADMISSION_SEND &&
+        must_queue(request)) {
+        admission.verdict = ADMISSION_WAIT;
+    }
     switch (admission.verdict) {
         case ADMISSION_SEND:
             state->sent[request->priority_class]++;
+            return_times_note_admitted(&state->return_times,
+                                       request->priority_class, now);
+            request_leave_queue(request, true);
             request_send(request, server);
             return true;
         case ADMISSION_WAIT:
-            if (request->waits_since_ms == 0) {
-                request->waits_since_ms = now;
-                state->waited[request->priority_class]++;
-                request->placement_deadline_ms =
-                    now +
-                    admission_wait_max_ms(input.target_ms,
-                                          input.remaining_ms) +
-                    RELAY_TICK_MS;
+            if (request_is_queued(request)) {
+                return false;
             }
-            return false;
+            enqueue(request, now);
+            return true;
         case ADMISSION_REJECT:
             break;
     }
-    state->rejected[request->priority_class]++;
-    log_record(LOG_INFO, "place", "no-room",
-               "id=%s why=%s class=%u server=%s in_flight=%d slots=%d "
-               "reserve=%.1f wait_ms=%.0f read_ms=%.0f waited_ms=%lld",
-               request->id, admission.reason, request->priority_class,
-               server->info.id, input.in_flight, input.slots, input.reserve,
-               input.wait_ms, input.prefill_ms,
-               (long long)input.waited_here_ms);
-    request_reject(request, admission.reason,
-                   retry_after_ms(request, input.remaining_ms));
+    log_rejection(request, server, &input, admission.reason);
+    reject(request, admission.reason, now);
     return true;
 }
+
+/* Places requests that wait, and rejects those whose wait has ended. */
+static void
+place_queued(service_state_t *state, int64_t now)
+{
+    wait_item_t *item;
+    unsigned failures = 0;
+    while ((item = wait_queue_expired(&state->queue, now)) != NULL) {
+        request_t *request = request_from_item(item);
+        log_record(LOG_INFO, "place", "no-room",
+                   "id=%s why=waited class=%u reserve=%.1f waited_ms=%lld "
+                   "waited_before_ms=%lld",
+                   request->id, request->priority_class, request->reserve,
+                   (long long)(now - request->waits_since_ms),
+                   (long long)request->waited_before_ms);
+        reject(request, "no-room", now);
+    }
+    item = wait_queue_first(&state->queue);
+    while (item != NULL && failures < QUEUE_FAILURES_MAX) {
+        wait_item_t *next = wait_queue_next(&state->queue, item);
+        failures += request_place(request_from_item(item)) ? 0 : 1;
+        item = next;
+    }
+}
+
+/* Places what waits in the queues of all services; true if some requests still
+ * wait. */
+bool
+requests_place_queued(relay_t *relay)
+{
+    service_state_t *state;
+    size_t left = 0;
+    CK_SLIST_FOREACH (state, &relay->service_states, entry) {
+        place_queued(state, time_mono_ms());
+        left += wait_queue_total(&state->queue);
+    }
+    return left > 0;
+}
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -401,6 +401,20 @@
     return best;
 }
 
+/* Keeps those servers that have answered some host lately.  One that answers
+ * nobody seems to have room until its requests time out. */
+static size_t
+keep_alive_servers(server_t **servers, size_t count, int64_t now)
+{
+    size_t kept = 0;
+    for (size_t i = 0; i < count; i++) {
+        if (server_is_fetch_source(servers[i], now)) {
+            servers[kept++] = servers[i];
+        }
+    }
+    return kept;
+}
+
 /* Returns the server for a request, or NULL if none can take it now.  If none
  * of the sampled servers has room for a less urgent request, all are compared.
  */
@@ -422,11 +436,14 @@
     size_t count = sample_servers(request, &levels, sampled, usable_count);
     size_t best =
         choose_best(request, servers, count, now, &levels, candidates);
-    if (count < usable_count &&
-        !request_finds_room(request, servers[best], now)) {
-        servers = usable;
-        count = usable_count;
-        best = choose_best(request, servers, count, now, &levels, candidates);
+    if (!request_finds_room(request, servers[best], now)) {
+        size_t alive = keep_alive_servers(usable, usable_count, now);
+        if (alive > 0) {
+            servers = usable;
+            count = alive;
+            best =
+                choose_best(request, servers, count, now, &levels, candidates);
+        }
     }
     log_record(
         LOG_INFO, "place", "chosen",
--- a/relay/request.c
+++ b/relay/request.c
@@ -103,6 +103,7 @@
     if (request->exchange != NULL) {
         exchange_cancel(request->exchange);
     }
+    request_leave_queue(request, false);
     CK_LIST_REMOVE(request, entry);
     relay->request_count--;
     relay->body_bytes -= request->body->len;
@@ -491,7 +492,8 @@
             request_end_if_version_gone(request)) {
             continue;
         }
-        if (request->exchange != NULL || now < request->not_before_ms ||
+        if (request_is_queued(request) || request->exchange != NULL ||
+            now < request->not_before_ms ||
             (request->sends > 0 && now < request->placement_deadline_ms &&
              !retry_share_can_retry(&relay->retry_shares, request->service,
                                     now))) {
@@ -722,6 +724,7 @@
             (request->prompt.prompt_tokens - relay->mean_prompt_tokens);
     }
     set_deadlines(request, from_host);
+    request_note_caller_wait(request, read_deadline(head));
     if (from_host) {
         relay->meter.taken++;
         request_read_forwarded(request);
--- a/relay/request.h
+++ b/relay/request.h
@@ -51,10 +51,12 @@
     /* NULL unless the service's engines admit requests by priority. */
     service_state_t *service_state;
     unsigned priority_class;
-    bool most_urgent;       /* no class of the service is more urgent */
-    bool counted_in_flight; /* in service_state */
-    int64_t waits_since_ms; /* for room at an engine; 0 if it does not */
-    double reserve;         /* slots that it leaves to more urgent ones */
+    bool most_urgent;         /* no class of the service is more urgent */
+    bool counted_in_flight;   /* in service_state */
+    int64_t waits_since_ms;   /* for room at an engine; 0 if it does not */
+    int64_t waited_before_ms; /* since the caller's first attempt, if known */
+    wait_item_t wait_item;    /* in the queue of service_state */
+    double reserve;           /* slots that it leaves to more urgent ones */
     prompt_t prompt;
     fatal_request_t fatal; /* the shared parts of the prompt */
     bool tries_part;       /* it is the trial of a blocked part */
@@ -191,6 +193,9 @@
 bool request_finds_room(const request_t *request, const server_t *server,
                         int64_t now);
 bool request_admit(request_t *request, server_t *server, int64_t now);
+void request_note_caller_wait(request_t *request, int64_t stated_ms);
+void request_leave_queue(request_t *request, bool placed);
+bool request_is_queued(const request_t *request);
 void request_record_signals(const request_t *request, const http_head_t *head);
 void request_record_first_answer(request_t *request);
 
--- a/relay/service-state.c
+++ b/relay/service-state.c
@@ -5,7 +5,8 @@
 /* Returns the state of a service, which is added if it is new.  Names of
  * services are few and stay. */
 service_state_t *
-service_states_get(service_states_t *states, const char *name)
+service_states_get(service_states_t *states, const char *name, rng_t *rng,
+                   int64_t now_ms)
 {
     service_state_t *state;
     CK_SLIST_FOREACH (state, states, entry) {
@@ -15,6 +16,8 @@
     }
     state = mem_zalloc(sizeof(*state));
     str_copy(state->name, sizeof(state->name), name);
+    wait_queue_init(&state->queue);
+    return_times_init(&state->return_times, (rng_t){rng_next(rng)}, now_ms);
     CK_SLIST_INSERT_HEAD(states, state, entry);
     return state;
 }
--- a/relay/service-state.h
+++ b/relay/service-state.h
@@ -4,7 +4,10 @@
 /* What this host has observed of a service whose engines admit requests by
  * priority.  It outlives the configuration. */
 
+#include "../balance/caller-wait.h"
 #include "../balance/reserve.h"
+#include "../balance/return-times.h"
+#include "../balance/wait-queue.h"
 
 #include <ck_queue.h>
 
@@ -13,6 +16,9 @@
     char name[CS_NAME_MAX];
     unsigned in_flight[PRIORITY_CLASSES]; /* of this host, at all engines */
     reserve_t reserve;
+    wait_queue_t queue; /* requests that wait for room */
+    return_times_t return_times;
+    caller_wait_t caller_waits;
     uint64_t sent[PRIORITY_CLASSES];
     uint64_t waited[PRIORITY_CLASSES]; /* requests that waited for room */
     uint64_t rejected[PRIORITY_CLASSES];
@@ -20,8 +26,8 @@
 
 typedef CK_SLIST_HEAD(service_states, service_state) service_states_t;
 
-service_state_t *service_states_get(service_states_t *states,
-                                    const char *name);
+service_state_t *service_states_get(service_states_t *states, const char *name,
+                                    rng_t *rng, int64_t now_ms);
 void service_states_tick(service_states_t *states, int64_t now_ms);
 void service_states_write_metrics(const service_states_t *states, buf_t *out);
 
