Relay: learns the cost of requests from complete answers

Cause: request-cost.c had no observations.

Change: the length hint (HEADER_LENGTH_HINT, before HEADER_OUTPUT_HINT) and the stride of a service's engine are read; a stream counts its events and whether its first ones came from elsewhere. Output tokens are events times stride, observed when a stream from an engine ends that this host has passed on whole: not if it was cut off, continued at another server, taken up by its caller or forwarded after a run. Holds are observed from the first event of such a stream, and from the send for other successful answers. `place chosen` has cost=, the metrics have output_tokens, output_tokens_expected, output_tokens_error and hold_ms by route. No decision uses them yet.

--- a/relay/prompt.c
+++ b/relay/prompt.c
@@ -53,6 +53,20 @@
     }
 }
 
+/* Parses the output tokens that the caller expects.  A hint that is not a
+ * positive number of 32 bits is ignored. */
+void
+prompt_parse_hint(prompt_t *prompt, const char *text, size_t len)
+{
+    char copy[32];
+    size_t copied = len < sizeof(copy) - 1 ? len : sizeof(copy) - 1;
+    memcpy(copy, text, copied);
+    copy[copied] = '\0';
+    long long tokens = strtoll(copy, NULL, 10);
+    prompt->length_hint =
+        tokens > 0 && tokens <= UINT32_MAX ? (uint32_t)tokens : 0;
+}
+
 /* Writes the salt under which a server stores parts.  Parts of other weights,
  * or of another workspace if either is isolated, must never be used; a server
  * checks neither, so both are in the salt.  workspace is empty for all
--- a/relay/prompt.h
+++ b/relay/prompt.h
@@ -13,12 +13,14 @@
     unsigned count;
     uint32_t prompt_tokens;
     uint32_t output_tokens; /* maximum */
+    uint32_t length_hint;   /* output tokens that the caller expects, or 0 */
 } prompt_t;
 
 uint64_t prompt_part_hash(const char *id, size_t len);
 uint64_t prompt_part_key(uint64_t part, const char *salt);
 void prompt_parse_parts(prompt_t *prompt, const char *text, size_t len);
 void prompt_parse_tokens(prompt_t *prompt, const char *text, size_t len);
+void prompt_parse_hint(prompt_t *prompt, const char *text, size_t len);
 void prompt_format_salt(const char *model, int64_t weights,
                         const char *workspace, char out[CS_ID_LEN + 1]);
 uint32_t prompt_shared_tokens(const prompt_t *prompt);
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -51,6 +51,7 @@
     char dc[CS_NAME_MAX];          /* of a kv_store */
     char health_path[CS_NAME_MAX]; /* of plain servers; / if not configured */
     int slots;                     /* of each engine */
+    int stride;                    /* output tokens in an event of an engine */
     int64_t cache_tokens;    /* capacity of each engine or of a kv_store */
     int64_t bytes_per_token; /* of cached parts; 0: unknown */
     double link_bits_per_ms; /* for transfers of cached parts; 0: unknown */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -93,6 +93,33 @@
     }
 }
 
+/* Writes, by route, how long responses are expected to be and are, and how
+ * long they occupy their servers. */
+static void
+write_cost_metrics(const relay_t *relay, buf_t *out)
+{
+    const request_costs_t *costs = &relay->costs;
+    const meter_route_t *route;
+    CK_SLIST_FOREACH (route, &relay->meter.routes, entry) {
+        uint64_t hash = str_hash(route->name, 0);
+        double hold_ms = request_cost_hold_ms(costs, hash);
+        double output = request_cost_mean_output(costs, hash);
+        if (hold_ms > 0) {
+            buf_fmt(out, "celeryspool_hold_ms{route=\"%s\"} %.1f\n",
+                    route->name, hold_ms);
+        }
+        if (output > 0) {
+            buf_fmt(out,
+                    "celeryspool_output_tokens{route=\"%s\"} %.1f\n"
+                    "celeryspool_output_tokens_expected{route=\"%s\"} %.1f\n"
+                    "celeryspool_output_tokens_error{route=\"%s\"} %.1f\n",
+                    route->name, output, route->name,
+                    request_cost_mean_estimate(costs, hash), route->name,
+                    request_cost_error(costs, hash));
+        }
+    }
+}
+
 /* Writes all metrics as text. */
 void
 relay_write_metrics(relay_t *relay, buf_t *out)
@@ -100,6 +127,7 @@
     int64_t now = time_mono_ms();
     const server_t *server;
     meter_write(&relay->meter, out);
+    write_cost_metrics(relay, out);
     meter_write_value(out, "ready", relay_is_ready(relay));
     meter_write_value(out, "servers_reached", !reach_is_lost(&relay->reach));
     meter_write_value(out, "requests_running", (double)relay->request_count);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -6,6 +6,7 @@
  * with one event loop: a host has a quarter to three quarters of one core, so
  * a second thread would add context switches and locks but no throughput. */
 
+#include "../balance/request-cost.h"
 #include "../kernel/exchange.h"
 #include "../kernel/http-listener.h"
 #include "../kernel/settings.h"
@@ -108,6 +109,7 @@
     software_seen_t software_seen;
     retry_shares_t retry_shares;
     quotas_t quotas;
+    request_costs_t costs;
     forecast_t forecast; /* error of the engines' expected latency */
 
     rng_t rng;
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -378,14 +378,18 @@
     request->expected_prefill_ms =
         (tokens > cached_tokens ? tokens - cached_tokens : 0) * 1000.0 /
         candidates[best].prefill_rate;
+    request->expected_output =
+        request->engine
+            ? request_cost_output(&relay->costs, &request->cost_query)
+            : 0;
     log_record(
         LOG_INFO, "place", "chosen",
         "id=%s server=%s among=%zu usable=%zu excluded=%zu wait_ms=%.0f "
-        "held=%u of=%u weights=%lld config=%lld",
+        "held=%u of=%u weights=%lld config=%lld cost=%.0f",
         request->id, servers[best]->info.id, count, usable, excluded,
         waits[best], candidates[best].cached_tokens, prefix.tokens,
         (long long)servers[best]->info.weights,
-        (long long)request->config->version);
+        (long long)request->config->version, request->expected_output);
     return servers[best];
 }
 
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -372,6 +372,29 @@
     caller_stream_end(caller);
 }
 
+/* Learns from a complete answer of a server.  A stream that began elsewhere
+ * shows neither its length nor how long it holds a slot. */
+static void
+observe_cost(const request_t *request)
+{
+    request_costs_t *costs = &request->relay->costs;
+    const stream_t *stream = &request->stream;
+    bool streams = request->answer == ANSWER_STREAM;
+    int64_t since_ms = streams && request->engine ? request->answer_started_ms
+                                                  : request->sent_ms;
+    if (request->status / 100 != 2 ||
+        (streams && (stream->events == 0 || stream->continued ||
+                     request->resumes != 0 || request->runs_before > 0))) {
+        return;
+    }
+    request_cost_observe_hold(costs, request->cost_query.route,
+                              (double)(time_mono_ms() - since_ms));
+    if (streams && request->engine) {
+        request_cost_observe(costs, &request->cost_query,
+                             (double)stream->events * request->stride);
+    }
+}
+
 /* A complete answer was read. */
 static void
 on_complete_answer(request_t *request)
@@ -382,6 +405,7 @@
             server_record_success(server);
             request_record_first_answer(request);
             request_note_answered(request);
+            observe_cost(request);
             request_deliver(request, METER_ANSWERED, "answered");
             return;
         case ANSWER_STREAM:
@@ -392,6 +416,7 @@
             request_note_answered(request);
             server_observe_slot_time(
                 server, (double)(time_mono_ms() - request->answer_started_ms));
+            observe_cost(request);
             request_finish_stream(request);
             return;
         case ANSWER_FAILED:
--- a/relay/request.c
+++ b/relay/request.c
@@ -568,6 +568,7 @@
     const header_t *model = find_header(head, HEADER_MODEL);
     const header_t *parts = find_header(head, HEADER_PROMPT_PREFIX);
     const header_t *tokens = find_header(head, HEADER_TOKEN_USAGE);
+    const header_t *hint = find_header(head, HEADER_LENGTH_HINT);
     if (model != NULL) {
         http_head_copy(head, model->value, request->prompt.model,
                        sizeof(request->prompt.model));
@@ -581,6 +582,23 @@
                             http_head_at(head, tokens->value),
                             tokens->value.len);
     }
+    if (hint != NULL) {
+        prompt_parse_hint(&request->prompt, http_head_at(head, hint->value),
+                          hint->value.len);
+    }
+}
+
+static void
+set_cost_query(request_t *request)
+{
+    request->cost_query =
+        (cost_query_t){.route = str_hash(request->route->name, 0),
+                       .workspace = request->workspace != NULL
+                                        ? str_hash(request->workspace->name, 0)
+                                        : 0,
+                       .prompt_tokens = request->prompt.prompt_tokens,
+                       .output_max = request->prompt.output_tokens,
+                       .length_hint = request->prompt.length_hint};
 }
 
 static request_t *
@@ -652,6 +670,8 @@
         relay_config_find_service(request->config, name);
     str_copy(request->service, sizeof(request->service), name);
     request->engine = service != NULL && service->engine;
+    request->stride =
+        service != NULL && service->stride > 0 ? (unsigned)service->stride : 1;
 }
 
 /* Returns the status to reject a request with, or 0 to accept it. */
@@ -720,6 +740,7 @@
             MEAN_PROMPT_WEIGHT *
             (request->prompt.prompt_tokens - relay->mean_prompt_tokens);
     }
+    set_cost_query(request);
     set_deadlines(request, from_host);
     if (from_host) {
         relay->meter.taken++;
--- a/relay/request.h
+++ b/relay/request.h
@@ -47,8 +47,10 @@
     const workspace_entry_t *workspace; /* NULL if no access key is required */
     char id[REQUEST_ID_MAX];
     char service[CS_NAME_MAX];
-    bool engine; /* the service runs a model */
+    bool engine;     /* the service runs a model */
+    unsigned stride; /* output tokens in an event of the service */
     prompt_t prompt;
+    cost_query_t cost_query;
     fatal_request_t fatal; /* the shared parts of the prompt */
     bool tries_part;       /* it is the trial of a blocked part */
     uint64_t affinity_key; /* of the prompt, for rendezvous hashing */
@@ -59,6 +61,7 @@
     meter_outcome_t outcome;
     int64_t deadline_ms;     /* the caller's deadline or the route's timeout */
     double expected_wait_ms; /* wait at the chosen server */
+    double expected_output;  /* tokens, at the last placement */
     double expected_prefill_ms;    /* prefill of this prompt after that wait */
     double server_slowness;        /* of the server at the time of the send */
     int64_t not_before_ms;         /* no further attempt before this time */
--- a/relay/stream.c
+++ b/relay/stream.c
@@ -18,6 +18,7 @@
 {
     memset(stream, 0, sizeof(*stream));
     str_copy(stream->last_id, sizeof(stream->last_id), last_id);
+    stream->continued = last_id[0] != '\0';
 }
 
 void
@@ -33,6 +34,7 @@
 {
     stream->partial.len = 0;
     stream->repeated_bytes = 0;
+    stream->continued = stream->continued || stream->events > 0;
 }
 
 /* Returns the length of the first event in the text, including the empty line
@@ -122,6 +124,7 @@
         from = 0;
     }
     buf_consume(&stream->partial, consumed);
+    stream->events += events;
     stream->overflow = stream->partial.len > EVENT_BYTES_MAX ||
                        stream->repeated_bytes > REPEATED_BYTES_MAX;
     return events;
--- a/relay/stream.h
+++ b/relay/stream.h
@@ -10,6 +10,8 @@
 typedef struct {
     buf_t partial;              /* bytes of an incomplete event */
     char last_id[EVENT_ID_MAX]; /* id of the last event passed on */
+    uint64_t events;            /* passed on since stream_init */
+    bool continued;             /* the first ones came from elsewhere */
     size_t repeated_bytes;      /* dropped since the stream was restarted */
     bool overflow;              /* an event, or what repeats, is too long */
 } stream_t;
--- a/relay/wire.h
+++ b/relay/wire.h
@@ -22,7 +22,7 @@
     HEADER_PROMPT_PREFIX, /* parts of the prompt, ID:TOKENS each */
     HEADER_LAST_EVENT_ID, /* resumes a stream after this event */
     HEADER_RESUMES, /* attempt that brought the first event of that stream */
-    HEADER_OUTPUT_HINT,
+    HEADER_LENGTH_HINT, /* expected output tokens */
 
     /* From callers, replaced or removed. */
     HEADER_DEADLINE,   /* ms until the caller's deadline */
--- a/tests/test-prompt.c
+++ b/tests/test-prompt.c
@@ -36,5 +36,21 @@
 }
 END_TEST
 
+/* Guards against a malformed hint that is read as a length. */
+START_TEST(only_positive_hints_are_read)
+{
+    static const struct {
+        const char *text;
+        uint32_t tokens;
+    } hints[] = {{"420", 420},      {" 7", 7}, {"0", 0},   {"-3", 0},
+                 {"4294967296", 0}, {"", 0},   {"long", 0}};
+    for (size_t i = 0; i < sizeof(hints) / sizeof(hints[0]); i++) {
+        prompt_t prompt = {0};
+        prompt_parse_hint(&prompt, hints[i].text, strlen(hints[i].text));
+        ck_assert_uint_eq(prompt.length_hint, hints[i].tokens);
+    }
+}
+END_TEST
+
 TEST_MAIN("prompt", part_key_depends_on_salt_and_id_only,
-          part_key_differs_by_salt)
+          part_key_differs_by_salt, only_positive_hints_are_read)
--- a/tests/test-relay-config.c
+++ b/tests/test-relay-config.c
@@ -17,7 +17,8 @@
     "\"target_latency_ms\":1000,\"target_gap_ms\":800,\"attempts\":2,"
     "\"service\":\"llm\"}],"
     "\"services\":[{\"name\":\"s1\"},{\"name\":\"s2\"},"
-    "{\"name\":\"llm\",\"engine\":{\"slots\":64,\"cache_capacity\":900}},"
+    "{\"name\":\"llm\",\"engine\":{\"slots\":64,\"cache_capacity\":900,"
+    "\"stride\":9}},"
     "{\"name\":\"kept\",\"cache_store_address\":\"10.0.0.9:80\","
     "\"zone\":\"z1\",\"cache_capacity\":5}],"
     "\"limits\":{\"max_header_bytes\":100,\"max_body_bytes\":200,"
@@ -69,6 +70,7 @@
     ck_assert_int_eq(route->attempts, 2);
     ck_assert_int_eq(route->target_gap_ms, 800);
     ck_assert(relay_config_find_service(config, "llm")->engine);
+    ck_assert_int_eq(relay_config_find_service(config, "llm")->stride, 9);
     ck_assert(relay_config_find_service(config, "kept")->kv_store);
     ck_assert_str_eq(relay_config_find_service(config, "kept")->dc, "z1");
     ck_assert_int_eq(config->limits.idle_ms, 400);
--- a/tests/test-stream.c
+++ b/tests/test-stream.c
@@ -96,6 +96,30 @@
 }
 END_TEST
 
+/* Guards against taking the length of a part of a stream for the whole: events
+ * that are dropped don't count, and a stream that began elsewhere is marked.
+ */
+START_TEST(events_of_whole_streams_are_counted)
+{
+    static const char two[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    stream_t stream;
+    CLEAN_BUF buf_t out = {0};
+    stream_init(&stream, "");
+    stream_restart(&stream); /* an attempt without an event came before */
+    (void)stream_feed(&stream, two, sizeof(two) - 1, &out);
+    ck_assert_uint_eq(stream.events, 2);
+    ck_assert(!stream.continued);
+    stream_restart(&stream);
+    (void)stream_feed(&stream, two, sizeof(two) - 1, &out);
+    ck_assert_uint_eq(stream.events, 2);
+    ck_assert(stream.continued);
+    stream_free(&stream);
+    stream_init(&stream, "1");
+    ck_assert(stream.continued);
+    stream_free(&stream);
+}
+END_TEST
+
 TEST_MAIN("stream", split_events_are_joined,
           resumed_stream_has_no_gap_or_repeat, endless_event_is_bounded,
-          endless_repeats_are_bounded)
+          endless_repeats_are_bounded, events_of_whole_streams_are_counted)
