--- a/balance/request-cost.c
+++ b/balance/request-cost.c
@@ -34,7 +34,7 @@
 #define HINT_PRIOR_ERROR 0.5
 #define MEAN_PRIOR_ERROR 1.0
 /* Scaling starts at 1, as if from so many observations, and is bounded: a
- * spread of lengths by a factor of ten calls for 1.4. */
+ * spread of lengths by a factor of ten calls for up to 1.5. */
 #define SCALE_PRIOR_COUNT 8
 #define SCALE_MIN 0.5
 #define SCALE_MAX 2.0
