--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -445,15 +445,19 @@
                 choose_best(request, servers, count, now, &levels, candidates);
         }
     }
+    request->expected_output =
+        request->engine
+            ? request_cost_output(&request->relay->costs, &request->cost_query)
+            : 0;
     log_record(
         LOG_INFO, "place", "chosen",
         "id=%s server=%s among=%zu usable=%zu excluded=%zu wait_ms=%.0f "
-        "held=%u of=%u weights=%lld config=%lld",
+        "held=%u of=%u weights=%lld config=%lld cost=%.0f",
         request->id, servers[best]->info.id, count, usable_count, excluded,
         request->expected_wait_ms, candidates[best].cached_tokens,
         prompt_shared_tokens(&request->prompt),
         (long long)servers[best]->info.weights,
-        (long long)request->config->version);
+        (long long)request->config->version, request->expected_output);
     return servers[best];
 }
 
