--- a/balance/admission.c
+++ b/balance/admission.c
@@ -16,9 +16,17 @@
 /* Share of the remaining time that the expected time may take: half of the
  * answers take longer than expected, one in ten twice as long. */
 #define REMAINING_SHARE 0.8
-/* Share of the slots that is never reserved, so that less urgent classes are
- * not starved by a lasting flood of urgent requests. */
-#define UNRESERVED_SHARE 0.25
+/* Share of the target that the expected wait and the prefill may take.  What
+ * a host knows of an engine is some ten ms old, and meanwhile others send
+ * there too. */
+#define TARGET_SHARE 0.5
+/* A request is not rejected for its target while the wait is below this share
+ * of it: prompts whose prefill takes most of the target would never be
+ * served. */
+#define ADMIT_WAIT_SHARE 0.35
+/* Share of the slots in use that a less urgent class gets even in a lasting
+ * flood of urgent requests, so that it is not starved. */
+#define CLASS_SHARE_MIN 0.25
 
 /* Returns the class of a priority, 0 for the most urgent. */
 unsigned
@@ -46,7 +54,7 @@
     if (input->slots <= 0 || input->most_urgent) {
         return true;
     }
-    double reserve_max = input->slots * (1 - UNRESERVED_SHARE);
+    double reserve_max = input->slots * (1 - CLASS_SHARE_MIN);
     double reserve =
         input->reserve < reserve_max ? input->reserve : reserve_max;
     return input->in_flight + 1 + reserve <= input->slots;
@@ -58,21 +66,40 @@
     int64_t max_ms = admission_wait_max_ms(
         input->target_ms, input->remaining_ms + input->waited_here_ms);
     bool may_wait = input->waited_here_ms < max_ms;
-    return (admission_t){may_wait ? ADMISSION_WAIT : ADMISSION_REJECT, reason};
+    return (admission_t){may_wait ? ADMISSION_WAIT : ADMISSION_REJECT, false,
+                         reason};
+}
+
+/* Whether the first answer would come after the target. */
+static bool
+is_too_late(const admission_input_t *input)
+{
+    double wait_max_ms = input->target_ms * TARGET_SHARE - input->prefill_ms;
+    double least_ms = input->target_ms * ADMIT_WAIT_SHARE;
+    return input->wait_ms > (wait_max_ms > least_ms ? wait_max_ms : least_ms);
 }
 
 /* Decides whether a request is sent to the chosen server, waits at this host
- * or is rejected.  A request of the most urgent class is rejected only if it
- * cannot be answered within the time that it has left. */
+ * or is rejected.
+ *
+ * Requests of the most urgent class are sent while they are likely to be in
+ * time.  Beyond that, if all were sent, the queues would grow until all are
+ * late. */
 admission_t
 admission_decide(const admission_input_t *input)
 {
     double expected_ms = input->wait_ms + input->prefill_ms;
     if (expected_ms > (double)input->remaining_ms * REMAINING_SHARE) {
-        return (admission_t){ADMISSION_REJECT, "out-of-time"};
+        return (admission_t){ADMISSION_REJECT, false, "out-of-time"};
+    }
+    if (input->most_urgent && is_too_late(input)) {
+        return (admission_t){ADMISSION_REJECT, false, "too-late"};
+    }
+    if (admission_has_room(input)) {
+        return (admission_t){ADMISSION_SEND, false, NULL};
     }
-    if (!admission_has_room(input)) {
-        return wait_or_reject(input, "no-room");
+    if (input->class_share < CLASS_SHARE_MIN) {
+        return (admission_t){ADMISSION_SEND, true, NULL};
     }
-    return (admission_t){ADMISSION_SEND, NULL};
+    return wait_or_reject(input, "no-room");
 }
--- a/balance/admission.h
+++ b/balance/admission.h
@@ -20,11 +20,15 @@
     int64_t remaining_ms;     /* until the request times out */
     int64_t waited_here_ms;   /* since it arrived at this host */
     int64_t waited_before_ms; /* since its caller's first attempt, if known */
-    bool most_urgent;         /* no class of the service is more urgent */
+    /* Share of this host's requests in flight that are of the class or less
+     * urgent; meaningful if there are several. */
+    double class_share;
+    bool most_urgent; /* no class of the service is more urgent */
 } admission_input_t;
 
 typedef struct {
     verdict_t verdict;
+    bool raised; /* it is sent with the priority of the most urgent class */
     const char *reason; /* why it waits or is rejected */
 } admission_t;
 
--- a/balance/reserve.c
+++ b/balance/reserve.c
@@ -18,6 +18,10 @@
 /* The mean is used after this time of observation. */
 #define RESERVE_LEARNING_MS 1000
 
+/* Requests in flight from which on the share of a class is known: with one
+ * request more or less it changes by at most an eighth. */
+#define SHARE_REQUESTS_MIN 8
+
 /* Records the numbers of this host's requests in flight. */
 void
 reserve_observe(reserve_t *reserve, const unsigned in_flight[PRIORITY_CLASSES],
@@ -58,3 +62,17 @@
     mean *= (double)hosts / (double)servers;
     return RESERVE_SPREADS * sqrt(mean);
 }
+
+/* Returns which share of the requests in flight are of a class or less urgent;
+ * 1 if there are too few to tell. */
+double
+reserve_class_share(const unsigned in_flight[PRIORITY_CLASSES], unsigned class)
+{
+    unsigned all = 0;
+    unsigned less_urgent = 0;
+    for (unsigned i = 0; i < PRIORITY_CLASSES; i++) {
+        all += in_flight[i];
+        less_urgent += i >= class ? in_flight[i] : 0;
+    }
+    return all < SHARE_REQUESTS_MIN ? 1 : (double)less_urgent / all;
+}
--- a/balance/reserve.h
+++ b/balance/reserve.h
@@ -17,6 +17,8 @@
 void reserve_observe(reserve_t *reserve,
                      const unsigned in_flight[PRIORITY_CLASSES],
                      int64_t now_ms);
+double reserve_class_share(const unsigned in_flight[PRIORITY_CLASSES],
+                           unsigned class);
 double reserve_slots(const reserve_t *reserve, unsigned class, size_t hosts,
                      size_t servers, int slots);
 
--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -100,6 +100,8 @@
         .slots = server->info.slots,
         .in_flight = server_count_in_flight(server, now),
         .reserve = request->reserve,
+        .class_share = reserve_class_share(request->service_state->in_flight,
+                                           request->priority_class),
         .wait_ms = request->expected_wait_ms,
         .prefill_ms = request->expected_prefill_ms,
         .target_ms = request->route->target_latency_ms,
@@ -237,7 +239,7 @@
     const admission_input_t input =
         request_admission_input(request, server, now);
     admission_t admission = request->possible_runs > 0
-                                ? (admission_t){ADMISSION_SEND, NULL}
+                                ? (admission_t){ADMISSION_SEND, false, NULL}
                                 : admission_decide(&input);
     if (!request_is_queued(request) && admission.verdict == ADMISSION_SEND &&
         must_queue(request)) {
@@ -249,6 +251,7 @@
             return_times_note_admitted(&state->return_times,
                                        request->priority_class, now);
             request_leave_queue(request, true);
+            request->raised = admission.raised;
             request_send(request, server);
             return true;
         case ADMISSION_WAIT:
--- a/relay/request-head.c
+++ b/relay/request-head.c
@@ -139,6 +139,9 @@
     if (request->workspace != NULL && request->workspace->has_priority) {
         priority = request->workspace->priority;
     }
+    if (request->raised) {
+        priority = 0;
+    }
     if (server_use_weights(server, request->sent_ms) <
         request->config->longest_timeout_ms) {
         return PRIORITY_LEAST_URGENT;
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -37,6 +37,9 @@
 /* Cost of a server that has no room for a less urgent request, ms: more than
  * any wait, so that servers with room are chosen first. */
 #define NO_ROOM_COST_MS 5000.0
+/* A server that has sent nothing to this host for this long, ms, may have
+ * fallen silent: the events of a stream come more often. */
+#define ANSWERED_LATELY_MS 300
 /* Expected number of randomly sampled servers per request. */
 #define SAMPLE_SERVERS 4
 #define CANDIDATES_MAX 512
@@ -401,14 +404,15 @@
     return best;
 }
 
-/* Keeps those servers that have answered some host lately.  One that answers
- * nobody seems to have room until its requests time out. */
+/* Keeps those servers that have just sent this host something.  One that has
+ * fallen silent seems to have room, until that is noticed, and all hosts would
+ * choose it at the same time. */
 static size_t
 keep_alive_servers(server_t **servers, size_t count, int64_t now)
 {
     size_t kept = 0;
     for (size_t i = 0; i < count; i++) {
-        if (server_is_fetch_source(servers[i], now)) {
+        if (now - servers[i]->answered_ms < ANSWERED_LATELY_MS) {
             servers[kept++] = servers[i];
         }
     }
--- a/relay/request.h
+++ b/relay/request.h
@@ -52,7 +52,8 @@
     /* NULL unless the service's engines admit requests by priority. */
     service_state_t *service_state;
     unsigned priority_class;
-    bool most_urgent;         /* no class of the service is more urgent */
+    bool most_urgent; /* no class of the service is more urgent */
+    bool raised;      /* sent with the priority of the most urgent class */
     bool counted_in_flight;   /* in service_state */
     int64_t waits_since_ms;   /* for room at an engine; 0 if it does not */
     int64_t waited_before_ms; /* since the caller's first attempt, if known */
