Speed of engines: learned rates and ratios, reported paces, datagram of speeds

Placement assumed 48 tokens/ms for every engine and corrected it per host by a factor between 0.5 and 3, so engines of other kinds were misjudged, and a host that observes a server every 50 s learned each machine's speed in minutes.

balance/engine-speed learns a service's prefill rate by a regression of the time to the first token over tokens, with forgetting and the constant part as second unknown, and each server's ratio to the service's mean. Ratios are shared by datagrams (kind 9) to four random hosts; the better known one replaces the other, so exchanged knowledge is not counted twice. The load header is parsed strictly and in full. Placement uses the learned speed only for services whose servers report a pace; all others keep their path.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -126,7 +126,11 @@
     char load[64];
     char signature[CS_NAME_MAX * 2];
     const char *id = find_header(req, wire_header_name(HEADER_REQUEST_ID));
-    (void)snprintf(load, sizeof(load), "%d,0,%d", server->running, SLOTS);
+    int len = snprintf(load, sizeof(load), "%d,0,%d", server->running, SLOTS);
+    if (server->pace > 0) {
+        (void)snprintf(load + len, sizeof(load) - (size_t)len, ",%lld",
+                       (long long)server->pace);
+    }
     (void)snprintf(signature, sizeof(signature), "sig.%s.%s", server->id,
                    id != NULL ? id : "-");
     add_header(req, HEADER_REQUEST_ID, id != NULL ? id : "-");
@@ -707,7 +711,7 @@
 /* Applies a command to a server: mode, draining, gone, events, gap_ms, and
  * limit_per_s, a negative one for none, rest_s, that rejections ask for, and
  * leaving, which its answers say though its entry does not; brittle, room,
- * work_ms, fatal_part, see platform_server_t, and crash; see also
+ * work_ms, pace, fatal_part, see platform_server_t, and crash; see also
  * apply_engine_command and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
@@ -733,6 +737,7 @@
     server->brittle = json_get_int(command, "brittle", server->brittle);
     server->room = json_get_int(command, "room", server->room);
     server->work_ms = json_get_int(command, "work_ms", server->work_ms);
+    server->pace = json_get_int(command, "pace", server->pace);
     const char *fatal_part = json_get_string(command, "fatal_part");
     if (fatal_part != NULL) {
         str_copy(server->fatal_part, sizeof(server->fatal_part), fatal_part);
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -133,6 +133,7 @@
     int64_t brittle; /* rejections a second that it bears; -1 for any */
     int64_t room;    /* requests that it takes at once; 0 for any number */
     int64_t work_ms; /* of a plain server's request */
+    int64_t pace;    /* stated in its load header; 0 for none */
     /* A request with this part ends the server once its answer has begun;
      * empty for none. */
     char fatal_part[CS_NAME_MAX];
--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -21,6 +21,8 @@
 #define PARTS_FIELDS 2
 #define ORIGIN_FIELDS 4
 #define ORIGINS_FIELDS 2
+#define SPEED_FIELDS 4
+#define SPEEDS_FIELDS 2
 
 static void
 pack_text(msgpack_packer *packer, const char *text)
@@ -184,6 +186,22 @@
     }
 }
 
+static void
+pack_speeds(msgpack_packer *packer, const peer_datagram_t *datagram)
+{
+    (void)msgpack_pack_array(packer, SPEEDS_FIELDS);
+    (void)msgpack_pack_int(packer, PEER_SPEEDS);
+    (void)msgpack_pack_array(packer, datagram->speed_count);
+    for (size_t i = 0; i < datagram->speed_count; i++) {
+        const peer_speed_t *speed = &datagram->speeds[i];
+        (void)msgpack_pack_array(packer, SPEED_FIELDS);
+        (void)msgpack_pack_uint64(packer, speed->server_hash);
+        (void)msgpack_pack_uint64(packer, speed->incarnation);
+        (void)msgpack_pack_uint64(packer, speed->ratio_milli);
+        (void)msgpack_pack_uint64(packer, speed->observations);
+    }
+}
+
 /* Encodes a datagram; returns its length, or 0 if it does not fit. */
 size_t
 peer_encode(const peer_datagram_t *datagram, const unsigned char *secret,
@@ -216,6 +234,9 @@
         case PEER_ORIGIN_QUERY:
             pack_origins(&packer, datagram);
             break;
+        case PEER_SPEEDS:
+            pack_speeds(&packer, datagram);
+            break;
     }
     size_t len = 0;
     if (buffer.size + PEER_MAC_BYTES <= PEER_DATAGRAM_MAX) {
@@ -422,6 +443,18 @@
            parse_count(&fields[3], &origin->lifetime_ms);
 }
 
+static bool
+parse_speed(const msgpack_object *object, peer_speed_t *speed)
+{
+    const msgpack_object *fields = object->via.array.ptr;
+    return object->type == MSGPACK_OBJECT_ARRAY &&
+           object->via.array.size == SPEED_FIELDS &&
+           parse_count(&fields[0], &speed->server_hash) &&
+           parse_count(&fields[1], &speed->incarnation) &&
+           parse_count(&fields[2], &speed->ratio_milli) &&
+           parse_count(&fields[3], &speed->observations);
+}
+
 /* Decodes one entry of a datagram's list. */
 static bool
 parse_entry(peer_datagram_t *datagram, const msgpack_object *entry, size_t i)
@@ -456,6 +489,10 @@
             datagram->origin_count = i + 1;
             return i < PEER_ORIGINS_MAX &&
                    parse_origin(entry, &datagram->origins[i]);
+        case PEER_SPEEDS:
+            datagram->speed_count = i + 1;
+            return i < PEER_SPEEDS_MAX &&
+                   parse_speed(entry, &datagram->speeds[i]);
     }
     return false;
 }
@@ -499,6 +536,9 @@
         case PEER_ORIGIN_QUERY:
             datagram->origin_count = 0;
             return;
+        case PEER_SPEEDS:
+            datagram->speed_count = 0;
+            return;
     }
 }
 
@@ -540,7 +580,9 @@
     bool parts = kind == PEER_PARTS && size == PARTS_FIELDS;
     bool origins = (kind == PEER_ORIGINS || kind == PEER_ORIGIN_QUERY) &&
                    size == ORIGINS_FIELDS;
-    return members || facts || usages || loads || signals || parts || origins
+    bool speeds = kind == PEER_SPEEDS && size == SPEEDS_FIELDS;
+    return members || facts || usages || loads || signals || parts ||
+                   origins || speeds
                ? parse_list(datagram, &fields[1])
                : -1;
 }
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -27,7 +27,8 @@
     PEER_SIGNALS = 5,
     PEER_PARTS = 6,
     PEER_ORIGINS = 7,
-    PEER_ORIGIN_QUERY = 8 /* each entry names a stream only */
+    PEER_ORIGIN_QUERY = 8, /* each entry names a stream only */
+    PEER_SPEEDS = 9
 } peer_kind_t;
 
 /* A load report or a change of a cache entry of a backend server. */
@@ -97,6 +98,17 @@
     uint32_t lifetime_ms; /* 0: the sender does not know the stream */
 } peer_origin_t;
 
+/* Servers in one PEER_SPEEDS datagram. */
+#define PEER_SPEEDS_MAX 128
+
+/* How fast a server is relative to its service; see balance/engine-speed.h. */
+typedef struct {
+    uint32_t server_hash; /* of its id */
+    uint32_t incarnation; /* hash of its address and start time */
+    uint32_t ratio_milli; /* of the time that work takes to the mean */
+    uint32_t observations;
+} peer_speed_t;
+
 /* Of the union, only the member for the kind is valid. */
 typedef struct {
     peer_kind_t kind;
@@ -128,6 +140,10 @@
             peer_origin_t origins[PEER_ORIGINS_MAX];
             size_t origin_count;
         };
+        struct { /* PEER_SPEEDS */
+            peer_speed_t speeds[PEER_SPEEDS_MAX];
+            size_t speed_count;
+        };
     };
 } peer_datagram_t;
 
--- a/relay/peers-datagram.c
+++ b/relay/peers-datagram.c
@@ -129,6 +129,7 @@
         }
     }
     peers_send_signals(peers, addr);
+    peers_send_speeds(peers, addr);
     peers_send_parts(peers, addr);
     peers_send_origins(peers, addr);
     log_record(LOG_INFO, "peers", "told", "to=%s facts=%zu", addr, count);
@@ -174,6 +175,9 @@
         case PEER_SIGNALS:
             peers_apply_signals(peers, now);
             return;
+        case PEER_SPEEDS:
+            peers_apply_speeds(peers);
+            return;
         case PEER_PARTS:
             peers_apply_parts(peers, now);
             return;
--- a/relay/peers-internal.h
+++ b/relay/peers-internal.h
@@ -32,6 +32,8 @@
     bool facts_requested;         /* known facts were requested from peers */
     size_t http_rotation; /* offset at which peers_next_http_addr starts */
     retry_hosts_t retry_hosts; /* live hosts that share the retry slack */
+    speed_budget_t speed_budget;
+    uint16_t speed_cursor; /* number of the server that was announced last */
     uint64_t bytes_sent;
 };
 
@@ -65,6 +67,13 @@
 void peers_apply_signals(peers_t *peers, int64_t now);
 size_t peers_receivers(const peers_t *peers);
 void peers_send_to_some(peers_t *peers, const peer_datagram_t *datagram);
+void peers_send_to_random(peers_t *peers, const peer_datagram_t *datagram,
+                          size_t receivers);
+
+/* Speeds of servers. */
+void peers_announce_speeds(peers_t *peers, int64_t now);
+void peers_send_speeds(peers_t *peers, const char *addr);
+void peers_apply_speeds(peers_t *peers);
 
 /* Origins of streams. */
 void peers_send_origins(peers_t *peers, const char *addr);
--- a/relay/peers-signals.c
+++ b/relay/peers-signals.c
@@ -90,13 +90,14 @@
     return others < NOTIFIED_MAX ? others : NOTIFIED_MAX;
 }
 
-/* Sends a datagram to a few random daemons. */
+/* Sends a datagram to a number of random daemons. */
 void
-peers_send_to_some(peers_t *peers, const peer_datagram_t *datagram)
+peers_send_to_random(peers_t *peers, const peer_datagram_t *datagram,
+                     size_t receivers)
 {
     member_t members[QUOTA_HOSTS_MAX];
     size_t count = members_list(peers->members, members, QUOTA_HOSTS_MAX);
-    size_t left = NOTIFIED_MAX;
+    size_t left = receivers;
     for (size_t i = 1; i < count && left > 0; i++) {
         size_t other = i + rng_below(&peers->relay->rng, count - i);
         member_t chosen = members[other];
@@ -108,6 +109,13 @@
     }
 }
 
+/* Sends a datagram to a few random daemons. */
+void
+peers_send_to_some(peers_t *peers, const peer_datagram_t *datagram)
+{
+    peers_send_to_random(peers, datagram, NOTIFIED_MAX);
+}
+
 /* Notifies other daemons of the changes that this one has learned of.  Those
  * that exceed the datagram are sent with the next one. */
 void
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -40,13 +40,15 @@
 {
     peers_t *peers = arg;
     size_t intervals = 1 + peers_live_count(peers) / LOADS_HOSTS_PER_INTERVAL;
+    int64_t now = time_mono_ms();
     (void)fd;
     (void)what;
     peers_announce_signals(peers);
     peers_announce_parts(peers);
+    peers_announce_speeds(peers, now);
     if (++peers->load_intervals >= intervals) {
         peers->load_intervals = 0;
-        peers_notify_loads(peers, time_mono_ms());
+        peers_notify_loads(peers, now);
     }
 }
 
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -7,7 +7,7 @@
 /* The event loop of the router, its signals, its tick and its shutdown. */
 
 /* Interval of the work that no event triggers: waiting requests, leases,
- * sweeps of idle connections. */
+ * sweeps of idle connections, centring of learned speeds. */
 #define TICK_MS 100
 #define SWEEP_TICKS 5
 /* Capacity of the cache map: with about 20 prompts of three levels on each
@@ -93,6 +93,25 @@
     }
 }
 
+/* Writes the prefill rates of the services' engines. */
+static void
+write_speed_metrics(const servers_t *servers, buf_t *out)
+{
+    const service_speed_t *speed;
+    CK_SLIST_FOREACH (speed, &servers->speeds, entry) {
+        if (speed->model[0] != '\0') {
+            buf_fmt(out,
+                    "celeryspool_prefill_tokens_per_ms{service=\"%s\","
+                    "model=\"%s\"} %.2f\n"
+                    "celeryspool_first_token_ms{service=\"%s\","
+                    "model=\"%s\"} %.1f\n",
+                    speed->service, speed->model,
+                    engine_speed_rate(&speed->engine), speed->service,
+                    speed->model, speed->engine.first_token_ms);
+        }
+    }
+}
+
 /* Writes all metrics as text. */
 void
 relay_write_metrics(relay_t *relay, buf_t *out)
@@ -130,6 +149,7 @@
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
         write_server_metrics(server, now, out);
     }
+    write_speed_metrics(relay->servers, out);
     write_quota_metrics(&relay->quotas, out);
     write_retry_metrics(&relay->retry_shares, now, out);
 }
@@ -163,6 +183,7 @@
     (void)what;
     if (relay->tick_count++ % SWEEP_TICKS == 0) {
         exchanges_sweep(relay->exchanges);
+        servers_centre_speeds(relay->servers);
     }
     discovery_tick(relay);
     requests_tick(relay);
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -99,7 +99,7 @@
     }
     double backlog_tokens = server_update_backlog(server, now);
     tokens = backlog_tokens > tokens ? backlog_tokens : tokens;
-    return tokens * server->slowness / SERVER_PREFILL_TOKENS_PER_MS +
+    return tokens / server_prefill_rate(server, now) +
            server_slot_wait_ms(server, now);
 }
 
@@ -108,8 +108,9 @@
 {
     int running = server_count_in_flight(server, now);
     int excess = running - server->info.slots + 1;
-    return running * RUNNING_COST_MS +
-           (excess > 0 ? excess * NO_SLOT_COST_MS : 0);
+    double wait = running * RUNNING_COST_MS +
+                  (excess > 0 ? excess * NO_SLOT_COST_MS : 0);
+    return wait * server_speed_pace(&server->speed, now);
 }
 
 /* Caches the prefix levels of the prompt for one weights version.  Most
@@ -171,7 +172,8 @@
     relay_t *relay = request->relay;
     memset(out, 0, sizeof(*out));
     out->id = server->number;
-    out->prefill_rate = SERVER_PREFILL_TOKENS_PER_MS * 1000 / server->slowness;
+    double rate = server_prefill_rate(server, now);
+    out->prefill_rate = rate * 1000;
     out->running = server->own_running;
     out->same_dc = strcmp(server->info.dc, relay->settings.dc) == 0;
     double wait = request->engine ? expected_engine_wait_ms(server, now)
@@ -182,7 +184,8 @@
     wait += rejects ? FULL_COST_MS : 0;
     if (!request->engine) {
         out->rendezvous_weight = place_rendezvous_weight(0, server->info.id);
-        out->wait_ms = wait + penalty_ms(request, server);
+        out->wait_ms = wait + penalty_ms(request, server) +
+                       server_plain_extra_ms(server, now);
         return wait;
     }
     cache_view_t view;
@@ -195,7 +198,7 @@
     /* The request's own part is prefilled on any server.  The extra time that
      * a slower server needs for it counts as wait. */
     wait += (request->prompt.prompt_tokens - view.shared_tokens) *
-            (server->slowness - 1) / SERVER_PREFILL_TOKENS_PER_MS;
+            (1 / rate - 1 / server_mean_prefill_rate(server));
     wait += server_limit_cost_ms(&server->limit, request->prompt.prompt_tokens,
                                  relay->mean_prompt_tokens);
     out->rendezvous_weight =
@@ -375,17 +378,19 @@
     request->expected_wait_ms = waits[best];
     uint32_t cached_tokens = candidates[best].cached_tokens;
     uint32_t tokens = request->prompt.prompt_tokens;
-    request->expected_prefill_ms =
-        (tokens > cached_tokens ? tokens - cached_tokens : 0) * 1000.0 /
-        candidates[best].prefill_rate;
+    request->expected_prefill_tokens =
+        tokens > cached_tokens ? tokens - cached_tokens : 0;
+    request->expected_prefill_ms = request->expected_prefill_tokens * 1000.0 /
+                                   candidates[best].prefill_rate;
     log_record(
         LOG_INFO, "place", "chosen",
         "id=%s server=%s among=%zu usable=%zu excluded=%zu wait_ms=%.0f "
-        "held=%u of=%u weights=%lld config=%lld",
+        "held=%u of=%u weights=%lld config=%lld speed=%.1f",
         request->id, servers[best]->info.id, count, usable, excluded,
         waits[best], candidates[best].cached_tokens, prefix.tokens,
         (long long)servers[best]->info.weights,
-        (long long)request->config->version);
+        (long long)request->config->version,
+        candidates[best].prefill_rate / 1000);
     return servers[best];
 }
 
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -28,6 +28,9 @@
 #define SPEED_WAIT_MS_MAX 30.0
 #define SPEED_PREFILL_MS_MIN 60.0
 #define FIRST_TOKEN_MS 15.0
+/* Shorter prompts say little of the prefill rate: their time to the first
+ * token is nearly constant. */
+#define SPEED_TOKENS_MIN 256
 
 /* ---- the answer ---- */
 
@@ -46,19 +49,20 @@
 record_load(const relay_t *relay, server_t *server, const http_head_t *head)
 {
     const header_t *load = http_head_find(head, wire_header_name(HEADER_LOAD));
-    char text[64];
-    int running;
-    int waiting;
-    if (load == NULL) {
+    server_load_t report;
+    if (load == NULL ||
+        !platform_load_read(&report, http_head_at(head, load->value),
+                            load->value.len)) {
         return;
     }
-    http_head_copy(head, load->value, text, sizeof(text));
-    if (sscanf(text, "%d,%d,%*d", &running, &waiting) == 2) {
-        int64_t now = time_mono_ms();
-        server_set_load(server, running, waiting, now);
-        if (server->info.engine && server_should_announce_load(server, now)) {
-            peers_notify_reported_load(relay->peers, server);
-        }
+    int64_t now = time_mono_ms();
+    server_set_load(server, report.running, report.waiting, now);
+    server->reported_slots = report.slots;
+    if (report.pace != 0) {
+        server_state_pace(server, report.pace, now);
+    }
+    if (server->info.engine && server_should_announce_load(server, now)) {
+        peers_notify_reported_load(relay->peers, server);
     }
 }
 
@@ -217,6 +221,26 @@
     }
 }
 
+/* Learns the speed of an engine that had little queued ahead of a prompt. */
+static void
+observe_speed(const request_t *request, server_t *server, int64_t now)
+{
+    double ms = (double)(now - request->sent_ms);
+    if (request->answer == ANSWER_STREAM &&
+        request->expected_prefill_tokens >= SPEED_TOKENS_MIN) {
+        server_observe_prefill(server, request->expected_prefill_tokens, ms,
+                               now);
+    }
+    /* expected_prefill_ms includes the slowness known when it was sent, or is
+     * the learned one, which needs no slowness. */
+    if (!server_uses_learned_speed(server) &&
+        request->expected_prefill_ms > SPEED_PREFILL_MS_MIN) {
+        server_update_slowness(
+            server, request->expected_prefill_ms / request->server_slowness,
+            ms - FIRST_TOKEN_MS);
+    }
+}
+
 /* The first event or the whole answer was received: the prompt is prefilled
  * and the server has cached its parts. */
 void
@@ -230,12 +254,8 @@
     if (server == NULL) {
         return; /* another host observes the server */
     }
-    /* expected_prefill_ms includes the slowness known when it was sent. */
-    if (request->engine && request->expected_wait_ms < SPEED_WAIT_MS_MAX &&
-        request->expected_prefill_ms > SPEED_PREFILL_MS_MIN) {
-        server_update_slowness(
-            server, request->expected_prefill_ms / request->server_slowness,
-            (double)(now - request->sent_ms) - FIRST_TOKEN_MS);
+    if (request->engine && request->expected_wait_ms < SPEED_WAIT_MS_MAX) {
+        observe_speed(request, server, now);
     }
     request->answer_started_ms = now;
     record_forecast(request, now);
@@ -381,6 +401,11 @@
         case ANSWER_BUFFER:
             server_record_success(server);
             request_record_first_answer(request);
+            if (!request->engine) {
+                server_observe_plain_work(
+                    server, (double)(time_mono_ms() - request->sent_ms),
+                    time_mono_ms());
+            }
             request_note_answered(request);
             request_deliver(request, METER_ANSWERED, "answered");
             return;
--- a/relay/request.h
+++ b/relay/request.h
@@ -59,7 +59,8 @@
     meter_outcome_t outcome;
     int64_t deadline_ms;     /* the caller's deadline or the route's timeout */
     double expected_wait_ms; /* wait at the chosen server */
-    double expected_prefill_ms;    /* prefill of this prompt after that wait */
+    double expected_prefill_ms; /* prefill of this prompt after that wait */
+    uint32_t expected_prefill_tokens; /* behind expected_prefill_ms */
     double server_slowness;        /* of the server at the time of the send */
     int64_t not_before_ms;         /* no further attempt before this time */
     int64_t placement_deadline_ms; /* a server must be available by then */
--- a/relay/server-signals.h
+++ b/relay/server-signals.h
@@ -23,4 +23,14 @@
         brittle_per_s; /* rejections that it bears from all hosts together */
 } server_signals_t;
 
+/* What a server says of its load in the head of an answer. */
+typedef struct {
+    int running;
+    int waiting;
+    int slots;
+    int pace; /* percent of the time that work usually takes; 0: not said */
+} server_load_t;
+
+bool platform_load_read(server_load_t *load, const char *text, size_t len);
+
 #endif
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -42,12 +42,19 @@
 /* Weight of the newest answer in the smoothed share of errors, which covers
  * about the last ten answers. */
 #define ERROR_WEIGHT 0.1
+/* Weight of the newest observation in the smoothed work of plain servers, and
+ * the factor of the present value by which one observation is bounded. */
+#define PLAIN_WORK_WEIGHT 0.05
+#define PLAIN_WORK_OUTLIER_FACTOR 4
+/* A ratio is logged if it has changed by this factor. */
+#define LOGGED_CHANGE 1.1
 
 servers_t *
 servers_new(void)
 {
     servers_t *servers = mem_zalloc(sizeof(*servers));
     CK_LIST_INIT(&servers->list);
+    CK_SLIST_INIT(&servers->speeds);
     return servers;
 }
 
@@ -58,6 +65,11 @@
     while ((server = CK_LIST_FIRST(&servers->list)) != NULL) {
         servers_remove(servers, server);
     }
+    service_speed_t *speed;
+    while ((speed = CK_SLIST_FIRST(&servers->speeds)) != NULL) {
+        CK_SLIST_REMOVE_HEAD(&servers->speeds, entry);
+        free(speed);
+    }
     free(servers);
 }
 
@@ -143,6 +155,9 @@
     server->backlog_tokens = 0;
     server->error_share = 0;
     server->slowness = 1;
+    server->speed = (server_speed_t){0};
+    server->logged_ratio = 0;
+    server->reported_slots = 0;
     server->address_taken = false;
     server->unresponsive = false;
     server->software_in_doubt = false;
@@ -177,6 +192,26 @@
     }
 }
 
+/* Returns the speed of a service's servers of one model.  There are as many as
+ * configured services and models, so none is freed before the end. */
+static service_speed_t *
+find_service_speed(servers_t *servers, const server_entry_t *entry)
+{
+    service_speed_t *speed;
+    CK_SLIST_FOREACH (speed, &servers->speeds, entry) {
+        if (strcmp(speed->service, entry->service) == 0 &&
+            strcmp(speed->model, entry->model) == 0) {
+            return speed;
+        }
+    }
+    speed = mem_zalloc(sizeof(*speed));
+    str_copy(speed->service, sizeof(speed->service), entry->service);
+    str_copy(speed->model, sizeof(speed->model), entry->model);
+    engine_speed_init(&speed->engine);
+    CK_SLIST_INSERT_HEAD(&servers->speeds, speed, entry);
+    return speed;
+}
+
 /* Adds or updates a server by its entry.  Returns NULL if no number is free
  * for a new one. */
 server_t *
@@ -209,6 +244,7 @@
     bool renewed = server->info.started_ms != entry->started_ms ||
                    strcmp(server->info.addr, entry->addr) != 0;
     server->info = *entry;
+    server->service_speed = find_service_speed(servers, entry);
     hide_old_software(server);
     if (renewed) {
         reset_observations(servers, server, now_ms);
@@ -291,8 +327,7 @@
 double
 server_update_backlog(server_t *server, int64_t now_ms)
 {
-    double speed =
-        SERVER_PREFILL_TOKENS_PER_MS * BACKLOG_SPEED_SHARE / server->slowness;
+    double speed = server_prefill_rate(server, now_ms) * BACKLOG_SPEED_SHARE;
     double done_tokens = (double)(now_ms - server->backlog_updated_ms) * speed;
     server->backlog_tokens = server->backlog_tokens > done_tokens
                                  ? server->backlog_tokens - done_tokens
@@ -734,3 +769,134 @@
     }
     server->slowness += SLOWNESS_WEIGHT * (ratio - server->slowness);
 }
+
+/* ---- speed ---- */
+
+/* Returns whether the learned speed applies to a server: its service's servers
+ * report their pace, or a setting says so. */
+bool
+server_uses_learned_speed(const server_t *server)
+{
+    return server->learned_speed || (server->service_speed != NULL &&
+                                     server->service_speed->reports_pace);
+}
+
+/* Whether the learned rate applies to an engine. */
+static bool
+uses_learned_rate(const server_t *server)
+{
+    return server->service_speed != NULL && server_uses_learned_speed(server);
+}
+
+/* Returns the rate at which an engine is expected to prefill now, tokens/ms.
+ */
+double
+server_prefill_rate(const server_t *server, int64_t now_ms)
+{
+    if (!uses_learned_rate(server)) {
+        return SERVER_PREFILL_TOKENS_PER_MS / server->slowness;
+    }
+    return 1 / engine_speed_prefill_ms(&server->service_speed->engine,
+                                       &server->speed, 1, now_ms);
+}
+
+/* Returns the prefill rate of an engine's service, tokens/ms. */
+double
+server_mean_prefill_rate(const server_t *server)
+{
+    return uses_learned_rate(server)
+               ? engine_speed_rate(&server->service_speed->engine)
+               : SERVER_PREFILL_TOKENS_PER_MS;
+}
+
+/* Returns the time that a plain server takes longer for a request than at its
+ * usual pace, by the pace that it reports, ms. */
+double
+server_plain_extra_ms(const server_t *server, int64_t now_ms)
+{
+    double pace = server_speed_pace(&server->speed, now_ms);
+    return server->service_speed != NULL && pace > 1
+               ? server->service_speed->plain_work_ms * (pace - 1)
+               : 0;
+}
+
+/* Learns from the time to the first token of a prompt that had little queued
+ * ahead of it.  Services whose speed is not used are learned as well: the
+ * metrics show it. */
+void
+server_observe_prefill(server_t *server, double tokens, double ms,
+                       int64_t now_ms)
+{
+    if (server->service_speed == NULL) {
+        return;
+    }
+    if (engine_speed_observe(&server->service_speed->engine, &server->speed,
+                             tokens, ms, now_ms)) {
+        server_log_speed(server, "own");
+    }
+}
+
+/* Learns from the time that a plain server took for a request. */
+void
+server_observe_plain_work(server_t *server, double ms, int64_t now_ms)
+{
+    if (server->service_speed == NULL || !(ms > 0)) {
+        return;
+    }
+    double *work_ms = &server->service_speed->plain_work_ms;
+    ms /= server_speed_mean_pace(&server->speed, ms, now_ms);
+    if (*work_ms <= 0) {
+        *work_ms = ms;
+        return;
+    }
+    double most = *work_ms * PLAIN_WORK_OUTLIER_FACTOR;
+    *work_ms += PLAIN_WORK_WEIGHT * ((ms < most ? ms : most) - *work_ms);
+}
+
+/* Records the pace that a server reports. */
+void
+server_state_pace(server_t *server, int percent, int64_t now_ms)
+{
+    server_speed_state_pace(&server->speed, percent, now_ms);
+    if (server->service_speed != NULL) {
+        server->service_speed->reports_pace = true;
+    }
+}
+
+/* Logs a server's ratio if the learned speed applies and it has changed by a
+ * tenth since it was last logged. */
+void
+server_log_speed(server_t *server, const char *source)
+{
+    double ratio = server_speed_ratio(&server->speed);
+    double logged = server->logged_ratio > 0 ? server->logged_ratio : 1;
+    if (!uses_learned_rate(server) ||
+        (ratio < logged * LOGGED_CHANGE && logged < ratio * LOGGED_CHANGE)) {
+        return;
+    }
+    server->logged_ratio = ratio;
+    log_record(LOG_INFO, "servers", "speed",
+               "server=%s ratio=%.2f observations=%.1f rate=%.1f source=%s",
+               server->info.id, ratio,
+               server_speed_observations(&server->speed),
+               engine_speed_rate(&server->service_speed->engine), source);
+}
+
+/* Centres the ratios of each service's servers around 1. */
+void
+servers_centre_speeds(servers_t *servers)
+{
+    service_speed_t *speed;
+    CK_SLIST_FOREACH (speed, &servers->speeds, entry) {
+        server_speed_t *of_service[SERVER_NUMBERS_MAX];
+        size_t count = 0;
+        server_t *server;
+        CK_LIST_FOREACH (server, &servers->list, entry) {
+            if (server->service_speed == speed && !server->removed &&
+                server->info.engine) {
+                of_service[count++] = &server->speed;
+            }
+        }
+        engine_speed_centre(&speed->engine, of_service, count);
+    }
+}
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -4,6 +4,7 @@
 /* The backend servers that the platform lists, and what this host has observed
  * of them.  No I/O; times are passed in. */
 
+#include "../balance/engine-speed.h"
 #include "../kernel/base.h"
 #include "cached-parts.h"
 #include "server-brittle.h"
@@ -19,8 +20,9 @@
 #define SERVER_NUMBERS_MAX (HOLDER_NUMBERS_MAX - 8)
 #define SERVER_MODEL_MAX 64
 
-/* Prefill rate of an engine, including the decode steps in between.  Each
- * server's deviation from it is measured: see server_update_slowness. */
+/* Prefill rate of an engine, including the decode steps in between, where the
+ * learned one is not used.  Each server's deviation from it is measured: see
+ * server_update_slowness. */
 #define SERVER_PREFILL_TOKENS_PER_MS 48.0
 
 /* A server's entry on the platform, decoded by platform/server-read.c. */
@@ -49,6 +51,19 @@
     SERVER_FAULT_TIMEOUT  /* no answer before the timeout */
 } server_fault_t;
 
+/* Speed of a service's servers. */
+typedef struct service_speed {
+    CK_SLIST_ENTRY(service_speed) entry;
+    char service[CS_NAME_MAX];
+    char model[SERVER_MODEL_MAX]; /* empty for plain servers */
+    engine_speed_t engine;
+    /* Smoothed time that a plain server takes for a request at its usual pace,
+     * ms; 0 if unknown. */
+    double plain_work_ms;
+    bool
+        reports_pace; /* one of its servers has reported a pace to this host */
+} service_speed_t;
+
 #define SERVER_PEERS_MAX 384
 
 /* A host's load at a server, as last announced by that host. */
@@ -102,6 +117,7 @@
     int reported_running;   /* from the server's own load report */
     int reported_waiting;   /* from the server's own load report */
     int64_t reported_ms;    /* time of the last load report; 0 for never */
+    int reported_slots;     /* from the server's own load report; 0 unknown */
     /* When peers were last notified of the server's load report. */
     int64_t load_announced_ms;
     /* Smoothed time that a request occupies a slot, from its first token on;
@@ -112,8 +128,12 @@
     int64_t full_until_ms; /* counts as full after a rejection until then */
     /* When it rejected this host's last request; 0 if it took that one. */
     int64_t rejected_ms;
-    double error_share;  /* smoothed share of error answers */
-    double slowness;     /* smoothed ratio of observed to expected time */
+    double error_share;   /* smoothed share of error answers */
+    double slowness;      /* smoothed ratio of observed to expected time */
+    server_speed_t speed; /* its ratio to the service's mean, and its pace */
+    service_speed_t *service_speed; /* of its service; NULL if not listed */
+    double logged_ratio;            /* of its speed; 0 if it was not logged */
+    bool learned_speed;  /* the learned speed applies without a pace too */
     int64_t probed_ms;   /* time of the last probe */
     int64_t answered_ms; /* when data last arrived from the server */
     /* When the server last answered this host or a host that reported it. */
@@ -139,6 +159,7 @@
     unsigned list_generation; /* number of complete lists read */
     uint64_t seed; /* of this host's random decisions about servers */
     server_t *numbered[SERVER_NUMBERS_MAX]; /* NULL for a free number */
+    CK_SLIST_HEAD(service_speeds, service_speed) speeds; /* by service */
 } servers_t;
 
 uint64_t software_from_name(const char *version);
@@ -177,6 +198,16 @@
 double server_sum_peer_prefill(const server_t *server, int64_t now_ms);
 void server_update_slowness(server_t *server, double expected_ms,
                             double observed_ms);
+bool server_uses_learned_speed(const server_t *server);
+double server_prefill_rate(const server_t *server, int64_t now_ms);
+double server_mean_prefill_rate(const server_t *server);
+double server_plain_extra_ms(const server_t *server, int64_t now_ms);
+void server_observe_prefill(server_t *server, double tokens, double ms,
+                            int64_t now_ms);
+void server_observe_plain_work(server_t *server, double ms, int64_t now_ms);
+void server_state_pace(server_t *server, int percent, int64_t now_ms);
+void server_log_speed(server_t *server, const char *source);
+void servers_centre_speeds(servers_t *servers);
 bool server_needs_probe(const server_t *server, int64_t now_ms);
 void server_confirm_alive(server_t *server, int64_t now_ms);
 bool server_update_weights(server_t *server, int64_t weights,
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -441,6 +441,33 @@
 }
 END_TEST
 
+START_TEST(speeds_are_decoded_as_encoded)
+{
+    static peer_datagram_t datagram;
+    static peer_datagram_t out;
+    unsigned char data[PEER_DATAGRAM_MAX];
+    datagram.kind = PEER_SPEEDS;
+    datagram.speed_count = PEER_SPEEDS_MAX;
+    for (size_t i = 0; i < PEER_SPEEDS_MAX; i++) {
+        datagram.speeds[i] =
+            (peer_speed_t){.server_hash = UINT32_MAX - (uint32_t)i,
+                           .incarnation = UINT32_MAX,
+                           .ratio_milli = 700 + (uint32_t)i,
+                           .observations = (uint32_t)i};
+    }
+    size_t len = peer_encode(&datagram, secret, data);
+    ck_assert_uint_gt(len, 0);
+    ck_assert_int_eq(peer_decode(&out, secret, data, len), 0);
+    ck_assert_uint_eq(out.speed_count, PEER_SPEEDS_MAX);
+    for (size_t i = 0; i < PEER_SPEEDS_MAX; i++) {
+        ck_assert_uint_eq(out.speeds[i].server_hash, UINT32_MAX - (uint32_t)i);
+        ck_assert_uint_eq(out.speeds[i].incarnation, UINT32_MAX);
+        ck_assert_uint_eq(out.speeds[i].ratio_milli, 700 + (uint32_t)i);
+        ck_assert_uint_eq(out.speeds[i].observations, (uint32_t)i);
+    }
+}
+END_TEST
+
 START_TEST(usages_are_decoded_as_encoded)
 {
     static peer_datagram_t datagram;
@@ -496,6 +523,6 @@
           a_daemon_that_started_first_is_discovered_soon,
           seeds_that_are_gone_cost_little,
           all_members_agree_on_the_ranks_for_a_duty,
-          signals_are_decoded_as_encoded, usages_are_decoded_as_encoded,
-          loads_are_decoded_as_encoded,
+          signals_are_decoded_as_encoded, speeds_are_decoded_as_encoded,
+          usages_are_decoded_as_encoded, loads_are_decoded_as_encoded,
           forged_and_damaged_datagrams_are_rejected)
--- a/tests/test-server-signals.c
+++ b/tests/test-server-signals.c
@@ -134,7 +134,76 @@
 }
 END_TEST
 
+static bool
+read_load(const char *text, server_load_t *load)
+{
+    return platform_load_read(load, text, strlen(text));
+}
+
+static void
+check_load(const char *text, int running, int waiting, int slots, int pace)
+{
+    server_load_t load;
+    ck_assert_msg(read_load(text, &load), "%s", text);
+    ck_assert_msg(load.running == running && load.waiting == waiting &&
+                      load.slots == slots && load.pace == pace,
+                  "%s: %d,%d,%d,%d", text, load.running, load.waiting,
+                  load.slots, load.pace);
+}
+
+/* Guards against a pace that a header does not state: without the figure, or
+ * with a malformed one, the other figures count alone. */
+START_TEST(load_is_read_with_and_without_a_pace)
+{
+    check_load("3,1,16", 3, 1, 16, 0);
+    check_load("0,0,0", 0, 0, 0, 0);
+    check_load("3,1,16,100", 3, 1, 16, 100);
+    check_load("3,1,16,250", 3, 1, 16, 250);
+    check_load(" 3, 1 ,16 , 70 ", 3, 1, 16, 70);
+    check_load("3,1,16,1", 3, 1, 16, 1);
+    check_load("3,1,16,10000", 3, 1, 16, 10000);
+    check_load("3,1,16,250,7", 3, 1, 16, 250);
+    check_load("3,1,16,", 3, 1, 16, 0);
+    check_load("3,1,16,0", 3, 1, 16, 0);
+    check_load("3,1,16,-250", 3, 1, 16, 0);
+    check_load("3,1,16,10001", 3, 1, 16, 0);
+    check_load("3,1,16,99999999999999999999", 3, 1, 16, 0);
+    check_load("3,1,16,2.5", 3, 1, 16, 0);
+    check_load("3,1,16,slow", 3, 1, 16, 0);
+    check_load("3,1,16,1e2", 3, 1, 16, 0);
+    check_load("3,1,16,0x64", 3, 1, 16, 0);
+}
+END_TEST
+
+/* A malformed report must not count as an idle or a full server. */
+START_TEST(malformed_loads_are_ignored)
+{
+    const char *const malformed[] = {"",           ",",
+                                     ",,",         "3",
+                                     "3,1",        "3,1,",
+                                     ",1,16",      "3,,16",
+                                     "-3,1,16",    "3,-1,16",
+                                     "3,1,-16",    "+3,1,16",
+                                     "a,1,16",     "3,b,16",
+                                     "3,1,c",      "3;1;16",
+                                     "3 1 16",     "3.0,1,2",
+                                     "100001,1,2", "3,100001,2",
+                                     "3,1,999999", "9999999999,1,16",
+                                     "3,1,1 6",    "nan,1,16",
+                                     "3,1,0x10"};
+    for (size_t i = 0; i < sizeof(malformed) / sizeof(*malformed); i++) {
+        server_load_t load;
+        ck_assert_msg(!read_load(malformed[i], &load), "%s", malformed[i]);
+    }
+    server_load_t load;
+    /* The value of a header is not terminated. */
+    ck_assert(platform_load_read(&load, "3,1,16,25099", 9));
+    ck_assert_int_eq(load.pace, 25);
+}
+END_TEST
+
 TEST_MAIN("server-signals", limits_that_are_no_number_are_invalid,
           limit_is_read_under_both_names, lowest_of_several_limits_counts,
           rest_is_read_as_seconds_alone, brittle_is_read_as_a_rate,
-          only_1_says_that_a_server_leaves)
+          only_1_says_that_a_server_leaves,
+          load_is_read_with_and_without_a_pace, malformed_loads_are_ignored)
