--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -38,6 +38,31 @@
     quotas_config_end(&relay->quotas);
 }
 
+/* Sets what a server's service calls for. */
+static void
+mark_server(const relay_t *relay, server_t *server)
+{
+    const relay_service_t *service =
+        relay->config != NULL
+            ? relay_config_find_service(relay->config, server->info.service)
+            : NULL;
+    server->by_priority = service != NULL && service->priority_admission;
+    server->learned_speed = server->by_priority;
+}
+
+static void
+log_priority_services(const relay_config_t *config)
+{
+    const relay_service_t *service;
+    CK_SLIST_FOREACH (service, &config->services, entry) {
+        if (service->priority_admission) {
+            log_record(LOG_INFO, "config", "priority-admission",
+                       "service=%s most_urgent=%u", service->name,
+                       service->most_urgent_class);
+        }
+    }
+}
+
 /* Applies a configuration that is newer than the current one: lists and
  * watches may deliver an older state after a newer one. */
 static void
@@ -72,6 +97,11 @@
     relay->config_adopted_ms = time_mono_ms();
     cache_apply_config(relay);
     set_quotas(relay);
+    log_priority_services(config);
+    server_t *server;
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
+        mark_server(relay, server);
+    }
 }
 
 static void
@@ -242,6 +272,7 @@
         return;
     }
     server->revision = object->revision;
+    mark_server(relay, server);
     if (entry.engine) {
         weights_note_seen(relay, entry.model, entry.weights);
     }
--- a/relay/peer-loads.c
+++ b/relay/peer-loads.c
@@ -13,6 +13,27 @@
 /* Interval at which an unchanged load is repeated: shorter than the time after
  * which peers discard it. */
 #define REPEAT_MS 400
+/* Share of a server's slots that must be taken before the number of requests
+ * there is announced whenever it changes: below, there is room for a request
+ * of any class. */
+#define ANNOUNCED_SLOTS_SHARE 0.25
+
+/* Whether the number of requests at the server has to be announced.  Admission
+ * by priority keeps slots free, so that it has to know how many are taken;
+ * while most are free it would not decide otherwise. */
+static bool
+must_announce_running(const server_t *server, int64_t now)
+{
+    bool changed = server->own_running != server->announced_running;
+    bool repeat =
+        server->own_running > 0 && now - server->announced_ms >= REPEAT_MS;
+    if (now < server->loading_until_ms && changed) {
+        return true;
+    }
+    return server->by_priority && (changed || repeat) &&
+           server_count_in_flight(server, now) >=
+               server->info.slots * ANNOUNCED_SLOTS_SHARE;
+}
 
 static bool
 needs_announcement(const server_t *server, int64_t now)
@@ -30,9 +51,7 @@
     return change >= PREFILL_STEP_TOKENS || change <= -PREFILL_STEP_TOKENS ||
            prefill_done || sent || repeat ||
            unshared >= UNSHARED_STEP_TOKENS ||
-           server->own_running != server->announced_running ||
-           (server->own_running > 0 &&
-            now - server->announced_ms >= REPEAT_MS);
+           must_announce_running(server, now);
 }
 
 /* Loads that exceed the datagram are sent with the next one. */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -7,7 +7,7 @@
 /* The event loop of the router, its signals, its tick and its shutdown. */
 
 /* Interval of the work that no event triggers: waiting requests, leases,
- * sweeps of idle connections. */
+ * sweeps of idle connections, centring of learned speeds. */
 #define SWEEP_TICKS 5
 /* Interval at which requests that wait for room are looked at, ms. */
 #define QUEUE_INTERVAL_MS 25
@@ -121,6 +121,25 @@
     }
 }
 
+/* Writes the prefill rates of the services' engines. */
+static void
+write_speed_metrics(const servers_t *servers, buf_t *out)
+{
+    const service_speed_t *speed;
+    CK_SLIST_FOREACH (speed, &servers->speeds, entry) {
+        if (speed->model[0] != '\0') {
+            buf_fmt(out,
+                    "celeryspool_prefill_tokens_per_ms{service=\"%s\","
+                    "model=\"%s\"} %.2f\n"
+                    "celeryspool_first_token_ms{service=\"%s\","
+                    "model=\"%s\"} %.1f\n",
+                    speed->service, speed->model,
+                    engine_speed_rate(&speed->engine), speed->service,
+                    speed->model, speed->engine.first_token_ms);
+        }
+    }
+}
+
 /* Writes all metrics as text. */
 void
 relay_write_metrics(relay_t *relay, buf_t *out)
@@ -160,6 +179,7 @@
         write_server_metrics(server, now, out);
     }
     service_states_write_metrics(&relay->service_states, out);
+    write_speed_metrics(relay->servers, out);
     write_quota_metrics(&relay->quotas, out);
     write_retry_metrics(&relay->retry_shares, now, out);
 }
@@ -193,6 +213,7 @@
     (void)what;
     if (relay->tick_count++ % SWEEP_TICKS == 0) {
         exchanges_sweep(relay->exchanges);
+        servers_centre_speeds(relay->servers);
     }
     discovery_tick(relay);
     service_states_tick(&relay->service_states, time_mono_ms());
