Wait queue, return times: tests alone and over fleets in virtual time

Guards the order, the bounds and what callers get: 4, 35 and 350 hosts without knowledge of each other's queues, two classes above capacity for 5 s, one workspace at five times its load, half of the hosts killed.

--- a/balance/return-times.h
+++ b/balance/return-times.h
@@ -29,6 +29,8 @@
     int64_t rate_ms;
     size_t promise_count;
     return_promise_t promises[RETURN_PROMISES_MAX]; /* in no order */
+    double told_mean;      /* recent return times, by the longest honoured */
+    double told_deviation; /* their mean absolute deviation */
     return_counters_t counters;
 } return_class_t;
 
@@ -46,6 +48,9 @@
 int64_t return_time_next(return_times_t *times, unsigned priority_class,
                          int64_t waited_ms, int64_t remaining_ms,
                          int64_t now_ms);
+int64_t return_wait_ms(const return_times_t *times, unsigned priority_class,
+                       int64_t wait_max_ms, int64_t waited_ms,
+                       int64_t remaining_ms);
 double return_times_rate(const return_times_t *times, unsigned priority_class,
                          int64_t now_ms);
 size_t return_times_outstanding(return_times_t *times, unsigned priority_class,
--- a/tests/wait-fleet.h
+++ b/tests/wait-fleet.h
@@ -4,9 +4,9 @@
 /* Simulates hosts with a wait queue and return times each, which share engines
  * with slots, in virtual time.  A short urgent class and a long one compete;
  * one of three workspaces may send several times its usual load.  A rejected
- * caller retries once at another host after its retry-after, or three times at
- * once.  Admission is a stand-in: a fixed reserve of slots for the urgent
- * class. */
+ * caller retries once at another host after its retry-after, or comes back
+ * early three times.  Admission is a stand-in: a fixed reserve of slots for
+ * the urgent class. */
 
 #include "../balance/return-times.h"
 #include "../balance/wait-queue.h"
@@ -40,8 +40,6 @@
     {2, 12000, 400, 2000, 4000, 0.00214, 3}};
 #define FLEET_KINDS (sizeof(fleet_kinds) / sizeof(fleet_kinds[0]))
 
-typedef enum { FLEET_PENDING, FLEET_SERVED, FLEET_REJECTED } fleet_state_t;
-
 typedef struct fleet_caller {
     wait_item_t item;
     CK_SLIST_ENTRY(fleet_caller) due; /* in arrivals */
@@ -52,8 +50,8 @@
     int64_t placed_ms;
     int64_t hold_ms;
     unsigned attempts;
-    bool hasty; /* retries three times at once */
-    fleet_state_t state;
+    bool hasty; /* comes back early, three times */
+    bool served;
 } fleet_caller_t;
 
 typedef struct {
@@ -82,7 +80,8 @@
     double load;                    /* of all workspaces during the burst */
     double heavy_load[FLEET_KINDS]; /* of one of them, besides */
     double hasty_share;             /* of the callers */
-    int64_t down_ms; /* when half of the hosts die; 0 for never */
+    double hasty_after; /* part of the retry-after that these wait */
+    int64_t down_ms;    /* when half of the hosts die; 0 for never */
     size_t longest_queue;
     rng_t rng;
 } fleet_t;
@@ -105,14 +104,6 @@
     return fleet;
 }
 
-static inline void
-fleet_come(fleet_t *fleet, fleet_caller_t *caller, int64_t at_ms)
-{
-    if (at_ms < FLEET_RUN_MS) {
-        CK_SLIST_INSERT_HEAD(&fleet->arrivals[at_ms], caller, due);
-    }
-}
-
 /* Adds up what a caller got, and frees it. */
 static inline void
 fleet_settle(fleet_t *fleet, fleet_caller_t *caller)
@@ -123,16 +114,26 @@
         fleet_result_t *result =
             &fleet->results[caller->kind - fleet_kinds][caller->workspace]
                            [caller->hasty];
-        bool served = caller->state == FLEET_SERVED;
         result->callers++;
-        result->served += served;
+        result->served += caller->served;
         result->delay_ms +=
-            (double)(served ? caller->placed_ms - caller->first_ms
-                            : caller->kind->timeout_ms);
+            (double)(caller->served ? caller->placed_ms - caller->first_ms
+                                    : caller->kind->timeout_ms);
     }
     free(caller);
 }
 
+/* A caller that comes after the end of the run is counted as rejected. */
+static inline void
+fleet_come(fleet_t *fleet, fleet_caller_t *caller, int64_t at_ms)
+{
+    if (at_ms >= FLEET_RUN_MS) {
+        fleet_settle(fleet, caller);
+        return;
+    }
+    CK_SLIST_INSERT_HEAD(&fleet->arrivals[at_ms], caller, due);
+}
+
 /* Rejects an attempt: the caller gives up or comes back to another host. */
 static inline void
 fleet_reject(fleet_t *fleet, fleet_caller_t *caller, int64_t now)
@@ -144,23 +145,14 @@
                          caller->kind->priority_class, waited, remaining, now);
     ck_assert_int_le(after, remaining / 3);
     if (caller->attempts > (caller->hasty ? 3 : 1)) {
-        caller->state = FLEET_REJECTED;
         fleet_settle(fleet, caller);
         return;
     }
-    fleet_come(fleet, caller, now + (caller->hasty ? 1 : after));
-}
-
-/* How long an attempt may wait.  A caller whose first wait at a host has ended
- * may only wait again after the shortest return time. */
-static inline int64_t
-fleet_wait_ms(const fleet_caller_t *caller, int64_t waited)
-{
-    int64_t first = caller->kind->wait_max_ms;
-    if (waited < first) {
-        return first - waited;
-    }
-    return waited < first + 150 ? 1 : first;
+    fleet_come(
+        fleet, caller,
+        now + 1 +
+            (caller->hasty ? (int64_t)((double)after * fleet->hasty_after)
+                           : after));
 }
 
 /* An attempt arrives at a host that is up. */
@@ -184,7 +176,12 @@
     caller->item.cost = (double)caller->hold_ms;
     caller->item.waited_ms = waited;
     caller->item.arrived_ms = now;
-    caller->item.deadline_ms = now + fleet_wait_ms(caller, waited);
+    /* One step more, in which it is placed if there is capacity. */
+    caller->item.deadline_ms =
+        now + 1 +
+        return_wait_ms(&host->times, caller->kind->priority_class,
+                       caller->kind->wait_max_ms, waited,
+                       caller->kind->timeout_ms - waited);
     if (!wait_queue_push(&host->queue, &caller->item, now, &evicted)) {
         fleet_reject(fleet, caller, now);
     }
@@ -251,7 +248,7 @@
         fleet->released[now + caller->hold_ms][engine]++;
     }
     caller->placed_ms = now;
-    caller->state = FLEET_SERVED;
+    caller->served = true;
     fleet_settle(fleet, caller);
     return true;
 }
@@ -302,8 +299,9 @@
                 (burst ? fleet->load : 1) *
                 (burst && w == FLEET_HEAVY ? fleet->heavy_load[k] : 1);
             /* Poisson arrivals: exponential gaps within the millisecond. */
-            for (double at = -log(1 - rng_unit(&fleet->rng)); at < due;
-                 at += -log(1 - rng_unit(&fleet->rng))) {
+            double at = -log(1 - rng_unit(&fleet->rng));
+            while (at < due) {
+                at -= log(1 - rng_unit(&fleet->rng));
                 fleet_caller_t *caller = mem_zalloc(sizeof(*caller));
                 caller->kind = kind;
                 caller->workspace = w;
@@ -343,26 +341,45 @@
     }
 }
 
+/* Runs from the start, until all who came are served or rejected. */
 static inline void
 fleet_run(fleet_t *fleet)
 {
     for (int64_t now = 0; now < FLEET_RUN_MS; now++) {
         fleet_step(fleet, now);
     }
+    for (size_t i = 0; i < fleet->hosts; i++) {
+        wait_item_t *item;
+        while ((item = wait_queue_first(&fleet->host[i].queue)) != NULL) {
+            wait_queue_remove(&fleet->host[i].queue, item, false);
+            fleet_settle(fleet, (fleet_caller_t *)item);
+        }
+    }
+}
+
+static inline void
+fleet_add(fleet_result_t *sum, const fleet_result_t *result)
+{
+    sum->callers += result->callers;
+    sum->served += result->served;
+    sum->delay_ms += result->delay_ms;
 }
 
-/* Returns the sum of the results of a kind over some workspaces. */
+/* Returns the sum of the results of a kind, from some workspace on. */
 static inline fleet_result_t
 fleet_sum(const fleet_t *fleet, size_t kind, size_t from_workspace, bool hasty)
 {
     fleet_result_t sum = {0};
     for (size_t w = from_workspace; w < FLEET_WORKSPACES; w++) {
-        const fleet_result_t *result = &fleet->results[kind][w][hasty];
-        sum.callers += result->callers;
-        sum.served += result->served;
-        sum.delay_ms += result->delay_ms;
+        fleet_add(&sum, &fleet->results[kind][w][hasty]);
     }
     return sum;
 }
 
+static inline double
+fleet_served_share(fleet_result_t result)
+{
+    return result.served / result.callers;
+}
+
 #endif
