--- a/balance/return-times.c
+++ b/balance/return-times.c
@@ -251,8 +251,9 @@
                int64_t wait_max_ms, int64_t waited_ms, int64_t remaining_ms)
 {
     const return_class_t *class =
-        &times->classes[priority_class < RETURN_CLASSES ? priority_class
-                                                        : RETURN_CLASSES - 1];
+        &times->classes[priority_class < PRIORITY_CLASSES
+                            ? priority_class
+                            : PRIORITY_CLASSES - 1];
     if (waited_ms < wait_max_ms) {
         return wait_max_ms - waited_ms;
     }
