--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -250,7 +250,6 @@
             state->sent[request->priority_class]++;
             return_times_note_admitted(&state->return_times,
                                        request->priority_class, now);
-            request_leave_queue(request, true);
             request->raised = admission.raised;
             request_send(request, server);
             return true;
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -521,6 +521,7 @@
 void
 request_begin_answer(request_t *request)
 {
+    request_leave_queue(request, true);
     request->answer = ANSWER_NONE;
     request->headers.len =
         request->phase == REQUEST_STREAMING ? request->headers.len : 0;
