Requests: a repeat waits for a kept connection that is busy

Cause: while only kept connections reach the servers and all of them are busy, a repeat waited an eighth of its route's target (12 ms at 100 ms) for one and failed with 502 at the next tick. A connection that became free in between went to the next new request, since waiting ones were placed only every 100 ms.

Change: a repeat that could run at a server whose kept connections are all busy with other requests of this host waits up to half of its remaining time. When an exchange ends and its connection is idle, the oldest such repeat is placed at once.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -71,6 +71,8 @@
     addr_pools_t pools;
     struct sockaddr_in source; /* of new connections; any if 0.0.0.0 */
     uint64_t opened;
+    void (*on_idle)(void *arg); /* NULL for none */
+    void *on_idle_arg;
 };
 
 struct exchange {
@@ -112,6 +114,16 @@
     (void)inet_pton(AF_INET, ip, &exchanges->source.sin_addr);
 }
 
+/* Sets a hook that is called when an exchange has ended and its connection is
+ * idle. */
+void
+exchanges_set_on_idle(exchanges_t *exchanges, void (*on_idle)(void *arg),
+                      void *arg)
+{
+    exchanges->on_idle = on_idle;
+    exchanges->on_idle_arg = arg;
+}
+
 static addr_pool_t *
 pool_find(exchanges_t *exchanges, const char *addr)
 {
@@ -250,10 +262,11 @@
     hooks.on_end(hooks.arg, end);
 }
 
-/* Keeps the connection for a later exchange, or closes it.  It can be reused
- * if the server keeps it open, the request was sent completely, there is no
- * input beyond the response, and not too many are idle. */
-static void
+/* Keeps the connection for a later exchange, or closes it; false if it is
+ * closed.  It can be reused if the server keeps it open, the request was sent
+ * completely, there is no input beyond the response, and not too many are
+ * idle. */
+static bool
 conn_keep(conn_t *conn)
 {
     exchange_t *exchange = conn->exchange;
@@ -264,13 +277,14 @@
         exchange->keep_alive_ms <= 0 ||
         conn->pool->idle_count >= IDLE_CONNECTIONS_MAX) {
         conn_free(conn);
-        return;
+        return false;
     }
     conn->exchange = NULL;
     conn->expires_ms = time_mono_ms() + exchange->keep_alive_ms;
     conn->pool->busy_count--;
     conn->pool->idle_count++;
     CK_LIST_INSERT_HEAD(&conn->pool->idle, conn, entry);
+    return true;
 }
 
 static void
@@ -341,10 +355,13 @@
 static void
 response_complete(exchange_t *exchange)
 {
-    conn_t *conn = exchange->conn;
-    conn_keep(conn);
+    exchanges_t *owner = exchange->owner;
+    bool kept = conn_keep(exchange->conn);
     exchange->conn = NULL;
     exchange_end(exchange, EXCHANGE_COMPLETE);
+    if (kept && owner->on_idle != NULL) {
+        owner->on_idle(owner->on_idle_arg);
+    }
 }
 
 /* Parses buffered input and counts what is not passed to the owner. */
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -58,6 +58,8 @@
 exchanges_t *exchanges_new(struct event_base *base);
 void exchanges_free(exchanges_t *exchanges);
 void exchanges_set_source(exchanges_t *exchanges, const char *ip);
+void exchanges_set_on_idle(exchanges_t *exchanges, void (*on_idle)(void *arg),
+                           void *arg);
 void exchanges_sweep(exchanges_t *exchanges);
 bool exchanges_has_idle(exchanges_t *exchanges, const char *addr);
 void exchanges_close_idle(exchanges_t *exchanges, const char *addr);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -155,6 +155,12 @@
     }
 }
 
+static void
+on_idle_connection(void *arg)
+{
+    requests_place_repeat(arg);
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -227,6 +233,7 @@
         return err_set(err, ERR_HTTP, 1, "cannot create an event loop");
     }
     relay->exchanges = exchanges_new(relay->base);
+    exchanges_set_on_idle(relay->exchanges, on_idle_connection, relay);
     if (relay->settings.source_ip[0] != '\0') {
         exchanges_set_source(relay->exchanges, relay->settings.source_ip);
     }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -156,6 +156,7 @@
 void request_answer_no_room(caller_t *caller);
 void request_caller_disconnected(request_t *request);
 void requests_tick(relay_t *relay);
+void requests_place_repeat(relay_t *relay);
 void requests_drop_blocked(relay_t *relay);
 void requests_apply_origin(relay_t *relay, const stream_origin_t *origin);
 void requests_note_origin_unknown(relay_t *relay, uint64_t stream,
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -69,16 +69,15 @@
                      request->relay->settings.old_weights_max_ms);
 }
 
-/* Whether a server may serve the request, apart from its rate limit and the
- * rest that it asks for. */
+/* Whether a server may serve the request if this host reaches it, apart from
+ * its rate limit and the rest that it asks for. */
 static bool
-can_serve(const request_t *request, const server_t *server, int64_t now)
+could_serve(const request_t *request, const server_t *server, int64_t now)
 {
     if (strcmp(server->info.service, request->service) != 0 ||
         !server_is_usable(server, now) || is_tried(request, server) ||
         !request_fits_version(request, server) ||
-        request_avoids_doubt(request, server) ||
-        !relay_reaches(request->relay, server)) {
+        request_avoids_doubt(request, server)) {
         return false;
     }
     if (!request->engine) {
@@ -89,6 +88,47 @@
            are_weights_allowed(request, server);
 }
 
+/* Whether a server may serve the request, apart from its rate limit and the
+ * rest that it asks for. */
+static bool
+can_serve(const request_t *request, const server_t *server, int64_t now)
+{
+    return could_serve(request, server, now) &&
+           relay_reaches(request->relay, server);
+}
+
+/* Whether a server can take the request now. */
+bool
+request_has_server(const request_t *request, int64_t now)
+{
+    const server_t *server;
+    CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
+        if (can_serve(request, server, now) &&
+            server_allows_request(server, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether only kept connections reach the servers, and one that the request
+ * could use is busy with another request of this host. */
+bool
+request_lacks_kept_connection(const request_t *request, int64_t now)
+{
+    const server_t *server;
+    if (request->relay->reach.state != REACH_KEPT) {
+        return false;
+    }
+    CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
+        if (server->own_running > 0 && could_serve(request, server, now) &&
+            server_allows_request(server, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static double
 expected_engine_wait_ms(server_t *server, int64_t now)
 {
--- a/relay/request.c
+++ b/relay/request.c
@@ -8,6 +8,10 @@
  * this.  After a longer wait the answer would be late, while the caller could
  * still have retried in time. */
 #define PLACEMENT_WAIT_DIVISOR 8
+/* A repeat that only lacks a free kept connection waits for at most its
+ * remaining time divided by this: without one it fails, and the other half is
+ * left for the answer. */
+#define KEPT_WAIT_DIVISOR 2
 /* Retry-After values, ms.  A daemon without a configuration needs one list of
  * the store; without a usable server, a circuit breaker first stays open for
  * this long; when all servers are full, a few of their answers complete. */
@@ -322,8 +326,14 @@
         request->placement_deadline_ms = request->deadline_ms;
         return;
     }
-    request->placement_deadline_ms =
-        now + request->route->target_latency_ms / PLACEMENT_WAIT_DIVISOR;
+    int64_t wait_ms =
+        request->route->target_latency_ms / PLACEMENT_WAIT_DIVISOR;
+    int64_t kept_wait_ms = (request->deadline_ms - now) / KEPT_WAIT_DIVISOR;
+    if (kept_wait_ms > wait_ms && request_own_runs(request) > 0 &&
+        request_lacks_kept_connection(request, now)) {
+        wait_ms = kept_wait_ms;
+    }
+    request->placement_deadline_ms = now + wait_ms;
 }
 
 /* An attempt has failed: retries the request or ends it. */
@@ -457,6 +467,44 @@
                (int64_t)request->relay->settings.old_weights_max_ms);
 }
 
+/* Whether a waiting request may be placed now.  Placement after a first
+ * attempt is a retry and must be within the share, unless the request fails
+ * otherwise. */
+static bool
+may_place(const request_t *request, int64_t now)
+{
+    return request->exchange == NULL && now >= request->not_before_ms &&
+           (request->sends == 0 || now >= request->placement_deadline_ms ||
+            retry_share_can_retry(&request->relay->retry_shares,
+                                  request->service, now));
+}
+
+/* A kept connection is free again.  While new ones do not reach the servers,
+ * places the oldest of the waiting requests that may have run and can use it:
+ * without one they fail, and a new request could take it before the next tick.
+ */
+void
+requests_place_repeat(relay_t *relay)
+{
+    int64_t now = time_mono_ms();
+    request_t *oldest = NULL;
+    request_t *request;
+    if (relay->reach.state != REACH_KEPT) {
+        return;
+    }
+    CK_LIST_FOREACH (request, &relay->requests, entry) {
+        if (request_own_runs(request) > 0 && !request->origin_pending &&
+            may_place(request, now) &&
+            (oldest == NULL || request->received_ms < oldest->received_ms) &&
+            request_has_server(request, now)) {
+            oldest = request;
+        }
+    }
+    if (oldest != NULL) {
+        (void)request_place(oldest);
+    }
+}
+
 /* Places waiting requests as soon as a server can take them, and ends those
  * whose placement deadline has passed. */
 void
@@ -481,8 +529,6 @@
             abandon_attempt(request);
             continue;
         }
-        /* Placement after a first attempt is a retry and must be within the
-         * share. */
         if (request->origin_pending) {
             request_tick_origin(request, now);
             continue;
@@ -491,10 +537,7 @@
             request_end_if_version_gone(request)) {
             continue;
         }
-        if (request->exchange != NULL || now < request->not_before_ms ||
-            (request->sends > 0 && now < request->placement_deadline_ms &&
-             !retry_share_can_retry(&relay->retry_shares, request->service,
-                                    now))) {
+        if (!may_place(request, now)) {
             continue;
         }
         if (request_place(request) || now < request->placement_deadline_ms) {
