Priorities: bands keep the order of requests behind a load of weights

Cause: for the longest timeout after a host first used a server on its present weights, all its requests carried the least urgent priority, and so lost their order among themselves; also at a first use without any load.

Change: balance/priority-band.c chooses the priority by the loads that the host knows of. Requests after a load are in the second band (3 to 5) if all earlier ones are in the first, that is if twice the longest timeout has passed since the last load or start; after a load that follows such a one in the third band (6 to 8); else they are of the least urgency. Class 3 shares the last priority of its band: with one of its own it would be as urgent as class 0 after a load. A count of the loads within the longest timeout does not suffice: requests of a band run for that long after the count has fallen. A host that has just learned of a running server sends the least urgency, and the others then do so too behind a load, since its requests may go on through it. relay/request-priority.c tracks loads and starts. It is used only for services with priority_order, which no configuration sets yet; the present rule holds for all others.

What hosts know may differ by up to 1.5 s. A host that does not know of a load expects the older weights, and the engine rejects its requests (as before). Where a decision depends on time, the third band needs a margin of 3 s, so that no other host can have chosen the least urgency.

Ruled out: the band from the count of loads, or a third band without that margin; the property test finds both. Not covered: a host that sends its first requests before the others know of it, with a load within that time, and hosts of an earlier release beside this one.

--- a/relay/peers-duty.c
+++ b/relay/peers-duty.c
@@ -59,6 +59,20 @@
     return false;
 }
 
+/* Lists the processes of the known daemons, this one included: a host that
+ * starts again is another process. */
+size_t
+peers_list_processes(peers_t *peers, uint64_t *out, size_t max)
+{
+    member_t members[QUOTA_HOSTS_MAX];
+    size_t wanted = max < QUOTA_HOSTS_MAX ? max : QUOTA_HOSTS_MAX;
+    size_t count = members_list(peers->members, members, wanted);
+    for (size_t i = 0; i < count; i++) {
+        out[i] = str_hash(members[i].peer_addr, members[i].incarnation);
+    }
+    return count;
+}
+
 /* Chooses the host to forward a request to; false if there is none. */
 bool
 peers_choose_helper(peers_t *peers, const helpers_tried_t *tried,
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -23,6 +23,7 @@
 void peers_ask_origin(peers_t *peers, stream_query_t *query);
 void peers_ask_origin_again(peers_t *peers, const stream_query_t *query);
 bool peers_is_alive(peers_t *peers, const char *peer_addr);
+size_t peers_list_processes(peers_t *peers, uint64_t *out, size_t max);
 bool peers_next_http_addr(peers_t *peers, char addr[CS_ADDR_MAX]);
 
 #endif
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -56,6 +56,9 @@
     double link_bits_per_ms; /* for transfers of cached parts; 0: unknown */
     int max_event_calls;     /* concurrent, to a server; not enforced */
     int max_connections;     /* of a server; not enforced */
+    /* Requests keep their order behind a load of weights: see
+     * priority-band.h. */
+    bool priority_order;
 } relay_service_t;
 
 /* The unit of a workspace's limit. */
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -171,6 +171,7 @@
         exchanges_sweep(relay->exchanges);
     }
     discovery_tick(relay);
+    priorities_tick(relay);
     requests_tick(relay);
     rollout_tick(relay->rollout);
     cache_follower_tick(relay->cache_follower);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -68,6 +68,21 @@
 
 typedef CK_LIST_HEAD(request_list, request) request_list_t;
 
+/* ---- priorities at engines ---- */
+
+/* What has changed among the hosts, for priority-band.h. */
+typedef struct {
+    bool tracks;           /* a service keeps the order of its requests */
+    int64_t since_wall_ms; /* since when loads are tracked, wall clock */
+    int64_t changed_ms;    /* a host started, or loads may have been missed */
+    int64_t longest_ms;    /* highest of the longest timeouts so far */
+    int64_t ticked_ms;
+    int64_t hosts_compared_ms;
+    uint64_t hosts[QUOTA_HOSTS_MAX]; /* known processes of other hosts */
+    size_t host_count;
+    uint64_t hosts_digest;
+} priority_watch_t;
+
 struct relay {
     settings_t settings;
     struct event_base *base;
@@ -109,6 +124,7 @@
     retry_shares_t retry_shares;
     quotas_t quotas;
     forecast_t forecast; /* error of the engines' expected latency */
+    priority_watch_t priority_watch;
 
     rng_t rng;
     uint64_t placement_count;
@@ -157,6 +173,7 @@
 void request_caller_disconnected(request_t *request);
 void requests_tick(relay_t *relay);
 void requests_place_repeat(relay_t *relay);
+void priorities_tick(relay_t *relay);
 void requests_drop_blocked(relay_t *relay);
 void requests_apply_origin(relay_t *relay, const stream_origin_t *origin);
 void requests_note_origin_unknown(relay_t *relay, uint64_t stream,
--- a/relay/request-head.c
+++ b/relay/request-head.c
@@ -6,9 +6,6 @@
 
 /* Writes the head of a request as it is sent on. */
 
-/* The lowest urgency that an engine knows. */
-#define PRIORITY_LEAST_URGENT 9
-
 static void
 add_header(buf_t *out, wire_header_t header, const char *value)
 {
@@ -124,30 +121,6 @@
                        isolated ? request->workspace->name : "", out);
 }
 
-/* Returns the priority in an engine's queue, 0 for the most urgent.
- *
- * An engine whose memory runs out preempts the newest of the least urgent
- * requests.  One that has gone on through a load of weights must not be
- * preempted: it would be prefilled again by the newer weights, but cached
- * under the salt of the older ones.  As long as such a request may run, all
- * others are of the least urgency, so that one of these, which are newer, is
- * preempted instead. */
-static int
-engine_priority(const request_t *request, server_t *server)
-{
-    int priority = request->route->priority;
-    if (request->workspace != NULL && request->workspace->has_priority) {
-        priority = request->workspace->priority;
-    }
-    if (server_use_weights(server, request->sent_ms) <
-        request->config->longest_timeout_ms) {
-        return PRIORITY_LEAST_URGENT;
-    }
-    return priority < 0                       ? 0
-           : priority > PRIORITY_LEAST_URGENT ? PRIORITY_LEAST_URGENT
-                                              : priority;
-}
-
 /* Adds the headers for engines alone: cache salt, expected weights version,
  * cache sources and priority in the engine's queue. */
 static void
@@ -162,7 +135,8 @@
                    (long long)request->weights_version);
     add_header(out, HEADER_EXPECT_VERSION, text);
     add_cache_headers(request, server, out);
-    (void)snprintf(text, sizeof(text), "%d", engine_priority(request, server));
+    (void)snprintf(text, sizeof(text), "%d",
+                   request_engine_priority(request, server));
     add_header(out, HEADER_PRIORITY, text);
 }
 
--- a/relay/request.h
+++ b/relay/request.h
@@ -165,6 +165,8 @@
 bool request_reject_if_fatal(request_t *request);
 void request_note_quota(request_t *request);
 void request_count_in_shares(request_t *request);
+bool request_keeps_priority_order(const request_t *request);
+int request_engine_priority(const request_t *request, server_t *server);
 bool request_has_server(const request_t *request, int64_t now);
 bool request_lacks_kept_connection(const request_t *request, int64_t now);
 server_t *request_choose_server(request_t *request, int64_t now);
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -4,6 +4,7 @@
 /* The backend servers that the platform lists, and what this host has observed
  * of them.  No I/O; times are passed in. */
 
+#include "../balance/priority-band.h"
 #include "../kernel/base.h"
 #include "cached-parts.h"
 #include "server-brittle.h"
@@ -73,6 +74,12 @@
     int64_t loading_until_ms;
     int64_t used_weights;    /* on which this host last sent a request */
     int64_t used_weights_ms; /* when it first sent one on them */
+    /* Loads at the server, where requests keep their order behind these, and
+     * the start and weights up to which they are known. */
+    priority_band_t priority_band;
+    bool loads_tracked;
+    int64_t tracked_start_ms;
+    int64_t tracked_weights;
     uint32_t id_hash; /* of the id; identifies the server to other hosts */
     uint16_t number;  /* in the cache map; reused after removal */
     /* When the entry disappeared from the platform; 0 if it is listed. */
