--- a/relay/relay-config.c
+++ b/relay/relay-config.c
@@ -95,6 +95,7 @@
     for (unsigned i = first + 1; i < PRIORITY_CLASSES; i++) {
         if (target_ms[first] <= target_ms[i] * PRIORITY_TARGET_SHARE) {
             service->priority_admission = true;
+            service->priority_order = true;
         }
     }
 }
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -62,6 +62,9 @@
      * relay_config_mark_priority_services. */
     bool priority_admission;
     unsigned most_urgent_class; /* of its routes */
+    /* Requests keep their order behind a load of weights: see
+     * priority-band.h. */
+    bool priority_order;
 } relay_service_t;
 
 /* The unit of a workspace's limit. */
