Settings: memory_mb, the memory of a relay's host

Cause: a relay does not know how much memory its host has, so what it holds for slow callers and servers cannot be bounded by it. Change: setting memory_mb in [relay], filled from limits.memory_mb by the template if the platform states it; 0 or absent means not known. Nothing uses it yet.

--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -125,6 +125,10 @@
     {"relay", "quota_slack", SETTING_REAL, OFFSET_OF(quota_slack), 0, 0,
      100000000, MODE_RELAY, false, "0",
      "additional units by which a limit may be exceeded in a window"},
+    {"relay", "memory_mb", SETTING_REAL, OFFSET_OF(memory_mb), 0, 0, 16777216,
+     MODE_RELAY, false, "0",
+     "memory of this host, MB; bounds what is held for slow callers and "
+     "servers; 0: not known"},
     {"relay", "lease_ms", SETTING_REAL, OFFSET_OF(lease_ms), 0, 100, 600000,
      MODE_RELAY, true, NULL, "duration of the rollout leader's lease"},
     {"relay", "weights_ms", SETTING_REAL, OFFSET_OF(old_weights_max_ms), 0,
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -205,6 +205,7 @@
     {"bounds.quota_slack", "140000"},
     {"bounds.lease_ms", "3000.5"},
     {"bounds.version_ms", "1e4"},
+    {"limits.memory_mb", "120"},
 };
 #define PLATFORM_VALUE_COUNT \
     (sizeof(platform_values) / sizeof(platform_values[0]))
@@ -228,19 +229,21 @@
     ck_assert_double_eq(settings.quota_window_s, 8.5);
     ck_assert_double_eq(settings.quota_overage, 0.1);
     ck_assert_double_eq(settings.quota_slack, 140000);
+    ck_assert_double_eq(settings.memory_mb, 120);
 }
 END_TEST
 
 /* Guards against a daemon that exits at startup on a platform that sets no
- * bounds for quotas. */
-START_TEST(quota_bounds_may_be_missing)
+ * bounds for quotas, or does not state the host's memory. */
+START_TEST(quota_bounds_and_memory_may_be_missing)
 {
     settings_t settings;
     CLEAN_BUF buf_t problems = {0};
     template_value_t values[PLATFORM_VALUE_COUNT];
     size_t count = 0;
     for (size_t i = 0; i < PLATFORM_VALUE_COUNT; i++) {
-        if (strstr(platform_values[i].name, "quota") == NULL) {
+        if (strstr(platform_values[i].name, "quota") == NULL &&
+            strstr(platform_values[i].name, "memory") == NULL) {
             values[count++] = platform_values[i];
         }
     }
@@ -248,6 +251,7 @@
                          &problems);
     ck_assert_str_eq(buf_text(&problems), "");
     ck_assert_double_eq(settings.quota_slack, 0);
+    ck_assert_double_eq(settings.memory_mb, 0);
 }
 END_TEST
 
@@ -263,7 +267,8 @@
         CLEAN_BUF buf_t problems = {0};
         memcpy(values, platform_values, sizeof(values));
         for (size_t at = 0; at < PLATFORM_VALUE_COUNT; at++) {
-            if (strncmp(values[at].name, "bounds.", 7) == 0) {
+            if (strncmp(values[at].name, "bounds.", 7) == 0 ||
+                strncmp(values[at].name, "limits.", 7) == 0) {
                 values[at].value = invalid[i];
             }
         }
@@ -271,9 +276,9 @@
                              render_template(values, PLATFORM_VALUE_COUNT),
                              &problems);
         static const char *const keys[] = {
-            "stop_s",         "retry_ratio",   "retry_slack",
-            "retry_window_s", "lease_ms",      "weights_ms",
-            "quota_window_s", "quota_overage", "quota_slack"};
+            "stop_s",      "retry_ratio", "retry_slack",    "retry_window_s",
+            "lease_ms",    "weights_ms",  "quota_window_s", "quota_overage",
+            "quota_slack", "memory_mb"};
         for (size_t key = 0; key < sizeof(keys) / sizeof(keys[0]); key++) {
             char expected[128];
             (void)snprintf(expected, sizeof(expected),
@@ -313,5 +318,5 @@
           all_problems_are_reported_at_once, conflicting_settings_are_problems,
           problems_never_contain_a_secret, the_example_file_is_valid,
           bounds_may_be_fractions_and_keep_their_precision,
-          quota_bounds_may_be_missing, invalid_bounds_are_problems,
+          quota_bounds_and_memory_may_be_missing, invalid_bounds_are_problems,
           corrupted_files_are_read_or_rejected)
