Exchanges can be paused; buffers of connections can be bounded

Cause: reading from a server cannot be stopped, so its whole answer ends up in the host's memory, and the kernel buffers up to several MB more per connection. Change: exchange_pause and exchange_resume disable and enable reading; keep-alive probes go on in the kernel, so a paused exchange is not given up. exchanges_set_buffers bounds receive buffers and unsent bytes. A body that its owner keeps is sent by reference instead of being copied twice. The listener reports changes of its callers' output, can ask its owner for the room of bodies, and writes long bodies in pieces of 64 KiB that are freed one by one. Test: a response paused for 3.2 s is complete afterwards, and at most 64 KiB of it are read meanwhile.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -71,6 +71,8 @@
     addr_pools_t pools;
     struct sockaddr_in source; /* of new connections; any if 0.0.0.0 */
     uint64_t opened;
+    int receive_bytes; /* of a socket; 0: the system chooses */
+    int unsent_bytes;  /* that a socket takes in; 0: the system chooses */
 };
 
 struct exchange {
@@ -78,7 +80,9 @@
     conn_t *conn;
     exchange_hooks_t hooks;
     http_reader_t reader;
-    buf_t out; /* the request, until the connection is made */
+    buf_t out;             /* the request, until the connection is made */
+    const void *kept_body; /* its body, if that is not in out */
+    size_t kept_len;
     struct event *timer;
     int64_t deadline_ms; /* 0 for none */
     bool sent;
@@ -112,6 +116,16 @@
     (void)inet_pton(AF_INET, ip, &exchanges->source.sin_addr);
 }
 
+/* Bounds what the kernel holds of each new connection: bytes that it has
+ * received, and bytes that it has not sent yet. */
+void
+exchanges_set_buffers(exchanges_t *exchanges, int receive_bytes,
+                      int unsent_bytes)
+{
+    exchanges->receive_bytes = receive_bytes;
+    exchanges->unsent_bytes = unsent_bytes;
+}
+
 static addr_pool_t *
 pool_find(exchanges_t *exchanges, const char *addr)
 {
@@ -267,6 +281,7 @@
         return;
     }
     conn->exchange = NULL;
+    (void)bufferevent_enable(conn->bev, EV_READ);
     conn->expires_ms = time_mono_ms() + exchange->keep_alive_ms;
     conn->pool->busy_count--;
     conn->pool->idle_count++;
@@ -469,6 +484,11 @@
     exchange->sent = true;
     (void)bufferevent_write(bev, exchange->out.data, exchange->out.len);
     buf_free(&exchange->out);
+    if (exchange->kept_len > 0) {
+        (void)evbuffer_add_reference(bufferevent_get_output(bev),
+                                     exchange->kept_body, exchange->kept_len,
+                                     NULL, NULL);
+    }
 }
 
 /* Arms the timer for the deadline of the exchange, if it has one. */
@@ -561,6 +581,22 @@
     socket_set_silence(fd, UNACKED_TIMEOUT_MS);
 }
 
+/* Sets the buffers of a socket that is not connected yet: the window that it
+ * offers depends on them. */
+static void
+socket_set_buffers(evutil_socket_t fd, const exchanges_t *exchanges)
+{
+    if (exchanges->receive_bytes > 0) {
+        (void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &exchanges->receive_bytes,
+                         sizeof(exchanges->receive_bytes));
+    }
+    if (exchanges->unsent_bytes > 0) {
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                         &exchanges->unsent_bytes,
+                         sizeof(exchanges->unsent_bytes));
+    }
+}
+
 static conn_t *
 conn_open(addr_pool_t *pool)
 {
@@ -574,6 +610,7 @@
         return NULL;
     }
     socket_tune(fd);
+    socket_set_buffers(fd, pool->owner);
     const struct sockaddr_in *source = &pool->owner->source;
     if (source->sin_addr.s_addr != 0 &&
         bind(fd, (const struct sockaddr *)source, sizeof(*source)) != 0) {
@@ -642,7 +679,11 @@
                      exchange);
     exchange->reader.no_body = request->no_response_body;
     buf_add(&exchange->out, request->head, request->head_len);
-    if (request->body_len > 0) {
+    if (request->body_kept) {
+        exchange->kept_body = request->body;
+        exchange->kept_len = request->body_len;
+    }
+    else if (request->body_len > 0) {
         buf_add(&exchange->out, request->body, request->body_len);
     }
     conn_t *conn = request->new_connection ? NULL : conn_take_idle(pool);
@@ -686,6 +727,26 @@
     exchange_free(exchange);
 }
 
+/* Reads no more of the response until exchange_resume.  What one read has
+ * brought is still passed to on_body.  The peer's kernel goes on to answer
+ * keep-alive probes, so a peer that is gone is still detected. */
+void
+exchange_pause(exchange_t *exchange)
+{
+    if (exchange->conn != NULL) {
+        (void)bufferevent_disable(exchange->conn->bev, EV_READ);
+    }
+}
+
+/* Reads on after exchange_pause. */
+void
+exchange_resume(exchange_t *exchange)
+{
+    if (exchange->conn != NULL) {
+        (void)bufferevent_enable(exchange->conn->bev, EV_READ);
+    }
+}
+
 /* To be called by on_body if the response turns out to be of no use: the
  * exchange ends as stopped after the hook and closes its connection. */
 void
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -47,6 +47,8 @@
     size_t head_len;
     const void *body;
     size_t body_len;
+    bool body_kept; /* the body stays valid until the exchange ends, and is
+                       not copied */
     bool no_response_body; /* the request is a HEAD */
     bool new_connection;   /* not an idle one, which may be dead */
     int silence_ms; /* a peer may acknowledge nothing for so long, if that is
@@ -58,6 +60,8 @@
 exchanges_t *exchanges_new(struct event_base *base);
 void exchanges_free(exchanges_t *exchanges);
 void exchanges_set_source(exchanges_t *exchanges, const char *ip);
+void exchanges_set_buffers(exchanges_t *exchanges, int receive_bytes,
+                           int unsent_bytes);
 void exchanges_sweep(exchanges_t *exchanges);
 bool exchanges_has_idle(exchanges_t *exchanges, const char *addr);
 void exchanges_close_idle(exchanges_t *exchanges, const char *addr);
@@ -66,6 +70,8 @@
                            const exchange_request_t *request,
                            const exchange_hooks_t *hooks);
 void exchange_cancel(exchange_t *exchange);
+void exchange_pause(exchange_t *exchange);
+void exchange_resume(exchange_t *exchange);
 void exchange_stop(exchange_t *exchange);
 bool exchange_has_sent(const exchange_t *exchange);
 bool exchange_is_reused(const exchange_t *exchange);
--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -29,6 +29,8 @@
 
 /* Memory of a body that a connection keeps for its next request. */
 #define BODY_KEPT_BYTES 65536
+/* A long body is buffered in pieces of this size. */
+#define BODY_PIECE_BYTES 65536
 /* In this time some of the other requests end. */
 #define NO_ROOM_RETRY_AFTER_S "0.3"
 /* Time in which the event loop reads input that has arrived. */
@@ -47,7 +49,8 @@
     struct bufferevent *bev;
     http_reader_t reader;
     buf_t body;
-    void *owner; /* of the current request, passed to the hooks */
+    void *owner;    /* of the current request, passed to the hooks */
+    void *attached; /* see caller_attach */
     caller_state_t state;
     bool close_after;   /* close the connection after this response */
     bool body_too_long; /* the body exceeds its limit */
@@ -66,6 +69,7 @@
     size_t connections_max;
     size_t body_bytes_max;
     size_t body_bytes; /* of all callers */
+    int unsent_bytes;
     caller_list_t callers;
     size_t caller_count; /* also read by other threads */
     bool draining;       /* each response closes its connection */
@@ -97,6 +101,9 @@
     if (caller->owner != NULL) {
         listener->hooks.on_disconnect(caller->owner);
     }
+    if (listener->hooks.on_closed != NULL) {
+        listener->hooks.on_closed(listener->hooks.arg, caller);
+    }
     CK_LIST_REMOVE(caller, entry);
     __atomic_sub_fetch(&listener->caller_count, 1, __ATOMIC_RELAXED);
     event_free(caller->timer);
@@ -178,12 +185,17 @@
     caller_free(caller);
 }
 
-/* Whether the bodies of all callers have room for more bytes. */
+/* Whether the bodies of all callers have room for more bytes of one. */
 static bool
-has_room(const http_listener_t *listener, size_t len)
+has_room(const caller_t *caller, size_t len)
 {
-    return listener->body_bytes_max == 0 ||
-           listener->body_bytes + len <= listener->body_bytes_max;
+    const http_listener_t *listener = caller->listener;
+    const http_listener_hooks_t *hooks = &listener->hooks;
+    size_t max =
+        hooks->body_bytes_max != NULL
+            ? hooks->body_bytes_max(hooks->arg, caller->body.len + len)
+            : listener->body_bytes_max;
+    return max == 0 || listener->body_bytes + len <= max;
 }
 
 static void
@@ -195,7 +207,7 @@
         caller->body_too_long = true;
         return;
     }
-    if (!has_room(caller->listener, len)) {
+    if (!has_room(caller, len)) {
         caller->no_room = true;
         return;
     }
@@ -378,6 +390,16 @@
     }
 }
 
+/* The output buffer of a caller has changed. */
+static void
+on_output(struct evbuffer *out, const struct evbuffer_cb_info *info, void *arg)
+{
+    caller_t *caller = arg;
+    const http_listener_hooks_t *hooks = &caller->listener->hooks;
+    (void)out;
+    hooks->on_output(hooks->arg, caller, info->n_deleted > 0);
+}
+
 static void
 on_accept(struct evconnlistener *acceptor, evutil_socket_t fd,
           struct sockaddr *from, int len, void *arg)
@@ -396,6 +418,11 @@
         return;
     }
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (listener->unsent_bytes > 0) {
+        (void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                         &listener->unsent_bytes,
+                         sizeof(listener->unsent_bytes));
+    }
     http_limits_t limits = limits_of(listener);
     caller_t *caller = mem_zalloc(sizeof(*caller));
     caller->listener = listener;
@@ -406,6 +433,10 @@
                      on_body, caller);
     bufferevent_setcb(caller->bev, on_read, on_written, on_event, caller);
     bufferevent_setwatermark(caller->bev, EV_READ, 0, READ_AHEAD_MAX);
+    if (listener->hooks.on_output != NULL) {
+        (void)evbuffer_add_cb(bufferevent_get_output(caller->bev), on_output,
+                              caller);
+    }
     (void)bufferevent_set_timeouts(caller->bev, NULL, &write_timeout);
     CK_LIST_INSERT_HEAD(&listener->callers, caller, entry);
     __atomic_add_fetch(&listener->caller_count, 1, __ATOMIC_RELAXED);
@@ -452,6 +483,7 @@
     listener->hooks = opts->hooks;
     listener->connections_max = opts->connections_max;
     listener->body_bytes_max = opts->body_bytes_max;
+    listener->unsent_bytes = opts->unsent_bytes;
     CK_LIST_INIT(&listener->callers);
     listener->acceptor = evconnlistener_new(
         base, on_accept, listener,
@@ -516,6 +548,13 @@
     free(listener);
 }
 
+/* The bytes of all requests' bodies, complete or not. */
+size_t
+http_listener_body_bytes(const http_listener_t *listener)
+{
+    return listener->body_bytes;
+}
+
 /* The number of open connections; callable from any thread. */
 size_t
 http_listener_connections(const http_listener_t *listener)
@@ -571,6 +610,19 @@
     caller_step(caller);
 }
 
+/* Writes a body in pieces, each in memory of its own that is freed when it is
+ * written. */
+static void
+write_body(caller_t *caller, const char *body, size_t len)
+{
+    while (len > 0) {
+        size_t piece = len < BODY_PIECE_BYTES ? len : BODY_PIECE_BYTES;
+        (void)bufferevent_write(caller->bev, body, piece);
+        body += piece;
+        len -= piece;
+    }
+}
+
 /* Writes a complete response; headers are CRLF-ended lines, or NULL. */
 void
 caller_answer(caller_t *caller, int status, const buf_t *headers,
@@ -581,8 +633,8 @@
     bool head_only = caller->reader.head.method == HTTP_HEAD;
     (void)snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n", len);
     write_head(caller, status, headers, no_body ? "" : framing);
-    if (!no_body && !head_only && len > 0) {
-        (void)bufferevent_write(caller->bev, body, len);
+    if (!no_body && !head_only) {
+        write_body(caller, body, len);
     }
     caller_answer_done(caller);
 }
@@ -637,3 +689,24 @@
 {
     return evbuffer_get_length(bufferevent_get_output(caller->bev));
 }
+
+/* Closes the connection at once and frees what is buffered for it. */
+void
+caller_drop(caller_t *caller)
+{
+    caller_free(caller);
+}
+
+/* Attaches data of the listener's owner to the connection, which on_closed has
+ * to free. */
+void
+caller_attach(caller_t *caller, void *data)
+{
+    caller->attached = data;
+}
+
+void *
+caller_attached(const caller_t *caller)
+{
+    return caller->attached;
+}
--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -39,6 +39,13 @@
     void (*on_disconnect)(void *owner);
     /* The output buffer has been written to the socket.  May be NULL. */
     void (*on_flushed)(void *owner);
+    /* Output of a caller was buffered, or written to its socket; and the
+     * caller is about to be freed.  May be NULL. */
+    void (*on_output)(void *arg, caller_t *caller, bool written);
+    void (*on_closed)(void *arg, caller_t *caller);
+    /* Returns how many bytes the bodies of all requests may have, given the
+     * length of the body that grows.  If NULL, body_bytes_max. */
+    size_t (*body_bytes_max)(void *arg, size_t len);
     void *arg;
 } http_listener_hooks_t;
 
@@ -46,6 +53,8 @@
     evutil_socket_t fd;     /* a listening socket; the listener closes it */
     size_t connections_max; /* 0 for no limit */
     size_t body_bytes_max;  /* of all requests, complete or not; 0: no limit */
+    int unsent_bytes; /* that a caller's socket takes in; 0: the system chooses
+                       */
     http_listener_hooks_t hooks;
 } http_listener_opts_t;
 
@@ -56,6 +65,7 @@
 void http_listener_stop_accepting(http_listener_t *listener);
 void http_listener_close_idle(http_listener_t *listener);
 void http_listener_free(http_listener_t *listener);
+size_t http_listener_body_bytes(const http_listener_t *listener);
 size_t http_listener_connections(const http_listener_t *listener);
 
 void caller_set_owner(caller_t *caller, void *owner);
@@ -65,6 +75,9 @@
 void caller_stream_data(caller_t *caller, const char *data, size_t len);
 void caller_stream_end(caller_t *caller);
 void caller_abort(caller_t *caller);
+void caller_drop(caller_t *caller);
 size_t caller_unsent_bytes(const caller_t *caller);
+void caller_attach(caller_t *caller, void *data);
+void *caller_attached(const caller_t *caller);
 
 #endif
--- a/tests/test-exchange.c
+++ b/tests/test-exchange.c
@@ -337,8 +337,76 @@
 }
 END_TEST
 
+/* Longer than a silent peer is borne, ms. */
+#define PAUSE_MS 3200
+#define PAUSED_BODY_BYTES 3000000
+#define RECEIVE_BYTES 32768
+
+static void
+on_paused_body(void *arg, const char *data, size_t len)
+{
+    seen_t *seen = arg;
+    (void)data;
+    if (seen->body_len == 0) {
+        exchange_pause(seen->exchange);
+    }
+    seen->body_len += len;
+}
+
+static void
+on_pause_end(evutil_socket_t fd, short what, void *arg)
+{
+    seen_t *seen = arg;
+    (void)fd;
+    (void)what;
+    /* What arrived with the head, and no more. */
+    ck_assert_uint_gt(seen->body_len, 0);
+    ck_assert_uint_le(seen->body_len, 2 * RECEIVE_BYTES);
+    exchange_resume(seen->exchange);
+}
+
+/* Guards against a paused response that is read on, is taken for that of a
+ * silent server, or is not complete in the end; and against a kernel that
+ * takes in what the host does not read. */
+START_TEST(a_paused_exchange_goes_on_where_it_stopped)
+{
+    static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    static const struct timeval pause = {PAUSE_MS / 1000,
+                                         PAUSE_MS % 1000 * 1000};
+    char answer[128];
+    server_t server;
+    seen_t seen = {.server = &server};
+    server_start(&server);
+    (void)snprintf(answer, sizeof(answer),
+                   "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n",
+                   PAUSED_BODY_BYTES);
+    server.answer = answer;
+    server.more = "0123456789";
+    exchanges_t *exchanges = exchanges_new(server.base);
+    exchanges_set_buffers(exchanges, RECEIVE_BYTES, RECEIVE_BYTES);
+    const exchange_request_t request = {.addr = server.addr,
+                                        .head = head,
+                                        .head_len = sizeof(head) - 1,
+                                        .connect_ms = 1000,
+                                        .total_ms = 20000};
+    const exchange_hooks_t hooks = {NULL, on_paused_body, on_seen_end, &seen};
+    struct event *timer = evtimer_new(server.base, on_pause_end, &seen);
+    (void)event_add(timer, &pause);
+    int64_t begun_ms = time_mono_ms();
+    seen.exchange = exchange_start(exchanges, &request, &hooks);
+    (void)event_base_dispatch(server.base);
+    ck_assert_int_eq(seen.end, EXCHANGE_COMPLETE);
+    ck_assert_uint_eq(seen.body_len, PAUSED_BODY_BYTES);
+    ck_assert_int_ge(time_mono_ms() - begun_ms, PAUSE_MS - 100);
+    event_free(timer);
+    exchanges_free(exchanges);
+    server_stop(&server);
+}
+END_TEST
+
 TEST_MAIN("exchange", reused_connections_are_told_from_new_ones,
           connections_come_from_the_set_address, endless_bytes_end_an_exchange,
           a_body_of_no_use_ends_an_exchange,
           short_bytes_of_no_use_keep_the_connection,
-          an_endless_answer_ends_a_fetch)
+          an_endless_answer_ends_a_fetch,
+          a_paused_exchange_goes_on_where_it_stopped)
