Relay: back pressure for callers that read slowly

Cause: with many slow callers a host of 120 MB exceeds its memory, and an answer with more than 8 MiB unread is cut off. Change: if memory_mb is set, reading from servers is stopped and resumed as balance/held-bytes decides, bodies of requests share the budget, and the kernel's buffers are bounded: 16 KiB are asked for to receive from a server, 32 KiB may be unsent to callers and servers. A server of which only stopped requests are left is not probed for its silence. Metrics and log records tell what is held and stopped. Shorter segments (TCP_MAXSEG) did not help.

--- a/relay/listeners.c
+++ b/relay/listeners.c
@@ -69,6 +69,32 @@
     request_caller_disconnected(owner);
 }
 
+static size_t
+caller_body_bytes_max(void *arg, size_t len)
+{
+    relay_t *relay = arg;
+    return relay_body_bytes_max(relay, relay->caller_listener, len);
+}
+
+static size_t
+peer_body_bytes_max(void *arg, size_t len)
+{
+    relay_t *relay = arg;
+    return relay_body_bytes_max(relay, relay->peer_listener, len);
+}
+
+static void
+on_output(void *arg, caller_t *caller, bool written)
+{
+    relay_note_output(arg, caller, written);
+}
+
+static void
+on_closed(void *arg, caller_t *caller)
+{
+    relay_note_closed(arg, caller);
+}
+
 /* A readiness check is answered at once, so the load balancer cannot
  * disconnect before the answer. */
 static void
@@ -111,9 +137,11 @@
 open_listener(relay_t *relay, const char *addr,
               const http_listener_hooks_t *hooks, err_t *err)
 {
-    http_listener_opts_t opts = {.fd = http_listen(addr, err),
-                                 .body_bytes_max = BODY_BYTES_MAX,
-                                 .hooks = *hooks};
+    http_listener_opts_t opts = {
+        .fd = http_listen(addr, err),
+        .body_bytes_max = BODY_BYTES_MAX,
+        .unsent_bytes = relay->held.budget > 0 ? HELD_UNSENT_BYTES : 0,
+        .hooks = *hooks};
     opts.hooks.arg = relay;
     return opts.fd < 0 ? NULL : http_listener_open(relay->base, &opts);
 }
@@ -125,7 +153,10 @@
     static const http_listener_hooks_t callers = {
         .limits = caller_limits,
         .on_request = on_caller_request,
-        .on_disconnect = on_caller_disconnected};
+        .on_disconnect = on_caller_disconnected,
+        .on_output = on_output,
+        .on_closed = on_closed,
+        .body_bytes_max = caller_body_bytes_max};
     static const http_listener_hooks_t ready = {
         .limits = internal_limits,
         .on_request = on_ready_request,
@@ -138,7 +169,10 @@
         .limits = peer_limits,
         .on_request = on_forwarded_request,
         .on_no_room = request_answer_no_room,
-        .on_disconnect = on_caller_disconnected};
+        .on_disconnect = on_caller_disconnected,
+        .on_output = on_output,
+        .on_closed = on_closed,
+        .body_bytes_max = peer_body_bytes_max};
     relay->peer_listener =
         open_listener(relay, relay->settings.peer_addr, &peers, err);
     relay->ready_listener =
--- a/relay/meter.c
+++ b/relay/meter.c
@@ -85,6 +85,10 @@
                       (double)meter->resumes_asked);
     meter_write_value(out, "streams_unknown_total",
                       (double)meter->resumes_unknown);
+    meter_write_value(out, "reads_stopped_total",
+                      (double)meter->reads_stopped);
+    meter_write_value(out, "unread_answers_dropped_total",
+                      (double)meter->answers_dropped);
     meter_write_value(out, "prompt_tokens_total",
                       (double)meter->prompt_tokens);
     meter_write_value(out, "held_tokens_total", (double)meter->cached_tokens);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -18,6 +18,7 @@
  * this host, ms: it checks readiness every second and acts on the second
  * failure. */
 #define BALANCER_DRAIN_MS 2600
+#define BYTES_PER_MB 1e6
 /* The process exits this long before it would be killed, ms. */
 #define SHUTDOWN_MARGIN_MS 700
 
@@ -107,6 +108,12 @@
         out, "callers",
         (double)http_listener_connections(relay->caller_listener));
     meter_write_value(out, "body_bytes", (double)relay->body_bytes);
+    meter_write_value(out, "held_caller_bytes",
+                      (double)relay->held.caller_bytes);
+    meter_write_value(out, "held_server_bytes",
+                      (double)relay->held.server_bytes);
+    meter_write_value(out, "held_budget_bytes", (double)relay->held.budget);
+    meter_write_value(out, "held_stopped", (double)relay->held.stopped);
     meter_write_value(out, "server_connections_total",
                       (double)exchanges_connections_opened(relay->exchanges));
     meter_write_value(
@@ -165,6 +172,7 @@
         exchanges_sweep(relay->exchanges);
     }
     discovery_tick(relay);
+    relay_held_tick(relay);
     requests_tick(relay);
     rollout_tick(relay->rollout);
     cache_follower_tick(relay->cache_follower);
@@ -230,6 +238,10 @@
     if (relay->settings.source_ip[0] != '\0') {
         exchanges_set_source(relay->exchanges, relay->settings.source_ip);
     }
+    if (relay->held.budget > 0) {
+        exchanges_set_buffers(relay->exchanges, HELD_RECEIVE_BYTES,
+                              HELD_UNSENT_BYTES);
+    }
     if (listeners_open(relay, err) != 0) {
         return -1;
     }
@@ -258,6 +270,8 @@
     relay->rng.state = (uint64_t)time_mono_us() ^
                        str_hash(settings->name, (uint64_t)time_wall_ms());
     meter_init(&relay->meter);
+    held_bytes_init(&relay->held,
+                    (size_t)(settings->memory_mb * BYTES_PER_MB));
     CK_LIST_INIT(&relay->requests);
     fatal_parts_init(&relay->fatal_parts);
     server_crashes_init(&relay->server_crashes);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -6,6 +6,7 @@
  * with one event loop: a host has a quarter to three quarters of one core, so
  * a second thread would add context switches and locks but no throughput. */
 
+#include "../balance/held-bytes.h"
 #include "../kernel/exchange.h"
 #include "../kernel/http-listener.h"
 #include "../kernel/settings.h"
@@ -81,6 +82,9 @@
     request_list_t requests;
     size_t request_count;
     size_t body_bytes; /* bodies of all requests in flight */
+    held_bytes_t held; /* for callers and servers that read slowly */
+    int64_t held_logged_ms;
+    unsigned held_logged; /* records since held_logged_ms */
 
     relay_config_t *config; /* NULL until the first one was read */
     int64_t config_adopted_ms;
@@ -146,7 +150,14 @@
 /* Bound on the bodies of all requests in flight, bytes: a quarter of the
  * smallest host's memory. */
 #define BODY_BYTES_MAX (40u << 20)
-
+/* Bodies up to this length may use all of the bodies' share of the memory. */
+#define SMALL_BODY_BYTES 65536
+
+size_t relay_body_bytes_max(relay_t *relay, const http_listener_t *listener,
+                            size_t len);
+void relay_note_output(relay_t *relay, caller_t *caller, bool written);
+void relay_note_closed(relay_t *relay, caller_t *caller);
+void relay_held_tick(relay_t *relay);
 int listeners_open(relay_t *relay, err_t *err);
 
 /* ---- requests ---- */
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -1,6 +1,6 @@
 #include "cache-source.h"
 #include "peers.h"
-#include "request.h"
+#include "request-held.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -287,9 +287,9 @@
     caller_stream_data(request->caller, events.data, events.len);
 }
 
-/* Takes a piece of the answer's body. */
-void
-request_take_body(request_t *request, const char *data, size_t len)
+/* Takes a piece of the answer's body according to its class. */
+static void
+take_piece(request_t *request, const char *data, size_t len)
 {
     switch (request->answer) {
         case ANSWER_STREAM:
@@ -310,6 +310,14 @@
     }
 }
 
+/* Takes a piece of the answer's body. */
+void
+request_take_body(request_t *request, const char *data, size_t len)
+{
+    take_piece(request, data, len);
+    request_hold_update(request);
+}
+
 static void
 on_body(void *arg, const char *data, size_t len)
 {
@@ -324,6 +332,7 @@
 void
 request_release_server(request_t *request)
 {
+    request_hold_end_attempt(request);
     request_release_helper(request);
     if (request->server == NULL) {
         return;
@@ -390,8 +399,11 @@
             }
             server_record_success(server);
             request_note_answered(request);
-            server_observe_slot_time(
-                server, (double)(time_mono_ms() - request->answer_started_ms));
+            if (!request->read_stopped) {
+                server_observe_slot_time(
+                    server,
+                    (double)(time_mono_ms() - request->answer_started_ms));
+            }
             request_finish_stream(request);
             return;
         case ANSWER_FAILED:
@@ -474,6 +486,7 @@
     request->headers.len =
         request->phase == REQUEST_STREAMING ? request->headers.len : 0;
     request->answer_body.len = 0;
+    request->read_stopped = false;
     stream_restart(&request->stream);
     if (request->phase == REQUEST_WAITING) {
         request->phase = REQUEST_SENT;
@@ -541,6 +554,7 @@
         .head_len = head.len,
         .body = request->body->data,
         .body_len = request->body->len,
+        .body_kept = true,
         .no_response_body = request->head->method == HTTP_HEAD,
         .new_connection = request_needs_new_connection(request),
         .silence_ms = request_silence_ms(request),
--- a/relay/request.c
+++ b/relay/request.c
@@ -1,5 +1,7 @@
 #include "request.h"
 
+#include "request-held.h"
+
 #include <http_parser.h>
 #include <stdlib.h>
 #include <string.h>
@@ -103,6 +105,7 @@
     if (request->exchange != NULL) {
         exchange_cancel(request->exchange);
     }
+    request_hold_end(request);
     CK_LIST_REMOVE(request, entry);
     relay->request_count--;
     relay->body_bytes -= request->body->len;
@@ -607,6 +610,7 @@
     CK_LIST_INSERT_HEAD(&relay->requests, request, entry);
     relay->request_count++;
     relay->body_bytes += body->len;
+    request_hold_begin(request);
     return request;
 }
 
@@ -660,7 +664,8 @@
               const route_t **route, const workspace_entry_t **workspace)
 {
     if (relay->config == NULL || relay_is_closed(relay) ||
-        relay->body_bytes + body_len > BODY_BYTES_MAX) {
+        (relay->held.budget == 0 &&
+         relay->body_bytes + body_len > BODY_BYTES_MAX)) {
         return 503;
     }
     if (find_header(head, HEADER_REQUEST_ID) == NULL) {
--- a/relay/request.h
+++ b/relay/request.h
@@ -38,6 +38,7 @@
     CK_LIST_ENTRY(request) entry;
     relay_t *relay;
     caller_t *caller;
+    struct caller_hold *hold; /* what is held for the caller */
     /* Head and body belong to the caller's connection, which keeps them until
      * the request is answered. */
     const http_head_t *head;
@@ -87,6 +88,7 @@
     buf_t headers; /* of the answer, as passed to the caller */
     buf_t answer_body;
     stream_t stream;
+    bool read_stopped; /* reading the answer was stopped at times */
 
     /* A stream goes on only at the software version that began it. */
     uint64_t software;         /* SOFTWARE_ANY before the first event */
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -574,6 +574,23 @@
                server->limit.hosts.assumed);
 }
 
+/* The answer to one of the host's requests is not read on for now, so nothing
+ * of it can arrive. */
+void
+server_stop_reading(server_t *server)
+{
+    server->own_stopped++;
+}
+
+/* An answer is read on or has ended.  Silence counts from now: nothing could
+ * arrive before. */
+void
+server_resume_reading(server_t *server, int64_t now_ms)
+{
+    server->own_stopped--;
+    server->busy_since_ms = now_ms;
+}
+
 /* Records that data arrived from the server. */
 void
 server_note_answer(server_t *server, int64_t now_ms)
@@ -598,7 +615,8 @@
     int64_t since = server->answered_ms > server->busy_since_ms
                         ? server->answered_ms
                         : server->busy_since_ms;
-    return server->own_running > 0 && now_ms - since >= PROBE_SILENCE_MS;
+    return server->own_running > server->own_stopped &&
+           now_ms - since >= PROBE_SILENCE_MS;
 }
 
 /* Records tokens that a request of this host brought into the server's cache
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -79,9 +79,10 @@
     int64_t missing_since_ms;
     bool removed;       /* no longer listed; freed when no request uses it */
     bool address_taken; /* another server answers at this address */
-    unsigned list_generation;  /* of the last list that had this server */
-    int own_running;           /* requests of this host at the server */
-    double own_prefill_tokens; /* of this host, not prefilled yet */
+    unsigned list_generation; /* of the last list that had this server */
+    int own_running;          /* requests of this host at the server */
+    int own_stopped; /* of these, whose answers are not read on for now */
+    double own_prefill_tokens;       /* of this host, not prefilled yet */
     double announced_prefill_tokens; /* own_prefill_tokens last announced */
     int announced_running;           /* own_running last announced */
     int64_t announced_ms;            /* time of the last announcement */
@@ -192,6 +193,8 @@
 void server_log_brittle(const server_t *server, const char *source);
 void server_log_limit(const server_t *server, const char *source);
 void server_confirm_software(server_t *server, int64_t started_ms);
+void server_stop_reading(server_t *server);
+void server_resume_reading(server_t *server, int64_t now_ms);
 void server_note_answer(server_t *server, int64_t now_ms);
 
 #endif
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -294,9 +294,33 @@
 }
 END_TEST
 
+/* Guards against a sound server that is taken for a silent one since the host
+ * itself does not read its answers, and against one that has fallen silent
+ * meanwhile and is not noticed. */
+START_TEST(answers_that_are_not_read_do_not_make_a_server_silent)
+{
+    servers_t *servers = servers_new();
+    server_t *server = servers_put(servers, &on_old, 0);
+    server_add_request(server, 0, 1000);
+    ck_assert(server_needs_probe(server, 1300));
+    server_note_answer(server, 1300);
+    server_stop_reading(server);
+    ck_assert(!server_needs_probe(server, 3000));
+    server_resume_reading(server, 3000);
+    ck_assert(!server_needs_probe(server, 3200));
+    ck_assert(server_needs_probe(server, 3300));
+    /* Another request is read on. */
+    server_stop_reading(server);
+    server_add_request(server, 0, 3300);
+    ck_assert(server_needs_probe(server, 3600));
+    servers_free(servers);
+}
+END_TEST
+
 TEST_MAIN("servers", a_restarted_server_has_not_the_software_of_its_old_entry,
           signals_of_an_earlier_start_are_forgotten,
           server_is_used_once_listed_with_new_weights,
+          answers_that_are_not_read_do_not_make_a_server_silent,
           taken_slots_add_to_the_wait,
           nearly_full_server_is_announced_at_intervals,
           hot_part_does_not_queue_at_its_home,
