--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -15,6 +15,8 @@
 #define PRIORITY_DEFAULT 5
 #define MODEL "m1"
 #define EVENT_TEXT_MAX 128
+/* Interval at which the rest of a stream is checked, ms. */
+#define UNREAD_POLL_MS 50
 /* The attempt that brought a resumed stream's first event. */
 #define HEADER_RESUMES_NAME "Resumes"
 #define SOFTWARE_DEFAULT "v1"
@@ -289,6 +291,9 @@
 static void
 add_event(const run_t *run, struct evbuffer *out)
 {
+    static const char filler[] = {
+        "................................"
+        "................................"};
     (void)evbuffer_add_printf(out, "id: %u\ndata: token-%u", run->next_event,
                               run->next_event);
     if (run->server->show_runs) {
@@ -296,9 +301,53 @@
             out, " server=%s software=%s", run->server->id,
             run->software[0] != '\0' ? run->software : "-");
     }
+    for (size_t len = evbuffer_get_length(out);
+         len < run->server->event_bytes;) {
+        size_t more = run->server->event_bytes - len;
+        more = more < sizeof(filler) - 1 ? more : sizeof(filler) - 1;
+        (void)evbuffer_add(out, filler, more);
+        len += more;
+    }
     (void)evbuffer_add_printf(out, "\n\n");
 }
 
+/* Ends a stream that is cut off. */
+static void
+cut_run(run_t *run)
+{
+    evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
+                                  NULL, NULL);
+    server_shut_connection(run->req);
+    run_free(run);
+}
+
+/* Ends a stream once its client has read all events, so that it can still be
+ * cut off before. */
+static void
+on_last_event_sent(evutil_socket_t fd, short what, void *arg)
+{
+    run_t *run = arg;
+    (void)fd;
+    (void)what;
+    if (run->closed) {
+        run_free(run);
+        return;
+    }
+    if (server_check_unread(run)) {
+        cut_run(run);
+        return;
+    }
+    if (run->server->unread_ms > 0 && server_unread_bytes(run) > 0) {
+        run_later(run->server->store->base, UNREAD_POLL_MS, on_last_event_sent,
+                  run);
+        return;
+    }
+    evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
+                                  NULL, NULL);
+    evhttp_send_reply_end(run->req);
+    run_free(run);
+}
+
 static void
 on_event_due(evutil_socket_t fd, short what, void *arg)
 {
@@ -349,13 +398,15 @@
         evbuffer_free(out);
         return;
     }
+    run->queued += evbuffer_get_length(out);
     evhttp_send_reply_chunk(run->req, out);
     evbuffer_free(out);
+    if (server_check_unread(run)) {
+        cut_run(run);
+        return;
+    }
     if (run->next_event++ == run->last_event) {
-        evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
-                                      NULL, NULL);
-        evhttp_send_reply_end(run->req);
-        run_free(run);
+        on_last_event_sent(-1, 0, run);
         return;
     }
     run_later(server->store->base, server->event_interval_ms, on_event_due,
@@ -373,6 +424,7 @@
     run->last_event = run->server->events;
     run->version = run->server->version;
     run->shown_version = run->version;
+    run->read_ms = time_mono_ms();
     server_cache_provide_prompt(run);
     run->started = true;
     run->fatal = server_has_fatal_part(run->server, run->req);
@@ -706,9 +758,11 @@
 
 /* Applies a command to a server: mode, draining, gone, events, gap_ms, and
  * limit_per_s, a negative one for none, rest_s, that rejections ask for, and
- * leaving, which its answers say though its entry does not; brittle, room,
- * work_ms, fatal_part, see platform_server_t, and crash; see also
- * apply_engine_command and apply_life_command. */
+ * leaving, which its answers say though its entry does not; event_bytes,
+ * unread_ms, read_rate (bytes of requests per second on each connection that
+ * is accepted from then on); brittle, room, work_ms, fatal_part, see
+ * platform_server_t, and crash; see also apply_engine_command and
+ * apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -730,6 +784,13 @@
     if (json_is_number(rest)) {
         server->rest_s = json_number_value(rest);
     }
+    server->event_bytes = (size_t)json_get_int(command, "event_bytes",
+                                               (int64_t)server->event_bytes);
+    server->unread_ms = json_get_int(command, "unread_ms", server->unread_ms);
+    int64_t read_rate = json_get_int(command, "read_rate", 0);
+    if (read_rate > 0) {
+        server_set_read_rate(server, read_rate);
+    }
     server->brittle = json_get_int(command, "brittle", server->brittle);
     server->room = json_get_int(command, "room", server->room);
     server->work_ms = json_get_int(command, "work_ms", server->work_ms);
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -89,6 +89,9 @@
     bool closed;   /* the client has closed the connection */
     bool unframed; /* its answer ends with its connection */
     struct event *deadline_timer; /* NULL except of a silent one */
+    size_t queued;                /* bytes of events so far */
+    size_t most_read;             /* of these, read by the client at most */
+    int64_t read_ms;              /* when most_read last grew */
 } run_t;
 
 typedef CK_LIST_HEAD(runs, run) runs_t;
@@ -127,12 +130,16 @@
     runs_t runs;                /* newest first */
     unsigned events;            /* number of events of each stream */
     unsigned event_interval_ms; /* between events of a stream */
-    double limit_per_s;         /* stated in answers if not negative */
-    double rest_s;              /* asked for in rejections if positive */
-    bool leaving;               /* said in answers */
-    int64_t brittle; /* rejections a second that it bears; -1 for any */
-    int64_t room;    /* requests that it takes at once; 0 for any number */
-    int64_t work_ms; /* of a plain server's request */
+    size_t event_bytes;         /* to which events are filled up */
+    int64_t unread_ms; /* a stream that is left unread for so long is cut off;
+                          0: none is */
+    struct ev_token_bucket_cfg *read_rate; /* of new connections; or NULL */
+    double limit_per_s; /* stated in answers if not negative */
+    double rest_s;      /* asked for in rejections if positive */
+    bool leaving;       /* said in answers */
+    int64_t brittle;    /* rejections a second that it bears; -1 for any */
+    int64_t room;       /* requests that it takes at once; 0 for any number */
+    int64_t work_ms;    /* of a plain server's request */
     /* A request with this part ends the server once its answer has begun;
      * empty for none. */
     char fatal_part[CS_NAME_MAX];
@@ -162,6 +169,9 @@
 void server_continue_run(run_t *run);
 void server_write_entry(platform_server_t *server);
 
+bool server_check_unread(run_t *run);
+size_t server_unread_bytes(const run_t *run);
+void server_set_read_rate(platform_server_t *server, int64_t bytes_per_s);
 void server_shut_connection(struct evhttp_request *req);
 int server_listen(platform_server_t *server);
 void server_crash(platform_server_t *server);
