--- a/soak/callers.c
+++ b/soak/callers.c
@@ -12,11 +12,17 @@
 /* One in so many requests has the fatal part while there is one. */
 #define FATAL_REQUEST_INTERVAL 40
 #define SHORT_STREAM_EVENTS 8 /* events in a stream of the stand-in */
+/* The answer to one in so many requests is read slowly: its caller pauses for
+ * SLOW_PAUSE_MS after each piece.  Eight events then take a second, within the
+ * time of every route for streams. */
+#define SLOW_REQUEST_INTERVAL 15
+#define SLOW_PAUSE_MS 120
 
 struct caller {
     callers_t *callers;
     exchange_t *exchange;
     struct event *timer;
+    struct event *slow_timer; /* ends a pause within an answer */
     soak_request_t *request;
     char server[CS_NAME_MAX]; /* named in the answer's signature */
     bool signature_valid;
@@ -40,8 +46,24 @@
 static void
 on_body(void *arg, const char *data, size_t len)
 {
+    static const struct timeval pause = {0, SLOW_PAUSE_MS * 1000};
     caller_t *caller = arg;
     buf_add(&caller->body, data, len);
+    if (caller->request->number % SLOW_REQUEST_INTERVAL == 0) {
+        exchange_pause(caller->exchange);
+        (void)event_add(caller->slow_timer, &pause);
+    }
+}
+
+static void
+on_slow_timer(evutil_socket_t fd, short what, void *arg)
+{
+    const caller_t *caller = arg;
+    (void)fd;
+    (void)what;
+    if (caller->exchange != NULL) {
+        exchange_resume(caller->exchange);
+    }
 }
 
 /* Returns whether the body is the complete answer to this request. */
@@ -91,6 +113,7 @@
     caller_t *caller = arg;
     soak_request_t *request = caller->request;
     caller->exchange = NULL;
+    (void)event_del(caller->slow_timer);
     request_note_end(caller->callers->soak, request, end);
     check_response(caller);
     schedule_next_request(caller);
@@ -164,6 +187,7 @@
         caller_t *caller = &callers->items[i];
         caller->callers = callers;
         caller->timer = evtimer_new(soak->base, on_think_timer, caller);
+        caller->slow_timer = evtimer_new(soak->base, on_slow_timer, caller);
         send_next_request(caller);
     }
     if (soak->versions) {
--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -174,7 +174,8 @@
                   "source = 127.0.0.%zu\n"
                   "[platform]\nstore = 127.0.0.1:%d\n"
                   "[relay]\nstop_s = 8\nretry_ratio = 0.2\nretry_slack = 50\n"
-                  "retry_window_s = 10\nlease_ms = 3000\nweights_ms = 10000\n",
+                  "retry_window_s = 10\nlease_ms = 3000\nweights_ms = 10000\n"
+                  "memory_mb = 120\n",
                   i + 1, "ab"[i % 2], port, port + 1, port + 2, port + 3,
                   FIRST_SOURCE + i,
                   soak->first_port + PORT_STORE_LINK + (int)i);
