--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -226,7 +226,7 @@
 observe_speed(const request_t *request, server_t *server, int64_t now)
 {
     double ms = (double)(now - request->sent_ms);
-    if (request->answer == ANSWER_STREAM &&
+    if (request->answer == ANSWER_STREAM && request->server_was_idle &&
         request->expected_prefill_tokens >= SPEED_TOKENS_MIN) {
         server_observe_prefill(server, request->expected_prefill_tokens, ms,
                                now);
@@ -584,6 +584,7 @@
         request->prefix.tokens > request->cached_tokens
             ? request->prefix.tokens - request->cached_tokens
             : 0;
+    request->server_was_idle = server_is_mostly_idle(server, request->sent_ms);
     server_add_request(server, request->prefill_tokens, request->sent_ms);
     request_count_in_flight(request, true);
     server_take_request(server, request->sent_ms);
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -49,6 +49,11 @@
 /* A ratio is logged if it has changed by this factor. */
 #define LOGGED_CHANGE 1.1
 
+/* A server is mostly idle with fewer tokens to prefill than this, some ms of
+ * work, and less than this share of its slots taken. */
+#define IDLE_PREFILL_TOKENS 512
+#define IDLE_SLOTS_SHARE 0.6
+
 servers_t *
 servers_new(void)
 {
@@ -806,6 +811,20 @@
     return server->service_speed != NULL && server_uses_learned_speed(server);
 }
 
+/* Whether a prompt that is sent to the engine now is prefilled at once: most
+ * slots are free, and almost nothing is left to prefill.  In overload the time
+ * to the first token is mostly queueing, which says nothing of the speed. */
+bool
+server_is_mostly_idle(const server_t *server, int64_t now_ms)
+{
+    double tokens =
+        server->own_prefill_tokens + server_sum_peer_prefill(server, now_ms);
+    return tokens < IDLE_PREFILL_TOKENS &&
+           (server->info.slots <= 0 ||
+            server_count_in_flight(server, now_ms) <
+                server->info.slots * IDLE_SLOTS_SHARE);
+}
+
 /* Returns the rate at which an engine is expected to prefill now, tokens/ms.
  */
 double
