Speed of engines: observe slow servers as often as fast ones, learn the constant part

The bound now applies to the queue alone; that of the former slowness stays.

Engines that answer at once kept the regression from settling: each pair of outliers was ascribed to the rate, which was at its bound already, and forgot the constant part that had been learned. It is now scaled too. A rate is known after ten observations, however much each tells.

--- a/balance/engine-speed.c
+++ b/balance/engine-speed.c
@@ -4,9 +4,10 @@
 
 /* Constant part of the time to the first token that is assumed at first, ms: a
  * decode step and the first token take some 15 to 30 ms.  The second figure is
- * its standard deviation over kinds of engines. */
+ * its standard deviation over kinds of engines, a share of it. */
 #define FIRST_TOKEN_START_MS 20.0
-#define FIRST_TOKEN_DEVIATION_MS 10.0
+#define FIRST_TOKEN_DEVIATION 0.5
+#define FIRST_TOKEN_MS_MIN 0.5
 #define FIRST_TOKEN_MS_MAX 200.0
 /* Standard deviation of an observed time: a share of the time, as the batch
  * that runs beside a prompt varies, and a constant, as a step of the batch may
@@ -27,8 +28,7 @@
 /* A rate is known after so many observations; ratios relative to a rate that
  * is not known would tell nothing of the server.  The mean of so many servers
  * is within a sixth of that of all. */
-#define SERVICE_OBSERVATIONS_MIN 10.0
-#define SERVICE_OBSERVATIONS_MAX 1e6
+#define SERVICE_OBSERVATIONS_MIN 10
 /* Time per token, ms; only excludes absurd values. */
 #define MS_PER_TOKEN_MIN 1e-4
 #define MS_PER_TOKEN_MAX 1e3
@@ -255,6 +255,7 @@
 {
     service->ms_per_token = 1 / ENGINE_PREFILL_RATE_START;
     service->first_token_ms = FIRST_TOKEN_START_MS;
+    service->assumed_first_token_ms = FIRST_TOKEN_START_MS;
     forget_observations(service);
 }
 
@@ -302,15 +303,40 @@
            service->outliers <= -OUTLIERS_MAX;
 }
 
+/* Changes an estimate that has proved wrong, and forgets what it came from.
+ * The part that makes up most of a time that was too long is made shorter; a
+ * time that was too short is ascribed to the rate at first. */
+static void
+leave_estimate(engine_speed_t *service, double tokens)
+{
+    if (service->outliers > 0) {
+        service->ms_per_token *= SERVICE_OUTLIER_FACTOR;
+    }
+    else if (tokens * service->ms_per_token > service->first_token_ms) {
+        service->ms_per_token /= SERVICE_OUTLIER_FACTOR;
+    }
+    else {
+        service->assumed_first_token_ms =
+            bound(service->first_token_ms / SERVICE_OUTLIER_FACTOR,
+                  FIRST_TOKEN_MS_MIN, FIRST_TOKEN_MS_MAX);
+        service->first_token_ms = service->assumed_first_token_ms;
+    }
+    service->ms_per_token =
+        bound(service->ms_per_token, MS_PER_TOKEN_MIN, MS_PER_TOKEN_MAX);
+    forget_observations(service);
+}
+
 /* Solves the regression: the constant part is drawn to what is assumed at
  * first, so prompts of one size give a rate too. */
 static void
 solve(engine_speed_t *service)
 {
-    double prior = TIME_DEVIATION_SHARE * TIME_DEVIATION_SHARE /
-                   (FIRST_TOKEN_DEVIATION_MS * FIRST_TOKEN_DEVIATION_MS);
+    double assumed = service->assumed_first_token_ms;
+    double deviation = assumed * FIRST_TOKEN_DEVIATION;
+    double prior =
+        TIME_DEVIATION_SHARE * TIME_DEVIATION_SHARE / (deviation * deviation);
     double weight = service->sum_weight + prior;
-    double ms = service->sum_ms + prior * FIRST_TOKEN_START_MS;
+    double ms = service->sum_ms + prior * assumed;
     double determinant = weight * service->sum_tokens_squared -
                          service->sum_tokens * service->sum_tokens;
     double constant = (service->sum_tokens_squared * ms -
@@ -330,10 +356,7 @@
 {
     double expected = expected_ms(service, tokens);
     if (note_outlier(service, ms, expected)) {
-        service->ms_per_token *= service->outliers > 0
-                                     ? SERVICE_OUTLIER_FACTOR
-                                     : 1 / SERVICE_OUTLIER_FACTOR;
-        forget_observations(service);
+        leave_estimate(service, tokens);
         expected = expected_ms(service, tokens);
     }
     double bounded = bound(ms, expected / SERVICE_OUTLIER_FACTOR,
@@ -350,8 +373,8 @@
     service->sum_ms = keep * service->sum_ms + weight * bounded;
     service->sum_tokens_ms =
         keep * service->sum_tokens_ms + weight * tokens * bounded;
-    if (service->observations < SERVICE_OBSERVATIONS_MAX) {
-        service->observations += expected * expected * weight;
+    if (service->observations < SERVICE_OBSERVATIONS_MIN) {
+        service->observations++;
     }
     solve(service);
 }
--- a/balance/engine-speed.h
+++ b/balance/engine-speed.h
@@ -20,13 +20,14 @@
 typedef struct {
     double ms_per_token;
     double first_token_ms; /* constant part of the time to the first token */
+    double assumed_first_token_ms; /* to which the regression draws it */
     double sum_weight;
     double sum_tokens;
     double sum_tokens_squared;
     double sum_ms;
     double sum_tokens_ms;
-    double observations; /* weighted by how much each tells; saturates */
-    int outliers;        /* successive ones; negative if they were too short */
+    unsigned observations; /* until the rate is known */
+    int outliers; /* successive ones; negative if they were too short */
 } engine_speed_t;
 
 #define SERVER_PACES_KEPT 4
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -164,13 +164,15 @@
                               server->info.weights);
 }
 
-/* Fills a candidate and returns the expected wait there, ms. */
+/* Fills a candidate and returns the expected wait there, ms.  Sets extra_ms to
+ * what the speed of the server adds to it. */
 static double
 fill_candidate(const request_t *request, server_t *server, int64_t now,
-               levels_cache_t *levels, candidate_t *out)
+               levels_cache_t *levels, candidate_t *out, double *extra_ms)
 {
     relay_t *relay = request->relay;
     memset(out, 0, sizeof(*out));
+    *extra_ms = 0;
     out->id = server->number;
     double rate = server_prefill_rate(server, now);
     out->prefill_rate = rate * 1000;
@@ -197,8 +199,9 @@
     wait += cache_fetch_ms(&view);
     /* The request's own part is prefilled on any server.  The extra time that
      * a slower server needs for it counts as wait. */
-    wait += (request->prompt.prompt_tokens - view.shared_tokens) *
-            (1 / rate - 1 / server_mean_prefill_rate(server));
+    *extra_ms = (request->prompt.prompt_tokens - view.shared_tokens) *
+                (1 / rate - 1 / server_mean_prefill_rate(server));
+    wait += *extra_ms;
     wait += server_limit_cost_ms(&server->limit, request->prompt.prompt_tokens,
                                  relay->mean_prompt_tokens);
     out->rendezvous_weight =
@@ -356,6 +359,7 @@
     candidate_t candidates[CANDIDATES_MAX];
     server_t *servers[CANDIDATES_MAX];
     double waits[CANDIDATES_MAX];
+    double extras[CANDIDATES_MAX];
     levels_cache_t levels = {0};
     size_t excluded;
     size_t usable = list_usable_servers(request, now, servers, &excluded);
@@ -364,8 +368,8 @@
     }
     size_t count = sample_servers(request, &levels, servers, usable);
     for (size_t i = 0; i < count; i++) {
-        waits[i] =
-            fill_candidate(request, servers[i], now, &levels, &candidates[i]);
+        waits[i] = fill_candidate(request, servers[i], now, &levels,
+                                  &candidates[i], &extras[i]);
     }
     /* Only the shared part of the prompt can be cached anywhere. */
     prefix_t prefix = {.tokens = prompt_shared_tokens(&request->prompt)};
@@ -376,6 +380,7 @@
                            .placement_count = relay->placement_count++};
     size_t best = policy_find("cost")->choose(candidates, count, &query);
     request->expected_wait_ms = waits[best];
+    request->expected_queue_ms = waits[best] - extras[best];
     uint32_t cached_tokens = candidates[best].cached_tokens;
     uint32_t tokens = request->prompt.prompt_tokens;
     request->expected_prefill_tokens =
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -226,7 +226,9 @@
 observe_speed(const request_t *request, server_t *server, int64_t now)
 {
     double ms = (double)(now - request->sent_ms);
+    /* Without the extra time of a slow server: it would hardly be observed. */
     if (request->answer == ANSWER_STREAM &&
+        request->expected_queue_ms < SPEED_WAIT_MS_MAX &&
         request->expected_prefill_tokens >= SPEED_TOKENS_MIN) {
         server_observe_prefill(server, request->expected_prefill_tokens, ms,
                                now);
@@ -234,6 +236,7 @@
     /* expected_prefill_ms includes the slowness known when it was sent, or is
      * the learned one, which needs no slowness. */
     if (!server_uses_learned_speed(server) &&
+        request->expected_wait_ms < SPEED_WAIT_MS_MAX &&
         request->expected_prefill_ms > SPEED_PREFILL_MS_MIN) {
         server_update_slowness(
             server, request->expected_prefill_ms / request->server_slowness,
@@ -254,7 +257,7 @@
     if (server == NULL) {
         return; /* another host observes the server */
     }
-    if (request->engine && request->expected_wait_ms < SPEED_WAIT_MS_MAX) {
+    if (request->engine) {
         observe_speed(request, server, now);
     }
     request->answer_started_ms = now;
--- a/relay/request.h
+++ b/relay/request.h
@@ -59,6 +59,7 @@
     meter_outcome_t outcome;
     int64_t deadline_ms;     /* the caller's deadline or the route's timeout */
     double expected_wait_ms; /* wait at the chosen server */
+    double expected_queue_ms;   /* the same without what its speed adds */
     double expected_prefill_ms; /* prefill of this prompt after that wait */
     uint32_t expected_prefill_tokens; /* behind expected_prefill_ms */
     double server_slowness;        /* of the server at the time of the send */
--- a/tests/test-engine-speed.c
+++ b/tests/test-engine-speed.c
@@ -78,6 +78,34 @@
 }
 END_TEST
 
+/* Guards against an estimate that never settles: engines that answer at once,
+ * as the stand-ins do, and engines with a long constant part. */
+START_TEST(constant_part_is_learned)
+{
+    const double constants[] = {1, 5, 20, 60};
+    for (size_t i = 0; i < sizeof(constants) / sizeof(*constants); i++) {
+        engine_speed_t service;
+        server_speed_t server = {0};
+        rng_t rng = {5};
+        engine_speed_init(&service);
+        for (int j = 0; j < 200; j++) {
+            double tokens = random_tokens(&rng, 1000, 12000);
+            double ms =
+                (constants[i] + tokens / 1000) * exp(NOISE * rng_normal(&rng));
+            (void)engine_speed_observe(&service, &server, tokens, ms, j);
+        }
+        printf("constant part %.0f: %.1f, rate 1000: %.0f\n", constants[i],
+               service.first_token_ms, engine_speed_rate(&service));
+        ck_assert(engine_speed_is_known(&service));
+        double expected =
+            (service.first_token_ms + 6000 * service.ms_per_token) *
+            server_speed_ratio(&server);
+        ck_assert_double_gt(expected, (constants[i] + 6) * 0.8);
+        ck_assert_double_lt(expected, (constants[i] + 6) * 1.3);
+    }
+}
+END_TEST
+
 /* One engine that stalls must not change what is expected of all others. */
 START_TEST(outlier_changes_the_rate_little)
 {
@@ -676,8 +704,8 @@
 END_TEST
 
 TEST_MAIN("engine-speed", rates_of_all_kinds_of_engines_are_learned,
-          outlier_changes_the_rate_little, rate_follows_a_lasting_change,
-          reported_pace_decays_within_a_second,
+          constant_part_is_learned, outlier_changes_the_rate_little,
+          rate_follows_a_lasting_change, reported_pace_decays_within_a_second,
           ratio_does_not_contain_the_pace, hosts_tell_machines_apart_together,
           host_alone_learns_from_its_own_prompts,
           notices_stay_within_the_budget_of_bytes,
