Speed of engines: long times are bounded, since queues that are not known lengthen them

A single long time now counts for at most a tenth more than expected, and twenty in a row replace it.

--- a/balance/engine-speed.c
+++ b/balance/engine-speed.c
@@ -17,12 +17,19 @@
 /* Relative standard deviation of the rate that is assumed at first.  Engines
  * differ by far more than this, but a few observations outweigh it. */
 #define START_DEVIATION 2.0
-/* A single observation of a service is bounded to the expected time multiplied
- * or divided by this factor. */
+/* A time is an outlier beyond this factor of the expected time. */
 #define SERVICE_OUTLIER_FACTOR 3.0
+/* A single observation of a service is bounded to the expected time divided by
+ * SHORT_FACTOR or multiplied by LONG_FACTOR.  Nothing makes a prompt faster
+ * than the engine is, but an unknown queue makes it slower, so that short
+ * times tell more than long ones. */
+#define SHORT_FACTOR 3.0
+#define LONG_FACTOR 1.1
 /* After so many outliers in a row to the same side they are taken for the real
- * speed, and what was learned before is forgotten. */
-#define OUTLIERS_MAX 2
+ * speed, and what was learned before is forgotten.  In overload long ones
+ * follow each other. */
+#define SHORT_OUTLIERS_MAX 2
+#define LONG_OUTLIERS_MAX 20
 /* Share of the earlier observations that each new one replaces. */
 #define SERVICE_FORGETTING 0.01
 /* A rate is known after so many observations; ratios relative to a rate that
@@ -299,8 +306,8 @@
     else {
         service->outliers = 0;
     }
-    return service->outliers >= OUTLIERS_MAX ||
-           service->outliers <= -OUTLIERS_MAX;
+    return service->outliers >= LONG_OUTLIERS_MAX ||
+           service->outliers <= -SHORT_OUTLIERS_MAX;
 }
 
 /* Changes an estimate that has proved wrong, and forgets what it came from.
@@ -359,8 +366,8 @@
         leave_estimate(service, tokens);
         expected = expected_ms(service, tokens);
     }
-    double bounded = bound(ms, expected / SERVICE_OUTLIER_FACTOR,
-                           expected * SERVICE_OUTLIER_FACTOR);
+    double bounded =
+        bound(ms, expected / SHORT_FACTOR, expected * LONG_FACTOR);
     /* Relative to the variance of an observation whose deviation is
      * TIME_DEVIATION_SHARE of 1 ms. */
     double deviation = TIME_DEVIATION_MS / TIME_DEVIATION_SHARE;
--- a/tests/test-engine-speed.c
+++ b/tests/test-engine-speed.c
@@ -106,6 +106,43 @@
 }
 END_TEST
 
+/* Guards against a rate that falls with the load: in overload, many prompts
+ * wait for others that this host knows nothing of. */
+START_TEST(unknown_queues_hardly_lower_the_rate)
+{
+    enum { SERVERS = 40 };
+    engine_speed_t service;
+    server_speed_t servers[SERVERS] = {0};
+    server_speed_t *all[SERVERS];
+    rng_t rng = {11};
+    double sum_ms = 0;
+    engine_speed_init(&service);
+    for (int i = 0; i < SERVERS; i++) {
+        all[i] = &servers[i];
+    }
+    for (int i = 0; i < 4000; i++) {
+        double tokens = random_tokens(&rng, 1000, 12000);
+        double ms = engine_ms(&rng, 157, 1, tokens);
+        bool overload = i >= 1000 && i < 3000;
+        ms *= overload && i % 2 == 0 ? 2 + 8 * rng_unit(&rng) : 1;
+        (void)engine_speed_observe(
+            &service, &servers[rng_below(&rng, SERVERS)], tokens, ms, i * 10);
+        engine_speed_centre(&service, all, SERVERS);
+        if (i == 2999) {
+            for (int j = 0; j < SERVERS; j++) {
+                sum_ms += engine_speed_prefill_ms(&service, &servers[j], 6000,
+                                                  1 << 30);
+            }
+        }
+    }
+    printf(
+        "overload: 6,000 tokens at 157 tokens/ms are expected to take "
+        "%.0f ms\n",
+        sum_ms / SERVERS);
+    ck_assert_double_le(sum_ms / SERVERS, 1.5 * 6000 / 157);
+}
+END_TEST
+
 /* One engine that stalls must not change what is expected of all others. */
 START_TEST(outlier_changes_the_rate_little)
 {
@@ -705,7 +742,8 @@
 
 TEST_MAIN("engine-speed", rates_of_all_kinds_of_engines_are_learned,
           constant_part_is_learned, outlier_changes_the_rate_little,
-          rate_follows_a_lasting_change, reported_pace_decays_within_a_second,
+          unknown_queues_hardly_lower_the_rate, rate_follows_a_lasting_change,
+          reported_pace_decays_within_a_second,
           ratio_does_not_contain_the_pace, hosts_tell_machines_apart_together,
           host_alone_learns_from_its_own_prompts,
           notices_stay_within_the_budget_of_bytes,
