--- a/balance/admission.c
+++ b/balance/admission.c
@@ -19,11 +19,14 @@
 /* Share of the target that the expected wait and the prefill may take.  What
  * a host knows of an engine is some ten ms old, and meanwhile others send
  * there too. */
-#define TARGET_SHARE 1.0
+#define TARGET_SHARE 0.7
 /* A request is not rejected for its target while the wait is below this share
  * of it: prompts whose prefill takes most of the target would never be
  * served. */
 #define ADMIT_WAIT_SHARE 0.35
+/* Part of that wait for a request whose workspace has more than its share, so
+ * that its requests are rejected before those of others. */
+#define OVER_SHARE_FACTOR 0.5
 /* Share of the slots in use that a less urgent class gets even in a lasting
  * flood of urgent requests, so that it is not starved. */
 #define CLASS_SHARE_MIN 0.25
@@ -57,15 +60,14 @@
     double reserve_max = input->slots * (1 - CLASS_SHARE_MIN);
     double reserve =
         input->reserve < reserve_max ? input->reserve : reserve_max;
+    reserve += input->over_share ? 1 : 0;
     return input->in_flight + 1 + reserve <= input->slots;
 }
 
 static admission_t
 wait_or_reject(const admission_input_t *input, const char *reason)
 {
-    int64_t max_ms = admission_wait_max_ms(
-        input->target_ms, input->remaining_ms + input->waited_here_ms);
-    bool may_wait = input->waited_here_ms < max_ms;
+    bool may_wait = input->waited_here_ms < input->wait_max_ms;
     return (admission_t){may_wait ? ADMISSION_WAIT : ADMISSION_REJECT, false,
                          reason};
 }
@@ -76,7 +78,9 @@
 {
     double wait_max_ms = input->target_ms * TARGET_SHARE - input->prefill_ms;
     double least_ms = input->target_ms * ADMIT_WAIT_SHARE;
-    return input->wait_ms > (wait_max_ms > least_ms ? wait_max_ms : least_ms);
+    double max_ms = wait_max_ms > least_ms ? wait_max_ms : least_ms;
+    return input->wait_ms >
+           (input->over_share ? max_ms * OVER_SHARE_FACTOR : max_ms);
 }
 
 /* Decides whether a request is sent to the chosen server, waits at this host
--- a/balance/admission.h
+++ b/balance/admission.h
@@ -10,16 +10,18 @@
 typedef enum { ADMISSION_SEND, ADMISSION_WAIT, ADMISSION_REJECT } verdict_t;
 
 typedef struct {
-    int slots;                /* of the chosen server; 0 if unknown */
-    int in_flight;            /* requests of all hosts there */
-    double reserve;           /* slots kept free for more urgent classes */
-    double wait_ms;           /* expected queueing time at the server */
-    double prefill_ms;        /* expected prefill time of the prompt */
-    double margin_ms;         /* excess over the estimate of most answers */
-    int target_ms;            /* desired maximum time to the first answer */
-    int64_t remaining_ms;     /* until the request times out */
-    int64_t waited_here_ms;   /* since it arrived at this host */
-    int64_t waited_before_ms; /* since its caller's first attempt, if known */
+    int slots;            /* of the chosen server; 0 if unknown */
+    int in_flight;        /* requests of all hosts there */
+    double reserve;       /* slots kept free for more urgent classes */
+    double wait_ms;       /* expected queueing time at the server */
+    double prefill_ms;    /* expected prefill time of the prompt */
+    double margin_ms;     /* excess over the estimate of most answers */
+    int target_ms;        /* desired maximum time to the first answer */
+    int64_t remaining_ms; /* until the request times out */
+    int64_t wait_max_ms;  /* that it may wait at this host */
+    bool over_share; /* its workspace has more than its share of what there is
+                      */
+    int64_t waited_here_ms; /* since it arrived at this host */
     /* Share of this host's requests in flight that are of the class or less
      * urgent; meaningful if there are several. */
     double class_share;
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -260,9 +260,7 @@
     relay_t *relay = arg;
     (void)fd;
     (void)what;
-    if (requests_place_queued(relay)) {
-        relay_schedule_queues(relay);
-    }
+    requests_place_queued(relay);
 }
 
 static void
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -191,7 +191,7 @@
 void request_answer_no_room(caller_t *caller);
 void request_caller_disconnected(request_t *request);
 void requests_tick(relay_t *relay);
-bool requests_place_queued(relay_t *relay);
+void requests_place_queued(relay_t *relay);
 void relay_schedule_queues(relay_t *relay);
 void requests_place_repeat(relay_t *relay);
 void priorities_tick(relay_t *relay);
--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -93,7 +93,7 @@
 
 /* Returns what the decision to send the request to a server depends on. */
 admission_input_t
-request_admission_input(const request_t *request, const server_t *server,
+request_admission_input(request_t *request, const server_t *server,
                         int64_t now)
 {
     return (admission_input_t){
@@ -108,14 +108,18 @@
         .remaining_ms = request->deadline_ms - now,
         .waited_here_ms =
             request->waits_since_ms != 0 ? now - request->waits_since_ms : 0,
+        .wait_max_ms =
+            request->wait_item.deadline_ms - request->waits_since_ms,
+        .over_share = request_is_queued(request) &&
+                      wait_queue_over_share(&request->service_state->queue,
+                                            &request->wait_item),
         .most_urgent = request->most_urgent};
 }
 
 /* Whether a server has room for the request besides the slots that are kept
  * for more urgent ones. */
 bool
-request_finds_room(const request_t *request, const server_t *server,
-                   int64_t now)
+request_finds_room(request_t *request, const server_t *server, int64_t now)
 {
     if (request->service_state == NULL) {
         return true;
@@ -154,26 +158,95 @@
     request_reject(request, reason, after_ms);
 }
 
-/* Puts the request into the queue of those that wait for room at an engine; it
- * is rejected if the queue is full. */
+/* Rejects the requests whose wait has ended. */
 static void
-enqueue(request_t *request, int64_t now)
+reject_expired(service_state_t *state, int64_t now)
+{
+    wait_item_t *item;
+    while ((item = wait_queue_expired(&state->queue, now)) != NULL) {
+        request_t *request = request_from_item(item);
+        log_record(LOG_INFO, "place", "no-room",
+                   "id=%s why=waited class=%u reserve=%.1f waited_ms=%lld "
+                   "waited_before_ms=%lld",
+                   request->id, request->priority_class, request->reserve,
+                   (long long)(now - request->waits_since_ms),
+                   (long long)request->waited_before_ms);
+        reject(request, "no-room", now);
+    }
+}
+
+/* Places requests that wait, in their order.  A send that fails at once may
+ * come back here; it is placed by the round that is under way. */
+static void
+place_queued(relay_t *relay, service_state_t *state)
+{
+    unsigned failures = 0;
+    wait_item_t *item = wait_queue_first(&state->queue);
+    if (state->placing) {
+        return;
+    }
+    state->placing = true;
+    while (item != NULL && failures < QUEUE_FAILURES_MAX) {
+        if (request_place(request_from_item(item))) {
+            /* The order may have changed. */
+            item = wait_queue_first(&state->queue);
+        }
+        else {
+            failures++;
+            item = wait_queue_next(&state->queue, item);
+        }
+    }
+    state->placing = false;
+    if (wait_queue_total(&state->queue) > 0) {
+        relay_schedule_queues(relay);
+    }
+}
+
+/* Returns when the wait of a request for room ends.  One of the most urgent
+ * class waits for a usable server only. */
+static int64_t
+wait_deadline_ms(const request_t *request, int64_t now)
+{
+    int64_t remaining_ms = request->deadline_ms - now;
+    int64_t max_ms =
+        admission_wait_max_ms(request->route->target_latency_ms, remaining_ms);
+    if (request->most_urgent) {
+        return request->placement_deadline_ms;
+    }
+    int64_t wait_ms = return_wait_ms(&request->service_state->return_times,
+                                     request->priority_class, max_ms,
+                                     request->waited_before_ms, remaining_ms);
+    /* Without a wait it is tried once. */
+    return now + (wait_ms > 0 ? wait_ms : 1);
+}
+
+/* Whether the request has to go through the queue of its service: all new ones
+ * do, so that they do not overtake those that wait. */
+bool
+request_must_queue(const request_t *request)
+{
+    return request->service_state != NULL && !request_is_queued(request) &&
+           request->sends == 0 && request->possible_runs == 0 &&
+           request->software == SOFTWARE_ANY;
+}
+
+/* Puts the request into the queue of its service and places what has room; it
+ * is rejected if the queue is full. */
+void
+request_enqueue(request_t *request, int64_t now)
 {
     service_state_t *state = request->service_state;
     wait_item_t *evicted;
-    request->wait_item = (wait_item_t){
-        .priority_class = request_queue_class(request),
-        .workspace = request->workspace != NULL
-                         ? str_hash(request->workspace->name, 0)
-                         : 0,
-        .cost = (double)request->prompt.prompt_tokens,
-        .waited_ms = request->waited_before_ms,
-        .arrived_ms = request->received_ms,
-        .deadline_ms =
-            now + admission_wait_max_ms(request->route->target_latency_ms,
-                                        request->deadline_ms - now)};
+    request->wait_item =
+        (wait_item_t){.priority_class = request_queue_class(request),
+                      .workspace = request->workspace != NULL
+                                       ? str_hash(request->workspace->name, 0)
+                                       : 0,
+                      .cost = (double)request->prompt.prompt_tokens,
+                      .waited_ms = request->waited_before_ms,
+                      .arrived_ms = request->received_ms,
+                      .deadline_ms = wait_deadline_ms(request, now)};
     request->waits_since_ms = now;
-    state->waited[request->priority_class]++;
     bool queued =
         wait_queue_push(&state->queue, &request->wait_item, now, &evicted);
     if (evicted != NULL) {
@@ -183,7 +256,7 @@
         reject(request, "queue-full", now);
         return;
     }
-    relay_schedule_queues(request->relay);
+    place_queued(request->relay, state);
 }
 
 /* Removes the request from the queue of its service. */
@@ -203,19 +276,6 @@
     return request->wait_item.flow != NULL;
 }
 
-/* Whether requests that are at least as urgent wait already. */
-static bool
-must_queue(const request_t *request)
-{
-    const wait_queue_t *queue = &request->service_state->queue;
-    for (unsigned i = 0; i <= request_queue_class(request); i++) {
-        if (!request->most_urgent && wait_queue_count(queue, i) > 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static void
 log_rejection(const request_t *request, const server_t *server,
               const admission_input_t *input, const char *reason)
@@ -241,10 +301,6 @@
     admission_t admission = request->possible_runs > 0
                                 ? (admission_t){ADMISSION_SEND, false, NULL}
                                 : admission_decide(&input);
-    if (!request_is_queued(request) && admission.verdict == ADMISSION_SEND &&
-        must_queue(request)) {
-        admission.verdict = ADMISSION_WAIT;
-    }
     switch (admission.verdict) {
         case ADMISSION_SEND:
             state->sent[request->priority_class]++;
@@ -254,11 +310,10 @@
             request_send(request, server);
             return true;
         case ADMISSION_WAIT:
-            if (request_is_queued(request)) {
-                return false;
-            }
-            enqueue(request, now);
-            return true;
+            state->waited[request->priority_class] +=
+                request->found_no_room ? 0 : 1;
+            request->found_no_room = true;
+            return false;
         case ADMISSION_REJECT:
             break;
     }
@@ -267,40 +322,15 @@
     return true;
 }
 
-/* Places requests that wait, and rejects those whose wait has ended. */
-static void
-place_queued(service_state_t *state, int64_t now)
-{
-    wait_item_t *item;
-    unsigned failures = 0;
-    while ((item = wait_queue_expired(&state->queue, now)) != NULL) {
-        request_t *request = request_from_item(item);
-        log_record(LOG_INFO, "place", "no-room",
-                   "id=%s why=waited class=%u reserve=%.1f waited_ms=%lld "
-                   "waited_before_ms=%lld",
-                   request->id, request->priority_class, request->reserve,
-                   (long long)(now - request->waits_since_ms),
-                   (long long)request->waited_before_ms);
-        reject(request, "no-room", now);
-    }
-    item = wait_queue_first(&state->queue);
-    while (item != NULL && failures < QUEUE_FAILURES_MAX) {
-        wait_item_t *next = wait_queue_next(&state->queue, item);
-        failures += request_place(request_from_item(item)) ? 0 : 1;
-        item = next;
-    }
-}
-
-/* Places what waits in the queues of all services; true if some requests still
- * wait. */
-bool
+/* Places what waits in the queues of all services, and rejects those whose
+ * wait has ended. */
+void
 requests_place_queued(relay_t *relay)
 {
     service_state_t *state;
-    size_t left = 0;
+    int64_t now = time_mono_ms();
     CK_SLIST_FOREACH (state, &relay->service_states, entry) {
-        place_queued(state, time_mono_ms());
-        left += wait_queue_total(&state->queue);
+        reject_expired(state, now);
+        place_queued(relay, state);
     }
-    return left > 0;
 }
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -101,8 +101,7 @@
  * priority.  The slots that are in use keep a request of the most urgent class
  * waiting; one of another class is not sent while too few are free. */
 static double
-expected_priority_wait_ms(const request_t *request, server_t *server,
-                          int64_t now)
+expected_priority_wait_ms(request_t *request, server_t *server, int64_t now)
 {
     double tokens =
         server->own_prefill_tokens + server_sum_peer_prefill(server, now);
@@ -234,7 +233,7 @@
 /* Fills a candidate and returns the expected wait there, ms.  Sets extra_ms to
  * what the speed of the server adds to it. */
 static double
-fill_candidate(const request_t *request, server_t *server, int64_t now,
+fill_candidate(request_t *request, server_t *server, int64_t now,
                levels_cache_t *levels, candidate_t *out, double *extra_ms)
 {
     relay_t *relay = request->relay;
@@ -600,6 +599,10 @@
     if (request_reject_if_fatal(request)) {
         return true;
     }
+    if (request_must_queue(request)) {
+        request_enqueue(request, now);
+        return true;
+    }
     server_t *server = request_choose_server(request, now);
     if (server == NULL && request_end_if_version_gone(request)) {
         return true;
--- a/relay/request.h
+++ b/relay/request.h
@@ -58,6 +58,7 @@
     bool counted_in_flight;   /* in service_state */
     int64_t waits_since_ms;   /* for room at an engine; 0 if it does not */
     int64_t waited_before_ms; /* since the caller's first attempt, if known */
+    bool found_no_room;       /* at least once */
     wait_item_t wait_item;    /* in the queue of service_state */
     double reserve;           /* slots that it leaves to more urgent ones */
     prompt_t prompt;
@@ -201,14 +202,16 @@
 void request_set_admission(request_t *request);
 void request_set_reserve(request_t *request, int64_t now);
 void request_count_in_flight(request_t *request, bool in_flight);
-admission_input_t request_admission_input(const request_t *request,
+admission_input_t request_admission_input(request_t *request,
                                           const server_t *server, int64_t now);
-bool request_finds_room(const request_t *request, const server_t *server,
+bool request_finds_room(request_t *request, const server_t *server,
                         int64_t now);
 bool request_admit(request_t *request, server_t *server, int64_t now);
 void request_note_caller_wait(request_t *request, int64_t stated_ms);
 void request_leave_queue(request_t *request, bool placed);
 bool request_is_queued(const request_t *request);
+bool request_must_queue(const request_t *request);
+void request_enqueue(request_t *request, int64_t now);
 void request_record_signals(const request_t *request, const http_head_t *head);
 void request_record_first_answer(request_t *request);
 
--- a/relay/service-state.h
+++ b/relay/service-state.h
@@ -17,6 +17,7 @@
     unsigned in_flight[PRIORITY_CLASSES]; /* of this host, at all engines */
     reserve_t reserve;
     wait_queue_t queue; /* requests that wait for room */
+    bool placing;       /* a round of placing from the queue is under way */
     return_times_t return_times;
     caller_wait_t caller_waits;
     uint64_t sent[PRIORITY_CLASSES];
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -153,6 +153,7 @@
                        : 0,
         .target_ms = kinds[kind].target_ms,
         .remaining_ms = 12000,
+        .wait_max_ms = admission_wait_max_ms(kinds[kind].target_ms, 12000),
         .waited_here_ms = now - arrived,
         .class_share = reserve_class_share(sim->in_flight, kind == 0 ? 0 : 2),
         .most_urgent = kind == 0};
@@ -296,6 +297,7 @@
                                .in_flight = in_flight,
                                .reserve = 4,
                                .class_share = 0.5,
+                               .wait_max_ms = 400,
                                .target_ms = 800,
                                .remaining_ms = 12000};
 }
@@ -311,6 +313,9 @@
     ck_assert_int_eq(admission_decide(&input).verdict, ADMISSION_WAIT);
     input.waited_here_ms = 400;
     ck_assert_int_eq(admission_decide(&input).verdict, ADMISSION_REJECT);
+    input = less_urgent(11);
+    input.over_share = true;
+    ck_assert_int_eq(admission_decide(&input).verdict, ADMISSION_WAIT);
     input = less_urgent(16);
     input.most_urgent = true;
     ck_assert_int_eq(admission_decide(&input).verdict, ADMISSION_SEND);
@@ -331,6 +336,21 @@
 }
 END_TEST
 
+/* Guards against a workspace in excess that makes others late. */
+START_TEST(a_workspace_over_its_share_is_rejected_first)
+{
+    admission_input_t input = {.slots = SLOTS,
+                               .in_flight = SLOTS,
+                               .wait_ms = 150,
+                               .target_ms = 250,
+                               .remaining_ms = 2500,
+                               .most_urgent = true};
+    ck_assert_int_eq(admission_decide(&input).verdict, ADMISSION_SEND);
+    input.over_share = true;
+    ck_assert_int_eq(admission_decide(&input).verdict, ADMISSION_REJECT);
+}
+END_TEST
+
 /* Guards against a wait that takes more than a part of what a caller has left.
  */
 START_TEST(the_wait_is_a_part_of_target_and_remaining_time)
@@ -418,6 +438,7 @@
 TEST_MAIN("admission", urgent_requests_find_slots_in_a_burst_of_long_ones,
           long_requests_keep_a_share_in_a_flood_of_urgent_ones,
           less_urgent_requests_leave_the_reserve_free,
+          a_workspace_over_its_share_is_rejected_first,
           what_cannot_be_answered_is_rejected_at_once,
           the_wait_is_a_part_of_target_and_remaining_time,
           a_host_that_has_just_started_keeps_some_slots_free,
