--- a/balance/engine-speed.c
+++ b/balance/engine-speed.c
@@ -15,8 +15,8 @@
 #define TIME_DEVIATION_SHARE 0.25
 #define TIME_DEVIATION_MS 10.0
 /* Relative standard deviation of the rate that is assumed at first.  Engines
- * differ by far more than this, but a few observations outweigh it. */
-#define START_DEVIATION 2.0
+ * differ by more than this, but a few observations outweigh it. */
+#define START_DEVIATION 1.0
 /* A single observation of a service is bounded to the expected time multiplied
  * or divided by this factor. */
 #define SERVICE_OUTLIER_FACTOR 3.0
--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -395,6 +395,19 @@
     on_event_due(-1, 0, run);
 }
 
+static void
+on_prefilled(evutil_socket_t fd, short what, void *arg)
+{
+    run_t *run = arg;
+    (void)fd;
+    (void)what;
+    if (run->closed) {
+        run_free(run);
+        return;
+    }
+    begin_stream(run);
+}
+
 /* Goes on with a run that was paused. */
 void
 server_continue_run(run_t *run)
@@ -524,6 +537,11 @@
         return;
     }
     if (server->engine && server->mode != MODE_RESET) {
+        if (server->first_ms > 0) {
+            run_later(server->store->base, server->first_ms, on_prefilled,
+                      run);
+            return;
+        }
         begin_stream(run);
         return;
     }
@@ -711,8 +729,8 @@
 /* Applies a command to a server: mode, draining, gone, events, gap_ms, and
  * limit_per_s, a negative one for none, rest_s, that rejections ask for, and
  * leaving, which its answers say though its entry does not; brittle, room,
- * work_ms, pace, fatal_part, see platform_server_t, and crash; see also
- * apply_engine_command and apply_life_command. */
+ * work_ms, pace, first_ms, fatal_part, see platform_server_t, and crash; see
+ * also apply_engine_command and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -738,6 +756,7 @@
     server->room = json_get_int(command, "room", server->room);
     server->work_ms = json_get_int(command, "work_ms", server->work_ms);
     server->pace = json_get_int(command, "pace", server->pace);
+    server->first_ms = json_get_int(command, "first_ms", server->first_ms);
     const char *fatal_part = json_get_string(command, "fatal_part");
     if (fatal_part != NULL) {
         str_copy(server->fatal_part, sizeof(server->fatal_part), fatal_part);
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -130,10 +130,11 @@
     double limit_per_s;         /* stated in answers if not negative */
     double rest_s;              /* asked for in rejections if positive */
     bool leaving;               /* said in answers */
-    int64_t brittle; /* rejections a second that it bears; -1 for any */
-    int64_t room;    /* requests that it takes at once; 0 for any number */
-    int64_t work_ms; /* of a plain server's request */
-    int64_t pace;    /* stated in its load header; 0 for none */
+    int64_t brittle;  /* rejections a second that it bears; -1 for any */
+    int64_t room;     /* requests that it takes at once; 0 for any number */
+    int64_t work_ms;  /* of a plain server's request */
+    int64_t pace;     /* stated in its load header; 0 for none */
+    int64_t first_ms; /* an engine's time to the first event */
     /* A request with this part ends the server once its answer has begun;
      * empty for none. */
     char fatal_part[CS_NAME_MAX];
--- a/relay/peers-speeds.c
+++ b/relay/peers-speeds.c
@@ -96,8 +96,6 @@
         }
         const speed_notice_t notice = {speed->ratio_milli,
                                        speed->observations};
-        if (server_speed_apply(&server->speed, &notice)) {
-            server_log_speed(server, "peer");
-        }
+        server_apply_speed(server, &notice);
     }
 }
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -832,7 +832,7 @@
     }
     if (engine_speed_observe(&server->service_speed->engine, &server->speed,
                              tokens, ms, now_ms)) {
-        server_log_speed(server, "own");
+        server->speed_told = false;
     }
 }
 
@@ -863,15 +863,14 @@
     }
 }
 
-/* Logs a server's ratio if the learned speed applies and it has changed by a
- * tenth since it was last logged. */
-void
-server_log_speed(server_t *server, const char *source)
+/* Logs a server's ratio if it has changed by a tenth since it was last logged.
+ */
+static void
+log_speed(server_t *server)
 {
     double ratio = server_speed_ratio(&server->speed);
     double logged = server->logged_ratio > 0 ? server->logged_ratio : 1;
-    if (!uses_learned_rate(server) ||
-        (ratio < logged * LOGGED_CHANGE && logged < ratio * LOGGED_CHANGE)) {
+    if (ratio < logged * LOGGED_CHANGE && logged < ratio * LOGGED_CHANGE) {
         return;
     }
     server->logged_ratio = ratio;
@@ -879,7 +878,31 @@
                "server=%s ratio=%.2f observations=%.1f rate=%.1f source=%s",
                server->info.id, ratio,
                server_speed_observations(&server->speed),
-               engine_speed_rate(&server->service_speed->engine), source);
+               engine_speed_rate(&server->service_speed->engine),
+               server->speed_told ? "peer" : "own");
+}
+
+/* Logs the changed ratios of the servers to which the learned speed applies.
+ */
+void
+servers_log_speeds(servers_t *servers)
+{
+    server_t *server;
+    CK_LIST_FOREACH (server, &servers->list, entry) {
+        if (!server->removed && server->info.engine &&
+            uses_learned_rate(server)) {
+            log_speed(server);
+        }
+    }
+}
+
+/* Applies what another host has told of a server's ratio. */
+void
+server_apply_speed(server_t *server, const speed_notice_t *notice)
+{
+    if (server_speed_apply(&server->speed, notice)) {
+        server->speed_told = true;
+    }
 }
 
 /* Centres the ratios of each service's servers around 1. */
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -133,6 +133,7 @@
     server_speed_t speed; /* its ratio to the service's mean, and its pace */
     service_speed_t *service_speed; /* of its service; NULL if not listed */
     double logged_ratio;            /* of its speed; 0 if it was not logged */
+    bool speed_told; /* the last change of its ratio came from another host */
     bool learned_speed;  /* the learned speed applies without a pace too */
     int64_t probed_ms;   /* time of the last probe */
     int64_t answered_ms; /* when data last arrived from the server */
@@ -206,7 +207,8 @@
                             int64_t now_ms);
 void server_observe_plain_work(server_t *server, double ms, int64_t now_ms);
 void server_state_pace(server_t *server, int percent, int64_t now_ms);
-void server_log_speed(server_t *server, const char *source);
+void server_apply_speed(server_t *server, const speed_notice_t *notice);
+void servers_log_speeds(servers_t *servers);
 void servers_centre_speeds(servers_t *servers);
 bool server_needs_probe(const server_t *server, int64_t now_ms);
 void server_confirm_alive(server_t *server, int64_t now_ms);
