--- a/balance/admission.c
+++ b/balance/admission.c
@@ -19,7 +19,7 @@
 /* Share of the target that the expected wait and the prefill may take.  What
  * a host knows of an engine is some ten ms old, and meanwhile others send
  * there too. */
-#define TARGET_SHARE 0.7
+#define TARGET_SHARE 0.9
 /* A request is not rejected for its target while the wait is below this share
  * of it: prompts whose prefill takes most of the target would never be
  * served. */
--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -102,7 +102,9 @@
         .reserve = request->reserve,
         .class_share = reserve_class_share(request->service_state->in_flight,
                                            request->priority_class),
-        .wait_ms = request->expected_wait_ms,
+        .wait_ms = wait_forecast_correct(
+            &request->service_state->wait_forecasts[request->priority_class],
+            request->expected_wait_ms),
         .prefill_ms = request->expected_prefill_ms,
         .target_ms = request->route->target_latency_ms,
         .remaining_ms = request->deadline_ms - now,
@@ -334,3 +336,16 @@
         place_queued(relay, state);
     }
 }
+
+/* Learns how long the request waited at its engine. */
+void
+request_note_engine_wait(const request_t *request, double first_ms)
+{
+    service_state_t *state = request->service_state;
+    if (state != NULL && request->possible_runs == 0) {
+        wait_forecast_observe(&state->wait_forecasts[request->priority_class],
+                              request->expected_wait_ms,
+                              first_ms - request->expected_prefill_ms -
+                                  server_first_token_ms(request->server));
+    }
+}
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -110,8 +110,7 @@
         return prefill_ms * URGENT_QUEUE_SHARE +
                server_slot_wait_ms(server, now);
     }
-    return prefill_ms +
-           (request_finds_room(request, server, now) ? 0 : NO_ROOM_COST_MS);
+    return prefill_ms;
 }
 
 /* Whether a server may serve the request, apart from its rate limit and the
@@ -274,7 +273,9 @@
                                  relay->mean_prompt_tokens);
     out->rendezvous_weight =
         place_rendezvous_weight(request->affinity_key, server->info.id);
-    out->wait_ms = wait + penalty_ms(request, server);
+    out->wait_ms =
+        wait + penalty_ms(request, server) +
+        (request_finds_room(request, server, now) ? 0 : NO_ROOM_COST_MS);
     return wait;
 }
 
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -262,6 +262,7 @@
     }
     request->answer_started_ms = now;
     record_forecast(request, now);
+    request_note_engine_wait(request, (double)(now - request->sent_ms));
     server_subtract_prefill(server, request->prefill_tokens);
     request->prefill_tokens = 0;
     if (request->engine) {
--- a/relay/request.h
+++ b/relay/request.h
@@ -208,6 +208,7 @@
                         int64_t now);
 bool request_admit(request_t *request, server_t *server, int64_t now);
 void request_note_caller_wait(request_t *request, int64_t stated_ms);
+void request_note_engine_wait(const request_t *request, double first_ms);
 void request_leave_queue(request_t *request, bool placed);
 bool request_is_queued(const request_t *request);
 bool request_must_queue(const request_t *request);
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -837,6 +837,15 @@
                                        &server->speed, 1, now_ms);
 }
 
+/* Returns the constant part of the time to the first token, ms. */
+double
+server_first_token_ms(const server_t *server)
+{
+    return server->service_speed != NULL
+               ? server->service_speed->engine.first_token_ms
+               : 0;
+}
+
 /* Returns the prefill rate of an engine's service, tokens/ms. */
 double
 server_mean_prefill_rate(const server_t *server)
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -209,6 +209,7 @@
 void server_update_slowness(server_t *server, double expected_ms,
                             double observed_ms);
 bool server_uses_learned_speed(const server_t *server);
+double server_first_token_ms(const server_t *server);
 bool server_is_mostly_idle(const server_t *server, int64_t now_ms);
 double server_prefill_rate(const server_t *server, int64_t now_ms);
 double server_mean_prefill_rate(const server_t *server);
--- a/relay/service-state.h
+++ b/relay/service-state.h
@@ -7,6 +7,7 @@
 #include "../balance/caller-wait.h"
 #include "../balance/reserve.h"
 #include "../balance/return-times.h"
+#include "../balance/wait-forecast.h"
 #include "../balance/wait-queue.h"
 
 #include <ck_queue.h>
@@ -20,6 +21,7 @@
     bool placing;       /* a round of placing from the queue is under way */
     return_times_t return_times;
     caller_wait_t caller_waits;
+    wait_forecast_t wait_forecasts[PRIORITY_CLASSES];
     uint64_t sent[PRIORITY_CLASSES];
     uint64_t waited[PRIORITY_CLASSES]; /* requests that waited for room */
     uint64_t rejected[PRIORITY_CLASSES];
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -1,6 +1,7 @@
 #include "../balance/admission.h"
 #include "../balance/caller-wait.h"
 #include "../balance/reserve.h"
+#include "../balance/wait-forecast.h"
 #include "test.h"
 
 #include <math.h>
@@ -44,6 +45,7 @@
 
 typedef struct {
     int64_t arrived_ms;
+    double expected_ms; /* its wait */
     unsigned kind;
 } queued_t;
 
@@ -59,6 +61,7 @@
 typedef struct {
     engine_t engines[ENGINES];
     reserve_t reserve;
+    wait_forecast_t forecast;             /* of the urgent kind */
     unsigned in_flight[PRIORITY_CLASSES]; /* at all engines */
     bool by_priority;
     double urgent_load;
@@ -104,6 +107,10 @@
             queued_t first = engine->queue[kind][0];
             memmove(engine->queue[kind], engine->queue[kind] + 1,
                     --engine->queued[kind] * sizeof(first));
+            if (first.kind == 0) {
+                wait_forecast_observe(&sim->forecast, first.expected_ms,
+                                      (double)(now - first.arrived_ms));
+            }
             start_request(sim, engine, first.kind, first.arrived_ms, now);
         }
     }
@@ -143,10 +150,11 @@
     int known = 0;
     engine_t *engine = choose_engine(sim, now, &known);
     int over = known - SLOTS + 1;
+    double expected_ms = over > 0 ? over * mean_hold_ms(sim) / SLOTS : 0;
     const admission_input_t input = {
         .slots = SLOTS,
         .in_flight = known,
-        .wait_ms = over > 0 ? over * mean_hold_ms(sim) / SLOTS : 0,
+        .wait_ms = wait_forecast_correct(&sim->forecast, expected_ms),
         .reserve = sim->by_priority
                        ? reserve_slots(&sim->reserve, kind == 0 ? 0 : 2, HOSTS,
                                        ENGINES, SLOTS)
@@ -164,7 +172,7 @@
         engine->in_flight[kind]++;
         sim->in_flight[kind == 0 ? 0 : 2]++;
         engine->queue[queue][engine->queued[queue]++] =
-            (queued_t){arrived, kind};
+            (queued_t){arrived, expected_ms, kind};
     }
     return admission.verdict;
 }
@@ -393,6 +401,28 @@
 }
 END_TEST
 
+/* Guards against waits that are believed to be longer or shorter than they
+ * are. */
+START_TEST(the_wait_forecast_follows_what_is_observed)
+{
+    wait_forecast_t forecast = {0};
+    ck_assert_double_eq(wait_forecast_correct(&forecast, 100), 100);
+    for (int i = 0; i < 200; i++) {
+        wait_forecast_observe(&forecast, 200, i % 2 == 0 ? 60 : 120);
+        wait_forecast_observe(&forecast, 10, 5000);
+    }
+    ck_assert_double_eq_tol(wait_forecast_correct(&forecast, 200), 85, 5);
+    for (int i = 0; i < 200; i++) {
+        wait_forecast_observe(&forecast, 200, 10000);
+    }
+    ck_assert_double_eq_tol(wait_forecast_correct(&forecast, 200), 800, 10);
+    for (int i = 0; i < 200; i++) {
+        wait_forecast_observe(&forecast, 200, -5);
+    }
+    ck_assert_double_eq_tol(wait_forecast_correct(&forecast, 200), 50, 1);
+}
+END_TEST
+
 /* Guards against callers that return and are taken for new ones. */
 START_TEST(the_wait_of_a_returning_caller_follows_from_its_deadline)
 {
@@ -443,5 +473,6 @@
           the_wait_is_a_part_of_target_and_remaining_time,
           a_host_that_has_just_started_keeps_some_slots_free,
           the_reserve_follows_the_more_urgent_classes,
+          the_wait_forecast_follows_what_is_observed,
           the_wait_of_a_returning_caller_follows_from_its_deadline,
           a_new_usual_deadline_is_learned, the_routes_used_last_are_kept)
