--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -135,7 +135,7 @@
 void
 request_set_reserve(request_t *request, int64_t now)
 {
-    const service_state_t *state = request->service_state;
+    service_state_t *state = request->service_state;
     const relay_service_t *service =
         relay_config_find_service(request->config, request->service);
     if (state != NULL && service != NULL) {
@@ -143,6 +143,7 @@
             reserve_slots(&state->reserve, request->priority_class,
                           peers_recent_count(request->relay->peers),
                           count_servers(request, now), service->slots);
+        state->kept_free[request->priority_class] = request->reserve;
     }
 }
 
--- a/relay/service-state.c
+++ b/relay/service-state.c
@@ -51,6 +51,10 @@
                     state->name, i, (unsigned long long)state->sent[i],
                     state->name, i, (unsigned long long)state->waited[i],
                     state->name, i, (unsigned long long)state->rejected[i]);
+            buf_fmt(out,
+                    "celeryspool_admission_reserve{service=\"%s\","
+                    "class=\"%u\"} %.1f\n",
+                    state->name, i, state->kept_free[i]);
             buf_fmt(out,
                     "celeryspool_wait_ratio{service=\"%s\",class=\"%u\"} "
                     "%.2f\n"
--- a/relay/service-state.h
+++ b/relay/service-state.h
@@ -17,8 +17,9 @@
     char name[CS_NAME_MAX];
     unsigned in_flight[PRIORITY_CLASSES]; /* of this host, at all engines */
     reserve_t reserve;
-    wait_queue_t queue; /* requests that wait for room */
-    bool placing;       /* a round of placing from the queue is under way */
+    double kept_free[PRIORITY_CLASSES]; /* slots, when last computed */
+    wait_queue_t queue;                 /* requests that wait for room */
+    bool placing; /* a round of placing from the queue is under way */
     return_times_t return_times;
     caller_wait_t caller_waits;
     wait_forecast_t wait_forecasts[PRIORITY_CLASSES];
