Test: slow readers: the bound on memory counts from the daemon's start

Cause: with AddressSanitizer the daemon takes 14 MB at its start instead of 3, and a byte for each eight: the test's absolute bound failed with 90 of 84 MB (64 MB of growth without it, 76 with it). Change: growth is bounded by 80 MB, which with 3 MB at the start is as strict as before; times 9/8 if the daemon is built with it.

--- a/tests/proc-slow-readers.sh
+++ b/tests/proc-slow-readers.sh
@@ -4,8 +4,10 @@
 export ASAN_OPTIONS="${ASAN_OPTIONS:+$ASAN_OPTIONS:}quarantine_size_mb=1:thread_local_quarantine_size_kb=64"
 . "$(dirname "$0")/relay-lib.sh"
 MEMORY_MB=120
-# The rest is for what the kernel holds of the connections.
-PEAK_MB=84
+# Beyond what the daemon takes at its start, 3 MB. The rest is for what the kernel holds of the connections.
+PEAK_MB=80
+# AddressSanitizer keeps a byte for each eight.
+grep -q __asan_init "$BUILD/celeryspoold" && PEAK_MB=$((PEAK_MB * 9 / 8))
 ENGINES=6
 SLOW=50
 # Long enough that the kernel cannot buffer what the host does not.
@@ -72,7 +74,9 @@
     done
 }
 
-echo "    before: $(memory_mb VmHWM) MB"
+BEFORE=$(memory_mb VmHWM)
+growth_mb() { echo $(($(memory_mb VmHWM) - BEFORE)); }
+echo "    before: $BEFORE MB"
 for ((i = 1; i <= SLOW; i++)); do stream slow-$i --limit-rate 600k & done
 for ((i = 1; i <= 4; i++)); do pause_then_read paused-$i 8 & done
 sleep 2
@@ -84,7 +88,7 @@
 done >"$OUT/held"
 echo "    held for callers: at most $(sort -g "$OUT/held" | tail -1 | cut -d' ' -f1) bytes; stopped: at most $(cut -d' ' -f2 "$OUT/held" | sort -n | tail -1)"
 wait $(jobs -p | grep -vxF "$(printf '%s\n' "${PIDS[@]}")")
-expect "slow callers: peak memory below $PEAK_MB of $MEMORY_MB MB ($(memory_mb VmHWM))" [ "$(memory_mb VmHWM)" -lt $PEAK_MB ]
+expect "slow callers: memory grows by less than $PEAK_MB of $MEMORY_MB MB ($(growth_mb))" [ "$(growth_mb)" -lt $PEAK_MB ]
 expect "no server cuts off an unread answer ($(grep -c '^unread' "$RECORD"))" [ "$(grep -c '^unread' "$RECORD")" = 0 ]
 expect "slow callers have whole answers ($(count_whole slow) of $SLOW, the last after $(slowest_ms slow) ms)" [ "$(count_whole slow)" = $SLOW ]
 expect "and those that read nothing for 8 s ($(count_whole paused) of 4)" [ "$(count_whole paused)" = 4 ]
@@ -101,7 +105,7 @@
 for ((i = 1; i <= 24; i++)); do call large-$i /read/x --data-binary "@$OUT/large" & done
 fast_calls small 60 -d x &
 wait $(jobs -p | grep -vxF "$(printf '%s\n' "${PIDS[@]}")")
-expect "large bodies: peak memory below $PEAK_MB MB ($(memory_mb VmHWM))" [ "$(memory_mb VmHWM)" -lt $PEAK_MB ]
+expect "large bodies: memory grows by less than $PEAK_MB MB ($(growth_mb))" [ "$(growth_mb)" -lt $PEAK_MB ]
 expect "all are answered ($(count_answered large) of 24, the last after $(slowest_ms large) ms)" [ "$(count_answered large)" = 24 ]
 expect "some were read slowly" [ "$(slowest_ms large)" -ge 2000 ]
 expect "small calls beside them are answered ($(count_answered small) of 60)" [ "$(count_answered small)" = 60 ]
