Servers: hosts tell each other which servers do not answer

A host whose probe fails now tells the others, one for all, after each failed probe; the others use the server only if there is no other, for 1.2 s. Only for services that admit by priority or state a pace.

--- a/kernel/tables.h
+++ b/kernel/tables.h
@@ -50,6 +50,8 @@
 
 /* ---- view: the known state of each backend server ---- */
 
+#define LOAD_SILENT (-2)
+
 typedef struct {
     char incarnation[CS_ID_LEN + 1];
     char version[CS_NAME_MAX];
@@ -60,7 +62,8 @@
     int prefill_rate; /* tokens per second */
     /* Running total of prompt tokens outside shared prefixes; wraps. */
     uint32_t unshared_tokens;
-    /* Requests of all hosts at the server, by its own report; -1: unknown. */
+    /* Requests of all hosts at the server, by its own report; -1: unknown,
+     * LOAD_SILENT: it does not answer the sender. */
     int total_requests;
 } load_report_t;
 
--- a/relay/peers-apply.c
+++ b/relay/peers-apply.c
@@ -41,6 +41,9 @@
         .unshared_tokens = fact->load.unshared_tokens};
     apply_weights(relay, server, &fact->load);
     server_apply_peer_load(server, &report);
+    if (fact->load.total_requests == LOAD_SILENT) {
+        server_apply_silence(server, time_mono_ms());
+    }
     if (fact->load.total_requests >= 0) {
         server_set_load(server, fact->load.total_requests, 0, time_mono_ms());
     }
--- a/relay/peers-notify.c
+++ b/relay/peers-notify.c
@@ -82,6 +82,14 @@
         server->reported_running + server->reported_waiting;
 }
 
+/* Adds a pending fact: the server does not answer this host.  Otherwise each
+ * host would lose a request to it before it knows. */
+void
+peers_notify_silence(peers_t *peers, const server_t *server)
+{
+    add_load_fact(peers, server)->load.total_requests = LOAD_SILENT;
+}
+
 /* ---- limits of workspaces ---- */
 
 /* Confirms that the daemon at an address may use the workspaces' limits. */
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -7,6 +7,7 @@
 #include "../kernel/peer-codec.h"
 #include "relay.h"
 
+void peers_notify_silence(peers_t *peers, const server_t *server);
 void peers_notify_reported_load(peers_t *peers, const server_t *server);
 void peers_notify_weights(peers_t *peers, const server_t *server,
                           int64_t loading);
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -1,4 +1,5 @@
 #include "cache-source.h"
+#include "peers.h"
 #include "relay.h"
 
 #include <stdlib.h>
@@ -9,6 +10,9 @@
 
 /* A server is probed at most once per interval, ms. */
 #define PROBE_INTERVAL_MS 200
+/* A notice that a server is silent is not sent while another host has just
+ * sent one, ms. */
+#define SILENCE_NOTICE_INTERVAL_MS 400
 #define CONNECT_TIMEOUT_MS 250
 /* A load report needs no slot of the engine and takes a few ms.  A plain
  * server answers a health check between two of its requests, which take tens
@@ -63,6 +67,12 @@
                    server->own_running,
                    (long long)(time_mono_ms() - server->busy_since_ms));
     }
+    int64_t now = time_mono_ms();
+    if (server_shares_silence(server) && !reach_is_lost(&relay->reach) &&
+        now - server->silent_notice_ms >= SILENCE_NOTICE_INTERVAL_MS) {
+        /* One host tells it for all that have noticed. */
+        peers_notify_silence(relay->peers, server);
+    }
     /* The first failed probe comes after two thirds of a second. */
     bool again = server->unresponsive;
     server->unresponsive = true;
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -19,6 +19,9 @@
 /* Cost of a server per unit of its error rate, ms: each error costs the caller
  * a retry. */
 #define ERROR_COST_MS 400.0
+/* Cost of a server that does not answer another host, ms: more than the wait
+ * at any other, but it is used if there is no other. */
+#define SUSPECTED_COST_MS 4000.0
 /* Cost of a server on older weights, ms: an answer on them is worth a fifth
  * less to the caller, so they are only used if this much faster. */
 #define OLD_WEIGHTS_COST_MS 150.0
@@ -205,6 +208,9 @@
 penalty_ms(const request_t *request, const server_t *server)
 {
     double ms = server->error_share * ERROR_COST_MS;
+    if (server_is_suspected(server, time_mono_ms())) {
+        ms += SUSPECTED_COST_MS;
+    }
     const weights_t *weights =
         request->engine
             ? relay_find_weights(request->relay, request->prompt.model)
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -49,6 +49,9 @@
 /* A ratio is logged if it has changed by this factor. */
 #define LOGGED_CHANGE 1.1
 
+/* A notice of silence expires after this time: the host that sent it probes
+ * the server twice as often, and repeats it after each failed probe. */
+#define SILENCE_NOTICE_VALID_MS 1200
 /* A server is mostly idle with fewer tokens to prefill than this, some ms of
  * work, and less than this share of its slots taken. */
 #define IDLE_PREFILL_TOKENS 512
@@ -165,6 +168,7 @@
     server->reported_slots = 0;
     server->address_taken = false;
     server->unresponsive = false;
+    server->silent_notice_ms = 0;
     server->software_in_doubt = false;
 }
 
@@ -440,6 +444,34 @@
     return true;
 }
 
+/* Whether hosts tell each other that the server does not answer. */
+bool
+server_shares_silence(const server_t *server)
+{
+    return server_uses_learned_speed(server);
+}
+
+/* Applies another host's notice that the server does not answer it. */
+void
+server_apply_silence(server_t *server, int64_t now_ms)
+{
+    bool just_answered = server->answered_ms != 0 &&
+                         now_ms - server->answered_ms < PROBE_SILENCE_MS;
+    if (server_shares_silence(server) && !just_answered) {
+        server->silent_notice_ms = now_ms;
+    }
+}
+
+/* Whether another host has said lately that the server does not answer, and
+ * this one has got nothing from it since. */
+bool
+server_is_suspected(const server_t *server, int64_t now_ms)
+{
+    return server->silent_notice_ms != 0 &&
+           now_ms - server->silent_notice_ms < SILENCE_NOTICE_VALID_MS &&
+           server->answered_ms < server->silent_notice_ms;
+}
+
 /* Records a fault and opens the circuit if there were enough in a row. */
 void
 server_record_fault(server_t *server, server_fault_t fault, int64_t now_ms)
@@ -833,6 +865,11 @@
     if (!uses_learned_rate(server)) {
         return SERVER_PREFILL_TOKENS_PER_MS / server->slowness;
     }
+    if (!server->learned_speed) {
+        return SERVER_PREFILL_TOKENS_PER_MS /
+               (server_speed_ratio(&server->speed) *
+                server_speed_pace(&server->speed, now_ms));
+    }
     return 1 / engine_speed_prefill_ms(&server->service_speed->engine,
                                        &server->speed, 1, now_ms);
 }
@@ -850,7 +887,7 @@
 double
 server_mean_prefill_rate(const server_t *server)
 {
-    return uses_learned_rate(server)
+    return uses_learned_rate(server) && server->learned_speed
                ? engine_speed_rate(&server->service_speed->engine)
                : SERVER_PREFILL_TOKENS_PER_MS;
 }
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -154,8 +154,10 @@
     server_brittle_t brittle; /* whether it bears few rejections */
     bool leaving;             /* it has said so since its start */
     bool leaving_unannounced; /* other hosts have to be notified of that */
-    bool probing;             /* a probe is in flight */
-    bool unresponsive;        /* the last probe got no answer */
+    /* When another host last said that the server does not answer it. */
+    int64_t silent_notice_ms;
+    bool probing;      /* a probe is in flight */
+    bool unresponsive; /* the last probe got no answer */
     /* It may have started again, with other software, since its entry. */
     bool software_in_doubt;
     int64_t reported_start_ms; /* latest start that its reports showed */
@@ -209,6 +211,9 @@
 void server_update_slowness(server_t *server, double expected_ms,
                             double observed_ms);
 bool server_uses_learned_speed(const server_t *server);
+bool server_shares_silence(const server_t *server);
+void server_apply_silence(server_t *server, int64_t now_ms);
+bool server_is_suspected(const server_t *server, int64_t now_ms);
 double server_first_token_ms(const server_t *server);
 bool server_is_mostly_idle(const server_t *server, int64_t now_ms);
 double server_prefill_rate(const server_t *server, int64_t now_ms);
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -392,6 +392,40 @@
 }
 END_TEST
 
+/* Guards against each host losing a request to a silent server that another
+ * one has noticed already. */
+START_TEST(a_silent_server_is_suspected_by_other_hosts)
+{
+    servers_t *servers = servers_new();
+    server_t *server = servers_put(servers, &on_old, 0);
+    server_apply_silence(server, 1000);
+    ck_assert(!server_is_suspected(server, 1001));
+    server->learned_speed = true;
+    server_apply_silence(server, 1000);
+    ck_assert(server_is_suspected(server, 1001));
+    ck_assert(server_is_usable(server, 1001));
+    ck_assert(!server_is_suspected(server, 2200));
+    server_apply_silence(server, 3000);
+    server_note_answer(server, 3100);
+    ck_assert(!server_is_suspected(server, 3100));
+    servers_free(servers);
+}
+END_TEST
+
+/* Guards against one host with a broken path that keeps others from a server
+ * that answers them. */
+START_TEST(a_server_that_has_just_answered_is_not_suspected)
+{
+    servers_t *servers = servers_new();
+    server_t *server = servers_put(servers, &on_old, 0);
+    server->learned_speed = true;
+    server_note_answer(server, 900);
+    server_apply_silence(server, 1000);
+    ck_assert(!server_is_suspected(server, 1001));
+    servers_free(servers);
+}
+END_TEST
+
 TEST_MAIN("servers", a_restarted_server_has_not_the_software_of_its_old_entry,
           signals_of_an_earlier_start_are_forgotten,
           server_is_used_once_listed_with_new_weights,
@@ -405,4 +439,7 @@
           restarted_server_may_have_older_weights,
           use_of_weights_counts_from_their_first_request,
           learned_speed_is_unused_without_a_pace,
-          reported_pace_applies_to_its_server, restart_forgets_ratio_and_pace)
+          reported_pace_applies_to_its_server,
+          a_silent_server_is_suspected_by_other_hosts,
+          a_server_that_has_just_answered_is_not_suspected,
+          restart_forgets_ratio_and_pace)
