Streams: go on at an engine after it has shown which start it is

Cause: a server starts again under its id with another software version. Until its entry says so (up to 400 ms, or as long as the store is unreachable), a host that had no request there sends a stream that goes on to it, and its answer is mixed from two versions.

If the report names a later start than the entry, the server has a version of its own until its next entry, and the stream is placed elsewhere; without a report the server is in doubt. Such streams are few, and a report takes no slot.

Test: tests/proc-stream-versions-unlisted.sh: three streams, whose other server has started again while the store is down.

--- a/relay/probe.c
+++ b/relay/probe.c
@@ -25,31 +25,42 @@
     bool of_path; /* over a new connection, see reach.h */
 } probe_t;
 
-static void
-apply_report(const probe_t *probe, server_t *server,
-             const fetch_result_t *result)
+struct software_check {
+    relay_t *relay;
+    char id[CS_NAME_MAX];
+    char addr[CS_ADDR_MAX];
+    bool new_connection;
+    fetch_t *fetch;
+    void (*on_checked)(void *arg, server_t *server);
+    void *arg;
+};
+
+/* Applies a server's report; false if it cannot be parsed. */
+static bool
+apply_report(relay_t *relay, server_t *server, const fetch_result_t *result)
 {
     server_report_t report;
     err_t err = {0};
     if (platform_report_read(&report, result->text, result->len, &err) != 0) {
-        log_warn("servers", "Cannot parse the report of %s: %s.", probe->id,
-                 err.text);
-        return;
+        log_warn("servers", "Cannot parse the report of %s: %s.",
+                 server->info.id, err.text);
+        return false;
     }
-    relay_apply_life(probe->relay, server,
+    relay_apply_life(relay, server,
                      report.started_ms > server->info.started_ms
                          ? SERVER_RESTARTED
                          : SERVER_LIVES);
     server_confirm_software(server, report.started_ms);
     if (server->info.engine) {
-        weights_note_seen(probe->relay, server->info.model, report.weights);
+        weights_note_seen(relay, server->info.model, report.weights);
     }
     if (server_update_weights(server, report.weights, report.started_ms)) {
         log_record(LOG_INFO, "servers", "reported",
                    "server=%s weights=%lld busy=%d", server->info.id,
                    (long long)report.weights, report.busy);
-        cache_clear(probe->relay, server);
+        cache_clear(relay, server);
     }
+    return true;
 }
 
 /* Marks a server that did not answer: it gets no further requests, and its
@@ -85,7 +96,7 @@
             }
             relay_note_answer(relay, server, probe->of_path);
             if (probe->engine && result->status == 200) {
-                apply_report(probe, server, result);
+                (void)apply_report(relay, server, result);
             }
         }
         else if (probe->of_path) {
@@ -179,6 +190,67 @@
     }
 }
 
+static void
+on_software_checked(void *arg, const fetch_result_t *result)
+{
+    software_check_t *check = arg;
+    relay_t *relay = check->relay;
+    server_t *server = servers_find(relay->servers, check->id);
+    bool answered = result->complete && result->status == 200;
+    if (server != NULL && strcmp(server->info.addr, check->addr) != 0) {
+        server = NULL;
+    }
+    if (server != NULL && answered) {
+        relay_note_answer(relay, server, check->new_connection);
+        answered = apply_report(relay, server, result);
+    }
+    if (server != NULL && !answered) {
+        relay_doubt_software(relay, server);
+    }
+    check->on_checked(check->arg, answered ? server : NULL);
+    free(check);
+}
+
+/* Requests the report of an engine, which shows whether it has started again
+ * since its entry, and calls on_checked with the server, or with NULL if it
+ * does not answer or is gone.  The connection is idle then and the first to be
+ * used again: what is sent over it reaches the same process.
+ *
+ * An open connection may have ended unnoticed, so a new one is made unless
+ * only open ones reach the servers. */
+software_check_t *
+relay_check_software(relay_t *relay, const server_t *server,
+                     void (*on_checked)(void *arg, server_t *server),
+                     void *arg)
+{
+    CLEAN_BUF buf_t head = {0};
+    software_check_t *check = mem_zalloc(sizeof(*check));
+    check->relay = relay;
+    check->new_connection = relay->reach.state == REACH_OK;
+    check->on_checked = on_checked;
+    check->arg = arg;
+    str_copy(check->id, sizeof(check->id), server->info.id);
+    str_copy(check->addr, sizeof(check->addr), server->info.addr);
+    platform_report_call(&head, server->info.addr);
+    fetch_options_t call_options = {.addr = server->info.addr,
+                                    .request = &head,
+                                    .new_connection = check->new_connection,
+                                    .connect_ms = CONNECT_TIMEOUT_MS,
+                                    .total_ms = REPORT_TIMEOUT_MS,
+                                    .on_done = on_software_checked,
+                                    .arg = check};
+    check->fetch = fetch_start(relay->exchanges, &call_options);
+    return check;
+}
+
+/* Cancels a check; on_checked is not called any more. */
+void
+relay_cancel_software_check(software_check_t *check)
+{
+    fetch_cancel(check->fetch);
+    free(check);
+}
+
 /* Probes a few random servers to find out whether this host reaches any: in
  * doubt those that have not failed yet, and any once the path is lost. */
 static void
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -97,6 +97,15 @@
            relay_reaches(request->relay, server);
 }
 
+/* Whether this server can take the request now. */
+bool
+request_can_use(const request_t *request, const server_t *server)
+{
+    int64_t now = time_mono_ms();
+    return can_serve(request, server, now) &&
+           server_allows_request(server, now);
+}
+
 /* Whether a server can take the request now. */
 bool
 request_has_server(const request_t *request, int64_t now)
@@ -505,7 +514,8 @@
     return true;
 }
 
-/* Sends the request to the best server, or rejects it if the expected time to
+/* Sends the request to the best server, a stream that goes on once the server
+ * has shown which start it is, or rejects it if the expected time to
  * its answer there is too long.  False if there is no usable server; the
  * request then keeps waiting. */
 bool
@@ -544,6 +554,10 @@
         request_reject(request, "too-busy", after_ms);
         return true;
     }
+    if (goes_on && request->route->resumable && server->info.engine) {
+        request_check_software(request, server);
+        return true;
+    }
     request_send(request, server);
     return true;
 }
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -261,6 +261,40 @@
            request->route->resumable;
 }
 
+/* The engine at which a stream is to go on has shown which start it is, or has
+ * not answered. */
+static void
+on_software_checked(void *arg, server_t *server)
+{
+    request_t *request = arg;
+    bool usable = server != NULL && request_can_use(request, server);
+    request->software_check = NULL;
+    log_record(LOG_INFO, "request", "software-checked",
+               "id=%s server=%s usable=%d waited_ms=%lld", request->id,
+               server != NULL ? server->info.id : "-", usable,
+               (long long)(time_mono_ms() - request->check_started_ms));
+    if (usable) {
+        request->connection_checked = true;
+        request_send(request, server);
+        return;
+    }
+    if (!request_place(request) && request->sends > 0) {
+        request_wait_for_server(request);
+    }
+}
+
+/* Sends a stream that goes on to an engine once that has shown that it has not
+ * started again since its entry, or else to another one.  The entry of one
+ * that starts again with another version is late by up to some hundred ms.
+ * Such streams are few, and a report takes a few ms and no slot. */
+void
+request_check_software(request_t *request, const server_t *server)
+{
+    request->check_started_ms = time_mono_ms();
+    request->software_check = relay_check_software(
+        request->relay, server, on_software_checked, request);
+}
+
 /* Whether no server is left that has the version of the stream and takes new
  * requests. */
 static bool
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -542,12 +542,14 @@
         .body = request->body->data,
         .body_len = request->body->len,
         .no_response_body = request->head->method == HTTP_HEAD,
-        .new_connection = request_needs_new_connection(request),
+        .new_connection = !request->connection_checked &&
+                          request_needs_new_connection(request),
         .silence_ms = request_silence_ms(request),
         .connect_ms = CONNECT_TIMEOUT_MS};
     request->exchange =
         exchange_start(relay->exchanges, &options, &request_hooks);
     request->connection_reused = exchange_is_reused(request->exchange);
+    request->connection_checked = false;
     if (request->sends == 1) {
         request->overhead_us = time_mono_us() - request->received_us;
     }
--- a/relay/request.c
+++ b/relay/request.c
@@ -107,6 +107,9 @@
     if (request->exchange != NULL) {
         exchange_cancel(request->exchange);
     }
+    if (request->software_check != NULL) {
+        relay_cancel_software_check(request->software_check);
+    }
     CK_LIST_REMOVE(request, entry);
     relay->request_count--;
     relay->body_bytes -= request->body->len;
@@ -336,6 +339,13 @@
     request->placement_deadline_ms = now + wait_ms;
 }
 
+/* Like wait_for_server, for a request that was to be sent again. */
+void
+request_wait_for_server(request_t *request)
+{
+    wait_for_server(request, time_mono_ms());
+}
+
 /* An attempt has failed: retries the request or ends it. */
 void
 request_handle_failed_attempt(request_t *request, send_result_t result)
@@ -473,7 +483,8 @@
 static bool
 may_place(const request_t *request, int64_t now)
 {
-    return request->exchange == NULL && now >= request->not_before_ms &&
+    return request->exchange == NULL && request->software_check == NULL &&
+           now >= request->not_before_ms &&
            (request->sends == 0 || now >= request->placement_deadline_ms ||
             retry_share_can_retry(&request->relay->retry_shares,
                                   request->service, now));
@@ -533,7 +544,7 @@
             request_tick_origin(request, now);
             continue;
         }
-        if (request->exchange == NULL &&
+        if (request->exchange == NULL && request->software_check == NULL &&
             request_end_if_version_gone(request)) {
             continue;
         }
--- a/relay/request.h
+++ b/relay/request.h
@@ -91,6 +91,9 @@
     /* A stream goes on only at the software version that began it. */
     uint64_t software;         /* SOFTWARE_ANY before the first event */
     uint64_t current_software; /* of the server of the current attempt */
+    software_check_t *software_check; /* before it goes on; NULL for none */
+    int64_t check_started_ms;
+    bool connection_checked; /* an idle one leads to the checked process */
     uint64_t resumes;    /* key of the stream that is taken up; 0 for none */
     bool origin_pending; /* other hosts were asked for its origin */
     int64_t origin_asked_ms;   /* when that was */
@@ -172,6 +175,9 @@
 server_t *request_choose_server(request_t *request, int64_t now);
 bool request_fits_version(const request_t *request, const server_t *server);
 bool request_avoids_doubt(const request_t *request, const server_t *server);
+void request_check_software(request_t *request, const server_t *server);
+void request_wait_for_server(request_t *request);
+bool request_can_use(const request_t *request, const server_t *server);
 bool request_resolve_origin(request_t *request);
 void request_tick_origin(request_t *request, int64_t now);
 void request_note_first_event(request_t *request);
--- /dev/null
+++ b/tests/proc-stream-versions-unlisted.sh
@@ -0,0 +1,33 @@
+#!/usr/bin/env bash
+# Guards against streams that go on at a server which has started again with another version, before its entry says so.
+. "$(dirname "$0")/stream-versions-lib.sh"
+HOSTS=1
+start_versions || exit 1
+sleep 5 # the host has its part of the retries
+
+# stream NAME: a stream that begins at e1
+stream() {
+    ID=$1 send_request 1 "/review/$1" "${KEY1[@]}" "${LLM_HEADERS[@]}" -d x >"$OUT/$1"
+}
+# break_off: e1 breaks off what it streams
+break_off() { engine e1 '{"end_streams":1}'; }
+
+for id in e1 e2 e3 e4; do engine $id '{"events":40}'; done
+for id in e2 e3 e4; do engine $id '{"mode":"shed"}'; done
+for n in 1 2 3; do stream s$n & done
+expect "streams run at e1" wait_record '^run server=e1 uri=/review/s3 ' 3
+sleep 0.5
+# e2 starts again while no host can read its new entry, and no request of the host runs there.
+post_admin store '{"down":true}'
+engine e2 '{"software":"v1.2","restart":0,"mode":"well"}'
+sleep 0.3
+break_off
+wait $(jobs -p | grep -vxF "$(printf '%s\n' "${PIDS[@]}")")
+post_admin store '{"down":false}'
+for n in 1 2 3; do
+    expect "s$n has events of one version ($(grep -o 'software=[^ ]*' "$OUT/s$n" | sort | uniq -c | tr '\n' ' '))" \
+        [ "$(grep -o 'software=[^ ]*' "$OUT/s$n" | sort -u)" = software=v1.1 ]
+    expect "s$n is complete" [ "$(grep -c token- "$OUT/s$n")" = 40 ]
+done
+expect "they went on after a check" [ "$(grep -c 'event=software-checked' "$OUT/relay-1.log")" -ge 3 ]
+finish
