Stand-in engines: slots at which further requests wait by priority, and lengths of streams by request

Cause: a stand-in engine ran any number of requests at once, so that nothing showed what admission by priority does when slots run out.

Change: the command {"slots":N} makes an engine run N requests at once and admit the others by their priority header, the oldest first within one; its entry, its load header and its report state this. A request's query ?events=N sets the length of its stream. Without the command and the query nothing changes.

--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -8,9 +8,9 @@
 /* Entry point of the platform stand-in.  Commands are sent to the store's
  * address: /admin/store {down, silent, lose, forget}, /admin/server/ID {mode,
  * draining, gone, events, gap_ms, limit_per_s, rest_s, leaving, brittle, room,
- * work_ms, pace, first_ms, event_bytes, unread_ms, read_rate, forget, preempt,
- * readmit, hold_fetches, refuse_orders, late_order_ms, memory_used, software,
- * show_runs, end_streams, restart}, /admin/object/KIND/NAME with a
+ * work_ms, pace, first_ms, slots, event_bytes, unread_ms, read_rate, forget,
+ * preempt, readmit, hold_fetches, refuse_orders, late_order_ms, memory_used,
+ * software, show_runs, end_streams, restart}, /admin/object/KIND/NAME with a
  * specification. */
 
 #define SERVERS_MAX 32
--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -23,15 +23,22 @@
 
 /* ---- the entry in the store ---- */
 
+static int
+stated_slots(const platform_server_t *server)
+{
+    return server->slots > 0 ? (int)server->slots : SLOTS;
+}
+
 static json_t *
 make_entry(const platform_server_t *server)
 {
     json_t *entry = json_pack(
         "{s:s,s:s,s:s,s:s*,s:i,s:s,s:i,s:I,s:I}", "service", server->service,
         "address", server->addr, "zone", server->dc, "version",
-        server->software[0] != '\0' ? server->software : NULL, "slots", SLOTS,
-        "state", server->draining ? "draining" : "ready", "cold_remaining_ms",
-        0, "sequence", (json_int_t)1, "born", (json_int_t)server->started_ms);
+        server->software[0] != '\0' ? server->software : NULL, "slots",
+        stated_slots(server), "state", server->draining ? "draining" : "ready",
+        "cold_remaining_ms", 0, "sequence", (json_int_t)1, "born",
+        (json_int_t)server->started_ms);
     if (server->engine) {
         (void)json_object_set_new(
             entry, "models",
@@ -122,22 +129,34 @@
     }
 }
 
+/* Sets the header that states the server's load at this moment. */
 static void
-add_identity(const platform_server_t *server, struct evhttp_request *req)
+set_load(const platform_server_t *server, struct evhttp_request *req)
 {
     char load[64];
-    char signature[CS_NAME_MAX * 2];
-    const char *id = find_header(req, wire_header_name(HEADER_REQUEST_ID));
-    int len = snprintf(load, sizeof(load), "%d,0,%d", server->running, SLOTS);
+    int waiting = server_count_waiting(server);
+    int len =
+        snprintf(load, sizeof(load), "%d,%d,%d", server->running - waiting,
+                 waiting, stated_slots(server));
     if (server->pace > 0) {
         (void)snprintf(load + len, sizeof(load) - (size_t)len, ",%lld",
                        (long long)server->pace);
     }
+    (void)evhttp_remove_header(evhttp_request_get_output_headers(req),
+                               wire_header_name(HEADER_LOAD));
+    add_header(req, HEADER_LOAD, load);
+}
+
+static void
+add_identity(const platform_server_t *server, struct evhttp_request *req)
+{
+    char signature[CS_NAME_MAX * 2];
+    const char *id = find_header(req, wire_header_name(HEADER_REQUEST_ID));
     (void)snprintf(signature, sizeof(signature), "sig.%s.%s", server->id,
                    id != NULL ? id : "-");
     add_header(req, HEADER_REQUEST_ID, id != NULL ? id : "-");
     add_header(req, HEADER_SIGNATURE, signature);
-    add_header(req, HEADER_LOAD, load);
+    set_load(server, req);
     add_signals(server, req);
 }
 
@@ -168,6 +187,7 @@
     }
     free(run);
     server_order_check(server);
+    server_admit_waiting(server);
 }
 
 static void
@@ -425,7 +445,7 @@
     char version[32];
     run->next_event =
         last_id != NULL ? (unsigned)strtoul(last_id, NULL, 10) + 1 : 1;
-    run->last_event = run->server->events;
+    run->last_event = server_stream_events(run->server, run->req);
     run->version = run->server->version;
     run->shown_version = run->version;
     run->read_ms = time_mono_ms();
@@ -460,6 +480,18 @@
     begin_stream(run);
 }
 
+/* Starts a run that has its slot. */
+static void
+start_run(run_t *run)
+{
+    if (run->server->first_ms > 0) {
+        run_later(run->server->store->base, run->server->first_ms,
+                  on_prefilled, run);
+        return;
+    }
+    begin_stream(run);
+}
+
 /* Goes on with a run that was paused. */
 void
 server_continue_run(run_t *run)
@@ -469,6 +501,11 @@
         on_event_due(-1, 0, run);
         return;
     }
+    if (run->server->slots > 0) {
+        set_load(run->server, run->req);
+        start_run(run);
+        return;
+    }
     begin_stream(run);
 }
 
@@ -589,12 +626,9 @@
         return;
     }
     if (server->engine && server->mode != MODE_RESET) {
-        if (server->first_ms > 0) {
-            run_later(server->store->base, server->first_ms, on_prefilled,
-                      run);
-            return;
+        if (!server_must_wait(run)) {
+            start_run(run);
         }
-        begin_stream(run);
         return;
     }
     run_later(server->store->base, server->work_ms, on_work_done, run);
@@ -605,14 +639,14 @@
 static void
 answer_report(const platform_server_t *server, struct evhttp_request *req)
 {
-    int preempted = server_count_preempted(server);
+    int queued = server_count_preempted(server) + server_count_waiting(server);
     CLEAN_JSON json_t *report = json_pack(
         "{s:s,s:[{s:s,s:I,s:[]}],s:b,s:I,s:i,s:i,s:I,s:I,s:I}", "stage",
         "both", "models", "name", MODEL, "version",
         (json_int_t)server->version, "adapters", "busy", server->loading,
-        "sequence", (json_int_t)server->order_count, "queued_requests",
-        preempted, "active_requests", server->running - preempted,
-        "cache_used", (json_int_t)server->memory_used, "cache_total",
+        "sequence", (json_int_t)server->order_count, "queued_requests", queued,
+        "active_requests", server->running - queued, "cache_used",
+        (json_int_t)server->memory_used, "cache_total",
         (json_int_t)server->memory_total, "born",
         (json_int_t)server->started_ms);
     answer_json(req, 200, report);
@@ -748,7 +782,8 @@
     run_t *run;
     run_t *next;
     CK_LIST_FOREACH_SAFE (run, &server->runs, entry, next) {
-        if (!server->hold_fetches && run->paused && !run->preempted) {
+        if (!server->hold_fetches && run->paused && !run->preempted &&
+            !run->waits_for_slot) {
             server_continue_run(run);
         }
     }
@@ -783,8 +818,8 @@
  * leaving, which its answers say though its entry does not; event_bytes,
  * unread_ms, read_rate (bytes of requests per second on each connection that
  * is accepted from then on); brittle, room, work_ms, pace, first_ms,
- * fatal_part, see platform_server_t, and crash; see also apply_engine_command
- * and apply_life_command. */
+ * slots, fatal_part, see platform_server_t, and crash; see also
+ * apply_engine_command and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -818,6 +853,8 @@
     server->work_ms = json_get_int(command, "work_ms", server->work_ms);
     server->pace = json_get_int(command, "pace", server->pace);
     server->first_ms = json_get_int(command, "first_ms", server->first_ms);
+    server->slots = json_get_int(command, "slots", server->slots);
+    server_admit_waiting(server);
     const char *fatal_part = json_get_string(command, "fatal_part");
     if (fatal_part != NULL) {
         str_copy(server->fatal_part, sizeof(server->fatal_part), fatal_part);
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -85,7 +85,8 @@
     bool started;               /* its stream has begun */
     bool fatal;                 /* it ends the server after its first event */
     bool preempted;             /* waits to be prefilled again */
-    bool paused;   /* no event is due: preempted, silent or held */
+    bool waits_for_slot;        /* paused until the server has a free slot */
+    bool paused;   /* no event is due: preempted, silent, held or waiting */
     bool closed;   /* the client has closed the connection */
     bool unframed; /* its answer ends with its connection */
     struct event *deadline_timer; /* NULL except of a silent one */
@@ -142,6 +143,8 @@
     int64_t work_ms;    /* of a plain server's request */
     int64_t pace;       /* stated in its load header; 0 for none */
     int64_t first_ms;   /* an engine's time to the first event */
+    int64_t slots;      /* an engine's runs at once, others wait; 0 for any
+                           number, and SLOTS are stated */
     /* A request with this part ends the server once its answer has begun;
      * empty for none. */
     char fatal_part[CS_NAME_MAX];
@@ -191,6 +194,12 @@
 void server_readmit(platform_server_t *server);
 int server_count_preempted(const platform_server_t *server);
 
+int server_count_waiting(const platform_server_t *server);
+bool server_must_wait(run_t *run);
+void server_admit_waiting(platform_server_t *server);
+unsigned server_stream_events(const platform_server_t *server,
+                              struct evhttp_request *req);
+
 /* ---- helpers for the store and the servers ---- */
 void answer_json(struct evhttp_request *req, int status, const json_t *body);
 json_t *parse_body(struct evhttp_request *req);
