Explain where a request would go: /explain on the metrics listener

Operators can read from the records why a request was rejected, but not ask where one would go now. The metrics listener takes a request's head by POST and answers with the decision, its reasons and the state of each server.

The decisions are those of real requests. Where they changed state they are split: request_decide_server leaves the note to brittle servers and the record to request_choose_server, request_find_exclusion leaves the reservation to reject_if_excluded, request_may_try_part leaves the trial to takes_trial. The limit is asked on a copy of the bucket.

--- a/balance/wait-queue.c
+++ b/balance/wait-queue.c
@@ -397,6 +397,55 @@
 
 /* ---- interface ---- */
 
+/* Returns the state of the workspace of an item that is not in the queue, or
+ * NULL if there is none. */
+wait_flow_t *
+wait_queue_find_flow(wait_queue_t *queue, const wait_item_t *item)
+{
+    return find_flow(queue, item->workspace, item->priority_class);
+}
+
+/* Returns whether wait_queue_push would accept an item. */
+bool
+wait_queue_would_accept(wait_queue_t *queue, const wait_item_t *item,
+                        int64_t now_ms)
+{
+    return item->deadline_ms > now_ms &&
+           (queue->count < WAIT_ITEMS_MAX ||
+            find_victim(queue, item, now_ms) != NULL);
+}
+
+/* Returns how many waiting items would be before an item that is not in the
+ * queue if it were added now. */
+size_t
+wait_queue_count_ahead(wait_queue_t *queue, const wait_item_t *item)
+{
+    const wait_class_t *class = &queue->classes[item->priority_class];
+    const wait_flow_t *flow = wait_queue_find_flow(queue, item);
+    wait_item_t added = *item;
+    size_t ahead = 0;
+    const wait_item_t *other;
+    for (unsigned i = 0; i < item->priority_class; i++) {
+        ahead += queue->classes[i].count;
+    }
+    added.start_tag = flow == NULL ? class->virtual_time
+                      : flow->count > 0
+                          ? flow->next_tag
+                          : fmax(flow->next_tag, class->virtual_time);
+    CK_LIST_FOREACH (other, &class->items, entry) {
+        if (flow != NULL && other->flow == flow &&
+            wait_began_ms(other) <= wait_began_ms(item)) {
+            added.start_tag += item_cost(other);
+        }
+    }
+    CK_LIST_FOREACH (other, &class->items, entry) {
+        bool own = flow != NULL && other->flow == flow;
+        ahead += own ? wait_began_ms(other) <= wait_began_ms(item)
+                     : !goes_before(&added, other);
+    }
+    return ahead;
+}
+
 /* Adds an item.  False if it is rejected: the queue is full or its wait has
  * ended already.  True with *evicted set if another item was removed to make
  * room; the caller rejects that one. */
--- a/balance/wait-queue.h
+++ b/balance/wait-queue.h
@@ -81,6 +81,11 @@
 wait_item_t *wait_queue_first(wait_queue_t *queue);
 wait_item_t *wait_queue_next(wait_queue_t *queue, wait_item_t *item);
 wait_item_t *wait_queue_expired(wait_queue_t *queue, int64_t now_ms);
+wait_flow_t *wait_queue_find_flow(wait_queue_t *queue,
+                                  const wait_item_t *item);
+bool wait_queue_would_accept(wait_queue_t *queue, const wait_item_t *item,
+                             int64_t now_ms);
+size_t wait_queue_count_ahead(wait_queue_t *queue, const wait_item_t *item);
 bool wait_queue_over_share(wait_queue_t *queue, const wait_item_t *item);
 void wait_queue_remove(wait_queue_t *queue, wait_item_t *item, bool placed);
 size_t wait_queue_count(const wait_queue_t *queue, unsigned priority_class);
--- a/relay/listeners.c
+++ b/relay/listeners.c
@@ -1,5 +1,8 @@
+#include "explain-head.h"
 #include "object-cache.h"
-#include "relay.h"
+#include "request-explain.h"
+
+#include <string.h>
 
 /* The listeners of a relay: callers, readiness checks of the load balancer,
  * metrics and other daemons, requests that other hosts forward. */
@@ -37,6 +40,16 @@
                            INTERNAL_HEAD_TIMEOUT_MS, INTERNAL_IDLE_TIMEOUT_MS};
 }
 
+/* Heads to explain are sent as bodies, and have the limits of callers' heads.
+ */
+static http_limits_t
+metrics_limits(void *arg)
+{
+    http_limits_t limits = internal_limits(arg);
+    limits.body_bytes = caller_limits(arg).head_bytes;
+    return limits;
+}
+
 static http_limits_t
 peer_limits(void *arg)
 {
@@ -113,19 +126,74 @@
     caller_answer(caller, relay_is_ready(arg) ? 200 : 503, NULL, "", 0);
 }
 
-/* Answers other daemons' requests for cached objects, and any other path with
- * the metrics. */
+static void
+answer_json(caller_t *caller, int status, const json_t *value)
+{
+    CLEAN_BUF buf_t headers = {0};
+    CLEAN_TEXT char *text = json_dumps(value, JSON_COMPACT);
+    buf_str(&headers, "Content-Type: application/json\r\n");
+    caller_answer(caller, text != NULL ? status : 500, &headers,
+                  text != NULL ? text : "", text != NULL ? strlen(text) : 0);
+}
+
+static void
+answer_explain_error(caller_t *caller, int status,
+                     const explain_error_t *error)
+{
+    CLEAN_JSON json_t *value =
+        json_pack("{s:{s:s,s:i,s:s}}", "error", "message", error->message,
+                  "line", (int)error->line, "field", error->field);
+    answer_json(caller, status, value);
+}
+
+/* Explains the request whose head is the body. */
+static void
+answer_explain(relay_t *relay, caller_t *caller, const http_head_t *head,
+               const buf_t *body)
+{
+    explain_error_t error = {.field = "method",
+                             .message = "a head to explain is sent by POST"};
+    if (head->method != HTTP_POST) {
+        answer_explain_error(caller, 405, &error);
+        return;
+    }
+    explained_head_t explained;
+    if (!explain_head_read(&explained, buf_text(body), body->len,
+                           (size_t)caller_limits(relay).head_bytes, &error)) {
+        answer_explain_error(caller, 400, &error);
+    }
+    else {
+        CLEAN_JSON json_t *answer =
+            request_explain(relay, &explained.reader.head);
+        answer_json(caller, 200, answer);
+    }
+    explain_head_free(&explained);
+}
+
+static bool
+is_explain_path(const char *target)
+{
+    size_t len = strlen(EXPLAIN_PATH);
+    return strncmp(target, EXPLAIN_PATH, len) == 0 &&
+           (target[len] == '\0' || target[len] == '?');
+}
+
+/* Answers other daemons' requests for cached objects, operators' requests for
+ * an explanation, and any other path with the metrics. */
 static void
 on_metrics_request(void *arg, caller_t *caller, const http_head_t *head,
                    buf_t *body)
 {
     relay_t *relay = arg;
     char target[CS_ADDR_MAX * 4];
-    (void)body;
     http_head_copy(head, head->target, target, sizeof(target));
     if (object_cache_answer(relay->object_cache, caller, target)) {
         return;
     }
+    if (is_explain_path(target)) {
+        answer_explain(relay, caller, head, body);
+        return;
+    }
     CLEAN_BUF buf_t headers = {0};
     CLEAN_BUF buf_t text = {0};
     buf_str(&headers, "Content-Type: text/plain\r\n");
@@ -162,7 +230,7 @@
         .on_request = on_ready_request,
         .on_disconnect = on_ready_disconnected};
     static const http_listener_hooks_t metrics = {
-        .limits = internal_limits,
+        .limits = metrics_limits,
         .on_request = on_metrics_request,
         .on_disconnect = object_cache_caller_disconnected};
     static const http_listener_hooks_t peers = {
--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -6,10 +6,6 @@
 
 /* Admission by priority: see balance/admission.c. */
 
-/* Requests that are tried without success in one round: those behind them find
- * room hardly more often. */
-#define QUEUE_FAILURES_MAX 3
-
 static request_t *
 request_from_item(wait_item_t *item)
 {
@@ -41,9 +37,17 @@
     request->priority_class = priority_class(request->route->priority);
     request->most_urgent =
         request->priority_class <= service->most_urgent_class;
-    request->service_state =
-        service_states_get(&request->relay->service_states, request->service,
-                           &request->relay->rng, time_mono_ms());
+    service_states_t *states = &request->relay->service_states;
+    rng_t *rng = &request->relay->rng;
+    int64_t now = time_mono_ms();
+    request->service_state = service_states_find(states, request->service);
+    if (request->service_state == NULL) {
+        /* The state of an explained request is freed with it. */
+        request->service_state =
+            request->explained
+                ? service_state_new(request->service, rng, now)
+                : service_states_get(states, request->service, rng, now);
+    }
 }
 
 /* Records how long the caller of a new request has waited before. */
@@ -189,7 +193,7 @@
         return;
     }
     state->placing = true;
-    while (item != NULL && failures < QUEUE_FAILURES_MAX) {
+    while (item != NULL && failures < REQUEST_QUEUE_FAILURES_MAX) {
         if (request_place(request_from_item(item))) {
             /* The order may have changed. */
             item = wait_queue_first(&state->queue);
@@ -233,13 +237,10 @@
            request->software == SOFTWARE_ANY;
 }
 
-/* Puts the request into the queue of its service and places what has room; it
- * is rejected if the queue is full. */
+/* Sets how and until when the request would wait in the queue. */
 void
-request_enqueue(request_t *request, int64_t now)
+request_prepare_wait(request_t *request, int64_t now)
 {
-    service_state_t *state = request->service_state;
-    wait_item_t *evicted;
     request->wait_item =
         (wait_item_t){.priority_class = request_queue_class(request),
                       .workspace = request->workspace != NULL
@@ -250,6 +251,16 @@
                       .arrived_ms = request->received_ms,
                       .deadline_ms = wait_deadline_ms(request, now)};
     request->waits_since_ms = now;
+}
+
+/* Puts the request into the queue of its service and places what has room; it
+ * is rejected if the queue is full. */
+void
+request_enqueue(request_t *request, int64_t now)
+{
+    service_state_t *state = request->service_state;
+    wait_item_t *evicted;
+    request_prepare_wait(request, now);
     bool queued =
         wait_queue_push(&state->queue, &request->wait_item, now, &evicted);
     if (evicted != NULL) {
@@ -293,6 +304,17 @@
                (long long)request->waited_before_ms);
 }
 
+/* Decides whether the request is sent to the chosen server, waits or is
+ * rejected. */
+admission_t
+request_decide_admission(const request_t *request,
+                         const admission_input_t *input)
+{
+    return request->possible_runs > 0
+               ? (admission_t){ADMISSION_SEND, false, NULL}
+               : admission_decide(input);
+}
+
 /* Sends the request to a server, rejects it or lets it wait for room; false if
  * it waits. */
 bool
@@ -301,9 +323,7 @@
     service_state_t *state = request->service_state;
     const admission_input_t input =
         request_admission_input(request, server, now);
-    admission_t admission = request->possible_runs > 0
-                                ? (admission_t){ADMISSION_SEND, false, NULL}
-                                : admission_decide(&input);
+    admission_t admission = request_decide_admission(request, &input);
     switch (admission.verdict) {
         case ADMISSION_SEND:
             state->sent[request->priority_class]++;
--- a/relay/request-fatal.c
+++ b/relay/request-fatal.c
@@ -10,9 +10,9 @@
  */
 #define HARMLESS_AFTER_MS 500
 
-/* Notes the shared parts of the request's prompt; the last one is its own. */
+/* Lists the shared parts of the request's prompt; the last one is its own. */
 void
-request_note_parts(request_t *request)
+request_list_parts(request_t *request)
 {
     const prompt_t *prompt = &request->prompt;
     fatal_request_t *fatal = &request->fatal;
@@ -21,8 +21,16 @@
          i++) {
         fatal->parts[fatal->count++] = prompt->parts[i];
     }
-    if (fatal->count > 0) {
-        fatal_parts_note_request(&request->relay->fatal_parts, fatal);
+}
+
+/* Lists the shared parts of the request's prompt and records the request. */
+void
+request_note_parts(request_t *request)
+{
+    request_list_parts(request);
+    if (request->fatal.count > 0) {
+        fatal_parts_note_request(&request->relay->fatal_parts,
+                                 &request->fatal);
     }
 }
 
@@ -77,19 +85,27 @@
     }
 }
 
-/* Whether this request is sent as the trial of a blocked part.  One host, the
+/* Whether a request can be sent as the trial of a blocked part.  One host, the
  * owner of a duty, sends it for all. */
+bool
+request_may_try_part(const request_t *request, const fatal_part_t *part,
+                     int64_t now)
+{
+    char duty[32];
+    (void)snprintf(duty, sizeof(duty), "part-%016llx",
+                   (unsigned long long)part->part);
+    return request->possible_runs == 0 && fatal_part_trial_is_due(part, now) &&
+           peers_has_duty(request->relay->peers, duty);
+}
+
+/* Whether this request is sent as the trial of a blocked part. */
 static bool
 takes_trial(request_t *request, fatal_part_t *part, int64_t now)
 {
-    char duty[32];
     if (request->tries_part) {
         return request->possible_runs == 0;
     }
-    (void)snprintf(duty, sizeof(duty), "part-%016llx",
-                   (unsigned long long)part->part);
-    if (request->possible_runs > 0 || !fatal_part_trial_is_due(part, now) ||
-        !peers_has_duty(request->relay->peers, duty)) {
+    if (!request_may_try_part(request, part, now)) {
         return false;
     }
     fatal_part_take_trial(part, now);
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -1,5 +1,6 @@
 #include "admit.h"
 #include "cache-source.h"
+#include "request-explain.h"
 #include "request.h"
 
 #include <string.h>
@@ -45,15 +46,11 @@
 #define ANSWERED_LATELY_MS 300
 /* Expected number of randomly sampled servers per request. */
 #define SAMPLE_SERVERS 4
-#define CANDIDATES_MAX 512
 /* Added to the Retry-After of a request that limits or rests exclude: a
  * margin, and a random part, so that not all callers return at the end of a
  * rest. */
 #define RETRY_AFTER_MARGIN_MS 50
 #define RETRY_AFTER_SPREAD_MS 250
-/* Retry-After if neither this host nor those that it asked reach a server, ms.
- */
-#define RETRY_AFTER_UNREACHED_MS 500
 
 static bool
 is_tried(const request_t *request, const server_t *server)
@@ -81,23 +78,47 @@
                      request->relay->settings.old_weights_max_ms);
 }
 
+/* Returns what keeps the request from a server even if this host reaches it,
+ * apart from its rate limit and the rest that it asks for; NULL if nothing. */
+static const char *
+find_obstacle(const request_t *request, const server_t *server, int64_t now)
+{
+    if (strcmp(server->info.service, request->service) != 0) {
+        return "other-service";
+    }
+    if (!server_is_usable(server, now)) {
+        return server_unusable_reason(server, now);
+    }
+    if (is_tried(request, server)) {
+        return "tried";
+    }
+    if (!request_fits_version(request, server)) {
+        return "other-software";
+    }
+    if (request_avoids_doubt(request, server)) {
+        return "software-in-doubt";
+    }
+    if (!request->engine) {
+        return NULL;
+    }
+    if (!server->info.engine) {
+        return "no-engine";
+    }
+    if (now < server->loading_until_ms) {
+        return "loading";
+    }
+    if (strcmp(server->info.model, request->prompt.model) != 0) {
+        return "other-model";
+    }
+    return are_weights_allowed(request, server) ? NULL : "old-weights";
+}
+
 /* Whether a server may serve the request if this host reaches it, apart from
  * its rate limit and the rest that it asks for. */
 static bool
 could_serve(const request_t *request, const server_t *server, int64_t now)
 {
-    if (strcmp(server->info.service, request->service) != 0 ||
-        !server_is_usable(server, now) || is_tried(request, server) ||
-        !request_fits_version(request, server) ||
-        request_avoids_doubt(request, server)) {
-        return false;
-    }
-    if (!request->engine) {
-        return true;
-    }
-    return server->info.engine && now >= server->loading_until_ms &&
-           strcmp(server->info.model, request->prompt.model) == 0 &&
-           are_weights_allowed(request, server);
+    return find_obstacle(request, server, now) == NULL;
 }
 
 /* Returns the expected time until an engine prefills a request that goes by
@@ -134,6 +155,24 @@
            server_allows_request(server, now);
 }
 
+/* Returns what excludes a server now, or NULL if it is usable for the request.
+ */
+const char *
+request_server_obstacle(const request_t *request, const server_t *server,
+                        int64_t now)
+{
+    const char *obstacle = find_obstacle(request, server, now);
+    if (obstacle != NULL) {
+        return obstacle;
+    }
+    if (!relay_reaches(request->relay, server)) {
+        return "not-reached";
+    }
+    return server_allows_request(server, now)
+               ? NULL
+               : server_limiting_reason(server, now);
+}
+
 /* Whether a server can take the request now. */
 bool
 request_has_server(const request_t *request, int64_t now)
@@ -167,14 +206,17 @@
 }
 
 static double
-expected_engine_wait_ms(server_t *server, int64_t now)
+expected_engine_wait_ms(const request_t *request, server_t *server,
+                        int64_t now)
 {
     double tokens =
         server->own_prefill_tokens + server_sum_peer_prefill(server, now);
     if (server_has_recent_load(server, now)) {
         tokens += server->reported_waiting * QUEUED_PREFILL_TOKENS;
     }
-    double backlog_tokens = server_update_backlog(server, now);
+    double backlog_tokens = request->explained
+                                ? server_backlog(server, now)
+                                : server_update_backlog(server, now);
     tokens = backlog_tokens > tokens ? backlog_tokens : tokens;
     return tokens / server_prefill_rate(server, now) +
            server_slot_wait_ms(server, now);
@@ -260,8 +302,9 @@
     out->same_dc = strcmp(server->info.dc, relay->settings.dc) == 0;
     double wait = request->service_state != NULL
                       ? expected_priority_wait_ms(request, server, now)
-                  : request->engine ? expected_engine_wait_ms(server, now)
-                                    : expected_plain_wait_ms(server, now);
+                  : request->engine
+                      ? expected_engine_wait_ms(request, server, now)
+                      : expected_plain_wait_ms(server, now);
     bool rejects =
         now < server->full_until_ms ||
         (request->phase == REQUEST_STREAMING && server->rejected_ms != 0);
@@ -294,27 +337,49 @@
     return wait;
 }
 
-/* Lists the servers that may serve a request; returns their number.  Counts
- * those that only their limit or rest excludes. */
-static size_t
-list_usable_servers(const request_t *request, int64_t now, server_t **out,
-                    size_t *excluded)
+/* Returns what the request would meet at a usable server. */
+server_outlook_t
+request_server_outlook(request_t *request, server_t *server, int64_t now)
+{
+    levels_cache_t levels = {0};
+    candidate_t candidate;
+    double extra_ms;
+    double wait_ms =
+        fill_candidate(request, server, now, &levels, &candidate, &extra_ms);
+    uint32_t cached = candidate.cached_tokens;
+    uint32_t tokens = request->prompt.prompt_tokens;
+    double prefill_ms =
+        request->engine && tokens > cached
+            ? (tokens - cached) * 1000.0 / candidate.prefill_rate
+            : 0;
+    return (server_outlook_t){.wait_ms = wait_ms,
+                              .prefill_ms = prefill_ms,
+                              .cost_ms = candidate.wait_ms + prefill_ms,
+                              .prefill_rate = candidate.prefill_rate / 1000,
+                              .cached_tokens = cached};
+}
+
+/* Lists the servers that may serve a request, and those that only their limit
+ * or rest excludes. */
+static void
+list_usable_servers(const request_t *request, int64_t now, placement_t *out)
 {
-    size_t count = 0;
     server_t *server;
-    *excluded = 0;
+    out->usable_count = 0;
+    out->excluded_count = 0;
     CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
-        if (count == CANDIDATES_MAX || !can_serve(request, server, now)) {
+        if (out->usable_count == CANDIDATES_MAX ||
+            !can_serve(request, server, now)) {
             continue;
         }
         if (!server_allows_request(server, now)) {
-            server_brittle_block(&server->brittle, now);
-            ++*excluded;
+            if (out->excluded_count < CANDIDATES_MAX) {
+                out->excluded[out->excluded_count++] = server;
+            }
             continue;
         }
-        out[count++] = server;
+        out->usable[out->usable_count++] = server;
     }
-    return count;
 }
 
 /* Returns the time after which a caller that a server's limit or rest excludes
@@ -376,28 +441,47 @@
     return false;
 }
 
-/* Rejects a request if nothing but limits and rests keeps it from the servers,
- * and none of them can take it in time; false if it may keep waiting. */
-static bool
-reject_if_excluded(request_t *request, int64_t now)
+/* Decides whether a request is rejected since nothing but limits and rests
+ * keeps it from the servers, and none of them can take it in time.  Returns
+ * the server to which its caller should return first, or NULL if it may keep
+ * waiting.  A random part of up to *spread_ms is added to *after_ms. */
+server_t *
+request_find_exclusion(const request_t *request, int64_t now,
+                       const char **reason, int64_t *after_ms,
+                       int64_t *spread_ms)
 {
     server_t *server = find_excluded_server(request, now);
     if (server == NULL || request->possible_runs > 0 ||
         may_be_free_by(request, now, request->placement_deadline_ms)) {
-        return false;
+        return NULL;
     }
     bool rests = !server_rest_allows(&server->rest, now);
-    int64_t after_ms =
-        return_after_ms(server, now) + RETRY_AFTER_MARGIN_MS +
-        (int64_t)rng_below(&request->relay->rng, RETRY_AFTER_SPREAD_MS);
+    *reason = rests                          ? "server-rest"
+              : server->limit.current.stated ? "server-limit"
+                                             : "server-brittle";
+    *after_ms = return_after_ms(server, now) + RETRY_AFTER_MARGIN_MS;
+    *spread_ms = RETRY_AFTER_SPREAD_MS;
+    return server;
+}
+
+/* Rejects a request that only limits and rests exclude; false if it may keep
+ * waiting. */
+static bool
+reject_if_excluded(request_t *request, int64_t now)
+{
+    const char *reason;
+    int64_t after_ms;
+    int64_t spread_ms;
+    server_t *server =
+        request_find_exclusion(request, now, &reason, &after_ms, &spread_ms);
+    if (server == NULL) {
+        return false;
+    }
+    after_ms += (int64_t)rng_below(&request->relay->rng, (uint64_t)spread_ms);
     if (server->limit.current.stated) {
         server_limit_reserve(&server->limit, now);
     }
-    request_reject(request,
-                   rests                          ? "server-rest"
-                   : server->limit.current.stated ? "server-limit"
-                                                  : "server-brittle",
-                   after_ms);
+    request_reject(request, reason, after_ms);
     return true;
 }
 
@@ -482,56 +566,75 @@
     return kept;
 }
 
-/* Returns the server for a request, or NULL if none can take it now.  If none
- * of the sampled servers has room for a less urgent request, all are compared.
- */
+/* Decides which server a request goes to; NULL if none can take it now.  If
+ * none of the sampled servers has room for a less urgent request, all are
+ * compared.  Besides the request it changes the relay's random generator and
+ * its count of placements alone. */
 server_t *
-request_choose_server(request_t *request, int64_t now)
+request_decide_server(request_t *request, int64_t now, placement_t *out)
 {
     candidate_t candidates[CANDIDATES_MAX];
-    server_t *usable[CANDIDATES_MAX];
-    server_t *sampled[CANDIDATES_MAX];
-    server_t **servers = sampled;
     levels_cache_t levels = {0};
-    size_t excluded;
     request_set_reserve(request, now);
-    size_t usable_count = list_usable_servers(request, now, usable, &excluded);
-    if (usable_count == 0) {
+    list_usable_servers(request, now, out);
+    out->sampled_count = 0;
+    out->compared_count = 0;
+    if (out->usable_count == 0) {
         return NULL;
     }
-    memcpy(sampled, usable, usable_count * sizeof(*usable));
-    size_t count = sample_servers(request, &levels, sampled, usable_count);
-    size_t best =
-        choose_best(request, servers, count, now, &levels, candidates);
-    if (!request_finds_room(request, servers[best], now)) {
-        size_t alive = keep_alive_servers(usable, usable_count, now);
+    memcpy(out->sampled, out->usable,
+           out->usable_count * sizeof(*out->usable));
+    out->sampled_count =
+        sample_servers(request, &levels, out->sampled, out->usable_count);
+    out->compared_count = out->sampled_count;
+    size_t best = choose_best(request, out->sampled, out->sampled_count, now,
+                              &levels, candidates);
+    server_t *server = out->sampled[best];
+    if (!request_finds_room(request, server, now)) {
+        size_t alive = keep_alive_servers(out->usable, out->usable_count, now);
         if (alive > 0) {
-            servers = usable;
-            count = alive;
-            best =
-                choose_best(request, servers, count, now, &levels, candidates);
+            out->compared_count = alive;
+            best = choose_best(request, out->usable, alive, now, &levels,
+                               candidates);
+            server = out->usable[best];
         }
     }
     request->expected_output =
         request->engine
             ? request_cost_output(&request->relay->costs, &request->cost_query)
             : 0;
+    out->best = candidates[best];
+    return server;
+}
+
+/* Returns the server for a request, or NULL if none can take it now. */
+server_t *
+request_choose_server(request_t *request, int64_t now)
+{
+    placement_t placement;
+    server_t *server = request_decide_server(request, now, &placement);
+    for (size_t i = 0; i < placement.excluded_count; i++) {
+        server_brittle_block(&placement.excluded[i]->brittle, now);
+    }
+    if (server == NULL) {
+        return NULL;
+    }
     log_record(
         LOG_INFO, "place", "chosen",
         "id=%s server=%s among=%zu usable=%zu excluded=%zu wait_ms=%.0f "
         "held=%u of=%u weights=%lld config=%lld cost=%.0f speed=%.1f",
-        request->id, servers[best]->info.id, count, usable_count, excluded,
-        request->expected_wait_ms, candidates[best].cached_tokens,
+        request->id, server->info.id, placement.compared_count,
+        placement.usable_count, placement.excluded_count,
+        request->expected_wait_ms, placement.best.cached_tokens,
         prompt_shared_tokens(&request->prompt),
-        (long long)servers[best]->info.weights,
-        (long long)request->config->version, request->expected_output,
-        candidates[best].prefill_rate / 1000);
-    return servers[best];
+        (long long)server->info.weights, (long long)request->config->version,
+        request->expected_output, placement.best.prefill_rate / 1000);
+    return server;
 }
 
 /* Whether the request's service has servers, and none is reached from here. */
-static bool
-is_unreached(const request_t *request, int64_t now)
+bool
+request_is_unreached(const request_t *request, int64_t now)
 {
     const server_t *server;
     bool listed = false;
@@ -577,7 +680,7 @@
             best = ALTERNATIVE_DOUBTFUL;
         }
     }
-    return best == ALTERNATIVE_NONE && is_unreached(request, now) &&
+    return best == ALTERNATIVE_NONE && request_is_unreached(request, now) &&
                    request_may_forward(request, now)
                ? ALTERNATIVE_LIKELY
                : best;
@@ -605,10 +708,28 @@
     return true;
 }
 
+/* Returns what the decision to send a request to the chosen server depends on
+ * where requests are not admitted by priority. */
+admit_input_t
+request_admit_input(const request_t *request, int64_t now)
+{
+    int64_t remaining_ms = request->deadline_ms - now;
+    return (admit_input_t){
+        .wait_ms = request->expected_wait_ms,
+        .prefill_ms = request->expected_prefill_ms,
+        .margin_ms = forecast_margin_ms(&request->relay->forecast),
+        /* A stream that goes on is late, but not lost. */
+        .target_ms = request->software != SOFTWARE_ANY
+                         ? (int)remaining_ms
+                         : request->route->target_latency_ms,
+        .remaining_ms = remaining_ms,
+        .engine = request->engine};
+}
+
 /* Sends the request to the best server, a stream that goes on once the server
- * has shown which start it is, or rejects it if the expected time to
- * its answer there is too long.  False if there is no usable server; the
- * request then keeps waiting. */
+ * has shown which start it is, or rejects it if the expected time to its
+ * answer there is too long.  False if there is no usable server; the request
+ * then keeps waiting. */
 bool
 request_place(request_t *request)
 {
@@ -625,23 +746,14 @@
         return true;
     }
     if (server == NULL) {
-        return is_unreached(request, now) ? place_elsewhere(request)
-                                          : reject_if_excluded(request, now);
+        return request_is_unreached(request, now)
+                   ? place_elsewhere(request)
+                   : reject_if_excluded(request, now);
     }
-    int64_t remaining_ms = request->deadline_ms - now;
-    bool goes_on = request->software != SOFTWARE_ANY;
-    if (request->service_state != NULL && !goes_on) {
+    if (request->service_state != NULL && request->software == SOFTWARE_ANY) {
         return request_admit(request, server, now);
     }
-    const admit_input_t input = {
-        .wait_ms = request->expected_wait_ms,
-        .prefill_ms = request->expected_prefill_ms,
-        .margin_ms = forecast_margin_ms(&request->relay->forecast),
-        /* A stream that goes on is late, but not lost. */
-        .target_ms =
-            goes_on ? (int)remaining_ms : request->route->target_latency_ms,
-        .remaining_ms = remaining_ms,
-        .engine = request->engine};
+    const admit_input_t input = request_admit_input(request, now);
     int64_t after_ms = admit_retry_after_ms(&input);
     if (after_ms > 0 && request->possible_runs == 0) {
         log_record(LOG_INFO, "place", "too-busy",
@@ -652,6 +764,7 @@
         request_reject(request, "too-busy", after_ms);
         return true;
     }
+    bool goes_on = request->software != SOFTWARE_ANY;
     if (goes_on && request->route->resumable && server->info.engine) {
         request_check_software(request, server);
         return true;
--- a/relay/request-quota.c
+++ b/relay/request-quota.c
@@ -1,3 +1,4 @@
+#include "request-explain.h"
 #include "request.h"
 
 /* Charges requests to their workspace's limit: once on arrival, again for each
@@ -60,6 +61,26 @@
     return decision;
 }
 
+/* Returns what the limit of the request's workspace says of it now, without
+ * charging it: the decision is made on a copy. */
+quota_preview_t
+request_preview_quota(const request_t *request)
+{
+    quotas_t *quotas = &request->relay->quotas;
+    const quota_t *quota = find_quota(request);
+    quota_preview_t preview = {.decision = {.allowed = true}};
+    if (quota == NULL) {
+        return preview;
+    }
+    quota_t copy = *quota;
+    int64_t now = time_mono_ms();
+    preview.limited = true;
+    preview.cost = request_cost(request);
+    preview.left = quota_available(quotas, &copy, now);
+    preview.decision = quota_try_spend(quotas, &copy, preview.cost, now);
+    return preview;
+}
+
 /* Records the cost of a request that another host has charged. */
 void
 request_note_quota(request_t *request)
--- a/relay/request.c
+++ b/relay/request.c
@@ -1,5 +1,6 @@
 #include "request.h"
 
+#include "request-explain.h"
 #include "request-held.h"
 
 #include <http_parser.h>
@@ -703,7 +704,9 @@
     request->placement_deadline_ms =
         request->received_ms +
         request->route->target_latency_ms / PLACEMENT_WAIT_DIVISOR;
-    (void)event_add(request->timer, &timeout);
+    if (!request->explained) {
+        (void)event_add(request->timer, &timeout);
+    }
     int64_t lifetime_ms =
         caller_ms > timeout_ms ? caller_ms : request->route->timeout_ms;
     request->origin_expires_ms =
@@ -758,6 +761,51 @@
     return *workspace == NULL ? 401 : 0;
 }
 
+/* Sets the service of a new request, and what decisions read from its head. */
+static void
+describe(request_t *request)
+{
+    relay_t *relay = request->relay;
+    request_set_service(
+        request, route_pick_service(request->route, rng_next(&relay->rng)));
+    if (request->engine) {
+        read_prompt(request);
+        request->affinity_key = prompt_affinity_key(&request->prompt);
+    }
+    set_cost_query(request);
+}
+
+/* Prepares a zeroed request that is explained.  Returns the status to reject
+ * it with, or 0. */
+int
+request_begin_explained(request_t *request, relay_t *relay,
+                        const http_head_t *head)
+{
+    request->explained = true;
+    request->relay = relay;
+    request->head = head;
+    request->config = relay->config;
+    request->received_us = time_mono_us();
+    request->received_ms = request->received_us / 1000;
+    int status =
+        check_request(relay, head, 0, &request->route, &request->workspace);
+    if (status != 0) {
+        return status;
+    }
+    describe(request);
+    if (request->engine) {
+        request_list_parts(request);
+    }
+    set_deadlines(request, false);
+    service_state_t *state = request->service_state;
+    if (state != NULL) {
+        caller_wait_t waits = state->caller_waits;
+        request->waited_before_ms = caller_wait_observe(
+            &waits, str_hash(request->route->name, 0), read_deadline(head));
+    }
+    return 0;
+}
+
 /* Handles a complete request of a caller, or one that another host forwards.
  */
 void
@@ -791,17 +839,13 @@
     request_t *request = request_new(relay, caller, head, body);
     request->route = route;
     request->workspace = workspace;
-    request_set_service(request,
-                        route_pick_service(route, rng_next(&relay->rng)));
+    describe(request);
     if (request->engine) {
-        read_prompt(request);
         request_note_parts(request);
-        request->affinity_key = prompt_affinity_key(&request->prompt);
         relay->mean_prompt_tokens +=
             MEAN_PROMPT_WEIGHT *
             (request->prompt.prompt_tokens - relay->mean_prompt_tokens);
     }
-    set_cost_query(request);
     set_deadlines(request, from_host);
     request_note_caller_wait(request, read_deadline(head));
     if (from_host) {
--- a/relay/request.h
+++ b/relay/request.h
@@ -10,6 +10,12 @@
 
 #define REQUEST_ID_MAX 96
 #define REQUEST_TRIED_MAX 5
+/* Waiting requests that are tried without success in one round: those behind
+ * them find room hardly more often. */
+#define REQUEST_QUEUE_FAILURES_MAX 3
+/* Retry-After if neither this host nor those that it asked reach a server, ms.
+ */
+#define RETRY_AFTER_UNREACHED_MS 500
 
 typedef enum {
     REQUEST_WAITING, /* no server can take it at the moment */
@@ -37,6 +43,7 @@
 struct request {
     CK_LIST_ENTRY(request) entry;
     relay_t *relay;
+    bool explained; /* never sent, has no caller: see request-explain.h */
     caller_t *caller;
     struct caller_hold *hold; /* what is held for the caller */
     /* Head and body belong to the caller's connection, which keeps them until
@@ -181,6 +188,7 @@
 bool request_helper_is_lost(const request_t *request, int64_t now);
 void request_release_helper(request_t *request);
 void request_reject_unreached(request_t *request);
+void request_list_parts(request_t *request);
 void request_note_parts(request_t *request);
 void request_note_answered(const request_t *request);
 void request_note_lost(const request_t *request);
@@ -218,6 +226,7 @@
 void request_leave_queue(request_t *request, bool placed);
 bool request_is_queued(const request_t *request);
 bool request_must_queue(const request_t *request);
+void request_prepare_wait(request_t *request, int64_t now);
 void request_enqueue(request_t *request, int64_t now);
 void request_record_signals(const request_t *request, const http_head_t *head);
 void request_record_first_answer(request_t *request);
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -334,13 +334,20 @@
  * that are not prefilled yet, this does not drop to 0 as soon as the server
  * has caught up. */
 double
-server_update_backlog(server_t *server, int64_t now_ms)
+server_backlog(const server_t *server, int64_t now_ms)
 {
     double speed = server_prefill_rate(server, now_ms) * BACKLOG_SPEED_SHARE;
     double done_tokens = (double)(now_ms - server->backlog_updated_ms) * speed;
-    server->backlog_tokens = server->backlog_tokens > done_tokens
-                                 ? server->backlog_tokens - done_tokens
-                                 : 0;
+    return server->backlog_tokens > done_tokens
+               ? server->backlog_tokens - done_tokens
+               : 0;
+}
+
+/* Returns the same, which is from now on computed from the present. */
+double
+server_update_backlog(server_t *server, int64_t now_ms)
+{
+    server->backlog_tokens = server_backlog(server, now_ms);
     server->backlog_updated_ms = now_ms;
     return server->backlog_tokens;
 }
@@ -535,6 +542,27 @@
            !server->leaving;
 }
 
+/* Returns why server_is_usable is false. */
+const char *
+server_unusable_reason(const server_t *server, int64_t now_ms)
+{
+    return server->removed                          ? "removed"
+           : server->address_taken                  ? "address-taken"
+           : server->unresponsive                   ? "unresponsive"
+           : now_ms < server->circuit_open_until_ms ? "circuit-open"
+           : server->info.draining                  ? "draining"
+                                                    : "leaving";
+}
+
+/* Returns why server_allows_request is false. */
+const char *
+server_limiting_reason(const server_t *server, int64_t now_ms)
+{
+    return server_rest_wait_ms(&server->rest, now_ms) > 0 ? "server-rest"
+           : !server_limit_allows(&server->limit, now_ms) ? "server-limit"
+                                                          : "server-brittle";
+}
+
 /* Records that the server answered this host or a host that reported it. */
 void
 server_confirm_alive(server_t *server, int64_t now_ms)
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -202,10 +202,13 @@
 bool server_is_reachable(const server_t *server, int64_t now_ms);
 void server_forget_faults(server_t *server);
 bool server_is_usable(const server_t *server, int64_t now_ms);
+const char *server_unusable_reason(const server_t *server, int64_t now_ms);
+const char *server_limiting_reason(const server_t *server, int64_t now_ms);
 void server_add_unshared(server_t *server, uint32_t tokens);
 void server_apply_peer_load(server_t *server,
                             const server_peer_load_t *report);
 int server_count_running(const server_t *server, int64_t now_ms);
+double server_backlog(const server_t *server, int64_t now_ms);
 double server_update_backlog(server_t *server, int64_t now_ms);
 double server_sum_peer_prefill(const server_t *server, int64_t now_ms);
 void server_update_slowness(server_t *server, double expected_ms,
--- a/relay/service-state.c
+++ b/relay/service-state.c
@@ -2,11 +2,20 @@
 
 #include <string.h>
 
-/* Returns the state of a service, which is added if it is new.  Names of
- * services are few and stay. */
+/* Returns a new state that is not in a list. */
 service_state_t *
-service_states_get(service_states_t *states, const char *name, rng_t *rng,
-                   int64_t now_ms)
+service_state_new(const char *name, rng_t *rng, int64_t now_ms)
+{
+    service_state_t *state = mem_zalloc(sizeof(*state));
+    str_copy(state->name, sizeof(state->name), name);
+    wait_queue_init(&state->queue);
+    return_times_init(&state->return_times, (rng_t){rng_next(rng)}, now_ms);
+    return state;
+}
+
+/* Returns the state of a service, or NULL. */
+service_state_t *
+service_states_find(const service_states_t *states, const char *name)
 {
     service_state_t *state;
     CK_SLIST_FOREACH (state, states, entry) {
@@ -14,11 +23,20 @@
             return state;
         }
     }
-    state = mem_zalloc(sizeof(*state));
-    str_copy(state->name, sizeof(state->name), name);
-    wait_queue_init(&state->queue);
-    return_times_init(&state->return_times, (rng_t){rng_next(rng)}, now_ms);
-    CK_SLIST_INSERT_HEAD(states, state, entry);
+    return NULL;
+}
+
+/* Returns the state of a service, which is added if it is new.  Names of
+ * services are few and stay. */
+service_state_t *
+service_states_get(service_states_t *states, const char *name, rng_t *rng,
+                   int64_t now_ms)
+{
+    service_state_t *state = service_states_find(states, name);
+    if (state == NULL) {
+        state = service_state_new(name, rng, now_ms);
+        CK_SLIST_INSERT_HEAD(states, state, entry);
+    }
     return state;
 }
 
--- a/relay/service-state.h
+++ b/relay/service-state.h
@@ -30,6 +30,10 @@
 
 typedef CK_SLIST_HEAD(service_states, service_state) service_states_t;
 
+service_state_t *service_state_new(const char *name, rng_t *rng,
+                                   int64_t now_ms);
+service_state_t *service_states_find(const service_states_t *states,
+                                     const char *name);
 service_state_t *service_states_get(service_states_t *states, const char *name,
                                     rng_t *rng, int64_t now_ms);
 void service_states_tick(service_states_t *states, int64_t now_ms);
