--- a/daemons/celeryspoolctl.c
+++ b/daemons/celeryspoolctl.c
@@ -1,4 +1,5 @@
 #include "../kernel/http.h"
+#include "../relay/explain-head.h"
 
 #include <argp.h>
 #include <editline/readline.h>
@@ -8,11 +9,25 @@
 
 /* The operators' tool, a client of the administration API.  It runs the
  * command given as arguments; without one it is interactive on a terminal and
- * otherwise runs the commands on standard input. */
+ * otherwise runs the commands on standard input.  With --metrics it asks a
+ * daemon in relay mode, which has no such API, to explain a request. */
 
 #define TIMEOUT_MS 10000
 #define COLUMN_WIDTH_MAX 60
 #define COLUMNS_MAX 24
+/* Longest file with a head that is read; the daemon's limit is lower. */
+#define HEAD_FILE_MAX 65536
+
+/* Options without a short name. */
+enum {
+    OPTION_METRICS = 256,
+    OPTION_HOST,
+    OPTION_PATH,
+    OPTION_MODEL,
+    OPTION_TOKENS,
+    OPTION_PARTS,
+    OPTION_DEADLINE
+};
 
 const char *argp_program_version = "celeryspoolctl " CS_VERSION;
 
@@ -22,6 +37,10 @@
     long long if_generation;
     bool json;
     buf_t line;
+    const char *metrics_addr; /* of a relay; else NULL */
+    explain_query_t explain;
+    const char *words[2]; /* the first ones of the command */
+    unsigned word_count;
 } ctl_args_t;
 
 static const struct argp_option options[] = {
@@ -30,6 +49,15 @@
     {"json", 'j', NULL, 0, "print JSON", 0},
     {"if-generation", 'g', "N", 0,
      "change only if this generation is in force", 0},
+    {NULL, 0, NULL, 0, "explain, at a daemon in relay mode:", 1},
+    {"metrics", OPTION_METRICS, "ADDR", 0,
+     "the daemon's metrics address; --key is then the caller's access key", 1},
+    {"host", OPTION_HOST, "HOST", 0, "Host of the request", 1},
+    {"path", OPTION_PATH, "PATH", 0, "its path (default: /)", 1},
+    {"model", OPTION_MODEL, "M", 0, "its model", 1},
+    {"tokens", OPTION_TOKENS, "IN,OUT", 0, "its prompt and output tokens", 1},
+    {"parts", OPTION_PARTS, "ID:N,...", 0, "the parts of its prompt", 1},
+    {"deadline", OPTION_DEADLINE, "MS", 0, "how long its caller waits", 1},
     {0},
 };
 
@@ -58,8 +86,40 @@
         case 'g':
             args->if_generation = strtoll(arg, NULL, 10);
             return 0;
+        case OPTION_METRICS:
+            args->metrics_addr = arg;
+            return 0;
+        case OPTION_HOST:
+            args->explain.host = arg;
+            return 0;
+        case OPTION_PATH:
+            args->explain.path = arg;
+            return 0;
+        case OPTION_MODEL:
+            args->explain.model = arg;
+            return 0;
+        case OPTION_TOKENS:
+            args->explain.tokens = arg;
+            return 0;
+        case OPTION_PARTS:
+            args->explain.parts = arg;
+            return 0;
+        case OPTION_DEADLINE:
+            args->explain.deadline = arg;
+            return 0;
         case ARGP_KEY_ARG:
             add_word(&args->line, arg);
+            if (args->word_count < 2) {
+                args->words[args->word_count] = arg;
+            }
+            args->word_count++;
+            return 0;
+        case ARGP_KEY_END:
+            if (args->metrics_addr != NULL &&
+                (args->word_count == 0 || args->word_count > 2 ||
+                 strcmp(args->words[0], "explain") != 0)) {
+                argp_error(state, "--metrics is for: explain [FILE]");
+            }
             return 0;
         default:
             return ARGP_ERR_UNKNOWN;
@@ -71,8 +131,11 @@
     parse_option,
     "[COMMAND…]",
     "Queries and controls a celeryspool deployment.\vWithout a command it is "
-    "interactive; help lists the commands. Exit status: 0 success, 1 command "
-    "rejected, 4 daemon unreachable.",
+    "interactive; help lists the commands. explain --metrics ADDR [FILE] "
+    "shows "
+    "where a daemon in relay mode would send a request now, given by options "
+    "or by a file with its head (- for standard input). Exit status: 0 "
+    "success, 1 command rejected, 4 daemon unreachable.",
     NULL,
     NULL,
     NULL};
@@ -189,6 +252,17 @@
     }
 }
 
+static void
+print_plain_rows(const json_t *rows)
+{
+    if (json_array_size(rows) > 0) {
+        print_rows(rows);
+    }
+    else {
+        (void)printf("(none)\n");
+    }
+}
+
 static void
 print_plain(const json_t *reply)
 {
@@ -203,11 +277,8 @@
         (void)printf("%s: %s\n", key, text);
     }
     const json_t *rows = json_object_get(reply, "rows");
-    if (rows != NULL && json_array_size(rows) > 0) {
-        print_rows(rows);
-    }
-    else if (rows != NULL) {
-        (void)printf("(none)\n");
+    if (rows != NULL) {
+        print_plain_rows(rows);
     }
 }
 
@@ -333,13 +404,181 @@
     return last_failure;
 }
 
+/* ---- explain, at a relay ---- */
+
+static bool
+read_head_file(const char *path, buf_t *out)
+{
+    char piece[4096];
+    size_t len;
+    bool is_stdin = strcmp(path, "-") == 0;
+    FILE *file = is_stdin ? stdin : fopen(path, "r");
+    if (file == NULL) {
+        (void)fprintf(stderr, "celeryspoolctl: cannot open %s: %m\n", path);
+        return false;
+    }
+    while (out->len <= HEAD_FILE_MAX &&
+           (len = fread(piece, 1, sizeof(piece), file)) > 0) {
+        buf_add(out, piece, len);
+    }
+    bool complete = ferror(file) == 0 && out->len <= HEAD_FILE_MAX;
+    if (!is_stdin) {
+        (void)fclose(file);
+    }
+    if (!complete) {
+        (void)fprintf(
+            stderr, "celeryspoolctl: %s is not readable or too long\n", path);
+    }
+    return complete;
+}
+
+static bool
+make_head(const ctl_args_t *args, buf_t *out)
+{
+    explain_error_t error;
+    if (args->word_count == 2) {
+        return read_head_file(args->words[1], out);
+    }
+    if (!explain_head_build(&args->explain, out, &error)) {
+        (void)fprintf(stderr, "celeryspoolctl: %s: %s\n", error.field,
+                      error.message);
+        return false;
+    }
+    return true;
+}
+
+static void
+print_verdict(const json_t *answer)
+{
+    const json_t *verdict = json_object_get(answer, "verdict");
+    const char *choice = json_get_string(answer, "choice");
+    const char *why = json_get_string(verdict, "why");
+    const char *decision = json_get_string(verdict, "decision");
+    (void)printf("choice: %s\nverdict: %s", choice != NULL ? choice : "-",
+                 decision != NULL ? decision : "-");
+    if (json_object_get(verdict, "status") != NULL) {
+        (void)printf(" %lld", (long long)json_get_int(verdict, "status", 0));
+    }
+    if (json_get_string(verdict, "server") != NULL) {
+        (void)printf(" to %s%s", json_get_string(verdict, "server"),
+                     json_get_bool(verdict, "raised") ? ", raised" : "");
+    }
+    if (why != NULL) {
+        (void)printf(", %s", why);
+    }
+    if (json_object_get(verdict, "wait_max_ms") != NULL) {
+        (void)printf(", for at most %lld ms",
+                     (long long)json_get_int(verdict, "wait_max_ms", 0));
+    }
+    const json_t *after = json_object_get(verdict, "retry_after_ms");
+    if (after != NULL) {
+        (void)printf(", retry after %lld to %lld ms",
+                     (long long)json_integer_value(json_array_get(after, 0)),
+                     (long long)json_integer_value(json_array_get(after, 1)));
+    }
+    (void)printf("\n");
+}
+
+/* Prints the choice and the verdict, what is known of the request, the usable
+ * servers by expected cost and the excluded ones. */
+static void
+print_explanation(const json_t *answer)
+{
+    static const char *const lists[] = {"servers", "excluded"};
+    const char *key;
+    json_t *value;
+    print_verdict(answer);
+    json_object_foreach ((json_t *)answer, key, value) {
+        char text[512];
+        if (json_is_array(value) || strcmp(key, "verdict") == 0 ||
+            strcmp(key, "choice") == 0) {
+            continue;
+        }
+        cell_text(value, text, sizeof(text));
+        (void)printf("%s: %s\n", key, text);
+    }
+    for (size_t i = 0; i < 2; i++) {
+        const json_t *rows = json_object_get(answer, lists[i]);
+        if (rows != NULL) {
+            (void)printf("\n%s:\n", lists[i]);
+            print_plain_rows(rows);
+        }
+    }
+}
+
+static void
+print_explain_error(const json_t *answer, int status)
+{
+    const json_t *error = json_object_get(answer, "error");
+    const char *field = json_get_string(error, "field");
+    const char *message = json_get_string(error, "message");
+    int64_t line = json_get_int(error, "line", 0);
+    (void)fprintf(stderr, "celeryspoolctl: ");
+    if (message == NULL) {
+        (void)fprintf(stderr, "rejected with status %d\n", status);
+        return;
+    }
+    if (line > 0) {
+        (void)fprintf(stderr, "line %lld: ", (long long)line);
+    }
+    (void)fprintf(stderr, "%s: %s\n", field != NULL ? field : "head", message);
+}
+
+static int
+run_explain(const ctl_args_t *args)
+{
+    char url[CS_ADDR_MAX + 32];
+    int status = 0;
+    CLEAN_BUF buf_t head = {0};
+    CLEAN_BUF buf_t reply = {0};
+    if (!make_head(args, &head)) {
+        return EXIT_FAILURE;
+    }
+    (void)snprintf(url, sizeof(url), "http://%s" EXPLAIN_PATH,
+                   args->metrics_addr);
+    const http_client_request_t call = {.method = "POST",
+                                        .url = url,
+                                        .body = buf_text(&head),
+                                        .body_len = head.len,
+                                        .connect_ms = TIMEOUT_MS,
+                                        .total_ms = TIMEOUT_MS};
+    if (http_fetch(&call, &status, &reply) != HTTP_END_COMPLETE) {
+        (void)fprintf(stderr, "celeryspoolctl: no response from %s\n",
+                      args->metrics_addr);
+        return EXIT_UNREACHABLE;
+    }
+    CLEAN_JSON json_t *answer =
+        json_loadb(buf_text(&reply), reply.len, 0, NULL);
+    if (status != 200 || answer == NULL) {
+        print_explain_error(answer, status);
+        return EXIT_FAILURE;
+    }
+    if (args->json) {
+        (void)json_dumpf(answer, stdout, JSON_INDENT(2));
+        (void)printf("\n");
+    }
+    else {
+        print_explanation(answer);
+    }
+    return EXIT_SUCCESS;
+}
+
 int
 main(int argc, char **argv)
 {
-    ctl_args_t args = {.addr = "127.0.0.1:8101",
-                       .key = getenv("CELERYSPOOL_KEY"),
-                       .if_generation = -1};
+    ctl_args_t args = {.addr = "127.0.0.1:8101", .if_generation = -1};
     (void)argp_parse(&arguments, argc, argv, ARGP_IN_ORDER, NULL, &args);
+    if (args.metrics_addr != NULL) {
+        /* The operator's key is not a caller's: the environment is not used.
+         */
+        args.explain.key = args.key;
+        int explained = run_explain(&args);
+        buf_free(&args.line);
+        return explained;
+    }
+    if (args.key == NULL) {
+        args.key = getenv("CELERYSPOOL_KEY");
+    }
     if (args.key == NULL) {
         (void)fprintf(stderr,
                       "celeryspoolctl: --key or $CELERYSPOOL_KEY is "
