Placement: a few of the servers with room are compared, not all

All hosts that look for the last free slots compared the same servers and chose the same one, so that requests queued at engines behind urgent ones.

--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -551,25 +551,38 @@
     return best;
 }
 
-/* Keeps those servers that have just sent this host something.  One that has
- * fallen silent seems to have room, until that is noticed, and all hosts would
- * choose it at the same time. */
+/* Picks a few random servers with room for a less urgent request; returns
+ * their number.  Of all hosts that look for the last free slots, few then
+ * choose the same server.  One that has sent this host nothing lately is left
+ * out: if it has fallen silent, it seems to have room. */
 static size_t
-keep_alive_servers(server_t **servers, size_t count, int64_t now)
+sample_servers_with_room(request_t *request, server_t *const *servers,
+                         size_t count, int64_t now, server_t **out)
 {
+    size_t seen = 0;
     size_t kept = 0;
     for (size_t i = 0; i < count; i++) {
-        if (now - servers[i]->answered_ms < ANSWERED_LATELY_MS) {
-            servers[kept++] = servers[i];
+        if (now - servers[i]->answered_ms >= ANSWERED_LATELY_MS ||
+            !request_finds_room(request, servers[i], now)) {
+            continue;
+        }
+        /* Reservoir sampling: each server is as likely as any other. */
+        size_t slot = seen < SAMPLE_SERVERS
+                          ? seen
+                          : rng_below(&request->relay->rng, seen + 1);
+        if (slot < SAMPLE_SERVERS) {
+            out[slot] = servers[i];
         }
+        seen++;
+        kept = seen < SAMPLE_SERVERS ? seen : SAMPLE_SERVERS;
     }
     return kept;
 }
 
 /* Decides which server a request goes to; NULL if none can take it now.  If
- * none of the sampled servers has room for a less urgent request, all are
- * compared.  Besides the request it changes the relay's random generator and
- * its count of placements alone. */
+ * none of the sampled servers has room for a less urgent request, others that
+ * have are sampled.  Besides the request it changes the relay's random
+ * generator and its count of placements alone. */
 server_t *
 request_decide_server(request_t *request, int64_t now, placement_t *out)
 {
@@ -591,12 +604,14 @@
                               &levels, candidates);
     server_t *server = out->sampled[best];
     if (!request_finds_room(request, server, now)) {
-        size_t alive = keep_alive_servers(out->usable, out->usable_count, now);
-        if (alive > 0) {
-            out->compared_count = alive;
-            best = choose_best(request, out->usable, alive, now, &levels,
-                               candidates);
-            server = out->usable[best];
+        server_t *others[SAMPLE_SERVERS];
+        size_t count = sample_servers_with_room(
+            request, out->usable, out->usable_count, now, others);
+        if (count > 0) {
+            out->compared_count = count;
+            best =
+                choose_best(request, others, count, now, &levels, candidates);
+            server = others[best];
         }
     }
     request->expected_output =
