--- a/relay/relay.c
+++ b/relay/relay.c
@@ -132,11 +132,15 @@
             buf_fmt(out,
                     "celeryspool_prefill_tokens_per_ms{service=\"%s\","
                     "model=\"%s\"} %.2f\n"
+                    "celeryspool_token_ms_per_request{service=\"%s\","
+                    "model=\"%s\"} %.3f\n"
                     "celeryspool_first_token_ms{service=\"%s\","
                     "model=\"%s\"} %.1f\n",
                     speed->service, speed->model,
                     engine_speed_rate(&speed->engine), speed->service,
-                    speed->model, speed->engine.first_token_ms);
+                    speed->model, decode_speed_ms_per_request(&speed->decode),
+                    speed->service, speed->model,
+                    speed->engine.first_token_ms);
         }
     }
 }
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -333,6 +333,7 @@
         place_rendezvous_weight(request->affinity_key, server->info.id);
     out->wait_ms =
         wait + penalty_ms(request, server) +
+        server_decode_extra_ms(server, request->expected_output, now) +
         (request_finds_room(request, server, now) ? 0 : NO_ROOM_COST_MS);
     return wait;
 }
@@ -589,6 +590,10 @@
     candidate_t candidates[CANDIDATES_MAX];
     levels_cache_t levels = {0};
     request_set_reserve(request, now);
+    request->expected_output =
+        request->engine
+            ? request_cost_output(&request->relay->costs, &request->cost_query)
+            : 0;
     list_usable_servers(request, now, out);
     out->sampled_count = 0;
     out->compared_count = 0;
@@ -614,10 +619,6 @@
             server = others[best];
         }
     }
-    request->expected_output =
-        request->engine
-            ? request_cost_output(&request->relay->costs, &request->cost_query)
-            : 0;
     out->best = candidates[best];
     return server;
 }
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -424,8 +424,12 @@
     request_cost_observe_hold(costs, request->cost_query.route,
                               (double)(time_mono_ms() - since_ms));
     if (streams && request->engine) {
-        request_cost_observe(costs, &request->cost_query,
-                             (double)stream->events * request->stride);
+        double tokens = (double)stream->events * request->stride;
+        request_cost_observe(costs, &request->cost_query, tokens);
+        if (!request->read_stopped) {
+            server_observe_decode(request->server, request->in_flight_at_send,
+                                  tokens, (double)(time_mono_ms() - since_ms));
+        }
     }
 }
 
@@ -588,6 +592,8 @@
         request->prefix.tokens > request->cached_tokens
             ? request->prefix.tokens - request->cached_tokens
             : 0;
+    request->in_flight_at_send =
+        server_count_in_flight(server, request->sent_ms);
     request->server_was_idle = server_is_mostly_idle(server, request->sent_ms);
     server_add_request(server, request->prefill_tokens, request->sent_ms);
     request_count_in_flight(request, true);
--- a/relay/request.h
+++ b/relay/request.h
@@ -92,6 +92,7 @@
 
     /* The current attempt. */
     exchange_t *exchange;
+    int in_flight_at_send;  /* requests at the server when it was sent */
     bool server_was_idle;   /* mostly, when the request was sent */
     bool server_was_sound;  /* it had no faults when the request was sent */
     bool connection_reused; /* its connection was open before */
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -902,6 +902,28 @@
                                        &server->speed, 1, now_ms);
 }
 
+/* Learns from a complete answer how requests beside it slow it down. */
+void
+server_observe_decode(server_t *server, int in_flight, double tokens,
+                      double ms)
+{
+    if (server->service_speed != NULL) {
+        decode_speed_observe(&server->service_speed->decode, in_flight, tokens,
+                             ms);
+    }
+}
+
+/* Returns how much longer an answer of so many tokens takes at the engine than
+ * at an idle one, ms. */
+double
+server_decode_extra_ms(const server_t *server, double tokens, int64_t now_ms)
+{
+    return uses_learned_rate(server)
+               ? decode_speed_extra_ms(&server->service_speed->decode, tokens,
+                                       server_count_in_flight(server, now_ms))
+               : 0;
+}
+
 /* Returns the constant part of the time to the first token, ms. */
 double
 server_first_token_ms(const server_t *server)
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -4,6 +4,7 @@
 /* The backend servers that the platform lists, and what this host has observed
  * of them.  No I/O; times are passed in. */
 
+#include "../balance/decode-speed.h"
 #include "../balance/engine-speed.h"
 #include "../balance/priority-band.h"
 #include "../kernel/base.h"
@@ -58,6 +59,7 @@
     char service[CS_NAME_MAX];
     char model[SERVER_MODEL_MAX]; /* empty for plain servers */
     engine_speed_t engine;
+    decode_speed_t decode;
     /* Smoothed time that a plain server takes for a request at its usual pace,
      * ms; 0 if unknown. */
     double plain_work_ms;
@@ -218,6 +220,10 @@
 void server_apply_silence(server_t *server, int64_t now_ms);
 bool server_is_suspected(const server_t *server, int64_t now_ms);
 double server_first_token_ms(const server_t *server);
+void server_observe_decode(server_t *server, int in_flight, double tokens,
+                           double ms);
+double server_decode_extra_ms(const server_t *server, double tokens,
+                              int64_t now_ms);
 bool server_is_mostly_idle(const server_t *server, int64_t now_ms);
 double server_prefill_rate(const server_t *server, int64_t now_ms);
 double server_mean_prefill_rate(const server_t *server);
