Admission by priority: urgent requests are placed behind others that wait; reports expire sooner

A workspace's priority may put long requests before urgent ones in the queue. Urgent requests are now tried in each round.

--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -193,8 +193,12 @@
         return;
     }
     state->placing = true;
-    while (item != NULL && failures < REQUEST_QUEUE_FAILURES_MAX) {
-        if (request_place(request_from_item(item))) {
+    while (item != NULL) {
+        request_t *request = request_from_item(item);
+        if (failures >= REQUEST_QUEUE_FAILURES_MAX && !request->most_urgent) {
+            item = wait_queue_next(&state->queue, item);
+        }
+        else if (request_place(request)) {
             /* The order may have changed. */
             item = wait_queue_first(&state->queue);
         }
--- a/relay/request.h
+++ b/relay/request.h
@@ -10,8 +10,10 @@
 
 #define REQUEST_ID_MAX 96
 #define REQUEST_TRIED_MAX 5
-/* Waiting requests that are tried without success in one round: those behind
- * them find room hardly more often. */
+/* Requests of a queue that are tried without success in one round: less urgent
+ * ones behind them find room hardly more often.  Those of the most urgent
+ * class need no room, and a workspace's priority may put others before them.
+ */
 #define REQUEST_QUEUE_FAILURES_MAX 3
 /* Retry-After if neither this host nor those that it asked reach a server, ms.
  */
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -22,6 +22,10 @@
 #define SOURCE_ALIVE_MS 2000
 /* A server's own load report expires after this time. */
 #define REPORT_VALID_MS 1000
+/* The same where requests are admitted by priority.  All hosts then avoid a
+ * server that is believed to be full, so that no answer renews its report; the
+ * hosts' announcements are never older than this. */
+#define PRIORITY_REPORT_VALID_MS 400
 /* Assumed time that a request occupies a slot before one was observed. */
 #define SLOT_TIME_DEFAULT_MS 500.0
 /* Weight of the newest observation in the smoothed slot time. */
@@ -396,8 +400,9 @@
 bool
 server_has_recent_load(const server_t *server, int64_t now_ms)
 {
-    return server->reported_ms != 0 &&
-           now_ms - server->reported_ms < REPORT_VALID_MS;
+    int64_t valid_ms =
+        server->by_priority ? PRIORITY_REPORT_VALID_MS : REPORT_VALID_MS;
+    return server->reported_ms != 0 && now_ms - server->reported_ms < valid_ms;
 }
 
 /* Returns the requests of all hosts at a server, running or waiting: the
