Soak: engines with few slots whose admission by priority is turned on and off (--priorities)

Cause: no test joined the queue at hosts, rejected callers that return, kills, pauses, cuts and changes of configuration while requests wait.

Half of the faults are changes of configuration, kills, pauses and cuts. The time checks of a request that returns use the deadline that its caller states.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -1,4 +1,5 @@
 #include "streams.h"
+#include "../relay/wire.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -17,6 +18,9 @@
  * time of every route for streams. */
 #define SLOW_REQUEST_INTERVAL 15
 #define SLOW_PAUSE_MS 120
+/* A caller waits for a return time of up to this part of its remaining time.
+ */
+#define RETURN_DIVISOR 3
 
 struct caller {
     callers_t *callers;
@@ -24,6 +28,9 @@
     struct event *timer;
     struct event *slow_timer; /* ends a pause within an answer */
     soak_request_t *request;
+    int64_t began_ms; /* first attempt of the request */
+    bool returns;     /* the next request is a further attempt of this one */
+    int64_t retry_after_ms;   /* asked for by the answer; 0 if not */
     char server[CS_NAME_MAX]; /* named in the answer's signature */
     bool signature_valid;
     buf_t body;
@@ -37,6 +44,13 @@
 on_head(void *arg, const http_head_t *head)
 {
     caller_t *caller = arg;
+    const header_t *after =
+        http_head_find(head, wire_header_name(HEADER_RETRY_AFTER));
+    char text[32] = "";
+    if (after != NULL) {
+        http_head_copy(head, after->value, text, sizeof(text));
+        caller->retry_after_ms = (int64_t)(strtod(text, NULL) * 1000);
+    }
     caller->request->status = head->status;
     caller->signature_valid = request_read_signature(
         caller->callers->soak, caller->request, head, caller->server);
@@ -98,11 +112,29 @@
     }
 }
 
+/* Whether the caller comes back with a request that was rejected: if it is
+ * asked to in no more than a third of the time that it has left. */
+static bool
+may_return(const caller_t *caller)
+{
+    const soak_request_t *request = caller->request;
+    int64_t left_ms = caller->began_ms + DEADLINE_MS - time_mono_ms();
+    return caller->callers->soak->priorities &&
+           request->end == EXCHANGE_COMPLETE &&
+           (request->status == 503 || request->status == 429) &&
+           caller->retry_after_ms > 0 &&
+           caller->retry_after_ms <= left_ms / RETURN_DIVISOR;
+}
+
 static void
 schedule_next_request(caller_t *caller)
 {
+    caller->returns = may_return(caller);
     int64_t ms =
-        (int64_t)rng_below(&caller->callers->soak->rng, THINK_MS_MAX) + 1;
+        caller->returns
+            ? caller->retry_after_ms
+            : (int64_t)rng_below(&caller->callers->soak->rng, THINK_MS_MAX) +
+                  1;
     struct timeval delay = {0, ms * 1000};
     (void)event_add(caller->timer, &delay);
 }
@@ -139,6 +171,22 @@
     request->workspace = draw < 6 ? "ws1" : "ws2";
 }
 
+/* Chooses a further attempt at a request that was rejected, at any relay. */
+static void
+choose_return(const caller_t *caller, const soak_request_t *rejected,
+              soak_request_t *request)
+{
+    soak_t *soak = caller->callers->soak;
+    request->subject = rejected->subject;
+    request->kind = rejected->kind;
+    request->fatal = rejected->fatal;
+    request->key = rejected->key;
+    request->workspace = rejected->workspace;
+    request->relay = (size_t)rng_below(&soak->rng, soak->relay_count);
+    request->deadline_ms =
+        (int)(caller->began_ms + DEADLINE_MS - time_mono_ms());
+}
+
 static void
 send_next_request(caller_t *caller)
 {
@@ -149,8 +197,16 @@
         return;
     }
     soak_request_t *request = request_new(callers);
-    choose_request(caller, request);
+    if (caller->returns) {
+        choose_return(caller, caller->request, request);
+        callers->returned++;
+    }
+    else {
+        choose_request(caller, request);
+        caller->began_ms = time_mono_ms();
+    }
     caller->request = request;
+    caller->retry_after_ms = 0;
     caller->body.len = 0;
     caller->server[0] = '\0';
     request_note_sent(soak, request);
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -34,6 +34,7 @@
     size_t relay;
     const char *key;
     const char *workspace;
+    int deadline_ms; /* that its caller states */
     int64_t sent_ms;
     int64_t ended_ms;
     bool disturbed;        /* relay or servers had faults during the request */
@@ -60,11 +61,13 @@
     size_t count;
     soak_requests_t requests;
     uint64_t request_count;
+    uint64_t returned;  /* of these, by callers that were rejected before */
     streams_t *streams; /* NULL without software versions */
     bool stopping;
 };
 
 const request_route_t *request_route(const soak_request_t *request);
+int request_timeout_ms(const soak_request_t *request);
 void request_format_id(const soak_t *soak, uint64_t number,
                        char out[REQUEST_ID_MAX]);
 soak_request_t *request_new(callers_t *callers);
--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -28,6 +28,10 @@
 #define RESTART_DELAY_MS 300
 /* A graceful shutdown must end within this time: stop_s of the settings. */
 #define STOP_TIMEOUT_MS 8000
+/* Targets of streams.  Engines admit by priority while the urgent one has the
+ * shorter target. */
+#define STREAM_TARGET_MS 1000
+#define URGENT_TARGET_MS 250
 
 void
 soak_addr(const soak_t *soak, int offset, char out[CS_ADDR_MAX])
@@ -241,7 +245,7 @@
         "\"resumable\":true,\"priority\":1,\"service\":\"llm\"},"
         "{\"name\":\"flag\",\"host\":\"a.example\",\"path_prefix\":\"/flag/\","
         "\"kind\":\"streaming\",\"timeout_ms\":3000,\"target_latency_ms\":"
-        "1000,\"target_gap_ms\":800,\"attempts\":2,\"resumable\":false,"
+        "%d,\"target_gap_ms\":800,\"attempts\":2,\"resumable\":false,"
         "\"priority\":0,\"service\":\"llm\"}],"
         "\"services\":[{\"name\":\"desk\",\"health_check_path\":\"/health\"},"
         "{\"name\":\"llm\",\"health_check_path\":\"/health\",\"engine\":{"
@@ -255,6 +259,8 @@
         (soak->planned || soak->versions) && soak->config_version % 2 == 0
             ? 5000
             : 6000,
+        soak->priorities && soak->config_version % 2 == 1 ? URGENT_TARGET_MS
+                                                          : STREAM_TARGET_MS,
         old_key ? ",\"old-key\"" : "");
     soak_post_admin(soak, "object/config/main", buf_text(&text));
 }
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -456,6 +456,17 @@
     }
 }
 
+/* Half of the faults with --priorities are those that end requests which wait
+ * at a host, or change how they are admitted. */
+static fault_kind_t
+random_priorities_kind(soak_t *soak)
+{
+    static const fault_kind_t kinds[] = {FAULT_NEW_CONFIG, FAULT_NEW_CONFIG,
+                                         FAULT_RELAY_KILL, FAULT_RELAY_PAUSE,
+                                         FAULT_HOST_CUT};
+    return kinds[rng_below(soak->fault_rng, sizeof(kinds) / sizeof(kinds[0]))];
+}
+
 /* With --cuts, a third of the faults are of the kinds that it adds. */
 static fault_kind_t
 random_kind(soak_t *soak)
@@ -466,6 +477,9 @@
     if (soak->versions) {
         return random_versions_kind(soak);
     }
+    if (soak->priorities && rng_below(soak->fault_rng, 2) == 0) {
+        return random_priorities_kind(soak);
+    }
     if (soak->cuts && rng_below(soak->fault_rng, 3) == 0) {
         return FAULT_HOST_CUT +
                (fault_kind_t)rng_below(soak->fault_rng,
--- a/soak/records.c
+++ b/soak/records.c
@@ -144,7 +144,7 @@
     int64_t elapsed_ms = request->ended_ms - request->sent_ms;
     if (request->ended_ms == 0 || request->end == EXCHANGE_COMPLETE ||
         request->end == EXCHANGE_UNSENT ||
-        elapsed_ms > request_route(request)->timeout_ms - TIMEOUT_MARGIN_MS) {
+        elapsed_ms > request_timeout_ms(request) - TIMEOUT_MARGIN_MS) {
         return false;
     }
     return request->runs > 0 || elapsed_ms > LOSS_SLACK_MS;
@@ -228,6 +228,10 @@
         }
     }
     (void)printf("  %u requests beside planned work alone\n", calm_requests);
+    if (soak->priorities) {
+        (void)printf("  %" PRIu64 " requests of callers that returned\n",
+                     callers->returned);
+    }
     (void)printf("  %" PRIu64
                  " requests, %u succeeded; %u of %u in the "
                  "recovery phase\n",
--- a/soak/requests.c
+++ b/soak/requests.c
@@ -23,6 +23,15 @@
     return &routes[request->kind];
 }
 
+/* Returns when a request times out: by its route, or by what its caller
+ * states. */
+int
+request_timeout_ms(const soak_request_t *request)
+{
+    int by_route = request_route(request)->timeout_ms;
+    return request->deadline_ms < by_route ? request->deadline_ms : by_route;
+}
+
 void
 request_format_id(const soak_t *soak, uint64_t number,
                   char out[REQUEST_ID_MAX])
@@ -38,6 +47,7 @@
     soak_request_t *request = mem_zalloc(sizeof(*request));
     request->number = ++callers->request_count;
     request->subject = request->number;
+    request->deadline_ms = DEADLINE_MS;
     CK_STAILQ_INSERT_TAIL(&callers->requests, request, entry);
     return request;
 }
@@ -57,7 +67,7 @@
             "%s: %d\r\n%s: Token %s\r\n%s",
             route->method, route->path, request->subject,
             wire_header_name(HEADER_REQUEST_ID), id,
-            wire_header_name(HEADER_DEADLINE), DEADLINE_MS,
+            wire_header_name(HEADER_DEADLINE), request->deadline_ms,
             wire_header_name(HEADER_ACCESS_KEY), request->key, more);
     if (route->stream) {
         buf_fmt(out,
@@ -139,7 +149,7 @@
     }
     int64_t elapsed_ms = request->ended_ms - request->sent_ms;
     if (!request->disturbed && !request->relay_stopping &&
-        elapsed_ms > request_route(request)->timeout_ms + ANSWER_MARGIN_MS) {
+        elapsed_ms > request_timeout_ms(request) + ANSWER_MARGIN_MS) {
         soak_report_violation(soak, "final answers arrive in time",
                               "%s at %s after %" PRId64 " ms", id,
                               relay->process.name, elapsed_ms);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -29,6 +29,7 @@
     bool cuts;
     bool planned;
     bool versions;
+    bool priorities;
     const char *dir;
     const char *build;
 } args_t;
@@ -56,6 +57,10 @@
      "the "
      "last third is planned work",
      0},
+    {"priorities", 'U', NULL, 0,
+     "engines have few slots, admission by priority is turned on and off, and "
+     "rejected callers return",
+     0},
     {"dir", 'd', "DIR", 0, "directory for logs and records", 0},
     {"build", 'b', "DIR", 0, "directory of the programs", 0},
     {0},
@@ -116,6 +121,9 @@
         case 'V':
             args->versions = true;
             return 0;
+        case 'U':
+            args->priorities = true;
+            return 0;
         case 'd':
             args->dir = arg;
             return 0;
@@ -164,6 +172,7 @@
     }
     faults_tick(soak);
     versions_tick(soak);
+    slots_tick(soak);
     exchanges_sweep(soak->exchanges);
     if (now >= soak->end_ms) {
         callers_stop(soak->callers);
@@ -180,14 +189,16 @@
     soak->seed = args->seed;
     soak->rng.state = args->seed;
     soak->own_fault_rng.state = args->seed;
-    soak->fault_rng =
-        args->versions || args->planned ? &soak->own_fault_rng : &soak->rng;
+    soak->fault_rng = args->versions || args->planned || args->priorities
+                          ? &soak->own_fault_rng
+                          : &soak->rng;
     soak->build = args->build;
     soak->first_port = args->port;
     soak->signals = args->signals;
     soak->cuts = args->cuts;
     soak->planned = args->planned;
     soak->versions = args->versions;
+    soak->priorities = args->priorities;
     soak->relay_count = (size_t)args->relays;
     soak->server_count = (size_t)args->engines + PLAIN_SERVERS;
     soak->caller_count = (size_t)args->callers;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -74,9 +74,12 @@
     char record_path[192]; /* what the backend servers recorded */
     int first_port;        /* the soak uses 240 ports from this one */
     int64_t start_ms;      /* callers and faults start */
-    bool signals;  /* servers also state rate limits and ask for rest */
-    bool cuts;     /* besides, hosts are cut off from all servers */
-    bool versions; /* engines have several software versions */
+    bool signals;    /* servers also state rate limits and ask for rest */
+    bool cuts;       /* besides, hosts are cut off from all servers */
+    bool versions;   /* engines have several software versions */
+    bool priorities; /* engines have few slots, the configuration turns
+                        admission by priority on and off, and callers that
+                        are rejected return */
     int64_t planned_from_ms; /* then planned work and silence alone */
     bool planned;            /* planned work and silence alone */
     int fatal_parts;         /* running faults in which a part ends servers */
@@ -115,6 +118,10 @@
 
 void faults_tick(soak_t *soak);
 
+/* ---- engines with few slots ---- */
+
+void slots_tick(soak_t *soak);
+
 /* ---- the software versions of engines ---- */
 
 void versions_open(soak_t *soak);
