--- a/daemons/celeryspoolctl.c
+++ b/daemons/celeryspoolctl.c
@@ -554,7 +554,8 @@
         return EXIT_FAILURE;
     }
     if (args->json) {
-        (void)json_dumpf(answer, stdout, JSON_INDENT(2));
+        (void)json_dumpf(answer, stdout,
+                         JSON_INDENT(2) | JSON_REAL_PRECISION(9));
         (void)printf("\n");
     }
     else {
--- a/relay/listeners.c
+++ b/relay/listeners.c
@@ -18,6 +18,8 @@
 #define INTERNAL_HEAD_BYTES_MAX 8192
 #define INTERNAL_HEAD_TIMEOUT_MS 3000
 #define INTERNAL_IDLE_TIMEOUT_MS 30000
+/* Digits of a number in an explanation. */
+#define JSON_DIGITS 9
 /* Room for the header that a forwarding host adds. */
 #define FORWARDED_HEADER_BYTES 256
 
@@ -130,7 +132,8 @@
 answer_json(caller_t *caller, int status, const json_t *value)
 {
     CLEAN_BUF buf_t headers = {0};
-    CLEAN_TEXT char *text = json_dumps(value, JSON_COMPACT);
+    CLEAN_TEXT char *text =
+        json_dumps(value, JSON_COMPACT | JSON_REAL_PRECISION(JSON_DIGITS));
     buf_str(&headers, "Content-Type: application/json\r\n");
     caller_answer(caller, text != NULL ? status : 500, &headers,
                   text != NULL ? text : "", text != NULL ? strlen(text) : 0);
--- a/relay/request-explain.c
+++ b/relay/request-explain.c
@@ -304,15 +304,15 @@
 quota_to_json(const explanation_t *explanation)
 {
     const quota_preview_t *quota = &explanation->quota;
-    if (!quota->limited) {
+    const workspace_entry_t *workspace = explanation->request.workspace;
+    if (!quota->limited || workspace == NULL) {
         return json_null();
     }
-    return json_pack("{s:s,s:f,s:f,s:b}", "unit",
-                     explanation->request.workspace->limit_unit == LIMIT_TOKENS
-                         ? "tokens"
-                         : "requests",
-                     "cost", quota->cost, "left", round_tenth(quota->left),
-                     "allowed", quota->decision.allowed);
+    return json_pack(
+        "{s:s,s:f,s:f,s:b}", "unit",
+        workspace->limit_unit == LIMIT_TOKENS ? "tokens" : "requests", "cost",
+        quota->cost, "left", round_tenth(quota->left), "allowed",
+        quota->decision.allowed);
 }
 
 /* Describes a request that was let in. */
--- a/tests/test-wait-queue.c
+++ b/tests/test-wait-queue.c
@@ -425,8 +425,45 @@
 }
 END_TEST
 
-TEST_MAIN("wait-queue", more_urgent_classes_go_first,
-          a_flood_delays_only_its_own_workspace,
+/* Guards against an explanation of a place in the queue that differs from the
+ * place that a request gets, or that changes the queue. */
+START_TEST(the_place_foretold_is_the_place_given)
+{
+    rng_t rng = {7};
+    start();
+    for (int i = 0; i < 480; i++) {
+        wait_item_t *item =
+            make((unsigned)rng_below(&rng, 3), 1 + rng_below(&rng, 6),
+                 1 + (double)rng_below(&rng, 500));
+        item->waited_ms = (int64_t)rng_below(&rng, 2000);
+        static wait_queue_t before;
+        before = queue;
+        size_t foretold = wait_queue_count_ahead(&queue, item);
+        bool accepted = wait_queue_would_accept(&queue, item, 0);
+        ck_assert_mem_eq(&before, &queue, sizeof(queue));
+        wait_item_t *evicted;
+        ck_assert(wait_queue_push(&queue, item, 0, &evicted) == accepted);
+        if (!accepted) {
+            continue;
+        }
+        size_t ahead = 0;
+        const wait_item_t *other = wait_queue_first(&queue);
+        for (; other != item;
+             other = wait_queue_next(&queue, (wait_item_t *)other)) {
+            ahead++;
+        }
+        if (evicted == NULL) {
+            ck_assert_uint_eq(foretold, ahead);
+        }
+        if (rng_below(&rng, 4) == 0) {
+            (void)take();
+        }
+    }
+}
+END_TEST
+
+TEST_MAIN("wait-queue", the_place_foretold_is_the_place_given,
+          more_urgent_classes_go_first, a_flood_delays_only_its_own_workspace,
           an_idle_workspace_gains_no_credit,
           the_longest_total_wait_goes_first_in_a_workspace,
           an_item_that_leaves_is_not_charged,
