Forwarding: a host whose answer broke off is chosen last

Cause, from the records: both were forwarded once more to the same host 1 ms after its connections broke, on a new connection that its listener still accepted, and so used up their two attempts. A host whose answer broke off was as good a choice as any other, since its server may have crashed instead. Change: it is chosen only if there is no other. Test: a_host_whose_answer_broke_off_is_chosen_last fails with a cost of 0.

--- a/relay/helpers.c
+++ b/relay/helpers.c
@@ -13,6 +13,9 @@
 /* A data centre whose host has refused this request is likely to be cut off
  * as a whole. */
 #define REFUSED_DC_COST 4
+/* A host whose answer to this request broke off may have ended.  It is chosen
+ * only if there is no other, since its server may have crashed instead. */
+#define BROKEN_COST 1000
 /* Hosts compared for a request besides those that served recently, drawn at
  * random. */
 #define SAMPLE_MAX 8
@@ -93,6 +96,7 @@
     int cost = helper != NULL ? helper->running : 0;
     cost += strcmp(member->dc, dc) != 0 ? OTHER_DC_COST : 0;
     cost += served ? 0 : UNKNOWN_COST;
+    cost += strcmp(member->peer_addr, tried->broken) == 0 ? BROKEN_COST : 0;
     for (size_t i = 0; i < tried->count && !served; i++) {
         cost += strcmp(member->dc, tried->dcs[i]) == 0 ? REFUSED_DC_COST : 0;
     }
@@ -173,6 +177,15 @@
     }
 }
 
+/* Records that a host's answer to the request broke off: it may be chosen
+ * again, but only if there is no other. */
+void
+helpers_tried_set_broken(helpers_tried_t *tried, const char *addr)
+{
+    helpers_tried_remove(tried, addr);
+    str_copy(tried->broken, sizeof(tried->broken), addr);
+}
+
 /* Counts a request that is forwarded to a host. */
 void
 helpers_begin(helpers_t *helpers, const char *addr, int64_t now_ms)
--- a/relay/helpers.h
+++ b/relay/helpers.h
@@ -30,6 +30,7 @@
     char addrs[HELPERS_TRIED_MAX][CS_ADDR_MAX];
     char dcs[HELPERS_TRIED_MAX][CS_NAME_MAX];
     size_t count;
+    char broken[CS_ADDR_MAX]; /* host whose answer broke off; empty for none */
 } helpers_tried_t;
 
 const member_t *helpers_choose(const helpers_t *helpers,
@@ -39,6 +40,7 @@
 bool helpers_may_serve(const helpers_t *helpers, int64_t now_ms);
 void helpers_tried_add(helpers_tried_t *tried, const member_t *member);
 void helpers_tried_remove(helpers_tried_t *tried, const char *addr);
+void helpers_tried_set_broken(helpers_tried_t *tried, const char *addr);
 void helpers_begin(helpers_t *helpers, const char *addr, int64_t now_ms);
 void helpers_end(helpers_t *helpers, const char *addr);
 void helpers_note_served(helpers_t *helpers, const char *addr, int64_t now_ms);
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -228,7 +228,7 @@
 {
     helpers_t *helpers = &request->relay->helpers;
     if (request->answer == ANSWER_STREAM || request->answer == ANSWER_BUFFER) {
-        helpers_tried_remove(&request->helpers_tried, request->helper);
+        helpers_tried_set_broken(&request->helpers_tried, request->helper);
         helpers_note_broken(helpers, request->helper);
     }
     else {
--- a/tests/test-helpers.c
+++ b/tests/test-helpers.c
@@ -139,6 +139,28 @@
 }
 END_TEST
 
+/* Guards against a stream that is forwarded again to a host that was killed,
+ * before its connections show that, and so uses up its attempts. */
+START_TEST(a_host_whose_answer_broke_off_is_chosen_last)
+{
+    helpers_t helpers = {0};
+    helpers_tried_t tried = {0};
+    set_members(3, 1);
+    for (int i = 0; i < 10; i++) {
+        helpers_begin(&helpers, members[2].peer_addr, 0);
+    }
+    helpers_note_served(&helpers, members[1].peer_addr, 0);
+    ck_assert_ptr_eq(choose(&helpers, 3, &tried, 0), &members[1]);
+    helpers_tried_add(&tried, &members[1]);
+    helpers_tried_set_broken(&tried, members[1].peer_addr);
+    for (int i = 0; i < 20; i++) {
+        ck_assert_ptr_eq(choose(&helpers, 3, &tried, 0), &members[2]);
+    }
+    helpers_tried_add(&tried, &members[2]);
+    ck_assert_ptr_eq(choose(&helpers, 3, &tried, 0), &members[1]);
+}
+END_TEST
+
 /* Guards against a request that has nowhere to go since the server of the
  * only other host crashed. */
 START_TEST(a_host_whose_server_failed_may_be_chosen_again)
@@ -175,7 +197,8 @@
 }
 END_TEST
 
-TEST_MAIN("helpers", only_live_hosts_that_serve_are_chosen,
+TEST_MAIN("helpers", a_host_whose_answer_broke_off_is_chosen_last,
+          only_live_hosts_that_serve_are_chosen,
           requests_are_spread_over_hosts, few_requests_stay_in_the_data_centre,
           hosts_of_another_data_centre_are_found_in_a_large_fleet,
           records_are_bounded_and_those_in_use_stay,
