Rollout: free memory is judged by the speed of the engine

Cause: requests go on through a load of weights only if the free memory lasts until the order arrives, at 48 tokens/ms, a constant that fits one kind of engine. One that prefills 157 tokens/ms may fill 94,000 tokens in that time instead of 29,000 and preempt a request, which would then be read in by the newer weights under the salt of the older ones. Change: where the speed is learned, twice the learned rate is assumed, since that is the rate beside decoding; elsewhere 48 as before. Test: a_fast_engine_needs_more_free_memory (the constant allowed the load at any rate).

--- a/relay/rollout-plan.c
+++ b/relay/rollout-plan.c
@@ -99,15 +99,17 @@
  * order arrives there: the memory that is free suffices for all prompts that
  * can be prefilled until then. */
 static bool
-is_free_of_preemption(const server_report_t *report, int slots)
+is_free_of_preemption(const server_report_t *report, int slots,
+                      double rate_max)
 {
     double free_tokens = (double)(report->memory_total - report->memory_used);
     return report->waiting == 0 && report->running <= SLOTS_SHARE * slots &&
-           free_tokens >= SERVER_PREFILL_TOKENS_PER_MS * REPORT_AGE_MS;
+           free_tokens >= rate_max * REPORT_AGE_MS;
 }
 
 /* Decides by a server's own report whether its running requests may go on
- * through a load.
+ * through a load.  rate_max is the highest rate at which it may prefill,
+ * tokens/ms.
  *
  * A request that is preempted before the load and prefilled after it is
  * prefilled by the newer weights, but cached under the salt of the older ones.
@@ -116,9 +118,10 @@
  * preempted; a load that waits for them is always safe, but may keep the
  * server from all requests for seconds. */
 rollout_decision_t
-rollout_decide(const server_report_t *report, int slots, int64_t drained_ms)
+rollout_decide(const server_report_t *report, int slots, double rate_max,
+               int64_t drained_ms)
 {
-    if (is_free_of_preemption(report, slots)) {
+    if (is_free_of_preemption(report, slots, rate_max)) {
         return ROLLOUT_ORDER_KEEP;
     }
     return drained_ms >= ROLLOUT_DRAIN_MAX_MS ? ROLLOUT_ORDER_WAIT
--- a/relay/rollout-plan.h
+++ b/relay/rollout-plan.h
@@ -27,7 +27,7 @@
 bool rollout_can_order(const server_t *server, int64_t drain_started_ms,
                        int64_t now_ms);
 rollout_decision_t rollout_decide(const server_report_t *report, int slots,
-                                  int64_t drained_ms);
+                                  double rate_max, int64_t drained_ms);
 size_t rollout_count(servers_t *servers, const char *model, size_t *ordered);
 
 #endif
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -345,6 +345,7 @@
 {
     int64_t now = time_mono_ms();
     switch (rollout_decide(report, server->info.slots,
+                           server_prefill_rate_max(server),
                            now - job->drain_started_ms)) {
         case ROLLOUT_ORDER_KEEP:
             job_send_order(job, server, DRAIN_KEEP);
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -56,6 +56,9 @@
 /* A notice of silence expires after this time: the host that sent it probes
  * the server twice as often, and repeats it after each failed probe. */
 #define SILENCE_NOTICE_VALID_MS 1200
+/* Share of its time that an engine spends on prefill while it decodes, at
+ * least. */
+#define PREFILL_TIME_SHARE_MIN 0.5
 /* A server is mostly idle with fewer tokens to prefill than this, some ms of
  * work, and less than this share of its slots taken. */
 #define IDLE_PREFILL_TOKENS 512
@@ -907,6 +910,20 @@
                                        &server->speed, 1, now_ms);
 }
 
+/* Returns the highest rate at which an engine may prefill, tokens/ms, for
+ * decisions that have to be safe.  The learned rate is that of an engine that
+ * also decodes; without that it is up to twice as high. */
+double
+server_prefill_rate_max(const server_t *server)
+{
+    double rate = server->learned_speed && server->service_speed != NULL
+                      ? engine_speed_rate(&server->service_speed->engine) /
+                            PREFILL_TIME_SHARE_MIN
+                      : 0;
+    return rate > SERVER_PREFILL_TOKENS_PER_MS ? rate
+                                               : SERVER_PREFILL_TOKENS_PER_MS;
+}
+
 /* Learns from a complete answer how requests beside it slow it down. */
 void
 server_observe_decode(server_t *server, int in_flight, double tokens,
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -219,6 +219,7 @@
 bool server_shares_silence(const server_t *server);
 void server_apply_silence(server_t *server, int64_t now_ms);
 bool server_is_suspected(const server_t *server, int64_t now_ms);
+double server_prefill_rate_max(const server_t *server);
 double server_first_token_ms(const server_t *server);
 void server_observe_decode(server_t *server, int in_flight, double tokens,
                            double ms);
--- a/tests/test-rollout-plan.c
+++ b/tests/test-rollout-plan.c
@@ -58,10 +58,11 @@
 assert_decision(const server_report_t *report, rollout_decision_t early,
                 rollout_decision_t late)
 {
-    ck_assert_int_eq(rollout_decide(report, 16, ROLLOUT_DRAIN_MS), early);
-    ck_assert_int_eq(rollout_decide(report, 16, ROLLOUT_DRAIN_MAX_MS - 1),
+    ck_assert_int_eq(rollout_decide(report, 16, 48, ROLLOUT_DRAIN_MS), early);
+    ck_assert_int_eq(rollout_decide(report, 16, 48, ROLLOUT_DRAIN_MAX_MS - 1),
                      early);
-    ck_assert_int_eq(rollout_decide(report, 16, ROLLOUT_DRAIN_MAX_MS), late);
+    ck_assert_int_eq(rollout_decide(report, 16, 48, ROLLOUT_DRAIN_MAX_MS),
+                     late);
 }
 
 /* Guards against parts that newer weights make under the salt of older ones: a
@@ -81,6 +82,20 @@
 }
 END_TEST
 
+/* Guards against preemption on engines that prefill faster than was assumed:
+ * what is free has to suffice until the order arrives. */
+START_TEST(a_fast_engine_needs_more_free_memory)
+{
+    server_report_t report = unloaded;
+    ck_assert_int_eq(rollout_decide(&report, 16, 133, ROLLOUT_DRAIN_MS),
+                     ROLLOUT_ORDER_KEEP);
+    ck_assert_int_eq(rollout_decide(&report, 16, 134, ROLLOUT_DRAIN_MS),
+                     ROLLOUT_DRAIN);
+    ck_assert_int_eq(rollout_decide(&report, 16, 134, ROLLOUT_DRAIN_MAX_MS),
+                     ROLLOUT_ORDER_WAIT);
+}
+END_TEST
+
 /* A server that does not report its memory may have none left. */
 START_TEST(unknown_memory_does_not_suffice)
 {
@@ -181,4 +196,5 @@
 
 TEST_MAIN("rollout-plan", server_is_ordered_when_drained,
           requests_go_on_only_where_none_is_preempted,
+          a_fast_engine_needs_more_free_memory,
           unknown_memory_does_not_suffice, long_answers_do_not_delay_rollout)
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -317,6 +317,9 @@
     server->learned_speed = true;
     ck_assert(server_uses_learned_speed(server));
     ck_assert_double_gt(server_prefill_rate(server, 300), 100);
+    ck_assert_double_gt(server_prefill_rate_max(server), 200);
+    server->learned_speed = false;
+    ck_assert_double_eq(server_prefill_rate_max(server), 48);
     servers_free(servers);
 }
 END_TEST
