--- a/balance/engine-speed.c
+++ b/balance/engine-speed.c
@@ -22,7 +22,7 @@
 /* A single observation of a service is bounded to the expected time divided by
  * SHORT_FACTOR or multiplied by LONG_FACTOR.  Nothing makes a prompt faster
  * than the engine is, but an unknown queue makes it slower, so that short
- * times tell more than long ones. */
+ * times are the better evidence. */
 #define SHORT_FACTOR 3.0
 #define LONG_FACTOR 1.1
 /* After so many outliers in a row to the same side they are taken for the real
@@ -33,7 +33,7 @@
 /* Share of the earlier observations that each new one replaces. */
 #define SERVICE_FORGETTING 0.01
 /* A rate is known after so many observations; ratios relative to a rate that
- * is not known would tell nothing of the server.  The mean of so many servers
+ * is not known say nothing about the server.  The mean of so many servers
  * is within a sixth of that of all. */
 #define SERVICE_OBSERVATIONS_MIN 10
 /* Time per token, ms; only excludes absurd values. */
@@ -144,30 +144,30 @@
         (value - average->log_ratio) * observations / average->observations;
 }
 
-/* Marks the shared ratio as news if it has become better known or has changed
- * since it was last sent.  Returns whether it is news. */
+/* Schedules an announcement of the shared ratio if it has become more certain
+ * or has changed since the last one.  Returns whether it has. */
 static bool
-note_change(server_speed_t *server)
+schedule_announcement(server_speed_t *server)
 {
     const speed_average_t *shared = &server->shared;
     const speed_average_t *announced = &server->announced;
-    bool is_news =
+    bool changed =
         announced->observations <= 0 ||
         shared->observations >= announced->observations * ANNOUNCE_GROWTH ||
         fabs(shared->log_ratio - announced->log_ratio) >
             log(1 + ANNOUNCE_CHANGE);
-    server->unannounced |= is_news;
-    return is_news;
+    server->unannounced |= changed;
+    return changed;
 }
 
 /* Makes this host's observations part of the shared ratio once there are
- * enough of them.  Until then no other host knows them, so a ratio that is
- * told by another host never contains them. */
+ * enough of them.  Until then no other host knows them, so a ratio that
+ * another host announces never contains them. */
 static void
 share_own(server_speed_t *server)
 {
     double enough = server->shared.observations * OWN_SHARE_MIN;
-    /* One that tells less than a whole observation is not sent alone. */
+    /* Less than the weight of one observation is not announced. */
     if (server->own.observations < (enough > 1 ? enough : 1)) {
         return;
     }
@@ -177,10 +177,11 @@
         server->shared.observations = SHARED_OBSERVATIONS_MAX;
     }
     server->own = (speed_average_t){0};
-    (void)note_change(server);
+    (void)schedule_announcement(server);
 }
 
-/* Returns what is told to other hosts; no observations if there are none. */
+/* Returns the announcement of the shared ratio; with 0 observations if there
+ * is none. */
 speed_notice_t
 server_speed_notice(const server_speed_t *server)
 {
@@ -189,7 +190,7 @@
         .observations = (uint32_t)server->shared.observations};
 }
 
-/* Returns the notice to send to a few hosts, which is no news any more. */
+/* Returns the announcement and marks it as sent. */
 speed_notice_t
 server_speed_take_notice(server_speed_t *server)
 {
@@ -198,12 +199,12 @@
     return server_speed_notice(server);
 }
 
-/* Applies what another host has told.  Notices are not summed up: two hosts
+/* Applies another host's announcement.  Notices are not summed up: two hosts
  * may have the same observations behind their ratios, and would count them as
  * more with each exchange.  The ratio with more observations replaces the
  * other, and of two with as many the mean is taken.  What this host has
  * observed and not shared yet is kept, as no other host can have counted it.
- * Returns whether it was news, which is passed on. */
+ * Returns whether the ratio has changed, which is then passed on. */
 bool
 server_speed_apply(server_speed_t *server, const speed_notice_t *notice)
 {
@@ -213,17 +214,17 @@
         return false;
     }
     uint32_t known = (uint32_t)server->shared.observations;
-    double told = log(notice->ratio_milli / MILLI);
+    double announced = log(notice->ratio_milli / MILLI);
     if (notice->observations < known) {
         return false;
     }
     if (notice->observations == known) {
-        server->shared.log_ratio = (server->shared.log_ratio + told) / 2;
+        server->shared.log_ratio = (server->shared.log_ratio + announced) / 2;
     }
     else {
-        server->shared = (speed_average_t){told, notice->observations};
+        server->shared = (speed_average_t){announced, notice->observations};
     }
-    return note_change(server);
+    return schedule_announcement(server);
 }
 
 bool
@@ -386,20 +387,20 @@
     solve(service);
 }
 
-/* Adds a time to the server's own observations.  A short one tells less, as
- * constant deviations are a larger part of it. */
+/* Adds a time to the server's own observations.  A short one has less weight,
+ * as constant deviations are a larger part of it. */
 static void
 observe_server(const engine_speed_t *service, server_speed_t *server,
                double tokens, double ms)
 {
     double expected = expected_ms(service, tokens);
     double deviation = TIME_DEVIATION_MS / TIME_DEVIATION_SHARE;
-    double tells =
+    double weight =
         expected * expected / (expected * expected + deviation * deviation);
     double present = log_ratio(server);
     double limit = log(SERVER_OUTLIER_FACTOR);
     double value = bound(log(ms / expected), present - limit, present + limit);
-    add_to_average(&server->own, value, tells);
+    add_to_average(&server->own, value, weight);
     share_own(server);
 }
 
--- a/balance/engine-speed.h
+++ b/balance/engine-speed.h
@@ -46,7 +46,7 @@
 } speed_average_t;
 
 typedef struct {
-    /* What hosts have told each other, this one included. */
+    /* Agreed on by announcements of hosts, this one included. */
     speed_average_t shared;
     /* Observations of this host that are not part of `shared` yet. */
     speed_average_t own;
@@ -56,7 +56,7 @@
     size_t pace_count;                      /* reports so far */
 } server_speed_t;
 
-/* What hosts tell each other of a server's speed. */
+/* Announcement of a server's speed to other hosts. */
 typedef struct {
     uint32_t ratio_milli;
     uint32_t observations;
--- a/balance/request-cost.c
+++ b/balance/request-cost.c
@@ -18,7 +18,7 @@
 /* Logarithmic differences are clamped to a factor of 16.  Lengths differ by
  * ten within a route, so larger factors are outliers. */
 #define LOG_ERROR_MAX 2.77
-/* An average of fewer observations does not tell what an outlier is: the first
+/* An average of fewer observations does not show what an outlier is: the first
  * one may be. */
 #define SETTLED_COUNT 8
 /* An observation counts at most this many times the mean where totals matter.
--- a/balance/reserve.c
+++ b/balance/reserve.c
@@ -64,7 +64,7 @@
 }
 
 /* Returns which share of the requests in flight are of a class or less urgent;
- * 1 if there are too few to tell. */
+ * 1 if there are too few to know. */
 double
 reserve_class_share(const unsigned in_flight[PRIORITY_CLASSES], unsigned class)
 {
--- a/balance/return-times.c
+++ b/balance/return-times.c
@@ -32,11 +32,11 @@
 /* A promise is dropped this long after its time.  Its caller has given up or
  * was late. */
 #define OVERDUE_MS 250
-/* Weight of the newest return time in the mean of those told. */
-#define TOLD_WEIGHT 0.125
+/* Weight of the newest return time in the mean of those promised. */
+#define PROMISED_WEIGHT 0.125
 /* Return times spread evenly over a range lie within two mean deviations of
  * its middle. */
-#define TOLD_DEVIATIONS 2.0
+#define PROMISED_DEVIATIONS 2.0
 
 void
 return_times_init(return_times_t *times, rng_t rng, int64_t now_ms)
@@ -176,16 +176,17 @@
 }
 
 static void
-note_told(return_class_t *class, double part)
+observe_return_time(return_class_t *class, double part)
 {
     if (class->counters.promised <= 1) {
-        class->told_mean = part;
-        class->told_deviation = part;
+        class->promised_mean = part;
+        class->promised_deviation = part;
         return;
     }
-    class->told_deviation +=
-        TOLD_WEIGHT * (fabs(part - class->told_mean) - class->told_deviation);
-    class->told_mean += TOLD_WEIGHT * (part - class->told_mean);
+    class->promised_deviation +=
+        PROMISED_WEIGHT *
+        (fabs(part - class->promised_mean) - class->promised_deviation);
+    class->promised_mean += PROMISED_WEIGHT * (part - class->promised_mean);
 }
 
 /* Returns after how many ms there is capacity for a caller: after the promises
@@ -236,16 +237,17 @@
                 (longest - shortest) * LAST_SHARE * rng_unit(&times->rng);
         class->counters.promised_last++;
     }
-    note_told(class, longest > 0 ? after / longest : 0);
+    observe_return_time(class, longest > 0 ? after / longest : 0);
     add_promise(class, now_ms - waited_ms, now_ms + (int64_t)after);
     return (int64_t)after;
 }
 
 /* Returns how long an attempt may wait at a host, given how long its caller
  * has waited since its first attempt.  The first wait ends after wait_max_ms.
- * A caller that comes back sooner after that than callers are now told to gets
- * no other wait: it is served only if there is capacity at once.  Otherwise
- * coming back again and again would be the same as waiting without a bound. */
+ * A caller that comes back sooner after that than callers are now asked to
+ * gets no other wait: it is served only if there is capacity at once.
+ * Otherwise coming back again and again would be the same as waiting without a
+ * bound. */
 int64_t
 return_wait_ms(const return_times_t *times, unsigned priority_class,
                int64_t wait_max_ms, int64_t waited_ms, int64_t remaining_ms)
@@ -259,7 +261,7 @@
     }
     double after = (double)(waited_ms - wait_max_ms);
     double longest = (after + (double)remaining_ms) / HONOURED_DIVISOR;
-    double usual =
-        longest * (class->told_mean - TOLD_DEVIATIONS * class->told_deviation);
+    double usual = longest * (class->promised_mean -
+                              PROMISED_DEVIATIONS * class->promised_deviation);
     return after < fmax(usual, fmin(RETURN_MIN_MS, longest)) ? 0 : wait_max_ms;
 }
--- a/balance/return-times.h
+++ b/balance/return-times.h
@@ -1,7 +1,7 @@
 #ifndef CELERYSPOOL_RETURN_TIMES_H
 #define CELERYSPOOL_RETURN_TIMES_H
 
-/* When the callers of rejected requests are told to come back.  One
+/* When the callers of rejected requests are asked to come back.  One
  * return_times_t per service.  No I/O, no clock and no allocation. */
 
 #include "../kernel/base.h"
@@ -11,7 +11,7 @@
  * requests a second of callers with 2.5 s has about 170. */
 #define RETURN_PROMISES_MAX 512
 
-/* A time at which a rejected caller was told to come back. */
+/* A time at which a rejected caller was asked to come back. */
 typedef struct {
     int64_t due_ms;
     int64_t wait_began_ms; /* of the caller's first attempt */
@@ -29,8 +29,8 @@
     int64_t rate_ms;
     size_t promise_count;
     return_promise_t promises[RETURN_PROMISES_MAX]; /* in no order */
-    double told_mean;      /* recent return times, by the longest honoured */
-    double told_deviation; /* their mean absolute deviation */
+    double promised_mean; /* recent return times, by the longest honoured */
+    double promised_deviation; /* their mean absolute deviation */
     return_counters_t counters;
 } return_class_t;
 
--- a/balance/wait-forecast.c
+++ b/balance/wait-forecast.c
@@ -2,16 +2,16 @@
 
 #include <math.h>
 
-/* The expected wait takes all prompts that are ahead at an engine, by news
+/* The expected wait takes all prompts that are ahead at an engine, by reports
  * that are some ten ms old.  A request of an urgent class overtakes others,
  * and what has ended meanwhile is not known, so that it waits less; where many
  * hosts choose the same engine at once, it waits longer.  The ratio of the two
  * is learned from the requests themselves. */
 
 /* Weight of a new observation: the average covers about the last twenty that
- * tell something, which are seconds in overload. */
+ * are long enough, which are seconds in overload. */
 #define WEIGHT 0.05
-/* Shorter expected waits tell nothing: the time of one batch step is as long.
+/* Shorter expected waits are ignored: the time of one batch step is as long.
  */
 #define EXPECTED_MIN_MS 25.0
 /* Bounds of a single ratio and of the average. */
--- a/relay/peers-speeds.c
+++ b/relay/peers-speeds.c
@@ -2,7 +2,7 @@
 
 /* Speeds of servers, passed on between daemons.  A host observes any one
  * server seldom, so what it learns is sent to a few others, which do the same
- * if it was news to them. */
+ * if it changed what they know. */
 
 static void
 add_speed(peer_datagram_t *datagram, const server_t *server,
@@ -15,10 +15,11 @@
                        .observations = notice->observations};
 }
 
-/* Adds the speeds that are news, beginning after the server with a number, so
- * that all have their turn; returns the number of the last one. */
+/* Adds the speeds that have changed, beginning after the server with a number,
+ * so that all have their turn; returns the number of the last one. */
 static uint16_t
-add_news(const peers_t *peers, peer_datagram_t *datagram, uint16_t after)
+add_changed_speeds(const peers_t *peers, peer_datagram_t *datagram,
+                   uint16_t after)
 {
     const servers_t *servers = peers->relay->servers;
     uint16_t last = after;
@@ -50,7 +51,8 @@
     }
     datagram->kind = PEER_SPEEDS;
     datagram->speed_count = 0;
-    peers->speed_cursor = add_news(peers, datagram, peers->speed_cursor);
+    peers->speed_cursor =
+        add_changed_speeds(peers, datagram, peers->speed_cursor);
     if (datagram->speed_count > 0) {
         speed_budget_take(&peers->speed_budget, now);
         peers_send_to_random(peers, datagram, SPEED_RECEIVERS);
--- a/relay/request-admit.c
+++ b/relay/request-admit.c
@@ -151,8 +151,8 @@
     }
 }
 
-/* Rejects the request and tells its caller when to return: in the order of
- * urgency and of the time that callers have waited. */
+/* Rejects the request and states when its caller should return: in the order
+ * of urgency and of the time that callers have waited. */
 static void
 reject(request_t *request, const char *reason, int64_t now)
 {
