Soak: two checks know what servers and routes may do

A server adds it to the first event on newer weights. The check now excepts what ended at its timeout, as the check of planned work does.

--- a/soak/callers.c
+++ b/soak/callers.c
@@ -80,15 +80,47 @@
     }
 }
 
+/* Copies the events of a stream without the line by which the first event on
+ * newer weights names their version.  A version that does not increase, or a
+ * line elsewhere than at the begin of an event, stays. */
+static void
+copy_without_versions(const char *events, buf_t *out)
+{
+    static const char key[] = "x-celeryspool-weight-versions: ";
+    const size_t key_len = sizeof(key) - 1;
+    long long last = 0;
+    bool at_begin = true;
+    while (*events != '\0') {
+        size_t len = strcspn(events, "\n");
+        len += events[len] == '\n' ? 1 : 0;
+        char *end = NULL;
+        long long version = at_begin && strncmp(events, key, key_len) == 0
+                                ? strtoll(events + key_len, &end, 10)
+                                : 0;
+        if (version > last && *end == '\n') {
+            last = version;
+            at_begin = false;
+        }
+        else {
+            buf_add(out, events, len);
+            at_begin = len == 1;
+        }
+        events += len;
+    }
+}
+
 /* Returns whether the body is the complete answer to this request. */
 static bool
 body_is_valid(const caller_t *caller)
 {
     CLEAN_BUF buf_t expected = {0};
+    CLEAN_BUF buf_t events = {0};
     if (request_route(caller->request)->stream) {
         for (int i = 1; i <= SHORT_STREAM_EVENTS; i++) {
             buf_fmt(&expected, "id: %d\ndata: token-%d\n\n", i, i);
         }
+        copy_without_versions(buf_text(&caller->body), &events);
+        return strcmp(buf_text(&expected), buf_text(&events)) == 0;
     }
     else {
         buf_fmt(&expected, "answer of %s\n", caller->server);
@@ -106,7 +138,7 @@
     if (request->end == EXCHANGE_COMPLETE && request->status / 100 == 2 &&
         (!caller->signature_valid || !body_is_valid(caller))) {
         soak_report_violation(soak, "each caller gets its own complete answer",
-                              "%s status %d signature valid %d: %.80s", id,
+                              "%s status %d signature valid %d: %.400s", id,
                               request->status, caller->signature_valid,
                               buf_text(&caller->body));
     }
--- a/soak/records.c
+++ b/soak/records.c
@@ -136,6 +136,14 @@
     }
 }
 
+/* Whether a request ended at its timeout, which may break off its answer. */
+static bool
+has_timed_out(const soak_request_t *request)
+{
+    return request->ended_ms - request->sent_ms >
+           request_timeout_ms(request) - TIMEOUT_MARGIN_MS;
+}
+
 /* Whether a request that was sent whole ended without a complete answer before
  * its time was over. */
 static bool
@@ -143,8 +151,7 @@
 {
     int64_t elapsed_ms = request->ended_ms - request->sent_ms;
     if (request->ended_ms == 0 || request->end == EXCHANGE_COMPLETE ||
-        request->end == EXCHANGE_UNSENT ||
-        elapsed_ms > request_timeout_ms(request) - TIMEOUT_MARGIN_MS) {
+        request->end == EXCHANGE_UNSENT || has_timed_out(request)) {
         return false;
     }
     return request->runs > 0 || elapsed_ms > LOSS_SLACK_MS;
@@ -178,6 +185,7 @@
     /* Only a request that ran was cut off: one that arrived while its
      * connection was being closed was not forwarded. */
     if (request->relay_stopping && !request->disturbed && request->runs > 0 &&
+        !has_timed_out(request) &&
         (request->end == EXCHANGE_NO_ANSWER ||
          request->end == EXCHANGE_BROKEN)) {
         soak_report_violation(soak, "a graceful shutdown cuts off no request",
