--- a/fakes/link.h
+++ b/fakes/link.h
@@ -17,13 +17,14 @@
     LINK_HOLD_TO_TARGET,   /* bytes to the target are held back */
     LINK_HOLD_FROM_TARGET, /* bytes from the target are held back */
     LINK_HOLD_BOTH,        /* bytes in both directions are held back */
-    LINK_RESET_NEW         /* new connections are reset */
+    LINK_RESET_NEW         /* new connections are reset once accepted */
 } link_state_t;
 
 typedef struct link link_t;
 
 link_t *link_open(struct event_base *base, const char *listen,
                   const char *target, err_t *err);
+int link_set_listening(link_t *link, bool listening);
 void link_set_state(link_t *link, link_state_t state);
 void link_set_source_state(link_t *link, struct in_addr source,
                            link_state_t state);
--- a/tests/relay-lib.sh
+++ b/tests/relay-lib.sh
@@ -19,6 +19,8 @@
 host_ip() { echo "127.0.0.$((10 + $1))"; }
 # cut_host HOST hang|reset|refuse|none: cuts a host off from all servers
 cut_host() { curl -s -o /dev/null --max-time 2 -d "{\"source\":\"$(host_ip "$1")\",\"how\":\"$2\"}" "http://$LINK_ADMIN/cut"; }
+# links_listen true|false: whether servers accept new connections, from any host
+links_listen() { curl -s -o /dev/null --max-time 2 -d "{\"listen\":$1}" "http://$LINK_ADMIN/cut"; }
 
 # relay_config VERSION: five routes, two services, two workspaces
 relay_config() {
