--- a/balance/held-bytes.c
+++ b/balance/held-bytes.c
@@ -53,8 +53,8 @@
     return holder->ready + holder->unready;
 }
 
-/* Sets the bytes of a holder; caller_read tells whether its caller has read
- * some of them since the last call. */
+/* Sets the bytes of a holder; caller_read is true if its caller has read some
+ * of them since the last call. */
 void
 held_bytes_set(held_bytes_t *held, held_holder_t *holder, size_t ready,
                size_t unready, bool caller_read, int64_t now_ms)
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -81,7 +81,8 @@
     int64_t now = time_mono_ms();
     if (server_shares_silence(server) && !reach_is_lost(&relay->reach) &&
         now - server->silent_notice_ms >= SILENCE_NOTICE_INTERVAL_MS) {
-        /* One host tells it for all that have noticed. */
+        /* Of several hosts that notice the silence, one notifies the others.
+         */
         peers_notify_silence(relay->peers, server);
     }
     /* The first failed probe comes after two thirds of a second. */
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -459,7 +459,7 @@
     return true;
 }
 
-/* Whether hosts tell each other that the server does not answer. */
+/* Whether hosts notify each other if the server does not answer. */
 bool
 server_shares_silence(const server_t *server)
 {
@@ -987,7 +987,7 @@
     }
     if (engine_speed_observe(&server->service_speed->engine, &server->speed,
                              tokens, ms, now_ms)) {
-        server->speed_told = false;
+        server->speed_from_peer = false;
     }
 }
 
@@ -1034,7 +1034,7 @@
                server->info.id, ratio,
                server_speed_observations(&server->speed),
                engine_speed_rate(&server->service_speed->engine),
-               server->speed_told ? "peer" : "own");
+               server->speed_from_peer ? "peer" : "own");
 }
 
 /* Logs the changed ratios of the servers to which the learned speed applies.
@@ -1051,12 +1051,12 @@
     }
 }
 
-/* Applies what another host has told of a server's ratio. */
+/* Applies another host's notice of a server's ratio. */
 void
 server_apply_speed(server_t *server, const speed_notice_t *notice)
 {
     if (server_speed_apply(&server->speed, notice)) {
-        server->speed_told = true;
+        server->speed_from_peer = true;
     }
 }
 
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -23,8 +23,8 @@
 #define SERVER_MODEL_MAX 64
 
 /* Prefill rate of an engine, including the decode steps in between, where the
- * learned one is not used.  Each server's deviation from it is measured: see
- * server_update_slowness. */
+ * learned one is not used.  server_update_slowness measures by how much each
+ * server deviates from it. */
 #define SERVER_PREFILL_TOKENS_PER_MS 48.0
 
 /* A server's entry on the platform, decoded by platform/server-read.c. */
@@ -143,7 +143,8 @@
     server_speed_t speed; /* its ratio to the service's mean, and its pace */
     service_speed_t *service_speed; /* of its service; NULL if not listed */
     double logged_ratio;            /* of its speed; 0 if it was not logged */
-    bool speed_told; /* the last change of its ratio came from another host */
+    /* The last change of its ratio came from another host. */
+    bool speed_from_peer;
     bool learned_speed;  /* the learned speed applies without a pace too */
     bool by_priority;    /* its service admits requests by priority */
     int64_t probed_ms;   /* time of the last probe */
