Speed of engines: ratios by the loads of all hosts

Cause: on engines of several speeds (deployment C) ratios were learned from prompts that found an engine idle.

Change: by Little's law, what all hosts have outstanding at an engine, over what they send there, is the mean time to the first token; the rate follows. Both are in the loads that hosts announce anyway.

--- a/relay/relay.c
+++ b/relay/relay.c
@@ -231,6 +231,7 @@
     if (relay->tick_count++ % SWEEP_TICKS == 0) {
         exchanges_sweep(relay->exchanges);
         servers_centre_speeds(relay->servers);
+        servers_compare_prefill(relay->servers, time_mono_ms());
         servers_log_speeds(relay->servers);
     }
     discovery_tick(relay);
--- a/relay/request-explain.c
+++ b/relay/request-explain.c
@@ -243,7 +243,7 @@
                       (json_int_t)outlook->cached_tokens, "reserve",
                       round_tenth(request->reserve), "tokens_per_ms",
                       round_tenth(outlook->prefill_rate), "speed_ratio",
-                      server_speed_ratio(&server->speed), "has_room",
+                      server_work_ratio(server), "has_room",
                       request_finds_room(request, server, now), "weights",
                       (json_int_t)server->info.weights);
         (void)json_object_update(json, engine);
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -263,7 +263,7 @@
     request->answer_started_ms = now;
     record_forecast(request, now);
     request_note_engine_wait(request, (double)(now - request->sent_ms));
-    server_subtract_prefill(server, request->prefill_tokens);
+    server_subtract_prefill(server, request->prefill_tokens, time_mono_ms());
     request->prefill_tokens = 0;
     if (request->engine) {
         cache_note_held(request->relay, &request->prefix, server->number);
@@ -366,7 +366,8 @@
             &request->server->brittle,
             (double)(time_mono_ms() - request->sent_ms));
     }
-    server_subtract_prefill(request->server, request->prefill_tokens);
+    server_subtract_prefill(request->server, request->prefill_tokens,
+                            time_mono_ms());
     request->prefill_tokens = 0;
     server_remove_request(request->server);
     request_count_in_flight(request, false);
--- /dev/null
+++ b/relay/server-prefill.c
@@ -0,0 +1,125 @@
+#include "servers.h"
+
+#include <math.h>
+
+/* Feeds the loads that hosts announce into the estimate of each engine's
+ * speed; see balance/prefill-load.c.  Only for services whose servers report a
+ * pace: the machines of others are taken to be alike. */
+
+/* Weight of the newest prompt in the mean number of tokens to prefill. */
+#define PROMPT_WEIGHT 0.02
+/* A ratio is logged if it has changed by this factor. */
+#define LOGGED_CHANGE 1.1
+
+/* Whether the loads of all hosts decide how fast a server is believed to be.
+ */
+static bool
+uses_prefill_load(const server_t *server)
+{
+    return server->info.engine && server->service_speed != NULL &&
+           server->service_speed->reports_pace && !server->learned_speed;
+}
+
+/* Records the tokens that are outstanding at the server from now on. */
+void
+server_track_prefill(server_t *server, int64_t now_ms)
+{
+    if (!uses_prefill_load(server)) {
+        return;
+    }
+    if (!server_is_reachable(server, now_ms) ||
+        server_is_suspected(server, now_ms)) {
+        prefill_load_skip(&server->prefill_load, now_ms);
+    }
+    prefill_load_set(&server->prefill_load,
+                     server->own_prefill_tokens + server->peer_prefill_tokens,
+                     now_ms);
+}
+
+/* Counts tokens that this host or another one has sent to the server. */
+void
+server_count_prefill(server_t *server, double tokens)
+{
+    if (!uses_prefill_load(server) || !(tokens > 0)) {
+        return;
+    }
+    prefill_service_t *service = &server->service_speed->prefill;
+    service->prompt_tokens =
+        service->prompt_tokens > 0
+            ? service->prompt_tokens +
+                  PROMPT_WEIGHT * (tokens - service->prompt_tokens)
+            : tokens;
+    prefill_load_add_sent(&server->prefill_load, tokens);
+}
+
+/* Returns the ratio of the time that the server takes for work to the mean of
+ * its service: the better known of what the loads of all hosts show and what
+ * prompts that found the server idle have shown. */
+double
+server_work_ratio(const server_t *server)
+{
+    double observations =
+        uses_prefill_load(server)
+            ? prefill_load_observations(&server->prefill_load,
+                                        &server->service_speed->prefill)
+            : 0;
+    return observations > server_speed_observations(&server->speed)
+               ? exp(server->prefill_load.log_ratio)
+               : server_speed_ratio(&server->speed);
+}
+
+/* Logs the server's ratio if it has changed by a tenth since it was last
+ * logged. */
+static void
+log_ratio(server_t *server)
+{
+    double ratio = exp(server->prefill_load.log_ratio);
+    double logged =
+        server->logged_load_ratio > 0 ? server->logged_load_ratio : 1;
+    if (ratio < logged * LOGGED_CHANGE && logged < ratio * LOGGED_CHANGE) {
+        return;
+    }
+    server->logged_load_ratio = ratio;
+    log_record(LOG_INFO, "servers", "load-speed",
+               "server=%s ratio=%.2f prompts=%.0f", server->info.id, ratio,
+               prefill_load_observations(&server->prefill_load,
+                                         &server->service_speed->prefill));
+}
+
+/* Compares the engines of one service. */
+static void
+compare_service(servers_t *servers, service_speed_t *speed, int64_t now_ms)
+{
+    prefill_load_t *loads[SERVER_NUMBERS_MAX];
+    size_t count = 0;
+    server_t *server;
+    CK_LIST_FOREACH (server, &servers->list, entry) {
+        if (server->service_speed != speed || server->removed ||
+            !uses_prefill_load(server)) {
+            continue;
+        }
+        server->peer_prefill_tokens = server_sum_peer_prefill(server, now_ms);
+        server_track_prefill(server, now_ms);
+        loads[count++] = &server->prefill_load;
+    }
+    speed->prefill.first_token_ms = speed->engine.first_token_ms;
+    prefill_loads_compare(loads, count, &speed->prefill);
+    CK_LIST_FOREACH (server, &servers->list, entry) {
+        if (server->service_speed == speed && !server->removed &&
+            uses_prefill_load(server)) {
+            log_ratio(server);
+        }
+    }
+}
+
+/* Compares the engines of all services whose servers report a pace. */
+void
+servers_compare_prefill(servers_t *servers, int64_t now_ms)
+{
+    service_speed_t *speed;
+    CK_SLIST_FOREACH (speed, &servers->speeds, entry) {
+        if (speed->reports_pace) {
+            compare_service(servers, speed, now_ms);
+        }
+    }
+}
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -172,6 +172,8 @@
     server->slowness = 1;
     server->speed = (server_speed_t){0};
     server->logged_ratio = 0;
+    server->prefill_load = (prefill_load_t){0};
+    server->logged_load_ratio = 0;
     server->reported_slots = 0;
     server->address_taken = false;
     server->unresponsive = false;
@@ -367,22 +369,25 @@
     if (server->own_running == 0) {
         server->busy_since_ms = now_ms;
     }
+    server_count_prefill(server, prefill_tokens);
     server->own_running++;
     server->backlog_tokens =
         server_update_backlog(server, now_ms) + prefill_tokens;
     server->sent_tokens += (uint32_t)prefill_tokens;
     server->own_prefill_tokens += prefill_tokens;
+    server_track_prefill(server, now_ms);
 }
 
 /* Subtracts tokens of a request's prompt that have been prefilled or no longer
  * will be. */
 void
-server_subtract_prefill(server_t *server, double tokens)
+server_subtract_prefill(server_t *server, double tokens, int64_t now_ms)
 {
     server->own_prefill_tokens -= tokens;
     if (server->own_prefill_tokens < 0) {
         server->own_prefill_tokens = 0;
     }
+    server_track_prefill(server, now_ms);
 }
 
 void
@@ -798,13 +803,17 @@
         apply_unshared_delta(server, last, report);
     }
     if (report->sent_tokens != 0) {
+        double tokens = sent_tokens_delta(last, report);
         server->backlog_tokens =
-            server_update_backlog(server, report->received_ms) +
-            sent_tokens_delta(last, report);
+            server_update_backlog(server, report->received_ms) + tokens;
+        server_count_prefill(server, tokens);
         sent = report->sent_tokens;
     }
+    server->peer_prefill_tokens +=
+        report->prefill_tokens - last->prefill_tokens;
     *last = *report;
     last->sent_tokens = sent;
+    server_track_prefill(server, report->received_ms);
 }
 
 static bool
@@ -903,7 +912,7 @@
     }
     if (!server->learned_speed) {
         return SERVER_PREFILL_TOKENS_PER_MS /
-               (server_speed_ratio(&server->speed) *
+               (server_work_ratio(server) *
                 server_speed_pace(&server->speed, now_ms));
     }
     return 1 / engine_speed_prefill_ms(&server->service_speed->engine,
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -6,6 +6,7 @@
 
 #include "../balance/decode-speed.h"
 #include "../balance/engine-speed.h"
+#include "../balance/prefill-load.h"
 #include "../balance/priority-band.h"
 #include "../kernel/base.h"
 #include "cached-parts.h"
@@ -65,6 +66,7 @@
     double plain_work_ms;
     bool
         reports_pace; /* one of its servers has reported a pace to this host */
+    prefill_service_t prefill;
 } service_speed_t;
 
 #define SERVER_PEERS_MAX 384
@@ -124,10 +126,15 @@
     uint32_t announced_unshared_tokens; /* unshared_tokens last announced */
     server_peer_load_t peer_loads[SERVER_PEERS_MAX];
     size_t peer_load_count; /* used elements of peer_loads */
-    int reported_running;   /* from the server's own load report */
-    int reported_waiting;   /* from the server's own load report */
-    int64_t reported_ms;    /* time of the last load report; 0 for never */
-    int reported_slots;     /* from the server's own load report; 0 unknown */
+    /* Sum of prefill_tokens of peer_loads; expired ones are taken out from
+     * time to time. */
+    double peer_prefill_tokens;
+    prefill_load_t prefill_load; /* of all hosts */
+    double logged_load_ratio;    /* of prefill_load; 0 if it was not logged */
+    int reported_running;        /* from the server's own load report */
+    int reported_waiting;        /* from the server's own load report */
+    int64_t reported_ms; /* time of the last load report; 0 for never */
+    int reported_slots;  /* from the server's own load report; 0 unknown */
     /* When peers were last notified of the server's load report. */
     int64_t load_announced_ms;
     /* Smoothed time that a request occupies a slot, from its first token on;
@@ -190,7 +197,7 @@
 void servers_sweep(servers_t *servers);
 void server_add_request(server_t *server, double prefill_tokens,
                         int64_t now_ms);
-void server_subtract_prefill(server_t *server, double tokens);
+void server_subtract_prefill(server_t *server, double tokens, int64_t now_ms);
 void server_remove_request(server_t *server);
 void server_set_load(server_t *server, int running, int waiting,
                      int64_t now_ms);
@@ -237,6 +244,10 @@
 void server_apply_speed(server_t *server, const speed_notice_t *notice);
 void servers_log_speeds(servers_t *servers);
 void servers_centre_speeds(servers_t *servers);
+void server_track_prefill(server_t *server, int64_t now_ms);
+void server_count_prefill(server_t *server, double tokens);
+double server_work_ratio(const server_t *server);
+void servers_compare_prefill(servers_t *servers, int64_t now_ms);
 bool server_needs_probe(const server_t *server, int64_t now_ms);
 void server_confirm_alive(server_t *server, int64_t now_ms);
 bool server_update_weights(server_t *server, int64_t weights,
--- a/tests/proc-server-speed.sh
+++ b/tests/proc-server-speed.sh
@@ -28,6 +28,8 @@
 expect "all prompts are answered" [ "$(grep -c '^200' "$OUT/one")" = 120 ]
 wait_line "$OUT/relay-3.log" 'event=speed server=e3 .*source=peer' 5
 expect "a host that has sent nothing there is told of the slow engine" [ "$(told 3)" = peer ]
+wait_line "$OUT/relay-3.log" 'event=load-speed server=e3 ratio=(1\.[1-9]|[2-9])' 5
+expect "and sees by what others have there that it is slow" grep -qE 'event=load-speed server=e3 ratio=(1\.[1-9]|[2-9])' "$OUT/relay-3.log"
 expect "one that has sent prompts knows the rate of the service" \
     awk '{ exit !($2 > 5 && $2 < 500) }' <(curl -s "http://$(metrics_addr 1)/" | grep prefill_tokens_per_ms)
 
--- a/tests/test-peer-loads.c
+++ b/tests/test-peer-loads.c
@@ -67,7 +67,7 @@
         }
         ck_assert_double_eq(server_sum_peer_prefill(pair.theirs, now), 9000);
     }
-    server_subtract_prefill(pair.mine, 9000);
+    server_subtract_prefill(pair.mine, 9000, 5000);
     ck_assert(peer_loads_collect(pair.here, &datagram, 5000));
     peer_loads_apply(pair.there, 1, &datagram, 5000);
     ck_assert_double_eq(server_sum_peer_prefill(pair.theirs, 5000), 0);
@@ -88,7 +88,7 @@
     ck_assert(peer_loads_collect(pair.here, &datagram, 0));
     peer_loads_apply(pair.there, 1, &datagram, 0);
     server_add_request(pair.mine, 4800, 50);
-    server_subtract_prefill(pair.mine, 5800);
+    server_subtract_prefill(pair.mine, 5800, 50);
     ck_assert(peer_loads_collect(pair.here, &datagram, 50));
     peer_loads_apply(pair.there, 1, &datagram, 50);
     ck_assert_double_eq(server_sum_peer_prefill(pair.theirs, 50), 0);
@@ -113,7 +113,45 @@
 }
 END_TEST
 
-TEST_MAIN("peer-loads", small_prompts_are_announced,
-          unchanged_load_is_announced_again,
+/* Guards against an engine that counts as slow after a host has died: what the
+ * host had announced there is never announced as prefilled. */
+START_TEST(a_dead_host_does_not_make_an_engine_slow)
+{
+    static peer_datagram_t datagram;
+    pair_t pair;
+    pair_init(&pair);
+    server_state_pace(pair.theirs, 100, 0);
+    server_add_request(pair.mine, 9000, 0);
+    ck_assert(peer_loads_collect(pair.here, &datagram, 0));
+    peer_loads_apply(pair.there, 1, &datagram, 1);
+    ck_assert_double_eq(pair.theirs->prefill_load.outstanding, 9000);
+    servers_compare_prefill(pair.there, 500);
+    ck_assert_double_eq(pair.theirs->prefill_load.outstanding, 9000);
+    servers_compare_prefill(pair.there, 1500);
+    ck_assert_double_eq(pair.theirs->prefill_load.outstanding, 0);
+    pair_free(&pair);
+}
+END_TEST
+
+/* Guards against engines of earlier deployments that are compared by loads:
+ * only a stated pace says that machines may differ. */
+START_TEST(loads_decide_speeds_only_where_a_pace_is_stated)
+{
+    static peer_datagram_t datagram;
+    pair_t pair;
+    pair_init(&pair);
+    server_add_request(pair.mine, 9000, 0);
+    ck_assert(peer_loads_collect(pair.here, &datagram, 0));
+    peer_loads_apply(pair.there, 1, &datagram, 1);
+    servers_compare_prefill(pair.there, 500);
+    ck_assert_double_eq(pair.theirs->prefill_load.outstanding, 0);
+    ck_assert_double_eq(pair.theirs->prefill_load.sent, 0);
+    pair_free(&pair);
+}
+END_TEST
+
+TEST_MAIN("peer-loads", a_dead_host_does_not_make_an_engine_slow,
+          loads_decide_speeds_only_where_a_pace_is_stated,
+          small_prompts_are_announced, unchanged_load_is_announced_again,
           tokens_of_other_hosts_stay_in_the_backlog,
           loads_of_unknown_servers_are_ignored)
--- a/tests/test-place-fleet.c
+++ b/tests/test-place-fleet.c
@@ -155,7 +155,7 @@
         placed_t *placed = &fleet->placed[i];
         if (!placed->finished && placed->prefilled_ms <= (double)now) {
             server_t *server = fleet->servers[placed->host][placed->engine];
-            server_subtract_prefill(server, placed->tokens);
+            server_subtract_prefill(server, placed->tokens, now);
             server_remove_request(server);
             forecast_update(
                 &fleet->hosts[placed->host]->forecast, placed->expected_ms,
