Placement: a prompt costs the responses that it delays

Change: the prompt's prefill time on an engine, times the requests in flight there, times the share of them whose callers notice it, is part of the engine's cost.

--- a/balance/decode-speed.c
+++ b/balance/decode-speed.c
@@ -19,6 +19,10 @@
 /* Variance of the number of requests from which on the slope is known. */
 #define VARIANCE_MIN 1.0
 
+/* Share of the running answers whose callers notice a delay by a prompt: those
+ * that are between two events for longer than their callers expect. */
+#define DELAYED_SHARE 0.3
+
 /* Adds a complete answer: the requests in flight when it began, its tokens and
  * the time from the first to the last of them. */
 void
@@ -69,3 +73,11 @@
 {
     return tokens * requests * decode_speed_ms_per_request(speed);
 }
+
+/* Returns what a prompt costs the callers of the answers that run at its
+ * engine, ms: each of them pauses while the engine prefills it. */
+double
+decode_delay_cost_ms(double requests, double prefill_ms)
+{
+    return requests * prefill_ms * DELAYED_SHARE;
+}
--- a/balance/decode-speed.h
+++ b/balance/decode-speed.h
@@ -2,7 +2,8 @@
 #define CELERYSPOOL_DECODE_SPEED_H
 
 /* How much longer an output token takes for each further request that runs at
- * its engine.  No I/O and no clock. */
+ * its engine, and what a prompt costs those that run there.  No I/O and no
+ * clock. */
 
 #include "../kernel/base.h"
 
@@ -22,5 +23,6 @@
 double decode_speed_ms_per_request(const decode_speed_t *speed);
 double decode_speed_extra_ms(const decode_speed_t *speed, double tokens,
                              double requests);
+double decode_delay_cost_ms(double requests, double prefill_ms);
 
 #endif
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -331,8 +331,12 @@
                                  relay->mean_prompt_tokens);
     out->rendezvous_weight =
         place_rendezvous_weight(request->affinity_key, server->info.id);
+    uint32_t tokens = request->prompt.prompt_tokens;
+    double prefill_ms =
+        tokens > out->cached_tokens ? (tokens - out->cached_tokens) / rate : 0;
     out->wait_ms =
         wait + penalty_ms(request, server) +
+        server_delay_cost_ms(server, prefill_ms, now) +
         server_decode_extra_ms(server, request->expected_output, now) +
         (request_finds_room(request, server, now) ? 0 : NO_ROOM_COST_MS);
     return wait;
--- a/relay/server-prefill.c
+++ b/relay/server-prefill.c
@@ -68,6 +68,17 @@
                : server_speed_ratio(&server->speed);
 }
 
+/* Returns what a prompt costs the callers whose answers run at the engine, ms.
+ */
+double
+server_delay_cost_ms(const server_t *server, double prefill_ms, int64_t now_ms)
+{
+    return uses_prefill_load(server)
+               ? decode_delay_cost_ms(server_count_in_flight(server, now_ms),
+                                      prefill_ms)
+               : 0;
+}
+
 /* Logs the server's ratio if it has changed by a tenth since it was last
  * logged. */
 static void
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -247,6 +247,8 @@
 void server_track_prefill(server_t *server, int64_t now_ms);
 void server_count_prefill(server_t *server, double tokens);
 double server_work_ratio(const server_t *server);
+double server_delay_cost_ms(const server_t *server, double prefill_ms,
+                            int64_t now_ms);
 void servers_compare_prefill(servers_t *servers, int64_t now_ms);
 bool server_needs_probe(const server_t *server, int64_t now_ms);
 void server_confirm_alive(server_t *server, int64_t now_ms);
--- a/tests/test-decode-speed.c
+++ b/tests/test-decode-speed.c
@@ -79,6 +79,19 @@
 }
 END_TEST
 
-TEST_MAIN("decode-speed", the_slope_is_learned_from_answers,
-          an_unknown_slope_has_no_effect, the_slope_is_never_negative,
-          short_and_stalled_answers_are_bounded)
+/* Guards against prompts that go where they delay most running answers, since
+ * only the wait of the prompt itself counts. */
+START_TEST(a_prompt_costs_the_answers_that_it_delays)
+{
+    ck_assert_double_eq(decode_delay_cost_ms(0, 200), 0);
+    ck_assert_double_gt(decode_delay_cost_ms(8, 200),
+                        decode_delay_cost_ms(4, 200));
+    /* The same prompt on an engine that takes 2.4 times as long. */
+    ck_assert_double_gt(decode_delay_cost_ms(4, 480),
+                        decode_delay_cost_ms(8, 200));
+}
+END_TEST
+
+TEST_MAIN("decode-speed", a_prompt_costs_the_answers_that_it_delays,
+          the_slope_is_learned_from_answers, an_unknown_slope_has_no_effect,
+          the_slope_is_never_negative, short_and_stalled_answers_are_bounded)
--- a/tests/test-peer-loads.c
+++ b/tests/test-peer-loads.c
@@ -146,6 +146,7 @@
     servers_compare_prefill(pair.there, 500);
     ck_assert_double_eq(pair.theirs->prefill_load.outstanding, 0);
     ck_assert_double_eq(pair.theirs->prefill_load.sent, 0);
+    ck_assert_double_eq(server_delay_cost_ms(pair.theirs, 200, 500), 0);
     pair_free(&pair);
 }
 END_TEST
