Capacity: cost of the server table

Half of a daemon's processor time at 300 hosts and 3,002 servers goes into scans of the server table. Nothing measured them outside a fleet.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -2,6 +2,9 @@
 #include "../kernel/claim.h"
 #include "../kernel/peer-codec.h"
 #include "../kernel/tables.h"
+#include "../relay/peer-loads.h"
+#include "../relay/peers-internal.h"
+#include "../relay/servers.h"
 
 #include <sodium.h>
 #include <stdlib.h>
@@ -256,6 +259,102 @@
     json_decref(head);
 }
 
+/* Servers of the measured fleet; the table takes SERVER_NUMBERS_MAX of them,
+ * and the others' ids are looked up in vain. */
+#define FLEET_SERVERS 3002
+#define TABLE_ROUNDS 200
+
+/* Fills the table.  Returns the number of servers that it took. */
+static size_t
+fill_table(servers_t *servers)
+{
+    size_t taken = 0;
+    for (int i = 0; i < FLEET_SERVERS; i++) {
+        server_entry_t entry = {.service = "s", .engine = true, .slots = 8};
+        (void)snprintf(entry.id, sizeof(entry.id), "engine-%d", i);
+        (void)snprintf(entry.addr, sizeof(entry.addr), "127.0.0.1:%d", i + 1);
+        taken += servers_put(servers, &entry, 0) != NULL;
+    }
+    return taken;
+}
+
+/* Measures the lookups of all servers of the fleet, as each entry of a list
+ * and each notice of a peer causes one. */
+static void
+measure_server_lookups(servers_t *servers)
+{
+    size_t found = 0;
+    double started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS * FLEET_SERVERS; i++) {
+        char id[CS_NAME_MAX];
+        (void)snprintf(id, sizeof(id), "engine-%d", i % FLEET_SERVERS);
+        found += servers_find(servers, id) != NULL;
+    }
+    double by_id_us = process_cpu_us() - started_us;
+    started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS * FLEET_SERVERS; i++) {
+        const server_t *server = servers_find_by_number(
+            servers, (uint16_t)(i % SERVER_NUMBERS_MAX));
+        found += servers_find_by_id_hash(servers, server->id_hash) != NULL;
+    }
+    double by_hash_us = process_cpu_us() - started_us;
+    (void)printf(
+        "server table, lookups: %.2f us by id, %.2f us by hash "
+        "(%zu found)\n",
+        by_id_us / (TABLE_ROUNDS * FLEET_SERVERS),
+        by_hash_us / (TABLE_ROUNDS * FLEET_SERVERS), found);
+}
+
+/* Measures what the ticks cost while no server has anything to announce. */
+static void
+measure_server_ticks(servers_t *servers)
+{
+    static relay_t relay;
+    static peers_t peers;
+    size_t collected = 0;
+    relay.servers = servers;
+    peers.relay = &relay;
+    double started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS; i++) {
+        peers_announce_signals(&peers);
+    }
+    double signals_us = process_cpu_us() - started_us;
+    started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS; i++) {
+        peers_announce_speeds(&peers, 1000000);
+    }
+    double speeds_us = process_cpu_us() - started_us;
+    started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS; i++) {
+        collected += peer_loads_collect(servers, &peers.scratch, 1000);
+    }
+    double loads_us = process_cpu_us() - started_us;
+    started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS; i++) {
+        servers_sweep(servers);
+    }
+    double sweep_us = process_cpu_us() - started_us;
+    (void)printf(
+        "server table, a tick without changes: signals %.2f us, "
+        "speeds %.2f us, loads %.2f us (%zu), sweep %.2f us\n",
+        signals_us / TABLE_ROUNDS, speeds_us / TABLE_ROUNDS,
+        loads_us / TABLE_ROUNDS, collected, sweep_us / TABLE_ROUNDS);
+}
+
+static void
+measure_servers(void)
+{
+    servers_t *servers = servers_new();
+    double started_us = process_cpu_us();
+    size_t taken = fill_table(servers);
+    double put_us = process_cpu_us() - started_us;
+    (void)printf("server table, fleet of %d: %zu known, %.2f us per entry\n",
+                 FLEET_SERVERS, taken, put_us / FLEET_SERVERS);
+    measure_server_lookups(servers);
+    measure_server_ticks(servers);
+    servers_free(servers);
+}
+
 int
 main(void)
 {
@@ -269,6 +368,7 @@
     measure_cache_events();
     measure_peer_facts();
     measure_claims();
+    measure_servers();
     (void)printf(
         "fixed tables: %zu bytes per backend server, %zu bytes per member\n",
         sizeof(backend_state_t), sizeof(member_t));
