Servers: index by the hash of the id

Looking up a server by id or by hash compared all known servers. Each entry of a list and each notice of a peer is such a lookup, and with 3,002 servers two of three are looked up in vain: the table takes 1,016.

servers_find and servers_find_by_id_hash now use chains by the hash of the id (server-index.c). As before, the server that was added last is found first, and a removed one is passed over while it stays in the table. A full table is no longer searched for a free number.

Conclusion: lookups do not depend on the number of servers any more.

--- a/relay/servers.c
+++ b/relay/servers.c
@@ -69,6 +69,7 @@
 {
     servers_t *servers = mem_zalloc(sizeof(*servers));
     CK_LIST_INIT(&servers->list);
+    server_index_init(&servers->index);
     CK_SLIST_INIT(&servers->speeds);
     return servers;
 }
@@ -91,26 +92,14 @@
 server_t *
 servers_find(servers_t *servers, const char *id)
 {
-    server_t *server;
-    CK_LIST_FOREACH (server, &servers->list, entry) {
-        if (!server->removed && strcmp(server->info.id, id) == 0) {
-            return server;
-        }
-    }
-    return NULL;
+    return server_index_find(&servers->index, id);
 }
 
 /* Returns the server whose id has a hash, or NULL. */
 server_t *
 servers_find_by_id_hash(const servers_t *servers, uint32_t id_hash)
 {
-    server_t *server;
-    CK_LIST_FOREACH (server, &servers->list, entry) {
-        if (server->id_hash == id_hash && !server->removed) {
-            return server;
-        }
-    }
-    return NULL;
+    return server_index_find_hash(&servers->index, id_hash);
 }
 
 static uint64_t
@@ -145,6 +134,9 @@
 static int
 find_free_number(const servers_t *servers)
 {
+    if (servers->count == SERVER_NUMBERS_MAX) {
+        return -1;
+    }
     for (int i = 0; i < SERVER_NUMBERS_MAX; i++) {
         if (servers->numbered[i] == NULL) {
             return i;
@@ -249,6 +241,7 @@
         server_brittle_init(&server->brittle, servers->seed ^ server->id_hash);
         inherit_brittle(servers, server, entry->service, now_ms);
         CK_LIST_INSERT_HEAD(&servers->list, server, entry);
+        server_index_add(&servers->index, server);
         servers->count++;
     }
     if (entry->weights > server->info.weights) {
@@ -319,6 +312,7 @@
     servers->numbered[server->number] = NULL;
     servers->count--;
     CK_LIST_REMOVE(server, entry);
+    server_index_remove(server);
     cached_parts_free(server->cached_parts);
     free(server);
 }
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -10,6 +10,7 @@
 #include "../kernel/base.h"
 #include "cached-parts.h"
 #include "server-brittle.h"
+#include "server-index.h"
 #include "server-limit.h"
 #include "server-rest.h"
 #include "stream-origins.h"
@@ -83,6 +84,7 @@
 
 typedef struct server {
     CK_LIST_ENTRY(server) entry;
+    CK_LIST_ENTRY(server) index_entry; /* in a chain of the index */
     server_entry_t info;
     int64_t revision; /* of the platform's entry */
     bool updating;    /* this host is changing the server's weights */
@@ -170,6 +172,7 @@
 
 typedef struct {
     server_list_t list;
+    server_index_t index;
     size_t count;
     unsigned list_generation; /* number of complete lists read */
     uint64_t seed; /* of this host's random decisions about servers */
