Servers: queues of what may have to be announced

Every 50 ms a daemon compared all known servers for unannounced limits, brittleness, departures and speeds, and every few intervals for loads.

Each of the three announcements now takes servers from a queue (server-changes.c), at which a server is queued where it changes. The flags of a limit, of brittleness and of a speed remain; the queue only says where to look. A speed is queued while the learned speed applies to its server, and when it begins to. A server stays in the queue of loads as long as time alone may call for another announcement: while it has requests of this host, or its announced load differs. The order of announcements is that of the changes; what does not fit a datagram is first in the next one, so speeds need no cursor.

Tests: test-server-changes. Its comparison of the queues with a scan fails without the call in server_add_unshared, without the one in server_observe_prefill and with stays_queued returning false.

--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -48,6 +48,7 @@
             : NULL;
     server->by_priority = service != NULL && service->priority_admission;
     server->learned_speed = server->by_priority;
+    server_schedule_speed(server);
 }
 
 static void
--- a/relay/peer-loads.c
+++ b/relay/peer-loads.c
@@ -54,32 +54,51 @@
            must_announce_running(server, now);
 }
 
+/* Whether time alone or a change of the server's state may call for another
+ * announcement.  Otherwise this host's load there has to change first. */
+static bool
+stays_queued(const server_t *server)
+{
+    return server->own_prefill_tokens > 0 ||
+           server->announced_prefill_tokens > 0 || server->own_running > 0 ||
+           server->own_running != server->announced_running;
+}
+
+static void
+add_load(peer_datagram_t *out, server_t *server, int64_t now_ms)
+{
+    server->announced_prefill_tokens = server->own_prefill_tokens;
+    server->announced_running = server->own_running;
+    server->announced_unshared_tokens = server->unshared_tokens;
+    server->announced_ms = now_ms;
+    server->announced_sent_tokens = server->sent_tokens;
+    out->loads[out->load_count++] =
+        (peer_load_t){.server_hash = server->id_hash,
+                      .prefill_tokens = (uint32_t)server->own_prefill_tokens,
+                      .running = (uint32_t)server->own_running,
+                      .unshared_tokens = server->unshared_tokens,
+                      .sent_tokens = server->sent_tokens};
+}
+
 /* Loads that exceed the datagram are sent with the next one. */
 bool
 peer_loads_collect(servers_t *servers, peer_datagram_t *out, int64_t now_ms)
 {
-    server_t *server;
+    server_changes_t *changes = &servers->load_changes;
     out->kind = PEER_LOADS;
     out->load_count = 0;
-    CK_LIST_FOREACH (server, &servers->list, entry) {
-        if (out->load_count == PEER_LOADS_MAX) {
-            break;
-        }
-        if (server->removed || !server->info.engine ||
-            !needs_announcement(server, now_ms)) {
+    for (size_t left = changes->count;
+         left > 0 && out->load_count < PEER_LOADS_MAX; left--) {
+        server_t *server = server_changes_take(changes);
+        if (server->removed || !server->info.engine) {
             continue;
         }
-        server->announced_prefill_tokens = server->own_prefill_tokens;
-        server->announced_running = server->own_running;
-        server->announced_unshared_tokens = server->unshared_tokens;
-        server->announced_ms = now_ms;
-        server->announced_sent_tokens = server->sent_tokens;
-        out->loads[out->load_count++] = (peer_load_t){
-            .server_hash = server->id_hash,
-            .prefill_tokens = (uint32_t)server->own_prefill_tokens,
-            .running = (uint32_t)server->own_running,
-            .unshared_tokens = server->unshared_tokens,
-            .sent_tokens = server->sent_tokens};
+        if (needs_announcement(server, now_ms)) {
+            add_load(out, server, now_ms);
+        }
+        if (stays_queued(server)) {
+            server_changes_add(changes, &server->load_change);
+        }
     }
     return out->load_count > 0;
 }
--- a/relay/peers-internal.h
+++ b/relay/peers-internal.h
@@ -33,7 +33,6 @@
     size_t http_rotation; /* offset at which peers_next_http_addr starts */
     retry_hosts_t retry_hosts; /* live hosts that share the retry slack */
     speed_budget_t speed_budget;
-    uint16_t speed_cursor; /* number of the server that was announced last */
     uint64_t bytes_sent;
 };
 
--- a/relay/peers-signals.c
+++ b/relay/peers-signals.c
@@ -125,15 +125,9 @@
     server_t *server;
     datagram->kind = PEER_SIGNALS;
     datagram->signal_count = 0;
-    CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
-        if ((server->limit.unannounced || server->brittle.unannounced ||
-             server->leaving_unannounced) &&
-            datagram->signal_count < PEER_SIGNALS_MAX) {
-            server->limit.unannounced = false;
-            server->brittle.unannounced = false;
-            server->leaving_unannounced = false;
-            add_signal(datagram, server);
-        }
+    while (datagram->signal_count < PEER_SIGNALS_MAX &&
+           (server = servers_take_signals(peers->relay->servers)) != NULL) {
+        add_signal(datagram, server);
     }
     if (datagram->signal_count > 0) {
         peers_send_to_some(peers, datagram);
@@ -204,6 +198,7 @@
     if (signal->brittle_revision != 0) {
         apply_brittle(peers, server, signal, now);
     }
+    server_schedule_signals(server);
     if (signal->leaving && server_set_leaving(server)) {
         log_record(LOG_INFO, "servers", "leaving", "server=%s source=peer",
                    server->info.id);
--- a/relay/peers-speeds.c
+++ b/relay/peers-speeds.c
@@ -15,44 +15,23 @@
                        .observations = notice->observations};
 }
 
-/* Adds the speeds that have changed, beginning after the server with a number,
- * so that all have their turn; returns the number of the last one. */
-static uint16_t
-add_changed_speeds(const peers_t *peers, peer_datagram_t *datagram,
-                   uint16_t after)
-{
-    const servers_t *servers = peers->relay->servers;
-    uint16_t last = after;
-    for (size_t i = 1; i <= SERVER_NUMBERS_MAX; i++) {
-        uint16_t number = (uint16_t)((after + i) % SERVER_NUMBERS_MAX);
-        server_t *server = servers_find_by_number(servers, number);
-        if (server == NULL || server->removed || !server->speed.unannounced ||
-            !server_uses_learned_speed(server)) {
-            continue;
-        }
-        if (datagram->speed_count == SPEED_NOTICES_MAX) {
-            break;
-        }
-        const speed_notice_t notice = server_speed_take_notice(&server->speed);
-        add_speed(datagram, server, &notice);
-        last = number;
-    }
-    return last;
-}
-
 /* Notifies a few daemons of speeds that this one has learned of.  Those that
  * exceed the datagram are sent with the next one. */
 void
 peers_announce_speeds(peers_t *peers, int64_t now)
 {
     peer_datagram_t *datagram = &peers->scratch;
+    server_t *server;
     if (!speed_budget_allows(&peers->speed_budget, now)) {
         return;
     }
     datagram->kind = PEER_SPEEDS;
     datagram->speed_count = 0;
-    peers->speed_cursor =
-        add_changed_speeds(peers, datagram, peers->speed_cursor);
+    while (datagram->speed_count < SPEED_NOTICES_MAX &&
+           (server = servers_take_speed(peers->relay->servers)) != NULL) {
+        const speed_notice_t notice = server_speed_take_notice(&server->speed);
+        add_speed(datagram, server, &notice);
+    }
     if (datagram->speed_count > 0) {
         speed_budget_take(&peers->speed_budget, now);
         peers_send_to_random(peers, datagram, SPEED_RECEIVERS);
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -631,6 +631,7 @@
     server_t *server = request_decide_server(request, now, &placement);
     for (size_t i = 0; i < placement.excluded_count; i++) {
         server_brittle_block(&placement.excluded[i]->brittle, now);
+        server_schedule_signals(placement.excluded[i]);
     }
     if (server == NULL || (request->found_no_room &&
                            !request_finds_room(request, server, now))) {
--- a/relay/request-signals.c
+++ b/relay/request-signals.c
@@ -41,6 +41,7 @@
         case SIGNAL_INVALID:
             break;
     }
+    server_schedule_signals(server);
     if (changed) {
         server_log_limit(server, "answer");
     }
@@ -92,6 +93,7 @@
     if (request->answer == ANSWER_REJECTED && request->status == 503) {
         server_brittle_reject(brittle, now);
     }
+    server_schedule_signals(server);
     if (changed) {
         server_log_brittle(server, "answer");
     }
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -70,6 +70,9 @@
     servers_t *servers = mem_zalloc(sizeof(*servers));
     CK_LIST_INIT(&servers->list);
     server_index_init(&servers->index);
+    server_changes_init(&servers->signal_changes);
+    server_changes_init(&servers->speed_changes);
+    server_changes_init(&servers->load_changes);
     CK_SLIST_INIT(&servers->speeds);
     return servers;
 }
@@ -242,6 +245,10 @@
         inherit_brittle(servers, server, entry->service, now_ms);
         CK_LIST_INSERT_HEAD(&servers->list, server, entry);
         server_index_add(&servers->index, server);
+        server->table = servers;
+        server->signal_change.server = server;
+        server->speed_change.server = server;
+        server->load_change.server = server;
         servers->count++;
     }
     if (entry->weights > server->info.weights) {
@@ -258,6 +265,9 @@
     if (renewed) {
         reset_observations(servers, server, now_ms);
     }
+    /* The entry may have made it an engine, or one of another service. */
+    server_schedule_load(server);
+    server_schedule_speed(server);
     server->missing_since_ms = 0;
     server->list_generation = servers->list_generation;
     return server;
@@ -313,6 +323,9 @@
     servers->count--;
     CK_LIST_REMOVE(server, entry);
     server_index_remove(server);
+    server_changes_remove(&servers->signal_changes, &server->signal_change);
+    server_changes_remove(&servers->speed_changes, &server->speed_change);
+    server_changes_remove(&servers->load_changes, &server->load_change);
     cached_parts_free(server->cached_parts);
     free(server);
 }
@@ -366,6 +379,7 @@
         server_update_backlog(server, now_ms) + prefill_tokens;
     server->sent_tokens += (uint32_t)prefill_tokens;
     server->own_prefill_tokens += prefill_tokens;
+    server_schedule_load(server);
 }
 
 /* Subtracts tokens of a request's prompt that have been prefilled or no longer
@@ -377,12 +391,22 @@
     if (server->own_prefill_tokens < 0) {
         server->own_prefill_tokens = 0;
     }
+    server_schedule_load(server);
 }
 
 void
 server_remove_request(server_t *server)
 {
     server->own_running--;
+    server_schedule_load(server);
+}
+
+/* Records that this host's load at the server may have to be announced.
+ * Called with each change of it. */
+void
+server_schedule_load(server_t *server)
+{
+    server_changes_add(&server->table->load_changes, &server->load_change);
 }
 
 void
@@ -594,9 +618,46 @@
     }
     server->leaving = true;
     server->leaving_unannounced = true;
+    server_schedule_signals(server);
     return true;
 }
 
+static bool
+has_unannounced_signals(const server_t *server)
+{
+    return server->limit.unannounced || server->brittle.unannounced ||
+           server->leaving_unannounced;
+}
+
+/* Schedules the announcement of what the server says of itself if that is
+ * unannounced.  Called after each change of its limit or brittleness: these do
+ * not know the server that they belong to. */
+void
+server_schedule_signals(server_t *server)
+{
+    if (has_unannounced_signals(server)) {
+        server_changes_add(&server->table->signal_changes,
+                           &server->signal_change);
+    }
+}
+
+/* Returns the next server whose signals are to be announced, and marks them as
+ * announced; NULL if there is none.  A restart withdraws them. */
+server_t *
+servers_take_signals(servers_t *servers)
+{
+    server_t *server;
+    while ((server = server_changes_take(&servers->signal_changes)) != NULL) {
+        if (has_unannounced_signals(server)) {
+            server->limit.unannounced = false;
+            server->brittle.unannounced = false;
+            server->leaving_unannounced = false;
+            return server;
+        }
+    }
+    return NULL;
+}
+
 /* Returns whether what the server says of itself allows a request now. */
 bool
 server_allows_request(const server_t *server, int64_t now_ms)
@@ -728,6 +789,7 @@
 {
     server->unshared_tokens += tokens;
     cached_parts_add_unshared(server->cached_parts, tokens);
+    server_schedule_load(server);
 }
 
 /* Applies the unshared tokens that a host's requests have brought into the
@@ -866,6 +928,50 @@
                                      server->service_speed->reports_pace);
 }
 
+static bool
+has_unannounced_speed(const server_t *server)
+{
+    return !server->removed && server->speed.unannounced &&
+           server_uses_learned_speed(server);
+}
+
+/* Schedules the announcement of the server's speed if that is unannounced and
+ * the learned speed applies.  Called after each change of either. */
+void
+server_schedule_speed(server_t *server)
+{
+    if (has_unannounced_speed(server)) {
+        server_changes_add(&server->table->speed_changes,
+                           &server->speed_change);
+    }
+}
+
+/* Returns the next server whose speed is to be announced, or NULL. */
+server_t *
+servers_take_speed(servers_t *servers)
+{
+    server_t *server;
+    while ((server = server_changes_take(&servers->speed_changes)) != NULL) {
+        if (has_unannounced_speed(server)) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
+/* Schedules the announcements of a service's speeds, once the learned speed
+ * applies to its servers. */
+static void
+schedule_speeds(servers_t *servers, const service_speed_t *speed)
+{
+    server_t *server;
+    CK_LIST_FOREACH (server, &servers->list, entry) {
+        if (server->service_speed == speed) {
+            server_schedule_speed(server);
+        }
+    }
+}
+
 /* Whether the learned rate applies to an engine. */
 static bool
 uses_learned_rate(const server_t *server)
@@ -983,6 +1089,7 @@
                              tokens, ms, now_ms)) {
         server->speed_from_peer = false;
     }
+    server_schedule_speed(server);
 }
 
 /* Learns from the time that a plain server took for a request. */
@@ -1007,8 +1114,10 @@
 server_state_pace(server_t *server, int percent, int64_t now_ms)
 {
     server_speed_state_pace(&server->speed, percent, now_ms);
-    if (server->service_speed != NULL) {
+    if (server->service_speed != NULL &&
+        !server->service_speed->reports_pace) {
         server->service_speed->reports_pace = true;
+        schedule_speeds(server->table, server->service_speed);
     }
 }
 
@@ -1052,6 +1161,7 @@
     if (server_speed_apply(&server->speed, notice)) {
         server->speed_from_peer = true;
     }
+    server_schedule_speed(server);
 }
 
 /* Centres the ratios of each service's servers around 1. */
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -10,6 +10,7 @@
 #include "../kernel/base.h"
 #include "cached-parts.h"
 #include "server-brittle.h"
+#include "server-changes.h"
 #include "server-index.h"
 #include "server-limit.h"
 #include "server-rest.h"
@@ -85,6 +86,10 @@
 typedef struct server {
     CK_LIST_ENTRY(server) entry;
     CK_LIST_ENTRY(server) index_entry; /* in a chain of the index */
+    struct servers *table;             /* that it belongs to */
+    server_change_t signal_change;     /* see servers_t */
+    server_change_t speed_change;
+    server_change_t load_change;
     server_entry_t info;
     int64_t revision; /* of the platform's entry */
     bool updating;    /* this host is changing the server's weights */
@@ -170,9 +175,15 @@
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
 
-typedef struct {
+typedef struct servers {
     server_list_t list;
     server_index_t index;
+    /* Servers with a limit, brittleness or leaving that is unannounced. */
+    server_changes_t signal_changes;
+    /* Servers with an unannounced speed, where the learned speed applies. */
+    server_changes_t speed_changes;
+    /* Servers whose load by this host may have to be announced. */
+    server_changes_t load_changes;
     size_t count;
     unsigned list_generation; /* number of complete lists read */
     uint64_t seed; /* of this host's random decisions about servers */
@@ -247,6 +258,11 @@
 void server_keep_weights(const server_t *server, server_entry_t *entry);
 bool server_is_fetch_source(const server_t *server, int64_t now_ms);
 bool server_set_leaving(server_t *server);
+void server_schedule_signals(server_t *server);
+server_t *servers_take_signals(servers_t *servers);
+void server_schedule_speed(server_t *server);
+server_t *servers_take_speed(servers_t *servers);
+void server_schedule_load(server_t *server);
 bool server_allows_request(const server_t *server, int64_t now_ms);
 int64_t server_use_weights(server_t *server, int64_t now_ms);
 int64_t server_request_wait_ms(const server_t *server, int64_t now_ms);
