Discovery: no scan of all servers in each tick

Each tick of discovery compared all known servers for missing entries, hashed the service of each of them to record its software version, and searched for removed ones to free.

Missing entries are searched for only if one has been marked since the last search and the store is not recovering. The listed versions are kept (software-listed.c) and computed again when a server comes, goes or gets another service or version. Servers are swept only while a removed one waits for its requests.

Conclusion: of discovery's scans those for missing and removed servers remain, while there are any.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -5,6 +5,7 @@
 #include "../relay/peer-loads.h"
 #include "../relay/peers-internal.h"
 #include "../relay/servers.h"
+#include "../relay/software-listed.h"
 
 #include <sodium.h>
 #include <stdlib.h>
@@ -341,6 +342,21 @@
         loads_us / TABLE_ROUNDS, collected, sweep_us / TABLE_ROUNDS);
 }
 
+/* Measures the record of the listed versions, of which the fleet has one. */
+static void
+measure_software(servers_t *servers)
+{
+    static software_listed_t listed;
+    static software_seen_t seen;
+    double started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS; i++) {
+        software_listed_update(&listed, servers);
+        software_listed_note(&listed, &seen, i);
+    }
+    (void)printf("server table, versions: %.2f us a tick (%zu)\n",
+                 (process_cpu_us() - started_us) / TABLE_ROUNDS, seen.count);
+}
+
 static void
 measure_servers(void)
 {
@@ -352,6 +368,7 @@
                  FLEET_SERVERS, taken, put_us / FLEET_SERVERS);
     measure_server_lookups(servers);
     measure_server_ticks(servers);
+    measure_software(servers);
     servers_free(servers);
 }
 
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -160,7 +160,7 @@
     log_record(LOG_INFO, "servers", "gone", "server=%s service=%s why=%s",
                server->info.id, server->info.service, why);
     relay_apply_life(relay, server, SERVER_UNREACHED);
-    server->removed = true;
+    servers_mark_removed(relay->servers, server);
     cache_clear(relay, server);
     exchanges_close_idle(relay->exchanges, server->info.addr);
 }
@@ -185,7 +185,7 @@
     if (server->missing_since_ms == 0) {
         log_record(LOG_INFO, "servers", "missing", "server=%s",
                    server->info.id);
-        server->missing_since_ms = now;
+        servers_mark_missing(relay->servers, server, now);
     }
 }
 
@@ -389,33 +389,36 @@
 note_software(relay_t *relay)
 {
     int64_t wall = time_wall_ms();
-    const server_t *server;
-    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
-        if (!server->removed) {
-            const software_sighting_t sighting = {
-                .service = str_hash(server->info.service, 0),
-                .software = server->info.software,
-                .seen_ms = wall};
-            software_seen_note(&relay->software_seen, &sighting);
-        }
-    }
+    software_listed_update(&relay->software_listed, relay->servers);
+    software_listed_note(&relay->software_listed, &relay->software_seen, wall);
     software_seen_cover(&relay->software_seen, wall, wall);
     software_seen_forget(&relay->software_seen, wall - SOFTWARE_KEPT_MS);
 }
 
 /* Removes servers whose entries have not been written again after the store's
- * recovery, sends the probes that are due and frees unused servers. */
-void
-discovery_tick(relay_t *relay)
+ * recovery. */
+static void
+remove_missing(relay_t *relay, int64_t now)
 {
-    int64_t now = time_mono_ms();
     server_t *server;
+    if (!relay->servers->any_missing || store_is_recovering(relay, now)) {
+        return;
+    }
+    relay->servers->any_missing = false;
     CK_LIST_FOREACH (server, &relay->servers->list, entry) {
-        if (!server->removed && server->missing_since_ms != 0 &&
-            !store_is_recovering(relay, now)) {
+        if (!server->removed && server->missing_since_ms != 0) {
             mark_server_gone(relay, server, "not-back");
         }
     }
+}
+
+/* Removes servers that stay missing, sends the probes that are due and frees
+ * unused servers. */
+void
+discovery_tick(relay_t *relay)
+{
+    int64_t now = time_mono_ms();
+    remove_missing(relay, now);
     if (relay->servers_listed &&
         now - watch_answered_ms(relay->servers_watch) < LIST_AGE_MS_MAX) {
         note_software(relay);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -23,6 +23,7 @@
 #include "server-crashes.h"
 #include "service-state.h"
 #include "servers.h"
+#include "software-listed.h"
 #include "software-seen.h"
 #include "stream-origins.h"
 #include "stream.h"
@@ -131,6 +132,7 @@
     cache_follower_t *cache_follower;
     stream_origins_t stream_origins;
     software_seen_t software_seen;
+    software_listed_t software_listed;
     retry_shares_t retry_shares;
     quotas_t quotas;
     request_costs_t costs;
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -250,6 +250,7 @@
         server->speed_change.server = server;
         server->load_change.server = server;
         servers->count++;
+        servers->software_changed = true;
     }
     if (entry->weights > server->info.weights) {
         /* The host that ordered the weights load may have learnt of its end
@@ -259,9 +260,14 @@
     }
     bool renewed = server->info.started_ms != entry->started_ms ||
                    strcmp(server->info.addr, entry->addr) != 0;
+    uint64_t software = server->info.software;
+    if (strcmp(server->info.service, entry->service) != 0) {
+        servers->software_changed = true;
+    }
     server->info = *entry;
     server->service_speed = find_service_speed(servers, entry);
     hide_old_software(server);
+    servers->software_changed |= server->info.software != software;
     if (renewed) {
         reset_observations(servers, server, now_ms);
     }
@@ -316,11 +322,31 @@
     }
 }
 
+/* Records that the entry of a server has disappeared from the platform. */
+void
+servers_mark_missing(servers_t *servers, server_t *server, int64_t now_ms)
+{
+    server->missing_since_ms = now_ms;
+    servers->any_missing = true;
+}
+
+/* Records that a server is no longer listed; servers_sweep frees it. */
+void
+servers_mark_removed(servers_t *servers, server_t *server)
+{
+    if (!server->removed) {
+        server->removed = true;
+        servers->removed_count++;
+        servers->software_changed = true;
+    }
+}
+
 void
 servers_remove(servers_t *servers, server_t *server)
 {
     servers->numbered[server->number] = NULL;
     servers->count--;
+    servers->removed_count -= server->removed ? 1 : 0;
     CK_LIST_REMOVE(server, entry);
     server_index_remove(server);
     server_changes_remove(&servers->signal_changes, &server->signal_change);
@@ -336,6 +362,9 @@
 {
     server_t *server;
     server_t *next;
+    if (servers->removed_count == 0) {
+        return;
+    }
     CK_LIST_FOREACH_SAFE (server, &servers->list, entry, next) {
         if (server->removed && server->own_running == 0) {
             servers_remove(servers, server);
@@ -706,7 +735,9 @@
     if (started_ms > server->reported_start_ms) {
         server->reported_start_ms = started_ms;
     }
+    uint64_t software = server->info.software;
     hide_old_software(server);
+    server->table->software_changed |= server->info.software != software;
 }
 
 /* Logs whether the server states that it is brittle. */
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -185,6 +185,9 @@
     /* Servers whose load by this host may have to be announced. */
     server_changes_t load_changes;
     size_t count;
+    size_t removed_count;     /* of these, that are no longer listed */
+    bool any_missing;         /* a listed one may have missing_since_ms set */
+    bool software_changed;    /* software_listed_update has to be called */
     unsigned list_generation; /* number of complete lists read */
     uint64_t seed; /* of this host's random decisions about servers */
     server_t *numbered[SERVER_NUMBERS_MAX]; /* NULL for a free number */
@@ -200,6 +203,9 @@
 server_t *servers_find_by_id_hash(const servers_t *servers, uint32_t key);
 server_t *servers_put(servers_t *servers, const server_entry_t *entry,
                       int64_t now_ms);
+void servers_mark_missing(servers_t *servers, server_t *server,
+                          int64_t now_ms);
+void servers_mark_removed(servers_t *servers, server_t *server);
 void servers_remove(servers_t *servers, server_t *server);
 void servers_sweep(servers_t *servers);
 void server_add_request(server_t *server, double prefill_tokens,
--- a/tests/test-server-changes.c
+++ b/tests/test-server-changes.c
@@ -100,7 +100,7 @@
     server_apply_speed(old, &notice);
     server_add_request(old, 1000, 0);
     server_remove_request(old);
-    old->removed = true;
+    servers_mark_removed(servers, old);
     server_t *new = add(servers, "a", 2);
     (void)server_set_leaving(new);
     servers_sweep(servers);
@@ -169,7 +169,9 @@
     }
     switch (change) {
         case 1:
-            server->removed = rng_below(&fleet->rng, 10) == 0;
+            if (rng_below(&fleet->rng, 10) == 0) {
+                servers_mark_removed(fleet->servers, server);
+            }
             break;
         case 2:
         case 3:
--- a/tests/test-server-index.c
+++ b/tests/test-server-index.c
@@ -57,7 +57,7 @@
     server_t *old = add(servers, "a");
     uint32_t id_hash = old->id_hash;
     server_add_request(old, 0, 0);
-    old->removed = true;
+    servers_mark_removed(servers, old);
     ck_assert_ptr_null(servers_find(servers, "a"));
     ck_assert_ptr_null(servers_find_by_id_hash(servers, id_hash));
     server_t *new = add(servers, "a");
@@ -66,7 +66,7 @@
     ck_assert(is_found(servers, new));
     servers_sweep(servers);
     ck_assert(is_found(servers, new));
-    new->removed = true;
+    servers_mark_removed(servers, new);
     ck_assert_ptr_null(servers_find(servers, "a"));
     server_remove_request(old);
     servers_sweep(servers);
@@ -84,7 +84,7 @@
     server_t *first = add(servers, "a");
     uint16_t number = first->number;
     uint32_t id_hash = first->id_hash;
-    first->removed = true;
+    servers_mark_removed(servers, first);
     servers_sweep(servers);
     server_t *other = add(servers, "b");
     ck_assert_uint_eq(other->number, number);
@@ -107,7 +107,7 @@
     ck_assert_uint_eq(first->id_hash, second->id_hash);
     ck_assert_ptr_eq(servers_find(servers, COLLIDING_ID_1), first);
     ck_assert(is_found(servers, second));
-    second->removed = true;
+    servers_mark_removed(servers, second);
     ck_assert_ptr_null(servers_find(servers, COLLIDING_ID_2));
     ck_assert(is_found(servers, first));
     servers_sweep(servers);
