Servers: rename server-changes to server-queue

A queue of servers also suits ticks that announce nothing, such as that of the probes. Names only; test-server-queue passes as test-server-changes did.

--- a/relay/peer-loads.c
+++ b/relay/peer-loads.c
@@ -84,12 +84,12 @@
 bool
 peer_loads_collect(servers_t *servers, peer_datagram_t *out, int64_t now_ms)
 {
-    server_changes_t *changes = &servers->load_changes;
+    server_queue_t *changes = &servers->load_changes;
     out->kind = PEER_LOADS;
     out->load_count = 0;
     for (size_t left = changes->count;
          left > 0 && out->load_count < PEER_LOADS_MAX; left--) {
-        server_t *server = server_changes_take(changes);
+        server_t *server = server_queue_take(changes);
         if (server->removed || !server->info.engine) {
             continue;
         }
@@ -97,7 +97,7 @@
             add_load(out, server, now_ms);
         }
         if (stays_queued(server)) {
-            server_changes_add(changes, &server->load_change);
+            server_queue_add(changes, &server->load_change);
         }
     }
     return out->load_count > 0;
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -70,9 +70,9 @@
     servers_t *servers = mem_zalloc(sizeof(*servers));
     CK_LIST_INIT(&servers->list);
     server_index_init(&servers->index);
-    server_changes_init(&servers->signal_changes);
-    server_changes_init(&servers->speed_changes);
-    server_changes_init(&servers->load_changes);
+    server_queue_init(&servers->signal_changes);
+    server_queue_init(&servers->speed_changes);
+    server_queue_init(&servers->load_changes);
     CK_SLIST_INIT(&servers->speeds);
     return servers;
 }
@@ -349,9 +349,9 @@
     servers->removed_count -= server->removed ? 1 : 0;
     CK_LIST_REMOVE(server, entry);
     server_index_remove(server);
-    server_changes_remove(&servers->signal_changes, &server->signal_change);
-    server_changes_remove(&servers->speed_changes, &server->speed_change);
-    server_changes_remove(&servers->load_changes, &server->load_change);
+    server_queue_remove(&servers->signal_changes, &server->signal_change);
+    server_queue_remove(&servers->speed_changes, &server->speed_change);
+    server_queue_remove(&servers->load_changes, &server->load_change);
     cached_parts_free(server->cached_parts);
     free(server);
 }
@@ -435,7 +435,7 @@
 void
 server_schedule_load(server_t *server)
 {
-    server_changes_add(&server->table->load_changes, &server->load_change);
+    server_queue_add(&server->table->load_changes, &server->load_change);
 }
 
 void
@@ -665,8 +665,8 @@
 server_schedule_signals(server_t *server)
 {
     if (has_unannounced_signals(server)) {
-        server_changes_add(&server->table->signal_changes,
-                           &server->signal_change);
+        server_queue_add(&server->table->signal_changes,
+                         &server->signal_change);
     }
 }
 
@@ -676,7 +676,7 @@
 servers_take_signals(servers_t *servers)
 {
     server_t *server;
-    while ((server = server_changes_take(&servers->signal_changes)) != NULL) {
+    while ((server = server_queue_take(&servers->signal_changes)) != NULL) {
         if (has_unannounced_signals(server)) {
             server->limit.unannounced = false;
             server->brittle.unannounced = false;
@@ -972,8 +972,7 @@
 server_schedule_speed(server_t *server)
 {
     if (has_unannounced_speed(server)) {
-        server_changes_add(&server->table->speed_changes,
-                           &server->speed_change);
+        server_queue_add(&server->table->speed_changes, &server->speed_change);
     }
 }
 
@@ -982,7 +981,7 @@
 servers_take_speed(servers_t *servers)
 {
     server_t *server;
-    while ((server = server_changes_take(&servers->speed_changes)) != NULL) {
+    while ((server = server_queue_take(&servers->speed_changes)) != NULL) {
         if (has_unannounced_speed(server)) {
             return server;
         }
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -10,7 +10,7 @@
 #include "../kernel/base.h"
 #include "cached-parts.h"
 #include "server-brittle.h"
-#include "server-changes.h"
+#include "server-queue.h"
 #include "server-index.h"
 #include "server-limit.h"
 #include "server-rest.h"
@@ -85,11 +85,11 @@
 
 typedef struct server {
     CK_LIST_ENTRY(server) entry;
-    CK_LIST_ENTRY(server) index_entry; /* in a chain of the index */
-    struct servers *table;             /* that it belongs to */
-    server_change_t signal_change;     /* see servers_t */
-    server_change_t speed_change;
-    server_change_t load_change;
+    CK_LIST_ENTRY(server) index_entry;  /* in a chain of the index */
+    struct servers *table;              /* that it belongs to */
+    server_queue_entry_t signal_change; /* see servers_t */
+    server_queue_entry_t speed_change;
+    server_queue_entry_t load_change;
     server_entry_t info;
     int64_t revision; /* of the platform's entry */
     bool updating;    /* this host is changing the server's weights */
@@ -179,11 +179,11 @@
     server_list_t list;
     server_index_t index;
     /* Servers with a limit, brittleness or leaving that is unannounced. */
-    server_changes_t signal_changes;
+    server_queue_t signal_changes;
     /* Servers with an unannounced speed, where the learned speed applies. */
-    server_changes_t speed_changes;
+    server_queue_t speed_changes;
     /* Servers whose load by this host may have to be announced. */
-    server_changes_t load_changes;
+    server_queue_t load_changes;
     size_t count;
     size_t removed_count;     /* of these, that are no longer listed */
     bool any_missing;         /* a listed one may have missing_since_ms set */
--- a/tests/test-server-changes.c
+++ b/tests/test-server-queue.c
@@ -24,27 +24,27 @@
  * behind or beside it is removed. */
 START_TEST(queue_keeps_order_and_each_server_once)
 {
-    server_changes_t changes;
+    server_queue_t queue;
     server_t *servers = mem_zalloc(4 * sizeof(*servers));
-    server_changes_init(&changes);
+    server_queue_init(&queue);
     for (int i = 0; i < 4; i++) {
         servers[i].load_change.server = &servers[i];
-        server_changes_add(&changes, &servers[i].load_change);
-        server_changes_add(&changes, &servers[i].load_change);
+        server_queue_add(&queue, &servers[i].load_change);
+        server_queue_add(&queue, &servers[i].load_change);
     }
-    ck_assert_uint_eq(changes.count, 4);
-    server_changes_remove(&changes, &servers[0].load_change);
-    server_changes_remove(&changes, &servers[0].load_change);
-    server_changes_remove(&changes, &servers[2].load_change);
-    ck_assert_ptr_eq(server_changes_take(&changes), &servers[1]);
-    server_changes_remove(&changes, &servers[3].load_change);
-    ck_assert_ptr_null(server_changes_take(&changes));
-    ck_assert_uint_eq(changes.count, 0);
-    server_changes_add(&changes, &servers[1].load_change);
-    server_changes_add(&changes, &servers[0].load_change);
-    ck_assert_ptr_eq(server_changes_take(&changes), &servers[1]);
-    ck_assert_ptr_eq(server_changes_take(&changes), &servers[0]);
-    ck_assert_ptr_null(server_changes_take(&changes));
+    ck_assert_uint_eq(queue.count, 4);
+    server_queue_remove(&queue, &servers[0].load_change);
+    server_queue_remove(&queue, &servers[0].load_change);
+    server_queue_remove(&queue, &servers[2].load_change);
+    ck_assert_ptr_eq(server_queue_take(&queue), &servers[1]);
+    server_queue_remove(&queue, &servers[3].load_change);
+    ck_assert_ptr_null(server_queue_take(&queue));
+    ck_assert_uint_eq(queue.count, 0);
+    server_queue_add(&queue, &servers[1].load_change);
+    server_queue_add(&queue, &servers[0].load_change);
+    ck_assert_ptr_eq(server_queue_take(&queue), &servers[1]);
+    ck_assert_ptr_eq(server_queue_take(&queue), &servers[0]);
+    ck_assert_ptr_null(server_queue_take(&queue));
     free(servers);
 }
 END_TEST
@@ -261,7 +261,7 @@
 }
 END_TEST
 
-TEST_MAIN("server-changes", queue_keeps_order_and_each_server_once,
+TEST_MAIN("server-queue", queue_keeps_order_and_each_server_once,
           signals_are_announced_once, a_restart_withdraws_its_signals,
           a_freed_server_is_not_announced,
           speeds_are_announced_once_they_apply,
