Probes: look only at servers that may need one

Each tick compared all known servers with the conditions of a probe. Only a server with requests of this host, one that did not answer, and one whose software is in doubt can meet them.

Such servers are queued when they begin to be of these, and stay queued as long as they are. Servers with lost requests are still searched for among all, but only while there are lost requests: a number may have been given to another server, which the search by number includes.

Tests: test-server-queue compares the queue with a scan.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -335,11 +335,18 @@
         servers_sweep(servers);
     }
     double sweep_us = process_cpu_us() - started_us;
+    started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS; i++) {
+        probes_tick(&relay);
+    }
+    double probes_us = process_cpu_us() - started_us;
     (void)printf(
         "server table, a tick without changes: signals %.2f us, "
-        "speeds %.2f us, loads %.2f us (%zu), sweep %.2f us\n",
+        "speeds %.2f us, loads %.2f us (%zu), sweep %.2f us, "
+        "probes %.2f us\n",
         signals_us / TABLE_ROUNDS, speeds_us / TABLE_ROUNDS,
-        loads_us / TABLE_ROUNDS, collected, sweep_us / TABLE_ROUNDS);
+        loads_us / TABLE_ROUNDS, collected, sweep_us / TABLE_ROUNDS,
+        probes_us / TABLE_ROUNDS);
 }
 
 /* Measures the record of the listed versions, of which the fleet has one. */
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -87,7 +87,7 @@
     }
     /* The first failed probe comes after two thirds of a second. */
     bool again = server->unresponsive;
-    server->unresponsive = true;
+    server_mark_unresponsive(server);
     exchanges_close_idle(relay->exchanges, server->info.addr);
     requests_fail_over(relay, server, again);
 }
@@ -196,7 +196,7 @@
 relay_doubt_software(relay_t *relay, server_t *server)
 {
     if (server->info.engine) {
-        server->software_in_doubt = true;
+        server_doubt_software(server);
         probe_server(relay, server);
     }
 }
@@ -291,13 +291,48 @@
     }
 }
 
+/* Probes the servers at which requests were lost until it is known whether
+ * they crashed. */
+static void
+probe_crashed(relay_t *relay)
+{
+    server_t *server;
+    if (relay->server_crashes.count == 0) {
+        return;
+    }
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
+        if (server_crashes_has(&relay->server_crashes, server->number)) {
+            send_probe(relay, server, true);
+        }
+    }
+}
+
+/* Probes a server if it needs it; `lost` is whether the path to the servers
+ * is. */
+static void
+probe_candidate(relay_t *relay, server_t *server, bool lost, int64_t now)
+{
+    if (!server_needs_probe(server, now)) {
+        if (server->software_in_doubt && !server->removed && !lost) {
+            probe_server(relay, server);
+        }
+    }
+    else if (!lost) {
+        probe_server(relay, server);
+    }
+    else if (server->own_running > 0) {
+        server->probed_ms = now; /* probes of the path stand in for it */
+        mark_unresponsive(relay, server);
+    }
+}
+
 /* Sends the probes that are due.  While the path to the servers is lost, only
  * a few are probed, whatever their number. */
 void
 probes_tick(relay_t *relay)
 {
     int64_t now = time_mono_ms();
-    server_t *server;
+    server_queue_t *candidates = &relay->servers->probe_candidates;
     reach_set_listed(&relay->reach, relay->servers->count);
     relay_confirm_crashes(relay);
     size_t count = reach_take_probes(&relay->reach, now);
@@ -305,23 +340,13 @@
         probe_path(relay, count < PATH_PROBES_MAX ? count : PATH_PROBES_MAX);
     }
     bool lost = reach_is_lost(&relay->reach);
-    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
-        if (!lost &&
-            server_crashes_has(&relay->server_crashes, server->number)) {
-            send_probe(relay, server, true);
-        }
-        if (!server_needs_probe(server, now)) {
-            if (server->software_in_doubt && !server->removed && !lost) {
-                probe_server(relay, server);
-            }
-            continue;
-        }
-        if (!lost) {
-            probe_server(relay, server);
-        }
-        else if (server->own_running > 0) {
-            server->probed_ms = now; /* probes of the path stand in for it */
-            mark_unresponsive(relay, server);
-        }
+    if (!lost) {
+        probe_crashed(relay);
+    }
+    /* Those that are queued meanwhile are looked at in the next tick. */
+    for (size_t left = candidates->count; left > 0; left--) {
+        server_t *server = server_queue_take(candidates);
+        probe_candidate(relay, server, lost, now);
+        server_schedule_probe(server);
     }
 }
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -73,6 +73,7 @@
     server_queue_init(&servers->signal_changes);
     server_queue_init(&servers->speed_changes);
     server_queue_init(&servers->load_changes);
+    server_queue_init(&servers->probe_candidates);
     CK_SLIST_INIT(&servers->speeds);
     return servers;
 }
@@ -249,6 +250,7 @@
         server->signal_change.server = server;
         server->speed_change.server = server;
         server->load_change.server = server;
+        server->probe_candidate.server = server;
         servers->count++;
         servers->software_changed = true;
     }
@@ -352,6 +354,7 @@
     server_queue_remove(&servers->signal_changes, &server->signal_change);
     server_queue_remove(&servers->speed_changes, &server->speed_change);
     server_queue_remove(&servers->load_changes, &server->load_change);
+    server_queue_remove(&servers->probe_candidates, &server->probe_candidate);
     cached_parts_free(server->cached_parts);
     free(server);
 }
@@ -409,6 +412,7 @@
     server->sent_tokens += (uint32_t)prefill_tokens;
     server->own_prefill_tokens += prefill_tokens;
     server_schedule_load(server);
+    server_schedule_probe(server);
 }
 
 /* Subtracts tokens of a request's prompt that have been prefilled or no longer
@@ -813,6 +817,41 @@
            now_ms - since >= PROBE_SILENCE_MS;
 }
 
+/* Whether time alone may make the server need a probe. */
+bool
+server_may_need_probe(const server_t *server)
+{
+    return server->own_running > 0 || server->unresponsive ||
+           server->software_in_doubt;
+}
+
+/* Has the next tick of the probes look at the server if it may need one.
+ * Called when it begins to. */
+void
+server_schedule_probe(server_t *server)
+{
+    if (server_may_need_probe(server)) {
+        server_queue_add(&server->table->probe_candidates,
+                         &server->probe_candidate);
+    }
+}
+
+/* Records that the server did not answer a probe. */
+void
+server_mark_unresponsive(server_t *server)
+{
+    server->unresponsive = true;
+    server_schedule_probe(server);
+}
+
+/* Records that the server may have started again since its entry. */
+void
+server_doubt_software(server_t *server)
+{
+    server->software_in_doubt = true;
+    server_schedule_probe(server);
+}
+
 /* Records tokens that a request of this host brought into the server's cache
  * and that no other request shares. */
 void
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -90,6 +90,7 @@
     server_queue_entry_t signal_change; /* see servers_t */
     server_queue_entry_t speed_change;
     server_queue_entry_t load_change;
+    server_queue_entry_t probe_candidate;
     server_entry_t info;
     int64_t revision; /* of the platform's entry */
     bool updating;    /* this host is changing the server's weights */
@@ -184,6 +185,8 @@
     server_queue_t speed_changes;
     /* Servers whose load by this host may have to be announced. */
     server_queue_t load_changes;
+    /* Servers that may have to be probed: see server_may_need_probe. */
+    server_queue_t probe_candidates;
     size_t count;
     size_t removed_count;     /* of these, that are no longer listed */
     bool any_missing;         /* a listed one may have missing_since_ms set */
@@ -258,6 +261,10 @@
 void servers_log_speeds(servers_t *servers);
 void servers_centre_speeds(servers_t *servers);
 bool server_needs_probe(const server_t *server, int64_t now_ms);
+bool server_may_need_probe(const server_t *server);
+void server_schedule_probe(server_t *server);
+void server_mark_unresponsive(server_t *server);
+void server_doubt_software(server_t *server);
 void server_confirm_alive(server_t *server, int64_t now_ms);
 bool server_update_weights(server_t *server, int64_t weights,
                            int64_t started_ms);
--- a/tests/test-server-queue.c
+++ b/tests/test-server-queue.c
@@ -161,7 +161,7 @@
     const speed_notice_t notice = {
         (uint32_t)(800 + rng_below(&fleet->rng, 400)),
         (uint32_t)(1 + rng_below(&fleet->rng, 30))};
-    uint64_t change = rng_below(&fleet->rng, 12);
+    uint64_t change = rng_below(&fleet->rng, 15);
     if (server == NULL || change == 0) {
         server = add(fleet->servers, id, fleet->now_ms);
         server->by_priority = rng_below(&fleet->rng, 2) == 0;
@@ -201,12 +201,33 @@
         case 10:
             (void)server_set_leaving(server);
             break;
+        case 11:
+            server_mark_unresponsive(server);
+            break;
+        case 12:
+            server_doubt_software(server);
+            break;
+        case 13:
+            server_note_answer(server, fleet->now_ms);
+            server_confirm_software(server, server->info.started_ms);
+            break;
         default:
             server->loading_until_ms = fleet->now_ms + 300;
             break;
     }
 }
 
+/* Looks at the candidates for a probe as a tick does. */
+static void
+look_at_candidates(fleet_t *fleet)
+{
+    server_queue_t *candidates = &fleet->servers->probe_candidates;
+    ck_assert_uint_le(candidates->count, fleet->servers->count);
+    for (size_t left = candidates->count; left > 0; left--) {
+        server_schedule_probe(server_queue_take(candidates));
+    }
+}
+
 /* Announces everything that is queued, at most one announcement a server. */
 static void
 announce_all(fleet_t *fleet)
@@ -232,6 +253,10 @@
     server_t *server;
     CK_LIST_FOREACH (server, &fleet->servers->list, entry) {
         ck_assert(!server->leaving_unannounced);
+        ck_assert(server->probe_candidate.queued ==
+                  server_may_need_probe(server));
+        ck_assert(server->probe_candidate.queued ||
+                  !server_needs_probe(server, fleet->now_ms + 100000));
         ck_assert(server->removed || !server->speed.unannounced ||
                   !server_uses_learned_speed(server));
         server_schedule_load(server);
@@ -240,9 +265,10 @@
         !peer_loads_collect(fleet->servers, &fleet->datagram, fleet->now_ms));
 }
 
-/* Guards against a change that a scan of all servers would announce and the
- * queues leave out, whatever happens to the servers meanwhile. */
-START_TEST(queues_announce_what_a_scan_would)
+/* Guards against a change that a scan of all servers would announce, or a
+ * probe that it would send, and the queues leave out, whatever happens to the
+ * servers meanwhile. */
+START_TEST(queues_hold_what_a_scan_would_find)
 {
     fleet_t *fleet = mem_zalloc(sizeof(*fleet));
     fleet->servers = servers_new();
@@ -252,6 +278,7 @@
         fleet->now_ms += (int64_t)rng_below(&fleet->rng, 20);
         if (rng_below(&fleet->rng, 10) == 0) {
             announce_all(fleet);
+            look_at_candidates(fleet);
             check_nothing_left(fleet);
             servers_sweep(fleet->servers);
         }
@@ -265,4 +292,4 @@
           signals_are_announced_once, a_restart_withdraws_its_signals,
           a_freed_server_is_not_announced,
           speeds_are_announced_once_they_apply,
-          queues_announce_what_a_scan_would)
+          queues_hold_what_a_scan_would_find)
