Limits: update the hosts of servers that state one

Every 250 ms the number of hosts was set at all known servers. It is used only where a server states a limit or that it is brittle, and is set before a server's statement is applied.

Servers that state one are queued when they begin to and stay queued as long as they do; peers_update_limits looks at these alone. A new server that inherits brittleness is queued with its entry.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -315,6 +315,8 @@
     size_t collected = 0;
     relay.servers = servers;
     peers.relay = &relay;
+    const member_t self = {.name = "a"};
+    peers.members = members_new(&self, 1);
     double started_us = process_cpu_us();
     for (int i = 0; i < TABLE_ROUNDS; i++) {
         peers_announce_signals(&peers);
@@ -340,13 +342,19 @@
         probes_tick(&relay);
     }
     double probes_us = process_cpu_us() - started_us;
+    started_us = process_cpu_us();
+    for (int i = 0; i < TABLE_ROUNDS; i++) {
+        peers_update_limits(&peers, 1000);
+    }
+    double limits_us = process_cpu_us() - started_us;
+    members_free(peers.members);
     (void)printf(
         "server table, a tick without changes: signals %.2f us, "
         "speeds %.2f us, loads %.2f us (%zu), sweep %.2f us, "
-        "probes %.2f us\n",
+        "probes %.2f us, limits %.2f us\n",
         signals_us / TABLE_ROUNDS, speeds_us / TABLE_ROUNDS,
         loads_us / TABLE_ROUNDS, collected, sweep_us / TABLE_ROUNDS,
-        probes_us / TABLE_ROUNDS);
+        probes_us / TABLE_ROUNDS, limits_us / TABLE_ROUNDS);
 }
 
 /* Measures the record of the listed versions, of which the fleet has one. */
--- a/relay/peers-signals.c
+++ b/relay/peers-signals.c
@@ -48,18 +48,24 @@
     set_limit_hosts(peers, server, assumed_hosts(peers, now), now);
 }
 
-/* Updates the hosts that share the limits. */
+/* Updates the hosts that share the limits and capacities.  Before a server
+ * states one, they are set as well, so other servers need no update. */
 void
 peers_update_limits(peers_t *peers, int64_t now)
 {
     size_t assumed = assumed_hosts(peers, now);
     size_t sharing = peers_count_sharing(peers);
-    server_t *server;
-    CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
+    server_queue_t *stated = &peers->relay->servers->stated_signals;
+    for (size_t left = stated->count; left > 0; left--) {
+        server_t *server = server_queue_take(stated);
+        if (!server_states_signals(server)) {
+            continue;
+        }
         server_brittle_set_hosts(&server->brittle, sharing);
         if (server->limit.current.stated) {
             set_limit_hosts(peers, server, assumed, now);
         }
+        server_queue_add(stated, &server->stated_signal);
     }
 }
 
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -71,6 +71,7 @@
     CK_LIST_INIT(&servers->list);
     server_index_init(&servers->index);
     server_queue_init(&servers->signal_changes);
+    server_queue_init(&servers->stated_signals);
     server_queue_init(&servers->speed_changes);
     server_queue_init(&servers->load_changes);
     server_queue_init(&servers->probe_candidates);
@@ -248,6 +249,7 @@
         server_index_add(&servers->index, server);
         server->table = servers;
         server->signal_change.server = server;
+        server->stated_signal.server = server;
         server->speed_change.server = server;
         server->load_change.server = server;
         server->probe_candidate.server = server;
@@ -273,7 +275,9 @@
     if (renewed) {
         reset_observations(servers, server, now_ms);
     }
-    /* The entry may have made it an engine, or one of another service. */
+    /* A new server may have inherited that it is brittle.  The entry may have
+     * made it an engine, or one of another service. */
+    server_schedule_signals(server);
     server_schedule_load(server);
     server_schedule_speed(server);
     server->missing_since_ms = 0;
@@ -352,6 +356,7 @@
     CK_LIST_REMOVE(server, entry);
     server_index_remove(server);
     server_queue_remove(&servers->signal_changes, &server->signal_change);
+    server_queue_remove(&servers->stated_signals, &server->stated_signal);
     server_queue_remove(&servers->speed_changes, &server->speed_change);
     server_queue_remove(&servers->load_changes, &server->load_change);
     server_queue_remove(&servers->probe_candidates, &server->probe_candidate);
@@ -662,12 +667,24 @@
            server->leaving_unannounced;
 }
 
+/* Whether the hosts share the server's limit or capacity. */
+bool
+server_states_signals(const server_t *server)
+{
+    return server->limit.current.stated || server->brittle.current.stated;
+}
+
 /* Schedules the announcement of what the server says of itself if that is
- * unannounced.  Called after each change of its limit or brittleness: these do
- * not know the server that they belong to. */
+ * unannounced, and updates of the hosts that share it.  Called after each
+ * change of its limit or brittleness: these do not know the server that they
+ * belong to. */
 void
 server_schedule_signals(server_t *server)
 {
+    if (server_states_signals(server)) {
+        server_queue_add(&server->table->stated_signals,
+                         &server->stated_signal);
+    }
     if (has_unannounced_signals(server)) {
         server_queue_add(&server->table->signal_changes,
                          &server->signal_change);
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -88,6 +88,7 @@
     CK_LIST_ENTRY(server) index_entry;  /* in a chain of the index */
     struct servers *table;              /* that it belongs to */
     server_queue_entry_t signal_change; /* see servers_t */
+    server_queue_entry_t stated_signal;
     server_queue_entry_t speed_change;
     server_queue_entry_t load_change;
     server_queue_entry_t probe_candidate;
@@ -181,6 +182,8 @@
     server_index_t index;
     /* Servers with a limit, brittleness or leaving that is unannounced. */
     server_queue_t signal_changes;
+    /* Servers that state a limit or that they are brittle. */
+    server_queue_t stated_signals;
     /* Servers with an unannounced speed, where the learned speed applies. */
     server_queue_t speed_changes;
     /* Servers whose load by this host may have to be announced. */
@@ -271,6 +274,7 @@
 void server_keep_weights(const server_t *server, server_entry_t *entry);
 bool server_is_fetch_source(const server_t *server, int64_t now_ms);
 bool server_set_leaving(server_t *server);
+bool server_states_signals(const server_t *server);
 void server_schedule_signals(server_t *server);
 server_t *servers_take_signals(servers_t *servers);
 void server_schedule_speed(server_t *server);
--- a/tests/test-server-queue.c
+++ b/tests/test-server-queue.c
@@ -150,6 +150,29 @@
     int64_t now_ms;
 } fleet_t;
 
+/* Changes a server's limit, or whether it is brittle. */
+static void
+change_statement(fleet_t *fleet, server_t *server)
+{
+    switch (rng_below(&fleet->rng, 4)) {
+        case 0:
+            (void)server_limit_hear(&server->limit, 5, fleet->now_ms);
+            break;
+        case 1:
+            (void)server_limit_hear_none(&server->limit, fleet->now_ms);
+            break;
+        case 2:
+            (void)server_brittle_note_stated(&server->brittle, 5, 8,
+                                             fleet->now_ms);
+            break;
+        default:
+            (void)server_brittle_note_unstated(&server->brittle,
+                                               fleet->now_ms);
+            break;
+    }
+    server_schedule_signals(server);
+}
+
 /* Changes something at a random server. */
 static void
 change_any(fleet_t *fleet)
@@ -161,7 +184,7 @@
     const speed_notice_t notice = {
         (uint32_t)(800 + rng_below(&fleet->rng, 400)),
         (uint32_t)(1 + rng_below(&fleet->rng, 30))};
-    uint64_t change = rng_below(&fleet->rng, 15);
+    uint64_t change = rng_below(&fleet->rng, 17);
     if (server == NULL || change == 0) {
         server = add(fleet->servers, id, fleet->now_ms);
         server->by_priority = rng_below(&fleet->rng, 2) == 0;
@@ -211,6 +234,10 @@
             server_note_answer(server, fleet->now_ms);
             server_confirm_software(server, server->info.started_ms);
             break;
+        case 14:
+        case 15:
+            change_statement(fleet, server);
+            break;
         default:
             server->loading_until_ms = fleet->now_ms + 300;
             break;
@@ -252,7 +279,10 @@
 {
     server_t *server;
     CK_LIST_FOREACH (server, &fleet->servers->list, entry) {
-        ck_assert(!server->leaving_unannounced);
+        ck_assert(!server->leaving_unannounced && !server->limit.unannounced &&
+                  !server->brittle.unannounced);
+        ck_assert(server->stated_signal.queued ||
+                  !server_states_signals(server));
         ck_assert(server->probe_candidate.queued ==
                   server_may_need_probe(server));
         ck_assert(server->probe_candidate.queued ||
