--- a/relay/peers-signals.c
+++ b/relay/peers-signals.c
@@ -48,18 +48,24 @@
     set_limit_hosts(peers, server, assumed_hosts(peers, now), now);
 }
 
-/* Updates the hosts that share the limits. */
+/* Updates the hosts that share the limits and capacities.  Before a server
+ * states one, they are set as well, so other servers need no update. */
 void
 peers_update_limits(peers_t *peers, int64_t now)
 {
     size_t assumed = assumed_hosts(peers, now);
     size_t sharing = peers_count_sharing(peers);
-    server_t *server;
-    CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
+    server_queue_t *stated = &peers->relay->servers->stated_signals;
+    for (size_t left = stated->count; left > 0; left--) {
+        server_t *server = server_queue_take(stated);
+        if (!server_states_signals(server)) {
+            continue;
+        }
         server_brittle_set_hosts(&server->brittle, sharing);
         if (server->limit.current.stated) {
             set_limit_hosts(peers, server, assumed, now);
         }
+        server_queue_add(stated, &server->stated_signal);
     }
 }
 
@@ -125,15 +131,9 @@
     server_t *server;
     datagram->kind = PEER_SIGNALS;
     datagram->signal_count = 0;
-    CK_LIST_FOREACH (server, &peers->relay->servers->list, entry) {
-        if ((server->limit.unannounced || server->brittle.unannounced ||
-             server->leaving_unannounced) &&
-            datagram->signal_count < PEER_SIGNALS_MAX) {
-            server->limit.unannounced = false;
-            server->brittle.unannounced = false;
-            server->leaving_unannounced = false;
-            add_signal(datagram, server);
-        }
+    while (datagram->signal_count < PEER_SIGNALS_MAX &&
+           (server = servers_take_signals(peers->relay->servers)) != NULL) {
+        add_signal(datagram, server);
     }
     if (datagram->signal_count > 0) {
         peers_send_to_some(peers, datagram);
@@ -204,6 +204,7 @@
     if (signal->brittle_revision != 0) {
         apply_brittle(peers, server, signal, now);
     }
+    server_schedule_signals(server);
     if (signal->leaving && server_set_leaving(server)) {
         log_record(LOG_INFO, "servers", "leaving", "server=%s source=peer",
                    server->info.id);
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -69,6 +69,12 @@
 {
     servers_t *servers = mem_zalloc(sizeof(*servers));
     CK_LIST_INIT(&servers->list);
+    server_index_init(&servers->index);
+    server_queue_init(&servers->signal_changes);
+    server_queue_init(&servers->stated_signals);
+    server_queue_init(&servers->speed_changes);
+    server_queue_init(&servers->load_changes);
+    server_queue_init(&servers->probe_candidates);
     CK_SLIST_INIT(&servers->speeds);
     return servers;
 }
@@ -91,26 +97,14 @@
 server_t *
 servers_find(servers_t *servers, const char *id)
 {
-    server_t *server;
-    CK_LIST_FOREACH (server, &servers->list, entry) {
-        if (!server->removed && strcmp(server->info.id, id) == 0) {
-            return server;
-        }
-    }
-    return NULL;
+    return server_index_find(&servers->index, id);
 }
 
 /* Returns the server whose id has a hash, or NULL. */
 server_t *
 servers_find_by_id_hash(const servers_t *servers, uint32_t id_hash)
 {
-    server_t *server;
-    CK_LIST_FOREACH (server, &servers->list, entry) {
-        if (server->id_hash == id_hash && !server->removed) {
-            return server;
-        }
-    }
-    return NULL;
+    return server_index_find_hash(&servers->index, id_hash);
 }
 
 static uint64_t
@@ -145,6 +139,9 @@
 static int
 find_free_number(const servers_t *servers)
 {
+    if (servers->count == SERVER_NUMBERS_MAX) {
+        return -1;
+    }
     for (int i = 0; i < SERVER_NUMBERS_MAX; i++) {
         if (servers->numbered[i] == NULL) {
             return i;
@@ -251,7 +248,15 @@
         server_brittle_init(&server->brittle, servers->seed ^ server->id_hash);
         inherit_brittle(servers, server, entry->service, now_ms);
         CK_LIST_INSERT_HEAD(&servers->list, server, entry);
+        server_index_add(&servers->index, server);
+        server->table = servers;
+        server->signal_change.server = server;
+        server->stated_signal.server = server;
+        server->speed_change.server = server;
+        server->load_change.server = server;
+        server->probe_candidate.server = server;
         servers->count++;
+        servers->software_changed = true;
     }
     if (entry->weights > server->info.weights) {
         /* The host that ordered the weights load may have learnt of its end
@@ -261,12 +266,22 @@
     }
     bool renewed = server->info.started_ms != entry->started_ms ||
                    strcmp(server->info.addr, entry->addr) != 0;
+    uint64_t software = server->info.software;
+    if (strcmp(server->info.service, entry->service) != 0) {
+        servers->software_changed = true;
+    }
     server->info = *entry;
     server->service_speed = find_service_speed(servers, entry);
     hide_old_software(server);
+    servers->software_changed |= server->info.software != software;
     if (renewed) {
         reset_observations(servers, server, now_ms);
     }
+    /* A new server may have inherited that it is brittle.  The entry may have
+     * made it an engine, or one of another service. */
+    server_schedule_signals(server);
+    server_schedule_load(server);
+    server_schedule_speed(server);
     server->missing_since_ms = 0;
     server->list_generation = servers->list_generation;
     return server;
@@ -315,12 +330,38 @@
     }
 }
 
+/* Records that the entry of a server has disappeared from the platform. */
+void
+servers_mark_missing(servers_t *servers, server_t *server, int64_t now_ms)
+{
+    server->missing_since_ms = now_ms;
+    servers->any_missing = true;
+}
+
+/* Records that a server is no longer listed; servers_sweep frees it. */
+void
+servers_mark_removed(servers_t *servers, server_t *server)
+{
+    if (!server->removed) {
+        server->removed = true;
+        servers->removed_count++;
+        servers->software_changed = true;
+    }
+}
+
 void
 servers_remove(servers_t *servers, server_t *server)
 {
     servers->numbered[server->number] = NULL;
     servers->count--;
+    servers->removed_count -= server->removed ? 1 : 0;
     CK_LIST_REMOVE(server, entry);
+    server_index_remove(server);
+    server_queue_remove(&servers->signal_changes, &server->signal_change);
+    server_queue_remove(&servers->stated_signals, &server->stated_signal);
+    server_queue_remove(&servers->speed_changes, &server->speed_change);
+    server_queue_remove(&servers->load_changes, &server->load_change);
+    server_queue_remove(&servers->probe_candidates, &server->probe_candidate);
     cached_parts_free(server->cached_parts);
     free(server);
 }
@@ -331,6 +372,9 @@
 {
     server_t *server;
     server_t *next;
+    if (servers->removed_count == 0) {
+        return;
+    }
     CK_LIST_FOREACH_SAFE (server, &servers->list, entry, next) {
         if (server->removed && server->own_running == 0) {
             servers_remove(servers, server);
@@ -376,6 +420,8 @@
     server->sent_tokens += (uint32_t)prefill_tokens;
     server->own_prefill_tokens += prefill_tokens;
     server_track_prefill(server, now_ms);
+    server_schedule_load(server);
+    server_schedule_probe(server);
 }
 
 /* Subtracts tokens of a request's prompt that have been prefilled or no longer
@@ -388,12 +434,22 @@
         server->own_prefill_tokens = 0;
     }
     server_track_prefill(server, now_ms);
+    server_schedule_load(server);
 }
 
 void
 server_remove_request(server_t *server)
 {
     server->own_running--;
+    server_schedule_load(server);
+}
+
+/* Records that this host's load at the server may have to be announced.
+ * Called with each change of it. */
+void
+server_schedule_load(server_t *server)
+{
+    server_queue_add(&server->table->load_changes, &server->load_change);
 }
 
 void
@@ -605,9 +661,58 @@
     }
     server->leaving = true;
     server->leaving_unannounced = true;
+    server_schedule_signals(server);
     return true;
 }
 
+static bool
+has_unannounced_signals(const server_t *server)
+{
+    return server->limit.unannounced || server->brittle.unannounced ||
+           server->leaving_unannounced;
+}
+
+/* Whether the hosts share the server's limit or capacity. */
+bool
+server_states_signals(const server_t *server)
+{
+    return server->limit.current.stated || server->brittle.current.stated;
+}
+
+/* Schedules the announcement of what the server says of itself if that is
+ * unannounced, and updates of the hosts that share it.  Called after each
+ * change of its limit or brittleness: these do not know the server that they
+ * belong to. */
+void
+server_schedule_signals(server_t *server)
+{
+    if (server_states_signals(server)) {
+        server_queue_add(&server->table->stated_signals,
+                         &server->stated_signal);
+    }
+    if (has_unannounced_signals(server)) {
+        server_queue_add(&server->table->signal_changes,
+                         &server->signal_change);
+    }
+}
+
+/* Returns the next server whose signals are to be announced, and marks them as
+ * announced; NULL if there is none.  A restart withdraws them. */
+server_t *
+servers_take_signals(servers_t *servers)
+{
+    server_t *server;
+    while ((server = server_queue_take(&servers->signal_changes)) != NULL) {
+        if (has_unannounced_signals(server)) {
+            server->limit.unannounced = false;
+            server->brittle.unannounced = false;
+            server->leaving_unannounced = false;
+            return server;
+        }
+    }
+    return NULL;
+}
+
 /* Returns whether what the server says of itself allows a request now. */
 bool
 server_allows_request(const server_t *server, int64_t now_ms)
@@ -656,7 +761,9 @@
     if (started_ms > server->reported_start_ms) {
         server->reported_start_ms = started_ms;
     }
+    uint64_t software = server->info.software;
     hide_old_software(server);
+    server->table->software_changed |= server->info.software != software;
 }
 
 /* Logs whether the server states that it is brittle. */
@@ -732,6 +839,41 @@
            now_ms - since >= PROBE_SILENCE_MS;
 }
 
+/* Whether time alone may make the server need a probe. */
+bool
+server_may_need_probe(const server_t *server)
+{
+    return server->own_running > 0 || server->unresponsive ||
+           server->software_in_doubt;
+}
+
+/* Has the next tick of the probes look at the server if it may need one.
+ * Called when it begins to. */
+void
+server_schedule_probe(server_t *server)
+{
+    if (server_may_need_probe(server)) {
+        server_queue_add(&server->table->probe_candidates,
+                         &server->probe_candidate);
+    }
+}
+
+/* Records that the server did not answer a probe. */
+void
+server_mark_unresponsive(server_t *server)
+{
+    server->unresponsive = true;
+    server_schedule_probe(server);
+}
+
+/* Records that the server may have started again since its entry. */
+void
+server_doubt_software(server_t *server)
+{
+    server->software_in_doubt = true;
+    server_schedule_probe(server);
+}
+
 /* Records tokens that a request of this host brought into the server's cache
  * and that no other request shares. */
 void
@@ -739,6 +881,7 @@
 {
     server->unshared_tokens += tokens;
     cached_parts_add_unshared(server->cached_parts, tokens);
+    server_schedule_load(server);
 }
 
 /* Applies the unshared tokens that a host's requests have brought into the
@@ -881,6 +1024,49 @@
                                      server->service_speed->reports_pace);
 }
 
+static bool
+has_unannounced_speed(const server_t *server)
+{
+    return !server->removed && server->speed.unannounced &&
+           server_uses_learned_speed(server);
+}
+
+/* Schedules the announcement of the server's speed if that is unannounced and
+ * the learned speed applies.  Called after each change of either. */
+void
+server_schedule_speed(server_t *server)
+{
+    if (has_unannounced_speed(server)) {
+        server_queue_add(&server->table->speed_changes, &server->speed_change);
+    }
+}
+
+/* Returns the next server whose speed is to be announced, or NULL. */
+server_t *
+servers_take_speed(servers_t *servers)
+{
+    server_t *server;
+    while ((server = server_queue_take(&servers->speed_changes)) != NULL) {
+        if (has_unannounced_speed(server)) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
+/* Schedules the announcements of a service's speeds, once the learned speed
+ * applies to its servers. */
+static void
+schedule_speeds(servers_t *servers, const service_speed_t *speed)
+{
+    server_t *server;
+    CK_LIST_FOREACH (server, &servers->list, entry) {
+        if (server->service_speed == speed) {
+            server_schedule_speed(server);
+        }
+    }
+}
+
 /* Whether the learned rate applies to an engine. */
 static bool
 uses_learned_rate(const server_t *server)
@@ -998,6 +1184,7 @@
                              tokens, ms, now_ms)) {
         server->speed_from_peer = false;
     }
+    server_schedule_speed(server);
 }
 
 /* Learns from the time that a plain server took for a request. */
@@ -1022,8 +1209,10 @@
 server_state_pace(server_t *server, int percent, int64_t now_ms)
 {
     server_speed_state_pace(&server->speed, percent, now_ms);
-    if (server->service_speed != NULL) {
+    if (server->service_speed != NULL &&
+        !server->service_speed->reports_pace) {
         server->service_speed->reports_pace = true;
+        schedule_speeds(server->table, server->service_speed);
     }
 }
 
@@ -1067,6 +1256,7 @@
     if (server_speed_apply(&server->speed, notice)) {
         server->speed_from_peer = true;
     }
+    server_schedule_speed(server);
 }
 
 /* Centres the ratios of each service's servers around 1. */
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -11,6 +11,8 @@
 #include "../kernel/base.h"
 #include "cached-parts.h"
 #include "server-brittle.h"
+#include "server-queue.h"
+#include "server-index.h"
 #include "server-limit.h"
 #include "server-rest.h"
 #include "stream-origins.h"
@@ -85,6 +87,13 @@
 
 typedef struct server {
     CK_LIST_ENTRY(server) entry;
+    CK_LIST_ENTRY(server) index_entry;  /* in a chain of the index */
+    struct servers *table;              /* that it belongs to */
+    server_queue_entry_t signal_change; /* see servers_t */
+    server_queue_entry_t stated_signal;
+    server_queue_entry_t speed_change;
+    server_queue_entry_t load_change;
+    server_queue_entry_t probe_candidate;
     server_entry_t info;
     int64_t revision; /* of the platform's entry */
     bool updating;    /* this host is changing the server's weights */
@@ -175,9 +184,23 @@
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
 
-typedef struct {
+typedef struct servers {
     server_list_t list;
+    server_index_t index;
+    /* Servers with a limit, brittleness or leaving that is unannounced. */
+    server_queue_t signal_changes;
+    /* Servers that state a limit or that they are brittle. */
+    server_queue_t stated_signals;
+    /* Servers with an unannounced speed, where the learned speed applies. */
+    server_queue_t speed_changes;
+    /* Servers whose load by this host may have to be announced. */
+    server_queue_t load_changes;
+    /* Servers that may have to be probed: see server_may_need_probe. */
+    server_queue_t probe_candidates;
     size_t count;
+    size_t removed_count;     /* of these, that are no longer listed */
+    bool any_missing;         /* a listed one may have missing_since_ms set */
+    bool software_changed;    /* software_listed_update has to be called */
     unsigned list_generation; /* number of complete lists read */
     uint64_t seed; /* of this host's random decisions about servers */
     server_t *numbered[SERVER_NUMBERS_MAX]; /* NULL for a free number */
@@ -193,6 +216,9 @@
 server_t *servers_find_by_id_hash(const servers_t *servers, uint32_t key);
 server_t *servers_put(servers_t *servers, const server_entry_t *entry,
                       int64_t now_ms);
+void servers_mark_missing(servers_t *servers, server_t *server,
+                          int64_t now_ms);
+void servers_mark_removed(servers_t *servers, server_t *server);
 void servers_remove(servers_t *servers, server_t *server);
 void servers_sweep(servers_t *servers);
 void server_add_request(server_t *server, double prefill_tokens,
@@ -251,12 +277,22 @@
                             int64_t now_ms);
 void servers_compare_prefill(servers_t *servers, int64_t now_ms);
 bool server_needs_probe(const server_t *server, int64_t now_ms);
+bool server_may_need_probe(const server_t *server);
+void server_schedule_probe(server_t *server);
+void server_mark_unresponsive(server_t *server);
+void server_doubt_software(server_t *server);
 void server_confirm_alive(server_t *server, int64_t now_ms);
 bool server_update_weights(server_t *server, int64_t weights,
                            int64_t started_ms);
 void server_keep_weights(const server_t *server, server_entry_t *entry);
 bool server_is_fetch_source(const server_t *server, int64_t now_ms);
 bool server_set_leaving(server_t *server);
+bool server_states_signals(const server_t *server);
+void server_schedule_signals(server_t *server);
+server_t *servers_take_signals(servers_t *servers);
+void server_schedule_speed(server_t *server);
+server_t *servers_take_speed(servers_t *servers);
+void server_schedule_load(server_t *server);
 bool server_allows_request(const server_t *server, int64_t now_ms);
 int64_t server_use_weights(server_t *server, int64_t now_ms);
 int64_t server_request_wait_ms(const server_t *server, int64_t now_ms);
