Exchanges: state when a connection was made and a request sent

Cause: a report of a server tells which process is behind a connection only if it was requested after the connection was made, and neither time was known.

Change: exchange_opened_us and exchange_sent_us, and sent_us in the result of a fetch, in us of the monotonic clock. A request is sent after its own connection is made, so a report covers the connection that it uses.

Nothing uses the times yet.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -48,6 +48,7 @@
     addr_pool_t *pool;
     struct bufferevent *bev;
     exchange_t *exchange; /* NULL while it is idle */
+    int64_t opened_us;    /* when it was made; 0 until then */
     int64_t expires_ms;
     int silence_ms; /* without acknowledgements after which it is given up */
 } conn_t;
@@ -87,6 +88,7 @@
     size_t kept_len;
     struct event *timer;
     int64_t deadline_ms; /* 0 for none */
+    int64_t sent_us;     /* when the request was sent; 0 until then */
     bool sent;
     bool reused;     /* its connection was open before */
     bool in_hook;    /* a hook is running: do not free the exchange */
@@ -499,6 +501,7 @@
 {
     struct bufferevent *bev = exchange->conn->bev;
     exchange->sent = true;
+    exchange->sent_us = time_mono_us();
     (void)bufferevent_write(bev, exchange->out.data, exchange->out.len);
     buf_free(&exchange->out);
     if (exchange->kept_len > 0) {
@@ -527,6 +530,7 @@
     exchange_t *exchange = conn->exchange;
     (void)bev;
     if ((what & BEV_EVENT_CONNECTED) != 0) {
+        conn->opened_us = time_mono_us();
         send_request(exchange);
         timer_arm_deadline(exchange);
         return;
@@ -779,6 +783,21 @@
     return exchange->reused;
 }
 
+/* Returns when the connection of the exchange was made, or 0 if it was not. */
+int64_t
+exchange_opened_us(const exchange_t *exchange)
+{
+    return exchange->conn != NULL ? exchange->conn->opened_us : 0;
+}
+
+/* Returns when the request was sent: not before its connection was made.  0 if
+ * it was not. */
+int64_t
+exchange_sent_us(const exchange_t *exchange)
+{
+    return exchange->sent_us;
+}
+
 bool
 exchange_has_sent(const exchange_t *exchange)
 {
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -77,5 +77,7 @@
 void exchange_stop(exchange_t *exchange);
 bool exchange_has_sent(const exchange_t *exchange);
 bool exchange_is_reused(const exchange_t *exchange);
+int64_t exchange_opened_us(const exchange_t *exchange);
+int64_t exchange_sent_us(const exchange_t *exchange);
 
 #endif
--- a/kernel/fetch.c
+++ b/kernel/fetch.c
@@ -8,6 +8,7 @@
 
 struct fetch {
     exchange_t *exchange;
+    int64_t sent_us;
     int status;
     buf_t answer;
     void (*on_done)(void *arg, const fetch_result_t *result);
@@ -19,6 +20,7 @@
 {
     fetch_t *fetch = arg;
     fetch->status = head->status;
+    fetch->sent_us = exchange_sent_us(fetch->exchange);
     return HEAD_ACCEPT;
 }
 
@@ -39,6 +41,7 @@
     fetch_t *fetch = arg;
     fetch_result_t result = {.complete = end == EXCHANGE_COMPLETE,
                              .sent = end != EXCHANGE_UNSENT,
+                             .sent_us = fetch->sent_us,
                              .status = fetch->status,
                              .text = buf_text(&fetch->answer),
                              .len = fetch->answer.len};
--- a/tests/test-exchange.c
+++ b/tests/test-exchange.c
@@ -151,6 +151,69 @@
 }
 END_TEST
 
+typedef struct {
+    server_t *server;
+    exchange_t *exchange;
+    int64_t opened_us;
+    int64_t sent_us;
+} times_t;
+
+static head_action_t
+on_head_times(void *arg, const http_head_t *head)
+{
+    times_t *times = arg;
+    (void)head;
+    times->opened_us = exchange_opened_us(times->exchange);
+    times->sent_us = exchange_sent_us(times->exchange);
+    return HEAD_ACCEPT;
+}
+
+static void
+on_end_times(void *arg, exchange_end_t end)
+{
+    times_t *times = arg;
+    on_end(times->server, end);
+}
+
+static times_t
+call_for_times(server_t *server, exchanges_t *exchanges)
+{
+    static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const exchange_request_t request = {.addr = server->addr,
+                                        .head = head,
+                                        .head_len = sizeof(head) - 1,
+                                        .connect_ms = 1000,
+                                        .total_ms = 2000};
+    times_t times = {.server = server};
+    const exchange_hooks_t hooks = {on_head_times, NULL, on_end_times, &times};
+    times.exchange = exchange_start(exchanges, &request, &hooks);
+    if (!exchange_is_reused(times.exchange)) {
+        ck_assert_int_eq(exchange_opened_us(times.exchange), 0);
+        ck_assert_int_eq(exchange_sent_us(times.exchange), 0);
+    }
+    (void)event_base_dispatch(server->base);
+    return times;
+}
+
+/* Guards against a report that is taken for newer than its own connection or
+ * one that was made after it, which would then prove the wrong process. */
+START_TEST(a_request_is_sent_after_its_connection_is_made)
+{
+    server_t server;
+    server_start(&server);
+    exchanges_t *exchanges = exchanges_new(server.base);
+    int64_t before_us = time_mono_us();
+    const times_t first = call_for_times(&server, exchanges);
+    ck_assert_int_ge(first.opened_us, before_us);
+    ck_assert_int_ge(first.sent_us, first.opened_us);
+    const times_t second = call_for_times(&server, exchanges);
+    ck_assert_int_eq(second.opened_us, first.opened_us);
+    ck_assert_int_gt(second.sent_us, first.sent_us);
+    exchanges_free(exchanges);
+    server_stop(&server);
+}
+END_TEST
+
 /* Guards against connections from another address than the one set. */
 START_TEST(connections_come_from_the_set_address)
 {
@@ -404,7 +467,8 @@
 }
 END_TEST
 
-TEST_MAIN("exchange", reused_connections_are_told_from_new_ones,
+TEST_MAIN("exchange", a_request_is_sent_after_its_connection_is_made,
+          reused_connections_are_told_from_new_ones,
           connections_come_from_the_set_address, endless_bytes_end_an_exchange,
           a_body_of_no_use_ends_an_exchange,
           short_bytes_of_no_use_keep_the_connection,
