Origins of streams: decide which process of a server began one

Cause: a stream that begins at a server which has started again, before its entry says so, is recorded with the version of the older entry.

Change: origin-proof.c decides by the start in the entry at the send, the last report, when the connection was made, and whether it delivered data after the report: the entry's process, the reported one, unknown, or not decided yet. A report from before the connection was made counts for nothing. Without an answer when the connection ends, the entry applies, as before.

Ruled out: start times against the time at which the stream began (clocks of two machines); the entry's version whenever a report is late (a restart of less than a report's time would mix versions).

Nothing uses it yet.

--- /dev/null
+++ b/relay/origin-proof.c
@@ -0,0 +1,63 @@
+#include "origin-proof.h"
+
+/* Keeps the report that was requested last. */
+void
+process_report_update(process_report_t *report, const process_report_t *newer)
+{
+    if (newer->sent_us > report->sent_us) {
+        *report = *newer;
+    }
+}
+
+/* Whether the report was requested after the connection was made.  Only then
+ * the process behind the connection is no younger than the one that answered
+ * the report. */
+bool
+origin_proof_covers(const origin_evidence_t *evidence)
+{
+    return evidence->report.sent_us != 0 &&
+           evidence->report.sent_us >= evidence->opened_us;
+}
+
+/* Returns which process is behind a connection.
+ *
+ * The entry is written by a process that has started, so the process behind
+ * the connection is no older than the entry's, and by a report that covers the
+ * connection no younger than the reported one.  If both have the same start
+ * time, it is that process.  Otherwise it is the reported process if it has
+ * outlived the request of the report, which data that arrives later shows. */
+origin_verdict_t
+origin_proof_decide(const origin_evidence_t *evidence)
+{
+    if (evidence->entry_start_ms == 0) {
+        return ORIGIN_ENTRY; /* nothing could contradict the entry */
+    }
+    if (!origin_proof_covers(evidence)) {
+        /* Most connections end with the process that the entry describes. */
+        return evidence->ended ? ORIGIN_ENTRY : ORIGIN_OPEN;
+    }
+    if (evidence->report.started_ms == 0 ||
+        evidence->report.started_ms == evidence->entry_start_ms) {
+        return ORIGIN_ENTRY;
+    }
+    if (evidence->delivers) {
+        return ORIGIN_REPORTED;
+    }
+    return evidence->ended ? ORIGIN_UNKNOWN : ORIGIN_OPEN;
+}
+
+const char *
+origin_verdict_name(origin_verdict_t verdict)
+{
+    switch (verdict) {
+        case ORIGIN_OPEN:
+            return "open";
+        case ORIGIN_ENTRY:
+            return "entry";
+        case ORIGIN_REPORTED:
+            return "reported";
+        case ORIGIN_UNKNOWN:
+            return "unknown";
+    }
+    return "invalid";
+}
