Streams: the origin is the version of the process that sent the first event

Cause: a host learns of a server's restart from its entry. While the store is down, a stream that began at a server which had started again was recorded with the version of the old entry and went on at a server of that version.

Change: request-proof.c collects the evidence for origin-proof.c. When a resumable stream begins at an engine over a connection that no report covers, the host requests one, with one request in flight for each server; its answer covers all connections that were open when it was sent. If it shows another start and the connection delivers data afterwards, the origin becomes the number of that start; once an entry names the version of that start, the stream goes on at that version (servers_name_software). If a stream breaks before the evidence arrives, the host asks then: the entry's start proves the entry's version, a later start makes the origin unknown, no answer leaves the entry's version. A report that was requested before a server's software was in doubt no longer ends that doubt if it was requested for a stream's origin. Metric streams_origin_reports_total, records origin-corrected, origin-checked.

Ruled out: a report for each stream (too many), and for each connection (one covers all that are open); to correct the copies at other hosts (they cannot tell a correction from another stream with the same key, so they take the version for unknown).

Left: a stream that another host forwarded keeps the version known when its response began, and one whose host or caller leaves within ms of its first event the entry's.

--- a/relay/meter.c
+++ b/relay/meter.c
@@ -83,6 +83,8 @@
     meter_write_value(out, "streams_taken_up_total", (double)meter->resumes);
     meter_write_value(out, "streams_asked_for_total",
                       (double)meter->resumes_asked);
+    meter_write_value(out, "streams_origin_reports_total",
+                      (double)meter->origin_reports);
     meter_write_value(out, "streams_unknown_total",
                       (double)meter->resumes_unknown);
     meter_write_value(out, "reads_stopped_total",
--- a/relay/meter.h
+++ b/relay/meter.h
@@ -37,6 +37,7 @@
     uint64_t not_admitted;     /* rejected on receipt */
     uint64_t resumes;          /* streams that callers took up */
     uint64_t resumes_asked;    /* of these, other hosts were asked */
+    uint64_t origin_reports;   /* requested for the origins of streams */
     uint64_t resumes_unknown;  /* of these, at an unknown version */
     uint64_t prompt_tokens;    /* of all requests */
     uint64_t cached_tokens;    /* of these, expected in the servers' caches */
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -29,6 +29,12 @@
     bool of_path; /* over a new connection, see reach.h */
 } probe_t;
 
+typedef struct {
+    relay_t *relay;
+    char id[CS_NAME_MAX];
+    char addr[CS_ADDR_MAX];
+} report_request_t;
+
 struct software_check {
     relay_t *relay;
     char id[CS_NAME_MAX];
@@ -54,6 +60,9 @@
                      report.started_ms > server->info.started_ms
                          ? SERVER_RESTARTED
                          : SERVER_LIVES);
+    const process_report_t process = {.sent_us = result->sent_us,
+                                      .started_ms = report.started_ms};
+    process_report_update(&server->report, &process);
     server_confirm_software(server, report.started_ms);
     if (server->info.engine) {
         weights_note_seen(relay, server->info.model, report.weights);
@@ -106,8 +115,9 @@
                            server->info.id);
             }
             relay_note_answer(relay, server, probe->of_path);
-            if (probe->engine && result->status == 200) {
-                (void)apply_report(relay, server, result);
+            if (probe->engine && result->status == 200 &&
+                apply_report(relay, server, result)) {
+                server->software_in_doubt = false;
             }
         }
         else if (probe->of_path) {
@@ -215,6 +225,9 @@
         relay_note_answer(relay, server, check->new_connection);
         answered = apply_report(relay, server, result);
     }
+    if (server != NULL && answered) {
+        server->software_in_doubt = false;
+    }
     if (server != NULL && !answered) {
         relay_doubt_software(relay, server);
     }
@@ -262,6 +275,48 @@
     free(check);
 }
 
+static void
+on_report(void *arg, const fetch_result_t *result)
+{
+    report_request_t *call = arg;
+    server_t *server = servers_find(call->relay->servers, call->id);
+    if (server != NULL) {
+        bool answered = result->complete && result->status == 200 &&
+                        strcmp(server->info.addr, call->addr) == 0;
+        server->report_pending = false;
+        server->report_failed =
+            !answered || !apply_report(call->relay, server, result);
+    }
+    free(call);
+}
+
+/* Requests the report of an engine, which shows which process is behind the
+ * connections that are open now, unless a request for it is in flight.  No
+ * answer has no consequences: the connection may have been an idle one that
+ * the engine has closed. */
+void
+relay_request_report(relay_t *relay, server_t *server)
+{
+    CLEAN_BUF buf_t head = {0};
+    if (server->report_pending) {
+        return;
+    }
+    report_request_t *call = mem_zalloc(sizeof(*call));
+    call->relay = relay;
+    str_copy(call->id, sizeof(call->id), server->info.id);
+    str_copy(call->addr, sizeof(call->addr), server->info.addr);
+    server->report_pending = true;
+    platform_report_call(&head, server->info.addr);
+    fetch_options_t options = {.addr = server->info.addr,
+                               .request = &head,
+                               .connect_ms = CONNECT_TIMEOUT_MS,
+                               .total_ms = REPORT_TIMEOUT_MS,
+                               .on_done = on_report,
+                               .arg = call};
+    relay->meter.origin_reports++;
+    (void)fetch_start(relay->exchanges, &options);
+}
+
 /* Probes a few random servers to find out whether this host reaches any: in
  * doubt those that have not failed yet, and any once the path is lost. */
 static void
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -224,6 +224,7 @@
                                        void *arg);
 void relay_cancel_software_check(software_check_t *check);
 void relay_doubt_software(relay_t *relay, server_t *server);
+void relay_request_report(relay_t *relay, server_t *server);
 bool relay_reaches(const relay_t *relay, const server_t *server);
 void probe_server(relay_t *relay, server_t *server);
 
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -754,6 +754,9 @@
     if (request_reject_if_fatal(request)) {
         return true;
     }
+    if (request_end_proof(request)) {
+        return true;
+    }
     if (request_must_queue(request)) {
         request_enqueue(request, now);
         return true;
--- /dev/null
+++ b/relay/request-proof.c
@@ -0,0 +1,141 @@
+#include "peers.h"
+#include "request.h"
+
+/* Finds out which process of a server began a stream, see origin-proof.h.  The
+ * server is asked for a report only if it has not been asked since the
+ * connection was made, so that one report serves all open connections. */
+
+static uint64_t
+find_software(const request_t *request, const server_t *server,
+              origin_verdict_t verdict)
+{
+    switch (verdict) {
+        case ORIGIN_REPORTED:
+            return server_software_of_start(server, server->report.started_ms);
+        case ORIGIN_UNKNOWN:
+            return SOFTWARE_UNKNOWN;
+        case ORIGIN_OPEN:
+        case ORIGIN_ENTRY:
+            break;
+    }
+    return request->current_software;
+}
+
+/* Applies the verdict on the process that began the stream. */
+static void
+apply_verdict(request_t *request, const server_t *server,
+              origin_verdict_t verdict)
+{
+    uint64_t software = find_software(request, server, verdict);
+    request->proof.pending = false;
+    if (software == request->current_software) {
+        return;
+    }
+    log_record(LOG_INFO, "request", "origin-corrected",
+               "id=%s server=%s origin=%s software=%016llx entry=%016llx",
+               request->id, server->info.id, origin_verdict_name(verdict),
+               (unsigned long long)software,
+               (unsigned long long)request->current_software);
+    request->current_software = software;
+    if (request->software != SOFTWARE_ANY) {
+        request_correct_origin(request, software);
+    }
+}
+
+/* Returns what is known of the process behind a connection to a server. */
+static origin_evidence_t
+collect_evidence(const request_t *request, const server_t *server, bool ended)
+{
+    /* If reading was stopped, data may be older than it seems. */
+    return (origin_evidence_t){.entry_start_ms = request->proof.entry_start_ms,
+                               .opened_us = request->proof.opened_us,
+                               .report = server->report,
+                               .delivers = !ended && !request->read_stopped,
+                               .ended = ended};
+}
+
+static void
+update_proof(request_t *request, bool may_ask)
+{
+    server_t *server = request->server;
+    const origin_evidence_t evidence =
+        collect_evidence(request, server, false);
+    origin_verdict_t verdict = origin_proof_decide(&evidence);
+    if (verdict != ORIGIN_OPEN) {
+        apply_verdict(request, server, verdict);
+    }
+    else if (may_ask && !origin_proof_covers(&evidence)) {
+        relay_request_report(request->relay, server);
+    }
+}
+
+/* A response begins: if it may begin a stream that can go on elsewhere, looks
+ * for evidence of the process that sends it. */
+void
+request_begin_proof(request_t *request)
+{
+    if (request->answer != ANSWER_STREAM || !request->route->resumable ||
+        request->software != SOFTWARE_ANY || !request->server->info.engine) {
+        return;
+    }
+    request->proof.pending = true;
+    request->proof.opened_us = exchange_opened_us(request->exchange);
+    update_proof(request, true);
+}
+
+/* More data was read: it may be the evidence that was missing.  A server that
+ * did not answer is asked again by the next stream only. */
+void
+request_continue_proof(request_t *request)
+{
+    if (request->proof.pending) {
+        update_proof(request, !request->server->report_failed);
+    }
+}
+
+static void
+on_report(void *arg, server_t *server)
+{
+    request_t *request = arg;
+    request->software_check = NULL;
+    if (server != NULL) {
+        const origin_evidence_t evidence =
+            collect_evidence(request, server, true);
+        apply_verdict(request, server, origin_proof_decide(&evidence));
+    }
+    request->proof.pending = false;
+    log_record(LOG_INFO, "request", "origin-checked",
+               "id=%s server=%s software=%016llx waited_ms=%lld", request->id,
+               server != NULL ? server->info.id : "-",
+               (unsigned long long)request->software,
+               (long long)(time_mono_ms() - request->check_started_ms));
+    if (!request_place(request) && request->sends > 0) {
+        request_wait_for_server(request);
+    }
+}
+
+/* The stream broke off.  If the process that began it is not known yet, asks
+ * the server for a report.  Returns whether the request waits for that. */
+bool
+request_end_proof(request_t *request)
+{
+    const proof_state_t *proof = &request->proof;
+    if (!proof->pending || request->software == SOFTWARE_ANY) {
+        return false;
+    }
+    const server_t *server =
+        servers_find_by_id_hash(request->relay->servers, proof->server);
+    if (server == NULL) {
+        request->proof.pending = false;
+        return false;
+    }
+    const origin_evidence_t evidence = collect_evidence(request, server, true);
+    if (origin_proof_covers(&evidence)) {
+        apply_verdict(request, server, origin_proof_decide(&evidence));
+        return false;
+    }
+    request->check_started_ms = time_mono_ms();
+    request->software_check =
+        relay_check_software(request->relay, server, on_report, request);
+    return true;
+}
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -39,6 +39,17 @@
     return stream_origin_key(&name);
 }
 
+/* Returns the key of the stream that the request began or takes up. */
+static uint64_t
+get_stream_key(const request_t *request)
+{
+    return request->resumes != 0
+               ? request->resumes
+               : make_key(request,
+                          http_head_find(request->head,
+                                         wire_header_name(HEADER_REQUEST_ID)));
+}
+
 /* The first event of the stream is about to be passed on: from now on the
  * stream goes on at this version alone, wherever its caller takes it up.  The
  * host that forwarded a request records its origin itself. */
@@ -52,11 +63,7 @@
         !request->route->resumable) {
         return;
     }
-    const header_t *id =
-        http_head_find(request->head, wire_header_name(HEADER_REQUEST_ID));
-    const stream_origin_t origin = {.stream = request->resumes != 0
-                                                  ? request->resumes
-                                                  : make_key(request, id),
+    const stream_origin_t origin = {.stream = get_stream_key(request),
                                     .service = str_hash(request->service, 0),
                                     .software = request->software,
                                     .expires_ms = request->origin_expires_ms};
@@ -65,6 +72,25 @@
         stream_origins_put(&relay->stream_origins, &origin, now));
 }
 
+/* The software version that began the stream turns out to be another one.
+ * Hosts that keep the older one then take the version for unknown. */
+void
+request_correct_origin(request_t *request, uint64_t software)
+{
+    relay_t *relay = request->relay;
+    uint64_t older = request->software;
+    request->software = software;
+    if (request->from_host) {
+        return;
+    }
+    const stream_origin_t *origin =
+        stream_origins_correct(&relay->stream_origins, get_stream_key(request),
+                               older, software, time_mono_ms());
+    if (origin != NULL) {
+        peers_announce_origin(relay->peers, origin);
+    }
+}
+
 /* ---- streams that are taken up ---- */
 
 static void
@@ -315,11 +341,25 @@
     return true;
 }
 
+/* Applies the version that an entry has named by now for the process that
+ * began the stream; false if none has. */
+static bool
+adopt_named_version(request_t *request)
+{
+    uint64_t named =
+        servers_name_software(request->relay->servers, request->software);
+    if (named == request->software) {
+        return false;
+    }
+    request_correct_origin(request, named);
+    return true;
+}
+
 /* Ends the request if its stream can go on nowhere. */
 bool
 request_end_if_version_gone(request_t *request)
 {
-    if (!is_version_gone(request)) {
+    if (!is_version_gone(request) || adopt_named_version(request)) {
         return false;
     }
     if (request->possible_runs > 0 || request->phase == REQUEST_STREAMING) {
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -180,6 +180,7 @@
     request->answer = classify(request, head);
     request->status = head->status;
     request_record_signals(request, head);
+    request_begin_proof(request);
     switch (request->answer) {
         case ANSWER_REJECTED:
             record_rejection(request, head);
@@ -348,6 +349,7 @@
     request_t *request = arg;
     relay_note_answer(request->relay, request->server,
                       !request->connection_reused);
+    request_continue_proof(request);
     request_take_body(request, data, len);
 }
 
@@ -543,6 +545,7 @@
 {
     request_leave_queue(request, true);
     request->answer = ANSWER_NONE;
+    request->proof.pending = false;
     request->headers.len =
         request->phase == REQUEST_STREAMING ? request->headers.len : 0;
     request->answer_body.len = 0;
@@ -581,6 +584,8 @@
         server->consecutive_faults == 0 && !server->unresponsive;
     request->weights_version = server->info.weights;
     request->current_software = server->info.software;
+    request->proof.server = server->id_hash;
+    request->proof.entry_start_ms = server_process_start_ms(server);
     request->newest_weights =
         request->engine ? weights_newest_seen(relay, request->prompt.model)
                         : 0;
--- a/relay/request.h
+++ b/relay/request.h
@@ -42,6 +42,14 @@
     ALTERNATIVE_LIKELY
 } alternative_t;
 
+/* What the process that begins a stream is told by, see origin-proof.h. */
+typedef struct {
+    bool pending;           /* it is not known yet */
+    uint32_t server;        /* id_hash of the server of the attempt */
+    int64_t entry_start_ms; /* latest known start of the server at the send */
+    int64_t opened_us;      /* when the connection was made */
+} proof_state_t;
+
 struct request {
     CK_LIST_ENTRY(request) entry;
     relay_t *relay;
@@ -121,6 +129,7 @@
     uint64_t software;         /* SOFTWARE_ANY before the first event */
     uint64_t current_software; /* of the server of the current attempt */
     software_check_t *software_check; /* before it goes on; NULL for none */
+    proof_state_t proof;
     int64_t check_started_ms;
     bool connection_checked; /* an idle one leads to the checked process */
     uint64_t resumes;    /* key of the stream that is taken up; 0 for none */
@@ -211,6 +220,10 @@
 bool request_resolve_origin(request_t *request);
 void request_tick_origin(request_t *request, int64_t now);
 void request_note_first_event(request_t *request);
+void request_correct_origin(request_t *request, uint64_t software);
+void request_begin_proof(request_t *request);
+void request_continue_proof(request_t *request);
+bool request_end_proof(request_t *request);
 bool request_end_if_version_gone(request_t *request);
 bool request_select_service(request_t *request, uint64_t service);
 void request_set_service(request_t *request, const char *service);
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -195,16 +195,56 @@
     }
 }
 
+/* Returns the software version of the process that started at a server at a
+ * time, as long as no entry names it. */
+uint64_t
+server_software_of_start(const server_t *server, int64_t started_ms)
+{
+    server_entry_t start = server->info;
+    start.started_ms = started_ms;
+    return software_of_unnamed(&start);
+}
+
+/* Whether the server has started again since its entry. */
+static bool
+has_outdated_entry(const server_t *server)
+{
+    return server->info.started_ms != 0 &&
+           server->reported_start_ms > server->info.started_ms;
+}
+
+/* Returns the latest known start of the server's process, or 0 if its entry
+ * names none. */
+int64_t
+server_process_start_ms(const server_t *server)
+{
+    return has_outdated_entry(server) ? server->reported_start_ms
+                                      : server->info.started_ms;
+}
+
+/* Returns the version that an entry names for the process that has a software
+ * version of its own, or that version if no entry does. */
+uint64_t
+servers_name_software(const servers_t *servers, uint64_t software)
+{
+    const server_t *server;
+    CK_LIST_FOREACH (server, &servers->list, entry) {
+        if (!server->removed && !has_outdated_entry(server) &&
+            software_of_unnamed(&server->info) == software) {
+            return server->info.software;
+        }
+    }
+    return software;
+}
+
 /* Gives a server that has started again since its entry a software version of
  * its own until an entry of that start arrives. */
 static void
 hide_old_software(server_t *server)
 {
-    server_entry_t start = server->info;
-    if (start.started_ms != 0 &&
-        server->reported_start_ms > start.started_ms) {
-        start.started_ms = server->reported_start_ms;
-        server->info.software = software_of_unnamed(&start);
+    if (has_outdated_entry(server)) {
+        server->info.software =
+            server_software_of_start(server, server->reported_start_ms);
     }
 }
 
@@ -647,7 +687,6 @@
 void
 server_confirm_software(server_t *server, int64_t started_ms)
 {
-    server->software_in_doubt = false;
     if (started_ms > server->reported_start_ms) {
         server->reported_start_ms = started_ms;
     }
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -9,6 +9,7 @@
 #include "../balance/priority-band.h"
 #include "../kernel/base.h"
 #include "cached-parts.h"
+#include "origin-proof.h"
 #include "server-brittle.h"
 #include "server-limit.h"
 #include "server-rest.h"
@@ -164,6 +165,9 @@
     /* It may have started again, with other software, since its entry. */
     bool software_in_doubt;
     int64_t reported_start_ms; /* latest start that its reports showed */
+    process_report_t report;   /* the latest one */
+    bool report_pending;       /* requested for the origins of streams */
+    bool report_failed;        /* the last one requested got no answer */
 } server_t;
 
 typedef CK_LIST_HEAD(server_list, server) server_list_t;
@@ -179,6 +183,9 @@
 
 uint64_t software_from_name(const char *version);
 uint64_t software_of_unnamed(const server_entry_t *entry);
+int64_t server_process_start_ms(const server_t *server);
+uint64_t server_software_of_start(const server_t *server, int64_t started_ms);
+uint64_t servers_name_software(const servers_t *servers, uint64_t software);
 servers_t *servers_new(void);
 void servers_free(servers_t *servers);
 server_t *servers_find(servers_t *servers, const char *id);
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -117,6 +117,20 @@
     return known;
 }
 
+/* Replaces a software version that was recorded by mistake.  Returns the
+ * origin, or NULL if it is not known. */
+const stream_origin_t *
+stream_origins_correct(stream_origins_t *origins, uint64_t stream,
+                       uint64_t older, uint64_t software, int64_t now_ms)
+{
+    stream_origin_t *known = find(origins, stream);
+    if (known == NULL || known->expires_ms <= now_ms) {
+        return NULL;
+    }
+    known->software = known->software == older ? software : SOFTWARE_UNKNOWN;
+    return known;
+}
+
 /* Returns the origin of a stream, or NULL if it is not known. */
 const stream_origin_t *
 stream_origins_find(const stream_origins_t *origins, uint64_t stream,
--- a/relay/stream-origins.h
+++ b/relay/stream-origins.h
@@ -67,6 +67,10 @@
 stream_origin_t *stream_origins_put(stream_origins_t *origins,
                                     const stream_origin_t *origin,
                                     int64_t now_ms);
+const stream_origin_t *stream_origins_correct(stream_origins_t *origins,
+                                              uint64_t stream, uint64_t older,
+                                              uint64_t software,
+                                              int64_t now_ms);
 const stream_origin_t *stream_origins_find(const stream_origins_t *origins,
                                            uint64_t stream, int64_t now_ms);
 void stream_origins_sweep(stream_origins_t *origins, int64_t now_ms);
--- a/tests/test-servers.c
+++ b/tests/test-servers.c
@@ -294,6 +294,34 @@
 }
 END_TEST
 
+/* Guards against a stream that began at a restarted server and ends, or goes
+ * on at another version, once an entry names the version of that start. */
+START_TEST(an_entry_names_the_software_of_its_start_alone)
+{
+    servers_t *servers = servers_new();
+    server_entry_t entry = {.id = "e1",
+                            .addr = "10.0.0.1:1",
+                            .started_ms = 1000,
+                            .software = software_from_name("v1")};
+    server_t *server = servers_put(servers, &entry, 0);
+    uint64_t first = server_software_of_start(server, 1000);
+    uint64_t second = server_software_of_start(server, 2000);
+    server_confirm_software(server, 2000);
+    ck_assert_int_eq(server_process_start_ms(server), 2000);
+    ck_assert_uint_eq(server->info.software, second);
+    ck_assert_uint_eq(servers_name_software(servers, second), second);
+    ck_assert_uint_eq(servers_name_software(servers, first), first);
+    entry.started_ms = 2000;
+    entry.software = software_from_name("v2");
+    (void)servers_put(servers, &entry, 0);
+    ck_assert_uint_eq(servers_name_software(servers, second), entry.software);
+    ck_assert_uint_eq(servers_name_software(servers, first), first);
+    ck_assert_uint_eq(servers_name_software(servers, SOFTWARE_UNKNOWN),
+                      SOFTWARE_UNKNOWN);
+    servers_free(servers);
+}
+END_TEST
+
 /* Deployments whose servers report no pace must be placed as before, whatever
  * has been learned. */
 START_TEST(learned_speed_is_unused_without_a_pace)
@@ -441,6 +469,7 @@
           late_entry_does_not_take_back_weights,
           restarted_server_may_have_older_weights,
           use_of_weights_counts_from_their_first_request,
+          an_entry_names_the_software_of_its_start_alone,
           learned_speed_is_unused_without_a_pace,
           reported_pace_applies_to_its_server,
           a_silent_server_is_suspected_by_other_hosts,
--- a/tests/test-stream-origins.c
+++ b/tests/test-stream-origins.c
@@ -283,7 +283,27 @@
 }
 END_TEST
 
-TEST_MAIN("stream-origins", keys_differ_by_each_part_of_the_name,
+/* Guards against a stream that goes on at the version of its server's older
+ * entry, and against a correction that hides two streams under one key. */
+START_TEST(an_origin_is_corrected_unless_it_is_ambiguous)
+{
+    stream_origins_t *origins = origins_new();
+    ck_assert_ptr_null(stream_origins_correct(origins, 1, 5, 6, 0));
+    (void)put(origins, 1, 5, 100, 0);
+    ck_assert_uint_eq(stream_origins_correct(origins, 1, 5, 6, 0)->software,
+                      6);
+    ck_assert_uint_eq(stream_origins_find(origins, 1, 0)->software, 6);
+    ck_assert_uint_eq(stream_origins_correct(origins, 1, 5, 7, 0)->software,
+                      SOFTWARE_UNKNOWN);
+    ck_assert_uint_eq(stream_origins_correct(origins, 1, 5, 7, 0)->software,
+                      SOFTWARE_UNKNOWN);
+    ck_assert_ptr_null(stream_origins_correct(origins, 1, 5, 6, 100));
+    free(origins);
+}
+END_TEST
+
+TEST_MAIN("stream-origins", an_origin_is_corrected_unless_it_is_ambiguous,
+          keys_differ_by_each_part_of_the_name,
           texts_of_a_name_cannot_run_together,
           ids_may_be_of_any_bytes_and_long,
           the_table_is_bounded_and_forgets_what_expires_first,
