Stand-in: a server that ends closes its idle connections

Cause: the stand-in's servers share a process. One that ended closed the connections of its requests, but kept idle ones, over which hosts reached the next start: a connection did not stay with one process, as it does with a server that is one.

Change: a server that ends shuts down all sockets that are bound to its port.

--- a/fakes/platform-crash.c
+++ b/fakes/platform-crash.c
@@ -2,6 +2,9 @@
 
 #include "../relay/wire.h"
 
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -73,6 +76,33 @@
     server_shut_connection(run->req);
 }
 
+static bool
+is_connection_to(int fd, uint16_t port)
+{
+    struct sockaddr_in own = {0};
+    socklen_t len = sizeof(own);
+    return getsockname(fd, (struct sockaddr *)&own, &len) == 0 &&
+           own.sin_family == AF_INET && ntohs(own.sin_port) == port;
+}
+
+/* Closes all connections to the server, idle ones too: a connection stays with
+ * one process.  The HTTP library lists none that are idle. */
+static void
+shut_connections(const platform_server_t *server)
+{
+    DIR *dir = opendir("/proc/self/fd");
+    const struct dirent *file;
+    while (dir != NULL && (file = readdir(dir)) != NULL) {
+        int fd = (int)strtol(file->d_name, NULL, 10);
+        if (is_connection_to(fd, server->port)) {
+            (void)shutdown(fd, SHUT_RDWR);
+        }
+    }
+    if (dir != NULL) {
+        (void)closedir(dir);
+    }
+}
+
 /* Ends the server with all that runs there. */
 static void
 end_server(platform_server_t *server)
@@ -89,6 +119,7 @@
     CK_LIST_FOREACH_SAFE (run, &server->runs, entry, next) {
         break_off(run);
     }
+    shut_connections(server);
 }
 
 /* Ends the server; it starts again later. */
