Test: streams that break before a report shows which process began them

Change: proc-stream-versions-late, with the stand-in's new command mute_reports. Three streams each: of a server that has not started again (it is asked when they break, and they go on at another server of its version), of one that ends (it does not answer; they go on at the version of its entry), and of one that has started again unlisted (it is asked; they end, as their origin is unknown).

--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -10,8 +10,8 @@
  * draining, gone, events, gap_ms, limit_per_s, rest_s, leaving, brittle, room,
  * work_ms, pace, first_ms, slots, event_bytes, unread_ms, read_rate, forget,
  * preempt, readmit, hold_fetches, refuse_orders, late_order_ms, memory_used,
- * software, show_runs, end_streams, restart}, /admin/object/KIND/NAME with a
- * specification. */
+ * software, show_runs, mute_reports, end_streams, restart},
+ * /admin/object/KIND/NAME with a specification. */
 
 #define SERVERS_MAX 32
 #define ADMIN_STORE "/admin/store"
--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -662,7 +662,7 @@
         return;
     }
     if (path != NULL && strcmp(path, "/report") == 0) {
-        if (server->mode != MODE_SILENT) {
+        if (server->mode != MODE_SILENT && !server->mute_reports) {
             answer_report(server, req);
         }
     }
@@ -791,8 +791,8 @@
 
 /* Applies what a command says of a server's software and of the life of its
  * streams: software (null for an entry without a version), show_runs,
- * end_streams (the share of them that is broken off), restart (after being
- * down for so many ms). */
+ * mute_reports, end_streams (the share of them that is broken off), restart
+ * (after being down for so many ms). */
 static void
 apply_life_command(platform_server_t *server, const json_t *command)
 {
@@ -802,6 +802,9 @@
     if (json_object_get(command, "show_runs") != NULL) {
         server->show_runs = json_get_bool(command, "show_runs");
     }
+    if (json_object_get(command, "mute_reports") != NULL) {
+        server->mute_reports = json_get_bool(command, "mute_reports");
+    }
     if (json_is_number(share)) {
         server_end_streams(server, json_number_value(share));
     }
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -151,6 +151,7 @@
     bool crashed;               /* it has ended and starts again later */
     int64_t started_ms;         /* start time that it states */
     char software[CS_NAME_MAX]; /* version in its entry; empty for none */
+    bool mute_reports;          /* requests of its report get no answer */
     bool show_runs; /* events name the server and software of their run */
     int64_t rejections_ms[REJECTIONS_MAX];
     size_t rejection_count;
