--- a/soak/soak.c
+++ b/soak/soak.c
@@ -173,6 +173,7 @@
     faults_tick(soak);
     versions_tick(soak);
     slots_tick(soak);
+    paces_tick(soak);
     exchanges_sweep(soak->exchanges);
     if (now >= soak->end_ms) {
         callers_stop(soak->callers);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -121,6 +121,7 @@
 /* ---- engines with few slots ---- */
 
 void slots_tick(soak_t *soak);
+void paces_tick(soak_t *soak);
 
 /* ---- the software versions of engines ---- */
 
