Speed of engines: rejected prompts, starts, silence and expired loads

A review of the estimate found, by scratch programs: prompts that an engine rejects make it seem fast (a ratio of 0.39 with 160 % more of them); prompts in the first ms after a start give a ratio of 3.9, or 0.36 a little later; an engine that is never seen at work counts as slow (4.6); the expired load of a host that returns is subtracted twice; time in silence is left out in part; a late clock reading counts time twice; the mean prompt counted announcements.

Tests of each in test-prefill-load and test-peer-loads.

--- a/balance/prefill-load.h
+++ b/balance/prefill-load.h
@@ -26,6 +26,8 @@
                       int64_t now_ms);
 void prefill_load_skip(prefill_load_t *load, int64_t now_ms);
 void prefill_load_add_sent(prefill_load_t *load, double tokens);
+void prefill_load_cancel(prefill_load_t *load, double tokens,
+                         double waited_ms);
 double prefill_load_observations(const prefill_load_t *load,
                                  const prefill_service_t *service);
 void prefill_loads_compare(prefill_load_t **loads, size_t count,
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -368,8 +368,8 @@
             &request->server->brittle,
             (double)(time_mono_ms() - request->sent_ms));
     }
-    server_subtract_prefill(request->server, request->prefill_tokens,
-                            time_mono_ms());
+    server_cancel_prefill(request->server, request->prefill_tokens,
+                          request->sent_ms, time_mono_ms());
     request->prefill_tokens = 0;
     server_remove_request(request->server);
     request_count_in_flight(request, false);
--- a/relay/server-prefill.c
+++ b/relay/server-prefill.c
@@ -27,10 +27,12 @@
     if (!uses_prefill_load(server)) {
         return;
     }
-    if (!server_is_reachable(server, now_ms) ||
-        server_is_suspected(server, now_ms)) {
+    bool silent = !server_is_reachable(server, now_ms) ||
+                  server_is_suspected(server, now_ms);
+    if (silent || server->prefill_paused) {
         prefill_load_skip(&server->prefill_load, now_ms);
     }
+    server->prefill_paused = silent;
     prefill_load_set(&server->prefill_load,
                      server->own_prefill_tokens + server->peer_prefill_tokens,
                      now_ms);
@@ -39,17 +41,35 @@
 /* Counts tokens that this host or another one has sent to the server. */
 void
 server_count_prefill(server_t *server, double tokens)
+{
+    if (uses_prefill_load(server) && !server->prefill_paused && tokens > 0) {
+        prefill_load_add_sent(&server->prefill_load, tokens);
+    }
+}
+
+/* Counts a prompt that this host sends to the server, with the tokens that it
+ * has to prefill.  What others announce may be several prompts together. */
+void
+server_count_prompt(server_t *server, double tokens)
 {
     if (!uses_prefill_load(server) || !(tokens > 0)) {
         return;
     }
-    prefill_service_t *service = &server->service_speed->prefill;
-    service->prompt_tokens =
-        service->prompt_tokens > 0
-            ? service->prompt_tokens +
-                  PROMPT_WEIGHT * (tokens - service->prompt_tokens)
-            : tokens;
-    prefill_load_add_sent(&server->prefill_load, tokens);
+    double *mean = &server->service_speed->prefill.prompt_tokens;
+    *mean = *mean > 0 ? *mean + PROMPT_WEIGHT * (tokens - *mean) : tokens;
+    server_count_prefill(server, tokens);
+}
+
+/* Takes out a prompt of this host that the server will not prefill. */
+void
+server_cancel_prefill(server_t *server, double tokens, int64_t sent_ms,
+                      int64_t now_ms)
+{
+    server_subtract_prefill(server, tokens, now_ms);
+    if (uses_prefill_load(server) && tokens > 0) {
+        prefill_load_cancel(&server->prefill_load, tokens,
+                            (double)(now_ms - sent_ms));
+    }
 }
 
 /* Returns the ratio of the time that the server takes for work to the mean of
@@ -109,7 +129,7 @@
             !uses_prefill_load(server)) {
             continue;
         }
-        server->peer_prefill_tokens = server_sum_peer_prefill(server, now_ms);
+        server_expire_peer_prefill(server, now_ms);
         server_track_prefill(server, now_ms);
         loads[count++] = &server->prefill_load;
     }
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -453,7 +453,7 @@
     if (server->own_running == 0) {
         server->busy_since_ms = now_ms;
     }
-    server_count_prefill(server, prefill_tokens);
+    server_count_prompt(server, prefill_tokens);
     server->own_running++;
     server->backlog_tokens =
         server_update_backlog(server, now_ms) + prefill_tokens;
@@ -1020,6 +1020,18 @@
     return tokens;
 }
 
+/* Forgets tokens that other hosts announced too long ago. */
+void
+server_expire_peer_prefill(server_t *server, int64_t now_ms)
+{
+    for (size_t i = 0; i < server->peer_load_count; i++) {
+        if (!is_recent(&server->peer_loads[i], now_ms)) {
+            server->peer_loads[i].prefill_tokens = 0;
+        }
+    }
+    server->peer_prefill_tokens = server_sum_peer_prefill(server, now_ms);
+}
+
 /* Returns the requests of this host at the server and those of other hosts by
  * their recent announcements. */
 int
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -140,6 +140,7 @@
      * time to time. */
     double peer_prefill_tokens;
     prefill_load_t prefill_load; /* of all hosts */
+    bool prefill_paused;         /* it is left out: the server is silent */
     double logged_load_ratio;    /* of prefill_load; 0 if it was not logged */
     int reported_running;        /* from the server's own load report */
     int reported_waiting;        /* from the server's own load report */
@@ -279,6 +280,10 @@
 void servers_centre_speeds(servers_t *servers);
 void server_track_prefill(server_t *server, int64_t now_ms);
 void server_count_prefill(server_t *server, double tokens);
+void server_count_prompt(server_t *server, double tokens);
+void server_cancel_prefill(server_t *server, double tokens, int64_t sent_ms,
+                           int64_t now_ms);
+void server_expire_peer_prefill(server_t *server, int64_t now_ms);
 double server_work_ratio(const server_t *server);
 double server_delay_cost_ms(const server_t *server, double prefill_ms,
                             int64_t now_ms);
--- a/tests/test-peer-loads.c
+++ b/tests/test-peer-loads.c
@@ -129,6 +129,10 @@
     ck_assert_double_eq(pair.theirs->prefill_load.outstanding, 9000);
     servers_compare_prefill(pair.there, 1500);
     ck_assert_double_eq(pair.theirs->prefill_load.outstanding, 0);
+    /* It was cut off only. */
+    ck_assert(peer_loads_collect(pair.here, &datagram, 1600));
+    peer_loads_apply(pair.there, 1, &datagram, 1601);
+    ck_assert_double_eq(pair.theirs->prefill_load.outstanding, 9000);
     pair_free(&pair);
 }
 END_TEST
--- a/tests/test-prefill-load.c
+++ b/tests/test-prefill-load.c
@@ -236,7 +236,83 @@
 }
 END_TEST
 
-TEST_MAIN("prefill-load", slow_engines_are_told_from_fast_ones_under_load,
+/* Guards against an engine that seems fast since it rejects prompts. */
+START_TEST(rejected_prompts_do_not_make_an_engine_fast)
+{
+    double rejecting = 0;
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        fleet_t *fleet = fleet_new(seed);
+        run(fleet, 22, 0, 10000);
+        for (int i = 0; i < 100; i++) {
+            prefill_load_add_sent(&fleet->engines[2].load, MEAN_TOKENS);
+            prefill_load_cancel(&fleet->engines[2].load, MEAN_TOKENS, 0);
+        }
+        prefill_loads_compare(fleet->loads, ENGINES, &fleet->service);
+        rejecting += fleet->loads[2]->log_ratio / 20;
+        free(fleet);
+    }
+    ck_assert_double_gt(exp(rejecting), 1.2);
+}
+END_TEST
+
+/* Guards against an engine that seems fast or slow since many hosts send to it
+ * just after its start. */
+START_TEST(a_burst_after_a_start_makes_no_difference)
+{
+    fleet_t *fleet = fleet_new(1);
+    run(fleet, 22, 0, 10000);
+    prefill_load_t *load = fleet->loads[3];
+    *load = (prefill_load_t){0};
+    prefill_load_set(load, 0, 10000);
+    prefill_load_add_sent(load, 20 * MEAN_TOKENS);
+    prefill_load_set(load, 20 * MEAN_TOKENS, 10000);
+    prefill_loads_compare(fleet->loads, ENGINES, &fleet->service);
+    ck_assert_double_eq_tol(exp(load->log_ratio), 1, 0.15);
+    prefill_load_set(load, 18 * MEAN_TOKENS, 10400);
+    prefill_loads_compare(fleet->loads, ENGINES, &fleet->service);
+    ck_assert_double_eq_tol(exp(load->log_ratio), 1, 0.15);
+    free(fleet);
+}
+END_TEST
+
+/* Guards against an engine that counts as slow since its prompts are always
+ * done when hosts announce. */
+START_TEST(an_engine_never_seen_at_work_is_fast)
+{
+    fleet_t *fleet = fleet_new(1);
+    run(fleet, 22, 0, 10000);
+    prefill_load_t *load = fleet->loads[2];
+    *load = (prefill_load_t){0};
+    for (int64_t now = 1; now < 10000; now += 100) {
+        prefill_load_add_sent(load, MEAN_TOKENS);
+        prefill_load_set(load, 0, now);
+    }
+    prefill_loads_compare(fleet->loads, ENGINES, &fleet->service);
+    ck_assert_double_lt(exp(load->log_ratio), 0.7);
+    free(fleet);
+}
+END_TEST
+
+/* Guards against sums that grow without bound over a long time without news,
+ * or by a clock reading that comes late. */
+START_TEST(time_counts_once)
+{
+    prefill_load_t load = {0};
+    prefill_load_set(&load, 100, 1000);
+    prefill_load_set(&load, 100, 1010);
+    prefill_load_set(&load, 100, 1000);
+    prefill_load_set(&load, 100, 1010);
+    ck_assert_double_eq_tol(load.span_ms, 10, 0.1);
+    prefill_load_set(&load, 0, 3600000);
+    ck_assert_double_le(load.span_ms, 15000);
+    ck_assert_double_le(load.area, 100 * 15000);
+}
+END_TEST
+
+TEST_MAIN("prefill-load", rejected_prompts_do_not_make_an_engine_fast,
+          a_burst_after_a_start_makes_no_difference,
+          an_engine_never_seen_at_work_is_fast, time_counts_once,
+          slow_engines_are_told_from_fast_ones_under_load,
           slow_engines_are_told_from_fast_ones_with_few_prompts,
           a_busy_engine_is_not_a_slow_one,
           an_engine_without_prompts_counts_as_usual,
