Streams: a report of an earlier start than the entry's does not count

The report of that stand-in states a start before that of its entry, and the stream was taken to have begun at another process. A process older than the entry's has ended, so such a report says nothing of the connection.

--- a/relay/origin-proof.c
+++ b/relay/origin-proof.c
@@ -25,7 +25,9 @@
  * the connection is no older than the entry's, and by a report that covers the
  * connection no younger than the reported one.  If both have the same start
  * time, it is that process.  Otherwise it is the reported process if it has
- * outlived the request of the report, which data that arrives later shows. */
+ * outlived the request of the report, which data that arrives later shows.  A
+ * report of an earlier start than the entry's contradicts it, as that process
+ * has ended; the entry then holds, as for all other decisions. */
 origin_verdict_t
 origin_proof_decide(const origin_evidence_t *evidence)
 {
@@ -36,8 +38,7 @@
         /* Most connections end with the process that the entry describes. */
         return evidence->ended ? ORIGIN_ENTRY : ORIGIN_OPEN;
     }
-    if (evidence->report.started_ms == 0 ||
-        evidence->report.started_ms == evidence->entry_start_ms) {
+    if (evidence->report.started_ms <= evidence->entry_start_ms) {
         return ORIGIN_ENTRY;
     }
     if (evidence->delivers) {
--- a/tests/test-origin-proof.c
+++ b/tests/test-origin-proof.c
@@ -106,7 +106,22 @@
 }
 END_TEST
 
-TEST_MAIN("origin-proof", a_later_process_that_still_delivers_is_the_origin,
+/* Guards against streams that end at a sound server since its report states a
+ * wrong, earlier start: a process older than the entry's has ended. */
+START_TEST(an_earlier_start_than_the_entry_is_not_believed)
+{
+    origin_evidence_t evidence =
+        make_evidence(OPENED_US + 1, ENTRY_START_MS - 1);
+    evidence.delivers = true;
+    ck_assert_int_eq(origin_proof_decide(&evidence), ORIGIN_ENTRY);
+    evidence.delivers = false;
+    evidence.ended = true;
+    ck_assert_int_eq(origin_proof_decide(&evidence), ORIGIN_ENTRY);
+}
+END_TEST
+
+TEST_MAIN("origin-proof", an_earlier_start_than_the_entry_is_not_believed,
+          a_later_process_that_still_delivers_is_the_origin,
           a_later_process_is_no_proof_without_data,
           the_process_of_the_entry_is_proven_by_a_report_alone,
           an_older_report_proves_nothing,
