--- a/relay/server-prefill.c
+++ b/relay/server-prefill.c
@@ -48,15 +48,16 @@
 }
 
 /* Counts a prompt that this host sends to the server, with the tokens that it
- * has to prefill.  What others announce may be several prompts together. */
+ * has to prefill.  Their mean is known before a pace is stated, so that a host
+ * with few prompts of its own can use what others announce; that may be
+ * several prompts together. */
 void
 server_count_prompt(server_t *server, double tokens)
 {
-    if (!uses_prefill_load(server) || !(tokens > 0)) {
-        return;
+    if (server->service_speed != NULL && tokens > 0) {
+        double *mean = &server->service_speed->prefill.prompt_tokens;
+        *mean = *mean > 0 ? *mean + PROMPT_WEIGHT * (tokens - *mean) : tokens;
     }
-    double *mean = &server->service_speed->prefill.prompt_tokens;
-    *mean = *mean > 0 ? *mean + PROMPT_WEIGHT * (tokens - *mean) : tokens;
     server_count_prefill(server, tokens);
 }
 
--- a/tests/test-peer-loads.c
+++ b/tests/test-peer-loads.c
@@ -137,6 +137,23 @@
 }
 END_TEST
 
+/* Guards against a host that ignores the loads of others since all its own
+ * prompts came before a pace was stated. */
+START_TEST(one_prompt_before_the_pace_is_enough)
+{
+    pair_t pair;
+    pair_init(&pair);
+    server_add_request(pair.theirs, 3000, 0);
+    server_state_pace(pair.theirs, 100, 10);
+    server_count_prefill(pair.theirs, 6000);
+    ck_assert_double_gt(
+        prefill_load_observations(&pair.theirs->prefill_load,
+                                  &pair.theirs->service_speed->prefill),
+        1.5);
+    pair_free(&pair);
+}
+END_TEST
+
 /* Guards against engines of earlier deployments that are compared by loads:
  * only a stated pace says that machines may differ. */
 START_TEST(loads_decide_speeds_only_where_a_pace_is_stated)
@@ -155,7 +172,8 @@
 }
 END_TEST
 
-TEST_MAIN("peer-loads", a_dead_host_does_not_make_an_engine_slow,
+TEST_MAIN("peer-loads", one_prompt_before_the_pace_is_enough,
+          a_dead_host_does_not_make_an_engine_slow,
           loads_decide_speeds_only_where_a_pace_is_stated,
           small_prompts_are_announced, unchanged_load_is_announced_again,
           tokens_of_other_hosts_stay_in_the_backlog,
