--- a/balance/return-times.c
+++ b/balance/return-times.c
@@ -17,7 +17,7 @@
 /* Time constant of the admission rate: three quarters of a change are followed
  * within a second, and a rate of 5/s is still known to within 40 %. */
 #define RATE_MS 700.0
-/* Minimum time over which a rate is measured, ms. */
+/* A rate over a shorter time than this, ms, is not used. */
 #define RATE_KNOWN_MS 300
 /* Callers honour a return time up to this fraction of their remaining time. */
 #define HONOURED_DIVISOR 3
--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -261,7 +261,7 @@
 }
 
 /* Servers of the measured fleet; the table takes SERVER_NUMBERS_MAX of them,
- * and the others' ids are looked up in vain. */
+ * and lookups of the others' ids find nothing. */
 #define FLEET_SERVERS 3002
 #define TABLE_ROUNDS 200
 
--- a/relay/origin-proof.h
+++ b/relay/origin-proof.h
@@ -3,7 +3,7 @@
 
 /* Decides which process of a server began a stream: the one that the server's
  * entry describes, or one that started later under the same id, possibly with
- * other software.  Processes are told apart by their start time.  No I/O and
+ * other software.  Processes differ in their start time.  No I/O and
  * no clock. */
 
 #include "../kernel/base.h"
--- a/relay/request.h
+++ b/relay/request.h
@@ -42,7 +42,7 @@
     ALTERNATIVE_LIKELY
 } alternative_t;
 
-/* What the process that begins a stream is told by, see origin-proof.h. */
+/* Evidence of which process of a server began a stream, see origin-proof.h. */
 typedef struct {
     bool pending;           /* it is not known yet */
     uint32_t server;        /* id_hash of the server of the attempt */
--- a/tests/test-admission.c
+++ b/tests/test-admission.c
@@ -117,7 +117,7 @@
     engine->known[now % NEWS_AGE_MS] = count_in_flight(engine);
 }
 
-/* Returns the least occupied of a few random engines, by old news. */
+/* Returns the least occupied of a few random engines, by delayed reports. */
 static engine_t *
 choose_engine(sim_t *sim, int64_t now, int *known)
 {
