Names: reopen_bytes, token_ms; an input of admission that nothing read is removed

Read as a newcomer: margin_ms of admission_input_t was never set or read, since expected waits are corrected by the learned ratio of their class; 'sip' and 'area' said nothing of what they hold. No decision changes; unit tests, lint and format pass.

--- a/balance/admission.h
+++ b/balance/admission.h
@@ -15,7 +15,6 @@
     double reserve;       /* slots kept free for more urgent classes */
     double wait_ms;       /* expected queueing time at the server */
     double prefill_ms;    /* expected prefill time of the prompt */
-    double margin_ms;     /* excess over the estimate of most answers */
     int target_ms;        /* desired maximum time to the first answer */
     int64_t remaining_ms; /* until the request times out */
     int64_t wait_max_ms;  /* that it may wait at this host */
--- a/balance/held-bytes.c
+++ b/balance/held-bytes.c
@@ -149,7 +149,7 @@
 held_bytes_should_stop(const held_bytes_t *held, const held_holder_t *holder)
 {
     if (held->budget == 0 || holder->stopped ||
-        bytes_of(holder) < holder->sip_end) {
+        bytes_of(holder) < holder->reopen_end) {
         return false;
     }
     return holder->ready > held_bytes_holder_max(held) ||
@@ -183,7 +183,7 @@
     held->stopped += holder->stopped ? 0 : 1;
     holder->stopped = true;
     holder->stopped_ms = now_ms;
-    holder->sip_end = 0;
+    holder->reopen_end = 0;
 }
 
 /* Reading from the server of a holder was resumed, or its answer has ended.
@@ -196,8 +196,8 @@
     }
     held->stopped--;
     holder->stopped = false;
-    holder->sip_end =
-        has_room(held, holder) ? 0 : bytes_of(holder) + HELD_SIP_BYTES;
+    holder->reopen_end =
+        has_room(held, holder) ? 0 : bytes_of(holder) + HELD_REOPEN_BYTES;
 }
 
 /* Returns the holder whose answer is to be ended since the hard maximum is
--- a/balance/held-bytes.h
+++ b/balance/held-bytes.h
@@ -36,14 +36,14 @@
 /* Bytes that are then read before the next stop: the whole receive buffer.
  * Linux opens a closed window only once about all of the buffer is free: with
  * a buffer of 64 KiB, no second read of 32 KiB let the server send. */
-#define HELD_SIP_BYTES (2 * HELD_RECEIVE_BYTES)
+#define HELD_REOPEN_BYTES (2 * HELD_RECEIVE_BYTES)
 
 /* What is held for one caller's connection. */
 typedef struct held_holder {
     CK_LIST_ENTRY(held_holder) entry;
     size_t ready;       /* bytes that the caller can read */
     size_t unready;     /* bytes of an answer or event that is not complete */
-    size_t sip_end;     /* not stopped below; 0 if there is no such bound */
+    size_t reopen_end;  /* not stopped below; 0 if there is no such bound */
     int64_t stopped_ms; /* when reading from its server was stopped */
     int64_t read_ms;    /* when its caller last read, or bytes were first held
                          */
--- a/balance/prefill-load.c
+++ b/balance/prefill-load.c
@@ -39,7 +39,8 @@
         double keep =
             exp(-(double)(now_ms - load->updated_ms) / FORGETTING_MS);
         double elapsed_ms = FORGETTING_MS * (1 - keep);
-        load->area = load->area * keep + load->outstanding * elapsed_ms;
+        load->token_ms =
+            load->token_ms * keep + load->outstanding * elapsed_ms;
         load->span_ms = load->span_ms * keep + elapsed_ms;
         load->sent *= keep;
     }
@@ -69,7 +70,7 @@
 prefill_load_cancel(prefill_load_t *load, double tokens, double waited_ms)
 {
     load->sent = fmax(0, load->sent - tokens);
-    load->area = fmax(0, load->area - tokens * waited_ms);
+    load->token_ms = fmax(0, load->token_ms - tokens * waited_ms);
 }
 
 /* Returns the number of prompts behind the estimate. */
@@ -84,10 +85,11 @@
 /* Returns the time that a load's tokens were outstanding, token ms, without
  * the constant part. */
 static double
-work_area(const prefill_load_t *load, const prefill_service_t *service)
+work_token_ms(const prefill_load_t *load, const prefill_service_t *service)
 {
     double constant = load->sent * service->first_token_ms;
-    double work = fmax(load->area - constant, load->area * WORK_SHARE_MIN);
+    double work =
+        fmax(load->token_ms - constant, load->token_ms * WORK_SHARE_MIN);
     return fmax(work, load->sent * OUTSTANDING_MIN_MS);
 }
 
@@ -102,8 +104,8 @@
         return false;
     }
     *log_rate =
-        log(load->sent / load->span_ms +
-            load->sent * service->prompt_tokens / work_area(load, service));
+        log(load->sent / load->span_ms + load->sent * service->prompt_tokens /
+                                             work_token_ms(load, service));
     return true;
 }
 
--- a/balance/prefill-load.h
+++ b/balance/prefill-load.h
@@ -9,7 +9,7 @@
 
 typedef struct {
     double outstanding; /* tokens sent, without a first output token yet */
-    double area;        /* outstanding over time, token ms, with forgetting */
+    double token_ms;    /* outstanding over time, with forgetting */
     double sent;        /* tokens, with the same forgetting */
     double span_ms;     /* time that was observed, with the same */
     int64_t updated_ms; /* 0 if nothing was observed */
--- a/tests/test-held-bytes.c
+++ b/tests/test-held-bytes.c
@@ -286,7 +286,7 @@
     ck_assert(held_bytes_should_resume(&held, &holder, 200));
     held_bytes_resume(&held, &holder);
     ck_assert_uint_eq(held.stopped, 0);
-    ck_assert_uint_eq(holder.sip_end, 0);
+    ck_assert_uint_eq(holder.reopen_end, 0);
 }
 END_TEST
 
@@ -303,7 +303,7 @@
     size_t ended = 0;
     /* Between two checks each holder may get what is read after a stop. */
     ck_assert_uint_le(sim->most_held,
-                      sim->held.hard_max + 200 * HELD_SIP_BYTES);
+                      sim->held.hard_max + 200 * HELD_REOPEN_BYTES);
     for (size_t i = 0; i < sim->count; i++) {
         ended += sim->readers[i].ended;
         ck_assert(i < 150 || !sim->readers[i].ended);
--- a/tests/test-prefill-load.c
+++ b/tests/test-prefill-load.c
@@ -305,7 +305,7 @@
     ck_assert_double_eq_tol(load.span_ms, 10, 0.1);
     prefill_load_set(&load, 0, 3600000);
     ck_assert_double_le(load.span_ms, 15000);
-    ck_assert_double_le(load.area, 100 * 15000);
+    ck_assert_double_le(load.token_ms, 100 * 15000);
 }
 END_TEST
 
