Watches: record how old the store's own word is

Cause for it: the records could not tell the hypotheses of the incident apart. servers_heard_ms_ago counts the answers of an upstream, which may itself be behind, and nothing showed late timers.

Hosts now pass the age of their objects on with lists and answers to watches (age_ms), so that each knows when the store itself confirmed what it has: metrics config_age_ms and servers_age_ms, records 'store stale' and 'store current'. A tick that is 500 ms late is recorded ('daemon late', tick_late_ms_max). No decision uses them yet.

--- a/kernel/fetch.c
+++ b/kernel/fetch.c
@@ -9,6 +9,7 @@
 struct fetch {
     exchange_t *exchange;
     int64_t sent_us;
+    int64_t answered_ms;
     int status;
     buf_t answer;
     void (*on_done)(void *arg, const fetch_result_t *result);
@@ -21,6 +22,7 @@
     fetch_t *fetch = arg;
     fetch->status = head->status;
     fetch->sent_us = exchange_sent_us(fetch->exchange);
+    fetch->answered_ms = time_mono_ms();
     return HEAD_ACCEPT;
 }
 
@@ -42,6 +44,7 @@
     fetch_result_t result = {.complete = end == EXCHANGE_COMPLETE,
                              .sent = end != EXCHANGE_UNSENT,
                              .sent_us = fetch->sent_us,
+                             .answered_ms = fetch->answered_ms,
                              .status = fetch->status,
                              .text = buf_text(&fetch->answer),
                              .len = fetch->answer.len};
--- a/kernel/fetch.h
+++ b/kernel/fetch.h
@@ -9,9 +9,10 @@
 typedef struct fetch fetch_t;
 
 typedef struct {
-    bool complete;   /* the whole answer was read */
-    bool sent;       /* may have been executed, answered or not */
-    int64_t sent_us; /* when the request was sent, if an answer began */
+    bool complete;       /* the whole answer was read */
+    bool sent;           /* may have been executed, answered or not */
+    int64_t sent_us;     /* when the request was sent, if an answer began */
+    int64_t answered_ms; /* when the answer began */
     int status;
     const char *text; /* NUL-terminated */
     size_t len;
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -418,6 +418,9 @@
 discovery_tick(relay_t *relay)
 {
     int64_t now = time_mono_ms();
+    watch_tick(relay->config_watch, now);
+    watch_tick(relay->servers_watch, now);
+    watch_tick(relay->weights_watch, now);
     remove_missing(relay, now);
     if (relay->servers_listed &&
         now - watch_answered_ms(relay->servers_watch) < LIST_AGE_MS_MAX) {
--- a/relay/object-cache.c
+++ b/relay/object-cache.c
@@ -207,7 +207,8 @@
         json_decref(changes);
         return 0;
     }
-    *page = platform_encode_changes(changes, watch_revision(watch));
+    *page = platform_encode_changes(changes, watch_revision(watch),
+                                    watch_age_ms(watch, time_mono_ms()));
     return 200;
 }
 
@@ -301,7 +302,8 @@
     if (!query.is_watch) {
         send_answer(caller, 200,
                     platform_encode_page(cache->kinds[query.kind].objects,
-                                         watch_revision(watch)));
+                                         watch_revision(watch),
+                                         watch_age_ms(watch, time_mono_ms())));
         return true;
     }
     watch_note_follower(watch);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -20,6 +20,8 @@
  * failure. */
 #define BALANCER_DRAIN_MS 2600
 #define BYTES_PER_MB 1e6
+/* A tick that is so late, ms, is recorded. */
+#define LATE_TICK_MS 500
 /* The process exits this long before it would be killed, ms. */
 #define SHUTDOWN_MARGIN_MS 700
 
@@ -175,6 +177,11 @@
                       (double)(now - watch_answered_ms(relay->config_watch)));
     meter_write_value(out, "servers_heard_ms_ago",
                       (double)(now - watch_answered_ms(relay->servers_watch)));
+    meter_write_value(out, "config_age_ms",
+                      (double)watch_age_ms(relay->config_watch, now));
+    meter_write_value(out, "servers_age_ms",
+                      (double)watch_age_ms(relay->servers_watch, now));
+    meter_write_value(out, "tick_late_ms_max", (double)relay->tick_late_ms);
     meter_write_value(out, "store_calls_total",
                       (double)(watch_store_call_count(relay->config_watch) +
                                watch_store_call_count(relay->servers_watch) +
@@ -222,12 +229,34 @@
     requests_place_repeat(arg);
 }
 
+/* Records ticks that come late: the process did not run, or one pass of its
+ * event loop took long. */
+static void
+record_late_tick(relay_t *relay)
+{
+    int64_t now = time_mono_ms();
+    int64_t late_ms = now - relay->ticked_ms - RELAY_TICK_MS;
+    bool first = relay->ticked_ms == 0;
+    relay->ticked_ms = now;
+    if (first) {
+        return;
+    }
+    if (late_ms > relay->tick_late_ms) {
+        relay->tick_late_ms = late_ms;
+    }
+    if (late_ms >= LATE_TICK_MS) {
+        log_record(LOG_WARN, "daemon", "late", "ms=%lld requests=%zu",
+                   (long long)late_ms, relay->request_count);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
     relay_t *relay = arg;
     (void)fd;
     (void)what;
+    record_late_tick(relay);
     if (relay->tick_count++ % SWEEP_TICKS == 0) {
         exchanges_sweep(relay->exchanges);
         servers_centre_speeds(relay->servers);
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -31,6 +31,13 @@
 /* How long the store holds a watch after a failed call, ms: its recovery is
  * detected within a second instead of three and a half. */
 #define RECOVERY_WAIT_MS 50
+/* The store confirms the objects of each daemon within this time, ms: the
+ * interval of an upstream's watch, its delay for batches, and that of the
+ * follower's own.  Older objects are stale. */
+#define STALE_MS 2300
+/* The extra time for the answer to a long watch before the objects are stale,
+ * ms. */
+#define STALE_SLACK_MS 300
 /* Extra time for the answer to a watch, ms: the store normally answers in 4
  * ms, and even at 400 ms it is better to wait than to call again. */
 #define WATCH_SLACK_MS 1000
@@ -66,9 +73,12 @@
     int64_t revision;                 /* the watch continues after it */
     int status;                       /* status of the last answer, or 0 */
     int backoff_ms;
-    int64_t answered_ms;  /* last valid answer of the store or upstream */
-    int64_t recovered_ms; /* first valid answer after the last failure */
-    int64_t called_ms;    /* when the current call was sent */
+    int64_t answered_ms;    /* last valid answer of the store or upstream */
+    int64_t confirmed_ms;   /* the store has confirmed the objects of then */
+    int64_t list_begun_ms;  /* when the first page of the list came */
+    int64_t stale_since_ms; /* when the objects became stale, or 0 */
+    int64_t recovered_ms;   /* first valid answer after the last failure */
+    int64_t called_ms;      /* when the current call was sent */
     int wait_ms;     /* of the current watch of the store, 0 for other calls */
     bool failed;     /* no valid answer since a failed call */
     bool calls_peer; /* the current call goes to a peer */
@@ -220,11 +230,41 @@
     }
 }
 
+/* Returns the age from which the objects are stale. */
+static int64_t
+stale_age_ms(const watch_t *watch)
+{
+    int long_ms = watch->wait_ms + STALE_SLACK_MS;
+    return long_ms > STALE_MS ? long_ms : STALE_MS;
+}
+
+/* Notes that the store confirmed the objects at a time. */
+static void
+note_confirmed(watch_t *watch, int64_t confirmed_ms)
+{
+    if (confirmed_ms <= watch->confirmed_ms) {
+        return;
+    }
+    watch->confirmed_ms = confirmed_ms;
+    int64_t now = time_mono_ms();
+    if (watch->stale_since_ms == 0 ||
+        now - confirmed_ms > stale_age_ms(watch)) {
+        return;
+    }
+    log_record(LOG_INFO, "store", "current",
+               "kind=%s through=%s at=%lld stale_ms=%lld",
+               kind_name(watch->kind), watch->source,
+               (long long)watch->revision,
+               (long long)(now - watch->stale_since_ms));
+    watch->stale_since_ms = 0;
+}
+
 static void
 apply_list_page(watch_t *watch, const store_page_t *page)
 {
     if (watch->list_after[0] == '\0') {
         watch->list_revision = page->revision;
+        watch->list_begun_ms = time_mono_ms();
         watch->hooks.on_list_begin(watch->hooks.arg);
     }
     for (size_t i = 0; i < page->count; i++) {
@@ -239,6 +279,7 @@
     watch->state = WATCH_WATCHING;
     watch->listed = true;
     watch->hooks.on_list_end(watch->hooks.arg, watch->revision);
+    note_confirmed(watch, watch->list_begun_ms);
     log_record(LOG_INFO, "store", "listed", "kind=%s at=%lld",
                kind_name(watch->kind), (long long)watch->revision);
 }
@@ -275,10 +316,26 @@
     }
     watch->listed = true;
     watch->state = WATCH_WATCHING;
+    if (page.age_ms >= 0) {
+        note_confirmed(watch, result->answered_ms - page.age_ms);
+    }
     platform_page_free(&page);
     schedule_call_after_peer(watch);
 }
 
+/* Returns when the store confirmed an answer to a watch.  An upstream that
+ * states no age is as old as a watch of the store takes. */
+static int64_t
+confirmed_at(const watch_t *watch, const fetch_result_t *result,
+             const store_page_t *page)
+{
+    if (!watch->calls_upstream) {
+        return result->answered_ms;
+    }
+    int64_t age_ms = page->age_ms >= 0 ? page->age_ms : SHORT_WAIT_MS;
+    return result->answered_ms - age_ms;
+}
+
 static void
 apply_answer(watch_t *watch, const fetch_result_t *result)
 {
@@ -300,6 +357,7 @@
         }
         watch->revision =
             page.revision > watch->revision ? page.revision : watch->revision;
+        note_confirmed(watch, confirmed_at(watch, result, &page));
     }
     /* An upstream has batched the changes already. */
     bool batch = watch->kind == KIND_SERVERS && watch->listed &&
@@ -497,6 +555,31 @@
     free(watch);
 }
 
+/* Records when the objects become stale. */
+void
+watch_tick(watch_t *watch, int64_t now)
+{
+    if (!watch->listed || watch->stale_since_ms != 0 ||
+        watch_age_ms(watch, now) <= stale_age_ms(watch)) {
+        return;
+    }
+    watch->stale_since_ms = now;
+    log_record(LOG_WARN, "store", "stale",
+               "kind=%s through=%s at=%lld age_ms=%lld called_ms_ago=%lld "
+               "failed=%d",
+               kind_name(watch->kind), watch->source,
+               (long long)watch->revision, (long long)watch_age_ms(watch, now),
+               (long long)(now - watch->called_ms), watch->failed);
+}
+
+/* Returns how long ago the store itself confirmed the objects, ms, also if
+ * this daemon has its word from another one. */
+int64_t
+watch_age_ms(const watch_t *watch, int64_t now)
+{
+    return now - watch->confirmed_ms;
+}
+
 int64_t
 watch_answered_ms(const watch_t *watch)
 {
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -45,7 +45,9 @@
                      const char *addr, object_kind_t kind,
                      const watch_hooks_t *hooks);
 void watch_stop(watch_t *watch);
+void watch_tick(watch_t *watch, int64_t now);
 int64_t watch_answered_ms(const watch_t *watch);
+int64_t watch_age_ms(const watch_t *watch, int64_t now);
 int64_t watch_recovered_ms(const watch_t *watch);
 bool watch_has_list(const watch_t *watch);
 bool watch_is_fresh(const watch_t *watch);
