--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -17,24 +17,52 @@
 #define STEP_MS 20
 #define STEPS_MAX 50
 #define NO_CHANGES "{\"events\":[],\"at\":5}"
+#define OLD_NO_CHANGES "{\"events\":[],\"at\":5,\"age_ms\":60000}"
+#define CHANGE                                                     \
+    "{\"events\":[{\"tombstone\":false,\"object\":{\"metadata\":{" \
+    "\"name\":\"main\",\"revision\":7},\"specification\":{}}}],\"at\":7}"
 #define EMPTY_LIST "{\"items\":[],\"has_more\":false,\"at\":5}"
+#define YOUNG_LIST "{\"items\":[],\"has_more\":false,\"at\":5,\"age_ms\":5}"
+/* The pieces of a slow answer, and the pause before each of them. */
+#define PIECES 20
+#define PIECE_MS 100
 
 /* A listener that answers lists, and answers or holds watches. */
 typedef struct {
     struct evhttp *http;
     char addr[CS_ADDR_MAX];
     bool holds_watches;
+    bool slow_lists;     /* answers lists piece by piece */
+    bool slow_watches;   /* and watches */
+    bool rejects;        /* answers 503 */
+    unsigned closes;     /* closes the connections of so many watches */
+    unsigned dead_calls; /* leaves the first connection unanswered from here */
+    unsigned calls;
+    const char *answer; /* to a watch */
+    const char *list;
     unsigned watch_count;
     long wait_ms; /* requested by the last watch */
+    const struct evhttp_connection *first;
 } listener_t;
 
+/* An answer that is sent piece by piece. */
+typedef struct {
+    struct event_base *base;
+    struct evhttp_request *req;
+    const char *text;
+    size_t sent;
+} slow_answer_t;
+
 typedef struct {
     struct event_base *base;
     exchanges_t *exchanges;
     listener_t store;
     listener_t upstream;
     upstream_t found;
+    bool has_peer; /* the upstream lists objects as a peer */
     watch_t *watch;
+    unsigned object_count;
+    unsigned lost_count; /* calls of on_upstream_lost */
 } fixture_t;
 
 static void
@@ -46,6 +74,66 @@
     evbuffer_free(body);
 }
 
+static void
+send_piece(evutil_socket_t fd, short what, void *arg)
+{
+    slow_answer_t *slow = arg;
+    size_t len = strlen(slow->text);
+    size_t piece = len / PIECES + 1;
+    struct evbuffer *out = evbuffer_new();
+    (void)fd;
+    (void)what;
+    if (piece > len - slow->sent) {
+        piece = len - slow->sent;
+    }
+    (void)evbuffer_add(out, slow->text + slow->sent, piece);
+    evhttp_send_reply_chunk(slow->req, out);
+    evbuffer_free(out);
+    slow->sent += piece;
+    if (slow->sent == len) {
+        evhttp_send_reply_end(slow->req);
+        free(slow);
+        return;
+    }
+    struct timeval pause = {0, PIECE_MS * 1000};
+    (void)event_base_once(slow->base, -1, EV_TIMEOUT, send_piece, slow,
+                          &pause);
+}
+
+static void
+answer_slowly(struct evhttp_request *req, const char *text)
+{
+    slow_answer_t *slow = mem_zalloc(sizeof(*slow));
+    slow->base =
+        evhttp_connection_get_base(evhttp_request_get_connection(req));
+    slow->req = req;
+    slow->text = text;
+    evhttp_send_reply_start(req, 200, NULL);
+    send_piece(-1, 0, slow);
+}
+
+/* Whether a fault of the listener leaves a request without a proper answer. */
+static bool
+is_disturbed(listener_t *listener, struct evhttp_request *req, bool is_watch)
+{
+    struct evhttp_connection *conn = evhttp_request_get_connection(req);
+    listener->calls++;
+    if (listener->first == NULL) {
+        listener->first = conn;
+    }
+    if (listener->rejects) {
+        evhttp_send_error(req, 503, NULL);
+        return true;
+    }
+    if (is_watch && listener->closes > 0) {
+        listener->closes--;
+        evhttp_connection_free(conn);
+        return true;
+    }
+    return listener->dead_calls > 0 &&
+           listener->calls >= listener->dead_calls && conn == listener->first;
+}
+
 static void
 handle(struct evhttp_request *req, void *arg)
 {
@@ -61,9 +149,16 @@
         listener->wait_ms = strtol(wait, NULL, 10);
     }
     evhttp_clear_headers(&query);
-    if (!is_watch || !listener->holds_watches) {
-        answer(req, is_watch ? NO_CHANGES : EMPTY_LIST);
+    if (is_disturbed(listener, req, is_watch) ||
+        (is_watch && listener->holds_watches)) {
+        return;
+    }
+    const char *body = is_watch ? listener->answer : listener->list;
+    if (is_watch ? listener->slow_watches : listener->slow_lists) {
+        answer_slowly(req, body);
+        return;
     }
+    answer(req, body);
 }
 
 static void
@@ -71,6 +166,8 @@
 {
     struct sockaddr_in addr = {0};
     socklen_t len = sizeof(addr);
+    listener->answer = NO_CHANGES;
+    listener->list = EMPTY_LIST;
     listener->http = evhttp_new(base);
     struct evhttp_bound_socket *bound =
         evhttp_bind_socket_with_handle(listener->http, "127.0.0.1", 0);
@@ -92,8 +189,9 @@
 static void
 on_object(void *arg, const store_object_t *object)
 {
-    (void)arg;
+    fixture_t *fixture = arg;
     (void)object;
+    fixture->object_count++;
 }
 
 static void
@@ -114,7 +212,8 @@
 static void
 on_upstream_lost(void *arg, const char *addr, bool answered)
 {
-    (void)arg;
+    fixture_t *fixture = arg;
+    fixture->lost_count++;
     (void)addr;
     (void)answered;
 }
@@ -125,8 +224,18 @@
     (void)arg;
 }
 
+static bool
+find_peer(void *arg, char addr[CS_ADDR_MAX])
+{
+    const fixture_t *fixture = arg;
+    str_copy(addr, CS_ADDR_MAX, fixture->upstream.addr);
+    return fixture->has_peer;
+}
+
+/* Opens the store and the upstream.  Their faults can be set before the watch
+ * is started. */
 static void
-fixture_open(fixture_t *fixture, upstream_t found)
+fixture_prepare(fixture_t *fixture, upstream_t found)
 {
     memset(fixture, 0, sizeof(*fixture));
     fixture->base = event_base_new();
@@ -135,9 +244,15 @@
     listener_open(&fixture->store, fixture->base);
     listener_open(&fixture->upstream, fixture->base);
     fixture->store.holds_watches = true;
+}
+
+static void
+fixture_start(fixture_t *fixture)
+{
     watch_hooks_t hooks = {.on_list_begin = on_list_begin,
                            .on_object = on_object,
                            .on_list_end = on_list_end,
+                           .find_peer = find_peer,
                            .find_upstream = find_upstream,
                            .on_upstream_lost = on_upstream_lost,
                            .on_update = on_update,
@@ -146,6 +261,13 @@
                                  fixture->store.addr, KIND_CONFIG, &hooks);
 }
 
+static void
+fixture_open(fixture_t *fixture, upstream_t found)
+{
+    fixture_prepare(fixture, found);
+    fixture_start(fixture);
+}
+
 static void
 fixture_close(fixture_t *fixture)
 {
@@ -169,6 +291,30 @@
     ck_assert_uint_ge(listener->watch_count, count);
 }
 
+static void
+run_for(fixture_t *fixture, int ms)
+{
+    struct timeval step = {0, STEP_MS * 1000};
+    int64_t end_ms = time_mono_ms() + ms;
+    while (time_mono_ms() < end_ms) {
+        (void)event_base_loopexit(fixture->base, &step);
+        (void)event_base_dispatch(fixture->base);
+        watch_tick(fixture->watch, time_mono_ms());
+    }
+}
+
+/* Runs the event loop until objects have come, or for a time; returns how long
+ * that took. */
+static int64_t
+await_objects(fixture_t *fixture, int most_ms)
+{
+    int64_t begin_ms = time_mono_ms();
+    while (fixture->object_count == 0 && time_mono_ms() - begin_ms < most_ms) {
+        run_for(fixture, STEP_MS);
+    }
+    return time_mono_ms() - begin_ms;
+}
+
 /* Guards against a draining server that is used for seconds after an outage of
  * the store: another watch of this daemon finds that the upstream has lost the
  * store, so this one goes to the store too, with its longest wait, and the
@@ -216,6 +362,124 @@
 }
 END_TEST
 
+/* Guards against a large list that is never received over a slow link. */
+START_TEST(list_may_take_long_while_it_arrives)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_NONE);
+    fixture.store.slow_lists = true;
+    fixture_start(&fixture);
+    run_for(&fixture, PIECES * PIECE_MS * 2);
+    ck_assert(watch_has_list(fixture.watch));
+    fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a change that is received in part and dropped, each time. */
+START_TEST(change_may_take_long_while_it_arrives)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_FOUND);
+    fixture.upstream.slow_watches = true;
+    fixture.upstream.answer = CHANGE;
+    fixture_start(&fixture);
+    (void)await_objects(&fixture, PIECES * PIECE_MS * 2);
+    ck_assert_uint_eq(fixture.object_count, 1);
+    ck_assert_uint_eq(fixture.lost_count, 0);
+    fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a follower that stays behind with an upstream that does. */
+START_TEST(stale_upstream_is_bypassed)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_FOUND);
+    fixture.upstream.answer = OLD_NO_CHANGES;
+    fixture.store.holds_watches = false;
+    fixture.store.answer = CHANGE;
+    fixture_start(&fixture);
+    ck_assert_int_lt(await_objects(&fixture, 3500), 3000);
+    ck_assert_uint_ge(fixture.lost_count, 1);
+    fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a change that waits for the end of a watch on a connection
+ * that the store no longer serves. */
+START_TEST(dead_connection_is_bypassed)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_NONE);
+    fixture.store.holds_watches = false;
+    fixture.store.answer = CHANGE;
+    fixture.store.dead_calls = 2;
+    fixture_start(&fixture);
+    ck_assert_int_lt(await_objects(&fixture, 3500), 3200);
+    fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a removed server that stays in use because the store had
+ * closed an idle connection. */
+START_TEST(closed_connection_is_no_outage)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_NONE);
+    fixture.store.closes = 1;
+    fixture_start(&fixture);
+    await_watches(&fixture, &fixture.store, 2);
+    ck_assert_int_eq(watch_recovered_ms(fixture.watch), 0);
+    fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a removed server that stays in use at a host that had lost
+ * the store alone. */
+START_TEST(failure_of_one_host_is_no_outage)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_NONE);
+    fixture.has_peer = true;
+    fixture.upstream.list = YOUNG_LIST;
+    fixture.store.holds_watches = false;
+    fixture_start(&fixture);
+    await_watches(&fixture, &fixture.store, 1);
+    fixture.store.rejects = true;
+    run_for(&fixture, 500);
+    ck_assert_uint_ge(fixture.upstream.calls, 1);
+    ck_assert_int_eq(watch_recovered_ms(fixture.watch), 0);
+    fixture.store.rejects = false;
+    run_for(&fixture, 1000);
+    ck_assert_int_eq(watch_recovered_ms(fixture.watch), 0);
+    fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against the same decision while the store is lost to all hosts. */
+START_TEST(failure_of_all_hosts_is_an_outage)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_NONE);
+    fixture.has_peer = true;
+    fixture.upstream.list = EMPTY_LIST;
+    fixture.store.holds_watches = false;
+    fixture_start(&fixture);
+    await_watches(&fixture, &fixture.store, 1);
+    fixture.store.rejects = true;
+    run_for(&fixture, 500);
+    ck_assert_int_gt(watch_recovered_ms(fixture.watch), 0);
+    fixture.store.rejects = false;
+    run_for(&fixture, 1000);
+    ck_assert_int_gt(watch_recovered_ms(fixture.watch), 0);
+    fixture_close(&fixture);
+}
+END_TEST
+
 TEST_MAIN("watch", watch_after_upstream_uses_short_wait,
           watch_uses_short_wait_while_upstreams_are_avoided,
-          first_follower_renews_long_watch)
+          first_follower_renews_long_watch,
+          list_may_take_long_while_it_arrives,
+          change_may_take_long_while_it_arrives, stale_upstream_is_bypassed,
+          dead_connection_is_bypassed, closed_connection_is_no_outage,
+          failure_of_one_host_is_no_outage, failure_of_all_hosts_is_an_outage)
