Watches: an answer that arrives slowly is not begun again

Callers saw: a change of the configuration that was not in force for seconds after its acknowledgement.

Cause: the limit on a follower's call, 1.2 s, counts the wait for a change (0.9 s) and the transfer of the answer as one. A change that comes late in the wait, over a link that is slow or shared by 20 answers, is received in part, dropped and asked for again elsewhere. Lists had 0.7 s in all.

A limit now ends when the answer begins; from then on the answer may take as long as it does not stall for 0.7 s, ten seconds at most.

Tests: list_may_take_long_while_it_arrives and change_may_take_long_while_it_ arrives of test-watch failed before (no list after 4 s, no change), pass now.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -39,6 +39,8 @@
 #define PROBE_INTERVAL_S 1
 #define UNACKED_TIMEOUT_MS 2500
 #define MS_PER_S 1000
+/* Longest time for a response that arrives without a stall, ms. */
+#define TRANSFER_MS_MAX 10000
 
 typedef struct addr_pool addr_pool_t;
 
@@ -87,8 +89,10 @@
     const void *kept_body; /* its body, if that is not in out */
     size_t kept_len;
     struct event *timer;
-    int64_t deadline_ms; /* 0 for none */
-    int64_t sent_us;     /* when the request was sent; 0 until then */
+    int64_t deadline_ms;     /* 0 for none */
+    int64_t transfer_end_ms; /* the deadline is never later; 0 for none */
+    int stall_ms;            /* see exchange_request_t */
+    int64_t sent_us;         /* when the request was sent; 0 until then */
     bool sent;
     bool reused;     /* its connection was open before */
     bool in_hook;    /* a hook is running: do not free the exchange */
@@ -330,6 +334,36 @@
     (void)event_add(exchange->timer, &after);
 }
 
+/* Arms the timer for the deadline of the exchange, if it has one. */
+static void
+timer_arm_deadline(exchange_t *exchange)
+{
+    if (exchange->deadline_ms == 0) {
+        (void)event_del(exchange->timer);
+        return;
+    }
+    int64_t left = exchange->deadline_ms - time_mono_ms();
+    timer_arm(exchange, left > 0 ? (int)left : 0);
+}
+
+/* The response goes on to arrive, so its deadline moves. */
+static void
+note_progress(exchange_t *exchange)
+{
+    if (exchange->stall_ms == 0 || exchange->discarding) {
+        return;
+    }
+    int64_t now = time_mono_ms();
+    if (exchange->transfer_end_ms == 0) {
+        exchange->transfer_end_ms = now + TRANSFER_MS_MAX;
+    }
+    int64_t deadline_ms = now + exchange->stall_ms;
+    exchange->deadline_ms = deadline_ms < exchange->transfer_end_ms
+                                ? deadline_ms
+                                : exchange->transfer_end_ms;
+    timer_arm_deadline(exchange);
+}
+
 /* Passes the head to the owner, who accepts, skips or discards the response.
  */
 static void
@@ -337,6 +371,7 @@
 {
     exchange->head_seen = true;
     read_keep_alive(exchange);
+    note_progress(exchange);
     if (exchange->hooks.on_head == NULL) {
         return;
     }
@@ -361,6 +396,7 @@
         return;
     }
     exchange->accepted += len;
+    note_progress(exchange);
     if (exchange->hooks.on_body == NULL) {
         return;
     }
@@ -511,18 +547,6 @@
     }
 }
 
-/* Arms the timer for the deadline of the exchange, if it has one. */
-static void
-timer_arm_deadline(exchange_t *exchange)
-{
-    if (exchange->deadline_ms == 0) {
-        (void)event_del(exchange->timer);
-        return;
-    }
-    int64_t left = exchange->deadline_ms - time_mono_ms();
-    timer_arm(exchange, left > 0 ? (int)left : 0);
-}
-
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
@@ -719,6 +743,7 @@
     exchange->conn = conn;
     conn->exchange = exchange;
     conn_set_silence(conn, request->silence_ms);
+    exchange->stall_ms = request->stall_ms;
     if (request->total_ms > 0) {
         exchange->deadline_ms = time_mono_ms() + request->total_ms;
     }
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -55,6 +55,8 @@
                        longer than the default */
     int connect_ms; /* time limit for a new connection */
     int total_ms;   /* for the whole exchange; 0: the owner has a timer */
+    int stall_ms;   /* if not 0, total_ms ends when the response begins, which
+                       then may arrive as long as it does not stall */
 } exchange_request_t;
 
 exchanges_t *exchanges_new(struct event_base *base);
--- a/kernel/fetch.h
+++ b/kernel/fetch.h
@@ -22,14 +22,19 @@
     const char *addr;
     const buf_t *request; /* head and body as sent */
     bool new_connection;  /* not an idle one, which may be dead */
+    /* May be sent twice: if an idle connection turns out to be closed, the
+     * request is sent again over a new one. */
+    bool repeatable;
     int connect_ms;
     int total_ms;
+    int stall_ms; /* see exchange_request_t */
     /* Called once at the end; the fetch is freed when it returns. */
     void (*on_done)(void *arg, const fetch_result_t *result);
     void *arg;
 } fetch_options_t;
 
 fetch_t *fetch_start(exchanges_t *exchanges, const fetch_options_t *options);
+bool fetch_is_answered(const fetch_t *fetch);
 void fetch_cancel(fetch_t *fetch);
 
 #endif
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -45,6 +45,9 @@
  * hundred.  After this the call goes to another daemon. */
 #define LIST_TIMEOUT_MS 700
 #define CONNECT_TIMEOUT_MS 300
+/* An answer that has begun may take longer than these limits, which are for
+ * the wait before it, as long as it does not stall for this time, ms. */
+#define STALL_MS 700
 /* Backoff after failed calls, ms, doubled each time. */
 #define BACKOFF_MS_MIN 50
 #define BACKOFF_MS_MAX 1600
@@ -148,6 +151,7 @@
                                     .request = &head,
                                     .connect_ms = CONNECT_TIMEOUT_MS,
                                     .total_ms = PEER_TIMEOUT_MS,
+                                    .stall_ms = STALL_MS,
                                     .on_done = on_done,
                                     .arg = watch};
     watch->calls_peer = true;
@@ -477,6 +481,7 @@
         .request = &head,
         .connect_ms = CONNECT_TIMEOUT_MS,
         .total_ms = FOLLOW_WAIT_MS + FOLLOW_SLACK_MS,
+        .stall_ms = STALL_MS,
         .on_done = on_done,
         .arg = watch};
     record_source(watch, addr);
@@ -492,6 +497,7 @@
     fetch_options_t call_options = {.addr = watch->addr,
                                     .request = &head,
                                     .connect_ms = CONNECT_TIMEOUT_MS,
+                                    .stall_ms = STALL_MS,
                                     .on_done = on_done,
                                     .arg = watch};
     watch->store_call_count++;
