Watches: a closed idle connection is no failure

Callers saw: requests at a server for seconds after its entry was removed.

Cause: a host that has not called the store for a while, as a follower that goes back to it, sends its call over an idle connection. If the store has closed that, the call counts as a failure, and a failure as an outage of the store: entries that disappear within 2.3 s after it are kept, as entries may only have expired.

A list or a watch whose idle connection ends before an answer is sent again over a new one at once. After a failure, calls use new connections.

--- a/relay/watch.c
+++ b/relay/watch.c
@@ -149,6 +149,7 @@
     platform_list_call(&head, addr, watch->kind, "");
     fetch_options_t call_options = {.addr = addr,
                                     .request = &head,
+                                    .repeatable = true,
                                     .connect_ms = CONNECT_TIMEOUT_MS,
                                     .total_ms = PEER_TIMEOUT_MS,
                                     .stall_ms = STALL_MS,
@@ -479,6 +480,7 @@
     fetch_options_t call_options = {
         .addr = addr,
         .request = &head,
+        .repeatable = true,
         .connect_ms = CONNECT_TIMEOUT_MS,
         .total_ms = FOLLOW_WAIT_MS + FOLLOW_SLACK_MS,
         .stall_ms = STALL_MS,
@@ -496,6 +498,8 @@
     CLEAN_BUF buf_t head = {0};
     fetch_options_t call_options = {.addr = watch->addr,
                                     .request = &head,
+                                    .repeatable = true,
+                                    .new_connection = watch->failed,
                                     .connect_ms = CONNECT_TIMEOUT_MS,
                                     .stall_ms = STALL_MS,
                                     .on_done = on_done,
