Discovery: a host that is cut off alone keeps no removed servers

Callers saw: requests at a server for seconds after its entry was removed.

Cause: entries that disappear within 2.3 s after an outage of the store are kept, since servers may not have been able to renew them. Each host took any failure of its own calls for such an outage.

A host that fails lists the objects from a peer. The list now says when the store last answered that peer, and whether an outage has just ended for it: 1.5 s or less means that the store serves others, and a removed entry is gone. In an outage all lists grow older than that.

--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -9,11 +9,6 @@
 /* Keeps this host's copy of the platform's configuration, servers and
  * published weights up to date. */
 
-/* How long a missing entry of a server is kept after the store's recovery, ms:
- * if the server is alive, an entry that expired while the store was
- * unreachable is written again within two seconds; the rest is a margin. */
-#define STORE_RECOVERY_MS 2300
-
 /* A list of servers is taken as current if the store has answered within this
  * time, ms: a watch waits a little less. */
 #define LIST_AGE_MS_MAX 3000
@@ -165,20 +160,11 @@
     exchanges_close_idle(relay->exchanges, server->info.addr);
 }
 
-/* Whether entries may be missing only because the store is or was unreachable.
- */
-static bool
-store_is_recovering(const relay_t *relay, int64_t now)
-{
-    int64_t recovered_ms = watch_recovered_ms(relay->servers_watch);
-    return recovered_ms != 0 && now - recovered_ms < STORE_RECOVERY_MS;
-}
-
 static void
 mark_server_missing(relay_t *relay, server_t *server)
 {
     int64_t now = time_mono_ms();
-    if (!store_is_recovering(relay, now)) {
+    if (!watch_is_recovering(relay->servers_watch, now)) {
         mark_server_gone(relay, server, "removed");
         return;
     }
@@ -401,7 +387,8 @@
 remove_missing(relay_t *relay, int64_t now)
 {
     server_t *server;
-    if (!relay->servers->any_missing || store_is_recovering(relay, now)) {
+    if (!relay->servers->any_missing ||
+        watch_is_recovering(relay->servers_watch, now)) {
         return;
     }
     relay->servers->any_missing = false;
--- a/relay/object-cache.c
+++ b/relay/object-cache.c
@@ -299,11 +299,13 @@
         return true;
     }
     watch_t *watch = watch_for(cache, query.kind);
+    int64_t now = time_mono_ms();
     if (!query.is_watch) {
         send_answer(caller, 200,
                     platform_encode_page(cache->kinds[query.kind].objects,
                                          watch_revision(watch),
-                                         watch_age_ms(watch, time_mono_ms())));
+                                         watch_age_ms(watch, now),
+                                         watch_is_recovering(watch, now)));
         return true;
     }
     watch_note_follower(watch);
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -56,6 +56,15 @@
 #define PEER_TIMEOUT_MS 500
 #define STORE_RETRY_MS_MIN 300
 #define PEER_CALLS_MAX 4
+/* A peer that the store has answered within this time, ms, shows that only
+ * this daemon has lost it. */
+#define PEER_AGE_MS_MAX 1500
+/* The same holds for this long after, ms: the next peer is asked within it. */
+#define PEER_EVIDENCE_MS 3500
+/* How long after an outage of the store entries may still be missing, ms: if a
+ * server is alive, an entry that expired while the store was unreachable is
+ * written again within two seconds; the rest is a margin. */
+#define STORE_RECOVERY_MS 2300
 #define STATUS_GONE 410
 
 typedef enum { WATCH_LISTING, WATCH_WATCHING } watch_state_t;
@@ -76,12 +85,13 @@
     int64_t revision;                 /* the watch continues after it */
     int status;                       /* status of the last answer, or 0 */
     int backoff_ms;
-    int64_t answered_ms;    /* last valid answer of the store or upstream */
-    int64_t confirmed_ms;   /* the store has confirmed the objects of then */
-    int64_t list_begun_ms;  /* when the first page of the list came */
-    int64_t stale_since_ms; /* when the objects became stale, or 0 */
-    int64_t recovered_ms;   /* first valid answer after the last failure */
-    int64_t called_ms;      /* when the current call was sent */
+    int64_t answered_ms;      /* last valid answer of the store or upstream */
+    int64_t confirmed_ms;     /* the store has confirmed the objects of then */
+    int64_t list_begun_ms;    /* when the first page of the list came */
+    int64_t stale_since_ms;   /* when the objects became stale, or 0 */
+    int64_t recovered_ms;     /* first valid answer after the last outage */
+    int64_t peer_answered_ms; /* the store answered a peer then */
+    int64_t called_ms;        /* when the current call was sent */
     int wait_ms;     /* of the current watch of the store, 0 for other calls */
     bool failed;     /* no valid answer since a failed call */
     bool calls_peer; /* the current call goes to a peer */
@@ -220,21 +230,6 @@
     watch->list_after[0] = '\0';
 }
 
-/* Notes a valid answer of the store or of an upstream. */
-static void
-note_answer(watch_t *watch)
-{
-    watch->answered_ms = time_mono_ms();
-    watch->backoff_ms = BACKOFF_MS_MIN;
-    if (watch->failed) {
-        watch->failed = false;
-        watch->recovered_ms = watch->answered_ms;
-        log_record(LOG_INFO, "store", "back", "kind=%s at=%lld followed=%d",
-                   kind_name(watch->kind), (long long)watch->revision,
-                   watch->calls_upstream);
-    }
-}
-
 /* Returns the age from which the objects are stale. */
 static int64_t
 stale_age_ms(const watch_t *watch)
@@ -264,6 +259,49 @@
     watch->stale_since_ms = 0;
 }
 
+/* Whether the store has answered other daemons while it failed this one: then
+ * entries do not expire for want of the store. */
+static bool
+answers_others(const watch_t *watch, int64_t now)
+{
+    return watch->peer_answered_ms != 0 &&
+           now - watch->peer_answered_ms < PEER_EVIDENCE_MS;
+}
+
+/* Notes what a peer's list says of the store.  In an outage all lists grow
+ * old, and a peer for which it has just ended says so. */
+static void
+note_peer_list(watch_t *watch, const store_page_t *page, int64_t answered_ms)
+{
+    if (page->age_ms < 0) {
+        return;
+    }
+    note_confirmed(watch, answered_ms - page->age_ms);
+    watch->peer_answered_ms =
+        page->age_ms <= PEER_AGE_MS_MAX && !page->recovering
+            ? answered_ms - page->age_ms
+            : 0;
+}
+
+/* Notes a valid answer of the store or of an upstream. */
+static void
+note_answer(watch_t *watch)
+{
+    watch->answered_ms = time_mono_ms();
+    watch->backoff_ms = BACKOFF_MS_MIN;
+    if (!watch->failed) {
+        return;
+    }
+    bool outage = !answers_others(watch, watch->answered_ms);
+    watch->failed = false;
+    if (outage) {
+        watch->recovered_ms = watch->answered_ms;
+    }
+    log_record(LOG_INFO, "store", "back",
+               "kind=%s at=%lld followed=%d outage=%d", kind_name(watch->kind),
+               (long long)watch->revision, watch->calls_upstream, outage);
+}
+
 static void
 apply_list_page(watch_t *watch, const store_page_t *page)
 {
@@ -309,6 +347,7 @@
         schedule_call_after_peer(watch);
         return;
     }
+    note_peer_list(watch, &page, result->answered_ms);
     watch->hooks.on_list_begin(watch->hooks.arg);
     for (size_t i = 0; i < page.count; i++) {
         watch->hooks.on_object(watch->hooks.arg, &page.objects[i]);
@@ -321,9 +360,6 @@
     }
     watch->listed = true;
     watch->state = WATCH_WATCHING;
-    if (page.age_ms >= 0) {
-        note_confirmed(watch, result->answered_ms - page.age_ms);
-    }
     platform_page_free(&page);
     schedule_call_after_peer(watch);
 }
@@ -596,12 +632,24 @@
     return watch->answered_ms;
 }
 
-/* When the store or an upstream first answered after the last failure; 0 if no
- * call has failed, and the current time while calls fail. */
+/* When the store or an upstream first answered after the last outage of the
+ * store; 0 if there was none, and the current time during one.  Failures of
+ * this daemon's calls alone are none. */
 int64_t
 watch_recovered_ms(const watch_t *watch)
 {
-    return watch->failed ? time_mono_ms() : watch->recovered_ms;
+    int64_t now = time_mono_ms();
+    return watch->failed && !answers_others(watch, now) ? now
+                                                        : watch->recovered_ms;
+}
+
+/* Whether entries may be missing only because the store is or was unreachable.
+ */
+bool
+watch_is_recovering(const watch_t *watch, int64_t now)
+{
+    int64_t recovered_ms = watch_recovered_ms(watch);
+    return recovered_ms != 0 && now - recovered_ms < STORE_RECOVERY_MS;
 }
 
 bool
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -49,6 +49,7 @@
 int64_t watch_answered_ms(const watch_t *watch);
 int64_t watch_age_ms(const watch_t *watch, int64_t now);
 int64_t watch_recovered_ms(const watch_t *watch);
+bool watch_is_recovering(const watch_t *watch, int64_t now);
 bool watch_has_list(const watch_t *watch);
 bool watch_is_fresh(const watch_t *watch);
 void watch_note_follower(watch_t *watch);
