Watches: what the store confirmed too long ago is checked at the store

Callers saw: a change of the configuration that was not in force in time, and requests at a server that had said that it leaves.

Cause: nothing bounded the age of what a host knows. A follower's call may last 1.2 s, its upstream's knowledge may be 1.6 s old, the call to the store that follows may go over a dead connection (1.6 to 3.5 s), and then up to four other hosts are asked (0.5 s each): each limit is sound, their sum is not.

If the store has not confirmed the objects for 2.3 s (0.3 s past the wait of a long watch), the host asks the store itself, over a new connection and beside the call under way, and leaves that call and its upstream if the store answers first. An answer that is arriving is waited for. A host that has lost the store asks two peers, not four, between its calls, and calls at least each 1.2 s.

Tests: stale_upstream_is_bypassed (no change after 3.5 s before) and dead_connection_is_bypassed (3.5 s before) of test-watch.

--- a/relay/watch.c
+++ b/relay/watch.c
@@ -38,6 +38,11 @@
 /* The extra time for the answer to a long watch before the objects are stale,
  * ms. */
 #define STALE_SLACK_MS 300
+/* Timeout of a check of stale objects, and its backoff, doubled each time, ms.
+ */
+#define CHECK_TIMEOUT_MS 700
+#define CHECK_BACKOFF_MS_MIN 200
+#define CHECK_BACKOFF_MS_MAX 1600
 /* Extra time for the answer to a watch, ms: the store normally answers in 4
  * ms, and even at 400 ms it is better to wait than to call again. */
 #define WATCH_SLACK_MS 1000
@@ -50,12 +55,15 @@
 #define STALL_MS 700
 /* Backoff after failed calls, ms, doubled each time. */
 #define BACKOFF_MS_MIN 50
-#define BACKOFF_MS_MAX 1600
+#define BACKOFF_MS_MAX 1200
 /* Timeout of another daemon, which answers from memory, and the shortest delay
  * after its answer until the next call to the store, ms. */
 #define PEER_TIMEOUT_MS 500
 #define STORE_RETRY_MS_MIN 300
 #define PEER_CALLS_MAX 4
+/* The same once objects are known, so that the store's recovery is detected
+ * within three seconds. */
+#define PEER_CALLS_LISTED_MAX 2
 /* A peer that the store has answered within this time, ms, shows that only
  * this daemon has lost it. */
 #define PEER_AGE_MS_MAX 1500
@@ -74,6 +82,7 @@
     exchanges_t *exchanges;
     struct event *timer;
     fetch_t *fetch;
+    fetch_t *check; /* of stale objects, beside the fetch; or NULL */
     watch_hooks_t hooks;
     char addr[CS_ADDR_MAX];
     char upstream[CS_ADDR_MAX]; /* address of the last upstream */
@@ -85,10 +94,12 @@
     int64_t revision;                 /* the watch continues after it */
     int status;                       /* status of the last answer, or 0 */
     int backoff_ms;
-    int64_t answered_ms;      /* last valid answer of the store or upstream */
-    int64_t confirmed_ms;     /* the store has confirmed the objects of then */
-    int64_t list_begun_ms;    /* when the first page of the list came */
-    int64_t stale_since_ms;   /* when the objects became stale, or 0 */
+    int64_t answered_ms;    /* last valid answer of the store or upstream */
+    int64_t confirmed_ms;   /* the store has confirmed the objects of then */
+    int64_t list_begun_ms;  /* when the first page of the list came */
+    int64_t stale_since_ms; /* when the objects became stale, or 0 */
+    int64_t next_check_ms;  /* no check before this time */
+    int check_backoff_ms;
     int64_t recovered_ms;     /* first valid answer after the last outage */
     int64_t peer_answered_ms; /* the store answered a peer then */
     int64_t called_ms;        /* when the current call was sent */
@@ -214,7 +225,9 @@
     watch->failed = true;
     update_fresh(watch, false, false);
     /* A peer that has just started has no objects, so several are tried. */
-    if (watch->peer_calls < PEER_CALLS_MAX && watch->hooks.find_peer != NULL &&
+    unsigned calls_max =
+        watch->listed ? PEER_CALLS_LISTED_MAX : PEER_CALLS_MAX;
+    if (watch->peer_calls < calls_max && watch->hooks.find_peer != NULL &&
         watch->hooks.find_peer(watch->hooks.arg, peer)) {
         watch->peer_calls++;
         call_peer(watch, peer);
@@ -555,9 +568,10 @@
                                        : WATCH_WAIT_MS;
         platform_watch_call(&head, watch->addr, watch->kind, watch->revision,
                             watch->wait_ms);
+        bool short_slack = short_wait || watch->failed;
         call_options.total_ms =
             watch->wait_ms +
-            (short_wait ? SHORT_WAIT_SLACK_MS : WATCH_SLACK_MS);
+            (short_slack ? SHORT_WAIT_SLACK_MS : WATCH_SLACK_MS);
     }
     watch->fetch = fetch_start(watch->exchanges, &call_options);
 }
@@ -585,6 +599,7 @@
     watch->hooks = *hooks;
     watch->kind = kind;
     watch->backoff_ms = BACKOFF_MS_MIN;
+    watch->check_backoff_ms = CHECK_BACKOFF_MS_MIN;
     str_copy(watch->addr, sizeof(watch->addr), addr);
     watch->timer = evtimer_new(base, on_timer, watch);
     watch_call(watch);
@@ -597,18 +612,96 @@
     if (watch->fetch != NULL) {
         fetch_cancel(watch->fetch);
     }
+    if (watch->check != NULL) {
+        fetch_cancel(watch->check);
+    }
     event_free(watch->timer);
     free(watch);
 }
 
-/* Records when the objects become stale. */
-void
-watch_tick(watch_t *watch, int64_t now)
+/* ---- stale objects ---- */
+
+/* Applies the store's answer to a check, and leaves the call that has not
+ * delivered the same: its upstream is behind, or its connection is dead. */
+static void
+apply_check(watch_t *watch, const fetch_result_t *result,
+            const store_page_t *page)
+{
+    for (size_t i = 0; i < page->count; i++) {
+        watch->hooks.on_object(watch->hooks.arg, &page->objects[i]);
+    }
+    watch->revision =
+        page->revision > watch->revision ? page->revision : watch->revision;
+    watch->check_backoff_ms = CHECK_BACKOFF_MS_MIN;
+    note_confirmed(watch, result->answered_ms);
+    update_fresh(watch, watch->fresh, page->count > 0);
+    if (watch->fetch == NULL || fetch_is_answered(watch->fetch)) {
+        return;
+    }
+    fetch_cancel(watch->fetch);
+    watch->fetch = NULL;
+    watch->wait_ms = 0;
+    if (watch->calls_upstream) {
+        watch->status = result->status;
+        unfollow(watch);
+        return;
+    }
+    watch_call(watch);
+}
+
+static void
+on_check_done(void *arg, const fetch_result_t *result)
 {
-    if (!watch->listed || watch->stale_since_ms != 0 ||
-        watch_age_ms(watch, now) <= stale_age_ms(watch)) {
+    watch_t *watch = arg;
+    store_page_t page;
+    err_t err = {0};
+    watch->check = NULL;
+    watch->next_check_ms = time_mono_ms() + watch->check_backoff_ms;
+    watch->check_backoff_ms =
+        watch->check_backoff_ms * 2 < CHECK_BACKOFF_MS_MAX
+            ? watch->check_backoff_ms * 2
+            : CHECK_BACKOFF_MS_MAX;
+    if (!result->complete || watch->state != WATCH_WATCHING) {
+        return;
+    }
+    if (result->status == STATUS_GONE && watch->fetch != NULL) {
+        fetch_cancel(watch->fetch);
+        watch->fetch = NULL;
+        watch->wait_ms = 0;
+        restart_list(watch);
+        watch_call(watch);
         return;
     }
+    if (result->status == 200 &&
+        platform_page_read(&page, result->text, result->len, &err) == 0) {
+        apply_check(watch, result, &page);
+        platform_page_free(&page);
+    }
+}
+
+/* Asks the store itself for the changes, over a new connection. */
+static void
+check_store(watch_t *watch)
+{
+    CLEAN_BUF buf_t head = {0};
+    platform_watch_call(&head, watch->addr, watch->kind, watch->revision,
+                        RECOVERY_WAIT_MS);
+    fetch_options_t call_options = {.addr = watch->addr,
+                                    .request = &head,
+                                    .new_connection = true,
+                                    .connect_ms = CONNECT_TIMEOUT_MS,
+                                    .total_ms = CHECK_TIMEOUT_MS,
+                                    .stall_ms = STALL_MS,
+                                    .on_done = on_check_done,
+                                    .arg = watch};
+    watch->store_call_count++;
+    watch->check = fetch_start(watch->exchanges, &call_options);
+}
+
+/* Records that the objects have become stale. */
+static void
+record_stale(watch_t *watch, int64_t now)
+{
     watch->stale_since_ms = now;
     log_record(LOG_WARN, "store", "stale",
                "kind=%s through=%s at=%lld age_ms=%lld called_ms_ago=%lld "
@@ -618,6 +711,25 @@
                (long long)(now - watch->called_ms), watch->failed);
 }
 
+/* Bounds the age of the objects, whichever way their confirmation is late: the
+ * limits of the calls that are under way are not waited for.  A watch that has
+ * failed tries again by itself, and an answer that arrives is up to date. */
+void
+watch_tick(watch_t *watch, int64_t now)
+{
+    if (!watch->listed || watch_age_ms(watch, now) <= stale_age_ms(watch)) {
+        return;
+    }
+    if (watch->stale_since_ms == 0) {
+        record_stale(watch, now);
+    }
+    bool arrives = watch->fetch != NULL && fetch_is_answered(watch->fetch);
+    if (watch->check == NULL && !watch->failed && !arrives &&
+        watch->state == WATCH_WATCHING && now >= watch->next_check_ms) {
+        check_store(watch);
+    }
+}
+
 /* Returns how long ago the store itself confirmed the objects, ms, also if
  * this daemon has its word from another one. */
 int64_t
