Watches: large changes are not fanned out by the hosts that watch the store

Callers saw: requests handled as an older version of the configuration says, more than 3 s after the newer one was acknowledged.

Cause: a host that watches the store for twenty others sends each change to all of them at once. 19 KB of configuration keep a link of 10 Mbit/s busy for 0.3 s, 600 KB for ten: the followers wait, and so do the host's own calls to the store, its callers and the changes of servers behind them.

A change goes to the followers only if all of them together get it within 50 ms of the link (or 16 KB each). Otherwise the answer names no change, and the follower gets it from the store, which has the bandwidth, by one call. The link's speed is a setting ([relay] link_mbps, from the platform's limits.link_mbps). Changes are kept as text: one encoding serves all followers.

Tests: change_left_to_the_store_is_fetched_there (test-watch; no change after 2 s before), large_changes_are_left_to_the_store (test-object-cache).

--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -129,6 +129,10 @@
      MODE_RELAY, false, "0",
      "memory of this host, MB; bounds what is held for slow callers and "
      "servers; 0: not known"},
+    {"relay", "link_mbps", SETTING_REAL, OFFSET_OF(link_mbps), 0, 0, 16777216,
+     MODE_RELAY, false, "0",
+     "speed of this host's network link, Mbit/s; bounds what is passed on to "
+     "hosts that follow this one; 0: not known"},
     {"relay", "lease_ms", SETTING_REAL, OFFSET_OF(lease_ms), 0, 100, 600000,
      MODE_RELAY, true, NULL, "duration of the rollout leader's lease"},
     {"relay", "weights_ms", SETTING_REAL, OFFSET_OF(old_weights_max_ms), 0,
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -31,6 +31,7 @@
     double quota_overage;
     double quota_slack;
     double memory_mb; /* of this host; 0 if it is not known */
+    double link_mbps; /* of this host; 0 if it is not known */
     int hosts_min;
     int log_level;
     char event_log[256];
--- a/relay/object-cache.c
+++ b/relay/object-cache.c
@@ -1,6 +1,9 @@
 #include "object-cache.h"
+#include "peers.h"
+#include "watch-duty.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Changes of a kind that are kept for followers; a follower that needs older
  * ones lists again.  The entries of 112 servers change about ten times a
@@ -9,10 +12,30 @@
 /* Longest wait for changes that a follower can request, ms. */
 #define WAIT_MS_MAX 5000
 
+/* Changes that all followers together get at once may take up the link of this
+ * host for this long, ms; beyond that they get them from the store. */
+#define FANOUT_MS 50
+/* The link of a host that is not known, and what each follower gets at least,
+ * bytes: a few entries of servers. */
+#define DEFAULT_LINK_MBPS 100
+#define FANOUT_BYTES_MIN 16384
+#define BYTES_PER_MS_OF_MBPS 125.0
+
+/* A change in the form in which followers get it. */
+typedef struct object_change {
+    CK_STAILQ_ENTRY(object_change) entry;
+    int64_t revision;
+    size_t len;
+    char *text;
+} object_change_t;
+
+typedef CK_STAILQ_HEAD(object_changes, object_change) object_changes_t;
+
 typedef struct {
-    json_t *objects;       /* by name */
-    json_t *listing;       /* by name, while a list is received, else NULL */
-    json_t *changes;       /* the oldest first */
+    json_t *objects; /* by name */
+    json_t *listing; /* by name, while a list is received, else NULL */
+    object_changes_t changes; /* the oldest first */
+    size_t change_count;
     int64_t changes_since; /* changes holds all changes after this revision */
 } object_cache_kind_t;
 
@@ -42,11 +65,30 @@
     CK_LIST_INIT(&cache->waiters);
     for (size_t i = 0; i < CACHED_KIND_COUNT; i++) {
         cache->kinds[i].objects = json_object();
-        cache->kinds[i].changes = json_array();
+        CK_STAILQ_INIT(&cache->kinds[i].changes);
     }
     return cache;
 }
 
+/* Drops the oldest change. */
+static void
+drop_change(object_cache_kind_t *cached)
+{
+    object_change_t *change = CK_STAILQ_FIRST(&cached->changes);
+    CK_STAILQ_REMOVE_HEAD(&cached->changes, entry);
+    cached->change_count--;
+    free(change->text);
+    free(change);
+}
+
+static void
+drop_changes(object_cache_kind_t *cached)
+{
+    while (cached->change_count > 0) {
+        drop_change(cached);
+    }
+}
+
 /* Frees a cache, which must not have any waiters. */
 void
 object_cache_free(object_cache_t *cache)
@@ -54,7 +96,7 @@
     for (size_t i = 0; i < CACHED_KIND_COUNT; i++) {
         json_decref(cache->kinds[i].objects);
         json_decref(cache->kinds[i].listing);
-        json_decref(cache->kinds[i].changes);
+        drop_changes(&cache->kinds[i]);
     }
     free(cache);
 }
@@ -82,6 +124,22 @@
     }
 }
 
+/* Keeps a change for the followers. */
+static void
+add_change(object_cache_kind_t *cached, const store_object_t *object)
+{
+    CLEAN_JSON json_t *json = platform_encode_change(object);
+    object_change_t *change = mem_zalloc(sizeof(*change));
+    change->revision = object->revision;
+    change->text = json_dumps(json, JSON_COMPACT);
+    change->len = strlen(change->text);
+    CK_STAILQ_INSERT_TAIL(&cached->changes, change, entry);
+    if (++cached->change_count > CHANGES_MAX) {
+        cached->changes_since = CK_STAILQ_FIRST(&cached->changes)->revision;
+        drop_change(cached);
+    }
+}
+
 /* Stores an object, or its removal, as the platform's store reported it. */
 void
 object_cache_put(object_cache_t *cache, object_kind_t kind,
@@ -93,13 +151,7 @@
         return;
     }
     put_object(cached->objects, object);
-    (void)json_array_append_new(cached->changes,
-                                platform_encode_change(object));
-    if (json_array_size(cached->changes) > CHANGES_MAX) {
-        cached->changes_since =
-            platform_change_revision(json_array_get(cached->changes, 0));
-        (void)json_array_remove(cached->changes, 0);
-    }
+    add_change(cached, object);
 }
 
 /* Begins a whole list: objects are added to it until it is complete. */
@@ -146,7 +198,7 @@
     cached->objects = cached->listing;
     cached->listing = NULL;
     cached->changes_since = revision;
-    (void)json_array_clear(cached->changes);
+    drop_changes(cached);
 }
 
 /* Returns the objects of a kind by name. */
@@ -159,30 +211,72 @@
 /* ---- answers ---- */
 
 static void
-send_answer(caller_t *caller, int status, json_t *owned)
+send_text(caller_t *caller, int status, const buf_t *body)
+{
+    CLEAN_BUF buf_t headers = {0};
+    buf_str(&headers, "Content-Type: application/json\r\n");
+    caller_answer(caller, status, &headers, buf_text(body), body->len);
+}
+
+static void
+send_page(caller_t *caller, json_t *owned)
 {
     CLEAN_JSON json_t *page = owned;
     CLEAN_TEXT char *text = json_dumps(page, JSON_COMPACT);
     CLEAN_BUF buf_t body = {0};
-    CLEAN_BUF buf_t headers = {0};
-    buf_str(&headers, "Content-Type: application/json\r\n");
     buf_str(&body, text != NULL ? text : "");
-    caller_answer(caller, status, &headers, buf_text(&body), body.len);
+    send_text(caller, 200, &body);
 }
 
-/* Returns the changes after a revision. */
-static json_t *
-changes_after(const object_cache_kind_t *cached, int64_t after_revision)
+static size_t
+changes_len(const object_cache_kind_t *cached, int64_t after_revision)
 {
-    json_t *found = json_array();
-    size_t index;
-    json_t *change;
-    json_array_foreach (cached->changes, index, change) {
-        if (platform_change_revision(change) > after_revision) {
-            (void)json_array_append(found, change);
+    size_t len = 0;
+    const object_change_t *change;
+    CK_STAILQ_FOREACH (change, &cached->changes, entry) {
+        len += change->revision > after_revision ? change->len + 1 : 0;
+    }
+    return len;
+}
+
+/* Writes the changes after a revision as the answer to a watch.  If they are
+ * larger than max_len, the answer names none, and its receiver gets them from
+ * the store.  Returns whether there are any. */
+bool
+object_cache_write_changes(const object_cache_t *cache, object_kind_t kind,
+                           int64_t after_revision,
+                           const changes_answer_t *answer, buf_t *out)
+{
+    const object_cache_kind_t *cached = &cache->kinds[kind];
+    size_t len = changes_len(cached, after_revision);
+    bool too_large = len > answer->max_len;
+    const char *separator = "";
+    const object_change_t *change;
+    platform_changes_begin(out);
+    CK_STAILQ_FOREACH (change, &cached->changes, entry) {
+        if (!too_large && change->revision > after_revision) {
+            buf_str(out, separator);
+            buf_add(out, change->text, change->len);
+            separator = ",";
         }
     }
-    return found;
+    platform_changes_end(out, too_large ? after_revision : answer->revision,
+                         answer->age_ms, too_large);
+    return len > 0;
+}
+
+/* Returns the bytes of changes that each follower may get at once. */
+static size_t
+fanout_bytes(const relay_t *relay)
+{
+    double mbps = relay->settings.link_mbps > 0 ? relay->settings.link_mbps
+                                                : DEFAULT_LINK_MBPS;
+    size_t daemons = peers_live_count(relay->peers);
+    size_t watchers = watch_duty_count(daemons);
+    double followers =
+        watchers > 0 ? (double)daemons / (double)watchers : (double)daemons;
+    double bytes = mbps * BYTES_PER_MS_OF_MBPS * FANOUT_MS / followers;
+    return bytes > FANOUT_BYTES_MIN ? (size_t)bytes : FANOUT_BYTES_MIN;
 }
 
 /* Returns the status of the answer to a watch, with a page for 200; 0 if there
@@ -191,25 +285,23 @@
  * would otherwise keep its followers on outdated objects. */
 static int
 poll_changes(const object_cache_t *cache, object_kind_t kind,
-             int64_t after_revision, bool timed_out, json_t **page)
+             int64_t after_revision, bool timed_out, buf_t *page)
 {
-    const object_cache_kind_t *cached = &cache->kinds[kind];
+    const relay_t *relay = cache->relay;
     const watch_t *watch = watch_for(cache, kind);
-    *page = NULL;
-    if (!watch_is_fresh(watch) || cache->relay->stop_requested_ms != 0) {
+    if (!watch_is_fresh(watch) || relay->stop_requested_ms != 0) {
         return 503;
     }
-    if (after_revision < cached->changes_since) {
+    if (after_revision < cache->kinds[kind].changes_since) {
         return 410;
     }
-    json_t *changes = changes_after(cached, after_revision);
-    if (json_array_size(changes) == 0 && !timed_out) {
-        json_decref(changes);
-        return 0;
-    }
-    *page = platform_encode_changes(changes, watch_revision(watch),
-                                    watch_age_ms(watch, time_mono_ms()));
-    return 200;
+    const changes_answer_t answer = {
+        .revision = watch_revision(watch),
+        .age_ms = watch_age_ms(watch, time_mono_ms()),
+        .max_len = fanout_bytes(relay)};
+    bool any =
+        object_cache_write_changes(cache, kind, after_revision, &answer, page);
+    return any || timed_out ? 200 : 0;
 }
 
 static void
@@ -234,7 +326,7 @@
 try_answer(waiter_t *waiter, bool timed_out)
 {
     caller_t *caller = waiter->caller;
-    json_t *page;
+    CLEAN_BUF buf_t page = {0};
     int status = poll_changes(waiter->cache, waiter->kind,
                               waiter->after_revision, timed_out, &page);
     if (status == 0) {
@@ -242,7 +334,7 @@
     }
     caller_set_owner(caller, NULL);
     waiter_free(waiter);
-    send_answer(caller, status, page);
+    send_text(caller, status, &page);
 }
 
 static void
@@ -295,27 +387,27 @@
     }
     if (query.kind >= CACHED_KIND_COUNT ||
         !watch_has_list(watch_for(cache, query.kind))) {
-        send_answer(caller, 404, NULL);
+        static const buf_t none = {0};
+        send_text(caller, 404, &none);
         return true;
     }
     watch_t *watch = watch_for(cache, query.kind);
     int64_t now = time_mono_ms();
     if (!query.is_watch) {
-        send_answer(caller, 200,
-                    platform_encode_page(cache->kinds[query.kind].objects,
-                                         watch_revision(watch),
-                                         watch_age_ms(watch, now),
-                                         watch_is_recovering(watch, now)));
+        send_page(caller, platform_encode_page(
+                              cache->kinds[query.kind].objects,
+                              watch_revision(watch), watch_age_ms(watch, now),
+                              watch_is_recovering(watch, now)));
         return true;
     }
     watch_note_follower(watch);
-    json_t *page;
+    CLEAN_BUF buf_t page = {0};
     int status = poll_changes(cache, query.kind, query.after_revision,
                               query.wait_ms <= 0, &page);
     if (status == 0) {
         add_waiter(cache, caller, &query);
         return true;
     }
-    send_answer(caller, status, page);
+    send_text(caller, status, &page);
     return true;
 }
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -109,6 +109,7 @@
     bool calls_upstream;       /* the current call goes to the upstream */
     int64_t followed_until_ms; /* when the last follower counts as gone */
     bool fresh;                /* objects are current according to the store */
+    bool asks_store; /* the upstream has changes that it does not pass on */
     int64_t short_wait_until_ms; /* use SHORT_WAIT_MS until then */
     unsigned peer_calls;         /* since the last call to the store */
     bool listed;                 /* a whole list has been received */
@@ -417,6 +418,7 @@
     bool batch = watch->kind == KIND_SERVERS && watch->listed &&
                  page.count > 0 && !watch->calls_upstream;
     bool has_changes = page.count > 0;
+    watch->asks_store = page.ask_store;
     platform_page_free(&page);
     update_fresh(watch,
                  !watch->calls_upstream && watch->state == WATCH_WATCHING,
@@ -498,7 +500,8 @@
 static bool
 find_upstream(watch_t *watch)
 {
-    if (watch->state != WATCH_WATCHING || !watch->listed) {
+    if (watch->state != WATCH_WATCHING || !watch->listed ||
+        watch->asks_store) {
         return false;
     }
     switch (watch->hooks.find_upstream(watch->hooks.arg, watch->upstream)) {
--- a/tests/test-object-cache.c
+++ b/tests/test-object-cache.c
@@ -42,4 +42,52 @@
 }
 END_TEST
 
-TEST_MAIN("object-cache", outdated_list_keeps_newer_objects)
+static size_t
+count_events(const buf_t *page, bool *asks_store, int64_t *revision)
+{
+    CLEAN_JSON json_t *doc = json_loadb(page->data, page->len, 0, NULL);
+    ck_assert_ptr_nonnull(doc);
+    *asks_store = json_get_bool(doc, "ask_store");
+    *revision = json_get_int(doc, "at", 0);
+    return json_array_size(json_object_get(doc, "events"));
+}
+
+/* Guards against a large change that all followers get from one host at once
+ * and that holds up everything else on its link. */
+START_TEST(large_changes_are_left_to_the_store)
+{
+    relay_t *relay = mem_zalloc(sizeof(*relay));
+    object_cache_t *cache = object_cache_new(relay);
+    changes_answer_t answer = {
+        .revision = 40, .age_ms = 5, .max_len = SIZE_MAX};
+    bool asks_store;
+    int64_t revision;
+    CLEAN_BUF buf_t all = {0};
+    CLEAN_BUF buf_t none = {0};
+    CLEAN_BUF buf_t last = {0};
+    put(cache, "a", 20);
+    put(cache, "b", 30);
+    put(cache, "c", 40);
+    ck_assert(
+        object_cache_write_changes(cache, KIND_SERVERS, 20, &answer, &all));
+    ck_assert_uint_eq(count_events(&all, &asks_store, &revision), 2);
+    ck_assert(!asks_store);
+    ck_assert_int_eq(revision, 40);
+    /* The follower stays at its revision, so that it misses none of them. */
+    answer.max_len = 150;
+    ck_assert(
+        object_cache_write_changes(cache, KIND_SERVERS, 20, &answer, &none));
+    ck_assert_uint_eq(count_events(&none, &asks_store, &revision), 0);
+    ck_assert(asks_store);
+    ck_assert_int_eq(revision, 20);
+    ck_assert(
+        object_cache_write_changes(cache, KIND_SERVERS, 30, &answer, &last));
+    ck_assert_uint_eq(count_events(&last, &asks_store, &revision), 1);
+    ck_assert(!asks_store);
+    object_cache_free(cache);
+    free(relay);
+}
+END_TEST
+
+TEST_MAIN("object-cache", outdated_list_keeps_newer_objects,
+          large_changes_are_left_to_the_store)
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -206,6 +206,7 @@
     {"bounds.lease_ms", "3000.5"},
     {"bounds.version_ms", "1e4"},
     {"limits.memory_mb", "120"},
+    {"limits.link_mbps", "10.5"},
 };
 #define PLATFORM_VALUE_COUNT \
     (sizeof(platform_values) / sizeof(platform_values[0]))
@@ -230,11 +231,12 @@
     ck_assert_double_eq(settings.quota_overage, 0.1);
     ck_assert_double_eq(settings.quota_slack, 140000);
     ck_assert_double_eq(settings.memory_mb, 120);
+    ck_assert_double_eq(settings.link_mbps, 10.5);
 }
 END_TEST
 
 /* Guards against a daemon that exits at startup on a platform that sets no
- * bounds for quotas, or does not state the host's memory. */
+ * bounds for quotas, or does not state the host's memory and link. */
 START_TEST(quota_bounds_and_memory_may_be_missing)
 {
     settings_t settings;
@@ -243,7 +245,7 @@
     size_t count = 0;
     for (size_t i = 0; i < PLATFORM_VALUE_COUNT; i++) {
         if (strstr(platform_values[i].name, "quota") == NULL &&
-            strstr(platform_values[i].name, "memory") == NULL) {
+            strstr(platform_values[i].name, "limits.") == NULL) {
             values[count++] = platform_values[i];
         }
     }
@@ -252,6 +254,7 @@
     ck_assert_str_eq(buf_text(&problems), "");
     ck_assert_double_eq(settings.quota_slack, 0);
     ck_assert_double_eq(settings.memory_mb, 0);
+    ck_assert_double_eq(settings.link_mbps, 0);
 }
 END_TEST
 
@@ -278,7 +281,7 @@
         static const char *const keys[] = {
             "stop_s",      "retry_ratio", "retry_slack",    "retry_window_s",
             "lease_ms",    "weights_ms",  "quota_window_s", "quota_overage",
-            "quota_slack", "memory_mb"};
+            "quota_slack", "memory_mb",   "link_mbps"};
         for (size_t key = 0; key < sizeof(keys) / sizeof(keys[0]); key++) {
             char expected[128];
             (void)snprintf(expected, sizeof(expected),
--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -18,6 +18,7 @@
 #define STEPS_MAX 50
 #define NO_CHANGES "{\"events\":[],\"at\":5}"
 #define OLD_NO_CHANGES "{\"events\":[],\"at\":5,\"age_ms\":60000}"
+#define ASK_STORE "{\"events\":[],\"at\":5,\"age_ms\":5,\"ask_store\":true}"
 #define CHANGE                                                     \
     "{\"events\":[{\"tombstone\":false,\"object\":{\"metadata\":{" \
     "\"name\":\"main\",\"revision\":7},\"specification\":{}}}],\"at\":7}"
@@ -420,6 +421,22 @@
 }
 END_TEST
 
+/* Guards against a follower that gets no change that its upstream leaves to
+ * the store. */
+START_TEST(change_left_to_the_store_is_fetched_there)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_FOUND);
+    fixture.upstream.answer = ASK_STORE;
+    fixture.store.holds_watches = false;
+    fixture.store.answer = CHANGE;
+    fixture_start(&fixture);
+    ck_assert_int_lt(await_objects(&fixture, 2000), 1000);
+    ck_assert_uint_eq(fixture.lost_count, 0);
+    fixture_close(&fixture);
+}
+END_TEST
+
 /* Guards against a removed server that stays in use because the store had
  * closed an idle connection. */
 START_TEST(closed_connection_is_no_outage)
@@ -481,5 +498,7 @@
           first_follower_renews_long_watch,
           list_may_take_long_while_it_arrives,
           change_may_take_long_while_it_arrives, stale_upstream_is_bypassed,
-          dead_connection_is_bypassed, closed_connection_is_no_outage,
-          failure_of_one_host_is_no_outage, failure_of_all_hosts_is_an_outage)
+          dead_connection_is_bypassed,
+          change_left_to_the_store_is_fetched_there,
+          closed_connection_is_no_outage, failure_of_one_host_is_no_outage,
+          failure_of_all_hosts_is_an_outage)
