--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -6,12 +6,12 @@
 #include <string.h>
 
 /* Entry point of the platform stand-in.  Commands are sent to the store's
- * address: /admin/store {down, silent, lose, forget}, /admin/server/ID {mode,
- * draining, gone, events, gap_ms, limit_per_s, rest_s, leaving, brittle, room,
- * work_ms, pace, first_ms, slots, event_bytes, unread_ms, read_rate, forget,
- * preempt, readmit, hold_fetches, refuse_orders, late_order_ms, memory_used,
- * software, show_runs, mute_reports, end_streams, restart},
- * /admin/object/KIND/NAME with a specification. */
+ * address: /admin/store {down, silent, lose, forget, odd_spec},
+ * /admin/server/ID {mode, draining, gone, events, gap_ms, limit_per_s, rest_s,
+ * leaving, brittle, room, work_ms, pace, first_ms, slots, event_bytes,
+ * unread_ms, read_rate, forget, preempt, readmit, hold_fetches, refuse_orders,
+ * late_order_ms, memory_used, software, show_runs, mute_reports, end_streams,
+ * restart}, /admin/object/KIND/NAME with a specification. */
 
 #define SERVERS_MAX 32
 #define ADMIN_STORE "/admin/store"
@@ -84,6 +84,11 @@
     if (json_object_get(command, "silent") != NULL) {
         store->faults.silent = json_get_bool(command, "silent");
     }
+    const char *odd_spec = json_get_string(command, "odd_spec");
+    if (odd_spec != NULL) {
+        free(store->faults.odd_spec);
+        store->faults.odd_spec = odd_spec[0] != '\0' ? strdup(odd_spec) : NULL;
+    }
     store->faults.answers_to_drop =
         (int)json_get_int(command, "lose", store->faults.answers_to_drop);
     if (json_get_bool(command, "forget")) {
--- a/fakes/platform-store.c
+++ b/fakes/platform-store.c
@@ -19,6 +19,33 @@
     evbuffer_free(out);
 }
 
+/* Answers a list or a watch.  An odd entry is written as it is: no JSON
+ * library holds it. */
+static void
+answer_page(const platform_store_t *store, struct evhttp_request *req,
+            const char *kind, const json_t *body)
+{
+    CLEAN_TEXT char *text = json_dumps(body, JSON_COMPACT);
+    const char *list = strchr(text, '[') + 1;
+    bool events = strncmp(text, "{\"events\"", strlen("{\"events\"")) == 0;
+    if (store->faults.odd_spec == NULL || strcmp(kind, "servers") != 0) {
+        answer_json(req, 200, body);
+        return;
+    }
+    struct evbuffer *out = evbuffer_new();
+    (void)evbuffer_add(out, text, (size_t)(list - text));
+    (void)evbuffer_add_printf(
+        out,
+        "%s{\"metadata\":{\"name\":\"odd\",\"revision\":%lld},"
+        "\"specification\":%s}%s%s",
+        events ? "{\"tombstone\":false,\"object\":" : "",
+        (long long)store->revision, store->faults.odd_spec, events ? "}" : "",
+        *list == ']' ? "" : ",");
+    (void)evbuffer_add(out, list, strlen(list));
+    evhttp_send_reply(req, 200, NULL, out);
+    evbuffer_free(out);
+}
+
 json_t *
 parse_body(struct evhttp_request *req)
 {
@@ -101,8 +128,8 @@
                   events_since(store, watcher->kind, watcher->after_revision),
                   "at", (json_int_t)store->revision);
     struct evhttp_request *req = watcher->req;
+    answer_page(store, req, watcher->kind, body);
     watcher_free(watcher);
-    answer_json(req, 200, body);
 }
 
 static void
@@ -189,7 +216,7 @@
     CLEAN_JSON json_t *body =
         json_pack("{s:o,s:b,s:I}", "items", items, "has_more", more, "at",
                   (json_int_t)store->revision);
-    answer_json(req, 200, body);
+    answer_page(store, req, kind, body);
 }
 
 static void
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -32,6 +32,8 @@
     bool silent;           /* answers no call */
     int answers_to_drop;   /* next writes to apply but not answer */
     int64_t history_start; /* watches from older revisions: 410 */
+    char *odd_spec; /* of an entry that another writer has added to all answers
+                       about servers, as text; NULL for none */
 } store_faults_t;
 
 typedef struct platform_store {
