Streams: origins in the platform's store, for the case that all hosts end together

Cause: the version that began a stream is known to its host and three others alone. With several versions in service nobody else may guess.

While a service has servers of several versions, hosts write the origins of the streams that they began into objects of their own, in batches of 250 ms and up; when a second version appears, those of all streams under way. A host that no other host can tell an origin reads them. Records that differ mean that the version is not known. An origin is written once it is known which process sent the first event. At most 16 hosts write (all up to 8; 15 at 350), each at most four times a second; others send them theirs. Objects are written in turn, by the clock, and not again while their streams may be taken up; those of hosts that are gone are removed by the hosts that read.

--- a/fakes/platform-store.c
+++ b/fakes/platform-store.c
@@ -324,6 +324,21 @@
     answer_json(req, status, object != NULL ? object : none);
 }
 
+static void
+answer_delete(platform_store_t *store, struct evhttp_request *req,
+              const char *kind, const char *name)
+{
+    const json_t *object =
+        name != NULL ? store_find_object(store, kind, name) : NULL;
+    CLEAN_JSON json_t *none = json_pack("{s:s}", "error", "absent");
+    if (object == NULL) {
+        answer_json(req, 404, none);
+        return;
+    }
+    store_remove(store, kind, name);
+    answer_json(req, 200, none);
+}
+
 /* Handles a call to the store. */
 void
 store_handle(struct evhttp_request *req, void *arg)
@@ -357,6 +372,9 @@
         case EVHTTP_REQ_PUT:
             answer_write(store, req, kind, name);
             return;
+        case EVHTTP_REQ_DELETE:
+            answer_delete(store, req, kind, name);
+            return;
         default:
             answer_json(req, 400, error);
             return;
--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -232,6 +232,7 @@
             break;
         case PEER_ORIGINS:
         case PEER_ORIGIN_QUERY:
+        case PEER_ORIGIN_RECORDS:
             pack_origins(&packer, datagram);
             break;
         case PEER_SPEEDS:
@@ -486,6 +487,7 @@
                    parse_part(entry, &datagram->parts[i]);
         case PEER_ORIGINS:
         case PEER_ORIGIN_QUERY:
+        case PEER_ORIGIN_RECORDS:
             datagram->origin_count = i + 1;
             return i < PEER_ORIGINS_MAX &&
                    parse_origin(entry, &datagram->origins[i]);
@@ -534,6 +536,7 @@
             return;
         case PEER_ORIGINS:
         case PEER_ORIGIN_QUERY:
+        case PEER_ORIGIN_RECORDS:
             datagram->origin_count = 0;
             return;
         case PEER_SPEEDS:
@@ -578,7 +581,8 @@
     bool loads = kind == PEER_LOADS && size == LOADS_FIELDS;
     bool signals = kind == PEER_SIGNALS && size == SIGNALS_FIELDS;
     bool parts = kind == PEER_PARTS && size == PARTS_FIELDS;
-    bool origins = (kind == PEER_ORIGINS || kind == PEER_ORIGIN_QUERY) &&
+    bool origins = (kind == PEER_ORIGINS || kind == PEER_ORIGIN_QUERY ||
+                    kind == PEER_ORIGIN_RECORDS) &&
                    size == ORIGINS_FIELDS;
     bool speeds = kind == PEER_SPEEDS && size == SPEEDS_FIELDS;
     return members || facts || usages || loads || signals || parts ||
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -28,7 +28,8 @@
     PEER_PARTS = 6,
     PEER_ORIGINS = 7,
     PEER_ORIGIN_QUERY = 8, /* each entry names a stream only */
-    PEER_SPEEDS = 9
+    PEER_SPEEDS = 9,
+    PEER_ORIGIN_RECORDS = 10 /* to be written to the platform's store */
 } peer_kind_t;
 
 /* A load report or a change of a cache entry of a backend server. */
@@ -87,7 +88,8 @@
     uint32_t age_ms; /* of the observation */
 } peer_part_t;
 
-/* Streams in one PEER_ORIGINS or PEER_ORIGIN_QUERY datagram. */
+/* Streams in one PEER_ORIGINS, PEER_ORIGIN_QUERY or PEER_ORIGIN_RECORDS
+ * datagram. */
 #define PEER_ORIGINS_MAX 64
 
 /* Which software version began a stream; see relay/stream-origins.h. */
@@ -136,7 +138,7 @@
             peer_part_t parts[PEER_PARTS_MAX];
             size_t part_count;
         };
-        struct { /* PEER_ORIGINS, PEER_ORIGIN_QUERY */
+        struct { /* PEER_ORIGINS, PEER_ORIGIN_QUERY, PEER_ORIGIN_RECORDS */
             peer_origin_t origins[PEER_ORIGINS_MAX];
             size_t origin_count;
         };
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -149,6 +149,7 @@
         case PEER_ORIGINS:
         case PEER_ORIGIN_QUERY:
         case PEER_SPEEDS:
+        case PEER_ORIGIN_RECORDS:
             return;
     }
 }
--- a/relay/peers-datagram.c
+++ b/relay/peers-datagram.c
@@ -184,6 +184,9 @@
         case PEER_ORIGINS:
             peers_apply_origins(peers, host, now);
             return;
+        case PEER_ORIGIN_RECORDS:
+            peers_apply_origin_records(peers, now);
+            return;
         case PEER_ORIGIN_QUERY:
             peers_answer_origin_query(peers, from, now);
             return;
--- a/relay/peers-internal.h
+++ b/relay/peers-internal.h
@@ -77,6 +77,7 @@
 /* Origins of streams. */
 void peers_send_origins(peers_t *peers, const char *addr);
 void peers_apply_origins(peers_t *peers, uint64_t host, int64_t now);
+void peers_apply_origin_records(peers_t *peers, int64_t now);
 void peers_answer_origin_query(peers_t *peers, const struct sockaddr_in *from,
                                int64_t now);
 
--- a/relay/peers-origins.c
+++ b/relay/peers-origins.c
@@ -1,3 +1,4 @@
+#include "origin-store.h"
 #include "peers-internal.h"
 
 #include <string.h>
@@ -64,6 +65,69 @@
     }
 }
 
+/* Finds the host that records the origins of this one; false if this one does
+ * so itself. */
+static bool
+find_recorder(peers_t *peers, member_t *out)
+{
+    member_t owners[ORIGIN_RECORDERS_MAX];
+    const char *self = peers->relay->settings.name;
+    size_t wanted = origin_recorder_count(peers_live_count(peers));
+    size_t count = wanted == 0
+                       ? 0
+                       : members_list_duty_owners(
+                             peers->members, "origin-records", owners, wanted);
+    const member_t *best = NULL;
+    uint64_t key = str_hash(self, 0);
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(owners[i].name, self) == 0) {
+            return false;
+        }
+        if (best == NULL || place_rendezvous_weight(key, owners[i].name) >
+                                place_rendezvous_weight(key, best->name)) {
+            best = &owners[i];
+        }
+    }
+    if (best == NULL) {
+        return false;
+    }
+    *out = *best;
+    return true;
+}
+
+/* Sends the origin of a stream to the host that records it; false if this one
+ * is to do so itself. */
+bool
+peers_send_to_recorder(peers_t *peers, const stream_origin_t *origin)
+{
+    member_t recorder;
+    peer_datagram_t *datagram = &peers->scratch;
+    if (!find_recorder(peers, &recorder)) {
+        return false;
+    }
+    datagram->kind = PEER_ORIGIN_RECORDS;
+    datagram->origin_count = 0;
+    add_origin(datagram, origin, time_mono_ms());
+    peers_send(peers, recorder.peer_addr, datagram);
+    return true;
+}
+
+/* Records the origins that another host has sent for that. */
+void
+peers_apply_origin_records(peers_t *peers, int64_t now)
+{
+    const peer_datagram_t *datagram = &peers->scratch;
+    for (size_t i = 0; i < datagram->origin_count; i++) {
+        const peer_origin_t *entry = &datagram->origins[i];
+        const stream_origin_t origin = {
+            .stream = entry->stream,
+            .service = entry->service,
+            .software = entry->software,
+            .expires_ms = now + entry->lifetime_ms};
+        origin_store_add(peers->relay->origin_store, &origin);
+    }
+}
+
 static void
 send_query(peers_t *peers, const stream_query_t *query)
 {
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -22,6 +22,7 @@
 bool peers_choose_helper(peers_t *peers, const helpers_tried_t *tried,
                          member_t *out);
 void peers_announce_origin(peers_t *peers, const stream_origin_t *origin);
+bool peers_send_to_recorder(peers_t *peers, const stream_origin_t *origin);
 void peers_ask_origin(peers_t *peers, stream_query_t *query);
 void peers_ask_origin_again(peers_t *peers, const stream_query_t *query);
 bool peers_is_alive(peers_t *peers, const char *peer_addr);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -1,3 +1,4 @@
+#include "origin-store.h"
 #include "peers.h"
 
 #include <signal.h>
@@ -269,6 +270,7 @@
     relay_held_tick(relay);
     requests_tick(relay);
     rollout_tick(relay->rollout);
+    origin_store_tick(relay->origin_store, time_mono_ms());
     cache_follower_tick(relay->cache_follower);
     peers_tick(relay->peers);
     if (relay->stop_requested_ms != 0) {
@@ -422,6 +424,7 @@
                settings->store_addr);
     discovery_start(relay);
     relay->rollout = rollout_new(relay);
+    relay->origin_store = origin_store_new(relay);
     relay->cache_follower = cache_follower_new(relay);
     (void)event_base_dispatch(relay->base);
     log_flush();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -39,6 +39,7 @@
 typedef struct software_check software_check_t;
 typedef struct rollout rollout_t;
 typedef struct peers peers_t;
+typedef struct origin_store origin_store_t;
 typedef struct object_cache object_cache_t;
 typedef struct cache_follower cache_follower_t;
 
@@ -131,6 +132,7 @@
     part_notify_t notify_part;
     cache_follower_t *cache_follower;
     stream_origins_t stream_origins;
+    origin_store_t *origin_store;
     software_seen_t software_seen;
     software_listed_t software_listed;
     retry_shares_t retry_shares;
@@ -204,6 +206,7 @@
 void requests_apply_origin(relay_t *relay, const stream_origin_t *origin);
 void requests_note_origin_unknown(relay_t *relay, uint64_t stream,
                                   uint64_t host);
+void requests_apply_records(relay_t *relay, bool read);
 void requests_fail_over(relay_t *relay, const server_t *server,
                         bool with_started);
 
--- a/relay/request-proof.c
+++ b/relay/request-proof.c
@@ -29,6 +29,7 @@
     uint64_t software = find_software(request, server, verdict);
     request->proof.pending = false;
     if (software == request->current_software) {
+        request_record_origin(request);
         return;
     }
     log_record(LOG_INFO, "request", "origin-corrected",
@@ -39,6 +40,7 @@
     request->current_software = software;
     if (request->software != SOFTWARE_ANY) {
         request_correct_origin(request, software);
+        request_record_origin(request);
     }
 }
 
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -1,3 +1,4 @@
+#include "origin-store.h"
 #include "peers.h"
 #include "request.h"
 
@@ -9,6 +10,8 @@
 
 /* Other hosts are a few ms away; one that has just ended does not answer. */
 #define ORIGIN_ANSWER_MS 300
+/* The store is waited for so long: it answers in a few ms. */
+#define STORE_ANSWER_MS 2000
 /* Retry-After if the hosts that may know the origin did not all answer, ms. */
 #define RETRY_AFTER_UNKNOWN_MS 300
 /* Streams may have begun this much earlier than the longest timeout: clocks
@@ -70,6 +73,24 @@
     peers_announce_origin(
         relay->peers,
         stream_origins_put(&relay->stream_origins, &origin, now));
+    request_record_origin(request);
+}
+
+/* Has the origin of the stream recorded in the store, once it is known which
+ * process sent its first event.  Another host's server is not looked at. */
+void
+request_record_origin(const request_t *request)
+{
+    relay_t *relay = request->relay;
+    if (request->proof.pending || request->from_host ||
+        request->server == NULL || request->software == SOFTWARE_ANY) {
+        return;
+    }
+    const stream_origin_t *origin = stream_origins_find(
+        &relay->stream_origins, get_stream_key(request), time_mono_ms());
+    if (origin != NULL) {
+        origin_store_note(relay->origin_store, origin);
+    }
 }
 
 /* The software version that began the stream turns out to be another one.
@@ -171,6 +192,26 @@
     return apply_origin(request, &origin, "only");
 }
 
+/* No other host knows the stream: the store may, or else its service had one
+ * version alone.  Returns whether the request may be placed now. */
+static bool
+resolve_without_peers(request_t *request, bool all_answered)
+{
+    stream_origin_t origin;
+    switch (origin_store_find(request->relay->origin_store, request->resumes,
+                              &origin)) {
+        case ORIGIN_STORE_FOUND:
+            return apply_origin(request, &origin, "store");
+        case ORIGIN_STORE_READING:
+            request->origin_pending = true;
+            request->origin_peers_done = true;
+            return false;
+        case ORIGIN_STORE_NONE:
+            break;
+    }
+    return apply_only_version(request, all_answered);
+}
+
 /* Asks other hosts for the origin; false if there are none or too many
  * questions were asked lately. */
 static bool
@@ -219,22 +260,48 @@
     if (origin != NULL) {
         return apply_origin(request, origin, "own");
     }
-    return !ask_for_origin(request) && apply_only_version(request, false);
+    request->origin_asked_ms = time_mono_ms();
+    return !ask_for_origin(request) && resolve_without_peers(request, false);
 }
 
 /* Asks again, or gives up asking. */
 void
 request_tick_origin(request_t *request, int64_t now)
 {
-    if (now - request->origin_asked_ms < ORIGIN_ANSWER_MS) {
+    int64_t waited_ms = now - request->origin_asked_ms;
+    if (request->origin_peers_done) {
+        if (waited_ms >= STORE_ANSWER_MS &&
+            apply_only_version(request, false)) {
+            (void)request_place(request);
+        }
+        return;
+    }
+    if (waited_ms < ORIGIN_ANSWER_MS) {
         peers_ask_origin_again(request->relay->peers, &request->origin_query);
         return;
     }
-    if (apply_only_version(request, false)) {
+    if (resolve_without_peers(request, false)) {
         (void)request_place(request);
     }
 }
 
+/* Goes on with the requests that wait for the origins in the store, which were
+ * read, or could not be. */
+void
+requests_apply_records(relay_t *relay, bool read)
+{
+    request_t *request;
+    request_t *next;
+    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+        if (request->origin_pending && request->origin_peers_done &&
+            resolve_without_peers(
+                request,
+                read && stream_query_is_answered(&request->origin_query))) {
+            (void)request_place(request);
+        }
+    }
+}
+
 /* Goes on with the requests that wait for this origin. */
 void
 requests_apply_origin(relay_t *relay, const stream_origin_t *origin)
@@ -261,8 +328,9 @@
             continue;
         }
         stream_query_note_unknown(&request->origin_query, host);
-        if (stream_query_is_answered(&request->origin_query) &&
-            apply_only_version(request, true)) {
+        if (!request->origin_peers_done &&
+            stream_query_is_answered(&request->origin_query) &&
+            resolve_without_peers(request, true)) {
             (void)request_place(request);
         }
     }
--- a/relay/request.h
+++ b/relay/request.h
@@ -133,7 +133,8 @@
     int64_t check_started_ms;
     bool connection_checked; /* an idle one leads to the checked process */
     uint64_t resumes;    /* key of the stream that is taken up; 0 for none */
-    bool origin_pending; /* other hosts were asked for its origin */
+    bool origin_pending; /* its origin was asked for */
+    bool origin_peers_done;    /* of other hosts, and they do not know it */
     int64_t origin_asked_ms;   /* when that was */
     int64_t origin_expires_ms; /* the caller does not return after this */
     stream_query_t origin_query;
@@ -218,6 +219,7 @@
 void request_wait_for_server(request_t *request);
 bool request_can_use(const request_t *request, const server_t *server);
 bool request_resolve_origin(request_t *request);
+void request_record_origin(const request_t *request);
 void request_tick_origin(request_t *request, int64_t now);
 void request_note_first_event(request_t *request);
 void request_correct_origin(request_t *request, uint64_t software);
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -66,6 +66,7 @@
 {
     CK_LIST_REMOVE(origin, entry);
     origin->expires_ms = 0;
+    origin->begun = false;
     CK_LIST_INSERT_HEAD(&origins->free, origin, entry);
     origins->count--;
 }
@@ -140,6 +141,32 @@
     return origin != NULL && origin->expires_ms > now_ms ? origin : NULL;
 }
 
+/* Marks a stream that this host has begun. */
+void
+stream_origins_mark_begun(stream_origins_t *origins, uint64_t stream)
+{
+    stream_origin_t *origin = find(origins, stream);
+    if (origin != NULL) {
+        origin->begun = true;
+    }
+}
+
+/* Lists the streams that this host has begun; returns their number, at most
+ * STREAM_ORIGINS_MAX. */
+size_t
+stream_origins_list_begun(const stream_origins_t *origins,
+                          const stream_origin_t **out, int64_t now_ms)
+{
+    size_t count = 0;
+    for (size_t i = 0; i < STREAM_ORIGINS_MAX; i++) {
+        const stream_origin_t *origin = &origins->all[i];
+        if (origin->begun && origin->expires_ms > now_ms) {
+            out[count++] = origin;
+        }
+    }
+    return count;
+}
+
 /* Forgets the origins that have expired. */
 void
 stream_origins_sweep(stream_origins_t *origins, int64_t now_ms)
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -132,6 +132,7 @@
         case KIND_LEASES:
             return "leases";
         case KIND_PEERS:
+        case KIND_ORIGINS:
             break;
     }
     return "daemons";
--- /dev/null
+++ b/tests/test-origin-records.c
@@ -0,0 +1,158 @@
+#include "../platform/platform.h"
+#include "../relay/origin-records.h"
+#include "../relay/stream-origins.h"
+#include "test.h"
+
+#include <string.h>
+
+#define NOW 1000000
+#define LATER (NOW + 5000)
+
+static origin_record_t
+make_record(uint64_t stream, uint64_t software)
+{
+    return (origin_record_t){.stream = stream,
+                             .service = 7,
+                             .software = software,
+                             .expires_ms = LATER};
+}
+
+static void
+collect(void *arg, const origin_record_t *record)
+{
+    origin_records_add(arg, record, NOW);
+}
+
+START_TEST(records_are_found)
+{
+    origin_records_t records = {0};
+    origin_record_t found;
+    for (uint64_t stream = 1; stream <= 1000; stream++) {
+        origin_record_t record = make_record(stream * 7919 % 1009, stream % 3);
+        origin_records_add(&records, &record, NOW);
+    }
+    ck_assert(!origin_records_find(&records, 7919 % 1009, NOW, &found));
+    origin_records_complete(&records);
+    for (uint64_t stream = 1; stream <= 1000; stream++) {
+        ck_assert(
+            origin_records_find(&records, stream * 7919 % 1009, NOW, &found));
+        ck_assert_uint_eq(found.software, stream % 3);
+    }
+    ck_assert(!origin_records_find(&records, 2000, NOW, &found));
+    ck_assert(!origin_records_find(&records, 1, LATER, &found));
+    origin_records_clear(&records);
+}
+END_TEST
+
+/* Guards against a stream that goes on at another version, if a host recorded
+ * its origin before it learned which process began it. */
+START_TEST(records_that_differ_are_unknown)
+{
+    origin_records_t records = {0};
+    origin_record_t found;
+    const origin_record_t first = make_record(5, 1);
+    const origin_record_t second = make_record(5, 2);
+    const origin_record_t twice = make_record(6, 3);
+    origin_records_add(&records, &second, NOW);
+    origin_records_add(&records, &first, NOW);
+    origin_records_add(&records, &twice, NOW);
+    origin_records_add(&records, &twice, NOW);
+    origin_records_complete(&records);
+    ck_assert(origin_records_find(&records, 5, NOW, &found));
+    ck_assert_uint_eq(found.software, SOFTWARE_UNKNOWN);
+    ck_assert(origin_records_find(&records, 6, NOW, &found));
+    ck_assert_uint_eq(found.software, 3);
+    origin_records_clear(&records);
+}
+END_TEST
+
+START_TEST(batch_keeps_the_newest)
+{
+    static origin_batch_t batch;
+    for (uint64_t stream = 0; stream < ORIGIN_BATCH_MAX + 10; stream++) {
+        const origin_record_t record = make_record(stream, 1);
+        origin_batch_add(&batch, &record);
+    }
+    ck_assert_uint_eq(batch.count, ORIGIN_BATCH_MAX);
+    ck_assert_uint_eq(batch.all[0].stream, 10);
+    origin_batch_drop(&batch, 4);
+    ck_assert_uint_eq(batch.all[0].stream, 14);
+    batch.all[0].expires_ms = NOW;
+    origin_batch_expire(&batch, NOW);
+    ck_assert_uint_eq(batch.all[0].stream, 15);
+    origin_batch_drop(&batch, SIZE_MAX);
+    ck_assert_uint_eq(batch.count, 0);
+}
+END_TEST
+
+START_TEST(segment_is_read_as_written)
+{
+    const origin_record_t written[] = {
+        make_record(0xfedcba9876543210, UINT64_MAX - 1),
+        make_record(1, 3),
+        make_record(2, UINT64_MAX - 1),
+    };
+    size_t count = sizeof(written) / sizeof(written[0]);
+    origin_records_t records = {0};
+    origin_record_t found;
+    CLEAN_JSON json_t *spec = platform_origins_spec(written, count);
+    const store_object_t object = {.name = "a-1", .revision = 3, .spec = spec};
+    platform_origins_read(&object, collect, &records);
+    origin_records_complete(&records);
+    ck_assert_uint_eq(records.count, count);
+    for (size_t i = 0; i < count; i++) {
+        ck_assert(
+            origin_records_find(&records, written[i].stream, NOW, &found));
+        ck_assert_uint_eq(found.software, written[i].software);
+        ck_assert_uint_eq(found.service, 7);
+        ck_assert_int_eq(found.expires_ms, LATER);
+    }
+    origin_records_clear(&records);
+}
+END_TEST
+
+/* Guards against odd objects of this kind that another writer left. */
+START_TEST(odd_segments_are_skipped)
+{
+    static const char *const texts[] = {
+        "{}",
+        "[]",
+        "{\"until\":1e300,\"groups\":[[1,2,\"00\"]]}",
+        "{\"until\":1005000,\"groups\":{}}",
+        "{\"until\":1005000,\"groups\":[3,[],[1],[1,2],[1,2,3]]}",
+        "{\"until\":1005000,\"groups\":[[1,2,\"zz00000000000000\"]]}",
+        "{\"until\":1005000,\"groups\":[[1,2,\"0000\"]]}",
+    };
+    origin_records_t records = {0};
+    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+        CLEAN_JSON json_t *spec = json_loads(texts[i], 0, NULL);
+        const store_object_t object = {.name = "a-1", .spec = spec};
+        platform_origins_read(&object, collect, &records);
+    }
+    ck_assert_uint_eq(records.count, 0);
+    origin_records_clear(&records);
+}
+END_TEST
+
+/* Guards against an object that is written again while its streams may be
+ * taken up, and against writes that grow with the fleet. */
+START_TEST(slots_and_recorders_are_bounded)
+{
+    static const int64_t longest[] = {0, 3000, 15000, 60000, 600000};
+    for (size_t i = 0; i < sizeof(longest) / sizeof(longest[0]); i++) {
+        int64_t slot_ms = origin_slot_ms(longest[i]);
+        ck_assert_int_ge(slot_ms, 250);
+        ck_assert_int_ge(slot_ms * (ORIGIN_SLOTS - 1), longest[i] + 8000);
+    }
+    ck_assert_int_eq(origin_slot_ms(15000), 250);
+    ck_assert_uint_eq(origin_recorder_count(4), 0);
+    ck_assert_uint_eq(origin_recorder_count(8), 0);
+    ck_assert_uint_eq(origin_recorder_count(63), 9);
+    ck_assert_uint_eq(origin_recorder_count(350), 15);
+    ck_assert_uint_le(origin_recorder_count(5000), ORIGIN_RECORDERS_MAX);
+}
+END_TEST
+
+TEST_MAIN("origin-records", records_are_found, records_that_differ_are_unknown,
+          batch_keeps_the_newest, segment_is_read_as_written,
+          odd_segments_are_skipped, slots_and_recorders_are_bounded)
