Object cache: the last change of each object alone; ages as _ms_ago

An earlier change of an object is dropped when a newer one comes: followers need the last one only. A follower that cannot reach the store follows its upstream again after it has got a large change from a peer.

Tests: last_change_of_an_object_is_kept (3 changes before, 2 now).

--- a/relay/object-cache.c
+++ b/relay/object-cache.c
@@ -25,7 +25,8 @@
 typedef struct object_change {
     CK_STAILQ_ENTRY(object_change) entry;
     int64_t revision;
-    json_t *json; /* until the text is made */
+    char name[CS_NAME_MAX * 2]; /* of the object */
+    json_t *json;               /* until the text is made */
     char *text;
     size_t len;
 } object_change_t;
@@ -71,12 +72,10 @@
     return cache;
 }
 
-/* Drops the oldest change. */
 static void
-drop_change(object_cache_kind_t *cached)
+drop_change(object_cache_kind_t *cached, object_change_t *change)
 {
-    object_change_t *change = CK_STAILQ_FIRST(&cached->changes);
-    CK_STAILQ_REMOVE_HEAD(&cached->changes, entry);
+    CK_STAILQ_REMOVE(&cached->changes, change, object_change, entry);
     cached->change_count--;
     json_decref(change->json);
     free(change->text);
@@ -87,7 +86,7 @@
 drop_changes(object_cache_kind_t *cached)
 {
     while (cached->change_count > 0) {
-        drop_change(cached);
+        drop_change(cached, CK_STAILQ_FIRST(&cached->changes));
     }
 }
 
@@ -126,17 +125,34 @@
     }
 }
 
-/* Keeps a change for the followers. */
+/* Drops the earlier change of an object, which followers need no more: without
+ * this, each large configuration would be kept. */
+static void
+drop_earlier_change(object_cache_kind_t *cached, const char *name)
+{
+    object_change_t *change;
+    object_change_t *next;
+    CK_STAILQ_FOREACH_SAFE (change, &cached->changes, entry, next) {
+        if (strcmp(change->name, name) == 0) {
+            drop_change(cached, change);
+        }
+    }
+}
+
+/* Keeps the last change of each object for the followers. */
 static void
 add_change(object_cache_kind_t *cached, const store_object_t *object)
 {
+    drop_earlier_change(cached, object->name);
     object_change_t *change = mem_zalloc(sizeof(*change));
     change->revision = object->revision;
+    str_copy(change->name, sizeof(change->name), object->name);
     change->json = platform_encode_change(object);
     CK_STAILQ_INSERT_TAIL(&cached->changes, change, entry);
     if (++cached->change_count > CHANGES_MAX) {
-        cached->changes_since = CK_STAILQ_FIRST(&cached->changes)->revision;
-        drop_change(cached);
+        object_change_t *oldest = CK_STAILQ_FIRST(&cached->changes);
+        cached->changes_since = oldest->revision;
+        drop_change(cached, oldest);
     }
 }
 
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -178,11 +178,11 @@
                       (double)(now - watch_answered_ms(relay->config_watch)));
     meter_write_value(out, "servers_heard_ms_ago",
                       (double)(now - watch_answered_ms(relay->servers_watch)));
-    meter_write_value(out, "config_age_ms",
+    meter_write_value(out, "config_confirmed_ms_ago",
                       (double)watch_age_ms(relay->config_watch, now));
-    meter_write_value(out, "servers_age_ms",
+    meter_write_value(out, "servers_confirmed_ms_ago",
                       (double)watch_age_ms(relay->servers_watch, now));
-    meter_write_value(out, "tick_late_ms_max", (double)relay->tick_late_ms);
+    meter_write_value(out, "late_ticks_total", (double)relay->late_ticks);
     meter_write_value(out, "store_calls_total",
                       (double)(watch_store_call_count(relay->config_watch) +
                                watch_store_call_count(relay->servers_watch) +
@@ -242,10 +242,8 @@
     if (first) {
         return;
     }
-    if (late_ms > relay->tick_late_ms) {
-        relay->tick_late_ms = late_ms;
-    }
     if (late_ms >= LATE_TICK_MS) {
+        relay->late_ticks++;
         log_record(LOG_WARN, "daemon", "late", "ms=%lld requests=%zu",
                    (long long)late_ms, relay->request_count);
     }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -147,8 +147,8 @@
     uint64_t placement_count;
     double mean_prompt_tokens; /* smoothed, of requests for engines */
     unsigned tick_count;
-    int64_t ticked_ms;    /* when the last tick ran */
-    int64_t tick_late_ms; /* longest delay of a tick so far */
+    int64_t ticked_ms;   /* when the last tick ran */
+    uint64_t late_ticks; /* that came LATE_TICK_MS late */
     const char *settings_path;
     int64_t stop_requested_ms; /* 0 while no shutdown was requested */
     meter_t meter;
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -225,6 +225,7 @@
     }
     char peer[CS_ADDR_MAX];
     watch->failed = true;
+    watch->asks_store = false;
     update_fresh(watch, false, false);
     /* A peer that has just started has no objects, so several are tried. */
     unsigned calls_max =
--- a/tests/test-object-cache.c
+++ b/tests/test-object-cache.c
@@ -89,5 +89,32 @@
 }
 END_TEST
 
+/* Guards against a host that keeps each of many large configurations in
+ * memory. */
+START_TEST(last_change_of_an_object_is_kept)
+{
+    relay_t *relay = mem_zalloc(sizeof(*relay));
+    object_cache_t *cache = object_cache_new(relay);
+    const changes_answer_t answer = {
+        .revision = 40, .age_ms = 5, .max_len = SIZE_MAX};
+    bool asks_store;
+    int64_t revision;
+    CLEAN_BUF buf_t all = {0};
+    CLEAN_BUF buf_t last = {0};
+    put(cache, "a", 20);
+    put(cache, "b", 30);
+    put(cache, "a", 40);
+    ck_assert(
+        object_cache_write_changes(cache, KIND_SERVERS, 10, &answer, &all));
+    ck_assert_uint_eq(count_events(&all, &asks_store, &revision), 2);
+    ck_assert(
+        object_cache_write_changes(cache, KIND_SERVERS, 30, &answer, &last));
+    ck_assert_uint_eq(count_events(&last, &asks_store, &revision), 1);
+    object_cache_free(cache);
+    free(relay);
+}
+END_TEST
+
 TEST_MAIN("object-cache", outdated_list_keeps_newer_objects,
-          large_changes_are_left_to_the_store)
+          large_changes_are_left_to_the_store,
+          last_change_of_an_object_is_kept)
--- a/tests/test-origin-records.c
+++ b/tests/test-origin-records.c
@@ -1,3 +1,4 @@
+#include "../kernel/peer-codec.h"
 #include "../platform/platform.h"
 #include "../relay/origin-records.h"
 #include "../relay/stream-origins.h"
@@ -153,6 +154,52 @@
 }
 END_TEST
 
+#define FLEET 350
+#define STREAMS_PER_S 3.3 /* at each host */
+#define BYTES_PER_S_MAX 8000
+
+/* Guards against bytes of a host that records for others beyond what control
+ * may cost at letter 1's size. */
+START_TEST(recorders_bytes_are_bounded)
+{
+    static origin_batch_t batch;
+    static peer_datagram_t datagram;
+    unsigned char data[PEER_DATAGRAM_MAX];
+    const unsigned char secret[32] = {0};
+    CLEAN_BUF buf_t call = {0};
+    size_t recorders = origin_recorder_count(FLEET);
+    double received_per_s = STREAMS_PER_S * FLEET / (double)recorders;
+    double writes_per_s = 1000.0 / (double)origin_slot_ms(15000);
+    size_t per_write = (size_t)(received_per_s / writes_per_s) + 1;
+    for (size_t i = 0; i < per_write; i++) {
+        const origin_record_t record =
+            make_record(UINT64_MAX - i, UINT64_MAX / (i % 2 + 2));
+        origin_batch_add(&batch, &record);
+    }
+    CLEAN_JSON json_t *spec = platform_origins_spec(batch.all, batch.count);
+    platform_replace_call(&call, "10.200.1.7:8587", KIND_ORIGINS,
+                          "edge-kgn-a-100-95", 0, spec);
+    datagram.kind = PEER_ORIGIN_RECORDS;
+    datagram.origin_count = 1;
+    datagram.origins[0] = (peer_origin_t){.stream = UINT64_MAX,
+                                          .service = UINT64_MAX,
+                                          .software = UINT64_MAX,
+                                          .lifetime_ms = 17000};
+    size_t len = peer_encode(&datagram, secret, data);
+    double bytes_per_s =
+        (double)call.len * writes_per_s + (double)len * received_per_s;
+    printf(
+        "origins: %zu recorders of %d hosts, %.0f writes/s in all, "
+        "%.0f B/s at each (%zu B a write of %zu origins, %zu B a "
+        "datagram)\n",
+        recorders, FLEET, writes_per_s * (double)recorders, bytes_per_s,
+        call.len, per_write, len);
+    ck_assert_double_le(bytes_per_s, BYTES_PER_S_MAX);
+    ck_assert_double_le(writes_per_s * (double)recorders, 100);
+}
+END_TEST
+
 TEST_MAIN("origin-records", records_are_found, records_that_differ_are_unknown,
           batch_keeps_the_newest, segment_is_read_as_written,
-          odd_segments_are_skipped, slots_and_recorders_are_bounded)
+          odd_segments_are_skipped, slots_and_recorders_are_bounded,
+          recorders_bytes_are_bounded)
