Origins in the store: by service, and by a clock without steps; no older change replaces a newer

Found on reading the diff again, none seen by callers. Origins of all resumable streams were recorded while any service had several versions, a plain one too: now those of the services that have. A step back of the wall clock would have had a host write over objects of the seconds before: the objects in turn follow the clock without steps since the start. A change that comes late (a check of the store may deliver a newer one first) replaced the newer change of its object for followers: it is ignored.

--- a/relay/object-cache.c
+++ b/relay/object-cache.c
@@ -125,25 +125,30 @@
     }
 }
 
-/* Drops the earlier change of an object, which followers need no more: without
- * this, each large configuration would be kept. */
-static void
-drop_earlier_change(object_cache_kind_t *cached, const char *name)
+static object_change_t *
+find_change(const object_cache_kind_t *cached, const char *name)
 {
     object_change_t *change;
-    object_change_t *next;
-    CK_STAILQ_FOREACH_SAFE (change, &cached->changes, entry, next) {
+    CK_STAILQ_FOREACH (change, &cached->changes, entry) {
         if (strcmp(change->name, name) == 0) {
-            drop_change(cached, change);
+            return change;
         }
     }
+    return NULL;
 }
 
-/* Keeps the last change of each object for the followers. */
+/* Keeps the last change of each object for the followers, who need no earlier
+ * one: otherwise each large configuration would be kept. */
 static void
 add_change(object_cache_kind_t *cached, const store_object_t *object)
 {
-    drop_earlier_change(cached, object->name);
+    object_change_t *known = find_change(cached, object->name);
+    if (known != NULL && known->revision > object->revision) {
+        return;
+    }
+    if (known != NULL) {
+        drop_change(cached, known);
+    }
     object_change_t *change = mem_zalloc(sizeof(*change));
     change->revision = object->revision;
     str_copy(change->name, sizeof(change->name), object->name);
--- a/relay/origin-store.c
+++ b/relay/origin-store.c
@@ -38,7 +38,8 @@
 
 struct origin_store {
     relay_t *relay;
-    bool several; /* a service has several versions: origins are recorded */
+    int64_t boot_wall_ms; /* wall clock when the monotonic one was 0, as of the
+                             start: steps of the wall clock do not count */
 
     origin_batch_t batch;
     fetch_t *write;
@@ -62,6 +63,7 @@
 {
     origin_store_t *store = mem_zalloc(sizeof(*store));
     store->relay = relay;
+    store->boot_wall_ms = time_wall_ms() - time_mono_ms();
     return store;
 }
 
@@ -84,12 +86,26 @@
     origin_batch_add(&store->batch, &record);
 }
 
+/* Whether the origins of a service's streams are to be recorded: it has
+ * several versions, or had while streams began that are still under way. */
+static bool
+needs_records(const origin_store_t *store, uint64_t service)
+{
+    const relay_t *relay = store->relay;
+    int64_t window_ms = longest_timeout_ms(relay) + BEGAN_MARGIN_MS;
+    return software_seen_several(&relay->software_seen, service,
+                                 time_wall_ms() - window_ms);
+}
+
 /* Records the origin of a stream that this host began, itself or through the
  * host that does so for it. */
 static void
 record_origin(origin_store_t *store, const stream_origin_t *origin)
 {
-    if (!peers_send_to_recorder(store->relay->peers, origin)) {
+    relay_t *relay = store->relay;
+    stream_origins_set_unrecorded(&relay->stream_origins, origin->stream,
+                                  false);
+    if (!peers_send_to_recorder(relay->peers, origin)) {
         batch_origin(store, origin);
     }
 }
@@ -109,34 +125,52 @@
     if (origin->software == SOFTWARE_UNKNOWN) {
         return;
     }
-    stream_origins_mark_begun(&store->relay->stream_origins, origin->stream);
-    if (store->several) {
+    stream_origins_set_unrecorded(&store->relay->stream_origins,
+                                  origin->stream, true);
+    if (needs_records(store, origin->service)) {
         record_origin(store, origin);
     }
 }
 
-/* Begins to record when a second version appears: the streams that have begun
- * before need their origins from then on. */
+static bool
+any_service_needs_records(const origin_store_t *store)
+{
+    const software_seen_t *seen = &store->relay->software_seen;
+    for (size_t i = 1; i < seen->count; i++) {
+        if (needs_records(store, seen->list[i].service)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Records the streams that began while their service had one version, once it
+ * has several. */
 static void
-update_several(origin_store_t *store, int64_t now)
+record_earlier(origin_store_t *store, int64_t now)
 {
-    relay_t *relay = store->relay;
-    int64_t window_ms = longest_timeout_ms(relay) + BEGAN_MARGIN_MS;
-    bool several = software_seen_several(&relay->software_seen,
-                                         time_wall_ms() - window_ms);
-    if (several == store->several) {
+    const stream_origin_t *unrecorded[STREAM_ORIGINS_MAX];
+    if (!any_service_needs_records(store)) {
         return;
     }
-    store->several = several;
-    const stream_origin_t *begun[STREAM_ORIGINS_MAX];
-    size_t count =
-        several ? stream_origins_list_begun(&relay->stream_origins, begun, now)
-                : 0;
+    size_t count = stream_origins_list_unrecorded(
+        &store->relay->stream_origins, unrecorded, now);
+    uint64_t service = 0;
+    bool needed = false;
+    size_t recorded = 0;
     for (size_t i = 0; i < count; i++) {
-        record_origin(store, begun[i]);
+        if (i == 0 || unrecorded[i]->service != service) {
+            service = unrecorded[i]->service;
+            needed = needs_records(store, service);
+        }
+        if (needed) {
+            record_origin(store, unrecorded[i]);
+            recorded++;
+        }
+    }
+    if (recorded > 0) {
+        log_record(LOG_INFO, "origins", "recorded", "streams=%zu", recorded);
     }
-    log_record(LOG_INFO, "origins", several ? "recording" : "not-recording",
-               "streams=%zu", count);
 }
 
 /* ---- writes ---- */
@@ -222,9 +256,9 @@
 static void
 write_batch(origin_store_t *store)
 {
-    int64_t wall = time_wall_ms();
-    int64_t slot = wall / origin_slot_ms(longest_timeout_ms(store->relay));
-    origin_batch_expire(&store->batch, wall);
+    int64_t slot = (store->boot_wall_ms + time_mono_ms()) /
+                   origin_slot_ms(longest_timeout_ms(store->relay));
+    origin_batch_expire(&store->batch, time_wall_ms());
     if (store->batch.count == 0 || slot == store->slot) {
         return;
     }
@@ -365,7 +399,7 @@
 void
 origin_store_tick(origin_store_t *store, int64_t now)
 {
-    update_several(store, now);
+    record_earlier(store, now);
     if (store->write == NULL) {
         write_batch(store);
     }
--- a/relay/software-seen.c
+++ b/relay/software-seen.c
@@ -76,18 +76,15 @@
 /* Whether a service had more than one version since a time, as far as is
  * known. */
 bool
-software_seen_several(const software_seen_t *seen, int64_t since_ms)
+software_seen_several(const software_seen_t *seen, uint64_t service,
+                      int64_t since_ms)
 {
+    size_t versions = 0;
     for (size_t i = 0; i < seen->count; i++) {
-        const software_sighting_t *first = &seen->list[i];
-        for (size_t j = 0; j < i && first->seen_ms >= since_ms; j++) {
-            if (seen->list[j].service == first->service &&
-                seen->list[j].seen_ms >= since_ms) {
-                return true;
-            }
-        }
+        const software_sighting_t *known = &seen->list[i];
+        versions += known->service == service && known->seen_ms >= since_ms;
     }
-    return false;
+    return versions > 1;
 }
 
 /* Returns the only version that a service had since a time, or
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -66,7 +66,7 @@
 {
     CK_LIST_REMOVE(origin, entry);
     origin->expires_ms = 0;
-    origin->begun = false;
+    origin->unrecorded = false;
     CK_LIST_INSERT_HEAD(&origins->free, origin, entry);
     origins->count--;
 }
@@ -141,26 +141,28 @@
     return origin != NULL && origin->expires_ms > now_ms ? origin : NULL;
 }
 
-/* Marks a stream that this host has begun. */
+/* Sets whether a stream that this host has begun is to be recorded in the
+ * store. */
 void
-stream_origins_mark_begun(stream_origins_t *origins, uint64_t stream)
+stream_origins_set_unrecorded(stream_origins_t *origins, uint64_t stream,
+                              bool unrecorded)
 {
     stream_origin_t *origin = find(origins, stream);
     if (origin != NULL) {
-        origin->begun = true;
+        origin->unrecorded = unrecorded;
     }
 }
 
-/* Lists the streams that this host has begun; returns their number, at most
+/* Lists the streams that are to be recorded; returns their number, at most
  * STREAM_ORIGINS_MAX. */
 size_t
-stream_origins_list_begun(const stream_origins_t *origins,
-                          const stream_origin_t **out, int64_t now_ms)
+stream_origins_list_unrecorded(const stream_origins_t *origins,
+                               const stream_origin_t **out, int64_t now_ms)
 {
     size_t count = 0;
     for (size_t i = 0; i < STREAM_ORIGINS_MAX; i++) {
         const stream_origin_t *origin = &origins->all[i];
-        if (origin->begun && origin->expires_ms > now_ms) {
+        if (origin->unrecorded && origin->expires_ms > now_ms) {
             out[count++] = origin;
         }
     }
--- a/relay/stream-origins.h
+++ b/relay/stream-origins.h
@@ -29,7 +29,8 @@
     uint64_t service;                   /* hash of its name */
     uint64_t software;  /* SOFTWARE_UNKNOWN if two streams have the key */
     int64_t expires_ms; /* 0 if it is free */
-    bool begun;         /* this host began it, at a process that is known */
+    bool unrecorded;    /* this host began it, at a process that is known, and
+                           the store does not have it */
 } stream_origin_t;
 
 #define STREAM_ORIGIN_BUCKETS 1024
@@ -74,9 +75,11 @@
                                               int64_t now_ms);
 const stream_origin_t *stream_origins_find(const stream_origins_t *origins,
                                            uint64_t stream, int64_t now_ms);
-void stream_origins_mark_begun(stream_origins_t *origins, uint64_t stream);
-size_t stream_origins_list_begun(const stream_origins_t *origins,
-                                 const stream_origin_t **out, int64_t now_ms);
+void stream_origins_set_unrecorded(stream_origins_t *origins, uint64_t stream,
+                                   bool unrecorded);
+size_t stream_origins_list_unrecorded(const stream_origins_t *origins,
+                                      const stream_origin_t **out,
+                                      int64_t now_ms);
 void stream_origins_sweep(stream_origins_t *origins, int64_t now_ms);
 size_t stream_origins_list(const stream_origins_t *origins,
                            const stream_origin_t **out, size_t max,
--- a/tests/test-object-cache.c
+++ b/tests/test-object-cache.c
@@ -104,6 +104,7 @@
     put(cache, "a", 20);
     put(cache, "b", 30);
     put(cache, "a", 40);
+    put(cache, "a", 25); /* comes late */
     ck_assert(
         object_cache_write_changes(cache, KIND_SERVERS, 10, &answer, &all));
     ck_assert_uint_eq(count_events(&all, &asks_store, &revision), 2);
--- a/tests/test-software-seen.c
+++ b/tests/test-software-seen.c
@@ -199,6 +199,23 @@
 }
 END_TEST
 
+/* Guards against streams of a service with several versions whose origins the
+ * store does not get, and against writes where there is one version alone. */
+START_TEST(several_versions_are_those_of_one_service)
+{
+    software_seen_t seen = {0};
+    list_version(&seen, 1, 10000);
+    note(&seen, OTHER_SERVICE, 2, 10000);
+    ck_assert(!software_seen_several(&seen, SERVICE, 0));
+    list_version(&seen, 3, 11000);
+    ck_assert(software_seen_several(&seen, SERVICE, 0));
+    ck_assert(!software_seen_several(&seen, OTHER_SERVICE, 0));
+    /* The older one was last listed before the span. */
+    ck_assert(software_seen_several(&seen, SERVICE, 10000));
+    ck_assert(!software_seen_several(&seen, SERVICE, 10001));
+}
+END_TEST
+
 TEST_MAIN("software-seen", one_version_is_certain_within_the_span,
           a_version_without_a_span_is_not_certain,
           of_several_versions_none_is_certain,
@@ -207,4 +224,5 @@
           own_lists_join_the_record_of_another_host,
           versions_of_a_joined_record_count,
           spans_with_a_longer_gap_do_not_join,
-          a_list_that_is_no_longer_current_is_not_certain)
+          a_list_that_is_no_longer_current_is_not_certain,
+          several_versions_are_those_of_one_service)
