--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -47,13 +47,17 @@
 } listener_t;
 
 /* An answer that is sent piece by piece. */
-typedef struct {
+typedef struct slow_answer {
+    CK_LIST_ENTRY(slow_answer) entry;
     struct event_base *base;
     struct evhttp_request *req;
     const char *text;
     size_t sent;
 } slow_answer_t;
 
+static CK_LIST_HEAD(slow_answers, slow_answer)
+    slow_answers = CK_LIST_HEAD_INITIALIZER(slow_answers);
+
 typedef struct {
     struct event_base *base;
     exchanges_t *exchanges;
@@ -93,6 +97,7 @@
     slow->sent += piece;
     if (slow->sent == len) {
         evhttp_send_reply_end(slow->req);
+        CK_LIST_REMOVE(slow, entry);
         free(slow);
         return;
     }
@@ -109,6 +114,7 @@
         evhttp_connection_get_base(evhttp_request_get_connection(req));
     slow->req = req;
     slow->text = text;
+    CK_LIST_INSERT_HEAD(&slow_answers, slow, entry);
     evhttp_send_reply_start(req, 200, NULL);
     send_piece(-1, 0, slow);
 }
@@ -277,6 +283,11 @@
     evhttp_free(fixture->store.http);
     evhttp_free(fixture->upstream.http);
     event_base_free(fixture->base);
+    slow_answer_t *slow;
+    while ((slow = CK_LIST_FIRST(&slow_answers)) != NULL) {
+        CK_LIST_REMOVE(slow, entry);
+        free(slow);
+    }
 }
 
 /* Runs the event loop until a listener has got a number of watches, or for
