Configuration: adoptions of several threads are recorded in their order

An operator who reads events or logs sees an older configuration adopted after a newer one.

Cause: the watch, a command and a peer adopt in threads of their own. The replacement of the configuration is under its lock, the event and the log line came after it, so two threads could record their adoptions the other way round. The configuration itself never went back: replace_if_newer compares under the lock. Class of fault: a record of a change that is written outside the section that makes the change.

The record is now written under the lock; logs and events are leaf locks in the order of tables.h. The same elsewhere: the other events are of one thread or of one request ("backend-renewed" is per report and carries no order).

--- a/kernel/config-sync.c
+++ b/kernel/config-sync.c
@@ -20,8 +20,23 @@
     return config_hold(daemon->config);
 }
 
+static void
+record_adoption(int64_t generation, const char *source)
+{
+    char detail[96];
+    (void)snprintf(detail, sizeof(detail), "generation %lld from %s",
+                   (long long)generation, source);
+    log_info("config", "Configuration generation %lld from %s adopted.",
+             (long long)generation, source);
+    event_emit(&(event_t){.kind = "config-adopted", .detail = detail});
+}
+
+/* Replace the configuration if the candidate's generation is higher.  The
+ * adoption is recorded under the lock, so that logs and events have adoptions
+ * of several threads in the order in which they took effect. */
 static bool
-replace_if_newer(celeryspoold_t *daemon, config_t *candidate, int64_t version)
+replace_if_newer(celeryspoold_t *daemon, config_t *candidate, int64_t version,
+                 const char *source)
 {
     LOCK_SCOPE(&daemon->config_lock);
     daemon->config_confirmed_ms = time_mono_ms();
@@ -33,6 +48,7 @@
     }
     config_release(daemon->config);
     daemon->config = config_hold(candidate);
+    record_adoption(candidate->generation, source);
     return true;
 }
 
@@ -50,15 +66,7 @@
                   source, err.text);
         return false;
     }
-    bool adopted = replace_if_newer(daemon, candidate, version);
-    if (adopted) {
-        char detail[96];
-        (void)snprintf(detail, sizeof(detail), "generation %lld from %s",
-                       (long long)candidate->generation, source);
-        log_info("config", "Configuration generation %lld from %s adopted.",
-                 (long long)candidate->generation, source);
-        event_emit(&(event_t){.kind = "config-adopted", .detail = detail});
-    }
+    bool adopted = replace_if_newer(daemon, candidate, version, source);
     config_release(candidate);
     return adopted;
 }
