Stand-in: requests end with their connection before their first byte, too

Cause: evhttp disables reading once it has a request and enables it with the first write. Real servers drop a request when its connection closes, so this is a fault of the stand-in. Ruled out: requests that wait for a slot (their server writes before), links that hold the close (the same without a link).

Change: reading stays enabled while a request runs, with no callback for data.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -201,6 +201,23 @@
     }
 }
 
+/* Lets the run end with its connection: evhttp stops reading once it has the
+ * request, and would not see the close before its first write. */
+static void
+watch_close(run_t *run)
+{
+    struct evhttp_connection *connection =
+        evhttp_request_get_connection(run->req);
+    struct bufferevent *bev = evhttp_connection_get_bufferevent(connection);
+    bufferevent_data_cb on_write;
+    bufferevent_event_cb on_event;
+    void *arg;
+    evhttp_connection_set_closecb(connection, on_closed, run);
+    bufferevent_getcb(bev, NULL, &on_write, &on_event, &arg);
+    bufferevent_setcb(bev, NULL, on_write, on_event, arg);
+    (void)bufferevent_enable(bev, EV_READ);
+}
+
 /* Shuts the connection down, whatever is still to be sent. */
 void
 server_shut_connection(struct evhttp_request *req)
@@ -614,8 +631,7 @@
     server->running++;
     record_run(server, req);
     add_identity(server, req);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(req),
-                                  on_closed, run);
+    watch_close(run);
     if (server->mode == MODE_SILENT) {
         run->paused = true;
         set_deadline(run);
