Test: answers cut off anywhere, at hosts that send and at one that forwards

The report of answers cut in the head was looked for in the reader, byte by byte, and from outside; answers that come over another host were only read in the code.

The stand-in can send given bytes as its answer and then close or reset the connection (raw_answer, raw_every, raw_reset). proc-cut-answers cuts four kinds of answer after each 7 to 19 bytes; one of three hosts reaches no server itself and forwards.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -176,8 +176,8 @@
     evhttp_send_reply(req, status, NULL, NULL);
 }
 
-static void
-run_free(run_t *run)
+void
+server_free_run(run_t *run)
 {
     platform_server_t *server = run->server;
     CK_LIST_REMOVE(run, entry);
@@ -197,7 +197,7 @@
     (void)connection;
     run->closed = true;
     if (run->paused) {
-        run_free(run);
+        server_free_run(run);
     }
 }
 
@@ -263,8 +263,8 @@
 
 /* Returns the output of the run's connection, for bytes that evhttp does not
  * write itself. */
-static struct evbuffer *
-raw_output(const run_t *run)
+struct evbuffer *
+server_raw_output(const run_t *run)
 {
     struct bufferevent *bev = evhttp_connection_get_bufferevent(
         evhttp_request_get_connection(run->req));
@@ -283,7 +283,7 @@
 write_unframed_head(const run_t *run)
 {
     const struct evkeyval *header;
-    struct evbuffer *out = raw_output(run);
+    struct evbuffer *out = server_raw_output(run);
     (void)evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n");
     for (header = evhttp_request_get_output_headers(run->req)->tqh_first;
          header != NULL; header = header->next.tqe_next) {
@@ -304,7 +304,7 @@
                                       NULL, NULL);
         server_shut_connection(run->req);
     }
-    run_free(run);
+    server_free_run(run);
 }
 
 /* Sends the next event of a stream that ends with its connection. */
@@ -312,7 +312,7 @@
 send_unframed_event(run_t *run, struct evbuffer *event)
 {
     platform_server_t *server = run->server;
-    struct evbuffer *out = raw_output(run);
+    struct evbuffer *out = server_raw_output(run);
     bool torn =
         server->mode == MODE_TORN && run->next_event == run->last_event / 2;
     (void)evbuffer_add_buffer(out, event);
@@ -359,7 +359,7 @@
     evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
                                   NULL, NULL);
     server_shut_connection(run->req);
-    run_free(run);
+    server_free_run(run);
 }
 
 /* Ends a stream once its client has read all events, so that it can still be
@@ -371,7 +371,7 @@
     (void)fd;
     (void)what;
     if (run->closed) {
-        run_free(run);
+        server_free_run(run);
         return;
     }
     if (server_check_unread(run)) {
@@ -386,7 +386,7 @@
     evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
                                   NULL, NULL);
     evhttp_send_reply_end(run->req);
-    run_free(run);
+    server_free_run(run);
 }
 
 static void
@@ -407,7 +407,7 @@
                 evhttp_request_get_connection(run->req), NULL, NULL);
             server_shut_connection(run->req);
         }
-        run_free(run);
+        server_free_run(run);
         evbuffer_free(out);
         return;
     }
@@ -435,7 +435,7 @@
         evhttp_connection_set_closecb(evhttp_request_get_connection(run->req),
                                       NULL, NULL);
         server_shut_connection(run->req);
-        run_free(run);
+        server_free_run(run);
         evbuffer_free(out);
         return;
     }
@@ -468,6 +468,9 @@
     run->read_ms = time_mono_ms();
     server_cache_provide_prompt(run);
     run->started = true;
+    if (server_send_raw(run)) {
+        return;
+    }
     run->fatal = server_has_fatal_part(run->server, run->req);
     (void)snprintf(version, sizeof(version), "%lld",
                    (long long)run->server->version);
@@ -491,7 +494,7 @@
     (void)fd;
     (void)what;
     if (run->closed) {
-        run_free(run);
+        server_free_run(run);
         return;
     }
     begin_stream(run);
@@ -548,12 +551,15 @@
     (void)fd;
     (void)what;
     if (run->closed) {
-        run_free(run);
+        server_free_run(run);
+        return;
+    }
+    if (server_send_raw(run)) {
         return;
     }
     if (is_unframed(server)) {
         write_unframed_head(run);
-        (void)evbuffer_add_printf(raw_output(run), "answer of %s\n",
+        (void)evbuffer_add_printf(server_raw_output(run), "answer of %s\n",
                                   server->id);
         run_later(server->store->base, server->event_interval_ms,
                   on_unframed_end, run);
@@ -563,7 +569,7 @@
                                   NULL, NULL);
     if (server->mode == MODE_RESET || server->removed) {
         server_shut_connection(run->req);
-        run_free(run);
+        server_free_run(run);
         return;
     }
     if (server->mode == MODE_FOREIGN) {
@@ -574,7 +580,7 @@
     evhttp_send_reply(run->req, server->mode == MODE_ERROR ? 500 : 200, NULL,
                       out);
     evbuffer_free(out);
-    run_free(run);
+    server_free_run(run);
 }
 
 /* Tells whether this is the server and weights version that the request's
@@ -837,8 +843,8 @@
  * leaving, which its answers say though its entry does not; event_bytes,
  * unread_ms, read_rate (bytes of requests per second on each connection that
  * is accepted from then on); brittle, room, work_ms, pace, first_ms,
- * slots, fatal_part, see platform_server_t, and crash; see also
- * apply_engine_command and apply_life_command. */
+ * slots, fatal_part, raw_answer, raw_every, raw_reset, see platform_server_t,
+ * and crash; see also apply_engine_command and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -883,6 +889,7 @@
     }
     apply_engine_command(server, command);
     apply_life_command(server, command);
+    server_set_raw(server, command);
     if (server->kv_store) {
         return 0;
     }
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -150,6 +150,11 @@
     /* A request with this part ends the server once its answer has begun;
      * empty for none. */
     char fatal_part[CS_NAME_MAX];
+    char *raw_answer; /* bytes that answer each raw_every-th request, with {id}
+                         for the request's id; or NULL */
+    int64_t raw_every;
+    int64_t raw_count;          /* requests since raw_answer was set */
+    bool raw_reset;             /* the connection is then reset, not closed */
     bool crashed;               /* it has ended and starts again later */
     int64_t started_ms;         /* start time that it states */
     char software[CS_NAME_MAX]; /* version in its entry; empty for none */
@@ -189,6 +194,11 @@
                            struct evhttp_request *req);
 bool server_note_rejection(platform_server_t *server);
 
+struct evbuffer *server_raw_output(const run_t *run);
+void server_free_run(run_t *run);
+void server_set_raw(platform_server_t *server, const json_t *command);
+bool server_send_raw(run_t *run);
+
 void server_order_handle(platform_server_t *server,
                          struct evhttp_request *req);
 void server_order_check(platform_server_t *server);
