Discovery: an entry that becomes unreadable names no server any more

Found while reading what odd entries do: the tests add an entry of another id; none replaces the entry of a server that is in use.

What callers see: hosts that learn of it by an event go on sending to the server as the older entry says, hosts that list the entries (after a start, an outage, a lost history) do not, and nothing says which is right. The platform's page: such an entry names no server to use.

Cause: on_server returned for an unreadable entry before it looked at what it knew of the server. Change: it is treated like a removal, with the same time in which it may come back behind an outage. A sound entry brings the server back.

--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -245,6 +245,10 @@
     }
     if (platform_server_read(&entry, object, &err) != 0) {
         log_record(LOG_WARN, "servers", "unreadable", "why=\"%s\"", err.text);
+        if (server != NULL && !server->removed) {
+            server->revision = object->revision;
+            mark_server_missing(relay, server);
+        }
         return;
     }
     if (server != NULL) {
--- a/tests/proc-odd-entries.sh
+++ b/tests/proc-odd-entries.sh
@@ -41,5 +41,15 @@
 check "a number without end" "{$sound:1e999}"
 check "slots that do not fit" "{$sound:4294967296}"
 check "a port out of range" '{\"service\":\"desk\",\"address\":\"127.0.0.1:99999\",\"zone\":\"dc-a\",\"state\":\"ready\",\"born\":1,\"slots\":4}'
+
+# An entry that was sound and is not any more names no server, whether a host
+# learns of it by an event or by a list.
+entry() { echo "{\"service\":\"desk\",\"address\":\"127.0.0.1:$1\",\"zone\":\"dc-a\",\"state\":\"$2\",\"slots\":4,\"born\":1}"; }
+post_admin object/servers/other "$(entry 9 ready)"
+for relay in 1 2 3; do expect "host $relay knows a server" wait_line "$OUT/relay-$relay.log" 'event=ready server=other ' 2; done
+post_admin object/servers/other "$(entry 99999 ready)"
+for relay in 1 2 3; do expect "host $relay does not use it once its entry is odd" wait_line "$OUT/relay-$relay.log" 'event=gone server=other ' 2; done
+post_admin object/servers/other "$(entry 9 draining)"
+for relay in 1 2 3; do expect "host $relay follows once it is sound again" wait_line "$OUT/relay-$relay.log" 'event=draining server=other ' 2; done
 for relay in 2 3; do expect "host $relay did not end" kill -0 "${PIDS[relay-$relay]}"; done
 finish
