Watches: a slow link of another host does not delay a change

What callers would see: at a host that is sound itself, requests are refused as an older configuration says, or reach a server that has left, while its upstream's link is full (CONFIG, DRAIN).

Cause: an answer that has begun may arrive for 10 s as long as it does not stall, and no check of the store was made meanwhile. That is right for the store's own answers, which are up to date and share this host's link with the check. An upstream's answer takes as long as the link of the upstream, and says nothing of what changed since. Likewise a host whose call of the store had failed waited for the whole list of a peer before it called the store again.

Change: only an answer that arrives from the store itself puts the check off; a check that the store answers ends the call of the other host.

--- a/relay/watch.c
+++ b/relay/watch.c
@@ -626,8 +626,19 @@
 
 /* ---- stale objects ---- */
 
+/* Whether an answer is arriving from the store itself, or from another
+ * daemon. */
+static bool
+answer_arrives(const watch_t *watch, bool from_store)
+{
+    bool calls_store = !watch->calls_upstream && !watch->calls_peer;
+    return watch->fetch != NULL && fetch_is_answered(watch->fetch) &&
+           calls_store == from_store;
+}
+
 /* Applies the store's answer to a check, and leaves the call that has not
- * delivered the same: its upstream is behind, or its connection is dead. */
+ * delivered the same: its upstream is behind, its connection is dead, or
+ * another daemon's link is slow. */
 static void
 apply_check(watch_t *watch, const fetch_result_t *result,
             const store_page_t *page)
@@ -638,9 +649,10 @@
     watch->revision =
         page->revision > watch->revision ? page->revision : watch->revision;
     watch->check_backoff_ms = CHECK_BACKOFF_MS_MIN;
+    note_answer(watch);
     note_confirmed(watch, result->answered_ms);
     update_fresh(watch, watch->fresh, page->count > 0);
-    if (watch->fetch == NULL || fetch_is_answered(watch->fetch)) {
+    if (watch->fetch == NULL || answer_arrives(watch, true)) {
         return;
     }
     fetch_cancel(watch->fetch);
@@ -716,9 +728,19 @@
                (long long)(now - watch->called_ms), watch->failed);
 }
 
+/* Whether the call that is under way will show the store's state soon.  A
+ * watch that has failed tries again by itself, unless it waits for the list of
+ * another daemon; an answer that arrives from the store is up to date, but one
+ * from another daemon takes as long as the link of that daemon needs. */
+static bool
+is_confirmed_soon(const watch_t *watch)
+{
+    return answer_arrives(watch, true) ||
+           (watch->failed && !answer_arrives(watch, false));
+}
+
 /* Bounds the age of the objects, whichever way their confirmation is late: the
- * limits of the calls that are under way are not waited for.  A watch that has
- * failed tries again by itself, and an answer that arrives is up to date. */
+ * limits of the calls that are under way are not waited for. */
 void
 watch_tick(watch_t *watch, int64_t now)
 {
@@ -728,8 +750,7 @@
     if (watch->stale_since_ms == 0) {
         record_stale(watch, now);
     }
-    bool arrives = watch->fetch != NULL && fetch_is_answered(watch->fetch);
-    if (watch->check == NULL && !watch->failed && !arrives &&
+    if (watch->check == NULL && !is_confirmed_soon(watch) &&
         watch->state == WATCH_WATCHING && now >= watch->next_check_ms) {
         check_store(watch);
     }
--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -26,6 +26,7 @@
 #define YOUNG_LIST "{\"items\":[],\"has_more\":false,\"at\":5,\"age_ms\":5}"
 /* The pieces of a slow answer, and the pause before each of them. */
 #define PIECES 20
+#define MANY_PIECES 60
 #define PIECE_MS 100
 
 /* A listener that answers lists, and answers or holds watches. */
@@ -39,6 +40,7 @@
     unsigned closes;     /* closes the connections of so many watches */
     unsigned dead_calls; /* leaves the first connection unanswered from here */
     unsigned calls;
+    size_t pieces;      /* of slow answers */
     const char *answer; /* to a watch */
     const char *list;
     unsigned watch_count;
@@ -52,6 +54,7 @@
     struct event_base *base;
     struct evhttp_request *req;
     const char *text;
+    size_t piece;
     size_t sent;
 } slow_answer_t;
 
@@ -84,7 +87,7 @@
 {
     slow_answer_t *slow = arg;
     size_t len = strlen(slow->text);
-    size_t piece = len / PIECES + 1;
+    size_t piece = slow->piece;
     struct evbuffer *out = evbuffer_new();
     (void)fd;
     (void)what;
@@ -107,13 +110,15 @@
 }
 
 static void
-answer_slowly(struct evhttp_request *req, const char *text)
+answer_slowly(const listener_t *listener, struct evhttp_request *req,
+              const char *text)
 {
     slow_answer_t *slow = mem_zalloc(sizeof(*slow));
     slow->base =
         evhttp_connection_get_base(evhttp_request_get_connection(req));
     slow->req = req;
     slow->text = text;
+    slow->piece = strlen(text) / listener->pieces + 1;
     CK_LIST_INSERT_HEAD(&slow_answers, slow, entry);
     evhttp_send_reply_start(req, 200, NULL);
     send_piece(-1, 0, slow);
@@ -162,7 +167,7 @@
     }
     const char *body = is_watch ? listener->answer : listener->list;
     if (is_watch ? listener->slow_watches : listener->slow_lists) {
-        answer_slowly(req, body);
+        answer_slowly(listener, req, body);
         return;
     }
     answer(req, body);
@@ -173,6 +178,7 @@
 {
     struct sockaddr_in addr = {0};
     socklen_t len = sizeof(addr);
+    listener->pieces = PIECES;
     listener->answer = NO_CHANGES;
     listener->list = EMPTY_LIST;
     listener->http = evhttp_new(base);
@@ -417,6 +423,45 @@
 }
 END_TEST
 
+/* Guards against a follower that gets a change only once an upstream with a
+ * slow link has sent all of an earlier answer. */
+START_TEST(slow_upstream_is_bypassed)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_FOUND);
+    fixture.upstream.slow_watches = true;
+    fixture.upstream.pieces = MANY_PIECES;
+    fixture.store.holds_watches = false;
+    fixture.store.answer = CHANGE;
+    fixture_start(&fixture);
+    ck_assert_int_lt(await_objects(&fixture, 3500), 3000);
+    ck_assert_uint_ge(fixture.lost_count, 1);
+    fixture_close(&fixture);
+}
+END_TEST
+
+/* Guards against a host that gets a change only once a peer with a slow link
+ * has sent all of its list, though the store serves again. */
+START_TEST(slow_list_of_a_peer_is_bypassed)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_NONE);
+    fixture.has_peer = true;
+    fixture.upstream.slow_lists = true;
+    fixture.upstream.pieces = MANY_PIECES;
+    fixture_start(&fixture);
+    await_watches(&fixture, &fixture.store, 1);
+    fixture.store.holds_watches = false;
+    fixture.store.rejects = true;
+    run_for(&fixture, LONG_WAIT_MS + 1500);
+    ck_assert_uint_ge(fixture.upstream.calls, 1);
+    fixture.store.rejects = false;
+    fixture.store.answer = CHANGE;
+    ck_assert_int_lt(await_objects(&fixture, 3500), 1000);
+    fixture_close(&fixture);
+}
+END_TEST
+
 /* Guards against a change that waits for the end of a watch on a connection
  * that the store no longer serves. */
 START_TEST(dead_connection_is_bypassed)
@@ -509,6 +554,7 @@
           first_follower_renews_long_watch,
           list_may_take_long_while_it_arrives,
           change_may_take_long_while_it_arrives, stale_upstream_is_bypassed,
+          slow_upstream_is_bypassed, slow_list_of_a_peer_is_bypassed,
           dead_connection_is_bypassed,
           change_left_to_the_store_is_fetched_there,
           closed_connection_is_no_outage, failure_of_one_host_is_no_outage,
