--- a/relay/watch.c
+++ b/relay/watch.c
@@ -548,8 +548,9 @@
     return true;
 }
 
-/* Returns how long the store is to hold the next watch.  A long one is
- * confirmed in time behind a batch delay, too. */
+/* Returns how long the store is to hold the next watch.  A long wait is
+ * shortened by the batch delay before it, so that it ends before the objects
+ * are stale. */
 static int
 store_wait_ms(const watch_t *watch, bool short_wait)
 {
