Test: test-watch frees slow answers whose connection has ended

The watch leaves these answers, so their connection ends first and evhttp leaves the request to the test, which freed its own record alone.

The test now frees such requests too.

--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -314,14 +314,18 @@
 {
     watch_stop(fixture->watch);
     exchanges_free(fixture->exchanges);
-    evhttp_free(fixture->store.http);
-    evhttp_free(fixture->upstream.http);
-    event_base_free(fixture->base);
     slow_answer_t *slow;
     while ((slow = CK_LIST_FIRST(&slow_answers)) != NULL) {
+        /* Requests without a connection are not freed with the listener. */
+        if (evhttp_request_get_connection(slow->req) == NULL) {
+            evhttp_request_free(slow->req);
+        }
         CK_LIST_REMOVE(slow, entry);
         free(slow);
     }
+    evhttp_free(fixture->store.http);
+    evhttp_free(fixture->upstream.http);
+    event_base_free(fixture->base);
 }
 
 /* Runs the event loop until a listener has got a number of watches, or for
