--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -153,7 +153,7 @@
     char *raw_answer; /* bytes that answer each raw_every-th request, with {id}
                          for the request's id; or NULL */
     int64_t raw_every;
-    int64_t raw_count;          /* requests since raw_answer was set */
+    int64_t raw_count;          /* requests while one was set */
     bool raw_reset;             /* the connection is then reset, not closed */
     bool crashed;               /* it has ended and starts again later */
     int64_t started_ms;         /* start time that it states */
