--- a/review/cut-proxy.c
+++ b/review/cut-proxy.c
@@ -149,8 +149,8 @@
         return;
     }
     if (flow->len > 0) {
-        ssize_t sent = send(to, flow->data, flow->len,
-                            MSG_DONTWAIT | MSG_NOSIGNAL);
+        ssize_t sent =
+            send(to, flow->data, flow->len, MSG_DONTWAIT | MSG_NOSIGNAL);
         if (sent > 0) {
             flow->len -= (size_t)sent;
             memmove(flow->data, flow->data + sent, flow->len);
@@ -193,8 +193,8 @@
         for (int side = 0; side < 2; side++) {
             const flow_t *flow = &conns[i].flows[side];
             bool reads = !flow->ended && flow->len < BUFFER_BYTES;
-            polled[1 + 2 * i + side] = (struct pollfd){
-                reads ? conns[i].fds[side] : -1, POLLIN, 0};
+            polled[1 + 2 * i + side] =
+                (struct pollfd){reads ? conns[i].fds[side] : -1, POLLIN, 0};
         }
     }
     (void)poll(polled, (nfds_t)(1 + 2 * count), POLL_MS);
--- a/review/kept-client.c
+++ b/review/kept-client.c
@@ -5,9 +5,10 @@
  *     kept-client SECONDS CLIENTS PIPELINING PORT...
  *
  * Prints a line for each request: its id, whether its connection had been used
- * before, and what came: a status, or "closed" for an answer that is missing or
- * not complete.  A stream that is refused is asked for again when the answer
- * says, over a new connection, within the deadline of its first try. */
+ * before, how long it took, what is left of a stream's deadline, and what
+ * came: a status, or "closed" for an answer that is missing or not complete.
+ * A stream that is refused is asked for again when the answer says, over a new
+ * connection, within the deadline of its first try. */
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -39,6 +40,7 @@
     bool kept; /* the connection has carried an answer */
     unsigned rng;
     long long began_ms; /* the first try of the stream */
+    long long sent_ms;  /* the latest requests */
     int tries;
     double retry_after_s; /* of the last answer */
 } client_t;
@@ -64,8 +66,9 @@
         (void)snprintf(what, sizeof(what), "%d", status);
     }
     (void)pthread_mutex_lock(&out_lock);
-    (void)printf("%lld got id=%s kept=%d %s\n", now_ms(), id, client->kept,
-                 what);
+    (void)printf("%lld got id=%s kept=%d after_ms=%lld left_ms=%lld %s\n",
+                 now_ms(), id, client->kept, now_ms() - client->sent_ms,
+                 client->began_ms + DEADLINE_MS - now_ms(), what);
     (void)fflush(stdout);
     (void)pthread_mutex_unlock(&out_lock);
 }
@@ -77,8 +80,8 @@
     struct timeval timeout = {TIMEOUT_S, 0};
     int on = 1;
     to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    to.sin_port = htons(
-        (uint16_t)ports[rand_r(&client->rng) % (unsigned)port_count]);
+    to.sin_port =
+        htons((uint16_t)ports[rand_r(&client->rng) % (unsigned)port_count]);
     client->fd = socket(AF_INET, SOCK_STREAM, 0);
     client->len = 0;
     client->kept = false;
@@ -221,6 +224,7 @@
         len = add_request(client, text, false, ids[count++]);
     }
     len += add_request(client, text + len, true, ids[count++]);
+    client->sent_ms = now_ms();
     if (send(client->fd, text, len, MSG_NOSIGNAL) != (ssize_t)len) {
         return false; /* not read by a daemon */
     }
@@ -231,7 +235,8 @@
             return false;
         }
         client->kept = true;
-        client->tries = status == 503 && i == count - 1 && !client->pipelines &&
+        client->tries = status == 503 && i == count - 1 &&
+                                !client->pipelines &&
                                 now_ms() - client->began_ms < RETRY_WITHIN_MS
                             ? client->tries + 1
                             : 0;
@@ -263,8 +268,8 @@
 main(int argc, char **argv)
 {
     if (argc < 5) {
-        (void)fprintf(stderr,
-                      "usage: kept-client SECONDS CLIENTS PIPELINING PORT...\n");
+        (void)fprintf(
+            stderr, "usage: kept-client SECONDS CLIENTS PIPELINING PORT...\n");
         return 2;
     }
     int count = atoi(argv[2]);
