--- a/review/lib.sh
+++ b/review/lib.sh
@@ -24,6 +24,7 @@
     rm -rf "$WORK"
 }
 trap cleanup EXIT
+trap 'exit 2' INT TERM HUP
 
 note() { echo "$(date +%s%3N) $*" | tee -a "$RECORD"; }
 cannot_run() {
