--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -51,7 +51,9 @@
     struct bufferevent *bev;
     exchange_t *exchange; /* NULL while it is idle */
     int64_t opened_us;    /* when it was made; 0 until then */
+    int64_t idle_since_ms;
     int64_t expires_ms;
+    unsigned exchanges; /* that it has carried */
     int silence_ms; /* without acknowledgements after which it is given up */
 } conn_t;
 
@@ -94,7 +96,8 @@
     int stall_ms;            /* see exchange_request_t */
     int64_t sent_us;         /* when the request was sent; 0 until then */
     bool sent;
-    bool reused;     /* its connection was open before */
+    bool reused; /* its connection was open before */
+    exchange_connection_t connection;
     bool in_hook;    /* a hook is running: do not free the exchange */
     bool cancelled;  /* cancelled by a hook: free the exchange after it */
     bool head_seen;  /* on_head was called for this response */
@@ -301,7 +304,8 @@
     }
     conn->exchange = NULL;
     (void)bufferevent_enable(conn->bev, EV_READ);
-    conn->expires_ms = time_mono_ms() + exchange->keep_alive_ms;
+    conn->idle_since_ms = time_mono_ms();
+    conn->expires_ms = conn->idle_since_ms + exchange->keep_alive_ms;
     conn->pool->busy_count--;
     conn->pool->idle_count++;
     CK_LIST_INSERT_HEAD(&conn->pool->idle, conn, entry);
@@ -680,6 +684,26 @@
     return conn;
 }
 
+/* Whether input is waiting on a connection, perhaps not read from its socket
+ * yet: the event loop may be late. */
+static bool
+conn_has_input(const conn_t *conn)
+{
+    char byte;
+    return evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0 ||
+           recv(bufferevent_getfd(conn->bev), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static exchange_connection_t
+conn_describe(const conn_t *conn)
+{
+    return (exchange_connection_t){
+        .earlier = conn->exchanges,
+        .idle_ms = time_mono_ms() - conn->idle_since_ms,
+        .unread = conn_has_input(conn)};
+}
+
 static conn_t *
 conn_take_idle(addr_pool_t *pool)
 {
@@ -740,8 +764,12 @@
         timer_arm(exchange, 0);
         return exchange;
     }
+    if (exchange->reused) {
+        exchange->connection = conn_describe(conn);
+    }
     exchange->conn = conn;
     conn->exchange = exchange;
+    conn->exchanges++;
     conn_set_silence(conn, request->silence_ms);
     exchange->stall_ms = request->stall_ms;
     if (request->total_ms > 0) {
@@ -808,6 +836,13 @@
     return exchange->reused;
 }
 
+/* Returns the state of the connection when the exchange began. */
+const exchange_connection_t *
+exchange_connection(const exchange_t *exchange)
+{
+    return &exchange->connection;
+}
+
 /* Returns when the connection of the exchange was made, or 0 if it was not. */
 int64_t
 exchange_opened_us(const exchange_t *exchange)
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -41,6 +41,13 @@
     void *arg;
 } exchange_hooks_t;
 
+/* The connection of an exchange, as it was when the exchange began. */
+typedef struct {
+    unsigned earlier; /* exchanges that it had carried before */
+    int64_t idle_ms;  /* since the last of them */
+    bool unread;      /* input was waiting that belongs to none of them */
+} exchange_connection_t;
+
 typedef struct {
     const char *addr; /* IPV4:PORT */
     const void *head; /* request line and headers, with the final empty line */
@@ -79,6 +86,7 @@
 void exchange_stop(exchange_t *exchange);
 bool exchange_has_sent(const exchange_t *exchange);
 bool exchange_is_reused(const exchange_t *exchange);
+const exchange_connection_t *exchange_connection(const exchange_t *exchange);
 int64_t exchange_opened_us(const exchange_t *exchange);
 int64_t exchange_sent_us(const exchange_t *exchange);
 
--- a/relay/meter.c
+++ b/relay/meter.c
@@ -87,6 +87,10 @@
                       (double)meter->origin_reports);
     meter_write_value(out, "streams_unknown_total",
                       (double)meter->resumes_unknown);
+    meter_write_value(out, "answers_unnamed_total",
+                      (double)meter->answers_unnamed);
+    meter_write_value(out, "answers_stray_total",
+                      (double)meter->answers_stray);
     meter_write_value(out, "reads_stopped_total",
                       (double)meter->reads_stopped);
     meter_write_value(out, "unread_answers_dropped_total",
--- a/relay/meter.h
+++ b/relay/meter.h
@@ -41,6 +41,8 @@
     uint64_t resumes_unknown;  /* of these, at an unknown version */
     uint64_t prompt_tokens;    /* of all requests */
     uint64_t cached_tokens;    /* of these, expected in the servers' caches */
+    uint64_t answers_unnamed;  /* of servers, without the id of a request */
+    uint64_t answers_stray;    /* of servers, with another request's id */
     uint64_t reads_stopped;    /* since callers did not read */
     uint64_t answers_dropped;  /* since no one read them, to free memory */
     uint64_t cache_events;     /* received from the followed caches */
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -165,15 +165,38 @@
            request->answer == ANSWER_STREAM;
 }
 
+/* Logs an answer that does not bear the id of the request, and whether its
+ * connection may have brought it for an earlier one. */
+static void
+log_unidentified(const request_t *request, const http_head_t *head,
+                 const char *event)
+{
+    const exchange_connection_t *connection =
+        exchange_connection(request->exchange);
+    log_record(
+        LOG_WARN, "request", event,
+        "id=%s server=%s status=%d not_executed=%d signed=%d earlier=%u "
+        "idle_ms=%lld unread=%d after_ms=%lld",
+        request->id, request->server->info.id, head->status,
+        http_head_find(head, wire_header_name(HEADER_NOT_EXECUTED)) != NULL,
+        http_head_find(head, wire_header_name(HEADER_SIGNATURE)) != NULL,
+        connection->earlier, (long long)connection->idle_ms,
+        connection->unread, (long long)(time_mono_ms() - request->sent_ms));
+}
+
 static head_action_t
 on_head(void *arg, const http_head_t *head)
 {
     request_t *request = arg;
     if (request_has_other_id(request, head)) {
-        log_record(LOG_WARN, "request", "stray-answer", "id=%s server=%s",
-                   request->id, request->server->info.id);
+        request->relay->meter.answers_stray++;
+        log_unidentified(request, head, "stray-answer");
         return HEAD_SKIP;
     }
+    if (http_head_find(head, wire_header_name(HEADER_REQUEST_ID)) == NULL) {
+        request->relay->meter.answers_unnamed++;
+        log_unidentified(request, head, "unnamed-answer");
+    }
     relay_note_answer(request->relay, request->server,
                       !request->connection_reused);
     record_load(request->relay, request->server, head);
