Stand-in: extra answers on kept connections; the failure of REFUSED and TWICE

What callers saw: requests that may run once are answered with a rejection and have run, or run twice.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -261,13 +261,13 @@
     return server->mode == MODE_UNTIL_CLOSE || server->mode == MODE_TORN;
 }
 
-/* Returns the output of the run's connection, for bytes that evhttp does not
+/* Returns the output of a request's connection, for bytes that evhttp does not
  * write itself. */
 struct evbuffer *
-server_raw_output(const run_t *run)
+server_raw_output(struct evhttp_request *req)
 {
-    struct bufferevent *bev = evhttp_connection_get_bufferevent(
-        evhttp_request_get_connection(run->req));
+    struct bufferevent *bev =
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(req));
     bufferevent_data_cb on_read;
     bufferevent_event_cb on_event;
     void *arg;
@@ -283,7 +283,7 @@
 write_unframed_head(const run_t *run)
 {
     const struct evkeyval *header;
-    struct evbuffer *out = server_raw_output(run);
+    struct evbuffer *out = server_raw_output(run->req);
     (void)evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\n");
     for (header = evhttp_request_get_output_headers(run->req)->tqh_first;
          header != NULL; header = header->next.tqe_next) {
@@ -312,7 +312,7 @@
 send_unframed_event(run_t *run, struct evbuffer *event)
 {
     platform_server_t *server = run->server;
-    struct evbuffer *out = server_raw_output(run);
+    struct evbuffer *out = server_raw_output(run->req);
     bool torn =
         server->mode == MODE_TORN && run->next_event == run->last_event / 2;
     (void)evbuffer_add_buffer(out, event);
@@ -559,8 +559,8 @@
     }
     if (is_unframed(server)) {
         write_unframed_head(run);
-        (void)evbuffer_add_printf(server_raw_output(run), "answer of %s\n",
-                                  server->id);
+        (void)evbuffer_add_printf(server_raw_output(run->req),
+                                  "answer of %s\n", server->id);
         run_later(server->store->base, server->event_interval_ms,
                   on_unframed_end, run);
         return;
@@ -683,6 +683,7 @@
         server_shut_connection(req);
         return;
     }
+    server_send_extra(server, req);
     if (path != NULL && strcmp(path, "/report") == 0) {
         if (server->mode != MODE_SILENT && !server->mute_reports) {
             answer_report(server, req);
@@ -843,8 +844,9 @@
  * leaving, which its answers say though its entry does not; event_bytes,
  * unread_ms, read_rate (bytes of requests per second on each connection that
  * is accepted from then on); brittle, room, work_ms, pace, first_ms,
- * slots, fatal_part, raw_answer, raw_every, raw_reset, see platform_server_t,
- * and crash; see also apply_engine_command and apply_life_command. */
+ * slots, fatal_part, raw_answer, raw_every, raw_reset, extra_answer,
+ * extra_every, see platform_server_t, and crash; see also apply_engine_command
+ * and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -153,10 +153,18 @@
     char *raw_answer; /* bytes that answer each raw_every-th request, with {id}
                          for the request's id; or NULL */
     int64_t raw_every;
-    int64_t raw_count;          /* requests while one was set */
-    bool raw_reset;             /* the connection is then reset, not closed */
-    bool crashed;               /* it has ended and starts again later */
-    int64_t started_ms;         /* start time that it states */
+    int64_t raw_count;  /* requests while one was set */
+    bool raw_reset;     /* the connection is then reset, not closed */
+    char *extra_answer; /* bytes sent before the answer to each extra_every-th
+                           request of connections that carried one before, with
+                           {id}; NULL for none */
+    int64_t extra_every;
+    int64_t extra_count; /* such requests while one was set */
+    uint8_t
+        ports_seen[8192]; /* of clients that have sent a request: a bit each
+                           */
+    bool crashed;         /* it has ended and starts again later */
+    int64_t started_ms;   /* start time that it states */
     char software[CS_NAME_MAX]; /* version in its entry; empty for none */
     bool mute_reports;          /* requests of its report get no answer */
     bool show_runs; /* events name the server and software of their run */
@@ -194,10 +202,11 @@
                            struct evhttp_request *req);
 bool server_note_rejection(platform_server_t *server);
 
-struct evbuffer *server_raw_output(const run_t *run);
+struct evbuffer *server_raw_output(struct evhttp_request *req);
 void server_free_run(run_t *run);
 void server_set_raw(platform_server_t *server, const json_t *command);
 bool server_send_raw(run_t *run);
+void server_send_extra(platform_server_t *server, struct evhttp_request *req);
 
 void server_order_handle(platform_server_t *server,
                          struct evhttp_request *req);
