--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -75,8 +75,6 @@
     bool draining;       /* each response closes its connection */
 };
 
-static void caller_step(caller_t *caller);
-
 static http_limits_t
 limits_of(const http_listener_t *listener)
 {
@@ -333,7 +331,7 @@
 }
 
 /* Processes the buffered input.  If on_request responds before it returns, the
- * next request can begin; this loop reads it, so there is no recursion. */
+ * next request can begin; this loop reads it. */
 static void
 caller_step(caller_t *caller)
 {
@@ -591,6 +589,19 @@
     }
 }
 
+/* Lets the event loop handle input that is buffered already: its request must
+ * not begin before the caller of this has finished with the last one. */
+static void
+defer_step(caller_t *caller)
+{
+    if (!caller->in_step &&
+        evbuffer_get_length(bufferevent_get_input(caller->bev)) > 0) {
+        bufferevent_trigger(
+            caller->bev, EV_READ,
+            BEV_TRIG_IGNORE_WATERMARKS | BEV_OPT_DEFER_CALLBACKS);
+    }
+}
+
 /* The response is complete: the connection goes on to the next request, or
  * closes. */
 static void
@@ -607,7 +618,7 @@
     http_reader_next(&caller->reader);
     caller->state = CALLER_IDLE;
     caller_arm_timer(caller, limits_of(caller->listener).idle_ms);
-    caller_step(caller);
+    defer_step(caller);
 }
 
 /* Writes a body in pieces, each in memory of its own that is freed when it is
--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -23,8 +23,9 @@
 /* Callbacks of the owner of a listener.  Those that may be NULL say so. */
 typedef struct {
     http_limits_t (*limits)(void *arg);
-    /* A complete request was read.  Head and body belong to the connection and
-     * are valid until the response is complete. */
+    /* A complete request was read, by the event loop: never within the
+     * response to another one.  Head and body belong to the connection and are
+     * valid until the response is complete. */
     void (*on_request)(void *arg, caller_t *caller, const http_head_t *head,
                        buf_t *body);
     /* A request is malformed or exceeds a limit; the hook must respond to it.
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -390,6 +390,7 @@
     held_bytes_init(&relay->held,
                     (size_t)(settings->memory_mb * BYTES_PER_MB));
     CK_LIST_INIT(&relay->requests);
+    CK_LIST_INIT(&relay->walks);
     CK_SLIST_INIT(&relay->service_states);
     fatal_parts_init(&relay->fatal_parts);
     server_crashes_init(&relay->server_crashes);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -18,6 +18,7 @@
 #include "helpers.h"
 #include "kv-stores.h"
 #include "reach.h"
+#include "request-walk.h"
 #include "relay-config.h"
 #include "retry-share.h"
 #include "server-crashes.h"
@@ -75,8 +76,6 @@
     size_t version_count;
 } weights_t;
 
-typedef CK_LIST_HEAD(request_list, request) request_list_t;
-
 /* ---- priorities at engines ---- */
 
 /* What has changed among the hosts, for priority-band.h. */
@@ -103,6 +102,7 @@
     http_listener_t *metrics_listener; /* serves other daemons too */
     http_listener_t *peer_listener;    /* requests that other hosts forward */
     request_list_t requests;
+    request_walks_t walks; /* loops over them */
     size_t request_count;
     size_t body_bytes; /* bodies of all requests in flight */
     held_bytes_t held; /* for callers and servers that read slowly */
--- a/relay/request-fatal.c
+++ b/relay/request-fatal.c
@@ -68,9 +68,10 @@
 void
 requests_drop_blocked(relay_t *relay)
 {
+    CLEAN_WALK request_walk_t walk;
     request_t *request;
-    request_t *next;
-    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+    request_walk_begin(&walk, &relay->walks, &relay->requests);
+    while ((request = request_walk_next(&walk)) != NULL) {
         const fatal_part_t *part =
             fatal_parts_find_blocked(&relay->fatal_parts, &request->fatal);
         if (part == NULL || request->server == NULL || request->tries_part ||
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -290,9 +290,10 @@
 void
 requests_apply_records(relay_t *relay, bool read)
 {
+    CLEAN_WALK request_walk_t walk;
     request_t *request;
-    request_t *next;
-    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+    request_walk_begin(&walk, &relay->walks, &relay->requests);
+    while ((request = request_walk_next(&walk)) != NULL) {
         if (request->origin_pending && request->origin_peers_done &&
             resolve_without_peers(
                 request,
@@ -307,9 +308,10 @@
 requests_apply_origin(relay_t *relay, const stream_origin_t *origin)
 {
     const stream_origin_t known = *origin;
+    CLEAN_WALK request_walk_t walk;
     request_t *request;
-    request_t *next;
-    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+    request_walk_begin(&walk, &relay->walks, &relay->requests);
+    while ((request = request_walk_next(&walk)) != NULL) {
         if (request->origin_pending && request->resumes == known.stream &&
             apply_origin(request, &known, "peers")) {
             (void)request_place(request);
@@ -321,9 +323,10 @@
 void
 requests_note_origin_unknown(relay_t *relay, uint64_t stream, uint64_t host)
 {
+    CLEAN_WALK request_walk_t walk;
     request_t *request;
-    request_t *next;
-    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+    request_walk_begin(&walk, &relay->walks, &relay->requests);
+    while ((request = request_walk_next(&walk)) != NULL) {
         if (!request->origin_pending || request->resumes != stream) {
             continue;
         }
--- a/relay/request.c
+++ b/relay/request.c
@@ -115,6 +115,7 @@
     if (request->software_check != NULL) {
         relay_cancel_software_check(request->software_check);
     }
+    request_walks_note_end(&relay->walks, request);
     CK_LIST_REMOVE(request, entry);
     relay->request_count--;
     relay->body_bytes -= request->body->len;
@@ -451,10 +452,11 @@
 void
 requests_fail_over(relay_t *relay, const server_t *server, bool with_started)
 {
+    CLEAN_WALK request_walk_t walk;
     request_t *request;
-    request_t *next;
     bool trial_sent = false;
-    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+    request_walk_begin(&walk, &relay->walks, &relay->requests);
+    while ((request = request_walk_next(&walk)) != NULL) {
         if (request->server != server || request->exchange == NULL ||
             (exchange_has_sent(request->exchange) &&
              stays_at_silent_server(request, with_started, &trial_sent))) {
@@ -527,9 +529,10 @@
 requests_tick(relay_t *relay)
 {
     int64_t now = time_mono_ms();
+    CLEAN_WALK request_walk_t walk;
     request_t *request;
-    request_t *next;
-    CK_LIST_FOREACH_SAFE (request, &relay->requests, entry, next) {
+    request_walk_begin(&walk, &relay->walks, &relay->requests);
+    while ((request = request_walk_next(&walk)) != NULL) {
         if (is_queued_on_expired_weights(request)) {
             log_record(LOG_WARN, "request", "weights-expired",
                        "id=%s server=%s weights=%lld waited_ms=%lld",
