--- a/relay/prompt.c
+++ b/relay/prompt.c
@@ -69,15 +69,15 @@
 
 /* Writes the salt under which a server stores parts.  Parts of other weights,
  * or of another workspace if either is isolated, must never be used; a server
- * checks neither, so both are in the salt.  workspace is empty for all
- * workspaces that are not isolated. */
+ * checks neither, so both are in the salt.  group names the workspaces that
+ * share parts, see relay_config_sharing_group. */
 void
-prompt_format_salt(const char *model, int64_t weights, const char *workspace,
+prompt_format_salt(const char *model, int64_t weights, const char *group,
                    char out[CS_ID_LEN + 1])
 {
     char text[CS_NAME_MAX * 3];
     int len = snprintf(text, sizeof(text), "%s/%lld/%s", model,
-                       (long long)weights, workspace);
+                       (long long)weights, group);
     XXH128_hash_t hash = XXH3_128bits(text, (size_t)len);
     (void)snprintf(out, CS_ID_LEN + 1, "%016llx%016llx",
                    (unsigned long long)hash.high64,
--- a/relay/relay-config.c
+++ b/relay/relay-config.c
@@ -118,6 +118,41 @@
     }
 }
 
+/* Sets which workspaces share cached parts.  The order of the workspaces makes
+ * no difference. */
+void
+relay_config_set_sharing(relay_config_t *config)
+{
+    config->isolated_hash = 0;
+    for (size_t i = 0; i < config->workspace_count; i++) {
+        const workspace_entry_t *workspace = &config->workspaces[i];
+        if (workspace->isolated) {
+            config->isolated_hash +=
+                XXH3_64bits(workspace->name, strlen(workspace->name)) | 1;
+        }
+    }
+}
+
+/* Writes the name of the group in which a workspace, or NULL, shares cached
+ * parts.  An isolated one is a group of its own.  That of all others depends
+ * on which are isolated: what a workspace has cached among them must be out of
+ * their reach once it is isolated. */
+void
+relay_config_sharing_group(const relay_config_t *config,
+                           const workspace_entry_t *workspace,
+                           char out[SHARING_GROUP_MAX])
+{
+    if (workspace != NULL && workspace->isolated) {
+        str_copy(out, SHARING_GROUP_MAX, workspace->name);
+        return;
+    }
+    out[0] = '\0';
+    if (config->isolated_hash != 0) {
+        (void)snprintf(out, SHARING_GROUP_MAX, "/%016llx",
+                       (unsigned long long)config->isolated_hash);
+    }
+}
+
 /* Returns the bucket of the routes with a host and a prefix.  Host names are
  * compared without regard to case, so they are hashed in lower case. */
 static size_t
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -107,13 +107,22 @@
     relay_services_t services;
     workspace_entry_t *workspaces;
     size_t workspace_count;
+    uint64_t isolated_hash; /* of the names of the isolated workspaces; 0 if
+                               there are none */
 } relay_config_t;
 
+/* Length of the name of a group of workspaces that share cached parts. */
+#define SHARING_GROUP_MAX CS_NAME_MAX
+
 relay_config_t *relay_config_new(void);
 relay_config_t *relay_config_hold(relay_config_t *config);
 void relay_config_release(relay_config_t *config);
 void relay_config_add_route(relay_config_t *config, route_t *route);
 void relay_config_mark_priority_services(relay_config_t *config);
+void relay_config_set_sharing(relay_config_t *config);
+void relay_config_sharing_group(const relay_config_t *config,
+                                const workspace_entry_t *workspace,
+                                char out[SHARING_GROUP_MAX]);
 void relay_config_add_key(relay_config_t *config, const char *key,
                           const workspace_entry_t *workspace);
 const route_t *relay_config_find_route(const relay_config_t *config,
--- a/relay/request-head.c
+++ b/relay/request-head.c
@@ -110,15 +110,14 @@
     }
 }
 
-/* Writes the cache salt of the request's prompt for a weights version.
- * Requests of an isolated workspace get a salt of their own. */
+/* Writes the cache salt of the request's prompt for a weights version. */
 void
 request_cache_salt(const request_t *request, int64_t weights,
                    char out[CS_ID_LEN + 1])
 {
-    bool isolated = request->workspace != NULL && request->workspace->isolated;
-    prompt_format_salt(request->prompt.model, weights,
-                       isolated ? request->workspace->name : "", out);
+    char group[SHARING_GROUP_MAX];
+    relay_config_sharing_group(request->config, request->workspace, group);
+    prompt_format_salt(request->prompt.model, weights, group, out);
 }
 
 /* Adds the headers for engines alone: cache salt, expected weights version,
--- a/tests/test-relay-config.c
+++ b/tests/test-relay-config.c
@@ -302,6 +302,63 @@
 }
 END_TEST
 
+/* Returns the salt of a workspace's key, or of a public route for NULL. */
+static const char *
+salt_of(const char *tenants, const char *key, char out[CS_ID_LEN + 1])
+{
+    char spec[512];
+    char group[SHARING_GROUP_MAX];
+    err_t err = {0};
+    (void)snprintf(spec, sizeof(spec),
+                   "{\"version\":1,\"routes\":[],\"tenants\":[%s]}", tenants);
+    relay_config_t *config = read_config(spec, &err);
+    ck_assert_msg(config != NULL, "%s", err.text);
+    relay_config_sharing_group(
+        config, key != NULL ? relay_config_find_workspace(config, key) : NULL,
+        group);
+    prompt_format_salt("m", 1, group, out);
+    relay_config_release(config);
+    return out;
+}
+
+#define TENANT(name, isolated)                          \
+    "{\"name\":\"" name "\",\"access_keys\":[\"k-" name \
+    "\"],\"isolated\":" isolated "}"
+
+/* Guards against parts that a workspace has cached among the others and that
+ * stay in use once a configuration isolates it. */
+START_TEST(shared_salt_changes_once_a_workspace_is_isolated)
+{
+    static const char open_all[] =
+        TENANT("a", "false") "," TENANT("b", "false") "," TENANT("c", "false");
+    static const char a_isolated[] =
+        TENANT("a", "true") "," TENANT("b", "false") "," TENANT("c", "false");
+    static const char ab_isolated[] =
+        TENANT("b", "true") "," TENANT("a", "true") "," TENANT("c", "false");
+    static const char ab_in_other_order[] =
+        TENANT("a", "true") "," TENANT("c", "false") "," TENANT("b", "true");
+    char first[CS_ID_LEN + 1];
+    char second[CS_ID_LEN + 1];
+    /* Those that are not isolated share, with public routes too. */
+    ck_assert_str_eq(salt_of(open_all, "k-a", first),
+                     salt_of(open_all, "k-b", second));
+    ck_assert_str_eq(salt_of(a_isolated, "k-b", first),
+                     salt_of(a_isolated, NULL, second));
+    /* What the isolated one had shared is out of reach, for itself too. */
+    ck_assert_str_ne(salt_of(open_all, "k-b", first),
+                     salt_of(a_isolated, "k-b", second));
+    ck_assert_str_ne(salt_of(open_all, "k-a", first),
+                     salt_of(a_isolated, "k-a", second));
+    ck_assert_str_ne(salt_of(a_isolated, "k-c", first),
+                     salt_of(ab_isolated, "k-c", second));
+    ck_assert_str_ne(salt_of(ab_isolated, "k-a", first),
+                     salt_of(ab_isolated, "k-b", second));
+    /* All hosts agree, whatever the order. */
+    ck_assert_str_eq(salt_of(ab_isolated, "k-c", first),
+                     salt_of(ab_in_other_order, "k-c", second));
+}
+END_TEST
+
 START_TEST(prompt_parts_are_read)
 {
     prompt_t prompt = {0};
@@ -322,4 +379,6 @@
           split_follows_weights, invalid_configurations_are_rejected,
           invalid_entries_are_rejected, corrupted_pages_are_read_safely,
           invalid_text_affects_one_entry, report_is_read,
-          salts_differ_by_weights_and_isolation, prompt_parts_are_read)
+          salts_differ_by_weights_and_isolation,
+          shared_salt_changes_once_a_workspace_is_isolated,
+          prompt_parts_are_read)
