Streams: a report that lists the request proves which process began it

A server's report lists the requests that it runs. A process that lists this one began its stream, whatever the network holds up. What a report says may be some hundred ms old, so up to five are requested for an attempt, a quarter of a second apart, and only while its process is unknown; until then the stream goes on nowhere.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -658,6 +658,25 @@
 
 /* ---- reports ---- */
 
+/* Lists the requests that have begun: id, tokens in memory, events made,
+ * priority. */
+static json_t *
+list_runs(const platform_server_t *server)
+{
+    json_t *rows = json_array();
+    const run_t *run;
+    CK_LIST_FOREACH (run, &server->runs, entry) {
+        const char *id =
+            find_header(run->req, wire_header_name(HEADER_REQUEST_ID));
+        if (run->started && !run->closed && id != NULL) {
+            (void)json_array_append_new(
+                rows, json_pack("[s,i,i,i]", id, 0, (int)run->next_event - 1,
+                                run->priority));
+        }
+    }
+    return rows;
+}
+
 static void
 answer_report(const platform_server_t *server, struct evhttp_request *req)
 {
@@ -671,6 +690,7 @@
         (json_int_t)server->memory_used, "cache_total",
         (json_int_t)server->memory_total, "born",
         (json_int_t)server->started_ms);
+    (void)json_object_set_new(report, "runs", list_runs(server));
     answer_json(req, 200, report);
 }
 
--- a/relay/origin-proof.c
+++ b/relay/origin-proof.c
@@ -26,15 +26,19 @@
  * connection no younger than the reported one.  If both have the same start
  * time, it is that process.  Otherwise it may be either: what a process has
  * sent may arrive long after its end, if the network has held it up, so data
- * that follows the report proves nothing.  A report of an earlier start than
- * the entry's contradicts it, as that process has ended; the entry then holds,
- * as for all other decisions. */
+ * that follows the report proves nothing.  The report of a process that lists
+ * the request does.  A report of an earlier start than the entry's contradicts
+ * it, as that process has ended; the entry then holds, as for all other
+ * decisions. */
 origin_verdict_t
 origin_proof_decide(const origin_evidence_t *evidence)
 {
     if (evidence->entry_start_ms == 0) {
         return ORIGIN_ENTRY; /* nothing could contradict the entry */
     }
+    if (evidence->listed_start_ms > evidence->entry_start_ms) {
+        return ORIGIN_REPORTED;
+    }
     if (!origin_proof_covers(evidence)) {
         /* Most connections end with the process that the entry describes. */
         return evidence->ended ? ORIGIN_ENTRY : ORIGIN_OPEN;
@@ -52,6 +56,8 @@
             return "open";
         case ORIGIN_ENTRY:
             return "entry";
+        case ORIGIN_REPORTED:
+            return "reported";
         case ORIGIN_UNKNOWN:
             return "unknown";
     }
--- a/relay/origin-proof.h
+++ b/relay/origin-proof.h
@@ -18,13 +18,16 @@
     int64_t entry_start_ms; /* in the entry at the send; 0 if unknown */
     int64_t opened_us;      /* when the connection was made */
     process_report_t report;
+    /* Start of a process whose report lists the request; 0 if none did. */
+    int64_t listed_start_ms;
     bool ended; /* the connection has ended */
 } origin_evidence_t;
 
 typedef enum {
-    ORIGIN_OPEN,   /* not decided yet */
-    ORIGIN_ENTRY,  /* the process that the entry describes */
-    ORIGIN_UNKNOWN /* one of several processes */
+    ORIGIN_OPEN,     /* not decided yet */
+    ORIGIN_ENTRY,    /* the process that the entry describes */
+    ORIGIN_REPORTED, /* the process whose report lists the request */
+    ORIGIN_UNKNOWN   /* one of several processes */
 } origin_verdict_t;
 
 void process_report_update(process_report_t *report,
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -1,6 +1,6 @@
 #include "cache-source.h"
 #include "peers.h"
-#include "relay.h"
+#include "request.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -64,6 +64,7 @@
                                       .started_ms = report.started_ms};
     process_report_update(&server->report, &process);
     server_confirm_software(server, report.started_ms);
+    requests_note_report(relay, server, &report);
     if (server->info.engine) {
         weights_note_seen(relay, server->info.model, report.weights);
     }
--- a/relay/request-proof.c
+++ b/relay/request-proof.c
@@ -3,16 +3,40 @@
 
 /* Finds out which process of a server began a stream, see origin-proof.h.  The
  * server is asked for a report only if it has not been asked since the
- * connection was made, so that one report serves all open connections. */
+ * connection was made, so that one report serves all open connections; again
+ * if it has started since its entry, until a report lists the request. */
 
-/* Applies the verdict on the process that began the stream. */
+/* Reports requested for one attempt. */
+#define REPORTS_MAX 5
+/* What a report says may be some hundred ms old. */
+#define REPORT_AGE_US 250000
+
+static uint64_t
+find_software(const request_t *request, const server_t *server,
+              origin_verdict_t verdict)
+{
+    switch (verdict) {
+        case ORIGIN_REPORTED:
+            return server_software_of_start(server,
+                                            request->proof.listed_start_ms);
+        case ORIGIN_UNKNOWN:
+            return SOFTWARE_UNKNOWN;
+        case ORIGIN_OPEN:
+        case ORIGIN_ENTRY:
+            break;
+    }
+    return request->current_software;
+}
+
+/* Applies the verdict on the process that began the stream.  While it is
+ * unknown, a later report may still list the request. */
 static void
 apply_verdict(request_t *request, const server_t *server,
               origin_verdict_t verdict)
 {
-    uint64_t software = verdict == ORIGIN_UNKNOWN ? SOFTWARE_UNKNOWN
-                                                  : request->current_software;
-    request->proof.pending = false;
+    uint64_t software = find_software(request, server, verdict);
+    request->proof.pending =
+        verdict == ORIGIN_UNKNOWN && request->exchange != NULL;
     if (software == request->current_software) {
         request_record_origin(request);
         return;
@@ -33,10 +57,22 @@
 static origin_evidence_t
 collect_evidence(const request_t *request, const server_t *server, bool ended)
 {
-    return (origin_evidence_t){.entry_start_ms = request->proof.entry_start_ms,
-                               .opened_us = request->proof.opened_us,
-                               .report = server->report,
-                               .ended = ended};
+    return (origin_evidence_t){
+        .entry_start_ms = request->proof.entry_start_ms,
+        .opened_us = request->proof.opened_us,
+        .report = server->report,
+        .listed_start_ms = request->proof.listed_start_ms,
+        .ended = ended};
+}
+
+/* Whether a report is worth its price: there is none since the connection was
+ * made, or it may have been taken before the request ran. */
+static bool
+wants_report(const request_t *request, const origin_evidence_t *evidence)
+{
+    int64_t age_us = time_mono_us() - evidence->report.sent_us;
+    return request->proof.reports < REPORTS_MAX &&
+           (!origin_proof_covers(evidence) || age_us >= REPORT_AGE_US);
 }
 
 static void
@@ -49,7 +85,9 @@
     if (verdict != ORIGIN_OPEN) {
         apply_verdict(request, server, verdict);
     }
-    else if (may_ask && !origin_proof_covers(&evidence)) {
+    if (request->proof.pending && may_ask &&
+        wants_report(request, &evidence)) {
+        request->proof.reports++;
         relay_request_report(request->relay, server);
     }
 }
@@ -68,8 +106,8 @@
     update_proof(request, true);
 }
 
-/* More data was read: it may be the evidence that was missing.  A server that
- * did not answer is asked again by the next stream only. */
+/* More data was read: a report may be due.  A server that did not answer is
+ * asked again by the next stream only. */
 void
 request_continue_proof(request_t *request)
 {
@@ -78,6 +116,35 @@
     }
 }
 
+static bool
+report_lists(const server_report_t *report, uint64_t id_hash)
+{
+    for (size_t i = 0; i < report->run_count; i++) {
+        if (report->runs[i] == id_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A server reports which requests it runs: the process that began their
+ * streams is known. */
+void
+requests_note_report(relay_t *relay, const server_t *server,
+                     const server_report_t *report)
+{
+    CLEAN_WALK request_walk_t walk;
+    request_t *request;
+    request_walk_begin(&walk, &relay->walks, &relay->requests);
+    while ((request = request_walk_next(&walk)) != NULL) {
+        if (request->server == server && request->proof.pending &&
+            report_lists(report, str_hash(request->id, 0))) {
+            request->proof.listed_start_ms = report->started_ms;
+            update_proof(request, false);
+        }
+    }
+}
+
 static void
 on_report(void *arg, server_t *server)
 {
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -608,8 +608,9 @@
         server->consecutive_faults == 0 && !server->unresponsive;
     request->weights_version = server->info.weights;
     request->current_software = server->info.software;
-    request->proof.server = server->id_hash;
-    request->proof.entry_start_ms = server_process_start_ms(server);
+    request->proof =
+        (proof_state_t){.server = server->id_hash,
+                        .entry_start_ms = server_process_start_ms(server)};
     request->newest_weights =
         request->engine ? weights_newest_seen(relay, request->prompt.model)
                         : 0;
--- a/relay/request.h
+++ b/relay/request.h
@@ -44,10 +44,12 @@
 
 /* Evidence of which process of a server began a stream, see origin-proof.h. */
 typedef struct {
-    bool pending;           /* it is not known yet */
-    uint32_t server;        /* id_hash of the server of the attempt */
-    int64_t entry_start_ms; /* latest known start of the server at the send */
-    int64_t opened_us;      /* when the connection was made */
+    bool pending;            /* it is not known yet */
+    uint32_t server;         /* id_hash of the server of the attempt */
+    int64_t entry_start_ms;  /* latest known start of the server at the send */
+    int64_t opened_us;       /* when the connection was made */
+    int64_t listed_start_ms; /* of a process that reports to run it; or 0 */
+    unsigned reports;        /* requested for this attempt */
 } proof_state_t;
 
 struct request {
@@ -225,6 +227,8 @@
 void request_correct_origin(request_t *request, uint64_t software);
 void request_begin_proof(request_t *request);
 void request_continue_proof(request_t *request);
+void requests_note_report(relay_t *relay, const server_t *server,
+                          const server_report_t *report);
 bool request_end_proof(request_t *request);
 bool request_end_if_version_gone(request_t *request);
 bool request_select_service(request_t *request, uint64_t service);
--- a/tests/test-origin-proof.c
+++ b/tests/test-origin-proof.c
@@ -26,6 +26,24 @@
 }
 END_TEST
 
+/* Guards against streams that cannot go on, though their server has reported
+ * that the later process runs them. */
+START_TEST(the_process_that_lists_the_request_is_the_origin)
+{
+    origin_evidence_t evidence = make_evidence(OPENED_US, LATER_START_MS);
+    evidence.listed_start_ms = LATER_START_MS;
+    ck_assert_int_eq(origin_proof_decide(&evidence), ORIGIN_REPORTED);
+    /* Also if it has started again since. */
+    evidence.report.started_ms++;
+    evidence.ended = true;
+    ck_assert_int_eq(origin_proof_decide(&evidence), ORIGIN_REPORTED);
+    /* The one of the entry is no later process. */
+    evidence = make_evidence(OPENED_US, ENTRY_START_MS);
+    evidence.listed_start_ms = ENTRY_START_MS;
+    ck_assert_int_eq(origin_proof_decide(&evidence), ORIGIN_ENTRY);
+}
+END_TEST
+
 /* Guards against taking the process that answers for the one behind a
  * connection whose data a cut has held up since before the restart. */
 START_TEST(data_behind_a_report_proves_no_later_process)
@@ -114,7 +132,8 @@
 }
 END_TEST
 
-TEST_MAIN("origin-proof", an_earlier_start_than_the_entry_is_not_believed,
+TEST_MAIN("origin-proof", the_process_that_lists_the_request_is_the_origin,
+          an_earlier_start_than_the_entry_is_not_believed,
           a_later_process_leaves_the_origin_unknown,
           data_behind_a_report_proves_no_later_process,
           the_process_of_the_entry_is_proven_by_a_report_alone,
