Requests: only an answer with the request's id proves that it has not run

What callers saw (REFUSED, TWICE): requests that may run once were answered 503 and had run, or ran at two servers.

Cause: an answer that bears another id was skipped, but one without an id was taken for the request's own. A faulty server may send bytes that belong to no request; on a kept connection they arrive where the next answer is expected. A small rejection among them became proof that the next request had not run, so the host rejected it, or sent it to another server beside the one that ran it. The class: the position on a connection taken for identity.

An answer says something of a request only if it bears its id. - Without an id, on a connection that has carried exchanges before: it is skipped, and the request's own is awaited. On a new connection it is the server's answer, but proves nothing; the connection closes. - A rejection that is signed is none: a head that is cut off within a header swallows the start of the answer that follows, with its id and signature. - Signals (load, limits, leaving) are read from identified answers alone. - Between hosts: own answers bear the id too, and a host that forwarded a request takes none without it for proof. - An idle connection on which input waits, or that has ended, is not used: the event loop may be late, or the host may have stood still. - Calls that bear no id: answers with an id are skipped by reports, health checks and lists of caches; an order gets a connection of its own, since its answer can stop a lease holder.

Evidence: 'unnamed-answer' with not_executed=1 right before 'send-failed fate=refused' of the same request, in the test.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -684,15 +684,17 @@
     return conn;
 }
 
-/* Whether input is waiting on a connection, perhaps not read from its socket
- * yet: the event loop may be late. */
+/* Whether an idle connection can carry a request: it is open, and no input is
+ * waiting that belongs to none.  The event loop may be too late to have seen
+ * either. */
 static bool
-conn_has_input(const conn_t *conn)
+conn_is_clean(const conn_t *conn)
 {
     char byte;
-    return evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0 ||
+    return evbuffer_get_length(bufferevent_get_input(conn->bev)) == 0 &&
            recv(bufferevent_getfd(conn->bev), &byte, 1,
-                MSG_PEEK | MSG_DONTWAIT) > 0;
+                MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 static exchange_connection_t
@@ -700,8 +702,7 @@
 {
     return (exchange_connection_t){
         .earlier = conn->exchanges,
-        .idle_ms = time_mono_ms() - conn->idle_since_ms,
-        .unread = conn_has_input(conn)};
+        .idle_ms = time_mono_ms() - conn->idle_since_ms};
 }
 
 static conn_t *
@@ -710,7 +711,7 @@
     int64_t now = time_mono_ms();
     conn_t *conn;
     while ((conn = CK_LIST_FIRST(&pool->idle)) != NULL) {
-        if (now < conn->expires_ms) {
+        if (now < conn->expires_ms && conn_is_clean(conn)) {
             CK_LIST_REMOVE(conn, entry);
             pool->idle_count--;
             pool->busy_count++;
@@ -821,7 +822,7 @@
     }
 }
 
-/* To be called by on_body if the response turns out to be of no use: the
+/* To be called by on_head or on_body if the response is of no use: the
  * exchange ends as stopped after the hook and closes its connection. */
 void
 exchange_stop(exchange_t *exchange)
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -45,7 +45,6 @@
 typedef struct {
     unsigned earlier; /* exchanges that it had carried before */
     int64_t idle_ms;  /* since the last of them */
-    bool unread;      /* input was waiting that belongs to none of them */
 } exchange_connection_t;
 
 typedef struct {
--- a/kernel/fetch.c
+++ b/kernel/fetch.c
@@ -13,6 +13,7 @@
     exchange_request_t call;
     char addr[CS_ADDR_MAX];
     buf_t request; /* kept while the request may be sent again */
+    const char *other_header;
     int64_t sent_us;
     int64_t answered_ms;
     int status;
@@ -25,6 +26,10 @@
 on_head(void *arg, const http_head_t *head)
 {
     fetch_t *fetch = arg;
+    if (fetch->other_header != NULL &&
+        http_head_find(head, fetch->other_header) != NULL) {
+        return HEAD_SKIP;
+    }
     fetch->status = head->status;
     fetch->sent_us = exchange_sent_us(fetch->exchange);
     fetch->answered_ms = time_mono_ms();
@@ -106,6 +111,7 @@
                              .connect_ms = options->connect_ms,
                              .total_ms = options->total_ms,
                              .stall_ms = options->stall_ms};
+    fetch->other_header = options->other_header;
     fetch->on_done = options->on_done;
     fetch->arg = options->arg;
     fetch->exchange = exchange_start(exchanges, &fetch->call, &hooks);
--- a/kernel/fetch.h
+++ b/kernel/fetch.h
@@ -25,6 +25,9 @@
     /* May be sent twice: if an idle connection turns out to be closed, the
      * request is sent again over a new one. */
     bool repeatable;
+    /* Only answers to other requests of the connection's peer have this
+     * header; they are skipped.  NULL if there are none. */
+    const char *other_header;
     int connect_ms;
     int total_ms;
     int stall_ms; /* see exchange_request_t */
--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -686,6 +686,13 @@
     caller_close(caller);
 }
 
+/* Returns the head of the current request. */
+const http_head_t *
+caller_head(const caller_t *caller)
+{
+    return &caller->reader.head;
+}
+
 /* Sets the owner of the current request, or NULL for none.  It is passed to
  * on_disconnect and on_flushed. */
 void
--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -69,6 +69,7 @@
 size_t http_listener_body_bytes(const http_listener_t *listener);
 size_t http_listener_connections(const http_listener_t *listener);
 
+const http_head_t *caller_head(const caller_t *caller);
 void caller_set_owner(caller_t *caller, void *owner);
 void caller_answer(caller_t *caller, int status, const buf_t *headers,
                    const char *body, size_t len);
--- a/relay/cache-follow.c
+++ b/relay/cache-follow.c
@@ -143,12 +143,14 @@
 start_call(followed_cache_t *cache)
 {
     CLEAN_BUF buf_t head = {0};
-    fetch_options_t params = {.addr = cache->addr,
-                              .request = &head,
-                              .connect_ms = CONNECT_TIMEOUT_MS,
-                              .total_ms = LIST_TIMEOUT_MS,
-                              .on_done = on_done,
-                              .arg = cache};
+    fetch_options_t params = {
+        .addr = cache->addr,
+        .request = &head,
+        .other_header = wire_header_name(HEADER_REQUEST_ID),
+        .connect_ms = CONNECT_TIMEOUT_MS,
+        .total_ms = LIST_TIMEOUT_MS,
+        .on_done = on_done,
+        .arg = cache};
     if (cache->listed) {
         platform_cache_events_call(&head, cache->addr, cache->position.next,
                                    EVENTS_WAIT_MS);
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -187,6 +187,7 @@
         .addr = server->info.addr,
         .request = &head,
         .new_connection = of_path,
+        .other_header = wire_header_name(HEADER_REQUEST_ID),
         .connect_ms = CONNECT_TIMEOUT_MS,
         .total_ms = probe->engine ? REPORT_TIMEOUT_MS : HEALTH_TIMEOUT_MS,
         .on_done = on_done,
@@ -257,13 +258,15 @@
     str_copy(check->id, sizeof(check->id), server->info.id);
     str_copy(check->addr, sizeof(check->addr), server->info.addr);
     platform_report_call(&head, server->info.addr);
-    fetch_options_t call_options = {.addr = server->info.addr,
-                                    .request = &head,
-                                    .new_connection = check->new_connection,
-                                    .connect_ms = CONNECT_TIMEOUT_MS,
-                                    .total_ms = REPORT_TIMEOUT_MS,
-                                    .on_done = on_software_checked,
-                                    .arg = check};
+    fetch_options_t call_options = {
+        .addr = server->info.addr,
+        .request = &head,
+        .new_connection = check->new_connection,
+        .other_header = wire_header_name(HEADER_REQUEST_ID),
+        .connect_ms = CONNECT_TIMEOUT_MS,
+        .total_ms = REPORT_TIMEOUT_MS,
+        .on_done = on_software_checked,
+        .arg = check};
     check->fetch = fetch_start(relay->exchanges, &call_options);
     return check;
 }
@@ -308,12 +311,14 @@
     str_copy(call->addr, sizeof(call->addr), server->info.addr);
     server->report_pending = true;
     platform_report_call(&head, server->info.addr);
-    fetch_options_t options = {.addr = server->info.addr,
-                               .request = &head,
-                               .connect_ms = CONNECT_TIMEOUT_MS,
-                               .total_ms = REPORT_TIMEOUT_MS,
-                               .on_done = on_report,
-                               .arg = call};
+    fetch_options_t options = {
+        .addr = server->info.addr,
+        .request = &head,
+        .other_header = wire_header_name(HEADER_REQUEST_ID),
+        .connect_ms = CONNECT_TIMEOUT_MS,
+        .total_ms = REPORT_TIMEOUT_MS,
+        .on_done = on_report,
+        .arg = call};
     relay->meter.origin_reports++;
     (void)fetch_start(relay->exchanges, &options);
 }
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -171,8 +171,15 @@
 on_head(void *arg, const http_head_t *head)
 {
     request_t *request = arg;
-    if (request_has_other_id(request, head)) {
-        return HEAD_SKIP;
+    switch (request_answer_id(request, head)) {
+        case ANSWER_ID_OWN:
+            break;
+        case ANSWER_ID_NONE:
+            request->answer = ANSWER_INVALID;
+            exchange_stop(request->exchange);
+            return HEAD_DISCARD;
+        case ANSWER_ID_OTHER:
+            return HEAD_SKIP;
     }
     request->answer = classify(request, head);
     request->status = head->status;
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -34,15 +34,23 @@
 
 /* ---- the answer ---- */
 
-/* Whether an answer carries the id of another request. */
-bool
-request_has_other_id(const request_t *request, const http_head_t *head)
+/* Returns whose id an answer carries.  Only one with the request's own says
+ * anything of the request: a faulty server may send more than one answer, and
+ * what belongs to an earlier request of the connection arrives where the
+ * answer to this one is expected. */
+answer_id_t
+request_answer_id(const request_t *request, const http_head_t *head)
 {
     const header_t *id =
         http_head_find(head, wire_header_name(HEADER_REQUEST_ID));
-    return id != NULL && !(strlen(request->id) == id->value.len &&
-                           memcmp(request->id, http_head_at(head, id->value),
-                                  id->value.len) == 0);
+    if (id == NULL) {
+        return ANSWER_ID_NONE;
+    }
+    return strlen(request->id) == id->value.len &&
+                   memcmp(request->id, http_head_at(head, id->value),
+                          id->value.len) == 0
+               ? ANSWER_ID_OWN
+               : ANSWER_ID_OTHER;
 }
 
 static void
@@ -98,22 +106,21 @@
     }
 }
 
-/* Classifies an answer by its head.  An answer without the server's signature
- * or the request's id, or with an unrequested content encoding, does not come
+/* Classifies an answer that carries the request's id.  One without the
+ * server's signature, or with an unrequested content encoding, does not come
  * from the server itself and is never passed on. */
 static answer_class_t
 classify(const request_t *request, const http_head_t *head)
 {
-    bool has_id =
-        http_head_find(head, wire_header_name(HEADER_REQUEST_ID)) != NULL;
     bool is_signed =
         http_head_find(head, wire_header_name(HEADER_SIGNATURE)) != NULL;
     bool not_executed =
         http_head_find(head, wire_header_name(HEADER_NOT_EXECUTED)) != NULL;
     if (not_executed || head->status == 421) {
-        return ANSWER_REJECTED;
+        /* A server signs what it has run: then one of the two is wrong. */
+        return is_signed ? ANSWER_INVALID : ANSWER_REJECTED;
     }
-    if (!has_id || !is_signed ||
+    if (!is_signed ||
         http_head_find(head, wire_header_name(HEADER_CONTENT_ENCODING)) !=
             NULL) {
         return ANSWER_INVALID;
@@ -176,26 +183,44 @@
     log_record(
         LOG_WARN, "request", event,
         "id=%s server=%s status=%d not_executed=%d signed=%d earlier=%u "
-        "idle_ms=%lld unread=%d after_ms=%lld",
+        "idle_ms=%lld after_ms=%lld",
         request->id, request->server->info.id, head->status,
         http_head_find(head, wire_header_name(HEADER_NOT_EXECUTED)) != NULL,
         http_head_find(head, wire_header_name(HEADER_SIGNATURE)) != NULL,
         connection->earlier, (long long)connection->idle_ms,
-        connection->unread, (long long)(time_mono_ms() - request->sent_ms));
+        (long long)(time_mono_ms() - request->sent_ms));
 }
 
+/* An answer without an id: on a connection that was open before it may belong
+ * to an earlier request, and the request's own may follow.  Otherwise it is
+ * the answer of a server that names no ids; whether the request ran is
+ * unknown, and the connection is not used again. */
 static head_action_t
-on_head(void *arg, const http_head_t *head)
+take_unnamed(request_t *request, const http_head_t *head)
 {
-    request_t *request = arg;
-    if (request_has_other_id(request, head)) {
-        request->relay->meter.answers_stray++;
-        log_unidentified(request, head, "stray-answer");
+    request->relay->meter.answers_unnamed++;
+    log_unidentified(request, head, "unnamed-answer");
+    if (exchange_connection(request->exchange)->earlier > 0) {
         return HEAD_SKIP;
     }
-    if (http_head_find(head, wire_header_name(HEADER_REQUEST_ID)) == NULL) {
-        request->relay->meter.answers_unnamed++;
-        log_unidentified(request, head, "unnamed-answer");
+    request->answer = ANSWER_INVALID;
+    exchange_stop(request->exchange);
+    return HEAD_DISCARD;
+}
+
+static head_action_t
+on_head(void *arg, const http_head_t *head)
+{
+    request_t *request = arg;
+    switch (request_answer_id(request, head)) {
+        case ANSWER_ID_OWN:
+            break;
+        case ANSWER_ID_NONE:
+            return take_unnamed(request, head);
+        case ANSWER_ID_OTHER:
+            request->relay->meter.answers_stray++;
+            log_unidentified(request, head, "stray-answer");
+            return HEAD_SKIP;
     }
     relay_note_answer(request->relay, request->server,
                       !request->connection_reused);
--- a/relay/request.c
+++ b/relay/request.c
@@ -37,6 +37,12 @@
 /* Weight of the newest prompt in the smoothed size of prompts. */
 #define MEAN_PROMPT_WEIGHT 0.02
 
+static const header_t *
+find_header(const http_head_t *head, wire_header_t header)
+{
+    return http_head_find(head, wire_header_name(header));
+}
+
 /* The caller closed its connection: cancels its request and closes the
  * connection to the server, so that the server stops working. */
 void
@@ -127,10 +133,24 @@
     free(request);
 }
 
+/* Adds the id of the request that is answered: a host that forwarded it takes
+ * no answer without one for proof. */
+static void
+add_request_id(caller_t *caller, buf_t *headers)
+{
+    const http_head_t *head = caller_head(caller);
+    const header_t *id = find_header(head, HEADER_REQUEST_ID);
+    if (id != NULL) {
+        buf_fmt(headers, "%s: %.*s\r\n", wire_header_name(HEADER_REQUEST_ID),
+                (int)id->value.len, http_head_at(head, id->value));
+    }
+}
+
 static void
 answer_empty(caller_t *caller, int status, int64_t retry_after_ms)
 {
     CLEAN_BUF buf_t headers = {0};
+    add_request_id(caller, &headers);
     if (retry_after_ms > 0) {
         buf_fmt(&headers, "%s: %.3f\r\n", wire_header_name(HEADER_RETRY_AFTER),
                 (double)retry_after_ms / 1000);
@@ -166,6 +186,7 @@
 answer_not_taken(caller_t *caller, const char *reason)
 {
     CLEAN_BUF buf_t headers = {0};
+    add_request_id(caller, &headers);
     buf_fmt(&headers, "%s: %s\r\n", wire_header_name(HEADER_FORWARDED),
             reason);
     caller_answer(caller, 503, &headers, "", 0);
@@ -231,6 +252,7 @@
     caller_t *caller = request->caller;
     bool streaming = request->phase == REQUEST_STREAMING;
     CLEAN_BUF buf_t headers = {0};
+    add_request_id(caller, &headers);
     if (request->from_host) {
         request_add_last_tried(request, &headers);
     }
@@ -571,12 +593,6 @@
     }
 }
 
-static const header_t *
-find_header(const http_head_t *head, wire_header_t header)
-{
-    return http_head_find(head, wire_header_name(header));
-}
-
 static int64_t
 read_deadline(const http_head_t *head)
 {
--- a/relay/request.h
+++ b/relay/request.h
@@ -35,6 +35,9 @@
     ANSWER_INVALID   /* must not be passed on */
 } answer_class_t;
 
+/* Whose id an answer carries. */
+typedef enum { ANSWER_ID_OWN, ANSWER_ID_OTHER, ANSWER_ID_NONE } answer_id_t;
+
 /* What could take a request whose server does not answer. */
 typedef enum {
     ALTERNATIVE_NONE,
@@ -181,7 +184,8 @@
                         char out[CS_ID_LEN + 1]);
 bool request_may_use_kv_stores(const request_t *request,
                                const server_t *server);
-bool request_has_other_id(const request_t *request, const http_head_t *head);
+answer_id_t request_answer_id(const request_t *request,
+                              const http_head_t *head);
 bool request_uses_body(const request_t *request);
 void request_copy_answer_headers(request_t *request, const http_head_t *head);
 void request_pass_events(request_t *request, const char *data, size_t len);
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -264,15 +264,21 @@
 
 static void on_job_done(void *arg, const fetch_result_t *result);
 
+/* Sends a report's or an order's call.  An order gets a connection of its own:
+ * its answer bears no id, and what a connection brings for an earlier request
+ * must not be taken for it. */
 static void
-job_send(job_t *job, const server_t *server, const buf_t *call)
+job_send(job_t *job, const server_t *server, const buf_t *call, bool is_order)
 {
-    fetch_options_t call_options = {.addr = server->info.addr,
-                                    .request = call,
-                                    .connect_ms = ORDER_CONNECT_MS,
-                                    .total_ms = ORDER_CALL_MS,
-                                    .on_done = on_job_done,
-                                    .arg = job};
+    fetch_options_t call_options = {
+        .addr = server->info.addr,
+        .request = call,
+        .new_connection = is_order,
+        .other_header = wire_header_name(HEADER_REQUEST_ID),
+        .connect_ms = ORDER_CONNECT_MS,
+        .total_ms = ORDER_CALL_MS,
+        .on_done = on_job_done,
+        .arg = job};
     job->fetch = fetch_start(job->rollout->relay->exchanges, &call_options);
 }
 
@@ -281,7 +287,7 @@
 {
     CLEAN_BUF buf_t call = {0};
     platform_report_call(&call, server->info.addr);
-    job_send(job, server, &call);
+    job_send(job, server, &call, false);
 }
 
 /* Keeps new requests from the server, here and at the peers. */
@@ -326,7 +332,7 @@
                drain_mode == DRAIN_WAIT);
     job->state = JOB_ORDER;
     job->drain_mode = drain_mode;
-    job_send(job, server, &call);
+    job_send(job, server, &call, true);
 }
 
 /* Stops sending requests to a server that is about to be ordered to load, so
