--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -23,8 +23,9 @@
 /* Callbacks of the owner of a listener.  Those that may be NULL say so. */
 typedef struct {
     http_limits_t (*limits)(void *arg);
-    /* A complete request was read.  Head and body belong to the connection and
-     * are valid until the response is complete. */
+    /* A complete request was read, by the event loop: never within the
+     * response to another one.  Head and body belong to the connection and are
+     * valid until the response is complete. */
     void (*on_request)(void *arg, caller_t *caller, const http_head_t *head,
                        buf_t *body);
     /* A request is malformed or exceeds a limit; the hook must respond to it.
@@ -68,6 +69,7 @@
 size_t http_listener_body_bytes(const http_listener_t *listener);
 size_t http_listener_connections(const http_listener_t *listener);
 
+const http_head_t *caller_head(const caller_t *caller);
 void caller_set_owner(caller_t *caller, void *owner);
 void caller_answer(caller_t *caller, int status, const buf_t *headers,
                    const char *body, size_t len);
--- a/relay/origin-proof.h
+++ b/relay/origin-proof.h
@@ -18,15 +18,15 @@
     int64_t entry_start_ms; /* in the entry at the send; 0 if unknown */
     int64_t opened_us;      /* when the connection was made */
     process_report_t report;
-    /* Data was read from the connection after the answer to the report. */
-    bool delivers;
+    /* Start of a process whose report lists the request; 0 if none did. */
+    int64_t listed_start_ms;
     bool ended; /* the connection has ended */
 } origin_evidence_t;
 
 typedef enum {
     ORIGIN_OPEN,     /* not decided yet */
     ORIGIN_ENTRY,    /* the process that the entry describes */
-    ORIGIN_REPORTED, /* the process that answered the report */
+    ORIGIN_REPORTED, /* the process whose report lists the request */
     ORIGIN_UNKNOWN   /* one of several processes */
 } origin_verdict_t;
 
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -1,6 +1,6 @@
 #include "cache-source.h"
 #include "peers.h"
-#include "relay.h"
+#include "request.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -64,6 +64,7 @@
                                       .started_ms = report.started_ms};
     process_report_update(&server->report, &process);
     server_confirm_software(server, report.started_ms);
+    requests_note_report(relay, server, &report);
     if (server->info.engine) {
         weights_note_seen(relay, server->info.model, report.weights);
     }
@@ -186,6 +187,7 @@
         .addr = server->info.addr,
         .request = &head,
         .new_connection = of_path,
+        .other_header = wire_header_name(HEADER_REQUEST_ID),
         .connect_ms = CONNECT_TIMEOUT_MS,
         .total_ms = probe->engine ? REPORT_TIMEOUT_MS : HEALTH_TIMEOUT_MS,
         .on_done = on_done,
@@ -256,13 +258,15 @@
     str_copy(check->id, sizeof(check->id), server->info.id);
     str_copy(check->addr, sizeof(check->addr), server->info.addr);
     platform_report_call(&head, server->info.addr);
-    fetch_options_t call_options = {.addr = server->info.addr,
-                                    .request = &head,
-                                    .new_connection = check->new_connection,
-                                    .connect_ms = CONNECT_TIMEOUT_MS,
-                                    .total_ms = REPORT_TIMEOUT_MS,
-                                    .on_done = on_software_checked,
-                                    .arg = check};
+    fetch_options_t call_options = {
+        .addr = server->info.addr,
+        .request = &head,
+        .new_connection = check->new_connection,
+        .other_header = wire_header_name(HEADER_REQUEST_ID),
+        .connect_ms = CONNECT_TIMEOUT_MS,
+        .total_ms = REPORT_TIMEOUT_MS,
+        .on_done = on_software_checked,
+        .arg = check};
     check->fetch = fetch_start(relay->exchanges, &call_options);
     return check;
 }
@@ -307,12 +311,14 @@
     str_copy(call->addr, sizeof(call->addr), server->info.addr);
     server->report_pending = true;
     platform_report_call(&head, server->info.addr);
-    fetch_options_t options = {.addr = server->info.addr,
-                               .request = &head,
-                               .connect_ms = CONNECT_TIMEOUT_MS,
-                               .total_ms = REPORT_TIMEOUT_MS,
-                               .on_done = on_report,
-                               .arg = call};
+    fetch_options_t options = {
+        .addr = server->info.addr,
+        .request = &head,
+        .other_header = wire_header_name(HEADER_REQUEST_ID),
+        .connect_ms = CONNECT_TIMEOUT_MS,
+        .total_ms = REPORT_TIMEOUT_MS,
+        .on_done = on_report,
+        .arg = call};
     relay->meter.origin_reports++;
     (void)fetch_start(relay->exchanges, &options);
 }
--- a/relay/request.h
+++ b/relay/request.h
@@ -35,6 +35,9 @@
     ANSWER_INVALID   /* must not be passed on */
 } answer_class_t;
 
+/* Whose id an answer carries. */
+typedef enum { ANSWER_ID_OWN, ANSWER_ID_OTHER, ANSWER_ID_NONE } answer_id_t;
+
 /* What could take a request whose server does not answer. */
 typedef enum {
     ALTERNATIVE_NONE,
@@ -44,10 +47,12 @@
 
 /* Evidence of which process of a server began a stream, see origin-proof.h. */
 typedef struct {
-    bool pending;           /* it is not known yet */
-    uint32_t server;        /* id_hash of the server of the attempt */
-    int64_t entry_start_ms; /* latest known start of the server at the send */
-    int64_t opened_us;      /* when the connection was made */
+    bool pending;            /* it is not known yet */
+    uint32_t server;         /* id_hash of the server of the attempt */
+    int64_t entry_start_ms;  /* latest known start of the server at the send */
+    int64_t opened_us;       /* when the connection was made */
+    int64_t listed_start_ms; /* of a process that reports to run it; or 0 */
+    unsigned reports;        /* requested for this attempt */
 } proof_state_t;
 
 struct request {
@@ -179,7 +184,8 @@
                         char out[CS_ID_LEN + 1]);
 bool request_may_use_kv_stores(const request_t *request,
                                const server_t *server);
-bool request_has_other_id(const request_t *request, const http_head_t *head);
+answer_id_t request_answer_id(const request_t *request,
+                              const http_head_t *head);
 bool request_uses_body(const request_t *request);
 void request_copy_answer_headers(request_t *request, const http_head_t *head);
 void request_pass_events(request_t *request, const char *data, size_t len);
@@ -225,6 +231,8 @@
 void request_correct_origin(request_t *request, uint64_t software);
 void request_begin_proof(request_t *request);
 void request_continue_proof(request_t *request);
+void requests_note_report(relay_t *relay, const server_t *server,
+                          const server_report_t *report);
 bool request_end_proof(request_t *request);
 bool request_end_if_version_gone(request_t *request);
 bool request_select_service(request_t *request, uint64_t service);
