Exchange: an answer that is skipped and does not end is not waited for

What follows an answer that does not end is never read. A skipped answer now has the time that one of no use has; then the exchange ends as malformed, and the request may have run.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -20,7 +20,8 @@
 /* Responses to other requests in one exchange.  A sound server sends a few. */
 #define STRAYS_MAX 16
 /* The rest of a response that has no use is read, so that its connection can
- * be kept, unless it is longer or takes longer than this. */
+ * be kept, unless it is longer or takes longer than this.  One that is skipped
+ * may not take longer either: what follows it would never be read. */
 #define DISCARD_BYTES_MAX 65536
 #define DISCARD_MS 100
 /* An idle connection expires this long before the timeout that its server
@@ -387,6 +388,8 @@
     if (action == HEAD_DISCARD) {
         exchange->discarding = true;
         exchange->extra = 0;
+    }
+    if (action != HEAD_ACCEPT) {
         timer_arm(exchange, DISCARD_MS);
     }
 }
@@ -466,7 +469,10 @@
 static void
 begin_next_response(exchange_t *exchange)
 {
-    exchange->strays += exchange->skipping ? 1 : 0;
+    if (exchange->skipping) {
+        exchange->strays++;
+        timer_arm_deadline(exchange);
+    }
     exchange->head_seen = false;
     exchange->skipping = false;
     http_reader_next(&exchange->reader);
@@ -589,6 +595,10 @@
         exchange_end(exchange, EXCHANGE_STOPPED);
         return;
     }
+    if (exchange->skipping) {
+        exchange_end(exchange, EXCHANGE_MALFORMED);
+        return;
+    }
     exchange_end(exchange,
                  exchange->sent ? EXCHANGE_TIMEOUT : EXCHANGE_UNSENT);
 }
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -19,7 +19,8 @@
     EXCHANGE_NO_ANSWER, /* the connection failed before a response began */
     EXCHANGE_BROKEN,    /* the connection failed within the response */
     EXCHANGE_MALFORMED, /* the response is not valid HTTP, or has too many
-                           bytes besides its body */
+                           bytes besides its body, or follows one to another
+                           request that does not end */
     EXCHANGE_STOPPED,   /* the owner wanted no more of the response */
     EXCHANGE_TIMEOUT    /* total_ms passed, the request had been sent */
 } exchange_end_t;
--- a/tests/test-exchange.c
+++ b/tests/test-exchange.c
@@ -514,6 +514,23 @@
 }
 END_TEST
 
+/* Guards against a request that waits until its deadline behind the answer to
+ * another one, of which the rest never comes. */
+START_TEST(unfinished_stray_ends_an_exchange)
+{
+    static const char *const answers[] = {
+        "HTTP/1.1 200 OK\r\nOther: 1\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nOther: 1\r\nContent-Length: 9\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nOther: 1\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    for (size_t i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+        seen_t seen = {.action = HEAD_ACCEPT};
+        ck_assert_int_eq(end_of_answer(answers[i], NULL, &seen),
+                         EXCHANGE_MALFORMED);
+        ck_assert_int_lt(seen.ms, 1500);
+    }
+}
+END_TEST
+
 /* Guards against the answer to a request that is taken for a report. */
 START_TEST(fetch_skips_the_answer_to_a_request)
 {
@@ -542,7 +559,8 @@
 }
 END_TEST
 
-TEST_MAIN("exchange", connection_with_waiting_input_is_not_used_again,
+TEST_MAIN("exchange", unfinished_stray_ends_an_exchange,
+          connection_with_waiting_input_is_not_used_again,
           connection_that_has_ended_is_not_used_again,
           fetch_skips_the_answer_to_a_request,
           a_request_is_sent_after_its_connection_is_made,
