--- a/relay/watch.c
+++ b/relay/watch.c
@@ -73,6 +73,10 @@
  * server is alive, an entry that expired while the store was unreachable is
  * written again within two seconds; the rest is a margin. */
 #define STORE_RECOVERY_MS 2300
+/* Peers that are asked whether there was an outage, and the pause between, ms.
+ */
+#define OUTAGE_CHECKS_MAX 3
+#define OUTAGE_CHECK_PAUSE_MS 300
 #define STATUS_GONE 410
 
 typedef enum { WATCH_LISTING, WATCH_WATCHING } watch_state_t;
@@ -82,7 +86,10 @@
     exchanges_t *exchanges;
     struct event *timer;
     fetch_t *fetch;
-    fetch_t *check; /* of stale objects, beside the fetch; or NULL */
+    fetch_t *check;         /* of stale objects, beside the fetch; or NULL */
+    fetch_t *outage_check;  /* of a peer, beside the others; or NULL */
+    unsigned outage_checks; /* since the last outage */
+    int64_t next_outage_check_ms;
     watch_hooks_t hooks;
     char addr[CS_ADDR_MAX];
     char upstream[CS_ADDR_MAX]; /* address of the last upstream */
@@ -313,6 +320,8 @@
     watch->failed = false;
     if (outage) {
         watch->recovered_ms = watch->answered_ms;
+        watch->outage_checks = 0;
+        watch->next_outage_check_ms = 0;
     }
     log_record(LOG_INFO, "store", "back",
                "kind=%s at=%lld followed=%d outage=%d", kind_name(watch->kind),
@@ -635,6 +644,9 @@
     if (watch->check != NULL) {
         fetch_cancel(watch->check);
     }
+    if (watch->outage_check != NULL) {
+        fetch_cancel(watch->outage_check);
+    }
     event_free(watch->timer);
     free(watch);
 }
@@ -754,11 +766,79 @@
            (watch->failed && !answer_arrives(watch, false));
 }
 
+/* ---- outages ---- */
+
+/* A daemon that was cut off from the store and its peers at once takes that
+ * for an outage of the store.  A peer that the store answers, and for which no
+ * outage has just ended, shows that there was none, or that its end is long
+ * enough ago. */
+static void
+on_outage_checked(void *arg, const fetch_result_t *result)
+{
+    watch_t *watch = arg;
+    store_page_t page;
+    err_t err = {0};
+    watch->outage_check = NULL;
+    if (!result->complete || result->status != 200 || watch->failed ||
+        platform_page_read(&page, result->text, result->len, &err) != 0) {
+        return;
+    }
+    bool sound =
+        page.age_ms >= 0 && page.age_ms <= PEER_AGE_MS_MAX && !page.recovering;
+    platform_page_free(&page);
+    if (!sound || watch->recovered_ms == 0) {
+        return;
+    }
+    log_record(LOG_INFO, "store", "no-outage", "kind=%s at=%lld after_ms=%lld",
+               kind_name(watch->kind), (long long)watch->revision,
+               (long long)(time_mono_ms() - watch->recovered_ms));
+    watch->recovered_ms = 0;
+}
+
+/* Asks a peer whether there was an outage. */
+static void
+check_outage(watch_t *watch, int64_t now)
+{
+    CLEAN_BUF buf_t head = {0};
+    char peer[CS_ADDR_MAX];
+    if (watch->hooks.find_peer == NULL ||
+        !watch->hooks.find_peer(watch->hooks.arg, peer)) {
+        return;
+    }
+    platform_list_call(&head, peer, watch->kind, "");
+    fetch_options_t call_options = {.addr = peer,
+                                    .request = &head,
+                                    .repeatable = true,
+                                    .connect_ms = CONNECT_TIMEOUT_MS,
+                                    .total_ms = PEER_TIMEOUT_MS,
+                                    .stall_ms = STALL_MS,
+                                    .on_done = on_outage_checked,
+                                    .arg = watch};
+    watch->outage_checks++;
+    watch->next_outage_check_ms = now + OUTAGE_CHECK_PAUSE_MS;
+    watch->outage_check = fetch_start(watch->exchanges, &call_options);
+}
+
+/* Whether it is worth asking: entries of servers expire in an outage. */
+static bool
+doubts_outage(const watch_t *watch, int64_t now)
+{
+    return watch->kind == KIND_SERVERS && !watch->failed &&
+           watch->recovered_ms != 0 &&
+           now - watch->recovered_ms < STORE_RECOVERY_MS &&
+           watch->outage_check == NULL &&
+           watch->outage_checks < OUTAGE_CHECKS_MAX &&
+           now >= watch->next_outage_check_ms;
+}
+
 /* Bounds the age of the objects, whichever way their confirmation is late: the
  * limits of the calls that are under way are not waited for. */
 void
 watch_tick(watch_t *watch, int64_t now)
 {
+    if (doubts_outage(watch, now)) {
+        check_outage(watch, now);
+    }
     if (!watch->listed || watch_age_ms(watch, now) <= stale_age_ms(watch)) {
         return;
     }
--- a/tests/test-watch.c
+++ b/tests/test-watch.c
@@ -26,6 +26,10 @@
     "\"name\":\"main\",\"revision\":7},\"specification\":{}}}],\"at\":7}"
 #define EMPTY_LIST "{\"items\":[],\"has_more\":false,\"at\":5}"
 #define YOUNG_LIST "{\"items\":[],\"has_more\":false,\"at\":5,\"age_ms\":5}"
+#define RECOVERING_LIST                                       \
+    "{\"items\":[],\"has_more\":false,\"at\":5,\"age_ms\":5," \
+    "\"recovering\":true}"
+#define OLD_LIST "{\"items\":[],\"has_more\":false,\"at\":5,\"age_ms\":4000}"
 /* The pieces of a slow answer, and the pause before each of them. */
 #define PIECES 20
 #define MANY_PIECES 60
@@ -599,7 +603,52 @@
 }
 END_TEST
 
-TEST_MAIN("watch", watch_after_upstream_uses_short_wait,
+/* Loses the store and all peers, which then come back at once; returns when
+ * the store recovered as far as the watch knows, 0 for no outage. */
+static int64_t
+recover_from_cut(const char *peer_list)
+{
+    fixture_t fixture;
+    fixture_prepare(&fixture, UPSTREAM_NONE);
+    fixture.kind = KIND_SERVERS;
+    fixture.upstream.list = peer_list;
+    fixture.store.holds_watches = false;
+    fixture_start(&fixture);
+    await_watches(&fixture, &fixture.store, 1);
+    fixture.store.rejects = true;
+    run_for(&fixture, 500);
+    ck_assert_int_gt(watch_recovered_ms(fixture.watch), 0);
+    fixture.store.rejects = false;
+    fixture.has_peer = true;
+    run_for(&fixture, 1000);
+    ck_assert_uint_ge(fixture.upstream.calls, 1);
+    ck_assert_uint_le(fixture.upstream.calls, 3);
+    int64_t recovered_ms = watch_recovered_ms(fixture.watch);
+    fixture_close(&fixture);
+    return recovered_ms;
+}
+
+/* Guards against removed servers that stay in use at a host that was cut off
+ * from the store and its peers at once, and takes that for an outage. */
+START_TEST(cut_from_store_and_peers_is_no_outage)
+{
+    ck_assert_int_eq(recover_from_cut(YOUNG_LIST), 0);
+}
+END_TEST
+
+/* Guards against servers that are removed behind an outage, since another host
+ * is asked which has lost the store itself. */
+START_TEST(outage_is_confirmed_by_peers_that_recover)
+{
+    ck_assert_int_gt(recover_from_cut(RECOVERING_LIST), 0);
+    ck_assert_int_gt(recover_from_cut(OLD_LIST), 0);
+    ck_assert_int_gt(recover_from_cut(EMPTY_LIST), 0);
+}
+END_TEST
+
+TEST_MAIN("watch", cut_from_store_and_peers_is_no_outage,
+          outage_is_confirmed_by_peers_that_recover,
+          watch_after_upstream_uses_short_wait,
           watch_uses_short_wait_while_upstreams_are_avoided,
           first_follower_renews_long_watch,
           list_may_take_long_while_it_arrives,
