--- a/relay/relay.h
+++ b/relay/relay.h
@@ -60,7 +60,7 @@
 
 /* Versions of a model that are kept with their time of publication.  The
  * rollout of any older version is over. */
-#define WEIGHTS_VERSIONS_MAX 8
+#define WEIGHTS_VERSIONS_MAX 32
 
 typedef struct {
     int64_t version;
@@ -74,6 +74,10 @@
     int64_t newest_seen; /* read from the store, or a server has or loads it */
     weights_version_t versions[WEIGHTS_VERSIONS_MAX]; /* newest first */
     size_t version_count;
+    /* Of the versions that are no longer kept: the newest, and the earliest
+     * publication. */
+    int64_t forgotten_version;
+    int64_t forgotten_published_ms;
 } weights_t;
 
 /* ---- priorities at engines ---- */
--- a/relay/weights.c
+++ b/relay/weights.c
@@ -44,6 +44,20 @@
     return weights;
 }
 
+/* Notes a version that the list has no room for: those before it count as
+ * replaced since the earliest time, never for a shorter time than they are. */
+static void
+forget_version(weights_t *weights, int64_t version, int64_t published_ms)
+{
+    if (version > weights->forgotten_version) {
+        weights->forgotten_version = version;
+    }
+    if (weights->forgotten_published_ms == 0 ||
+        published_ms < weights->forgotten_published_ms) {
+        weights->forgotten_published_ms = published_ms;
+    }
+}
+
 /* Inserts a version into the list, which has the newest first.  Of several
  * publication times the earliest is kept; a known time replaces an estimate.
  */
@@ -68,11 +82,14 @@
         return;
     }
     if (position == WEIGHTS_VERSIONS_MAX) {
+        forget_version(weights, version, published_ms);
         return;
     }
-    size_t last = weights->version_count < WEIGHTS_VERSIONS_MAX
-                      ? weights->version_count
-                      : WEIGHTS_VERSIONS_MAX - 1;
+    size_t last = weights->version_count;
+    if (last == WEIGHTS_VERSIONS_MAX) {
+        const weights_version_t *oldest = &weights->versions[--last];
+        forget_version(weights, oldest->version, oldest->published_ms);
+    }
     memmove(&weights->versions[position + 1], &weights->versions[position],
             (last - position) * sizeof(weights->versions[0]));
     weights->versions[position] =
@@ -176,7 +193,9 @@
 weights_superseded_for_ms(const weights_t *weights, int64_t version,
                           int64_t wall_ms)
 {
-    int64_t since = 0;
+    int64_t since = version < weights->forgotten_version
+                        ? weights->forgotten_published_ms
+                        : 0;
     for (size_t i = 0; i < weights->version_count; i++) {
         if (weights->versions[i].version > version &&
             (since == 0 || weights->versions[i].published_ms < since)) {
--- a/tests/test-weights.c
+++ b/tests/test-weights.c
@@ -127,7 +127,31 @@
 }
 END_TEST
 
-TEST_MAIN("weights", waiting_request_expires_with_weights,
+/* Guards against requests on weights that were replaced long ago, since so
+ * many versions were published meanwhile that the first newer one is not kept.
+ */
+START_TEST(versions_in_quick_succession_expire_in_time)
+{
+    relay_t *relay = relay_new(true);
+    for (int64_t version = 1; version <= 100; version++) {
+        int64_t now = 100000 + version * 1000;
+        weights_record_from_store(relay, "m", version, now);
+        const weights_t *weights = relay_find_weights(relay, "m");
+        for (int64_t older = 1; older < version; older++) {
+            int64_t replaced_ms = now - (100000 + (older + 1) * 1000);
+            int64_t since_ms = weights_superseded_for_ms(weights, older, now);
+            ck_assert_int_ge(since_ms, replaced_ms);
+            if (replaced_ms <= WEIGHTS_MS) {
+                ck_assert_int_eq(since_ms, replaced_ms);
+            }
+        }
+    }
+    free(relay);
+}
+END_TEST
+
+TEST_MAIN("weights", versions_in_quick_succession_expire_in_time,
+          waiting_request_expires_with_weights,
           version_of_unknown_age_is_not_new, known_time_replaces_estimate,
           earlier_estimate_replaces_own,
           version_observed_after_first_list_is_new, first_newer_version_counts,
