--- a/balance/held-bytes.c
+++ b/balance/held-bytes.c
@@ -126,8 +126,13 @@
 has_larger_unready(const held_bytes_t *held, const held_holder_t *than)
 {
     const held_holder_t *holder;
+    bool listed_before = true;
     CK_LIST_FOREACH (holder, &held->holders, entry) {
-        if (holder->unready > than->unready) {
+        if (holder == than) {
+            listed_before = false;
+        }
+        else if (holder->unready > than->unready ||
+                 (listed_before && holder->unready == than->unready)) {
             return true;
         }
     }
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -20,6 +20,8 @@
  * this host, ms: it checks readiness every second and acts on the second
  * failure. */
 #define BALANCER_DRAIN_MS 2600
+/* Memory of a host whose settings do not state it. */
+#define MEMORY_MB_DEFAULT 256
 #define BYTES_PER_MB 1e6
 /* A tick that is so late, ms, is recorded. */
 #define LATE_TICK_MS 500
@@ -387,8 +389,9 @@
     relay->rng.state = (uint64_t)time_mono_us() ^
                        str_hash(settings->name, (uint64_t)time_wall_ms());
     meter_init(&relay->meter);
-    held_bytes_init(&relay->held,
-                    (size_t)(settings->memory_mb * BYTES_PER_MB));
+    double memory_mb =
+        settings->memory_mb > 0 ? settings->memory_mb : MEMORY_MB_DEFAULT;
+    held_bytes_init(&relay->held, (size_t)(memory_mb * BYTES_PER_MB));
     CK_LIST_INIT(&relay->requests);
     CK_LIST_INIT(&relay->walks);
     CK_SLIST_INIT(&relay->service_states);
--- a/relay/request-held.c
+++ b/relay/request-held.c
@@ -41,8 +41,9 @@
 update_bytes(relay_t *relay, caller_hold_t *hold, bool caller_read)
 {
     const request_t *request = hold->request;
-    size_t unready = request != NULL ? request->answer_body.len +
-                                           request->stream.partial.len
+    /* A buffer takes what it has reserved, up to twice its length. */
+    size_t unready = request != NULL ? request->answer_body.cap +
+                                           request->stream.partial.cap
                                      : 0;
     held_bytes_set(&relay->held, &hold->holder,
                    caller_unsent_bytes(hold->caller), unready, caller_read,
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -16,6 +16,12 @@
 #define MS_PER_S 1000
 /* Largest answer that is buffered until it is complete, bytes. */
 #define ANSWER_BYTES_MAX (8u << 20)
+/* How long a server is suspected after an answer beyond that, ms.  Then an
+ * answer may be so many times as long as its longest complete one, or as this,
+ * bytes. */
+#define OVERSIZED_MS 10000
+#define OVERSIZED_FACTOR 4
+#define USUAL_ANSWER_BYTES_MIN 16384
 /* Events that a caller has not read yet, bytes.  A model produces far fewer
  * within a request's time. */
 #define CALLER_UNSENT_MAX (8u << 20)
@@ -360,6 +366,29 @@
     caller_stream_data(request->caller, events.data, events.len);
 }
 
+/* Whether a buffered answer of this length cannot be one.  After one that was
+ * longer than any may be, the answers of its server that are far longer than
+ * its complete ones are not waited for: many of them would take all memory. */
+static bool
+is_too_long(const request_t *request, size_t len)
+{
+    int64_t now = time_mono_ms();
+    server_t *server = request->server;
+    if (len > ANSWER_BYTES_MAX) {
+        if (server != NULL) {
+            server->oversized_until_ms = now + OVERSIZED_MS;
+        }
+        return true;
+    }
+    if (server == NULL || now >= server->oversized_until_ms) {
+        return false;
+    }
+    size_t usual = server->longest_answer > USUAL_ANSWER_BYTES_MIN
+                       ? server->longest_answer
+                       : USUAL_ANSWER_BYTES_MIN;
+    return len > OVERSIZED_FACTOR * usual;
+}
+
 /* Takes a piece of the answer's body according to its class. */
 static void
 take_piece(request_t *request, const char *data, size_t len)
@@ -370,7 +399,7 @@
             return;
         case ANSWER_BUFFER:
         case ANSWER_FAILED:
-            if (request->answer_body.len + len > ANSWER_BYTES_MAX) {
+            if (is_too_long(request, request->answer_body.len + len)) {
                 stop_invalid_answer(request);
                 return;
             }
@@ -492,6 +521,7 @@
     switch (request->answer) {
         case ANSWER_BUFFER:
             server_record_success(server);
+            server_note_answer_length(server, request->answer_body.len);
             request_record_first_answer(request);
             if (!request->engine) {
                 server_observe_plain_work(
--- a/relay/servers.c
+++ b/relay/servers.c
@@ -618,6 +618,15 @@
         now_ms + (pause < CIRCUIT_OPEN_MS_MAX ? pause : CIRCUIT_OPEN_MS_MAX);
 }
 
+/* Learns from a complete answer how long those of the server are. */
+void
+server_note_answer_length(server_t *server, size_t len)
+{
+    if (len > server->longest_answer) {
+        server->longest_answer = len;
+    }
+}
+
 void
 server_record_success(server_t *server)
 {
--- a/relay/servers.h
+++ b/relay/servers.h
@@ -151,6 +151,8 @@
     /* Smoothed time that a request occupies a slot, from its first token on;
      * 0 if unknown. */
     double slot_time_ms;
+    size_t longest_answer; /* of the complete ones that are buffered, bytes */
+    int64_t oversized_until_ms; /* its answers are suspected to have no end */
     unsigned consecutive_faults;
     int64_t circuit_open_until_ms;
     int64_t full_until_ms; /* counts as full after a rejection until then */
@@ -243,6 +245,7 @@
 void server_record_fault(server_t *server, server_fault_t fault,
                          int64_t now_ms);
 void server_record_success(server_t *server);
+void server_note_answer_length(server_t *server, size_t len);
 bool server_is_reachable(const server_t *server, int64_t now_ms);
 void server_forget_faults(server_t *server);
 bool server_is_usable(const server_t *server, int64_t now_ms);
