--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -232,14 +232,12 @@
     answer_bad_request(caller, 413, "the body is longer than the limit");
 }
 
-/* Rejects a request whose body does not fit beside those of other callers. */
+/* Rejects a request that is not complete, which has not run. */
 static void
-answer_no_room(caller_t *caller)
+refuse_incomplete(caller_t *caller)
 {
     CLEAN_BUF buf_t headers = {0};
     buf_str(&headers, "Retry-After: " NO_ROOM_RETRY_AFTER_S "\r\n");
-    log_info("door", "Rejected a request: %zu bytes of bodies are held.",
-             caller->listener->body_bytes);
     caller->close_after = true;
     if (caller->listener->hooks.on_no_room != NULL) {
         caller->listener->hooks.on_no_room(caller);
@@ -317,7 +315,9 @@
         return false;
     }
     if (caller->no_room) {
-        answer_no_room(caller);
+        log_info("door", "Rejected a request: %zu bytes of bodies are held.",
+                 caller->listener->body_bytes);
+        refuse_incomplete(caller);
         return false;
     }
     if (state == READER_COMPLETE) {
@@ -534,6 +534,19 @@
     }
 }
 
+/* Rejects the requests of which only a part has been read. */
+void
+http_listener_refuse_incomplete(http_listener_t *listener)
+{
+    caller_t *caller;
+    caller_t *next;
+    CK_LIST_FOREACH_SAFE (caller, &listener->callers, entry, next) {
+        if (caller->state == CALLER_READING) {
+            refuse_incomplete(caller);
+        }
+    }
+}
+
 /* Closes all connections and frees the listener. */
 void
 http_listener_free(http_listener_t *listener)
--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -65,6 +65,7 @@
 void http_listener_drain(http_listener_t *listener);
 void http_listener_stop_accepting(http_listener_t *listener);
 void http_listener_close_idle(http_listener_t *listener);
+void http_listener_refuse_incomplete(http_listener_t *listener);
 void http_listener_free(http_listener_t *listener);
 size_t http_listener_body_bytes(const http_listener_t *listener);
 size_t http_listener_connections(const http_listener_t *listener);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -23,10 +23,13 @@
 /* Memory of a host whose settings do not state it. */
 #define MEMORY_MB_DEFAULT 256
 #define BYTES_PER_MB 1e6
+#define MS_PER_S 1000
 /* A tick that is so late, ms, is recorded. */
 #define LATE_TICK_MS 500
-/* The process exits this long before it would be killed, ms. */
+/* Requests are ended this long before the process would be killed, ms, and the
+ * process exits once their answers are written, or after this time. */
 #define SHUTDOWN_MARGIN_MS 700
+#define SHUTDOWN_WRITE_MS 400
 
 /* Whether the load balancer may send callers here. */
 bool
@@ -46,6 +49,23 @@
            time_mono_ms() - relay->stop_requested_ms >= BALANCER_DRAIN_MS;
 }
 
+/* Returns the time from a stop signal until all requests are ended. */
+static int64_t
+grace_ms(const relay_t *relay)
+{
+    return (int64_t)(relay->settings.stop_timeout_s * MS_PER_S) -
+           SHUTDOWN_MARGIN_MS;
+}
+
+/* Whether a request with this deadline may be cut by a stop that was
+ * requested. */
+bool
+relay_stops_before(const relay_t *relay, int64_t deadline_ms)
+{
+    return relay->stop_requested_ms != 0 &&
+           deadline_ms > relay->stop_requested_ms + grace_ms(relay);
+}
+
 /* Writes the metrics of one server. */
 static void
 write_server_metrics(const server_t *server, int64_t now, buf_t *out)
@@ -205,23 +225,38 @@
     write_retry_metrics(&relay->retry_shares, now, out);
 }
 
+/* The grace is over: no request ends with a closed connection alone, which
+ * would leave its caller without knowing whether it has run. */
+static void
+end_requests(relay_t *relay)
+{
+    relay->cut_by_stop = relay->request_count;
+    requests_end_all(relay);
+    http_listener_refuse_incomplete(relay->caller_listener);
+    http_listener_refuse_incomplete(relay->peer_listener);
+    relay->requests_ended = true;
+}
+
 static void
 shutdown_step(relay_t *relay)
 {
     int64_t elapsed_ms = time_mono_ms() - relay->stop_requested_ms;
-    int64_t grace_ms =
-        (int64_t)(relay->settings.stop_timeout_s * 1000) - SHUTDOWN_MARGIN_MS;
-    if (relay_is_closed(relay) || elapsed_ms >= grace_ms) {
+    bool over = elapsed_ms >= grace_ms(relay);
+    if (over && !relay->requests_ended) {
+        end_requests(relay);
+    }
+    if (relay_is_closed(relay) || over) {
         http_listener_close_idle(relay->caller_listener);
         http_listener_close_idle(relay->peer_listener);
     }
     size_t callers = http_listener_connections(relay->caller_listener) +
                      http_listener_connections(relay->peer_listener);
     if ((elapsed_ms >= BALANCER_DRAIN_MS && callers == 0) ||
-        elapsed_ms >= grace_ms) {
+        elapsed_ms >= grace_ms(relay) + SHUTDOWN_WRITE_MS) {
         log_record(LOG_INFO, "daemon", "stopped",
-                   "after_ms=%lld requests_left=%zu callers_left=%zu",
-                   (long long)elapsed_ms, relay->request_count, callers);
+                   "after_ms=%lld requests_left=%zu callers_left=%zu cut=%zu",
+                   (long long)elapsed_ms, relay->request_count, callers,
+                   relay->cut_by_stop);
         (void)event_base_loopbreak(relay->base);
     }
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -155,6 +155,8 @@
     uint64_t late_ticks; /* that came LATE_TICK_MS late */
     const char *settings_path;
     int64_t stop_requested_ms; /* 0 while no shutdown was requested */
+    bool requests_ended;       /* by it, as its grace was over */
+    size_t cut_by_stop;        /* requests that were ended then */
     meter_t meter;
 };
 
@@ -162,6 +164,7 @@
               err_t *err);
 bool relay_is_ready(const relay_t *relay);
 bool relay_is_closed(const relay_t *relay);
+bool relay_stops_before(const relay_t *relay, int64_t deadline_ms);
 const weights_t *relay_find_weights(const relay_t *relay, const char *model);
 void weights_record(relay_t *relay, const char *model, int64_t version,
                     int64_t published_ms);
@@ -207,6 +210,7 @@
 void requests_place_repeat(relay_t *relay);
 void priorities_tick(relay_t *relay);
 void requests_drop_blocked(relay_t *relay);
+void requests_end_all(relay_t *relay);
 void requests_apply_origin(relay_t *relay, const stream_origin_t *origin);
 void requests_note_origin_unknown(relay_t *relay, uint64_t stream,
                                   uint64_t host);
--- a/relay/request.c
+++ b/relay/request.c
@@ -267,6 +267,15 @@
     caller_answer(caller, status, &headers, "", 0);
 }
 
+/* Whether the request has not run through this host, and will not. */
+static bool
+has_not_run(const request_t *request)
+{
+    return request_own_runs(request) == 0 &&
+           (request->exchange == NULL ||
+            !exchange_has_sent(request->exchange));
+}
+
 /* The deadline of the request has passed. */
 static void
 on_deadline(evutil_socket_t fd, short what, void *arg)
@@ -278,14 +287,30 @@
         server_record_fault(request->server, SERVER_FAULT_TIMEOUT,
                             time_mono_ms());
     }
-    if (request_own_runs(request) == 0 &&
-        (request->exchange == NULL || !exchange_has_sent(request->exchange))) {
+    if (has_not_run(request)) {
         request_reject(request, "no-server-in-time", RETRY_AFTER_NO_SERVER_MS);
         return;
     }
     request_fail(request, 504, "out-of-time");
 }
 
+/* The process is about to exit: ends all requests. */
+void
+requests_end_all(relay_t *relay)
+{
+    CLEAN_WALK request_walk_t walk;
+    request_t *request;
+    request_walk_begin(&walk, &relay->walks, &relay->requests);
+    while ((request = request_walk_next(&walk)) != NULL) {
+        if (has_not_run(request)) {
+            request_reject(request, "stopping", RETRY_AFTER_STOP_MS);
+        }
+        else {
+            request_fail(request, 502, "stopping");
+        }
+    }
+}
+
 /* Returns how often a request may run.  A request that another host forwards
  * runs here at most once: if the answer breaks off, that host counts one run.
  */
@@ -866,6 +891,11 @@
             (request->prompt.prompt_tokens - relay->mean_prompt_tokens);
     }
     set_deadlines(request, from_host);
+    if (relay_stops_before(relay, request->deadline_ms) &&
+        !retry_can_rerun(route->kind, route->resumable)) {
+        request_reject(request, "stopping", RETRY_AFTER_STOP_MS);
+        return;
+    }
     request_note_caller_wait(request, read_deadline(head));
     if (from_host) {
         relay->meter.taken++;
