--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -374,14 +374,16 @@
     watch_stop(relay->weights_watch);
 }
 
-/* Records which software versions are listed. */
-static void
-note_software(relay_t *relay)
+/* Records which software versions are listed.  All of them are known up to the
+ * time at which the store confirmed the list. */
+void
+relay_note_software(relay_t *relay)
 {
     int64_t wall = time_wall_ms();
+    int64_t known = wall - watch_age_ms(relay->servers_watch, time_mono_ms());
     software_listed_update(&relay->software_listed, relay->servers);
     software_listed_note(&relay->software_listed, &relay->software_seen, wall);
-    software_seen_cover(&relay->software_seen, wall, wall);
+    software_seen_cover(&relay->software_seen, known, known);
     software_seen_forget(&relay->software_seen, wall - SOFTWARE_KEPT_MS);
 }
 
@@ -415,7 +417,7 @@
     remove_missing(relay, now);
     if (relay->servers_listed &&
         now - watch_answered_ms(relay->servers_watch) < LIST_AGE_MS_MAX) {
-        note_software(relay);
+        relay_note_software(relay);
     }
     stream_origins_sweep(&relay->stream_origins, now);
     probes_tick(relay);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -209,6 +209,7 @@
 void relay_schedule_queues(relay_t *relay);
 void requests_place_repeat(relay_t *relay);
 void priorities_tick(relay_t *relay);
+void relay_note_software(relay_t *relay);
 void requests_drop_blocked(relay_t *relay);
 void requests_end_all(relay_t *relay);
 void requests_apply_origin(relay_t *relay, const stream_origin_t *origin);
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -10,8 +10,9 @@
 
 /* Other hosts are a few ms away; one that has just ended does not answer. */
 #define ORIGIN_ANSWER_MS 300
-/* The store is waited for so long: it answers in a few ms. */
-#define STORE_ANSWER_MS 2000
+/* The store is waited for so long, for the origin or the list of servers: it
+ * answers in a few ms, and callers find other hosts. */
+#define STORE_ANSWER_MS 1000
 /* Retry-After if the hosts that may know the origin did not all answer, ms. */
 #define RETRY_AFTER_UNKNOWN_MS 300
 /* Streams may have begun this much earlier than the longest timeout: clocks
@@ -160,6 +161,7 @@
              const char *source)
 {
     request->origin_pending = false;
+    request->origin_confirming = false;
     if (origin->software == SOFTWARE_UNKNOWN ||
         !request_select_service(request, origin->service)) {
         reject_unknown(request, true);
@@ -191,6 +193,52 @@
     return apply_origin(request, &origin, "only");
 }
 
+/* Whether this host knows all servers that had an entry when the request came:
+ * the stream may have begun at one that it has not heard of, while it was cut
+ * off or stood still. */
+static bool
+knows_servers(const request_t *request)
+{
+    return watch_known_ms(request->relay->servers_watch) >=
+           request->received_ms;
+}
+
+/* Applies the only version of the service once the store has confirmed which
+ * servers there are.  Returns whether the request may be placed now. */
+static bool
+resolve_by_only_version(request_t *request, bool all_answered)
+{
+    relay_t *relay = request->relay;
+    if (knows_servers(request)) {
+        relay_note_software(relay);
+        return apply_only_version(request, all_answered);
+    }
+    request->origin_pending = true;
+    request->origin_peers_done = true;
+    request->origin_confirming = true;
+    watch_confirm(relay->servers_watch);
+    return false;
+}
+
+/* Goes on with a request that waits for the list of servers. */
+static void
+tick_confirmation(request_t *request, int64_t now)
+{
+    if (knows_servers(request)) {
+        request->origin_confirming = false;
+        if (resolve_by_only_version(request, false)) {
+            (void)request_place(request);
+        }
+        return;
+    }
+    if (now - request->origin_asked_ms >= STORE_ANSWER_MS) {
+        request->origin_pending = false;
+        reject_unknown(request, false);
+        return;
+    }
+    watch_confirm(request->relay->servers_watch);
+}
+
 /* No other host knows the stream: the store may, or else its service had one
  * version alone.  Returns whether the request may be placed now. */
 static bool
@@ -202,13 +250,15 @@
         case ORIGIN_STORE_FOUND:
             return apply_origin(request, &origin, "store");
         case ORIGIN_STORE_READING:
+            /* What comes next, if the store has no origin either. */
+            watch_confirm(request->relay->servers_watch);
             request->origin_pending = true;
             request->origin_peers_done = true;
             return false;
         case ORIGIN_STORE_NONE:
             break;
     }
-    return apply_only_version(request, all_answered);
+    return resolve_by_only_version(request, all_answered);
 }
 
 /* Asks other hosts for the origin; false if there are none or too many
@@ -250,8 +300,9 @@
         return true;
     }
     relay->meter.resumes++;
+    request->origin_asked_ms = time_mono_ms();
     if (resumes == NULL) {
-        return apply_only_version(request, true);
+        return resolve_by_only_version(request, true);
     }
     request->resumes = make_key(request, resumes);
     const stream_origin_t *origin = stream_origins_find(
@@ -259,7 +310,6 @@
     if (origin != NULL) {
         return apply_origin(request, origin, "own");
     }
-    request->origin_asked_ms = time_mono_ms();
     return !ask_for_origin(request) && resolve_without_peers(request, false);
 }
 
@@ -268,10 +318,13 @@
 request_tick_origin(request_t *request, int64_t now)
 {
     int64_t waited_ms = now - request->origin_asked_ms;
+    if (request->origin_confirming) {
+        tick_confirmation(request, now);
+        return;
+    }
     if (request->origin_peers_done) {
-        if (waited_ms >= STORE_ANSWER_MS &&
-            apply_only_version(request, false)) {
-            (void)request_place(request);
+        if (waited_ms >= STORE_ANSWER_MS) {
+            tick_confirmation(request, now);
         }
         return;
     }
@@ -294,6 +347,7 @@
     request_walk_begin(&walk, &relay->walks, &relay->requests);
     while ((request = request_walk_next(&walk)) != NULL) {
         if (request->origin_pending && request->origin_peers_done &&
+            !request->origin_confirming &&
             resolve_without_peers(
                 request,
                 read && stream_query_is_answered(&request->origin_query))) {
--- a/relay/request.h
+++ b/relay/request.h
@@ -140,6 +140,7 @@
     uint64_t resumes;    /* key of the stream that is taken up; 0 for none */
     bool origin_pending; /* its origin was asked for */
     bool origin_peers_done;    /* of other hosts, and they do not know it */
+    bool origin_confirming;    /* the store is asked which servers there are */
     int64_t origin_asked_ms;   /* when that was */
     int64_t origin_expires_ms; /* the caller does not return after this */
     stream_query_t origin_query;
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -101,9 +101,11 @@
     int64_t revision;                 /* the watch continues after it */
     int status;                       /* status of the last answer, or 0 */
     int backoff_ms;
-    int64_t answered_ms;    /* last valid answer of the store or upstream */
-    int64_t confirmed_ms;   /* the store has confirmed the objects of then */
-    int64_t list_begun_ms;  /* when the first page of the list came */
+    int64_t answered_ms;   /* last valid answer of the store or upstream */
+    int64_t confirmed_ms;  /* the store has confirmed the objects of then */
+    int64_t list_begun_ms; /* when the first page of the list came */
+    int64_t known_ms;      /* all changes of the store up to then are known */
+    int64_t check_sent_ms;
     int64_t stale_since_ms; /* when the objects became stale, or 0 */
     int64_t next_check_ms;  /* no check before this time */
     int check_backoff_ms;
@@ -678,6 +680,7 @@
     watch->check_backoff_ms = CHECK_BACKOFF_MS_MIN;
     note_answer(watch);
     note_confirmed(watch, result->answered_ms);
+    watch->known_ms = watch->check_sent_ms;
     update_fresh(watch, watch->fresh, page->count > 0);
     if (watch->fetch == NULL || answer_arrives(watch, true)) {
         return;
@@ -739,9 +742,27 @@
                                     .on_done = on_check_done,
                                     .arg = watch};
     watch->store_call_count++;
+    watch->check_sent_ms = time_mono_ms();
     watch->check = fetch_start(watch->exchanges, &call_options);
 }
 
+/* Has the store say what has changed, unless it is being asked already. */
+void
+watch_confirm(watch_t *watch)
+{
+    if (watch->check == NULL && watch->state == WATCH_WATCHING) {
+        check_store(watch);
+    }
+}
+
+/* Returns up to when all changes of the store are known, as far as
+ * watch_confirm has brought them. */
+int64_t
+watch_known_ms(const watch_t *watch)
+{
+    return watch->known_ms;
+}
+
 /* Records that the objects have become stale. */
 static void
 record_stale(watch_t *watch, int64_t now)
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -48,6 +48,8 @@
 void watch_tick(watch_t *watch, int64_t now);
 int64_t watch_answered_ms(const watch_t *watch);
 int64_t watch_age_ms(const watch_t *watch, int64_t now);
+void watch_confirm(watch_t *watch);
+int64_t watch_known_ms(const watch_t *watch);
 int64_t watch_recovered_ms(const watch_t *watch);
 bool watch_is_recovering(const watch_t *watch, int64_t now);
 bool watch_has_list(const watch_t *watch);
