--- a/soak/soak.c
+++ b/soak/soak.c
@@ -1,4 +1,4 @@
-#include "soak.h"
+#include "faults.h"
 
 #include <argp.h>
 #include <signal.h>
@@ -28,6 +28,7 @@
     bool signals;
     bool cuts;
     bool planned;
+    bool extras;
     bool versions;
     bool priorities;
     const char *dir;
@@ -61,6 +62,8 @@
      "engines have few slots, admission by priority is turned on and off, and "
      "rejected callers return",
      0},
+    {"extras", 'X', NULL, 0,
+     "besides all else, servers send answers that belong to no request", 0},
     {"dir", 'd', "DIR", 0, "directory for logs and records", 0},
     {"build", 'b', "DIR", 0, "directory of the programs", 0},
     {0},
@@ -118,6 +121,9 @@
         case 'P':
             args->planned = true;
             return 0;
+        case 'X':
+            args->extras = true;
+            return 0;
         case 'V':
             args->versions = true;
             return 0;
@@ -168,6 +174,7 @@
         return;
     }
     if (soak->callers == NULL) {
+        extras_start(soak);
         soak->callers = callers_start(soak, soak->caller_count);
     }
     faults_tick(soak);
@@ -198,6 +205,7 @@
     soak->signals = args->signals;
     soak->cuts = args->cuts;
     soak->planned = args->planned;
+    soak->extras = args->extras;
     soak->versions = args->versions;
     soak->priorities = args->priorities;
     soak->relay_count = (size_t)args->relays;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -82,7 +82,8 @@
                         are rejected return */
     int64_t planned_from_ms; /* then planned work and silence alone */
     bool planned;            /* planned work and silence alone */
-    int fatal_parts;         /* running faults in which a part ends servers */
+    bool extras;           /* servers send answers that belong to no request */
+    int fatal_parts;       /* running faults in which a part ends servers */
     int one_relay;         /* running faults in which callers use one relay */
     size_t used_relay;     /* that one */
     int64_t faults_end_ms; /* end of all faults, start of the recovery phase */
