Memory: an event's buffer counts with what it holds, not with what it reserves

The one of incomplete events keeps its size, so each stream counted 128 KiB that it did not hold, all alike; by the order among equals all but one were then stopped for 1.7 s at a time. proc-slow-readers failed once beside load 18 (a server cut off an unread answer, 49 of 50 whole); its log shows unready=131072 at each stop. Bodies still count with what is reserved.

--- a/relay/request-held.c
+++ b/relay/request-held.c
@@ -41,9 +41,10 @@
 update_bytes(relay_t *relay, caller_hold_t *hold, bool caller_read)
 {
     const request_t *request = hold->request;
-    /* A buffer takes what it has reserved, up to twice its length. */
+    /* A body that grows takes what is reserved for it, up to twice its length;
+     * an event is dropped from its buffer as soon as it is complete. */
     size_t unready = request != NULL ? request->answer_body.cap +
-                                           request->stream.partial.cap
+                                           request->stream.partial.len
                                      : 0;
     held_bytes_set(&relay->held, &hold->holder,
                    caller_unsent_bytes(hold->caller), unready, caller_read,
