Streams: take-ups that cannot go on anyway do not wait for the store

proc-resume-stranger ran out of its time (180 s) beside load: each of its 4,500 take-ups of unknown attempts waited for the store's word on the servers, about 0.1 s, though several versions were known and none could go on. The store is asked only if one version is known; the others are refused at once, as before.

--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -173,17 +173,25 @@
     return true;
 }
 
+/* Returns the only version that the request's service had while streams that
+ * are taken up now may have begun, or SOFTWARE_UNKNOWN. */
+static uint64_t
+find_only_version(const request_t *request)
+{
+    const relay_t *relay = request->relay;
+    int64_t now = time_wall_ms();
+    return software_seen_only(
+        &relay->software_seen, str_hash(request->service, 0),
+        now - relay->config->longest_timeout_ms - BEGAN_MARGIN_MS, now);
+}
+
 /* No host knows the stream: it began at the only version that its service had
  * lately, if that is certain.  False if the request was rejected. */
 static bool
 apply_only_version(request_t *request, bool all_answered)
 {
-    const relay_t *relay = request->relay;
-    int64_t now = time_wall_ms();
     uint64_t service = str_hash(request->service, 0);
-    uint64_t only = software_seen_only(
-        &relay->software_seen, service,
-        now - relay->config->longest_timeout_ms - BEGAN_MARGIN_MS, now);
+    uint64_t only = find_only_version(request);
     if (only == SOFTWARE_UNKNOWN) {
         request->origin_pending = false;
         reject_unknown(request, all_answered);
@@ -204,13 +212,17 @@
 }
 
 /* Applies the only version of the service once the store has confirmed which
- * servers there are.  Returns whether the request may be placed now. */
+ * servers there are, unless several are known anyway.  Returns whether the
+ * request may be placed now. */
 static bool
 resolve_by_only_version(request_t *request, bool all_answered)
 {
     relay_t *relay = request->relay;
-    if (knows_servers(request)) {
+    bool knows = knows_servers(request);
+    if (knows) {
         relay_note_software(relay);
+    }
+    if (knows || find_only_version(request) == SOFTWARE_UNKNOWN) {
         return apply_only_version(request, all_answered);
     }
     request->origin_pending = true;
@@ -250,8 +262,10 @@
         case ORIGIN_STORE_FOUND:
             return apply_origin(request, &origin, "store");
         case ORIGIN_STORE_READING:
-            /* What comes next, if the store has no origin either. */
-            watch_confirm(request->relay->servers_watch);
+            if (find_only_version(request) != SOFTWARE_UNKNOWN) {
+                /* What comes next, if the store has no origin either. */
+                watch_confirm(request->relay->servers_watch);
+            }
             request->origin_pending = true;
             request->origin_peers_done = true;
             return false;
