--- a/fakes/platform-raw.c
+++ b/fakes/platform-raw.c
@@ -81,7 +81,7 @@
 }
 
 /* Whether the connection of a request has carried one before; connections are
- * told by the port of their client. */
+ * identified by the port of their client. */
 static bool
 is_kept(platform_server_t *server, struct evhttp_request *req)
 {
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -202,8 +202,8 @@
 }
 
 /* Whether this host knows all servers that had an entry when the request came:
- * the stream may have begun at one that it has not heard of, while it was cut
- * off or stood still. */
+ * the stream may have begun at one that was added while this host was cut off
+ * or stood still. */
 static bool
 knows_servers(const request_t *request)
 {
--- a/tests/test-caller-pipelined.c
+++ b/tests/test-caller-pipelined.c
@@ -109,7 +109,7 @@
 }
 
 /* Guards against a request that begins within the answer to the one before it,
- * and frees requests that whoever answers still holds. */
+ * and frees requests that the code which answers still uses. */
 START_TEST(pipelined_request_begins_in_the_event_loop)
 {
     fixture_t fixture;
