--- a/relay/relay.c
+++ b/relay/relay.c
@@ -29,7 +29,7 @@
 /* Requests are ended this long before the process would be killed, ms, and the
  * process exits once their answers are written, or after this time. */
 #define SHUTDOWN_MARGIN_MS 700
-#define SHUTDOWN_WRITE_MS 400
+#define SHUTDOWN_WRITE_MS 200
 
 /* Whether the load balancer may send callers here. */
 bool
