Streams: a report proves who runs an attempt only if it was requested after

A report that was under way before may list an earlier attempt of the same request at an older process.

--- a/relay/request-proof.c
+++ b/relay/request-proof.c
@@ -127,6 +127,19 @@
     return false;
 }
 
+/* Whether a report says who runs the current attempt.  One that was requested
+ * before may list an earlier attempt with the same id. */
+static bool
+report_proves(const request_t *request, const server_t *server,
+              const server_report_t *report)
+{
+    const origin_evidence_t evidence =
+        collect_evidence(request, server, false);
+    return server->report.started_ms == report->started_ms &&
+           origin_proof_covers(&evidence) &&
+           report_lists(report, str_hash(request->id, 0));
+}
+
 /* A server reports which requests it runs: the process that began their
  * streams is known. */
 void
@@ -138,7 +151,7 @@
     request_walk_begin(&walk, &relay->walks, &relay->requests);
     while ((request = request_walk_next(&walk)) != NULL) {
         if (request->server == server && request->proof.pending &&
-            report_lists(report, str_hash(request->id, 0))) {
+            report_proves(request, server, report)) {
             request->proof.listed_start_ms = report->started_ms;
             update_proof(request, false);
         }
