Test: connections that have ended, in the check of data behind a report

The replaced check wanted 'open' for one that has not ended; now it is 'unknown' at once, and a later report may still prove the process.

--- a/tests/test-origin-proof.c
+++ b/tests/test-origin-proof.c
@@ -52,6 +52,8 @@
         origin_evidence_t evidence = make_evidence(sent_us, LATER_START_MS);
         ck_assert(origin_proof_covers(&evidence));
         ck_assert_int_eq(origin_proof_decide(&evidence), ORIGIN_UNKNOWN);
+        evidence.ended = true;
+        ck_assert_int_eq(origin_proof_decide(&evidence), ORIGIN_UNKNOWN);
     }
 }
 END_TEST
