Streams: a stream goes on at the service to which its route has moved

What callers saw (LOST): once a configuration moved a route to another service with two servers of each software version, or added a longer prefix that leads to one, no stream that began before went on. Each take-up got 503 within 5 ms; new streams began.

Cause: an origin names the service at which the stream began, and a take-up was rejected as unknown if its route did not lead there. A host that got the request from another one with an older configuration did the same. Besides, an origin that was noted at two services counted as ambiguous, so a stream that had gone on at the new service could not have been taken up once more.

Decision: a request is forwarded to a server of its route's service, and a stream may go on only at the version that began it. So it goes on at a server of that version in the service of the route as it is now. A service that the route still has stays the one of the stream. If none of the route's services has the version, the stream can go on nowhere and is rejected at once.

--- a/fakes/fake-streams.c
+++ b/fakes/fake-streams.c
@@ -20,7 +20,10 @@
     {"take-up-hosts", 't', "IPV4:PORT,…", 0,
      "where they are taken up (where they begin)", 0},
     {"path", 'p', "PATH", 0, "path of a streaming route", 0},
-    {"key", 'k', "KEY", 0, "access key", 0},
+    {"host-name", 'H', "NAME", 0, "host name of requests (a.example)", 0},
+    {"take-up-host-name", 'T', "NAME", 0, "host name of take-ups (the same)",
+     0},
+    {"key", 'k', "KEY", 0, "access key; empty for none", 0},
     {"take-up-key", 'K', "KEY", 0, "access key of take-ups (the same)", 0},
     {"name", 'n', "TEXT", 0, "prefix of attempt ids", 0},
     {"rate", 'r', "NUMBER", 0, "streams opened in a second", 0},
@@ -77,6 +80,9 @@
     if (opts->take_up_key == NULL) {
         opts->take_up_key = opts->key;
     }
+    if (opts->take_up_host_name == NULL) {
+        opts->take_up_host_name = opts->host_name;
+    }
 }
 
 static error_t
@@ -124,6 +130,12 @@
         case 'p':
             opts->path = arg;
             return 0;
+        case 'H':
+            opts->host_name = arg;
+            return 0;
+        case 'T':
+            opts->take_up_host_name = arg;
+            return 0;
         case 'k':
             opts->key = arg;
             return 0;
@@ -183,6 +195,7 @@
 {
     streams_t *streams = mem_zalloc(sizeof(*streams));
     streams->opts = (streams_opts_t){.path = "/review/s",
+                                     .host_name = "a.example",
                                      .key = "key1",
                                      .name = "stream",
                                      .seconds = 1,
--- a/fakes/streams-client.c
+++ b/fakes/streams-client.c
@@ -76,6 +76,16 @@
     }
 }
 
+/* Writes the access key, unless it is empty. */
+static void
+write_access_key(const char *key, buf_t *out)
+{
+    if (key[0] != '\0') {
+        buf_fmt(out, "%s: Token %s\r\n", wire_header_name(HEADER_ACCESS_KEY),
+                key);
+    }
+}
+
 static void
 write_request(const stream_t *stream, int64_t left_ms, buf_t *out)
 {
@@ -83,16 +93,16 @@
     bool take_up = has_begun(stream);
     buf_fmt(
         out,
-        "POST %s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: %lld\r\n"
-        "%s: Token %s\r\n%s: m1\r\n%s: 1460,80\r\n"
+        "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %lld\r\n"
+        "%s: m1\r\n%s: 1460,80\r\n"
         "%s: aa:800,b%u:410,%llx%06x:250\r\n",
-        opts->path, wire_header_name(HEADER_REQUEST_ID), stream->attempt,
+        opts->path, take_up ? opts->take_up_host_name : opts->host_name,
+        wire_header_name(HEADER_REQUEST_ID), stream->attempt,
         wire_header_name(HEADER_DEADLINE), (long long)left_ms,
-        wire_header_name(HEADER_ACCESS_KEY),
-        take_up ? opts->take_up_key : opts->key,
         wire_header_name(HEADER_MODEL), wire_header_name(HEADER_TOKEN_USAGE),
         wire_header_name(HEADER_PROMPT_PREFIX), stream->number % 7,
         (unsigned long long)(str_hash(opts->name, 0) >> 40), stream->number);
+    write_access_key(take_up ? opts->take_up_key : opts->key, out);
     if (take_up) {
         write_take_up(stream, out);
     }
--- a/fakes/streams.h
+++ b/fakes/streams.h
@@ -30,7 +30,9 @@
     host_list_t begin_hosts;
     host_list_t take_up_hosts;
     const char *path;
-    const char *key;
+    const char *host_name; /* in the Host header */
+    const char *take_up_host_name;
+    const char *key; /* empty for none */
     const char *take_up_key;
     const char *name; /* prefix of attempt ids */
     double rate;      /* streams a second */
--- a/relay/origin-records.c
+++ b/relay/origin-records.c
@@ -113,8 +113,8 @@
     return low;
 }
 
-/* Finds the origin of a stream.  If its records differ, its version is not
- * known, whichever of them is younger. */
+/* Finds the origin of a stream.  If its records differ on the version, that is
+ * not known, whichever of them is younger. */
 bool
 origin_records_find(const origin_records_t *records, uint64_t stream,
                     int64_t now_ms, origin_record_t *out)
@@ -133,8 +133,7 @@
             *out = *record;
             found = true;
         }
-        else if (record->software != out->software ||
-                 record->service != out->service) {
+        else if (record->software != out->software) {
             out->software = SOFTWARE_UNKNOWN;
         }
     }
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -94,9 +94,9 @@
     request->from_host = true;
     request->software = software;
     request->first_host_can_move = can_move != 0;
-    if (software != SOFTWARE_ANY &&
-        !request_select_service(request, service)) {
-        request->software = SOFTWARE_UNKNOWN;
+    if (software != SOFTWARE_ANY) {
+        request->origin_service = service;
+        request_select_service(request);
     }
     request->runs_before = runs > 0 ? runs : 0;
     request->possible_runs = request->runs_before;
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -62,12 +62,13 @@
     relay_t *relay = request->relay;
     int64_t now = time_mono_ms();
     request->software = request->current_software;
+    request->origin_service = str_hash(request->service, 0);
     if (request->from_host || request->route->kind != ROUTE_STREAM ||
         !request->route->resumable) {
         return;
     }
     const stream_origin_t origin = {.stream = get_stream_key(request),
-                                    .service = str_hash(request->service, 0),
+                                    .service = request->origin_service,
                                     .software = request->software,
                                     .expires_ms = request->origin_expires_ms};
     peers_announce_origin(
@@ -137,22 +138,44 @@
                    all_answered ? 0 : RETRY_AFTER_UNKNOWN_MS);
 }
 
-/* Selects the service at which the stream began; false if the route does not
- * lead there any more. */
-bool
-request_select_service(request_t *request, uint64_t service)
+/* Whether a server of a service has a software version and takes new requests.
+ */
+static bool
+has_version(const relay_t *relay, const char *service, uint64_t software)
+{
+    const server_t *server;
+    CK_LIST_FOREACH (server, &relay->servers->list, entry) {
+        if (server->info.software == software &&
+            strcmp(server->info.service, service) == 0 && !server->removed &&
+            !server->info.draining && !server->leaving &&
+            !server->address_taken) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Selects the service at which the stream goes on: the one where it began.  If
+ * the route does not lead there any more, it is one that has the stream's
+ * software version, if there is any. */
+void
+request_select_service(request_t *request)
 {
     const route_t *route = request->route;
-    if (str_hash(request->service, 0) == service) {
-        return true;
+    for (unsigned i = 0; i < route->split_count; i++) {
+        const char *service = route->split[i].service;
+        if (str_hash(service, 0) == request->origin_service) {
+            request_set_service(request, service);
+            return;
+        }
     }
     for (unsigned i = 0; i < route->split_count; i++) {
-        if (str_hash(route->split[i].service, 0) == service) {
-            request_set_service(request, route->split[i].service);
-            return true;
+        const char *service = route->split[i].service;
+        if (has_version(request->relay, service, request->software)) {
+            request_set_service(request, service);
+            return;
         }
     }
-    return false;
 }
 
 /* Applies a known origin; false if the request was rejected. */
@@ -162,12 +185,13 @@
 {
     request->origin_pending = false;
     request->origin_confirming = false;
-    if (origin->software == SOFTWARE_UNKNOWN ||
-        !request_select_service(request, origin->service)) {
+    if (origin->software == SOFTWARE_UNKNOWN) {
         reject_unknown(request, true);
         return false;
     }
     request->software = origin->software;
+    request->origin_service = origin->service;
+    request_select_service(request);
     request_renew_placement_deadline(request);
     log_taken_up(request, source);
     return true;
@@ -464,19 +488,9 @@
 static bool
 is_version_gone(const request_t *request)
 {
-    const server_t *server;
-    if (request->software == SOFTWARE_ANY || !request->relay->servers_listed) {
-        return false;
-    }
-    CK_LIST_FOREACH (server, &request->relay->servers->list, entry) {
-        if (server->info.software == request->software &&
-            strcmp(server->info.service, request->service) == 0 &&
-            !server->removed && !server->info.draining && !server->leaving &&
-            !server->address_taken) {
-            return false;
-        }
-    }
-    return true;
+    return request->software != SOFTWARE_ANY &&
+           request->relay->servers_listed &&
+           !has_version(request->relay, request->service, request->software);
 }
 
 /* Applies the version that an entry has named by now for the process that
@@ -490,6 +504,7 @@
         return false;
     }
     request_correct_origin(request, named);
+    request_select_service(request);
     return true;
 }
 
--- a/relay/request.h
+++ b/relay/request.h
@@ -132,6 +132,7 @@
 
     /* A stream goes on only at the software version that began it. */
     uint64_t software;         /* SOFTWARE_ANY before the first event */
+    uint64_t origin_service;   /* where it began: hash of its name */
     uint64_t current_software; /* of the server of the current attempt */
     software_check_t *software_check; /* before it goes on; NULL for none */
     proof_state_t proof;
@@ -236,7 +237,7 @@
                           const server_report_t *report);
 bool request_end_proof(request_t *request);
 bool request_end_if_version_gone(request_t *request);
-bool request_select_service(request_t *request, uint64_t service);
+void request_select_service(request_t *request);
 void request_set_service(request_t *request, const char *service);
 void request_renew_placement_deadline(request_t *request);
 alternative_t request_find_alternative(const request_t *request);
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -83,9 +83,9 @@
     remove_origin(origins, first);
 }
 
-/* Records the origin of a stream, or that the stream is still in use.  If
- * attempts with one id began at two versions, it is not known which of them
- * the caller has. */
+/* Records the origin of a stream, or that the stream is still in use, maybe at
+ * another service of the same version.  If attempts with one id began at two
+ * versions, it is not known which of them the caller has. */
 stream_origin_t *
 stream_origins_put(stream_origins_t *origins, const stream_origin_t *origin,
                    int64_t now_ms)
@@ -96,10 +96,10 @@
         known = NULL;
     }
     if (known != NULL) {
-        if (known->software != origin->software ||
-            known->service != origin->service) {
+        if (known->software != origin->software) {
             known->software = SOFTWARE_UNKNOWN;
         }
+        known->service = origin->service;
         if (origin->expires_ms > known->expires_ms) {
             known->expires_ms = origin->expires_ms;
         }
