Streams: a version that is taken as the only one counts former services

What callers saw: a stream whose origin no host knows (its caller names no attempt, or the hosts that knew it have ended) goes on at the only version of its service.

Cause: the service asked about was the one of the route at the take-up, or the one picked of a traffic split, not those where the stream may have begun.

Change: a configuration remembers, as long as requests last, the services to which the paths of each route led under those before it (config-former.c). A version is the only one if all of them, and all services of a split, had no other. Up to four former services a route; of more the version is unknown. A host that has started since the change does not know the former services.

--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -1,4 +1,5 @@
 #include "cache-source.h"
+#include "config-former.h"
 #include "object-cache.h"
 #include "peers.h"
 #include "relay.h"
@@ -88,6 +89,9 @@
     }
     log_record(LOG_INFO, "config", "adopted", "version=%lld revision=%lld",
                (long long)config->version, (long long)config->revision);
+    if (relay->config != NULL) {
+        config_former_take(config, relay->config, time_mono_ms());
+    }
     relay_config_release(relay->config);
     relay->config = config;
     relay->config_adopted_ms = time_mono_ms();
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -26,6 +26,17 @@
     int weight;
 } route_split_t;
 
+/* A service to which paths of a route led before: requests that began there
+ * may be under way until this time. */
+typedef struct {
+    uint64_t service; /* hash of its name */
+    int64_t until_ms;
+} former_service_t;
+
+/* Former services that a route remembers. */
+#define ROUTE_FORMER_MAX 4
+#define ROUTE_SERVICES_MAX (ROUTE_SPLIT_MAX + ROUTE_FORMER_MAX)
+
 typedef struct route {
     CK_SLIST_ENTRY(route) entry; /* in the bucket of its host and prefix */
     char name[CS_NAME_MAX];
@@ -41,6 +52,9 @@
     int priority;          /* 0 is the most urgent */
     route_split_t split[ROUTE_SPLIT_MAX];
     unsigned split_count;
+    former_service_t former[ROUTE_FORMER_MAX]; /* see config-former.h */
+    unsigned former_count;
+    int64_t former_omitted_until_ms; /* there are more of them; 0 if not */
 } route_t;
 
 typedef struct relay_service {
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -1,3 +1,4 @@
+#include "config-former.h"
 #include "origin-store.h"
 #include "peers.h"
 #include "request.h"
@@ -157,7 +158,7 @@
 
 /* Selects the service at which the stream goes on: the one where it began.  If
  * the route does not lead there any more, it is one that has the stream's
- * software version, if there is any. */
+ * software version, if there is any: the one that was picked if it has. */
 void
 request_select_service(request_t *request)
 {
@@ -169,7 +170,9 @@
             return;
         }
     }
-    for (unsigned i = 0; i < route->split_count; i++) {
+    bool has =
+        has_version(request->relay, request->service, request->software);
+    for (unsigned i = 0; i < route->split_count && !has; i++) {
         const char *service = route->split[i].service;
         if (has_version(request->relay, service, request->software)) {
             request_set_service(request, service);
@@ -197,31 +200,34 @@
     return true;
 }
 
-/* Returns the only version that the request's service had while streams that
- * are taken up now may have begun, or SOFTWARE_UNKNOWN. */
+/* Returns the only version that the services of the request's path had while
+ * streams that are taken up now may have begun, or SOFTWARE_UNKNOWN. */
 static uint64_t
 find_only_version(const request_t *request)
 {
     const relay_t *relay = request->relay;
-    int64_t now = time_wall_ms();
-    return software_seen_only(
-        &relay->software_seen, str_hash(request->service, 0),
-        now - relay->config->longest_timeout_ms - BEGAN_MARGIN_MS, now);
+    uint64_t services[ROUTE_SERVICES_MAX];
+    int64_t now = time_mono_ms();
+    int64_t wall = time_wall_ms();
+    int64_t window_ms = relay->config->longest_timeout_ms + BEGAN_MARGIN_MS;
+    size_t count = route_list_services(request->route, now, services);
+    return software_seen_only(&relay->software_seen, services, count,
+                              wall - window_ms, wall);
 }
 
-/* No host knows the stream: it began at the only version that its service had
+/* No host knows the stream: it began at the only version that its services had
  * lately, if that is certain.  False if the request was rejected. */
 static bool
 apply_only_version(request_t *request, bool all_answered)
 {
-    uint64_t service = str_hash(request->service, 0);
     uint64_t only = find_only_version(request);
     if (only == SOFTWARE_UNKNOWN) {
         request->origin_pending = false;
         reject_unknown(request, all_answered);
         return false;
     }
-    const stream_origin_t origin = {.service = service, .software = only};
+    const stream_origin_t origin = {.service = SERVICE_UNKNOWN,
+                                    .software = only};
     return apply_origin(request, &origin, "only");
 }
 
--- a/relay/software-seen.c
+++ b/relay/software-seen.c
@@ -87,11 +87,22 @@
     return versions > 1;
 }
 
-/* Returns the only version that a service had since a time, or
- * SOFTWARE_UNKNOWN if it had several or what it had is not known. */
+static bool
+contains(const uint64_t *list, size_t count, uint64_t value)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (list[i] == value) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns the only version that some services had since a time, or
+ * SOFTWARE_UNKNOWN if they had several or what they had is not known. */
 uint64_t
-software_seen_only(const software_seen_t *seen, uint64_t service,
-                   int64_t since_ms, int64_t now_ms)
+software_seen_only(const software_seen_t *seen, const uint64_t *services,
+                   size_t count, int64_t since_ms, int64_t now_ms)
 {
     uint64_t only = SOFTWARE_UNKNOWN;
     if (seen->overflow || seen->since_ms == 0 || seen->since_ms > since_ms ||
@@ -100,7 +111,8 @@
     }
     for (size_t i = 0; i < seen->count; i++) {
         const software_sighting_t *known = &seen->list[i];
-        if (known->service != service || known->seen_ms < since_ms) {
+        if (known->seen_ms < since_ms ||
+            !contains(services, count, known->service)) {
             continue;
         }
         if (only != SOFTWARE_UNKNOWN && only != known->software) {
--- a/relay/software-seen.h
+++ b/relay/software-seen.h
@@ -32,7 +32,8 @@
 void software_seen_forget(software_seen_t *seen, int64_t before_ms);
 bool software_seen_several(const software_seen_t *seen, uint64_t service,
                            int64_t since_ms);
-uint64_t software_seen_only(const software_seen_t *seen, uint64_t service,
+uint64_t software_seen_only(const software_seen_t *seen,
+                            const uint64_t *services, size_t count,
                             int64_t since_ms, int64_t now_ms);
 
 #endif
--- a/relay/stream-origins.h
+++ b/relay/stream-origins.h
@@ -22,6 +22,8 @@
  */
 #define SOFTWARE_ANY 0
 #define SOFTWARE_UNKNOWN UINT64_MAX
+/* In place of the hash of a service. */
+#define SERVICE_UNKNOWN 0
 
 typedef struct stream_origin {
     CK_LIST_ENTRY(stream_origin) entry; /* in its bucket, or a free one */
--- /dev/null
+++ b/tests/test-config-former.c
@@ -0,0 +1,153 @@
+#include "../platform/platform.h"
+#include "../relay/config-former.h"
+#include "test.h"
+
+#include <string.h>
+
+#define SERVICES(...)     \
+    (const char *[])      \
+    {                     \
+        __VA_ARGS__, NULL \
+    }
+
+/* A route of a configuration: NAME of its service, or two separated by /. */
+typedef struct {
+    const char *host;
+    const char *prefix;
+    const char *service;
+} route_spec_t;
+
+static json_t *
+make_split(const char *service)
+{
+    const char *second = strchr(service, '/');
+    if (second == NULL) {
+        return json_pack("[{s:s,s:i}]", "service", service, "weight", 1);
+    }
+    return json_pack("[{s:s#,s:i},{s:s,s:i}]", "service", service,
+                     (size_t)(second - service), "weight", 1, "service",
+                     second + 1, "weight", 1);
+}
+
+/* Returns a configuration that has replaced an older one, which is freed. */
+static relay_config_t *
+adopt(relay_config_t *older, int timeout_ms, int64_t now,
+      const route_spec_t *routes, size_t count)
+{
+    err_t err = {0};
+    json_t *list = json_array();
+    for (size_t i = 0; i < count; i++) {
+        (void)json_array_append_new(
+            list,
+            json_pack("{s:s,s:s,s:s,s:s,s:i,s:b,s:o}", "name", "r", "host",
+                      routes[i].host, "path_prefix", routes[i].prefix, "kind",
+                      "streaming", "timeout_ms", timeout_ms, "resumable", 1,
+                      "traffic_split", make_split(routes[i].service)));
+    }
+    CLEAN_JSON json_t *spec =
+        json_pack("{s:i,s:o,s:[]}", "version", 1, "routes", list, "services");
+    const store_object_t object = {
+        .name = "main", .revision = 1, .spec = spec};
+    relay_config_t *config = platform_config_read(&object, &err);
+    ck_assert_ptr_nonnull(config);
+    if (older != NULL) {
+        config_former_take(config, older, now);
+        relay_config_release(older);
+    }
+    return config;
+}
+#define ADOPT(older, timeout_ms, now, ...)                             \
+    adopt(older, timeout_ms, now, (const route_spec_t[]){__VA_ARGS__}, \
+          sizeof((route_spec_t[]){__VA_ARGS__}) / sizeof(route_spec_t))
+
+/* Checks at which services streams of a path may have begun; no names: not all
+ * of them are known. */
+static void
+check_services(const relay_config_t *config, const char *path, int64_t now,
+               const char **names)
+{
+    uint64_t services[ROUTE_SERVICES_MAX];
+    const route_t *route =
+        relay_config_find_route(config, "a.example", 9, path, strlen(path));
+    size_t count = route_list_services(route, now, services);
+    size_t wanted = 0;
+    for (; names[wanted] != NULL; wanted++) {
+        bool found = false;
+        for (size_t i = 0; i < count; i++) {
+            found |= services[i] == str_hash(names[wanted], 0);
+        }
+        ck_assert_msg(found, "%s is not among the services", names[wanted]);
+    }
+    ck_assert_uint_eq(count, wanted);
+}
+
+/* Guards against a stream whose version is taken for that of the service to
+ * which its route has moved. */
+START_TEST(a_moved_route_remembers_where_it_led)
+{
+    relay_config_t *config =
+        ADOPT(NULL, 10000, 0, {"a.example", "/x/", "one"});
+    check_services(config, "/x/s", 0, SERVICES("one"));
+    config = ADOPT(config, 10000, 1000, {"A.Example", "/x/", "two"});
+    check_services(config, "/x/s", 1000, SERVICES("one", "two"));
+    check_services(config, "/x/s", 13999, SERVICES("one", "two"));
+    check_services(config, "/x/s", 14000, SERVICES("two"));
+    config = ADOPT(config, 10000, 5000, {"a.example", "/x/", "three"});
+    check_services(config, "/x/s", 13999, SERVICES("one", "two", "three"));
+    check_services(config, "/x/s", 14000, SERVICES("two", "three"));
+    config = ADOPT(config, 10000, 6000, {"a.example", "/x/", "one"});
+    check_services(config, "/x/s", 6000, SERVICES("one", "two", "three"));
+    check_services(config, "/x/s", 60000, SERVICES("one"));
+    relay_config_release(config);
+}
+END_TEST
+
+/* Guards against the same where a route gets paths of another one. */
+START_TEST(paths_remember_where_they_led)
+{
+    relay_config_t *config = ADOPT(NULL, 10000, 0, {"a.example", "/x/", "one"},
+                                   {"b.example", "/x/y/", "other"});
+    config = ADOPT(config, 10000, 1000, {"a.example", "/x/", "one"},
+                   {"a.example", "/x/y/", "two"});
+    check_services(config, "/x/y/s", 1000, SERVICES("one", "two"));
+    check_services(config, "/x/s", 1000, SERVICES("one"));
+    config = ADOPT(config, 10000, 2000, {"a.example", "/", "three"});
+    check_services(config, "/x/y/s", 2000, SERVICES("one", "two", "three"));
+    relay_config_release(config);
+}
+END_TEST
+
+/* Guards against a guess among the services of a traffic split. */
+START_TEST(all_services_of_a_split_count)
+{
+    relay_config_t *config =
+        ADOPT(NULL, 10000, 0, {"a.example", "/x/", "one/two"});
+    check_services(config, "/x/s", 0, SERVICES("one", "two"));
+    config = ADOPT(config, 10000, 1000, {"a.example", "/x/", "two"});
+    check_services(config, "/x/s", 1000, SERVICES("one", "two"));
+    check_services(config, "/x/s", 20000, SERVICES("two"));
+    relay_config_release(config);
+}
+END_TEST
+
+/* Guards against a service that is forgotten while its streams last, since
+ * there were more. */
+START_TEST(more_services_than_are_remembered_are_unknown)
+{
+    relay_config_t *config = ADOPT(NULL, 10000, 0, {"a.example", "/x/", "s0"});
+    for (int i = 1; i <= ROUTE_FORMER_MAX + 1; i++) {
+        char name[8];
+        (void)snprintf(name, sizeof(name), "s%d", i);
+        config = ADOPT(config, 10000, i * 100, {"a.example", "/x/", name});
+    }
+    check_services(config, "/x/s", 1000, (const char *[]){NULL});
+    config = ADOPT(config, 10000, 2000, {"a.example", "/x/", "s9"});
+    check_services(config, "/x/s", 2000, (const char *[]){NULL});
+    check_services(config, "/x/s", 60000, SERVICES("s9"));
+    relay_config_release(config);
+}
+END_TEST
+
+TEST_MAIN("config-former", a_moved_route_remembers_where_it_led,
+          paths_remember_where_they_led, all_services_of_a_split_count,
+          more_services_than_are_remembered_are_unknown)
--- a/tests/test-software-forgotten.c
+++ b/tests/test-software-forgotten.c
@@ -11,6 +11,13 @@
     software_seen_note(seen, &sighting);
 }
 
+static uint64_t
+only(const software_seen_t *seen, int64_t since_ms, int64_t now)
+{
+    const uint64_t service = 7;
+    return software_seen_only(seen, &service, 1, since_ms, now);
+}
+
 /* Guards against the only version left where an older one was forgotten that
  * is still in the span that is asked for. */
 START_TEST(a_forgotten_version_is_not_certain_not_to_have_been)
@@ -21,9 +28,8 @@
         software_seen_cover(&seen, now, now);
         software_seen_forget(&seen, now - 120000);
     }
-    ck_assert_uint_eq(software_seen_only(&seen, 7, 180000, 300000), 2);
-    ck_assert_uint_eq(software_seen_only(&seen, 7, 50000, 300000),
-                      SOFTWARE_UNKNOWN);
+    ck_assert_uint_eq(only(&seen, 180000, 300000), 2);
+    ck_assert_uint_eq(only(&seen, 50000, 300000), SOFTWARE_UNKNOWN);
 }
 END_TEST
 
@@ -42,8 +48,7 @@
     note(&seen, 7, 1, 101000);
     software_seen_cover(&seen, 101000, 101000);
     software_seen_cover(&seen, 50000, 99000);
-    ck_assert_uint_eq(software_seen_only(&seen, 7, 60000, 101000),
-                      SOFTWARE_UNKNOWN);
+    ck_assert_uint_eq(only(&seen, 60000, 101000), SOFTWARE_UNKNOWN);
 }
 END_TEST
 
--- a/tests/test-software-seen.c
+++ b/tests/test-software-seen.c
@@ -32,10 +32,17 @@
     }
 }
 
+static uint64_t
+only_of(const software_seen_t *seen, uint64_t service, int64_t since_ms,
+        int64_t now)
+{
+    return software_seen_only(seen, &service, 1, since_ms, now);
+}
+
 static uint64_t
 only(const software_seen_t *seen, int64_t since_ms, int64_t now)
 {
-    return software_seen_only(seen, SERVICE, since_ms, now);
+    return only_of(seen, SERVICE, since_ms, now);
 }
 
 /* Guards against a stream that is lost although its version is certain, and
@@ -98,9 +105,26 @@
     list_each_second(&seen, 1, 10000, 20000);
     note(&seen, OTHER_SERVICE, 2, 20000);
     ck_assert_uint_eq(only(&seen, 10000, 20000), 1);
-    ck_assert_uint_eq(software_seen_only(&seen, OTHER_SERVICE, 10000, 20000),
-                      2);
-    ck_assert_uint_eq(software_seen_only(&seen, 9, 10000, 20000),
+    ck_assert_uint_eq(only_of(&seen, OTHER_SERVICE, 10000, 20000), 2);
+    ck_assert_uint_eq(only_of(&seen, 9, 10000, 20000), SOFTWARE_UNKNOWN);
+}
+END_TEST
+
+/* Guards against a stream that began at another service of its path, whose
+ * version is taken for that of the one where it is taken up. */
+START_TEST(of_several_services_all_have_the_version)
+{
+    const uint64_t services[] = {SERVICE, OTHER_SERVICE};
+    software_seen_t seen = {0};
+    list_each_second(&seen, 1, 10000, 20000);
+    ck_assert_uint_eq(software_seen_only(&seen, services, 2, 10000, 20000), 1);
+    note(&seen, OTHER_SERVICE, 1, 20000);
+    ck_assert_uint_eq(software_seen_only(&seen, services, 2, 10000, 20000), 1);
+    note(&seen, OTHER_SERVICE, 2, 12000);
+    ck_assert_uint_eq(software_seen_only(&seen, services, 2, 10000, 20000),
+                      SOFTWARE_UNKNOWN);
+    ck_assert_uint_eq(software_seen_only(&seen, services, 2, 12001, 20000), 1);
+    ck_assert_uint_eq(software_seen_only(&seen, services, 0, 10000, 20000),
                       SOFTWARE_UNKNOWN);
 }
 END_TEST
@@ -220,7 +244,9 @@
           a_version_without_a_span_is_not_certain,
           of_several_versions_none_is_certain,
           an_old_version_counts_until_it_is_out_of_the_span,
-          another_service_does_not_count, after_an_overflow_nothing_is_certain,
+          another_service_does_not_count,
+          of_several_services_all_have_the_version,
+          after_an_overflow_nothing_is_certain,
           own_lists_join_the_record_of_another_host,
           versions_of_a_joined_record_count,
           spans_with_a_longer_gap_do_not_join,
