Streams: a shorter timeout does not forget the streams that began before it

What callers may see: with servers of several versions, a stream that is taken up after a configuration has shortened the longest timeout is refused, or goes on at another version. Found by reading, for the same cause as the streams of a moved route: what is remembered of a stream depended on the configuration at the take-up.

Cause: the time for which versions of a service count, and the time that each object of origins in the store covers, came from the longest timeout of the configuration in force. A shorter one forgot versions while streams that began at them lasted; another one renumbered the objects, so that a host wrote again those whose origins were needed.

Change: a configuration keeps the longest timeout of those before it as long as their requests last. Objects are named after the time that they cover, which is 250 ms doubled as often as is needed, so that there are few sets of them. Up to a longest timeout of 15.7 s it stays 250 ms.

Evidence: objects_last_through_changes_of_the_longest_timeout failed before: "a-1-83 is written again 13900 ms too early". a_longer_timeout_lasts_as_long_as_its_requests is new. Not shown with real processes.

--- a/relay/config-former.c
+++ b/relay/config-former.c
@@ -71,6 +71,22 @@
                                    route->prefix, strlen(route->prefix));
 }
 
+/* Records the longest timeout of requests that began before. */
+static void
+take_timeout(relay_config_t *config, const relay_config_t *older,
+             int64_t now_ms)
+{
+    int64_t lasting_ms = config_lasting_timeout_ms(older, now_ms);
+    int64_t until_ms = now_ms + older->longest_timeout_ms + ADOPTION_MARGIN_MS;
+    if (lasting_ms > config->longest_timeout_ms) {
+        config->former_timeout_ms = lasting_ms;
+        config->former_timeout_until_ms =
+            until_ms > older->former_timeout_until_ms
+                ? until_ms
+                : older->former_timeout_until_ms;
+    }
+}
+
 /* Takes over what a new configuration, which is not in force yet, has to
  * remember of the one that it replaces. */
 void
@@ -78,6 +94,7 @@
                    int64_t now_ms)
 {
     int64_t until_ms = now_ms + older->longest_timeout_ms + ADOPTION_MARGIN_MS;
+    take_timeout(config, older, now_ms);
     for (size_t i = 0; i < ROUTE_BUCKETS; i++) {
         route_t *route;
         const route_t *former;
@@ -96,6 +113,16 @@
     }
 }
 
+/* Returns the longest timeout of all requests that may be under way. */
+int64_t
+config_lasting_timeout_ms(const relay_config_t *config, int64_t now_ms)
+{
+    return now_ms < config->former_timeout_until_ms &&
+                   config->former_timeout_ms > config->longest_timeout_ms
+               ? config->former_timeout_ms
+               : config->longest_timeout_ms;
+}
+
 /* Lists all services at which requests of the route that are under way may
  * have begun (hashes of their names).  Returns their number, or 0 if not all
  * of them are known. */
--- a/relay/config-former.h
+++ b/relay/config-former.h
@@ -3,12 +3,14 @@
 
 /* What a configuration remembers of those before it, for as long as requests
  * that began under these may last: the services to which the paths of its
- * routes led.  No I/O and no clock. */
+ * routes led, and the longest timeout.  No I/O and no clock. */
 
 #include "relay-config.h"
 
 void config_former_take(relay_config_t *config, const relay_config_t *older,
                         int64_t now_ms);
+int64_t config_lasting_timeout_ms(const relay_config_t *config,
+                                  int64_t now_ms);
 size_t route_list_services(const route_t *route, int64_t now_ms,
                            uint64_t out[ROUTE_SERVICES_MAX]);
 
--- a/relay/origin-records.c
+++ b/relay/origin-records.c
@@ -141,12 +141,27 @@
 }
 
 /* Returns the time that each of the ORIGIN_SLOTS objects of a host covers, so
- * that none is written again while its origins are needed. */
+ * that none is written again while its origins are needed.  It is one of a
+ * few, so that a host has few sets of objects. */
 int64_t
 origin_slot_ms(int64_t longest_ms)
 {
-    int64_t ms = (longest_ms + CLOCKS_DIFFER_MS) / (ORIGIN_SLOTS - 1) + 1;
-    return ms > SLOT_MS_MIN ? ms : SLOT_MS_MIN;
+    int64_t ms = SLOT_MS_MIN;
+    while (ms * (ORIGIN_SLOTS - 1) < longest_ms + CLOCKS_DIFFER_MS) {
+        ms *= 2;
+    }
+    return ms;
+}
+
+/* Writes the name of the object that a host writes in a slot.  Slots of
+ * another length have other objects: a change of the longest timeout renumbers
+ * them. */
+void
+origin_segment_name(const char *host, int64_t slot_ms, int64_t slot, char *out,
+                    size_t size)
+{
+    (void)snprintf(out, size, "%s-%lld-%d", host, (long long)slot_ms,
+                   (int)(slot % ORIGIN_SLOTS));
 }
 
 /* Returns how many hosts of a fleet write origins; 0 for all. */
--- a/relay/origin-records.h
+++ b/relay/origin-records.h
@@ -46,6 +46,8 @@
                          int64_t now_ms, origin_record_t *out);
 
 int64_t origin_slot_ms(int64_t longest_ms);
+void origin_segment_name(const char *host, int64_t slot_ms, int64_t slot,
+                         char *out, size_t size);
 size_t origin_recorder_count(size_t daemons);
 
 #endif
--- a/relay/origin-store.c
+++ b/relay/origin-store.c
@@ -1,3 +1,4 @@
+#include "config-former.h"
 #include "origin-store.h"
 #include "peers.h"
 
@@ -70,7 +71,9 @@
 static int64_t
 longest_timeout_ms(const relay_t *relay)
 {
-    return relay->config != NULL ? relay->config->longest_timeout_ms : 0;
+    return relay->config != NULL
+               ? config_lasting_timeout_ms(relay->config, time_mono_ms())
+               : 0;
 }
 
 /* ---- what is recorded ---- */
@@ -256,8 +259,8 @@
 static void
 write_batch(origin_store_t *store)
 {
-    int64_t slot = (store->boot_wall_ms + time_mono_ms()) /
-                   origin_slot_ms(longest_timeout_ms(store->relay));
+    int64_t slot_ms = origin_slot_ms(longest_timeout_ms(store->relay));
+    int64_t slot = (store->boot_wall_ms + time_mono_ms()) / slot_ms;
     origin_batch_expire(&store->batch, time_wall_ms());
     if (store->batch.count == 0 || slot == store->slot) {
         return;
@@ -266,8 +269,8 @@
     store->writing = store->batch.count < SEGMENT_ORIGINS_MAX
                          ? store->batch.count
                          : SEGMENT_ORIGINS_MAX;
-    (void)snprintf(store->segment, sizeof(store->segment), "%s-%d",
-                   store->relay->settings.name, (int)(slot % ORIGIN_SLOTS));
+    origin_segment_name(store->relay->settings.name, slot_ms, slot,
+                        store->segment, sizeof(store->segment));
     write_segment(store, WRITE_REPLACE);
 }
 
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -114,7 +114,9 @@
     int64_t revision;   /* revision of the object in the store */
     bool keys_required; /* requests need an access key */
     http_limits_t limits;
-    int longest_timeout_ms;             /* of all routes */
+    int longest_timeout_ms;          /* of all routes */
+    int64_t former_timeout_ms;       /* a longer one of requests under way */
+    int64_t former_timeout_until_ms; /* until then */
     route_list_t routes[ROUTE_BUCKETS]; /* by hash of host and prefix */
     size_t longest_prefix;              /* of all routes */
     key_list_t keys[CONFIG_BUCKETS];    /* by hash of the key */
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -209,7 +209,8 @@
     uint64_t services[ROUTE_SERVICES_MAX];
     int64_t now = time_mono_ms();
     int64_t wall = time_wall_ms();
-    int64_t window_ms = relay->config->longest_timeout_ms + BEGAN_MARGIN_MS;
+    int64_t window_ms =
+        config_lasting_timeout_ms(relay->config, now) + BEGAN_MARGIN_MS;
     size_t count = route_list_services(request->route, now, services);
     return software_seen_only(&relay->software_seen, services, count,
                               wall - window_ms, wall);
--- a/tests/test-config-former.c
+++ b/tests/test-config-former.c
@@ -148,6 +148,27 @@
 }
 END_TEST
 
+/* Guards against streams of a longer timeout that are forgotten once a
+ * configuration shortens it. */
+START_TEST(a_longer_timeout_lasts_as_long_as_its_requests)
+{
+    const route_spec_t route = {"a.example", "/x/", "one"};
+    relay_config_t *config = adopt(NULL, 20000, 0, &route, 1);
+    config = adopt(config, 3000, 1000, &route, 1);
+    ck_assert_int_eq(config->longest_timeout_ms, 3000);
+    ck_assert_int_eq(config_lasting_timeout_ms(config, 1000), 20000);
+    config = adopt(config, 1000, 2000, &route, 1);
+    ck_assert_int_eq(config_lasting_timeout_ms(config, 23999), 20000);
+    ck_assert_int_eq(config_lasting_timeout_ms(config, 24000), 1000);
+    config = adopt(config, 30000, 25000, &route, 1);
+    ck_assert_int_eq(config_lasting_timeout_ms(config, 25000), 30000);
+    config = adopt(config, 30000, 26000, &route, 1);
+    ck_assert_int_eq(config_lasting_timeout_ms(config, 26000), 30000);
+    relay_config_release(config);
+}
+END_TEST
+
 TEST_MAIN("config-former", a_moved_route_remembers_where_it_led,
           paths_remember_where_they_led, all_services_of_a_split_count,
-          more_services_than_are_remembered_are_unknown)
+          more_services_than_are_remembered_are_unknown,
+          a_longer_timeout_lasts_as_long_as_its_requests)
--- a/tests/test-origin-records.c
+++ b/tests/test-origin-records.c
@@ -171,6 +171,56 @@
 }
 END_TEST
 
+#define WRITES_MAX 1024
+
+typedef struct {
+    char name[64];
+    int64_t needed_until_ms;
+} written_t;
+
+static written_t written[WRITES_MAX];
+static size_t written_count;
+
+/* Writes the object of a slot, which none may have whose origins are needed.
+ */
+static void
+write_object(int64_t slot_ms, int64_t longest_ms, int64_t now)
+{
+    written_t *next = &written[written_count++];
+    ck_assert_uint_lt(written_count, WRITES_MAX);
+    origin_segment_name("a-1", slot_ms, now / slot_ms, next->name,
+                        sizeof(next->name));
+    next->needed_until_ms = now + longest_ms;
+    for (size_t i = 0; i + 1 < written_count; i++) {
+        ck_assert_msg(strcmp(written[i].name, next->name) != 0 ||
+                          written[i].needed_until_ms <= now,
+                      "%s is written again %lld ms too early", next->name,
+                      (long long)(written[i].needed_until_ms - now));
+    }
+}
+
+/* Guards against an object that is written again while its streams may be
+ * taken up, because the longest timeout has changed in between. */
+START_TEST(objects_last_through_changes_of_the_longest_timeout)
+{
+    static const int64_t longest[] = {60000, 20000, 90000, 15000, 33000};
+    int64_t now = 1700000000000;
+    int64_t last_slot_ms = 0;
+    int64_t last_slot = 0;
+    for (int i = 0; i < 25; i++) {
+        int64_t longest_ms = longest[i % 5];
+        int64_t slot_ms = origin_slot_ms(longest_ms);
+        for (int64_t until_ms = now + 7000; now < until_ms; now += 100) {
+            if (slot_ms != last_slot_ms || now / slot_ms != last_slot) {
+                last_slot_ms = slot_ms;
+                last_slot = now / slot_ms;
+                write_object(slot_ms, longest_ms, now);
+            }
+        }
+    }
+}
+END_TEST
+
 #define FLEET 350
 #define STREAMS_PER_S 3.3 /* at each host */
 #define BYTES_PER_S_MAX 8000
@@ -219,4 +269,6 @@
 TEST_MAIN("origin-records", records_are_found, records_that_differ_are_unknown,
           records_of_two_services_may_have_one_version, batch_keeps_the_newest,
           segment_is_read_as_written, odd_segments_are_skipped,
-          slots_and_recorders_are_bounded, recorders_bytes_are_bounded)
+          slots_and_recorders_are_bounded,
+          objects_last_through_changes_of_the_longest_timeout,
+          recorders_bytes_are_bounded)
