Streams: the key of an origin does not depend on the route's host name

What callers saw (LOST): once a configuration spelled the host name of a route otherwise ("A.Example" for "a.example"), or led the same service under another host name, no stream that began before went on, although new ones began.

Cause: the key under which hosts keep a stream's origin held the host name as the route spells it.

Change: the key holds workspace and attempt. Each attempt has its own id; two of one workspace with one id and two versions are unknown, as before. Hosts of the version before have other keys, so while both run side by side their streams are unknown to each other.

--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -29,7 +29,6 @@
     *name = (stream_name_t){.workspace = request->workspace != NULL
                                              ? request->workspace->name
                                              : "",
-                            .host = request->route->host,
                             .attempt = attempt,
                             .attempt_len = len};
 }
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -18,13 +18,11 @@
     crypto_generichash_state state;
     unsigned char digest[crypto_generichash_BYTES_MIN];
     uint64_t key;
-    const char *texts[] = {name->workspace, name->host};
     (void)crypto_generichash_init(&state, NULL, 0, sizeof(digest));
-    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
-        /* With the final zero, so that the texts cannot run together. */
-        (void)crypto_generichash_update(
-            &state, (const unsigned char *)texts[i], strlen(texts[i]) + 1);
-    }
+    /* With the final zero, so that the texts cannot run together. */
+    (void)crypto_generichash_update(&state,
+                                    (const unsigned char *)name->workspace,
+                                    strlen(name->workspace) + 1);
     (void)crypto_generichash_update(
         &state, (const unsigned char *)name->attempt, name->attempt_len);
     (void)crypto_generichash_final(&state, digest, sizeof(digest));
--- a/relay/stream-origins.h
+++ b/relay/stream-origins.h
@@ -48,12 +48,11 @@
     int64_t queries_updated_ms;
 } stream_origins_t;
 
-/* What a stream belongs to.  Streams of another workspace or host name have
- * other keys, even if their attempts have the same id.  The route is no part
- * of it: a configuration may lead the same path over another one. */
+/* What a stream belongs to.  Streams of another workspace have other keys,
+ * even if their attempts have the same id.  Neither the route nor its host
+ * name are part of it: a configuration may lead requests over others. */
 typedef struct {
     const char *workspace; /* empty if none */
-    const char *host;      /* of the route */
     const char *attempt;   /* id of the attempt that brought its first event */
     size_t attempt_len;
 } stream_name_t;
