Streams: an origin is found by what the caller sends, not by its workspace

What callers saw (LOST): once a configuration made a route public, or no longer public, no stream that began before went on, although its caller sent the same key. The same when a workspace was renamed, or a key moved to another one.

Cause: the key of a stream's origin held the workspace of the request, which a public route does not have and a configuration may change. It stood there for a reason: two workspaces may use one attempt id, and neither may take up, or spoil, the other's stream.

Change (stream-id.c): the identity of a stream is the attempt's id. Short hashes of workspace and access key go with it, and an origin counts for a caller of the same workspace or with the same key, or if one of them has no workspace; what matches best counts first, and two versions that match alike are unknown. The workspace is that of the key that was sent, also on public routes. The request's own workspace stays what the configuration says.

--- a/kernel/peer-codec.c
+++ b/kernel/peer-codec.c
@@ -19,7 +19,7 @@
 #define SIGNALS_FIELDS 2
 #define PART_FIELDS 5
 #define PARTS_FIELDS 2
-#define ORIGIN_FIELDS 4
+#define ORIGIN_FIELDS 5
 #define ORIGINS_FIELDS 2
 #define SPEED_FIELDS 4
 #define SPEEDS_FIELDS 2
@@ -179,7 +179,8 @@
     for (size_t i = 0; i < datagram->origin_count; i++) {
         const peer_origin_t *origin = &datagram->origins[i];
         (void)msgpack_pack_array(packer, ORIGIN_FIELDS);
-        (void)msgpack_pack_uint64(packer, origin->stream);
+        (void)msgpack_pack_uint64(packer, origin->attempt);
+        (void)msgpack_pack_uint64(packer, origin->caller);
         (void)msgpack_pack_uint64(packer, origin->service);
         (void)msgpack_pack_uint64(packer, origin->software);
         (void)msgpack_pack_uint64(packer, origin->lifetime_ms);
@@ -438,10 +439,11 @@
     const msgpack_object *fields = object->via.array.ptr;
     return object->type == MSGPACK_OBJECT_ARRAY &&
            object->via.array.size == ORIGIN_FIELDS &&
-           parse_unsigned(&fields[0], &origin->stream) &&
-           parse_unsigned(&fields[1], &origin->service) &&
-           parse_unsigned(&fields[2], &origin->software) &&
-           parse_count(&fields[3], &origin->lifetime_ms);
+           parse_unsigned(&fields[0], &origin->attempt) &&
+           parse_count(&fields[1], &origin->caller) &&
+           parse_unsigned(&fields[2], &origin->service) &&
+           parse_unsigned(&fields[3], &origin->software) &&
+           parse_count(&fields[4], &origin->lifetime_ms);
 }
 
 static bool
--- a/kernel/peer-codec.h
+++ b/kernel/peer-codec.h
@@ -92,9 +92,10 @@
  * datagram. */
 #define PEER_ORIGINS_MAX 64
 
-/* Which software version began a stream; see relay/stream-origins.h. */
+/* Which software version began a stream; see relay/stream-id.h. */
 typedef struct {
-    uint64_t stream;
+    uint64_t attempt;
+    uint32_t caller;
     uint64_t service;
     uint64_t software;
     uint32_t lifetime_ms; /* 0: the sender does not know the stream */
--- a/relay/origin-records.c
+++ b/relay/origin-records.c
@@ -1,7 +1,5 @@
 #include "origin-records.h"
 
-#include "stream-origins.h"
-
 #include <stdlib.h>
 #include <string.h>
 
@@ -82,7 +80,8 @@
 {
     const origin_record_t *first = a;
     const origin_record_t *second = b;
-    return (first->stream > second->stream) - (first->stream < second->stream);
+    return (first->stream.attempt > second->stream.attempt) -
+           (first->stream.attempt < second->stream.attempt);
 }
 
 /* All origins were added: they can be found now. */
@@ -95,15 +94,15 @@
     records->sorted = true;
 }
 
-/* Returns the first record of a stream, or its end. */
+/* Returns the first record of an attempt, or its end. */
 static size_t
-lower_bound(const origin_records_t *records, uint64_t stream)
+lower_bound(const origin_records_t *records, uint64_t attempt)
 {
     size_t low = 0;
     size_t high = records->count;
     while (low < high) {
         size_t middle = low + (high - low) / 2;
-        if (records->all[middle].stream < stream) {
+        if (records->all[middle].stream.attempt < attempt) {
             low = middle + 1;
         }
         else {
@@ -116,28 +115,32 @@
 /* Finds the origin of a stream.  If its records differ on the version, that is
  * not known, whichever of them is younger. */
 bool
-origin_records_find(const origin_records_t *records, uint64_t stream,
+origin_records_find(const origin_records_t *records, const stream_id_t *wanted,
                     int64_t now_ms, origin_record_t *out)
 {
-    bool found = false;
+    stream_pick_t pick = {.match = STREAM_OTHER};
     if (!records->sorted) {
         return false;
     }
-    for (size_t i = lower_bound(records, stream);
-         i < records->count && records->all[i].stream == stream; i++) {
+    for (size_t i = lower_bound(records, wanted->attempt);
+         i < records->count &&
+         records->all[i].stream.attempt == wanted->attempt;
+         i++) {
         const origin_record_t *record = &records->all[i];
-        if (record->expires_ms <= now_ms) {
-            continue;
-        }
-        if (!found) {
-            *out = *record;
-            found = true;
-        }
-        else if (record->software != out->software) {
-            out->software = SOFTWARE_UNKNOWN;
+        const stream_pick_t known = {
+            .match = stream_id_match(&record->stream, wanted),
+            .service = record->service,
+            .software = record->software,
+            .expires_ms = record->expires_ms};
+        if (record->expires_ms > now_ms) {
+            stream_pick_add(&pick, &known);
         }
     }
-    return found;
+    *out = (origin_record_t){.stream = *wanted,
+                             .service = pick.service,
+                             .software = pick.software,
+                             .expires_ms = pick.expires_ms};
+    return pick.match != STREAM_OTHER;
 }
 
 /* Returns the time that each of the ORIGIN_SLOTS objects of a host covers, so
--- a/relay/origin-records.h
+++ b/relay/origin-records.h
@@ -6,7 +6,7 @@
  * what was read.  No I/O and no clock; times are of the wall clock, so that
  * hosts can exchange them. */
 
-#include "../kernel/base.h"
+#include "stream-id.h"
 
 /* Origins that wait to be written; of more, the oldest is dropped. */
 #define ORIGIN_BATCH_MAX 1024
@@ -16,7 +16,7 @@
 #define ORIGIN_RECORDERS_MAX 16
 
 typedef struct {
-    uint64_t stream;
+    stream_id_t stream;
     uint64_t service;
     uint64_t software;
     int64_t expires_ms;
@@ -42,8 +42,9 @@
 void origin_records_add(origin_records_t *records,
                         const origin_record_t *record, int64_t now_ms);
 void origin_records_complete(origin_records_t *records);
-bool origin_records_find(const origin_records_t *records, uint64_t stream,
-                         int64_t now_ms, origin_record_t *out);
+bool origin_records_find(const origin_records_t *records,
+                         const stream_id_t *wanted, int64_t now_ms,
+                         origin_record_t *out);
 
 int64_t origin_slot_ms(int64_t longest_ms);
 void origin_segment_name(const char *host, int64_t slot_ms, int64_t slot,
--- a/relay/origin-store.c
+++ b/relay/origin-store.c
@@ -106,7 +106,7 @@
 record_origin(origin_store_t *store, const stream_origin_t *origin)
 {
     relay_t *relay = store->relay;
-    stream_origins_set_unrecorded(&relay->stream_origins, origin->stream,
+    stream_origins_set_unrecorded(&relay->stream_origins, &origin->stream,
                                   false);
     if (!peers_send_to_recorder(relay->peers, origin)) {
         batch_origin(store, origin);
@@ -129,7 +129,7 @@
         return;
     }
     stream_origins_set_unrecorded(&store->relay->stream_origins,
-                                  origin->stream, true);
+                                  &origin->stream, true);
     if (needs_records(store, origin->service)) {
         record_origin(store, origin);
     }
@@ -381,14 +381,15 @@
 
 /* Finds the origin of a stream that no host knows. */
 origin_store_answer_t
-origin_store_find(origin_store_t *store, uint64_t stream, stream_origin_t *out)
+origin_store_find(origin_store_t *store, const stream_id_t *stream,
+                  stream_origin_t *out)
 {
     origin_record_t record;
     int64_t now = time_mono_ms();
     int64_t wall = time_wall_ms();
     store->used_ms = now;
     if (origin_records_find(&store->records, stream, wall, &record)) {
-        *out = (stream_origin_t){.stream = stream,
+        *out = (stream_origin_t){.stream = *stream,
                                  .service = record.service,
                                  .software = record.software,
                                  .expires_ms = now + record.expires_ms - wall};
--- a/relay/origin-store.h
+++ b/relay/origin-store.h
@@ -18,7 +18,8 @@
 void origin_store_note(origin_store_t *store, const stream_origin_t *origin);
 void origin_store_add(origin_store_t *store, const stream_origin_t *origin);
 void origin_store_tick(origin_store_t *store, int64_t now);
-origin_store_answer_t origin_store_find(origin_store_t *store, uint64_t stream,
+origin_store_answer_t origin_store_find(origin_store_t *store,
+                                        const stream_id_t *stream,
                                         stream_origin_t *out);
 
 #endif
--- a/relay/peers-origins.c
+++ b/relay/peers-origins.c
@@ -16,14 +16,14 @@
 /* Lists the other daemons that rank highest for a stream; returns their
  * number. */
 static size_t
-list_owners(peers_t *peers, uint64_t stream, size_t max,
+list_owners(peers_t *peers, const stream_id_t *stream, size_t max,
             member_t out[OWNERS_MAX])
 {
     char duty[32];
     member_t owners[OWNERS_MAX];
     size_t kept = 0;
     (void)snprintf(duty, sizeof(duty), "stream-%016llx",
-                   (unsigned long long)stream);
+                   (unsigned long long)stream->attempt);
     size_t count =
         members_list_duty_owners(peers->members, duty, owners, max + 1);
     for (size_t i = 0; i < count && kept < max; i++) {
@@ -39,12 +39,28 @@
            int64_t now)
 {
     datagram->origins[datagram->origin_count++] =
-        (peer_origin_t){.stream = origin->stream,
+        (peer_origin_t){.attempt = origin->stream.attempt,
+                        .caller = stream_id_caller(&origin->stream),
                         .service = origin->service,
                         .software = origin->software,
                         .lifetime_ms = (uint32_t)(origin->expires_ms - now)};
 }
 
+static stream_id_t
+get_id(const peer_origin_t *entry)
+{
+    return stream_id_join(entry->attempt, entry->caller);
+}
+
+static stream_origin_t
+get_origin(const peer_origin_t *entry, int64_t now)
+{
+    return (stream_origin_t){.stream = get_id(entry),
+                             .service = entry->service,
+                             .software = entry->software,
+                             .expires_ms = now + entry->lifetime_ms};
+}
+
 /* Sends the origin of a stream to the hosts that keep it. */
 void
 peers_announce_origin(peers_t *peers, const stream_origin_t *origin)
@@ -59,7 +75,7 @@
     datagram->origin_count = 0;
     add_origin(datagram, origin, now);
     size_t count =
-        list_owners(peers, origin->stream, STREAM_ORIGIN_COPIES, owners);
+        list_owners(peers, &origin->stream, STREAM_ORIGIN_COPIES, owners);
     for (size_t i = 0; i < count; i++) {
         peers_send(peers, owners[i].peer_addr, datagram);
     }
@@ -118,12 +134,7 @@
 {
     const peer_datagram_t *datagram = &peers->scratch;
     for (size_t i = 0; i < datagram->origin_count; i++) {
-        const peer_origin_t *entry = &datagram->origins[i];
-        const stream_origin_t origin = {
-            .stream = entry->stream,
-            .service = entry->service,
-            .software = entry->software,
-            .expires_ms = now + entry->lifetime_ms};
+        const stream_origin_t origin = get_origin(&datagram->origins[i], now);
         origin_store_add(peers->relay->origin_store, &origin);
     }
 }
@@ -135,7 +146,9 @@
     unsigned char data[PEER_DATAGRAM_MAX];
     datagram->kind = PEER_ORIGIN_QUERY;
     datagram->origin_count = 1;
-    datagram->origins[0] = (peer_origin_t){.stream = query->stream};
+    datagram->origins[0] =
+        (peer_origin_t){.attempt = query->stream.attempt,
+                        .caller = stream_id_caller(&query->stream)};
     size_t len = peer_encode(datagram, peers->secret, data);
     for (size_t i = 0; i < query->count; i++) {
         if (!query->answered[i]) {
@@ -151,7 +164,7 @@
 {
     member_t owners[OWNERS_MAX];
     size_t count =
-        list_owners(peers, query->stream, STREAM_ORIGIN_ASKED_MAX, owners);
+        list_owners(peers, &query->stream, STREAM_ORIGIN_ASKED_MAX, owners);
     query->count = 0;
     for (size_t i = 0; i < count; i++) {
         struct sockaddr_in to;
@@ -180,13 +193,14 @@
     datagram->kind = PEER_ORIGINS;
     for (size_t i = 0; i < datagram->origin_count; i++) {
         peer_origin_t *entry = &datagram->origins[i];
-        const stream_origin_t *origin = stream_origins_find(
-            &peers->relay->stream_origins, entry->stream, now);
+        const stream_id_t stream = get_id(entry);
+        stream_origin_t origin;
         entry->lifetime_ms = 0;
-        if (origin != NULL) {
-            entry->service = origin->service;
-            entry->software = origin->software;
-            entry->lifetime_ms = (uint32_t)(origin->expires_ms - now);
+        if (stream_origins_find(&peers->relay->stream_origins, &stream, now,
+                                &origin)) {
+            entry->service = origin.service;
+            entry->software = origin.software;
+            entry->lifetime_ms = (uint32_t)(origin.expires_ms - now);
         }
     }
     size_t len = peer_encode(datagram, peers->secret, data);
@@ -204,17 +218,13 @@
     /* Requests that go on now use the scratch datagram. */
     memcpy(entries, datagram->origins, count * sizeof(entries[0]));
     for (size_t i = 0; i < count; i++) {
-        const stream_origin_t origin = {
-            .stream = entries[i].stream,
-            .service = entries[i].service,
-            .software = entries[i].software,
-            .expires_ms = now + entries[i].lifetime_ms};
+        const stream_origin_t origin = get_origin(&entries[i], now);
         if (entries[i].lifetime_ms == 0) {
-            requests_note_origin_unknown(relay, origin.stream, host);
+            requests_note_origin_unknown(relay, &origin.stream, host);
             continue;
         }
-        requests_apply_origin(
-            relay, stream_origins_put(&relay->stream_origins, &origin, now));
+        (void)stream_origins_put(&relay->stream_origins, &origin, now);
+        requests_apply_origin(relay, &origin.stream);
     }
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -212,8 +212,8 @@
 void relay_note_software(relay_t *relay);
 void requests_drop_blocked(relay_t *relay);
 void requests_end_all(relay_t *relay);
-void requests_apply_origin(relay_t *relay, const stream_origin_t *origin);
-void requests_note_origin_unknown(relay_t *relay, uint64_t stream,
+void requests_apply_origin(relay_t *relay, const stream_id_t *stream);
+void requests_note_origin_unknown(relay_t *relay, const stream_id_t *stream,
                                   uint64_t host);
 void requests_apply_records(relay_t *relay, bool read);
 void requests_fail_over(relay_t *relay, const server_t *server,
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -22,35 +22,41 @@
 
 /* ---- streams that begin ---- */
 
-static void
-get_stream_name(const request_t *request, const char *attempt, size_t len,
-                stream_name_t *name)
+/* Returns the identity of the stream whose first event an attempt brought. */
+static stream_id_t
+make_stream_id(const request_t *request, const header_t *attempt)
 {
-    *name = (stream_name_t){.workspace = request->workspace != NULL
-                                             ? request->workspace->name
-                                             : "",
-                            .attempt = attempt,
-                            .attempt_len = len};
+    const http_head_t *head = request->head;
+    const header_t *key =
+        http_head_find(head, wire_header_name(HEADER_ACCESS_KEY));
+    const workspace_entry_t *workspace =
+        request_find_workspace(request->config, head);
+    const stream_name_t name = {
+        .attempt = http_head_at(head, attempt->value),
+        .attempt_len = attempt->value.len,
+        .workspace = workspace != NULL ? workspace->name : NULL,
+        .access_key = key != NULL ? http_head_at(head, key->value) : NULL,
+        .access_key_len = key != NULL ? key->value.len : 0};
+    return stream_id_make(&name);
 }
 
-static uint64_t
-make_key(const request_t *request, const header_t *attempt)
+/* Whether the caller has named the attempt of the stream that it takes up. */
+bool
+request_names_stream(const request_t *request)
 {
-    stream_name_t name;
-    get_stream_name(request, http_head_at(request->head, attempt->value),
-                    attempt->value.len, &name);
-    return stream_origin_key(&name);
+    return request->resumes.attempt != 0;
 }
 
-/* Returns the key of the stream that the request began or takes up. */
-static uint64_t
-get_stream_key(const request_t *request)
+/* Returns the identity of the stream that the request began or takes up. */
+static stream_id_t
+get_stream_id(const request_t *request)
 {
-    return request->resumes != 0
+    return request_names_stream(request)
                ? request->resumes
-               : make_key(request,
-                          http_head_find(request->head,
-                                         wire_header_name(HEADER_REQUEST_ID)));
+               : make_stream_id(
+                     request,
+                     http_head_find(request->head,
+                                    wire_header_name(HEADER_REQUEST_ID)));
 }
 
 /* The first event of the stream is about to be passed on: from now on the
@@ -67,7 +73,7 @@
         !request->route->resumable) {
         return;
     }
-    const stream_origin_t origin = {.stream = get_stream_key(request),
+    const stream_origin_t origin = {.stream = get_stream_id(request),
                                     .service = request->origin_service,
                                     .software = request->software,
                                     .expires_ms = request->origin_expires_ms};
@@ -87,10 +93,11 @@
         request->server == NULL || request->software == SOFTWARE_ANY) {
         return;
     }
-    const stream_origin_t *origin = stream_origins_find(
-        &relay->stream_origins, get_stream_key(request), time_mono_ms());
-    if (origin != NULL) {
-        origin_store_note(relay->origin_store, origin);
+    const stream_id_t stream = get_stream_id(request);
+    stream_origin_t origin;
+    if (stream_origins_find(&relay->stream_origins, &stream, time_mono_ms(),
+                            &origin)) {
+        origin_store_note(relay->origin_store, &origin);
     }
 }
 
@@ -105,11 +112,11 @@
     if (request->from_host) {
         return;
     }
-    const stream_origin_t *origin =
-        stream_origins_correct(&relay->stream_origins, get_stream_key(request),
-                               older, software, time_mono_ms());
-    if (origin != NULL) {
-        peers_announce_origin(relay->peers, origin);
+    const stream_id_t stream = get_stream_id(request);
+    stream_origin_t origin;
+    if (stream_origins_correct(&relay->stream_origins, &stream, older,
+                               software, time_mono_ms(), &origin)) {
+        peers_announce_origin(relay->peers, &origin);
     }
 }
 
@@ -121,7 +128,7 @@
     log_record(LOG_INFO, "request", "taken-up",
                "id=%s stream=%016llx last_event=%s source=%s "
                "software=%016llx waited_ms=%lld",
-               request->id, (unsigned long long)request->resumes,
+               request->id, (unsigned long long)request->resumes.attempt,
                request->stream.last_id, source,
                (unsigned long long)request->software,
                (long long)(time_mono_ms() - request->received_ms));
@@ -287,7 +294,7 @@
 resolve_without_peers(request_t *request, bool all_answered)
 {
     stream_origin_t origin;
-    switch (origin_store_find(request->relay->origin_store, request->resumes,
+    switch (origin_store_find(request->relay->origin_store, &request->resumes,
                               &origin)) {
         case ORIGIN_STORE_FOUND:
             return apply_origin(request, &origin, "store");
@@ -348,11 +355,11 @@
     if (resumes == NULL) {
         return resolve_by_only_version(request, true);
     }
-    request->resumes = make_key(request, resumes);
-    const stream_origin_t *origin = stream_origins_find(
-        &relay->stream_origins, request->resumes, time_mono_ms());
-    if (origin != NULL) {
-        return apply_origin(request, origin, "own");
+    stream_origin_t origin;
+    request->resumes = make_stream_id(request, resumes);
+    if (stream_origins_find(&relay->stream_origins, &request->resumes,
+                            time_mono_ms(), &origin)) {
+        return apply_origin(request, &origin, "own");
     }
     return !ask_for_origin(request) && resolve_without_peers(request, false);
 }
@@ -400,17 +407,21 @@
     }
 }
 
-/* Goes on with the requests that wait for this origin. */
+/* Goes on with the requests that wait for the origin of a stream, which has
+ * been recorded. */
 void
-requests_apply_origin(relay_t *relay, const stream_origin_t *origin)
+requests_apply_origin(relay_t *relay, const stream_id_t *stream)
 {
-    const stream_origin_t known = *origin;
     CLEAN_WALK request_walk_t walk;
     request_t *request;
     request_walk_begin(&walk, &relay->walks, &relay->requests);
     while ((request = request_walk_next(&walk)) != NULL) {
-        if (request->origin_pending && request->resumes == known.stream &&
-            apply_origin(request, &known, "peers")) {
+        stream_origin_t origin;
+        if (request->origin_pending &&
+            request->resumes.attempt == stream->attempt &&
+            stream_origins_find(&relay->stream_origins, &request->resumes,
+                                time_mono_ms(), &origin) &&
+            apply_origin(request, &origin, "peers")) {
             (void)request_place(request);
         }
     }
@@ -418,13 +429,15 @@
 
 /* A host does not know the origin that requests wait for. */
 void
-requests_note_origin_unknown(relay_t *relay, uint64_t stream, uint64_t host)
+requests_note_origin_unknown(relay_t *relay, const stream_id_t *stream,
+                             uint64_t host)
 {
     CLEAN_WALK request_walk_t walk;
     request_t *request;
     request_walk_begin(&walk, &relay->walks, &relay->requests);
     while ((request = request_walk_next(&walk)) != NULL) {
-        if (!request->origin_pending || request->resumes != stream) {
+        if (!request->origin_pending ||
+            !stream_id_equal(&request->resumes, stream)) {
             continue;
         }
         stream_query_note_unknown(&request->origin_query, host);
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -497,8 +497,9 @@
     int64_t since_ms = streams && request->engine ? request->answer_started_ms
                                                   : request->sent_ms;
     if (request->status / 100 != 2 ||
-        (streams && (stream->events == 0 || stream->continued ||
-                     request->resumes != 0 || request->runs_before > 0))) {
+        (streams &&
+         (stream->events == 0 || stream->continued ||
+          request_names_stream(request) || request->runs_before > 0))) {
         return;
     }
     request_cost_observe_hold(costs, request->cost_query.route,
--- a/relay/request.c
+++ b/relay/request.c
@@ -647,9 +647,9 @@
     return relay_config_find_route(config, name, host_len, path, path_len);
 }
 
-/* Returns the workspace of the request's access key, or NULL. */
-static const workspace_entry_t *
-find_workspace(const relay_config_t *config, const http_head_t *head)
+/* Returns the workspace of the access key in a head, or NULL. */
+const workspace_entry_t *
+request_find_workspace(const relay_config_t *config, const http_head_t *head)
 {
     static const char scheme[] = "Token ";
     const header_t *header = find_header(head, HEADER_ACCESS_KEY);
@@ -801,7 +801,7 @@
     if (!relay->config->keys_required || (*route)->public) {
         return 0;
     }
-    *workspace = find_workspace(relay->config, head);
+    *workspace = request_find_workspace(relay->config, head);
     return *workspace == NULL ? 401 : 0;
 }
 
--- a/relay/request.h
+++ b/relay/request.h
@@ -138,7 +138,7 @@
     proof_state_t proof;
     int64_t check_started_ms;
     bool connection_checked; /* an idle one leads to the checked process */
-    uint64_t resumes;    /* key of the stream that is taken up; 0 for none */
+    stream_id_t resumes; /* the stream that is taken up; 0 if none is named */
     bool origin_pending; /* its origin was asked for */
     bool origin_peers_done;    /* of other hosts, and they do not know it */
     bool origin_confirming;    /* the store is asked which servers there are */
@@ -226,6 +226,9 @@
 void request_check_software(request_t *request, const server_t *server);
 void request_wait_for_server(request_t *request);
 bool request_can_use(const request_t *request, const server_t *server);
+const workspace_entry_t *request_find_workspace(const relay_config_t *config,
+                                                const http_head_t *head);
+bool request_names_stream(const request_t *request);
 bool request_resolve_origin(request_t *request);
 void request_record_origin(const request_t *request);
 void request_tick_origin(request_t *request, int64_t now);
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -1,6 +1,5 @@
 #include "stream-origins.h"
 
-#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,26 +9,6 @@
 #define QUERIES_PER_S 16.0
 #define MS_PER_S 1000.0
 
-/* Returns the key of a stream.  The hash is cryptographic, so that no id can
- * be found that has the key of another workspace's stream. */
-uint64_t
-stream_origin_key(const stream_name_t *name)
-{
-    crypto_generichash_state state;
-    unsigned char digest[crypto_generichash_BYTES_MIN];
-    uint64_t key;
-    (void)crypto_generichash_init(&state, NULL, 0, sizeof(digest));
-    /* With the final zero, so that the texts cannot run together. */
-    (void)crypto_generichash_update(&state,
-                                    (const unsigned char *)name->workspace,
-                                    strlen(name->workspace) + 1);
-    (void)crypto_generichash_update(
-        &state, (const unsigned char *)name->attempt, name->attempt_len);
-    (void)crypto_generichash_final(&state, digest, sizeof(digest));
-    memcpy(&key, digest, sizeof(key));
-    return key;
-}
-
 void
 stream_origins_init(stream_origins_t *origins)
 {
@@ -46,13 +25,19 @@
     origins->queries_updated_ms = 0;
 }
 
+static stream_origin_list_t *
+get_bucket(stream_origins_t *origins, const stream_id_t *stream)
+{
+    return &origins->buckets[stream->attempt % STREAM_ORIGIN_BUCKETS];
+}
+
+/* Returns the record of exactly this stream, or NULL. */
 static stream_origin_t *
-find(const stream_origins_t *origins, uint64_t stream)
+find(stream_origins_t *origins, const stream_id_t *stream)
 {
     stream_origin_t *origin;
-    CK_LIST_FOREACH (origin, &origins->buckets[stream % STREAM_ORIGIN_BUCKETS],
-                     entry) {
-        if (origin->stream == stream) {
+    CK_LIST_FOREACH (origin, get_bucket(origins, stream), entry) {
+        if (stream_id_equal(&origin->stream, stream)) {
             return origin;
         }
     }
@@ -88,7 +73,7 @@
 stream_origins_put(stream_origins_t *origins, const stream_origin_t *origin,
                    int64_t now_ms)
 {
-    stream_origin_t *known = find(origins, origin->stream);
+    stream_origin_t *known = find(origins, &origin->stream);
     if (known != NULL && known->expires_ms <= now_ms) {
         remove_origin(origins, known);
         known = NULL;
@@ -109,41 +94,62 @@
     known = CK_LIST_FIRST(&origins->free);
     CK_LIST_REMOVE(known, entry);
     *known = *origin;
-    CK_LIST_INSERT_HEAD(
-        &origins->buckets[origin->stream % STREAM_ORIGIN_BUCKETS], known,
-        entry);
+    CK_LIST_INSERT_HEAD(get_bucket(origins, &origin->stream), known, entry);
     origins->count++;
     return known;
 }
 
-/* Replaces a software version that was recorded by mistake.  Returns the
- * origin, or NULL if it is not known. */
-const stream_origin_t *
-stream_origins_correct(stream_origins_t *origins, uint64_t stream,
-                       uint64_t older, uint64_t software, int64_t now_ms)
-{
-    stream_origin_t *known = find(origins, stream);
-    if (known == NULL || known->expires_ms <= now_ms) {
-        return NULL;
+/* Finds the origin of a stream that its caller takes up; false if it is not
+ * known. */
+bool
+stream_origins_find(stream_origins_t *origins, const stream_id_t *wanted,
+                    int64_t now_ms, stream_origin_t *out)
+{
+    stream_pick_t pick = {.match = STREAM_OTHER};
+    const stream_origin_t *origin;
+    CK_LIST_FOREACH (origin, get_bucket(origins, wanted), entry) {
+        const stream_pick_t known = {
+            .match = stream_id_match(&origin->stream, wanted),
+            .service = origin->service,
+            .software = origin->software,
+            .expires_ms = origin->expires_ms};
+        if (origin->expires_ms > now_ms) {
+            stream_pick_add(&pick, &known);
+        }
     }
-    known->software = known->software == older ? software : SOFTWARE_UNKNOWN;
-    return known;
+    *out = (stream_origin_t){.stream = *wanted,
+                             .service = pick.service,
+                             .software = pick.software,
+                             .expires_ms = pick.expires_ms};
+    return pick.match != STREAM_OTHER;
 }
 
-/* Returns the origin of a stream, or NULL if it is not known. */
-const stream_origin_t *
-stream_origins_find(const stream_origins_t *origins, uint64_t stream,
-                    int64_t now_ms)
+/* Replaces a software version that was recorded by mistake: under the identity
+ * that the stream has now, too.  False if the stream is not known. */
+bool
+stream_origins_correct(stream_origins_t *origins, const stream_id_t *stream,
+                       uint64_t older, uint64_t software, int64_t now_ms,
+                       stream_origin_t *out)
 {
-    const stream_origin_t *origin = find(origins, stream);
-    return origin != NULL && origin->expires_ms > now_ms ? origin : NULL;
+    stream_origin_t *origin;
+    if (!stream_origins_find(origins, stream, now_ms, out)) {
+        return false;
+    }
+    out->software = out->software == older ? software : SOFTWARE_UNKNOWN;
+    CK_LIST_FOREACH (origin, get_bucket(origins, stream), entry) {
+        if (origin->expires_ms > now_ms &&
+            stream_id_match(&origin->stream, stream) >= STREAM_SAME_CALLER) {
+            origin->software = out->software;
+        }
+    }
+    return true;
 }
 
 /* Sets whether a stream that this host has begun is to be recorded in the
  * store. */
 void
-stream_origins_set_unrecorded(stream_origins_t *origins, uint64_t stream,
-                              bool unrecorded)
+stream_origins_set_unrecorded(stream_origins_t *origins,
+                              const stream_id_t *stream, bool unrecorded)
 {
     stream_origin_t *origin = find(origins, stream);
     if (origin != NULL) {
--- a/relay/stream-origins.h
+++ b/relay/stream-origins.h
@@ -5,7 +5,7 @@
  * that its caller takes up at another host goes on at that version.  No I/O
  * and no clock. */
 
-#include "../kernel/base.h"
+#include "stream-id.h"
 
 #include <ck_queue.h>
 
@@ -18,17 +18,10 @@
  * since some of them may have ended or be new since. */
 #define STREAM_ORIGIN_ASKED_MAX 6
 
-/* A software version, see server_entry_t; these are never those of a server.
- */
-#define SOFTWARE_ANY 0
-#define SOFTWARE_UNKNOWN UINT64_MAX
-/* In place of the hash of a service. */
-#define SERVICE_UNKNOWN 0
-
 typedef struct stream_origin {
     CK_LIST_ENTRY(stream_origin) entry; /* in its bucket, or a free one */
-    uint64_t stream;                    /* see stream_origin_key */
-    uint64_t service;                   /* hash of its name */
+    stream_id_t stream;
+    uint64_t service;   /* hash of its name */
     uint64_t software;  /* SOFTWARE_UNKNOWN if two streams have the key */
     int64_t expires_ms; /* 0 if it is free */
     bool unrecorded;    /* this host began it, at a process that is known, and
@@ -48,36 +41,26 @@
     int64_t queries_updated_ms;
 } stream_origins_t;
 
-/* What a stream belongs to.  Streams of another workspace have other keys,
- * even if their attempts have the same id.  Neither the route nor its host
- * name are part of it: a configuration may lead requests over others. */
-typedef struct {
-    const char *workspace; /* empty if none */
-    const char *attempt;   /* id of the attempt that brought its first event */
-    size_t attempt_len;
-} stream_name_t;
-
 /* A question to other hosts for the origin of a stream. */
 typedef struct {
-    uint64_t stream;
+    stream_id_t stream;
     uint64_t hosts[STREAM_ORIGIN_ASKED_MAX]; /* that were asked */
     bool answered[STREAM_ORIGIN_ASKED_MAX];
     size_t count;
 } stream_query_t;
 
-uint64_t stream_origin_key(const stream_name_t *name);
 void stream_origins_init(stream_origins_t *origins);
 stream_origin_t *stream_origins_put(stream_origins_t *origins,
                                     const stream_origin_t *origin,
                                     int64_t now_ms);
-const stream_origin_t *stream_origins_correct(stream_origins_t *origins,
-                                              uint64_t stream, uint64_t older,
-                                              uint64_t software,
-                                              int64_t now_ms);
-const stream_origin_t *stream_origins_find(const stream_origins_t *origins,
-                                           uint64_t stream, int64_t now_ms);
-void stream_origins_set_unrecorded(stream_origins_t *origins, uint64_t stream,
-                                   bool unrecorded);
+bool stream_origins_find(stream_origins_t *origins, const stream_id_t *wanted,
+                         int64_t now_ms, stream_origin_t *out);
+bool stream_origins_correct(stream_origins_t *origins,
+                            const stream_id_t *stream, uint64_t older,
+                            uint64_t software, int64_t now_ms,
+                            stream_origin_t *out);
+void stream_origins_set_unrecorded(stream_origins_t *origins,
+                                   const stream_id_t *stream, bool unrecorded);
 size_t stream_origins_list_unrecorded(const stream_origins_t *origins,
                                       const stream_origin_t **out,
                                       int64_t now_ms);
