Admission: a renamed or split route keeps what is known of its requests

What callers may see: once a configuration renames a route, or splits its path, the first requests are taken to give half of their maximum output (2,000 tokens in the test, where they give 80), until enough answers have shown otherwise; admission rejects requests by that. Found by reading, in the search for state that is named after what a configuration may change.

Cause: estimates of output and holds are kept by the route's name.

Change: a configuration knows, for each route, the name of the route that had its paths in the one before; a route without observations starts with those of that one, and of its workspaces.

Evidence: a_route_inherits_from_the_one_before_it (2,000 expected before the call, within 1 % of the older route's estimate after it).

Looked at and left: the usual deadline of a route's callers is learned anew with the first attempt; meters begin a new series under the new name; limits go by the workspace's name, which is their identity.

--- a/balance/request-cost.c
+++ b/balance/request-cost.c
@@ -311,6 +311,31 @@
     }
 }
 
+/* Starts a route that has not been observed with what is known of an older one
+ * whose requests it gets. */
+void
+request_cost_inherit(request_costs_t *costs, uint64_t route, uint64_t older)
+{
+    const cost_route_t *known = find_route(costs, older);
+    if (known == NULL || find_route(costs, route) != NULL) {
+        return;
+    }
+    cost_route_t inherited = *known;
+    cost_route_t *entry = use_route(costs, route);
+    inherited.route = route;
+    inherited.used_at = entry->used_at;
+    *entry = inherited;
+    for (size_t i = 0; i < COST_PAIR_SETS * COST_PAIRS_IN_SET; i++) {
+        const cost_pair_t pair =
+            costs->pairs[i / COST_PAIRS_IN_SET][i % COST_PAIRS_IN_SET];
+        if (pair.used_at != 0 && pair.route == older) {
+            const cost_query_t query = {.route = route,
+                                        .workspace = pair.workspace};
+            use_pair(costs, &query)->log_output = pair.log_output;
+        }
+    }
+}
+
 /* Returns the mean absolute error of the expected output of recent requests of
  * a route, tokens; 0 if there are none. */
 double
--- a/balance/request-cost.h
+++ b/balance/request-cost.h
@@ -64,6 +64,8 @@
                            const cost_query_t *query);
 void request_cost_observe(request_costs_t *costs, const cost_query_t *query,
                           double output_tokens);
+void request_cost_inherit(request_costs_t *costs, uint64_t route,
+                          uint64_t older);
 double request_cost_error(const request_costs_t *costs, uint64_t route);
 double request_cost_mean_estimate(const request_costs_t *costs,
                                   uint64_t route);
--- a/relay/config-former.c
+++ b/relay/config-former.c
@@ -101,6 +101,7 @@
         CK_SLIST_FOREACH (route, &config->routes[i], entry) {
             former = find_same_paths(older, route);
             if (former != NULL) {
+                route->former_name = str_hash(former->name, 0);
                 add_older_route(route, former, until_ms, now_ms);
             }
         }
--- a/relay/config-former.h
+++ b/relay/config-former.h
@@ -3,7 +3,8 @@
 
 /* What a configuration remembers of those before it, for as long as requests
  * that began under these may last: the services to which the paths of its
- * routes led, and the longest timeout.  No I/O and no clock. */
+ * routes led, and the longest timeout.  Also the names that its routes had.
+ * No I/O and no clock. */
 
 #include "relay-config.h"
 
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -60,6 +60,22 @@
     }
 }
 
+/* Starts the estimates of routes that the configuration has renamed or split
+ * with those of the routes before them. */
+static void
+inherit_costs(relay_t *relay, const relay_config_t *config)
+{
+    for (size_t i = 0; i < ROUTE_BUCKETS; i++) {
+        const route_t *route;
+        CK_SLIST_FOREACH (route, &config->routes[i], entry) {
+            if (route->former_name != 0) {
+                request_cost_inherit(&relay->costs, str_hash(route->name, 0),
+                                     route->former_name);
+            }
+        }
+    }
+}
+
 /* Applies a configuration that is newer than the current one: lists and
  * watches may deliver an older state after a newer one. */
 static void
@@ -91,6 +107,7 @@
                (long long)config->version, (long long)config->revision);
     if (relay->config != NULL) {
         config_former_take(config, relay->config, time_mono_ms());
+        inherit_costs(relay, config);
     }
     relay_config_release(relay->config);
     relay->config = config;
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -55,6 +55,8 @@
     former_service_t former[ROUTE_FORMER_MAX]; /* see config-former.h */
     unsigned former_count;
     int64_t former_omitted_until_ms; /* there are more of them; 0 if not */
+    uint64_t former_name;            /* hash of the name under which the older
+                                        configuration had the same paths */
 } route_t;
 
 typedef struct relay_service {
--- a/tests/test-config-former.c
+++ b/tests/test-config-former.c
@@ -117,6 +117,48 @@
 }
 END_TEST
 
+/* Guards against requests that are taken for unknown ones once their route has
+ * another name. */
+START_TEST(a_route_knows_the_name_before)
+{
+    relay_config_t *config =
+        ADOPT(NULL, 10000, 0, {"a.example", "/x/", "one"});
+    const route_t *route =
+        relay_config_find_route(config, "a.example", 9, "/x/y/", 5);
+    ck_assert_uint_eq(route->former_name, 0);
+    config = ADOPT(config, 10000, 0, {"a.example", "/x/y/", "one"},
+                   {"c.example", "/x/y/", "one"});
+    route = relay_config_find_route(config, "a.example", 9, "/x/y/", 5);
+    ck_assert_uint_eq(route->former_name, str_hash("r", 0));
+    route = relay_config_find_route(config, "c.example", 9, "/x/y/", 5);
+    ck_assert_uint_eq(route->former_name, 0);
+    relay_config_release(config);
+}
+END_TEST
+
+/* Guards against a host that falls silent while it adopts a large
+ * configuration. */
+START_TEST(many_routes_are_taken_over_in_little_time)
+{
+    static route_spec_t routes[2500];
+    static char prefixes[2500][24];
+    relay_config_t *config = NULL;
+    for (size_t i = 0; i < 2500; i++) {
+        (void)snprintf(prefixes[i], sizeof(prefixes[i]), "/route%zu/2f/", i);
+        routes[i] = (route_spec_t){"a.example", prefixes[i], "one"};
+    }
+    config = adopt(NULL, 10000, 0, routes, 2500);
+    relay_config_t *newer = adopt(NULL, 10000, 0, routes, 2500);
+    int64_t start_us = time_mono_us();
+    config_former_take(newer, config, 0);
+    int64_t took_us = time_mono_us() - start_us;
+    printf("config-former: %lld us for 2500 routes\n", (long long)took_us);
+    ck_assert_int_le(took_us, 100000);
+    relay_config_release(newer);
+    relay_config_release(config);
+}
+END_TEST
+
 /* Guards against a guess among the services of a traffic split. */
 START_TEST(all_services_of_a_split_count)
 {
@@ -169,6 +211,8 @@
 END_TEST
 
 TEST_MAIN("config-former", a_moved_route_remembers_where_it_led,
+          a_route_knows_the_name_before,
+          many_routes_are_taken_over_in_little_time,
           paths_remember_where_they_led, all_services_of_a_split_count,
           more_services_than_are_remembered_are_unknown,
           a_longer_timeout_lasts_as_long_as_its_requests)
--- a/tests/test-request-cost.c
+++ b/tests/test-request-cost.c
@@ -167,6 +167,37 @@
 }
 END_TEST
 
+/* Guards against requests that are taken for long ones, and rejected, once a
+ * configuration has renamed or split their route. */
+START_TEST(a_route_inherits_from_the_one_before_it)
+{
+    request_costs_t *costs = new_costs();
+    cost_query_t query = make_query(7, 0);
+    for (int i = 0; i < 100; i++) {
+        observe(costs, 7, 0, 80);
+        observe(costs, 8, 0, 20);
+    }
+    query.route = ROUTE + 1;
+    ck_assert_double_eq(request_cost_output(costs, &query), OUTPUT_MAX / 2.0);
+    request_cost_inherit(costs, ROUTE + 1, ROUTE);
+    check_near(request_cost_output(costs, &query), expect_output(costs, 7, 0),
+               0.01);
+    query.workspace = 8;
+    check_near(request_cost_output(costs, &query), expect_output(costs, 8, 0),
+               0.01);
+    /* What it has observed itself stays. */
+    for (int i = 0; i < 100; i++) {
+        request_cost_observe(costs, &query, 900);
+    }
+    request_cost_inherit(costs, ROUTE + 1, ROUTE);
+    check_near(request_cost_output(costs, &query), 900, 0.2);
+    request_cost_inherit(costs, ROUTE + 2, ROUTE + 3);
+    query.route = ROUTE + 2;
+    ck_assert_double_eq(request_cost_output(costs, &query), OUTPUT_MAX / 2.0);
+    free(costs);
+}
+END_TEST
+
 /* Guards against one response, or one hint, that spoils the estimates after
  * it, also if it is the first one of the route. */
 START_TEST(outliers_have_little_effect)
@@ -370,7 +401,8 @@
           hints_that_are_wrong_by_ten_times_are_ignored,
           hints_that_become_right_are_followed_again,
           workspaces_of_a_route_have_their_own_lengths, routes_are_independent,
-          outliers_have_little_effect, holds_follow_changes_but_not_outliers,
+          a_route_inherits_from_the_one_before_it, outliers_have_little_effect,
+          holds_follow_changes_but_not_outliers,
           least_recently_used_routes_are_evicted,
           memory_is_bounded_at_20000_workspaces,
           estimates_are_as_good_as_the_better_source, estimates_stay_in_range)
