Soak: with several software versions the route of streams changes its name and host name

The cause of the streams that were lost by a change of the configuration was a name made of what it may change; no change of the soak touched one.

--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -222,13 +222,16 @@
 
 /* Publishes the next version of the configuration.  Routes whose requests may
  * run only once have two attempts, so that only their kind prevents a second
- * run. */
+ * run.  With several software versions the route of streams also changes its
+ * name and how its host name is spelled. */
 void
 deployment_publish_config(soak_t *soak)
 {
     CLEAN_BUF buf_t text = {0};
     bool old_key = soak->old_key_removed_ms == 0;
     soak->config_version++;
+    bool renamed = soak->versions && soak->config_version % 2 == 1;
+    bool respelled = soak->versions && soak->config_version / 2 % 2 == 1;
     buf_fmt(
         &text,
         "{\"version\":%lld,\"routes\":["
@@ -239,7 +242,7 @@
         "\"/strike/\",\"kind\":\"non_idempotent\",\"timeout_ms\":800,"
         "\"target_latency_ms\":100,\"attempts\":2,\"priority\":2,\"service\":"
         "\"desk\"},"
-        "{\"name\":\"review\",\"host\":\"a.example\",\"path_prefix\":"
+        "{\"name\":\"%s\",\"host\":\"%s\",\"path_prefix\":"
         "\"/review/\",\"kind\":\"streaming\",\"timeout_ms\":%d,"
         "\"target_latency_ms\":1000,\"target_gap_ms\":800,\"attempts\":2,"
         "\"resumable\":true,\"priority\":1,\"service\":\"llm\"},"
@@ -255,7 +258,8 @@
         "\"header_timeout_ms\":2000,\"idle_timeout_ms\":5000},"
         "\"tenants\":[{\"name\":\"ws1\",\"access_keys\":[\"key1\"%s],"
         "\"isolated\":true},{\"name\":\"ws2\",\"access_keys\":[\"key2\"]}]}",
-        (long long)soak->config_version,
+        (long long)soak->config_version, renamed ? "reviews" : "review",
+        respelled ? "A.Example" : "a.example",
         (soak->planned || soak->versions) && soak->config_version % 2 == 0
             ? 5000
             : 6000,
