--- a/tests/test-origin-records.c
+++ b/tests/test-origin-records.c
@@ -221,6 +221,9 @@
     for (int i = 0; i < 25; i++) {
         int64_t longest_ms = longest[i % 5];
         int64_t slot_ms = origin_slot_ms(longest_ms);
+        if (slot_ms <= 0) {
+            ck_abort_msg("a slot of %lld ms", (long long)slot_ms);
+        }
         for (int64_t until_ms = now + 7000; now < until_ms; now += 100) {
             if (slot_ms != last_slot_ms || now / slot_ms != last_slot) {
                 last_slot_ms = slot_ms;
