Streams: a host that has just started asks the others before it refuses

Each try at the host that had come back was refused at once.

Cause: it knows no other host until it has read their list from the store and they have answered, some 0.1 s. A take-up in that time asked nobody, looked in the store, which has no origin of streams that began while their service had one version, and was refused; without a Retry-After, since "all that were asked have answered" held for none asked. Callers that try again at once use up their tries.

Change: a take-up waits until three quarters of the listed hosts are known, 1 s after the start at most, and then asks. That nobody knows a stream holds only if somebody was asked, or there is nobody else.

--- a/relay/peer-discovery.c
+++ b/relay/peer-discovery.c
@@ -24,6 +24,7 @@
             discovery->on_listed(discovery->arg, addr);
         }
     }
+    discovery->listed = page.count;
     log_record(LOG_INFO, "peers", "listed", "daemons=%zu", page.count);
     platform_page_free(&page);
 }
--- a/relay/peer-discovery.h
+++ b/relay/peer-discovery.h
@@ -23,6 +23,7 @@
     void (*on_listed)(void *arg, const char *addr);
     void *arg;
     discovery_step_t step;
+    size_t listed;   /* daemons in the last list, this one included */
     int64_t next_ms; /* no call before this time */
     fetch_t *fetch;
 } peer_discovery_t;
--- a/relay/peers-duty.c
+++ b/relay/peers-duty.c
@@ -2,6 +2,12 @@
 
 #include <string.h>
 
+/* Others that have not answered by this time after the start are taken to have
+ * ended: their objects stay in the store. */
+#define DISCOVERY_MS_MAX 1000
+/* Share of the listed daemons that are live once most of them are known. */
+#define KNOWN_SHARE 0.75
+
 /* Which daemon has a duty for the whole fleet, and which daemon this one
  * queries or follows. */
 
@@ -12,6 +18,18 @@
     return members_live_count(peers->members);
 }
 
+/* Whether this daemon knows enough of the others to ask them.  One that has
+ * just started does not, until most of those in the store's list answer. */
+bool
+peers_are_known(const peers_t *peers, int64_t now)
+{
+    const peer_discovery_t *discovery = &peers->discovery;
+    return now - peers->started_ms >= DISCOVERY_MS_MAX ||
+           (discovery->step == DISCOVERY_DONE &&
+            (double)peers_live_count(peers) >=
+                (double)discovery->listed * KNOWN_SHARE);
+}
+
 /* Returns the recent maximum of live daemons: those that a partition hides for
  * a while still send requests. */
 size_t
--- a/relay/peers-internal.h
+++ b/relay/peers-internal.h
@@ -28,6 +28,7 @@
     unsigned char secret[SECRET_BYTES]; /* all zero: the network is private */
     peer_discovery_t discovery;
     watch_avoided_t avoided_watchers;
+    int64_t started_ms;
     int64_t next_members_tick_ms; /* when members_tick is next due */
     bool facts_requested;         /* known facts were requested from peers */
     size_t http_rotation; /* offset at which peers_next_http_addr starts */
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -134,6 +134,7 @@
     peers_t *peers = mem_zalloc(sizeof(*peers));
     peers->relay = relay;
     peers->fd = fd;
+    peers->started_ms = time_mono_ms();
     retry_hosts_init(&peers->retry_hosts, relay->retry_shares.window_ms,
                      time_mono_ms());
     peers->members = members_new(&self, rng_next(&relay->rng));
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -16,6 +16,7 @@
 bool peers_has_duty(const peers_t *peers, const char *duty);
 size_t peers_count_sharing(peers_t *peers);
 size_t peers_live_count(const peers_t *peers);
+bool peers_are_known(const peers_t *peers, int64_t now);
 size_t peers_recent_count(const peers_t *peers);
 upstream_t peers_find_upstream(peers_t *peers, char addr[CS_ADDR_MAX]);
 void peers_avoid_upstream(peers_t *peers, const char *addr, bool answered);
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -330,6 +330,30 @@
     return request->origin_pending;
 }
 
+/* Asks other hosts once they are known.  Returns whether the request may be
+ * placed now. */
+static bool
+resolve_by_peers(request_t *request)
+{
+    request->origin_awaits_peers =
+        !peers_are_known(request->relay->peers, time_mono_ms());
+    if (request->origin_awaits_peers) {
+        request->origin_pending = true;
+        return false;
+    }
+    return !ask_for_origin(request) && resolve_without_peers(request, false);
+}
+
+/* Whether all other hosts that may know the origin have said that they do not.
+ */
+static bool
+is_unknown_to_peers(const request_t *request)
+{
+    const stream_query_t *query = &request->origin_query;
+    return query->count > 0 ? stream_query_is_answered(query)
+                            : peers_live_count(request->relay->peers) == 1;
+}
+
 /* Whether the caller takes up a stream of which it has events. */
 static bool
 is_taken_up(const request_t *request, const header_t *resumes)
@@ -361,7 +385,7 @@
                             time_mono_ms(), &origin)) {
         return apply_origin(request, &origin, "own");
     }
-    return !ask_for_origin(request) && resolve_without_peers(request, false);
+    return resolve_by_peers(request);
 }
 
 /* Asks again, or gives up asking. */
@@ -373,6 +397,12 @@
         tick_confirmation(request, now);
         return;
     }
+    if (request->origin_awaits_peers) {
+        if (resolve_by_peers(request)) {
+            (void)request_place(request);
+        }
+        return;
+    }
     if (request->origin_peers_done) {
         if (waited_ms >= STORE_ANSWER_MS) {
             tick_confirmation(request, now);
@@ -399,9 +429,8 @@
     while ((request = request_walk_next(&walk)) != NULL) {
         if (request->origin_pending && request->origin_peers_done &&
             !request->origin_confirming &&
-            resolve_without_peers(
-                request,
-                read && stream_query_is_answered(&request->origin_query))) {
+            resolve_without_peers(request,
+                                  read && is_unknown_to_peers(request))) {
             (void)request_place(request);
         }
     }
@@ -441,7 +470,7 @@
             continue;
         }
         stream_query_note_unknown(&request->origin_query, host);
-        if (!request->origin_peers_done &&
+        if (!request->origin_peers_done && !request->origin_awaits_peers &&
             stream_query_is_answered(&request->origin_query) &&
             resolve_without_peers(request, true)) {
             (void)request_place(request);
--- a/relay/request.h
+++ b/relay/request.h
@@ -140,6 +140,7 @@
     bool connection_checked; /* an idle one leads to the checked process */
     stream_id_t resumes; /* the stream that is taken up; 0 if none is named */
     bool origin_pending; /* its origin was asked for */
+    bool origin_awaits_peers;  /* other hosts are not known yet */
     bool origin_peers_done;    /* of other hosts, and they do not know it */
     bool origin_confirming;    /* the store is asked which servers there are */
     int64_t origin_asked_ms;   /* when that was */
