Names of config-former.c begin with it; its margin is the one of origins

No decision changes: the functions that other files call have the prefix of their file, and the time for which hosts may differ stands once instead of three times.

--- a/relay/config-former.c
+++ b/relay/config-former.c
@@ -2,10 +2,6 @@
 
 #include <string.h>
 
-/* A request may have come this much after the newer configuration: hosts adopt
- * it at different times. */
-#define ADOPTION_MARGIN_MS 3000
-
 /* Whether a route leads to a service now. */
 static bool
 leads_to(const route_t *route, uint64_t service)
@@ -62,8 +58,8 @@
     }
 }
 
-/* Returns the route of a configuration that has the paths of another route, or
- * at least those that no longer prefix has. */
+/* Returns the route of a configuration that gets the requests of another one's
+ * prefix, or NULL. */
 static const route_t *
 find_same_paths(const relay_config_t *config, const route_t *route)
 {
@@ -76,8 +72,9 @@
 take_timeout(relay_config_t *config, const relay_config_t *older,
              int64_t now_ms)
 {
-    int64_t lasting_ms = config_lasting_timeout_ms(older, now_ms);
-    int64_t until_ms = now_ms + older->longest_timeout_ms + ADOPTION_MARGIN_MS;
+    int64_t lasting_ms = config_former_timeout_ms(older, now_ms);
+    int64_t until_ms =
+        now_ms + older->longest_timeout_ms + REQUEST_BEGAN_MARGIN_MS;
     if (lasting_ms > config->longest_timeout_ms) {
         config->former_timeout_ms = lasting_ms;
         config->former_timeout_until_ms =
@@ -93,7 +90,8 @@
 config_former_take(relay_config_t *config, const relay_config_t *older,
                    int64_t now_ms)
 {
-    int64_t until_ms = now_ms + older->longest_timeout_ms + ADOPTION_MARGIN_MS;
+    int64_t until_ms =
+        now_ms + older->longest_timeout_ms + REQUEST_BEGAN_MARGIN_MS;
     take_timeout(config, older, now_ms);
     for (size_t i = 0; i < ROUTE_BUCKETS; i++) {
         route_t *route;
@@ -116,7 +114,7 @@
 
 /* Returns the longest timeout of all requests that may be under way. */
 int64_t
-config_lasting_timeout_ms(const relay_config_t *config, int64_t now_ms)
+config_former_timeout_ms(const relay_config_t *config, int64_t now_ms)
 {
     return now_ms < config->former_timeout_until_ms &&
                    config->former_timeout_ms > config->longest_timeout_ms
@@ -128,8 +126,8 @@
  * have begun (hashes of their names).  Returns their number, or 0 if not all
  * of them are known. */
 size_t
-route_list_services(const route_t *route, int64_t now_ms,
-                    uint64_t out[ROUTE_SERVICES_MAX])
+config_former_services(const route_t *route, int64_t now_ms,
+                       uint64_t out[ROUTE_SERVICES_MAX])
 {
     size_t count = 0;
     if (now_ms < route->former_omitted_until_ms) {
--- a/relay/config-former.h
+++ b/relay/config-former.h
@@ -8,11 +8,14 @@
 
 #include "relay-config.h"
 
+/* Requests may have begun this much earlier than the longest timeout: clocks
+ * of hosts differ, and they adopt a configuration at different times. */
+#define REQUEST_BEGAN_MARGIN_MS 3000
+
 void config_former_take(relay_config_t *config, const relay_config_t *older,
                         int64_t now_ms);
-int64_t config_lasting_timeout_ms(const relay_config_t *config,
-                                  int64_t now_ms);
-size_t route_list_services(const route_t *route, int64_t now_ms,
-                           uint64_t out[ROUTE_SERVICES_MAX]);
+int64_t config_former_timeout_ms(const relay_config_t *config, int64_t now_ms);
+size_t config_former_services(const route_t *route, int64_t now_ms,
+                              uint64_t out[ROUTE_SERVICES_MAX]);
 
 #endif
--- a/relay/origin-store.c
+++ b/relay/origin-store.c
@@ -19,8 +19,6 @@
  * host does not write them again.  So many are remembered at once. */
 #define GARBAGE_AGE_MS 60000
 #define GARBAGE_MAX 32
-/* Streams may have begun this much earlier than the longest timeout. */
-#define BEGAN_MARGIN_MS 3000
 /* Most origins in one object. */
 #define SEGMENT_ORIGINS_MAX 512
 #define NAME_MAX_LEN (CS_NAME_MAX + 16)
@@ -72,7 +70,7 @@
 longest_timeout_ms(const relay_t *relay)
 {
     return relay->config != NULL
-               ? config_lasting_timeout_ms(relay->config, time_mono_ms())
+               ? config_former_timeout_ms(relay->config, time_mono_ms())
                : 0;
 }
 
@@ -95,7 +93,7 @@
 needs_records(const origin_store_t *store, uint64_t service)
 {
     const relay_t *relay = store->relay;
-    int64_t window_ms = longest_timeout_ms(relay) + BEGAN_MARGIN_MS;
+    int64_t window_ms = longest_timeout_ms(relay) + REQUEST_BEGAN_MARGIN_MS;
     return software_seen_several(&relay->software_seen, service,
                                  time_wall_ms() - window_ms);
 }
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -16,9 +16,6 @@
 #define STORE_ANSWER_MS 1000
 /* Retry-After if the hosts that may know the origin did not all answer, ms. */
 #define RETRY_AFTER_UNKNOWN_MS 300
-/* Streams may have begun this much earlier than the longest timeout: clocks
- * and lists of hosts differ. */
-#define BEGAN_MARGIN_MS 3000
 
 /* ---- streams that begin ---- */
 
@@ -216,8 +213,8 @@
     int64_t now = time_mono_ms();
     int64_t wall = time_wall_ms();
     int64_t window_ms =
-        config_lasting_timeout_ms(relay->config, now) + BEGAN_MARGIN_MS;
-    size_t count = route_list_services(request->route, now, services);
+        config_former_timeout_ms(relay->config, now) + REQUEST_BEGAN_MARGIN_MS;
+    size_t count = config_former_services(request->route, now, services);
     return software_seen_only(&relay->software_seen, services, count,
                               wall - window_ms, wall);
 }
--- a/tests/test-config-former.c
+++ b/tests/test-config-former.c
@@ -69,7 +69,7 @@
     uint64_t services[ROUTE_SERVICES_MAX];
     const route_t *route =
         relay_config_find_route(config, "a.example", 9, path, strlen(path));
-    size_t count = route_list_services(route, now, services);
+    size_t count = config_former_services(route, now, services);
     size_t wanted = 0;
     for (; names[wanted] != NULL; wanted++) {
         bool found = false;
@@ -198,14 +198,14 @@
     relay_config_t *config = adopt(NULL, 20000, 0, &route, 1);
     config = adopt(config, 3000, 1000, &route, 1);
     ck_assert_int_eq(config->longest_timeout_ms, 3000);
-    ck_assert_int_eq(config_lasting_timeout_ms(config, 1000), 20000);
+    ck_assert_int_eq(config_former_timeout_ms(config, 1000), 20000);
     config = adopt(config, 1000, 2000, &route, 1);
-    ck_assert_int_eq(config_lasting_timeout_ms(config, 23999), 20000);
-    ck_assert_int_eq(config_lasting_timeout_ms(config, 24000), 1000);
+    ck_assert_int_eq(config_former_timeout_ms(config, 23999), 20000);
+    ck_assert_int_eq(config_former_timeout_ms(config, 24000), 1000);
     config = adopt(config, 30000, 25000, &route, 1);
-    ck_assert_int_eq(config_lasting_timeout_ms(config, 25000), 30000);
+    ck_assert_int_eq(config_former_timeout_ms(config, 25000), 30000);
     config = adopt(config, 30000, 26000, &route, 1);
-    ck_assert_int_eq(config_lasting_timeout_ms(config, 26000), 30000);
+    ck_assert_int_eq(config_former_timeout_ms(config, 26000), 30000);
     relay_config_release(config);
 }
 END_TEST
