--- a/relay/peers-duty.c
+++ b/relay/peers-duty.c
@@ -2,15 +2,15 @@
 
 #include <string.h>
 
+/* Which daemon has a duty for the whole fleet, and which daemon this one
+ * queries or follows. */
+
 /* Others that have not answered by this time after the start are taken to have
  * ended: their objects stay in the store. */
 #define DISCOVERY_MS_MAX 1000
 /* Share of the listed daemons that are live once most of them are known. */
 #define KNOWN_SHARE 0.75
 
-/* Which daemon has a duty for the whole fleet, and which daemon this one
- * queries or follows. */
-
 /* Returns the number of live daemons, this one included. */
 size_t
 peers_live_count(const peers_t *peers)
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -124,8 +124,8 @@
     return pick.match != STREAM_OTHER;
 }
 
-/* Replaces a software version that was recorded by mistake: under the identity
- * that the stream has now, too.  False if the stream is not known. */
+/* Replaces a software version that was recorded by mistake, in all records of
+ * the stream's caller.  False if the stream is not known. */
 bool
 stream_origins_correct(stream_origins_t *origins, const stream_id_t *stream,
                        uint64_t older, uint64_t software, int64_t now_ms,
