--- a/relay/stream-id.h
+++ b/relay/stream-id.h
@@ -23,8 +23,8 @@
     size_t access_key_len; /* 0 if none */
 } stream_name_t;
 
-/* The same in hashes.  Those of the caller differ with each attempt; they are
- * short, as they only tell apart attempts with the same id. */
+/* Hashes of the name.  Workspace and access key are hashed together with the
+ * attempt. */
 typedef struct {
     uint64_t attempt;
     uint16_t workspace;  /* 0 if none */
