Requests: records name the connection of a send

REFUSED and TWICE were reported again, without logs: requests that had been rejected ran, and others ran twice.

Connections get a serial number among those of their process. The records of failed sends and of answers that do not bear the request's id name it, also for sends to other hosts.

No change of logic.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -51,6 +51,7 @@
     addr_pool_t *pool;
     struct bufferevent *bev;
     exchange_t *exchange; /* NULL while it is idle */
+    uint64_t serial;      /* among the connections of its owner, from 1 */
     int64_t opened_us;    /* when it was made; 0 until then */
     int64_t idle_since_ms;
     int64_t expires_ms;
@@ -690,7 +691,7 @@
     (void)bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
     (void)bufferevent_socket_connect(conn->bev, NULL, 0);
     pool->busy_count++;
-    pool->owner->opened++;
+    conn->serial = ++pool->owner->opened;
     return conn;
 }
 
@@ -710,9 +711,11 @@
 static exchange_connection_t
 conn_describe(const conn_t *conn)
 {
+    bool used = conn->exchanges > 0;
     return (exchange_connection_t){
+        .serial = conn->serial,
         .earlier = conn->exchanges,
-        .idle_ms = time_mono_ms() - conn->idle_since_ms};
+        .idle_ms = used ? time_mono_ms() - conn->idle_since_ms : 0};
 }
 
 static conn_t *
@@ -775,9 +778,7 @@
         timer_arm(exchange, 0);
         return exchange;
     }
-    if (exchange->reused) {
-        exchange->connection = conn_describe(conn);
-    }
+    exchange->connection = conn_describe(conn);
     exchange->conn = conn;
     conn->exchange = exchange;
     conn->exchanges++;
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -44,6 +44,7 @@
 
 /* The connection of an exchange, as it was when the exchange began. */
 typedef struct {
+    uint64_t serial;  /* of the connection in its pools; 0 if none was made */
     unsigned earlier; /* exchanges that it had carried before */
     int64_t idle_ms;  /* since the last of them */
 } exchange_connection_t;
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -418,5 +418,7 @@
         .connect_ms = CONNECT_TIMEOUT_MS};
     exchange_hooks_t hooks = {on_head, on_body, on_end, request};
     request->exchange = exchange_start(relay->exchanges, &options, &hooks);
+    request->connection_reused = exchange_is_reused(request->exchange);
+    request->connection = exchange_connection(request->exchange)->serial;
     return true;
 }
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -188,12 +188,13 @@
         exchange_connection(request->exchange);
     log_record(
         LOG_WARN, "request", event,
-        "id=%s server=%s status=%d not_executed=%d signed=%d earlier=%u "
-        "idle_ms=%lld after_ms=%lld",
+        "id=%s server=%s status=%d not_executed=%d signed=%d "
+        "connection=%llu earlier=%u idle_ms=%lld after_ms=%lld",
         request->id, request->server->info.id, head->status,
         http_head_find(head, wire_header_name(HEADER_NOT_EXECUTED)) != NULL,
         http_head_find(head, wire_header_name(HEADER_SIGNATURE)) != NULL,
-        connection->earlier, (long long)connection->idle_ms,
+        (unsigned long long)connection->serial, connection->earlier,
+        (long long)connection->idle_ms,
         (long long)(time_mono_ms() - request->sent_ms));
 }
 
@@ -713,6 +714,7 @@
     request->exchange =
         exchange_start(relay->exchanges, &options, &request_hooks);
     request->connection_reused = exchange_is_reused(request->exchange);
+    request->connection = exchange_connection(request->exchange)->serial;
     request->connection_checked = false;
     if (request->sends == 1) {
         request->overhead_us = time_mono_us() - request->received_us;
--- a/relay/request.c
+++ b/relay/request.c
@@ -410,14 +410,16 @@
     /* Here a forwarded request runs once; the first host may repeat it. */
     state.attempts_max = runs_max(request) - request->runs_before;
     retry_decision_t decision = retry_decide(&state, result);
-    log_record(LOG_WARN, "request", "send-failed",
-               "id=%s server=%s fate=%s ran=%d sends=%d share_left=%d "
-               "retries_left=%.1f left_ms=%lld verdict=%s status=%d",
-               request->id,
-               request->server != NULL ? request->server->info.id : "-",
-               send_result_name(result), request->possible_runs, state.sends,
-               state.within_share, retries_left, (long long)state.remaining_ms,
-               retry_decision_name(decision), request->status);
+    log_record(
+        LOG_WARN, "request", "send-failed",
+        "id=%s server=%s fate=%s ran=%d sends=%d share_left=%d "
+        "retries_left=%.1f left_ms=%lld verdict=%s status=%d "
+        "connection=%llu reused=%d",
+        request->id, request->server != NULL ? request->server->info.id : "-",
+        send_result_name(result), request->possible_runs, state.sends,
+        state.within_share, retries_left, (long long)state.remaining_ms,
+        retry_decision_name(decision), request->status,
+        (unsigned long long)request->connection, request->connection_reused);
     request_release_server(request);
     switch (decision) {
         case RETRY_NOW:
--- a/relay/request.h
+++ b/relay/request.h
@@ -111,6 +111,7 @@
     bool server_was_idle;   /* mostly, when the request was sent */
     bool server_was_sound;  /* it had no faults when the request was sent */
     bool connection_reused; /* its connection was open before */
+    uint64_t connection;    /* serial of that connection */
     server_t *server;
     int64_t weights_version; /* that an engine must answer with */
     int64_t sent_ms;
