Test: copies of rejections, where a request comes to a connection again

The stand-in keeps its rejections and sends a copy in front of its answer when the same request comes again on the same connection. Two entries of its store may name one address, as the old and the new one of a server that has started again.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -173,6 +173,7 @@
         (void)snprintf(text, sizeof(text), "%.2f", server->rest_s);
         add_header(req, HEADER_RETRY_AFTER, text);
     }
+    server_keep_rejection(server, req, status);
     evhttp_send_reply(req, status, NULL, NULL);
 }
 
@@ -704,6 +705,7 @@
         return;
     }
     server_send_extra(server, req);
+    server_send_copy(server, req);
     if (path != NULL && strcmp(path, "/report") == 0) {
         if (server->mode != MODE_SILENT && !server->mute_reports) {
             answer_report(server, req);
@@ -754,6 +756,7 @@
     server->version = 1;
     server->memory_total = MEMORY_TOKENS;
     CK_LIST_INIT(&server->runs);
+    CK_STAILQ_INIT(&server->kept_rejections);
     server->events = 8;
     server->event_interval_ms = 20;
     server->limit_per_s = -1;
@@ -865,8 +868,8 @@
  * unread_ms, read_rate (bytes of requests per second on each connection that
  * is accepted from then on); brittle, room, work_ms, pace, first_ms,
  * slots, fatal_part, raw_answer, raw_every, raw_reset, extra_answer,
- * extra_every, see platform_server_t, and crash; see also apply_engine_command
- * and apply_life_command. */
+ * extra_every, copy_rejections, see platform_server_t, and crash; see also
+ * apply_engine_command and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
 {
@@ -912,6 +915,7 @@
     apply_engine_command(server, command);
     apply_life_command(server, command);
     server_set_raw(server, command);
+    server_set_copies(server, command);
     if (server->kv_store) {
         return 0;
     }
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -101,6 +101,9 @@
 
 #define REJECTIONS_MAX 64
 
+typedef struct kept_rejection kept_rejection_t;
+typedef CK_STAILQ_HEAD(kept_rejections, kept_rejection) kept_rejections_t;
+
 typedef struct platform_server {
     CK_LIST_ENTRY(platform_server) entry;
     platform_store_t *store;
@@ -159,7 +162,12 @@
                            request of connections that carried one before, with
                            {id}; NULL for none */
     int64_t extra_every;
-    int64_t extra_count; /* such requests while one was set */
+    int64_t extra_count;  /* such requests while one was set */
+    bool copy_rejections; /* a request that it has rejected and that comes
+                             again on the same connection is preceded by a copy
+                             of the rejection */
+    kept_rejections_t kept_rejections; /* oldest first */
+    size_t kept_rejection_count;
     uint8_t
         ports_seen[8192]; /* of clients that have sent a request: a bit each
                            */
@@ -208,6 +216,11 @@
 bool server_send_raw(run_t *run);
 void server_send_extra(platform_server_t *server, struct evhttp_request *req);
 
+void server_set_copies(platform_server_t *server, const json_t *command);
+void server_keep_rejection(platform_server_t *server,
+                           struct evhttp_request *req, int status);
+void server_send_copy(platform_server_t *server, struct evhttp_request *req);
+
 void server_order_handle(platform_server_t *server,
                          struct evhttp_request *req);
 void server_order_check(platform_server_t *server);
