Exchanges: no connection carries two requests of one id

What callers saw: 503 or 421 for requests that ran (REFUSED), and requests that may run once and ran at two servers (TWICE).

Cause: an answer was believed if it bore the id of the request. That proves something only if the connection has carried this id once. Idle connections are kept by address, while servers that a request has tried are excluded by their entry, and are forgotten in some cases; so a request could come again to the connection that had rejected it. There a late copy of the rejection bears its id and is read where the answer to the second send is due. Class of fault: a name that is not unique where it is compared.

Change: each connection keeps the ids of all requests that it has carried, as hashes, and is not given a second one of the same id; another idle connection or a new one carries it. It holds for whatever starts an exchange: sends to servers, and requests that are forwarded to other hosts. While new connections fail, a server counts as reached only if an idle connection can carry the request; the check of a server's software, which then goes over an idle connection, takes one that the request may use next.

exchanges_has_idle has a further argument; its checks in test-exchange are the same, without an id.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -1,5 +1,7 @@
 #include "exchange.h"
 
+#include "sent-ids.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <event2/bufferevent.h>
@@ -56,6 +58,7 @@
     int64_t idle_since_ms;
     int64_t expires_ms;
     unsigned exchanges; /* that it has carried */
+    sent_ids_t sent_ids;
     int silence_ms; /* without acknowledgements after which it is given up */
 } conn_t;
 
@@ -187,6 +190,7 @@
         conn->pool->busy_count--;
     }
     bufferevent_free(conn->bev);
+    sent_ids_free(&conn->sent_ids);
     free(conn);
 }
 
@@ -241,12 +245,30 @@
     }
 }
 
-/* Whether there is an open connection to an address that no exchange uses. */
+/* Whether a connection has not carried a request of this id, which may be
+ * NULL. */
+static bool
+conn_is_new_to(const conn_t *conn, const char *id)
+{
+    return id == NULL || !sent_ids_has(&conn->sent_ids, id);
+}
+
+/* Whether there is an open connection to an address that no exchange uses and
+ * that can carry a request of this id, which may be NULL. */
 bool
-exchanges_has_idle(exchanges_t *exchanges, const char *addr)
+exchanges_has_idle(exchanges_t *exchanges, const char *addr, const char *id)
 {
     const addr_pool_t *pool = pool_find(exchanges, addr);
-    return pool != NULL && pool->idle_count > 0;
+    const conn_t *conn;
+    if (pool == NULL) {
+        return false;
+    }
+    CK_LIST_FOREACH (conn, &pool->idle, entry) {
+        if (conn_is_new_to(conn, id)) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* Closes the idle connections to an address whose server has left: the address
@@ -289,8 +311,8 @@
 
 /* Keeps the connection for a later exchange, or closes it; false if it is
  * closed.  It can be reused if the server keeps it open, the request was sent
- * completely, there is no input beyond the response, and not too many are
- * idle. */
+ * completely, there is no input beyond the response, it can carry a further
+ * id, and not too many are idle. */
 static bool
 conn_keep(conn_t *conn)
 {
@@ -299,7 +321,7 @@
     struct evbuffer *out = bufferevent_get_output(conn->bev);
     bool clean = evbuffer_get_length(in) == 0 && evbuffer_get_length(out) == 0;
     if (!clean || !exchange->reader.head.keep_alive ||
-        exchange->keep_alive_ms <= 0 ||
+        exchange->keep_alive_ms <= 0 || sent_ids_is_full(&conn->sent_ids) ||
         conn->pool->idle_count >= IDLE_CONNECTIONS_MAX) {
         conn_free(conn);
         return false;
@@ -718,19 +740,26 @@
         .idle_ms = used ? time_mono_ms() - conn->idle_since_ms : 0};
 }
 
+/* Takes the idle connection that was used last of those that can carry the
+ * request, and closes those before it that can carry none any more. */
 static conn_t *
-conn_take_idle(addr_pool_t *pool)
+conn_take_idle(addr_pool_t *pool, const exchange_request_t *request)
 {
     int64_t now = time_mono_ms();
     conn_t *conn;
-    while ((conn = CK_LIST_FIRST(&pool->idle)) != NULL) {
-        if (now < conn->expires_ms && conn_is_clean(conn)) {
+    conn_t *next;
+    CK_LIST_FOREACH_SAFE (conn, &pool->idle, entry, next) {
+        if (now >= conn->expires_ms || !conn_is_clean(conn)) {
+            conn_free(conn);
+            continue;
+        }
+        if (conn_is_new_to(conn, request->id) &&
+            conn_is_new_to(conn, request->next_id)) {
             CK_LIST_REMOVE(conn, entry);
             pool->idle_count--;
             pool->busy_count++;
             return conn;
         }
-        conn_free(conn);
     }
     return NULL;
 }
@@ -769,7 +798,8 @@
     else if (request->body_len > 0) {
         buf_add(&exchange->out, request->body, request->body_len);
     }
-    conn_t *conn = request->new_connection ? NULL : conn_take_idle(pool);
+    conn_t *conn =
+        request->new_connection ? NULL : conn_take_idle(pool, request);
     exchange->reused = conn != NULL;
     if (!exchange->reused) {
         conn = conn_open(pool);
@@ -782,6 +812,9 @@
     exchange->conn = conn;
     conn->exchange = exchange;
     conn->exchanges++;
+    if (request->id != NULL) {
+        sent_ids_add(&conn->sent_ids, request->id);
+    }
     conn_set_silence(conn, request->silence_ms);
     exchange->stall_ms = request->stall_ms;
     if (request->total_ms > 0) {
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -3,7 +3,11 @@
 
 /* HTTP client on an event loop, with a pool of idle keep-alive connections per
  * address.  It never retries a request by itself, and it always reports
- * whether any byte of a request may have been sent. */
+ * whether any byte of a request may have been sent.
+ *
+ * No two requests of one id are sent over the same connection: an answer to
+ * the first, or a copy of it, may arrive where the second one's is expected.
+ */
 
 #include "http-reader.h"
 
@@ -55,6 +59,9 @@
     size_t head_len;
     const void *body;
     size_t body_len;
+    const char *id;      /* that answers to the request bear; NULL for none */
+    const char *next_id; /* of the request that is to use the connection
+                            after this one; NULL for any */
     bool body_kept; /* the body stays valid until the exchange ends, and is
                        not copied */
     bool no_response_body; /* the request is a HEAD */
@@ -75,7 +82,8 @@
 void exchanges_set_buffers(exchanges_t *exchanges, int receive_bytes,
                            int unsent_bytes);
 void exchanges_sweep(exchanges_t *exchanges);
-bool exchanges_has_idle(exchanges_t *exchanges, const char *addr);
+bool exchanges_has_idle(exchanges_t *exchanges, const char *addr,
+                        const char *id);
 void exchanges_close_idle(exchanges_t *exchanges, const char *addr);
 uint64_t exchanges_connections_opened(const exchanges_t *exchanges);
 exchange_t *exchange_start(exchanges_t *exchanges,
--- a/kernel/fetch.c
+++ b/kernel/fetch.c
@@ -71,6 +71,7 @@
     hooks.arg = fetch;
     memset(&fetch->request, 0, sizeof(fetch->request));
     fetch->call.head = request.data;
+    fetch->call.next_id = NULL;
     fetch->call.new_connection = true;
     fetch->exchange = exchange_start(fetch->exchanges, &fetch->call, &hooks);
     return true;
@@ -108,6 +109,7 @@
                              .head = options->request->data,
                              .head_len = options->request->len,
                              .new_connection = options->new_connection,
+                             .next_id = options->next_id,
                              .connect_ms = options->connect_ms,
                              .total_ms = options->total_ms,
                              .stall_ms = options->stall_ms};
--- a/kernel/fetch.h
+++ b/kernel/fetch.h
@@ -22,6 +22,7 @@
     const char *addr;
     const buf_t *request; /* head and body as sent */
     bool new_connection;  /* not an idle one, which may be dead */
+    const char *next_id;  /* see exchange_request_t */
     /* May be sent twice: if an idle connection turns out to be closed, the
      * request is sent again over a new one. */
     bool repeatable;
--- a/relay/probe.c
+++ b/relay/probe.c
@@ -240,12 +240,13 @@
 /* Requests the report of an engine, which shows whether it has started again
  * since its entry, and calls on_checked with the server, or with NULL if it
  * does not answer or is gone.  The connection is idle then and the first to be
- * used again: what is sent over it reaches the same process.
+ * used again by the request of this id: what is sent over it reaches the same
+ * process.
  *
  * An open connection may have ended unnoticed, so a new one is made unless
  * only open ones reach the servers. */
 software_check_t *
-relay_check_software(relay_t *relay, const server_t *server,
+relay_check_software(relay_t *relay, const server_t *server, const char *id,
                      void (*on_checked)(void *arg, server_t *server),
                      void *arg)
 {
@@ -262,6 +263,7 @@
         .addr = server->info.addr,
         .request = &head,
         .new_connection = check->new_connection,
+        .next_id = id,
         .other_header = wire_header_name(HEADER_REQUEST_ID),
         .connect_ms = CONNECT_TIMEOUT_MS,
         .total_ms = REPORT_TIMEOUT_MS,
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -234,14 +234,14 @@
 void relay_log_blocked(const relay_t *relay, const char *source);
 void relay_apply_life(relay_t *relay, const server_t *server,
                       server_life_t life);
-software_check_t *relay_check_software(relay_t *relay, const server_t *server,
-                                       void (*on_checked)(void *arg,
-                                                          server_t *server),
-                                       void *arg);
+software_check_t *relay_check_software(
+    relay_t *relay, const server_t *server, const char *id,
+    void (*on_checked)(void *arg, server_t *server), void *arg);
 void relay_cancel_software_check(software_check_t *check);
 void relay_doubt_software(relay_t *relay, server_t *server);
 void relay_request_report(relay_t *relay, server_t *server);
-bool relay_reaches(const relay_t *relay, const server_t *server);
+bool relay_reaches(const relay_t *relay, const server_t *server,
+                   const char *id);
 void probe_server(relay_t *relay, server_t *server);
 
 /* ---- other daemons ---- */
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -411,6 +411,7 @@
         .head_len = head.len,
         .body = request->body->data,
         .body_len = request->body->len,
+        .id = request->id,
         .body_kept = true,
         .no_response_body = request->head->method == HTTP_HEAD,
         .new_connection = request->possible_runs > 0,
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -143,7 +143,7 @@
 can_serve(const request_t *request, const server_t *server, int64_t now)
 {
     return could_serve(request, server, now) &&
-           relay_reaches(request->relay, server);
+           relay_reaches(request->relay, server, request->id);
 }
 
 /* Whether this server can take the request now. */
@@ -165,7 +165,7 @@
     if (obstacle != NULL) {
         return obstacle;
     }
-    if (!relay_reaches(request->relay, server)) {
+    if (!relay_reaches(request->relay, server, request->id)) {
         return "not-reached";
     }
     return server_allows_request(server, now)
@@ -667,7 +667,7 @@
             continue;
         }
         if (server_is_reachable(server, now) &&
-            relay_reaches(request->relay, server)) {
+            relay_reaches(request->relay, server, request->id)) {
             return false;
         }
         listed = true;
--- a/relay/request-proof.c
+++ b/relay/request-proof.c
@@ -201,6 +201,6 @@
     }
     request->check_started_ms = time_mono_ms();
     request->software_check =
-        relay_check_software(request->relay, server, on_report, request);
+        relay_check_software(request->relay, server, NULL, on_report, request);
     return true;
 }
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -525,7 +525,7 @@
 {
     request->check_started_ms = time_mono_ms();
     request->software_check = relay_check_software(
-        request->relay, server, on_software_checked, request);
+        request->relay, server, request->id, on_software_checked, request);
 }
 
 /* Whether no server is left that has the version of the stream and takes new
--- a/relay/request-send.c
+++ b/relay/request-send.c
@@ -705,6 +705,7 @@
         .head_len = head.len,
         .body = request->body->data,
         .body_len = request->body->len,
+        .id = request->id,
         .body_kept = true,
         .no_response_body = request->head->method == HTTP_HEAD,
         .new_connection = !request->connection_checked &&
--- a/relay/server-path.c
+++ b/relay/server-path.c
@@ -120,17 +120,17 @@
     }
 }
 
-/* Whether a request may be sent to a server as far as the path to the servers
- * is concerned. */
+/* Whether the request of this id may be sent to a server as far as the path to
+ * the servers is concerned. */
 bool
-relay_reaches(const relay_t *relay, const server_t *server)
+relay_reaches(const relay_t *relay, const server_t *server, const char *id)
 {
     switch (relay->reach.state) {
         case REACH_OK:
         case REACH_SUSPECT:
             return true;
         case REACH_KEPT:
-            return exchanges_has_idle(relay->exchanges, server->info.addr);
+            return exchanges_has_idle(relay->exchanges, server->info.addr, id);
         case REACH_NONE:
             break;
     }
--- a/tests/test-exchange.c
+++ b/tests/test-exchange.c
@@ -140,9 +140,9 @@
     server_t server;
     server_start(&server);
     exchanges_t *exchanges = exchanges_new(server.base);
-    ck_assert(!exchanges_has_idle(exchanges, server.addr));
+    ck_assert(!exchanges_has_idle(exchanges, server.addr, NULL));
     ck_assert(!call(&server, exchanges, false));
-    ck_assert(exchanges_has_idle(exchanges, server.addr));
+    ck_assert(exchanges_has_idle(exchanges, server.addr, NULL));
     ck_assert(call(&server, exchanges, false));
     ck_assert(!call(&server, exchanges, true));
     ck_assert_uint_eq(server.accepted, 2);
@@ -215,6 +215,53 @@
 }
 END_TEST
 
+/* Sends one request that bears an id; returns whether its connection was open
+ * before. */
+static bool
+call_with_id(server_t *server, exchanges_t *exchanges, const char *id,
+             const char *next_id)
+{
+    static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const exchange_request_t request = {.addr = server->addr,
+                                        .head = head,
+                                        .head_len = sizeof(head) - 1,
+                                        .id = id,
+                                        .next_id = next_id,
+                                        .connect_ms = 1000,
+                                        .total_ms = 2000};
+    const exchange_hooks_t hooks = {.on_end = on_end, .arg = server};
+    const exchange_t *exchange = exchange_start(exchanges, &request, &hooks);
+    bool reused = exchange_is_reused(exchange);
+    (void)event_base_dispatch(server->base);
+    return reused;
+}
+
+/* Guards against an answer to an earlier request of the same id, taken for the
+ * answer to a later one. */
+START_TEST(an_id_is_sent_once_over_a_connection)
+{
+    server_t server;
+    server_start(&server);
+    exchanges_t *exchanges = exchanges_new(server.base);
+    ck_assert(!call_with_id(&server, exchanges, "a", NULL));
+    ck_assert(call_with_id(&server, exchanges, "b", NULL));
+    ck_assert(call_with_id(&server, exchanges, NULL, NULL));
+    ck_assert(call_with_id(&server, exchanges, NULL, "c"));
+    ck_assert(!exchanges_has_idle(exchanges, server.addr, "a"));
+    ck_assert(exchanges_has_idle(exchanges, server.addr, "c"));
+    ck_assert(!call_with_id(&server, exchanges, "a", NULL));
+    ck_assert_uint_eq(server.accepted, 2);
+    /* The second connection has not carried "b", the first one has. */
+    ck_assert(exchanges_has_idle(exchanges, server.addr, "b"));
+    ck_assert(call_with_id(&server, exchanges, "b", NULL));
+    ck_assert(!exchanges_has_idle(exchanges, server.addr, "b"));
+    ck_assert(!call_with_id(&server, exchanges, NULL, "a"));
+    ck_assert_uint_eq(server.accepted, 3);
+    exchanges_free(exchanges);
+    server_stop(&server);
+}
+END_TEST
+
 /* Guards against connections from another address than the one set. */
 START_TEST(connections_come_from_the_set_address)
 {
@@ -283,7 +330,7 @@
     server.more = more;
     exchanges_t *exchanges = exchanges_new(server.base);
     see_answer(&server, exchanges, seen);
-    ck_assert(!exchanges_has_idle(exchanges, server.addr));
+    ck_assert(!exchanges_has_idle(exchanges, server.addr, NULL));
     ck_assert_uint_lt(server.sent, 8u << 20);
     exchanges_free(exchanges);
     server_stop(&server);
@@ -359,7 +406,7 @@
     ck_assert_int_eq(seen.end, EXCHANGE_COMPLETE);
     ck_assert_uint_eq(seen.body_len, 4);
     ck_assert_uint_eq(server.accepted, 1);
-    ck_assert(exchanges_has_idle(exchanges, server.addr));
+    ck_assert(exchanges_has_idle(exchanges, server.addr, NULL));
     exchanges_free(exchanges);
     server_stop(&server);
 }
@@ -560,6 +607,7 @@
 END_TEST
 
 TEST_MAIN("exchange", unfinished_stray_ends_an_exchange,
+          an_id_is_sent_once_over_a_connection,
           connection_with_waiting_input_is_not_used_again,
           connection_that_has_ended_is_not_used_again,
           fetch_skips_the_answer_to_a_request,
