Answers: a head with a second status line is no answer

What callers saw, with a server that sends the beginning of a head on a kept connection before its answer: a 200 where the server had answered 500, a 500 or 404 where it had served. The status came from the begun head; id, signature and body from the answer behind it.

Change: the reader rejects the head of a response in which a version and a status follow anywhere behind its own, in the reason, a header's value or elsewhere. The request then counts as one that may have run, and the connection is closed.

--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -1,5 +1,6 @@
 #include "http-reader.h"
 
+#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
@@ -181,6 +182,40 @@
     }
 }
 
+/* Whether the text begins with a version and a status. */
+static bool
+begins_status_line(const char *text, size_t len)
+{
+    static const char pattern[] = "HTTP/1.# ###"; /* #: a digit */
+    if (len < sizeof(pattern) - 1) {
+        return false;
+    }
+    for (size_t i = 0; pattern[i] != '\0'; i++) {
+        bool matches = pattern[i] == '#' ? isdigit((unsigned char)text[i]) != 0
+                                         : text[i] == pattern[i];
+        if (!matches) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Rejects a response whose head has a second status line in it.  A faulty
+ * server may begin a head that it does not end; the head of its next response
+ * then continues the last line, and the fields of both would be read as one.
+ */
+static void
+check_response(http_reader_t *reader)
+{
+    const buf_t *text = &reader->head.text;
+    for (size_t i = 1; i < text->len; i++) {
+        if (begins_status_line(text->data + i, text->len - i)) {
+            (void)reject(reader, 400, "a status line within the head");
+            return;
+        }
+    }
+}
+
 /* Drops empty lines before a request: some clients send an extra CRLF after a
  * body. */
 void
@@ -249,8 +284,13 @@
         /* Empty lines before a message, or a head that does not end here. */
         (void)reject(reader, 400, "the head is not one message");
     }
-    if (reader->state != READER_INVALID && !reader->response) {
-        check_request(reader);
+    if (reader->state != READER_INVALID) {
+        if (reader->response) {
+            check_response(reader);
+        }
+        else {
+            check_request(reader);
+        }
     }
     reader->head.until_close = reader->response &&
                                reader->state == READER_BODY &&
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -194,6 +194,50 @@
 }
 END_TEST
 
+static reader_state_t
+read_response(const char *text)
+{
+    feed_t feed;
+    feed_open(&feed, true);
+    reader_state_t state = READER_HEAD;
+    do {
+        state = feed_bytes(&feed, text, strlen(text));
+        text = "";
+    } while (state == READER_BODY && evbuffer_get_length(feed.in) > 0);
+    feed_close(&feed);
+    return state;
+}
+
+/* Guards against a head that was begun and not ended, read as one with the
+ * head of the next response. */
+START_TEST(a_head_with_two_status_lines_is_no_response)
+{
+    static const char end[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    static const char *const begins[] = {"HTTP/1.1 503 Full\r\nX-Rest: ",
+                                         "HTTP/1.1 503 Full\r\nX-Rest:",
+                                         "HTTP/1.1 503 Full\r\nX-Rest: abc",
+                                         "HTTP/1.1 503 Fu",
+                                         "HTTP/1.1 503 ",
+                                         "HTTP/1.1 50",
+                                         "HTTP/1.1 503 Full\r\nX-Re",
+                                         "HTTP/1.1 503 Full\r\n",
+                                         "HTTP/1.1 503 Full\r",
+                                         "HTTP/1.1 503 Full\r\nX-Rest: 1\r"};
+    static const char *const others[] = {
+        "HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nUpgrade: HTTP/2.0\r\nContent-Length: 0\r\n\r\n"};
+    for (size_t i = 0; i < sizeof(begins) / sizeof(begins[0]); i++) {
+        char text[256];
+        (void)snprintf(text, sizeof(text), "%s%s", begins[i], end);
+        ck_assert_msg(read_response(text) == READER_INVALID, "begin %zu", i);
+    }
+    ck_assert_int_eq(read_response(end), READER_COMPLETE);
+    for (size_t i = 0; i < sizeof(others) / sizeof(others[0]); i++) {
+        ck_assert_int_eq(read_response(others[i]), READER_COMPLETE);
+    }
+}
+END_TEST
+
 /* Guards against a trailer whose lines are taken for some of the head, which
  * no longer holds them. */
 START_TEST(a_trailer_is_not_part_of_the_head)
@@ -247,6 +291,7 @@
 END_TEST
 
 TEST_MAIN("http-reader", ambiguous_requests_are_rejected,
+          a_head_with_two_status_lines_is_no_response,
           a_head_over_the_limit_gets_431, the_next_request_stays_in_the_buffer,
           a_request_may_arrive_byte_by_byte,
           a_response_without_a_length_ends_with_its_connection,
