--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -58,6 +58,21 @@
     }
 }
 
+/* Writes or removes a second entry of the server, under another id, as of one
+ * that started again while its former entry is still listed. */
+static void
+apply_entry_command(const platform_server_t *server, const json_t *command)
+{
+    const char *former = json_get_string(command, "former_entry");
+    const char *gone = json_get_string(command, "former_entry_gone");
+    if (former != NULL) {
+        store_set(server->store, "servers", former, make_entry(server));
+    }
+    if (gone != NULL) {
+        store_remove(server->store, "servers", gone);
+    }
+}
+
 static void
 on_heartbeat(evutil_socket_t fd, short what, void *arg)
 {
@@ -916,6 +931,7 @@
     apply_life_command(server, command);
     server_set_raw(server, command);
     server_set_copies(server, command);
+    apply_entry_command(server, command);
     if (server->kv_store) {
         return 0;
     }
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -49,6 +49,7 @@
 void disturb_relay(soak_relay_t *relay, int64_t duration_ms);
 void disturb_server(soak_t *soak, soak_server_t *server, int64_t duration_ms);
 void extras_start(soak_t *soak);
+void extras_tick(soak_t *soak);
 void versions_start_fault(soak_t *soak, fault_kind_t kind, size_t target);
 
 #endif
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -178,6 +178,7 @@
         soak->callers = callers_start(soak, soak->caller_count);
     }
     faults_tick(soak);
+    extras_tick(soak);
     versions_tick(soak);
     slots_tick(soak);
     paces_tick(soak);
