Requests: an id that is too long to be kept gets 400

Found while reading how ids are compared. A caller whose request bore an id of 96 bytes or more waited for its deadline: the id was cut off when it was kept, so the answer that bore it in full was taken for another request's. The request ran, and the server counted as faulty, so that requests of other callers were rejected.

Now such a request gets 400 at once and is not sent, like one without an id.

--- a/relay/request.c
+++ b/relay/request.c
@@ -793,7 +793,8 @@
          relay->body_bytes + body_len > BODY_BYTES_MAX)) {
         return 503;
     }
-    if (find_header(head, HEADER_REQUEST_ID) == NULL) {
+    const header_t *id = find_header(head, HEADER_REQUEST_ID);
+    if (id == NULL || id->value.len >= REQUEST_ID_MAX) {
         return 400;
     }
     *route = find_route(relay->config, head);
