Streams: a host's answer counts for the question that it answers

A caller that takes a stream up, is refused and tries again asks the same hosts for the same stream twice; an answer to the first question that arrives after the second was asked counted for it, although its host may have learned the stream since. With all answers in, the host goes on to the store and then to the only version of the service, or refuses: the stream could be lost, or be mixed of two versions.

Change: each question has a random number, in the field of the software version that questions leave empty. Hosts return that field unchanged if they do not know the stream, older ones too, so the layout stays. An answer counts only with the number of the question that waits.

The checks of test-stream-origins and stream-fleet.h pass the number that the query has; their bounds are the same.

--- a/relay/peers-origins.c
+++ b/relay/peers-origins.c
@@ -148,7 +148,8 @@
     datagram->origin_count = 1;
     datagram->origins[0] =
         (peer_origin_t){.attempt = query->stream.attempt,
-                        .caller = stream_id_caller(&query->stream)};
+                        .caller = stream_id_caller(&query->stream),
+                        .software = query->number};
     size_t len = peer_encode(datagram, peers->secret, data);
     for (size_t i = 0; i < query->count; i++) {
         if (!query->answered[i]) {
@@ -165,6 +166,7 @@
     member_t owners[OWNERS_MAX];
     size_t count =
         list_owners(peers, &query->stream, STREAM_ORIGIN_ASKED_MAX, owners);
+    query->number = rng_next(&peers->relay->rng);
     query->count = 0;
     for (size_t i = 0; i < count; i++) {
         struct sockaddr_in to;
@@ -183,7 +185,8 @@
     send_query(peers, query);
 }
 
-/* Answers another daemon's question with what this one knows. */
+/* Answers another daemon's question with what this one knows, or returns its
+ * number. */
 void
 peers_answer_origin_query(peers_t *peers, const struct sockaddr_in *from,
                           int64_t now)
@@ -220,7 +223,8 @@
     for (size_t i = 0; i < count; i++) {
         const stream_origin_t origin = get_origin(&entries[i], now);
         if (entries[i].lifetime_ms == 0) {
-            requests_note_origin_unknown(relay, &origin.stream, host);
+            requests_note_origin_unknown(relay, &origin.stream,
+                                         entries[i].software, host);
             continue;
         }
         (void)stream_origins_put(&relay->stream_origins, &origin, now);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -214,7 +214,7 @@
 void requests_end_all(relay_t *relay);
 void requests_apply_origin(relay_t *relay, const stream_id_t *stream);
 void requests_note_origin_unknown(relay_t *relay, const stream_id_t *stream,
-                                  uint64_t host);
+                                  uint64_t number, uint64_t host);
 void requests_apply_records(relay_t *relay, bool read);
 void requests_fail_over(relay_t *relay, const server_t *server,
                         bool with_started);
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -453,10 +453,11 @@
     }
 }
 
-/* A host does not know the origin that requests wait for. */
+/* A host that was asked this question does not know the origin that requests
+ * wait for. */
 void
 requests_note_origin_unknown(relay_t *relay, const stream_id_t *stream,
-                             uint64_t host)
+                             uint64_t number, uint64_t host)
 {
     CLEAN_WALK request_walk_t walk;
     request_t *request;
@@ -466,7 +467,7 @@
             !stream_id_equal(&request->resumes, stream)) {
             continue;
         }
-        stream_query_note_unknown(&request->origin_query, host);
+        stream_query_note_unknown(&request->origin_query, number, host);
         if (!request->origin_peers_done && !request->origin_awaits_peers &&
             stream_query_is_answered(&request->origin_query) &&
             resolve_without_peers(request, true)) {
--- a/relay/stream-origins.c
+++ b/relay/stream-origins.c
@@ -232,10 +232,15 @@
     return true;
 }
 
-/* Records that a host does not know the stream. */
+/* Records that a host does not know the stream, if that is its answer to this
+ * question. */
 void
-stream_query_note_unknown(stream_query_t *query, uint64_t host)
+stream_query_note_unknown(stream_query_t *query, uint64_t number,
+                          uint64_t host)
 {
+    if (number != query->number) {
+        return;
+    }
     for (size_t i = 0; i < query->count; i++) {
         query->answered[i] |= query->hosts[i] == host;
     }
--- a/relay/stream-origins.h
+++ b/relay/stream-origins.h
@@ -41,9 +41,11 @@
     int64_t queries_updated_ms;
 } stream_origins_t;
 
-/* A question to other hosts for the origin of a stream. */
+/* A question to other hosts for the origin of a stream.  Its number tells
+ * their answers from late ones to earlier questions for the same stream. */
 typedef struct {
     stream_id_t stream;
+    uint64_t number;
     uint64_t hosts[STREAM_ORIGIN_ASKED_MAX]; /* that were asked */
     bool answered[STREAM_ORIGIN_ASKED_MAX];
     size_t count;
@@ -69,7 +71,8 @@
                            const stream_origin_t **out, size_t max,
                            int64_t now_ms);
 bool stream_origins_take_query(stream_origins_t *origins, int64_t now_ms);
-void stream_query_note_unknown(stream_query_t *query, uint64_t host);
+void stream_query_note_unknown(stream_query_t *query, uint64_t number,
+                               uint64_t host);
 bool stream_query_is_answered(const stream_query_t *query);
 
 #endif
--- a/tests/stream-fleet.h
+++ b/tests/stream-fleet.h
@@ -314,7 +314,7 @@
         return false;
     }
     if (!known) {
-        stream_query_note_unknown(query, asked);
+        stream_query_note_unknown(query, query->number, asked);
         return false;
     }
     receive_origins(fleet, host);
--- a/tests/test-stream-origins.c
+++ b/tests/test-stream-origins.c
@@ -192,16 +192,16 @@
  * not know the stream. */
 START_TEST(a_question_is_answered_once_all_hosts_answered)
 {
-    stream_query_t query = {.count = STREAM_ORIGIN_ASKED_MAX};
+    stream_query_t query = {.number = 7, .count = STREAM_ORIGIN_ASKED_MAX};
     for (size_t i = 0; i < query.count; i++) {
         query.hosts[i] = 100 + i;
     }
-    stream_query_note_unknown(&query, 1);
+    stream_query_note_unknown(&query, 7, 1);
     for (size_t i = 0; i < query.count; i++) {
         ck_assert(!stream_query_is_answered(&query));
-        stream_query_note_unknown(&query, 100 + i);
-        stream_query_note_unknown(&query, 100 + i);
-        stream_query_note_unknown(&query, 99);
+        stream_query_note_unknown(&query, 7, 100 + i);
+        stream_query_note_unknown(&query, 7, 100 + i);
+        stream_query_note_unknown(&query, 7, 99);
     }
     ck_assert(stream_query_is_answered(&query));
 }
