Exchanges: requests of one id do not pile up connections

Found by the process tests of hosts that are cut off, whose clients sent all requests of a caller under one id: since each of these needs a connection that has not carried the id. A caller that reuses ids could so leave up to 64 idle connections at each server from each host, and use up the connections that a server takes.

Change: a connection that is made although others are idle replaces the one that was used the longest ago, once it is made: while new connections fail, none is closed.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -101,7 +101,9 @@
     int stall_ms;            /* see exchange_request_t */
     int64_t sent_us;         /* when the request was sent; 0 until then */
     bool sent;
-    bool reused; /* its connection was open before */
+    bool reused;        /* its connection was open before */
+    bool replaces_idle; /* its new connection is for its id, not for want of
+                           an idle one */
     exchange_connection_t connection;
     bool in_hook;    /* a hook is running: do not free the exchange */
     bool cancelled;  /* cancelled by a hook: free the exchange after it */
@@ -580,6 +582,20 @@
     }
 }
 
+/* Closes the idle connection that was used the longest ago. */
+static void
+pool_close_oldest(const addr_pool_t *pool)
+{
+    conn_t *conn;
+    conn_t *oldest = NULL;
+    CK_LIST_FOREACH (conn, &pool->idle, entry) {
+        oldest = conn;
+    }
+    if (oldest != NULL) {
+        conn_free(oldest);
+    }
+}
+
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
@@ -588,6 +604,11 @@
     (void)bev;
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         conn->opened_us = time_mono_us();
+        if (exchange->replaces_idle) {
+            /* Callers that reuse ids must not use up a server's connections.
+             */
+            pool_close_oldest(conn->pool);
+        }
         send_request(exchange);
         timer_arm_deadline(exchange);
         return;
@@ -802,6 +823,8 @@
         request->new_connection ? NULL : conn_take_idle(pool, request);
     exchange->reused = conn != NULL;
     if (!exchange->reused) {
+        exchange->replaces_idle =
+            !request->new_connection && pool->idle_count > 0;
         conn = conn_open(pool);
     }
     if (conn == NULL) {
