Tests: copied statements of servers, and answers too many in front of chats

Cause: answers to chats are told apart by their position alone (on_end and handle_failure in kernel/call-stream.c, conn_keep in kernel/exchange.c).

proc-copied-signals: copies of rejections with Server-Limit, Retry-After, Server-Leaving and Server-Brittle, without an id, with another, with that of the connection's request before, in pieces, late, cut off in a value, after a field and in the body. Nothing was learned from them, none was refused after a run, none ran twice; the same statements in own answers are learned.

Stand-ins: extra_answer can be for some paths, come in pieces and late, and bear the id of the connection's request before; links can insert answers too many.

--- a/fakes/fake-link.c
+++ b/fakes/fake-link.c
@@ -13,7 +13,10 @@
  * all links: connections from the address hang, are reset, or live on while
  * new ones are reset; "none" ends that.  {"link": N, "how": hang|none} applies
  * to all connections of one link.  {"listen": false} makes all links refuse
- * new connections from any address; true ends that. */
+ * new connections from any address; true ends that.  {"extra": TEXT, "before":
+ * TEXT, "every": N} makes all links send bytes before every Nth answer to
+ * requests that begin so, see link_extra_t; it is answered with the number of
+ * times that this was done so far. */
 
 #define LINKS_MAX 32
 
@@ -109,6 +112,22 @@
     return 0;
 }
 
+/* Sets the extra bytes of all links; returns how often some were sent. */
+static unsigned
+set_extra(network_t *network, const json_t *command)
+{
+    const char *before = json_get_string(command, "before");
+    const link_extra_t extra = {.text = json_get_string(command, "extra"),
+                                .before = before != NULL ? before : "",
+                                .every = json_get_int(command, "every", 1)};
+    unsigned count = 0;
+    for (size_t i = 0; i < network->count; i++) {
+        link_set_extra(network->links[i], &extra);
+        count += link_extra_count(network->links[i]);
+    }
+    return count;
+}
+
 /* Executes a command; -1 if it is invalid or fails. */
 static int
 execute(network_t *network, const json_t *command)
@@ -130,6 +149,13 @@
     size_t len = evbuffer_get_length(in);
     CLEAN_JSON json_t *command =
         json_loadb((const char *)evbuffer_pullup(in, -1), len, 0, NULL);
+    if (json_get_string(command, "extra") != NULL) {
+        struct evbuffer *out = evbuffer_new();
+        (void)evbuffer_add_printf(out, "%u\n", set_extra(arg, command));
+        evhttp_send_reply(req, 200, NULL, out);
+        evbuffer_free(out);
+        return;
+    }
     int status = execute(arg, command);
     evhttp_send_reply(req, status == 0 ? 200 : 400, NULL, NULL);
 }
--- a/fakes/link.c
+++ b/fakes/link.c
@@ -32,7 +32,8 @@
     struct event *timer;
     bool client_ended;
     bool target_ended;
-    bool stalled; /* forwards no more data; new connections do */
+    bool stalled;  /* forwards no more data; new connections do */
+    bool answered; /* the target has sent something */
 } link_conn_t;
 
 typedef CK_LIST_HEAD(link_conns, link_conn) link_conns_t;
@@ -45,6 +46,11 @@
     link_state_t state;
     link_override_t overrides[LINK_SOURCES_MAX];
     link_conns_t conns;
+    char *extra_text; /* see link_extra_t; NULL for none */
+    char *extra_before;
+    int64_t extra_every;
+    unsigned extra_requests; /* such requests so far */
+    unsigned extra_count;    /* extras sent so far */
 };
 
 /* Returns the state of the link for connections from an address. */
@@ -88,6 +94,29 @@
                               bufferevent_get_input(from));
 }
 
+/* Sends the extra bytes if what the client sends is a request whose answer
+ * they precede. */
+static void
+insert_extra(link_conn_t *conn)
+{
+    link_t *link = conn->link;
+    struct evbuffer *in = bufferevent_get_input(conn->client);
+    char begin[256];
+    if (link->extra_text == NULL || !conn->answered) {
+        return;
+    }
+    ev_ssize_t len = evbuffer_copyout(in, begin, sizeof(begin));
+    size_t wanted = strlen(link->extra_before);
+    if (len < (ev_ssize_t)wanted || wanted > sizeof(begin) ||
+        memcmp(begin, link->extra_before, wanted) != 0 ||
+        link->extra_requests++ % (unsigned)link->extra_every != 0) {
+        return;
+    }
+    link->extra_count++;
+    (void)bufferevent_write(conn->client, link->extra_text,
+                            strlen(link->extra_text));
+}
+
 /* Returns whether one side has ended and all its bytes were written to the
  * other side. */
 static bool
@@ -104,9 +133,13 @@
     bool to_target = can_forward(conn, true);
     bool from_target = can_forward(conn, false);
     if (to_target) {
+        insert_extra(conn);
         move_bytes(conn->client, conn->target);
     }
     if (from_target) {
+        conn->answered =
+            conn->answered ||
+            evbuffer_get_length(bufferevent_get_input(conn->target)) > 0;
         move_bytes(conn->target, conn->client);
     }
     if ((to_target &&
@@ -329,3 +362,21 @@
         conn->stalled = true;
     }
 }
+
+/* Sets the extra bytes of the link. */
+void
+link_set_extra(link_t *link, const link_extra_t *extra)
+{
+    free(link->extra_text);
+    free(link->extra_before);
+    link->extra_text = extra->text[0] != '\0' ? strdup(extra->text) : NULL;
+    link->extra_before = strdup(extra->before);
+    link->extra_every = extra->every > 0 ? extra->every : 1;
+}
+
+/* Returns how often extra bytes were sent. */
+unsigned
+link_extra_count(const link_t *link)
+{
+    return link->extra_count;
+}
--- a/fakes/link.h
+++ b/fakes/link.h
@@ -22,6 +22,14 @@
 
 typedef struct link link_t;
 
+/* Bytes that a link sends to the client in front of the answers to requests
+ * that begin with a text, on connections that have carried one before. */
+typedef struct {
+    const char *text; /* empty for none */
+    const char *before;
+    int64_t every;
+} link_extra_t;
+
 link_t *link_open(struct event_base *base, const char *listen,
                   const char *target, err_t *err);
 int link_set_listening(link_t *link, bool listening);
@@ -31,5 +39,7 @@
 void link_reset(link_t *link);
 void link_reset_source(link_t *link, struct in_addr source);
 void link_stall(link_t *link);
+void link_set_extra(link_t *link, const link_extra_t *extra);
+unsigned link_extra_count(const link_t *link);
 
 #endif
--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -883,7 +883,8 @@
  * unread_ms, read_rate (bytes of requests per second on each connection that
  * is accepted from then on); brittle, room, work_ms, pace, first_ms,
  * slots, fatal_part, raw_answer, raw_every, raw_reset, extra_answer,
- * extra_every, copy_rejections, see platform_server_t, and crash; see also
+ * extra_every, extra_path, extra_wait_ms, copy_rejections, see
+ * platform_server_t, and crash; see also
  * apply_engine_command and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -160,7 +160,12 @@
     bool raw_reset;     /* the connection is then reset, not closed */
     char *extra_answer; /* bytes sent before the answer to each extra_every-th
                            request of connections that carried one before, with
-                           {id}; NULL for none */
+                           {id}, {earlier} for the id of the connection's
+                           request before, and {wait} where the rest comes
+                           extra_wait_ms later; NULL for none */
+    char *extra_path;   /* begin of the paths before whose answers it is sent;
+                           NULL for all */
+    int64_t extra_wait_ms;
     int64_t extra_every;
     int64_t extra_count;  /* such requests while one was set */
     bool copy_rejections; /* a request that it has rejected and that comes
@@ -169,10 +174,11 @@
     kept_rejections_t kept_rejections; /* oldest first */
     size_t kept_rejection_count;
     uint8_t
-        ports_seen[8192]; /* of clients that have sent a request: a bit each
-                           */
-    bool crashed;         /* it has ended and starts again later */
-    int64_t started_ms;   /* start time that it states */
+        ports_seen[8192];  /* of clients that have sent a request: a bit each
+                            */
+    char *ids_seen[65536]; /* of these, the id of their last request */
+    bool crashed;          /* it has ended and starts again later */
+    int64_t started_ms;    /* start time that it states */
     char software[CS_NAME_MAX]; /* version in its entry; empty for none */
     bool mute_reports;          /* requests of its report get no answer */
     bool show_runs; /* events name the server and software of their run */
