--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -192,10 +192,25 @@
     evhttp_send_reply(req, status, NULL, NULL);
 }
 
+/* Records, if that is wanted, that a server works on a request no more. */
+static void
+record_end(const run_t *run)
+{
+    if (!run->server->record_ends) {
+        return;
+    }
+    (void)fprintf(run->server->record, "end server=%s id=%s at_ms=%lld\n",
+                  run->server->id, run->id, (long long)time_wall_ms());
+    (void)fflush(run->server->record);
+}
+
 void
 server_free_run(run_t *run)
 {
     platform_server_t *server = run->server;
+    if (!run->closed) {
+        record_end(run);
+    }
     CK_LIST_REMOVE(run, entry);
     server->running--;
     if (run->deadline_timer != NULL) {
@@ -211,6 +226,7 @@
 {
     run_t *run = arg;
     (void)connection;
+    record_end(run);
     run->closed = true;
     if (run->paused) {
         server_free_run(run);
@@ -644,8 +660,10 @@
     }
     run_t *run = mem_zalloc(sizeof(*run));
     const char *priority = find_header(req, wire_header_name(HEADER_PRIORITY));
+    const char *id = find_header(req, wire_header_name(HEADER_REQUEST_ID));
     run->server = server;
     run->req = req;
+    str_copy(run->id, sizeof(run->id), id != NULL ? id : "-");
     run->priority =
         priority != NULL ? (int)strtol(priority, NULL, 10) : PRIORITY_DEFAULT;
     str_copy(run->software, sizeof(run->software), server->software);
@@ -883,7 +901,8 @@
  * unread_ms, read_rate (bytes of requests per second on each connection that
  * is accepted from then on); brittle, room, work_ms, pace, first_ms,
  * slots, fatal_part, raw_answer, raw_every, raw_reset, extra_answer,
- * extra_every, copy_rejections, see platform_server_t, and crash; see also
+ * extra_every, copy_rejections, record_ends, see platform_server_t, and
+ * crash; see also
  * apply_engine_command and apply_life_command. */
 int
 server_command(platform_server_t *server, const json_t *command)
@@ -915,6 +934,8 @@
     }
     server->brittle = json_get_int(command, "brittle", server->brittle);
     server->room = json_get_int(command, "room", server->room);
+    server->record_ends =
+        server->record_ends || json_get_bool(command, "record_ends");
     server->work_ms = json_get_int(command, "work_ms", server->work_ms);
     server->pace = json_get_int(command, "pace", server->pace);
     server->first_ms = json_get_int(command, "first_ms", server->first_ms);
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -78,6 +78,7 @@
     CK_LIST_ENTRY(run) entry;
     struct platform_server *server;
     struct evhttp_request *req;
+    char id[CS_NAME_MAX];       /* of its request */
     unsigned next_event;        /* number of the next event to send */
     unsigned last_event;        /* number of the last event of the stream */
     int64_t version;            /* of the weights on which it started */
@@ -144,6 +145,7 @@
     double rest_s;      /* asked for in rejections if positive */
     bool leaving;       /* said in answers */
     int64_t brittle;    /* rejections a second that it bears; -1 for any */
+    bool record_ends;   /* the end of each run is recorded */
     int64_t room;       /* requests that it takes at once; 0 for any number */
     int64_t work_ms;    /* of a plain server's request */
     int64_t pace;       /* stated in its load header; 0 for none */
