--- a/kernel/call-stream.c
+++ b/kernel/call-stream.c
@@ -376,9 +376,9 @@
     return json_dumps(body, JSON_COMPACT);
 }
 
-/* Sends an attempt over a connection of its own: answers of engines bear no id,
- * and what a kept connection brings for an earlier chat must not be taken for
- * this one's. */
+/* Sends an attempt over a connection of its own: answers of engines bear no
+ * id, and what a kept connection brings for an earlier chat must not be taken
+ * for this one's. */
 static void
 attempt_send(call_t *call, attempt_t *attempt, const char *method,
              const char *url, const char *body)
