--- a/relay/stream-origins.h
+++ b/relay/stream-origins.h
@@ -41,8 +41,8 @@
     int64_t queries_updated_ms;
 } stream_origins_t;
 
-/* A question to other hosts for the origin of a stream.  Its number tells
- * their answers from late ones to earlier questions for the same stream. */
+/* A question to other hosts for the origin of a stream.  Its number
+ * distinguishes their answers from late ones to earlier questions. */
 typedef struct {
     stream_id_t stream;
     uint64_t number;
