--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -102,8 +102,8 @@
     int64_t sent_us;         /* when the request was sent; 0 until then */
     bool sent;
     bool reused;        /* its connection was open before */
-    bool replaces_idle; /* its new connection is for its id, not for want of
-                           an idle one */
+    bool replaces_idle; /* a new connection is made since all idle ones have
+                           carried its id */
     exchange_connection_t connection;
     bool in_hook;    /* a hook is running: do not free the exchange */
     bool cancelled;  /* cancelled by a hook: free the exchange after it */
@@ -253,6 +253,8 @@
     uint64_t hash;
 } unsent_id_t;
 
+/* Hashes an id, which may be NULL, once for all connections it is looked for
+ * on. */
 static unsent_id_t
 unsent_id(const char *id)
 {
--- a/kernel/sent-ids.c
+++ b/kernel/sent-ids.c
@@ -9,6 +9,7 @@
 #define SENT_IDS_MAX 4096
 #define SENT_IDS_FIRST_SIZE 8
 
+/* Returns the hash by which an id is kept. */
 uint64_t
 sent_ids_hash(const char *id)
 {
@@ -58,6 +59,7 @@
     return ids->count >= SENT_IDS_MAX;
 }
 
+/* Frees the ids; none is kept afterwards. */
 void
 sent_ids_free(sent_ids_t *ids)
 {
