Sockets: a daemon waits for its addresses instead of ending

Callers of a host that had returned got nothing, for good: the daemon ended with status 4 when one of its five addresses could not be bound at that moment, and served again only if something started it later. That is so while a former process of it still leaves (SIGTERM, and started again at once), while another program holds an address, or while a connection of another program has it as its local end.

Cause: an error that passes was treated like one of the settings. Errors of socket(), bind() and listen() that may pass without a change of the settings (address in use or not there yet, no descriptors, no memory) are now waited for, every 50 ms, in both modes and before anything else is done under the daemon's name. Callers and the balancer's check are opened last. The address for metrics is not needed to serve: it is opened when it can be had. Each change of the reason is logged with address and system error (that of a UDP address had none). Other errors end the daemon as before.

--- a/daemons/celeryspoold.c
+++ b/daemons/celeryspoold.c
@@ -2,6 +2,7 @@
 #include "../relay/relay.h"
 
 #include <argp.h>
+#include <errno.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -60,7 +61,9 @@
     parse_option,
     NULL,
     "A router for language-model traffic.\vExit status: 0 after a graceful "
-    "stop, 3 for invalid settings, 4 for an address that cannot be used.",
+    "stop, 3 for invalid settings, 4 for an address that cannot be used.  An "
+    "address that another program holds, or that the host does not have yet, "
+    "is waited for.",
     NULL,
     NULL,
     NULL};
@@ -106,6 +109,16 @@
     }
 }
 
+/* Reports why a daemon has not started; returns the exit status. */
+static int
+report_start(const err_t *err)
+{
+    bool stopped = err->code == ECANCELED;
+    log_msg(stopped ? LOG_INFO : LOG_ERROR, "daemon", "%s.", err->text);
+    log_flush();
+    return stopped ? EXIT_SUCCESS : EXIT_UNREACHABLE;
+}
+
 /* Run in relay mode, as the router on the users' platform, with records on
  * standard output. */
 static int
@@ -113,12 +126,8 @@
 {
     err_t err = {0};
     log_setup_records();
-    if (relay_run(settings, path, &err) != 0) {
-        log_error("daemon", "%s.", err.text);
-        log_flush();
-        return EXIT_UNREACHABLE;
-    }
-    return EXIT_SUCCESS;
+    return relay_run(settings, path, &err) == 0 ? EXIT_SUCCESS
+                                                : report_start(&err);
 }
 
 int
@@ -152,7 +161,6 @@
     if (settings.mode == MODE_RELAY) {
         return run_relay(&settings, args.settings);
     }
-    signals_unblock();
     if (event_setup(settings.name, settings.event_log) != 0) {
         log_error("daemon", "Cannot open the event log %s.",
                   settings.event_log);
@@ -160,9 +168,9 @@
     }
     celeryspoold_t *daemon = daemon_start(&settings, &err);
     if (daemon == NULL) {
-        log_error("daemon", "%s.", err.text);
-        return EXIT_UNREACHABLE;
+        return report_start(&err);
     }
+    signals_unblock();
     serve(daemon);
     event_emit(&(event_t){.kind = "daemon-stopped"});
     daemon_stop(daemon);
--- a/kernel/base.h
+++ b/kernel/base.h
@@ -100,6 +100,7 @@
 
 void signals_block(void);
 void signals_unblock(void);
+bool signals_stop_pending(void);
 
 /* A seeded random number generator (splitmix64), so that tests and load runs
  * are reproducible. */
--- a/kernel/daemon.c
+++ b/kernel/daemon.c
@@ -1,4 +1,5 @@
 #include "daemon.h"
+#include "local-socket.h"
 #include "snapshot.h"
 
 #include <sodium.h>
@@ -211,14 +212,30 @@
     return NULL;
 }
 
+/* Opens the sockets on the daemon's addresses, before anything else is done
+ * under its name: a former process that still has them may be working under
+ * it. */
 static int
-start_services(celeryspoold_t *daemon, err_t *err)
+open_sockets(const settings_t *settings,
+             local_socket_t sockets[DAEMON_SOCKETS], err_t *err)
+{
+    sockets[DAEMON_DATAGRAMS] = (local_socket_t){.use = "datagrams",
+                                                 .addr = settings->peer_addr,
+                                                 .kind = LOCAL_DATAGRAMS};
+    sockets[DAEMON_PEERS] = (local_socket_t){
+        .use = "peers", .addr = settings->peer_addr, .kind = LOCAL_LISTENER};
+    sockets[DAEMON_CALLERS] = (local_socket_t){
+        .use = "callers", .addr = settings->http_addr, .kind = LOCAL_LISTENER};
+    return local_sockets_wait(sockets, DAEMON_SOCKETS, err);
+}
+
+static int
+start_services(celeryspoold_t *daemon,
+               const local_socket_t sockets[DAEMON_SOCKETS], err_t *err)
 {
     const settings_t *settings = &daemon->settings;
-    daemon->peer = peer_start(daemon, err);
-    if (daemon->peer == NULL) {
-        return err_wrap(err, ERR_SETTINGS, 0, "cannot start the peer service");
-    }
+    daemon->peer = peer_start(daemon, sockets[DAEMON_DATAGRAMS].fd,
+                              sockets[DAEMON_PEERS].fd);
     snapshot_warm_up(daemon);
     (void)pthread_create(&daemon->tick_thread, NULL, tick_run, daemon);
     (void)pthread_create(&daemon->feed_thread, NULL, feed_run, daemon);
@@ -227,6 +244,7 @@
     (void)pthread_create(&daemon->order_thread, NULL, order_run, daemon);
     http_server_opts_t opts = {
         .addr = settings->http_addr,
+        .fd = sockets[DAEMON_CALLERS].fd,
         .threads = (unsigned)settings->http_threads,
         .body_max = (size_t)settings->body_max_kib * 1024,
         .connections_max = (unsigned)settings->connections_max,
@@ -239,10 +257,15 @@
                : 0;
 }
 
-/* Start a daemon; NULL with an error if it cannot listen on an address. */
+/* Start a daemon, once its addresses are available; NULL with an error if it
+ * cannot listen on one, or is told to stop before. */
 celeryspoold_t *
 daemon_start(const settings_t *settings, err_t *err)
 {
+    local_socket_t sockets[DAEMON_SOCKETS];
+    if (open_sockets(settings, sockets, err) != 0) {
+        return NULL;
+    }
     celeryspoold_t *daemon = mem_zalloc(sizeof(*daemon));
     daemon->settings = *settings;
     daemon->incarnation = (uint64_t)time_wall_ms();
@@ -250,7 +273,7 @@
     event_emit(&(event_t){.kind = "daemon-started"});
     init_tables(daemon);
     init_services(daemon);
-    if (start_services(daemon, err) != 0) {
+    if (start_services(daemon, sockets, err) != 0) {
         return NULL;
     }
     log_info("daemon", "Listening on %s, peers on %s.", settings->http_addr,
--- a/kernel/daemon.h
+++ b/kernel/daemon.h
@@ -67,6 +67,9 @@
     pthread_t order_thread;
 } celeryspoold_t;
 
+/* The sockets on a daemon's addresses, in the order they are opened. */
+enum { DAEMON_DATAGRAMS, DAEMON_PEERS, DAEMON_CALLERS, DAEMON_SOCKETS };
+
 celeryspoold_t *daemon_start(const settings_t *settings, err_t *err);
 void daemon_drain(celeryspoold_t *daemon);
 bool daemon_is_drained(celeryspoold_t *daemon);
@@ -226,7 +229,7 @@
 
 /* ---- peers ---- */
 
-peer_t *peer_start(celeryspoold_t *daemon, err_t *err);
+peer_t *peer_start(celeryspoold_t *daemon, int udp_fd, int tcp_fd);
 void peer_stop(peer_t *peer);
 void peer_byte_counts(const peer_t *peer, uint64_t *sent, uint64_t *received);
 void peer_tick(peer_t *peer);
--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -13,10 +13,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Connections waiting to be accepted.  If many callers reconnect at once and
- * the queue overflows, their SYNs are dropped and retransmitted only after a
- * second. */
-#define LISTEN_BACKLOG 4096
 /* Bytes buffered from a caller before reading from its socket pauses. */
 #define READ_AHEAD_MAX 262144
 /* A connection that is closed after a response keeps reading and discarding
@@ -442,37 +438,17 @@
     (void)bufferevent_enable(caller->bev, EV_READ | EV_WRITE);
 }
 
-/* Opens a listening socket on a local address; returns -1 on error. */
-evutil_socket_t
-http_listen(const char *addr, err_t *err)
+/* Starts accepting connections on a listening socket, which the listener
+ * closes. */
+void
+http_listener_accept(http_listener_t *listener, evutil_socket_t fd)
 {
-    struct sockaddr_in at;
-    int len = (int)sizeof(at);
-    int on = 1;
-    if (evutil_parse_sockaddr_port(addr, (struct sockaddr *)&at, &len) != 0 ||
-        at.sin_family != AF_INET) {
-        (void)err_set(err, ERR_HTTP, 1, "%s is not an IPV4:PORT address",
-                      addr);
-        return -1;
-    }
-    evutil_socket_t fd =
-        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd >= 0) {
-        (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    }
-    if (fd < 0 || bind(fd, (struct sockaddr *)&at, sizeof(at)) != 0 ||
-        listen(fd, LISTEN_BACKLOG) != 0) {
-        (void)err_set(err, ERR_HTTP, 1, "cannot listen on %s: %s", addr,
-                      strerror(errno));
-        if (fd >= 0) {
-            (void)close(fd);
-        }
-        return -1;
-    }
-    return fd;
+    listener->acceptor = evconnlistener_new(
+        listener->base, on_accept, listener,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, fd);
 }
 
-/* Starts accepting connections on a listening socket. */
+/* Opens a listener.  Without a socket it accepts no connections yet. */
 http_listener_t *
 http_listener_open(struct event_base *base, const http_listener_opts_t *opts)
 {
@@ -483,9 +459,9 @@
     listener->body_bytes_max = opts->body_bytes_max;
     listener->unsent_bytes = opts->unsent_bytes;
     CK_LIST_INIT(&listener->callers);
-    listener->acceptor = evconnlistener_new(
-        base, on_accept, listener,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, opts->fd);
+    if (opts->fd >= 0) {
+        http_listener_accept(listener, opts->fd);
+    }
     return listener;
 }
 
--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -51,7 +51,7 @@
 } http_listener_hooks_t;
 
 typedef struct {
-    evutil_socket_t fd;     /* a listening socket; the listener closes it */
+    evutil_socket_t fd;     /* see http_listener_accept; -1 for none yet */
     size_t connections_max; /* 0 for no limit */
     size_t body_bytes_max;  /* of all requests, complete or not; 0: no limit */
     int unsent_bytes; /* that a caller's socket takes in; 0: the system chooses
@@ -59,9 +59,9 @@
     http_listener_hooks_t hooks;
 } http_listener_opts_t;
 
-evutil_socket_t http_listen(const char *addr, err_t *err);
 http_listener_t *http_listener_open(struct event_base *base,
                                     const http_listener_opts_t *opts);
+void http_listener_accept(http_listener_t *listener, evutil_socket_t fd);
 void http_listener_drain(http_listener_t *listener);
 void http_listener_stop_accepting(http_listener_t *listener);
 void http_listener_close_idle(http_listener_t *listener);
--- a/kernel/http-server.c
+++ b/kernel/http-server.c
@@ -1,5 +1,6 @@
 #include "http.h"
 #include "http-listener.h"
+#include "local-socket.h"
 #include "loop.h"
 #include "url.h"
 
@@ -334,13 +335,18 @@
     worker->listener = http_listener_open(worker->loop.base, &listener_opts);
 }
 
-/* Starts a server that listens on a local address. */
+/* Starts a server on a local address. */
 http_server_t *
 http_server_start(const http_server_opts_t *opts, err_t *err)
 {
-    evutil_socket_t fd = http_listen(opts->addr, err);
-    if (fd < 0) {
-        return NULL;
+    local_socket_t local = {
+        .use = "callers", .addr = opts->addr, .kind = LOCAL_LISTENER};
+    int fd = opts->fd;
+    if (fd == 0) {
+        if (local_socket_open(&local, err) != 0) {
+            return NULL;
+        }
+        fd = local.fd;
     }
     http_server_t *server = mem_zalloc(sizeof(*server));
     server->opts = *opts;
--- a/kernel/http.h
+++ b/kernel/http.h
@@ -14,6 +14,7 @@
 
 typedef struct {
     const char *addr; /* IPV4:PORT */
+    int fd; /* a socket that listens there; 0 if the server opens one */
     unsigned threads;
     size_t body_max; /* bytes; a longer body gets a 413 */
     unsigned connections_max;
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -1,7 +1,9 @@
+#include "local-socket.h"
 #include "peer-codec.h"
 #include "snapshot.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <msgpack.h>
 #include <stdlib.h>
@@ -56,27 +58,12 @@
     (void)setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof(timeout));
 }
 
-static int
-open_socket(const char *addr, int type)
+/* The threads wait in calls on these sockets. */
+static void
+make_blocking(int fd)
 {
-    struct sockaddr_in endpoint;
-    int on = 1;
-    int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        return -1;
-    }
-    /* Lets a restarted daemon listen again at once.  Not for UDP, where
-     * two daemons could then bind the same address unnoticed. */
-    if (type == SOCK_STREAM) {
-        (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    }
-    if (parse_addr(addr, &endpoint) != 0 ||
-        bind(fd, (struct sockaddr *)&endpoint, sizeof(endpoint)) != 0) {
-        (void)close(fd);
-        return -1;
-    }
+    (void)fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) & ~O_NONBLOCK);
     set_timeouts(fd, IO_TIMEOUT_MS / 2);
-    return fd;
 }
 
 static void
@@ -345,10 +332,12 @@
         return NULL;
     }
     set_timeouts(fd, timeout_ms);
-    int failed =
-        connect(fd, (struct sockaddr *)&endpoint, sizeof(endpoint)) != 0 ||
-        send_frame(fd, document, "") != 0 ||
-        receive_frame(fd, kind, sizeof(kind), &text) != 0;
+    bool failed =
+        connect(fd, (struct sockaddr *)&endpoint, sizeof(endpoint)) != 0;
+    if (!failed) {
+        failed = send_frame(fd, document, "") != 0 ||
+                 receive_frame(fd, kind, sizeof(kind), &text) != 0;
+    }
     (void)close(fd);
     if (failed) {
         (void)err_set(err, ERR_PEER, 0, "%s does not answer", addr);
@@ -449,22 +438,17 @@
     }
 }
 
-/* Opens both sockets and starts their threads. */
+/* Starts the threads that receive datagrams and accept connections. */
 peer_t *
-peer_start(celeryspoold_t *daemon, err_t *err)
+peer_start(celeryspoold_t *daemon, int udp_fd, int tcp_fd)
 {
     peer_t *peer = mem_zalloc(sizeof(*peer));
     peer->daemon = daemon;
+    peer->udp_fd = udp_fd;
+    peer->tcp_fd = tcp_fd;
+    make_blocking(udp_fd);
+    make_blocking(tcp_fd);
     (void)pthread_mutex_init(&peer->lock, NULL);
-    peer->udp_fd = open_socket(daemon->settings.peer_addr, SOCK_DGRAM);
-    peer->tcp_fd = open_socket(daemon->settings.peer_addr, SOCK_STREAM);
-    if (peer->udp_fd < 0 || peer->tcp_fd < 0 ||
-        listen(peer->tcp_fd, 64) != 0) {
-        (void)err_set(err, ERR_PEER, 0, "cannot listen on %s",
-                      daemon->settings.peer_addr);
-        free(peer);
-        return NULL;
-    }
     (void)pthread_create(&peer->receive_thread, NULL, receive_datagrams, peer);
     (void)pthread_create(&peer->accept_thread, NULL, accept_requests, peer);
     return peer;
--- a/kernel/signals.c
+++ b/kernel/signals.c
@@ -30,3 +30,12 @@
 {
     change_mask(SIG_UNBLOCK);
 }
+
+/* Whether a signal that stops the process was received while blocked. */
+bool
+signals_stop_pending(void)
+{
+    sigset_t set;
+    return sigpending(&set) == 0 &&
+           (sigismember(&set, SIGTERM) == 1 || sigismember(&set, SIGINT) == 1);
+}
--- a/relay/listeners.c
+++ b/relay/listeners.c
@@ -205,21 +205,54 @@
 }
 
 static http_listener_t *
-open_listener(relay_t *relay, const char *addr,
-              const http_listener_hooks_t *hooks, err_t *err)
+open_listener(relay_t *relay, int fd, const http_listener_hooks_t *hooks)
 {
     http_listener_opts_t opts = {
-        .fd = http_listen(addr, err),
+        .fd = fd,
         .body_bytes_max = BODY_BYTES_MAX,
         .unsent_bytes = relay->held.budget > 0 ? HELD_UNSENT_BYTES : 0,
         .hooks = *hooks};
     opts.hooks.arg = relay;
-    return opts.fd < 0 ? NULL : http_listener_open(relay->base, &opts);
+    return http_listener_open(relay->base, &opts);
 }
 
-/* Opens the listeners. */
+/* Opens the sockets on the host's addresses that it cannot serve without,
+ * before anything else is done under its name: a former process that still has
+ * them may be working under it.  Callers and the load balancer come last, so
+ * that they are refused until their requests are read. */
 int
-listeners_open(relay_t *relay, err_t *err)
+sockets_open(const settings_t *settings, local_socket_t sockets[RELAY_SOCKETS],
+             err_t *err)
+{
+    sockets[RELAY_DATAGRAMS] = (local_socket_t){.use = "datagrams",
+                                                .addr = settings->peer_addr,
+                                                .kind = LOCAL_DATAGRAMS};
+    sockets[RELAY_PEERS] = (local_socket_t){
+        .use = "peers", .addr = settings->peer_addr, .kind = LOCAL_LISTENER};
+    sockets[RELAY_READY] = (local_socket_t){.use = "readiness",
+                                            .addr = settings->ready_addr,
+                                            .kind = LOCAL_LISTENER};
+    sockets[RELAY_CALLERS] = (local_socket_t){
+        .use = "callers", .addr = settings->http_addr, .kind = LOCAL_LISTENER};
+    return local_sockets_wait(sockets, RELAY_SOCKETS, err);
+}
+
+/* Tries to open the socket for metrics. */
+static int
+open_metrics(relay_t *relay, err_t *err)
+{
+    if (local_socket_open(&relay->metrics_socket, err) != 0) {
+        return -1;
+    }
+    http_listener_accept(relay->metrics_listener, relay->metrics_socket.fd);
+    return 0;
+}
+
+/* Opens the listeners.  That for metrics accepts connections once its address
+ * is available: the host can serve without it. */
+int
+listeners_open(relay_t *relay, const local_socket_t sockets[RELAY_SOCKETS],
+               err_t *err)
 {
     static const http_listener_hooks_t callers = {
         .limits = caller_limits,
@@ -245,16 +278,30 @@
         .on_closed = on_closed,
         .body_bytes_max = peer_body_bytes_max};
     relay->peer_listener =
-        open_listener(relay, relay->settings.peer_addr, &peers, err);
+        open_listener(relay, sockets[RELAY_PEERS].fd, &peers);
     relay->ready_listener =
-        open_listener(relay, relay->settings.ready_addr, &ready, err);
-    relay->metrics_listener =
-        open_listener(relay, relay->settings.metrics_addr, &metrics, err);
+        open_listener(relay, sockets[RELAY_READY].fd, &ready);
     relay->caller_listener =
-        open_listener(relay, relay->settings.http_addr, &callers, err);
-    return relay->caller_listener != NULL && relay->ready_listener != NULL &&
-                   relay->peer_listener != NULL &&
-                   relay->metrics_listener != NULL
-               ? 0
-               : -1;
+        open_listener(relay, sockets[RELAY_CALLERS].fd, &callers);
+    relay->metrics_listener = open_listener(relay, -1, &metrics);
+    relay->metrics_socket =
+        (local_socket_t){.use = "metrics",
+                         .addr = relay->settings.metrics_addr,
+                         .kind = LOCAL_LISTENER};
+    err_t why = {0};
+    if (open_metrics(relay, &why) != 0 &&
+        !local_socket_error_passes(why.code)) {
+        *err = why;
+        return -1;
+    }
+    return 0;
+}
+
+/* Opens the socket for metrics if its address was unavailable so far. */
+void
+listeners_tick(relay_t *relay)
+{
+    if (relay->metrics_socket.fd < 0) {
+        (void)open_metrics(relay, NULL);
+    }
 }
--- a/relay/peers.c
+++ b/relay/peers.c
@@ -79,22 +79,6 @@
     peers_send_members(peers);
 }
 
-static int
-open_socket(const char *addr)
-{
-    struct sockaddr_in sockaddr;
-    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-    if (fd < 0) {
-        return -1;
-    }
-    if (peers_parse_addr(addr, &sockaddr) != 0 ||
-        bind(fd, (struct sockaddr *)&sockaddr, sizeof(sockaddr)) != 0) {
-        (void)close(fd);
-        return -1;
-    }
-    return fd;
-}
-
 /* Adds the seed hosts of the settings to the membership.  All daemons
  * listen for datagrams on the same port, so each seed gets the port of this
  * one. */
@@ -113,16 +97,10 @@
     }
 }
 
-/* Opens the port for datagrams and starts to discover other daemons. */
+/* Starts to discover other daemons, with the socket for datagrams. */
 peers_t *
-peers_start(relay_t *relay, err_t *err)
+peers_start(relay_t *relay, int fd)
 {
-    int fd = open_socket(relay->settings.peer_addr);
-    if (fd < 0) {
-        (void)err_set(err, ERR_PEER, 1, "cannot listen on %s",
-                      relay->settings.peer_addr);
-        return NULL;
-    }
     member_t self = {.incarnation = (uint64_t)time_wall_ms()};
     str_copy(self.name, sizeof(self.name), relay->settings.name);
     str_copy(self.dc, sizeof(self.dc), relay->settings.dc);
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -299,6 +299,7 @@
         servers_compare_prefill(relay->servers, time_mono_ms());
         servers_log_speeds(relay->servers);
     }
+    listeners_tick(relay);
     discovery_tick(relay);
     service_states_tick(&relay->service_states, time_mono_ms());
     priorities_tick(relay);
@@ -379,6 +380,10 @@
 relay_open(relay_t *relay, err_t *err)
 {
     static const struct timeval interval = {0, RELAY_TICK_MS * 1000};
+    local_socket_t sockets[RELAY_SOCKETS];
+    if (sockets_open(&relay->settings, sockets, err) != 0) {
+        return -1;
+    }
     struct event_config *base_config = event_config_new();
     (void)event_config_set_flag(base_config, EVENT_BASE_FLAG_NOLOCK);
     relay->base = event_base_new_with_config(base_config);
@@ -395,13 +400,10 @@
         exchanges_set_buffers(relay->exchanges, HELD_RECEIVE_BYTES,
                               HELD_UNSENT_BYTES);
     }
-    if (listeners_open(relay, err) != 0) {
-        return -1;
-    }
-    relay->peers = peers_start(relay, err);
-    if (relay->peers == NULL) {
+    if (listeners_open(relay, sockets, err) != 0) {
         return -1;
     }
+    relay->peers = peers_start(relay, sockets[RELAY_DATAGRAMS].fd);
     relay->tick_timer = event_new(relay->base, -1, EV_PERSIST, on_tick, relay);
     (void)event_add(relay->tick_timer, &interval);
     relay->queue_timer = evtimer_new(relay->base, on_queue_timer, relay);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -10,6 +10,7 @@
 #include "../balance/request-cost.h"
 #include "../kernel/exchange.h"
 #include "../kernel/http-listener.h"
+#include "../kernel/local-socket.h"
 #include "../kernel/settings.h"
 #include "../kernel/tables.h"
 #include "meter.h"
@@ -95,6 +96,15 @@
     uint64_t hosts_digest;
 } priority_watch_t;
 
+/* The sockets that a host needs to serve, in the order they are opened. */
+enum {
+    RELAY_DATAGRAMS,
+    RELAY_PEERS,
+    RELAY_READY,
+    RELAY_CALLERS,
+    RELAY_SOCKETS
+};
+
 struct relay {
     settings_t settings;
     struct event_base *base;
@@ -105,6 +115,7 @@
     http_listener_t *ready_listener;
     http_listener_t *metrics_listener; /* serves other daemons too */
     http_listener_t *peer_listener;    /* requests that other hosts forward */
+    local_socket_t metrics_socket;
     request_list_t requests;
     request_walks_t walks; /* loops over them */
     size_t request_count;
@@ -196,7 +207,11 @@
 void relay_note_output(relay_t *relay, caller_t *caller, bool written);
 void relay_note_closed(relay_t *relay, caller_t *caller);
 void relay_held_tick(relay_t *relay);
-int listeners_open(relay_t *relay, err_t *err);
+int sockets_open(const settings_t *settings,
+                 local_socket_t sockets[RELAY_SOCKETS], err_t *err);
+int listeners_open(relay_t *relay, const local_socket_t sockets[RELAY_SOCKETS],
+                   err_t *err);
+void listeners_tick(relay_t *relay);
 
 /* ---- requests ---- */
 
@@ -246,7 +261,7 @@
 
 /* ---- other daemons ---- */
 
-peers_t *peers_start(relay_t *relay, err_t *err);
+peers_t *peers_start(relay_t *relay, int fd);
 void peers_tick(peers_t *peers);
 
 /* ---- servers' caches ---- */
