Connections: the local ends of outgoing connections hold no listener's address

A daemon could be kept from its address by a connection of another daemon on the same machine: the system chooses local ports from the range in which the addresses of a deployment may lie, and a connection without SO_REUSEADDR holds its local address while it lasts and for 60 s after (TIME_WAIT).

The option is now set on outgoing connections, after connect(), so that it does not change which port is chosen. A listener that sets it too, as ours do, can have the address during the connection and after it.

test-local-socket, outgoing_connections_do_not_hold_addresses_of_listeners, fails without the call in exchange.c (address already in use, during the connection).

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -1,4 +1,5 @@
 #include "exchange.h"
+#include "local-socket.h"
 
 #include "sent-ids.h"
 
@@ -740,6 +741,7 @@
         (void)close(fd);
         return NULL;
     }
+    local_socket_release(fd);
     conn_t *conn = mem_zalloc(sizeof(*conn));
     conn->pool = pool;
     conn->silence_ms = UNACKED_TIMEOUT_MS;
--- a/kernel/local-socket.c
+++ b/kernel/local-socket.c
@@ -151,3 +151,13 @@
     }
     return 0;
 }
+
+/* Lets listeners of other daemons have the local address of an outgoing
+ * connection, which the system has chosen, during the connection and for the
+ * minute after its end.  Before connect() it would widen that choice. */
+void
+local_socket_release(int fd)
+{
+    int on = 1;
+    (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+}
--- a/kernel/local-socket.h
+++ b/kernel/local-socket.h
@@ -23,6 +23,7 @@
 
 bool local_socket_error_passes(int error);
 int local_socket_open(local_socket_t *local, err_t *err);
+void local_socket_release(int fd);
 int local_sockets_wait(local_socket_t *locals, size_t count, err_t *err);
 
 #endif
--- a/kernel/peer.c
+++ b/kernel/peer.c
@@ -335,6 +335,7 @@
     bool failed =
         connect(fd, (struct sockaddr *)&endpoint, sizeof(endpoint)) != 0;
     if (!failed) {
+        local_socket_release(fd);
         failed = send_frame(fd, document, "") != 0 ||
                  receive_frame(fd, kind, sizeof(kind), &text) != 0;
     }
--- a/tests/test-local-socket.c
+++ b/tests/test-local-socket.c
@@ -1,7 +1,9 @@
+#include "../kernel/exchange.h"
 #include "../kernel/local-socket.h"
 #include "test.h"
 
 #include <errno.h>
+#include <event2/event.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <string.h>
@@ -144,8 +146,59 @@
 }
 END_TEST
 
+/* The local address of the connection that has been accepted last. */
+static void
+accept_address(int listener, int *fd, char out[CS_ADDR_MAX])
+{
+    struct sockaddr_in from;
+    socklen_t len = sizeof(from);
+    do {
+        *fd = accept(listener, (struct sockaddr *)&from, &len);
+    } while (*fd < 0 && errno == EAGAIN);
+    ck_assert_int_ge(*fd, 0);
+    (void)snprintf(out, CS_ADDR_MAX, "127.0.0.1:%d", ntohs(from.sin_port));
+}
+
+static void
+check_can_be_had(const char *addr, const char *when)
+{
+    err_t err = {0};
+    local_socket_t local = socket_on(addr, LOCAL_LISTENER);
+    ck_assert_msg(local_socket_open(&local, &err) == 0, "%s: %s", when,
+                  err.text);
+    (void)close(local.fd);
+}
+
+START_TEST(outgoing_connections_do_not_hold_addresses_of_listeners)
+{
+    static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    int fd;
+    char addr[CS_ADDR_MAX];
+    err_t err = {0};
+    const exchange_hooks_t hooks = {0};
+    local_socket_t server = socket_on(address(3), LOCAL_LISTENER);
+    const exchange_request_t request = {.addr = server.addr,
+                                        .head = head,
+                                        .head_len = sizeof(head) - 1,
+                                        .connect_ms = 1000,
+                                        .total_ms = 2000};
+    ck_assert_int_eq(local_socket_open(&server, &err), 0);
+    struct event_base *base = event_base_new();
+    exchanges_t *exchanges = exchanges_new(base);
+    (void)exchange_start(exchanges, &request, &hooks);
+    accept_address(server.fd, &fd, addr);
+    check_can_be_had(addr, "during the connection");
+    exchanges_free(exchanges);
+    check_can_be_had(addr, "after its end");
+    (void)close(fd);
+    (void)close(server.fd);
+    event_base_free(base);
+}
+END_TEST
+
 TEST_MAIN("local-socket", an_address_can_be_had_once_it_is_free,
           an_address_of_another_host_may_come_later,
           errors_of_the_settings_do_not_pass, a_shortage_of_descriptors_passes,
           a_held_address_is_waited_for,
-          a_stop_ends_the_wait_and_leaves_no_socket_open)
+          a_stop_ends_the_wait_and_leaves_no_socket_open,
+          outgoing_connections_do_not_hold_addresses_of_listeners)
