Settings: a file that is incomplete is read again

A host that started while its settings file was being written ended with status 3, like one whose settings are wrong, and served again only if something started it later. The platform writes the file at every start and whenever its settings change.

Cause: a file that ends too early was not told from one with a fault. A file is incomplete if it is missing, if a required setting is missing, or if its only other problems are on a last line without a newline; then it is read again every 100 ms, until it is whole or a signal asks to stop.

--- a/daemons/celeryspoold.c
+++ b/daemons/celeryspoold.c
@@ -63,7 +63,8 @@
     "A router for language-model traffic.\vExit status: 0 after a graceful "
     "stop, 3 for invalid settings, 4 for an address that cannot be used.  An "
     "address that another program holds, or that the host does not have yet, "
-    "is waited for.",
+    "is waited for, and so is a settings file that is missing or ends too "
+    "early.",
     NULL,
     NULL,
     NULL};
@@ -130,13 +131,26 @@
                                                 : report_start(&err);
 }
 
+/* Report all problems of a settings file; returns the exit status. */
+static int
+check_settings(const char *path)
+{
+    settings_t settings;
+    CLEAN_BUF buf_t problems = {0};
+    if (settings_read(&settings, path, &problems) != SETTINGS_VALID) {
+        (void)fputs(buf_text(&problems), stderr);
+        return EXIT_SETTINGS;
+    }
+    (void)printf("%s: settings are valid\n", path);
+    return EXIT_SUCCESS;
+}
+
 int
 main(int argc, char **argv)
 {
     daemon_args_t args = {0};
     settings_t settings;
     err_t err = {0};
-    CLEAN_BUF buf_t problems = {0};
     signals_block();
     (void)argp_parse(&arguments, argc, argv, 0, NULL, &args);
     if (args.help_settings) {
@@ -146,13 +160,16 @@
     if (sodium_init() < 0) {
         return EXIT_FAILURE;
     }
-    if (settings_read(&settings, args.settings, &problems) != 0) {
-        (void)fputs(buf_text(&problems), stderr);
-        return EXIT_SETTINGS;
-    }
     if (args.check) {
-        (void)printf("%s: settings are valid\n", args.settings);
-        return EXIT_SUCCESS;
+        return check_settings(args.settings);
+    }
+    switch (settings_wait(&settings, args.settings)) {
+        case SETTINGS_VALID:
+            break;
+        case SETTINGS_INCOMPLETE:
+            return EXIT_SUCCESS;
+        case SETTINGS_INVALID:
+            return EXIT_SETTINGS;
     }
     (void)signal(SIGPIPE, SIG_IGN);
     (void)signal(SIGTERM, on_signal);
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -1,11 +1,15 @@
 #include "settings.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <ini.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* Interval at which an incomplete file is read again. */
+#define REREAD_INTERVAL_MS 100
+
 typedef enum {
     SETTING_NAME,
     SETTING_TEXT,
@@ -149,10 +153,20 @@
     size_t offset;
     int line;
     int lines[SETTINGS_COUNT]; /* line that sets each setting, or 0 */
+    int cut_line;              /* the last line if no newline ends it, or 0 */
+    settings_status_t status;
     settings_t *settings;
     buf_t *problems;
 } reader_t;
 
+static void
+worsen_status(reader_t *reader, settings_status_t status)
+{
+    if (status > reader->status) {
+        reader->status = status;
+    }
+}
+
 static void
 report_problem(reader_t *reader, int line, const char *fmt, ...)
 {
@@ -162,6 +176,18 @@
     (void)vsnprintf(text, sizeof(text), fmt, args);
     va_end(args);
     buf_fmt(reader->problems, "%s:%d: %s\n", reader->file, line, text);
+    worsen_status(reader, line == reader->cut_line ? SETTINGS_INCOMPLETE
+                                                   : SETTINGS_INVALID);
+}
+
+/* Reports a required setting that is not set; more text may set it. */
+static void
+report_missing(reader_t *reader, const setting_t *entry)
+{
+    buf_fmt(reader->problems, "%s:%d: %s is missing from [%s]: %s\n",
+            reader->file, reader->line, entry->key, entry->section,
+            entry->about);
+    worsen_status(reader, SETTINGS_INCOMPLETE);
 }
 
 static const setting_t *
@@ -432,8 +458,7 @@
             continue;
         }
         if (entry->required) {
-            report_problem(reader, reader->line, "%s is missing from [%s]: %s",
-                           entry->key, entry->section, entry->about);
+            report_missing(reader, entry);
             continue;
         }
         (void)setting_parse(entry, reader->settings, entry->default_value);
@@ -474,17 +499,31 @@
     }
 }
 
+/* Returns the number of the last line if no newline ends it, or 0. */
+static int
+find_cut_line(const char *text)
+{
+    int lines = 1;
+    const char *at = text;
+    const char *newline;
+    while ((newline = strchr(at, '\n')) != NULL) {
+        lines++;
+        at = newline + 1;
+    }
+    return *at != '\0' ? lines : 0;
+}
+
 /* Parse settings from text; problems are reported under the given file
  * name. */
-int
+settings_status_t
 settings_parse(settings_t *settings, const char *name, const char *text,
                buf_t *problems)
 {
     reader_t reader = {.file = name,
                        .text = text,
+                       .cut_line = find_cut_line(text),
                        .settings = settings,
                        .problems = problems};
-    size_t before = problems->len;
     memset(settings, 0, sizeof(*settings));
     int bad_line = ini_parse_stream(next_line, &reader, on_setting, &reader);
     if (bad_line > 0) {
@@ -495,11 +534,11 @@
     }
     apply_defaults(&reader);
     check_conflicts(&reader);
-    return problems->len == before ? 0 : -1;
+    return reader.status;
 }
 
 /* Read a settings file and check all of it. */
-int
+settings_status_t
 settings_read(settings_t *settings, const char *path, buf_t *problems)
 {
     CLEAN_BUF buf_t text = {0};
@@ -507,20 +546,52 @@
     size_t len;
     FILE *file = fopen(path, "re");
     if (file == NULL) {
-        buf_fmt(problems, "%s:0: cannot be opened\n", path);
-        return -1;
+        buf_fmt(problems, "%s:0: cannot be opened: %s\n", path,
+                strerror(errno));
+        return errno == EACCES ? SETTINGS_INVALID : SETTINGS_INCOMPLETE;
     }
     while ((len = fread(block, 1, sizeof(block), file)) > 0) {
         buf_add(&text, block, len);
     }
+    bool failed = ferror(file) != 0;
     (void)fclose(file);
+    if (failed) {
+        buf_fmt(problems, "%s:0: cannot be read\n", path);
+        return SETTINGS_INVALID;
+    }
     if (strlen(buf_text(&text)) != text.len) {
         buf_fmt(problems, "%s:0: contains a NUL byte\n", path);
-        return -1;
+        return SETTINGS_INVALID;
     }
     return settings_parse(settings, path, buf_text(&text), problems);
 }
 
+/* Read a settings file, and wait while it is incomplete: it may be written at
+ * this moment.  Its problems go to standard error when they change.  Returns
+ * SETTINGS_INCOMPLETE once a blocked signal asks the process to stop. */
+settings_status_t
+settings_wait(settings_t *settings, const char *path)
+{
+    CLEAN_BUF buf_t printed = {0};
+    for (;;) {
+        CLEAN_BUF buf_t problems = {0};
+        settings_status_t status = settings_read(settings, path, &problems);
+        bool changed = strcmp(buf_text(&problems), buf_text(&printed)) != 0;
+        if (changed) {
+            (void)fputs(buf_text(&problems), stderr);
+        }
+        if (status != SETTINGS_INCOMPLETE || signals_stop_pending()) {
+            return status;
+        }
+        if (changed) {
+            (void)fprintf(stderr, "%s: waiting until it is complete\n", path);
+            buf_free(&printed);
+            buf_str(&printed, buf_text(&problems));
+        }
+        time_sleep_ms(REREAD_INTERVAL_MS);
+    }
+}
+
 /* Print every setting with its default, for --help-settings. */
 void
 settings_print_help(FILE *out)
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -53,11 +53,21 @@
     int store_timeout_ms;
 } settings_t;
 
-/* Both functions report every problem of a file, one per line:
+/* From good to bad. */
+typedef enum {
+    SETTINGS_VALID,
+    /* The file is missing or ends too early, as while it is being written. */
+    SETTINGS_INCOMPLETE,
+    SETTINGS_INVALID
+} settings_status_t;
+
+/* These functions report every problem of a file, one per line:
  * "file:line: problem". */
-int settings_read(settings_t *settings, const char *path, buf_t *problems);
-int settings_parse(settings_t *settings, const char *name, const char *text,
-                   buf_t *problems);
+settings_status_t settings_read(settings_t *settings, const char *path,
+                                buf_t *problems);
+settings_status_t settings_wait(settings_t *settings, const char *path);
+settings_status_t settings_parse(settings_t *settings, const char *name,
+                                 const char *text, buf_t *problems);
 void settings_print_help(FILE *out);
 
 #endif
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -286,6 +286,36 @@
     }
 }
 
+/* Reads the settings file again and applies those settings that may change at
+ * run time.  A file that is invalid changes nothing; one that is incomplete is
+ * read again with the next ticks. */
+static void
+reload_settings(relay_t *relay)
+{
+    settings_t fresh;
+    CLEAN_BUF buf_t problems = {0};
+    settings_status_t status =
+        settings_read(&fresh, relay->settings_path, &problems);
+    bool was_incomplete = relay->reload_incomplete;
+    relay->reload_incomplete = status == SETTINGS_INCOMPLETE;
+    if (relay->reload_incomplete && was_incomplete) {
+        return;
+    }
+    if (status != SETTINGS_VALID) {
+        log_record(
+            LOG_ERROR, "daemon",
+            relay->reload_incomplete ? "reload-waits" : "reload-refused",
+            "why=\"%.400s\"", buf_text(&problems));
+        return;
+    }
+    relay->settings.objective = fresh.objective;
+    relay->settings.stop_timeout_s = fresh.stop_timeout_s;
+    relay->settings.old_weights_max_ms = fresh.old_weights_max_ms;
+    log_setup(relay->settings.name, (log_level_t)fresh.log_level);
+    log_record(LOG_INFO, "daemon", "reloaded", "file=%s",
+               relay->settings_path);
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -293,6 +323,9 @@
     (void)fd;
     (void)what;
     record_late_tick(relay);
+    if (relay->reload_incomplete) {
+        reload_settings(relay);
+    }
     if (relay->tick_count++ % SWEEP_TICKS == 0) {
         exchanges_sweep(relay->exchanges);
         servers_centre_speeds(relay->servers);
@@ -353,27 +386,12 @@
                http_listener_connections(relay->caller_listener));
 }
 
-/* Reads the settings file again and applies those settings that may change at
- * run time.  A file that cannot be read changes nothing. */
 static void
 on_reload(evutil_socket_t number, short what, void *arg)
 {
-    relay_t *relay = arg;
-    settings_t fresh;
-    CLEAN_BUF buf_t problems = {0};
     (void)number;
     (void)what;
-    if (settings_read(&fresh, relay->settings_path, &problems) != 0) {
-        log_record(LOG_ERROR, "daemon", "reload-refused", "why=\"%.400s\"",
-                   buf_text(&problems));
-        return;
-    }
-    relay->settings.objective = fresh.objective;
-    relay->settings.stop_timeout_s = fresh.stop_timeout_s;
-    relay->settings.old_weights_max_ms = fresh.old_weights_max_ms;
-    log_setup(relay->settings.name, (log_level_t)fresh.log_level);
-    log_record(LOG_INFO, "daemon", "reloaded", "file=%s",
-               relay->settings_path);
+    reload_settings(arg);
 }
 
 static int
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -110,6 +110,7 @@
     struct event_base *base;
     struct event *tick_timer;
     struct event *signals[3];
+    bool reload_incomplete; /* the settings file was, and is read again */
     exchanges_t *exchanges;
     http_listener_t *caller_listener;
     http_listener_t *ready_listener;
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -36,7 +36,7 @@
     CLEAN_BUF buf_t problems = {0};
     int status = settings_parse(&settings, "f.ini", valid, &problems);
     ck_assert_str_eq(buf_text(&problems), "");
-    ck_assert_int_eq(status, 0);
+    ck_assert_int_eq(status, SETTINGS_VALID);
     ck_assert_str_eq(settings.name, "router-1");
     ck_assert_int_eq(settings.http_threads, 2);
     ck_assert_int_eq(settings.secret[31], 0x1f);
@@ -316,10 +316,66 @@
 }
 END_TEST
 
+static settings_status_t
+status_of(const char *text)
+{
+    settings_t settings;
+    CLEAN_BUF buf_t problems = {0};
+    settings_status_t status =
+        settings_parse(&settings, "f.ini", text, &problems);
+    ck_assert_int_eq(status == SETTINGS_VALID, problems.len == 0);
+    return status;
+}
+
+START_TEST(every_beginning_of_a_valid_file_is_incomplete)
+{
+    char text[4096];
+    size_t len = strlen(valid);
+    for (size_t i = 0; i + 1 < len; i++) {
+        str_copy(text, i + 1, valid);
+        ck_assert_msg(status_of(text) == SETTINGS_INCOMPLETE, "%zu bytes", i);
+    }
+    ck_assert_int_eq(status_of(valid), SETTINGS_VALID);
+    str_copy(text, len, valid);
+    ck_assert_int_eq(status_of(text), SETTINGS_VALID);
+}
+END_TEST
+
+START_TEST(a_problem_on_a_whole_line_is_no_matter_of_waiting)
+{
+    char text[4096];
+    ck_assert_int_eq(status_of("[daemon]\nname = a b\n"), SETTINGS_INVALID);
+    ck_assert_int_eq(status_of("[daemon]\nname = a b"), SETTINGS_INCOMPLETE);
+    ck_assert_int_eq(status_of("[nope]\nname = a\n"), SETTINGS_INVALID);
+    ck_assert_int_eq(status_of("what is this\n[daemon"), SETTINGS_INVALID);
+    str_copy(text, sizeof(text), valid);
+    strstr(text, "8201")[1] = '1';
+    ck_assert_int_eq(status_of(text), SETTINGS_INVALID);
+}
+END_TEST
+
+START_TEST(a_missing_file_is_incomplete)
+{
+    settings_t settings;
+    CLEAN_BUF buf_t problems = {0};
+    ck_assert_int_eq(settings_read(&settings, "no-such-file", &problems),
+                     SETTINGS_INCOMPLETE);
+    ck_assert_str_eq(buf_text(&problems),
+                     "no-such-file:0: cannot be opened: No such file or "
+                     "directory\n");
+    problems.len = 0;
+    ck_assert_int_eq(settings_read(&settings, "tests", &problems),
+                     SETTINGS_INVALID);
+}
+END_TEST
+
 TEST_MAIN("settings", a_valid_file_is_read_with_defaults,
           problems_name_file_line_and_allowed_values,
           all_problems_are_reported_at_once, conflicting_settings_are_problems,
           problems_never_contain_a_secret, the_example_file_is_valid,
           bounds_may_be_fractions_and_keep_their_precision,
           quota_bounds_and_memory_may_be_missing, invalid_bounds_are_problems,
-          corrupted_files_are_read_or_rejected)
+          corrupted_files_are_read_or_rejected,
+          every_beginning_of_a_valid_file_is_incomplete,
+          a_problem_on_a_whole_line_is_no_matter_of_waiting,
+          a_missing_file_is_incomplete)
