Listeners: idle connections do not take all descriptors; no busy loop without one

Callers of a host that had 256 descriptors and 400 idle connections, kept open by others, were served 5 and 32 of 64 (idle callers' connections, two plays), 0 of 64 (halves of heads; connections to the readiness address; to the address of other hosts), and its readiness check failed. Hosts that return meet just that: all clients connect again, at the first ones of them.

Causes: (1) in relay mode nothing bounded the connections that are accepted, so none were left for servers, the store and the balancer's check; (2) when accept() fails for want of a descriptor, libevent tries again at once and writes a line: 143,232 turns of the loop in 0.2 s, all of a processor, and 6.0 to 9.5 million lines on standard error in 7 s.

A listener now has a maximum: half of the descriptors for callers, an eighth for each other address (the settings' `descriptors`, new, or the system's limit). At the maximum, connections that wait for a request are closed, those that have waited longest first; one with a request, or whose request has arrived unread, never is. If none waits, or if accept() fails, accepting pauses for 20 ms. The own interface closed each new connection at its maximum of 8,000 so far; now it makes room likewise.

--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -31,6 +31,13 @@
 #define NO_ROOM_RETRY_AFTER_S "0.3"
 /* Time in which the event loop reads input that has arrived. */
 #define UNREAD_INPUT_MS 1
+/* No connection is accepted for this long when there is no room or descriptor
+ * for one; the system queues them meanwhile. */
+#define ACCEPT_PAUSE_MS 20
+/* When there are too many connections, this fraction of the maximum is closed
+ * at once, if so many wait for a request. */
+#define ROOM_FRACTION 8
+#define ROOM_LOG_INTERVAL_MS 1000
 
 typedef enum {
     CALLER_IDLE,    /* between requests */
@@ -61,6 +68,10 @@
 struct http_listener {
     struct event_base *base;
     struct evconnlistener *acceptor; /* NULL once it has stopped accepting */
+    const char *use;
+    struct event *pause_timer; /* the end of a pause in accepting */
+    size_t closed_for_room;    /* since the last record of it */
+    int64_t room_logged_ms;
     http_listener_hooks_t hooks;
     size_t connections_max;
     size_t body_bytes_max;
@@ -394,6 +405,122 @@
     hooks->on_output(hooks->arg, caller, info->n_deleted > 0);
 }
 
+/* Whether closing the connection cuts off neither a request nor a response. */
+static bool
+is_closable(const caller_t *caller)
+{
+    bool in_head =
+        caller->state == CALLER_READING && caller->reader.state == READER_HEAD;
+    return (caller->state == CALLER_IDLE || caller->state == CALLER_CLOSING ||
+            in_head) &&
+           evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0 &&
+           !has_unread_input(caller);
+}
+
+/* Closes up to count connections that have waited for a request for some time.
+ * Returns how many. */
+static size_t
+close_waiting(http_listener_t *listener, size_t count, int64_t waited_ms)
+{
+    caller_t *caller;
+    caller_t *next;
+    size_t closed = 0;
+    int64_t now = time_mono_ms();
+    CK_LIST_FOREACH_SAFE (caller, &listener->callers, entry, next) {
+        if (closed < count && now - caller->timer_armed_ms >= waited_ms &&
+            is_closable(caller)) {
+            caller_free(caller);
+            closed++;
+        }
+    }
+    return closed;
+}
+
+static void
+log_room(http_listener_t *listener)
+{
+    int64_t now = time_mono_ms();
+    if (listener->closed_for_room == 0 ||
+        now - listener->room_logged_ms < ROOM_LOG_INTERVAL_MS) {
+        return;
+    }
+    log_record(LOG_WARN, "connections", "closed-for-room",
+               "for=%s closed=%zu open=%zu max=%zu", listener->use,
+               listener->closed_for_room, listener->caller_count,
+               listener->connections_max);
+    listener->closed_for_room = 0;
+    listener->room_logged_ms = now;
+}
+
+/* Closes connections that wait for a request, first those that have waited
+ * longest. */
+static void
+make_room(http_listener_t *listener)
+{
+    size_t wanted = listener->connections_max / ROOM_FRACTION + 1;
+    size_t closed = 0;
+    int64_t waited_ms = limits_of(listener).idle_ms;
+    while (closed < wanted && waited_ms > 0) {
+        waited_ms /= 2;
+        closed += close_waiting(listener, wanted - closed, waited_ms);
+    }
+    listener->closed_for_room += closed;
+    log_room(listener);
+}
+
+static bool
+is_full(const http_listener_t *listener)
+{
+    return listener->connections_max > 0 &&
+           listener->caller_count >= listener->connections_max;
+}
+
+static void
+pause_accepting(http_listener_t *listener)
+{
+    static const struct timeval pause = {0, ACCEPT_PAUSE_MS * 1000};
+    (void)evconnlistener_disable(listener->acceptor);
+    (void)event_add(listener->pause_timer, &pause);
+}
+
+static void
+on_pause_end(evutil_socket_t fd, short what, void *arg)
+{
+    http_listener_t *listener = arg;
+    (void)fd;
+    (void)what;
+    if (listener->acceptor == NULL) {
+        return;
+    }
+    if (is_full(listener)) {
+        make_room(listener);
+    }
+    if (is_full(listener)) {
+        pause_accepting(listener);
+        return;
+    }
+    (void)evconnlistener_enable(listener->acceptor);
+}
+
+/* No connection could be accepted, mostly for want of a descriptor.  Without a
+ * pause the event loop would try again at once, and do nothing else. */
+static void
+on_accept_error(struct evconnlistener *acceptor, void *arg)
+{
+    http_listener_t *listener = arg;
+    int error = EVUTIL_SOCKET_ERROR();
+    int64_t now = time_mono_ms();
+    (void)acceptor;
+    if (now - listener->room_logged_ms >= ROOM_LOG_INTERVAL_MS) {
+        log_record(LOG_WARN, "connections", "accept-failed",
+                   "for=%s why=\"%s\" open=%zu", listener->use,
+                   strerror(error), listener->caller_count);
+        listener->room_logged_ms = now;
+    }
+    make_room(listener);
+    pause_accepting(listener);
+}
+
 static void
 on_accept(struct evconnlistener *acceptor, evutil_socket_t fd,
           struct sockaddr *from, int len, void *arg)
@@ -404,13 +531,6 @@
     (void)acceptor;
     (void)from;
     (void)len;
-    if (listener->connections_max > 0 &&
-        listener->caller_count >= listener->connections_max) {
-        log_warn("door", "Closed a new connection: %zu are open, the maximum.",
-                 listener->caller_count);
-        (void)close(fd);
-        return;
-    }
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     if (listener->unsent_bytes > 0) {
         (void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
@@ -436,6 +556,12 @@
     __atomic_add_fetch(&listener->caller_count, 1, __ATOMIC_RELAXED);
     caller_arm_timer(caller, limits.idle_ms);
     (void)bufferevent_enable(caller->bev, EV_READ | EV_WRITE);
+    if (is_full(listener)) {
+        make_room(listener);
+    }
+    if (is_full(listener)) {
+        pause_accepting(listener);
+    }
 }
 
 /* Starts accepting connections on a listening socket, which the listener
@@ -446,6 +572,7 @@
     listener->acceptor = evconnlistener_new(
         listener->base, on_accept, listener,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, fd);
+    evconnlistener_set_error_cb(listener->acceptor, on_accept_error);
 }
 
 /* Opens a listener.  Without a socket it accepts no connections yet. */
@@ -454,11 +581,13 @@
 {
     http_listener_t *listener = mem_zalloc(sizeof(*listener));
     listener->base = base;
+    listener->use = opts->use != NULL ? opts->use : "callers";
     listener->hooks = opts->hooks;
     listener->connections_max = opts->connections_max;
     listener->body_bytes_max = opts->body_bytes_max;
     listener->unsent_bytes = opts->unsent_bytes;
     CK_LIST_INIT(&listener->callers);
+    listener->pause_timer = evtimer_new(base, on_pause_end, listener);
     if (opts->fd >= 0) {
         http_listener_accept(listener, opts->fd);
     }
@@ -532,6 +661,7 @@
     while ((caller = CK_LIST_FIRST(&listener->callers)) != NULL) {
         caller_free(caller);
     }
+    event_free(listener->pause_timer);
     free(listener);
 }
 
--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -51,9 +51,12 @@
 } http_listener_hooks_t;
 
 typedef struct {
-    evutil_socket_t fd;     /* see http_listener_accept; -1 for none yet */
-    size_t connections_max; /* 0 for no limit */
-    size_t body_bytes_max;  /* of all requests, complete or not; 0: no limit */
+    const char *use;    /* what it is for, in the log */
+    evutil_socket_t fd; /* see http_listener_accept; -1 for none yet */
+    /* Where it is reached, connections that wait for a request are closed, and
+     * if there are none, no further one is accepted; 0 for no limit. */
+    size_t connections_max;
+    size_t body_bytes_max; /* of all requests, complete or not; 0: no limit */
     int unsent_bytes; /* that a caller's socket takes in; 0: the system chooses
                        */
     http_listener_hooks_t hooks;
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -137,6 +137,10 @@
      MODE_RELAY, false, "0",
      "speed of this host's network link, Mbit/s; bounds what is passed on to "
      "hosts that follow this one; 0: not known"},
+    {"relay", "descriptors", SETTING_INT, OFFSET_OF(descriptors), 0, 0,
+     1000000000, MODE_RELAY, false, "0",
+     "descriptors that this daemon may have open; callers' connections take "
+     "half of them; 0: as many as the system allows"},
     {"relay", "lease_ms", SETTING_REAL, OFFSET_OF(lease_ms), 0, 100, 600000,
      MODE_RELAY, true, NULL, "duration of the rollout leader's lease"},
     {"relay", "weights_ms", SETTING_REAL, OFFSET_OF(old_weights_max_ms), 0,
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -32,6 +32,7 @@
     double quota_slack;
     double memory_mb; /* of this host; 0 if it is not known */
     double link_mbps; /* of this host; 0 if it is not known */
+    int descriptors;  /* 0: as many as the system allows */
     int hosts_min;
     int log_level;
     char event_log[256];
--- a/relay/listeners.c
+++ b/relay/listeners.c
@@ -3,6 +3,7 @@
 #include "request-explain.h"
 
 #include <string.h>
+#include <sys/resource.h>
 
 /* The listeners of a relay: callers, readiness checks of the load balancer,
  * metrics and other daemons, requests that other hosts forward. */
@@ -20,6 +21,10 @@
 #define INTERNAL_IDLE_TIMEOUT_MS 30000
 /* Digits of a number in an explanation. */
 #define JSON_DIGITS 9
+/* The parts of all descriptors that connections of callers, and those of each
+ * other listener, may take.  A request that runs needs one to its server. */
+#define CALLER_SHARE 2
+#define INTERNAL_SHARE 8
 /* Room for the header that a forwarding host adds. */
 #define FORWARDED_HEADER_BYTES 256
 
@@ -204,11 +209,27 @@
     caller_answer(caller, 200, &headers, buf_text(&text), text.len);
 }
 
+/* Returns how many connections this host may have, of all kinds. */
+static size_t
+connections_max(const relay_t *relay)
+{
+    struct rlimit limit;
+    rlim_t descriptors = (rlim_t)relay->settings.descriptors;
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+        (descriptors == 0 || limit.rlim_cur < descriptors)) {
+        descriptors = limit.rlim_cur;
+    }
+    return (size_t)descriptors;
+}
+
 static http_listener_t *
-open_listener(relay_t *relay, int fd, const http_listener_hooks_t *hooks)
+open_listener(relay_t *relay, const local_socket_t *socket,
+              const http_listener_hooks_t *hooks, size_t connections_max)
 {
     http_listener_opts_t opts = {
-        .fd = fd,
+        .use = socket->use,
+        .fd = socket->fd,
+        .connections_max = connections_max,
         .body_bytes_max = BODY_BYTES_MAX,
         .unsent_bytes = relay->held.budget > 0 ? HELD_UNSENT_BYTES : 0,
         .hooks = *hooks};
@@ -277,17 +298,20 @@
         .on_output = on_output,
         .on_closed = on_closed,
         .body_bytes_max = peer_body_bytes_max};
-    relay->peer_listener =
-        open_listener(relay, sockets[RELAY_PEERS].fd, &peers);
-    relay->ready_listener =
-        open_listener(relay, sockets[RELAY_READY].fd, &ready);
-    relay->caller_listener =
-        open_listener(relay, sockets[RELAY_CALLERS].fd, &callers);
-    relay->metrics_listener = open_listener(relay, -1, &metrics);
+    size_t max = connections_max(relay);
+    relay->peer_listener = open_listener(relay, &sockets[RELAY_PEERS], &peers,
+                                         max / INTERNAL_SHARE);
+    relay->ready_listener = open_listener(relay, &sockets[RELAY_READY], &ready,
+                                          max / INTERNAL_SHARE);
+    relay->caller_listener = open_listener(relay, &sockets[RELAY_CALLERS],
+                                           &callers, max / CALLER_SHARE);
     relay->metrics_socket =
         (local_socket_t){.use = "metrics",
                          .addr = relay->settings.metrics_addr,
-                         .kind = LOCAL_LISTENER};
+                         .kind = LOCAL_LISTENER,
+                         .fd = -1};
+    relay->metrics_listener = open_listener(relay, &relay->metrics_socket,
+                                            &metrics, max / INTERNAL_SHARE);
     err_t why = {0};
     if (open_metrics(relay, &why) != 0 &&
         !local_socket_error_passes(why.code)) {
