Listeners: requests beyond the maximum are rejected at once

With requests on all connections that a listener may have, further callers were queued by the system and heard nothing until one ended; a host that says it is ready and takes no connection also breaks RECOVER. An eighth of the maximum is now kept free of requests that run: one that arrives there is answered 503 with a Retry-After (the answer for requests without room) before it runs. Connections are closed for room only after they have waited 50 ms for their request.

--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -35,8 +35,10 @@
  * for one; the system queues them meanwhile. */
 #define ACCEPT_PAUSE_MS 20
 /* When there are too many connections, this fraction of the maximum is closed
- * at once, if so many wait for a request. */
+ * at once, if so many have waited for a request for some time.  The same
+ * fraction is kept free of requests that run. */
 #define ROOM_FRACTION 8
+#define ROOM_WAITED_MS 50
 #define ROOM_LOG_INTERVAL_MS 1000
 
 typedef enum {
@@ -59,6 +61,7 @@
     bool body_too_long; /* the body exceeds its limit */
     bool no_room;       /* the bodies of all callers exceed theirs */
     bool in_step;       /* caller_step is running; prevents recursion */
+    bool running;       /* a request was handed over and has not ended */
     struct event *timer;
     int64_t timer_armed_ms;
 };
@@ -79,6 +82,7 @@
     int unsent_bytes;
     caller_list_t callers;
     size_t caller_count; /* also read by other threads */
+    size_t running;      /* requests that were handed over */
     bool draining;       /* each response closes its connection */
 };
 
@@ -99,6 +103,14 @@
     }
 }
 
+static void
+end_request(caller_t *caller)
+{
+    caller->owner = NULL;
+    caller->listener->running -= caller->running ? 1 : 0;
+    caller->running = false;
+}
+
 static void
 caller_free(caller_t *caller)
 {
@@ -109,6 +121,7 @@
     if (listener->hooks.on_closed != NULL) {
         listener->hooks.on_closed(listener->hooks.arg, caller);
     }
+    end_request(caller);
     CK_LIST_REMOVE(caller, entry);
     __atomic_sub_fetch(&listener->caller_count, 1, __ATOMIC_RELAXED);
     event_free(caller->timer);
@@ -239,9 +252,9 @@
     answer_bad_request(caller, 413, "the body is longer than the limit");
 }
 
-/* Rejects a request that is not complete, which has not run. */
+/* Rejects a request that has not run. */
 static void
-refuse_incomplete(caller_t *caller)
+refuse_request(caller_t *caller)
 {
     CLEAN_BUF buf_t headers = {0};
     buf_str(&headers, "Retry-After: " NO_ROOM_RETRY_AFTER_S "\r\n");
@@ -280,10 +293,25 @@
     }
 }
 
+/* Whether no further request can run: some connections are left for others, so
+ * that they hear of it. */
+static bool
+has_most_requests(const http_listener_t *listener)
+{
+    size_t max = listener->connections_max;
+    return max > 0 && listener->running >= max - max / ROOM_FRACTION;
+}
+
 static void
 hand_over_request(caller_t *caller)
 {
     const http_listener_hooks_t *hooks = &caller->listener->hooks;
+    if (has_most_requests(caller->listener)) {
+        refuse_request(caller);
+        return;
+    }
+    caller->running = true;
+    caller->listener->running++;
     caller->state = CALLER_WAITING;
     (void)event_del(caller->timer);
     hooks->on_request(hooks->arg, caller, &caller->reader.head, &caller->body);
@@ -324,7 +352,7 @@
     if (caller->no_room) {
         log_info("door", "Rejected a request: %zu bytes of bodies are held.",
                  caller->listener->body_bytes);
-        refuse_incomplete(caller);
+        refuse_request(caller);
         return false;
     }
     if (state == READER_COMPLETE) {
@@ -460,8 +488,9 @@
     size_t wanted = listener->connections_max / ROOM_FRACTION + 1;
     size_t closed = 0;
     int64_t waited_ms = limits_of(listener).idle_ms;
-    while (closed < wanted && waited_ms > 0) {
-        waited_ms /= 2;
+    while (closed < wanted && waited_ms > ROOM_WAITED_MS) {
+        waited_ms =
+            waited_ms / 2 > ROOM_WAITED_MS ? waited_ms / 2 : ROOM_WAITED_MS;
         closed += close_waiting(listener, wanted - closed, waited_ms);
     }
     listener->closed_for_room += closed;
@@ -475,6 +504,16 @@
            listener->caller_count >= listener->connections_max;
 }
 
+/* Makes room if there are too many connections; false if there is none. */
+static bool
+has_room_for_caller(http_listener_t *listener)
+{
+    if (is_full(listener)) {
+        make_room(listener);
+    }
+    return !is_full(listener);
+}
+
 static void
 pause_accepting(http_listener_t *listener)
 {
@@ -492,10 +531,7 @@
     if (listener->acceptor == NULL) {
         return;
     }
-    if (is_full(listener)) {
-        make_room(listener);
-    }
-    if (is_full(listener)) {
+    if (!has_room_for_caller(listener)) {
         pause_accepting(listener);
         return;
     }
@@ -556,10 +592,7 @@
     __atomic_add_fetch(&listener->caller_count, 1, __ATOMIC_RELAXED);
     caller_arm_timer(caller, limits.idle_ms);
     (void)bufferevent_enable(caller->bev, EV_READ | EV_WRITE);
-    if (is_full(listener)) {
-        make_room(listener);
-    }
-    if (is_full(listener)) {
+    if (!has_room_for_caller(listener)) {
         pause_accepting(listener);
     }
 }
@@ -647,7 +680,7 @@
     caller_t *next;
     CK_LIST_FOREACH_SAFE (caller, &listener->callers, entry, next) {
         if (caller->state == CALLER_READING) {
-            refuse_incomplete(caller);
+            refuse_request(caller);
         }
     }
 }
@@ -726,7 +759,7 @@
 static void
 caller_answer_done(caller_t *caller)
 {
-    caller->owner = NULL;
+    end_request(caller);
     drop_body(caller);
     caller->body_too_long = false;
     caller->no_room = false;
@@ -800,7 +833,7 @@
 void
 caller_abort(caller_t *caller)
 {
-    caller->owner = NULL;
+    end_request(caller);
     caller->close_after = true;
     caller_close(caller);
 }
--- a/kernel/http-listener.h
+++ b/kernel/http-listener.h
@@ -53,8 +53,9 @@
 typedef struct {
     const char *use;    /* what it is for, in the log */
     evutil_socket_t fd; /* see http_listener_accept; -1 for none yet */
-    /* Where it is reached, connections that wait for a request are closed, and
-     * if there are none, no further one is accepted; 0 for no limit. */
+    /* At the maximum, connections that wait for a request are closed; when
+     * requests run on most of them, further ones are rejected.  0: no limit.
+     */
     size_t connections_max;
     size_t body_bytes_max; /* of all requests, complete or not; 0: no limit */
     int unsent_bytes; /* that a caller's socket takes in; 0: the system chooses
