Start: a daemon waits for descriptors; messages of libevent never block

A host that started without enough descriptors ended (libevent's "evsig_init_: socketpair: Too many open files", in the function that creates the event loop, is fatal), and served again only if something started it later. A shortage passes, so the start now waits until 32 descriptors can be opened, as it waits for its addresses.

libevent's messages went to standard error, in the event loop: a reader that stalls would have stopped the host. They are records now, which are bounded and never block.

--- a/kernel/local-socket.c
+++ b/kernel/local-socket.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <event2/util.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -11,6 +12,9 @@
  * the queue overflows, their SYNs are dropped and retransmitted only after a
  * second. */
 #define LISTEN_BACKLOG 4096
+/* Descriptors that a start takes besides the sockets: event loops, their
+ * signals and timers, first connections. */
+#define START_DESCRIPTORS 32
 /* Interval at which an unavailable address is tried again. */
 #define RETRY_INTERVAL_MS 50
 
@@ -112,44 +116,100 @@
                    local->addr, strerror(error));
 }
 
-/* Opens a socket on a local address, and waits while that is unavailable. */
+/* Whether the process may open as many descriptors as a start takes.  The
+ * event library ends the process if it cannot open its own. */
+static int
+check_descriptors(err_t *err)
+{
+    int fds[START_DESCRIPTORS];
+    size_t count = 0;
+    int error = 0;
+    while (count < START_DESCRIPTORS && error == 0) {
+        fds[count] = fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0);
+        error = fds[count] < 0 ? errno : 0;
+        count += error == 0 ? 1 : 0;
+    }
+    while (count-- > 0) {
+        (void)close(fds[count]);
+    }
+    return error == 0 || error == EBADF
+               ? 0
+               : err_set(err, ERR_HTTP, error,
+                         "cannot open %d descriptors: %s", START_DESCRIPTORS,
+                         strerror(error));
+}
+
+/* Waits before the next try.  Returns -1 for an error that does not pass, and
+ * once the process is to stop. */
+static int
+wait_for_retry(const err_t *why, err_t *err)
+{
+    if (!local_socket_error_passes(why->code)) {
+        *err = *why;
+        return -1;
+    }
+    if (signals_stop_pending()) {
+        return err_set(err, ERR_HTTP, ECANCELED,
+                       "Stopped while waiting: %.250s", why->text);
+    }
+    log_flush();
+    time_sleep_ms(RETRY_INTERVAL_MS);
+    return 0;
+}
+
+static int
+wait_for_descriptors(err_t *err)
+{
+    err_t why = {0};
+    bool logged = false;
+    while (check_descriptors(&why) != 0) {
+        if (!logged) {
+            log_record(LOG_WARN, "daemon", "descriptors-unavailable",
+                       "why=\"%s\"", why.text);
+        }
+        logged = true;
+        if (wait_for_retry(&why, err) != 0) {
+            return -1;
+        }
+    }
+    return 0;
+}
+
 static int
 wait_for_socket(local_socket_t *local, err_t *err)
 {
     err_t why = {0};
     while (local_socket_open(local, &why) != 0) {
-        if (!local_socket_error_passes(why.code)) {
-            *err = why;
+        if (wait_for_retry(&why, err) != 0) {
             return -1;
         }
-        if (signals_stop_pending()) {
-            return err_set(err, ERR_HTTP, ECANCELED,
-                           "Stopped while waiting: %.250s", why.text);
-        }
-        log_flush();
-        time_sleep_ms(RETRY_INTERVAL_MS);
     }
     return 0;
 }
 
 /* Opens sockets on local addresses, one after the other, and waits while one
- * is unavailable.  Returns -1 for an error that does not pass, and with the
- * code ECANCELED once a blocked signal asks the process to stop; then none is
- * open. */
+ * is unavailable, and before that until there are descriptors for what else a
+ * start opens.  Returns -1 for an error that does not pass, and with the code
+ * ECANCELED once a blocked signal asks the process to stop; then none is open.
+ */
 int
 local_sockets_wait(local_socket_t *locals, size_t count, err_t *err)
 {
-    for (size_t i = 0; i < count; i++) {
-        if (wait_for_socket(&locals[i], err) == 0) {
-            continue;
-        }
-        while (i-- > 0) {
-            (void)close(locals[i].fd);
-            locals[i].fd = -1;
-        }
+    size_t opened = 0;
+    if (wait_for_descriptors(err) != 0) {
         return -1;
     }
-    return 0;
+    while (opened < count && wait_for_socket(&locals[opened], err) == 0) {
+        opened++;
+    }
+    if (opened == count) {
+        return 0;
+    }
+    while (opened-- > 0) {
+        (void)close(locals[opened].fd);
+        locals[opened].fd = -1;
+    }
+    return -1;
 }
 
 /* Lets listeners of other daemons have the local address of an outgoing
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -394,6 +394,18 @@
     reload_settings(arg);
 }
 
+/* Takes the messages of the event library, which would write them to standard
+ * error and wait for its reader. */
+static void
+on_library_message(int severity, const char *text)
+{
+    log_msg(severity >= EVENT_LOG_WARN ? LOG_WARN : LOG_DEBUG, "loop", "%s",
+            text);
+    if (severity >= EVENT_LOG_ERR) {
+        log_flush(); /* the library ends the process */
+    }
+}
+
 static int
 relay_open(relay_t *relay, err_t *err)
 {
@@ -402,6 +414,7 @@
     if (sockets_open(&relay->settings, sockets, err) != 0) {
         return -1;
     }
+    event_set_log_callback(on_library_message);
     struct event_config *base_config = event_config_new();
     (void)event_config_set_flag(base_config, EVENT_BASE_FLAG_NOLOCK);
     relay->base = event_base_new_with_config(base_config);
