Answers: a status that does not exist is no answer

A server in trouble that answered with status 000 held its callers until their route's time was over (504; 6 of 6 on each of three kinds of routes, no send-failed record). Found besides: with "0200" 4 of 6 callers got the answer as a 200, with 999 three of six got status 999; 007, 099 and 20 held like 000.

Cause: http-parser takes any number below 1,000 for a status, however many digits it has, and whatever was below 200 counted as an interim answer, which another one follows. A response is now one whose status line has a version, a blank and exactly three digits from 100 to 599; any other is malformed, at once, wherever it is read (servers, hosts, health checks, reports, orders, the store).

--- a/fakes/fake-garbage.c
+++ b/fakes/fake-garbage.c
@@ -11,13 +11,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Entry point of a stand-in for a broken backend server: it answers requests
- * with bytes of a chosen kind that come at a chosen rate until the caller
- * closes.  GET /garbage/KIND chooses another kind.  Health checks and reports
- * get a sound answer, or with --probes the same bytes.  A line to the standard
- * output for each connection that ends after such an answer. */
+/* Entry point of a stand-in for a broken backend server: it answers requests,
+ * as soon as it has their head, with bytes of a chosen kind that come at a
+ * chosen rate until the caller closes, or that end early.  GET /garbage/KIND
+ * chooses another kind.  Health checks and reports get a sound answer, or with
+ * --probes the same bytes.  A line to the standard output for each connection
+ * that ends after such an answer. */
 
 #define TICK_MS 5
+/* Time from the answer to the end of a connection that the server ends. */
+#define END_MS 30
+#define HUNDRED_BYTES                                   \
+    "0123456789012345678901234567890123456789012345678" \
+    "9012345678901234567890123456789012345678901234567890"
 /* Unsent bytes of a connection above which it waits for the peer. */
 #define UNSENT_MAX (4u << 20)
 #define REQUEST_MAX 16384
@@ -30,46 +36,73 @@
     HEAD_CHUNKED, /* the same with chunks */
     HEAD_EVENTS,  /* the same as a stream of events */
     HEAD_FAILURE, /* 500 with the request's id and a signature */
+    HEAD_LENGTH,  /* 200 with them and a length of 5,000 */
+    HEAD_STATUS,  /* what the kind begins with, then the same with 5 bytes */
     HEAD_REJECTED /* 503 that states that the request has not run */
 } head_t;
 
+/* How the connection ends; those that end do so after END_MS. */
+typedef enum { END_NONE, END_RESET, END_CLOSE } end_t;
+
 typedef struct {
     const char *name;
     head_t head;
-    const char *begin; /* once after the head */
-    const char *more;  /* without end */
+    const char *begin; /* once after the head; the status if that lacks it */
+    const char *more;  /* without end; NULL for nothing */
+    end_t end;
 } kind_t;
 
 static const kind_t kinds[] = {
-    {"bytes", HEAD_NONE, "", "no answer "},
-    {"http-bytes", HEAD_NONE, "HTTP/1.1 200 ", "no answer "},
-    {"empty-lines", HEAD_NONE, "", "\r\n"},
-    {"newlines", HEAD_NONE, "", "\n"},
-    {"head", HEAD_NONE, "HTTP/1.1 200 OK\r\n", "X-More: 0123456789\r\n"},
-    {"interim", HEAD_NONE, "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    {"bytes", HEAD_NONE, "", "no answer ", END_NONE},
+    {"http-bytes", HEAD_NONE, "HTTP/1.1 200 ", "no answer ", END_NONE},
+    {"empty-lines", HEAD_NONE, "", "\r\n", END_NONE},
+    {"newlines", HEAD_NONE, "", "\n", END_NONE},
+    {"head", HEAD_NONE, "HTTP/1.1 200 OK\r\n", "X-More: 0123456789\r\n",
+     END_NONE},
+    {"interim", HEAD_NONE, "", "HTTP/1.1 102 Processing\r\n\r\n", END_NONE},
     {"strays", HEAD_NONE, "",
      "HTTP/1.1 200 OK\r\nX-Celeryspool-Attempt-Id: someone-else\r\n"
      "X-Celeryspool-Server-Signature: sig.x\r\nContent-Length: 5\r\n\r\n"
-     "wrong"},
+     "wrong",
+     END_NONE},
     {"stray-body", HEAD_NONE,
      "HTTP/1.1 200 OK\r\nX-Celeryspool-Attempt-Id: someone-else\r\n"
      "X-Celeryspool-Server-Signature: sig.x\r\n\r\n",
-     "wrong"},
-    {"unsigned", HEAD_NONE, "HTTP/1.1 200 OK\r\n\r\n", "no answer "},
-    {"body", HEAD_OK, "", "0123456789"},
-    {"chunks", HEAD_CHUNKED, "", "a\r\n0123456789\r\n"},
-    {"no-chunks", HEAD_CHUNKED, "a\r\n0123456789\r\n", "no chunk "},
-    {"chunk-extension", HEAD_CHUNKED, "a;", "more"},
+     "wrong", END_NONE},
+    {"unsigned", HEAD_NONE, "HTTP/1.1 200 OK\r\n\r\n", "no answer ", END_NONE},
+    {"body", HEAD_OK, "", "0123456789", END_NONE},
+    {"chunks", HEAD_CHUNKED, "", "a\r\n0123456789\r\n", END_NONE},
+    {"no-chunks", HEAD_CHUNKED, "a\r\n0123456789\r\n", "no chunk ", END_NONE},
+    {"chunk-extension", HEAD_CHUNKED, "a;", "more", END_NONE},
     {"chunk-extensions", HEAD_CHUNKED, "",
-     "1;0123456789012345678901234567890123456789\r\nx\r\n"},
+     "1;0123456789012345678901234567890123456789\r\nx\r\n", END_NONE},
     {"trailer", HEAD_CHUNKED, "a\r\n0123456789\r\n0\r\n",
-     "X-More: 0123456789\r\n"},
-    {"event", HEAD_EVENTS, "id: 1\ndata: token-1\n\n", "data: no end\n"},
+     "X-More: 0123456789\r\n", END_NONE},
+    {"event", HEAD_EVENTS, "id: 1\ndata: token-1\n\n", "data: no end\n",
+     END_NONE},
     {"repeats", HEAD_EVENTS, "id: 1\ndata: token-1\n\n",
-     "id: 1\ndata: token-1\n\n"},
-    {"events", HEAD_EVENTS, "", "data: 0123456789\n\n"},
-    {"failure", HEAD_FAILURE, "", "0123456789"},
-    {"rejection", HEAD_REJECTED, "", "0123456789"},
+     "id: 1\ndata: token-1\n\n", END_NONE},
+    {"events", HEAD_EVENTS, "", "data: 0123456789\n\n", END_NONE},
+    {"failure", HEAD_FAILURE, "", "0123456789", END_NONE},
+    {"rejection", HEAD_REJECTED, "", "0123456789", END_NONE},
+    {"part-reset", HEAD_OK, HUNDRED_BYTES, NULL, END_RESET},
+    {"part-closed", HEAD_OK, HUNDRED_BYTES, NULL, END_CLOSE},
+    {"length-reset", HEAD_LENGTH, HUNDRED_BYTES, NULL, END_RESET},
+    {"length-closed", HEAD_LENGTH, HUNDRED_BYTES, NULL, END_CLOSE},
+    {"chunks-reset", HEAD_CHUNKED, "5\r\nwrong\r\n", NULL, END_RESET},
+    {"chunks-closed", HEAD_CHUNKED, "5\r\nwrong\r\n", NULL, END_CLOSE},
+    {"events-reset", HEAD_EVENTS, "id: 1\ndata: token-1\n\n", NULL, END_RESET},
+    {"status-000", HEAD_STATUS, "000 Odd", NULL, END_NONE},
+    {"status-007", HEAD_STATUS, "007 Odd", NULL, END_NONE},
+    {"status-099", HEAD_STATUS, "099 Odd", NULL, END_NONE},
+    {"status-0200", HEAD_STATUS, "0200 Odd", NULL, END_NONE},
+    {"status-20", HEAD_STATUS, "20 Odd", NULL, END_NONE},
+    {"status-minus", HEAD_STATUS, "-20 Odd", NULL, END_NONE},
+    {"status-2x0", HEAD_STATUS, "2x0 Odd", NULL, END_NONE},
+    {"status-none", HEAD_STATUS, "", NULL, END_NONE},
+    {"status-600", HEAD_STATUS, "600 Odd", NULL, END_NONE},
+    {"status-999", HEAD_STATUS, "999 Odd", NULL, END_NONE},
+    {"status-1000", HEAD_STATUS, "1000 Odd", NULL, END_NONE},
 };
 
 typedef struct {
@@ -89,6 +122,7 @@
     size_t sent;
     size_t next; /* byte of what is repeated */
     double due;  /* bytes */
+    int ticks;   /* since the answer */
     int64_t begun_ms;
 } peer_t;
 
@@ -182,12 +216,39 @@
     }
 }
 
+/* Ends a connection of which the rest of the request is not read. */
+static void
+end_connection(peer_t *peer)
+{
+    static const struct linger reset = {1, 0};
+    evutil_socket_t fd = bufferevent_getfd(peer->bev);
+    switch (peer->kind->end) {
+        case END_NONE:
+            return;
+        case END_RESET:
+            (void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+            peer_free(peer);
+            return;
+        case END_CLOSE:
+            (void)event_del(peer->timer);
+            (void)shutdown(fd, SHUT_WR);
+            return;
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
     peer_t *peer = arg;
     (void)fd;
     (void)what;
+    if (peer->kind->more == NULL) {
+        peer->ticks++;
+        if (peer->ticks * TICK_MS >= END_MS) {
+            end_connection(peer);
+        }
+        return;
+    }
     if (evbuffer_get_length(bufferevent_get_output(peer->bev)) > UNSENT_MAX) {
         return;
     }
@@ -211,32 +272,42 @@
     }
 }
 
+/* Adds the head of the answer and what follows it once. */
 static void
-add_head(const peer_t *peer, const char *request)
+add_answer(const peer_t *peer, const char *request)
 {
     static const char *const first[] = {
         [HEAD_OK] = "200 OK",
         [HEAD_CHUNKED] = "200 OK\r\nTransfer-Encoding: chunked",
         [HEAD_EVENTS] = "200 OK\r\nContent-Type: text/event-stream",
         [HEAD_FAILURE] = "500 Failed",
+        [HEAD_LENGTH] = "200 OK\r\nContent-Length: 5000",
         [HEAD_REJECTED] = "503 Full"};
     struct evbuffer *out = bufferevent_get_output(peer->bev);
     char id[128];
     if (peer->kind->head == HEAD_NONE) {
+        (void)evbuffer_add_printf(out, "%s", peer->kind->begin);
         return;
     }
     copy_header(request, HEADER_REQUEST_ID, id, sizeof(id));
-    (void)evbuffer_add_printf(out, "HTTP/1.1 %s\r\n%s: %s\r\n",
-                              first[peer->kind->head],
+    const char *status = peer->kind->head == HEAD_STATUS
+                             ? peer->kind->begin
+                             : first[peer->kind->head];
+    (void)evbuffer_add_printf(out, "HTTP/1.1 %s\r\n%s: %s\r\n", status,
                               wire_header_name(HEADER_REQUEST_ID), id);
     if (peer->kind->head == HEAD_REJECTED) {
-        (void)evbuffer_add_printf(out, "%s: 1\r\n\r\n",
-                                  wire_header_name(HEADER_NOT_EXECUTED));
+        (void)evbuffer_add_printf(out, "%s: 1\r\n\r\n%s",
+                                  wire_header_name(HEADER_NOT_EXECUTED),
+                                  peer->kind->begin);
         return;
     }
-    (void)evbuffer_add_printf(out, "%s: sig.%s.%s\r\n\r\n",
-                              wire_header_name(HEADER_SIGNATURE),
-                              peer->server->id, id);
+    (void)evbuffer_add_printf(
+        out, "%s: sig.%s.%s\r\n%s\r\n", wire_header_name(HEADER_SIGNATURE),
+        peer->server->id, id,
+        peer->kind->head == HEAD_STATUS ? "Content-Length: 5\r\n" : "");
+    (void)evbuffer_add_printf(
+        out, "%s",
+        peer->kind->head == HEAD_STATUS ? "wrong" : peer->kind->begin);
 }
 
 static void
@@ -245,9 +316,10 @@
     static const struct timeval tick = {0, TICK_MS * 1000};
     peer->kind = peer->server->kind;
     peer->begun_ms = time_mono_ms();
-    add_head(peer, request);
-    (void)bufferevent_write(peer->bev, peer->kind->begin,
-                            strlen(peer->kind->begin));
+    add_answer(peer, request);
+    if (peer->kind->end != END_NONE) {
+        (void)bufferevent_disable(peer->bev, EV_READ);
+    }
     (void)event_add(peer->timer, &tick);
 }
 
--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -182,17 +182,23 @@
     }
 }
 
+/* The begin of a status line; #: a digit. */
+static const char status_line[] = "HTTP/1.# ###";
+#define STATUS_LINE_LEN (sizeof(status_line) - 1)
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 /* Whether the text begins with a version and a status. */
 static bool
 begins_status_line(const char *text, size_t len)
 {
-    static const char pattern[] = "HTTP/1.# ###"; /* #: a digit */
-    if (len < sizeof(pattern) - 1) {
+    if (len < STATUS_LINE_LEN) {
         return false;
     }
-    for (size_t i = 0; pattern[i] != '\0'; i++) {
-        bool matches = pattern[i] == '#' ? isdigit((unsigned char)text[i]) != 0
-                                         : text[i] == pattern[i];
+    for (size_t i = 0; i < STATUS_LINE_LEN; i++) {
+        bool matches = status_line[i] == '#'
+                           ? isdigit((unsigned char)text[i]) != 0
+                           : text[i] == status_line[i];
         if (!matches) {
             return false;
         }
@@ -200,14 +206,31 @@
     return true;
 }
 
-/* Rejects a response whose head has a second status line in it.  A faulty
- * server may begin a head that it does not end; the head of its next response
- * then continues the last line, and the fields of both would be read as one.
- */
+/* Whether a head begins with a status line whose status exists.  http-parser
+ * takes any number below 1,000 for a status, however many digits it has. */
+static bool
+has_valid_status(const http_reader_t *reader)
+{
+    const buf_t *text = &reader->head.text;
+    return begins_status_line(text->data, text->len) &&
+           text->len > STATUS_LINE_LEN &&
+           memchr(" \r\n", text->data[STATUS_LINE_LEN], 3) != NULL &&
+           reader->head.status >= STATUS_MIN &&
+           reader->head.status <= STATUS_MAX;
+}
+
+/* Rejects a response without a valid status, and one whose head has a second
+ * status line in it.  A faulty server may begin a head that it does not end;
+ * the head of its next response then continues the last line, and the fields
+ * of both would be read as one. */
 static void
 check_response(http_reader_t *reader)
 {
     const buf_t *text = &reader->head.text;
+    if (!has_valid_status(reader)) {
+        (void)reject(reader, 400, "no valid status");
+        return;
+    }
     for (size_t i = 1; i < text->len; i++) {
         if (begins_status_line(text->data + i, text->len - i)) {
             (void)reject(reader, 400, "a status line within the head");
--- /dev/null
+++ b/tests/garbage-lib.sh
@@ -0,0 +1,39 @@
+# Shared by the tests with broken backend servers (fake-garbage) behind routes of
+# their own: one service, bad-NAME, and routes of each kind at /KIND-NAME/.
+
+GARBAGE_TIMEOUT_MS=${GARBAGE_TIMEOUT_MS:-3000}
+GARBAGE_ATTEMPTS=${GARBAGE_ATTEMPTS:-1}
+
+# garbage_routes NAME…: relay_config with routes to these services, and long bodies
+garbage_routes() {
+    local name routes= services=
+    for name in "$@"; do
+        routes+="{\"name\":\"read-$name\",\"host\":\"a.example\",\"path_prefix\":\"/read-$name/\",\"kind\":\"idempotent\",\"timeout_ms\":$GARBAGE_TIMEOUT_MS,\"target_latency_ms\":500,\"attempts\":$GARBAGE_ATTEMPTS,\"priority\":2,\"service\":\"bad-$name\"},"
+        routes+="{\"name\":\"strike-$name\",\"host\":\"a.example\",\"path_prefix\":\"/strike-$name/\",\"kind\":\"non_idempotent\",\"timeout_ms\":$GARBAGE_TIMEOUT_MS,\"target_latency_ms\":500,\"attempts\":1,\"priority\":2,\"service\":\"bad-$name\"},"
+        routes+="{\"name\":\"stream-$name\",\"host\":\"a.example\",\"path_prefix\":\"/stream-$name/\",\"kind\":\"streaming\",\"timeout_ms\":$GARBAGE_TIMEOUT_MS,\"target_latency_ms\":500,\"target_gap_ms\":800,\"attempts\":1,\"resumable\":false,\"priority\":2,\"service\":\"bad-$name\"},"
+        services+="{\"name\":\"bad-$name\",\"health_check_path\":\"/health\"},"
+    done
+    relay_config 2 | sed "s|\"routes\":\[|&$routes|; s|\"services\":\[|&$services|; s|\"max_body_bytes\":65536|\"max_body_bytes\":4194304|"
+}
+
+# start_bad_server NUMBER NAME [OPTION…]: a server of bad-NAME that answers with kind NAME
+start_bad_server() {
+    local number=$1 name=$2 n
+    shift 2
+    run "garbage-$number" "$BUILD/fake-garbage" --listen "$(server_addr "$number")" --id "g-$number" --kind "$name" "$@"
+    for ((n = 0; n < 200; n++)); do
+        (: >"/dev/tcp/127.0.0.1/$(server_addr "$number" | cut -d: -f2)") 2>/dev/null && break
+        sleep 0.02
+    done
+    post_admin "object/servers/g-$number" "{\"service\":\"bad-$name\",\"address\":\"$(server_addr "$number")\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":1000}"
+}
+
+# timed_call FILE HOST PATH [OPTION…]: "STATUS CURL_EXIT MS" goes to the file, the body to FILE.body
+timed_call() {
+    local file=$1 host=$2 path=$3 begun
+    shift 3
+    begun=$(now_ms)
+    curl -s -o "$file.body" --max-time 8 -w '%{http_code}' -H 'Host: a.example' -H "X-Celeryspool-Attempt-Id: $(basename "$file")" \
+        -H 'X-Celeryspool-Deadline-Milliseconds: 6000' "${KEY1[@]}" "$@" "http://$(relay_addr "$host")$path" >"$file"
+    echo " $? $(($(now_ms) - begun))" >>"$file"
+}
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -238,6 +238,34 @@
 }
 END_TEST
 
+/* Guards against statuses that are taken for others, or for those of interim
+ * responses. */
+START_TEST(a_response_has_a_status_of_three_digits)
+{
+    static const char *const valid[] = {"HTTP/1.1 100 Continue",
+                                        "HTTP/1.1 200 OK", "HTTP/1.1 200",
+                                        "HTTP/1.0 204 ", "HTTP/1.1 599 x"};
+    static const char *const odd[] = {
+        "HTTP/1.1 000 x",     "HTTP/1.1 007 x",  "HTTP/1.1 099 x",
+        "HTTP/1.1 600 x",     "HTTP/1.1 999 x",  "HTTP/1.1 1000 x",
+        "HTTP/1.1 0200 x",    "HTTP/1.1 20 x",   "HTTP/1.1 2 x",
+        "HTTP/1.1 -20 x",     "HTTP/1.1 2x0 x",  "HTTP/1.1 x",
+        "HTTP/1.1 ",          "HTTP/1.1  200 x", "HTTP/1.10 200 x",
+        "\r\nHTTP/1.1 200 x", "HTTP/1.1 200x",   "HTTP/2.0 200 OK"};
+    char text[256];
+    for (size_t i = 0; i < sizeof(valid) / sizeof(valid[0]); i++) {
+        (void)snprintf(text, sizeof(text), "%s\r\nContent-Length: 0\r\n\r\n",
+                       valid[i]);
+        ck_assert_msg(read_response(text) == READER_COMPLETE, "%s", valid[i]);
+    }
+    for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+        (void)snprintf(text, sizeof(text), "%s\r\nContent-Length: 0\r\n\r\n",
+                       odd[i]);
+        ck_assert_msg(read_response(text) == READER_INVALID, "%s", odd[i]);
+    }
+}
+END_TEST
+
 /* Guards against a trailer whose lines are taken for some of the head, which
  * no longer holds them. */
 START_TEST(a_trailer_is_not_part_of_the_head)
@@ -292,6 +320,7 @@
 
 TEST_MAIN("http-reader", ambiguous_requests_are_rejected,
           a_head_with_two_status_lines_is_no_response,
+          a_response_has_a_status_of_three_digits,
           a_head_over_the_limit_gets_431, the_next_request_stays_in_the_buffer,
           a_request_may_arrive_byte_by_byte,
           a_response_without_a_length_ends_with_its_connection,
