Answers: one without a length is cut off if its server ends it before it has the request

A server that answered a long upload at once with a 200 without a length, sent 100 bytes and closed its side while most of the upload was unread: 2 of 3 callers got these bytes as a complete answer. The end of the connection is all that ends such an answer, and a server that ends it before it has the request is leaving. The exchange now counts as broken if output is still queued for it, in the process or in the system (SIOCOUTQ); with a length or chunks nothing changes.

Resets were told apart before already.

--- a/fakes/fake-garbage.c
+++ b/fakes/fake-garbage.c
@@ -27,6 +27,8 @@
 /* Unsent bytes of a connection above which it waits for the peer. */
 #define UNSENT_MAX (4u << 20)
 #define REQUEST_MAX 16384
+/* Of a request that it does not read: most of a long body stays unsent. */
+#define RECEIVE_BYTES 32768
 #define COMMAND "GET /garbage/"
 #define RATE_DEFAULT_MB_S 40
 
@@ -399,7 +401,10 @@
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
           struct sockaddr *from, int len, void *arg)
 {
+    const int receive_bytes = RECEIVE_BYTES;
     peer_t *peer = mem_zalloc(sizeof(*peer));
+    (void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+                     sizeof(receive_bytes));
     (void)listener;
     (void)from;
     (void)len;
--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -5,11 +5,13 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -612,6 +614,27 @@
     }
 }
 
+/* Whether the server has not received all that was sent to it. */
+static bool
+has_unsent_output(const conn_t *conn)
+{
+    int queued = 0;
+    return evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0 ||
+           (ioctl(bufferevent_getfd(conn->bev), SIOCOUTQ, &queued) == 0 &&
+            queued > 0);
+}
+
+/* Whether the end of the connection completes the response.  One without a
+ * length may have been cut off if the server ends the connection before it has
+ * the whole request. */
+static bool
+completes_response(exchange_t *exchange)
+{
+    bool until_close = exchange->reader.head.until_close;
+    return http_reader_eof(&exchange->reader) == READER_COMPLETE &&
+           !(until_close && has_unsent_output(exchange->conn));
+}
+
 static void
 on_event(struct bufferevent *bev, short what, void *arg)
 {
@@ -633,8 +656,7 @@
         conn_free(conn);
         return;
     }
-    if ((what & BEV_EVENT_EOF) != 0 &&
-        http_reader_eof(&exchange->reader) == READER_COMPLETE) {
+    if ((what & BEV_EVENT_EOF) != 0 && completes_response(exchange)) {
         if (exchange->skipping) {
             exchange_end(exchange, EXCHANGE_NO_ANSWER);
             return;
