--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -212,9 +212,12 @@
 has_valid_status(const http_reader_t *reader)
 {
     const buf_t *text = &reader->head.text;
-    return begins_status_line(text->data, text->len) &&
-           text->len > STATUS_LINE_LEN &&
-           memchr(" \r\n", text->data[STATUS_LINE_LEN], 3) != NULL &&
+    if (!begins_status_line(text->data, text->len) ||
+        text->len == STATUS_LINE_LEN) {
+        return false;
+    }
+    char next = text->data[STATUS_LINE_LEN];
+    return (next == ' ' || next == '\r' || next == '\n') &&
            reader->head.status >= STATUS_MIN &&
            reader->head.status <= STATUS_MAX;
 }
--- a/tests/test-local-socket.c
+++ b/tests/test-local-socket.c
@@ -150,7 +150,7 @@
 static void
 accept_address(int listener, int *fd, char out[CS_ADDR_MAX])
 {
-    struct sockaddr_in from;
+    struct sockaddr_in from = {0};
     socklen_t len = sizeof(from);
     do {
         *fd = accept(listener, (struct sockaddr *)&from, &len);
