--- a/soak/deployment.c
+++ b/soak/deployment.c
@@ -16,9 +16,8 @@
 
 /* Offsets from the first port. */
 #define PORT_STORE 0
-#define PORT_SERVER 20      /* servers listen here */
-#define PORT_SERVER_LINK 40 /* relays reach servers here */
-#define PORT_RELAY 100 /* 4 per relay: callers, readiness, peers, metrics */
+#define PORT_SERVER 20       /* servers listen here */
+#define PORT_SERVER_LINK 40  /* relays reach servers here */
 #define PORT_CALLER_LINK 200 /* callers reach relays here */
 #define PORT_STORE_LINK 220  /* relays reach the store here */
 /* Relays open their connections from the loopback addresses from this one on.
@@ -118,7 +117,7 @@
     }
 }
 
-static char *
+char *
 format_string(const char *fmt, ...)
 {
     char text[512];
@@ -166,7 +165,7 @@
 static int
 write_settings(const soak_t *soak, size_t i, const char *path, err_t *err)
 {
-    int port = soak->first_port + PORT_RELAY + 4 * (int)i;
+    int port = soak->first_port + PORT_RELAY + PORTS_PER_RELAY * (int)i;
     FILE *file = fopen(path, "we");
     if (file == NULL) {
         return err_set(err, ERR_SETTINGS, 1, "cannot write %s", path);
@@ -206,7 +205,7 @@
     relay->process.argv[0] = format_string("%s/celeryspoold", soak->build);
     relay->process.argv[1] = format_string("--settings");
     relay->process.argv[2] = settings;
-    soak_addr(soak, PORT_RELAY + 4 * (int)i, listen_addr);
+    soak_addr(soak, PORT_RELAY + PORTS_PER_RELAY * (int)i, listen_addr);
     soak_addr(soak, PORT_CALLER_LINK + (int)i, relay->caller_addr);
     soak_addr(soak, PORT_STORE_LINK + (int)i, store_link_addr);
     relay->caller_link =
@@ -345,6 +344,7 @@
         }
         process->pid = 0;
         process->state_changed_ms = time_mono_ms();
+        returns_relay_exited(soak, i);
         if (WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL) {
             return;
         }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -29,6 +29,7 @@
     bool cuts;
     bool planned;
     bool extras;
+    bool returns;
     bool versions;
     bool priorities;
     const char *dir;
@@ -64,6 +65,11 @@
      0},
     {"extras", 'X', NULL, 0,
      "besides all else, servers send answers that belong to no request", 0},
+    {"returns", 'R', NULL, 0,
+     "besides all else, daemons are killed in series, and find their "
+     "addresses "
+     "held or their settings cut off when they start",
+     0},
     {"dir", 'd', "DIR", 0, "directory for logs and records", 0},
     {"build", 'b', "DIR", 0, "directory of the programs", 0},
     {0},
@@ -124,6 +130,9 @@
         case 'X':
             args->extras = true;
             return 0;
+        case 'R':
+            args->returns = true;
+            return 0;
         case 'V':
             args->versions = true;
             return 0;
@@ -179,6 +188,7 @@
     }
     faults_tick(soak);
     extras_tick(soak);
+    returns_tick(soak);
     versions_tick(soak);
     slots_tick(soak);
     paces_tick(soak);
@@ -207,6 +217,7 @@
     soak->cuts = args->cuts;
     soak->planned = args->planned;
     soak->extras = args->extras;
+    soak->returns = args->returns;
     soak->versions = args->versions;
     soak->priorities = args->priorities;
     soak->relay_count = (size_t)args->relays;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -19,6 +19,11 @@
 /* A part of prompts that callers send while it ends the engines. */
 #define CALLERS_FATAL_PART "dead"
 
+/* Offset of the relays' ports from the first port, and how many each has:
+ * callers, readiness, other daemons, metrics. */
+#define PORT_RELAY 100
+#define PORTS_PER_RELAY 4
+
 #define SERVERS_MAX (ENGINES_MAX + PLAIN_SERVERS)
 
 /* ---- processes ---- */
@@ -82,7 +87,8 @@
                         are rejected return */
     int64_t planned_from_ms; /* then planned work and silence alone */
     bool planned;            /* planned work and silence alone */
-    bool extras;           /* servers send answers that belong to no request */
+    bool extras;  /* servers send answers that belong to no request */
+    bool returns; /* addresses and settings are kept from daemons that start */
     int fatal_parts;       /* running faults in which a part ends servers */
     int one_relay;         /* running faults in which callers use one relay */
     size_t used_relay;     /* that one */
@@ -118,6 +124,10 @@
 void deployment_stop(soak_t *soak);
 
 void faults_tick(soak_t *soak);
+void returns_relay_exited(soak_t *soak, size_t number);
+void returns_tick(soak_t *soak);
+char *format_string(const char *fmt, ...)
+    __attribute__((format(printf, 1, 2)));
 
 /* ---- engines with few slots ---- */
 
