Test: an overlap of streams is booked to the host that sent the run

Traced in its logs: review-17-1 ran at e1, sent by host 1, which was cut off from all servers from 908.646 to 912.210 (t mod 1000 s) and could not end the run; it went on at e4 at 910.558, and e1 ended by itself at 910.960. While host 1 was cut off, hosts 2 and 4 had also chosen e1 for this stream, under its former entry, and were rejected (421, not run). The check kept one sender for a stream and server, whichever log came last, so it held host 4, which was in touch, responsible for a run of host 1.

The sender is now the host that chose the server last before the run began there. The bound is unchanged.

--- a/tests/proc-copied-forwards.sh
+++ b/tests/proc-copied-forwards.sh
@@ -114,14 +114,20 @@
             for (i = 1; i <= marks[host]; i++) if (out[host, i] < from + max && from < back[host, i]) from = back[host, i]
             return from
         }
+        # The host that last chose a server for a stream before it began there: others may have been rejected by it.
+        function sender(id, server, at, i, key, last) {
+            key = id SUBSEP server
+            for (i = 1; i <= sends[key]; i++) if (sent[key, i] <= at && (!last || sent[key, i] >= sent[key, last])) last = i
+            return host_of[key, last]
+        }
         FILENAME ~ /marks$/ && $2 == "out" { out[$3, ++marks[$3]] = $1 }
         FILENAME ~ /marks$/ && $2 == "in" { back[$3, marks[$3]] = $1 }
-        /event=chosen / { host = field("host"); sub(/relay-/, "", host); server = field("server"); sub(/former-/, "", server); sender[field("id"), server] = host }
+        /event=chosen / { host = field("host"); sub(/relay-/, "", host); server = field("server"); sub(/former-/, "", server); key = field("id") SUBSEP server; host_of[key, ++sends[key]] = host; sent[key, sends[key]] = field("t") }
         $1 == "run" { id = field("X-Celeryspool-Attempt-Id"); n[id]++; server_of[id, n[id]] = field("server"); at[id, n[id]] = field("at_ms"); end[id, n[id]] = 1e15 }
         $1 == "end" { id = field("id"); for (i = 1; i <= n[id]; i++) if (server_of[id, i] == field("server") && end[id, i] == 1e15) { end[id, i] = field("at_ms"); break } }
         END {
             for (id in n) for (i = 1; i < n[id]; i++) for (j = i + 1; j <= n[id]; j++) {
-                over = min(end[id, i], end[id, j]) - able(sender[id, server_of[id, i]], at[id, j])
+                over = min(end[id, i], end[id, j]) - able(sender(id, server_of[id, i], at[id, i]), at[id, j])
                 if (server_of[id, i] != server_of[id, j] && over > 0) print over, id, server_of[id, i], server_of[id, j], at[id, j]
             }
         }' max=$OVERLAP_MAX_MS "$OUT/marks" "$OUT"/relay-*.log "$RECORD" | sort -nr
