Membership: a host whose clock was set back is discovered again

A host that started again with a clock behind that of its former start stayed dead for the other hosts: records are ordered by the incarnation, which is the time of the start, and a host refuted reports of its death only for its own incarnation. The others did not forward to it and counted one host fewer for their shares of limits and retries, until they forgot the former process after ten minutes.

A host that receives a record of a later incarnation of itself now takes the next one.

--- a/kernel/members-message.c
+++ b/kernel/members-message.c
@@ -120,10 +120,16 @@
 }
 
 /* If a record reports this daemon as suspect or dead, raises the version of
- * its own record above it, which overrides the report. */
+ * its own record above it, which overrides the report.  A record of a later
+ * incarnation is of a former process, which started before the clock was set
+ * back: this one's incarnation must be later. */
 static void
 refute(members_t *members, const member_t *record)
 {
+    if (record->incarnation > members->self.incarnation) {
+        members->self.incarnation = record->incarnation + 1;
+        return;
+    }
     if (record->incarnation == members->self.incarnation &&
         record->version >= members->self.version &&
         record->health != MEMBER_ALIVE) {
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -22,6 +22,19 @@
 
 static const unsigned char secret[32] = {1, 2, 3};
 
+static members_t *
+member_start(size_t i, uint64_t incarnation)
+{
+    member_t self = {.incarnation = incarnation, .health = MEMBER_ALIVE};
+    (void)snprintf(self.name, sizeof(self.name), "router-%zu", i);
+    (void)snprintf(self.dc, sizeof(self.dc), "dc-%zu", i % 9);
+    (void)snprintf(self.peer_addr, sizeof(self.peer_addr), "127.0.0.1:%zu",
+                   i + 1);
+    (void)snprintf(self.http_addr, sizeof(self.http_addr), "127.0.0.1:%zu",
+                   i + 10001);
+    return members_new(&self, i + 1);
+}
+
 static void
 fleet_start(fleet_t *fleet, size_t count)
 {
@@ -29,14 +42,7 @@
     fleet->count = count;
     fleet->rng.state = 42;
     for (size_t i = 0; i < count; i++) {
-        member_t self = {.incarnation = 1, .health = MEMBER_ALIVE};
-        (void)snprintf(self.name, sizeof(self.name), "router-%zu", i);
-        (void)snprintf(self.dc, sizeof(self.dc), "dc-%zu", i % 9);
-        (void)snprintf(self.peer_addr, sizeof(self.peer_addr), "127.0.0.1:%zu",
-                       i + 1);
-        (void)snprintf(self.http_addr, sizeof(self.http_addr), "127.0.0.1:%zu",
-                       i + 10001);
-        fleet->tables[i] = members_new(&self, i + 1);
+        fleet->tables[i] = member_start(i, 1000);
         for (size_t j = 0; j < 4; j++) {
             char seed[CS_ADDR_MAX];
             (void)snprintf(seed, sizeof(seed), "127.0.0.1:%zu", j + 1);
@@ -335,6 +341,43 @@
 }
 END_TEST
 
+static size_t
+count_tables_with(fleet_t *fleet, member_health_t health, size_t count)
+{
+    size_t tables = 0;
+    for (size_t i = 0; i < fleet->count; i++) {
+        tables += count_health(fleet->tables[i], health) == count;
+    }
+    return tables;
+}
+
+/* Guards against hosts that stay dead for the others because their clock was
+ * set back while they were down. */
+START_TEST(a_daemon_whose_clock_was_set_back_is_discovered_again)
+{
+    static fleet_t fleet;
+    static const uint64_t incarnations[] = {999, 1, 1000};
+    fleet_start(&fleet, 6);
+    ck_assert_int_gt(ticks_to_discover_all(&fleet), 0);
+    for (size_t n = 0; n < 3; n++) {
+        ck_assert_int_gt(ticks_to_detect(&fleet, 5), 0);
+        members_free(fleet.tables[5]);
+        fleet.tables[5] = member_start(5, incarnations[n]);
+        members_add_seed(fleet.tables[5], "127.0.0.1:1");
+        fleet.stopped[5] = false;
+        int ticks = 0;
+        while (count_tables_with(&fleet, MEMBER_ALIVE, 6) < 6 && ticks < 400) {
+            run_tick(&fleet);
+            ticks++;
+        }
+        ck_assert_msg(ticks < 400, "not discovered with incarnation %llu",
+                      (unsigned long long)incarnations[n]);
+        ck_assert_int_le(ticks * members_tick_interval_ms(), 12000);
+    }
+    fleet_stop(&fleet);
+}
+END_TEST
+
 /* Guards against the traffic of a daemon that has listed hosts which are gone
  * for good. */
 START_TEST(seeds_that_are_gone_cost_little)
@@ -521,6 +564,7 @@
           a_duty_has_one_live_owner_and_moves_when_it_dies,
           members_that_start_at_once_discover_each_other_soon,
           a_daemon_that_started_first_is_discovered_soon,
+          a_daemon_whose_clock_was_set_back_is_discovered_again,
           seeds_that_are_gone_cost_little,
           all_members_agree_on_the_ranks_for_a_duty,
           signals_are_decoded_as_encoded, speeds_are_decoded_as_encoded,
