Listeners: rejections for want of room are recorded; pipelined requests are not closed

Read as a newcomer would: a request rejected because requests run on most connections left no record, and a connection whose next request is already buffered, but not begun, counted as one that waits and could be closed for room. The record `connections no-room` now has both counts, and how many requests run; closing asks the same question as a stop does (is_idle). Includes in order, a field named with its unit.

--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -1,12 +1,11 @@
 #include "exchange.h"
 #include "local-socket.h"
-
 #include "sent-ids.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
-#include <linux/sockios.h>
 #include <event2/bufferevent.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -73,7 +73,9 @@
     struct evconnlistener *acceptor; /* NULL once it has stopped accepting */
     const char *use;
     struct event *pause_timer; /* the end of a pause in accepting */
-    size_t closed_for_room;    /* since the last record of it */
+    /* Since the last record of them. */
+    size_t closed_for_room;
+    size_t refused_for_room;
     int64_t room_logged_ms;
     http_listener_hooks_t hooks;
     size_t connections_max;
@@ -293,6 +295,25 @@
     }
 }
 
+/* Records what was done for want of room, at most once in an interval. */
+static void
+log_room(http_listener_t *listener)
+{
+    int64_t now = time_mono_ms();
+    if (listener->closed_for_room + listener->refused_for_room == 0 ||
+        now - listener->room_logged_ms < ROOM_LOG_INTERVAL_MS) {
+        return;
+    }
+    log_record(LOG_WARN, "connections", "no-room",
+               "for=%s closed=%zu refused=%zu open=%zu running=%zu max=%zu",
+               listener->use, listener->closed_for_room,
+               listener->refused_for_room, listener->caller_count,
+               listener->running, listener->connections_max);
+    listener->closed_for_room = 0;
+    listener->refused_for_room = 0;
+    listener->room_logged_ms = now;
+}
+
 /* Whether no further request can run: some connections are left for others, so
  * that they hear of it. */
 static bool
@@ -306,12 +327,15 @@
 hand_over_request(caller_t *caller)
 {
     const http_listener_hooks_t *hooks = &caller->listener->hooks;
-    if (has_most_requests(caller->listener)) {
+    http_listener_t *listener = caller->listener;
+    if (has_most_requests(listener)) {
+        listener->refused_for_room++;
+        log_room(listener);
         refuse_request(caller);
         return;
     }
     caller->running = true;
-    caller->listener->running++;
+    listener->running++;
     caller->state = CALLER_WAITING;
     (void)event_del(caller->timer);
     hooks->on_request(hooks->arg, caller, &caller->reader.head, &caller->body);
@@ -433,15 +457,29 @@
     hooks->on_output(hooks->arg, caller, info->n_deleted > 0);
 }
 
-/* Whether closing the connection cuts off neither a request nor a response. */
+/* Whether the connection has no request, no input and no buffered output.  The
+ * end of a response may still be buffered when its connection is idle again;
+ * closing it then would truncate the response. */
+static bool
+is_idle(const caller_t *caller)
+{
+    return caller->state == CALLER_IDLE &&
+           evbuffer_get_length(bufferevent_get_input(caller->bev)) == 0 &&
+           evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0 &&
+           !has_unread_input(caller);
+}
+
+/* Whether closing the connection cuts off neither a request that has arrived
+ * nor a response. */
 static bool
 is_closable(const caller_t *caller)
 {
     bool in_head =
         caller->state == CALLER_READING && caller->reader.state == READER_HEAD;
-    return (caller->state == CALLER_IDLE || caller->state == CALLER_CLOSING ||
-            in_head) &&
-           evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0 &&
+    if (caller->state != CALLER_CLOSING && !in_head) {
+        return is_idle(caller);
+    }
+    return evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0 &&
            !has_unread_input(caller);
 }
 
@@ -455,8 +493,10 @@
     size_t closed = 0;
     int64_t now = time_mono_ms();
     CK_LIST_FOREACH_SAFE (caller, &listener->callers, entry, next) {
-        if (closed < count && now - caller->timer_armed_ms >= waited_ms &&
-            is_closable(caller)) {
+        if (closed == count) {
+            break;
+        }
+        if (now - caller->timer_armed_ms >= waited_ms && is_closable(caller)) {
             caller_free(caller);
             closed++;
         }
@@ -464,22 +504,6 @@
     return closed;
 }
 
-static void
-log_room(http_listener_t *listener)
-{
-    int64_t now = time_mono_ms();
-    if (listener->closed_for_room == 0 ||
-        now - listener->room_logged_ms < ROOM_LOG_INTERVAL_MS) {
-        return;
-    }
-    log_record(LOG_WARN, "connections", "closed-for-room",
-               "for=%s closed=%zu open=%zu max=%zu", listener->use,
-               listener->closed_for_room, listener->caller_count,
-               listener->connections_max);
-    listener->closed_for_room = 0;
-    listener->room_logged_ms = now;
-}
-
 /* Closes connections that wait for a request, first those that have waited
  * longest. */
 static void
@@ -645,18 +669,6 @@
     }
 }
 
-/* Whether the connection has no request, no input and no buffered output.  The
- * end of a response may still be buffered when its connection is idle again;
- * closing it then would truncate the response. */
-static bool
-is_idle(const caller_t *caller)
-{
-    return caller->state == CALLER_IDLE &&
-           evbuffer_get_length(bufferevent_get_input(caller->bev)) == 0 &&
-           evbuffer_get_length(bufferevent_get_output(caller->bev)) == 0 &&
-           !has_unread_input(caller);
-}
-
 /* Stops accepting connections and closes the idle ones.  Called repeatedly
  * until all are closed. */
 void
--- a/kernel/local-socket.c
+++ b/kernel/local-socket.c
@@ -65,8 +65,8 @@
 static void
 log_unavailable(local_socket_t *local, int error)
 {
-    if (local->unavailable_since == 0) {
-        local->unavailable_since = time_mono_ms();
+    if (local->unavailable_since_ms == 0) {
+        local->unavailable_since_ms = time_mono_ms();
     }
     if (error != local->last_errno) {
         log_record(LOG_WARN, "daemon", "address-unavailable",
@@ -79,12 +79,12 @@
 static void
 log_available(local_socket_t *local)
 {
-    if (local->unavailable_since != 0) {
+    if (local->unavailable_since_ms != 0) {
         log_record(LOG_INFO, "daemon", "address-available",
                    "for=%s addr=%s after_ms=%lld", local->use, local->addr,
-                   (long long)(time_mono_ms() - local->unavailable_since));
+                   (long long)(time_mono_ms() - local->unavailable_since_ms));
     }
-    local->unavailable_since = 0;
+    local->unavailable_since_ms = 0;
     local->last_errno = 0;
 }
 
--- a/kernel/local-socket.h
+++ b/kernel/local-socket.h
@@ -16,9 +16,9 @@
     const char *use; /* what the address is for, in the log */
     const char *addr;
     local_socket_kind_t kind;
-    int fd;                    /* set by the functions below; -1 if not open */
-    int last_errno;            /* why the last try failed, or 0 */
-    int64_t unavailable_since; /* ms; 0 before a try has failed */
+    int fd;         /* set by the functions below; -1 if not open */
+    int last_errno; /* why the last try failed, or 0 */
+    int64_t unavailable_since_ms; /* 0 before a try has failed */
 } local_socket_t;
 
 bool local_socket_error_passes(int error);
