--- a/tests/proc-return.sh
+++ b/tests/proc-return.sh
@@ -3,7 +3,8 @@
 # because of what servers, the store or the configuration did meanwhile.
 LINKED=1
 . "$(dirname "$0")/relay-lib.sh"
-HOSTS=4
+HOSTS=${HOSTS:-4}
+RELAY_DCS=([3]=dc-b [4]=dc-b [7]=dc-b [8]=dc-b [11]=dc-b [12]=dc-b)
 start_platform 4 3 && start_relays $HOSTS || exit 1
 for ((i = 1; i <= HOSTS; i++)); do relay_settings $i >"$OUT/relay-$i.ini"; done
 version=1
