--- a/fakes/fake-holder.c
+++ b/fakes/fake-holder.c
@@ -76,7 +76,8 @@
 }
 
 static const struct argp arguments = {
-    options, parse_option, NULL, "Holds local addresses.", NULL, NULL, NULL};
+    options, parse_option, NULL, "Holds addresses and connections.",
+    NULL,    NULL,         NULL};
 
 static bool
 parse_addr(const char *text, struct sockaddr_in *out)
@@ -106,7 +107,7 @@
     return type == SOCK_DGRAM || listen(fd, 1) == 0;
 }
 
-/* Connects, without waiting for the other end. */
+/* Opens a connection that sends a text and no more. */
 static int
 connect_idle(const char *addr, const char *text)
 {
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -163,6 +163,7 @@
     buf_t *problems;
 } reader_t;
 
+/* A text is as bad as its worst problem. */
 static void
 worsen_status(reader_t *reader, settings_status_t status)
 {
@@ -550,9 +551,10 @@
     size_t len;
     FILE *file = fopen(path, "re");
     if (file == NULL) {
+        int error = errno;
         buf_fmt(problems, "%s:0: cannot be opened: %s\n", path,
-                strerror(errno));
-        return errno == EACCES ? SETTINGS_INVALID : SETTINGS_INCOMPLETE;
+                strerror(error));
+        return error == EACCES ? SETTINGS_INVALID : SETTINGS_INCOMPLETE;
     }
     while ((len = fread(block, 1, sizeof(block), file)) > 0) {
         buf_add(&text, block, len);
