--- a/tests/test-local-socket.c
+++ b/tests/test-local-socket.c
@@ -185,9 +185,10 @@
     ck_assert_int_eq(local_socket_open(&server, &err), 0);
     struct event_base *base = event_base_new();
     exchanges_t *exchanges = exchanges_new(base);
-    (void)exchange_start(exchanges, &request, &hooks);
+    exchange_t *exchange = exchange_start(exchanges, &request, &hooks);
     accept_address(server.fd, &fd, addr);
     check_can_be_had(addr, "during the connection");
+    exchange_cancel(exchange);
     exchanges_free(exchanges);
     check_can_be_had(addr, "after its end");
     (void)close(fd);
