Test: the local end of a connection lies at an address that no other program uses

test-local-socket failed in 12 of 20 runs beside a run of the process tests: the system gives several connections one local port if their destinations differ, so other programs' connections, most of them ended (11,308 in TIME_WAIT then, of 28,232 ports), held the port that the test looked at.

--- a/tests/test-local-socket.c
+++ b/tests/test-local-socket.c
@@ -13,6 +13,8 @@
 /* The environment variable BASE is added to the port, so that concurrent
  * runs do not conflict. */
 #define PORT 6551
+/* No other program's connections come from this address, which hold it too. */
+#define SOURCE "127.65.51.1"
 
 static const char *
 address(int offset)
@@ -156,7 +158,7 @@
         *fd = accept(listener, (struct sockaddr *)&from, &len);
     } while (*fd < 0 && errno == EAGAIN);
     ck_assert_int_ge(*fd, 0);
-    (void)snprintf(out, CS_ADDR_MAX, "127.0.0.1:%d", ntohs(from.sin_port));
+    (void)snprintf(out, CS_ADDR_MAX, SOURCE ":%d", ntohs(from.sin_port));
 }
 
 static void
@@ -185,6 +187,7 @@
     ck_assert_int_eq(local_socket_open(&server, &err), 0);
     struct event_base *base = event_base_new();
     exchanges_t *exchanges = exchanges_new(base);
+    exchanges_set_source(exchanges, SOURCE);
     exchange_t *exchange = exchange_start(exchanges, &request, &hooks);
     accept_address(server.fd, &fd, addr);
     check_can_be_had(addr, "during the connection");
