Relay: the wait for its addresses comes before anything is allocated

proc-address-held failed under AddressSanitizer on (102 other process tests passed, no other report): a host told to stop while it waits for an address ended with 1, a leak report of the tables that it had made (289 kB). The sockets are opened first now; a wait that is ended leaves nothing.

proc-address-held (47 checks), proc-descriptors-short, proc-restart-overlap and proc-settings-late pass under AddressSanitizer.

--- a/relay/relay.c
+++ b/relay/relay.c
@@ -407,13 +407,10 @@
 }
 
 static int
-relay_open(relay_t *relay, err_t *err)
+relay_open(relay_t *relay, const local_socket_t sockets[RELAY_SOCKETS],
+           err_t *err)
 {
     static const struct timeval interval = {0, RELAY_TICK_MS * 1000};
-    local_socket_t sockets[RELAY_SOCKETS];
-    if (sockets_open(&relay->settings, sockets, err) != 0) {
-        return -1;
-    }
     event_set_log_callback(on_library_message);
     struct event_config *base_config = event_config_new();
     (void)event_config_set_flag(base_config, EVENT_BASE_FLAG_NOLOCK);
@@ -482,9 +479,13 @@
 int
 relay_run(const settings_t *settings, const char *settings_path, err_t *err)
 {
+    local_socket_t sockets[RELAY_SOCKETS];
+    if (sockets_open(settings, sockets, err) != 0) {
+        return -1;
+    }
     relay_t *relay = mem_zalloc(sizeof(*relay));
     relay_init(relay, settings, settings_path);
-    if (relay_open(relay, err) != 0) {
+    if (relay_open(relay, sockets, err) != 0) {
         free(relay);
         return -1;
     }
