Comments, names: the field's terms in listeners, settings and local sockets

No behaviour changes; test-listener-room, test-settings, test-local-socket and test-caller-timers pass.

--- a/kernel/daemon.c
+++ b/kernel/daemon.c
@@ -257,8 +257,9 @@
                : 0;
 }
 
-/* Start a daemon, once its addresses are available; NULL with an error if it
- * cannot listen on one, or is told to stop before. */
+/* Start a daemon once its addresses are available.  Returns NULL with an error
+ * if it cannot listen on one of them, or, with the code ECANCELED, if a signal
+ * stops it first. */
 celeryspoold_t *
 daemon_start(const settings_t *settings, err_t *err)
 {
--- a/kernel/http-listener.c
+++ b/kernel/http-listener.c
@@ -295,7 +295,8 @@
     }
 }
 
-/* Records what was done for want of room, at most once in an interval. */
+/* Logs the connections closed and the requests rejected at the limits, at most
+ * once per interval. */
 static void
 log_room(http_listener_t *listener)
 {
@@ -314,10 +315,10 @@
     listener->room_logged_ms = now;
 }
 
-/* Whether no further request can run: some connections are left for others, so
- * that they hear of it. */
+/* Whether requests run on so many connections that a further one is rejected.
+ * The remaining connections are reserved for sending these rejections. */
 static bool
-has_most_requests(const http_listener_t *listener)
+is_at_request_limit(const http_listener_t *listener)
 {
     size_t max = listener->connections_max;
     return max > 0 && listener->running >= max - max / ROOM_FRACTION;
@@ -328,7 +329,7 @@
 {
     const http_listener_hooks_t *hooks = &caller->listener->hooks;
     http_listener_t *listener = caller->listener;
-    if (has_most_requests(listener)) {
+    if (is_at_request_limit(listener)) {
         listener->refused_for_room++;
         log_room(listener);
         refuse_request(caller);
@@ -562,8 +563,8 @@
     (void)evconnlistener_enable(listener->acceptor);
 }
 
-/* No connection could be accepted, mostly for want of a descriptor.  Without a
- * pause the event loop would try again at once, and do nothing else. */
+/* Pauses after accept() has failed, usually because the process has no
+ * descriptor left.  The event loop would otherwise retry without end. */
 static void
 on_accept_error(struct evconnlistener *acceptor, void *arg)
 {
--- a/kernel/local-socket.c
+++ b/kernel/local-socket.c
@@ -212,9 +212,9 @@
     return -1;
 }
 
-/* Lets listeners of other daemons have the local address of an outgoing
- * connection, which the system has chosen, during the connection and for the
- * minute after its end.  Before connect() it would widen that choice. */
+/* Allows listeners to bind the local address of an outgoing connection, during
+ * the connection and in TIME_WAIT.  Called after connect(), because the option
+ * would affect which port the system chooses. */
 void
 local_socket_release(int fd)
 {
--- a/kernel/local-socket.h
+++ b/kernel/local-socket.h
@@ -3,7 +3,7 @@
 
 /* Sockets on local addresses.  An address may be unavailable for a while: a
  * former process of this daemon still runs, another program's connection has
- * it as its local end, or it is not configured yet. */
+ * it as its local address, or it is not configured yet. */
 
 #include "base.h"
 
--- a/kernel/settings.c
+++ b/kernel/settings.c
@@ -163,7 +163,7 @@
     buf_t *problems;
 } reader_t;
 
-/* A text is as bad as its worst problem. */
+/* Sets the status unless a more severe one is set. */
 static void
 worsen_status(reader_t *reader, settings_status_t status)
 {
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -54,7 +54,7 @@
     int store_timeout_ms;
 } settings_t;
 
-/* From good to bad. */
+/* Ordered by severity. */
 typedef enum {
     SETTINGS_VALID,
     /* The file is missing or ends too early, as while it is being written. */
--- a/tests/test-listener-room.c
+++ b/tests/test-listener-room.c
@@ -57,7 +57,7 @@
 END_TEST
 
 /* Guards against requests that are cut off to make room, and against callers
- * that hear nothing until one ends. */
+ * that get no response while requests run on all connections. */
 START_TEST(requests_beyond_the_maximum_are_rejected_at_once)
 {
     const size_t most = CONNECTIONS_MAX - CONNECTIONS_MAX / 8;
@@ -82,8 +82,8 @@
 }
 END_TEST
 
-/* Guards against an event loop that does nothing but fail to accept. */
-START_TEST(no_descriptor_is_no_busy_loop)
+/* Guards against an event loop that retries a failed accept() without end. */
+START_TEST(accept_without_descriptors_does_not_spin)
 {
     door_t door = {0};
     struct rlimit before;
@@ -112,4 +112,4 @@
 
 TEST_MAIN("listener-room", connections_that_wait_longest_make_room,
           requests_beyond_the_maximum_are_rejected_at_once,
-          no_descriptor_is_no_busy_loop)
+          accept_without_descriptors_does_not_spin)
--- a/tests/test-local-socket.c
+++ b/tests/test-local-socket.c
@@ -51,7 +51,7 @@
     (void)close(second.fd);
 }
 
-START_TEST(an_address_can_be_had_once_it_is_free)
+START_TEST(an_address_is_available_once_it_is_released)
 {
     check_is_exclusive(LOCAL_LISTENER);
     check_is_exclusive(LOCAL_DATAGRAMS);
@@ -162,7 +162,7 @@
 }
 
 static void
-check_can_be_had(const char *addr, const char *when)
+check_is_available(const char *addr, const char *when)
 {
     err_t err = {0};
     local_socket_t local = socket_on(addr, LOCAL_LISTENER);
@@ -190,17 +190,17 @@
     exchanges_set_source(exchanges, SOURCE);
     exchange_t *exchange = exchange_start(exchanges, &request, &hooks);
     accept_address(server.fd, &fd, addr);
-    check_can_be_had(addr, "during the connection");
+    check_is_available(addr, "during the connection");
     exchange_cancel(exchange);
     exchanges_free(exchanges);
-    check_can_be_had(addr, "after its end");
+    check_is_available(addr, "after its end");
     (void)close(fd);
     (void)close(server.fd);
     event_base_free(base);
 }
 END_TEST
 
-TEST_MAIN("local-socket", an_address_can_be_had_once_it_is_free,
+TEST_MAIN("local-socket", an_address_is_available_once_it_is_released,
           an_address_of_another_host_may_come_later,
           errors_of_the_settings_do_not_pass, a_shortage_of_descriptors_passes,
           a_held_address_is_waited_for,
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -341,7 +341,7 @@
 }
 END_TEST
 
-START_TEST(a_problem_on_a_whole_line_is_no_matter_of_waiting)
+START_TEST(a_fault_on_a_complete_line_is_invalid)
 {
     char text[4096];
     ck_assert_int_eq(status_of("[daemon]\nname = a b\n"), SETTINGS_INVALID);
@@ -377,5 +377,4 @@
           quota_bounds_and_memory_may_be_missing, invalid_bounds_are_problems,
           corrupted_files_are_read_or_rejected,
           every_beginning_of_a_valid_file_is_incomplete,
-          a_problem_on_a_whole_line_is_no_matter_of_waiting,
-          a_missing_file_is_incomplete)
+          a_fault_on_a_complete_line_is_invalid, a_missing_file_is_incomplete)
