Forwarding: a host without servers of one service is still asked for the others

Cause: a host that refuses a forwarded request was avoided for a second, for all requests, whatever it refused. A host that reaches no server of the request's service said the same (`unreached`) as one that reaches none at all. It now says `service-unreached`, and is avoided for that service alone; one whose configuration does not allow the request (`not-let-in`, also a 4xx) is not avoided; one that stops or has no configuration says `not-ready`, and holds for all, like a failed connection.

--- a/relay/helpers.c
+++ b/relay/helpers.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-/* A host that refused or failed is not asked again for this long. */
+/* A host that refused or failed is not asked again for this long, or not for
+ * the service that it reaches no server of. */
 #define AVOID_MS 1000
 /* A host that served within this time is likely to serve again. */
 #define SERVED_RECENTLY_MS 5000
@@ -71,13 +72,25 @@
     return false;
 }
 
+static bool
+is_avoided(const helper_t *helper, uint64_t service, int64_t now_ms)
+{
+    for (size_t i = 0; i < HELPER_SERVICES_MAX; i++) {
+        const unreached_service_t *unreached = &helper->unreached[i];
+        if (unreached->service == service && now_ms < unreached->until_ms) {
+            return true;
+        }
+    }
+    return now_ms < helper->avoid_until_ms;
+}
+
 static bool
 may_help(const helper_t *helper, const member_t *member,
-         const helpers_tried_t *tried, int64_t now_ms)
+         const helpers_tried_t *tried, uint64_t service, int64_t now_ms)
 {
     return member->health == MEMBER_ALIVE &&
            member->intent == MEMBER_SERVING &&
-           (helper == NULL || now_ms >= helper->avoid_until_ms) &&
+           (helper == NULL || !is_avoided(helper, service, now_ms)) &&
            !is_tried(tried, member->peer_addr);
 }
 
@@ -103,11 +116,13 @@
     return cost;
 }
 
-/* Chooses the host to forward a request to, or NULL if there is none.  The
+/* Chooses the host to forward a request for a service to, or NULL if there is
+ * none.  The
  * first of the members is this host itself. */
 const member_t *
 helpers_choose(const helpers_t *helpers, const member_t *members, size_t count,
-               const helpers_tried_t *tried, rng_t *rng, int64_t now_ms)
+               const helpers_tried_t *tried, uint64_t service, rng_t *rng,
+               int64_t now_ms)
 {
     const member_t *best = NULL;
     int best_cost = 0;
@@ -120,7 +135,7 @@
         const member_t *member = &members[1 + (offset + i) % (count - 1)];
         const helper_t *helper = find_helper(helpers, member->peer_addr);
         bool served = served_recently(helper, now_ms);
-        if (!may_help(helper, member, tried, now_ms) ||
+        if (!may_help(helper, member, tried, service, now_ms) ||
             (!served && sampled == SAMPLE_MAX)) {
             continue;
         }
@@ -238,3 +253,26 @@
         helper->avoid_until_ms = now_ms + AVOID_MS;
     }
 }
+
+/* Records that a host reaches no server of a service; it may serve others. */
+void
+helpers_avoid_service(helpers_t *helpers, const char *addr, uint64_t service,
+                      int64_t now_ms)
+{
+    helper_t *helper = get_helper(helpers, addr, now_ms);
+    if (helper == NULL) {
+        return;
+    }
+    unreached_service_t *oldest = &helper->unreached[0];
+    for (size_t i = 0; i < HELPER_SERVICES_MAX; i++) {
+        unreached_service_t *unreached = &helper->unreached[i];
+        if (unreached->service == service) {
+            oldest = unreached;
+            break;
+        }
+        if (unreached->until_ms < oldest->until_ms) {
+            oldest = unreached;
+        }
+    }
+    *oldest = (unreached_service_t){service, now_ms + AVOID_MS};
+}
--- a/relay/peers-duty.c
+++ b/relay/peers-duty.c
@@ -104,13 +104,14 @@
 /* Chooses the host to forward a request to; false if there is none. */
 bool
 peers_choose_helper(peers_t *peers, const helpers_tried_t *tried,
-                    member_t *out)
+                    const char *service, member_t *out)
 {
     relay_t *relay = peers->relay;
     member_t members[QUOTA_HOSTS_MAX];
     size_t count = members_list(peers->members, members, QUOTA_HOSTS_MAX);
-    const member_t *member = helpers_choose(
-        &relay->helpers, members, count, tried, &relay->rng, time_mono_ms());
+    const member_t *member =
+        helpers_choose(&relay->helpers, members, count, tried,
+                       str_hash(service, 0), &relay->rng, time_mono_ms());
     if (member == NULL) {
         return false;
     }
--- a/relay/peers.h
+++ b/relay/peers.h
@@ -21,7 +21,7 @@
 upstream_t peers_find_upstream(peers_t *peers, char addr[CS_ADDR_MAX]);
 void peers_avoid_upstream(peers_t *peers, const char *addr, bool answered);
 bool peers_choose_helper(peers_t *peers, const helpers_tried_t *tried,
-                         member_t *out);
+                         const char *service, member_t *out);
 void peers_announce_origin(peers_t *peers, const stream_origin_t *origin);
 bool peers_send_to_recorder(peers_t *peers, const stream_origin_t *origin);
 void peers_ask_origin(peers_t *peers, stream_query_t *query);
--- a/relay/request-explain.c
+++ b/relay/request-explain.c
@@ -86,7 +86,7 @@
     member_t member;
     if (request_is_unreached(request, now)) {
         if (peers_choose_helper(relay->peers, &request->helpers_tried,
-                                &member)) {
+                                request->service, &member)) {
             return verdict_new("forward", "no-server-reached");
         }
         if (reach_is_lost(&relay->reach)) {
--- a/relay/request-forward.c
+++ b/relay/request-forward.c
@@ -130,6 +130,22 @@
     }
 }
 
+/* Returns what another host that has not taken the request refuses. */
+static refusal_scope_t
+read_refusal_scope(const http_head_t *head)
+{
+    char reason[64];
+    if (head->status / 100 == 4 && head->status != 429) {
+        return REFUSED_REQUEST;
+    }
+    (void)copy_forwarded_header(head, reason, sizeof(reason));
+    if (strcmp(reason, REASON_SERVICE_UNREACHED) == 0) {
+        return REFUSED_SERVICE;
+    }
+    return strcmp(reason, REASON_NOT_LET_IN) == 0 ? REFUSED_REQUEST
+                                                  : REFUSED_ALL;
+}
+
 /* Classifies an answer.  Rejections of the other host itself carry no
  * signature; those that another host may overcome are ANSWER_REJECTED, the
  * others ANSWER_NONE. */
@@ -184,6 +200,7 @@
     request->answer = classify(request, head);
     request->status = head->status;
     request->helper_retry_after_ms = read_retry_after(head);
+    request->refusal_scope = read_refusal_scope(head);
     read_last_tried(request, head);
     switch (request->answer) {
         case ANSWER_BUFFER:
@@ -213,8 +230,20 @@
 static void
 on_refused(request_t *request)
 {
+    helpers_t *helpers = &request->relay->helpers;
+    int64_t now = time_mono_ms();
     request->relay->meter.forwards_refused++;
-    helpers_avoid(&request->relay->helpers, request->helper, time_mono_ms());
+    switch (request->refusal_scope) {
+        case REFUSED_ALL:
+            helpers_avoid(helpers, request->helper, now);
+            break;
+        case REFUSED_SERVICE:
+            helpers_avoid_service(helpers, request->helper,
+                                  str_hash(request->service, 0), now);
+            break;
+        case REFUSED_REQUEST:
+            break;
+    }
     request->shares_counted = request->shares_counted_before;
     request_handle_failed_attempt(request, SEND_UNSENT);
 }
@@ -346,7 +375,7 @@
     member_t member;
     return request_find_alternative(request) != ALTERNATIVE_NONE ||
            peers_choose_helper(request->relay->peers, &request->helpers_tried,
-                               &member);
+                               request->service, &member);
 }
 
 /* Ends an attempt at another host. */
@@ -367,6 +396,7 @@
     request->weights_version = 0;
     request->current_software = SOFTWARE_UNKNOWN;
     request_begin_answer(request);
+    request->refusal_scope = REFUSED_ALL;
     str_copy(request->helper, sizeof(request->helper), member->peer_addr);
     helpers_tried_add(&request->helpers_tried, member);
     helpers_begin(&relay->helpers, request->helper, request->sent_ms);
@@ -386,7 +416,8 @@
     const relay_t *relay = request->relay;
     member_t member;
     return !request->from_host && helpers_may_serve(&relay->helpers, now) &&
-           peers_choose_helper(relay->peers, &request->helpers_tried, &member);
+           peers_choose_helper(relay->peers, &request->helpers_tried,
+                               request->service, &member);
 }
 
 /* Forwards the request to another host; false if there is none, or if it comes
@@ -398,7 +429,8 @@
     CLEAN_BUF buf_t head = {0};
     member_t member;
     if (request->from_host ||
-        !peers_choose_helper(relay->peers, &request->helpers_tried, &member)) {
+        !peers_choose_helper(relay->peers, &request->helpers_tried,
+                             request->service, &member)) {
         return false;
     }
     begin_attempt(request, &member);
--- a/relay/request.c
+++ b/relay/request.c
@@ -196,19 +196,22 @@
 void
 request_answer_no_room(caller_t *caller)
 {
-    answer_not_taken(caller, "no-room");
+    answer_not_taken(caller, REASON_NO_ROOM);
 }
 
-/* Rejects a forwarded request because this host reaches no server either. */
+/* Rejects a forwarded request because this host reaches no server either, or
+ * none of its service. */
 void
 request_reject_unreached(request_t *request)
 {
     caller_t *caller = request->caller;
+    bool reaches_none = reach_is_lost(&request->relay->reach);
     request->status = 503;
     request->outcome = METER_REJECTED;
     request->shares_counted = true; /* by the host that has forwarded it */
     request_end(request, "unreached");
-    answer_not_taken(caller, "unreached");
+    answer_not_taken(
+        caller, reaches_none ? REASON_UNREACHED : REASON_SERVICE_UNREACHED);
 }
 
 /* Counts the request in the retry shares, once in all hosts. */
@@ -874,7 +877,8 @@
             id != NULL ? http_head_at(head, id->value) : "-", status,
             (long long)(relay->config != NULL ? relay->config->version : 0));
         if (from_host) {
-            answer_not_taken(caller, "not-let-in");
+            answer_not_taken(
+                caller, status == 503 ? REASON_NOT_READY : REASON_NOT_LET_IN);
             return;
         }
         answer_empty(caller, status,
--- a/relay/request.h
+++ b/relay/request.h
@@ -38,6 +38,20 @@
 /* Whose id an answer carries. */
 typedef enum { ANSWER_ID_OWN, ANSWER_ID_OTHER, ANSWER_ID_NONE } answer_id_t;
 
+/* What a host that does not take a forwarded request refuses. */
+typedef enum {
+    REFUSED_ALL,     /* it failed, reaches no server or cannot serve */
+    REFUSED_SERVICE, /* it reaches no server of the request's service */
+    REFUSED_REQUEST  /* its configuration does not allow this request */
+} refusal_scope_t;
+
+/* Why it does not take it, in its answer. */
+#define REASON_UNREACHED "unreached"
+#define REASON_SERVICE_UNREACHED "service-unreached"
+#define REASON_NOT_LET_IN "not-let-in"
+#define REASON_NOT_READY "not-ready"
+#define REASON_NO_ROOM "no-room"
+
 /* What could take a request whose server does not answer. */
 typedef enum {
     ALTERNATIVE_NONE,
@@ -152,6 +166,7 @@
     char helper[CS_ADDR_MAX];
     helpers_tried_t helpers_tried;
     int64_t helper_retry_after_ms; /* of its answer */
+    refusal_scope_t refusal_scope; /* if it does not take the request */
     bool from_host;           /* another host has forwarded it to this one */
     int runs_before;          /* possible_runs when it was forwarded */
     bool first_host_can_move; /* that host could send it once more */
--- a/tests/test-helpers.c
+++ b/tests/test-helpers.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define MEMBERS_MAX 512
+#define SERVICE 1
 
 static member_t members[MEMBERS_MAX];
 
@@ -27,7 +28,7 @@
        int64_t now)
 {
     static rng_t rng = {7};
-    return helpers_choose(helpers, members, count, tried, &rng, now);
+    return helpers_choose(helpers, members, count, tried, SERVICE, &rng, now);
 }
 
 /* Guards against requests that go to hosts that are dead or stop. */
@@ -197,7 +198,34 @@
 }
 END_TEST
 
-TEST_MAIN("helpers", a_host_whose_answer_broke_off_is_chosen_last,
+/* Guards against requests that are rejected because the other hosts reach no
+ * server of another service. */
+START_TEST(a_host_without_one_service_serves_the_others)
+{
+    helpers_t helpers = {0};
+    const helpers_tried_t tried = {0};
+    const char *addr;
+    set_members(2, 1);
+    addr = members[1].peer_addr;
+    helpers_avoid_service(&helpers, addr, SERVICE + 1, 0);
+    ck_assert_ptr_eq(choose(&helpers, 2, &tried, 1), &members[1]);
+    helpers_avoid_service(&helpers, addr, SERVICE, 100);
+    ck_assert_ptr_null(choose(&helpers, 2, &tried, 1099));
+    ck_assert_ptr_eq(choose(&helpers, 2, &tried, 1100), &members[1]);
+    /* Of more services than are remembered, the last ones are. */
+    helpers_avoid_service(&helpers, addr, SERVICE, 2000);
+    for (uint64_t i = 1; i <= HELPER_SERVICES_MAX; i++) {
+        helpers_avoid_service(&helpers, addr, SERVICE + i, 2000 + (int64_t)i);
+    }
+    ck_assert_ptr_eq(choose(&helpers, 2, &tried, 2010), &members[1]);
+    helpers_avoid_service(&helpers, addr, SERVICE, 2010);
+    ck_assert_ptr_null(choose(&helpers, 2, &tried, 2020));
+    ck_assert(helpers_may_serve(&helpers, 2020));
+}
+END_TEST
+
+TEST_MAIN("helpers", a_host_without_one_service_serves_the_others,
+          a_host_whose_answer_broke_off_is_chosen_last,
           only_live_hosts_that_serve_are_chosen,
           requests_are_spread_over_hosts, few_requests_stay_in_the_data_centre,
           hosts_of_another_data_centre_are_found_in_a_large_fleet,
