--- a/relay/helpers.c
+++ b/relay/helpers.c
@@ -117,8 +117,7 @@
 }
 
 /* Chooses the host to forward a request for a service to, or NULL if there is
- * none.  The
- * first of the members is this host itself. */
+ * none.  The first of the members is this host itself. */
 const member_t *
 helpers_choose(const helpers_t *helpers, const member_t *members, size_t count,
                const helpers_tried_t *tried, uint64_t service, rng_t *rng,
