Logs, metrics: names of entries add no lines

Operators saw lines in the log that the host had not written, and lines of the metrics page that no reader takes: names from entries of other writers, and from the configuration, stood there as they were, with their line breaks and quotes.

Records now replace control characters, whatever they come from, and quoted labels and fields are escaped (str_escape).

The stand-in's store lists entries of another writer that no JSON library holds, in pages of a size that a test sets, sorted by name, with four answers to a cursor that it does not know, refuses a request target that is none, and counts calls.

--- a/fakes/fake-platform.c
+++ b/fakes/fake-platform.c
@@ -6,7 +6,8 @@
 #include <string.h>
 
 /* Entry point of the platform stand-in.  Commands are sent to the store's
- * address: /admin/store {down, silent, lose, forget, odd_spec},
+ * address: /admin/store {down, silent, lose, forget, odd_spec, odd_entry,
+ * remove_odd_entries, page_objects, cursor},
  * /admin/server/ID {mode, draining, gone, events, gap_ms, limit_per_s, rest_s,
  * leaving, brittle, room, work_ms, pace, first_ms, slots, event_bytes,
  * unread_ms, read_rate, forget, preempt, readmit, hold_fetches, refuse_orders,
@@ -75,7 +76,7 @@
     NULL,    NULL,
     NULL};
 
-static void
+static int
 admin_store(platform_store_t *store, const json_t *command)
 {
     if (json_object_get(command, "down") != NULL) {
@@ -89,12 +90,23 @@
         free(store->faults.odd_spec);
         store->faults.odd_spec = odd_spec[0] != '\0' ? strdup(odd_spec) : NULL;
     }
+    const json_t *odd_entry = json_object_get(command, "odd_entry");
+    const char *cursor = json_get_string(command, "cursor");
+    if (json_get_bool(command, "remove_odd_entries")) {
+        store_remove_odd_entries(store);
+    }
+    if (odd_entry != NULL) {
+        store_add_odd_entry(store, odd_entry);
+    }
+    store->faults.page_objects = (size_t)json_get_int(
+        command, "page_objects", (int64_t)store->faults.page_objects);
     store->faults.answers_to_drop =
         (int)json_get_int(command, "lose", store->faults.answers_to_drop);
     if (json_get_bool(command, "forget")) {
         store->faults.history_start = store->revision + 1;
         store->revision += 2;
     }
+    return cursor != NULL ? store_set_cursor_mode(store, cursor) : 0;
 }
 
 static int
@@ -135,7 +147,7 @@
     CLEAN_JSON json_t *command = parse_body(req);
     int status = 0;
     if (strcmp(path, ADMIN_STORE) == 0) {
-        admin_store(&platform->store, command);
+        status = admin_store(&platform->store, command);
     }
     else if (strncmp(path, ADMIN_SERVER, strlen(ADMIN_SERVER)) == 0) {
         status = admin_server(platform, path + strlen(ADMIN_SERVER), command);
@@ -144,8 +156,10 @@
         status = admin_object(&platform->store, path + strlen(ADMIN_OBJECT),
                               command);
     }
-    CLEAN_JSON json_t *answer =
-        json_pack("{s:I}", "revision", (json_int_t)platform->store.revision);
+    CLEAN_JSON json_t *answer = json_pack(
+        "{s:I,s:O,s:I}", "revision", (json_int_t)platform->store.revision,
+        "list_calls", platform->store.list_calls, "removals",
+        (json_int_t)platform->store.removals);
     answer_json(req, status == 0 ? 200 : 404, answer);
 }
 
--- a/fakes/platform-store.c
+++ b/fakes/platform-store.c
@@ -6,6 +6,7 @@
 
 #define OBJECTS_PATH "/objects/"
 #define PAGE_OBJECTS_MAX 50
+#define OBJECT_PATH_MAX 2048
 
 void
 answer_json(struct evhttp_request *req, int status, const json_t *body)
@@ -19,31 +20,39 @@
     evbuffer_free(out);
 }
 
+static void
+answer_text(struct evhttp_request *req, const char *text)
+{
+    struct evbuffer *out = evbuffer_new();
+    (void)evbuffer_add(out, text, strlen(text));
+    (void)evhttp_add_header(evhttp_request_get_output_headers(req),
+                            "Content-Type", "application/json");
+    evhttp_send_reply(req, 200, NULL, out);
+    evbuffer_free(out);
+}
+
 /* Answers a list or a watch.  An odd entry is written as it is: no JSON
  * library holds it. */
-static void
+void
 answer_page(const platform_store_t *store, struct evhttp_request *req,
-            const char *kind, const json_t *body)
+            const char *kind, const char *text)
 {
-    CLEAN_TEXT char *text = json_dumps(body, JSON_COMPACT);
     const char *list = strchr(text, '[') + 1;
     bool events = strncmp(text, "{\"events\"", strlen("{\"events\"")) == 0;
     if (store->faults.odd_spec == NULL || strcmp(kind, "servers") != 0) {
-        answer_json(req, 200, body);
+        answer_text(req, text);
         return;
     }
-    struct evbuffer *out = evbuffer_new();
-    (void)evbuffer_add(out, text, (size_t)(list - text));
-    (void)evbuffer_add_printf(
-        out,
-        "%s{\"metadata\":{\"name\":\"odd\",\"revision\":%lld},"
-        "\"specification\":%s}%s%s",
-        events ? "{\"tombstone\":false,\"object\":" : "",
-        (long long)store->revision, store->faults.odd_spec, events ? "}" : "",
-        *list == ']' ? "" : ",");
-    (void)evbuffer_add(out, list, strlen(list));
-    evhttp_send_reply(req, 200, NULL, out);
-    evbuffer_free(out);
+    CLEAN_BUF buf_t out = {0};
+    buf_add(&out, text, (size_t)(list - text));
+    buf_fmt(&out,
+            "%s{\"metadata\":{\"name\":\"odd\",\"revision\":%lld},"
+            "\"specification\":%s}%s%s",
+            events ? "{\"tombstone\":false,\"object\":" : "",
+            (long long)store->revision, store->faults.odd_spec,
+            events ? "}" : "", *list == ']' ? "" : ",");
+    buf_str(&out, list);
+    answer_text(req, buf_text(&out));
 }
 
 json_t *
@@ -76,11 +85,16 @@
     store->base = base;
     store->kinds = json_object();
     store->events = json_array();
+    store->list_calls = json_object();
+    store->faults.page_objects = PAGE_OBJECTS_MAX;
+    store->faults.cursor_mode = CURSOR_EMPTY;
     CK_LIST_INIT(&store->watchers);
+    CK_LIST_INIT(&store->faults.odd_entries);
 }
 
-static json_t *
-find_or_add_kind(platform_store_t *store, const char *kind)
+/* Returns the objects of a kind by name. */
+json_t *
+store_find_kind(platform_store_t *store, const char *kind)
 {
     json_t *objects = json_object_get(store->kinds, kind);
     if (objects == NULL) {
@@ -93,7 +107,7 @@
 json_t *
 store_find_object(platform_store_t *store, const char *kind, const char *name)
 {
-    return json_object_get(find_or_add_kind(store, kind), name);
+    return json_object_get(store_find_kind(store, kind), name);
 }
 
 static json_t *
@@ -127,8 +141,9 @@
         json_pack("{s:o,s:I}", "events",
                   events_since(store, watcher->kind, watcher->after_revision),
                   "at", (json_int_t)store->revision);
+    CLEAN_TEXT char *text = json_dumps(body, JSON_COMPACT);
     struct evhttp_request *req = watcher->req;
-    answer_page(store, req, watcher->kind, body);
+    answer_page(store, req, watcher->kind, text);
     watcher_free(watcher);
 }
 
@@ -174,7 +189,7 @@
                   name, "revision", (json_int_t)store->revision, "created",
                   (json_int_t)store->revision, "finalizers",
                   "deletion_pending", 0, "specification", spec, "status");
-    (void)json_object_set(find_or_add_kind(store, kind), name, object);
+    (void)json_object_set(store_find_kind(store, kind), name, object);
     publish_event(store, kind, object, false);
     json_decref(object);
 }
@@ -188,37 +203,11 @@
     }
     json_incref(object);
     store->revision++;
-    (void)json_object_del(find_or_add_kind(store, kind), name);
+    (void)json_object_del(store_find_kind(store, kind), name);
     publish_event(store, kind, object, true);
     json_decref(object);
 }
 
-static void
-answer_list(platform_store_t *store, struct evhttp_request *req,
-            const char *kind, const char *after)
-{
-    json_t *items = json_array();
-    const char *name;
-    json_t *object;
-    bool past_cursor = after == NULL;
-    bool more = false;
-    json_object_foreach (find_or_add_kind(store, kind), name, object) {
-        if (!past_cursor) {
-            past_cursor = strcmp(name, after) == 0;
-            continue;
-        }
-        if (json_array_size(items) == PAGE_OBJECTS_MAX) {
-            more = true;
-            break;
-        }
-        (void)json_array_append(items, object);
-    }
-    CLEAN_JSON json_t *body =
-        json_pack("{s:o,s:b,s:I}", "items", items, "has_more", more, "at",
-                  (json_int_t)store->revision);
-    answer_page(store, req, kind, body);
-}
-
 static void
 answer_watch(platform_store_t *store, struct evhttp_request *req,
              const char *kind, const struct evkeyvalq *query)
@@ -267,7 +256,7 @@
         answer_watch(store, req, kind, &query);
     }
     else {
-        answer_list(store, req, kind, evhttp_find_header(&query, "after"));
+        store_answer_list(store, req, kind, text);
     }
     evhttp_clear_headers(&query);
 }
@@ -331,6 +320,7 @@
     const json_t *object =
         name != NULL ? store_find_object(store, kind, name) : NULL;
     CLEAN_JSON json_t *none = json_pack("{s:s}", "error", "absent");
+    store->removals++;
     if (object == NULL) {
         answer_json(req, 404, none);
         return;
@@ -339,17 +329,34 @@
     answer_json(req, 200, none);
 }
 
+/* Whether a request target holds only what a URI may hold. */
+static bool
+is_valid_target(const char *target)
+{
+    for (; *target != '\0'; target++) {
+        if (*target <= ' ' || *target > '~') {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Handles a call to the store. */
 void
 store_handle(struct evhttp_request *req, void *arg)
 {
     platform_store_t *store = arg;
     const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
-    char kind[CS_NAME_MAX];
+    char kind[OBJECT_PATH_MAX];
+    CLEAN_TEXT char *name = NULL;
     CLEAN_JSON json_t *error = json_pack("{s:s}", "error", "not now");
     if (store->faults.silent) {
         return;
     }
+    if (!is_valid_target(evhttp_request_get_uri(req))) {
+        answer_json(req, 400, error);
+        return;
+    }
     if (store->faults.down) {
         answer_json(req, 503, error);
         return;
@@ -360,9 +367,10 @@
         return;
     }
     str_copy(kind, sizeof(kind), path + strlen(OBJECTS_PATH));
-    char *name = strchr(kind, '/');
-    if (name != NULL) {
-        *name++ = '\0';
+    char *slash = strchr(kind, '/');
+    if (slash != NULL) {
+        *slash = '\0';
+        name = evhttp_uridecode(slash + 1, 0, NULL);
     }
     switch (evhttp_request_get_command(req)) {
         case EVHTTP_REQ_GET:
--- a/fakes/platform.h
+++ b/fakes/platform.h
@@ -26,6 +26,27 @@
 
 typedef CK_LIST_HEAD(watchers, watcher) watchers_t;
 
+/* How a list goes on after a cursor. */
+typedef enum {
+    CURSOR_ORDER, /* with the first name that is greater, as bytes */
+    CURSOR_EMPTY, /* behind the object of that name; without one: ends */
+    CURSOR_FIRST, /* without one: from the first object on */
+    CURSOR_REFUSE /* without one: 400 */
+} cursor_mode_t;
+
+/* An entry of another writer, as text: no JSON library holds some of them. */
+typedef struct odd_entry {
+    CK_LIST_ENTRY(odd_entry) entry;
+    char *kind;
+    char *key; /* the name as bytes: its place in the list, and its cursor */
+    size_t key_len;
+    char *name; /* in JSON */
+    char *spec; /* in JSON */
+    int64_t revision;
+} odd_entry_t;
+
+typedef CK_LIST_HEAD(odd_entries, odd_entry) odd_entries_t;
+
 /* The store's injected faults. */
 typedef struct {
     bool down;             /* answers 503 to every call */
@@ -34,6 +55,9 @@
     int64_t history_start; /* watches from older revisions: 410 */
     char *odd_spec; /* of an entry that another writer has added to all answers
                        about servers, as text; NULL for none */
+    odd_entries_t odd_entries; /* in lists alone */
+    size_t page_objects;       /* most objects in a page of a list */
+    cursor_mode_t cursor_mode;
 } store_faults_t;
 
 typedef struct platform_store {
@@ -43,8 +67,18 @@
     int64_t revision;
     watchers_t watchers;
     store_faults_t faults;
+    json_t *list_calls; /* kind -> pages of lists that were asked for */
+    int64_t removals;   /* DELETE calls */
 } platform_store_t;
 
+void answer_page(const platform_store_t *store, struct evhttp_request *req,
+                 const char *kind, const char *text);
+json_t *store_find_kind(platform_store_t *store, const char *kind);
+void store_add_odd_entry(platform_store_t *store, const json_t *command);
+void store_remove_odd_entries(platform_store_t *store);
+int store_set_cursor_mode(platform_store_t *store, const char *name);
+void store_answer_list(platform_store_t *store, struct evhttp_request *req,
+                       const char *kind, const char *query);
 void store_init(platform_store_t *store, struct event_base *base);
 void store_handle(struct evhttp_request *req, void *arg);
 json_t *store_find_object(platform_store_t *store, const char *kind,
--- a/kernel/base.h
+++ b/kernel/base.h
@@ -116,6 +116,7 @@
 void str_copy(char *dst, size_t size, const char *src);
 uint64_t str_hash(const char *text, uint64_t seed);
 bool str_is_name(const char *text);
+const char *str_escape(const char *text);
 bool addr_is_valid(const char *addr);
 bool utf8_is_valid(const char *data, size_t len);
 void *mem_zalloc(size_t size);
--- a/kernel/log.c
+++ b/kernel/log.c
@@ -101,6 +101,26 @@
     }
 }
 
+/* Replaces control characters, which names from outside may hold: a line break
+ * would begin another record. */
+static void
+replace_controls(char *text)
+{
+    for (; *text != '\0'; text++) {
+        unsigned char c = (unsigned char)*text;
+        *text = c < ' ' || c == 0x7f ? '?' : *text;
+    }
+}
+
+/* Replaces quotes in the text of a quoted field. */
+static void
+replace_quotes(char *text)
+{
+    for (; *text != '\0'; text++) {
+        *text = *text == '"' ? '\'' : *text;
+    }
+}
+
 /* Write one record: time, level, host, component and event, then the fields of
  * the event as name=value. */
 void
@@ -115,6 +135,7 @@
     va_start(args, fmt);
     (void)vsnprintf(text, sizeof(text), fmt, args);
     va_end(args);
+    replace_controls(text);
     record_add(level, component, event, text);
 }
 
@@ -181,11 +202,13 @@
     va_start(args, fmt);
     (void)vsnprintf(text, sizeof(text), fmt, args);
     va_end(args);
+    replace_controls(text);
     if (!log_records) {
         line_write(level, component, text);
         return;
     }
     char quoted[1100];
+    replace_quotes(text);
     (void)snprintf(quoted, sizeof(quoted), "text=\"%s\"", text);
     record_add(level, component, "note", quoted);
 }
--- a/kernel/metrics.c
+++ b/kernel/metrics.c
@@ -138,15 +138,16 @@
         buf_fmt(out,
                 "celeryspool_%s_bucket{workspace=\"%s\",target=\"%s\","
                 "le=\"%g\"} %llu\n",
-                name, series->workspace, series->target, bound_us / 1e6,
+                name, str_escape(series->workspace),
+                str_escape(series->target), bound_us / 1e6,
                 (unsigned long long)sum);
         bound_us *= 2;
     }
     buf_fmt(out, "celeryspool_%s_sum{workspace=\"%s\",target=\"%s\"} %g\n",
-            name, series->workspace, series->target,
+            name, str_escape(series->workspace), str_escape(series->target),
             (double)histogram->sum_us / 1e6);
     buf_fmt(out, "celeryspool_%s_count{workspace=\"%s\",target=\"%s\"} %llu\n",
-            name, series->workspace, series->target,
+            name, str_escape(series->workspace), str_escape(series->target),
             (unsigned long long)histogram->count);
 }
 
@@ -161,7 +162,8 @@
         CK_LIST_FOREACH (series, &metrics->series, entry) {
             buf_fmt(out,
                     "celeryspool_%s{workspace=\"%s\",target=\"%s\"} %llu\n",
-                    counter_names[i], series->workspace, series->target,
+                    counter_names[i], str_escape(series->workspace),
+                    str_escape(series->target),
                     (unsigned long long)series->counters[i]);
         }
     }
--- a/kernel/util.c
+++ b/kernel/util.c
@@ -8,6 +8,10 @@
 #include <time.h>
 #include <xxhash.h>
 
+/* Texts of str_escape that are valid at once, and their length. */
+#define ESCAPED_COUNT 8
+#define ESCAPED_LEN_MAX 512
+
 static int64_t
 time_read_us(clockid_t clock)
 {
@@ -188,6 +192,33 @@
     return true;
 }
 
+/* Returns text from outside for a quoted label or field: quotes, backslashes
+ * and line feeds are escaped, and other bytes that are no printable text are
+ * replaced.  It is cut if it is too long, and valid until ESCAPED_COUNT more
+ * calls of the thread. */
+const char *
+str_escape(const char *text)
+{
+    static _Thread_local char texts[ESCAPED_COUNT][ESCAPED_LEN_MAX];
+    static _Thread_local unsigned next;
+    char *out = texts[next++ % ESCAPED_COUNT];
+    bool is_text = utf8_is_valid(text, strlen(text));
+    size_t len = 0;
+    for (; *text != '\0' && len < ESCAPED_LEN_MAX - 2; text++) {
+        unsigned char c = (unsigned char)*text;
+        if (c == '"' || c == '\\' || c == '\n') {
+            out[len++] = '\\';
+            out[len++] = c == '\n' ? 'n' : (char)c;
+        }
+        else {
+            bool printable = c >= ' ' && c != 0x7f && (c < 0x80 || is_text);
+            out[len++] = printable ? (char)c : '?';
+        }
+    }
+    out[len] = '\0';
+    return out;
+}
+
 /* Allocate zeroed memory; aborts the process if there is none. */
 void *
 mem_zalloc(size_t size)
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -265,7 +265,8 @@
         return;
     }
     if (platform_server_read(&entry, object, &err) != 0) {
-        log_record(LOG_WARN, "servers", "unreadable", "why=\"%s\"", err.text);
+        log_record(LOG_WARN, "servers", "unreadable", "why=\"%s\"",
+                   str_escape(err.text));
         if (server != NULL && !server->removed) {
             server->revision = object->revision;
             mark_server_missing(relay, server);
@@ -324,7 +325,8 @@
         return;
     }
     if (platform_weights_read(&weights, object, &err) != 0) {
-        log_record(LOG_WARN, "weights", "unreadable", "why=\"%s\"", err.text);
+        log_record(LOG_WARN, "weights", "unreadable", "why=\"%s\"",
+                   str_escape(err.text));
         return;
     }
     weights_record_from_store(relay, weights.model, weights.version,
--- a/relay/meter.c
+++ b/relay/meter.c
@@ -38,13 +38,13 @@
 {
     for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++) {
         buf_fmt(out, "celeryspool_%s_ms{route=\"%s\",quantile=\"%g\"} %.1f\n",
-                name, route, quantiles[i],
+                name, str_escape(route), quantiles[i],
                 histogram_quantile(histogram, quantiles[i]));
     }
-    buf_fmt(out, "celeryspool_%s_ms_sum{route=\"%s\"} %.1f\n", name, route,
-            (double)histogram->sum_us / 1000);
-    buf_fmt(out, "celeryspool_%s_ms_count{route=\"%s\"} %llu\n", name, route,
-            (unsigned long long)histogram->count);
+    buf_fmt(out, "celeryspool_%s_ms_sum{route=\"%s\"} %.1f\n", name,
+            str_escape(route), (double)histogram->sum_us / 1000);
+    buf_fmt(out, "celeryspool_%s_ms_count{route=\"%s\"} %llu\n", name,
+            str_escape(route), (unsigned long long)histogram->count);
 }
 
 void
@@ -63,7 +63,7 @@
             buf_fmt(out,
                     "celeryspool_requests_total{route=\"%s\","
                     "outcome=\"%s\"} %llu\n",
-                    route->name, outcome_names[i],
+                    str_escape(route->name), outcome_names[i],
                     (unsigned long long)route->outcomes[i]);
         }
         write_histogram(&route->first_answer, "first_answer", route->name,
--- a/relay/relay.c
+++ b/relay/relay.c
@@ -73,16 +73,16 @@
     buf_fmt(out,
             "celeryspool_server{server=\"%s\",service=\"%s\",weights=\"%lld\","
             "usable=\"%d\"} %d\n",
-            server->info.id, server->info.service,
+            str_escape(server->info.id), str_escape(server->info.service),
             (long long)server->info.weights, server_is_usable(server, now),
             server->own_running);
     if (server->limit.current.stated) {
         buf_fmt(out, "celeryspool_server_limit{server=\"%s\"} %.3f\n",
-                server->info.id, server->limit.current.per_s);
+                str_escape(server->info.id), server->limit.current.per_s);
     }
     if (!server_rest_allows(&server->rest, now)) {
         buf_fmt(out, "celeryspool_server_rest_ms{server=\"%s\"} %lld\n",
-                server->info.id,
+                str_escape(server->info.id),
                 (long long)server_rest_wait_ms(&server->rest, now));
     }
 }
@@ -97,13 +97,14 @@
     for (size_t i = 0; i < QUOTA_BUCKETS; i++) {
         const quota_t *quota;
         CK_SLIST_FOREACH (quota, &quotas->buckets[i], entry) {
-            buf_fmt(out,
-                    "celeryspool_quota_left{workspace=\"%s\"} %.0f\n"
-                    "celeryspool_quota_allowed_total{workspace=\"%s\"} %llu\n"
-                    "celeryspool_quota_refused_total{workspace=\"%s\"} %llu\n",
-                    quota->name, quota->level, quota->name,
-                    (unsigned long long)quota->allowed, quota->name,
-                    (unsigned long long)quota->rejected);
+            buf_fmt(
+                out,
+                "celeryspool_quota_left{workspace=\"%s\"} %.0f\n"
+                "celeryspool_quota_allowed_total{workspace=\"%s\"} %llu\n"
+                "celeryspool_quota_refused_total{workspace=\"%s\"} %llu\n",
+                str_escape(quota->name), quota->level, str_escape(quota->name),
+                (unsigned long long)quota->allowed, str_escape(quota->name),
+                (unsigned long long)quota->rejected);
         }
     }
 }
@@ -116,7 +117,8 @@
     meter_write_value(out, "retry_slack", shares->slack);
     CK_SLIST_FOREACH (share, &shares->list, entry) {
         buf_fmt(out, "celeryspool_retries_left{service=\"%s\"} %.1f\n",
-                share->service, retry_share_left(shares, share->service, now));
+                str_escape(share->service),
+                retry_share_left(shares, share->service, now));
     }
 }
 
@@ -133,16 +135,16 @@
         double output = request_cost_mean_output(costs, hash);
         if (hold_ms > 0) {
             buf_fmt(out, "celeryspool_hold_ms{route=\"%s\"} %.1f\n",
-                    route->name, hold_ms);
+                    str_escape(route->name), hold_ms);
         }
         if (output > 0) {
             buf_fmt(out,
                     "celeryspool_output_tokens{route=\"%s\"} %.1f\n"
                     "celeryspool_output_tokens_expected{route=\"%s\"} %.1f\n"
                     "celeryspool_output_tokens_error{route=\"%s\"} %.1f\n",
-                    route->name, output, route->name,
-                    request_cost_mean_estimate(costs, hash), route->name,
-                    request_cost_error(costs, hash));
+                    str_escape(route->name), output, str_escape(route->name),
+                    request_cost_mean_estimate(costs, hash),
+                    str_escape(route->name), request_cost_error(costs, hash));
         }
     }
 }
@@ -161,10 +163,11 @@
                     "model=\"%s\"} %.3f\n"
                     "celeryspool_first_token_ms{service=\"%s\","
                     "model=\"%s\"} %.1f\n",
-                    speed->service, speed->model,
-                    engine_speed_rate(&speed->engine), speed->service,
-                    speed->model, decode_speed_ms_per_request(&speed->decode),
-                    speed->service, speed->model,
+                    str_escape(speed->service), str_escape(speed->model),
+                    engine_speed_rate(&speed->engine),
+                    str_escape(speed->service), str_escape(speed->model),
+                    decode_speed_ms_per_request(&speed->decode),
+                    str_escape(speed->service), str_escape(speed->model),
                     speed->engine.first_token_ms);
         }
     }
--- a/relay/service-state.c
+++ b/relay/service-state.c
@@ -55,6 +55,7 @@
 {
     const service_state_t *state;
     CK_SLIST_FOREACH (state, states, entry) {
+        const char *name = str_escape(state->name);
         for (unsigned i = 0; i < PRIORITY_CLASSES; i++) {
             if (state->sent[i] + state->waited[i] + state->rejected[i] == 0) {
                 continue;
@@ -66,21 +67,21 @@
                     "verdict=\"waited\"} %llu\n"
                     "celeryspool_admission{service=\"%s\",class=\"%u\","
                     "verdict=\"rejected\"} %llu\n",
-                    state->name, i, (unsigned long long)state->sent[i],
-                    state->name, i, (unsigned long long)state->waited[i],
-                    state->name, i, (unsigned long long)state->rejected[i]);
+                    name, i, (unsigned long long)state->sent[i], name, i,
+                    (unsigned long long)state->waited[i], name, i,
+                    (unsigned long long)state->rejected[i]);
             buf_fmt(out,
                     "celeryspool_admission_reserve{service=\"%s\","
                     "class=\"%u\"} %.1f\n",
-                    state->name, i, state->kept_free[i]);
+                    name, i, state->kept_free[i]);
             buf_fmt(out,
                     "celeryspool_wait_ratio{service=\"%s\",class=\"%u\"} "
                     "%.2f\n"
                     "celeryspool_wait_error_ms{service=\"%s\",class=\"%u\"} "
                     "%.1f\n",
-                    state->name, i,
-                    wait_forecast_correct(&state->wait_forecasts[i], 1),
-                    state->name, i, state->wait_forecasts[i].error_ms);
+                    name, i,
+                    wait_forecast_correct(&state->wait_forecasts[i], 1), name,
+                    i, state->wait_forecasts[i].error_ms);
         }
     }
 }
