--- a/relay/watch.c
+++ b/relay/watch.c
@@ -96,10 +96,10 @@
     char source[CS_ADDR_MAX];   /* where the last watch went */
     object_kind_t kind;
     watch_state_t state;
-    char list_after[CS_NAME_MAX * 2]; /* last name of the list so far */
-    int64_t list_revision;            /* revision of the list's first page */
-    int64_t revision;                 /* the watch continues after it */
-    int status;                       /* status of the last answer, or 0 */
+    char *list_after;      /* last name of the list so far */
+    int64_t list_revision; /* revision of the list's first page */
+    int64_t revision;      /* the watch continues after it */
+    int status;            /* status of the last answer, or 0 */
     int backoff_ms;
     int64_t answered_ms;   /* last valid answer of the store or upstream */
     int64_t confirmed_ms;  /* the store has confirmed the objects of then */
@@ -253,7 +253,8 @@
 restart_list(watch_t *watch)
 {
     watch->state = WATCH_LISTING;
-    watch->list_after[0] = '\0';
+    free(watch->list_after);
+    watch->list_after = NULL;
 }
 
 /* Returns the age from which the objects are stale. */
@@ -333,7 +334,7 @@
 static void
 apply_list_page(watch_t *watch, const store_page_t *page)
 {
-    if (watch->list_after[0] == '\0') {
+    if (watch->list_after == NULL) {
         watch->list_revision = page->revision;
         watch->list_begun_ms = time_mono_ms();
         watch->hooks.on_list_begin(watch->hooks.arg);
@@ -342,8 +343,8 @@
         watch->hooks.on_object(watch->hooks.arg, &page->objects[i]);
     }
     if (page->has_more && page->count > 0) {
-        str_copy(watch->list_after, sizeof(watch->list_after),
-                 page->objects[page->count - 1].name);
+        free(watch->list_after);
+        watch->list_after = strdup(page->objects[page->count - 1].name);
         return;
     }
     watch->revision = watch->list_revision;
@@ -588,7 +589,8 @@
                                     .arg = watch};
     watch->store_call_count++;
     if (watch->state == WATCH_LISTING) {
-        platform_list_call(&head, watch->addr, watch->kind, watch->list_after);
+        platform_list_call(&head, watch->addr, watch->kind,
+                           watch->list_after != NULL ? watch->list_after : "");
         call_options.total_ms = LIST_TIMEOUT_MS;
     }
     else {
@@ -650,6 +652,7 @@
         fetch_cancel(watch->outage_check);
     }
     event_free(watch->timer);
+    free(watch->list_after);
     free(watch);
 }
 
