Hosts: the list of hosts is read beyond its first page

Hosts did not know each other while another writer's entry stood first in their list and the pages were short: each shared its limits, work and streams with nobody.

Cause: a host that starts read the first page of that list alone, and nothing asked for the next one.

--- a/relay/peer-discovery.c
+++ b/relay/peer-discovery.c
@@ -8,58 +8,95 @@
 #define RELIST_INTERVAL_MS 5000
 #define RETRY_DELAY_MS 500
 
-static void
-apply_list(peer_discovery_t *discovery, const fetch_result_t *result)
+static list_step_t
+apply_page(peer_discovery_t *discovery, const store_page_t *page)
 {
-    store_page_t page;
-    err_t err = {0};
     char addr[CS_ADDR_MAX];
-    if (platform_page_read(&page, result->text, result->len, &err) != 0) {
-        log_warn("peers", "Cannot parse the list of daemons: %s.", err.text);
-        return;
+    if (!list_walk_has_page(&discovery->walk)) {
+        discovery->listed = 0;
     }
-    for (size_t i = 0; i < page.count; i++) {
-        if (platform_peer_read(&page.objects[i], addr, sizeof(addr)) == 0) {
+    for (size_t i = 0; i < page->count; i++) {
+        if (platform_peer_read(&page->objects[i], addr, sizeof(addr)) == 0) {
             members_add_seed(discovery->members, addr);
             discovery->on_listed(discovery->arg, addr);
+            discovery->listed++;
         }
     }
-    discovery->listed = page.count;
-    log_record(LOG_INFO, "peers", "listed", "daemons=%zu", page.count);
+    return list_walk_page(&discovery->walk, page);
+}
+
+/* Returns how the list goes on after an answer. */
+static list_step_t
+apply_answer(peer_discovery_t *discovery, const fetch_result_t *result)
+{
+    store_page_t page;
+    err_t err = {0};
+    if (!result->complete || result->status != 200) {
+        return list_walk_fail(&discovery->walk);
+    }
+    if (platform_page_read(&page, result->text, result->len, &err) != 0) {
+        log_warn("peers", "Cannot parse the list of daemons: %s.", err.text);
+        return LIST_CUT;
+    }
+    list_step_t step = apply_page(discovery, &page);
     platform_page_free(&page);
+    return step;
+}
+
+static void
+end_list(peer_discovery_t *discovery, bool complete, int64_t now)
+{
+    log_record(LOG_INFO, "peers", complete ? "listed" : "list-cut",
+               "daemons=%zu", discovery->listed);
+    list_walk_begin(&discovery->walk);
+    discovery->step = DISCOVERY_DONE;
+    discovery->next_ms = now + RELIST_INTERVAL_MS;
 }
 
 static void call_store(peer_discovery_t *discovery);
 
+static void
+on_list_answer(peer_discovery_t *discovery, const fetch_result_t *result,
+               int64_t now)
+{
+    switch (apply_answer(discovery, result)) {
+        case LIST_NEXT:
+            call_store(discovery);
+            return;
+        case LIST_RETRY:
+            return;
+        case LIST_COMPLETE:
+            end_list(discovery, true, now);
+            return;
+        case LIST_CUT:
+            end_list(discovery, false, now);
+            return;
+    }
+}
+
 static void
 on_done(void *arg, const fetch_result_t *result)
 {
     peer_discovery_t *discovery = arg;
     int64_t now = time_mono_ms();
+    int status = result->complete ? result->status : 0;
     discovery->fetch = NULL;
     discovery->next_ms = now + RETRY_DELAY_MS;
-    if (!result->complete) {
-        return;
-    }
     switch (discovery->step) {
         case DISCOVERY_CREATE:
-            if (result->status == 409) {
+            if (status == 409) {
                 discovery->step = DISCOVERY_REPLACE;
                 call_store(discovery);
             }
             /* fallthrough */
         case DISCOVERY_REPLACE:
-            if (result->status == 200 || result->status == 201) {
+            if (status == 200 || status == 201) {
                 discovery->step = DISCOVERY_LIST;
                 call_store(discovery);
             }
             return;
         case DISCOVERY_LIST:
-            if (result->status == 200) {
-                apply_list(discovery, result);
-                discovery->step = DISCOVERY_DONE;
-                discovery->next_ms = now + RELIST_INTERVAL_MS;
-            }
+            on_list_answer(discovery, result, now);
             return;
         case DISCOVERY_DONE:
             return;
@@ -83,7 +120,8 @@
             break;
         case DISCOVERY_LIST:
         case DISCOVERY_DONE:
-            platform_list_call(&head, settings->store_addr, KIND_PEERS, "");
+            platform_list_call(&head, settings->store_addr, KIND_PEERS,
+                               list_walk_cursor(&discovery->walk));
             break;
     }
     fetch_options_t call_options = {.addr = settings->store_addr,
--- a/relay/peer-discovery.h
+++ b/relay/peer-discovery.h
@@ -7,6 +7,7 @@
 #include "../kernel/settings.h"
 #include "../kernel/tables.h"
 #include "../kernel/fetch.h"
+#include "list-walk.h"
 
 typedef enum {
     DISCOVERY_CREATE,  /* create this daemon's object */
@@ -23,8 +24,9 @@
     void (*on_listed)(void *arg, const char *addr);
     void *arg;
     discovery_step_t step;
-    size_t listed;   /* daemons in the last list, this one included */
-    int64_t next_ms; /* no call before this time */
+    list_walk_t walk; /* of the list that is being read */
+    size_t listed;    /* daemons in the last list, this one included */
+    int64_t next_ms;  /* no call before this time */
     fetch_t *fetch;
 } peer_discovery_t;
 
--- a/tests/odd-names-lib.sh
+++ b/tests/odd-names-lib.sh
@@ -65,8 +65,16 @@
     done | tee -a "$OUT/odd-lines" | wc -l
 }
 
+# count_daemons: how many hosts the one that knows fewest knows, itself included
+count_daemons() {
+    local host
+    for ((host = 1; host <= HOSTS; host++)); do
+        curl -s --max-time 1 "http://$(metrics_addr $host)/" | sed -n 's/^celeryspool_daemons //p'
+    done | sort -n | head -1
+}
+
 # play KIND: starts all hosts, sends requests and sets READY, SERVED, LISTS (calls
-# for a list of KIND), REMOVALS and ODD_LINES
+# for a list of KIND), REMOVALS, ODD_LINES and KNOWN
 play() {
     local host
     post_admin object/config/main "@$OUT/config-1.json"
@@ -81,6 +89,7 @@
     LISTS=$(($(list_calls "$1") - ${LISTS:-0}))
     REMOVALS=$(($(list_calls removals) - REMOVALS))
     ODD_LINES=$(count_odd_lines)
+    KNOWN=$(count_daemons)
     for ((host = 1; host <= HOSTS; host++)); do stop "relay-$host" KILL; done
     echo "  ready $READY, served $SERVED, lists of $1 $LISTS, removals $REMOVALS, odd lines $ODD_LINES"
 }
