Origins of streams: read past odd entries, and only a host's own are removed

After all hosts were killed, streams could not be taken up (0 of 24, refused with 503) while entries of another writer stood among the recorded origins.

Cause: as for other lists, the next page was asked for after the last name as it stood there, and a refused page ended the read. Besides, an entry that states no time at which its origins expire counted as expired in 1970, and hosts removed it, with its name as it was in the path.

The read goes through the pages as other lists do (list-walk); if it is cut, it proves no stream unknown, as after a failed call. Only an entry that states an expired time is removed.

--- a/fakes/platform-list.c
+++ b/fakes/platform-list.c
@@ -65,7 +65,8 @@
     odd->key = evhttp_uridecode(key != NULL ? key : "", 0, &odd->key_len);
     add_quoted(&quoted, odd->key, odd->key_len);
     odd->kind = strdup(kind != NULL ? kind : "servers");
-    odd->name = strdup(name != NULL ? name : buf_text(&quoted));
+    odd->name =
+        strdup(name != NULL && name[0] != '\0' ? name : buf_text(&quoted));
     odd->spec = strdup(spec != NULL ? spec : "{}");
     odd->revision = ++store->revision;
     CK_LIST_INSERT_HEAD(&store->faults.odd_entries, odd, entry);
--- a/relay/origin-store.c
+++ b/relay/origin-store.c
@@ -1,4 +1,5 @@
 #include "config-former.h"
+#include "list-walk.h"
 #include "origin-store.h"
 #include "peers.h"
 
@@ -50,7 +51,7 @@
     size_t garbage_count;
 
     fetch_t *read;
-    char read_after[NAME_MAX_LEN];
+    list_walk_t walk; /* of the list that is being read */
     origin_records_t reading;
     origin_records_t records;
     int64_t read_ms; /* when the last read began; 0 if there was none */
@@ -280,11 +281,14 @@
     origin_records_add(arg, record, time_wall_ms());
 }
 
+/* Notes an object whose origins have expired.  One that states no time is not
+ * of a host. */
 static void
 note_garbage(origin_store_t *store, const store_object_t *object)
 {
-    if (store->garbage_count == GARBAGE_MAX ||
-        platform_origins_until(object) >= time_wall_ms() - GARBAGE_AGE_MS ||
+    int64_t until_ms = platform_origins_until(object);
+    if (store->garbage_count == GARBAGE_MAX || until_ms <= 0 ||
+        until_ms >= time_wall_ms() - GARBAGE_AGE_MS ||
         strlen(object->name) >= NAME_MAX_LEN) {
         return;
     }
@@ -308,39 +312,59 @@
     else {
         origin_records_clear(&store->reading);
     }
+    list_walk_begin(&store->walk);
     log_record(LOG_INFO, "origins", complete ? "read" : "not-read",
                "origins=%zu after_ms=%lld", store->records.count,
                (long long)(time_mono_ms() - store->read_ms));
     requests_apply_records(store->relay, complete);
 }
 
-static void
-on_page(void *arg, const fetch_result_t *result)
+/* Applies a page of the list. */
+static list_step_t
+apply_page(origin_store_t *store, const fetch_result_t *result)
 {
-    origin_store_t *store = arg;
     store_page_t page;
     err_t err = {0};
-    store->read = NULL;
-    if (!result->complete || result->status != 200 ||
-        platform_page_read(&page, result->text, result->len, &err) != 0) {
-        end_read(store, false);
-        return;
+    if (platform_page_read(&page, result->text, result->len, &err) != 0) {
+        return LIST_CUT;
     }
     for (size_t i = 0; i < page.count; i++) {
         platform_origins_read(&page.objects[i], add_record, &store->reading);
         note_garbage(store, &page.objects[i]);
     }
-    bool more = page.has_more && page.count > 0;
-    if (more) {
-        str_copy(store->read_after, sizeof(store->read_after),
-                 page.objects[page.count - 1].name);
-    }
+    list_step_t step = list_walk_page(&store->walk, &page);
     platform_page_free(&page);
-    if (more) {
-        read_page(store);
+    return step;
+}
+
+/* Returns how the read goes on after an answer.  A name after which the store
+ * refuses to go on is replaced by another one. */
+static list_step_t
+apply_answer(origin_store_t *store, const fetch_result_t *result)
+{
+    if (result->complete && result->status == 200) {
+        return apply_page(store, result);
     }
-    else {
-        end_read(store, true);
+    bool refused = result->complete && list_walk_has_page(&store->walk);
+    return refused ? list_walk_fail(&store->walk) : LIST_CUT;
+}
+
+static void
+on_page(void *arg, const fetch_result_t *result)
+{
+    origin_store_t *store = arg;
+    store->read = NULL;
+    switch (apply_answer(store, result)) {
+        case LIST_NEXT:
+        case LIST_RETRY:
+            read_page(store);
+            return;
+        case LIST_COMPLETE:
+            end_read(store, true);
+            return;
+        case LIST_CUT:
+            end_read(store, false);
+            return;
     }
 }
 
@@ -349,7 +373,8 @@
 {
     const char *addr = store->relay->settings.store_addr;
     CLEAN_BUF buf_t call = {0};
-    platform_list_call(&call, addr, KIND_ORIGINS, store->read_after);
+    platform_list_call(&call, addr, KIND_ORIGINS,
+                       list_walk_cursor(&store->walk));
     const fetch_options_t options = {.addr = addr,
                                      .request = &call,
                                      .repeatable = true,
@@ -373,7 +398,7 @@
         return;
     }
     store->read_ms = now;
-    store->read_after[0] = '\0';
+    list_walk_begin(&store->walk);
     read_page(store);
 }
 
