Servers: an entry whose name is no id names none

An entry of another writer under an odd name, with contents like those of a server, was one: requests were sent there, each after its first failure to another server, and the name stood in their heads (Expected-Instance), where a line break in it wrote headers of its own.

--- a/tests/odd-names-lib.sh
+++ b/tests/odd-names-lib.sh
@@ -73,8 +73,12 @@
     done | sort -n | head -1
 }
 
+# count_servers: how many servers the first host knows
+count_servers() { curl -s --max-time 1 "http://$(metrics_addr 1)/metrics" | grep -c '^celeryspool_server{'; }
+
 # play KIND: starts all hosts, sends requests and sets READY, SERVED, LISTS (calls
-# for a list of KIND), REMOVALS, ODD_LINES and KNOWN
+# for a list of KIND), REMOVALS, ODD_LINES, KNOWN
+# (hosts that each knows) and SERVERS (that the first one knows)
 play() {
     local host
     post_admin object/config/main "@$OUT/config-1.json"
@@ -90,6 +94,7 @@
     REMOVALS=$(($(list_calls removals) - REMOVALS))
     ODD_LINES=$(count_odd_lines)
     KNOWN=$(count_daemons)
+    SERVERS=$(count_servers)
     for ((host = 1; host <= HOSTS; host++)); do stop "relay-$host" KILL; done
     echo "  ready $READY, served $SERVED, lists of $1 $LISTS, removals $REMOVALS, odd lines $ODD_LINES"
 }
--- a/tests/test-odd-entries.c
+++ b/tests/test-odd-entries.c
@@ -252,8 +252,38 @@
 }
 END_TEST
 
+/* Guards against requests to a server that is none: its entry has sound
+ * contents under a name of another writer, which would be written into their
+ * heads. */
+START_TEST(odd_names_name_no_server)
+{
+    static const char *const names[] = {
+        "a&b",       "a=b",  "a b", "a%41", "a/b",      "a\"b",
+        "a\r\nb: c", "a\tb", "a;b", "a?b",  "\xc3\xa9", "a\xf4\x8f\xbc\x80"};
+    char longest[CS_NAME_MAX + 1];
+    memset(longest, 'x', sizeof(longest));
+    longest[CS_NAME_MAX] = '\0';
+    CLEAN_JSON json_t *spec =
+        json_pack("{s:s,s:s,s:s,s:s,s:i}", "service", "s", "address",
+                  "10.0.0.1:80", "zone", "z", "state", "ready", "slots", 4);
+    server_entry_t entry;
+    err_t err = {0};
+    store_object_t object = {.name = "i-7f3a.91_c2", .spec = spec};
+    ck_assert_int_eq(platform_server_read(&entry, &object, &err), 0);
+    object.name = longest + 1;
+    ck_assert_int_eq(platform_server_read(&entry, &object, &err), 0);
+    object.name = longest;
+    ck_assert_int_ne(platform_server_read(&entry, &object, &err), 0);
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        object.name = names[i];
+        ck_assert_msg(platform_server_read(&entry, &object, &err) != 0, "%s",
+                      names[i]);
+    }
+}
+END_TEST
+
 TEST_MAIN("odd-entries", odd_values_affect_one_entry,
           nested_values_affect_one_entry, many_odd_entries_affect_themselves,
           odd_entries_are_passed_on_readably,
           numbers_out_of_range_name_no_server, odd_reports_are_bounded,
-          odd_weights_are_ignored)
+          odd_weights_are_ignored, odd_names_name_no_server)
