Weights: an entry that is not named after its model publishes nothing

Streams were rejected (12 of 12 with 503) while an entry of another writer stood among the published weights under a name of its own and held the name of a model and a version: hosts took that version for published, gave up the one in use when its time was over, and waited for engines to have the other.

--- a/tests/proc-odd-kinds.sh
+++ b/tests/proc-odd-kinds.sh
@@ -17,4 +17,12 @@
         expect "$kind, ${key:0:8}: hosts know each other" [ "$KNOWN" = $HOSTS ]
     done
 done
+
+# Weights that nobody published: engines refuse to load them.
+post_admin store '{"remove_odd_entries":true}'
+odd_entry versions 'a%26x' "" '{\"model\":\"m1\",\"version\":2}'
+start_relays $HOSTS
+sleep 12
+expect "published under another name: weights in use stay usable" [ "$(count_served)" = $REQUESTS ]
+expect "published under another name: no engine is ordered to load them" [ "$(grep -c '^order' "$RECORD")" = 0 ]
 finish
--- a/tests/test-odd-entries.c
+++ b/tests/test-odd-entries.c
@@ -282,8 +282,25 @@
 }
 END_TEST
 
+/* Guards against weights that are ordered, and older ones that are given up,
+ * because of an entry that is not named after their model. */
+START_TEST(weights_are_named_after_their_model)
+{
+    CLEAN_JSON json_t *spec =
+        json_pack("{s:s,s:i}", "model", "m", "version", 2);
+    published_weights_t weights;
+    err_t err = {0};
+    store_object_t object = {.name = "m", .spec = spec};
+    ck_assert_int_eq(platform_weights_read(&weights, &object, &err), 0);
+    ck_assert_str_eq(weights.model, "m");
+    object.name = "a&x";
+    ck_assert_int_ne(platform_weights_read(&weights, &object, &err), 0);
+}
+END_TEST
+
 TEST_MAIN("odd-entries", odd_values_affect_one_entry,
           nested_values_affect_one_entry, many_odd_entries_affect_themselves,
           odd_entries_are_passed_on_readably,
           numbers_out_of_range_name_no_server, odd_reports_are_bounded,
-          odd_weights_are_ignored, odd_names_name_no_server)
+          odd_weights_are_ignored, odd_names_name_no_server,
+          weights_are_named_after_their_model)
