--- a/relay/request-head.c
+++ b/relay/request-head.c
@@ -6,10 +6,17 @@
 
 /* Writes the head of a request as it is sent on. */
 
+/* Adds a header.  A control character in a name from the configuration, or in
+ * the id of a server's event, would end it. */
 static void
 add_header(buf_t *out, wire_header_t header, const char *value)
 {
-    buf_fmt(out, "%s: %s\r\n", wire_header_name(header), value);
+    buf_fmt(out, "%s: ", wire_header_name(header));
+    for (; *value != '\0'; value++) {
+        bool control = (unsigned char)*value < ' ' || *value == 0x7f;
+        buf_add(out, control ? "?" : value, 1);
+    }
+    buf_str(out, "\r\n");
 }
 
 /* Whether a header is listed in the caller's Connection header, which makes it
--- a/tests/proc-odd-contents.sh
+++ b/tests/proc-odd-contents.sh
@@ -28,4 +28,6 @@
 check_contents "the name of unreadable weights"
 sed -i 's/"name":"read"/"name":"re\\"ad\\n} 1"/' "$OUT/config-1.json"
 check_contents "the name of a route"
+sed -i 's/"name":"ws1"/"name":"w\\"s1\\n} 1","unit":"requests","rate_per_s":1000,"burst":1000/' "$OUT/config-1.json"
+check_contents "the name of a workspace"
 finish
--- a/tests/test-relay-config.c
+++ b/tests/test-relay-config.c
@@ -129,6 +129,48 @@
 }
 END_TEST
 
+/* Guards against paths and addresses that write lines of a call. */
+START_TEST(paths_and_addresses_hold_no_lines)
+{
+    static const char *const paths[] = {
+        "",
+        "health",
+        "/a b",
+        "/a\\r\\nb: c",
+        "/\xc3\xa9",
+        "/\\u007f",
+        "/0123456789012345678901234567890123456789012345678901234567890123"};
+    static const char *const addresses[] = {
+        "", "10.0.0.9", "10.0.0.9:80\\r\\na: b", "10.0.0.9:80 ", "a:80"};
+    err_t err = {0};
+    for (size_t i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+        char spec[256];
+        (void)snprintf(spec, sizeof(spec),
+                       "{\"version\":1,\"routes\":[],\"services\":[{"
+                       "\"name\":\"s\","
+                       "\"health_check_path\":\"%s\"}]}",
+                       paths[i]);
+        relay_config_t *config = read_config(spec, &err);
+        ck_assert_ptr_nonnull(config);
+        ck_assert_str_eq(relay_config_find_service(config, "s")->health_path,
+                         "/");
+        relay_config_release(config);
+    }
+    for (size_t i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+        char spec[256];
+        (void)snprintf(spec, sizeof(spec),
+                       "{\"version\":1,\"routes\":[],\"services\":[{"
+                       "\"name\":\"s\","
+                       "\"cache_store_address\":\"%s\"}]}",
+                       addresses[i]);
+        relay_config_t *config = read_config(spec, &err);
+        ck_assert_ptr_nonnull(config);
+        ck_assert(!relay_config_find_service(config, "s")->kv_store);
+        relay_config_release(config);
+    }
+}
+END_TEST
+
 START_TEST(split_follows_weights)
 {
     err_t err = {0};
@@ -376,9 +418,9 @@
 
 TEST_MAIN("relay-config", longest_prefix_of_host_matches, fields_are_read,
           workspace_limits_are_read, invalid_limits_are_rejected,
-          split_follows_weights, invalid_configurations_are_rejected,
-          invalid_entries_are_rejected, corrupted_pages_are_read_safely,
-          invalid_text_affects_one_entry, report_is_read,
-          salts_differ_by_weights_and_isolation,
+          paths_and_addresses_hold_no_lines, split_follows_weights,
+          invalid_configurations_are_rejected, invalid_entries_are_rejected,
+          corrupted_pages_are_read_safely, invalid_text_affects_one_entry,
+          report_is_read, salts_differ_by_weights_and_isolation,
           shared_salt_changes_once_a_workspace_is_isolated,
           prompt_parts_are_read)
