--- a/relay/list-walk.c
+++ b/relay/list-walk.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Calls for one page, after which the list counts as cut. */
+/* Calls for a page that bring nothing, after which the list counts as cut. */
 #define PAGE_CALLS_MAX 4
 #define NAME_ROOM_MIN 64
 
@@ -15,9 +15,9 @@
     }
 }
 
-/* Begins a list, or frees what is known of the last one. */
+/* Frees what is known of a list; another one can begin. */
 void
-list_walk_begin(list_walk_t *walk)
+list_walk_reset(list_walk_t *walk)
 {
     drop_cursors(walk);
     free(walk->names);
--- a/relay/list-walk.h
+++ b/relay/list-walk.h
@@ -28,7 +28,7 @@
     unsigned failures;               /* calls for the next page */
 } list_walk_t;
 
-void list_walk_begin(list_walk_t *walk);
+void list_walk_reset(list_walk_t *walk);
 const char *list_walk_cursor(const list_walk_t *walk);
 bool list_walk_has_page(const list_walk_t *walk);
 list_step_t list_walk_page(list_walk_t *walk, const store_page_t *page);
--- a/relay/origin-store.c
+++ b/relay/origin-store.c
@@ -312,7 +312,7 @@
     else {
         origin_records_clear(&store->reading);
     }
-    list_walk_begin(&store->walk);
+    list_walk_reset(&store->walk);
     log_record(LOG_INFO, "origins", complete ? "read" : "not-read",
                "origins=%zu after_ms=%lld", store->records.count,
                (long long)(time_mono_ms() - store->read_ms));
@@ -398,7 +398,7 @@
         return;
     }
     store->read_ms = now;
-    list_walk_begin(&store->walk);
+    list_walk_reset(&store->walk);
     read_page(store);
 }
 
--- a/relay/peer-discovery.c
+++ b/relay/peer-discovery.c
@@ -48,7 +48,7 @@
 {
     log_record(LOG_INFO, "peers", complete ? "listed" : "list-cut",
                "daemons=%zu", discovery->listed);
-    list_walk_begin(&discovery->walk);
+    list_walk_reset(&discovery->walk);
     discovery->step = DISCOVERY_DONE;
     discovery->next_ms = now + RELIST_INTERVAL_MS;
 }
--- a/relay/watch.c
+++ b/relay/watch.c
@@ -104,7 +104,7 @@
     list_walk_t walk;      /* of the list that is being read */
     int64_t list_revision; /* revision of the list's first page */
     int64_t revision;      /* the watch continues after it */
-    bool continuous;       /* it does so without a new list */
+    bool continuous;       /* no change up to the revision is missing */
     bool partial;          /* the last list could not be read to its end */
     int64_t relist_ms;     /* a partial list is read again after this time */
     int relist_pause_ms;
@@ -275,7 +275,7 @@
 begin_list(watch_t *watch)
 {
     watch->state = WATCH_LISTING;
-    list_walk_begin(&watch->walk);
+    list_walk_reset(&watch->walk);
 }
 
 /* Begins another list after the store has lost the changes since the
@@ -294,9 +294,10 @@
     watch->continuous = true;
     watch->state = WATCH_WATCHING;
     watch->listed = true;
-    list_walk_begin(&watch->walk);
+    list_walk_reset(&watch->walk);
 }
 
+/* All objects are known. */
 static void
 complete_list(watch_t *watch)
 {
@@ -402,6 +403,7 @@
                (long long)watch->revision, watch->calls_upstream, outage);
 }
 
+/* Applies a page of the store's list. */
 static list_step_t
 apply_list_page(watch_t *watch, const store_page_t *page)
 {
@@ -470,9 +472,10 @@
         log_record(LOG_INFO, "store", "told-by-peer", "kind=%s at=%lld",
                    kind_name(watch->kind), (long long)page.revision);
     }
-    /* Of a partial list more may be known; the changes follow once more. */
+    /* If a partial list was newer, the changes up to it come again. */
     end_list(watch, page.revision);
     watch->partial = false;
+    watch->relist_pause_ms = RELIST_PAUSE_MS_MIN;
     platform_page_free(&page);
     schedule_call_after_peer(watch);
 }
@@ -490,12 +493,31 @@
     return result->answered_ms - age_ms;
 }
 
+/* Sends the next call after an answer of the store or of an upstream.  Another
+ * daemon may know the rest of a list that is cut. */
+static void
+call_next(watch_t *watch, list_step_t step)
+{
+    char peer[CS_ADDR_MAX];
+    if (step == LIST_RETRY) {
+        schedule_call(watch, next_backoff(watch));
+    }
+    else if (step == LIST_CUT && find_peer(watch, peer)) {
+        call_peer(watch, peer);
+    }
+    else if (watch->batches) {
+        schedule_call(watch, BATCH_DELAY_MS);
+    }
+    else {
+        watch_call(watch);
+    }
+}
+
 static void
 apply_answer(watch_t *watch, const fetch_result_t *result)
 {
     store_page_t page;
     err_t err = {0};
-    char peer[CS_ADDR_MAX];
     if (platform_page_read(&page, result->text, result->len, &err) != 0) {
         log_error("store", "Cannot parse an answer about %s: %s.",
                   kind_name(watch->kind), err.text);
@@ -523,20 +545,8 @@
     platform_page_free(&page);
     update_fresh(watch, !watch->calls_upstream && watch->continuous,
                  has_changes);
-    if (step == LIST_RETRY) {
-        schedule_call(watch, next_backoff(watch));
-        return;
-    }
-    if (step == LIST_CUT && find_peer(watch, peer)) {
-        call_peer(watch, peer);
-        return;
-    }
     watch->batches = batch;
-    if (batch) {
-        schedule_call(watch, BATCH_DELAY_MS);
-        return;
-    }
-    watch_call(watch);
+    call_next(watch, step);
 }
 
 /* Leaves an upstream that has stopped, is unreachable, lacks the changes since
@@ -754,7 +764,7 @@
         fetch_cancel(watch->outage_check);
     }
     event_free(watch->timer);
-    list_walk_begin(&watch->walk);
+    list_walk_reset(&watch->walk);
     free(watch);
 }
 
--- a/tests/test-list-walk.c
+++ b/tests/test-list-walk.c
@@ -120,12 +120,12 @@
 {
     list_walk_t walk = {0};
     memset(reading, 0, sizeof(*reading));
-    list_walk_begin(&walk);
+    list_walk_reset(&walk);
     do {
         reading->step = call_once(model, &walk, reading);
         ck_assert_uint_le(model->calls, (model->count + 1) * CALLS_A_PAGE);
     } while (reading->step == LIST_NEXT || reading->step == LIST_RETRY);
-    list_walk_begin(&walk);
+    list_walk_reset(&walk);
 }
 
 static size_t
@@ -238,7 +238,7 @@
         } while (step == LIST_NEXT || step == LIST_RETRY);
         ck_assert_int_eq(step, LIST_COMPLETE);
         ck_assert_uint_eq(count_seen(&model, &reading), model.count);
-        list_walk_begin(&walk);
+        list_walk_reset(&walk);
     }
 }
 END_TEST
