--- a/relay/object-cache.c
+++ b/relay/object-cache.c
@@ -203,6 +203,17 @@
     }
 }
 
+/* Takes the list as the objects of a revision. */
+static void
+adopt_listing(object_cache_kind_t *cached, int64_t revision)
+{
+    json_decref(cached->objects);
+    cached->objects = cached->listing;
+    cached->listing = NULL;
+    cached->changes_since = revision;
+    drop_changes(cached);
+}
+
 /* Ends a list: older objects that are not on it are dropped.  The single
  * changes before it are not known, so no watch can start before its revision.
  */
@@ -215,11 +226,7 @@
         return;
     }
     merge_newer(cached, revision);
-    json_decref(cached->objects);
-    cached->objects = cached->listing;
-    cached->listing = NULL;
-    cached->changes_since = revision;
-    drop_changes(cached);
+    adopt_listing(cached, revision);
 }
 
 /* Ends a list that could not be read further: its objects are added to those
@@ -233,11 +240,7 @@
         return;
     }
     merge_newer(cached, INT64_MIN);
-    json_decref(cached->objects);
-    cached->objects = cached->listing;
-    cached->listing = NULL;
-    cached->changes_since = revision;
-    drop_changes(cached);
+    adopt_listing(cached, revision);
 }
 
 /* Returns the objects of a kind by name. */
--- a/tests/odd-names-lib.sh
+++ b/tests/odd-names-lib.sh
@@ -11,7 +11,8 @@
 # read again later, with growing pauses.
 LISTS_MAX=4
 
-list_calls() { curl -s -d '{}' "http://$PLATFORM_STORE/admin/store" | grep -oE "\"$1\": *[0-9]+" | grep -oE '[0-9]+$'; }
+# store_count NAME: calls for lists of a kind, or "removals"
+store_count() { curl -s -d '{}' "http://$PLATFORM_STORE/admin/store" | grep -oE "\"$1\": *[0-9]+" | grep -oE '[0-9]+$'; }
 # odd_entry KIND KEY [NAME [SPEC]]: adds an entry; KEY is percent-encoded, NAME
 # and SPEC are JSON as the text of a JSON string
 odd_entry() {
@@ -76,22 +77,22 @@
 # count_servers: how many servers the first host knows
 count_servers() { curl -s --max-time 1 "http://$(metrics_addr 1)/metrics" | grep -c '^celeryspool_server{'; }
 
-# play KIND: starts all hosts, sends requests and sets READY, SERVED, LISTS (calls
-# for a list of KIND), REMOVALS, ODD_LINES, KNOWN
-# (hosts that each knows) and SERVERS (that the first one knows)
+# play KIND: starts all hosts, sends requests and sets READY (hosts), SERVED, LISTS
+# (calls for a list of KIND), REMOVALS, ODD_LINES, KNOWN (hosts that each one knows)
+# and SERVERS (that the first one knows)
 play() {
     local host
     post_admin object/config/main "@$OUT/config-1.json"
     for ((host = 1; host <= HOSTS; host++)); do : >"$OUT/relay-$host.log"; done
-    LISTS=$(list_calls "$1")
-    REMOVALS=$(list_calls removals)
+    LISTS=$(store_count "$1")
+    REMOVALS=$(store_count removals)
     for ((host = 1; host <= HOSTS; host++)); do start_relay "$host"; done
     wait_ready
     READY=$(count_ready)
     SERVED=$(count_served)
     sleep 1
-    LISTS=$(($(list_calls "$1") - ${LISTS:-0}))
-    REMOVALS=$(($(list_calls removals) - REMOVALS))
+    LISTS=$(($(store_count "$1") - ${LISTS:-0}))
+    REMOVALS=$(($(store_count removals) - REMOVALS))
     ODD_LINES=$(count_odd_lines)
     KNOWN=$(count_daemons)
     SERVERS=$(count_servers)
--- a/tests/test-object-cache.c
+++ b/tests/test-object-cache.c
@@ -42,6 +42,29 @@
 }
 END_TEST
 
+/* Guards against servers that count as removed because a list did not reach
+ * them. */
+START_TEST(cut_list_drops_nothing)
+{
+    relay_t *relay = mem_zalloc(sizeof(*relay));
+    object_cache_t *cache = object_cache_new(relay);
+    put(cache, "a", 10);
+    put(cache, "b", 20);
+    put(cache, "c", 5);
+    object_cache_list_begin(cache, KIND_SERVERS);
+    put(cache, "a", 24);
+    put(cache, "b", 15);
+    put(cache, "d", 12);
+    object_cache_list_cut(cache, KIND_SERVERS, 25);
+    ck_assert_int_eq(revision_of(cache, "a"), 24);
+    ck_assert_int_eq(revision_of(cache, "b"), 20);
+    ck_assert_int_eq(revision_of(cache, "c"), 5);
+    ck_assert_int_eq(revision_of(cache, "d"), 12);
+    object_cache_free(cache);
+    free(relay);
+}
+END_TEST
+
 static size_t
 count_events(const buf_t *page, bool *asks_store, int64_t *revision)
 {
@@ -117,5 +140,5 @@
 END_TEST
 
 TEST_MAIN("object-cache", outdated_list_keeps_newer_objects,
-          large_changes_are_left_to_the_store,
+          cut_list_drops_nothing, large_changes_are_left_to_the_store,
           last_change_of_an_object_is_kept)
