Reader: a transfer coding is "chunked", once, or the message is rejected

What callers saw: a server in trouble sent a 200 whose Transfer-Encoding was misspelt ("chunke"), empty, a list, in two lines or with a control byte. They got the sizes of the chunks as part of the body, in a complete answer with a length that the host had computed; of an answer that was broken off too, and on streams.

Cause: http-parser takes a response with any coding that does not end in "chunked" for one that ends with its connection, as HTTP allows for codings that the reader knows. This router knows one.

Change: the reader rejects a head unless its only Transfer-Encoding is exactly "chunked". All heads go through it: servers, health checks, reports, other hosts, the store, the own interface and callers (http_parser_execute is called nowhere else).

proc-odd-status-chat (own interface) gets the kinds too and never failed: a body that is not JSON is no answer there. The checks of proc-odd-status and proc-odd-status-forwarded moved to expect_failures, unchanged but that both look for both texts.

--- a/fakes/fake-garbage.c
+++ b/fakes/fake-garbage.c
@@ -40,6 +40,7 @@
     HEAD_FAILURE, /* 500 with the request's id and a signature */
     HEAD_LENGTH,  /* 200 with them and a length of 5,000 */
     HEAD_STATUS,  /* what the kind begins with, then the same with 5 bytes */
+    HEAD_FIELDS,  /* 200 with them, what the kind begins with ends the head */
     HEAD_REJECTED /* 503 that states that the request has not run */
 } head_t;
 
@@ -105,6 +106,30 @@
     {"status-600", HEAD_STATUS, "600 Odd", NULL, END_NONE},
     {"status-999", HEAD_STATUS, "999 Odd", NULL, END_NONE},
     {"status-1000", HEAD_STATUS, "1000 Odd", NULL, END_NONE},
+    {"coding-less", HEAD_FIELDS,
+     "Transfer-Encoding: chunke\r\n\r\n5\r\nwrong\r\n0\r\n\r\n", NULL,
+     END_CLOSE},
+    {"coding-more", HEAD_FIELDS,
+     "Transfer-Encoding: chunkedd\r\n\r\n5\r\nwrong\r\n0\r\n\r\n", NULL,
+     END_CLOSE},
+    {"coding-empty", HEAD_FIELDS,
+     "Transfer-Encoding:\r\n\r\n5\r\nwrong\r\n0\r\n\r\n", NULL, END_CLOSE},
+    {"coding-list", HEAD_FIELDS,
+     "Transfer-Encoding: chunked, gzip\r\n\r\n5\r\nwrong\r\n0\r\n\r\n", NULL,
+     END_CLOSE},
+    {"coding-twice", HEAD_FIELDS,
+     "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n"
+     "5\r\nwrong\r\n0\r\n\r\n",
+     NULL, END_CLOSE},
+    {"coding-control", HEAD_FIELDS,
+     "Transfer-Encoding: \013chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n", NULL,
+     END_CLOSE},
+    {"coding-half", HEAD_FIELDS,
+     "Transfer-Encoding: chunke\r\n\r\n14\r\nwrong", NULL, END_CLOSE},
+    {"coding-events", HEAD_FIELDS,
+     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunke\r\n\r\n"
+     "14\r\nid: 1\ndata: wrong-1\n\n\r\n0\r\n\r\n",
+     NULL, END_CLOSE},
 };
 
 typedef struct {
@@ -284,6 +309,7 @@
         [HEAD_EVENTS] = "200 OK\r\nContent-Type: text/event-stream",
         [HEAD_FAILURE] = "500 Failed",
         [HEAD_LENGTH] = "200 OK\r\nContent-Length: 5000",
+        [HEAD_FIELDS] = "200 OK",
         [HEAD_REJECTED] = "503 Full"};
     struct evbuffer *out = bufferevent_get_output(peer->bev);
     char id[128];
@@ -303,13 +329,16 @@
                                   peer->kind->begin);
         return;
     }
-    (void)evbuffer_add_printf(
-        out, "%s: sig.%s.%s\r\n%s\r\n", wire_header_name(HEADER_SIGNATURE),
-        peer->server->id, id,
-        peer->kind->head == HEAD_STATUS ? "Content-Length: 5\r\n" : "");
-    (void)evbuffer_add_printf(
-        out, "%s",
-        peer->kind->head == HEAD_STATUS ? "wrong" : peer->kind->begin);
+    (void)evbuffer_add_printf(out, "%s: sig.%s.%s\r\n",
+                              wire_header_name(HEADER_SIGNATURE),
+                              peer->server->id, id);
+    if (peer->kind->head == HEAD_STATUS) {
+        (void)evbuffer_add_printf(out, "Content-Length: 5\r\n\r\nwrong");
+        return;
+    }
+    (void)evbuffer_add_printf(out, "%s%s",
+                              peer->kind->head == HEAD_FIELDS ? "" : "\r\n",
+                              peer->kind->begin);
 }
 
 static void
--- a/fakes/fake-link.c
+++ b/fakes/fake-link.c
@@ -16,7 +16,8 @@
  * new connections from any address; true ends that.  {"extra": TEXT, "before":
  * TEXT, "every": N} makes all links send bytes before every Nth answer to
  * requests that begin so, see link_extra_t; it is answered with the number of
- * times that this was done so far. */
+ * times that this was done so far.  {"rewrite": TEXT, "with": TEXT} makes all
+ * links replace a text in the heads of answers, see link_rewrite_t. */
 
 #define LINKS_MAX 32
 
@@ -128,6 +129,19 @@
     return count;
 }
 
+static int
+set_rewrite(network_t *network, const char *text, const char *with)
+{
+    const link_rewrite_t rewrite = {.text = text, .with = with};
+    if (text == NULL || with == NULL) {
+        return -1;
+    }
+    for (size_t i = 0; i < network->count; i++) {
+        link_set_rewrite(network->links[i], &rewrite);
+    }
+    return 0;
+}
+
 /* Executes a command; -1 if it is invalid or fails. */
 static int
 execute(network_t *network, const json_t *command)
@@ -136,6 +150,10 @@
     if (json_object_get(command, "listen") != NULL) {
         return set_listening(network, json_get_bool(command, "listen"));
     }
+    if (json_object_get(command, "rewrite") != NULL) {
+        return set_rewrite(network, json_get_string(command, "rewrite"),
+                           json_get_string(command, "with"));
+    }
     if (json_object_get(command, "link") != NULL) {
         return hold_link(network, json_get_int(command, "link", -1), how);
     }
--- a/fakes/link.c
+++ b/fakes/link.c
@@ -51,6 +51,8 @@
     int64_t extra_every;
     unsigned extra_requests; /* such requests so far */
     unsigned extra_count;    /* extras sent so far */
+    char *rewrite_text;      /* see link_rewrite_t; NULL for none */
+    char *rewrite_with;
 };
 
 /* Returns the state of the link for connections from an address. */
@@ -117,6 +119,25 @@
                             strlen(link->extra_text));
 }
 
+/* Moves bytes to the client and replaces the text where it first occurs in
+ * them: targets write a head in one piece. */
+static void
+move_rewritten(link_conn_t *conn)
+{
+    const link_t *link = conn->link;
+    struct evbuffer *in = bufferevent_get_input(conn->target);
+    struct evbuffer *out = bufferevent_get_output(conn->client);
+    struct evbuffer_ptr found = evbuffer_search(
+        in, link->rewrite_text, strlen(link->rewrite_text), NULL);
+    if (found.pos >= 0) {
+        (void)evbuffer_remove_buffer(in, out, (size_t)found.pos);
+        (void)evbuffer_drain(in, strlen(link->rewrite_text));
+        (void)evbuffer_add(out, link->rewrite_with,
+                           strlen(link->rewrite_with));
+    }
+    move_bytes(conn->target, conn->client);
+}
+
 /* Returns whether one side has ended and all its bytes were written to the
  * other side. */
 static bool
@@ -140,7 +161,12 @@
         conn->answered =
             conn->answered ||
             evbuffer_get_length(bufferevent_get_input(conn->target)) > 0;
-        move_bytes(conn->target, conn->client);
+        if (conn->link->rewrite_text != NULL) {
+            move_rewritten(conn);
+        }
+        else {
+            move_bytes(conn->target, conn->client);
+        }
     }
     if ((to_target &&
          is_drained(conn->client, conn->target, conn->client_ended)) ||
@@ -374,6 +400,17 @@
     link->extra_every = extra->every > 0 ? extra->every : 1;
 }
 
+/* Sets what the link replaces. */
+void
+link_set_rewrite(link_t *link, const link_rewrite_t *rewrite)
+{
+    free(link->rewrite_text);
+    free(link->rewrite_with);
+    link->rewrite_text =
+        rewrite->text[0] != '\0' ? strdup(rewrite->text) : NULL;
+    link->rewrite_with = strdup(rewrite->with);
+}
+
 /* Returns how often extra bytes were sent. */
 unsigned
 link_extra_count(const link_t *link)
--- a/fakes/link.h
+++ b/fakes/link.h
@@ -30,6 +30,12 @@
     int64_t every;
 } link_extra_t;
 
+/* A text that a link replaces in the heads from its target. */
+typedef struct {
+    const char *text; /* empty for none */
+    const char *with;
+} link_rewrite_t;
+
 link_t *link_open(struct event_base *base, const char *listen,
                   const char *target, err_t *err);
 int link_set_listening(link_t *link, bool listening);
@@ -40,6 +46,7 @@
 void link_reset_source(link_t *link, struct in_addr source);
 void link_stall(link_t *link);
 void link_set_extra(link_t *link, const link_extra_t *extra);
+void link_set_rewrite(link_t *link, const link_rewrite_t *rewrite);
 unsigned link_extra_count(const link_t *link);
 
 #endif
--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -163,6 +163,26 @@
     }
 }
 
+/* Rejects a message whose coding is not exactly "chunked", which http-parser
+ * takes for one that ends with its connection. */
+static void
+check_coding(http_reader_t *reader)
+{
+    const http_head_t *head = &reader->head;
+    unsigned codings = 0;
+    for (unsigned i = 0; i < head->count; i++) {
+        const header_t *header = &head->headers[i];
+        if (!http_head_is(head, header->name, "Transfer-Encoding")) {
+            continue;
+        }
+        codings++;
+        if (codings > 1 || !http_head_is(head, header->value, "chunked")) {
+            (void)reject(reader, 400, "an unknown transfer coding");
+            return;
+        }
+    }
+}
+
 /* Rejects a request without exactly one Host header, which two parsers could
  * attribute to different hosts, and a protocol upgrade. */
 static void
@@ -278,6 +298,21 @@
     return true;
 }
 
+static void
+check_head(http_reader_t *reader)
+{
+    check_coding(reader);
+    if (reader->state == READER_INVALID) {
+        return;
+    }
+    if (reader->response) {
+        check_response(reader);
+    }
+    else {
+        check_request(reader);
+    }
+}
+
 static bool
 read_head(http_reader_t *reader, struct evbuffer *in)
 {
@@ -311,12 +346,7 @@
         (void)reject(reader, 400, "the head is not one message");
     }
     if (reader->state != READER_INVALID) {
-        if (reader->response) {
-            check_response(reader);
-        }
-        else {
-            check_request(reader);
-        }
+        check_head(reader);
     }
     reader->head.until_close = reader->response &&
                                reader->state == READER_BODY &&
--- a/tests/garbage-lib.sh
+++ b/tests/garbage-lib.sh
@@ -37,3 +37,13 @@
         -H 'X-Celeryspool-Deadline-Milliseconds: 6000' "${KEY1[@]}" "$@" "http://$(relay_addr "$host")$path" >"$file"
     echo " $? $(($(now_ms) - begun))" >>"$file"
 }
+
+# expect_failures KIND FILE…: these calls ended with a failure, at once, and with no part of the answer
+expect_failures() {
+    local kind=$1 slowest
+    shift
+    slowest=$(cut -d' ' -f3 "$@" | sort -n | tail -1)
+    expect "$kind: every caller is told of a failure ($(cut -d' ' -f1,2 "$@" | sort | uniq -c | xargs))" [ "$(grep -lE '^50[23] 0 ' "$@" | wc -l)" = $# ]
+    expect "$kind: at once ($slowest ms)" [ "$slowest" -lt "$AT_ONCE_MS" ]
+    expect "$kind: no part of the answer reaches a caller" [ "$(cat "${@/%/.body}" 2>/dev/null | grep -cE 'wrong|0123456789')" = 0 ]
+}
--- a/tests/proc-odd-status-chat.sh
+++ b/tests/proc-odd-status-chat.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Guards against odd statuses and parts of answers that reach callers of the own
-# interface, or that hold them, when one of two engines answers so.
+# Guards against odd statuses, broken heads and parts of answers that reach callers of
+# the own interface, or that hold them, when one of two engines answers so.
 . "$(dirname "$0")/proc-lib.sh"
-KINDS="status-000 status-0200 status-20 status-999 part-reset part-closed length-reset chunks-reset"
+KINDS="status-000 status-0200 status-20 status-999 part-reset part-closed length-reset chunks-reset coding-less coding-events"
 CHATS=12
 AT_ONCE_MS=4000
 start_store && start_service && start_engines 1 && start_daemons 1 || exit 1
--- a/tests/proc-odd-status-forwarded.sh
+++ b/tests/proc-odd-status-forwarded.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Guards against odd statuses and parts of answers that reach callers of a host whose
-# requests another host forwards, and against callers that are held by them.
+# Guards against odd statuses, broken heads and parts of answers that reach callers of a
+# host whose requests another host forwards, and against callers that are held by them.
 LINKED=1
 . "$(dirname "$0")/relay-lib.sh"
 . tests/garbage-lib.sh
-KINDS="status-000 status-0200 status-20 status-999 part-reset length-reset chunks-reset"
+KINDS="status-000 status-0200 status-20 status-999 part-reset length-reset chunks-reset coding-less coding-events"
 GARBAGE_ATTEMPTS=2
 LINK2=127.0.0.1:$((7700 + BASE))
 AT_ONCE_MS=2000
@@ -47,9 +47,7 @@
     done
     wait "${CALLS[@]}"
     files=("$OUT/$kind"-{read,strike,stream}-[1-4])
-    expect "$kind: every caller is told of a failure ($(cut -d' ' -f1,2 "${files[@]}" | sort | uniq -c | xargs))" [ "$(grep -lE '^50[23] 0 ' "${files[@]}" | wc -l)" = 12 ]
-    expect "$kind: at once ($(cut -d' ' -f3 "${files[@]}" | sort -n | tail -1) ms)" [ "$(cut -d' ' -f3 "${files[@]}" | sort -n | tail -1)" -lt $AT_ONCE_MS ]
+    expect_failures "$kind" "${files[@]}"
     expect "$kind: hosts forwarded such requests" grep -q "event=forwarded id=$kind-" "$OUT/relay-1.log"
-    expect "$kind: no part of the answer reaches a caller" [ "$(cat "$OUT/$kind"-*.body | grep -cE 'wrong|0123456789')" = 0 ]
 done
 finish
--- a/tests/proc-odd-status.sh
+++ b/tests/proc-odd-status.sh
@@ -23,10 +23,7 @@
         done
     done
     wait "${CALLS[@]}"
-    expect "$kind: every caller is told of a failure: $(cut -d' ' -f1 "$OUT/$kind"-*-[12] | sort | uniq -c | xargs)" \
-        [ "$(grep -lE '^50[23] 0 ' "$OUT/$kind"-*-[12] | wc -l)" = 6 ]
-    expect "$kind: at once ($(cut -d' ' -f3 "$OUT/$kind"-*-[12] | sort -n | tail -1) ms)" [ "$(cut -d' ' -f3 "$OUT/$kind"-*-[12] | sort -n | tail -1)" -lt $AT_ONCE_MS ]
-    expect "$kind: no part of the answer reaches a caller" [ "$(cat "$OUT/$kind"-*.body | grep -c wrong)" = 0 ]
+    expect_failures "$kind" "$OUT/$kind"-{read,strike,stream}-[12]
     expect "$kind: a request that may have run is not told otherwise" [ "$(grep -l '^503' "$OUT/$kind"-strike-[12] | while read -r f; do grep "send-failed id=$(basename "$f") " "$OUT"/relay-*.log; done | grep -c 'fate=may-have-run')" = 0 ]
 done
 
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -266,6 +266,92 @@
 }
 END_TEST
 
+/* Bytes of a message, which may hold NUL. */
+typedef struct {
+    const char *data;
+    size_t len;
+} text_t;
+
+#define TEXT(literal)                \
+    {                                \
+        literal, sizeof(literal) - 1 \
+    }
+#define TEXTS(texts) (texts), sizeof(texts) / sizeof((texts)[0])
+#define RESPONSE_LINE "HTTP/1.1 200 OK\r\n"
+#define REQUEST_LINE "POST / HTTP/1.1\r\nHost: a\r\n"
+
+/* Reads a message that begins with a line and goes on with a text, in pieces
+ * of a length; what it has of the body goes to body. */
+static reader_state_t
+read_pieces(const char *line, text_t text, size_t step, buf_t *body)
+{
+    feed_t feed;
+    CLEAN_BUF buf_t all = {0};
+    reader_state_t state = READER_HEAD;
+    feed_open(&feed, strncmp(line, "HTTP/", 5) == 0);
+    buf_str(&all, line);
+    buf_add(&all, text.data, text.len);
+    for (size_t at = 0; at < all.len && state < READER_COMPLETE; at += step) {
+        size_t left = all.len - at;
+        state = feed_bytes(&feed, all.data + at, left < step ? left : step);
+    }
+    if (state == READER_INVALID) {
+        ck_assert_int_eq(feed.reader.status, 400);
+    }
+    buf_add(body, feed.body.data, feed.body.len);
+    feed_close(&feed);
+    return state;
+}
+
+/* Checks that requests and responses that go on with a text are rejected as
+ * they are read, at once and byte by byte. */
+static void
+expect_rejected(const text_t *texts, size_t count)
+{
+    static const char *const lines[] = {RESPONSE_LINE, REQUEST_LINE};
+    static const size_t steps[] = {SIZE_MAX / 2, 1};
+    for (size_t i = 0; i < count * 4; i++) {
+        CLEAN_BUF buf_t body = {0};
+        const char *line = lines[i % 2];
+        ck_assert_msg(read_pieces(line, texts[i / 4], steps[i / 2 % 2],
+                                  &body) == READER_INVALID,
+                      "%.4s %zu was accepted: %s", line, i / 4,
+                      texts[i / 4].data);
+    }
+}
+
+/* Guards against coded messages whose framing is taken for their body. */
+START_TEST(a_transfer_encoding_is_chunked_and_nothing_else)
+{
+    static const text_t texts[] = {
+        TEXT("Transfer-Encoding: chunke\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: chunkedd\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding:\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: chunked, gzip\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: chunked, chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+             "\r\n"),
+        TEXT("Transfer-Encoding: chunked,\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: chun ked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: chunked;a=b\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: \"chunked\"\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: \001chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: \013chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: identity\r\n\r\nabc"),
+        TEXT("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"
+             "\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n"
+             "\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n"
+             "\r\n3\r\nabc\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: chunke\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc"),
+    };
+    expect_rejected(TEXTS(texts));
+}
+END_TEST
+
 /* Guards against a trailer whose lines are taken for some of the head, which
  * no longer holds them. */
 START_TEST(a_trailer_is_not_part_of_the_head)
@@ -326,4 +412,5 @@
           a_response_without_a_length_ends_with_its_connection,
           a_response_begins_with_its_version,
           a_trailer_is_not_part_of_the_head,
+          a_transfer_encoding_is_chunked_and_nothing_else,
           damaged_messages_stay_within_bounds)
