Reader: lines of a head end with CRLF and hold no control bytes

What callers saw: a server in trouble sent a head with an empty line of bare LF, or of CR and any byte, among its fields. They got the rest of the head as the begin of the body and the body without its last bytes, in a complete answer; with a coding before that line an empty 200. A control byte at the begin of a value was passed on, a value that began on the next line was taken. The same in requests: a server got what followed the line as the body and the real body was taken for a second request; a head that ended with bare LFs was waited on, 408 for callers, 504 for the callers of a server.

Cause: http-parser ends a line at a bare LF, and a head at CR and any byte, skips what precedes a value without looking at it, and the reader looked only for the CRLF CRLF behind which it hands a head over.

Change: http-lines.c checks each byte of a head before http-parser gets it: a CR is followed by LF, an LF preceded by CR, no other control byte but a tab, no line begins with a blank. A head that is not complete is checked as it arrives, so that one that can't become valid is rejected at once.

--- a/fakes/fake-garbage.c
+++ b/fakes/fake-garbage.c
@@ -130,6 +130,25 @@
      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunke\r\n\r\n"
      "14\r\nid: 1\ndata: wrong-1\n\n\r\n0\r\n\r\n",
      NULL, END_CLOSE},
+    {"line-lf", HEAD_FIELDS,
+     "X-A: b\n\nX-B: c\r\nContent-Length: 5\r\n\r\nwrong", NULL, END_CLOSE},
+    {"line-lf-length", HEAD_FIELDS, "Content-Length: 5\n\nX-B: c\r\n\r\nwrong",
+     NULL, END_CLOSE},
+    {"line-lf-chunked", HEAD_FIELDS,
+     "Transfer-Encoding: chunked\n\nX-B: c\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+     NULL, END_CLOSE},
+    {"line-cr", HEAD_FIELDS, "Content-Length: 5\r\n\rxX-B: c\r\n\r\nwrong",
+     NULL, END_CLOSE},
+    {"line-lf-last", HEAD_FIELDS, "Content-Length: 5\n\nwrong", NULL,
+     END_NONE},
+    {"value-control", HEAD_FIELDS,
+     "X-A: \033b\r\nContent-Length: 5\r\n\r\nwrong", NULL, END_CLOSE},
+    {"value-delete", HEAD_FIELDS,
+     "X-A: \177b\r\nContent-Length: 5\r\n\r\nwrong", NULL, END_CLOSE},
+    {"value-folded", HEAD_FIELDS,
+     "X-A:\r\n b\r\nContent-Length: 5\r\n\r\nwrong", NULL, END_CLOSE},
+    {"length-folded", HEAD_FIELDS, "Content-Length:\r\n 5\r\n\r\nwrong", NULL,
+     END_CLOSE},
 };
 
 typedef struct {
--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -53,12 +53,11 @@
     head->headers[head->count].name = span_of(head, at, len);
     head->headers[head->count].value = span_of(head, at + len, 0);
     head->count++;
-    reader->last_was_value = false;
     return 0;
 }
 
-/* The head is parsed in one call, so a value arrives in one piece unless the
- * header is folded over several lines, which is rejected. */
+/* The head is parsed in one call and no header is folded, so a value arrives
+ * in one piece. */
 static int
 on_value(http_parser *parser, const char *at, size_t len)
 {
@@ -67,14 +66,10 @@
     if (reader->state != READER_HEAD) {
         return 0;
     }
-    if (reader->last_was_value) {
-        return reject(reader, 400, "a folded header");
-    }
     while (len > 0 && (at[len - 1] == ' ' || at[len - 1] == '\t')) {
         len--;
     }
     head->headers[head->count - 1].value = span_of(head, at, len);
-    reader->last_was_value = true;
     return 0;
 }
 
@@ -139,7 +134,8 @@
     reader->state = READER_HEAD;
     reader->status = 0;
     reader->reason = NULL;
-    reader->last_was_value = false;
+    reader->head_checked = 0;
+    http_lines_begin_head(&reader->lines);
     reader->head.text.len = 0;
     reader->head.count = 0;
     reader->head.status = 0;
@@ -298,6 +294,45 @@
     return true;
 }
 
+/* Checks the lines in the first bytes of the input, which are part of a head;
+ * empty lines before it are skipped. */
+static bool
+check_head_lines(http_reader_t *reader, struct evbuffer *in, size_t len)
+{
+    const char *raw = (const char *)evbuffer_pullup(in, (ev_ssize_t)len);
+    size_t at = reader->head_checked;
+    while (reader->head_checked == 0 && at < len &&
+           (raw[at] == '\r' || raw[at] == '\n')) {
+        at++;
+    }
+    const char *reason = http_lines_check(&reader->lines, raw + at, len - at);
+    if (reason != NULL) {
+        (void)reject(reader, 400, reason);
+        return false;
+    }
+    if (at < len) {
+        reader->head_checked = len;
+    }
+    return true;
+}
+
+/* Checks a head that is not complete, so that one that never will be is
+ * rejected at once. */
+static void
+check_incomplete_head(http_reader_t *reader, struct evbuffer *in)
+{
+    size_t have = evbuffer_get_length(in);
+    if (have > reader->head_max) {
+        (void)reject(reader, 431, "the head is too long");
+    }
+    else if (reader->response && !begins_as_response(in)) {
+        (void)reject(reader, 400, "not a response");
+    }
+    else if (have > 0) {
+        (void)check_head_lines(reader, in, have);
+    }
+}
+
 static void
 check_head(http_reader_t *reader)
 {
@@ -320,14 +355,8 @@
         http_reader_skip_empty_lines(in);
     }
     struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
-    size_t have = evbuffer_get_length(in);
     if (end.pos < 0) {
-        if (have > reader->head_max) {
-            (void)reject(reader, 431, "the head is too long");
-        }
-        else if (reader->response && !begins_as_response(in)) {
-            (void)reject(reader, 400, "not a response");
-        }
+        check_incomplete_head(reader, in);
         return false;
     }
     size_t len = (size_t)end.pos + 4;
@@ -335,8 +364,10 @@
         (void)reject(reader, 431, "the head is too long");
         return false;
     }
-    const char *raw = (const char *)evbuffer_pullup(in, (ev_ssize_t)len);
-    buf_add(&reader->head.text, raw, len);
+    if (!check_head_lines(reader, in, len)) {
+        return false;
+    }
+    buf_add(&reader->head.text, evbuffer_pullup(in, (ev_ssize_t)len), len);
     (void)evbuffer_drain(in, len);
     (void)http_parser_execute(&reader->parser, &parser_settings,
                               reader->head.text.data, len);
--- a/kernel/http-reader.h
+++ b/kernel/http-reader.h
@@ -7,6 +7,7 @@
  * interpret differently. */
 
 #include "base.h"
+#include "http-lines.h"
 
 #include <event2/buffer.h>
 #include <http_parser.h>
@@ -52,7 +53,9 @@
     reader_state_t state;
     bool response;
     bool no_body; /* a response to a HEAD request */
-    bool last_was_value;
+    http_lines_t lines;
+    size_t head_checked; /* bytes of an incomplete head whose lines are
+                            checked */
     size_t head_max;
     int status; /* of READER_INVALID: the status to respond with, 400 or 431 */
     const char *reason; /* of READER_INVALID: for logs and error messages */
--- a/tests/proc-broken-heads.sh
+++ b/tests/proc-broken-heads.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Guards against answers with an unknown coding that reach callers as
+# Guards against answers with a broken head that reach callers as
 # complete ones, whose body is not the server's.
 . "$(dirname "$0")/relay-lib.sh"
 . tests/garbage-lib.sh
 KINDS="coding-less coding-more coding-empty coding-list coding-twice coding-control coding-half coding-events"
+KINDS+=" line-lf line-lf-length line-lf-chunked line-lf-last line-cr value-control value-delete value-folded length-folded"
 AT_ONCE_MS=1000
 GARBAGE_ATTEMPTS=2
 start_platform 1 1 && start_relays 2 || exit 1
--- a/tests/relay-lib.sh
+++ b/tests/relay-lib.sh
@@ -94,7 +94,7 @@
 metrics = $(metrics_addr "$1")
 $([ "$LINKED" = 0 ] || echo "source = $(host_ip "$1")")
 [platform]
-store = $PLATFORM_STORE
+store = ${RELAY_STORE:-$PLATFORM_STORE}
 [relay]
 stop_s = 8
 retry_ratio = 0.2
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -352,6 +352,69 @@
 }
 END_TEST
 
+/* Guards against heads that end before their empty line, where the rest of the
+ * head counts as body. */
+START_TEST(lines_of_a_head_end_with_crlf)
+{
+    static const text_t texts[] = {
+        TEXT("X-A: b\n\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A: b\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("Content-Length: 3\n\nX-B: c\r\n\r\nabc"),
+        TEXT("Content-Length: 3\r\n\nX-B: c\r\n\r\nabc"),
+        TEXT("Content-Length: 3\r\n\rxX-B: c\r\n\r\nabc"),
+        TEXT("Content-Length: 3\r\n\r\rX-B: c\r\n\r\nabc"),
+        TEXT("Content-Length: 3\r\nX-B: c\rx\r\n\r\nabc"),
+        TEXT("Content-Length: 3\rX-B: c\r\n\r\nabc"),
+        TEXT("Content-Length: 3\r\r\n\r\nabc"),
+        TEXT("Content-Length: 3\n\r\n\r\nabc"),
+        TEXT("Transfer-Encoding: chunked\n\nX-B: c\r\n\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: chunked\r\n\rxX-B: c\r\n\r\n0\r\n\r\n"),
+    };
+    expect_rejected(TEXTS(texts));
+}
+END_TEST
+
+/* Guards against callers that are held until their time is over by heads that
+ * can't end any more. */
+START_TEST(a_bad_line_end_is_rejected_before_the_head_is_complete)
+{
+    static const char *const requests[] = {
+        "GET / HTTP/1.1\nHost: a\n\n", "GET / HTTP/1.1\r\nHost: a\n",
+        "GET / HTTP/1.1\r\nHost: a\rb", "GET / HTTP/1.1\r\nX: a\033"};
+    static const char *const responses[] = {
+        "HTTP/1.1 200 OK\nX: y\n\nabc", "HTTP/1.1 200 OK\r\nX: y\n",
+        "HTTP/1.1 200 OK\r\nX: y\r\n z", "HTTP/1.1 200 OK\r\nX: y\r\r"};
+    for (size_t i = 0; i < 4; i++) {
+        int status = 0;
+        ck_assert_int_eq(read_request(requests[i], &status), READER_INVALID);
+        ck_assert_int_eq(status, 400);
+        ck_assert_int_eq(read_response(responses[i]), READER_INVALID);
+    }
+}
+END_TEST
+
+/* Guards against control bytes that are passed on, and against values that
+ * begin on the next line. */
+START_TEST(values_hold_no_control_bytes_and_no_line_ends)
+{
+    static const text_t texts[] = {
+        TEXT("X-A: \000b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A: \001b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A:\033b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A: \177b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A: b\000\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A: b\033c\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A:\r\n b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A:\r\n\tb\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A: \r\n b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A: b\r\n c\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("Content-Length:\r\n 3\r\n\r\nabc"),
+        TEXT(" X-A: b\r\nContent-Length: 3\r\n\r\nabc"),
+    };
+    expect_rejected(TEXTS(texts));
+}
+END_TEST
+
 /* Guards against a trailer whose lines are taken for some of the head, which
  * no longer holds them. */
 START_TEST(a_trailer_is_not_part_of_the_head)
@@ -413,4 +476,7 @@
           a_response_begins_with_its_version,
           a_trailer_is_not_part_of_the_head,
           a_transfer_encoding_is_chunked_and_nothing_else,
+          lines_of_a_head_end_with_crlf,
+          a_bad_line_end_is_rejected_before_the_head_is_complete,
+          values_hold_no_control_bytes_and_no_line_ends,
           damaged_messages_stay_within_bounds)
