Reader: chunks are followed by CRLF, their sizes and trailers are checked

What callers saw: a server in trouble sent a chunk whose size was two too small and which had no line end behind it; they got the body without two bytes, in a complete answer. A chunk behind which CR and a letter stood: a byte too many or too few. The same in requests: a server got a body that the caller had not sent.

Cause: http-parser drops the two bytes behind a chunk, the byte behind the CR of a size, all that follows a size and a blank, and ends a trailer at a bare LF, all unread; Debian builds it without its strict mode.

Change: what lies between the data of chunks goes through http-lines.c too. The pieces that http-parser passes as data tell which bytes these are, so they are checked before the next data is passed on. A size is digits, blanks and perhaps an extension; the lines of a trailer are as strict as those of a head.

--- a/fakes/fake-garbage.c
+++ b/fakes/fake-garbage.c
@@ -149,6 +149,21 @@
      "X-A:\r\n b\r\nContent-Length: 5\r\n\r\nwrong", NULL, END_CLOSE},
     {"length-folded", HEAD_FIELDS, "Content-Length:\r\n 5\r\n\r\nwrong", NULL,
      END_CLOSE},
+    {"chunk-short", HEAD_FIELDS,
+     "Transfer-Encoding: chunked\r\n\r\n3\r\nwrong0\r\n\r\n", NULL, END_CLOSE},
+    {"chunk-cr", HEAD_FIELDS,
+     "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\rx0\r\n\r\n", NULL,
+     END_CLOSE},
+    {"chunk-size-cr", HEAD_FIELDS,
+     "Transfer-Encoding: chunked\r\n\r\n5\rxwrong\r\n0\r\n\r\n", NULL,
+     END_CLOSE},
+    {"chunk-size-two", HEAD_FIELDS,
+     "Transfer-Encoding: chunked\r\n\r\n5 5\r\nwrong\r\n0\r\n\r\n", NULL,
+     END_CLOSE},
+    {"trailer-lf", HEAD_FIELDS,
+     "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX-A: b\n\nX-B: c"
+     "\r\n\r\n",
+     NULL, END_CLOSE},
 };
 
 typedef struct {
--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -40,6 +40,9 @@
 {
     http_reader_t *reader = reader_of(parser);
     http_head_t *head = &reader->head;
+    if (memchr(at, ' ', len) != NULL) {
+        return reject(reader, 400, "a blank in a header's name");
+    }
     if (reader->state != READER_HEAD) {
         return 0; /* a trailer, which is dropped: it is not in the head's text
                    */
@@ -47,8 +50,8 @@
     if (head->count == HTTP_HEAD_HEADERS_MAX) {
         return reject(reader, 431, "too many headers");
     }
-    if (len == 0 || memchr(at, ' ', len) != NULL) {
-        return reject(reader, 400, "a blank in a header's name");
+    if (len == 0) {
+        return reject(reader, 400, "a header without a name");
     }
     head->headers[head->count].name = span_of(head, at, len);
     head->headers[head->count].value = span_of(head, at + len, 0);
@@ -85,10 +88,30 @@
     return reader->no_body ? 1 : 0;
 }
 
+/* Checks the lines between the data of chunks, up to an address of the piece
+ * that is being parsed. */
+static bool
+check_chunk_lines(http_reader_t *reader, const char *end)
+{
+    const char *reason = http_lines_check(&reader->lines, reader->unchecked,
+                                          (size_t)(end - reader->unchecked));
+    if (reason != NULL) {
+        (void)reject(reader, 400, reason);
+    }
+    return reason == NULL;
+}
+
 static int
 on_body(http_parser *parser, const char *at, size_t len)
 {
     http_reader_t *reader = reader_of(parser);
+    if (reader->chunked) {
+        if (!check_chunk_lines(reader, at)) {
+            return -1;
+        }
+        http_lines_skip_data(&reader->lines);
+        reader->unchecked = at + len;
+    }
     reader->on_body(reader->arg, at, len);
     return reader->state == READER_INVALID ? -1 : 0;
 }
@@ -134,6 +157,7 @@
     reader->state = READER_HEAD;
     reader->status = 0;
     reader->reason = NULL;
+    reader->chunked = false;
     reader->head_checked = 0;
     http_lines_begin_head(&reader->lines);
     reader->head.text.len = 0;
@@ -177,6 +201,7 @@
             return;
         }
     }
+    reader->chunked = codings > 0;
 }
 
 /* Rejects a request without exactly one Host header, which two parsers could
@@ -379,6 +404,7 @@
     if (reader->state != READER_INVALID) {
         check_head(reader);
     }
+    http_lines_begin_chunks(&reader->lines);
     reader->head.until_close = reader->response &&
                                reader->state == READER_BODY &&
                                http_body_is_final(&reader->parser) == 0 &&
@@ -402,9 +428,14 @@
         if (evbuffer_peek(in, -1, NULL, &piece, 1) < 1 || piece.iov_len == 0) {
             break;
         }
+        const char *data = piece.iov_base;
+        reader->unchecked = data;
         size_t used = http_parser_execute(&reader->parser, &parser_settings,
-                                          piece.iov_base, piece.iov_len);
+                                          data, piece.iov_len);
         check_parser_error(reader);
+        if (reader->chunked && reader->state != READER_INVALID) {
+            (void)check_chunk_lines(reader, data + used);
+        }
         (void)evbuffer_drain(in, used);
         if (used == 0) {
             break;
--- a/kernel/http-reader.h
+++ b/kernel/http-reader.h
@@ -53,9 +53,11 @@
     reader_state_t state;
     bool response;
     bool no_body; /* a response to a HEAD request */
+    bool chunked; /* what follows the head */
     http_lines_t lines;
-    size_t head_checked; /* bytes of an incomplete head whose lines are
-                            checked */
+    size_t head_checked;   /* bytes of an incomplete head whose lines are
+                              checked */
+    const char *unchecked; /* while chunks are parsed: behind the last data */
     size_t head_max;
     int status; /* of READER_INVALID: the status to respond with, 400 or 431 */
     const char *reason; /* of READER_INVALID: for logs and error messages */
--- a/tests/proc-broken-heads.sh
+++ b/tests/proc-broken-heads.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# Guards against answers with a broken head that reach callers as
+# Guards against answers with a broken head or broken chunks that reach callers as
 # complete ones, whose body is not the server's.
 . "$(dirname "$0")/relay-lib.sh"
 . tests/garbage-lib.sh
 KINDS="coding-less coding-more coding-empty coding-list coding-twice coding-control coding-half coding-events"
 KINDS+=" line-lf line-lf-length line-lf-chunked line-lf-last line-cr value-control value-delete value-folded length-folded"
+KINDS+=" chunk-short chunk-cr chunk-size-cr chunk-size-two trailer-lf"
 AT_ONCE_MS=1000
 GARBAGE_ATTEMPTS=2
 start_platform 1 1 && start_relays 2 || exit 1
@@ -29,7 +30,7 @@
 done
 
 # A sound server beside broken ones, whose health checks and reports are answered so too.
-for kind in coding-less coding-list; do
+for kind in coding-less chunk-short; do
     start_bad_server $n "$kind" --probes
     post_admin "object/servers/g-$n" "{\"service\":\"desk\",\"address\":\"$(server_addr $n)\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":2,\"born\":1000}"
     for i in 1 2; do wait_line "$OUT/relay-$i.log" "event=ready server=g-$n service=desk" 3; done
--- a/tests/proc-broken-requests.sh
+++ b/tests/proc-broken-requests.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Guards against requests with a broken head of which a server gets
+# Guards against requests with a broken head or broken chunks of which a server gets
 # something else than was sent, and against callers that are held by them.
 . "$(dirname "$0")/relay-lib.sh"
 AT_ONCE_MS=500
 start_platform 1 2 && start_relays 1 || exit 1
+CHUNKED='Transfer-Encoding: chunked\r\n\r\n'
 declare -A REST=(
     [line-lf]='X-A: b\n\nX-B: c\r\nContent-Length: 5\r\n\r\nhello'
     [line-lf-last]='Content-Length: 5\n\nhello'
@@ -14,6 +15,13 @@
     [value-key]='X-Celeryspool-Key: \033b\r\nContent-Length: 5\r\n\r\nhello'
     [value-folded]='X-A:\r\n b\r\nContent-Length: 5\r\n\r\nhello'
     [length-folded]='Content-Length:\r\n 5\r\n\r\nhello'
+    [chunk-short]="${CHUNKED}5\r\nhello--5\r\nworld\r\n0\r\n\r\n"
+    [chunk-cr]="${CHUNKED}5\r\nhello\rx0\r\n\r\n"
+    [chunk-size-cr]="${CHUNKED}5\rxhello\r\n0\r\n\r\n"
+    [chunk-size-two]="${CHUNKED}5 5\r\nhello\r\n0\r\n\r\n"
+    [chunk-extension]="${CHUNKED}5;\001\r\nhello\r\n0\r\n\r\n"
+    [trailer-lf]="${CHUNKED}5\r\nhello\r\n0\r\nX-A: b\n\nX-B: c\r\n\r\n"
+    [trailer-blank]="${CHUNKED}5\r\nhello\r\n0\r\nX A: b\r\n\r\n"
     [coding-twice]='Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n'
 )
 for name in "${!REST[@]}"; do
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -279,6 +279,7 @@
 #define TEXTS(texts) (texts), sizeof(texts) / sizeof((texts)[0])
 #define RESPONSE_LINE "HTTP/1.1 200 OK\r\n"
 #define REQUEST_LINE "POST / HTTP/1.1\r\nHost: a\r\n"
+#define CHUNKED_LINE "Transfer-Encoding: chunked\r\n\r\n"
 
 /* Reads a message that begins with a line and goes on with a text, in pieces
  * of a length; what it has of the body goes to body. */
@@ -415,6 +416,94 @@
 }
 END_TEST
 
+/* Guards against bodies that lose or gain bytes where a chunk is not followed
+ * by its line end. */
+START_TEST(chunks_end_with_crlf)
+{
+    static const text_t texts[] = {
+        TEXT(CHUNKED_LINE "3\r\nabcde\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabcde3\r\nfgh\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\n\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\rx0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabcx\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\r0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\rxabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3;a\rxabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\rx\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\n\rx"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\n\n"),
+    };
+    expect_rejected(TEXTS(texts));
+}
+END_TEST
+
+/* Guards against sizes of chunks that two parsers may read differently, and
+ * against control bytes behind them. */
+START_TEST(sizes_of_chunks_are_hexadecimal_numbers)
+{
+    static const text_t texts[] = {
+        TEXT(CHUNKED_LINE "g\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "+3\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "-3\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "0x3\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE " 3\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "fffffffffffffffff\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3 3\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "0 3\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\0013\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3;a\000b\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3;\033\r\nabc\r\n0\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3;a\nb\r\nabc\r\n0\r\n\r\n"),
+    };
+    expect_rejected(TEXTS(texts));
+}
+END_TEST
+
+/* Guards against trailers that two parsers may end at different lines. */
+START_TEST(lines_of_a_trailer_are_fields)
+{
+    static const text_t texts[] = {
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\nX-A: b\n\nX-B: c\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\nX-A: b\nX-B: c\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\nX-A: b\rxX-B: c\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\nX-A: b\r\n c\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\nX-A: \001b\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\nX A: b\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\nX-A : b\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\n X-A: b\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\nword\r\n\r\n"),
+        TEXT(CHUNKED_LINE "3\r\nabc\r\n0\r\n: b\r\n\r\n"),
+    };
+    expect_rejected(TEXTS(texts));
+}
+END_TEST
+
+/* Guards against checks that reject sound messages. */
+START_TEST(sound_heads_and_chunks_are_read)
+{
+    static const text_t texts[] = {
+        TEXT("Content-Length: 8\r\n\r\nabcd\r\nef"),
+        TEXT("content-length:8 \r\nX-A:\r\nX-B: b\tc\344\r\n\r\nabcd\r\nef"),
+        TEXT(CHUNKED_LINE "8\r\nabcd\r\nef\r\n0\r\n\r\n"),
+        TEXT("Transfer-Encoding: Chunked \r\n\r\n4 \r\nabcd\r\n"
+             "4;a=b\t;c=\"\344\"\r\n\r\nef\r\n000\r\n\r\n"),
+        TEXT("transfer-encoding:chunked\r\n\r\n00000008 ;a\r\nabcd\r\nef\r\n"
+             "0;b\r\nX-A: b\r\nX-B:\r\nx-c:\t\344 d\r\n\r\n"),
+    };
+    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]) * 6; i++) {
+        CLEAN_BUF buf_t body = {0};
+        static const size_t steps[] = {SIZE_MAX / 2, 1, 7};
+        ck_assert_msg(read_pieces(i % 2 == 0 ? RESPONSE_LINE : REQUEST_LINE,
+                                  texts[i / 6], steps[i / 2 % 3],
+                                  &body) == READER_COMPLETE,
+                      "text %zu was rejected", i / 6);
+        ck_assert_str_eq(buf_text(&body), "abcd\r\nef");
+    }
+}
+END_TEST
+
 /* Guards against a trailer whose lines are taken for some of the head, which
  * no longer holds them. */
 START_TEST(a_trailer_is_not_part_of_the_head)
@@ -467,6 +556,41 @@
 }
 END_TEST
 
+/* Guards against line ends and chunks that are read in another way when they
+ * arrive in pieces. */
+START_TEST(pieces_do_not_change_what_is_read)
+{
+    static const char text[] =
+        "X-A: b\r\nTransfer-Encoding: chunked\r\nX-B: c\r\n\r\n"
+        "5\r\nabcde\r\n2;x=y\r\nfg\r\n0\r\nX-C: d\r\n\r\n";
+    static const char bytes[] = "\r\n\t ;:01f\001X";
+    unsigned accepted = 0;
+    for (uint64_t seed = 0; seed < 20000; seed++) {
+        rng_t rng = {seed};
+        CLEAN_BUF buf_t whole = {0};
+        CLEAN_BUF buf_t pieces = {0};
+        char copy[sizeof(text)];
+        memcpy(copy, text, sizeof(text));
+        for (uint64_t i = rng_below(&rng, 4); i > 0; i--) {
+            copy[rng_below(&rng, sizeof(text) - 1)] =
+                bytes[rng_below(&rng, sizeof(bytes) - 1)];
+        }
+        const text_t damaged = {copy, sizeof(text) - 1};
+        const char *line = seed % 2 == 0 ? RESPONSE_LINE : REQUEST_LINE;
+        reader_state_t state =
+            read_pieces(line, damaged, SIZE_MAX / 2, &whole);
+        ck_assert_int_eq(read_pieces(line, damaged,
+                                     1 + (size_t)rng_below(&rng, 9), &pieces),
+                         state);
+        if (state != READER_INVALID) {
+            ck_assert_str_eq(buf_text(&pieces), buf_text(&whole));
+            accepted++;
+        }
+    }
+    ck_assert_uint_gt(accepted, 4000);
+}
+END_TEST
+
 TEST_MAIN("http-reader", ambiguous_requests_are_rejected,
           a_head_with_two_status_lines_is_no_response,
           a_response_has_a_status_of_three_digits,
@@ -478,5 +602,8 @@
           a_transfer_encoding_is_chunked_and_nothing_else,
           lines_of_a_head_end_with_crlf,
           a_bad_line_end_is_rejected_before_the_head_is_complete,
-          values_hold_no_control_bytes_and_no_line_ends,
+          values_hold_no_control_bytes_and_no_line_ends, chunks_end_with_crlf,
+          sizes_of_chunks_are_hexadecimal_numbers,
+          lines_of_a_trailer_are_fields, sound_heads_and_chunks_are_read,
+          pieces_do_not_change_what_is_read,
           damaged_messages_stay_within_bounds)
