Exchange: a stated length that ends before its body is no complete answer

What callers saw: a server in trouble stated a length of 3, or 0, for a body of 5 bytes; they got so much of it in a complete answer.

Cause: a length is believed whatever follows. Bytes behind an answer belong to no request, and the connection was closed over them, but the answer counted.

Change: bytes that have come by then and do not begin another answer end the exchange as malformed, if the answer states its length: either the length or the body is wrong, and nothing tells which. An answer in chunks has ended with its last chunk. A copy of an answer, or a second one, begins as one and changes nothing; line ends behind a body don't either.

What it may cost: a sound answer with other bytes right behind it is tried again or fails with 502.

test-exchange [a paused exchange goes on where it stopped] let its server send without end behind a length of 3,000,000; it sends so many bytes now. Its checks are unchanged.

What follows later than the read that completes the answer is not seen.

--- a/fakes/fake-garbage.c
+++ b/fakes/fake-garbage.c
@@ -164,6 +164,10 @@
      "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\nX-A: b\n\nX-B: c"
      "\r\n\r\n",
      NULL, END_CLOSE},
+    {"length-short", HEAD_FIELDS, "Content-Length: 3\r\n\r\nwrong", NULL,
+     END_CLOSE},
+    {"length-zero", HEAD_FIELDS, "Content-Length: 0\r\n\r\nwrong", NULL,
+     END_CLOSE},
 };
 
 typedef struct {
--- a/kernel/exchange.c
+++ b/kernel/exchange.c
@@ -543,6 +543,11 @@
         return false;
     }
     if (state == READER_COMPLETE && !interim && !exchange->skipping) {
+        if (!exchange->discarding &&
+            http_reader_has_excess(&exchange->reader, in)) {
+            exchange_end(exchange, EXCHANGE_MALFORMED);
+            return false;
+        }
         response_complete(exchange);
         return false;
     }
--- a/kernel/exchange.h
+++ b/kernel/exchange.h
@@ -22,9 +22,10 @@
     EXCHANGE_UNSENT,    /* no connection was made; nothing was sent */
     EXCHANGE_NO_ANSWER, /* the connection failed before a response began */
     EXCHANGE_BROKEN,    /* the connection failed within the response */
-    EXCHANGE_MALFORMED, /* the response is not valid HTTP, or has too many
-                           bytes besides its body, or follows one to another
-                           request that does not end */
+    EXCHANGE_MALFORMED, /* the response is not valid HTTP, or has more bytes
+                           than its length states, or too many besides its
+                           body, or follows one to another request that does
+                           not end */
     EXCHANGE_STOPPED,   /* the owner wanted no more of the response */
     EXCHANGE_TIMEOUT    /* total_ms passed, the request had been sent */
 } exchange_end_t;
--- a/kernel/http-reader.c
+++ b/kernel/http-reader.c
@@ -456,6 +456,16 @@
     return reader->state;
 }
 
+/* Whether a complete response is followed by bytes that begin no other one
+ * although it states its length: either its length or its body is wrong. */
+bool
+http_reader_has_excess(const http_reader_t *reader, struct evbuffer *in)
+{
+    return reader->state == READER_COMPLETE && !reader->no_body &&
+           http_head_find(&reader->head, "Content-Length") != NULL &&
+           !begins_as_response(in);
+}
+
 const char *
 http_head_method(const http_head_t *head)
 {
--- a/kernel/http-reader.h
+++ b/kernel/http-reader.h
@@ -73,6 +73,7 @@
 reader_state_t http_reader_feed(http_reader_t *reader, struct evbuffer *in);
 void http_reader_skip_empty_lines(struct evbuffer *in);
 reader_state_t http_reader_eof(http_reader_t *reader);
+bool http_reader_has_excess(const http_reader_t *reader, struct evbuffer *in);
 
 const char *http_head_method(const http_head_t *head);
 const char *http_head_at(const http_head_t *head, span_t span);
--- a/tests/test-exchange.c
+++ b/tests/test-exchange.c
@@ -23,8 +23,9 @@
     unsigned closed; /* by the client */
     unsigned answered;
     const char *answer; /* an empty 200 if NULL */
-    const char *more;   /* without end after the answer; NULL for none */
-    size_t sent;        /* bytes of what is without end */
+    const char *more;   /* again and again after the answer; NULL for none */
+    size_t more_max;    /* bytes of it; 0: without end */
+    size_t sent;        /* bytes of it so far */
 } server_t;
 
 /* What callers see of an exchange. */
@@ -43,7 +44,9 @@
 send_more(struct bufferevent *bev, void *arg)
 {
     server_t *server = arg;
-    for (int i = 0; server->more != NULL && i < 100; i++) {
+    for (int i = 0; server->more != NULL && i < 100 &&
+                    (server->more_max == 0 || server->sent < server->more_max);
+         i++) {
         (void)bufferevent_write(bev, server->more, strlen(server->more));
         server->sent += strlen(server->more);
     }
@@ -541,6 +544,7 @@
                    PAUSED_BODY_BYTES);
     server.answer = answer;
     server.more = "0123456789";
+    server.more_max = PAUSED_BODY_BYTES;
     exchanges_t *exchanges = exchanges_new(server.base);
     exchanges_set_buffers(exchanges, RECEIVE_BYTES, RECEIVE_BYTES);
     const exchange_request_t request = {.addr = server.addr,
@@ -626,6 +630,33 @@
 }
 END_TEST
 
+/* Guards against a part of a body that is taken for all of it, because the
+ * stated length is too small. */
+START_TEST(bytes_behind_a_stated_length_end_an_exchange)
+{
+    static const char *const excess[] = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nwrong",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nwrong"};
+    static const char *const sound[] = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+        "HTTP/1.1 500 Failed\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nown\r\n0\r\n\r\nmore"};
+    for (size_t i = 0; i < sizeof(excess) / sizeof(excess[0]); i++) {
+        seen_t seen = {.action = HEAD_ACCEPT};
+        ck_assert_int_eq(end_of_answer(excess[i], NULL, &seen),
+                         EXCHANGE_MALFORMED);
+    }
+    for (size_t i = 0; i < sizeof(sound) / sizeof(sound[0]); i++) {
+        seen_t seen = {.action = HEAD_ACCEPT};
+        ck_assert_int_eq(end_of_answer(sound[i], NULL, &seen),
+                         EXCHANGE_COMPLETE);
+        ck_assert_uint_eq(seen.body_len, 3);
+    }
+}
+END_TEST
+
 /* Guards against the answer to a request that is taken for a report. */
 START_TEST(fetch_skips_the_answer_to_a_request)
 {
@@ -655,6 +686,7 @@
 END_TEST
 
 TEST_MAIN("exchange", unfinished_stray_ends_an_exchange,
+          bytes_behind_a_stated_length_end_an_exchange,
           an_id_is_sent_once_over_a_connection,
           requests_of_one_id_do_not_pile_up_connections,
           a_connection_that_is_full_is_closed,
