Tests: odd lengths, lines that are no fields, odd names

A status of 000 and a part of an answer that is reset during a long upload have their tests: proc-odd-status, proc-odd-status-forwarded, proc-odd-status-chat, proc-early-answers.

--- a/tests/proc-broken-heads.sh
+++ b/tests/proc-broken-heads.sh
@@ -6,7 +6,7 @@
 KINDS="coding-less coding-more coding-empty coding-list coding-twice coding-control coding-half coding-events"
 KINDS+=" line-lf line-lf-length line-lf-chunked line-lf-last line-cr value-control value-delete value-folded length-folded"
 KINDS+=" chunk-short chunk-cr chunk-size-cr chunk-size-two trailer-lf"
-KINDS+=" length-short length-zero"
+KINDS+=" length-short length-zero length-empty length-letter length-sign length-list length-twice length-name length-coded field-word field-json name-blank name-control"
 AT_ONCE_MS=1000
 GARBAGE_ATTEMPTS=2
 start_platform 1 1 && start_relays 2 || exit 1
--- a/tests/proc-broken-requests.sh
+++ b/tests/proc-broken-requests.sh
@@ -22,7 +22,12 @@
     [chunk-extension]="${CHUNKED}5;\001\r\nhello\r\n0\r\n\r\n"
     [trailer-lf]="${CHUNKED}5\r\nhello\r\n0\r\nX-A: b\n\nX-B: c\r\n\r\n"
     [trailer-blank]="${CHUNKED}5\r\nhello\r\n0\r\nX A: b\r\n\r\n"
+    [coding-less]='Transfer-Encoding: chunke\r\n\r\n5\r\nhello\r\n0\r\n\r\n'
     [coding-twice]='Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n'
+    [length-twice]='Content-Length: 5\r\nContent-Length: 4\r\n\r\nhello'
+    [length-coded]='Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nhello'
+    [name-blank]='X A: b\r\nContent-Length: 5\r\n\r\nhello'
+    [field-word]='word\r\nContent-Length: 5\r\n\r\nhello'
 )
 for name in "${!REST[@]}"; do
     head="POST /strike/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key1\r\nX-Celeryspool-Attempt-Id: $name\r\n"
--- a/tests/proc-odd-status-chat.sh
+++ b/tests/proc-odd-status-chat.sh
@@ -2,7 +2,7 @@
 # Guards against odd statuses, broken heads and parts of answers that reach callers of
 # the own interface, or that hold them, when one of two engines answers so.
 . "$(dirname "$0")/proc-lib.sh"
-KINDS="status-000 status-0200 status-20 status-999 part-reset part-closed length-reset chunks-reset coding-less coding-events line-lf line-cr value-control chunk-short length-short"
+KINDS="status-000 status-0200 status-20 status-999 part-reset part-closed length-reset chunks-reset coding-less coding-events line-lf line-cr value-control chunk-short length-short length-letter name-blank"
 CHATS=12
 AT_ONCE_MS=4000
 start_store && start_service && start_engines 1 && start_daemons 1 || exit 1
--- a/tests/proc-odd-status-forwarded.sh
+++ b/tests/proc-odd-status-forwarded.sh
@@ -4,7 +4,7 @@
 LINKED=1
 . "$(dirname "$0")/relay-lib.sh"
 . tests/garbage-lib.sh
-KINDS="status-000 status-0200 status-20 status-999 part-reset length-reset chunks-reset coding-less coding-events line-lf line-cr value-control chunk-short length-short"
+KINDS="status-000 status-0200 status-20 status-999 part-reset length-reset chunks-reset coding-less coding-events line-lf line-cr value-control chunk-short length-short length-letter name-blank"
 GARBAGE_ATTEMPTS=2
 LINK2=127.0.0.1:$((7700 + BASE))
 AT_ONCE_MS=2000
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -480,6 +480,50 @@
 }
 END_TEST
 
+/* Guards against lengths that are taken for others, and against lines that are
+ * no fields. */
+START_TEST(odd_lengths_and_lines_are_rejected)
+{
+    static const text_t texts[] = {
+        TEXT("Content-Length:\r\n\r\nabc"),
+        TEXT("Content-Length:  \r\n\r\nabc"),
+        TEXT("Content-Length: abc\r\n\r\nabc"),
+        TEXT("Content-Length: 3x\r\n\r\nabc"),
+        TEXT("Content-Length: 3 x\r\n\r\nabc"),
+        TEXT("Content-Length: 3 3\r\n\r\nabc"),
+        TEXT("Content-Length: +3\r\n\r\nabc"),
+        TEXT("Content-Length: -3\r\n\r\nabc"),
+        TEXT("Content-Length: 0x3\r\n\r\nabc"),
+        TEXT("Content-Length: 3.0\r\n\r\nabc"),
+        TEXT("Content-Length: 3, 3\r\n\r\nabc"),
+        TEXT("Content-Length: \"3\"\r\n\r\nabc"),
+        TEXT("Content-Length: 3\000\r\n\r\nabc"),
+        TEXT("Content-Length: \0013\r\n\r\nabc"),
+        TEXT("Content-Length: 18446744073709551619\r\n\r\nabc"),
+        TEXT("Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc"),
+        TEXT("Content-Length : 3\r\n\r\nabc"),
+        TEXT("Content-Length\t: 3\r\n\r\nabc"),
+        TEXT("Content-Length\001: 3\r\n\r\nabc"),
+        TEXT("Content Length: 3\r\n\r\nabc"),
+        TEXT("Content-Length 3\r\n\r\nabc"),
+        TEXT("word\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("some words\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("{\"a\":1}\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT(": b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("\001\002\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X\000A: b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X\177A: b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X\033: b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X(A): b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X@A: b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X\344A: b\r\nContent-Length: 3\r\n\r\nabc"),
+        TEXT("X-A\rx: b\r\nContent-Length: 3\r\n\r\nabc"),
+    };
+    expect_rejected(TEXTS(texts));
+}
+END_TEST
+
 /* Guards against checks that reject sound messages. */
 START_TEST(sound_heads_and_chunks_are_read)
 {
@@ -604,6 +648,6 @@
           a_bad_line_end_is_rejected_before_the_head_is_complete,
           values_hold_no_control_bytes_and_no_line_ends, chunks_end_with_crlf,
           sizes_of_chunks_are_hexadecimal_numbers,
-          lines_of_a_trailer_are_fields, sound_heads_and_chunks_are_read,
-          pieces_do_not_change_what_is_read,
+          lines_of_a_trailer_are_fields, odd_lengths_and_lines_are_rejected,
+          sound_heads_and_chunks_are_read, pieces_do_not_change_what_is_read,
           damaged_messages_stay_within_bounds)
