Tests: a host's log is waited for before it is searched

Traced: the lines were in the log (nine forwarded, within 25 ms), but were written behind the check: logs are buffered. The check waits up to 2 s for them.

The check that no call which may have run is told otherwise could pass for the same reason.

--- a/tests/garbage-lib.sh
+++ b/tests/garbage-lib.sh
@@ -47,3 +47,16 @@
     expect "$kind: at once ($slowest ms)" [ "$slowest" -lt "$AT_ONCE_MS" ]
     expect "$kind: no part of the answer reaches a caller" [ "$(cat "${@/%/.body}" 2>/dev/null | grep -cE 'wrong|0123456789')" = 0 ]
 }
+
+# expect_true_rejections KIND FILE…: no call that may have run is told otherwise; a
+# file's name ends with the number of its host, whose log holds the end of the call
+expect_true_rejections() {
+    local kind=$1 file id false=0
+    shift
+    for file in $(grep -l '^503' "$@"); do
+        id=$(basename "$file")
+        wait_line "$OUT/relay-${id##*-}.log" "event=end id=$id " 2 || false=$((false + 1))
+        cat "$OUT"/relay-*.log | grep -q "event=send-failed id=$id .*fate=may-have-run" && false=$((false + 1))
+    done
+    expect "$kind: a request that may have run is not told otherwise ($false)" [ $false = 0 ]
+}
--- a/tests/proc-odd-status-forwarded.sh
+++ b/tests/proc-odd-status-forwarded.sh
@@ -48,6 +48,6 @@
     wait "${CALLS[@]}"
     files=("$OUT/$kind"-{read,strike,stream}-[1-4])
     expect_failures "$kind" "${files[@]}"
-    expect "$kind: hosts forwarded such requests" grep -q "event=forwarded id=$kind-" "$OUT/relay-1.log"
+    expect "$kind: hosts forwarded such requests" wait_line "$OUT/relay-1.log" "event=forwarded id=$kind-" 2
 done
 finish
--- a/tests/proc-odd-status.sh
+++ b/tests/proc-odd-status.sh
@@ -24,7 +24,7 @@
     done
     wait "${CALLS[@]}"
     expect_failures "$kind" "$OUT/$kind"-{read,strike,stream}-[12]
-    expect "$kind: a request that may have run is not told otherwise" [ "$(grep -l '^503' "$OUT/$kind"-strike-[12] | while read -r f; do grep "send-failed id=$(basename "$f") " "$OUT"/relay-*.log; done | grep -c 'fate=may-have-run')" = 0 ]
+    expect_true_rejections "$kind" "$OUT/$kind"-strike-[12]
 done
 
 # A sound server beside a broken one; the same in answers to health checks.
