--- a/tests/garbage-lib.sh
+++ b/tests/garbage-lib.sh
@@ -60,3 +60,51 @@
     done
     expect "$kind: a request that may have run is not told otherwise ($false)" [ $false = 0 ]
 }
+
+# start_kinds FIRST KIND…: two hosts, and a bad server of each kind, numbered from FIRST
+start_kinds() {
+    local n=$1 kind i
+    shift
+    start_platform 1 1 && start_relays 2 || return 1
+    garbage_routes "$@" both >"$OUT/config-2.json"
+    post_admin object/config/main "@$OUT/config-2.json"
+    for kind in "$@"; do start_bad_server $((n++)) "$kind"; done
+    for i in 1 2; do wait_line "$OUT/relay-$i.log" "event=ready server=g-$((n - 1)) " 3; done
+    sleep 2.2 # a daemon makes no retries just after its start
+}
+
+# expect_held KIND: calls over all routes to the bad server of a kind, at both hosts, end with true failures
+expect_held() {
+    local kind=$1 route i calls=()
+    for route in read strike stream; do
+        for i in 1 2; do
+            timed_call "$OUT/$kind-$route-$i" $i "/$route-$kind/x" -d "body" &
+            calls+=($!)
+        done
+    done
+    wait "${calls[@]}"
+    expect_failures "$kind" "$OUT/$kind"-{read,strike,stream}-[12]
+    expect_true_rejections "$kind" "$OUT/$kind"-strike-[12]
+}
+
+# start_bad_desk NUMBER KIND: a bad server of the service desk, whose health checks and reports are answered so too
+start_bad_desk() {
+    local i
+    start_bad_server "$1" "$2" --probes
+    post_admin "object/servers/g-$1" "{\"service\":\"desk\",\"address\":\"$(server_addr "$1")\",\"zone\":\"dc-a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":2,\"born\":1000}"
+    for i in 1 2; do wait_line "$OUT/relay-$i.log" "event=ready server=g-$1 service=desk" 3; done
+}
+
+# expect_served_beside LEAST: of 40 calls to the service desk so many are served, all whole
+expect_served_beside() {
+    local i served calls=()
+    for ((i = 1; i <= 40; i++)); do
+        timed_call "$OUT/beside-$i" $((i % 2 + 1)) /read/x &
+        calls+=($!)
+        sleep 0.05
+    done
+    wait "${calls[@]}"
+    served=$(grep -l '^200 0 ' "$OUT"/beside-* | wc -l)
+    expect "beside a sound server: $served of 40 are served" [ "$served" -ge "$1" ]
+    expect "whole" [ "$(cat "$OUT"/beside-*.body | grep -c '^answer of p1$')" = "$served" ]
+}
