Test: half heads end their lines with CRLF

Traced: the test sent its half heads with bare LFs. Such a head is rejected with 400 as soon as a line of it is there, and no longer held until the head's time is over, so it was no half head any more but one bad request after the other, each logged as any bad request is.

--- a/tests/proc-descriptors.sh
+++ b/tests/proc-descriptors.sh
@@ -32,9 +32,7 @@
     expect "$name: it serves at once when they are gone" [ "$(request_status 1 /read/x "${KEY1[@]}")" = 200 ]
 }
 play idle "$(relay_addr 1)" ""
-play half-heads "$(relay_addr 1)" "GET /read/x HTTP/1.1
-Host: a.example
-"
+play half-heads "$(relay_addr 1)" $'GET /read/x HTTP/1.1\r\nHost: a.example\r\n'
 play idle-readiness "$(ready_addr 1)" ""
 play idle-peers "$(relay_peer_addr 1)" ""
 finish
