--- a/tests/proc-broken-heads-links.sh
+++ b/tests/proc-broken-heads-links.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Guards against streams, reports, health checks, events and the store's answers that
-# are taken for what they are not, when what frames them is broken on their way.
+# Guards against streams and the store's answers that are taken for what they are not,
+# when what frames all answers of servers or of the store is broken on their way.
 LINKED=1
 . "$(dirname "$0")/relay-lib.sh"
 RELAY_STORE=127.0.0.1:$((7691 + BASE))
