--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # from the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
-make -j8 build/fake-platform build/fake-streams
+make -j8 build/fake-platform build/fake-streams build/fake-link
 mkdir -p build/review
 gcc -std=gnu11 -O2 -Wall -Wextra -D_GNU_SOURCE -pthread -o build/review/gate review/gate.c
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -84,6 +84,13 @@
     return 1
 }
 
+# With LINKED=1 daemons reach servers through links, each from an address of its own.
+LINKED=${LINKED:-0}
+machine_ip() { echo "127.0.0.$((10 + $1))"; }
+# cut_machine N hang|reset|refuse|none: cuts a machine off from all servers
+cut_machine() { http "$LINKS" POST /cut "{\"source\":\"$(machine_ip "$1")\",\"how\":\"$2\"}" >/dev/null; }
+source_line() { [ "$LINKED" = 0 ] || echo "s/^metrics = .*/&\nsource = $(machine_ip "$1")/"; }
+
 # settings N: deploy/celeryspool.ini.template, filled in for a small deployment
 settings() {
     sed -e "s/{{node_name}}/edge-$1/; s/{{zone}}/zone-a/; s/{{listen_addresses.front}}/$(front "$1")/" \
@@ -96,7 +103,7 @@
         -e "/{{#bounds.quota/d; s/{{#limits.memory_mb}}.*/memory_mb = 260/" \
         -e "s/{{#limits.link_mbps}}.*/link_mbps = 1000/; s/{{bounds.lease_ms}}/3000/" \
         -e "s/{{#limits.file_descriptors}}.*/descriptors = 4100/" \
-        -e "s/{{bounds.version_ms}}/10000/" deploy/celeryspool.ini.template
+        -e "s/{{bounds.version_ms}}/10000/" -e "$(source_line "$1")" deploy/celeryspool.ini.template
 }
 start_daemon() {
     settings "$1" >"$WORK/edge-$1.ini"
