Streams: the log says why the version of a stream is not known

Callers saw 503 (why=stream-unknown) for streams that they took up after all hosts had lost power. The log showed source=none and software=0 alone, which does not tell apart that the service had several versions, that no server was listed, and that this host does not know which versions there were for all of the time in which the stream may have begun.

Change: software_seen_judge returns which of these it is, and a new record, request origin-unknown, shows it with the span that is covered.

No decision is changed.

--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -131,6 +131,48 @@
                (long long)(time_mono_ms() - request->received_ms));
 }
 
+/* Finds out which versions the services of the request's path had while
+ * streams that are taken up now may have begun, and sets the only one if it
+ * was one, otherwise SOFTWARE_UNKNOWN. */
+static versions_verdict_t
+judge_versions(const request_t *request, uint64_t *only)
+{
+    const relay_t *relay = request->relay;
+    uint64_t services[ROUTE_SERVICES_MAX];
+    int64_t now = time_mono_ms();
+    int64_t wall = time_wall_ms();
+    int64_t window_ms =
+        config_former_timeout_ms(relay->config, now) + REQUEST_BEGAN_MARGIN_MS;
+    size_t count = config_former_services(request->route, now, services);
+    return software_seen_judge(&relay->software_seen, services, count,
+                               wall - window_ms, wall, only);
+}
+
+static uint64_t
+find_only_version(const request_t *request)
+{
+    uint64_t only;
+    (void)judge_versions(request, &only);
+    return only;
+}
+
+/* Logs what this host knows of the versions at which a stream of unknown
+ * origin may have begun. */
+static void
+log_unknown(const request_t *request)
+{
+    const software_seen_t *seen = &request->relay->software_seen;
+    int64_t wall = time_wall_ms();
+    uint64_t only;
+    const char *versions =
+        versions_verdict_name(judge_versions(request, &only));
+    log_record(LOG_INFO, "request", "origin-unknown",
+               "id=%s versions=%s covered_ms=%lld covered_until_ms=%lld",
+               request->id, versions,
+               (long long)(seen->since_ms != 0 ? wall - seen->since_ms : 0),
+               (long long)(seen->since_ms != 0 ? wall - seen->until_ms : 0));
+}
+
 /* Rejects the request, which has not run: the version of its stream is not
  * known. */
 static void
@@ -138,6 +180,7 @@
 {
     request->relay->meter.resumes_unknown++;
     log_taken_up(request, "none");
+    log_unknown(request);
     request_reject(request, "stream-unknown",
                    all_answered ? 0 : RETRY_AFTER_UNKNOWN_MS);
 }
@@ -203,22 +246,6 @@
     return true;
 }
 
-/* Returns the only version that the services of the request's path had while
- * streams that are taken up now may have begun, or SOFTWARE_UNKNOWN. */
-static uint64_t
-find_only_version(const request_t *request)
-{
-    const relay_t *relay = request->relay;
-    uint64_t services[ROUTE_SERVICES_MAX];
-    int64_t now = time_mono_ms();
-    int64_t wall = time_wall_ms();
-    int64_t window_ms =
-        config_former_timeout_ms(relay->config, now) + REQUEST_BEGAN_MARGIN_MS;
-    size_t count = config_former_services(request->route, now, services);
-    return software_seen_only(&relay->software_seen, services, count,
-                              wall - window_ms, wall);
-}
-
 /* No host knows the stream: it began at the only version that its services had
  * lately, if that is certain.  False if the request was rejected. */
 static bool
--- a/relay/software-seen.c
+++ b/relay/software-seen.c
@@ -98,16 +98,18 @@
     return false;
 }
 
-/* Returns the only version that some services had since a time, or
- * SOFTWARE_UNKNOWN if they had several or what they had is not known. */
-uint64_t
-software_seen_only(const software_seen_t *seen, const uint64_t *services,
-                   size_t count, int64_t since_ms, int64_t now_ms)
+/* Finds out how many versions some services had since a time, and sets the
+ * only one if it was one, otherwise SOFTWARE_UNKNOWN. */
+versions_verdict_t
+software_seen_judge(const software_seen_t *seen, const uint64_t *services,
+                    size_t count, int64_t since_ms, int64_t now_ms,
+                    uint64_t *only)
 {
-    uint64_t only = SOFTWARE_UNKNOWN;
+    versions_verdict_t verdict = VERSIONS_NONE;
+    *only = SOFTWARE_UNKNOWN;
     if (seen->overflow || seen->since_ms == 0 || seen->since_ms > since_ms ||
         seen->until_ms + GAP_MS_MAX < now_ms) {
-        return SOFTWARE_UNKNOWN;
+        return VERSIONS_NOT_COVERED;
     }
     for (size_t i = 0; i < seen->count; i++) {
         const software_sighting_t *known = &seen->list[i];
@@ -115,10 +117,40 @@
             !contains(services, count, known->service)) {
             continue;
         }
-        if (only != SOFTWARE_UNKNOWN && only != known->software) {
-            return SOFTWARE_UNKNOWN;
+        if (verdict == VERSIONS_ONE && *only != known->software) {
+            *only = SOFTWARE_UNKNOWN;
+            return VERSIONS_SEVERAL;
         }
-        only = known->software;
+        verdict = VERSIONS_ONE;
+        *only = known->software;
     }
+    return verdict;
+}
+
+/* Returns the only version that some services had since a time, or
+ * SOFTWARE_UNKNOWN if they had several or what they had is not known. */
+uint64_t
+software_seen_only(const software_seen_t *seen, const uint64_t *services,
+                   size_t count, int64_t since_ms, int64_t now_ms)
+{
+    uint64_t only;
+    (void)software_seen_judge(seen, services, count, since_ms, now_ms, &only);
     return only;
 }
+
+/* Returns the name of a verdict for logs. */
+const char *
+versions_verdict_name(versions_verdict_t verdict)
+{
+    switch (verdict) {
+        case VERSIONS_ONE:
+            return "one";
+        case VERSIONS_SEVERAL:
+            return "several";
+        case VERSIONS_NONE:
+            return "none";
+        case VERSIONS_NOT_COVERED:
+            return "not-covered";
+    }
+    return "none";
+}
