Deploy: the limit of descriptors is an option of the daemon, not a field of the template

Cause: added limits.file_descriptors to the template. A script that fills in the fields that it knows stops at one that it does not.

The template asks for no further field. Hosts keep the bound on connections.

--- a/daemons/celeryspoold.c
+++ b/daemons/celeryspoold.c
@@ -12,11 +12,13 @@
 
 typedef struct {
     const char *settings;
+    int descriptors; /* 0: not stated */
     bool check;
     bool help_settings;
 } daemon_args_t;
 
 #define POLL_INTERVAL_MS 50
+#define DESCRIPTORS_MAX 1000000000
 /* The platform's variable that names the settings file by default. */
 #define SETTINGS_ENV "CELERYSPOOL_CONFIG"
 
@@ -24,11 +26,30 @@
 
 static const struct argp_option options[] = {
     {"settings", 's', "FILE", 0, "settings file (INI)", 0},
+    {"descriptors", 'd', "COUNT", 0,
+     "descriptors that the daemon may have open, unless the settings state "
+     "them; empty: as many as the system allows",
+     0},
     {"check", 'c', NULL, 0, "check the settings and exit", 0},
     {"help-settings", 'S', NULL, 0, "list all settings and exit", 0},
     {0},
 };
 
+/* Reads the value of --descriptors, which may be empty. */
+static void
+read_descriptors(daemon_args_t *args, const char *text,
+                 struct argp_state *state)
+{
+    char *end;
+    errno = 0;
+    long count = strtol(text, &end, 10);
+    if (errno != 0 || *end != '\0' || count < 0 || count > DESCRIPTORS_MAX) {
+        argp_error(state, "--descriptors: \"%s\" is not a number from 0 to %d",
+                   text, DESCRIPTORS_MAX);
+    }
+    args->descriptors = (int)count;
+}
+
 static error_t
 parse_option(int key, char *arg, struct argp_state *state)
 {
@@ -37,6 +58,9 @@
         case 's':
             args->settings = arg;
             return 0;
+        case 'd':
+            read_descriptors(args, arg, state);
+            return 0;
         case 'c':
             args->check = true;
             return 0;
@@ -171,6 +195,9 @@
         case SETTINGS_INVALID:
             return EXIT_SETTINGS;
     }
+    if (settings.descriptors == 0) {
+        settings.descriptors = args.descriptors;
+    }
     (void)signal(SIGPIPE, SIG_IGN);
     (void)signal(SIGTERM, on_signal);
     (void)signal(SIGINT, on_signal);
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -211,6 +211,34 @@
 #define PLATFORM_VALUE_COUNT \
     (sizeof(platform_values) / sizeof(platform_values[0]))
 
+static bool
+is_platform_value(const char *name, size_t len)
+{
+    return find_value(platform_values, PLATFORM_VALUE_COUNT, name, len) !=
+               NULL ||
+           strncmp(name, "seeds", len) == 0;
+}
+
+/* Guards against hosts that cannot start since the template asks for fields
+ * that the scripts of earlier releases do not fill in. */
+START_TEST(the_template_asks_for_no_further_fields)
+{
+    char text[4096];
+    FILE *file = fopen("deploy/celeryspool.ini.template", "re");
+    ck_assert_ptr_nonnull(file);
+    text[fread(text, 1, sizeof(text) - 1, file)] = '\0';
+    (void)fclose(file);
+    const char *at = text;
+    while ((at = strstr(at, "{{")) != NULL) {
+        const char *name = at + 2 + strspn(at + 2, "#^/");
+        size_t len = strcspn(name, "}");
+        ck_assert_msg(len == 1 || is_platform_value(name, len), "{{%.*s}}",
+                      (int)len, name);
+        at = name + len;
+    }
+}
+END_TEST
+
 /* Guards against a daemon that exits at startup because a bound set by the
  * platform is a fraction. */
 START_TEST(bounds_may_be_fractions_and_keep_their_precision)
@@ -377,4 +405,5 @@
           quota_bounds_and_memory_may_be_missing, invalid_bounds_are_problems,
           corrupted_files_are_read_or_rejected,
           every_beginning_of_a_valid_file_is_incomplete,
-          a_fault_on_a_complete_line_is_invalid, a_missing_file_is_incomplete)
+          a_fault_on_a_complete_line_is_invalid, a_missing_file_is_incomplete,
+          the_template_asks_for_no_further_fields)
