Cache: each send takes its salt from the newest configuration

Cause: a request keeps the configuration with which it came, and the group in which its workspace shares parts was looked up there, for later sends too.

Change: the newest configuration of the host says who shares, at each placement and each send. A workspace that it does not have shares with no other.

--- a/relay/relay-config.c
+++ b/relay/relay-config.c
@@ -153,6 +153,32 @@
     }
 }
 
+static const workspace_entry_t *
+find_workspace_named(const relay_config_t *config, const char *name)
+{
+    for (size_t i = 0; i < config->workspace_count; i++) {
+        if (strcmp(config->workspaces[i].name, name) == 0) {
+            return &config->workspaces[i];
+        }
+    }
+    return NULL;
+}
+
+/* The same for a workspace of another configuration.  One that this
+ * configuration does not have shares with no other. */
+void
+relay_config_sharing_group_of(const relay_config_t *config,
+                              const char *workspace,
+                              char out[SHARING_GROUP_MAX])
+{
+    const workspace_entry_t *entry = find_workspace_named(config, workspace);
+    if (entry == NULL) {
+        str_copy(out, SHARING_GROUP_MAX, workspace);
+        return;
+    }
+    relay_config_sharing_group(config, entry, out);
+}
+
 /* Returns the bucket of the routes with a host and a prefix.  Host names are
  * compared without regard to case, so they are hashed in lower case. */
 static size_t
--- a/relay/relay-config.h
+++ b/relay/relay-config.h
@@ -141,6 +141,9 @@
 void relay_config_sharing_group(const relay_config_t *config,
                                 const workspace_entry_t *workspace,
                                 char out[SHARING_GROUP_MAX]);
+void relay_config_sharing_group_of(const relay_config_t *config,
+                                   const char *workspace,
+                                   char out[SHARING_GROUP_MAX]);
 void relay_config_add_key(relay_config_t *config, const char *key,
                           const workspace_entry_t *workspace);
 const route_t *relay_config_find_route(const relay_config_t *config,
--- a/relay/request-head.c
+++ b/relay/request-head.c
@@ -117,13 +117,21 @@
     }
 }
 
-/* Writes the cache salt of the request's prompt for a weights version. */
+/* Writes the cache salt of the request's prompt for a weights version.  The
+ * newest configuration says who shares cached parts, not the one with which
+ * the request came: it may have isolated a workspace since. */
 void
 request_cache_salt(const request_t *request, int64_t weights,
                    char out[CS_ID_LEN + 1])
 {
     char group[SHARING_GROUP_MAX];
-    relay_config_sharing_group(request->config, request->workspace, group);
+    const relay_config_t *newest = request->relay->config;
+    if (request->workspace == NULL || request->config == newest) {
+        relay_config_sharing_group(newest, request->workspace, group);
+    }
+    else {
+        relay_config_sharing_group_of(newest, request->workspace->name, group);
+    }
     prompt_format_salt(request->prompt.model, weights, group, out);
 }
 
--- a/tests/test-relay-config.c
+++ b/tests/test-relay-config.c
@@ -344,17 +344,24 @@
 }
 END_TEST
 
-/* Returns the salt of a workspace's key, or of a public route for NULL. */
-static const char *
-salt_of(const char *tenants, const char *key, char out[CS_ID_LEN + 1])
+static relay_config_t *
+read_tenants(const char *tenants)
 {
     char spec[512];
-    char group[SHARING_GROUP_MAX];
     err_t err = {0};
     (void)snprintf(spec, sizeof(spec),
                    "{\"version\":1,\"routes\":[],\"tenants\":[%s]}", tenants);
     relay_config_t *config = read_config(spec, &err);
     ck_assert_msg(config != NULL, "%s", err.text);
+    return config;
+}
+
+/* Returns the salt of a workspace's key, or of a public route for NULL. */
+static const char *
+salt_of(const char *tenants, const char *key, char out[CS_ID_LEN + 1])
+{
+    char group[SHARING_GROUP_MAX];
+    relay_config_t *config = read_tenants(tenants);
     relay_config_sharing_group(
         config, key != NULL ? relay_config_find_workspace(config, key) : NULL,
         group);
@@ -401,6 +408,32 @@
 }
 END_TEST
 
+/* Guards against requests that are sent again, after a configuration isolated
+ * or removed their workspace or another one, under the salt of before. */
+START_TEST(another_configuration_says_who_shares)
+{
+    static const char open_all[] =
+        TENANT("a", "false") "," TENANT("b", "false") "," TENANT("c", "false");
+    static const char a_isolated[] =
+        TENANT("a", "true") "," TENANT("b", "false");
+    char named[SHARING_GROUP_MAX];
+    char shared[SHARING_GROUP_MAX];
+    relay_config_t *before = read_tenants(open_all);
+    relay_config_t *after = read_tenants(a_isolated);
+    relay_config_sharing_group_of(after, "b", named);
+    relay_config_sharing_group(after, NULL, shared);
+    ck_assert_str_eq(named, shared);
+    relay_config_sharing_group(before, NULL, shared);
+    ck_assert_str_ne(named, shared);
+    relay_config_sharing_group_of(after, "a", named);
+    ck_assert_str_eq(named, "a");
+    relay_config_sharing_group_of(after, "c", named);
+    ck_assert_str_eq(named, "c");
+    relay_config_release(before);
+    relay_config_release(after);
+}
+END_TEST
+
 START_TEST(prompt_parts_are_read)
 {
     prompt_t prompt = {0};
@@ -423,4 +456,4 @@
           corrupted_pages_are_read_safely, invalid_text_affects_one_entry,
           report_is_read, salts_differ_by_weights_and_isolation,
           shared_salt_changes_once_a_workspace_is_isolated,
-          prompt_parts_are_read)
+          another_configuration_says_who_shares, prompt_parts_are_read)
