Streams avoid a software version until the store's record lists it

Cause: origins that are written by themselves are written 0.25 to 0.5 s late, and the record up to 1 s late.

Change: a resumable stream does not begin at a version that the record lacks while servers of its service with a version that it lists are there, for 5 s at most (software-unrecorded in the answers of explain). The holder of the lease writes the record as soon as it lists such a version, the others read it each 0.4 s then, both in lease_early_step. The stand-in of the platform takes "gone":false.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -895,6 +895,20 @@
     }
 }
 
+/* Removes the server's entry for good with gone, until gone is false. */
+static void
+apply_presence_command(platform_server_t *server, const json_t *command)
+{
+    const json_t *gone = json_object_get(command, "gone");
+    if (gone == NULL) {
+        return;
+    }
+    server->removed = json_is_true(gone);
+    if (server->removed) {
+        store_remove(server->store, "servers", server->id);
+    }
+}
+
 /* Applies a command to a server: mode, draining, gone, events, gap_ms, and
  * limit_per_s, a negative one for none, rest_s, that rejections ask for, and
  * leaving, which its answers say though its entry does not; event_bytes,
@@ -958,10 +972,7 @@
     }
     server->leaving = server->leaving || json_get_bool(command, "leaving");
     server->draining = server->draining || json_get_bool(command, "draining");
-    if (json_get_bool(command, "gone")) {
-        server->removed = true;
-        store_remove(server->store, "servers", server->id);
-    }
+    apply_presence_command(server, command);
     server_write_entry(server);
     return 0;
 }
--- a/relay/lease.c
+++ b/relay/lease.c
@@ -20,6 +20,9 @@
  * lease, up to the maximum. */
 #define TAKEOVER_STEP_MS 150
 #define TAKEOVER_DELAY_MAX_MS 1500
+/* Shortest interval between calls that are made early, since the object does
+ * not list what the holder has to add. */
+#define EARLY_INTERVAL_MS 400
 /* Wait after a failed call.  Without it each host would send ten calls a
  * second to a store that is overloaded or unreachable. */
 #define BACKOFF_HOLDER_MS 250
@@ -86,6 +89,22 @@
     return read_due ? LEASE_READ : LEASE_IDLE;
 }
 
+/* Returns the next call if the object's content is to be brought up to date
+ * early: the holder writes it, others read it. */
+lease_step_t
+lease_early_step(const lease_t *lease, int64_t now_ms)
+{
+    lease_step_t step = lease_next_step(lease, now_ms);
+    bool holds = is_holder(lease);
+    int64_t sent_ms = holds ? lease->write_sent_ms : lease->read_sent_ms;
+    if (step != LEASE_IDLE || !lease->known || lease->releasing ||
+        lease->outcome_unknown || now_ms < lease->backoff_until_ms ||
+        now_ms - sent_ms < EARLY_INTERVAL_MS) {
+        return step;
+    }
+    return holds ? LEASE_WRITE : LEASE_READ;
+}
+
 /* Sets how many live hosts may take a free lease before this one.  If all
  * hosts of a large fleet tried at once, all writes but one would fail, and
  * they would load the store just when it recovers from an outage. */
--- a/relay/lease.h
+++ b/relay/lease.h
@@ -50,6 +50,7 @@
 
 void lease_init(lease_t *lease, const char *self, int64_t duration_ms);
 lease_step_t lease_next_step(const lease_t *lease, int64_t now_ms);
+lease_step_t lease_early_step(const lease_t *lease, int64_t now_ms);
 void lease_set_rank(lease_t *lease, size_t rank);
 void lease_call_failed(lease_t *lease, int64_t now_ms);
 void lease_step_sent(lease_t *lease, lease_step_t step, int64_t now_ms);
--- a/relay/request-place.c
+++ b/relay/request-place.c
@@ -98,6 +98,9 @@
     if (request_avoids_doubt(request, server)) {
         return "software-in-doubt";
     }
+    if (request_avoids_unrecorded(request, server)) {
+        return "software-unrecorded";
+    }
     if (!request->engine) {
         return NULL;
     }
--- a/relay/request-resume.c
+++ b/relay/request-resume.c
@@ -545,6 +545,18 @@
            request->route->resumable;
 }
 
+/* Whether the request is a stream that begins, and the store's record does not
+ * list the server's software version yet. */
+bool
+request_avoids_unrecorded(const request_t *request, const server_t *server)
+{
+    const software_record_t *record = &request->relay->software_record;
+    return record->avoided_count > 0 && request->software == SOFTWARE_ANY &&
+           request->route->kind == ROUTE_STREAM && request->route->resumable &&
+           software_record_avoids(record, str_hash(server->info.service, 0),
+                                  server->info.software);
+}
+
 /* The engine at which a stream is to go on has shown which start it is, or has
  * not answered. */
 static void
--- a/relay/request.h
+++ b/relay/request.h
@@ -240,6 +240,8 @@
 server_t *request_choose_server(request_t *request, int64_t now);
 bool request_fits_version(const request_t *request, const server_t *server);
 bool request_avoids_doubt(const request_t *request, const server_t *server);
+bool request_avoids_unrecorded(const request_t *request,
+                               const server_t *server);
 void request_check_software(request_t *request, const server_t *server);
 void request_wait_for_server(request_t *request);
 bool request_can_use(const request_t *request, const server_t *server);
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -335,7 +335,10 @@
     }
     lease_set_rank(&rollout->lease,
                    peers_duty_rank(rollout->relay->peers, LEASE_NAME));
-    lease_step_t step = lease_next_step(&rollout->lease, now);
+    bool early = software_record_lacks(&rollout->relay->software_record,
+                                       time_mono_ms());
+    lease_step_t step = early ? lease_early_step(&rollout->lease, now)
+                              : lease_next_step(&rollout->lease, now);
     if (step == LEASE_IDLE && rollout->relay->stop_requested_ms == 0 &&
         needs_latest(rollout)) {
         step = LEASE_READ;
--- a/tests/test-lease.c
+++ b/tests/test-lease.c
@@ -397,8 +397,49 @@
 }
 END_TEST
 
+/* Guards against a renewal each tick, or one in a backoff, while the object
+ * lacks what the holder has to add, and against hosts that read it late. */
+START_TEST(content_is_updated_early_but_not_often)
+{
+    lease_record_t own = {
+        .revision = 7, .holder = "a/1", .fence = 1, .writes = 1};
+    lease_record_t other = {.revision = 9, .holder = "b/1", .fence = 2};
+    lease_t lease;
+    lease_init(&lease, "a/1", LEASE_MS);
+    ck_assert_int_eq(lease_early_step(&lease, 900), LEASE_READ);
+    lease_step_sent(&lease, LEASE_WRITE, 1000);
+    lease_observe(&lease, &own, 1010);
+    ck_assert(lease_is_held(&lease, 1010));
+    ck_assert_int_eq(lease_early_step(&lease, 1300), LEASE_IDLE);
+    ck_assert_int_eq(lease_early_step(&lease, 1400), LEASE_WRITE);
+    lease_call_failed(&lease, 1300);
+    ck_assert_int_eq(lease_early_step(&lease, 1400), LEASE_IDLE);
+    ck_assert_int_eq(lease_early_step(&lease, 1600), LEASE_WRITE);
+    lease_step_sent(&lease, LEASE_READ, 2000);
+    lease_observe(&lease, &other, 2010);
+    ck_assert_int_eq(lease_early_step(&lease, 2300), LEASE_IDLE);
+    ck_assert_int_eq(lease_early_step(&lease, 2400), LEASE_READ);
+    ck_assert_int_eq(lease_next_step(&lease, 2400), LEASE_IDLE);
+}
+END_TEST
+
+/* Guards against a lease that is kept while it is to be released. */
+START_TEST(released_content_is_not_updated)
+{
+    lease_record_t other = {.revision = 9, .holder = "b/1", .fence = 2};
+    lease_t lease;
+    lease_init(&lease, "a/1", LEASE_MS);
+    lease_step_sent(&lease, LEASE_READ, 1000);
+    lease_observe(&lease, &other, 1010);
+    lease_release(&lease);
+    ck_assert_int_eq(lease_early_step(&lease, 1600), LEASE_IDLE);
+}
+END_TEST
+
 TEST_MAIN("lease", at_most_one_holder, released_lease_is_free_at_once,
           release_that_may_be_in_flight_is_not_taken_back,
           suspended_holder_does_not_act,
           late_earlier_write_does_not_count_as_last,
-          free_lease_is_taken_by_rank, failed_call_backs_off)
+          free_lease_is_taken_by_rank, failed_call_backs_off,
+          content_is_updated_early_but_not_often,
+          released_content_is_not_updated)
