Rollout: when the record of software versions is read is a module of its own

rollout.c had six variables for the linearizable reads of the record, among those of the lease, and no test of when they are made.

A call that is not such a read no longer takes back that requests wait for one. The versions that streams avoid are compared with the record at each tick, also while the store is away, since the 5 s for which they avoid one would not end.

--- a/fakes/platform-server.c
+++ b/fakes/platform-server.c
@@ -895,7 +895,7 @@
     }
 }
 
-/* Removes the server's entry for good with gone, until gone is false. */
+/* Removes the server's entry (gone), or has it written again (not gone). */
 static void
 apply_presence_command(platform_server_t *server, const json_t *command)
 {
--- a/relay/discovery.c
+++ b/relay/discovery.c
@@ -435,8 +435,6 @@
     int64_t known = wall - watch_age_ms(relay->servers_watch, time_mono_ms());
     software_listed_update(&relay->software_listed, relay->servers);
     software_listed_note(&relay->software_listed, &relay->software_seen, wall);
-    software_record_compare(&relay->software_record, &relay->software_listed,
-                            time_mono_ms());
     if (!watch_is_partial(relay->servers_watch)) {
         software_seen_cover(&relay->software_seen, known, known);
     }
@@ -475,6 +473,8 @@
         now - watch_answered_ms(relay->servers_watch) < LIST_AGE_MS_MAX) {
         relay_note_software(relay);
     }
+    software_record_compare(&relay->software_record, &relay->software_listed,
+                            now);
     stream_origins_sweep(&relay->stream_origins, now);
     probes_tick(relay);
     servers_sweep(relay->servers);
--- a/relay/request.h
+++ b/relay/request.h
@@ -157,7 +157,8 @@
     bool origin_pending; /* its origin was asked for */
     bool origin_awaits_peers;  /* other hosts are not known yet */
     bool origin_peers_done;    /* of other hosts, and they do not know it */
-    bool origin_confirming;    /* the store is asked which servers there are */
+    bool origin_confirming;    /* the store is asked which servers and software
+                                  versions there are */
     int64_t origin_asked_ms;   /* when that was */
     int64_t origin_expires_ms; /* the caller does not return after this */
     stream_query_t origin_query;
--- a/relay/rollout.c
+++ b/relay/rollout.c
@@ -1,6 +1,7 @@
 #include "cache-source.h"
 #include "lease.h"
 #include "peers.h"
+#include "record-read.h"
 #include "relay.h"
 #include "rollout-plan.h"
 
@@ -15,11 +16,6 @@
 #define LEASE_NAME "orders"
 #define STORE_CONNECT_MS 300
 #define STORE_CALL_MS 1000
-/* After a linearizable read of the lease failed, the next ones are
- * serializable for this time. */
-#define LATEST_RETRY_MS 2000
-/* The same while requests wait for the answer. */
-#define LATEST_RETRY_SOON_MS 200
 #define ORDER_CONNECT_MS 300
 #define ORDER_CALL_MS 800
 /* Reports lag by a few hundred ms: the effect of an order shows after this
@@ -68,12 +64,7 @@
     lease_t lease;
     fetch_t *lease_fetch;
     lease_step_t lease_step;
-    bool record_requested;    /* requests wait for the latest record */
-    bool reads_latest;        /* the call in flight is a linearizable read */
-    int64_t sent_ms;          /* when it was sent */
-    int64_t sent_wall_ms;     /* the same by the wall clock */
-    int64_t latest_wall_ms;   /* when the last such read was sent; 0: none */
-    int64_t latest_failed_ms; /* when the last one failed; 0: none has */
+    record_read_t record_read;
     bool was_held;
     CK_LIST_HEAD(jobs, job) jobs;
 };
@@ -105,40 +96,54 @@
  * have begun.  Hosts rely on it until it is replaced, so its latest state
  * covers the time up to the read. */
 static int64_t
-covered_until(const rollout_t *rollout, const lease_object_t *object)
+covered_until(const record_read_t *read, const lease_object_t *object)
 {
-    return rollout->reads_latest && object->unlisted_recorded
-               ? rollout->sent_wall_ms
+    return read->latest && object->unlisted_recorded
+               ? read->sent_wall_ms
                : object->software_until_ms;
 }
 
+/* Returns a version of the record.  One that was listed last may be in use
+ * until the record is replaced. */
+static software_sighting_t
+read_sighting(const json_t *row, const lease_object_t *object,
+              int64_t read_wall_ms)
+{
+    software_sighting_t sighting = {
+        .service = (uint64_t)json_integer_value(json_array_get(row, 0)),
+        .software = (uint64_t)json_integer_value(json_array_get(row, 1)),
+        .seen_ms = json_integer_value(json_array_get(row, 2))};
+    if (sighting.seen_ms >= object->software_until_ms &&
+        sighting.seen_ms < read_wall_ms) {
+        sighting.seen_ms = read_wall_ms;
+    }
+    return sighting;
+}
+
 /* Applies the software versions that the holder has seen, so that a daemon
- * that has just started knows which there were before.  Those that were listed
- * last may be in use for as long as the record is not replaced. */
+ * that has just started knows which there were before.  What the holder reads
+ * is its own. */
 static void
 apply_software(rollout_t *rollout, const lease_object_t *object)
 {
     relay_t *relay = rollout->relay;
+    const record_read_t *read = &rollout->record_read;
     bool is_own = strcmp(object->holder, rollout->lease.self) == 0;
     size_t index;
     json_t *row;
-    software_record_begin(&relay->software_record, rollout->sent_ms);
+    software_record_begin(&relay->software_record, read->sent_ms);
     json_array_foreach (object->software, index, row) {
-        software_sighting_t sighting = {
-            .service = (uint64_t)json_integer_value(json_array_get(row, 0)),
-            .software = (uint64_t)json_integer_value(json_array_get(row, 1)),
-            .seen_ms = json_integer_value(json_array_get(row, 2))};
+        const software_sighting_t sighting =
+            read_sighting(row, object, read->sent_wall_ms);
         software_record_add(&relay->software_record, &sighting,
                             object->software_until_ms);
-        if (!is_own && sighting.seen_ms >= object->software_until_ms &&
-            sighting.seen_ms < rollout->sent_wall_ms) {
-            sighting.seen_ms = rollout->sent_wall_ms;
+        if (!is_own) {
+            software_seen_note(&relay->software_seen, &sighting);
         }
-        software_seen_note(&relay->software_seen, &sighting);
     }
     if (object->software_since_ms > 0) {
         software_seen_cover(&relay->software_seen, object->software_since_ms,
-                            covered_until(rollout, object));
+                            covered_until(read, object));
     }
 }
 
@@ -148,9 +153,10 @@
 apply_no_software(rollout_t *rollout)
 {
     relay_t *relay = rollout->relay;
-    software_record_begin(&relay->software_record, rollout->sent_ms);
-    if (rollout->reads_latest && !rollout->lease.known) {
-        software_seen_cover(&relay->software_seen, 1, rollout->sent_wall_ms);
+    const record_read_t *read = &rollout->record_read;
+    software_record_begin(&relay->software_record, read->sent_ms);
+    if (read->latest && !rollout->lease.known) {
+        software_seen_cover(&relay->software_seen, 1, read->sent_wall_ms);
     }
 }
 
@@ -195,47 +201,27 @@
     platform_page_free(&page);
 }
 
-/* Notes whether a linearizable read got an answer. */
-static void
-note_latest(rollout_t *rollout, const fetch_result_t *result)
-{
-    if (!rollout->reads_latest) {
-        return;
-    }
-    if (result->complete && (result->status == 200 || result->status == 404)) {
-        rollout->latest_wall_ms = rollout->sent_wall_ms;
-        return;
-    }
-    rollout->latest_failed_ms = time_mono_ms();
-}
-
 /* Whether this host has still to read the latest record of the software
- * versions: none was read since it started, or since it last missed changes.
- */
+ * versions. */
 bool
 rollout_awaits_record(const rollout_t *rollout)
 {
-    const software_seen_t *seen = &rollout->relay->software_seen;
-    return rollout->latest_wall_ms == 0 ||
-           rollout->latest_wall_ms < seen->since_ms;
+    return record_read_is_awaited(&rollout->record_read,
+                                  &rollout->relay->software_seen);
 }
 
 /* Has the latest record read soon, as requests wait for it. */
 void
 rollout_request_record(rollout_t *rollout)
 {
-    rollout->record_requested = true;
+    record_read_request(&rollout->record_read);
 }
 
-/* Whether to read the latest record now. */
 static bool
-needs_latest(const rollout_t *rollout)
+is_latest_due(const rollout_t *rollout)
 {
-    int64_t retry_ms =
-        rollout->record_requested ? LATEST_RETRY_SOON_MS : LATEST_RETRY_MS;
-    bool failed_lately = rollout->latest_failed_ms != 0 &&
-                         time_mono_ms() - rollout->latest_failed_ms < retry_ms;
-    return rollout_awaits_record(rollout) && !failed_lately;
+    return record_read_is_due(&rollout->record_read,
+                              &rollout->relay->software_seen, time_mono_ms());
 }
 
 static void
@@ -244,7 +230,10 @@
     rollout_t *rollout = arg;
     bool wrote = rollout->lease_step != LEASE_READ;
     rollout->lease_fetch = NULL;
-    note_latest(rollout, result);
+    record_read_done(
+        &rollout->record_read,
+        result->complete && (result->status == 200 || result->status == 404),
+        time_mono_ms());
     if (!result->complete) {
         lease_call_failed(&rollout->lease, time_boot_ms());
         if (wrote && result->sent) {
@@ -276,10 +265,9 @@
     lease_t *lease = &rollout->lease;
     CLEAN_BUF buf_t call = {0};
     lease_step_sent(lease, step, time_boot_ms());
-    rollout->reads_latest = step == LEASE_READ && needs_latest(rollout);
-    rollout->record_requested = false;
-    rollout->sent_ms = time_mono_ms();
-    rollout->sent_wall_ms = time_wall_ms();
+    record_read_sent(&rollout->record_read,
+                     step == LEASE_READ && is_latest_due(rollout),
+                     time_mono_ms(), time_wall_ms());
     CLEAN_JSON json_t *spec = platform_lease_spec(
         lease_requested_holder(lease), lease->requested_fence, lease->writes,
         published_rows(relay), &relay->software_seen);
@@ -293,7 +281,7 @@
             break;
         case LEASE_READ:
         case LEASE_IDLE:
-            if (rollout->reads_latest) {
+            if (rollout->record_read.latest) {
                 platform_get_latest_call(&call, addr, KIND_LEASES, LEASE_NAME);
                 break;
             }
@@ -340,7 +328,7 @@
     lease_step_t step = early ? lease_early_step(&rollout->lease, now)
                               : lease_next_step(&rollout->lease, now);
     if (step == LEASE_IDLE && rollout->relay->stop_requested_ms == 0 &&
-        needs_latest(rollout)) {
+        is_latest_due(rollout)) {
         step = LEASE_READ;
     }
     if (step != LEASE_IDLE) {
