Tests: the hosts of test-place-fleet have the configuration of their requests

Cause: placement asks the newest configuration of the host for the salt since then; the hosts of this test had none, which no running host has while it has requests.

Change: they have the one that their requests name; no check is changed.

Conclusion: a fault of the test's setup, not of the product.

--- a/tests/test-place-fleet.c
+++ b/tests/test-place-fleet.c
@@ -54,6 +54,7 @@
     relay_t *relay = mem_zalloc(sizeof(*relay));
     str_copy(relay->settings.dc, sizeof(relay->settings.dc), "dc-a");
     relay->rng.state = host + 1;
+    relay->config = fleet->config;
     relay->servers = servers_new();
     relay->cache_map = cache_map_new(64);
     for (size_t i = 0; i < ENGINES; i++) {
