Record reads: a clock that is set back causes no read each tick

A host whose wall clock is set back behind the time since which it knows the software versions would have read the record by a linearizable read at each tick, ten times a second and at ten times the price of the other reads, until the clock is there again.

Cause: such a read counts as still to be made if it was sent before that time, and only failed ones were followed by a wait.

Change: each one is, 2 s, or 0.2 s while requests wait for it.

Figures: a_clock_that_is_set_back_causes_few_reads in test-record-read: 100 reads in 10 s before the change; after it the test passes (6 allowed), and so do the other three.

--- a/relay/record-read.c
+++ b/relay/record-read.c
@@ -1,6 +1,7 @@
 #include "record-read.h"
 
-/* Wait after a linearizable read that failed, ms. */
+/* Wait after a linearizable read, ms: one that failed is not repeated at once,
+ * nor one that shows nothing new since a clock was set back. */
 #define RETRY_MS 2000
 /* The same while requests wait for the answer. */
 #define RETRY_REQUESTED_MS 200
@@ -19,9 +20,9 @@
                    int64_t now_ms)
 {
     int64_t retry_ms = read->requested ? RETRY_REQUESTED_MS : RETRY_MS;
-    bool failed_lately =
-        read->failed_ms != 0 && now_ms - read->failed_ms < retry_ms;
-    return record_read_is_awaited(read, seen) && !failed_lately;
+    bool tried_lately =
+        read->tried_ms != 0 && now_ms - read->tried_ms < retry_ms;
+    return record_read_is_awaited(read, seen) && !tried_lately;
 }
 
 /* Has the latest record read soon, as requests wait for it. */
@@ -52,9 +53,8 @@
     if (!read->latest) {
         return;
     }
+    read->tried_ms = now_ms;
     if (answered) {
         read->latest_wall_ms = read->sent_wall_ms;
-        return;
     }
-    read->failed_ms = now_ms;
 }
--- a/relay/record-read.h
+++ b/relay/record-read.h
@@ -14,7 +14,7 @@
     int64_t sent_wall_ms;   /* the same by the wall clock */
     int64_t latest_wall_ms; /* when the last such read with an answer was sent;
                                0: none was */
-    int64_t failed_ms;      /* when the last such read failed; 0: none has */
+    int64_t tried_ms;       /* when the last such read ended; 0: none has */
 } record_read_t;
 
 bool record_read_is_awaited(const record_read_t *read,
--- a/tests/test-record-read.c
+++ b/tests/test-record-read.c
@@ -57,6 +57,27 @@
 }
 END_TEST
 
+/* Guards against ten linearizable reads a second from a host whose clock was
+ * set back behind the time since which it knows the versions. */
+START_TEST(a_clock_that_is_set_back_causes_few_reads)
+{
+    record_read_t read = {0};
+    software_seen_t seen = {0};
+    unsigned reads = 0;
+    software_seen_cover(&seen, 90000, 90000);
+    for (int64_t now = 1000; now < 11000; now += 100) {
+        if (record_read_is_due(&read, &seen, now)) {
+            record_read_sent(&read, true, now, 50000 + now);
+            record_read_done(&read, true, now + 10);
+            reads++;
+        }
+    }
+    ck_assert_uint_ge(reads, 1);
+    ck_assert_uint_le(reads, 6);
+}
+END_TEST
+
 TEST_MAIN("record-read", the_record_is_read_after_each_gap,
           other_calls_do_not_count,
-          a_failed_read_is_repeated_soon_if_requests_wait)
+          a_failed_read_is_repeated_soon_if_requests_wait,
+          a_clock_that_is_set_back_causes_few_reads)
