--- a/relay/origin-store.h
+++ b/relay/origin-store.h
@@ -2,8 +2,9 @@
 #define CELERYSPOOL_ORIGIN_STORE_H
 
 /* Keeps the origins of streams in the platform's store while a service has
- * servers of several software versions, and reads them when no host knows the
- * origin of a stream that is taken up.  See origin-records.h. */
+ * servers of several software versions, or of one that the store's record does
+ * not list, and reads them when no host knows the origin of a stream that is
+ * taken up.  See origin-records.h and software-record.h. */
 
 #include "relay.h"
 
